--- /dev/null
+++ b/libfilberthall/core/rule.h
@@ -0,0 +1,87 @@
+#ifndef FILBERTHALL_CORE_RULE_H
+#define FILBERTHALL_CORE_RULE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/list.h"
+
+/**
+ * Typed views of what operators set under their team's path. agree/settings
+ * builds them from the settings tree and checks each value against its
+ * schema; the other modules only read them. Names are unique in the site.
+ */
+
+#define RULE_NAME_SIZE 64
+#define RULE_TIERS 4   /**< tier 0 is the highest */
+#define RULE_SCOPES 16 /**< classes, models or services of one key */
+#define RULE_ROUTES 16 /**< route rules of one service */
+#define RULE_PATH_SIZE 128
+
+/** team/TEAM/class/NAME */
+struct class_rule {
+	char name[RULE_NAME_SIZE];
+	char team[RULE_NAME_SIZE];
+	int tier;
+	int64_t first_token_us; /**< target, 0 for none */
+	int64_t inter_token_us; /**< target, 0 for none */
+	int64_t deadline_us;	/**< whole answer, from arrival */
+	double min_share;	/**< part of dispatches guaranteed, 0..0.5 */
+	int64_t queue_bound;	/**< requests waiting on one VM at most */
+	bool idempotent;	/**< may be retried and hedged */
+	bool reclaimable;	/**< may run on cheap backend servers */
+};
+
+/** team/TEAM/organisation/NAME; limits hold over all VMs, 0 is no limit. */
+struct organisation_rule {
+	char name[RULE_NAME_SIZE];
+	char team[RULE_NAME_SIZE];
+	int64_t max_concurrent;
+	int64_t requests_per_min;
+	int64_t tokens_per_min;
+	double burst_s; /**< seconds' worth of the rates at once */
+};
+
+/** How a service's call is told apart from a repeat of it. */
+enum idempotency {
+	IDEMPOTENCY_SAFE,     /**< may be repeated freely */
+	IDEMPOTENCY_REQUIRED, /**< Idempotency-Key must be given */
+	IDEMPOTENCY_BODY,     /**< organisation and body hash tell */
+	IDEMPOTENCY_NONE      /**< each arrival is its own, sent once */
+};
+
+struct route_rule {
+	char method[16];	     /**< "*" for any */
+	char prefix[RULE_PATH_SIZE]; /**< of the path below the service */
+	enum idempotency idempotency;
+	char class_name[RULE_NAME_SIZE]; /**< default class, may be empty */
+};
+
+/** team/TEAM/service/NAME; the first route that matches holds. */
+struct service_rule {
+	char name[RULE_NAME_SIZE];
+	char team[RULE_NAME_SIZE];
+	int n_routes;
+	struct route_rule routes[RULE_ROUTES];
+};
+
+/** What a key permits. */
+struct key_rule {
+	char id[RULE_NAME_SIZE];
+	char hash[65]; /**< keyed hash of the secret, hex */
+	char organisation[RULE_NAME_SIZE];
+	char default_class[RULE_NAME_SIZE];
+	char subtree[RULE_PATH_SIZE]; /**< operators: what they may change */
+	bool caller;		      /**< may send requests */
+	bool operates;		      /**< may call operators' commands */
+	int n_classes;		      /**< 0: any class of the team */
+	int n_models;		      /**< 0: any model */
+	int n_services;		      /**< 0: any service */
+	char classes[RULE_SCOPES][RULE_NAME_SIZE];
+	char models[RULE_SCOPES][RULE_NAME_SIZE];
+	char services[RULE_SCOPES][RULE_NAME_SIZE];
+	int64_t max_concurrent;	  /**< of this key alone, 0 no limit */
+	int64_t requests_per_min; /**< of this key alone, 0 no limit */
+};
+
+#endif
