agree, usage: headers of settings, keys, claims, entries and windows

The reducer, the daemon and the command line join what is agreed at these interfaces; they come before the code so that the sides can be written at the same time. Result codes 611 and 612 say what a resend of a finished request meets.

--- /dev/null
+++ b/libfilberthall/agree/admin.h
@@ -0,0 +1,65 @@
+#ifndef FILBERTHALL_AGREE_ADMIN_H
+#define FILBERTHALL_AGREE_ADMIN_H
+
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "agree/apply.h"
+#include "base/bytes.h"
+#include "base/error.h"
+#include "base/result.h"
+#include "core/event.h"
+
+/**
+ * Operators' commands on settings and keys, so that reducer and command
+ * line needn't know their arguments. Arguments (JSON):
+ *
+ *	settings-set	 path, value, [version], [change_id]
+ *	settings-delete	 path, [version], [change_id]
+ *	settings-apply	 values {PATH: VALUE|null} or yaml TEXT,
+ *			 [versions {PATH: N}], [change_id]
+ *	settings-revert	 version, [change_id]
+ *	settings-get	 [path]
+ *	settings-diff	 values or yaml
+ *	settings-history [path], [limit]
+ *	key-grant	 id, hash, ... (agree/key.h), [change_id]
+ *	key-limit	 id, ..., [change_id]
+ *	key-withdraw	 id, [change_id]
+ *	key-list	 [organisation]
+ *
+ * `path` of a write may name one field of an object: path/FIELD.
+ */
+
+/** What kind of command a name is. */
+enum admin_kind {
+	ADMIN_OTHER, /**< not of settings or keys */
+	ADMIN_READ,  /**< admin_read() answers it on any daemon */
+	ADMIN_WRITE  /**< goes through the log: admin_entry() */
+};
+
+enum admin_kind admin_kind(const char *command);
+
+/**
+ * Check and build the entry of a writing command. `yaml` is read here, so
+ * that the state machine sees only values. The operator's key is checked
+ * (again at apply). `ticket` of `head` comes back in struct applied.
+ *
+ * Returns RESULT_OK and appends the entry to `out`, or an error whose
+ * message goes to `handler`.
+ */
+enum result admin_entry(const struct agreed *agreed, const char *command,
+			const struct bytes *args, const struct key *key,
+			const struct entry_head *head, struct bytes *out,
+			const struct error_handler *handler);
+
+/**
+ * Answer a reading command from this daemon's state. Keys outside the
+ * operator's subtree are left out; settings may be read by all operators.
+ *
+ * Returns the code and a new JSON object with "code" and "name".
+ */
+enum result admin_read(const struct agreed *agreed, const char *command,
+		       const struct bytes *args, const struct key *key,
+		       json_t **answer);
+
+#endif
--- /dev/null
+++ b/libfilberthall/agree/yaml.h
@@ -0,0 +1,39 @@
+#ifndef FILBERTHALL_AGREE_YAML_H
+#define FILBERTHALL_AGREE_YAML_H
+
+#include <jansson.h>
+#include <stddef.h>
+
+#include "base/error.h"
+#include "base/result.h"
+
+/**
+ * YAML text of settings, read with libfyaml. Anchors and aliases work;
+ * duplicate keys are an error, since one of the two would be lost silently.
+ */
+
+/**
+ * Read a file of settings, a tree such as
+ *
+ *	team: {calves: {class: {lodgement: {tier: 0}}}}
+ *
+ * into `values`, an object of path to value (null deletes the path), each
+ * value checked by its schema and all of them against each other.
+ * `name` is the file's name for messages.
+ *
+ * Returns RESULT_OK and a new object; else RESULT_SETTING_SYNTAX,
+ * RESULT_SETTING_UNKNOWN or RESULT_SETTING_VALUE. Each fault is reported to
+ * `handler` as "NAME:LINE:COLUMN: PATH: FIELD REASON; allowed: ...".
+ */
+enum result yaml_read_settings(const char *name, const char *text, size_t len,
+			       json_t **values,
+			       const struct error_handler *handler);
+
+/**
+ * Read any YAML text (boot settings, scenarios) as JSON, with syntax errors
+ * reported as "NAME:LINE:COLUMN: message".
+ */
+enum result yaml_read(const char *name, const char *text, size_t len,
+		      json_t **value, const struct error_handler *handler);
+
+#endif
--- a/libfilberthall/base/result.h
+++ b/libfilberthall/base/result.h
@@ -51,6 +51,8 @@
 	X(608, NOT_CAUGHT_UP, 409, "the new voter hasn't caught up")          \
 	X(609, LEASE_LOST, 409, "no longer in charge")                        \
 	X(610, NOT_FOUND, 404, "no such entry")                               \
+	X(611, CLAIM_DONE, 200, "it ran before; this is its answer")          \
+	X(612, CLAIM_ANSWER_GONE, 410, "it ran; its answer wasn't kept")      \
 	X(701, SETTING_UNKNOWN, 422, "unknown setting")                       \
 	X(702, SETTING_VALUE, 422, "value not allowed")                       \
 	X(703, SETTING_SYNTAX, 422, "not valid YAML")                         \
--- /dev/null
+++ b/libfilberthall/usage/window.h
@@ -0,0 +1,86 @@
+#ifndef FILBERTHALL_USAGE_WINDOW_H
+#define FILBERTHALL_USAGE_WINDOW_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/result.h"
+
+/**
+ * The agreed record of usage windows: which figures were committed for
+ * which window, and whether the platform has them. Part of the agreed state.
+ *
+ * Failures answered: a report's answer is lost, or its holder is replaced
+ * between commit and report. The figures are committed before the first
+ * report and then sent unchanged under the same report id until they are
+ * acknowledged, by whoever is in charge, so no window is ever reported with
+ * two sets of figures. What is counted late for a committed window goes into
+ * a later one as a correction; the record holds how much of each window was
+ * billed, corrections too, so that it goes once.
+ *
+ * Windows are numbered by wall clock: floor(time / length).
+ */
+struct windows;
+
+/** Committed windows whose billed totals are kept for late counts. */
+#define WINDOWS_KEPT 64
+
+/** A row of committed figures. */
+struct window_row {
+	const char *organisation;
+	int64_t requests;
+	int64_t prompt_tokens;
+	int64_t output_tokens;
+	int64_t correction_of; /**< -1 for the window itself */
+};
+
+enum window_state {
+	WINDOW_OPEN,	  /**< not committed yet */
+	WINDOW_COMMITTED, /**< to be reported until settled */
+	WINDOW_ACCEPTED,
+	WINDOW_REFUSED /**< the platform has other figures; said aloud */
+};
+
+struct windows *windows_new(void);
+void windows_free(struct windows *windows);
+
+/**
+ * Commit a window's figures: an array of {"name", "requests",
+ * "prompt_tokens", "output_tokens", "correction_of": N or null}.
+ *
+ * Returns RESULT_OK; RESULT_CONFLICT if this or a later window was committed
+ * (the first figures stay); RESULT_MESSAGE_MALFORMED.
+ */
+enum result windows_commit(struct windows *windows, int64_t window,
+			   const json_t *rows);
+
+/** Settle a committed window. RESULT_NOT_FOUND if it isn't waiting. */
+enum result windows_settle(struct windows *windows, int64_t window,
+			   bool accepted);
+
+enum window_state windows_state(const struct windows *windows, int64_t window);
+
+/** The last window committed, -1 for none. */
+int64_t windows_last(const struct windows *windows);
+
+/** The oldest window that is committed and not settled, or -1. */
+int64_t windows_unsettled(const struct windows *windows);
+
+/** The committed rows of a window, borrowed JSON, or NULL. */
+const json_t *windows_rows(const struct windows *windows, int64_t window);
+
+/**
+ * What was billed for a window and organisation so far, with corrections.
+ * Returns false if nothing was, or if the window is no longer kept.
+ */
+bool windows_billed(const struct windows *windows, int64_t window,
+		    const char *organisation, struct window_row *billed);
+
+/** Whether late counts of a window can still be billed. */
+bool windows_keeps(const struct windows *windows, int64_t window);
+
+json_t *windows_save(const struct windows *windows);
+enum result windows_load(struct windows *windows, const json_t *saved);
+
+#endif
