--- /dev/null
+++ b/daemon/boot.c
@@ -0,0 +1,387 @@
+#include "daemon/boot.h"
+
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/cleanup.h"
+#include "base/yaml.h"
+#include "daemon/file.h"
+
+#define BOOT_FILE_LIMIT (256 * 1024)
+#define BOOT_NAME_LIMIT 63
+
+enum boot_type {
+	BOOT_NAME,    /* letters, digits, '-', '_', '.' */
+	BOOT_PATH,    /* of a file or folder */
+	BOOT_ADDRESS, /* IP:port */
+	BOOT_FLAG,
+	BOOT_NUMBER,
+	BOOT_LEVEL
+};
+
+struct boot_key {
+	const char *section; /* NULL at the top */
+	const char *name;
+	enum boot_type type;
+	size_t offset;
+	bool required;
+	int64_t least;
+	int64_t most;
+	int64_t fallback;
+};
+
+#define BOOT_AT(field) offsetof(struct boot, field)
+
+static const struct boot_key boot_keys[] = {
+	{ NULL, "vm", BOOT_NAME, BOOT_AT(vm), true, 0, 0, 0 },
+	{ NULL, "zone", BOOT_NAME, BOOT_AT(zone), true, 0, 0, 0 },
+	{ NULL, "site", BOOT_NAME, BOOT_AT(site), true, 0, 0, 0 },
+	{ NULL, "data_folder", BOOT_PATH, BOOT_AT(data_folder), false, 0, 0,
+	  0 },
+	{ NULL, "bootstrap", BOOT_FLAG, BOOT_AT(bootstrap), false, 0, 0, 0 },
+	{ NULL, "seed_settings", BOOT_PATH, BOOT_AT(seed_settings), false, 0, 0,
+	  0 },
+	{ NULL, "seed_key_file", BOOT_PATH, BOOT_AT(seed_key_file), false, 0, 0,
+	  0 },
+	{ NULL, "key_secret_file", BOOT_PATH, BOOT_AT(key_secret_file), true, 0,
+	  0, 0 },
+	{ NULL, "link_secret_file", BOOT_PATH, BOOT_AT(link_secret_file), true,
+	  0, 0, 0 },
+	{ "listen", "callers", BOOT_ADDRESS, BOOT_AT(listen_callers), true, 0,
+	  0, 0 },
+	{ "listen", "backends", BOOT_ADDRESS, BOOT_AT(listen_backends), true, 0,
+	  0, 0 },
+	{ "listen", "operators", BOOT_ADDRESS, BOOT_AT(listen_operators), true,
+	  0, 0, 0 },
+	{ "listen", "links", BOOT_ADDRESS, BOOT_AT(listen_links), true, 0, 0,
+	  0 },
+	{ NULL, "publish", BOOT_PATH, BOOT_AT(publish), false, 0, 0, 0 },
+	{ NULL, "platform", BOOT_ADDRESS, BOOT_AT(platform), false, 0, 0, 0 },
+	{ "tls", "certificate", BOOT_PATH, BOOT_AT(tls_certificate), false, 0,
+	  0, 0 },
+	{ "tls", "key", BOOT_PATH, BOOT_AT(tls_key), false, 0, 0, 0 },
+	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), false,
+	  1024, 1048576, 16384 },
+	{ "limits", "body_bytes", BOOT_NUMBER, BOOT_AT(body_bytes), false, 1024,
+	  67108864, 4194304 },
+	{ "limits", "connections", BOOT_NUMBER, BOOT_AT(connections), false, 4,
+	  100000, 2000 },
+	{ "limits", "idle_s", BOOT_NUMBER, BOOT_AT(idle_s), false, 1, 3600,
+	  30 },
+	{ "log", "level", BOOT_LEVEL, BOOT_AT(log_level), false, 0, 0,
+	  LOG_INFO },
+	{ "log", "file", BOOT_PATH, BOOT_AT(log_file), false, 0, 0, 0 },
+	{ NULL, "trace_file", BOOT_PATH, BOOT_AT(trace_file), false, 0, 0, 0 },
+};
+
+#define BOOT_KEYS (sizeof(boot_keys) / sizeof(boot_keys[0]))
+
+static const char *const boot_levels[] = { "debug", "info", "warn", "error" };
+
+struct boot_reader {
+	struct boot *boot;
+	const char *name;
+	const struct error_handler *handler;
+};
+
+static enum result boot_refuse(struct boot_reader *reader,
+			       const struct yaml *at, const char *allowed)
+{
+	return error_report(reader->handler, RESULT_SETTING_VALUE,
+			    "%s:%d: %s: %s", reader->name, at->line,
+			    at->key ? at->key : "entry", allowed);
+}
+
+bool boot_split_address(const char *address, char *ip, int *port)
+{
+	const char *colon = strrchr(address, ':');
+	struct in_addr v4;
+	char *end;
+	long number;
+
+	if (!colon || colon == address || colon - address > 45)
+		return false;
+	memcpy(ip, address, colon - address);
+	ip[colon - address] = '\0';
+	number = strtol(colon + 1, &end, 10);
+	if (!colon[1] || *end || number < 0 || number > 65535)
+		return false;
+	*port = (int)number;
+	return inet_pton(AF_INET, ip, &v4) == 1;
+}
+
+static bool boot_is_name(const char *text)
+{
+	size_t len = strlen(text);
+
+	return len && len <= BOOT_NAME_LIMIT &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz"
+			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == len;
+}
+
+static enum result boot_set_text(struct boot_reader *reader,
+				 const struct boot_key *key,
+				 const struct yaml *at)
+{
+	char **slot = (char **)((char *)reader->boot + key->offset);
+	char ip[64];
+	int port;
+
+	if (at->kind != YAML_SCALAR || !at->text[0])
+		return boot_refuse(reader, at, "a text is needed");
+	if (key->type == BOOT_NAME && !boot_is_name(at->text))
+		return boot_refuse(reader, at,
+				   "up to 63 letters, digits, '-', '_' and "
+				   "'.' are allowed");
+	if (key->type == BOOT_ADDRESS &&
+	    !boot_split_address(at->text, ip, &port))
+		return boot_refuse(reader, at, "IP:port is needed");
+	*slot = xstrdup(at->text);
+	return RESULT_OK;
+}
+
+static enum result boot_set_number(struct boot_reader *reader,
+				   const struct boot_key *key,
+				   const struct yaml *at)
+{
+	int64_t *slot = (int64_t *)((char *)reader->boot + key->offset);
+	char allowed[96];
+
+	snprintf(allowed, sizeof(allowed),
+		 "a whole number from %lld to %lld is needed",
+		 (long long)key->least, (long long)key->most);
+	if (!yaml_int(at, slot) || *slot < key->least || *slot > key->most)
+		return boot_refuse(reader, at, allowed);
+	return RESULT_OK;
+}
+
+static enum result boot_set_level(struct boot_reader *reader,
+				  const struct yaml *at)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(boot_levels) / sizeof(boot_levels[0]); i++) {
+		if (at->kind != YAML_SCALAR || strcmp(at->text, boot_levels[i]))
+			continue;
+		reader->boot->log_level = (enum log_level)i;
+		return RESULT_OK;
+	}
+	return boot_refuse(reader, at, "debug, info, warn or error is needed");
+}
+
+static enum result boot_set(struct boot_reader *reader,
+			    const struct boot_key *key, const struct yaml *at)
+{
+	switch (key->type) {
+	case BOOT_FLAG:
+		if (!yaml_bool(at,
+			       (bool *)((char *)reader->boot + key->offset)))
+			return boot_refuse(reader, at,
+					   "true or false is needed");
+		return RESULT_OK;
+	case BOOT_NUMBER:
+		return boot_set_number(reader, key, at);
+	case BOOT_LEVEL:
+		return boot_set_level(reader, at);
+	case BOOT_NAME:
+	case BOOT_PATH:
+	case BOOT_ADDRESS:
+		break;
+	}
+	return boot_set_text(reader, key, at);
+}
+
+static bool boot_same_section(const char *a, const char *b)
+{
+	return (!a && !b) || (a && b && !strcmp(a, b));
+}
+
+static const struct boot_key *boot_find_key(const char *section,
+					    const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < BOOT_KEYS; i++)
+		if (boot_same_section(boot_keys[i].section, section) &&
+		    !strcmp(boot_keys[i].name, name))
+			return &boot_keys[i];
+	return NULL;
+}
+
+static bool boot_is_section(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < BOOT_KEYS; i++)
+		if (boot_keys[i].section && !strcmp(boot_keys[i].section, name))
+			return true;
+	return false;
+}
+
+static enum result boot_unknown(struct boot_reader *reader, const char *section,
+				const struct yaml *at)
+{
+	struct bytes allowed = { 0 };
+	enum result code;
+	size_t i;
+
+	for (i = 0; i < BOOT_KEYS; i++)
+		if (boot_same_section(boot_keys[i].section, section))
+			bytes_append_format(&allowed, " %s", boot_keys[i].name);
+	if (!section)
+		bytes_append_text(&allowed, " listen limits log peers tls");
+	code = error_report(reader->handler, RESULT_SETTING_UNKNOWN,
+			    "%s:%d: %s: no such key; allowed are:%s",
+			    reader->name, at->line, at->key,
+			    bytes_text(&allowed));
+	bytes_clear(&allowed);
+	return code;
+}
+
+static enum result boot_read_peers(struct boot_reader *reader,
+				   const struct yaml *at)
+{
+	const struct yaml *peer;
+	char ip[64];
+	int port;
+
+	if (at->kind != YAML_LIST)
+		return boot_refuse(reader, at, "a list of IP:port is needed");
+	yaml_foreach(peer, at) {
+		if (peer->kind != YAML_SCALAR ||
+		    !boot_split_address(peer->text, ip, &port))
+			return boot_refuse(reader, peer,
+					   "each peer is IP:port");
+		if (reader->boot->n_peers == BOOT_MAX_PEERS)
+			return boot_refuse(reader, at,
+					   "16 peers are allowed at most");
+		reader->boot->peers[reader->boot->n_peers++] =
+			xstrdup(peer->text);
+	}
+	return RESULT_OK;
+}
+
+static enum result boot_read_section(struct boot_reader *reader,
+				     const char *section,
+				     const struct yaml *map)
+{
+	const struct yaml *at;
+
+	if (map->kind != YAML_MAP)
+		return boot_refuse(reader, map, "keys with values are needed");
+	yaml_foreach(at, map) {
+		const struct boot_key *key = boot_find_key(section, at->key);
+		enum result code;
+
+		if (key)
+			code = boot_set(reader, key, at);
+		else if (!section && !strcmp(at->key, "peers"))
+			code = boot_read_peers(reader, at);
+		else if (!section && boot_is_section(at->key))
+			code = boot_read_section(reader, at->key, at);
+		else
+			code = boot_unknown(reader, section, at);
+		if (code)
+			return code;
+	}
+	return RESULT_OK;
+}
+
+static enum result boot_check(struct boot_reader *reader)
+{
+	const struct boot *boot = reader->boot;
+	size_t i;
+
+	for (i = 0; i < BOOT_KEYS; i++) {
+		const struct boot_key *key = &boot_keys[i];
+
+		if (key->required &&
+		    !*(char *const *)((const char *)boot + key->offset))
+			return error_report(reader->handler,
+					    RESULT_SETTING_VALUE,
+					    "%s: %s%s%s is missing",
+					    reader->name,
+					    key->section ? key->section : "",
+					    key->section ? "." : "", key->name);
+	}
+	if (boot->bootstrap && !boot->data_folder)
+		return error_report(reader->handler, RESULT_SETTING_VALUE,
+				    "%s: bootstrap needs a data_folder",
+				    reader->name);
+	if (!boot->bootstrap && !boot->data_folder && !boot->n_peers)
+		return error_report(reader->handler, RESULT_SETTING_VALUE,
+				    "%s: without bootstrap, peers are needed "
+				    "to join by",
+				    reader->name);
+	if (!boot->tls_certificate != !boot->tls_key)
+		return error_report(reader->handler, RESULT_SETTING_VALUE,
+				    "%s: tls needs both certificate and key",
+				    reader->name);
+	return RESULT_OK;
+}
+
+static void boot_set_fallbacks(struct boot *boot)
+{
+	size_t i;
+
+	memset(boot, 0, sizeof(*boot));
+	boot->log_level = LOG_INFO;
+	for (i = 0; i < BOOT_KEYS; i++)
+		if (boot_keys[i].type == BOOT_NUMBER)
+			*(int64_t *)((char *)boot + boot_keys[i].offset) =
+				boot_keys[i].fallback;
+}
+
+enum result boot_parse(struct boot *boot, const char *name, const char *text,
+		       size_t len, const struct error_handler *handler)
+{
+	struct boot_reader reader = { boot, name, handler };
+	cleanup(yaml_cleanup) struct yaml *root = NULL;
+	enum result code;
+
+	boot_set_fallbacks(boot);
+	code = yaml_parse(&root, name, text, len, handler);
+	if (!code)
+		code = boot_read_section(&reader, NULL, root);
+	if (!code)
+		code = boot_check(&reader);
+	if (code)
+		boot_clear(boot);
+	return code;
+}
+
+enum result boot_load(struct boot *boot, const char *path,
+		      const struct error_handler *handler)
+{
+	struct bytes content = { 0 };
+	enum result code;
+
+	boot_set_fallbacks(boot);
+	code = file_read(&content, path, BOOT_FILE_LIMIT, handler);
+	if (!code)
+		code = boot_parse(boot, path, bytes_text(&content), content.len,
+				  handler);
+	bytes_clear(&content);
+	return code;
+}
+
+void boot_clear(struct boot *boot)
+{
+	size_t i;
+	int peer;
+
+	for (i = 0; i < BOOT_KEYS; i++) {
+		enum boot_type type = boot_keys[i].type;
+
+		if (type == BOOT_NAME || type == BOOT_PATH ||
+		    type == BOOT_ADDRESS)
+			free(*(char **)((char *)boot + boot_keys[i].offset));
+	}
+	for (peer = 0; peer < boot->n_peers; peer++)
+		free(boot->peers[peer]);
+	memset(boot, 0, sizeof(*boot));
+}
--- /dev/null
+++ b/daemon/boot.h
@@ -0,0 +1,66 @@
+#ifndef FILBERTHALL_DAEMON_BOOT_H
+#define FILBERTHALL_DAEMON_BOOT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "base/result.h"
+#include "core/effect.h"
+
+#define BOOT_MAX_PEERS 16
+
+/**
+ * A daemon's own settings, read once at its start: where it listens, which
+ * zone it stands in, where its data folder is. Everything that operators
+ * change while it runs is in the agreed settings tree instead.
+ */
+struct boot {
+	char *vm;
+	char *zone;
+	char *site;
+	char *data_folder; /**< NULL: no disk, so never a voter */
+	bool bootstrap;
+	char *seed_settings;
+	char *seed_key_file;
+	char *key_secret_file;
+	char *link_secret_file;
+	char *listen_callers; /**< IP:port, port 0 for the system's choice */
+	char *listen_backends;
+	char *listen_operators;
+	char *listen_links;
+	char *publish;
+	char *platform; /**< IP:port, or NULL */
+	char *tls_certificate;
+	char *tls_key;
+	char *log_file; /**< NULL: standard error */
+	enum log_level log_level;
+	char *trace_file;
+	char *peers[BOOT_MAX_PEERS];
+	int n_peers;
+	int64_t header_bytes;
+	int64_t body_bytes;
+	int64_t connections;
+	int64_t idle_s;
+};
+
+/**
+ * Read boot settings from YAML text.
+ *
+ * Every key is checked: an unknown key, a missing one or a bad value is
+ * reported to `handler` as "NAME:LINE: KEY: what is allowed", and nothing is
+ * taken. On RESULT_OK the caller calls boot_clear().
+ */
+enum result boot_parse(struct boot *boot, const char *name, const char *text,
+		       size_t len, const struct error_handler *handler);
+
+/** Read boot settings from a file; see boot_parse(). */
+enum result boot_load(struct boot *boot, const char *path,
+		      const struct error_handler *handler);
+
+void boot_clear(struct boot *boot);
+
+/** Split "IP:port"; false if it isn't one. `ip` holds at least 64 bytes. */
+bool boot_split_address(const char *address, char *ip, int *port);
+
+#endif
--- a/libfilberthall/core/prompt.c
+++ b/libfilberthall/core/prompt.c
@@ -31,8 +31,7 @@
 			     json_string_length(content));
 		return;
 	}
-	json_array_foreach(content, i, part)
-	{
+	json_array_foreach(content, i, part) {
 		const json_t *piece = json_object_get(part, "text");
 
 		if (json_is_string(piece))
@@ -52,8 +51,7 @@
 		return error_report(handler, RESULT_BAD_REQUEST,
 				    "messages: a list with at least one "
 				    "message is needed");
-	json_array_foreach(messages, i, message)
-	{
+	json_array_foreach(messages, i, message) {
 		const json_t *role = json_object_get(message, "role");
 
 		if (!json_is_string(role))
