daemon: interfaces of the HTTP edges and the links

The core thread and the edges meet at these headers: events go into a sink, each effect has one function that carries it out and never waits for the network.

--- /dev/null
+++ b/daemon/link.h
@@ -0,0 +1,72 @@
+#ifndef FILBERTHALL_DAEMON_LINK_H
+#define FILBERTHALL_DAEMON_LINK_H
+
+#include "base/error.h"
+#include "core/effect.h"
+#include "daemon/edge.h"
+
+/**
+ * Links between daemons: one TCP connection between each two, msgpack frames
+ * under TLS with a pre-shared key, heartbeats. One thread serves them all.
+ *
+ * A link that something in the middle has forgotten looks open for many
+ * minutes; without heartbeats a dead peer would go on counting as a voter
+ * that hears us. Silence of LINK_SILENCE_US ends a link.
+ */
+struct link_hub;
+
+#define LINK_HEARTBEAT_US 500000
+#define LINK_SILENCE_US 2000000
+
+/** Bytes of one message at most; a snapshot piece fits. */
+#define LINK_FRAME_BYTES (4 * 1024 * 1024)
+
+/** Bytes that may wait for one peer; then its oldest messages go. */
+#define LINK_QUEUE_BYTES (16 * 1024 * 1024)
+
+struct link_options {
+	const char *listen;  /**< IP:port */
+	const char *address; /**< IP:port told to peers, NULL: as bound */
+	const char *site;
+	const char *vm;
+	const char *zone;
+	uint64_t self; /**< own member id */
+	uint64_t incarnation;
+	const void *secret; /**< pre-shared key */
+	size_t secret_len;
+	const char *const *seeds; /**< IP:port of peers to join by */
+	int n_seeds;
+	const struct edge_sink *sink;
+	struct edge_counters *counters;
+};
+
+/**
+ * Listen, and dial the seeds. The texts of `options` are copied.
+ *
+ * Returns NULL after a message to `handler`.
+ */
+struct link_hub *link_start(const struct link_options *options,
+			    const struct error_handler *handler);
+
+/** The port really bound. */
+int link_port(const struct link_hub *hub);
+
+/** Carry out effects; none of these waits for the network. */
+void link_send(struct link_hub *hub, const struct effect_send *send);
+void link_open(struct link_hub *hub, const struct effect_link_open *open);
+void link_close(struct link_hub *hub, const struct effect_link_close *close);
+
+/** Messages and bytes by channel since the start. */
+struct link_statistics {
+	uint64_t messages_in[LINK_USAGE + 1];
+	uint64_t messages_out[LINK_USAGE + 1];
+	uint64_t bytes_in[LINK_USAGE + 1];
+	uint64_t bytes_out[LINK_USAGE + 1];
+};
+
+void link_read_statistics(struct link_hub *hub,
+			  struct link_statistics *statistics);
+
+void link_stop(struct link_hub *hub);
+
+#endif
