daemon: listeners of callers, backend servers and operators

Requests are read whole, turned into events and their connections suspended until the core or a backend server has something for them. The bytes waiting for a slow caller are bounded; a whole answer is held until the core's OK. A thread of its own watches for callers that hang up while suspended, which libmicrohttpd reports only at the next resume, and for requests that drip in.

--- /dev/null
+++ b/daemon/address.h
@@ -0,0 +1,28 @@
+#ifndef FILBERTHALL_DAEMON_ADDRESS_H
+#define FILBERTHALL_DAEMON_ADDRESS_H
+
+#include <stdbool.h>
+#include <sys/socket.h>
+
+/** Addresses are written IP:port, an IPv6 one as [IP]:port; never names. */
+struct address {
+	struct sockaddr_storage storage;
+	socklen_t len;
+};
+
+/** Read an address; false if the text isn't one. Port 0 is allowed. */
+bool address_parse(struct address *address, const char *text);
+
+/** The IP without brackets, as text to be freed. */
+char *address_host(const struct address *address);
+
+int address_port(const struct address *address);
+
+/**
+ * A listening socket, close-on-exec.
+ *
+ * `*port` is the port really bound. Returns -1 with errno set on failure.
+ */
+int address_listen(const struct address *address, int backlog, int *port);
+
+#endif
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -106,6 +106,9 @@
  */
 bool exchange_own(struct exchange *exchange, int64_t attempt);
 
+/** The owner broke off: a later attempt may go on where it ended. */
+void exchange_disown(struct exchange *exchange, int64_t attempt);
+
 /**
  * Pass a piece of a stream on; waits while the caller is slow.
  *
--- /dev/null
+++ b/daemon/http_in.c
@@ -0,0 +1,302 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/alloc.h"
+#include "daemon/address.h"
+#include "daemon/http_call.h"
+
+#define LISTEN_BACKLOG 1024
+#define CALLER_THREADS 4
+
+/* A request has this many idle time-outs to be read whole. */
+#define READ_IDLE_TIMES 2
+
+/* Of a connection's memory, beside the request's headers. */
+#define ANSWER_HEADER_BYTES 4096
+
+typedef enum MHD_Result (*serve_fn)(struct http_call *call);
+
+static const serve_fn serve[HTTP_DOORS] = {
+	[HTTP_CALLERS] = http_caller_serve,
+	[HTTP_BACKENDS] = http_backend_serve,
+	[HTTP_OPERATORS] = http_operator_serve,
+};
+
+static void *begin_call(void *data, const char *uri,
+			struct MHD_Connection *connection)
+{
+	struct http_listener *listener = data;
+	struct http_call *call = xcalloc(1, sizeof(*call));
+
+	call->in = listener->in;
+	call->door = listener->door;
+	call->connection = connection;
+	call->raw_target = xstrdup(uri);
+	return call;
+}
+
+static bool announced_too_large(struct http_call *call)
+{
+	const char *length = http_request_header(call, "Content-Length");
+
+	return length &&
+	       strtoull(length, NULL, 10) >
+		       (unsigned long long)call->in->options.body_bytes;
+}
+
+static enum MHD_Result take_body(struct http_call *call, const char *data,
+				 size_t *len)
+{
+	if (call->body.len + *len > (size_t)call->in->options.body_bytes)
+		call->too_large = true;
+	if (!call->too_large)
+		bytes_append(&call->body, data, *len);
+	*len = 0;
+	return MHD_YES;
+}
+
+static enum MHD_Result handle(void *data, struct MHD_Connection *connection,
+			      const char *url, const char *method,
+			      const char *version, const char *upload,
+			      size_t *upload_len, void **context)
+{
+	struct http_call *call = *context;
+
+	(void)data;
+	(void)connection;
+	(void)version;
+	call->method = method;
+	call->path = url;
+	if (!call->started) {
+		call->started = true;
+		if (announced_too_large(call))
+			return http_refuse(call, RESULT_TOO_LARGE, NULL);
+		return MHD_YES;
+	}
+	if (*upload_len)
+		return take_body(call, upload, upload_len);
+	if (call->exchange)
+		return http_continue(call);
+	if (call->too_large)
+		return http_refuse(call, RESULT_TOO_LARGE, NULL);
+	return serve[call->door](call);
+}
+
+static void end_call(void *data, struct MHD_Connection *connection,
+		     void **context, enum MHD_RequestTerminationCode why)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection,
+					MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	struct http_call *call = *context;
+
+	(void)data;
+	if (!call)
+		return;
+	if (info && info->socket_context)
+		caller_watch_detach(info->socket_context);
+	if (call->exchange) {
+		pthread_mutex_lock(&call->exchange->lock);
+		call->exchange->asleep = false;
+		pthread_mutex_unlock(&call->exchange->lock);
+		if (why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+			exchange_leave(call->exchange);
+		exchange_unref(call->exchange);
+	}
+	bytes_clear(&call->body);
+	free(call->raw_target);
+	free(call);
+	*context = NULL;
+}
+
+static void watch_connection(void *data, struct MHD_Connection *connection,
+			     void **socket_context,
+			     enum MHD_ConnectionNotificationCode what)
+{
+	struct http_listener *listener = data;
+	const union MHD_ConnectionInfo *info;
+
+	if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+		if (*socket_context)
+			caller_watch_remove(*socket_context);
+		*socket_context = NULL;
+		return;
+	}
+	info = MHD_get_connection_info(connection,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	*socket_context =
+		caller_watch_add(listener->in->watch, info->connect_fd);
+}
+
+static int listen_at(struct http_listener *listener, const char *text,
+		     const struct error_handler *handler)
+{
+	struct address address;
+	int fd;
+
+	if (!address_parse(&address, text)) {
+		error_report(handler, RESULT_SETTING_VALUE,
+			     "%s: not an address IP:port", text);
+		return -1;
+	}
+	fd = address_listen(&address, LISTEN_BACKLOG, &listener->port);
+	if (fd < 0)
+		error_report(handler, RESULT_SETTING_VALUE, "%s: %s", text,
+			     strerror(errno));
+	return fd;
+}
+
+static bool open_listener(struct http_listener *listener,
+			  const struct error_handler *handler)
+{
+	const struct http_in_options *options = &listener->in->options;
+	bool tls = options->certificate && listener->door != HTTP_BACKENDS;
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+			     MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC |
+			     (tls ? MHD_USE_TLS : 0);
+	const struct MHD_OptionItem tls_options[] = {
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)options->certificate },
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)options->private_key },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+	const struct MHD_OptionItem no_options[] = {
+		{ MHD_OPTION_END, 0, NULL },
+	};
+	int fd = listen_at(listener, options->address[listener->door], handler);
+
+	if (fd < 0)
+		return false;
+	listener->daemon = MHD_start_daemon(
+		flags, 0, NULL, NULL, handle, listener,
+		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_POOL_SIZE,
+		listener->door == HTTP_CALLERS ? CALLER_THREADS : 0U,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)options->connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)options->idle_s,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)options->header_bytes + ANSWER_HEADER_BYTES,
+		MHD_OPTION_URI_LOG_CALLBACK, begin_call, listener,
+		MHD_OPTION_NOTIFY_COMPLETED, end_call, listener,
+		MHD_OPTION_NOTIFY_CONNECTION, watch_connection, listener,
+		MHD_OPTION_ARRAY, tls ? tls_options : no_options,
+		MHD_OPTION_END);
+	if (listener->daemon)
+		return true;
+	close(fd);
+	error_report(handler, RESULT_SETTING_VALUE,
+		     "%s: the listener can't be started",
+		     options->address[listener->door]);
+	return false;
+}
+
+static void copy_options(struct http_in_options *to,
+			 const struct http_in_options *from)
+{
+	int door;
+
+	*to = *from;
+	for (door = 0; door < HTTP_DOORS; door++)
+		to->address[door] = xstrdup(from->address[door]);
+	to->certificate = xstrdup(from->certificate);
+	to->private_key = xstrdup(from->private_key);
+	to->vm = xstrdup(from->vm);
+	to->key_secret = xmemdup(from->key_secret, from->key_secret_len);
+}
+
+static void free_options(struct http_in_options *options)
+{
+	int door;
+
+	for (door = 0; door < HTTP_DOORS; door++)
+		free((char *)options->address[door]);
+	free((char *)options->certificate);
+	free((char *)options->private_key);
+	free((char *)options->vm);
+	free((void *)options->key_secret);
+}
+
+struct http_in *http_in_start(const struct http_in_options *options,
+			      const struct error_handler *handler)
+{
+	struct http_in *in = xcalloc(1, sizeof(*in));
+	int door;
+
+	copy_options(&in->options, options);
+	view_slot_init(&in->view);
+	in->watch =
+		caller_watch_start(options->idle_s * READ_IDLE_TIMES * 1000000,
+				   options->counters);
+	if (!in->watch) {
+		error_report(handler, RESULT_SETTING_VALUE,
+			     "the watch of callers can't be started");
+		goto fail;
+	}
+	for (door = 0; door < HTTP_DOORS; door++) {
+		in->listeners[door].in = in;
+		in->listeners[door].door = door;
+		if (options->address[door] &&
+		    !open_listener(&in->listeners[door], handler))
+			goto fail;
+	}
+	return in;
+
+fail:
+	http_in_stop(in);
+	return NULL;
+}
+
+int http_in_port(const struct http_in *in, enum http_door door)
+{
+	return in->listeners[door].port;
+}
+
+void http_in_answer(struct http_in *in, const struct effect_answer *answer)
+{
+	exchange_table_answer(in->options.exchanges, answer);
+}
+
+void http_in_admin_answer(struct http_in *in,
+			  const struct effect_admin_answer *answer)
+{
+	exchange_table_admin_answer(in->options.exchanges, answer);
+}
+
+void http_in_publish(struct http_in *in, const struct effect_publish *publish)
+{
+	view_publish(&in->view, publish);
+}
+
+/* A suspended connection can't be closed: wake each, as if it had left. */
+static void wake_all(struct exchange_table *table)
+{
+	struct exchange *exchange;
+	struct exchange *next;
+
+	pthread_mutex_lock(&table->lock);
+	map_foreach(exchange, next, &table->by_id, node)
+		exchange_leave(exchange);
+	pthread_mutex_unlock(&table->lock);
+}
+
+void http_in_stop(struct http_in *in)
+{
+	int fds[HTTP_DOORS] = { -1, -1, -1 };
+	int door;
+
+	for (door = 0; door < HTTP_DOORS; door++)
+		if (in->listeners[door].daemon)
+			fds[door] =
+				MHD_quiesce_daemon(in->listeners[door].daemon);
+	wake_all(in->options.exchanges);
+	for (door = 0; door < HTTP_DOORS; door++) {
+		if (in->listeners[door].daemon)
+			MHD_stop_daemon(in->listeners[door].daemon);
+		if (fds[door] >= 0)
+			close(fds[door]);
+	}
+	caller_watch_stop(in->watch);
+	view_slot_clear(&in->view);
+	free_options(&in->options);
+	free(in);
+}
