--- a/fakes/batch.c
+++ b/fakes/batch.c
@@ -9,8 +9,8 @@
 static void batch_step_done(void *data);
 
 void batch_init(struct batch *batch, struct loop *loop,
-		const struct batch_limits *limits, cache_change_fn change,
-		void *data)
+		const struct batch_limits *limits, const double *slow,
+		cache_change_fn change, void *data)
 {
 	batch->loop = loop;
 	batch->limits = *limits;
@@ -22,7 +22,7 @@
 	batch->n_running = 0;
 	batch->waiting_prompt_tokens = 0;
 	batch->kv_reserved = 0;
-	batch->slow = 1;
+	batch->slow = slow;
 }
 
 void batch_clear(struct batch *batch)
@@ -121,7 +121,7 @@
 					    (double)limits->slots);
 	loop_timer_set(batch->loop, &batch->timer,
 		       loop_now_us() +
-			       (int64_t)(step_s * batch->slow * US_PER_S) + 1);
+			       (int64_t)(step_s * *batch->slow * US_PER_S) + 1);
 }
 
 static void batch_give_token(struct batch *batch, struct sequence *sequence)
--- a/fakes/batch.h
+++ b/fakes/batch.h
@@ -60,12 +60,12 @@
 	int64_t n_running;
 	int64_t waiting_prompt_tokens;
 	int64_t kv_reserved; /**< tokens of running sequences */
-	double slow;	     /**< factor on each step */
+	const double *slow;  /**< factor on each step */
 };
 
 void batch_init(struct batch *batch, struct loop *loop,
-		const struct batch_limits *limits, cache_change_fn change,
-		void *data);
+		const struct batch_limits *limits, const double *slow,
+		cache_change_fn change, void *data);
 
 void batch_clear(struct batch *batch);
 
--- a/fakes/completion.c
+++ b/fakes/completion.c
@@ -168,7 +168,11 @@
 	const struct bytes *body = &completion->exchange->body;
 
 	completion->engine->counts.started++;
-	faults_crash_on_mark(&completion->engine->faults, body->data,
+	if (faults_strike(&completion->engine->backend.faults,
+			  FAULT_CRASH_BEFORE_RUN, completion->exchange->path,
+			  NULL))
+		faults_crash("before the run");
+	faults_crash_on_mark(&completion->engine->backend.faults, body->data,
 			     body->len);
 }
 
@@ -199,13 +203,13 @@
 	const char *path = exchange->path;
 
 	completion->engine->counts.completed++;
-	if (faults_strike(&completion->engine->faults, FAULT_CRASH_AFTER_RUN,
-			  path, NULL))
+	if (faults_strike(&completion->engine->backend.faults,
+			  FAULT_CRASH_AFTER_RUN, path, NULL))
 		faults_crash("after the run");
 	if (!exchange->status && completion->prompt.stream)
 		completion_begin_stream(completion);
-	if (faults_strike(&completion->engine->faults, FAULT_CLOSE_AFTER_RUN,
-			  path, NULL))
+	if (faults_strike(&completion->engine->backend.faults,
+			  FAULT_CLOSE_AFTER_RUN, path, NULL))
 		exchange_abort(exchange);
 	else if (completion->prompt.stream)
 		completion_stream_end(completion);
@@ -246,7 +250,7 @@
 		given ? xstrdup(given)
 		      : xstrfmt("cmpl-%" PRIu64, ++engine->next_id);
 	completion->id = xstrdup(completion->request_id);
-	if (faults_strike(&engine->faults, FAULT_CROSSED,
+	if (faults_strike(&engine->backend.faults, FAULT_CROSSED,
 			  completion->exchange->path, NULL)) {
 		free(completion->id);
 		completion->id = engine->last_id ? xstrdup(engine->last_id)
@@ -289,13 +293,13 @@
 	int64_t late_ms;
 
 	completion->break_after = COMPLETION_NEVER;
-	faults_strike(&engine->faults, FAULT_BREAK, path,
+	faults_strike(&engine->backend.faults, FAULT_BREAK, path,
 		      &completion->break_after);
 	loop_timer_init(&completion->late_timer, completion_queue, completion);
 	exchange_on_over(completion->exchange, completion_over, completion);
 	list_append(&engine->completions, &completion->node);
-	if (faults_strike(&engine->faults, FAULT_LATE, path, &late_ms))
-		loop_timer_set(&engine->loop, &completion->late_timer,
+	if (faults_strike(&engine->backend.faults, FAULT_LATE, path, &late_ms))
+		loop_timer_set(&engine->backend.loop, &completion->late_timer,
 			       loop_now_us() + late_ms * US_PER_MS);
 	else
 		completion_queue(completion);
@@ -312,12 +316,12 @@
 {
 	int64_t status;
 
-	if (faults_strike(&engine->faults, FAULT_CLOSE_AFTER_READ,
+	if (faults_strike(&engine->backend.faults, FAULT_CLOSE_AFTER_READ,
 			  exchange->path, NULL)) {
 		exchange_abort(exchange);
 		return true;
 	}
-	if (!faults_strike(&engine->faults, FAULT_ERROR, exchange->path,
+	if (!faults_strike(&engine->backend.faults, FAULT_ERROR, exchange->path,
 			   &status))
 		return false;
 	engine_refuse(exchange, (int)status, "asked for");
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -118,11 +118,12 @@
 	const struct batch *batch = &engine->batch;
 	json_t *json =
 		json_pack("{s:s, s:s, s:s, s:s?, s:s?, s:s, s:b}", "address",
-			  engine->server.address, "boot_id",
+			  engine->backend.server.address, "boot_id",
 			  engine->options->common.boot_id, "model",
 			  engine->model, "adapters", engine->adapters,
 			  "version", engine->version, "role", engine->role,
-			  "leaving", (int)engine->announcer.announce.leaving);
+			  "leaving",
+			  (int)engine->backend.announcer.announce.leaving);
 
 	json_object_set_new(json, "running", json_integer(batch->n_running));
 	json_object_set_new(json, "queued", json_integer(batch->n_waiting));
@@ -171,24 +172,11 @@
 	{ "GET", "/v1/models", engine_models },
 };
 
-static void engine_note_late_work(struct engine *engine)
-{
-	int64_t left_us = engine->announcer.left_us;
-
-	if (left_us)
-		engine->counts.late_work_ms =
-			(loop_now_us() - left_us) / US_PER_MS;
-}
-
 static void engine_handle(void *data, struct exchange *exchange)
 {
 	struct engine *engine = data;
 	size_t i;
 
-	if (faults_handle(&engine->faults, exchange)) {
-		engine->batch.slow = engine->faults.slow;
-		return;
-	}
 	for (i = 0; i < sizeof(engine_routes) / sizeof(*engine_routes); i++) {
 		const struct engine_route *route = &engine_routes[i];
 
@@ -196,7 +184,8 @@
 		    strcmp(route->path, exchange->path))
 			continue;
 		if (!strncmp(exchange->path, "/v1/", 4))
-			engine_note_late_work(engine);
+			engine->counts.late_work_ms =
+				backend_left_ms(&engine->backend);
 		route->handle(engine, exchange);
 		return;
 	}
@@ -217,73 +206,24 @@
 {
 	struct engine *engine = data;
 
-	announcer_cache_event(&engine->announcer, prefix_hash, held);
+	announcer_cache_event(&engine->backend.announcer, prefix_hash, held);
 }
 
 static void engine_describe(struct engine *engine)
 {
-	struct event_announce *announce = &engine->announcer.announce;
+	struct event_announce *announce = &engine->backend.announcer.announce;
 	const struct batch_limits *limits = &engine->options->limits;
 
-	announce->address = engine->server.address;
-	announce->boot_id = (char *)engine->options->common.boot_id;
-	announce->zone = engine->options->common.zone;
 	announce->model = engine->model;
 	announce->adapters = engine->adapters;
 	announce->version = engine->version;
 	announce->role = engine->role;
-	announce->cheap = engine->options->common.cheap;
-	announce->fences = engine->options->common.fences;
-	announce->lease_ms = 3 * engine->options->common.announcer.period_ms;
 	announce->slots = limits->slots;
 	announce->kv_tokens = limits->kv_tokens;
 	announce->prefill_rate = limits->prefill_rate;
 	announce->decode_rate = limits->decode_rate;
 }
 
-/* Leaving ends once streams are whole and daemons had time to hear of it. */
-static void engine_try_end(void *data)
-{
-	struct engine *engine = data;
-	int64_t linger_us = engine->options->common.linger_ms * US_PER_MS;
-	int64_t now_us = loop_now_us();
-
-	if (!server_exchange_count(&engine->server) &&
-	    (!engine->announcer.n_daemons ||
-	     now_us >= engine->announcer.left_us + linger_us))
-		loop_end(&engine->loop);
-	else
-		loop_timer_set(&engine->loop, &engine->end_timer,
-			       now_us + ENGINE_POLL_MS * US_PER_MS);
-}
-
-static void engine_leave(void *data)
-{
-	struct engine *engine = data;
-
-	/* A second signal doesn't wait. */
-	if (engine->announcer.announce.leaving) {
-		loop_end(&engine->loop);
-		return;
-	}
-	announcer_leave(&engine->announcer);
-	engine_try_end(engine);
-}
-
-static bool engine_add_faults(struct engine *engine)
-{
-	char *const *fault = engine->options->common.faults;
-
-	for (; *fault; fault++) {
-		if (!faults_add(&engine->faults, *fault)) {
-			fprintf(stderr, "--fault %s: not a fault\n", *fault);
-			return false;
-		}
-	}
-	engine->batch.slow = engine->faults.slow;
-	return true;
-}
-
 static void engine_init(struct engine *engine,
 			const struct engine_options *options)
 {
@@ -295,49 +235,30 @@
 	engine->role = xstrdup(options->role);
 	list_init(&engine->completions);
 	order_book_init(&engine->orders, options->common.fences);
-	loop_timer_init(&engine->end_timer, engine_try_end, engine);
+	batch_init(&engine->batch, &engine->backend.loop, &options->limits,
+		   &engine->backend.faults.slow, engine_cache_changed, engine);
 }
 
 bool engine_start(struct engine *engine, const struct engine_options *options)
 {
-	const struct options *common = &options->common;
-
 	engine_init(engine, options);
-	if (!loop_init(&engine->loop))
-		return false;
-	engine->loop.on_signal = engine_leave;
-	engine->loop.signal_data = engine;
-	batch_init(&engine->batch, &engine->loop, &options->limits,
-		   engine_cache_changed, engine);
-	faults_init(&engine->faults, &engine->server);
-	announcer_init(&engine->announcer, &engine->loop, &common->announcer,
-		       engine_measure, engine);
-	if (!engine_add_faults(engine) ||
-	    !server_start(&engine->server, &engine->loop, common->listen,
-			  engine_handle, engine))
+	if (!backend_start(&engine->backend, &options->common, engine_handle,
+			   engine_measure, engine))
 		return false;
 	engine_describe(engine);
-	if (common->publish &&
-	    !server_publish(&engine->server, common->publish))
-		return false;
-	announcer_start(&engine->announcer);
-	return true;
+	return backend_announce(&engine->backend);
 }
 
 void engine_run(struct engine *engine)
 {
-	loop_run(&engine->loop);
+	backend_run(&engine->backend);
 }
 
 void engine_clear(struct engine *engine)
 {
-	loop_timer_cancel(&engine->end_timer);
-	announcer_clear(&engine->announcer);
-	server_stop(&engine->server);
+	backend_clear(&engine->backend);
 	batch_clear(&engine->batch);
-	faults_clear(&engine->faults);
 	order_book_clear(&engine->orders);
-	loop_clear(&engine->loop);
 	free(engine->model);
 	free(engine->adapters);
 	free(engine->version);
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -4,12 +4,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "fakes/announcer.h"
+#include "fakes/backend.h"
 #include "fakes/batch.h"
-#include "fakes/fault.h"
-#include "fakes/options.h"
 #include "fakes/order_book.h"
-#include "fakes/server.h"
 
 /** A stand-in model engine. */
 
@@ -33,15 +30,11 @@
 
 struct engine {
 	const struct engine_options *options;
-	struct loop loop;
-	struct server server;
-	struct faults faults;
-	struct announcer announcer;
+	struct backend backend;
 	struct batch batch;
 	struct order_book orders;
 	struct list completions; /**< struct completion */
 	struct engine_counts counts;
-	struct loop_timer end_timer;
 	char *model; /**< orders may change these four */
 	char *adapters;
 	char *version;
--- a/fakes/engine_order.c
+++ b/fakes/engine_order.c
@@ -58,11 +58,11 @@
 		engine_replace(&engine->role, name);
 	else
 		return false;
-	engine->announcer.announce.model = engine->model;
-	engine->announcer.announce.adapters = engine->adapters;
-	engine->announcer.announce.version = engine->version;
-	engine->announcer.announce.role = engine->role;
-	announcer_now(&engine->announcer);
+	engine->backend.announcer.announce.model = engine->model;
+	engine->backend.announcer.announce.adapters = engine->adapters;
+	engine->backend.announcer.announce.version = engine->version;
+	engine->backend.announcer.announce.role = engine->role;
+	announcer_now(&engine->backend.announcer);
 	return true;
 }
 
--- a/fakes/fault.c
+++ b/fakes/fault.c
@@ -28,6 +28,7 @@
 	[FAULT_LATE] = "late",
 	[FAULT_CROSSED] = "crossed",
 	[FAULT_CLOSE_AFTER_READ] = "close-after-read",
+	[FAULT_CRASH_BEFORE_RUN] = "crash-before-run",
 	[FAULT_CLOSE_AFTER_RUN] = "close-after-run",
 	[FAULT_CRASH_AFTER_RUN] = "crash-after-run",
 	[FAULT_BREAK] = "break",
--- a/fakes/fault.h
+++ b/fakes/fault.h
@@ -19,6 +19,7 @@
  *	{"kind": "late", "ms": 500}        the answer begins so much later
  *	{"kind": "crossed"}                another request's id and content
  *	{"kind": "close-after-read"}       closed before it runs
+ *	{"kind": "crash-before-run"}       the process ends instead
  *	{"kind": "close-after-run"}        closed after it ran, no answer
  *	{"kind": "crash-after-run"}        the process ends instead
  *	{"kind": "break", "after": 5}      closed after so many tokens
@@ -38,6 +39,7 @@
 	FAULT_LATE,
 	FAULT_CROSSED,
 	FAULT_CLOSE_AFTER_READ,
+	FAULT_CRASH_BEFORE_RUN,
 	FAULT_CLOSE_AFTER_RUN,
 	FAULT_CRASH_AFTER_RUN,
 	FAULT_BREAK,
