--- a/libfilberthall/agree/member.h
+++ b/libfilberthall/agree/member.h
@@ -77,6 +77,9 @@
 /** The member with that id, or NULL. */
 struct member *members_find(const struct members *members, uint64_t id);
 
+/** Whether both describe the same life of a VM; roles aside. */
+bool member_same(const struct member *a, const struct member *b);
+
 /** Number of voters. */
 int members_voters(const struct members *members);
 
--- /dev/null
+++ b/libfilberthall/agree/raft_disk.c
@@ -0,0 +1,256 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "agree/raft_internal.h"
+#include "base/alloc.h"
+#include "core/event.h"
+
+/**
+ * What of Raft touches the disk, and what waits for it. Each call that wrote
+ * something ends with one EFFECT_LOG_SYNC; the disk thread serves many of
+ * them by one sync.
+ */
+
+static bool raft_writes(const struct raft *raft)
+{
+	return raft->options.self.disk && !raft->failed;
+}
+
+void raft_write_hard_state(struct raft *raft, struct effects *effects)
+{
+	struct effect *effect;
+
+	raft->dirty = true;
+	if (!raft_writes(raft))
+		return;
+	effect = effects_add(effects, EFFECT_HARD_STATE);
+	effect->u.hard_state.term = raft->term;
+	effect->u.hard_state.vote = raft->vote;
+}
+
+void raft_write_append(struct raft *raft, const struct raft_entry *entry,
+		       struct effects *effects)
+{
+	struct effect *effect;
+
+	raft->dirty = true;
+	if (!raft_writes(raft))
+		return;
+	effect = effects_add(effects, EFFECT_LOG_APPEND);
+	effect->u.log_append.index = entry->index;
+	effect->u.log_append.term = entry->term;
+	effect->u.log_append.body = bytes_copy(&entry->body);
+}
+
+/**
+ * Entries from `from` on are replaced. Syncs under way were for the old ones,
+ * so they must not count for the new ones that take their place.
+ */
+void raft_write_truncate(struct raft *raft, int64_t from,
+			 struct effects *effects)
+{
+	struct raft_ticket *ticket;
+	struct effect *effect;
+
+	list_foreach(ticket, &raft->tickets, node)
+		if (ticket->last_index >= from)
+			ticket->last_index = from - 1;
+	if (raft->synced_index >= from)
+		raft->synced_index = from - 1;
+	raft->dirty = true;
+	if (!raft_writes(raft))
+		return;
+	effect = effects_add(effects, EFFECT_LOG_TRUNCATE);
+	effect->u.log_truncate.index = from;
+}
+
+void raft_write_snapshot(struct raft *raft, struct effects *effects)
+{
+	struct effect *effect;
+
+	raft->dirty = true;
+	if (!raft_writes(raft))
+		return;
+	effect = effects_add(effects, EFFECT_SNAPSHOT);
+	effect->u.snapshot.index = raft->snapshot_index;
+	effect->u.snapshot.term = raft->snapshot_term;
+	effect->u.snapshot.body = bytes_copy(&raft->snapshot);
+}
+
+static void raft_send_bytes(struct raft *raft, uint64_t peer,
+			    struct bytes *body, struct effects *effects)
+{
+	struct effect *effect = effects_add(effects, EFFECT_SEND);
+
+	raft->counters.messages_sent++;
+	raft->counters.bytes_sent += (int64_t)body->len;
+	effect->u.send.peer = peer;
+	effect->u.send.channel = LINK_RAFT;
+	effect->u.send.body = *body;
+}
+
+void raft_send(struct raft *raft, uint64_t peer,
+	       const struct raft_message *message, struct effects *effects)
+{
+	struct bytes body = { 0 };
+
+	raft_message_encode(message, &body);
+	raft_send_bytes(raft, peer, &body, effects);
+}
+
+/** Send once all that this call has written so far is synced. */
+void raft_send_after_sync(struct raft *raft, uint64_t peer,
+			  const struct raft_message *message,
+			  struct effects *effects)
+{
+	struct raft_waiting *waiting;
+
+	if (raft->failed)
+		return;
+	if (!raft->dirty && list_empty(&raft->tickets)) {
+		raft_send(raft, peer, message, effects);
+		return;
+	}
+	waiting = xcalloc(1, sizeof(*waiting));
+	waiting->ticket = raft->last_ticket + (raft->dirty ? 1 : 0);
+	waiting->peer = peer;
+	raft_message_encode(message, &waiting->body);
+	list_append(&raft->waiting, &waiting->node);
+}
+
+static void raft_release_waiting(struct raft *raft, int64_t ticket,
+				 struct effects *effects)
+{
+	struct raft_waiting *waiting;
+	struct raft_waiting *next;
+
+	list_foreach_safe(waiting, next, &raft->waiting, node) {
+		if (waiting->ticket > ticket)
+			break;
+		list_remove(&waiting->node);
+		raft_send_bytes(raft, waiting->peer, &waiting->body, effects);
+		free(waiting);
+	}
+}
+
+static void raft_drop_waiting(struct raft *raft)
+{
+	struct raft_waiting *waiting;
+	struct raft_waiting *next;
+
+	list_foreach_safe(waiting, next, &raft->waiting, node) {
+		list_remove(&waiting->node);
+		bytes_clear(&waiting->body);
+		free(waiting);
+	}
+}
+
+/** All writes up to `ticket` are durable: say and count what waited. */
+static void raft_settle(struct raft *raft, int64_t ticket, int64_t now_us,
+			struct effects *effects)
+{
+	struct raft_ticket *done;
+	struct raft_ticket *next;
+
+	list_foreach_safe(done, next, &raft->tickets, node) {
+		if (done->ticket > ticket)
+			break;
+		if (done->last_index > raft->synced_index)
+			raft->synced_index = done->last_index;
+		if (done->term == raft->term && raft->role == RAFT_CANDIDATE)
+			raft->self_vote = true;
+		list_remove(&done->node);
+		free(done);
+	}
+	raft_release_waiting(raft, ticket, effects);
+	if (raft->role == RAFT_CANDIDATE)
+		raft_count_votes(raft, now_us, effects);
+	if (raft->role == RAFT_LEADER)
+		raft_advance_commit(raft, now_us, effects);
+	else
+		raft_acknowledge(raft, now_us, effects);
+}
+
+/** End of each call: one sync for all that it wrote. */
+void raft_finish(struct raft *raft, int64_t now_us, struct effects *effects)
+{
+	if (raft->failed)
+		raft->dirty = false;
+	while (raft->dirty) {
+		struct raft_ticket *ticket = xcalloc(1, sizeof(*ticket));
+
+		raft->dirty = false;
+		ticket->ticket = ++raft->last_ticket;
+		ticket->last_index = raft_log_last(&raft->log);
+		ticket->term = raft->term;
+		list_append(&raft->tickets, &ticket->node);
+		if (raft_writes(raft)) {
+			raft->counters.syncs++;
+			effects_add(effects, EFFECT_LOG_SYNC)
+				->u.log_sync.ticket = ticket->ticket;
+		}
+		/* nothing to wait for without a disk; never if it failed */
+		if (!raft->options.self.disk)
+			raft_settle(raft, ticket->ticket, now_us, effects);
+		switch (raft->options.mutant) {
+		case RAFT_MUTANT_VOTE_BEFORE_SYNC:
+			raft_release_waiting(raft, ticket->ticket, effects);
+			break;
+		case RAFT_MUTANT_ACK_BEFORE_SYNC:
+			if (raft->role == RAFT_LEADER)
+				break;
+			raft->synced_index = ticket->last_index;
+			raft_acknowledge(raft, now_us, effects);
+			break;
+		case RAFT_MUTANT_COUNT_OWN_BEFORE_SYNC:
+			if (raft->role != RAFT_LEADER)
+				break;
+			raft->synced_index = ticket->last_index;
+			raft_advance_commit(raft, now_us, effects);
+			break;
+		default:
+			break;
+		}
+	}
+}
+
+void raft_synced(struct raft *raft, int64_t ticket, int64_t now_us,
+		 struct effects *effects)
+{
+	if (raft->failed)
+		return;
+	raft_settle(raft, ticket, now_us, effects);
+	raft_finish(raft, now_us, effects);
+}
+
+void raft_disk_failed(struct raft *raft, enum result code, int64_t now_us,
+		      struct effects *effects)
+{
+	if (raft->failed)
+		return;
+	raft->failed = true;
+	raft_drop_waiting(raft);
+	raft_say(effects, LOG_ERROR,
+		 "%s: this VM votes and acknowledges nothing any more",
+		 result_text(code));
+	if (raft->role != RAFT_FOLLOWER)
+		raft_become_follower(raft, raft->term, 0, now_us, effects);
+	raft->dirty = false;
+}
+
+void raft_say(struct effects *effects, enum log_level level, const char *format,
+	      ...)
+{
+	struct effect *effect = effects_add(effects, EFFECT_LOG);
+	char *text = NULL;
+	va_list args;
+
+	va_start(args, format);
+	if (vasprintf(&text, format, args) < 0)
+		abort();
+	va_end(args);
+	effect->u.log.level = level;
+	effect->u.log.module = xstrdup("raft");
+	effect->u.log.message = text;
+}
--- /dev/null
+++ b/libfilberthall/agree/raft_election.c
@@ -0,0 +1,288 @@
+#include "agree/raft_internal.h"
+
+bool raft_can_vote(const struct raft *raft)
+{
+	return raft->options.self.disk && !raft->failed && raft_is_voter(raft);
+}
+
+/** A random wait, so that two candidates seldom split the votes. */
+void raft_reset_election(struct raft *raft, int64_t now_us)
+{
+	int64_t election_us = raft->options.election_us;
+
+	raft->election_at_us =
+		now_us + election_us +
+		(int64_t)rng_below(&raft->rng, (uint64_t)election_us);
+}
+
+static void raft_forget_campaign(struct raft *raft)
+{
+	struct raft_peer *peer;
+
+	raft->self_vote = false;
+	list_foreach(peer, &raft->peers, node)
+		peer->granted = false;
+}
+
+void raft_become_follower(struct raft *raft, int64_t term, uint64_t leader,
+			  int64_t now_us, struct effects *effects)
+{
+	struct raft_peer *peer;
+	bool was_leader = raft->role == RAFT_LEADER;
+
+	if (term != raft->term) {
+		raft->term = term;
+		raft->vote = 0;
+		raft_write_hard_state(raft, effects);
+	}
+	if (raft->leader != leader || was_leader) {
+		raft->verified = raft->commit;
+		raft->acknowledged = 0;
+	}
+	raft->role = RAFT_FOLLOWER;
+	raft->leader = leader;
+	raft->transferring = false;
+	lease_lost(&raft->lease);
+	members_clear(&raft->joining);
+	raft_forget_campaign(raft);
+	list_foreach(peer, &raft->peers, node)
+		peer->feeding = peer->child;
+	raft_reset_election(raft, now_us);
+	if (was_leader)
+		raft_say(effects, LOG_WARN, "no longer leader in term %lld",
+			 (long long)term);
+}
+
+/**
+ * Whether a leader may still count on us: we are the leader, or heard it (or
+ * started, which makes us forget whether we did) less than an election time
+ * ago.
+ *
+ * A vote given now could break its lease, and a member that comes back from
+ * a partition with a higher term would depose a working leader.
+ */
+static bool raft_leader_holds(const struct raft *raft, int64_t now_us)
+{
+	if (raft->options.mutant == RAFT_MUTANT_VOTE_WHILE_LEADER_HEARD)
+		return false;
+	return raft->role == RAFT_LEADER ||
+	       now_us - raft->last_leader_us < raft->options.election_us;
+}
+
+/** A candidate whose log lacks what we hold may lack what is committed. */
+static bool raft_log_suffices(const struct raft *raft,
+			      const struct raft_message *message)
+{
+	int64_t last = raft_log_last(&raft->log);
+	int64_t last_term = raft_log_term(&raft->log, last);
+
+	if (raft->options.mutant == RAFT_MUTANT_VOTE_ANY_LOG)
+		return true;
+	return message->log_term > last_term ||
+	       (message->log_term == last_term && message->index >= last);
+}
+
+static void raft_ask_voters(struct raft *raft, enum raft_message_kind kind,
+			    int64_t term, bool transfer,
+			    struct effects *effects)
+{
+	struct raft_message message = {
+		.kind = kind,
+		.term = term,
+		.index = raft_log_last(&raft->log),
+		.log_term =
+			raft_log_term(&raft->log, raft_log_last(&raft->log)),
+		.flags = transfer ? RAFT_TRANSFER : 0,
+	};
+	struct raft_peer *peer;
+
+	list_foreach(peer, &raft->peers, node) {
+		if (!peer->up || !raft_peer_votes(raft, peer))
+			continue;
+		if (kind == RAFT_VOTE)
+			raft_send_after_sync(raft, peer->id, &message, effects);
+		else
+			raft_send(raft, peer->id, &message, effects);
+	}
+}
+
+/**
+ * Ask first whether others would vote for us. Without it a member that is
+ * cut off raises its term again and again, and its return would depose the
+ * leader.
+ */
+void raft_prevote(struct raft *raft, int64_t now_us, struct effects *effects)
+{
+	raft_reset_election(raft, now_us);
+	raft_forget_campaign(raft);
+	raft->leader = 0;
+	raft->role = RAFT_PRE_CANDIDATE;
+	raft->self_vote = true;
+	raft_ask_voters(raft, RAFT_PREVOTE, raft->term + 1, false, effects);
+	raft_count_votes(raft, now_us, effects);
+}
+
+void raft_campaign(struct raft *raft, bool transfer, int64_t now_us,
+		   struct effects *effects)
+{
+	raft->counters.elections++;
+	raft_reset_election(raft, now_us);
+	raft_forget_campaign(raft);
+	raft->role = RAFT_CANDIDATE;
+	raft->leader = 0;
+	raft->term++;
+	raft->vote = raft->options.self.id;
+	raft_write_hard_state(raft, effects);
+	raft_ask_voters(raft, RAFT_VOTE, raft->term, transfer, effects);
+	if (raft->options.mutant == RAFT_MUTANT_VOTE_BEFORE_SYNC)
+		raft->self_vote = true;
+}
+
+static void raft_become_leader(struct raft *raft, int64_t now_us,
+			       struct effects *effects)
+{
+	int64_t last = raft_log_last(&raft->log);
+	struct raft_peer *peer;
+
+	raft->role = RAFT_LEADER;
+	raft->leader = raft->options.self.id;
+	raft->elected_us = now_us;
+	raft->repair_at_us = now_us + raft->options.election_us;
+	raft->transferring = false;
+	raft->transfer_sent = false;
+	lease_elected(&raft->lease, raft->term, now_us);
+	if (raft->options.mutant == RAFT_MUTANT_ORDER_WITHOUT_WAIT)
+		raft->lease.first_us = now_us;
+	list_foreach(peer, &raft->peers, node) {
+		peer->next = last + 1;
+		peer->match = 0;
+		peer->held = 0;
+		peer->probing = true;
+		peer->n_flight = 0;
+		peer->sent_us = RAFT_NEVER;
+		peer->acked_us = RAFT_NEVER;
+		peer->progress_us = now_us;
+		peer->heard_us = now_us;
+		peer->snapshot_index = 0;
+		peer->feeding = peer->child || raft_leader_feeds(raft, peer);
+	}
+	raft_say(effects, LOG_INFO, "leader in term %lld",
+		 (long long)raft->term);
+	raft->first_own_index =
+		raft_append_own(raft, RAFT_ENTRY_EMPTY, NULL, 0, effects)
+			->index;
+	raft_feed_all(raft, true, now_us, effects);
+}
+
+void raft_count_votes(struct raft *raft, int64_t now_us,
+		      struct effects *effects)
+{
+	int quorum = members_quorum(members_voters(&raft->members));
+	int votes = raft->self_vote && raft_can_vote(raft);
+	struct raft_peer *peer;
+
+	list_foreach(peer, &raft->peers, node)
+		if (peer->granted && raft_peer_votes(raft, peer))
+			votes++;
+	if (votes < quorum)
+		return;
+	if (raft->role == RAFT_PRE_CANDIDATE)
+		raft_campaign(raft, false, now_us, effects);
+	else if (raft->role == RAFT_CANDIDATE)
+		raft_become_leader(raft, now_us, effects);
+}
+
+static void raft_on_prevote(struct raft *raft, struct raft_peer *peer,
+			    const struct raft_message *message, int64_t now_us,
+			    struct effects *effects)
+{
+	struct raft_message reply = { .kind = RAFT_PREVOTE_REPLY };
+
+	if (raft_is_member(raft, raft->options.self.id) &&
+	    !raft_is_member(raft, peer->id)) {
+		reply.flags = RAFT_REJECTED | RAFT_REMOVED;
+		reply.term = raft->term;
+	} else if (message->term > raft->term && raft_can_vote(raft) &&
+		   !raft_leader_holds(raft, now_us) &&
+		   raft_log_suffices(raft, message)) {
+		reply.flags = RAFT_GRANTED;
+		reply.term = message->term;
+	} else {
+		reply.flags = RAFT_REJECTED;
+		reply.term = raft->term;
+	}
+	raft_send(raft, peer->id, &reply, effects);
+}
+
+static void raft_grant(struct raft *raft, struct raft_peer *peer,
+		       const struct raft_message *message, int64_t now_us,
+		       struct effects *effects)
+{
+	struct raft_message reply = { .kind = RAFT_VOTE_REPLY,
+				      .term = raft->term };
+	bool granted = raft->role == RAFT_FOLLOWER && !raft->leader &&
+		       (!raft->vote || raft->vote == peer->id) &&
+		       raft_can_vote(raft) && raft_log_suffices(raft, message);
+
+	if (granted && !raft->vote) {
+		raft->vote = peer->id;
+		raft_write_hard_state(raft, effects);
+	}
+	if (granted)
+		raft_reset_election(raft, now_us);
+	reply.flags = granted ? RAFT_GRANTED : RAFT_REJECTED;
+	/* a vote that a crash could make us forget might be given twice */
+	raft_send_after_sync(raft, peer->id, &reply, effects);
+}
+
+void raft_on_vote(struct raft *raft, struct raft_peer *peer,
+		  const struct raft_message *message, int64_t now_us,
+		  struct effects *effects)
+{
+	bool asked_by_leader = message->flags & RAFT_TRANSFER;
+
+	raft->outcast = false;
+	if (message->kind == RAFT_PREVOTE) {
+		raft_on_prevote(raft, peer, message, now_us, effects);
+		return;
+	}
+	if (message->term < raft->term ||
+	    (!asked_by_leader && raft_leader_holds(raft, now_us)))
+		return;
+	if (message->term > raft->term)
+		raft_become_follower(raft, message->term, 0, now_us, effects);
+	raft_grant(raft, peer, message, now_us, effects);
+}
+
+void raft_on_vote_reply(struct raft *raft, struct raft_peer *peer,
+			const struct raft_message *message, int64_t now_us,
+			struct effects *effects)
+{
+	bool prevote = message->kind == RAFT_PREVOTE_REPLY;
+	int64_t wanted = prevote ? raft->term + 1 : raft->term;
+	enum raft_role role = prevote ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
+
+	if (message->flags & RAFT_REMOVED && raft->role != RAFT_LEADER) {
+		raft->outcast = true;
+		return;
+	}
+	if (!(message->flags & RAFT_GRANTED)) {
+		if (message->term > raft->term)
+			raft_become_follower(raft, message->term, 0, now_us,
+					     effects);
+		return;
+	}
+	if (raft->role != role || message->term != wanted)
+		return;
+	peer->granted = true;
+	raft_count_votes(raft, now_us, effects);
+}
+
+/** The leader hands over to us; it has given up its lease. */
+void raft_on_timeout_now(struct raft *raft, const struct raft_message *message,
+			 int64_t now_us, struct effects *effects)
+{
+	if (message->term == raft->term && raft->role == RAFT_FOLLOWER &&
+	    raft_can_vote(raft))
+		raft_campaign(raft, true, now_us, effects);
+}
--- /dev/null
+++ b/libfilberthall/agree/raft_follow.c
@@ -0,0 +1,210 @@
+#include "agree/raft_internal.h"
+
+/** The side that takes entries from the leader or a feeder. */
+
+/** Where the leader should go on after a conflict: not before our commit. */
+static int64_t raft_conflict_hint(const struct raft *raft, int64_t index)
+{
+	int64_t last = raft_log_last(&raft->log);
+	int64_t term;
+
+	if (index > last)
+		return last;
+	term = raft_log_term(&raft->log, index);
+	while (index > raft->commit && index >= raft->log.first &&
+	       raft_log_term(&raft->log, index) == term)
+		index--;
+	return index > raft->commit ? index : raft->commit;
+}
+
+static void raft_reply_append(struct raft *raft, struct raft_peer *peer,
+			      bool rejected, int64_t hint, int64_t now_us,
+			      struct effects *effects)
+{
+	struct raft_message reply = {
+		.kind = RAFT_APPEND_REPLY,
+		.term = raft->term,
+		.echo_us = raft->leader_sent_us,
+		.sent_us = now_us,
+		.applied = raft->applied,
+		.flags = raft->failed ? RAFT_DISK_LOST : 0,
+	};
+
+	if (rejected) {
+		reply.flags |= RAFT_REJECTED;
+		reply.index = hint;
+	} else {
+		reply.held = raft->verified;
+		reply.match = raft->synced_index < raft->verified
+				      ? raft->synced_index
+				      : raft->verified;
+		raft->acknowledged = reply.match;
+	}
+	raft_add_reports(raft, &reply, now_us);
+	raft_send(raft, peer->id, &reply, effects);
+	raft_message_clear(&reply);
+}
+
+/** Writes came back synced: tell whoever feeds us. */
+void raft_acknowledge(struct raft *raft, int64_t now_us,
+		      struct effects *effects)
+{
+	struct raft_peer *peer =
+		raft_peer_find(raft, raft_is_voter(raft) ? raft->leader
+							 : raft->feeder);
+	int64_t match = raft->synced_index < raft->verified ? raft->synced_index
+							    : raft->verified;
+
+	if (raft->role == RAFT_FOLLOWER && peer && peer->up &&
+	    match > raft->acknowledged)
+		raft_reply_append(raft, peer, false, 0, now_us, effects);
+}
+
+static void raft_store_entry(struct raft *raft, const struct raft_entry *entry,
+			     struct effects *effects)
+{
+	struct raft_entry *stored =
+		raft_log_push(&raft->log, entry->term, entry->body.data,
+			      entry->body.len);
+
+	raft_write_append(raft, stored, effects);
+	if (stored->body.data[0] == RAFT_ENTRY_MEMBERS)
+		raft_adopt_members(raft, stored, effects);
+}
+
+/** Take entries behind a place where both logs agree; true if any is new. */
+static bool raft_store_entries(struct raft *raft,
+			       const struct raft_message *message,
+			       struct effects *effects)
+{
+	bool stored = false;
+	size_t i;
+
+	for (i = 0; i < message->n_entries; i++) {
+		int64_t index = message->index + 1 + (int64_t)i;
+		const struct raft_entry *entry = &message->entries[i];
+
+		if (index < raft->log.first ||
+		    raft_log_term(&raft->log, index) == entry->term)
+			continue;
+		if (index <= raft->commit)
+			return stored; /* a committed entry never changes */
+		if (index <= raft_log_last(&raft->log)) {
+			raft_write_truncate(raft, index, effects);
+			raft_log_truncate(&raft->log, index);
+			raft_scan_members(raft, effects);
+		}
+		raft_store_entry(raft, entry, effects);
+		stored = true;
+	}
+	return stored;
+}
+
+/**
+ * How fresh our state is: the sender echoes our clock, so it sent this after
+ * that moment, and was then `age` away from a time at which a leader had a
+ * quorum. No message that was kept back somewhere can look newer than it is.
+ */
+static void raft_take_freshness(struct raft *raft,
+				const struct raft_message *message)
+{
+	int64_t fresh_us;
+
+	if (!message->age_us || !message->echo_us ||
+	    raft->verified < message->commit)
+		return;
+	fresh_us = message->echo_us -
+		   lease_stretch(message->age_us - 1, raft->options.drift_ppm);
+	if (fresh_us > raft->fresh_us)
+		raft->fresh_us = fresh_us;
+}
+
+static void raft_take_entries(struct raft *raft, struct raft_peer *peer,
+			      const struct raft_message *message,
+			      int64_t now_us, struct effects *effects)
+{
+	int64_t last = message->index + (int64_t)message->n_entries;
+	bool behind = message->index < raft->log.first - 1;
+	bool stored;
+
+	if (!behind &&
+	    raft_log_term(&raft->log, message->index) != message->log_term) {
+		raft_reply_append(raft, peer, true,
+				  raft_conflict_hint(raft, message->index),
+				  now_us, effects);
+		return;
+	}
+	stored = raft_store_entries(raft, message, effects);
+	if (last > raft->verified)
+		raft->verified = last;
+	if (raft->verified < raft->log.first - 1)
+		raft->verified = raft->log.first - 1;
+	if (message->commit > raft->commit) {
+		int64_t commit = message->commit < raft->verified
+					 ? message->commit
+					 : raft->verified;
+
+		if (commit > raft->commit)
+			raft->commit = commit;
+	}
+	raft_take_freshness(raft, message);
+	if (!stored || raft->failed)
+		raft_reply_append(raft, peer, false, 0, now_us, effects);
+	raft_feed_all(raft, false, now_us, effects);
+}
+
+/** Entries from a feeder: committed ones, whoever leads by now. */
+static void raft_on_fed(struct raft *raft, struct raft_peer *peer,
+			const struct raft_message *message, int64_t now_us,
+			struct effects *effects)
+{
+	if (raft_is_voter(raft) || peer->id != raft->feeder)
+		return;
+	if (message->term > raft->term)
+		raft_become_follower(raft, message->term, message->leader,
+				     now_us, effects);
+	raft->leader = message->leader;
+	/*
+	 * Two learners that feed each other would hear one another for ever
+	 * and never the group: only a fresh feeder counts as heard.
+	 */
+	if (message->age_us && message->age_us < raft_feed_age_limit(raft))
+		raft->feeder_heard_us = now_us;
+	raft->leader_sent_us = message->sent_us;
+	raft_take_entries(raft, peer, message, now_us, effects);
+}
+
+void raft_on_append(struct raft *raft, struct raft_peer *peer,
+		    const struct raft_message *message, int64_t now_us,
+		    struct effects *effects)
+{
+	if (message->flags & RAFT_FED) {
+		raft_on_fed(raft, peer, message, now_us, effects);
+		return;
+	}
+	if (message->term < raft->term) {
+		struct raft_message reply = { .kind = RAFT_APPEND_REPLY,
+					      .term = raft->term,
+					      .flags = RAFT_REJECTED };
+
+		raft_send(raft, peer->id, &reply, effects);
+		return;
+	}
+	if (raft->role == RAFT_LEADER && message->term == raft->term)
+		return; /* can't be: one leader a term */
+	if (message->term > raft->term || raft->role != RAFT_FOLLOWER ||
+	    raft->leader != peer->id) {
+		raft_become_follower(raft, message->term, peer->id, now_us,
+				     effects);
+		raft->leader_sent_us = 0;
+	}
+	raft->outcast = false;
+	raft->last_leader_us = now_us;
+	raft->feeder = peer->id;
+	raft->feeder_heard_us = now_us;
+	raft->feeder_attempt = 0;
+	if (message->sent_us > raft->leader_sent_us)
+		raft->leader_sent_us = message->sent_us;
+	raft_reset_election(raft, now_us);
+	raft_take_entries(raft, peer, message, now_us, effects);
+}
--- /dev/null
+++ b/libfilberthall/agree/raft_learner.c
@@ -0,0 +1,301 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "agree/raft_internal.h"
+#include "base/alloc.h"
+
+/**
+ * Learners choose who feeds them.
+ *
+ * Load answered: 330 daemons. A leader that streams to all of them spends
+ * its core on copying, and the death of a fixed relay would cut off all
+ * below it. Here each learner of a zone takes its place in a tree over the
+ * zone's learners, whose first one is fed by a voter; one that hears nothing
+ * fresh goes up the tree, and at last to any voter. Small groups skip the
+ * tree: the leader feeds all.
+ */
+#define RAFT_SILENT_HEARTBEATS 3
+#define RAFT_FRESH_HEARTBEATS 12
+
+/** Older than this, a feeder doesn't count as one. */
+int64_t raft_feed_age_limit(const struct raft *raft)
+{
+	return RAFT_FRESH_HEARTBEATS * raft->options.learner_heartbeat_us;
+}
+
+static uint64_t raft_any_voter(const struct raft *raft, int attempt)
+{
+	int voters = members_voters(&raft->members);
+	uint64_t self = raft->options.self.id;
+	int wanted;
+	size_t i;
+
+	if (!voters)
+		return 0;
+	wanted = (int)((self + (uint64_t)attempt) % (uint64_t)voters);
+	for (i = 0; i < raft->members.count; i++)
+		if (raft->members.items[i].role == MEMBER_VOTER && !wanted--)
+			return raft->members.items[i].id;
+	return 0;
+}
+
+/** Diskless learners of our zone in the order of the configuration. */
+static size_t raft_zone_peers(const struct raft *raft, uint64_t *ids,
+			      size_t *own)
+{
+	const char *zone = raft->options.self.zone;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < raft->members.count && n < MEMBER_MAX; i++) {
+		const struct member *member = &raft->members.items[i];
+
+		if (member->role != MEMBER_LEARNER || member->disk ||
+		    strcmp(member->zone, zone) != 0)
+			continue;
+		if (member->id == raft->options.self.id)
+			*own = n;
+		ids[n++] = member->id;
+	}
+	return n;
+}
+
+static uint64_t raft_tree_feeder(const struct raft *raft, int attempt)
+{
+	uint64_t ids[MEMBER_MAX];
+	size_t own = MEMBER_MAX;
+	size_t n = raft_zone_peers(raft, ids, &own);
+	size_t fan = (size_t)raft->options.max_children;
+
+	if (own >= n)
+		return raft_any_voter(raft, attempt);
+	while (own > 0) {
+		own = (own - 1) / fan;
+		if (!attempt--)
+			return ids[own];
+	}
+	return raft_any_voter(raft, attempt + 1);
+}
+
+/** A VM that knows no configuration yet tries whom it has a link to. */
+static uint64_t raft_any_peer(const struct raft *raft, int attempt)
+{
+	const struct raft_peer *peer;
+	int up = 0;
+
+	list_foreach(peer, &raft->peers, node)
+		up += peer->up;
+	if (!up)
+		return 0;
+	attempt %= up;
+	list_foreach(peer, &raft->peers, node)
+		if (peer->up && !attempt--)
+			return peer->id;
+	return 0;
+}
+
+static uint64_t raft_choose_feeder(const struct raft *raft)
+{
+	int attempt = raft->feeder_attempt;
+	bool small =
+		raft->members.count <= (size_t)raft->options.max_children + 1;
+
+	if (!raft->members.count)
+		return raft_any_peer(raft, attempt);
+	if (!raft->options.self.disk && !small)
+		return raft_tree_feeder(raft, attempt);
+	if (!attempt && raft->leader)
+		return raft->leader;
+	return raft_any_voter(raft, attempt);
+}
+
+static void raft_want_link(const struct raft *raft, uint64_t id,
+			   struct effects *effects)
+{
+	const struct member *member = members_find(&raft->members, id);
+	struct effect *effect;
+
+	if (!member)
+		return;
+	effect = effects_add(effects, EFFECT_LINK_OPEN);
+	effect->u.link_open.peer = id;
+	effect->u.link_open.name = xstrdup(member->vm);
+	effect->u.link_open.address = xstrdup(member->address);
+	effect->u.link_open.zone = xstrdup(member->zone);
+}
+
+static void raft_ask_feeder(struct raft *raft, int64_t now_us,
+			    struct effects *effects)
+{
+	struct raft_message message = {
+		.kind = RAFT_FOLLOW,
+		.term = raft->term,
+		.index = raft_log_last(&raft->log),
+		.applied = raft->applied,
+		.sent_us = now_us,
+	};
+	const struct raft_peer *peer;
+
+	raft->feeder = raft_choose_feeder(raft);
+	raft->feeder_attempt++;
+	peer = raft_peer_find(raft, raft->feeder);
+	if (peer && peer->up)
+		raft_send(raft, raft->feeder, &message, effects);
+	else
+		raft_want_link(raft, raft->feeder, effects);
+}
+
+void raft_tick_learner(struct raft *raft, int64_t now_us,
+		       struct effects *effects)
+{
+	int64_t beat_us = raft->options.learner_heartbeat_us;
+
+	if (raft_is_voter(raft) && !raft->outcast)
+		return;
+	if (now_us - raft->feeder_heard_us < RAFT_SILENT_HEARTBEATS * beat_us ||
+	    now_us < raft->follow_at_us)
+		return;
+	raft->follow_at_us = now_us + beat_us;
+	raft_ask_feeder(raft, now_us, effects);
+}
+
+static int raft_children(const struct raft *raft)
+{
+	const struct raft_peer *peer;
+	int children = 0;
+
+	list_foreach(peer, &raft->peers, node)
+		children += peer->child;
+	return children;
+}
+
+void raft_on_follow(struct raft *raft, struct raft_peer *peer,
+		    const struct raft_message *message, int64_t now_us,
+		    struct effects *effects)
+{
+	struct raft_message refused = { .kind = RAFT_FOLLOW_REFUSED,
+					.term = raft->term,
+					.leader = raft->leader };
+	bool fresh = raft_fresh_us(raft, now_us) + raft_feed_age_limit(raft) >
+		     now_us;
+
+	if (!peer->child &&
+	    (!fresh || raft_children(raft) >= raft->options.max_children)) {
+		raft_send(raft, peer->id, &refused, effects);
+		return;
+	}
+	if (raft_peer_votes(raft, peer) && raft->role != RAFT_LEADER)
+		return;
+	peer->child = true;
+	peer->feeding = true;
+	peer->probing = true;
+	peer->n_flight = 0;
+	peer->snapshot_index = 0;
+	peer->applied = message->applied;
+	peer->their_us = message->sent_us;
+	peer->progress_us = now_us;
+	peer->next = (message->index < raft->commit ? message->index
+						    : raft->commit) +
+		     1;
+	raft_feed(raft, peer, true, now_us, effects);
+}
+
+void raft_on_follow_refused(struct raft *raft, struct raft_peer *peer,
+			    const struct raft_message *message, int64_t now_us)
+{
+	if (peer->id != raft->feeder)
+		return;
+	if (!raft->members.count && message->leader)
+		raft->leader = message->leader;
+	raft->follow_at_us = now_us;
+}
+
+/** Whether this VM must tell the leader who and where it is. */
+static bool raft_must_join(const struct raft *raft)
+{
+	const struct member *self = &raft->options.self;
+	const struct member *known = members_find(&raft->members, self->id);
+
+	return !known || !member_same(known, self);
+}
+
+void raft_tick_join(struct raft *raft, int64_t now_us, struct effects *effects)
+{
+	struct raft_message message = { .kind = RAFT_JOIN };
+	struct members own = { .items = &raft->options.self, .count = 1 };
+	struct bytes body = { 0 };
+	struct raft_peer *peer;
+
+	if (now_us < raft->join_at_us || !raft_must_join(raft))
+		return;
+	raft->join_at_us = now_us + raft->options.election_us;
+	members_encode(&own, &body);
+	message.term = raft->term;
+	message.data = body.data;
+	message.len = body.len;
+	peer = raft_peer_find(raft, raft->leader);
+	if (!peer || !peer->up)
+		peer = raft_peer_find(raft,
+				      raft_any_peer(raft,
+						    raft->feeder_attempt));
+	if (raft->role == RAFT_LEADER)
+		raft_on_join(raft, &message, effects);
+	else if (peer)
+		raft_send(raft, peer->id, &message, effects);
+	bytes_clear(&body);
+}
+
+static bool raft_reportable(const struct raft *raft,
+			    const struct raft_peer *peer, int64_t now_us)
+{
+	return (peer->child || peer->below) &&
+	       now_us - peer->heard_us < raft_feed_age_limit(raft);
+}
+
+/** Tell our feeder about the learners below us, once a learner heartbeat. */
+void raft_add_reports(struct raft *raft, struct raft_message *message,
+		      int64_t now_us)
+{
+	const struct raft_peer *peer;
+	size_t n = 0;
+
+	if (now_us < raft->report_at_us)
+		return;
+	list_foreach(peer, &raft->peers, node)
+		n += raft_reportable(raft, peer, now_us);
+	if (!n)
+		return;
+	raft->report_at_us = now_us + raft->options.learner_heartbeat_us;
+	message->reports = xcalloc(n, sizeof(*message->reports));
+	list_foreach(peer, &raft->peers, node) {
+		struct raft_report *report;
+
+		if (!raft_reportable(raft, peer, now_us))
+			continue;
+		report = &message->reports[message->n_reports++];
+		report->id = peer->id;
+		report->applied = peer->applied;
+		report->age_ms = (now_us - peer->heard_us) / 1000;
+	}
+}
+
+void raft_take_reports(struct raft *raft, const struct raft_message *message,
+		       int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < message->n_reports; i++) {
+		const struct raft_report *report = &message->reports[i];
+		struct raft_peer *peer;
+		int64_t heard_us = now_us - report->age_ms * 1000;
+
+		if (!raft_is_member(raft, report->id))
+			continue;
+		peer = raft_peer_get(raft, report->id, now_us);
+		if (!peer || peer->feeding || heard_us < peer->heard_us)
+			continue;
+		peer->below = true;
+		peer->heard_us = heard_us;
+		peer->applied = report->applied;
+	}
+}
--- /dev/null
+++ b/libfilberthall/agree/raft_member.c
@@ -0,0 +1,359 @@
+#include <stdlib.h>
+
+#include "agree/raft_internal.h"
+#include "base/alloc.h"
+
+#define RAFT_REPAIR_US 500000
+#define RAFT_CAUGHT_UP_ENTRIES 64
+#define RAFT_FORGET_US 60000000
+
+struct raft_peer *raft_peer_find(const struct raft *raft, uint64_t id)
+{
+	struct raft_peer *peer;
+
+	list_foreach(peer, &raft->peers, node)
+		if (peer->id == id)
+			return peer;
+	return NULL;
+}
+
+bool raft_is_member(const struct raft *raft, uint64_t id)
+{
+	return members_find(&raft->members, id);
+}
+
+bool raft_peer_votes(const struct raft *raft, const struct raft_peer *peer)
+{
+	const struct member *member = members_find(&raft->members, peer->id);
+
+	return member && member->role == MEMBER_VOTER;
+}
+
+/** Voters, and learners that may have to take over from one. */
+bool raft_leader_feeds(const struct raft *raft, const struct raft_peer *peer)
+{
+	const struct member *member = members_find(&raft->members, peer->id);
+
+	return member && (member->role == MEMBER_VOTER || member->disk);
+}
+
+struct raft_peer *raft_peer_get(struct raft *raft, uint64_t id, int64_t now_us)
+{
+	struct raft_peer *peer = raft_peer_find(raft, id);
+
+	if (peer || id == raft->options.self.id || !id)
+		return peer;
+	peer = xcalloc(1, sizeof(*peer));
+	peer->id = id;
+	peer->next = raft_log_last(&raft->log) + 1;
+	peer->probing = true;
+	peer->sent_us = RAFT_NEVER;
+	peer->acked_us = RAFT_NEVER;
+	peer->heard_us = now_us;
+	peer->progress_us = now_us;
+	list_append(&raft->peers, &peer->node);
+	return peer;
+}
+
+/** Peers that are neither linked nor members are forgotten in time. */
+static void raft_forget_peers(struct raft *raft, int64_t now_us)
+{
+	struct raft_peer *peer;
+	struct raft_peer *next;
+
+	list_foreach_safe(peer, next, &raft->peers, node) {
+		if (peer->up || raft_is_member(raft, peer->id) ||
+		    now_us - peer->heard_us < RAFT_FORGET_US)
+			continue;
+		list_remove(&peer->node);
+		free(peer);
+	}
+}
+
+/** Ask for the links that this member needs to do its part. */
+static void raft_open_links(const struct raft *raft, struct effects *effects)
+{
+	bool voter = raft_is_voter(raft);
+	size_t i;
+
+	for (i = 0; i < raft->members.count; i++) {
+		const struct member *member = &raft->members.items[i];
+		const struct raft_peer *peer;
+		struct effect *effect;
+
+		if (member->id == raft->options.self.id || !voter ||
+		    (member->role != MEMBER_VOTER && !member->disk))
+			continue;
+		peer = raft_peer_find(raft, member->id);
+		if (peer && peer->up)
+			continue;
+		effect = effects_add(effects, EFFECT_LINK_OPEN);
+		effect->u.link_open.peer = member->id;
+		effect->u.link_open.name = xstrdup(member->vm);
+		effect->u.link_open.address = xstrdup(member->address);
+		effect->u.link_open.zone = xstrdup(member->zone);
+	}
+}
+
+static void raft_members_changed(struct raft *raft, struct effects *effects)
+{
+	struct raft_peer *peer;
+	size_t i;
+
+	for (i = 0; i < raft->members.count; i++)
+		raft_peer_get(raft, raft->members.items[i].id, raft->fresh_us);
+	if (raft->role == RAFT_LEADER)
+		list_foreach(peer, &raft->peers, node)
+			peer->feeding =
+				peer->child || raft_leader_feeds(raft, peer);
+	raft_open_links(raft, effects);
+}
+
+/** A configuration holds as soon as it is in the log. */
+void raft_adopt_members(struct raft *raft, const struct raft_entry *entry,
+			struct effects *effects)
+{
+	struct members members = { 0 };
+
+	if (!members_decode(&members, entry->body.data + 1,
+			    entry->body.len - 1)) {
+		raft_say(effects, LOG_ERROR, "a configuration can't be read");
+		return;
+	}
+	members_clear(&raft->members);
+	raft->members = members;
+	raft->members_index = entry->index;
+	raft_members_changed(raft, effects);
+}
+
+/** After entries went away: the latest configuration that is left. */
+void raft_scan_members(struct raft *raft, struct effects *effects)
+{
+	int64_t i;
+
+	for (i = raft_log_last(&raft->log); i >= raft->log.first; i--) {
+		const struct raft_entry *entry = raft_log_at(&raft->log, i);
+
+		if (entry->body.data[0] == RAFT_ENTRY_MEMBERS) {
+			raft_adopt_members(raft, entry, effects);
+			return;
+		}
+	}
+	members_clear(&raft->members);
+	raft->members = raft_snapshot_members(raft);
+	raft->members_index = raft->snapshot_index;
+	raft_members_changed(raft, effects);
+}
+
+/**
+ * One change at a time, and none before an entry of our own term is
+ * committed: two configurations whose quorums needn't overlap could otherwise
+ * both be in use.
+ */
+static bool raft_may_change(const struct raft *raft)
+{
+	if (raft->role != RAFT_LEADER || raft->transferring)
+		return false;
+	if (raft->options.mutant == RAFT_MUTANT_TWO_CHANGES)
+		return true;
+	return raft->members_index <= raft->commit &&
+	       raft->first_own_index <= raft->commit;
+}
+
+static void raft_append_members(struct raft *raft,
+				const struct members *members, int64_t now_us,
+				struct effects *effects)
+{
+	struct bytes body = { 0 };
+
+	members_encode(members, &body);
+	raft_append_own(raft, RAFT_ENTRY_MEMBERS, body.data, body.len, effects);
+	bytes_clear(&body);
+	raft_feed_all(raft, false, now_us, effects);
+}
+
+static void raft_apply_change(struct raft *raft,
+			      const struct member_change *change,
+			      int64_t now_us, struct effects *effects)
+{
+	struct members members = members_copy(&raft->members);
+
+	members_change(&members, change);
+	raft_say(effects, LOG_INFO, "membership: %s %s (%llu): %s",
+		 change->kind == MEMBER_PUT	  ? "put"
+		 : change->kind == MEMBER_PROMOTE ? "promote"
+		 : change->kind == MEMBER_DEMOTE  ? "demote"
+						  : "remove",
+		 change->member.vm, (unsigned long long)change->member.id,
+		 change->reason ? change->reason : "asked for");
+	raft_append_members(raft, &members, now_us, effects);
+	members_clear(&members);
+}
+
+bool raft_health(const struct raft *raft, uint64_t id,
+		 struct member_health *out)
+{
+	const struct raft_peer *peer = raft_peer_find(raft, id);
+
+	if (!peer)
+		return false;
+	out->id = id;
+	out->heard_us = peer->heard_us;
+	out->applied = peer->applied;
+	out->failed = peer->failed;
+	out->caught_up = peer->feeding && !peer->failed && peer->match &&
+			 peer->match + RAFT_CAUGHT_UP_ENTRIES >= raft->commit;
+	return true;
+}
+
+static void raft_repair(struct raft *raft, int64_t now_us,
+			struct effects *effects)
+{
+	struct member_health *health =
+		xcalloc(raft->members.count + 1, sizeof(*health));
+	struct member_change change;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < raft->members.count; i++)
+		if (raft_health(raft, raft->members.items[i].id, &health[n]))
+			n++;
+	change = member_repair(&raft->options.policy, &raft->members, health, n,
+			       raft->options.self.id, now_us);
+	free(health);
+	if (change.kind != MEMBER_NO_CHANGE)
+		raft_apply_change(raft, &change, now_us, effects);
+}
+
+/** All VMs that asked to join meanwhile come in by one entry. */
+static void raft_admit(struct raft *raft, int64_t now_us,
+		       struct effects *effects)
+{
+	struct members members = members_copy(&raft->members);
+	size_t i;
+
+	for (i = 0; i < raft->joining.count && members.count < MEMBER_MAX;
+	     i++) {
+		struct member_change put = { .kind = MEMBER_PUT,
+					     .member = raft->joining.items[i] };
+
+		members_change(&members, &put);
+	}
+	members_clear(&raft->joining);
+	raft_append_members(raft, &members, now_us, effects);
+	members_clear(&members);
+}
+
+void raft_tick_members(struct raft *raft, int64_t now_us,
+		       struct effects *effects)
+{
+	if (now_us < raft->repair_at_us && !raft->joining.count)
+		return;
+	if (now_us >= raft->repair_at_us)
+		raft_forget_peers(raft, now_us);
+	if (!raft_may_change(raft))
+		return;
+	if (raft->joining.count) {
+		raft_admit(raft, now_us, effects);
+		return;
+	}
+	raft->repair_at_us = now_us + RAFT_REPAIR_US;
+	raft_repair(raft, now_us, effects);
+}
+
+static void raft_note_joining(struct raft *raft, const struct member *member)
+{
+	const struct member *known = members_find(&raft->members, member->id);
+	struct member_change put = { .kind = MEMBER_PUT, .member = *member };
+
+	if (!member->id || (known && known->incarnation > member->incarnation))
+		return;
+	if (known && member_same(known, member))
+		return;
+	if (raft->joining.count < MEMBER_MAX)
+		members_change(&raft->joining, &put);
+}
+
+#define RAFT_JOIN_HOPS 4
+
+void raft_on_join(struct raft *raft, const struct raft_message *message,
+		  struct effects *effects)
+{
+	struct raft_message onward = {
+		.kind = RAFT_JOIN,
+		.term = raft->term,
+		.offset = message->offset + 1,
+		.data = message->data,
+		.len = message->len,
+	};
+	struct raft_peer *next = raft_peer_find(raft, raft->leader);
+	struct members asked = { 0 };
+
+	if (raft->role == RAFT_LEADER) {
+		if (members_decode(&asked, message->data, message->len) &&
+		    asked.count == 1)
+			raft_note_joining(raft, &asked.items[0]);
+		members_clear(&asked);
+		return;
+	}
+	if (!next || !next->up)
+		next = raft_peer_find(raft, raft->feeder);
+	if (next && next->up && message->offset < RAFT_JOIN_HOPS)
+		raft_send(raft, next->id, &onward, effects);
+}
+
+/** Whether a quorum of the others would still be alive without a voter. */
+static bool raft_can_spare(const struct raft *raft, uint64_t id, int64_t now_us)
+{
+	int voters = members_voters(&raft->members) - 1;
+	int living = id != raft->options.self.id && raft_is_voter(raft);
+	const struct raft_peer *peer;
+
+	list_foreach(peer, &raft->peers, node)
+		if (peer->id != id && raft_peer_votes(raft, peer) &&
+		    !peer->failed &&
+		    now_us - peer->heard_us < raft->options.election_us)
+			living++;
+	return voters >= 1 && living >= members_quorum(voters);
+}
+
+static enum result raft_check_change(const struct raft *raft,
+				     const struct member_change *change,
+				     int64_t now_us)
+{
+	const struct member *member =
+		members_find(&raft->members, change->member.id);
+	struct member_health health = { 0 };
+
+	if (change->kind == MEMBER_PUT)
+		return RESULT_OK;
+	if (!member)
+		return RESULT_NOT_FOUND;
+	if (change->kind == MEMBER_PROMOTE) {
+		raft_health(raft, member->id, &health);
+		return member->disk && health.caught_up ? RESULT_OK
+							: RESULT_NOT_CAUGHT_UP;
+	}
+	if (member->role == MEMBER_VOTER &&
+	    !raft_can_spare(raft, member->id, now_us))
+		return RESULT_NO_QUORUM;
+	return RESULT_OK;
+}
+
+enum result raft_change_member(struct raft *raft,
+			       const struct member_change *change,
+			       int64_t now_us, struct effects *effects)
+{
+	enum result code;
+
+	if (raft->role != RAFT_LEADER)
+		return RESULT_NOT_LEADER;
+	if (!raft_may_change(raft))
+		return RESULT_MEMBER_BUSY;
+	code = raft_check_change(raft, change, now_us);
+	if (code != RESULT_OK)
+		return code;
+	raft_apply_change(raft, change, now_us, effects);
+	raft_finish(raft, now_us, effects);
+	return RESULT_OK;
+}
--- /dev/null
+++ b/libfilberthall/agree/raft_replicate.c
@@ -0,0 +1,311 @@
+#include <stdlib.h>
+
+#include "agree/raft_internal.h"
+#include "base/alloc.h"
+
+/**
+ * The side that sends entries: the leader to voters and candidates for them,
+ * and any feeder to the learners below it.
+ */
+
+struct raft_entry *raft_append_own(struct raft *raft, enum raft_entry_kind kind,
+				   const char *data, size_t len,
+				   struct effects *effects)
+{
+	struct bytes body = { 0 };
+	char first = (char)kind;
+	struct raft_entry *entry;
+
+	bytes_append(&body, &first, 1);
+	bytes_append(&body, data, len);
+	entry = raft_log_push(&raft->log, raft->term, body.data, body.len);
+	bytes_clear(&body);
+	raft_write_append(raft, entry, effects);
+	if (kind == RAFT_ENTRY_MEMBERS)
+		raft_adopt_members(raft, entry, effects);
+	return entry;
+}
+
+/** A feeder other than the leader passes on only what is committed. */
+static int64_t raft_feed_limit(const struct raft *raft)
+{
+	return raft->role == RAFT_LEADER ? raft_log_last(&raft->log)
+					 : raft->commit;
+}
+
+/**
+ * How long ago a leader was surely in power, in the worst case on another
+ * clock, plus one; 0 for unknown.
+ */
+static int64_t raft_quorum_age(const struct raft *raft, int64_t now_us)
+{
+	int64_t fresh_us = raft_fresh_us(raft, now_us);
+
+	if (fresh_us <= RAFT_NEVER / 2)
+		return 0;
+	return lease_stretch(now_us - fresh_us, raft->options.drift_ppm) + 1;
+}
+
+static void raft_window(const struct raft *raft, const struct raft_peer *peer,
+			struct raft_message *message)
+{
+	int64_t limit = raft_feed_limit(raft);
+	int64_t index = peer->next;
+	int64_t bytes = 0;
+
+	while (index <= limit && bytes < raft->options.max_batch_bytes &&
+	       message->n_entries < RAFT_MAX_ENTRY_BYTES / 64) {
+		bytes += (int64_t)raft_log_at(&raft->log, index)->body.len;
+		message->n_entries++;
+		index++;
+	}
+	if (message->n_entries)
+		message->entries = raft_log_at(&raft->log, peer->next);
+}
+
+static void raft_send_append(struct raft *raft, struct raft_peer *peer,
+			     bool with_entries, int64_t now_us,
+			     struct effects *effects)
+{
+	struct raft_message message = {
+		.kind = RAFT_APPEND,
+		.term = raft->term,
+		.index = peer->next - 1,
+		.log_term = raft_log_term(&raft->log, peer->next - 1),
+		.commit = raft->commit,
+		.sent_us = now_us,
+		.echo_us = peer->their_us,
+		.age_us = raft_quorum_age(raft, now_us),
+		.leader = raft->leader,
+		.flags = raft->role == RAFT_LEADER ? 0 : RAFT_FED,
+	};
+
+	if (with_entries)
+		raft_window(raft, peer, &message);
+	raft_send(raft, peer->id, &message, effects);
+	peer->sent_us = now_us;
+	if (!message.n_entries)
+		return;
+	peer->flight[peer->n_flight++] =
+		message.index + (int64_t)message.n_entries;
+	if (!peer->probing)
+		peer->next += (int64_t)message.n_entries;
+}
+
+static bool raft_may_send_entries(const struct raft *raft,
+				  const struct raft_peer *peer)
+{
+	int limit = peer->probing ? 1 : raft->options.max_inflight;
+
+	return peer->n_flight < limit && peer->next <= raft_feed_limit(raft);
+}
+
+/** Send what a peer lacks; an empty message too if it is due one. */
+void raft_feed(struct raft *raft, struct raft_peer *peer, bool heartbeat,
+	       int64_t now_us, struct effects *effects)
+{
+	if (!peer->up || !peer->feeding)
+		return;
+	if (peer->next > raft_log_last(&raft->log) + 1)
+		peer->next = raft_log_last(&raft->log) + 1;
+	if (raft_log_term(&raft->log, peer->next - 1) < 0) {
+		raft_send_chunk(raft, peer, now_us, effects);
+		return;
+	}
+	peer->snapshot_index = 0;
+	while (raft_may_send_entries(raft, peer)) {
+		raft_send_append(raft, peer, true, now_us, effects);
+		heartbeat = false;
+	}
+	if (heartbeat)
+		raft_send_append(raft, peer, false, now_us, effects);
+}
+
+/**
+ * Feed all. Learners are fed in batches, at most once per learner heartbeat:
+ * hundreds of them each get every entry, and most of what they get needn't
+ * be there at once.
+ */
+void raft_feed_all(struct raft *raft, bool notice, int64_t now_us,
+		   struct effects *effects)
+{
+	struct raft_peer *peer;
+
+	list_foreach(peer, &raft->peers, node) {
+		bool idle = notice && !peer->n_flight;
+
+		if (raft_peer_votes(raft, peer) || peer->probing ||
+		    now_us - peer->sent_us >=
+			    raft->options.learner_heartbeat_us)
+			raft_feed(raft, peer, idle, now_us, effects);
+	}
+}
+
+/**
+ * Messages lost on the way are noticed by the lack of progress; then the
+ * peer's log is probed anew from what it is known to hold.
+ */
+static void raft_check_progress(struct raft *raft, struct raft_peer *peer,
+				int64_t now_us)
+{
+	if (!peer->n_flight && !peer->snapshot_index) {
+		peer->progress_us = now_us;
+		return;
+	}
+	if (now_us - peer->progress_us < raft->options.election_us / 2)
+		return;
+	peer->progress_us = now_us;
+	peer->n_flight = 0;
+	peer->probing = true;
+	if (peer->held + 1 < peer->next && peer->held)
+		peer->next = peer->held + 1;
+}
+
+void raft_tick_feeding(struct raft *raft, int64_t now_us,
+		       struct effects *effects)
+{
+	struct raft_peer *peer;
+
+	list_foreach(peer, &raft->peers, node) {
+		int64_t interval_us =
+			raft_peer_votes(raft, peer)
+				? raft->options.heartbeat_us
+				: raft->options.learner_heartbeat_us;
+
+		if (!peer->feeding)
+			continue;
+		raft_check_progress(raft, peer, now_us);
+		if (now_us - peer->sent_us >= interval_us)
+			raft_feed(raft, peer, true, now_us, effects);
+	}
+}
+
+static int raft_compare_down(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a;
+	int64_t right = *(const int64_t *)b;
+
+	return left < right ? 1 : left > right ? -1 : 0;
+}
+
+/** The value that a quorum of voters has reached. */
+static int64_t raft_quorum_value(const struct raft *raft, int64_t own,
+				 bool times)
+{
+	int64_t values[MEMBER_MAX];
+	int voters = members_voters(&raft->members);
+	struct raft_peer *peer;
+	int n = 0;
+
+	if (raft_can_vote(raft))
+		values[n++] = own;
+	list_foreach(peer, &raft->peers, node)
+		if (raft_peer_votes(raft, peer))
+			values[n++] = times ? peer->acked_us : peer->match;
+	while (n < voters)
+		values[n++] = times ? RAFT_NEVER : 0;
+	qsort(values, (size_t)n, sizeof(*values), raft_compare_down);
+	return values[members_quorum(voters) - 1];
+}
+
+/** Leader: the latest time at which a quorum still followed us. */
+int64_t raft_quorum_us(const struct raft *raft, int64_t now_us)
+{
+	return raft_quorum_value(raft, now_us, true);
+}
+
+void raft_renew_lease(struct raft *raft, int64_t now_us)
+{
+	int64_t quorum_us = raft_quorum_us(raft, now_us);
+
+	/* a new leader may not know yet all that was committed before it */
+	if (quorum_us > raft->fresh_us && raft->commit >= raft->first_own_index)
+		raft->fresh_us = quorum_us;
+	lease_renew(&raft->lease, quorum_us);
+}
+
+/**
+ * Commit what a quorum holds durably. Entries of an earlier term are only
+ * committed together with one of ours: a quorum that holds them can still be
+ * overruled by a log with a later term.
+ */
+void raft_advance_commit(struct raft *raft, int64_t now_us,
+			 struct effects *effects)
+{
+	int64_t commit = raft_quorum_value(raft, raft->synced_index, false);
+
+	if (commit <= raft->commit)
+		return;
+	if (raft_log_term(&raft->log, commit) != raft->term &&
+	    raft->options.mutant != RAFT_MUTANT_COMMIT_OLD_TERM)
+		return;
+	raft->counters.entries_committed += commit - raft->commit;
+	raft->commit = commit;
+	raft_feed_all(raft, true, now_us, effects);
+	if (raft->members_index <= commit && !raft_is_voter(raft))
+		raft_become_follower(raft, raft->term, 0, now_us, effects);
+}
+
+static void raft_take_held(struct raft_peer *peer, int64_t held, int64_t now_us)
+{
+	int kept = 0;
+	int i;
+
+	if (held > peer->held) {
+		peer->held = held;
+		peer->progress_us = now_us;
+	}
+	for (i = 0; i < peer->n_flight; i++)
+		if (peer->flight[i] > held)
+			peer->flight[kept++] = peer->flight[i];
+	peer->n_flight = kept;
+	if (peer->next <= held)
+		peer->next = held + 1;
+}
+
+/** The peer's log differs at our last guess; it names where to go on. */
+static void raft_take_rejection(struct raft_peer *peer,
+				const struct raft_message *message)
+{
+	peer->probing = true;
+	peer->n_flight = 0;
+	if (message->index + 1 < peer->next)
+		peer->next = message->index + 1;
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+}
+
+void raft_on_append_reply(struct raft *raft, struct raft_peer *peer,
+			  const struct raft_message *message, int64_t now_us,
+			  struct effects *effects)
+{
+	if (message->term > raft->term && raft->role == RAFT_LEADER) {
+		raft_become_follower(raft, message->term, 0, now_us, effects);
+		return;
+	}
+	peer->failed = message->flags & RAFT_DISK_LOST;
+	peer->applied = message->applied;
+	peer->their_us = message->sent_us;
+	peer->below = false;
+	raft_take_reports(raft, message, now_us);
+	if (!peer->feeding ||
+	    (raft->role == RAFT_LEADER && message->term != raft->term))
+		return;
+	if (!peer->failed && message->echo_us > peer->acked_us)
+		peer->acked_us = message->echo_us;
+	if (message->flags & RAFT_REJECTED) {
+		raft_take_rejection(peer, message);
+	} else if (message->held) {
+		if (message->match > peer->match)
+			peer->match = message->match;
+		raft_take_held(peer, message->held, now_us);
+		peer->probing = false;
+	}
+	if (raft->role == RAFT_LEADER) {
+		raft_renew_lease(raft, now_us);
+		raft_advance_commit(raft, now_us, effects);
+	}
+	if (raft_peer_votes(raft, peer) || message->flags & RAFT_REJECTED ||
+	    raft_may_send_entries(raft, peer))
+		raft_feed(raft, peer, false, now_us, effects);
+}
--- /dev/null
+++ b/libfilberthall/agree/repair.c
@@ -0,0 +1,273 @@
+#include "agree/member.h"
+
+#include <string.h>
+
+/** What the decisions below look at together. */
+struct repair_view {
+	const struct member_policy *policy;
+	const struct members *members;
+	const struct member_health *health;
+	size_t n_health;
+	uint64_t self;
+	int64_t now_us;
+};
+
+static const struct member_health *repair_health(const struct repair_view *view,
+						 uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < view->n_health; i++)
+		if (view->health[i].id == id)
+			return &view->health[i];
+	return NULL;
+}
+
+static bool repair_silent(const struct repair_view *view, uint64_t id,
+			  int64_t for_us)
+{
+	const struct member_health *health = repair_health(view, id);
+
+	if (id == view->self)
+		return false;
+	return !health || view->now_us - health->heard_us >= for_us;
+}
+
+/**
+ * Whether another member of the same VM has a newer life: then this one's
+ * folder is gone and it can't come back.
+ */
+static bool repair_superseded(const struct repair_view *view,
+			      const struct member *member)
+{
+	size_t i;
+
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *other = &view->members->items[i];
+
+		if (other->id != member->id && !strcmp(other->vm, member->vm) &&
+		    !repair_silent(view, other->id, view->policy->replace_us))
+			return true;
+	}
+	return false;
+}
+
+static bool repair_dead(const struct repair_view *view,
+			const struct member *member)
+{
+	const struct member_health *health = repair_health(view, member->id);
+	int64_t patience_us = view->policy->replace_us;
+
+	if (health && health->failed)
+		return true;
+	if (repair_superseded(view, member))
+		patience_us /= 4;
+	return repair_silent(view, member->id, patience_us);
+}
+
+static int repair_living_voters(const struct repair_view *view)
+{
+	int living = 0;
+	size_t i;
+
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+
+		if (member->role == MEMBER_VOTER && !repair_dead(view, member))
+			living++;
+	}
+	return living;
+}
+
+/** Living voters in a zone. */
+static int repair_zone_voters(const struct repair_view *view, const char *zone)
+{
+	int voters = 0;
+	size_t i;
+
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+
+		if (member->role == MEMBER_VOTER &&
+		    !strcmp(member->zone, zone) && !repair_dead(view, member))
+			voters++;
+	}
+	return voters;
+}
+
+/**
+ * Whether a member may become a voter now: with a disk, alive, and caught up.
+ * One that isn't caught up would count towards the quorum without being able
+ * to acknowledge anything, so a second loss would stop the group.
+ */
+static bool repair_can_vote(const struct repair_view *view,
+			    const struct member *member)
+{
+	const struct member_health *health = repair_health(view, member->id);
+
+	return member->role == MEMBER_LEARNER && member->disk && health &&
+	       health->caught_up && !repair_dead(view, member);
+}
+
+/** The candidate whose zone has the fewest living voters, or NULL. */
+static const struct member *repair_candidate(const struct repair_view *view,
+					     int *candidates)
+{
+	const struct member *best = NULL;
+	int best_voters = 0;
+	size_t i;
+
+	*candidates = 0;
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+		int voters;
+
+		if (!repair_can_vote(view, member))
+			continue;
+		++*candidates;
+		voters = repair_zone_voters(view, member->zone);
+		if (!best || voters < best_voters) {
+			best = member;
+			best_voters = voters;
+		}
+	}
+	return best;
+}
+
+static const struct member *repair_dead_voter(const struct repair_view *view)
+{
+	size_t i;
+
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+
+		if (member->role == MEMBER_VOTER && repair_dead(view, member))
+			return member;
+	}
+	return NULL;
+}
+
+/** The living voter, not ourselves, whose zone has the most voters. */
+static const struct member *repair_crowded(const struct repair_view *view,
+					   int *zone_voters)
+{
+	const struct member *found = NULL;
+	size_t i;
+
+	*zone_voters = 0;
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+		int voters;
+
+		if (member->role != MEMBER_VOTER || member->id == view->self)
+			continue;
+		voters = repair_zone_voters(view, member->zone);
+		if (voters > *zone_voters) {
+			found = member;
+			*zone_voters = voters;
+		}
+	}
+	return found;
+}
+
+static struct member_change repair_step(enum member_change_kind kind,
+					const struct member *member,
+					const char *reason)
+{
+	struct member_change change = { .kind = MEMBER_NO_CHANGE };
+
+	if (!member)
+		return change;
+	change.kind = kind;
+	change.member = *member;
+	change.reason = reason;
+	return change;
+}
+
+/**
+ * The replacement comes in first and the dead voter goes out next: if the
+ * dead one comes back in between, the group is the stronger for it.
+ */
+static struct member_change repair_voters(const struct repair_view *view)
+{
+	struct member_change none = { .kind = MEMBER_NO_CHANGE };
+	const struct member *dead = repair_dead_voter(view);
+	int voters = members_voters(view->members);
+	int living = repair_living_voters(view);
+	int candidates;
+	const struct member *candidate = repair_candidate(view, &candidates);
+
+	if (dead && voters > view->policy->voters)
+		return repair_step(MEMBER_REMOVE, dead, "dead voter");
+	if (dead && candidate && living + 1 >= members_quorum(voters + 1))
+		return repair_step(MEMBER_PROMOTE, candidate,
+				   "in place of a dead voter");
+	if (dead && (voters % 2 == 0 || voters - living >= 2) &&
+	    living >= members_quorum(voters - 1))
+		/* nobody to take over: a smaller group bears more */
+		return repair_step(MEMBER_REMOVE, dead,
+				   "dead voter without a replacement");
+	if (!dead && candidate && voters < view->policy->voters &&
+	    (voters % 2 == 0 || candidates >= 2))
+		return repair_step(MEMBER_PROMOTE, candidate,
+				   "fewer voters than wanted");
+	return none;
+}
+
+/** Move a voter from a crowded zone to one without any. */
+static struct member_change repair_spread(const struct repair_view *view)
+{
+	struct member_change none = { .kind = MEMBER_NO_CHANGE };
+	int voters = members_voters(view->members);
+	int candidates;
+	const struct member *candidate = repair_candidate(view, &candidates);
+	int crowd;
+	const struct member *crowded = repair_crowded(view, &crowd);
+
+	if (repair_dead_voter(view))
+		return none;
+	if (voters > view->policy->voters)
+		return repair_step(MEMBER_DEMOTE, crowded,
+				   "more voters than wanted");
+	if (voters == view->policy->voters && candidate && crowd >= 2 &&
+	    !repair_zone_voters(view, candidate->zone))
+		return repair_step(MEMBER_PROMOTE, candidate,
+				   "its zone has no voter");
+	return none;
+}
+
+static struct member_change repair_learners(const struct repair_view *view)
+{
+	struct member_change none = { .kind = MEMBER_NO_CHANGE };
+	size_t i;
+
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+		int64_t patience_us = view->policy->drop_us;
+
+		if (repair_superseded(view, member))
+			patience_us = view->policy->replace_us / 4;
+		if (member->role == MEMBER_LEARNER &&
+		    repair_silent(view, member->id, patience_us))
+			return repair_step(MEMBER_REMOVE, member,
+					   "silent learner");
+	}
+	return none;
+}
+
+struct member_change member_repair(const struct member_policy *policy,
+				   const struct members *members,
+				   const struct member_health *health,
+				   size_t n_health, uint64_t self,
+				   int64_t now_us)
+{
+	struct repair_view view = { policy,   members, health,
+				    n_health, self,    now_us };
+	struct member_change change = repair_voters(&view);
+
+	if (change.kind == MEMBER_NO_CHANGE)
+		change = repair_spread(&view);
+	if (change.kind == MEMBER_NO_CHANGE)
+		change = repair_learners(&view);
+	return change;
+}
