--- a/fakes/announcer.c
+++ b/fakes/announcer.c
@@ -38,8 +38,7 @@
 	announcer->measure = measure;
 	announcer->data = data;
 	announcer->rng.state = options->seed;
-	while (options->daemons && options->daemons[announcer->n_daemons])
-		announcer->n_daemons++;
+	addresses_set(&announcer->daemons, options->daemons);
 	list_init(&announcer->cache_events);
 	post_pool_init(&announcer->posts, loop);
 	loop_timer_init(&announcer->announce_timer, announcer_announce,
@@ -58,9 +57,9 @@
 
 static const char *announcer_pick(struct announcer *announcer)
 {
-	uint64_t at = rng_below(&announcer->rng, announcer->n_daemons);
+	uint64_t at = rng_below(&announcer->rng, announcer->daemons.n);
 
-	return announcer->options.daemons[at];
+	return announcer->daemons.list[at];
 }
 
 static void announcer_sample(void *data)
@@ -165,13 +164,13 @@
 	struct announcer *announcer = data;
 	cleanup(free_ptr) char *json = NULL;
 
-	if (!announcer->n_daemons)
+	announcer_set(announcer, &announcer->announce_timer,
+		      announcer->options.period_ms);
+	if (!announcer->daemons.n)
 		return;
 	json = announcer_write(announcer);
 	post_send(&announcer->posts, announcer_pick(announcer),
 		  "/backend/announce", json, announcer_answered, announcer);
-	announcer_set(announcer, &announcer->announce_timer,
-		      announcer->options.period_ms);
 }
 
 void announcer_start(struct announcer *announcer)
@@ -198,7 +197,7 @@
 	int64_t lag_ms = announcer->options.lag_ms;
 	struct cache_event *event;
 
-	if (!announcer->n_daemons || (int64_t)rng_below(&announcer->rng, 100) <
+	if (!announcer->daemons.n || (int64_t)rng_below(&announcer->rng, 100) <
 					     announcer->options.gap_percent)
 		return;
 	event = xcalloc(1, sizeof(*event));
@@ -243,8 +242,9 @@
 			 announcer->announce.address, "boot_id",
 			 announcer->announce.boot_id, "events", events);
 	text = json_dumps(json, 0);
-	post_send(&announcer->posts, announcer_pick(announcer),
-		  "/backend/cache", text, NULL, NULL);
+	if (announcer->daemons.n)
+		post_send(&announcer->posts, announcer_pick(announcer),
+			  "/backend/cache", text, NULL, NULL);
 	if (!list_empty(&announcer->cache_events))
 		announcer_set(announcer, &announcer->cache_timer,
 			      ANNOUNCER_CACHE_MS);
@@ -262,4 +262,5 @@
 		free(event);
 	list_init(&announcer->cache_events);
 	post_pool_clear(&announcer->posts);
+	addresses_clear(&announcer->daemons);
 }
--- a/fakes/announcer.h
+++ b/fakes/announcer.h
@@ -6,6 +6,7 @@
 
 #include "base/rng.h"
 #include "core/event.h"
+#include "fakes/addresses.h"
 #include "fakes/loop.h"
 #include "fakes/post.h"
 
@@ -48,7 +49,7 @@
 	int64_t n_samples;
 	struct list cache_events;
 	struct rng rng;
-	size_t n_daemons;
+	struct addresses daemons;
 	int64_t left_us; /**< when leaving was announced, or 0 */
 	announcer_measure_fn measure;
 	void *data;
--- a/fakes/backend.c
+++ b/fakes/backend.c
@@ -12,7 +12,8 @@
 {
 	struct backend *backend = data;
 
-	if (!faults_handle(&backend->faults, exchange))
+	if (!faults_handle(&backend->faults, exchange) &&
+	    !addresses_handle(&backend->announcer.daemons, exchange))
 		backend->handle(backend->data, exchange);
 }
 
@@ -24,7 +25,7 @@
 	int64_t now_us = loop_now_us();
 
 	if (!server_exchange_count(&backend->server) &&
-	    (!backend->announcer.n_daemons ||
+	    (!backend->announcer.daemons.n ||
 	     now_us >= backend->announcer.left_us + linger_us))
 		loop_end(&backend->loop);
 	else
--- a/fakes/engine_order.c
+++ b/fakes/engine_order.c
@@ -92,6 +92,7 @@
 	if (!order)
 		order = order_book_keep(&engine->orders, id, fence, 200,
 					json_pack("{s:s, s:s}", "order_id", id,
-						  "state", "done"));
+						  "state", "done"),
+					NULL);
 	json_answer(exchange, order->status, json_incref(order->answer));
 }
--- a/fakes/exchange.c
+++ b/fakes/exchange.c
@@ -48,17 +48,31 @@
 	return exchange;
 }
 
-void exchange_finish(struct exchange *exchange, bool whole)
+static void exchange_free_headers(struct exchange *exchange)
 {
 	struct exchange_header *header;
 	struct exchange_header *tmp;
 
-	exchange_tell_over(exchange, whole);
 	list_foreach_safe(header, tmp, &exchange->headers, node) {
+		list_remove(&header->node);
 		free(header->name);
 		free(header->value);
 		free(header);
 	}
+}
+
+void exchange_forget_answer(struct exchange *exchange)
+{
+	exchange_free_headers(exchange);
+	bytes_clear(&exchange->out);
+	exchange->status = 0;
+	exchange->ended = false;
+}
+
+void exchange_finish(struct exchange *exchange, bool whole)
+{
+	exchange_tell_over(exchange, whole);
+	exchange_free_headers(exchange);
 	list_remove(&exchange->node);
 	exchange->connection->exchange = NULL;
 	free(exchange->method);
--- a/fakes/exchange.h
+++ b/fakes/exchange.h
@@ -59,6 +59,9 @@
 void exchange_answer_json(struct exchange *exchange, int status,
 			  const char *json);
 
+/** Take a whole answer back before it was handed over. */
+void exchange_forget_answer(struct exchange *exchange);
+
 /** Begin a streamed answer. */
 void exchange_begin(struct exchange *exchange, int status, const char *type);
 
--- a/fakes/order_book.c
+++ b/fakes/order_book.c
@@ -20,6 +20,7 @@
 	while ((order = list_first(&book->orders, struct order, node))) {
 		list_remove(&order->node);
 		json_decref(order->answer);
+		json_decref(order->arguments);
 		free(order->id);
 		free(order);
 	}
@@ -45,7 +46,8 @@
 }
 
 struct order *order_book_keep(struct order_book *book, const char *id,
-			      int64_t fence, int status, json_t *answer)
+			      int64_t fence, int status, json_t *answer,
+			      json_t *arguments)
 {
 	struct order *order = xcalloc(1, sizeof(*order));
 
@@ -54,6 +56,7 @@
 	order->at_us = loop_now_us();
 	order->status = status;
 	order->answer = answer;
+	order->arguments = arguments;
 	list_append(&book->orders, &order->node);
 	return order;
 }
--- a/fakes/order_book.h
+++ b/fakes/order_book.h
@@ -25,6 +25,7 @@
 	int64_t at_us;
 	int status;
 	json_t *answer;
+	json_t *arguments; /**< may be NULL */
 };
 
 void order_book_init(struct order_book *book, bool fences);
@@ -37,8 +38,9 @@
 /** Whether an order with this fence must be refused; else remembers it. */
 bool order_book_is_old(struct order_book *book, int64_t fence);
 
-/** Keep an order and its answer, which is taken over. */
+/** Keep an order with its answer and arguments, which are taken over. */
 struct order *order_book_keep(struct order_book *book, const char *id,
-			      int64_t fence, int status, json_t *answer);
+			      int64_t fence, int status, json_t *answer,
+			      json_t *arguments);
 
 #endif
