--- a/daemon/adapter.c
+++ b/daemon/adapter.c
@@ -156,6 +156,14 @@
 	return json_string_length(text) > 0;
 }
 
+static bool choice_is_finished(const json_t *root)
+{
+	const json_t *choices = json_object_get(root, "choices");
+	const json_t *choice = json_array_get(choices, 0);
+
+	return json_is_string(json_object_get(choice, "finish_reason"));
+}
+
 bool adapter_read_chunk(struct adapter_chunk *chunk, const char *data,
 			size_t len, const char *request_id)
 {
@@ -170,6 +178,8 @@
 		return false;
 	chunk->mine = id && !strcmp(id, request_id);
 	chunk->tokens = choice_has_text(root);
+	chunk->finished = choice_is_finished(root);
+	chunk->error = json_object_get(root, "error") != NULL;
 	chunk->prompt_tokens = json_integer_value(
 		json_object_get(usage, backend_adapter.prompt_tokens_field));
 	chunk->output_tokens = json_integer_value(
--- a/daemon/adapter.h
+++ b/daemon/adapter.h
@@ -97,6 +97,8 @@
 struct adapter_chunk {
 	bool mine;	       /**< it carries the attempt's request id */
 	int64_t tokens;	       /**< with text in them: 0 or 1 of a chunk */
+	bool finished;	       /**< says why the generation ended */
+	bool error;	       /**< an error object in place of a chunk */
 	int64_t prompt_tokens; /**< 0 if not said */
 	int64_t output_tokens; /**< 0 if not said */
 };
