--- /dev/null
+++ b/libfilberthall/fleet/health.c
@@ -0,0 +1,78 @@
+#include "fleet/health.h"
+
+/* Weight of a new answer in the running average, once it has settled. */
+#define HEALTH_GAIN (1.0 / 16)
+
+/* Answers before a server is judged at all. */
+#define HEALTH_MIN_ANSWERS 4
+
+void health_answered(struct health *health, int64_t tokens, int64_t took_us,
+		     int64_t now_us)
+{
+	double sample;
+	double gain;
+
+	health->n_failures = 0;
+	health->hold_us = 0;
+	if (now_us >= health->held_until_us)
+		health->held_until_us = 0;
+	if (tokens < 2 || took_us <= 0)
+		return;
+	sample = (double)took_us / (double)(tokens - 1);
+	health->n_answers++;
+	gain = 1.0 / (double)health->n_answers;
+	if (gain < HEALTH_GAIN)
+		gain = HEALTH_GAIN;
+	health->token_us += gain * (sample - health->token_us);
+}
+
+void health_failed(struct health *health, int64_t now_us)
+{
+	health->n_failures++;
+	if (now_us < health->held_until_us)
+		return;
+	health->hold_us =
+		health->hold_us ? 2 * health->hold_us : HEALTH_HOLD_FIRST_US;
+	if (health->hold_us > HEALTH_HOLD_MOST_US)
+		health->hold_us = HEALTH_HOLD_MOST_US;
+	health->held_until_us = now_us + health->hold_us;
+	health->back_since_us = health->held_until_us;
+}
+
+void health_reset(struct health *health, int64_t now_us)
+{
+	bool was_known = health->n_answers || health->n_failures;
+
+	*health = (struct health){ 0 };
+	if (was_known)
+		health->back_since_us = now_us;
+}
+
+void health_compare(struct health *health, double median_token_us)
+{
+	bool known = health->n_answers >= HEALTH_MIN_ANSWERS;
+
+	if (!known || median_token_us <= 0)
+		health->straggles = false;
+	else
+		health->straggles = health->token_us * HEALTH_STRAGGLER_RATIO >
+				    median_token_us;
+}
+
+double health_weight(const struct health *health, int64_t now_us)
+{
+	double weight = 1;
+	int64_t step;
+
+	if (now_us < health->held_until_us)
+		return 0;
+	if (health->back_since_us) {
+		weight = HEALTH_MIN_WEIGHT;
+		for (step = health->back_since_us; step < now_us && weight < 1;
+		     step += HEALTH_RETURN_STEP_US)
+			weight *= 2;
+	}
+	if (health->straggles)
+		weight = HEALTH_MIN_WEIGHT;
+	return weight < 1 ? weight : 1;
+}
--- /dev/null
+++ b/libfilberthall/load/pick.c
@@ -0,0 +1,214 @@
+#include "load/pick.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Prefill pace of servers that don't say theirs, tokens a second. */
+#define PICK_PREFILL_RATE 10000.0
+
+/* Pace of one stream where nothing is known yet. */
+#define PICK_TOKEN_US 30000.0
+
+/* A request beyond the slots waits for about this many tokens of others. */
+#define PICK_TURN_TOKENS 64.0
+
+/* Reports older than this say nothing about load. */
+#define PICK_REPORT_OLD_US INT64_C(10000000)
+
+static double backend_weight(const struct backend *backend,
+			     const struct pick_options *options, int64_t now_us)
+{
+	if (!options->stragglers)
+		return 1;
+	return health_weight(&backend->health, now_us);
+}
+
+static bool role_serves(const struct backend *backend)
+{
+	return !backend->role[0] || !strcmp(backend->role, "serve");
+}
+
+bool pick_fits(const struct backend *backend, const struct pick_query *query,
+	       const struct pick_options *options, int64_t now_us)
+{
+	if (!backend_usable(backend, now_us) || !role_serves(backend))
+		return false;
+	if (backend->cheap && !query->reclaimable)
+		return false;
+	if (query->avoid && !strcmp(query->avoid, backend->address))
+		return false;
+	if (query->adapter && *query->adapter &&
+	    !backend_serves(backend, backend->model, query->adapter, NULL))
+		return false;
+	return backend_weight(backend, options, now_us) > 0;
+}
+
+/* Whether the server has room for one more, by report and own count. */
+static bool pick_has_room(const struct backend *backend,
+			  const struct pick_query *query,
+			  const struct pick_options *options, int64_t now_us)
+{
+	double weight = backend_weight(backend, options, now_us);
+	double slots = (double)backend->slots * weight;
+	double own = slots * query->own_room;
+	double long_most = (double)backend->slots * PICK_LONG_SHARE;
+
+	if (query->hard_room && (double)backend->own.running >= ceil(own) + 1)
+		return false;
+	if (weight < 1 && (double)backend->own.running >= ceil(own))
+		return false;
+	if (query->cap_long &&
+	    (double)backend->own.long_running >=
+		    ceil(long_most * (query->hard_room ? query->own_room : 1)))
+		return false;
+	/* Shares bound the sum; without them the report must do. */
+	if (query->hard_room)
+		return true;
+	return backend_load(backend) < ceil(slots) + PICK_QUEUE_AHEAD;
+}
+
+double pick_first_token_us(const struct backend *backend,
+			   const struct pick_query *query,
+			   const struct pick_options *options, int64_t now_us)
+{
+	double rate = backend->prefill_rate > 0 ? backend->prefill_rate
+						: PICK_PREFILL_RATE;
+	double token_us = backend->health.token_us;
+	double prompt = backend_queued_prompt(backend, now_us);
+	double load = backend_load(backend);
+	double slots = (double)backend->slots;
+	double wait = 0;
+
+	if (token_us <= 0)
+		token_us = PICK_TOKEN_US;
+	if (now_us - backend->report_us > PICK_REPORT_OLD_US)
+		load = (double)backend->own.running;
+	if (load >= slots)
+		wait = (load - slots + 1) * token_us * PICK_TURN_TOKENS / slots;
+	if (!options->prefix_affinity ||
+	    !prefix_holds(query->prefix, backend->node.hash))
+		prompt += (double)query->prompt_tokens;
+	/* A fuller batch is slower; this also breaks ties by load. */
+	return wait + prompt / rate * 1e6 + token_us * (1 + load / slots);
+}
+
+static struct backend *pick_better(struct backend *a, struct backend *b,
+				   const struct pick_options *options,
+				   const struct pick_query *query,
+				   int64_t now_us)
+{
+	double x;
+	double y;
+
+	if (!a || !b)
+		return a ? a : b;
+	x = pick_first_token_us(a, query, options, now_us);
+	y = pick_first_token_us(b, query, options, now_us);
+	if (x == y && query->zone && strcmp(a->zone, b->zone))
+		return strcmp(b->zone, query->zone) ? a : b;
+	return y < x ? b : a;
+}
+
+/* Load per slot of the servers that could take it. */
+static double pick_mean_load(struct backend *const *members, int n,
+			     int64_t now_us)
+{
+	double load = 0;
+	double slots = 0;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		if (!backend_usable(members[i], now_us))
+			continue;
+		load += backend_load(members[i]);
+		slots += (double)members[i]->slots;
+	}
+	return slots > 0 ? load / slots : 0;
+}
+
+static struct backend *pick_holder(const struct pick_options *options,
+				   const struct pick_query *query,
+				   struct backend *const *members, int n,
+				   int64_t now_us)
+{
+	struct backend *best = NULL;
+	double bound;
+	int i;
+
+	if (!options->prefix_affinity || !query->prefix)
+		return NULL;
+	bound = pick_mean_load(members, n, now_us) * PICK_AFFINITY_BOUND;
+	for (i = 0; i < n; i++) {
+		struct backend *member = members[i];
+		double load = backend_load(member);
+
+		if (!prefix_holds(query->prefix, member->node.hash) ||
+		    load > bound * (double)member->slots + 1 ||
+		    !pick_fits(member, query, options, now_us) ||
+		    !pick_has_room(member, query, options, now_us))
+			continue;
+		best = pick_better(best, member, options, query, now_us);
+	}
+	return best;
+}
+
+/* The n-th server with room, counted from a random start. */
+static struct backend *pick_random(const struct pick_options *options,
+				   const struct pick_query *query,
+				   struct backend *const *members, int n,
+				   struct rng *rng, const struct backend *other,
+				   int64_t now_us)
+{
+	int start = (int)rng_below(rng, (uint64_t)n);
+	int i;
+
+	for (i = 0; i < n; i++) {
+		struct backend *member = members[(start + i) % n];
+
+		if (member != other &&
+		    pick_fits(member, query, options, now_us) &&
+		    pick_has_room(member, query, options, now_us))
+			return member;
+	}
+	return NULL;
+}
+
+static struct backend *pick_best(const struct pick_options *options,
+				 const struct pick_query *query,
+				 struct backend *const *members, int n,
+				 int64_t now_us)
+{
+	struct backend *best = NULL;
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (pick_fits(members[i], query, options, now_us) &&
+		    pick_has_room(members[i], query, options, now_us))
+			best = pick_better(best, members[i], options, query,
+					   now_us);
+	return best;
+}
+
+struct backend *pick_backend(const struct pick_options *options,
+			     const struct pick_query *query,
+			     struct backend *const *members, int n,
+			     struct rng *rng, int64_t now_us)
+{
+	struct backend *first;
+	struct backend *second;
+	struct backend *holder;
+
+	if (!n)
+		return NULL;
+	holder = pick_holder(options, query, members, n, now_us);
+	if (!options->two_choices) {
+		first = pick_best(options, query, members, n, now_us);
+		return pick_better(holder, first, options, query, now_us);
+	}
+	first = pick_random(options, query, members, n, rng, NULL, now_us);
+	if (!first)
+		return NULL;
+	second = pick_random(options, query, members, n, rng, first, now_us);
+	first = pick_better(first, second, options, query, now_us);
+	return pick_better(holder, first, options, query, now_us);
+}
--- /dev/null
+++ b/libfilberthall/load/preempt.h
@@ -0,0 +1,50 @@
+#ifndef FILBERTHALL_LOAD_PREEMPT_H
+#define FILBERTHALL_LOAD_PREEMPT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * Which running attempt gives way to a waiting request of a higher tier.
+ *
+ * Load pattern: critiques that read a whole lookbook hold every slot for a
+ * minute when a burst of captions arrives that has half a second. Waiting
+ * for a slot to come free by itself misses every target.
+ *
+ * Only of a lower tier than what takes the place, the lowest first, within
+ * it the youngest: it has least work to lose. Never a non-idempotent one,
+ * which could not be run again. Never in vain: not if slots come free by
+ * themselves before the waiting request is due, and not so late that the
+ * room would come after that.
+ *
+ * The work of a victim is lost but for what its caller has had, so one that
+ * has less left to do than a victim's lost work costs is left to end.
+ */
+struct preempt_victim {
+	int tier;
+	bool idempotent;
+	bool usable; /**< its place is one that the waiting request can take */
+	int64_t started_us;
+	double done_share; /**< part of its expected work that is done */
+};
+
+/** Past this part of its expected work an attempt is left to end. */
+#define PREEMPT_DONE_MOST 0.75
+
+/** Cancelling takes a round trip or two until the room is there. */
+#define PREEMPT_FREE_US INT64_C(20000)
+
+/** Whether `victim` may give way to a request of tier `tier`. */
+bool preempt_allowed(const struct preempt_victim *victim, int tier);
+
+/** Whether `a` should give way before `b`. */
+bool preempt_before(const struct preempt_victim *a,
+		    const struct preempt_victim *b);
+
+/**
+ * Whether it helps at all: `due_us` is when the waiting request must start,
+ * `natural_us` the expected time until a slot comes free by itself.
+ */
+bool preempt_helps(int64_t due_us, double natural_us, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/libfilberthall/load/router_attempt.c
@@ -0,0 +1,370 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "load/router_state.h"
+
+#define ATTEMPT_CONNECT_MS 1000
+
+/* A stream that says nothing for so long is dead. */
+#define ATTEMPT_IDLE_MS 15000
+
+/* Least time for the first byte, however near the deadline is. */
+#define ATTEMPT_FIRST_BYTE_MS 1000
+
+/* Bytes of an answer kept for a claimed request. */
+#define ATTEMPT_KEEP_LIMIT (INT64_C(1) << 20)
+
+static void attempt_effect(const struct attempt *attempt,
+			   struct effects *effects, int64_t now_us)
+{
+	const struct request *request = attempt->request;
+	struct effect_start_attempt *start =
+		&effects_add(effects, EFFECT_START_ATTEMPT)->u.start;
+	int64_t left_ms = (request->deadline_us - now_us) / 1000;
+
+	start->id = request->ask.id;
+	start->attempt = attempt->number;
+	start->address = xstrdup(attempt->address);
+	start->trace = xstrdup(request->ask.trace);
+	start->priority = request->class->rule.tier;
+	start->connect_ms = ATTEMPT_CONNECT_MS;
+	start->first_byte_ms = left_ms > ATTEMPT_FIRST_BYTE_MS
+				       ? left_ms
+				       : ATTEMPT_FIRST_BYTE_MS;
+	start->idle_ms = ATTEMPT_IDLE_MS;
+	start->resume_tokens = attempt->base;
+	/*
+	 * A pooled connection may have died unseen. Whether the request got
+	 * through it can't be known, and this one may not be sent twice.
+	 */
+	start->proven = !request->ask.idempotent;
+	start->keep_answer = request->ask.keep_answer;
+	start->keep_limit = ATTEMPT_KEEP_LIMIT;
+}
+
+static void attempt_count(struct attempt *attempt, struct pool *pool, int by)
+{
+	const struct request *request = attempt->request;
+
+	pool->running += by;
+	pool->running_by_tier[request->tier] += by;
+	pool->running_by_class[request->class->id] += by;
+}
+
+/** Send a request to a backend server. */
+void attempt_start(struct router *router, struct request *request,
+		   struct backend *backend, int64_t now_us,
+		   struct effects *effects)
+{
+	struct pool *pool = request->queue->pool;
+	struct attempt *attempt = xcalloc(1, sizeof(*attempt));
+
+	attempt->request = request;
+	attempt->number = ++request->n_attempts;
+	if (attempt->number == 1)
+		request->class->running++;
+	memcpy(attempt->address, backend->address, sizeof(attempt->address));
+	memcpy(request->address, backend->address, sizeof(request->address));
+	attempt->started_us = now_us;
+	attempt->base = request->ask.stream ? request->delivered : 0;
+	attempt->work = request->entry.cost;
+	attempt->is_long = request->is_long;
+	attempt->prompt_tokens = request->ask.prompt_tokens;
+	if (prefix_holds(prefix_find(&router->prefix, request->ask.prefix_hash),
+			 backend->node.hash))
+		attempt->prompt_tokens = 0;
+	backend_started(backend, attempt->prompt_tokens, attempt->work,
+			attempt->is_long, now_us);
+	prefix_note(&router->prefix, request->ask.prefix_hash, backend->address,
+		    true);
+	list_append(&request->attempts, &attempt->in_request);
+	list_append(&pool->running_list, &attempt->in_pool);
+	attempt_count(attempt, pool, 1);
+	request->state = REQUEST_RUNNING;
+	attempt_effect(attempt, effects, now_us);
+	request_rearm(router, request, now_us);
+}
+
+/** Ask for the end of an attempt; it counts as long as it hasn't come. */
+void attempt_cancel(struct attempt *attempt, enum result why,
+		    struct effects *effects)
+{
+	struct effect_cancel_attempt *cancel;
+
+	if (attempt->cancelled)
+		return;
+	attempt->cancelled = true;
+	attempt->cancel_code = why;
+	cancel = &effects_add(effects, EFFECT_CANCEL_ATTEMPT)->u.cancel;
+	cancel->id = attempt->request->ask.id;
+	cancel->attempt = attempt->number;
+}
+
+static struct attempt *attempt_find(const struct router *router, uint64_t id,
+				    int64_t number)
+{
+	struct request *request = request_find(router, id);
+	struct attempt *attempt;
+
+	if (!request)
+		return NULL;
+	list_foreach(attempt, &request->attempts, in_request)
+		if (attempt->number == number)
+			return attempt;
+	return NULL;
+}
+
+void router_sent(struct router *router, const struct event_attempt_sent *sent,
+		 int64_t now_us, struct effects *effects)
+{
+	struct attempt *attempt = attempt_find(router, sent->id, sent->attempt);
+
+	(void)now_us;
+	(void)effects;
+	if (!attempt)
+		return;
+	attempt->sent = true;
+	attempt->request->may_have_run = true;
+}
+
+static void attempt_first_token(struct router *router, struct attempt *attempt,
+				int64_t now_us)
+{
+	struct request *request = attempt->request;
+	struct pool *pool = request->queue->pool;
+	struct backend *backend;
+	double took_us = (double)(now_us - attempt->started_us);
+
+	attempt->first_us = now_us;
+	if (!request->first_token_us)
+		request->first_token_us = now_us;
+	if (pool->first_token_us <= 0)
+		pool->first_token_us = took_us;
+	pool->first_token_us += (took_us - pool->first_token_us) / 32;
+	backend = fleet_find(router->options.fleet, attempt->address);
+	if (backend)
+		backend_prefilled(backend, attempt->prompt_tokens);
+	attempt->prompt_tokens = 0;
+	/* The engine generates anew what the caller has already had. */
+	request->wasted += attempt->base;
+	request_rearm(router, request, now_us);
+}
+
+void router_tokens(struct router *router,
+		   const struct event_attempt_tokens *tokens, int64_t now_us,
+		   struct effects *effects)
+{
+	struct attempt *attempt =
+		attempt_find(router, tokens->id, tokens->attempt);
+	struct request *request;
+
+	(void)effects;
+	if (!attempt || attempt->cancelled)
+		return;
+	request = attempt->request;
+	attempt->sent = true;
+	request->may_have_run = true;
+	attempt->tokens = tokens->tokens;
+	if (request->ask.stream)
+		request->delivered = attempt->base + attempt->tokens;
+	if (!attempt->first_us)
+		attempt_first_token(router, attempt, now_us);
+}
+
+/* Take an attempt off all counts and free it. */
+static void attempt_remove(struct router *router, struct attempt *attempt,
+			   int64_t now_us)
+{
+	struct request *request = attempt->request;
+	struct pool *pool = request->queue->pool;
+	struct backend *backend;
+
+	backend = fleet_find(router->options.fleet, attempt->address);
+	if (backend)
+		backend_ended(backend, attempt->prompt_tokens, attempt->work,
+			      attempt->is_long, now_us);
+	if (attempt->cancelled && attempt->cancel_code == RESULT_PREEMPTED)
+		pool->n_preempting--;
+	attempt_count(attempt, pool, -1);
+	list_remove(&attempt->in_pool);
+	list_remove(&attempt->in_request);
+	free(attempt);
+}
+
+static bool code_is_fault(enum result code)
+{
+	return code == RESULT_BACKEND_CONNECT ||
+	       code == RESULT_BACKEND_TIMEOUT || code == RESULT_BACKEND_BROKE;
+}
+
+/* What an attempt's end says about its server. */
+static void attempt_judge(struct router *router, const struct attempt *attempt,
+			  const struct event_attempt_ended *ended,
+			  int64_t now_us, struct effects *effects)
+{
+	struct pool *pool = attempt->request->queue->pool;
+	struct backend *backend;
+
+	backend = fleet_find(router->options.fleet, attempt->address);
+	if (ended->code == RESULT_OK) {
+		if (backend)
+			health_answered(&backend->health, ended->tokens,
+					attempt->first_us
+						? now_us - attempt->first_us
+						: 0,
+					now_us);
+		pool_measure(pool, attempt->work, now_us - attempt->started_us);
+		return;
+	}
+	if (attempt->cancelled || !code_is_fault(ended->code))
+		return;
+	if (backend)
+		health_failed(&backend->health, now_us);
+	/*
+	 * Something between the two ends may have lost track of all pooled
+	 * connections to this address: they look open and carry nothing.
+	 */
+	if (!attempt->first_us)
+		effects_add(effects, EFFECT_DISTRUST)->u.distrust.address =
+			xstrdup(attempt->address);
+}
+
+/* A crash is counted against the request, on this VM and the others. */
+static bool attempt_poisoned(struct router *router,
+			     const struct attempt *attempt, int64_t now_us,
+			     struct effects *effects)
+{
+	struct request *request = attempt->request;
+	uint64_t server = map_hash_text(attempt->address);
+	int64_t ran_us = now_us - attempt->started_us;
+
+	if (!request->fingerprint)
+		return false;
+	router_share_crash(router, request->fingerprint, server, ran_us,
+			   effects);
+	if (poison_crashed(&router->poison, request->fingerprint, server,
+			   ran_us, now_us) != POISON_HELD)
+		return false;
+	router_log(request, LOG_WARN, effects,
+		   "request held: it was running when a second server crashed");
+	return true;
+}
+
+static void request_succeed(struct router *router, struct request *request,
+			    const struct attempt *attempt,
+			    const struct event_attempt_ended *ended,
+			    int64_t now_us, struct effects *effects)
+{
+	int64_t tokens = attempt->base + ended->tokens;
+	double true_cost;
+
+	request->delivered = tokens;
+	if (ended->prompt_tokens)
+		request->prompt_tokens = ended->prompt_tokens;
+	if (request->ask.model) {
+		true_cost = request->entry.cost + (double)tokens -
+			    (double)request->estimate;
+		if (router->options.features.fairness)
+			sched_settle(&request->queue->sched,
+				     request->organisation->id, request->tier,
+				     true_cost - request->entry.cost);
+	}
+	poison_absolve(&router->poison, request->fingerprint);
+	request_end(router, request, RESULT_OK, ended, now_us, effects);
+}
+
+/* Wait for another attempt, in the old place by due time. */
+static void request_again(struct router *router, struct request *request,
+			  const struct attempt *attempt, int64_t now_us)
+{
+	memcpy(request->avoid, attempt->address, sizeof(request->avoid));
+	if (!request->ask.stream)
+		request->wasted += attempt->tokens;
+	request_enqueue(router, request, now_us);
+}
+
+static void request_failed(struct router *router, struct request *request,
+			   const struct attempt *attempt,
+			   const struct event_attempt_ended *ended,
+			   int64_t now_us, struct effects *effects)
+{
+	struct retry_case why = {
+		.code = ended->code,
+		.http_status = ended->http_status,
+		.sent = request->may_have_run,
+		.idempotent = request->ask.idempotent,
+		.attempts = request->n_attempts,
+		.deadline_us = request->deadline_us,
+		.needs_us = request_needs_us(router, request) / 2,
+	};
+	enum result code;
+
+	if (ended->code == RESULT_BACKEND_BROKE && request->may_have_run &&
+	    attempt_poisoned(router, attempt, now_us, effects)) {
+		request_end(router, request, RESULT_POISON, ended, now_us,
+			    effects);
+		return;
+	}
+	code = retry_ask(&router->retry, &why, now_us);
+	if (code) {
+		if (!request->ask.stream)
+			request->wasted += attempt->tokens;
+		request_end(router, request, code, ended, now_us, effects);
+		return;
+	}
+	request_again(router, request, attempt, now_us);
+}
+
+/* Cancelled to make room or to try elsewhere: it waits again. */
+static void request_displaced(struct router *router, struct request *request,
+			      const struct attempt *attempt, int64_t now_us,
+			      struct effects *effects)
+{
+	if (now_us + request_needs_us(router, request) / 2 >
+	    request->deadline_us) {
+		request_end(router, request, attempt->cancel_code, NULL, now_us,
+			    effects);
+		return;
+	}
+	request_again(router, request, attempt, now_us);
+	if (attempt->cancel_code == RESULT_PREEMPTED)
+		request->avoid[0] = '\0';
+}
+
+void router_ended(struct router *router,
+		  const struct event_attempt_ended *ended, int64_t now_us,
+		  struct effects *effects)
+{
+	struct attempt *attempt =
+		attempt_find(router, ended->id, ended->attempt);
+	struct request *request;
+	struct attempt copy;
+	struct pool *pool;
+
+	if (!attempt)
+		return;
+	request = attempt->request;
+	pool = request->queue->pool;
+	if (ended->sent || attempt->sent)
+		request->may_have_run = true;
+	attempt_judge(router, attempt, ended, now_us, effects);
+	router_span(router, request, "attempt", attempt->started_us, now_us,
+		    (enum result)ended->code, attempt->address, effects);
+	copy = *attempt;
+	if (request->ask.stream && !copy.cancelled)
+		request->delivered = copy.base + ended->tokens;
+	attempt_remove(router, attempt, now_us);
+	if (request->state == REQUEST_ENDED) {
+		if (list_empty(&request->attempts))
+			request_forget(router, request);
+	} else if (ended->code == RESULT_OK) {
+		request_succeed(router, request, &copy, ended, now_us, effects);
+	} else if (copy.cancelled) {
+		request_displaced(router, request, &copy, now_us, effects);
+	} else {
+		request_failed(router, request, &copy, ended, now_us, effects);
+	}
+	router_dispatch(router, pool, now_us, effects);
+}
--- /dev/null
+++ b/libfilberthall/load/router_dispatch.c
@@ -0,0 +1,203 @@
+#include <string.h>
+
+#include "load/router_state.h"
+
+/*
+ * The top tier may go over this VM's share by this part of it, if reports
+ * say that there is room: a burst between two rounds of shares.
+ */
+#define DISPATCH_BURST 0.5
+
+/* Short work seen within this time keeps long work to its part of a server. */
+#define DISPATCH_SHORT_US INT64_C(10000000)
+
+static struct request *entry_request(struct sched_entry *entry)
+{
+	return container_of(entry, struct request, entry);
+}
+
+/* A request of a class that has earned its turn by its minimum share. */
+static struct request *pool_next_floor(const struct pool *pool)
+{
+	struct sched_entry *entry;
+	struct queue *queue;
+	int id;
+
+	for (id = 0; id < pool->floor.highest; id++) {
+		if (!pool->waiting_by_class[id])
+			continue;
+		list_foreach(queue, &pool->queues, in_pool) {
+			if (queue->blocked)
+				continue;
+			entry = sched_next_of_class(&queue->sched, id);
+			if (entry && floor_due(&pool->floor, id, entry->cost))
+				return entry_request(entry);
+		}
+	}
+	return NULL;
+}
+
+/* The next by tier; between queues of a tier, the one due first. */
+static struct request *pool_next_tier(const struct pool *pool)
+{
+	int lowest = pool_lowest_open(pool);
+	struct sched_entry *best = NULL;
+	struct sched_entry *entry;
+	struct queue *queue;
+	int tier = SCHED_TIERS;
+
+	list_foreach(queue, &pool->queues, in_pool) {
+		if (queue->blocked)
+			continue;
+		entry = sched_next(&queue->sched, lowest);
+		if (!entry || sched_tier_of(entry) > tier)
+			continue;
+		if (best && sched_tier_of(entry) == tier &&
+		    best->due_us <= entry->due_us)
+			continue;
+		best = entry;
+		tier = sched_tier_of(entry);
+	}
+	return best ? entry_request(best) : NULL;
+}
+
+static bool pool_has_share(const struct router *router, const struct pool *pool,
+			   const struct request *request)
+{
+	double grant = (double)pool->grant;
+
+	if (!router_shares(router) || pool->grant < 0)
+		return true;
+	if (request->tier == 0)
+		grant += grant * DISPATCH_BURST;
+	return (double)pool->running < grant;
+}
+
+static struct backend *request_pick(struct router *router,
+				    struct request *request, int64_t now_us)
+{
+	struct pool *pool = request->queue->pool;
+	struct pick_query query = {
+		.adapter = request->ask.adapter,
+		.zone = router->zone,
+		.avoid = request->avoid[0] ? request->avoid : NULL,
+		.prompt_tokens = request->ask.prompt_tokens,
+		.reclaimable = request->queue->reclaimable,
+		.own_room = 1,
+	};
+	struct backend *backend;
+	int tier;
+
+	if (request->ask.prefix_hash)
+		query.prefix =
+			prefix_find(&router->prefix, request->ask.prefix_hash);
+	for (tier = 0; request->is_long && tier <= request->tier; tier++)
+		query.cap_long |= now_us - pool->pressure[tier].short_us <
+				  DISPATCH_SHORT_US;
+	if (router_shares(router) && pool->grant >= 0 && pool->slots > 0) {
+		query.own_room = (double)pool->grant / pool->slots;
+		query.hard_room = (double)pool->running < (double)pool->grant;
+	}
+	backend = pick_backend(&router->pick, &query, pool->members,
+			       pool->n_members, &router->rng, now_us);
+	if (backend || !query.avoid)
+		return backend;
+	query.avoid = pool->n_members > 1 ? query.avoid : NULL;
+	return pick_backend(&router->pick, &query, pool->members,
+			    pool->n_members, &router->rng, now_us);
+}
+
+/* Too late to be of use: the deadline is past, or the target is and the
+ * queue stands. */
+static enum result request_is_over(const struct router *router,
+				   const struct request *request,
+				   int64_t now_us)
+{
+	const struct pool *pool = request->queue->pool;
+
+	if (now_us >= request->deadline_us ||
+	    (request->ask.send_by_us && now_us > request->ask.send_by_us))
+		return RESULT_EXPIRED;
+	if (router->options.features.early_refusal && !request->n_attempts &&
+	    request->target_us && now_us > request->target_us &&
+	    pool_standing(pool, request->tier, now_us) &&
+	    router_may_shed(router, pool, request->tier, now_us))
+		return RESULT_DEADLINE_UNREACHABLE;
+	return RESULT_OK;
+}
+
+static void pool_note_wait(struct pool *pool, const struct request *request,
+			   int64_t now_us)
+{
+	struct pressure *pressure = &pool->pressure[request->tier];
+	int64_t budget_us = request->entry.due_us - request->ask.arrived_us;
+
+	if (pressure->waiting == 0 ||
+	    (now_us - request->waiting_since_us) * 2 < budget_us)
+		pressure->good_us = now_us;
+}
+
+static void request_serve(struct router *router, struct request *request,
+			  struct backend *backend, int64_t now_us,
+			  struct effects *effects)
+{
+	struct queue *queue = request->queue;
+	struct pool *pool = queue->pool;
+	bool waits[SCHED_CLASSES];
+	int id;
+
+	sched_serve(&queue->sched, &request->entry);
+	request_dequeue(router, request);
+	for (id = 0; id < pool->floor.highest; id++)
+		waits[id] = pool->waiting_by_class[id] > 0;
+	floor_served(&pool->floor, request->class->id, request->entry.cost,
+		     waits);
+	pool_note_wait(pool, request, now_us);
+	router_span(router, request, "queue", request->waiting_since_us, now_us,
+		    RESULT_OK, NULL, effects);
+	attempt_start(router, request, backend, now_us, effects);
+}
+
+void router_dispatch(struct router *router, struct pool *pool, int64_t now_us,
+		     struct effects *effects)
+{
+	struct request *request;
+	struct backend *backend;
+	struct queue *queue;
+	bool floors = true;
+	bool by_floor;
+	enum result code;
+
+	pool_refresh(router, pool, now_us);
+	pool_press(router, pool, now_us);
+	list_foreach(queue, &pool->queues, in_pool)
+		queue->blocked = false;
+	for (;;) {
+		request = floors ? pool_next_floor(pool) : NULL;
+		by_floor = request != NULL;
+		if (!request)
+			request = pool_next_tier(pool);
+		if (!request)
+			break;
+		code = request_is_over(router, request, now_us);
+		if (code) {
+			request_refuse(router, request, code,
+				       request_retry_after_ms(router, request),
+				       now_us, effects);
+			continue;
+		}
+		backend = NULL;
+		if (pool_has_share(router, pool, request))
+			backend = request_pick(router, request, now_us);
+		if (backend)
+			request_serve(router, request, backend, now_us,
+				      effects);
+		else if (by_floor)
+			floors = false;
+		else
+			request->queue->blocked = true;
+	}
+	if (pool->pressure[0].waiting || pool->pressure[1].waiting ||
+	    pool->pressure[2].waiting)
+		router_preempt(router, pool, now_us, effects);
+}
--- /dev/null
+++ b/libfilberthall/load/router_pool.c
@@ -0,0 +1,235 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "load/router_state.h"
+
+/* A tier whose requests have waited long for so long has a standing queue. */
+#define POOL_STANDING_US INT64_C(1000000)
+
+/* A tier that waits for so long closes those below it. */
+#define POOL_PRESSURE_US INT64_C(200000)
+
+/* Running averages over about this many attempts. */
+#define POOL_GAIN (1.0 / 64)
+
+/* Until measured: a request's work in tokens and time in a slot. */
+#define POOL_COST_UNKNOWN 300.0
+#define POOL_UNIT_UNKNOWN_US 20000.0
+
+static bool pool_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(container_of(node, struct pool, node)->name, key);
+}
+
+static struct pool *pool_new(struct router *router, char *name, int64_t now_us)
+{
+	struct router_class *class;
+	struct router_class *next;
+	struct pool *pool = xcalloc(1, sizeof(*pool));
+	int i;
+
+	pool->name = name;
+	pool->model = name[0] == 'm' ? name + 2 : NULL;
+	pool->service = name[0] == 's' ? name + 2 : NULL;
+	list_init(&pool->queues);
+	list_init(&pool->running_list);
+	floor_init(&pool->floor);
+	pool->unit_us = POOL_UNIT_UNKNOWN_US;
+	pool->mean_cost = POOL_COST_UNKNOWN;
+	pool->grant = -1;
+	pool->local_pressure = SCHED_TIERS;
+	pool->global_pressure = SCHED_TIERS;
+	for (i = 0; i < SCHED_TIERS; i++) {
+		pool->pressure[i].good_us = now_us;
+		pool->pressure[i].short_us = INT64_MIN / 2;
+	}
+	if (router->options.features.min_shares)
+		map_foreach(class, next, &router->classes, node)
+			floor_set(&pool->floor, class->id,
+				  class->rule.min_share);
+	map_insert(&router->pools, &pool->node, map_hash_text(name));
+	return pool;
+}
+
+struct pool *pool_of(struct router *router, const char *model,
+		     const char *service, int64_t now_us)
+{
+	char *name = xstrfmt("%c:%s", service ? 's' : 'm',
+			     service ? service : (model ? model : ""));
+	struct map_node *node;
+
+	node = map_find(&router->pools, map_hash_text(name), pool_match, name);
+	if (!node)
+		return pool_new(router, name, now_us);
+	free(name);
+	return container_of(node, struct pool, node);
+}
+
+static bool same_text(const char *a, const char *b)
+{
+	return !strcmp(a ? a : "", b ? b : "");
+}
+
+struct queue *pool_queue(struct router *router, struct pool *pool,
+			 const char *adapter, bool reclaimable)
+{
+	struct router_class *class;
+	struct router_class *next;
+	struct queue *queue;
+
+	list_foreach(queue, &pool->queues, in_pool)
+		if (queue->reclaimable == reclaimable &&
+		    same_text(queue->adapter, adapter))
+			return queue;
+	queue = xcalloc(1, sizeof(*queue));
+	queue->pool = pool;
+	queue->adapter = xstrdup(adapter);
+	queue->reclaimable = reclaimable;
+	sched_init(&queue->sched);
+	map_foreach(class, next, &router->classes, node)
+		if (router->options.features.tiers)
+			sched_set_class(&queue->sched, class->id,
+					class->rule.tier);
+	list_append(&pool->queues, &queue->in_pool);
+	return queue;
+}
+
+void pool_free(struct router *router, struct pool *pool)
+{
+	struct queue *queue;
+	struct queue *next;
+
+	list_foreach_safe(queue, next, &pool->queues, in_pool) {
+		sched_clear(&queue->sched);
+		free(queue->adapter);
+		free(queue);
+	}
+	map_remove(&router->pools, &pool->node);
+	free(pool->members);
+	free(pool->name);
+	free(pool);
+}
+
+/* The fleet has changed since the members were listed. */
+static void pool_list_members(const struct fleet *fleet, struct pool *pool)
+{
+	struct backend *backend;
+	struct backend *next;
+
+	pool->n_members = 0;
+	free(pool->members);
+	pool->members =
+		xcalloc(fleet->backends.count + 1, sizeof(*pool->members));
+	map_foreach(backend, next, &fleet->backends, node)
+		if (backend_serves(backend, pool->model, NULL, pool->service))
+			pool->members[pool->n_members++] = backend;
+	pool->fleet_version = fleet->version;
+}
+
+void pool_refresh(struct router *router, struct pool *pool, int64_t now_us)
+{
+	const struct fleet *fleet = router->options.fleet;
+	int i;
+
+	if (pool->fleet_version != fleet->version)
+		pool_list_members(fleet, pool);
+	pool->slots = 0;
+	for (i = 0; i < pool->n_members; i++) {
+		const struct backend *member = pool->members[i];
+
+		if (!backend_usable(member, now_us))
+			continue;
+		pool->slots += (double)member->slots *
+			       (router->pick.stragglers
+					? health_weight(&member->health, now_us)
+					: 1);
+	}
+	if (pool->slots > 0)
+		pool->usable_us = now_us;
+}
+
+/*
+ * A queue that has been slow for a whole second isn't a burst any more: it
+ * stands, and what waits in it only gets later (compare CoDel).
+ */
+bool pool_standing(const struct pool *pool, int tier, int64_t now_us)
+{
+	return pool->pressure[tier].waiting > 0 &&
+	       now_us - pool->pressure[tier].good_us > POOL_STANDING_US;
+}
+
+double pool_own_slots(const struct router *router, const struct pool *pool)
+{
+	if (pool->grant < 0 || !router_shares(router))
+		return pool->slots;
+	return (double)pool->grant;
+}
+
+/* Expected wait of a request: the work ahead, at the pace of own slots. */
+double pool_wait_us(const struct router *router, const struct pool *pool,
+		    const struct request *request)
+{
+	double slots = pool_own_slots(router, pool);
+	double ahead = 0;
+	struct queue *queue;
+
+	list_foreach(queue, &pool->queues, in_pool)
+		ahead += sched_work_ahead(&queue->sched,
+					  request->organisation->id,
+					  request->tier, 0);
+	if (slots < 1)
+		slots = 1;
+	if (ahead <= 0 && (double)pool->running < slots)
+		return 0;
+	return (ahead + pool->mean_cost) * pool->unit_us / slots;
+}
+
+void pool_measure(struct pool *pool, double cost, int64_t took_us)
+{
+	double gain;
+
+	if (cost <= 0)
+		return;
+	gain = 1.0 / (double)++pool->n_measured;
+	if (gain < POOL_GAIN)
+		gain = POOL_GAIN;
+	pool->mean_cost += gain * (cost - pool->mean_cost);
+	/* Weighted by work, so that it is time over work in the long run. */
+	gain *= cost / pool->mean_cost;
+	if (gain > 1)
+		gain = 1;
+	pool->unit_us += gain * ((double)took_us / cost - pool->unit_us);
+}
+
+int pool_lowest_open(const struct pool *pool)
+{
+	int lowest = SCHED_TIERS - 1;
+
+	if (pool->local_pressure < lowest)
+		lowest = pool->local_pressure;
+	if (pool->global_pressure < lowest)
+		lowest = pool->global_pressure;
+	return lowest;
+}
+
+/* Note which tier waits, and since when those below it are closed. */
+void pool_press(struct router *router, struct pool *pool, int64_t now_us)
+{
+	int global;
+	int tier;
+
+	pool->local_pressure = SCHED_TIERS;
+	for (tier = SCHED_TIERS - 1; tier >= 0; tier--)
+		if (pool->pressure[tier].waiting > 0 &&
+		    now_us - pool->pressure[tier].good_us > POOL_PRESSURE_US)
+			pool->local_pressure = tier;
+	global = router_shares(router) ? pool->global_pressure
+				       : pool->local_pressure;
+	for (tier = 0; tier < SCHED_TIERS; tier++) {
+		if (global > tier)
+			pool->closed_us[tier] = 0;
+		else if (!pool->closed_us[tier])
+			pool->closed_us[tier] = now_us;
+	}
+}
--- /dev/null
+++ b/libfilberthall/load/router_preempt.c
@@ -0,0 +1,107 @@
+#include "load/preempt.h"
+#include "load/router_state.h"
+
+static struct preempt_victim victim_of(const struct router *router,
+				       const struct attempt *attempt,
+				       const struct request *waiting,
+				       int64_t now_us)
+{
+	const struct request *request = attempt->request;
+	const struct backend *backend =
+		fleet_find(router->options.fleet, attempt->address);
+	struct pick_query query = {
+		.adapter = waiting->ask.adapter,
+		.reclaimable = waiting->queue->reclaimable,
+	};
+	struct preempt_victim victim = {
+		.tier = request->tier,
+		.idempotent = request->ask.idempotent,
+		.started_us = attempt->started_us,
+	};
+
+	if (request->estimate > 0)
+		victim.done_share =
+			(double)attempt->tokens / (double)request->estimate;
+	victim.usable = backend && !attempt->cancelled &&
+			pick_fits(backend, &query, &router->pick, now_us);
+	return victim;
+}
+
+static struct attempt *pool_victim(const struct router *router,
+				   const struct pool *pool,
+				   const struct request *waiting,
+				   int64_t now_us)
+{
+	struct preempt_victim best_victim = { 0 };
+	struct attempt *best = NULL;
+	struct attempt *attempt;
+
+	list_foreach(attempt, &pool->running_list, in_pool) {
+		struct preempt_victim victim;
+
+		if (attempt->request->tier <= waiting->tier)
+			continue;
+		victim = victim_of(router, attempt, waiting, now_us);
+		if (!preempt_allowed(&victim, waiting->tier))
+			continue;
+		if (best && !preempt_before(&victim, &best_victim))
+			continue;
+		best = attempt;
+		best_victim = victim;
+	}
+	return best;
+}
+
+/* The highest tier's next, of those that wait. */
+static struct request *pool_first_waiting(const struct pool *pool)
+{
+	struct sched_entry *best = NULL;
+	struct sched_entry *entry;
+	struct queue *queue;
+
+	list_foreach(queue, &pool->queues, in_pool) {
+		entry = sched_next(&queue->sched, SCHED_TIERS - 1);
+		if (!entry)
+			continue;
+		if (!best || sched_tier_of(entry) < sched_tier_of(best))
+			best = entry;
+	}
+	return best ? container_of(best, struct request, entry) : NULL;
+}
+
+/* Time until the last of a tier's waiting ones finds a slot by itself. */
+static double pool_natural_us(const struct pool *pool, int64_t waiting)
+{
+	double hold_us = pool->unit_us * pool->mean_cost;
+	double running = pool->running > 0 ? (double)pool->running : 1;
+
+	return hold_us / running * (double)waiting;
+}
+
+/** Free places of lower tiers for what waits and would be late. */
+void router_preempt(struct router *router, struct pool *pool, int64_t now_us,
+		    struct effects *effects)
+{
+	struct request *waiting;
+	struct attempt *victim;
+	int64_t n;
+
+	if (!router->options.features.preemption ||
+	    !router->options.features.tiers)
+		return;
+	waiting = pool_first_waiting(pool);
+	if (!waiting)
+		return;
+	n = pool->pressure[waiting->tier].waiting;
+	if (!preempt_helps(waiting->entry.due_us -
+				   (int64_t)pool->first_token_us,
+			   pool_natural_us(pool, n), now_us))
+		return;
+	while (pool->n_preempting < n) {
+		victim = pool_victim(router, pool, waiting, now_us);
+		if (!victim)
+			return;
+		pool->n_preempting++;
+		attempt_cancel(victim, RESULT_PREEMPTED, effects);
+	}
+}
--- /dev/null
+++ b/libfilberthall/load/router_state.h
@@ -0,0 +1,267 @@
+#ifndef FILBERTHALL_LOAD_ROUTER_STATE_H
+#define FILBERTHALL_LOAD_ROUTER_STATE_H
+
+#include "base/list.h"
+#include "base/map.h"
+#include "base/rng.h"
+#include "fleet/backend.h"
+#include "load/floor.h"
+#include "load/heap.h"
+#include "load/length.h"
+#include "load/pick.h"
+#include "load/poison.h"
+#include "load/prefix.h"
+#include "load/quota.h"
+#include "load/retry.h"
+#include "load/router.h"
+#include "load/sched.h"
+
+/**
+ * What the files router*.c share: the state of one router and the calls
+ * between them. Nobody else includes this.
+ */
+
+/** How often router_tick() has something to look at, at the latest. */
+#define ROUTER_TICK_US INT64_C(50000)
+
+/** A class of requests. Ids are reused after removal. */
+struct router_class {
+	struct map_node node; /**< by name */
+	struct class_rule rule;
+	int id;
+	bool removed;	    /**< kept only for what still runs */
+	int64_t n_requests; /**< that refer to it */
+	int64_t waiting;
+	int64_t running;
+	struct list order; /**< waiting requests, oldest first */
+};
+
+struct organisation {
+	struct map_node node; /**< by name */
+	struct organisation_rule rule;
+	uint64_t id;
+	bool removed;
+	int64_t n_requests;
+	struct quota quota;
+};
+
+/** Limits of one key; kept while it has requests or its bucket fills. */
+struct key_use {
+	struct map_node node; /**< by key id */
+	char *id;
+	int64_t n_requests;
+	int64_t used_us;
+	struct quota quota;
+};
+
+/** Requests that the same backend servers can take, waiting in order. */
+struct queue {
+	struct list in_pool;
+	struct pool *pool;
+	char *adapter; /**< or NULL */
+	bool reclaimable;
+	bool blocked; /**< no server had room, in the present pass */
+	struct sched sched;
+};
+
+/** What is known of one tier's wait before one pool. */
+struct pressure {
+	int64_t waiting;
+	int64_t good_us;  /**< when its queue last was empty or quick */
+	int64_t short_us; /**< when a short request last came */
+};
+
+/** The backend servers of one model or one service, and who waits. */
+struct pool {
+	struct map_node node; /**< by name */
+	char *name;	      /**< "m:MODEL" or "s:SERVICE" */
+	const char *model;    /**< part of name, or NULL */
+	const char *service;  /**< part of name, or NULL */
+	struct backend **members;
+	int n_members;
+	uint64_t fleet_version; /**< at which members was made */
+	double slots;		/**< of all usable members */
+	int64_t usable_us;	/**< when a member was last usable */
+	struct list queues;
+	struct floor floor;
+	int64_t waiting_by_class[SCHED_CLASSES];
+	int64_t running_by_class[SCHED_CLASSES];
+	int64_t running_by_tier[SCHED_TIERS];
+	int64_t running;
+	struct pressure pressure[SCHED_TIERS];
+	double unit_us; /**< mean time a unit of work holds a slot */
+	double mean_cost;
+	double first_token_us; /**< mean, from start of an attempt */
+	int64_t grant;	       /**< slots handed to this VM, -1 unbounded */
+	int64_t grant_us;      /**< when it was handed out */
+	int64_t n_measured;
+	int n_preempting;    /**< cancelled for a higher tier, not ended */
+	int local_pressure;  /**< highest tier that waits here */
+	int global_pressure; /**< the same over all VMs, as last heard */
+	int64_t closed_us[SCHED_TIERS]; /**< since when no lower tier gets
+					   more than its minimum, 0 if open */
+	struct list running_list;	/**< attempts, oldest first */
+};
+
+enum request_state {
+	REQUEST_NEW, /**< not yet let in */
+	REQUEST_WAITING,
+	REQUEST_RUNNING,
+	REQUEST_ENDED /**< answered; its attempts still end */
+};
+
+struct request;
+
+struct attempt {
+	struct list in_request;
+	struct list in_pool;
+	struct request *request;
+	int64_t number;
+	char address[BACKEND_NAME_SIZE];
+	int64_t started_us;
+	int64_t first_us;      /**< of its first token, 0 if none yet */
+	int64_t tokens;	       /**< passed on by this attempt */
+	int64_t base;	       /**< tokens the caller had before it */
+	int64_t prompt_tokens; /**< counted on the server until prefill */
+	double work;
+	bool is_long;
+	bool sent;
+	bool cancelled;
+	enum result cancel_code; /**< why it was cancelled */
+};
+
+struct request {
+	struct map_node node; /**< by id */
+	struct sched_entry entry;
+	struct heap_node timer;
+	int64_t timer_us;
+	struct list in_class;	   /**< while waiting */
+	struct router_request ask; /**< its text is owned */
+	enum request_state state;
+	struct router_class *class;
+	struct organisation *organisation;
+	struct key_use *key;
+	struct queue *queue;
+	uint64_t fingerprint;
+	int tier;
+	int64_t deadline_us;
+	int64_t target_us; /**< first token due, 0 for none */
+	bool counted;	   /**< in the limits of organisation and key */
+	int64_t charged;   /**< tokens charged to the limits */
+	int64_t estimate;  /**< output tokens */
+	bool is_long;
+	bool may_have_run; /**< a byte may have left */
+	bool hedged;
+	char avoid[BACKEND_NAME_SIZE]; /**< where it has failed */
+	struct list attempts;
+	int n_attempts;
+	int64_t waiting_since_us;
+	int64_t delivered; /**< tokens that the caller has had */
+	int64_t prompt_tokens;
+	int64_t wasted;
+	int64_t first_token_us;
+	char address[BACKEND_NAME_SIZE]; /**< of the last attempt */
+};
+
+struct router {
+	struct router_options options;
+	char *zone;
+	struct rng rng;
+	struct map requests;
+	struct map classes;
+	struct map organisations;
+	struct map keys;
+	struct map pools;
+	struct heap timers;
+	struct router_class *by_id[SCHED_CLASSES];
+	struct length length;
+	struct prefix prefix;
+	struct poison poison;
+	struct retry retry;
+	struct pick_options pick;
+	uint64_t sequence;
+	uint64_t last_organisation;
+	int64_t waiting;
+	int64_t compared_us; /**< when stragglers were last looked for */
+	bool draining;
+	struct router_peers *peers;
+};
+
+/* router_pool.c */
+struct pool *pool_of(struct router *router, const char *model,
+		     const char *service, int64_t now_us);
+struct queue *pool_queue(struct router *router, struct pool *pool,
+			 const char *adapter, bool reclaimable);
+void pool_refresh(struct router *router, struct pool *pool, int64_t now_us);
+void pool_free(struct router *router, struct pool *pool);
+bool pool_standing(const struct pool *pool, int tier, int64_t now_us);
+double pool_wait_us(const struct router *router, const struct pool *pool,
+		    const struct request *request);
+double pool_own_slots(const struct router *router, const struct pool *pool);
+int pool_lowest_open(const struct pool *pool);
+void pool_press(struct router *router, struct pool *pool, int64_t now_us);
+void pool_measure(struct pool *pool, double cost, int64_t took_us);
+
+/* router_submit.c */
+struct organisation *organisation_of(struct router *router, const char *name,
+				     int64_t now_us);
+bool router_may_shed(const struct router *router, const struct pool *pool,
+		     int tier, int64_t now_us);
+void request_enqueue(struct router *router, struct request *request,
+		     int64_t now_us);
+void request_dequeue(struct router *router, struct request *request);
+int64_t request_needs_us(const struct router *router,
+			 const struct request *request);
+int64_t request_retry_after_ms(const struct router *router,
+			       const struct request *request);
+
+/* router_dispatch.c */
+void router_dispatch(struct router *router, struct pool *pool, int64_t now_us,
+		     struct effects *effects);
+
+/* router_preempt.c */
+void router_preempt(struct router *router, struct pool *pool, int64_t now_us,
+		    struct effects *effects);
+
+/* router_share.c */
+void router_share_init(struct router *router);
+void router_share_free(struct router *router);
+void router_share_tick(struct router *router, int64_t now_us,
+		       struct effects *effects);
+void router_share_crash(struct router *router, uint64_t fingerprint,
+			uint64_t server, int64_t ran_us,
+			struct effects *effects);
+bool router_shares(const struct router *router);
+
+/* router_attempt.c */
+void attempt_start(struct router *router, struct request *request,
+		   struct backend *backend, int64_t now_us,
+		   struct effects *effects);
+void attempt_cancel(struct attempt *attempt, enum result why,
+		    struct effects *effects);
+
+/* router_end.c */
+struct request *request_find(const struct router *router, uint64_t id);
+struct attempt *request_attempt(const struct request *request);
+void request_refuse(struct router *router, struct request *request,
+		    enum result code, int64_t retry_after_ms, int64_t now_us,
+		    struct effects *effects);
+void request_end(struct router *router, struct request *request,
+		 enum result code, const struct event_attempt_ended *ended,
+		 int64_t now_us, struct effects *effects);
+void request_forget(struct router *router, struct request *request);
+void request_arm(struct router *router, struct request *request, int64_t at_us);
+
+/* router_time.c */
+void request_rearm(struct router *router, struct request *request,
+		   int64_t now_us);
+
+/* router_log.c */
+void router_span(struct router *router, const struct request *request,
+		 const char *name, int64_t start_us, int64_t end_us,
+		 enum result code, const char *detail, struct effects *effects);
+void router_log(const struct request *request, enum log_level level,
+		struct effects *effects, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/libfilberthall/load/router_submit.c
@@ -0,0 +1,445 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "load/router_state.h"
+
+/* A prompt token costs an engine about this part of an output token. */
+#define SUBMIT_PROMPT_COST 0.1
+
+/* Requests waiting on one VM, all classes: some 100 MB at the most. */
+#define SUBMIT_WAITING_MOST 100000
+
+/* Deadline of a class that names none. */
+#define SUBMIT_DEADLINE_US INT64_C(300000000)
+
+/* How long a pool may be without any usable server before it's given up. */
+#define SUBMIT_EMPTY_US INT64_C(10000000)
+
+/* Work this many times the mean is long. */
+#define SUBMIT_LONG_RATIO 4.0
+
+/*
+ * Lower tiers have been closed on all VMs for so long before a request may
+ * be shed: two rounds of shares, so that each VM has heard of it.
+ */
+#define SUBMIT_CLOSED_US INT64_C(1000000)
+
+static bool class_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(container_of(node, struct router_class, node)->rule.name,
+		       key);
+}
+
+static struct router_class *class_find(const struct router *router,
+				       const char *name)
+{
+	struct map_node *node;
+
+	if (!name)
+		return NULL;
+	node = map_find(&router->classes, map_hash_text(name), class_match,
+			name);
+	return node ? container_of(node, struct router_class, node) : NULL;
+}
+
+static bool key_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(container_of(node, struct key_use, node)->id, key);
+}
+
+/* Limits of the key alone, which come with each request. */
+static struct key_use *key_of(struct router *router,
+			      const struct router_request *ask, int64_t now_us)
+{
+	struct quota_limits limits = {
+		.max_concurrent = ask->key_max_concurrent,
+		.requests_per_min = ask->key_requests_per_min,
+	};
+	struct map_node *node;
+	struct key_use *key;
+
+	if (!ask->key_id ||
+	    (!limits.max_concurrent && !limits.requests_per_min))
+		return NULL;
+	node = map_find(&router->keys, map_hash_text(ask->key_id), key_match,
+			ask->key_id);
+	if (node) {
+		key = container_of(node, struct key_use, node);
+		quota_set_limits(&key->quota, &limits, now_us);
+	} else {
+		key = xcalloc(1, sizeof(*key));
+		key->id = xstrdup(ask->key_id);
+		quota_init(&key->quota, &limits, now_us);
+		map_insert(&router->keys, &key->node, map_hash_text(key->id));
+	}
+	key->used_us = now_us;
+	return key;
+}
+
+static void request_copy_text(struct request *request)
+{
+	struct router_request *ask = &request->ask;
+
+	ask->organisation = xstrdup(ask->organisation ? ask->organisation : "");
+	ask->key_id = xstrdup(ask->key_id);
+	ask->class_name = xstrdup(ask->class_name);
+	ask->model = xstrdup(ask->model);
+	ask->adapter = xstrdup(ask->adapter);
+	ask->service = xstrdup(ask->service);
+	ask->body_hash = xstrdup(ask->body_hash);
+	ask->trace = xstrdup(ask->trace);
+}
+
+static void request_set_times(struct request *request)
+{
+	const struct class_rule *rule = &request->class->rule;
+	int64_t arrived_us = request->ask.arrived_us;
+
+	request->deadline_us = request->ask.deadline_us;
+	if (!request->deadline_us)
+		request->deadline_us =
+			arrived_us + (rule->deadline_us ? rule->deadline_us
+							: SUBMIT_DEADLINE_US);
+	/* A whole answer has no first token that its caller sees. */
+	request->target_us = 0;
+	if (request->ask.stream && rule->first_token_us)
+		request->target_us = arrived_us + rule->first_token_us;
+}
+
+static struct request *request_new(struct router *router,
+				   const struct router_request *ask,
+				   struct router_class *class, int64_t now_us)
+{
+	struct request *request = xcalloc(1, sizeof(*request));
+
+	request->ask = *ask;
+	request_copy_text(request);
+	list_init(&request->attempts);
+	list_init(&request->in_class);
+	list_init(&request->entry.order);
+	request->class = class;
+	class->n_requests++;
+	request->organisation =
+		organisation_of(router, request->ask.organisation, now_us);
+	request->organisation->n_requests++;
+	request->key = key_of(router, ask, now_us);
+	if (request->key)
+		request->key->n_requests++;
+	request->tier = router->options.features.tiers ? class->rule.tier : 0;
+	request->prompt_tokens = ask->prompt_tokens;
+	if (router->options.features.poison)
+		request->fingerprint =
+			poison_fingerprint(request->ask.organisation,
+					   ask->body_hash);
+	request_set_times(request);
+	map_insert(&router->requests, &request->node,
+		   map_hash(&request->ask.id, sizeof(request->ask.id)));
+	return request;
+}
+
+static void request_estimate(const struct router *router,
+			     struct request *request)
+{
+	const struct router_request *ask = &request->ask;
+
+	if (!ask->model)
+		request->estimate = 0;
+	else if (router->options.features.length_estimate)
+		request->estimate =
+			length_mean(&router->length, ask->class_name,
+				    ask->model, ask->max_tokens);
+	else
+		request->estimate = ask->max_tokens ? ask->max_tokens
+						    : LENGTH_UNKNOWN_TOKENS;
+	request->entry.cost = 1 + (double)request->estimate +
+			      SUBMIT_PROMPT_COST * (double)ask->prompt_tokens;
+}
+
+/** Estimated time that the request needs once it is sent. */
+int64_t request_needs_us(const struct router *router,
+			 const struct request *request)
+{
+	const struct pool *pool = request->queue->pool;
+
+	(void)router;
+	return (int64_t)(request->entry.cost * pool->unit_us);
+}
+
+/** When coming back may help: the expected wait, rounded up to a second. */
+int64_t request_retry_after_ms(const struct router *router,
+			       const struct request *request)
+{
+	double wait_us = pool_wait_us(router, request->queue->pool, request);
+
+	return ((int64_t)(wait_us / 1e6) + 1) * 1000;
+}
+
+/**
+ * Whether a request of this tier may be shed: only while no lower tier gets
+ * more than its minimum share, here or on another VM.
+ */
+bool router_may_shed(const struct router *router, const struct pool *pool,
+		     int tier, int64_t now_us)
+{
+	struct router_class *class;
+	struct router_class *next;
+	bool has_lower = false;
+
+	if (!router->options.features.tiers)
+		return true;
+	map_foreach(class, next, &router->classes, node)
+		has_lower |= class->rule.tier > tier;
+	if (!has_lower)
+		return true;
+	return pool->closed_us[tier] &&
+	       now_us - pool->closed_us[tier] >= SUBMIT_CLOSED_US;
+}
+
+/* The deadline can't be met, or in a queue that stands, the target. */
+static bool request_is_late(const struct router *router,
+			    const struct request *request, int64_t now_us)
+{
+	const struct pool *pool = request->queue->pool;
+	int64_t wait_us = (int64_t)pool_wait_us(router, pool, request);
+	int64_t first_us = (int64_t)pool->first_token_us;
+
+	if (now_us + wait_us + request_needs_us(router, request) >
+	    request->deadline_us)
+		return true;
+	return request->target_us &&
+	       pool_standing(pool, request->tier, now_us) &&
+	       now_us + wait_us + first_us > request->target_us;
+}
+
+/** Put a request among those that wait. */
+void request_enqueue(struct router *router, struct request *request,
+		     int64_t now_us)
+{
+	const struct router_features *features = &router->options.features;
+	struct queue *queue = request->queue;
+	struct pool *pool = queue->pool;
+	struct pressure *pressure = &pool->pressure[request->tier];
+	struct sched_entry *entry = &request->entry;
+
+	request->state = REQUEST_WAITING;
+	request->waiting_since_us = now_us;
+	entry->sequence = ++router->sequence;
+	entry->due_us =
+		request->target_us ? request->target_us : request->deadline_us;
+	if (!features->fairness)
+		entry->due_us = request->ask.arrived_us;
+	sched_push(&queue->sched, entry, request->class->id,
+		   features->fairness ? request->organisation->id : 0);
+	if (!pressure->waiting++)
+		pressure->good_us = now_us;
+	if (!request->is_long)
+		pressure->short_us = now_us;
+	pool->waiting_by_class[request->class->id]++;
+	request->class->waiting++;
+	router->waiting++;
+	list_append(&request->class->order, &request->in_class);
+	request_rearm(router, request, now_us);
+}
+
+/** Take a request out of those that wait. */
+void request_dequeue(struct router *router, struct request *request)
+{
+	struct pool *pool = request->queue->pool;
+
+	sched_remove(&request->queue->sched, &request->entry);
+	pool->pressure[request->tier].waiting--;
+	pool->waiting_by_class[request->class->id]--;
+	request->class->waiting--;
+	router->waiting--;
+	list_remove(&request->in_class);
+}
+
+static struct request *entry_request(struct sched_entry *entry)
+{
+	return container_of(entry, struct request, entry);
+}
+
+/*
+ * The class's queue is full: the organisation that has most of it gives way,
+ * if that isn't the one that asks.
+ */
+static struct request *class_victim(const struct request *request)
+{
+	const struct sched *sched = &request->queue->sched;
+	struct sched_entry *entry;
+
+	entry = sched_newest_of_longest(sched, request->class->id);
+	if (!entry || entry->organisation == request->organisation->id)
+		return NULL;
+	return entry_request(entry);
+}
+
+/* The newest of the lowest tier, if that is below the request's own. */
+static struct request *lowest_victim(const struct router *router,
+				     const struct request *request)
+{
+	struct router_class *worst = NULL;
+	struct router_class *class;
+	struct router_class *next;
+
+	map_foreach(class, next, &router->classes, node) {
+		if (!class->waiting || class->rule.tier <= request->tier)
+			continue;
+		if (!worst || class->rule.tier > worst->rule.tier ||
+		    (class->rule.tier == worst->rule.tier &&
+		     class->waiting > worst->waiting))
+			worst = class;
+	}
+	if (!worst)
+		return NULL;
+	return list_last(&worst->order, struct request, in_class);
+}
+
+/* Make room in the queues; false if the request itself has to go. */
+static bool router_make_room(struct router *router, struct request *request,
+			     int64_t now_us, struct effects *effects)
+{
+	const struct router_class *class = request->class;
+	int64_t bound = class->rule.queue_bound;
+	struct request *victim = NULL;
+
+	if (bound && class->waiting >= bound)
+		victim = class_victim(request);
+	else if (router->waiting >= SUBMIT_WAITING_MOST)
+		victim = lowest_victim(router, request);
+	else
+		return true;
+	if (!victim)
+		return false;
+	request_refuse(router, victim, RESULT_QUEUE_FULL,
+		       request_retry_after_ms(router, victim), now_us, effects);
+	return true;
+}
+
+/* Charge the limits of the organisation and of the key. */
+static enum result request_count(struct request *request, int64_t now_us,
+				 int64_t *retry_after_ms)
+{
+	int64_t tokens = request->ask.prompt_tokens + request->estimate;
+	enum result code;
+
+	code = quota_take(&request->organisation->quota, tokens, now_us,
+			  retry_after_ms);
+	if (code)
+		return code;
+	if (request->key) {
+		code = quota_take(&request->key->quota, 0, now_us,
+				  retry_after_ms);
+		if (code) {
+			quota_undo(&request->organisation->quota, tokens,
+				   now_us);
+			return code;
+		}
+	}
+	request->charged = tokens;
+	request->counted = true;
+	return RESULT_OK;
+}
+
+/* No server of the model or service is known, or none for too long. */
+static enum result pool_missing(const struct pool *pool, int64_t now_us)
+{
+	if (pool->slots > 0)
+		return RESULT_OK;
+	if (!pool->usable_us)
+		return pool->service ? RESULT_NO_ROUTE : RESULT_NO_MODEL;
+	if (now_us - pool->usable_us > SUBMIT_EMPTY_US)
+		return RESULT_NO_CAPACITY;
+	return RESULT_OK;
+}
+
+static enum result request_admit(struct router *router, struct request *request,
+				 int64_t now_us, int64_t *retry_after_ms,
+				 struct effects *effects)
+{
+	struct pool *pool = request->queue->pool;
+	enum result code;
+
+	if (router->draining)
+		return RESULT_STOPPING;
+	if (poison_ask(&router->poison, request->fingerprint, now_us) ==
+	    POISON_HELD)
+		return RESULT_POISON;
+	pool_refresh(router, pool, now_us);
+	code = pool_missing(pool, now_us);
+	if (code) {
+		*retry_after_ms = code == RESULT_NO_CAPACITY ? 5000 : 0;
+		return code;
+	}
+	code = request_count(request, now_us, retry_after_ms);
+	if (code)
+		return code;
+	pool_press(router, pool, now_us);
+	*retry_after_ms = request_retry_after_ms(router, request);
+	if (router->options.features.early_refusal &&
+	    request_is_late(router, request, now_us) &&
+	    router_may_shed(router, pool, request->tier, now_us))
+		return RESULT_DEADLINE_UNREACHABLE;
+	if (!router_make_room(router, request, now_us, effects))
+		return RESULT_QUEUE_FULL;
+	return RESULT_OK;
+}
+
+/* A class that isn't known has no request to keep: only the answer. */
+static void refuse_unknown(struct router *router,
+			   const struct router_request *ask, int64_t now_us,
+			   struct effects *effects)
+{
+	const struct router_hooks *hooks = &router->options.hooks;
+	struct effect *effect = effects_add(effects, EFFECT_ANSWER);
+	struct router_outcome outcome = {
+		.id = ask->id,
+		.code = RESULT_CLASS_FORBIDDEN,
+		.run = RUN_NOT,
+		.organisation = ask->organisation,
+		.class_name = ask->class_name,
+		.model = ask->model,
+		.prompt_tokens = ask->prompt_tokens,
+		.arrived_us = ask->arrived_us,
+		.ended_us = now_us,
+	};
+
+	effect->u.answer.id = ask->id;
+	effect->u.answer.code = RESULT_CLASS_FORBIDDEN;
+	effect->u.answer.run = RUN_NOT;
+	if (hooks->finished)
+		hooks->finished(hooks->data, &outcome);
+}
+
+void router_submit(struct router *router, const struct router_request *ask,
+		   int64_t now_us, struct effects *effects)
+{
+	struct router_class *class = class_find(router, ask->class_name);
+	int64_t retry_after_ms = 0;
+	struct request *request;
+	struct pool *pool;
+	enum result code;
+
+	if (!class) {
+		refuse_unknown(router, ask, now_us, effects);
+		return;
+	}
+	request = request_new(router, ask, class, now_us);
+	pool = pool_of(router, ask->model, ask->service, now_us);
+	request->queue =
+		pool_queue(router, pool, ask->adapter, class->rule.reclaimable);
+	request_estimate(router, request);
+	request->is_long =
+		request->entry.cost > SUBMIT_LONG_RATIO * pool->mean_cost;
+	retry_fresh(&router->retry, now_us);
+	code = request_admit(router, request, now_us, &retry_after_ms, effects);
+	if (code) {
+		request_refuse(router, request, code, retry_after_ms, now_us,
+			       effects);
+		return;
+	}
+	request_enqueue(router, request, now_us);
+	router_dispatch(router, pool, now_us, effects);
+}
--- /dev/null
+++ b/libfilberthall/load/router_time.c
@@ -0,0 +1,197 @@
+#include <stdlib.h>
+
+#include "load/router_state.h"
+
+/* How often stragglers are looked for. */
+#define TIME_COMPARE_US INT64_C(1000000)
+
+/* How often a waiting request past its target is looked at again. */
+#define TIME_LOOK_US INT64_C(250000)
+
+/* An attempt without a first token for so many times the mean is hedged. */
+#define TIME_HEDGE_RATIO 4.0
+#define TIME_HEDGE_LEAST_US 1000000.0
+
+/* A key's bucket is full again after so long without a request. */
+#define TIME_KEY_IDLE_US INT64_C(600000000)
+
+/*
+ * A class's deadline is a target, and a caller who is being answered past it
+ * goes on reading; but at twice the deadline it ends. A deadline that the
+ * caller named is an end.
+ */
+static int64_t request_end_us(const struct request *request)
+{
+	const struct attempt *attempt = request_attempt(request);
+
+	if (request->ask.deadline_us || !attempt || !attempt->first_us)
+		return request->deadline_us;
+	return 2 * request->deadline_us - request->ask.arrived_us;
+}
+
+static int64_t request_hedge_us(const struct router *router,
+				const struct request *request)
+{
+	const struct attempt *attempt = request_attempt(request);
+	double after = TIME_HEDGE_RATIO * request->queue->pool->first_token_us;
+
+	if (!router->options.features.hedging || request->hedged || !attempt ||
+	    attempt->first_us || !request->ask.idempotent ||
+	    !request->ask.model)
+		return INT64_MAX;
+	if (after < TIME_HEDGE_LEAST_US)
+		after = TIME_HEDGE_LEAST_US;
+	return attempt->started_us + (int64_t)after;
+}
+
+/** Set the request's timer to what may happen to it next. */
+void request_rearm(struct router *router, struct request *request,
+		   int64_t now_us)
+{
+	int64_t at_us = request_end_us(request);
+	int64_t other_us = INT64_MAX;
+
+	if (request->state == REQUEST_RUNNING)
+		other_us = request_hedge_us(router, request);
+	else if (request->target_us > now_us)
+		other_us = request->target_us;
+	else if (request->target_us)
+		other_us = now_us + TIME_LOOK_US;
+	if (other_us < at_us)
+		at_us = other_us;
+	request_arm(router, request, at_us);
+}
+
+/* Another server has room for it beside those that wait. */
+static bool hedge_has_room(const struct router *router,
+			   const struct request *request)
+{
+	const struct pool *pool = request->queue->pool;
+
+	return pool->n_members > 1 && !pool->pressure[request->tier].waiting &&
+	       (double)pool->running < pool_own_slots(router, pool);
+}
+
+/*
+ * The first token is long overdue: the server has lost the request or is a
+ * straggler. It is cancelled and sent to another one; the edge can't join
+ * two answers, so the two never run side by side for the caller.
+ */
+static void request_hedge(struct router *router, struct request *request,
+			  int64_t now_us, struct effects *effects)
+{
+	struct attempt *attempt = request_attempt(request);
+	struct retry_case why = {
+		.code = RESULT_BACKEND_TIMEOUT,
+		.sent = true,
+		.idempotent = request->ask.idempotent,
+		.attempts = request->n_attempts,
+		.deadline_us = request->deadline_us,
+		.needs_us = request_needs_us(router, request) / 2,
+	};
+
+	request->hedged = true;
+	if (!hedge_has_room(router, request) ||
+	    retry_ask(&router->retry, &why, now_us))
+		return;
+	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
+}
+
+static void request_waits(struct router *router, struct request *request,
+			  int64_t now_us, struct effects *effects)
+{
+	const struct pool *pool = request->queue->pool;
+	bool late = request->target_us && now_us >= request->target_us &&
+		    !request->n_attempts;
+
+	if (now_us >= request->deadline_us)
+		request_refuse(router, request, RESULT_EXPIRED,
+			       request_retry_after_ms(router, request), now_us,
+			       effects);
+	else if (late && router->options.features.early_refusal &&
+		 pool_standing(pool, request->tier, now_us) &&
+		 router_may_shed(router, pool, request->tier, now_us))
+		request_refuse(router, request, RESULT_DEADLINE_UNREACHABLE,
+			       request_retry_after_ms(router, request), now_us,
+			       effects);
+	else
+		request_rearm(router, request, now_us);
+}
+
+static void request_timer(struct router *router, struct request *request,
+			  int64_t now_us, struct effects *effects)
+{
+	heap_remove(&router->timers, &request->timer);
+	if (request->state == REQUEST_WAITING) {
+		request_waits(router, request, now_us, effects);
+		return;
+	}
+	if (request->state != REQUEST_RUNNING)
+		return;
+	if (now_us >= request_end_us(request)) {
+		request_end(router, request, RESULT_EXPIRED, NULL, now_us,
+			    effects);
+		return;
+	}
+	if (now_us >= request_hedge_us(router, request))
+		request_hedge(router, request, now_us, effects);
+	request_rearm(router, request, now_us);
+}
+
+static void router_run_timers(struct router *router, int64_t now_us,
+			      struct effects *effects)
+{
+	struct heap_node *top;
+	struct request *request;
+
+	while ((top = heap_top(&router->timers))) {
+		request = container_of(top, struct request, timer);
+		if (request->timer_us > now_us)
+			return;
+		request_timer(router, request, now_us, effects);
+	}
+}
+
+static void router_drop_keys(struct router *router, int64_t now_us)
+{
+	struct key_use *key;
+	struct key_use *next;
+
+	map_foreach(key, next, &router->keys, node) {
+		if (key->n_requests || now_us - key->used_us < TIME_KEY_IDLE_US)
+			continue;
+		map_remove(&router->keys, &key->node);
+		free(key->id);
+		free(key);
+	}
+}
+
+void router_tick(struct router *router, int64_t now_us, struct effects *effects)
+{
+	struct pool *pool;
+	struct pool *next;
+
+	router_run_timers(router, now_us, effects);
+	if (now_us - router->compared_us >= TIME_COMPARE_US) {
+		router->compared_us = now_us;
+		if (router->options.features.stragglers)
+			fleet_compare(router->options.fleet);
+		router_drop_keys(router, now_us);
+	}
+	router_share_tick(router, now_us, effects);
+	map_foreach(pool, next, &router->pools, node)
+		if (!list_empty(&pool->queues))
+			router_dispatch(router, pool, now_us, effects);
+}
+
+int64_t router_next_tick(const struct router *router, int64_t now_us)
+{
+	const struct heap_node *top = heap_top(&router->timers);
+	int64_t at_us = now_us + ROUTER_TICK_US;
+	const struct request *request;
+
+	if (!top)
+		return at_us;
+	request = container_of(top, struct request, timer);
+	return request->timer_us < at_us ? request->timer_us : at_us;
+}
--- /dev/null
+++ b/tests/load/t-router.c
@@ -0,0 +1,282 @@
+#include <glib.h>
+#include <string.h>
+
+#include "fleet/backend.h"
+#include "load/router.h"
+
+#define SECOND INT64_C(1000000)
+
+struct bed {
+	struct fleet fleet;
+	struct router *router;
+	struct effects effects;
+	int64_t now_us;
+	uint64_t last_id;
+	int finished;
+	struct router_outcome last;
+};
+
+static void note_finished(void *data, const struct router_outcome *outcome)
+{
+	struct bed *bed = data;
+
+	bed->finished++;
+	bed->last = *outcome;
+}
+
+static void bed_class(struct bed *bed, const char *name, int tier)
+{
+	struct class_rule rule = {
+		.tier = tier,
+		.deadline_us = 10 * SECOND,
+		.idempotent = true,
+	};
+
+	g_strlcpy(rule.name, name, sizeof(rule.name));
+	router_set_class(bed->router, &rule, bed->now_us, &bed->effects);
+}
+
+static void bed_engine(struct bed *bed, char *address, int64_t slots,
+		       int64_t sequence)
+{
+	struct event_announce announce = {
+		.address = address,
+		.boot_id = "boot",
+		.sequence = sequence,
+		.zone = "z",
+		.model = "base",
+		.lease_ms = 5000,
+		.slots = slots,
+		.prefill_rate = 20000,
+		.decode_rate = 1600,
+	};
+
+	fleet_announce(&bed->fleet, &announce, bed->now_us);
+	router_fleet_changed(bed->router, bed->now_us, &bed->effects);
+}
+
+static void bed_open(struct bed *bed)
+{
+	struct router_options options = {
+		.seed = 1,
+		.self = 1,
+		.zone = "z",
+		.fleet = &bed->fleet,
+		.features = router_features_all(),
+		.hooks = { note_finished, bed },
+	};
+
+	memset(bed, 0, sizeof(*bed));
+	bed->now_us = SECOND;
+	fleet_init(&bed->fleet);
+	effects_init(&bed->effects);
+	bed->router = router_new(&options);
+	bed_class(bed, "high", 0);
+	bed_class(bed, "low", 2);
+}
+
+static void bed_close(struct bed *bed)
+{
+	router_free(bed->router);
+	effects_clear(&bed->effects);
+	fleet_clear(&bed->fleet);
+}
+
+static uint64_t bed_submit(struct bed *bed, const char *class_name,
+			   bool idempotent)
+{
+	struct router_request request = {
+		.id = ++bed->last_id,
+		.organisation = "a",
+		.class_name = class_name,
+		.model = "base",
+		.prompt_tokens = 100,
+		.arrived_us = bed->now_us,
+		.idempotent = idempotent,
+		.stream = true,
+	};
+
+	router_submit(bed->router, &request, bed->now_us, &bed->effects);
+	return request.id;
+}
+
+/* The next effect of that kind; the others before it are dropped. */
+static struct effect *bed_effect(struct bed *bed, enum effect_kind kind)
+{
+	struct effect *effect;
+
+	while ((effect = effects_take(&bed->effects))) {
+		if (effect->kind == kind)
+			return effect;
+		effect_free(effect);
+	}
+	return NULL;
+}
+
+static void bed_end(struct bed *bed, uint64_t id, int64_t attempt,
+		    enum result code, bool sent)
+{
+	struct event_attempt_ended ended = {
+		.id = id,
+		.attempt = attempt,
+		.code = code,
+		.tokens = code ? 0 : 10,
+		.sent = sent,
+	};
+
+	router_ended(bed->router, &ended, bed->now_us, &bed->effects);
+}
+
+static void a_request_is_sent_and_answered_once(void)
+{
+	struct effect *effect;
+	struct bed bed;
+	uint64_t id;
+
+	bed_open(&bed);
+	bed_engine(&bed, "10.0.0.1:1", 4, 1);
+	id = bed_submit(&bed, "high", true);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	g_assert_cmpstr(effect->u.start.address, ==, "10.0.0.1:1");
+	effect_free(effect);
+	bed_end(&bed, id, 1, RESULT_OK, true);
+	effect = bed_effect(&bed, EFFECT_ANSWER);
+	g_assert_nonnull(effect);
+	g_assert_cmpint(effect->u.answer.code, ==, RESULT_OK);
+	g_assert_cmpint(effect->u.answer.run, ==, RUN_RAN);
+	effect_free(effect);
+	g_assert_null(bed_effect(&bed, EFFECT_ANSWER));
+	g_assert_cmpint(bed.finished, ==, 1);
+	g_assert_cmpint(router_load(bed.router), ==, 0);
+	bed_close(&bed);
+}
+
+/*
+ * A lodgement's server dies after a byte of the request has left. Whether it
+ * ran can't be known: sent again, a calf would be in two places. The caller
+ * must be told "unknown" and no second attempt may be started.
+ */
+static void a_non_idempotent_request_is_not_sent_twice(void)
+{
+	struct event_attempt_sent sent = { .attempt = 1 };
+	struct effect *effect;
+	struct bed bed;
+
+	bed_open(&bed);
+	bed_engine(&bed, "10.0.0.1:1", 4, 1);
+	bed_engine(&bed, "10.0.0.2:1", 4, 1);
+	sent.id = bed_submit(&bed, "high", false);
+	effect_free(bed_effect(&bed, EFFECT_START_ATTEMPT));
+	router_sent(bed.router, &sent, bed.now_us, &bed.effects);
+	bed_end(&bed, sent.id, 1, RESULT_BACKEND_BROKE, true);
+	effect = bed_effect(&bed, EFFECT_ANSWER);
+	g_assert_nonnull(effect);
+	g_assert_cmpint(effect->u.answer.run, ==, RUN_UNKNOWN);
+	effect_free(effect);
+	g_assert_null(bed_effect(&bed, EFFECT_START_ATTEMPT));
+	bed_close(&bed);
+}
+
+static void a_failed_connection_is_tried_elsewhere(void)
+{
+	struct effect *effect;
+	struct bed bed;
+	uint64_t id;
+	char *first;
+
+	bed_open(&bed);
+	bed_engine(&bed, "10.0.0.1:1", 4, 1);
+	bed_engine(&bed, "10.0.0.2:1", 4, 1);
+	id = bed_submit(&bed, "high", false);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	first = g_strdup(effect->u.start.address);
+	effect_free(effect);
+	bed_end(&bed, id, 1, RESULT_BACKEND_CONNECT, false);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	g_assert_cmpstr(effect->u.start.address, !=, first);
+	effect_free(effect);
+	g_free(first);
+	bed_close(&bed);
+}
+
+/*
+ * All slots are busy. A low and then a high request wait; the first slot that
+ * comes free is the high one's, whatever the order of arrival.
+ */
+static void the_higher_tier_is_served_first(void)
+{
+	struct effect *effect;
+	struct bed bed;
+	uint64_t running[8];
+	uint64_t high;
+	int n = 0;
+
+	bed_open(&bed);
+	bed_engine(&bed, "10.0.0.1:1", 1, 1);
+	do {
+		running[n++] = bed_submit(&bed, "high", false);
+		effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+		effect_free(effect);
+	} while (effect && n < 8);
+	n--;
+	g_assert_cmpint(n, >=, 1);
+	router_caller_left(bed.router, running[n], bed.now_us, &bed.effects);
+	bed_submit(&bed, "low", false);
+	high = bed_submit(&bed, "high", false);
+	bed_end(&bed, running[0], 1, RESULT_OK, true);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	g_assert_cmpuint(effect->u.start.id, ==, high);
+	effect_free(effect);
+	bed_close(&bed);
+}
+
+/*
+ * A caller waits in the queue until its deadline is past. It is told so, and
+ * that the request did not run, once and at the deadline.
+ */
+static void an_expired_request_says_not_run(void)
+{
+	struct effect *effect;
+	struct bed bed;
+	uint64_t id;
+
+	bed_open(&bed);
+	bed_engine(&bed, "10.0.0.1:1", 1, 1);
+	while ((effect = (bed_submit(&bed, "high", false),
+			  bed_effect(&bed, EFFECT_START_ATTEMPT))))
+		effect_free(effect);
+	id = bed.last_id;
+	bed.now_us += 11 * SECOND;
+	router_tick(bed.router, bed.now_us, &bed.effects);
+	while ((effect = bed_effect(&bed, EFFECT_ANSWER))) {
+		bool is_it = effect->u.answer.id == id;
+
+		if (is_it) {
+			g_assert_cmpint(effect->u.answer.code, ==,
+					RESULT_EXPIRED);
+			g_assert_cmpint(effect->u.answer.run, ==, RUN_NOT);
+		}
+		effect_free(effect);
+		if (is_it)
+			break;
+	}
+	g_assert_nonnull(effect);
+	bed_close(&bed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/router/answered-once",
+			a_request_is_sent_and_answered_once);
+	g_test_add_func("/router/sent-once",
+			a_non_idempotent_request_is_not_sent_twice);
+	g_test_add_func("/router/elsewhere",
+			a_failed_connection_is_tried_elsewhere);
+	g_test_add_func("/router/tier-first", the_higher_tier_is_served_first);
+	g_test_add_func("/router/expired", an_expired_request_says_not_run);
+	return g_test_run();
+}
