agree: the settings tree, its schema and typed rules

Settings are JSON objects under paths. A change of several paths is made whole or not at all, after its versions (the log index of a path's last change, so none is used twice), its schema and its sense against the rest of the tree have been checked; a refusal names path, field, what is wrong and what is allowed.

--- /dev/null
+++ b/libfilberthall/agree/codec.c
@@ -0,0 +1,286 @@
+#include "agree/codec.h"
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "base/cleanup.h"
+
+static int codec_write(void *data, const char *buffer, size_t len)
+{
+	bytes_append(data, buffer, len);
+	return 0;
+}
+
+static bool codec_is_text(const char *text, size_t len)
+{
+	json_t *probe;
+
+	if (memchr(text, '\0', len))
+		return false;
+	probe = json_stringn(text, len);
+	json_decref(probe);
+	return probe;
+}
+
+static void codec_pack_string(msgpack_packer *packer, const json_t *value)
+{
+	const char *text = json_string_value(value);
+	size_t len = json_string_length(value);
+
+	if (codec_is_text(text, len)) {
+		msgpack_pack_str(packer, len);
+		msgpack_pack_str_body(packer, text, len);
+	} else {
+		msgpack_pack_bin(packer, len);
+		msgpack_pack_bin_body(packer, text, len);
+	}
+}
+
+static void codec_pack(msgpack_packer *packer, const json_t *value)
+{
+	const char *name;
+	json_t *item;
+	size_t i;
+
+	switch (json_typeof(value)) {
+	case JSON_OBJECT:
+		msgpack_pack_map(packer, json_object_size(value));
+		json_object_foreach((json_t *)value, name, item)
+		{
+			msgpack_pack_str(packer, strlen(name));
+			msgpack_pack_str_body(packer, name, strlen(name));
+			codec_pack(packer, item);
+		}
+		break;
+	case JSON_ARRAY:
+		msgpack_pack_array(packer, json_array_size(value));
+		json_array_foreach(value, i, item) codec_pack(packer, item);
+		break;
+	case JSON_STRING:
+		codec_pack_string(packer, value);
+		break;
+	case JSON_INTEGER:
+		msgpack_pack_int64(packer, json_integer_value(value));
+		break;
+	case JSON_REAL:
+		msgpack_pack_double(packer, json_real_value(value));
+		break;
+	case JSON_TRUE:
+		msgpack_pack_true(packer);
+		break;
+	case JSON_FALSE:
+		msgpack_pack_false(packer);
+		break;
+	case JSON_NULL:
+		msgpack_pack_nil(packer);
+		break;
+	}
+}
+
+void codec_encode(const json_t *value, struct bytes *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, codec_write);
+	codec_pack(&packer, value);
+}
+
+/* Size of what follows the first byte of an item, and its parts. */
+struct codec_item {
+	size_t size_bytes; /**< length of the count that follows */
+	size_t fixed;	   /**< payload or count known from the first byte */
+	int parts;	   /**< items each count stands for; 0: bytes */
+};
+
+static bool codec_small_item(unsigned char first, struct codec_item *item)
+{
+	if (first < 0x80 || first >= 0xe0)
+		return true;
+	if (first < 0x90) {
+		item->fixed = first & 0x0f;
+		item->parts = 2;
+	} else if (first < 0xa0) {
+		item->fixed = first & 0x0f;
+		item->parts = 1;
+	} else if (first < 0xc0) {
+		item->fixed = first & 0x1f;
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static bool codec_large_item(unsigned char first, struct codec_item *item)
+{
+	static const unsigned char numbers[] = { 4, 8, 1, 2, 4, 8, 1, 2, 4, 8 };
+
+	if (first == 0xc0 || first == 0xc2 || first == 0xc3)
+		return true;
+	if (first >= 0xc4 && first <= 0xc6) {
+		item->size_bytes = (size_t)1 << (first - 0xc4);
+	} else if (first >= 0xca && first <= 0xd3) {
+		item->fixed = numbers[first - 0xca];
+	} else if (first >= 0xd9 && first <= 0xdb) {
+		item->size_bytes = (size_t)1 << (first - 0xd9);
+	} else if (first >= 0xdc) {
+		item->size_bytes = (first & 1) ? 4 : 2;
+		item->parts = first < 0xde ? 1 : 2;
+	} else {
+		return false;
+	}
+	return true;
+}
+
+/*
+ * The library allocates an array as soon as it has read its length, so a
+ * damaged or hostile message of five bytes could ask for gigabytes. Walk the
+ * lengths first: each item needs at least one byte, so no count may exceed
+ * the bytes that are left.
+ */
+static bool codec_lengths_hold(const unsigned char *data, size_t len)
+{
+	size_t items = 1;
+	size_t at = 0;
+
+	while (items) {
+		struct codec_item item = { 0 };
+		size_t count;
+
+		if (items > len - at)
+			return false;
+		if (!codec_small_item(data[at], &item) &&
+		    !codec_large_item(data[at], &item))
+			return false;
+		at++;
+		items--;
+		if (item.size_bytes > len - at)
+			return false;
+		count = item.fixed;
+		for (; item.size_bytes; item.size_bytes--)
+			count = count << 8 | data[at++];
+		if (count > len - at)
+			return false;
+		if (item.parts)
+			items += count * (size_t)item.parts;
+		else
+			at += count;
+	}
+	return at == len;
+}
+
+static json_t *codec_value(const msgpack_object *object);
+
+static bool codec_is_name(const msgpack_object *key)
+{
+	return key->type == MSGPACK_OBJECT_STR &&
+	       !memchr(key->via.str.ptr, '\0', key->via.str.size);
+}
+
+static json_t *codec_map(const msgpack_object_map *map)
+{
+	json_t *value = json_object();
+	uint32_t i;
+
+	for (i = 0; i < map->size; i++) {
+		const msgpack_object *key = &map->ptr[i].key;
+
+		if (!codec_is_name(key) ||
+		    json_object_setn_new(value, key->via.str.ptr,
+					 key->via.str.size,
+					 codec_value(&map->ptr[i].val)) < 0) {
+			json_decref(value);
+			return NULL;
+		}
+	}
+	return value;
+}
+
+static json_t *codec_array(const msgpack_object_array *array)
+{
+	json_t *value = json_array();
+	uint32_t i;
+
+	for (i = 0; i < array->size; i++) {
+		json_t *item = codec_value(&array->ptr[i]);
+
+		if (!item) {
+			json_decref(value);
+			return NULL;
+		}
+		json_array_append_new(value, item);
+	}
+	return value;
+}
+
+static json_t *codec_value(const msgpack_object *object)
+{
+	switch (object->type) {
+	case MSGPACK_OBJECT_NIL:
+		return json_null();
+	case MSGPACK_OBJECT_BOOLEAN:
+		return json_boolean(object->via.boolean);
+	case MSGPACK_OBJECT_POSITIVE_INTEGER:
+		return json_integer((json_int_t)object->via.u64);
+	case MSGPACK_OBJECT_NEGATIVE_INTEGER:
+		return json_integer(object->via.i64);
+	case MSGPACK_OBJECT_FLOAT32:
+	case MSGPACK_OBJECT_FLOAT64:
+		return json_real(object->via.f64);
+	case MSGPACK_OBJECT_STR:
+		if (memchr(object->via.str.ptr, '\0', object->via.str.size))
+			return NULL;
+		return json_stringn(object->via.str.ptr, object->via.str.size);
+	case MSGPACK_OBJECT_BIN:
+		return json_stringn_nocheck(object->via.bin.ptr,
+					    object->via.bin.size);
+	case MSGPACK_OBJECT_ARRAY:
+		return codec_array(&object->via.array);
+	case MSGPACK_OBJECT_MAP:
+		return codec_map(&object->via.map);
+	default:
+		return NULL;
+	}
+}
+
+json_t *codec_decode(const void *data, size_t len)
+{
+	msgpack_unpacked unpacked;
+	json_t *value = NULL;
+	size_t at = 0;
+
+	if (!len || !codec_lengths_hold(data, len))
+		return NULL;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, data, len, &at) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    at == len)
+		value = codec_value(&unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	return value;
+}
+
+json_t *codec_uint(uint64_t value)
+{
+	return json_integer((json_int_t)value);
+}
+
+uint64_t codec_uint_value(const json_t *value)
+{
+	return (uint64_t)json_integer_value(value);
+}
+
+const char *codec_text(const json_t *object, const char *name,
+		       const char *fallback)
+{
+	const char *text = json_string_value(json_object_get(object, name));
+
+	return text ? text : fallback;
+}
+
+int64_t codec_int(const json_t *object, const char *name, int64_t fallback)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_integer(value) ? json_integer_value(value) : fallback;
+}
--- a/libfilberthall/agree/schema.h
+++ b/libfilberthall/agree/schema.h
@@ -2,6 +2,7 @@
 #define FILBERTHALL_AGREE_SCHEMA_H
 
 #include <jansson.h>
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "base/error.h"
@@ -15,12 +16,6 @@
  * only for what the running tree adds.
  */
 
-/** Where in a YAML text a path was written; lines and columns from 1. */
-struct schema_place {
-	int line;
-	int column;
-};
-
 /** What is wrong with a value. All text is borrowed until the next call. */
 struct schema_fault {
 	enum result code;
@@ -49,6 +44,9 @@
  */
 size_t schema_object_length(const char *path);
 
+/** Whether a longer path that begins with `path` can be an object's. */
+bool schema_is_prefix(const char *path);
+
 /** Default of a field as in the table; a row's object path and field. */
 double schema_default(const char *path, const char *field);
 
--- a/libfilberthall/agree/settings.h
+++ b/libfilberthall/agree/settings.h
@@ -79,6 +79,16 @@
 			    json_t *answer,
 			    const struct error_handler *handler);
 
+/**
+ * The same for an object of path to value, null to delete. `versions` (may
+ * be NULL) is an object of path to expected version.
+ */
+enum result settings_change_values(struct settings *settings,
+				   const json_t *values, const json_t *versions,
+				   const struct settings_author *author,
+				   json_t *answer,
+				   const struct error_handler *handler);
+
 /**
  * Put back what the change with that version replaced. Results as
  * settings_change(); RESULT_NOT_FOUND if history no longer holds it,
--- a/libfilberthall/agree/yaml.h
+++ b/libfilberthall/agree/yaml.h
@@ -18,8 +18,7 @@
  *	team: {calves: {class: {lodgement: {tier: 0}}}}
  *
  * into `values`, an object of path to value (null deletes the path), each
- * value checked by its schema and all of them against each other.
- * `name` is the file's name for messages.
+ * value checked by its schema. `name` is the file's name for messages.
  *
  * Returns RESULT_OK and a new object; else RESULT_SETTING_SYNTAX,
  * RESULT_SETTING_UNKNOWN or RESULT_SETTING_VALUE. Each fault is reported to
@@ -29,6 +28,13 @@
 			       json_t **values,
 			       const struct error_handler *handler);
 
+/**
+ * Check a file as if it were the whole tree of a new site: as
+ * yaml_read_settings(), and its values against each other.
+ */
+enum result yaml_check_settings(const char *name, const char *text, size_t len,
+				const struct error_handler *handler);
+
 /**
  * Read any YAML text (boot settings, scenarios) as JSON, with syntax errors
  * reported as "NAME:LINE:COLUMN: message".
