agree: keys, claims, windows and orders as one applied state

agreed_apply() carries out each committed entry on all daemons; time comes in the entry and moves on by a bounded step, so that one wrong clock can't age claims away.

--- a/libfilberthall/agree/apply.h
+++ b/libfilberthall/agree/apply.h
@@ -32,12 +32,12 @@
 
 /** What every entry begins with. Text is borrowed. */
 struct entry_head {
-	uint64_t origin;       /**< proposing member */
-	uint64_t incarnation;  /**< of the proposing member */
-	uint64_t ticket;       /**< the proposer's own, handed back */
-	int64_t time_us;       /**< proposer's wall clock */
-	const char *operator;  /**< key id of the operator, or NULL */
-	const char *change_id; /**< or NULL */
+	uint64_t origin;	 /**< proposing member */
+	uint64_t incarnation;	 /**< of the proposing member */
+	uint64_t ticket;	 /**< the proposer's own, handed back */
+	int64_t time_us;	 /**< proposer's wall clock */
+	const char *operator_id; /**< key id of the operator, or NULL */
+	const char *change_id;	 /**< or NULL */
 };
 
 /** What an entry changed, for the reducer to act on. */
@@ -68,7 +68,7 @@
 	uint64_t incarnation;
 	uint64_t ticket;
 	int64_t index;
-	char *operator;
+	char *operator_id;
 	bool repeated;	     /**< a resend; `answer` is the first's */
 	json_t *answer;	     /**< JSON object for the operator, with "code" */
 	struct list changes; /**< struct change, in order */
@@ -116,7 +116,7 @@
 /**
  * An operator's command that writes: "settings-set", "settings-delete",
  * "settings-apply", "settings-revert", "key-grant", "key-limit",
- * "key-withdraw" (arguments in agree/admin.h). `head->operator` and
+ * "key-withdraw" (arguments in agree/admin.h). `head->operator_id` and
  * `head->change_id` say by whom.
  */
 void entry_admin(struct bytes *out, const struct entry_head *head,
--- /dev/null
+++ b/libfilberthall/agree/claim.c
@@ -0,0 +1,500 @@
+#include "agree/claim.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agree/codec.h"
+#include "base/alloc.h"
+#include "base/list.h"
+#include "base/map.h"
+
+/*
+ * Members whose gone incarnations are remembered. Only an entry that was
+ * under way when its member was declared gone needs the memory, and that is
+ * over within seconds; 1,024 members are days of restarts.
+ */
+#define CLAIM_MEMBERS 1024
+
+struct claim_entry {
+	struct map_node node;
+	struct list age;  /**< in claims.by_age, oldest change first */
+	struct list kept; /**< in claims.kept, oldest answer first */
+	struct claim claim;
+	char *body_hash;
+	char *content_type;
+	char *body;
+};
+
+/* Incarnations of a member up to `gone` are gone. */
+struct claim_member {
+	struct map_node node;
+	uint64_t member;
+	uint64_t gone;
+};
+
+struct claims {
+	struct map by_id;
+	struct list by_age;
+	struct list kept;
+	struct map members;
+	size_t answer_bytes;
+	struct claim_limits limits;
+};
+
+struct claim_limits claims_default_limits(void)
+{
+	struct claim_limits limits = {
+		.keep_us = INT64_C(86400000000),
+		.max_claims = 100000,
+		.max_bytes = 16 * 1024 * 1024,
+		.answer_bytes = 64 * 1024,
+	};
+
+	return limits;
+}
+
+struct claims *claims_new(void)
+{
+	struct claims *claims = xcalloc(1, sizeof(*claims));
+
+	map_init(&claims->by_id);
+	map_init(&claims->members);
+	list_init(&claims->by_age);
+	list_init(&claims->kept);
+	claims->limits = claims_default_limits();
+	return claims;
+}
+
+static void claim_drop_answer(struct claims *claims, struct claim_entry *entry)
+{
+	list_remove(&entry->kept);
+	claims->answer_bytes -= entry->claim.body_len;
+	free(entry->body);
+	entry->body = NULL;
+	entry->claim.body = NULL;
+	entry->claim.body_len = 0;
+	entry->claim.kept = false;
+}
+
+static void claim_forget(struct claims *claims, struct claim_entry *entry)
+{
+	if (entry->claim.kept)
+		claim_drop_answer(claims, entry);
+	list_remove(&entry->age);
+	map_remove(&claims->by_id, &entry->node);
+	free(entry->body_hash);
+	free(entry->content_type);
+	free(entry);
+}
+
+void claims_free(struct claims *claims)
+{
+	struct claim_entry *entry;
+	struct claim_entry *next;
+	struct claim_member *member;
+	struct claim_member *next_member;
+
+	if (!claims)
+		return;
+	map_foreach(entry, next, &claims->by_id, node)
+		claim_forget(claims, entry);
+	map_foreach(member, next_member, &claims->members, node)
+		free(member);
+	map_clear(&claims->by_id);
+	map_clear(&claims->members);
+	free(claims);
+}
+
+void claims_set_limits(struct claims *claims, const struct claim_limits *limits)
+{
+	claims->limits = *limits;
+}
+
+void claim_id(char id[CLAIM_ID_SIZE], const char *organisation,
+	      const char *service, const char *idempotency_key)
+{
+	unsigned char hash[(CLAIM_ID_SIZE - 1) / 2];
+	crypto_generichash_state state;
+
+	crypto_generichash_init(&state, NULL, 0, sizeof(hash));
+	crypto_generichash_update(&state, (const unsigned char *)organisation,
+				  strlen(organisation) + 1);
+	crypto_generichash_update(&state, (const unsigned char *)service,
+				  strlen(service) + 1);
+	crypto_generichash_update(&state,
+				  (const unsigned char *)idempotency_key,
+				  strlen(idempotency_key));
+	crypto_generichash_final(&state, hash, sizeof(hash));
+	sodium_bin2hex(id, CLAIM_ID_SIZE, hash, sizeof(hash));
+}
+
+static bool claims_match(const struct map_node *node, const void *id)
+{
+	return !strcmp(container_of(node, struct claim_entry, node)->claim.id,
+		       id);
+}
+
+static struct claim_entry *claims_find_entry(const struct claims *claims,
+					     const char *id)
+{
+	struct map_node *node =
+		map_find(&claims->by_id, map_hash_text(id), claims_match, id);
+
+	return node ? container_of(node, struct claim_entry, node) : NULL;
+}
+
+const struct claim *claims_find(const struct claims *claims, const char *id)
+{
+	struct claim_entry *entry = claims_find_entry(claims, id);
+
+	return entry ? &entry->claim : NULL;
+}
+
+size_t claims_count(const struct claims *claims)
+{
+	return claims->by_id.count;
+}
+
+size_t claims_answer_bytes(const struct claims *claims)
+{
+	return claims->answer_bytes;
+}
+
+static enum result claim_meets(const struct claim *claim, const char *body_hash)
+{
+	if (body_hash && strcmp(claim->body_hash, body_hash) != 0)
+		return RESULT_KEY_REUSED;
+	switch (claim->state) {
+	case CLAIM_OPEN:
+	case CLAIM_SENT:
+		return RESULT_CLAIM_RUNNING;
+	case CLAIM_DONE:
+		return claim->kept ? RESULT_CLAIM_DONE
+				   : RESULT_CLAIM_ANSWER_GONE;
+	case CLAIM_UNKNOWN:
+		break;
+	}
+	return RESULT_CLAIM_UNKNOWN;
+}
+
+enum result claims_probe(const struct claims *claims, const char *id,
+			 const char *body_hash)
+{
+	const struct claim *claim = claims_find(claims, id);
+
+	if (claim)
+		return claim_meets(claim, body_hash);
+	if (claims->by_id.count >= (size_t)claims->limits.max_claims)
+		return RESULT_CLAIM_FULL;
+	return RESULT_OK;
+}
+
+static void claim_touch(struct claims *claims, struct claim_entry *entry,
+			enum claim_state state, int64_t time_us)
+{
+	entry->claim.state = state;
+	entry->claim.changed_us = time_us;
+	list_remove(&entry->age);
+	list_append(&claims->by_age, &entry->age);
+}
+
+static struct claim_entry *claim_add(struct claims *claims, const char *id,
+				     const char *body_hash,
+				     const struct claim_owner *owner)
+{
+	struct claim_entry *entry = xcalloc(1, sizeof(*entry));
+
+	memcpy(entry->claim.id, id, CLAIM_ID_SIZE - 1);
+	entry->body_hash = xstrdup(body_hash ? body_hash : "");
+	entry->claim.body_hash = entry->body_hash;
+	entry->claim.owner = *owner;
+	entry->claim.content_type = "";
+	list_init(&entry->kept);
+	list_init(&entry->age);
+	map_insert(&claims->by_id, &entry->node, map_hash_text(id));
+	return entry;
+}
+
+static void claim_set_head(struct claim_entry *entry, int64_t http_status,
+			   const char *content_type)
+{
+	free(entry->content_type);
+	entry->content_type = xstrdup(content_type ? content_type : "");
+	entry->claim.content_type = entry->content_type;
+	entry->claim.http_status = http_status;
+}
+
+static void claim_keep_body(struct claims *claims, struct claim_entry *entry,
+			    const char *body, size_t len)
+{
+	entry->body = xmemdup(body ? body : "", len);
+	entry->claim.body = entry->body;
+	entry->claim.body_len = len;
+	entry->claim.kept = true;
+	claims->answer_bytes += len;
+	list_append(&claims->kept, &entry->kept);
+}
+
+static struct claim_member *claims_find_member(const struct claims *claims,
+					       uint64_t member);
+
+static bool claims_is_gone(const struct claims *claims,
+			   const struct claim_owner *owner)
+{
+	const struct claim_member *member =
+		claims_find_member(claims, owner->member);
+
+	return member && owner->incarnation <= member->gone;
+}
+
+/*
+ * An OPEN of an owner that was declared gone was under way when it fell
+ * silent. Were it accepted, the claim would stay SENT with no one to end it.
+ */
+static enum result claims_open(struct claims *claims,
+			       const struct claim_owner *owner,
+			       const struct claim_op *op, int64_t time_us)
+{
+	struct claim_entry *entry;
+	enum result code;
+
+	if (claims_is_gone(claims, owner))
+		return RESULT_CONFLICT;
+	code = claims_probe(claims, op->id, op->body_hash ? op->body_hash : "");
+	if (code != RESULT_OK)
+		return code;
+	entry = claim_add(claims, op->id, op->body_hash, owner);
+	claim_touch(claims, entry, op->sending ? CLAIM_SENT : CLAIM_OPEN,
+		    time_us);
+	return RESULT_OK;
+}
+
+static bool claim_is_owned(const struct claim *claim,
+			   const struct claim_owner *owner)
+{
+	return claim->owner.member == owner->member &&
+	       claim->owner.incarnation == owner->incarnation;
+}
+
+static enum result claims_finish(struct claims *claims,
+				 struct claim_entry *entry,
+				 const struct claim_op *op, int64_t time_us)
+{
+	if (entry->claim.state == CLAIM_DONE)
+		return RESULT_OK;
+	claim_set_head(entry, op->http_status, op->content_type);
+	if ((int64_t)op->body_len <= claims->limits.answer_bytes)
+		claim_keep_body(claims, entry, op->body, op->body_len);
+	claim_touch(claims, entry, CLAIM_DONE, time_us);
+	return RESULT_OK;
+}
+
+static enum result claims_move_on(struct claims *claims,
+				  struct claim_entry *entry,
+				  const struct claim_op *op, int64_t time_us)
+{
+	enum claim_state state = entry->claim.state;
+
+	if (state == CLAIM_DONE || state == CLAIM_UNKNOWN)
+		return RESULT_CONFLICT;
+	if (op->verb == CLAIM_VERB_RELEASE)
+		claim_forget(claims, entry);
+	else
+		claim_touch(claims, entry,
+			    op->verb == CLAIM_VERB_SENT ? CLAIM_SENT
+							: CLAIM_UNKNOWN,
+			    time_us);
+	return RESULT_OK;
+}
+
+/* Answers beyond the bound go, oldest first; the marks stay. */
+static void claims_bound_answers(struct claims *claims)
+{
+	while ((int64_t)claims->answer_bytes > claims->limits.max_bytes)
+		claim_drop_answer(claims, list_first(&claims->kept,
+						     struct claim_entry, kept));
+}
+
+enum result claims_apply(struct claims *claims, const struct claim_owner *owner,
+			 const struct claim_op *op, int64_t time_us)
+{
+	struct claim_entry *entry;
+	enum result code;
+
+	if (op->verb == CLAIM_VERB_OPEN)
+		return claims_open(claims, owner, op, time_us);
+	entry = claims_find_entry(claims, op->id);
+	if (!entry)
+		return RESULT_NOT_FOUND;
+	if (!claim_is_owned(&entry->claim, owner))
+		return RESULT_CONFLICT;
+	if (op->verb != CLAIM_VERB_DONE)
+		return claims_is_gone(claims, owner)
+			       ? RESULT_CONFLICT
+			       : claims_move_on(claims, entry, op, time_us);
+	code = claims_finish(claims, entry, op, time_us);
+	claims_bound_answers(claims);
+	return code;
+}
+
+void claims_expire(struct claims *claims, int64_t time_us)
+{
+	struct claim_entry *entry;
+	struct claim_entry *next;
+
+	list_foreach_safe(entry, next, &claims->by_age, age) {
+		if (entry->claim.changed_us + claims->limits.keep_us > time_us)
+			break;
+		claim_forget(claims, entry);
+	}
+	claims_bound_answers(claims);
+}
+
+static bool claims_match_member(const struct map_node *node, const void *member)
+{
+	return container_of(node, struct claim_member, node)->member ==
+	       *(const uint64_t *)member;
+}
+
+static struct claim_member *claims_find_member(const struct claims *claims,
+					       uint64_t member)
+{
+	struct map_node *node =
+		map_find(&claims->members, map_hash(&member, sizeof(member)),
+			 claims_match_member, &member);
+
+	return node ? container_of(node, struct claim_member, node) : NULL;
+}
+
+static void claims_remember_gone(struct claims *claims,
+				 const struct claim_owner *owner)
+{
+	struct claim_member *member = claims_find_member(claims, owner->member);
+
+	if (!member) {
+		member = xcalloc(1, sizeof(*member));
+		member->member = owner->member;
+	} else {
+		map_remove(&claims->members, &member->node);
+	}
+	member->gone = owner->incarnation;
+	map_insert(&claims->members, &member->node,
+		   map_hash(&member->member, sizeof(member->member)));
+	if (claims->members.count <= CLAIM_MEMBERS)
+		return;
+	member = list_first(&claims->members.order, struct claim_member,
+			    node.order);
+	map_remove(&claims->members, &member->node);
+	free(member);
+}
+
+void claims_owner_gone(struct claims *claims, const struct claim_owner *owner,
+		       int64_t time_us,
+		       void (*visit)(void *data, const char *id), void *data)
+{
+	struct claim_entry *entry;
+	struct claim_entry *next;
+
+	if (claims_is_gone(claims, owner))
+		return;
+	claims_remember_gone(claims, owner);
+	list_foreach_safe(entry, next, &claims->by_age, age) {
+		const struct claim *claim = &entry->claim;
+
+		if (claim->owner.member != owner->member ||
+		    claim->owner.incarnation > owner->incarnation ||
+		    claim->state == CLAIM_DONE || claim->state == CLAIM_UNKNOWN)
+			continue;
+		visit(data, claim->id);
+		if (claim->state == CLAIM_OPEN)
+			claim_forget(claims, entry);
+		else
+			claim_touch(claims, entry, CLAIM_UNKNOWN, time_us);
+	}
+}
+
+static json_t *claim_save(const struct claim *claim)
+{
+	json_t *body =
+		claim->kept ? json_stringn_nocheck(claim->body, claim->body_len)
+			    : json_null();
+
+	return json_pack("[s s o o i I I s o]", claim->id, claim->body_hash,
+			 codec_uint(claim->owner.member),
+			 codec_uint(claim->owner.incarnation),
+			 (int)claim->state, (json_int_t)claim->changed_us,
+			 (json_int_t)claim->http_status, claim->content_type,
+			 body);
+}
+
+json_t *claims_save(const struct claims *claims)
+{
+	const struct claim_entry *entry;
+	const struct claim_member *member;
+	json_t *saved = json_array();
+	json_t *members = json_array();
+
+	list_foreach(entry, &claims->by_age, age)
+		json_array_append_new(saved, claim_save(&entry->claim));
+	list_foreach(member, &claims->members.order, node.order)
+		json_array_append_new(members,
+				      json_pack("[o o]",
+						codec_uint(member->member),
+						codec_uint(member->gone)));
+	return json_pack("{so so}", "claims", saved, "members", members);
+}
+
+static bool claim_load(struct claims *claims, json_t *saved)
+{
+	struct claim_op op = { 0 };
+	struct claim_owner owner;
+	struct claim_entry *entry;
+	const char *id;
+	json_int_t member;
+	json_int_t incarnation;
+	json_int_t changed_us;
+	json_int_t status;
+	json_t *body;
+	int state;
+
+	if (json_unpack(saved, "[s s I I i I I s o]", &id, &op.body_hash,
+			&member, &incarnation, &state, &changed_us, &status,
+			&op.content_type, &body) < 0 ||
+	    strlen(id) != CLAIM_ID_SIZE - 1 || state < CLAIM_OPEN ||
+	    state > CLAIM_UNKNOWN || claims_find_entry(claims, id))
+		return false;
+	owner.member = (uint64_t)member;
+	owner.incarnation = (uint64_t)incarnation;
+	entry = claim_add(claims, id, op.body_hash, &owner);
+	claim_set_head(entry, status, op.content_type);
+	if (state == CLAIM_DONE && json_is_string(body))
+		claim_keep_body(claims, entry, json_string_value(body),
+				json_string_length(body));
+	claim_touch(claims, entry, (enum claim_state)state, changed_us);
+	return true;
+}
+
+enum result claims_load(struct claims *claims, const json_t *saved)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(
+		json_object_get(saved, "claims"), i,
+		item) if (!claim_load(claims,
+				      item)) return RESULT_MESSAGE_MALFORMED;
+	json_array_foreach(json_object_get(saved, "members"), i, item)
+	{
+		struct claim_owner owner = { 0 };
+		json_int_t member;
+		json_int_t gone;
+
+		if (json_unpack(item, "[I I]", &member, &gone) < 0)
+			return RESULT_MESSAGE_MALFORMED;
+		owner.member = (uint64_t)member;
+		owner.incarnation = (uint64_t)gone;
+		claims_remember_gone(claims, &owner);
+	}
+	return RESULT_OK;
+}
--- a/libfilberthall/agree/claim.h
+++ b/libfilberthall/agree/claim.h
@@ -41,6 +41,7 @@
  * one VM with a wrong clock can't age all claims away at once.
  */
 #define CLAIM_ID_SIZE 33
+#define CLAIM_TIME_STEP_US INT64_C(10000000)
 
 struct claims;
 
--- /dev/null
+++ b/libfilberthall/agree/key.c
@@ -0,0 +1,523 @@
+#include "agree/key.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agree/codec.h"
+#include "agree/rules.h"
+#include "agree/schema.h"
+#include "base/alloc.h"
+#include "base/cleanup.h"
+#include "base/map.h"
+
+#define KEY_HASH_LEN 64
+#define KEY_LIMIT_MAX 1000000000
+
+struct key_entry {
+	struct map_node by_hash;
+	struct map_node by_id;
+	struct key key;
+	size_t bytes;
+	char block[]; /**< lists and text of `key` */
+};
+
+struct keys {
+	struct map by_hash;
+	struct map by_id;
+	size_t bytes;
+};
+
+struct keys *keys_new(void)
+{
+	struct keys *keys = xcalloc(1, sizeof(*keys));
+
+	map_init(&keys->by_hash);
+	map_init(&keys->by_id);
+	return keys;
+}
+
+void keys_free(struct keys *keys)
+{
+	struct key_entry *entry;
+	struct key_entry *next;
+
+	if (!keys)
+		return;
+	map_foreach(entry, next, &keys->by_id, by_id)
+		free(entry);
+	map_clear(&keys->by_hash);
+	map_clear(&keys->by_id);
+	free(keys);
+}
+
+static bool keys_match_hash(const struct map_node *node, const void *hash)
+{
+	const struct key_entry *entry =
+		container_of(node, struct key_entry, by_hash);
+
+	return !sodium_memcmp(entry->key.hash, hash, KEY_HASH_LEN);
+}
+
+static bool keys_match_id(const struct map_node *node, const void *id)
+{
+	return !strcmp(container_of(node, struct key_entry, by_id)->key.id, id);
+}
+
+static struct key_entry *keys_find_entry(const struct keys *keys,
+					 const char *id)
+{
+	struct map_node *node =
+		map_find(&keys->by_id, map_hash_text(id), keys_match_id, id);
+
+	return node ? container_of(node, struct key_entry, by_id) : NULL;
+}
+
+const struct key *keys_find(const struct keys *keys, const char *hash)
+{
+	struct map_node *node;
+
+	if (strlen(hash) != KEY_HASH_LEN)
+		return NULL;
+	node = map_find(&keys->by_hash, map_hash_text(hash), keys_match_hash,
+			hash);
+	return node ? &container_of(node, struct key_entry, by_hash)->key
+		    : NULL;
+}
+
+const struct key *keys_find_id(const struct keys *keys, const char *id)
+{
+	struct key_entry *entry = keys_find_entry(keys, id);
+
+	return entry ? &entry->key : NULL;
+}
+
+size_t keys_count(const struct keys *keys)
+{
+	return keys->by_id.count;
+}
+
+size_t keys_bytes(const struct keys *keys)
+{
+	return keys->bytes + (keys->by_id.n_buckets + keys->by_hash.n_buckets) *
+				     sizeof(struct map_node *);
+}
+
+/* Fields of a key in JSON, and how each is checked. */
+enum key_field_kind { KEY_TEXT, KEY_FLAG, KEY_NUMBER, KEY_LIST };
+
+static const struct key_field {
+	const char *name;
+	enum key_field_kind kind;
+	size_t max_len;
+} key_fields[] = {
+	{ "id", KEY_TEXT, RULE_NAME_SIZE - 1 },
+	{ "hash", KEY_TEXT, KEY_HASH_LEN },
+	{ "organisation", KEY_TEXT, RULE_NAME_SIZE - 1 },
+	{ "default_class", KEY_TEXT, RULE_NAME_SIZE - 1 },
+	{ "subtree", KEY_TEXT, RULE_PATH_SIZE - 1 },
+	{ "caller", KEY_FLAG, 0 },
+	{ "operates", KEY_FLAG, 0 },
+	{ "classes", KEY_LIST, RULE_NAME_SIZE - 1 },
+	{ "models", KEY_LIST, RULE_NAME_SIZE - 1 },
+	{ "services", KEY_LIST, RULE_NAME_SIZE - 1 },
+	{ "max_concurrent", KEY_NUMBER, 0 },
+	{ "requests_per_min", KEY_NUMBER, 0 },
+};
+
+#define KEY_N_FIELDS (sizeof(key_fields) / sizeof(key_fields[0]))
+
+static bool key_list_holds(const json_t *list, size_t max_len)
+{
+	const json_t *item;
+	size_t i;
+
+	if (!json_is_array(list) || json_array_size(list) > RULE_SCOPES)
+		return false;
+	json_array_foreach(list, i, item) if (!json_is_string(item) ||
+					      !json_string_length(item) ||
+					      json_string_length(item) >
+						      max_len) return false;
+	return true;
+}
+
+static const char *key_field_fault(const struct key_field *field,
+				   const json_t *value)
+{
+	switch (field->kind) {
+	case KEY_TEXT:
+		if (json_is_string(value) &&
+		    json_string_length(value) <= field->max_len)
+			return NULL;
+		return "must be text, and not too long";
+	case KEY_FLAG:
+		return json_is_boolean(value) ? NULL : "must be true or false";
+	case KEY_NUMBER:
+		if (json_is_integer(value) && json_integer_value(value) >= 0 &&
+		    json_integer_value(value) <= KEY_LIMIT_MAX)
+			return NULL;
+		return "must be a whole number from 0 to 1000000000";
+	case KEY_LIST:
+		if (key_list_holds(value, field->max_len))
+			return NULL;
+		return "must be a list of at most 16 names";
+	}
+	return "is not known";
+}
+
+static const struct key_field *key_find_field(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < KEY_N_FIELDS; i++)
+		if (!strcmp(key_fields[i].name, name))
+			return &key_fields[i];
+	return NULL;
+}
+
+static enum result key_check_fields(const json_t *args,
+				    const struct error_handler *handler)
+{
+	const char *name;
+	json_t *value;
+
+	json_object_foreach((json_t *)args, name, value)
+	{
+		const struct key_field *field = key_find_field(name);
+		const char *fault = field ? key_field_fault(field, value)
+					  : "is not a field of a key";
+
+		if (fault)
+			return error_report(handler, RESULT_BAD_REQUEST,
+					    "key: %s %s", name, fault);
+	}
+	return RESULT_OK;
+}
+
+static enum result key_check_identity(const json_t *args,
+				      const struct error_handler *handler)
+{
+	const char *hash = codec_text(args, "hash", "");
+
+	if (!*codec_text(args, "id", ""))
+		return error_report(handler, RESULT_BAD_REQUEST,
+				    "key: id is missing");
+	if (strlen(hash) != KEY_HASH_LEN ||
+	    strspn(hash, "0123456789abcdef") != KEY_HASH_LEN)
+		return error_report(handler, RESULT_BAD_REQUEST,
+				    "key: hash must be %d hex digits",
+				    KEY_HASH_LEN);
+	return RESULT_OK;
+}
+
+/* Lays lists and text out behind a key; with no block it only counts. */
+struct key_layout {
+	char *block;
+	size_t used;
+};
+
+static const char *key_lay_text(struct key_layout *layout, const char *text)
+{
+	size_t len = strlen(text) + 1;
+	char *at = NULL;
+
+	if (layout->block) {
+		at = layout->block + layout->used;
+		memcpy(at, text, len);
+	}
+	layout->used += len;
+	return at;
+}
+
+static const char **key_lay_list(struct key_layout *layout, const json_t *list)
+{
+	const char **at = NULL;
+
+	if (layout->block)
+		at = (const char **)(void *)(layout->block + layout->used);
+	layout->used += (json_array_size(list) + 1) * sizeof(*at);
+	return at;
+}
+
+static void key_lay_items(struct key_layout *layout, const char **at,
+			  const json_t *list)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		const char *text =
+			key_lay_text(layout, json_string_value(item));
+
+		if (at)
+			at[i] = text;
+	}
+	if (at)
+		at[json_array_size(list)] = NULL;
+}
+
+static void key_lay_out(struct key *key, struct key_layout *layout,
+			const json_t *args)
+{
+	const json_t *classes = json_object_get(args, "classes");
+	const json_t *models = json_object_get(args, "models");
+	const json_t *services = json_object_get(args, "services");
+
+	key->classes = key_lay_list(layout, classes);
+	key->models = key_lay_list(layout, models);
+	key->services = key_lay_list(layout, services);
+	key_lay_items(layout, key->classes, classes);
+	key_lay_items(layout, key->models, models);
+	key_lay_items(layout, key->services, services);
+	key->id = key_lay_text(layout, codec_text(args, "id", ""));
+	key->hash = key_lay_text(layout, codec_text(args, "hash", ""));
+	key->organisation =
+		key_lay_text(layout, codec_text(args, "organisation", ""));
+	key->default_class =
+		key_lay_text(layout, codec_text(args, "default_class", ""));
+	key->subtree = key_lay_text(layout, codec_text(args, "subtree", ""));
+}
+
+static void keys_add(struct keys *keys, const json_t *args, int64_t index)
+{
+	struct key_layout layout = { 0 };
+	struct key_entry *entry;
+	struct key measure;
+
+	key_lay_out(&measure, &layout, args);
+	entry = xcalloc(1, sizeof(*entry) + layout.used);
+	entry->bytes = sizeof(*entry) + layout.used;
+	layout = (struct key_layout){ .block = entry->block };
+	key_lay_out(&entry->key, &layout, args);
+	entry->key.operates = json_is_true(json_object_get(args, "operates"));
+	entry->key.caller = json_is_true(json_object_get(args, "caller")) ||
+			    !entry->key.operates;
+	entry->key.max_concurrent = codec_int(args, "max_concurrent", 0);
+	entry->key.requests_per_min = codec_int(args, "requests_per_min", 0);
+	entry->key.version = index;
+	map_insert(&keys->by_hash, &entry->by_hash,
+		   map_hash_text(entry->key.hash));
+	map_insert(&keys->by_id, &entry->by_id, map_hash_text(entry->key.id));
+	keys->bytes += entry->bytes;
+}
+
+static void keys_remove(struct keys *keys, struct key_entry *entry)
+{
+	map_remove(&keys->by_hash, &entry->by_hash);
+	map_remove(&keys->by_id, &entry->by_id);
+	keys->bytes -= entry->bytes;
+	free(entry);
+}
+
+enum result keys_grant(struct keys *keys, const json_t *args, int64_t index,
+		       const struct error_handler *handler)
+{
+	enum result code = key_check_fields(args, handler);
+
+	if (code == RESULT_OK)
+		code = key_check_identity(args, handler);
+	if (code != RESULT_OK)
+		return code;
+	if (keys_find_id(keys, codec_text(args, "id", "")))
+		return error_report(handler, RESULT_CONFLICT,
+				    "key: id \"%s\" is taken",
+				    codec_text(args, "id", ""));
+	if (keys_find(keys, codec_text(args, "hash", "")))
+		return error_report(handler, RESULT_CONFLICT,
+				    "key: this secret is in use");
+	keys_add(keys, args, index);
+	return RESULT_OK;
+}
+
+static json_t *key_list_json(const char **list)
+{
+	json_t *items = json_array();
+
+	for (; *list; list++)
+		json_array_append_new(items, json_string(*list));
+	return items;
+}
+
+json_t *key_describe(const struct key *key)
+{
+	return json_pack("{ss ss ss ss sb sb so so so sI sI sI}", "id", key->id,
+			 "organisation", key->organisation, "default_class",
+			 key->default_class, "subtree", key->subtree, "caller",
+			 key->caller, "operates", key->operates, "classes",
+			 key_list_json(key->classes), "models",
+			 key_list_json(key->models), "services",
+			 key_list_json(key->services), "max_concurrent",
+			 (json_int_t)key->max_concurrent, "requests_per_min",
+			 (json_int_t)key->requests_per_min, "version",
+			 (json_int_t)key->version);
+}
+
+/* All fields, as keys_grant() takes them. */
+static json_t *key_full(const struct key *key)
+{
+	json_t *full = key_describe(key);
+
+	json_object_del(full, "version");
+	json_object_set_new(full, "hash", json_string(key->hash));
+	return full;
+}
+
+enum result keys_limit(struct keys *keys, const json_t *args, int64_t index,
+		       const struct error_handler *handler)
+{
+	struct key_entry *entry =
+		keys_find_entry(keys, codec_text(args, "id", ""));
+	enum result code = key_check_fields(args, handler);
+	json_t *full;
+
+	if (code != RESULT_OK)
+		return code;
+	if (!entry)
+		return error_report(handler, RESULT_NOT_FOUND,
+				    "key: there is no \"%s\"",
+				    codec_text(args, "id", ""));
+	if (json_object_get(args, "hash"))
+		return error_report(handler, RESULT_BAD_REQUEST,
+				    "key: hash can't be changed");
+	full = key_full(&entry->key);
+	json_object_update(full, (json_t *)args);
+	keys_remove(keys, entry);
+	keys_add(keys, full, index);
+	json_decref(full);
+	return RESULT_OK;
+}
+
+enum result keys_withdraw(struct keys *keys, const char *id)
+{
+	struct key_entry *entry = keys_find_entry(keys, id);
+
+	if (!entry)
+		return RESULT_NOT_FOUND;
+	keys_remove(keys, entry);
+	return RESULT_OK;
+}
+
+/* Whether a list permits a name; an empty one permits all. */
+static bool key_lists(const char **list, const char *name)
+{
+	if (!*list)
+		return true;
+	for (; *list; list++)
+		if (!strcmp(*list, name))
+			return true;
+	return false;
+}
+
+enum result key_permits(const struct key *key, const struct settings *settings,
+			const char *class_name, const char *model,
+			const char *service)
+{
+	const struct organisation_rule *organisation;
+	const struct class_rule *rule;
+
+	organisation = rules_organisation(settings, key->organisation);
+	if (!key->caller || !organisation)
+		return RESULT_KEY_UNKNOWN;
+	if (class_name) {
+		rule = rules_class(settings, class_name);
+		if (!rule || strcmp(rule->team, organisation->team) != 0 ||
+		    !key_lists(key->classes, class_name))
+			return RESULT_CLASS_FORBIDDEN;
+	}
+	if (model && !key_lists(key->models, model))
+		return RESULT_MODEL_FORBIDDEN;
+	if (service && !key_lists(key->services, service))
+		return RESULT_SERVICE_FORBIDDEN;
+	return RESULT_OK;
+}
+
+static bool key_path_is_below(const char *path, const char *subtree)
+{
+	size_t len = strlen(subtree);
+
+	while (len && subtree[len - 1] == '/')
+		len--;
+	if (!len)
+		return true;
+	return !strncmp(path, subtree, len) && (!path[len] || path[len] == '/');
+}
+
+enum result key_reaches(const struct key *key, const char *path)
+{
+	if (!key->operates || !key_path_is_below(path, key->subtree))
+		return RESULT_PATH_FORBIDDEN;
+	return RESULT_OK;
+}
+
+static int key_fill_list(char out[RULE_SCOPES][RULE_NAME_SIZE],
+			 const char **list)
+{
+	int n = 0;
+
+	for (; list[n] && n < RULE_SCOPES; n++)
+		snprintf(out[n], RULE_NAME_SIZE, "%s", list[n]);
+	return n;
+}
+
+void key_fill_rule(const struct key *key, struct key_rule *rule)
+{
+	memset(rule, 0, sizeof(*rule));
+	snprintf(rule->id, sizeof(rule->id), "%s", key->id);
+	snprintf(rule->hash, sizeof(rule->hash), "%s", key->hash);
+	snprintf(rule->organisation, sizeof(rule->organisation), "%s",
+		 key->organisation);
+	snprintf(rule->default_class, sizeof(rule->default_class), "%s",
+		 key->default_class);
+	snprintf(rule->subtree, sizeof(rule->subtree), "%s", key->subtree);
+	rule->caller = key->caller;
+	rule->operates = key->operates;
+	rule->n_classes = key_fill_list(rule->classes, key->classes);
+	rule->n_models = key_fill_list(rule->models, key->models);
+	rule->n_services = key_fill_list(rule->services, key->services);
+	rule->max_concurrent = key->max_concurrent;
+	rule->requests_per_min = key->requests_per_min;
+}
+
+void keys_visit(const struct keys *keys,
+		void (*visit)(void *data, const struct key *key), void *data)
+{
+	const struct key_entry *entry;
+	const struct key_entry *next;
+
+	map_foreach(entry, next, &keys->by_id, by_id)
+		visit(data, &entry->key);
+}
+
+json_t *keys_save(const struct keys *keys)
+{
+	const struct key_entry *entry;
+	const struct key_entry *next;
+	json_t *saved = json_array();
+
+	map_foreach(entry, next, &keys->by_id, by_id)
+		json_array_append_new(saved,
+				      json_pack("[I o]",
+						(json_int_t)entry->key.version,
+						key_full(&entry->key)));
+	return saved;
+}
+
+enum result keys_load(struct keys *keys, const json_t *saved)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(saved, i, item)
+	{
+		json_int_t version;
+		json_t *full;
+
+		if (json_unpack(item, "[I o]", &version, &full) < 0 ||
+		    !json_is_object(full) ||
+		    keys_grant(keys, full, version, NULL) != RESULT_OK)
+			return RESULT_MESSAGE_MALFORMED;
+	}
+	return RESULT_OK;
+}
--- /dev/null
+++ b/libfilberthall/agree/resend.h
@@ -0,0 +1,48 @@
+#ifndef FILBERTHALL_AGREE_RESEND_H
+#define FILBERTHALL_AGREE_RESEND_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/result.h"
+
+/**
+ * Results of operators' commands by change id, so that a command sent again
+ * after a lost answer gets the first result and changes nothing. Part of the
+ * agreed state, hence the same after a restart or a snapshot.
+ *
+ * Bounds: the last RESENDS_KEPT results, and RESENDS_KEEP_US of log time. An
+ * operator resends within minutes; at 4,300 changes a day the count holds
+ * for almost two days.
+ */
+#define RESENDS_KEPT 8192
+#define RESENDS_KEEP_US INT64_C(86400000000)
+
+struct resends;
+
+struct resends *resends_new(void);
+void resends_free(struct resends *resends);
+
+/**
+ * The result kept under (operator, change id), or NULL. `command` and `args`
+ * are what came now; `*same` tells whether they are what came first.
+ */
+const json_t *resends_find(const struct resends *resends,
+			   const char *operator_id, const char *change_id,
+			   const char *command, const json_t *args, bool *same);
+
+/** Keep a result; `answer` is borrowed. */
+void resends_keep(struct resends *resends, const char *operator_id,
+		  const char *change_id, const char *command,
+		  const json_t *args, const json_t *answer, int64_t time_us);
+
+/** Drop what is older than the bounds. */
+void resends_expire(struct resends *resends, int64_t time_us);
+
+size_t resends_count(const struct resends *resends);
+
+json_t *resends_save(const struct resends *resends);
+enum result resends_load(struct resends *resends, const json_t *saved);
+
+#endif
--- /dev/null
+++ b/libfilberthall/agree/snapshot.c
@@ -0,0 +1,74 @@
+#include <string.h>
+
+#include "agree/agreed.h"
+#include "agree/codec.h"
+
+#define SNAPSHOT_VERSION 1
+
+void agreed_snapshot(const struct agreed *agreed, struct bytes *out)
+{
+	json_t *saved =
+		json_pack("{si sI sI so so so so so so}", "v", SNAPSHOT_VERSION,
+			  "index", (json_int_t)agreed->index, "time_us",
+			  (json_int_t)agreed->time_us, "settings",
+			  settings_save(agreed->settings), "keys",
+			  keys_save(agreed->keys), "claims",
+			  claims_save(agreed->claims), "windows",
+			  windows_save(agreed->windows), "orders",
+			  order_book_save(agreed->orders), "resends",
+			  resends_save(agreed->resends));
+
+	codec_encode(saved, out);
+	json_decref(saved);
+}
+
+static bool snapshot_load(struct agreed *agreed, json_t *saved)
+{
+	json_t *settings;
+	json_t *keys;
+	json_t *claims;
+	json_t *windows;
+	json_t *orders;
+	json_t *resends;
+	json_int_t index;
+	json_int_t time_us;
+	int version;
+
+	if (json_unpack(saved, "{si sI sI so so so so so so}", "v", &version,
+			"index", &index, "time_us", &time_us, "settings",
+			&settings, "keys", &keys, "claims", &claims, "windows",
+			&windows, "orders", &orders, "resends", &resends) < 0 ||
+	    version != SNAPSHOT_VERSION)
+		return false;
+	agreed->index = index;
+	agreed->time_us = time_us;
+	return settings_load(agreed->settings, settings) == RESULT_OK &&
+	       keys_load(agreed->keys, keys) == RESULT_OK &&
+	       claims_load(agreed->claims, claims) == RESULT_OK &&
+	       windows_load(agreed->windows, windows) == RESULT_OK &&
+	       order_book_load(agreed->orders, orders) == RESULT_OK &&
+	       resends_load(agreed->resends, resends) == RESULT_OK;
+}
+
+/*
+ * Loaded beside the present state and exchanged only when whole, so that a
+ * damaged snapshot leaves a daemon with what it had.
+ */
+enum result agreed_restore(struct agreed *agreed, const void *snapshot,
+			   size_t len)
+{
+	struct agreed *loaded = agreed_new();
+	json_t *saved = codec_decode(snapshot, len);
+	struct agreed swap;
+	bool whole = saved && snapshot_load(loaded, saved);
+
+	json_decref(saved);
+	if (whole) {
+		swap = *agreed;
+		*agreed = *loaded;
+		*loaded = swap;
+		agreed_set_limits(agreed);
+	}
+	agreed_free(loaded);
+	return whole ? RESULT_OK : RESULT_MESSAGE_MALFORMED;
+}
--- a/libfilberthall/usage/window.h
+++ b/libfilberthall/usage/window.h
@@ -23,8 +23,12 @@
  */
 struct windows;
 
-/** Committed windows whose billed totals are kept for late counts. */
-#define WINDOWS_KEPT 64
+/**
+ * Committed windows whose billed totals are kept for late counts: a day of
+ * one-hour windows. Regions lose each other for an hour now and then, so what
+ * comes later than a day has been lost with its VM.
+ */
+#define WINDOWS_KEPT 24
 
 /** A row of committed figures. */
 struct window_row {
@@ -80,6 +84,12 @@
 /** Whether late counts of a window can still be billed. */
 bool windows_keeps(const struct windows *windows, int64_t window);
 
+/** Call `visit` for each window kept, ascending. */
+void windows_visit(const struct windows *windows,
+		   void (*visit)(void *data, int64_t window,
+				 enum window_state state),
+		   void *data);
+
 json_t *windows_save(const struct windows *windows);
 enum result windows_load(struct windows *windows, const json_t *saved);
 
