--- a/libfilberthall/agree/apply.c
+++ b/libfilberthall/agree/apply.c
@@ -179,16 +179,16 @@
 	result->code = RESULT_MESSAGE_MALFORMED;
 	if (!json_is_array(entry->body))
 		return;
-	json_array_foreach(entry->body, i,
-			   item) if (!apply_read_claim_op(item, &op)) return;
+	json_array_foreach(entry->body, i, item)
+		if (!apply_read_claim_op(item, &op))
+			return;
 	result->code = RESULT_OK;
 	if (before.incarnation-- > 1)
 		claims_owner_gone(agreed->claims, &before, agreed->time_us,
 				  apply_claim_lost, result);
 	result->claims = xcalloc(json_array_size(entry->body) + 1,
 				 sizeof(*result->claims));
-	json_array_foreach(entry->body, i, item)
-	{
+	json_array_foreach(entry->body, i, item) {
 		apply_read_claim_op(item, &op);
 		apply_claim_op(agreed, entry, &op, result);
 	}
--- a/libfilberthall/agree/apply_admin.c
+++ b/libfilberthall/agree/apply_admin.c
@@ -93,8 +93,7 @@
 	json_t *value;
 	enum result code;
 
-	json_object_foreach((json_t *)values, path, value)
-	{
+	json_object_foreach((json_t *)values, path, value) {
 		code = command_check_path(command, path);
 		if (code != RESULT_OK)
 			return code;
@@ -181,8 +180,7 @@
 	json_t *path;
 	size_t i;
 
-	json_array_foreach(paths, i, path)
-	{
+	json_array_foreach(paths, i, path) {
 		code = command_check_path(command, json_string_value(path));
 		if (code != RESULT_OK)
 			break;
@@ -241,10 +239,10 @@
 
 	if (*standard)
 		code = command_check_class(command, organisation, standard);
-	json_array_foreach(json_object_get(command->args, "classes"), i,
-			   item) if (code == RESULT_OK && json_is_string(item))
-		code = command_check_class(command, organisation,
-					   json_string_value(item));
+	json_array_foreach(json_object_get(command->args, "classes"), i, item)
+		if (code == RESULT_OK && json_is_string(item))
+			code = command_check_class(command, organisation,
+						   json_string_value(item));
 	return code;
 }
 
--- a/libfilberthall/agree/claim.c
+++ b/libfilberthall/agree/claim.c
@@ -480,12 +480,10 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(
-		json_object_get(saved, "claims"), i,
-		item) if (!claim_load(claims,
-				      item)) return RESULT_MESSAGE_MALFORMED;
-	json_array_foreach(json_object_get(saved, "members"), i, item)
-	{
+	json_array_foreach(json_object_get(saved, "claims"), i, item)
+		if (!claim_load(claims, item))
+			return RESULT_MESSAGE_MALFORMED;
+	json_array_foreach(json_object_get(saved, "members"), i, item) {
 		struct claim_owner owner = { 0 };
 		json_int_t member;
 		json_int_t gone;
--- a/libfilberthall/agree/codec.c
+++ b/libfilberthall/agree/codec.c
@@ -46,8 +46,7 @@
 	switch (json_typeof(value)) {
 	case JSON_OBJECT:
 		msgpack_pack_map(packer, json_object_size(value));
-		json_object_foreach((json_t *)value, name, item)
-		{
+		json_object_foreach((json_t *)value, name, item) {
 			msgpack_pack_str(packer, strlen(name));
 			msgpack_pack_str_body(packer, name, strlen(name));
 			codec_pack(packer, item);
@@ -55,7 +54,8 @@
 		break;
 	case JSON_ARRAY:
 		msgpack_pack_array(packer, json_array_size(value));
-		json_array_foreach(value, i, item) codec_pack(packer, item);
+		json_array_foreach(value, i, item)
+			codec_pack(packer, item);
 		break;
 	case JSON_STRING:
 		codec_pack_string(packer, value);
--- a/libfilberthall/agree/key.c
+++ b/libfilberthall/agree/key.c
@@ -135,10 +135,10 @@
 
 	if (!json_is_array(list) || json_array_size(list) > RULE_SCOPES)
 		return false;
-	json_array_foreach(list, i, item) if (!json_is_string(item) ||
-					      !json_string_length(item) ||
-					      json_string_length(item) >
-						      max_len) return false;
+	json_array_foreach(list, i, item)
+		if (!json_is_string(item) || !json_string_length(item) ||
+		    json_string_length(item) > max_len)
+			return false;
 	return true;
 }
 
@@ -182,8 +182,7 @@
 	const char *name;
 	json_t *value;
 
-	json_object_foreach((json_t *)args, name, value)
-	{
+	json_object_foreach((json_t *)args, name, value) {
 		const struct key_field *field = key_find_field(name);
 		const char *fault = field ? key_field_fault(field, value)
 					  : "is not a field of a key";
@@ -246,8 +245,7 @@
 	const json_t *item;
 	size_t i;
 
-	json_array_foreach(list, i, item)
-	{
+	json_array_foreach(list, i, item) {
 		const char *text =
 			key_lay_text(layout, json_string_value(item));
 
@@ -509,8 +507,7 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(saved, i, item)
-	{
+	json_array_foreach(saved, i, item) {
 		json_int_t version;
 		json_t *full;
 
--- a/libfilberthall/agree/order_book.c
+++ b/libfilberthall/agree/order_book.c
@@ -223,10 +223,10 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(json_object_get(saved, "orders"), i, item) if (
-		!order_entry_load(book, item)) return RESULT_MESSAGE_MALFORMED;
-	json_array_foreach(json_object_get(saved, "settled"), i, item)
-	{
+	json_array_foreach(json_object_get(saved, "orders"), i, item)
+		if (!order_entry_load(book, item))
+			return RESULT_MESSAGE_MALFORMED;
+	json_array_foreach(json_object_get(saved, "settled"), i, item) {
 		const char *id = json_string_value(item);
 		struct order_entry *entry =
 			id ? order_book_entry(book, id) : NULL;
--- a/libfilberthall/agree/resend.c
+++ b/libfilberthall/agree/resend.c
@@ -156,8 +156,7 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(saved, i, item)
-	{
+	json_array_foreach(saved, i, item) {
 		const char *name;
 		const char *digest;
 		json_int_t time_us;
--- a/libfilberthall/agree/rules.c
+++ b/libfilberthall/agree/rules.c
@@ -132,8 +132,10 @@
 
 	rules_copy_name(rule->name, setting->name);
 	rules_copy_team(rule->team, setting->path);
-	json_array_foreach(routes, i, route) if (i < RULE_ROUTES)
-		rules_fill_route(&rule->routes[rule->n_routes++], route);
+	json_array_foreach(routes, i, route)
+		if (i < RULE_ROUTES)
+			rules_fill_route(&rule->routes[rule->n_routes++],
+					 route);
 	return rule;
 }
 
--- a/libfilberthall/agree/schema.c
+++ b/libfilberthall/agree/schema.c
@@ -249,8 +249,7 @@
 	const json_t *item;
 	size_t i;
 
-	json_array_foreach(list, i, item)
-	{
+	json_array_foreach(list, i, item) {
 		enum result code;
 
 		snprintf(prefix, sizeof(prefix), "%s[%zu].", name, i);
@@ -316,8 +315,7 @@
 	const char *key;
 	json_t *item;
 
-	json_object_foreach((json_t *)value, key, item)
-	{
+	json_object_foreach((json_t *)value, key, item) {
 		const struct schema_field *field;
 		char name[128];
 		enum result code;
--- a/libfilberthall/agree/settings.c
+++ b/libfilberthall/agree/settings.c
@@ -246,10 +246,9 @@
 	const json_t *change;
 	size_t i;
 
-	json_array_foreach(record->changes, i,
-			   change) if (settings_is_below(codec_text(change,
-								    "path", ""),
-							 prefix)) return true;
+	json_array_foreach(record->changes, i, change)
+		if (settings_is_below(codec_text(change, "path", ""), prefix))
+			return true;
 	return false;
 }
 
@@ -351,11 +350,11 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(json_object_get(saved, "paths"), i, item) if (
-		!settings_load_path(settings,
-				    item)) return RESULT_MESSAGE_MALFORMED;
-	json_array_foreach(json_object_get(saved, "history"), i, item) if (
-		!settings_load_record(settings,
-				      item)) return RESULT_MESSAGE_MALFORMED;
+	json_array_foreach(json_object_get(saved, "paths"), i, item)
+		if (!settings_load_path(settings, item))
+			return RESULT_MESSAGE_MALFORMED;
+	json_array_foreach(json_object_get(saved, "history"), i, item)
+		if (!settings_load_record(settings, item))
+			return RESULT_MESSAGE_MALFORMED;
 	return RESULT_OK;
 }
--- a/libfilberthall/agree/settings_change.c
+++ b/libfilberthall/agree/settings_change.c
@@ -297,8 +297,7 @@
 	json_t *value;
 	size_t n = 0;
 
-	json_object_foreach((json_t *)values, path, value)
-	{
+	json_object_foreach((json_t *)values, path, value) {
 		items[n].path = path;
 		items[n].value = json_is_null(value) ? NULL : value;
 		items[n++].version = codec_int(versions, path, SETTINGS_ANY);
@@ -324,8 +323,7 @@
 				    (long long)version);
 	changes = json_incref(record->changes);
 	items = xcalloc(json_array_size(changes) + 1, sizeof(*items));
-	json_array_foreach(changes, i, change)
-	{
+	json_array_foreach(changes, i, change) {
 		json_t *old_value = json_object_get(change, "old");
 		json_t *new_value = json_object_get(change, "new");
 
@@ -358,8 +356,7 @@
 	const char *path;
 	json_t *value;
 
-	json_object_foreach((json_t *)values, path, value)
-	{
+	json_object_foreach((json_t *)values, path, value) {
 		json_t *item = settings_diff_item(settings, path, value);
 
 		if (item)
--- a/libfilberthall/usage/window.c
+++ b/libfilberthall/usage/window.c
@@ -138,8 +138,9 @@
 
 	if (!json_is_array(rows))
 		return false;
-	json_array_foreach(rows, i,
-			   item) if (!window_read_row(item, &row)) return false;
+	json_array_foreach(rows, i, item)
+		if (!window_read_row(item, &row))
+			return false;
 	return true;
 }
 
@@ -184,8 +185,7 @@
 		return RESULT_CONFLICT;
 	window = windows_add(windows, number);
 	window->rows = json_deep_copy(rows);
-	json_array_foreach(window->rows, i, item)
-	{
+	json_array_foreach(window->rows, i, item) {
 		struct window *target = window;
 		struct window_row row;
 
@@ -311,8 +311,7 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(all, i, item)
-	{
+	json_array_foreach(all, i, item) {
 		struct window_row row;
 		json_int_t requests;
 		json_int_t prompt_tokens;
@@ -353,10 +352,9 @@
 	json_t *item;
 	size_t i;
 
-	json_array_foreach(
-		json_object_get(saved, "windows"), i,
-		item) if (!window_load(windows,
-				       item)) return RESULT_MESSAGE_MALFORMED;
+	json_array_foreach(json_object_get(saved, "windows"), i, item)
+		if (!window_load(windows, item))
+			return RESULT_MESSAGE_MALFORMED;
 	windows->last = codec_int(saved, "last", windows->last);
 	return RESULT_OK;
 }
