tests: requests to backend servers, with faults of the peer

Crossed and late answers, a peer that closes after reading, silent connections, a slow reader, a caller that leaves, a resumed stream, an order that is given up: each with a small server inside the test.

--- a/daemon/sse.c
+++ b/daemon/sse.c
@@ -27,7 +27,7 @@
 static const char *event_payload(const char *event, size_t len, size_t *n)
 {
 	const char *line = event;
-	const char *end;
+	const char *end = event;
 
 	while (line < event + len) {
 		end = memchr(line, '\n', event + len - line);
--- /dev/null
+++ b/tests/path/t-thread-attempts.c
@@ -0,0 +1,687 @@
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "harness.h"
+
+/* Bytes enough to fill socket buffers and the exchange several times over. */
+#define FLOOD_CHUNKS 60000
+#define FLOOD_CHUNK_BYTES 256
+#define SMALL_BUFFER 16384
+
+static char *request_id_of(const GString *head)
+{
+	return header_value(head, "x-request-id");
+}
+
+/* One request on one connection, answered as a stream of two tokens. */
+static void serve_stream(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body)) {
+		g_autofree char *id = request_id_of(head);
+
+		g_assert_null(header_value(head, "authorization"));
+		g_assert_nonnull(strstr(head->str, "\r\nX-Priority: 2\r\n"));
+		g_assert_nonnull(strstr(head->str, "\r\ntraceparent: 00-0af"));
+		g_atomic_int_inc(&stand_in->requests);
+		write_stream_head(fd, id);
+		write_chunk(fd, id, "one");
+		write_chunk(fd, id, "two");
+		write_stream_end(fd, id);
+	}
+}
+
+static uint64_t wait_request(struct harness *harness)
+{
+	struct event *event = harness_wait(harness, EVENT_REQUEST);
+	uint64_t id = event->u.request.id;
+
+	event_free(event);
+	return id;
+}
+
+static void expect_ended(struct harness *harness, enum result code, bool sent,
+			 int64_t tokens)
+{
+	struct event *event = harness_wait(harness, EVENT_ATTEMPT_ENDED);
+
+	g_assert_cmpint(event->u.ended.code, ==, code);
+	g_assert_cmpint(event->u.ended.sent, ==, sent);
+	g_assert_cmpint(event->u.ended.tokens, ==, tokens);
+	event_free(event);
+}
+
+static void stream_reaches_the_caller_whole(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	struct event *event;
+	uint64_t id;
+	int fd;
+
+	stand_in_start(&engine, serve_stream);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, true);
+	event = harness_wait(&harness, EVENT_REQUEST);
+	g_assert_cmpstr(event->u.request.model, ==, "m");
+	g_assert_cmpstr(event->u.request.adapter, ==, "a");
+	g_assert_cmpstr(event->u.request.class_name, ==, "captions");
+	g_assert_cmpint(event->u.request.max_tokens, ==, 5);
+	g_assert_cmpint(strlen(event->u.request.key_hash), ==, 64);
+	id = event->u.request.id;
+	event_free(event);
+	start = harness_attempt(id, engine.address);
+	start.keep_answer = true;
+	start.keep_limit = 100000;
+	http_out_start_attempt(harness.out, &start);
+	event_free(harness_wait(&harness, EVENT_ATTEMPT_SENT));
+	event = harness_wait(&harness, EVENT_ATTEMPT_TOKENS);
+	g_assert_true(event->u.tokens.first);
+	event_free(event);
+	event = harness_wait(&harness, EVENT_ATTEMPT_ENDED);
+	g_assert_cmpint(event->u.ended.code, ==, RESULT_OK);
+	g_assert_cmpint(event->u.ended.tokens, ==, 2);
+	g_assert_cmpint(event->u.ended.prompt_tokens, ==, 7);
+	g_assert_true(event->u.ended.cached);
+	g_assert_nonnull(strstr(bytes_text(&event->u.ended.answer), "[DONE]"));
+	event_free(event);
+	harness_answer(&harness, id, RESULT_OK);
+	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
+	g_assert_nonnull(strstr(answer->str, "text/event-stream"));
+	g_assert_nonnull(strstr(answer->str, "\"one\""));
+	g_assert_nonnull(strstr(answer->str, "\"two\""));
+	g_assert_nonnull(strstr(answer->str, "data: [DONE]"));
+	g_assert_nonnull(strstr(answer->str, "\"id\":\"entry-1-abc-1\""));
+	g_assert_null(strstr(answer->str, "entry-1-abc-1.1"));
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+/*
+ * A caller would see another caller's text. The engine, or a box before it,
+ * mixes answers up: the head carries the right id, a later chunk doesn't.
+ */
+static void serve_crossed(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body)) {
+		g_autofree char *id = request_id_of(head);
+
+		write_stream_head(fd, id);
+		write_chunk(fd, id, "mine");
+		write_chunk(fd, "entry-9-f-77.1", "secret");
+		write_stream_end(fd, id);
+	}
+}
+
+static void crossed_chunk_never_reaches_a_caller(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	uint64_t id;
+	int fd;
+
+	stand_in_start(&engine, serve_crossed);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, true);
+	id = wait_request(&harness);
+	start = harness_attempt(id, engine.address);
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_BACKEND_CROSSED, true, 1);
+	harness_answer(&harness, id, RESULT_BACKEND_CROSSED);
+	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
+	g_assert_nonnull(strstr(answer->str, "mine"));
+	g_assert_null(strstr(answer->str, "secret"));
+	g_assert_nonnull(strstr(answer->str, "data: {\"error\""));
+	g_assert_null(strstr(answer->str, "[DONE]"));
+	g_assert_cmpint(atomic_load(&harness.counters.crossed), ==, 1);
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+/* The whole answer of another request: head and body carry its id. */
+static void serve_whole_crossed(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body))
+		write_whole(fd, "other.1", "{\"id\":\"other.1\"}");
+}
+
+static void crossed_whole_answer_never_reaches_a_caller(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	uint64_t id;
+	int fd;
+
+	stand_in_start(&engine, serve_whole_crossed);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, false);
+	id = wait_request(&harness);
+	start = harness_attempt(id, engine.address);
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_BACKEND_CROSSED, true, 0);
+	harness_answer(&harness, id, RESULT_BACKEND_CROSSED);
+	g_assert_true(read_until(fd, answer, "BACKEND_CROSSED"));
+	g_assert_true(g_str_has_prefix(answer->str, "HTTP/1.1 502"));
+	g_assert_null(strstr(answer->str, "other.1"));
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+/*
+ * A lodgement runs twice. On a kept-alive connection the peer reads the
+ * second request, runs it and closes; the HTTP library opens a new connection
+ * and sends it again by itself, and the core hears of one success.
+ */
+static void serve_then_close(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body)) {
+		g_autofree char *id = request_id_of(head);
+
+		if (g_atomic_int_add(&stand_in->requests, 1) == 1)
+			return;
+		write_whole(fd, id, "{\"lodged\":true}");
+	}
+}
+
+static void lodge(int fd)
+{
+	write_text(fd, "POST /service/register/lodge?a=%%20b HTTP/1.1\r\n"
+		       "Host: h\r\nAuthorization: Bearer fh_key\r\n"
+		       "Idempotency-Key: k1\r\nContent-Length: 2\r\n\r\n{}");
+}
+
+static void nothing_is_sent_twice_behind_the_core(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in service;
+	struct harness harness;
+	uint64_t id;
+	int fd;
+
+	stand_in_start(&service, serve_then_close);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	lodge(fd);
+	id = wait_request(&harness);
+	start = harness_attempt(id, service.address);
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_OK, true, 0);
+	harness_answer(&harness, id, RESULT_OK);
+	g_assert_true(read_until(fd, answer, "lodged"));
+	lodge(fd);
+	id = wait_request(&harness);
+	start.id = id;
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_BACKEND_BROKE, true, 0);
+	g_assert_cmpint(g_atomic_int_get(&service.requests), ==, 2);
+	g_assert_cmpint(g_atomic_int_get(&service.connections), ==, 1);
+	g_assert_cmpint(atomic_load(&harness.counters.reused), ==, 1);
+	g_assert_cmpint(atomic_load(&harness.counters.resends_stopped), ==, 1);
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&service);
+}
+
+static void proven_attempt_opens_its_own_connection(void)
+{
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	uint64_t id;
+	int i;
+	int fd;
+
+	stand_in_start(&engine, serve_stream);
+	harness_start(&harness, NULL);
+	for (i = 0; i < 2; i++) {
+		fd = harness_dial(&harness, HTTP_CALLERS);
+		send_completion(fd, true);
+		id = wait_request(&harness);
+		start = harness_attempt(id, engine.address);
+		start.proven = i == 1;
+		http_out_start_attempt(harness.out, &start);
+		expect_ended(&harness, RESULT_OK, true, 2);
+		harness_answer(&harness, id, RESULT_OK);
+		close(fd);
+	}
+	g_assert_cmpint(g_atomic_int_get(&engine.connections), ==, 2);
+	g_assert_cmpint(atomic_load(&harness.counters.reused), ==, 0);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+static void refused_connect_is_not_sent(void)
+{
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	int fd;
+
+	stand_in_start(&engine, serve_stream);
+	stand_in_stop(&engine);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, true);
+	start = harness_attempt(wait_request(&harness), engine.address);
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_BACKEND_CONNECT, false, 0);
+	g_assert_false(harness_has(&harness, EVENT_ATTEMPT_SENT));
+	close(fd);
+	harness_stop(&harness);
+}
+
+/*
+ * A caller waits for minutes. Something in the middle has lost track of the
+ * open connections: they stay silent while new ones work. Each request in
+ * turn would find the next dead one and wait its time-out out.
+ */
+static void serve_until_silent(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body)) {
+		g_autofree char *id = request_id_of(head);
+
+		g_atomic_int_inc(&stand_in->requests);
+		/* All of the first round answer only once all have come. */
+		if (nth < 3 && !g_atomic_int_get(&stand_in->stage))
+			wait_for_count(&stand_in->requests, 3);
+		else if (nth < 3)
+			continue;
+		write_whole(fd, id, "{}");
+	}
+}
+
+static void read_request_event(struct harness *harness, const char *address,
+			       int64_t first_byte_ms)
+{
+	struct effect_start_attempt start;
+
+	start = harness_attempt(wait_request(harness), address);
+	start.first_byte_ms = first_byte_ms;
+	http_out_start_attempt(harness->out, &start);
+}
+
+static void silent_connection_takes_its_siblings_along(void)
+{
+	struct stand_in service;
+	struct harness harness;
+	int64_t began_us;
+	int fds[5];
+	int i;
+
+	stand_in_start(&service, serve_until_silent);
+	harness_start(&harness, NULL);
+	for (i = 0; i < 5; i++)
+		fds[i] = harness_dial(&harness, HTTP_CALLERS);
+	for (i = 0; i < 3; i++) {
+		lodge(fds[i]);
+		read_request_event(&harness, service.address, HARNESS_WAIT_MS);
+	}
+	for (i = 0; i < 3; i++)
+		expect_ended(&harness, RESULT_OK, true, 0);
+	g_atomic_int_set(&service.stage, 1);
+	lodge(fds[3]);
+	began_us = edge_now_us();
+	read_request_event(&harness, service.address, 150);
+	expect_ended(&harness, RESULT_BACKEND_TIMEOUT, true, 0);
+	g_assert_cmpint(edge_now_us() - began_us, >=, 150000);
+	g_assert_cmpint(edge_now_us() - began_us, <, 900000);
+	g_assert_cmpint(atomic_load(&harness.counters.distrusted), ==, 2);
+	lodge(fds[4]);
+	read_request_event(&harness, service.address, HARNESS_WAIT_MS);
+	expect_ended(&harness, RESULT_OK, true, 0);
+	g_assert_cmpint(g_atomic_int_get(&service.connections), ==, 4);
+	for (i = 0; i < 5; i++)
+		close(fds[i]);
+	harness_stop(&harness);
+	stand_in_stop(&service);
+}
+
+/* Sends tokens as fast as the connection takes them. */
+static void serve_flood(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+	g_autofree char *id = NULL;
+	int small = SMALL_BUFFER;
+	int i;
+
+	if (!read_request(fd, head, body))
+		return;
+	id = request_id_of(head);
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
+	write_stream_head(fd, id);
+	for (i = 0; i < FLOOD_CHUNKS; i++) {
+		write_chunk(fd, id, "0123456789012345678901234567890123456789");
+		g_atomic_int_inc(&stand_in->stage);
+	}
+	write_stream_end(fd, id);
+}
+
+static size_t waiting_bytes(struct harness *harness, uint64_t id)
+{
+	struct exchange *exchange =
+		exchange_table_find(&harness->exchanges, id);
+	size_t len;
+
+	pthread_mutex_lock(&exchange->lock);
+	len = exchange->waiting.len;
+	pthread_mutex_unlock(&exchange->lock);
+	exchange_unref(exchange);
+	return len;
+}
+
+/*
+ * Memory of a VM grows with each slow caller until it is killed: the engine
+ * makes tokens faster than the caller reads, and the rest piles up between.
+ */
+static void slow_reader_holds_the_engine_back(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	uint64_t id;
+	int small = SMALL_BUFFER;
+	int fd;
+
+	stand_in_start(&engine, serve_flood);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send_completion(fd, true);
+	id = wait_request(&harness);
+	start = harness_attempt(id, engine.address);
+	/* Waiting for the caller isn't silence of the engine. */
+	start.idle_ms = 50;
+	http_out_start_attempt(harness.out, &start);
+	while (waiting_bytes(&harness, id) + FLOOD_CHUNK_BYTES <
+	       EXCHANGE_WAITING_BYTES)
+		g_usleep(1000);
+	g_usleep(4 * start.idle_ms * 1000);
+	g_assert_cmpint(g_atomic_int_get(&engine.stage), <, FLOOD_CHUNKS);
+	g_assert_cmpuint(waiting_bytes(&harness, id), <=,
+			 EXCHANGE_WAITING_BYTES);
+	g_assert_false(harness_has(&harness, EVENT_ATTEMPT_ENDED));
+	g_assert_true(read_until(fd, answer, "[DONE]"));
+	expect_ended(&harness, RESULT_OK, true, FLOOD_CHUNKS);
+	harness_answer(&harness, id, RESULT_OK);
+	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+static void serve_never(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body))
+		g_atomic_int_inc(&stand_in->requests);
+	g_atomic_int_inc(&stand_in->stage);
+}
+
+/*
+ * An engine works for nobody. The caller hangs up while its request waits for
+ * the first token; its connection is suspended, so the HTTP library would
+ * notice only with the next byte to write.
+ */
+static void caller_that_leaves_frees_the_engine(void)
+{
+	struct effect_cancel_attempt cancel = { .attempt = 1 };
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	struct event *event;
+	int fd;
+
+	stand_in_start(&engine, serve_never);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, true);
+	start = harness_attempt(wait_request(&harness), engine.address);
+	http_out_start_attempt(harness.out, &start);
+	wait_for_count(&engine.requests, 1);
+	close(fd);
+	event = harness_wait(&harness, EVENT_CALLER_LEFT);
+	g_assert_cmpuint(event->u.caller_left.id, ==, start.id);
+	event_free(event);
+	cancel.id = start.id;
+	http_out_cancel_attempt(harness.out, &cancel);
+	expect_ended(&harness, RESULT_CALLER_LEFT, true, 0);
+	wait_for_count(&engine.stage, 1);
+	harness_answer(&harness, start.id, RESULT_CALLER_LEFT);
+	http_out_cancel_attempt(harness.out, &cancel);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+/* Connection 0 answers late, connection 1 at once. */
+static void serve_first_late(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+	g_autofree char *id = NULL;
+
+	if (!read_request(fd, head, body))
+		return;
+	g_atomic_int_inc(&stand_in->requests);
+	id = request_id_of(head);
+	write_stream_head(fd, id);
+	if (!nth)
+		wait_for_count(&stand_in->stage, 1);
+	write_chunk(fd, id, nth ? "fast" : "late");
+	write_stream_end(fd, id);
+}
+
+/*
+ * A caller sees two answers run into each other: a request is hedged and
+ * both engines stream. Only the first to deliver may go on.
+ */
+static void late_hedge_delivers_nothing(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	int fd;
+
+	stand_in_start(&engine, serve_first_late);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, true);
+	start = harness_attempt(wait_request(&harness), engine.address);
+	http_out_start_attempt(harness.out, &start);
+	wait_for_count(&engine.requests, 1);
+	start.attempt = 2;
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_OK, true, 1);
+	g_atomic_int_set(&engine.stage, 1);
+	expect_ended(&harness, RESULT_CALLER_LEFT, true, 0);
+	harness_answer(&harness, start.id, RESULT_OK);
+	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
+	g_assert_nonnull(strstr(answer->str, "fast"));
+	g_assert_null(strstr(answer->str, "late"));
+	g_assert_cmpint(atomic_load(&harness.counters.late), ==, 1);
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+/* The first connection breaks after one token, the second goes on there. */
+static void serve_broken_then_rest(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+	g_autofree char *resume = NULL;
+	g_autofree char *id = NULL;
+
+	if (!read_request(fd, head, body))
+		return;
+	id = request_id_of(head);
+	resume = header_value(head, "x-resume-tokens");
+	write_stream_head(fd, id);
+	if (!nth) {
+		write_chunk(fd, id, "one");
+		return;
+	}
+	g_assert_cmpstr(resume, ==, "1");
+	write_chunk(fd, id, "");
+	write_chunk(fd, id, "two");
+	write_stream_end(fd, id);
+}
+
+static void resumed_stream_joins_without_gap_or_repeat(void)
+{
+	g_autoptr(GString) answer = g_string_new(NULL);
+	struct effect_start_attempt start;
+	struct stand_in engine;
+	struct harness harness;
+	int fd;
+
+	stand_in_start(&engine, serve_broken_then_rest);
+	harness_start(&harness, NULL);
+	fd = harness_dial(&harness, HTTP_CALLERS);
+	send_completion(fd, true);
+	start = harness_attempt(wait_request(&harness), engine.address);
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_BACKEND_BROKE, true, 1);
+	start.attempt = 2;
+	start.resume_tokens = 1;
+	http_out_start_attempt(harness.out, &start);
+	expect_ended(&harness, RESULT_OK, true, 1);
+	harness_answer(&harness, start.id, RESULT_OK);
+	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
+	g_assert_nonnull(strstr(answer->str, "\"one\""));
+	g_assert_nonnull(strstr(strstr(answer->str, "\"one\""), "\"two\""));
+	g_assert_null(strstr(answer->str, "\"content\":\"\""));
+	close(fd);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+/*
+ * Two VMs believe they are in charge. An order that was given up still lies
+ * in a buffer and reaches the platform when the path opens again, after
+ * another VM has taken over. The event must come in time and the connection
+ * be cut off hard.
+ */
+static void order_is_given_up_for_good(void)
+{
+	struct effect_engine_order order = { .order_id = "o-1",
+					     .verb = "load-model",
+					     .fence = 4,
+					     .timeout_ms = 100 };
+	struct stand_in engine;
+	struct harness harness;
+	struct event *event;
+	int64_t began_us;
+
+	stand_in_start(&engine, serve_never);
+	harness_start(&harness, NULL);
+	order.address = engine.address;
+	began_us = edge_now_us();
+	http_out_engine_order(harness.out, &order);
+	event = harness_wait(&harness, EVENT_PLATFORM);
+	g_assert_cmpstr(event->u.platform.order_id, ==, "o-1");
+	g_assert_cmpint(event->u.platform.code, ==, RESULT_PLATFORM_UNKNOWN);
+	g_assert_cmpint(edge_now_us() - began_us, <, 900000);
+	event_free(event);
+	wait_for_count(&engine.stage, 1);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+static void serve_order(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body)) {
+		g_assert_nonnull(strstr(body->str, "\"order_id\":\"o-2\""));
+		g_assert_nonnull(strstr(body->str, "\"fence\":4"));
+		g_assert_nonnull(strstr(body->str, "\"verb\":\"load-model\""));
+		g_assert_nonnull(strstr(body->str, "\"name\":\"m\""));
+		write_text(fd, "HTTP/1.1 409 Conflict\r\n"
+			       "Content-Length: 2\r\n\r\n{}");
+	}
+}
+
+static void order_carries_id_and_fence(void)
+{
+	struct effect_engine_order order = { .order_id = "o-2",
+					     .verb = "load-model",
+					     .fence = 4,
+					     .timeout_ms = HARNESS_WAIT_MS };
+	struct stand_in engine;
+	struct harness harness;
+	struct event *event;
+
+	stand_in_start(&engine, serve_order);
+	harness_start(&harness, NULL);
+	order.address = engine.address;
+	bytes_append_text(&order.body, "{\"name\":\"m\"}");
+	http_out_engine_order(harness.out, &order);
+	event = harness_wait(&harness, EVENT_PLATFORM);
+	g_assert_cmpint(event->u.platform.code, ==, RESULT_PLATFORM_REFUSED);
+	g_assert_cmpstr(bytes_text(&event->u.platform.body), ==, "{}");
+	event_free(event);
+	bytes_clear(&order.body);
+	harness_stop(&harness);
+	stand_in_stop(&engine);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/attempt/stream", stream_reaches_the_caller_whole);
+	g_test_add_func("/attempt/crossed-chunk",
+			crossed_chunk_never_reaches_a_caller);
+	g_test_add_func("/attempt/crossed-whole",
+			crossed_whole_answer_never_reaches_a_caller);
+	g_test_add_func("/attempt/sent-once",
+			nothing_is_sent_twice_behind_the_core);
+	g_test_add_func("/attempt/proven",
+			proven_attempt_opens_its_own_connection);
+	g_test_add_func("/attempt/refused", refused_connect_is_not_sent);
+	g_test_add_func("/attempt/silent",
+			silent_connection_takes_its_siblings_along);
+	g_test_add_func("/attempt/slow-reader",
+			slow_reader_holds_the_engine_back);
+	g_test_add_func("/attempt/caller-left",
+			caller_that_leaves_frees_the_engine);
+	g_test_add_func("/attempt/hedge", late_hedge_delivers_nothing);
+	g_test_add_func("/attempt/resume",
+			resumed_stream_joins_without_gap_or_repeat);
+	g_test_add_func("/order/given-up", order_is_given_up_for_good);
+	g_test_add_func("/order/fence", order_carries_id_and_fence);
+	return g_test_run();
+}
