daemon: name functions on the attempt set by their noun

Cause: attempt_start and attempt_cancel stand in load/ as well, so the daemon doesn't link. Change: attempt_set_start, attempt_set_cancel at the edge. Conclusion: no name is defined twice.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -475,8 +475,8 @@
 	set->sink->post(set->sink->data, event);
 }
 
-void attempt_start(struct attempt_set *set,
-		   const struct effect_start_attempt *start)
+void attempt_set_start(struct attempt_set *set,
+		       const struct effect_start_attempt *start)
 {
 	struct exchange *exchange =
 		exchange_table_find(set->exchanges, start->id);
@@ -494,7 +494,7 @@
 	wire_submit(set->hub, &attempt->wire);
 }
 
-void attempt_cancel(struct attempt_set *set, uint64_t id, int64_t number)
+void attempt_set_cancel(struct attempt_set *set, uint64_t id, int64_t number)
 {
 	struct attempt_key key = { id, number };
 	struct map_node *node;
--- a/daemon/attempt.h
+++ b/daemon/attempt.h
@@ -30,10 +30,10 @@
 /** All attempts must have ended. */
 void attempt_set_clear(struct attempt_set *set);
 
-void attempt_start(struct attempt_set *set,
-		   const struct effect_start_attempt *start);
+void attempt_set_start(struct attempt_set *set,
+		       const struct effect_start_attempt *start);
 
 /** Nothing happens if it has ended already. */
-void attempt_cancel(struct attempt_set *set, uint64_t id, int64_t attempt);
+void attempt_set_cancel(struct attempt_set *set, uint64_t id, int64_t attempt);
 
 #endif
--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -43,13 +43,13 @@
 void http_out_start_attempt(struct http_out *out,
 			    const struct effect_start_attempt *start)
 {
-	attempt_start(&out->attempts, start);
+	attempt_set_start(&out->attempts, start);
 }
 
 void http_out_cancel_attempt(struct http_out *out,
 			     const struct effect_cancel_attempt *cancel)
 {
-	attempt_cancel(&out->attempts, cancel->id, cancel->attempt);
+	attempt_set_cancel(&out->attempts, cancel->id, cancel->attempt);
 }
 
 void http_out_distrust(struct http_out *out,
