base: refuse YAML aliases and further documents

An alias came through as plain text, so `tier: *high` was the text "high"; a second document in a text was ignored, though its writer would believe it in force. Both are errors with a message now.

--- a/libfilberthall/base/yaml.c
+++ b/libfilberthall/base/yaml.c
@@ -133,13 +133,29 @@
 		       style == FYNS_FOLDED;
 }
 
+/*
+ * Aliases are refused: resolved, a text of a few lines can stand for a tree
+ * that fills the memory; unresolved, the alias would pass for plain text.
+ */
+static enum result yaml_refuse_alias(struct yaml *yaml,
+				     struct yaml_reader *reader,
+				     struct fy_node *from)
+{
+	yaml_place(yaml, from);
+	return error_report(reader->handler, RESULT_SETTING_SYNTAX,
+			    "%s:%d:%d: aliases aren't supported", reader->name,
+			    yaml->line, yaml->column);
+}
+
 static enum result yaml_read(struct yaml **yaml, struct yaml_reader *reader,
 			     struct fy_node *from, int depth)
 {
 	struct yaml *read = yaml_new();
 	enum result code = RESULT_OK;
 
-	if (depth > YAML_MAX_DEPTH)
+	if (from && fy_node_is_alias(from))
+		code = yaml_refuse_alias(read, reader, from);
+	else if (depth > YAML_MAX_DEPTH)
 		code = error_report(reader->handler, RESULT_SETTING_SYNTAX,
 				    "%s:%d: nested deeper than %d levels",
 				    reader->name, read->line, YAML_MAX_DEPTH);
@@ -184,25 +200,50 @@
 			    error->line, error->column, error->msg);
 }
 
+/*
+ * The library's simple call reads the first document and ignores the rest;
+ * whoever wrote the rest would believe it in force.
+ */
+static enum result yaml_read_only(struct yaml **root,
+				  struct yaml_reader *reader,
+				  struct fy_parser *parser,
+				  struct fy_diag *diag)
+{
+	struct fy_document *document = fy_parse_load_document(parser);
+	struct fy_document *second = NULL;
+	enum result code;
+
+	if (document)
+		second = fy_parse_load_document(parser);
+	if (fy_diag_got_error(diag))
+		code = yaml_report_syntax(reader, diag);
+	else if (!document || !fy_document_root(document))
+		code = error_report(reader->handler, RESULT_SETTING_SYNTAX,
+				    "%s: empty", reader->name);
+	else if (second)
+		code = error_report(reader->handler, RESULT_SETTING_SYNTAX,
+				    "%s: more than one document", reader->name);
+	else
+		code = yaml_read(root, reader, fy_document_root(document), 0);
+	fy_parse_document_destroy(parser, second);
+	fy_parse_document_destroy(parser, document);
+	return code;
+}
+
 enum result yaml_parse(struct yaml **root, const char *name, const char *text,
 		       size_t len, const struct error_handler *handler)
 {
 	struct yaml_reader reader = { name, handler };
 	struct fy_parse_cfg cfg = { 0 };
-	struct fy_document *document;
+	struct fy_parser *parser;
 	enum result code;
 
 	*root = NULL;
 	cfg.diag = yaml_quiet_diag();
-	document = fy_document_build_from_string(&cfg, text, len);
-	if (!document)
-		code = yaml_report_syntax(&reader, cfg.diag);
-	else if (!fy_document_root(document))
-		code = error_report(handler, RESULT_SETTING_SYNTAX, "%s: empty",
-				    name);
-	else
-		code = yaml_read(root, &reader, fy_document_root(document), 0);
-	fy_document_destroy(document);
+	parser = fy_parser_create(&cfg);
+	fy_parser_set_string(parser, text, len);
+	code = yaml_read_only(root, &reader, parser, cfg.diag);
+	fy_parser_destroy(parser);
 	fy_diag_destroy(cfg.diag);
 	return code;
 }
