usage: counters merged by maximum, windows closed and reported once

Counters are cumulative and belong to one daemon's life, so messages may come twice, late or crossed. Each daemon sends what changed within a second to the one in charge and to a copy holder; what a silent daemon had counted is passed on by whoever holds it.

The YAML of settings is read on top of base/yaml, which remembers places.

--- a/libfilberthall/agree/yaml.h
+++ b/libfilberthall/agree/yaml.h
@@ -8,8 +8,8 @@
 #include "base/result.h"
 
 /**
- * YAML text of settings, read with libfyaml. Anchors and aliases work;
- * duplicate keys are an error, since one of the two would be lost silently.
+ * YAML text of settings (base/yaml.h) as JSON values. Duplicate keys are an
+ * error, since one of the two would be lost silently.
  */
 
 /**
@@ -36,8 +36,8 @@
 				const struct error_handler *handler);
 
 /**
- * Read any YAML text (boot settings, scenarios) as JSON, with syntax errors
- * reported as "NAME:LINE:COLUMN: message".
+ * Read any YAML text, such as one value on a command line, as JSON. Syntax
+ * errors are reported as "NAME:LINE:COLUMN: message".
  */
 enum result yaml_read(const char *name, const char *text, size_t len,
 		      json_t **value, const struct error_handler *handler);
--- a/libfilberthall/usage/merge.h
+++ b/libfilberthall/usage/merge.h
@@ -16,10 +16,12 @@
  *
  * Failure answered: a VM dies with counts that no one else has. Each daemon
  * sends what changed to one in another zone within a second and to the one
- * in charge; a VM's loss then loses at most what was counted since the last
+ * in charge; who holds rows of a daemon that has fallen silent passes them on
+ * to the one in charge, who may be new. A VM's loss then loses at most what was counted since the last
  * message, and usage_lost_us() says how long that was.
  *
- * Without acknowledgement a row is sent again after USAGE_RESEND_US. A
+ * Each daemon says with its rows which window it counts into, so the one in
+ * charge knows when it has all of a window. Without acknowledgement a row is sent again after USAGE_RESEND_US. A
  * message holds at most `limit` bytes, the rest follows in the next.
  */
 #define USAGE_SEND_US INT64_C(1000000)
@@ -37,7 +39,7 @@
 struct usage *usage_new(uint64_t member, uint64_t incarnation);
 void usage_free(struct usage *usage);
 
-/** Add to this daemon's own counters, in its present window. */
+/** Add to own counters, in the present window; after a first usage_tick(). */
 void usage_count(struct usage *usage, const char *organisation,
 		 const char *class_name, const struct usage_counters *add);
 
@@ -55,6 +57,9 @@
 /** This daemon's present window, -1 before the first tick. */
 int64_t usage_window(const struct usage *usage);
 
+/** The oldest window of which a row is held, -1 for none. */
+int64_t usage_oldest(const struct usage *usage);
+
 /**
  * Which peers get counters: the one in charge (all that this daemon knows)
  * and a copy holder in another zone (this daemon's own). 0 for none; may be
--- a/libfilberthall/usage/report.h
+++ b/libfilberthall/usage/report.h
@@ -6,7 +6,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "base/bytes.h"
 #include "core/effect.h"
 #include "usage/merge.h"
 #include "usage/window.h"
@@ -17,7 +16,7 @@
  * A window closes when all live daemons passed it, or `grace_us` after its
  * end, whichever is first. Then its figures go into the log (the caller
  * proposes report_figures()); only when they are committed is the report
- * sent, and sent again unchanged, after REPORT_RETRY_US and doubling up to
+ * sent, and sent again unchanged, after REPORT_RETRY_US doubling up to
  * REPORT_RETRY_MAX_US, until the platform has acknowledged it. Reports go in
  * the order of windows, one at a time.
  */
@@ -74,8 +73,7 @@
  * the answer is for something else.
  */
 int64_t report_answer(struct report *report, const char *order_id,
-		      enum result code, const struct bytes *body,
-		      int64_t now_us, bool *accepted);
+		      enum result code, bool *accepted);
 
 /** Forget what was sent: charge was lost or taken anew. */
 void report_reset(struct report *report);
--- a/libfilberthall/usage/window.c
+++ b/libfilberthall/usage/window.c
@@ -8,6 +8,9 @@
 #include "base/list.h"
 #include "base/map.h"
 
+/* Far beyond any site, and sums of thousands of them don't overflow. */
+#define WINDOW_COUNT_MAX INT64_C(1000000000000000)
+
 /* What was billed to an organisation for one window. */
 struct billed {
 	struct map_node node;
@@ -109,6 +112,11 @@
 	billed->output_tokens += row->output_tokens;
 }
 
+static bool window_count_holds(json_int_t count)
+{
+	return count >= 0 && count <= WINDOW_COUNT_MAX;
+}
+
 static bool window_read_row(json_t *item, struct window_row *row)
 {
 	json_int_t requests;
@@ -127,7 +135,9 @@
 	row->correction_of = json_is_integer(correction)
 				     ? json_integer_value(correction)
 				     : -1;
-	return requests >= 0 && prompt_tokens >= 0 && output_tokens >= 0;
+	return window_count_holds(requests) &&
+	       window_count_holds(prompt_tokens) &&
+	       window_count_holds(output_tokens);
 }
 
 static bool window_rows_hold(const json_t *rows)
@@ -185,6 +195,8 @@
 		return RESULT_CONFLICT;
 	window = windows_add(windows, number);
 	window->rows = json_deep_copy(rows);
+	if (!json_array_size(rows))
+		window->state = WINDOW_ACCEPTED;
 	json_array_foreach(window->rows, i, item) {
 		struct window *target = window;
 		struct window_row row;
@@ -339,7 +351,7 @@
 	if (json_unpack(saved, "[I i o o]", &number, &state, &rows, &all) < 0 ||
 	    state < WINDOW_COMMITTED || state > WINDOW_REFUSED ||
 	    number <= windows->last ||
-	    (state == WINDOW_COMMITTED) != window_rows_hold(rows))
+	    (state == WINDOW_COMMITTED && !window_rows_hold(rows)))
 		return false;
 	window = windows_add(windows, number);
 	window->state = (enum window_state)state;
--- a/libfilberthall/usage/window.h
+++ b/libfilberthall/usage/window.h
@@ -51,7 +51,8 @@
 
 /**
  * Commit a window's figures: an array of {"name", "requests",
- * "prompt_tokens", "output_tokens", "correction_of": N or null}.
+ * "prompt_tokens", "output_tokens", "correction_of": N or null}. A window
+ * without rows needs no report and is accepted at once.
  *
  * Returns RESULT_OK; RESULT_CONFLICT if this or a later window was committed
  * (the first figures stay); RESULT_MESSAGE_MALFORMED.
