--- a/fakes/spawn.h
+++ b/fakes/children.h
@@ -1,5 +1,5 @@
-#ifndef FAKES_SPAWN_H
-#define FAKES_SPAWN_H
+#ifndef FAKES_CHILDREN_H
+#define FAKES_CHILDREN_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -13,15 +13,15 @@
  * The processes that the platform's stand-in starts and stops. Only children
  * started here are ever ended, each by its process id.
  */
-struct spawn {
+struct children {
 	struct loop *loop;
-	struct list children; /**< struct spawn_child */
+	struct list list; /**< struct child */
 	struct loop_timer reap_timer;
 	const struct addresses *daemons; /**< they announce to these */
 	const char *folder;		 /**< of the programs */
 };
 
-struct spawn_child {
+struct child {
 	struct list node;
 	pid_t pid;
 	char *address;
@@ -30,7 +30,7 @@
 };
 
 /** What to start. */
-struct spawn_request {
+struct child_request {
 	const char *address;
 	const char *zone;
 	const char *model;   /**< of an engine, or NULL */
@@ -38,25 +38,26 @@
 	bool cheap;
 };
 
-void spawn_init(struct spawn *spawn, struct loop *loop, const char *folder,
-		const struct addresses *daemons);
+void children_init(struct children *children, struct loop *loop,
+		   const char *folder, const struct addresses *daemons);
 
 /** Find a free port for a child: IP:port, to be freed by the caller. */
-char *spawn_pick_address(void);
+char *children_pick_address(void);
 
 /** Start a stand-in; false if that fails. */
-bool spawn_start(struct spawn *spawn, const struct spawn_request *request);
+bool children_start(struct children *children,
+		    const struct child_request *request);
 
 /** Ask the child at that address to leave gracefully. */
-void spawn_stop(struct spawn *spawn, const char *address);
+void children_stop(struct children *children, const char *address);
 
 /** End a zone's cheap children at once, as a reclaim does; how many. */
-int64_t spawn_kill_cheap(struct spawn *spawn, const char *zone);
+int64_t children_kill_cheap(struct children *children, const char *zone);
 
 /** Whether a child with that address lives. */
-bool spawn_has(const struct spawn *spawn, const char *address);
+bool children_has(const struct children *children, const char *address);
 
 /** End all children and wait for them. */
-void spawn_clear(struct spawn *spawn);
+void children_clear(struct children *children);
 
 #endif
--- a/fakes/exchange.c
+++ b/fakes/exchange.c
@@ -97,7 +97,8 @@
 	struct exchange *exchange = data;
 	size_t len = exchange->out.len < max ? exchange->out.len : max;
 
-	if (exchange->aborted)
+	/* What was written before it broke off still goes out. */
+	if (!len && exchange->aborted)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (!len && exchange->ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -208,8 +208,8 @@
 	addresses_set(&platform->daemons, common->daemons);
 	faults_init(&platform->faults, &platform->server);
 	post_pool_init(&platform->posts, &platform->loop);
-	spawn_init(&platform->spawn, &platform->loop, options->spawn,
-		   &platform->daemons);
+	children_init(&platform->children, &platform->loop, options->spawn,
+		      &platform->daemons);
 	if (!loop_init(&platform->loop) || !platform_add_faults(platform) ||
 	    !server_start(&platform->server, &platform->loop, common->listen,
 			  platform_handle, platform))
@@ -237,7 +237,7 @@
 
 void platform_clear(struct platform *platform)
 {
-	spawn_clear(&platform->spawn);
+	children_clear(&platform->children);
 	server_stop(&platform->server);
 	post_pool_clear(&platform->posts);
 	platform_zones_clear(platform);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -12,7 +12,7 @@
 #include "fakes/order_book.h"
 #include "fakes/post.h"
 #include "fakes/server.h"
-#include "fakes/spawn.h"
+#include "fakes/children.h"
 
 /**
  * A stand-in for the platform: takes orders for backend servers and usage
@@ -48,7 +48,7 @@
 	struct order_book reports;
 	struct list offers;
 	struct list reclaims; /**< struct platform_reclaim */
-	struct spawn spawn;
+	struct children children;
 	struct list late; /**< struct platform_late */
 	struct list log;  /**< struct platform_entry */
 	struct addresses daemons;
--- a/fakes/platform_order.c
+++ b/fakes/platform_order.c
@@ -79,8 +79,8 @@
 	if (strcmp(json_text(order->arguments, "verb"), "start"))
 		return "accepted";
 	if (platform->options->spawn)
-		return spawn_has(&platform->spawn, address) ? "running"
-							    : "stopped";
+		return children_has(&platform->children, address) ? "running"
+								  : "stopped";
 	list_foreach(other, &platform->orders.orders, node)
 		if (!strcmp(json_text(other->arguments, "verb"), "stop") &&
 		    !strcmp(json_text(other->arguments, "address"), address))
@@ -110,7 +110,7 @@
 {
 	const char *kind = json_text(arguments, "kind");
 	cleanup(free_ptr) char *address = NULL;
-	struct spawn_request request = {
+	struct child_request request = {
 		.zone = json_text(arguments, "zone"),
 		.model = json_text(arguments, "model"),
 		.service = json_text(arguments, "service"),
@@ -121,9 +121,9 @@
 		return NULL;
 	if (!platform->options->spawn)
 		return xstrfmt("127.0.0.1:%d", (int)platform->next_port++);
-	address = spawn_pick_address();
+	address = children_pick_address();
 	request.address = address;
-	if (!spawn_start(&platform->spawn, &request))
+	if (!children_start(&platform->children, &request))
 		return NULL;
 	return take_ptr(address);
 }
@@ -153,7 +153,7 @@
 
 	if (!strcmp(json_text(arguments, "verb"), "stop")) {
 		address = xstrdup(json_text(arguments, "address"));
-		spawn_stop(&platform->spawn, address);
+		children_stop(&platform->children, address);
 	} else {
 		address = platform_start_backend(platform, arguments);
 	}
--- a/fakes/platform_reclaim.c
+++ b/fakes/platform_reclaim.c
@@ -27,7 +27,7 @@
 {
 	struct platform_reclaim *reclaim = data;
 	struct platform *platform = reclaim->platform;
-	int64_t n = spawn_kill_cheap(&platform->spawn, reclaim->zone);
+	int64_t n = children_kill_cheap(&platform->children, reclaim->zone);
 
 	platform_log(platform, "reclaimed",
 		     json_pack("{s:s, s:I}", "zone", reclaim->zone, "ended",
--- /dev/null
+++ b/tests/lib.sh
@@ -0,0 +1,148 @@
+# Helpers for tests of whole processes, to be sourced after 'set -eu'. Prints
+# TAP. Every wait is for a condition and has a bound; only processes started
+# here are ended, by their ids.
+
+BIN=$BUILD_ROOT/bin
+WORK=$(mktemp -d)
+STARTED=
+TESTS=0
+FAILED=0
+
+# A test that dies in the middle leaves no process and no folder behind.
+lib_end() {
+	for lib_name in $STARTED
+	do
+		kill -KILL "$(cat "$WORK/$lib_name.pid")" 2>/dev/null || :
+	done
+	rm -rf "$WORK"
+}
+trap lib_end EXIT
+trap 'exit 1' INT TERM
+
+# start NAME PROGRAM ARGS...: runs build/bin/PROGRAM, which gets --publish,
+# and waits for the addresses that it publishes in $WORK/NAME.yaml.
+start() {
+	lib_name=$1
+	lib_program=$2
+	shift 2
+	start_plain "$lib_name" "$lib_program" "$@" \
+		--publish "$WORK/$lib_name.yaml"
+	wait_for 10 test -s "$WORK/$lib_name.yaml" || {
+		echo "# $lib_name didn't start:"
+		sed 's/^/# /' "$WORK/$lib_name.log"
+		return 1
+	}
+}
+
+# start_plain NAME PROGRAM ARGS...: without --publish and without waiting.
+start_plain() {
+	lib_name=$1
+	lib_program=$2
+	shift 2
+	rm -f "$WORK/$lib_name.yaml"
+	"$BIN/$lib_program" "$@" >>"$WORK/$lib_name.log" 2>&1 &
+	echo $! >"$WORK/$lib_name.pid"
+	case " $STARTED " in
+	*" $lib_name "*) ;;
+	*) STARTED="$STARTED $lib_name" ;;
+	esac
+}
+
+# address NAME [KEY]: what a program published under KEY.
+address() {
+	sed -n "s/^ *${2-address}: *//p" "$WORK/$1.yaml" | head -n 1
+}
+
+# signal NAME SIGNAL
+signal() {
+	kill "-$2" "$(cat "$WORK/$1.pid")"
+}
+
+# ended NAME: whether its process is gone.
+ended() {
+	! kill -0 "$(cat "$WORK/$1.pid")" 2>/dev/null
+}
+
+# reap NAME [SECONDS]: waits for its end; returns its exit status, or 124.
+reap() {
+	lib_pid=$(cat "$WORK/$1.pid")
+	wait_for "${2-20}" lib_is_dead "$lib_pid" || return 124
+	wait "$lib_pid"
+}
+
+# A zombie is dead: its parent, this shell, has yet to wait for it.
+lib_is_dead() {
+	! kill -0 "$1" 2>/dev/null || grep -q '^State:.Z' "/proc/$1/status"
+}
+
+# stop NAME [SECONDS]: asks for a graceful end; returns the exit status.
+stop() {
+	signal "$1" TERM
+	reap "$@"
+}
+
+# wait_for SECONDS COMMAND...: until the command succeeds; 1 if it never does.
+wait_for() {
+	lib_left=$(($1 * 50))
+	shift
+	until "$@" >/dev/null 2>&1
+	do
+		lib_left=$((lib_left - 1))
+		test "$lib_left" -gt 0 || return 1
+		sleep 0.02
+	done
+}
+
+# check DESCRIPTION COMMAND...: one test.
+check() {
+	lib_what=$1
+	shift
+	TESTS=$((TESTS + 1))
+	if "$@" >"$WORK/check.out" 2>&1
+	then
+		echo "ok $TESTS - $lib_what"
+	else
+		FAILED=$((FAILED + 1))
+		echo "not ok $TESTS - $lib_what"
+		echo "# $*" | head -c 2000
+		echo
+		sed 's/^/# /' "$WORK/check.out" | head -n 20
+	fi
+}
+
+# is DESCRIPTION GOT WANTED
+is() {
+	check "$1" test "$2" = "$3"
+}
+
+# finish: the plan; fails if a test failed.
+finish() {
+	echo "1..$TESTS"
+	test "$FAILED" = 0
+}
+
+# json EXPRESSION: evaluates Python over the JSON `d` on standard input.
+json() {
+	python3 -c "import json, sys
+d = json.load(sys.stdin)
+r = $1
+print(r if isinstance(r, str) else json.dumps(r))"
+}
+
+# sse_text: the text of a streamed answer on standard input, joined.
+sse_text() {
+	python3 -c "import json, sys
+out = ''
+for line in sys.stdin:
+    if not line.startswith('data: {'):
+        continue
+    chunk = json.loads(line[6:])
+    for choice in chunk.get('choices', []):
+        out += choice.get('delta', {}).get('content', choice.get('text', ''))
+print(out)"
+}
+
+# fault ADDRESS JSON: asks a stand-in for a fault.
+fault() {
+	curl -s "$1/fault" -d "$2" >/dev/null
+}
