--- a/daemon/http_call.c
+++ b/daemon/http_call.c
@@ -119,7 +119,6 @@
 	exchange_unref(data);
 }
 
-/* The lock of the exchange must be held. */
 static struct MHD_Response *exchange_response(struct exchange *exchange)
 {
 	if (exchange->chunked)
@@ -133,6 +132,11 @@
 					       MHD_RESPMEM_MUST_COPY);
 }
 
+/*
+ * The head is decided and stays as it is, and so does a body that isn't
+ * passed piece by piece: no lock. The library holds a lock of its own when it
+ * calls read_stream(), so queueing under the exchange's would be a deadlock.
+ */
 static enum MHD_Result answer_from(struct http_call *call)
 {
 	const struct caller_adapter *names = adapter_caller();
@@ -160,17 +164,18 @@
 enum MHD_Result http_continue(struct http_call *call)
 {
 	struct exchange *exchange = call->exchange;
-	enum MHD_Result result = MHD_YES;
+	bool decided;
+	bool left;
 
 	pthread_mutex_lock(&exchange->lock);
-	if (exchange->left)
-		result = MHD_NO;
-	else if (!exchange->http_status)
+	left = exchange->left;
+	decided = exchange->http_status != 0;
+	if (!left && !decided)
 		sleep_until_woken(exchange, call->connection);
-	else
-		result = answer_from(call);
 	pthread_mutex_unlock(&exchange->lock);
-	return result;
+	if (left)
+		return MHD_NO;
+	return decided ? answer_from(call) : MHD_YES;
 }
 
 static void resume(void *data)
