--- a/libfilberthall/agree/claim.c
+++ b/libfilberthall/agree/claim.c
@@ -389,6 +389,23 @@
 	free(member);
 }
 
+uint64_t claims_latest_owner(const struct claims *claims, uint64_t member)
+{
+	const struct claim_entry *entry;
+	uint64_t latest = 0;
+
+	list_foreach(entry, &claims->by_age, age) {
+		const struct claim *claim = &entry->claim;
+
+		if (claim->owner.member == member &&
+		    (claim->state == CLAIM_OPEN ||
+		     claim->state == CLAIM_SENT) &&
+		    claim->owner.incarnation > latest)
+			latest = claim->owner.incarnation;
+	}
+	return latest;
+}
+
 void claims_owner_gone(struct claims *claims, const struct claim_owner *owner,
 		       int64_t time_us,
 		       void (*visit)(void *data, const char *id), void *data)
--- a/libfilberthall/agree/claim.h
+++ b/libfilberthall/agree/claim.h
@@ -144,6 +144,12 @@
 		       int64_t time_us,
 		       void (*visit)(void *data, const char *id), void *data);
 
+/**
+ * The latest incarnation of a member that holds a claim which is OPEN or
+ * SENT, 0 if none does.
+ */
+uint64_t claims_latest_owner(const struct claims *claims, uint64_t member);
+
 /** Forget what is older than the bounds allow. */
 void claims_expire(struct claims *claims, int64_t time_us);
 
--- a/libfilberthall/agree/raft.h
+++ b/libfilberthall/agree/raft.h
@@ -202,6 +202,9 @@
 			       const struct member_change *change,
 			       int64_t now_us, struct effects *effects);
 
+/** Change what the leader's repair aims at; the next repair step uses it. */
+void raft_set_policy(struct raft *raft, const struct member_policy *policy);
+
 /** Begin to hand leadership over before a planned stop. */
 void raft_transfer(struct raft *raft, int64_t now_us, struct effects *effects);
 
--- a/libfilberthall/agree/raft_member.c
+++ b/libfilberthall/agree/raft_member.c
@@ -357,3 +357,8 @@
 	raft_finish(raft, now_us, effects);
 	return RESULT_OK;
 }
+
+void raft_set_policy(struct raft *raft, const struct member_policy *policy)
+{
+	raft->options.policy = *policy;
+}
--- /dev/null
+++ b/libfilberthall/core/consensus.c
@@ -0,0 +1,386 @@
+/*
+ * The log and what comes out of it: each committed entry changes the agreed
+ * state, and what it changed is acted upon at once.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "agree/rules.h"
+#include "base/alloc.h"
+#include "core/core_state.h"
+
+/* A leader that came up first waits for nobody before it seeds a site. */
+#define CONSENSUS_SEED_GIVE_UP_US INT64_C(60000000)
+
+/*
+ * A daemon silent for this long is taken for dead, and what it claimed for
+ * unknown. It is longer than an election and a lease together, and shorter
+ * than callers' patience with a resend. One that lives after all only gets
+ * its claims refused once and takes a new owner number.
+ */
+#define CONSENSUS_OWNER_GONE_US INT64_C(10000000)
+
+#define CONSENSUS_SECOND_US INT64_C(1000000)
+
+struct entry_head consensus_head(struct core *core)
+{
+	struct entry_head head = { 0 };
+
+	head.origin = core->options.self;
+	head.incarnation = core->options.incarnation;
+	head.ticket = ++core->next_ticket;
+	head.time_us = core->wall_us;
+	return head;
+}
+
+bool consensus_is_fresh(const struct core *core)
+{
+	double stale_ms = rules_number(agreed_settings(core->agreed),
+				       "site/keys", "stale_ms");
+
+	return (double)(core->now_us -
+			raft_fresh_us(core->raft, core->now_us)) <=
+	       stale_ms * 1000;
+}
+
+static void consensus_act(struct core *core, const struct change *change)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	const struct organisation_rule *organisation;
+	const struct class_rule *class;
+
+	switch (change->kind) {
+	case CHANGE_CLASS:
+		class = rules_class(settings, change->name);
+		if (class)
+			router_set_class(core->router, class, core->now_us,
+					 core->effects);
+		else
+			router_remove_class(core->router, change->name,
+					    core->now_us, core->effects);
+		break;
+	case CHANGE_ORGANISATION:
+		organisation = rules_organisation(settings, change->name);
+		if (organisation)
+			router_set_organisation(core->router, organisation,
+						core->now_us);
+		else
+			router_remove_organisation(core->router, change->name,
+						   core->now_us, core->effects);
+		break;
+	case CHANGE_KEY:
+		if (change->removed)
+			request_withdraw_key(core, change->name);
+		break;
+	case CHANGE_CLAIM:
+		request_claim_changed(core, change->name);
+		break;
+	case CHANGE_SERVICE:
+	case CHANGE_BUDGET:
+	case CHANGE_SITE:
+	case CHANGE_WINDOW:
+	case CHANGE_ORDER:
+		break;
+	}
+}
+
+static bool consensus_is_own(const struct core *core,
+			     const struct applied *applied)
+{
+	return applied->origin == core->options.self &&
+	       (applied->incarnation == (uint64_t)core->options.incarnation ||
+		applied->incarnation == core->owner);
+}
+
+static void consensus_settle(struct core *core, const struct applied *applied)
+{
+	struct proposal *proposal;
+	size_t i;
+
+	for (i = 0; i < applied->n_claims; i++) {
+		const struct claim_outcome *outcome = &applied->claims[i];
+
+		/*
+		 * The others took this daemon for dead. Claims under its old
+		 * owner number are closed for good; a new number is as good
+		 * as a restart, and nothing that was sent is sent again.
+		 */
+		if (outcome->code == RESULT_CONFLICT &&
+		    outcome->verb == CLAIM_VERB_OPEN &&
+		    applied->incarnation == core->owner)
+			core->owner++;
+		request_claim_outcome(core, outcome);
+	}
+	proposal = propose_find(core, applied->ticket);
+	if (!proposal)
+		return;
+	if (proposal->admin_id)
+		operator_applied(core, proposal, applied);
+	propose_free(proposal);
+}
+
+static void consensus_apply(struct core *core,
+			    const struct raft_committed *committed)
+{
+	struct applied applied = { 0 };
+	struct change *change;
+
+	agreed_apply(core->agreed, committed->data, committed->len,
+		     committed->index, &applied);
+	if (applied.code == RESULT_MESSAGE_MALFORMED)
+		core_log(core, LOG_ERROR, "consensus",
+			 "entry %lld can't be read; it changes nothing",
+			 (long long)committed->index);
+	list_foreach(change, &applied.changes, node)
+		consensus_act(core, change);
+	if (consensus_is_own(core, &applied))
+		consensus_settle(core, &applied);
+	applied_clear(&applied);
+}
+
+static void consensus_set_class(void *data, const struct class_rule *rule)
+{
+	struct core *core = data;
+
+	router_set_class(core->router, rule, core->now_us, core->effects);
+}
+
+static void consensus_set_organisation(void *data,
+				       const struct organisation_rule *rule)
+{
+	struct core *core = data;
+
+	router_set_organisation(core->router, rule, core->now_us);
+}
+
+/* What there was before a snapshot replaced the state. */
+struct consensus_names {
+	char **names;
+	size_t n;
+};
+
+static void consensus_names_add(struct consensus_names *names, const char *name)
+{
+	names->names =
+		xrealloc(names->names, (names->n + 1) * sizeof(*names->names));
+	names->names[names->n++] = xstrdup(name);
+}
+
+static void consensus_add_class(void *data, const struct class_rule *rule)
+{
+	consensus_names_add(data, rule->name);
+}
+
+static void consensus_add_organisation(void *data,
+				       const struct organisation_rule *rule)
+{
+	consensus_names_add(data, rule->name);
+}
+
+static void consensus_add_key(void *data, const struct key *key)
+{
+	consensus_names_add(data, key->id);
+}
+
+static void consensus_names_clear(struct consensus_names *names)
+{
+	size_t i;
+
+	for (i = 0; i < names->n; i++)
+		free(names->names[i]);
+	free(names->names);
+}
+
+static void consensus_drop_gone(struct core *core,
+				const struct consensus_names *classes,
+				const struct consensus_names *organisations,
+				const struct consensus_names *keys)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	size_t i;
+
+	for (i = 0; i < classes->n; i++)
+		if (!rules_class(settings, classes->names[i]))
+			router_remove_class(core->router, classes->names[i],
+					    core->now_us, core->effects);
+	for (i = 0; i < organisations->n; i++)
+		if (!rules_organisation(settings, organisations->names[i]))
+			router_remove_organisation(core->router,
+						   organisations->names[i],
+						   core->now_us, core->effects);
+	for (i = 0; i < keys->n; i++)
+		if (!keys_find_id(agreed_keys(core->agreed), keys->names[i]))
+			request_withdraw_key(core, keys->names[i]);
+}
+
+/*
+ * A daemon that was cut off long enough gets a snapshot in place of the
+ * entries it missed. What they removed must be acted upon as well: a key
+ * withdrawn meanwhile would otherwise go on streaming.
+ */
+static void consensus_take_snapshot(struct core *core,
+				    const struct raft_committed *committed)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	struct consensus_names classes = { 0 };
+	struct consensus_names organisations = { 0 };
+	struct consensus_names keys = { 0 };
+	struct request *request;
+	struct request *next;
+
+	rules_visit_classes(settings, consensus_add_class, &classes);
+	rules_visit_organisations(settings, consensus_add_organisation,
+				  &organisations);
+	keys_visit(agreed_keys(core->agreed), consensus_add_key, &keys);
+	if (agreed_restore(core->agreed, committed->data, committed->len)) {
+		core_log(core, LOG_ERROR, "consensus",
+			 "snapshot at %lld can't be read; it is not taken",
+			 (long long)committed->index);
+	} else {
+		settings = agreed_settings(core->agreed);
+		rules_visit_classes(settings, consensus_set_class, core);
+		rules_visit_organisations(settings, consensus_set_organisation,
+					  core);
+		consensus_drop_gone(core, &classes, &organisations, &keys);
+	}
+	list_foreach_safe(request, next, &core->pending, pending)
+		if (request->state == REQUEST_AWAITS_CLAIM)
+			request_claim_changed(core, request->claim_id);
+	consensus_names_clear(&classes);
+	consensus_names_clear(&organisations);
+	consensus_names_clear(&keys);
+}
+
+void consensus_drain(struct core *core)
+{
+	struct raft_committed committed;
+
+	while (raft_next_committed(core->raft, &committed)) {
+		if (committed.kind == RAFT_COMMITTED_COMMAND)
+			consensus_apply(core, &committed);
+		else if (committed.kind == RAFT_COMMITTED_SNAPSHOT)
+			consensus_take_snapshot(core, &committed);
+	}
+	if (raft_need_snapshot(core->raft)) {
+		struct bytes state = { 0 };
+
+		agreed_snapshot(core->agreed, &state);
+		raft_snapshot_done(core->raft, raft_applied_index(core->raft),
+				   state.data, state.len, core->now_us,
+				   core->effects);
+		bytes_clear(&state);
+	}
+}
+
+static void consensus_seed(struct core *core)
+{
+	const struct core_options *options = &core->options;
+	struct entry_head head;
+	struct bytes entry = { 0 };
+	json_t *values;
+
+	if (core->seeded || !options->seed_key_hash)
+		return;
+	core->seeded = true;
+	if (keys_count(agreed_keys(core->agreed)) ||
+	    settings_count(agreed_settings(core->agreed)))
+		return;
+	values = json_loadb(options->seed_values.data, options->seed_values.len,
+			    0, NULL);
+	if (!values)
+		values = json_object();
+	head = consensus_head(core);
+	entry_seed(&entry, &head, values, "first-operator",
+		   options->seed_key_hash);
+	json_decref(values);
+	propose_entry(core, head.ticket, &entry,
+		      core->now_us + CONSENSUS_SEED_GIVE_UP_US);
+}
+
+static bool consensus_is_silent(const struct core *core,
+				const struct member *member)
+{
+	struct member_health health;
+
+	return member->id != core->options.self &&
+	       raft_health(core->raft, member->id, &health) &&
+	       core->now_us - health.heard_us >= CONSENSUS_OWNER_GONE_US;
+}
+
+/*
+ * The leader declares owners of claims gone that have been silent: their
+ * claims end as unknown, and callers' resends get that answer in place of
+ * "running" for ever.
+ */
+static void consensus_bury(struct core *core)
+{
+	const struct members *members = raft_members(core->raft);
+	size_t i;
+
+	for (i = 0; i < members->count; i++) {
+		struct claim_owner owner = { members->items[i].id, 0 };
+		struct entry_head head;
+		struct bytes entry = { 0 };
+
+		if (!consensus_is_silent(core, &members->items[i]))
+			continue;
+		owner.incarnation =
+			claims_latest_owner(agreed_claims(core->agreed),
+					    owner.member);
+		if (!owner.incarnation)
+			continue;
+		core_log(core, LOG_WARN, "consensus",
+			 "%s is silent: what it claimed is unknown",
+			 members->items[i].vm);
+		head = consensus_head(core);
+		entry_owner_gone(&entry, &head, &owner);
+		propose_entry(core, head.ticket, &entry,
+			      core->now_us + CONSENSUS_SECOND_US);
+	}
+}
+
+/* The settings of the group, as the leader's repair needs them. */
+static void consensus_set_policy(struct core *core)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	struct member_policy policy;
+
+	policy.voters = (int)rules_number(settings, "site/cluster", "voters");
+	policy.replace_us =
+		(int64_t)(1e6 * rules_number(settings, "site/cluster",
+					     "repair_after_s"));
+	policy.drop_us = (int64_t)(1e6 * rules_number(settings, "site/cluster",
+						      "learner_gone_after_s"));
+	raft_set_policy(core->raft, &policy);
+}
+
+void consensus_start(struct core *core)
+{
+	rules_visit_classes(agreed_settings(core->agreed), consensus_set_class,
+			    core);
+	rules_visit_organisations(agreed_settings(core->agreed),
+				  consensus_set_organisation, core);
+}
+
+void consensus_tick(struct core *core)
+{
+	bool leader;
+
+	raft_tick(core->raft, core->now_us, core->effects);
+	leader = raft_is_leader(core->raft);
+	if (leader != core->leader)
+		core_log(core, LOG_INFO, "consensus", "%s in term %lld",
+			 leader ? "leader" : "no longer leader",
+			 (long long)raft_term(core->raft));
+	core->leader = leader;
+	if (leader && raft_may_read(core->raft, core->now_us))
+		consensus_seed(core);
+	propose_retry(core);
+}
+
+void consensus_second(struct core *core)
+{
+	consensus_set_policy(core);
+	if (raft_is_leader(core->raft))
+		consensus_bury(core);
+}
--- /dev/null
+++ b/libfilberthall/core/core.h
@@ -0,0 +1,73 @@
+#ifndef FILBERTHALL_CORE_CORE_H
+#define FILBERTHALL_CORE_CORE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "agree/raft.h"
+#include "base/bytes.h"
+#include "base/error.h"
+#include "core/effect.h"
+#include "core/event.h"
+
+/**
+ * The one reducer of a daemon: takes an event and the present time, changes
+ * its state, and says what is to be done as effects. It reads no clock, no
+ * file and no socket, so a recorded run replays to the same effects.
+ *
+ * The state is made of the modules: who may send (agree/), what runs where
+ * (load/, fleet/), what is billed (usage/). The reducer only joins them.
+ */
+struct core;
+
+/** What a daemon knows at its start. All text is copied. */
+struct core_options {
+	uint64_t self;	     /**< member id */
+	int64_t incarnation; /**< number of this start */
+	uint64_t seed;
+	const char *vm;
+	const char *zone;
+	const char *address; /**< IP:port of its links */
+	bool disk;	     /**< has a data folder */
+	bool platform;	     /**< there is a platform to give orders to */
+	bool bootstrap;	     /**< found a new site if the folder is empty */
+	struct bytes seed_values;  /**< JSON {PATH: value}, or empty */
+	const char *seed_key_hash; /**< first operator's key, or NULL */
+};
+
+/**
+ * A daemon's state at its start.
+ *
+ * @param saved	what the data folder holds; zeroed without one
+ * @param now_us	monotonic time
+ * @return RESULT_OK, or RESULT_LOG_DAMAGED if `saved` makes no sense
+ */
+enum result core_new(struct core **core, const struct core_options *options,
+		     const struct raft_saved *saved, int64_t now_us,
+		     struct effects *effects);
+
+void core_free(struct core *core);
+
+/**
+ * Take one event over, at monotonic time `now_us`, which never goes back.
+ * What is to be done is appended to `effects`, in order.
+ */
+void core_step(struct core *core, struct event *event, int64_t now_us,
+	       struct effects *effects);
+
+/** When the next tick is wanted at the latest. */
+int64_t core_next_tick(const struct core *core, int64_t now_us);
+
+/** Options and saved state as one line of JSON: a recording's first line. */
+void core_write_start(struct bytes *out, const struct core_options *options,
+		      const struct raft_saved *saved, int64_t now_us);
+
+/**
+ * Start a core from a recording's first line. RESULT_MESSAGE_MALFORMED with
+ * a message if it can't be read.
+ */
+enum result core_read_start(struct core **core, const char *line, size_t len,
+			    struct effects *effects,
+			    const struct error_handler *handler);
+
+#endif
--- /dev/null
+++ b/libfilberthall/core/core_state.h
@@ -0,0 +1,218 @@
+#ifndef FILBERTHALL_CORE_CORE_STATE_H
+#define FILBERTHALL_CORE_CORE_STATE_H
+
+#include <jansson.h>
+
+#include "agree/apply.h"
+#include "base/map.h"
+#include "base/rng.h"
+#include "core/core.h"
+#include "core/metrics.h"
+#include "fleet/backend.h"
+#include "load/router.h"
+#include "usage/merge.h"
+#include "usage/report.h"
+
+/**
+ * State of the reducer and what its parts call of each other. Internal to
+ * core/.
+ */
+
+/**
+ * Claims are opened under an owner number: the daemon's incarnation with a
+ * counter behind it, so that one that was taken for dead and lives gets a new
+ * number without a restart.
+ */
+#define CORE_OWNER_FIRST(incarnation) ((uint64_t)(incarnation) << 16)
+
+/** How far a caller's request has come. */
+enum request_state {
+	REQUEST_CLAIMING,     /**< its claim is on the way to the log */
+	REQUEST_AWAITS_CLAIM, /**< another arrival of it is running */
+	REQUEST_ROUTED,	      /**< with the router */
+};
+
+struct request {
+	struct map_node node; /**< core.requests, by id */
+	struct list pending; /**< core.pending, while its claim isn't its own */
+	struct event *event; /**< EVENT_REQUEST, owned */
+	enum request_state state;
+	char *key_id;
+	char *organisation;
+	char *class_name;
+	char claim_id[CLAIM_ID_SIZE]; /**< empty: not claimed */
+	bool idempotent;
+	bool caller_left;
+	int64_t arrived_us;
+	int64_t deadline_us;
+	int64_t claim_done_us; /**< when the claim was granted, 0 if none */
+};
+
+/** Another daemon. */
+struct peer {
+	struct map_node node; /**< core.peers, by id */
+	uint64_t id;
+	char *zone;
+	bool up;
+	bool opened; /**< a LINK_OPEN was asked for */
+};
+
+/** An entry that this daemon wants in the log. */
+struct proposal {
+	struct list node;
+	uint64_t ticket;
+	struct bytes entry;
+	uint64_t admin_id; /**< operator's call that waits for it, or 0 */
+	int64_t sent_us;
+	int64_t give_up_us;
+	int64_t index; /**< as leader: where it was appended, else 0 */
+	int64_t term;
+};
+
+/** An operator's call that waits for the leader or for all daemons. */
+struct admin_call {
+	struct list node;
+	uint64_t id;	    /**< of the listener, or a forwarded ticket */
+	uint64_t peer;	    /**< whom to answer, 0 for this listener */
+	uint64_t ticket;    /**< of a call sent to the leader, else 0 */
+	int64_t wait_index; /**< settings-wait: to be applied on all */
+	int64_t started_us;
+	int64_t give_up_us;
+};
+
+struct core {
+	struct core_options options;
+	struct rng rng;
+	struct raft *raft;
+	struct agreed *agreed;
+	struct fleet fleet;
+	struct router *router;
+	struct usage *usage;
+	struct report *report;
+	struct metrics *metrics;
+	struct map requests;
+	struct map peers;
+	struct list pending; /**< requests that wait for a claim */
+	struct list proposals;
+	struct list admin_calls;
+	uint64_t next_ticket;
+	uint64_t owner; /**< incarnation under which claims are opened */
+	uint64_t allocator_told; /**< leader that the router knows of */
+	int64_t members_told;	 /**< index of the configuration acted upon */
+	int64_t peers_version;	 /**< grows as peers come and go */
+	int64_t peers_told;
+	int64_t wall_us;
+	int64_t second_us;	/**< when the slow duties ran last */
+	uint64_t window_ticket; /**< of the last window proposed */
+	int64_t stop_by_us;	/**< 0 unless stopping */
+	bool seeded;
+	bool exited;
+	bool leader;
+	bool healthy;
+	bool published;
+	struct effects *effects; /**< of the step that runs */
+	int64_t now_us;		 /**< of the step that runs */
+};
+
+/* request.c: callers' requests */
+void request_take(struct core *core, struct event *event);
+void request_caller_left(struct core *core, uint64_t id);
+void request_claim_outcome(struct core *core,
+			   const struct claim_outcome *outcome);
+void request_claim_changed(struct core *core, const char *claim_id);
+void request_withdraw_key(struct core *core, const char *key_id);
+void request_expire(struct core *core);
+void request_finished(void *data, const struct router_outcome *outcome);
+void request_free_all(struct core *core);
+
+/* answer.c: ends of requests */
+void answer_refuse(struct core *core, const struct request *request,
+		   enum result code, enum run_state run, int64_t retry_after_ms,
+		   const char *message);
+void answer_kept(struct core *core, const struct request *request,
+		 const struct claim *claim);
+void answer_span(struct core *core, const struct request *request,
+		 const char *name, int64_t start_us, enum result code,
+		 const char *detail);
+
+/* consensus.c: the log and what comes out of it */
+void consensus_start(struct core *core);
+void consensus_drain(struct core *core);
+void consensus_tick(struct core *core);
+void consensus_second(struct core *core);
+bool consensus_is_fresh(const struct core *core);
+struct entry_head consensus_head(struct core *core);
+
+/* propose.c: entries on their way into the log */
+struct proposal *propose_entry(struct core *core, uint64_t ticket,
+			       struct bytes *entry, int64_t give_up_us);
+void propose_retry(struct core *core);
+struct proposal *propose_find(struct core *core, uint64_t ticket);
+void propose_free(struct proposal *proposal);
+void propose_forwarded(struct core *core, const char *entry, size_t len);
+
+/* forward.c: messages of LINK_FORWARD */
+void forward_message(struct core *core, uint64_t peer,
+		     const struct bytes *body);
+void forward_entry(struct core *core, uint64_t peer, const struct bytes *entry);
+void forward_admin(struct core *core, uint64_t peer, uint64_t ticket,
+		   const char *key_id, const char *command,
+		   const struct bytes *body);
+void forward_answer(struct core *core, uint64_t peer, uint64_t ticket,
+		    enum result code, const struct bytes *body);
+
+/* operator.c: operators' calls */
+void operator_call(struct core *core, const struct event_admin *admin);
+void operator_forwarded(struct core *core, uint64_t peer, uint64_t ticket,
+			const char *key_id, const char *command,
+			const struct bytes *body);
+void operator_answered(struct core *core, uint64_t ticket, enum result code,
+		       const struct bytes *body);
+void operator_applied(struct core *core, struct proposal *proposal,
+		      const struct applied *applied);
+void operator_lost(struct core *core, struct proposal *proposal);
+void operator_tick(struct core *core);
+void operator_answer(struct core *core, uint64_t peer, uint64_t id,
+		     enum result code, json_t *body);
+
+/* status.c: what operators and monitoring read */
+json_t *status_describe(struct core *core);
+json_t *status_backends(struct core *core);
+json_t *status_members(struct core *core);
+json_t *status_usage(struct core *core);
+void status_publish(struct core *core);
+
+/* gossip.c: the fleet as all daemons know it */
+void gossip_announce(struct core *core, const struct event_announce *announce);
+void gossip_cache(struct core *core, const struct event_cache *cache);
+void gossip_drain(struct core *core, const char *address, bool drained);
+void gossip_message(struct core *core, uint64_t peer, const struct bytes *body);
+void gossip_welcome(struct core *core, uint64_t peer);
+void gossip_expire(struct core *core);
+
+/* peers.c: the other daemons */
+void peers_up(struct core *core, const struct event_link_up *up);
+void peers_down(struct core *core, uint64_t id);
+void peers_follow_members(struct core *core);
+void peers_tell_router(struct core *core);
+void peers_send(struct core *core, uint64_t peer, enum link_channel channel,
+		struct bytes *body);
+void peers_send_all(struct core *core, enum link_channel channel,
+		    const struct bytes *body);
+int peers_live(const struct core *core, uint64_t *ids, int most);
+void peers_free_all(struct core *core);
+
+/* billing.c: usage windows and their reports */
+void billing_tick(struct core *core);
+void billing_message(struct core *core, uint64_t peer,
+		     const struct bytes *body);
+void billing_answer(struct core *core, const struct event_platform *platform);
+
+/** This daemon as a member. */
+void core_fill_member(const struct core *core, struct member *member);
+
+/** Log a line; all but level, module and format may be NULL or 0. */
+void core_log(struct core *core, enum log_level level, const char *module,
+	      const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/libfilberthall/core/operator.c
@@ -0,0 +1,445 @@
+/*
+ * Operators' calls: who calls, may they, and either an answer from this
+ * daemon's state, an entry for the log, or a call to the leader.
+ *
+ * Failure answered: the answer of a change is lost and the operator sends it
+ * again. A change without a change id gets one here, so that at least our own
+ * resends to a new leader do nothing twice; the command line sends its own.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agree/admin.h"
+#include "base/alloc.h"
+#include "base/cleanup.h"
+#include "core/core_state.h"
+
+/* Longer than two elections; then the outcome is said to be unknown. */
+#define OPERATOR_GIVE_UP_US INT64_C(10000000)
+
+#define OPERATOR_WAIT_MOST_US INT64_C(60000000)
+
+/* A call with its answer's way back. */
+struct operator_call {
+	uint64_t peer; /**< 0: this daemon's own listener */
+	uint64_t id;
+	const struct key *key;
+	const char *command;
+	const struct bytes *body;
+};
+
+void operator_answer(struct core *core, uint64_t peer, uint64_t id,
+		     enum result code, json_t *answer)
+{
+	cleanup(free_ptr) char *text = NULL;
+	struct bytes body = { 0 };
+	struct effect_admin_answer *effect;
+
+	if (!answer)
+		answer = json_object();
+	json_object_set_new(answer, "code", json_integer(code));
+	json_object_set_new(answer, "name", json_string(result_name(code)));
+	if (code && !json_object_get(answer, "message"))
+		json_object_set_new(answer, "message",
+				    json_string(result_text(code)));
+	text = json_dumps(answer, JSON_COMPACT);
+	json_decref(answer);
+	bytes_append_text(&body, text ? text : "{}");
+	if (peer) {
+		forward_answer(core, peer, id, code, &body);
+		bytes_clear(&body);
+		return;
+	}
+	effect = &effects_add(core->effects, EFFECT_ADMIN_ANSWER)
+			  ->u.admin_answer;
+	effect->id = id;
+	effect->code = code;
+	effect->body = body;
+}
+
+static void operator_refuse(struct core *core, const struct operator_call *call,
+			    enum result code, const char *message)
+{
+	json_t *answer = json_object();
+
+	if (message && *message)
+		json_object_set_new(answer, "message", json_string(message));
+	operator_answer(core, call->peer, call->id, code, answer);
+}
+
+static struct admin_call *operator_wait(struct core *core,
+					const struct operator_call *call,
+					int64_t give_up_us)
+{
+	struct admin_call *waiting = xcalloc(1, sizeof(*waiting));
+
+	waiting->id = call->id;
+	waiting->peer = call->peer;
+	waiting->started_us = core->now_us;
+	waiting->give_up_us = core->now_us + give_up_us;
+	list_append(&core->admin_calls, &waiting->node);
+	return waiting;
+}
+
+static void operator_wait_end(struct admin_call *waiting)
+{
+	list_remove(&waiting->node);
+	free(waiting);
+}
+
+static void operator_keep_message(void *data, enum result code,
+				  const char *message)
+{
+	bytes_clear(data);
+	bytes_append_text(data, message);
+}
+
+/* The arguments with a change id, the operator's or one of ours. */
+static struct bytes operator_args(struct core *core, const struct bytes *body,
+				  uint64_t ticket)
+{
+	json_t *args = json_loadb(body->data, body->len, 0, NULL);
+	struct bytes out = { 0 };
+	char *text;
+
+	if (json_is_object(args) && !json_object_get(args, "change_id")) {
+		cleanup(free_ptr) char *change_id =
+			xstrfmt("auto-%" PRIx64 "-%" PRId64 "-%" PRIu64,
+				core->options.self, core->options.incarnation,
+				ticket);
+
+		json_object_set_new(args, "change_id", json_string(change_id));
+	}
+	text = args ? json_dumps(args, JSON_COMPACT) : NULL;
+	json_decref(args);
+	bytes_append_text(&out, text ? text : "");
+	free(text);
+	return out;
+}
+
+static void operator_write(struct core *core, const struct operator_call *call)
+{
+	struct entry_head head = consensus_head(core);
+	struct bytes args = operator_args(core, call->body, head.ticket);
+	struct bytes message = { 0 };
+	struct error_handler handler = { operator_keep_message, &message };
+	struct bytes entry = { 0 };
+	struct proposal *proposal;
+	enum result code;
+
+	head.operator_id = call->key->id;
+	code = admin_entry(core->agreed, call->command, &args, call->key, &head,
+			   &entry, &handler);
+	if (code) {
+		operator_refuse(core, call, code, bytes_text(&message));
+	} else {
+		proposal = propose_entry(core, head.ticket, &entry,
+					 core->now_us + OPERATOR_GIVE_UP_US);
+		proposal->admin_id = call->id;
+	}
+	bytes_clear(&args);
+	bytes_clear(&message);
+	bytes_clear(&entry);
+}
+
+void operator_applied(struct core *core, struct proposal *proposal,
+		      const struct applied *applied)
+{
+	json_t *answer = applied->answer ? json_deep_copy(applied->answer)
+					 : json_object();
+
+	json_object_set_new(answer, "index", json_integer(applied->index));
+	if (applied->repeated)
+		json_object_set_new(answer, "repeated", json_true());
+	operator_answer(core, 0, proposal->admin_id, applied->code, answer);
+}
+
+void operator_lost(struct core *core, struct proposal *proposal)
+{
+	operator_answer(core, 0, proposal->admin_id, RESULT_NO_QUORUM,
+			json_pack("{s:s}", "message",
+				  "no quorum answered; whether the change was "
+				  "accepted is unknown. Send it again with the "
+				  "same change id"));
+}
+
+static void operator_member(struct core *core, const struct operator_call *call)
+{
+	json_t *args = json_loadb(call->body->data, call->body->len, 0, NULL);
+	struct member_change change = { MEMBER_NO_CHANGE, { 0 }, "operator" };
+	const char *id = json_string_value(json_object_get(args, "id"));
+	char *end = NULL;
+	enum result code;
+
+	change.member.id = id ? strtoull(id, &end, 16) : 0;
+	if (!strcmp(call->command, "member-add"))
+		change.kind = MEMBER_PROMOTE;
+	else if (!strcmp(call->command, "member-demote"))
+		change.kind = MEMBER_DEMOTE;
+	else
+		change.kind = MEMBER_REMOVE;
+	json_decref(args);
+	if (!change.member.id || *end) {
+		operator_refuse(core, call, RESULT_BAD_REQUEST,
+				"id: a member id as `member list` shows it is "
+				"needed");
+		return;
+	}
+	code = raft_change_member(core->raft, &change, core->now_us,
+				  core->effects);
+	operator_answer(core, call->peer, call->id, code, NULL);
+}
+
+/* On the leader: answer once all members have applied an index. */
+static void operator_wait_index(struct core *core,
+				const struct operator_call *call)
+{
+	json_t *args = json_loadb(call->body->data, call->body->len, 0, NULL);
+	struct admin_call *waiting;
+
+	waiting = operator_wait(core, call, OPERATOR_WAIT_MOST_US);
+	waiting->wait_index =
+		json_integer_value(json_object_get(args, "index"));
+	json_decref(args);
+	operator_tick(core);
+}
+
+static void operator_drain(struct core *core, const struct operator_call *call)
+{
+	json_t *args = json_loadb(call->body->data, call->body->len, 0, NULL);
+	const char *address =
+		json_string_value(json_object_get(args, "address"));
+	const json_t *undo = json_object_get(args, "undo");
+
+	if (!address || !fleet_find(&core->fleet, address)) {
+		operator_refuse(core, call, RESULT_NOT_FOUND,
+				"address: no such backend server");
+	} else {
+		gossip_drain(core, address, !json_is_true(undo));
+		operator_answer(core, call->peer, call->id, RESULT_OK, NULL);
+	}
+	json_decref(args);
+}
+
+static void operator_status(struct core *core, const struct operator_call *call)
+{
+	operator_answer(core, call->peer, call->id, RESULT_OK,
+			status_describe(core));
+}
+
+static void operator_backends(struct core *core,
+			      const struct operator_call *call)
+{
+	operator_answer(core, call->peer, call->id, RESULT_OK,
+			status_backends(core));
+}
+
+static void operator_members(struct core *core,
+			     const struct operator_call *call)
+{
+	operator_answer(core, call->peer, call->id, RESULT_OK,
+			status_members(core));
+}
+
+static void operator_usage(struct core *core, const struct operator_call *call)
+{
+	operator_answer(core, call->peer, call->id, RESULT_OK,
+			status_usage(core));
+}
+
+struct operator_command {
+	const char *name;
+	bool leader;	 /**< only the leader can answer it */
+	bool whole_site; /**< needs a key that reaches "site/" */
+	void (*run)(struct core *core, const struct operator_call *call);
+};
+
+static const struct operator_command operator_commands[] = {
+	{ "status", false, false, operator_status },
+	{ "backend-list", false, false, operator_backends },
+	{ "backend-drain", false, true, operator_drain },
+	{ "member-list", true, false, operator_members },
+	{ "member-add", true, true, operator_member },
+	{ "member-demote", true, true, operator_member },
+	{ "member-remove", true, true, operator_member },
+	{ "settings-wait", true, false, operator_wait_index },
+	{ "usage", true, false, operator_usage },
+};
+
+static const struct operator_command *operator_find(const char *name)
+{
+	size_t i;
+
+	for (i = 0;
+	     i < sizeof(operator_commands) / sizeof(operator_commands[0]); i++)
+		if (!strcmp(operator_commands[i].name, name))
+			return &operator_commands[i];
+	return NULL;
+}
+
+static void operator_to_leader(struct core *core,
+			       const struct operator_call *call)
+{
+	uint64_t leader = raft_leader(core->raft);
+	struct admin_call *waiting;
+
+	if (!leader || call->peer) {
+		operator_refuse(core, call, RESULT_NOT_LEADER,
+				"no leader is known; try again in a second");
+		return;
+	}
+	waiting = operator_wait(core, call,
+				OPERATOR_WAIT_MOST_US + OPERATOR_GIVE_UP_US);
+	waiting->ticket = ++core->next_ticket;
+	forward_admin(core, leader, waiting->ticket, call->key->id,
+		      call->command, call->body);
+}
+
+static void operator_run(struct core *core, const struct operator_call *call)
+{
+	const struct operator_command *command = operator_find(call->command);
+
+	if (!command)
+		operator_refuse(core, call, RESULT_NO_ROUTE, "no such command");
+	else if (command->whole_site && key_reaches(call->key, "site/cluster"))
+		operator_refuse(core, call, RESULT_PATH_FORBIDDEN,
+				"this needs a key for the whole site");
+	else if (command->leader && !raft_is_leader(core->raft))
+		operator_to_leader(core, call);
+	else
+		command->run(core, call);
+}
+
+static void operator_read(struct core *core, const struct operator_call *call)
+{
+	json_t *answer = NULL;
+	enum result code;
+
+	code = admin_read(core->agreed, call->command, call->body, call->key,
+			  &answer);
+	if (answer)
+		json_object_set_new(answer, "applied_index",
+				    json_integer(
+					    raft_applied_index(core->raft)));
+	operator_answer(core, call->peer, call->id, code, answer);
+}
+
+void operator_call(struct core *core, const struct event_admin *admin)
+{
+	struct operator_call call = { 0 };
+
+	call.id = admin->id;
+	call.command = admin->command;
+	call.body = &admin->body;
+	if (!admin->key_hash) {
+		operator_refuse(core, &call, RESULT_NO_KEY, NULL);
+		return;
+	}
+	call.key = keys_find(agreed_keys(core->agreed), admin->key_hash);
+	if (!call.key || !call.key->operates) {
+		operator_refuse(core, &call, RESULT_KEY_UNKNOWN, NULL);
+		return;
+	}
+	switch (admin_kind(call.command)) {
+	case ADMIN_READ:
+		operator_read(core, &call);
+		break;
+	case ADMIN_WRITE:
+		operator_write(core, &call);
+		break;
+	case ADMIN_OTHER:
+		operator_run(core, &call);
+		break;
+	}
+}
+
+void operator_forwarded(struct core *core, uint64_t peer, uint64_t ticket,
+			const char *key_id, const char *command,
+			const struct bytes *body)
+{
+	struct operator_call call = { 0 };
+
+	call.peer = peer;
+	call.id = ticket;
+	call.command = command;
+	call.body = body;
+	call.key = keys_find_id(agreed_keys(core->agreed), key_id);
+	if (!call.key || !call.key->operates)
+		operator_refuse(core, &call, RESULT_KEY_UNKNOWN, NULL);
+	else
+		operator_run(core, &call);
+}
+
+void operator_answered(struct core *core, uint64_t ticket, enum result code,
+		       const struct bytes *body)
+{
+	struct admin_call *waiting;
+	json_t *answer;
+
+	list_foreach(waiting, &core->admin_calls, node) {
+		if (waiting->ticket != ticket)
+			continue;
+		answer = json_loadb(body->data, body->len, 0, NULL);
+		operator_answer(core, 0, waiting->id, code, answer);
+		operator_wait_end(waiting);
+		return;
+	}
+}
+
+/* Whether a waiting call can be answered now. */
+static bool operator_settle(struct core *core, struct admin_call *waiting)
+{
+	size_t members = 0;
+	size_t applied;
+
+	if (!waiting->wait_index)
+		return false;
+	if (!raft_is_leader(core->raft)) {
+		operator_answer(core, waiting->peer, waiting->id,
+				RESULT_NOT_LEADER, NULL);
+		return true;
+	}
+	applied = raft_applied_on(core->raft, waiting->wait_index, &members);
+	if (applied < members)
+		return false;
+	operator_answer(core, waiting->peer, waiting->id, RESULT_OK,
+			json_pack("{s:I, s:I, s:f}", "in_force",
+				  (json_int_t)applied, "members",
+				  (json_int_t)members, "seconds",
+				  (double)(core->now_us - waiting->started_us) /
+					  1e6));
+	return true;
+}
+
+static void operator_give_up(struct core *core, struct admin_call *waiting)
+{
+	size_t members = 0;
+	size_t applied = 0;
+
+	if (waiting->wait_index)
+		applied = raft_applied_on(core->raft, waiting->wait_index,
+					  &members);
+	operator_answer(core, waiting->peer, waiting->id, RESULT_NO_QUORUM,
+			json_pack("{s:I, s:I, s:s}", "in_force",
+				  (json_int_t)applied, "members",
+				  (json_int_t)members, "message",
+				  "not in force everywhere in time"));
+}
+
+void operator_tick(struct core *core)
+{
+	struct admin_call *waiting;
+	struct admin_call *next;
+
+	list_foreach_safe(waiting, next, &core->admin_calls, node) {
+		bool settled = operator_settle(core, waiting);
+
+		if (!settled && waiting->give_up_us <= core->now_us) {
+			operator_give_up(core, waiting);
+			settled = true;
+		}
+		if (settled)
+			operator_wait_end(waiting);
+	}
+}
--- /dev/null
+++ b/libfilberthall/core/request.c
@@ -0,0 +1,501 @@
+/*
+ * Callers' requests: who asks, may they, is this call one that may not be
+ * repeated, and then off to the router.
+ *
+ * Failures answered here. A VM that is cut off doesn't hear of withdrawn
+ * keys: it admits nothing once what it knows is older than the staleness
+ * bound. A caller that got no answer sends a lodgement again, perhaps
+ * through another VM: a claim in the log is opened before anything is sent,
+ * so the second arrival finds the first.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "agree/rules.h"
+#include "base/alloc.h"
+#include "core/core_state.h"
+
+/* When to come back after a refusal that time will mend. */
+#define REQUEST_RETRY_SOON_MS 1000
+
+/* A class without a deadline must still end somewhere. */
+#define REQUEST_DEADLINE_US INT64_C(600000000)
+
+/* What the request's own headers and the settings make of it. */
+struct request_plan {
+	const struct key *key;
+	const char *class_name;
+	const char *repeat_key; /* NULL: not claimed */
+	bool idempotent;
+	enum result code;
+	const char *message;
+};
+
+static bool request_match(const struct map_node *node, const void *key)
+{
+	return container_of(node, struct request, node)->event->u.request.id ==
+	       *(const uint64_t *)key;
+}
+
+static struct request *request_find(struct core *core, uint64_t id)
+{
+	struct map_node *node;
+
+	node = map_find(&core->requests, map_hash(&id, sizeof(id)),
+			request_match, &id);
+	return node ? container_of(node, struct request, node) : NULL;
+}
+
+static void request_free(struct core *core, struct request *request)
+{
+	map_remove(&core->requests, &request->node);
+	list_remove(&request->pending);
+	event_free(request->event);
+	free(request->key_id);
+	free(request->organisation);
+	free(request->class_name);
+	free(request);
+}
+
+void request_free_all(struct core *core)
+{
+	struct request *request;
+	struct request *next;
+
+	map_foreach(request, next, &core->requests, node)
+		request_free(core, request);
+	map_clear(&core->requests);
+}
+
+static void request_refuse(struct core *core, struct request *request,
+			   enum result code, int64_t retry_after_ms,
+			   const char *message)
+{
+	metrics_count_refusal(core->metrics, request->class_name,
+			      request->organisation, code);
+	answer_refuse(core, request, code, RUN_NOT, retry_after_ms, message);
+	request_free(core, request);
+}
+
+static void request_plan_refuse(struct request_plan *plan, enum result code,
+				const char *message)
+{
+	plan->code = code;
+	plan->message = message;
+}
+
+static void request_plan_service(struct core *core,
+				 const struct event_request *asked,
+				 struct request_plan *plan)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	const struct service_rule *service;
+	const struct route_rule *route;
+
+	service = rules_service(settings, asked->service);
+	route = service ? rules_route(service, asked->method, asked->path)
+			: NULL;
+	if (!route) {
+		request_plan_refuse(plan, RESULT_NO_ROUTE, asked->service);
+		return;
+	}
+	if (!plan->class_name && route->class_name[0])
+		plan->class_name = route->class_name;
+	plan->idempotent = route->idempotency == IDEMPOTENCY_SAFE;
+	if (route->idempotency == IDEMPOTENCY_REQUIRED) {
+		plan->repeat_key = asked->idempotency_key;
+		if (!plan->repeat_key)
+			request_plan_refuse(
+				plan, RESULT_NEEDS_IDEMPOTENCY_KEY,
+				"send a header Idempotency-Key that is new for "
+				"each call and the same for a resend");
+	} else if (route->idempotency == IDEMPOTENCY_BODY) {
+		plan->repeat_key = asked->idempotency_key
+					   ? asked->idempotency_key
+					   : asked->body_hash;
+	}
+}
+
+static void request_plan_completion(struct core *core,
+				    const struct event_request *asked,
+				    struct request_plan *plan)
+{
+	const struct class_rule *rule;
+
+	if (!plan->class_name)
+		return;
+	rule = rules_class(agreed_settings(core->agreed), plan->class_name);
+	plan->idempotent = rule && rule->idempotent;
+	if (!plan->idempotent)
+		plan->repeat_key = asked->idempotency_key;
+}
+
+static void request_plan_class(const struct event_request *asked,
+			       struct request_plan *plan)
+{
+	if (asked->class_name)
+		plan->class_name = asked->class_name;
+	else if (plan->key->default_class[0])
+		plan->class_name = plan->key->default_class;
+}
+
+static void request_plan_permit(struct core *core,
+				const struct event_request *asked,
+				struct request_plan *plan)
+{
+	enum result code;
+
+	if (!plan->class_name) {
+		request_plan_refuse(plan, RESULT_CLASS_FORBIDDEN,
+				    "the key has no default class; name one "
+				    "in X-Filberthall-Class");
+		return;
+	}
+	code = key_permits(plan->key, agreed_settings(core->agreed),
+			   plan->class_name, asked->model, asked->service);
+	if (code)
+		request_plan_refuse(plan, code, NULL);
+}
+
+static struct request_plan request_plan(struct core *core,
+					const struct event_request *asked)
+{
+	struct request_plan plan = { 0 };
+
+	if (!asked->key_hash) {
+		request_plan_refuse(&plan, RESULT_NO_KEY,
+				    "send a header Authorization: Bearer KEY");
+		return plan;
+	}
+	plan.key = keys_find(agreed_keys(core->agreed), asked->key_hash);
+	if (!plan.key || !plan.key->caller) {
+		request_plan_refuse(&plan, RESULT_KEY_UNKNOWN, NULL);
+		return plan;
+	}
+	if (asked->kind == REQUEST_SERVICE && !asked->class_name)
+		request_plan_service(core, asked, &plan);
+	if (!plan.class_name)
+		request_plan_class(asked, &plan);
+	if (asked->kind == REQUEST_SERVICE && asked->class_name)
+		request_plan_service(core, asked, &plan);
+	else if (asked->kind != REQUEST_SERVICE)
+		request_plan_completion(core, asked, &plan);
+	if (!plan.code)
+		request_plan_permit(core, asked, &plan);
+	return plan;
+}
+
+static void request_route(struct core *core, struct request *request)
+{
+	const struct event_request *asked = &request->event->u.request;
+	const struct key *key =
+		keys_find_id(agreed_keys(core->agreed), request->key_id);
+	struct router_request routed = { 0 };
+
+	list_remove(&request->pending);
+	request->state = REQUEST_ROUTED;
+	routed.id = asked->id;
+	routed.organisation = request->organisation;
+	routed.key_id = request->key_id;
+	routed.key_max_concurrent = key ? key->max_concurrent : 0;
+	routed.key_requests_per_min = key ? key->requests_per_min : 0;
+	routed.class_name = request->class_name;
+	routed.model = asked->model;
+	routed.adapter = asked->adapter;
+	routed.service = asked->service;
+	routed.body_hash = asked->body_hash;
+	routed.trace = asked->trace;
+	routed.prefix_hash = asked->prefix_hash;
+	routed.prompt_tokens = asked->prompt_tokens;
+	routed.max_tokens = asked->max_tokens;
+	routed.arrived_us = request->arrived_us;
+	routed.deadline_us = request->deadline_us;
+	routed.idempotent = request->idempotent;
+	routed.stream = asked->stream;
+	routed.keep_answer = request->claim_id[0];
+	routed.send_by_us = request->claim_id[0] ? request->deadline_us : 0;
+	router_submit(core->router, &routed, core->now_us, core->effects);
+}
+
+static void request_propose(struct core *core, struct claim_op *op,
+			    int64_t give_up_us)
+{
+	struct entry_head head = consensus_head(core);
+	struct bytes entry = { 0 };
+
+	head.incarnation = core->owner;
+	entry_claims(&entry, &head, op, 1);
+	propose_entry(core, head.ticket, &entry, give_up_us);
+}
+
+static void request_claim(struct core *core, struct request *request)
+{
+	const struct event_request *asked = &request->event->u.request;
+	struct claim_op op = { 0 };
+
+	request->state = REQUEST_CLAIMING;
+	list_remove(&request->pending);
+	list_append(&core->pending, &request->pending);
+	op.verb = CLAIM_VERB_OPEN;
+	op.ticket = asked->id;
+	memcpy(op.id, request->claim_id, sizeof(op.id));
+	op.body_hash = asked->body_hash;
+	op.sending = true;
+	request_propose(core, &op, request->deadline_us);
+}
+
+static void request_unclaim(struct core *core, const char *claim_id,
+			    uint64_t ticket)
+{
+	struct claim_op op = { 0 };
+
+	op.verb = CLAIM_VERB_RELEASE;
+	op.ticket = ticket;
+	memcpy(op.id, claim_id, sizeof(op.id));
+	request_propose(core, &op, core->now_us + REQUEST_DEADLINE_US);
+}
+
+/* What an arrival meets whose claim is held by another, or by its past. */
+static void request_meet(struct core *core, struct request *request,
+			 enum result code)
+{
+	const struct claim *claim;
+
+	switch (code) {
+	case RESULT_CLAIM_DONE:
+		claim = claims_find(agreed_claims(core->agreed),
+				    request->claim_id);
+		answer_kept(core, request, claim);
+		request_free(core, request);
+		break;
+	case RESULT_CLAIM_RUNNING:
+		request->state = REQUEST_AWAITS_CLAIM;
+		list_remove(&request->pending);
+		list_append(&core->pending, &request->pending);
+		break;
+	case RESULT_CLAIM_UNKNOWN:
+	case RESULT_CLAIM_ANSWER_GONE:
+		answer_refuse(core, request, code,
+			      code == RESULT_CLAIM_UNKNOWN ? RUN_UNKNOWN
+							   : RUN_RAN,
+			      0, NULL);
+		request_free(core, request);
+		break;
+	default:
+		request_refuse(core, request, code, REQUEST_RETRY_SOON_MS,
+			       NULL);
+		break;
+	}
+}
+
+static void request_probe(struct core *core, struct request *request)
+{
+	enum result code;
+
+	code = claims_probe(agreed_claims(core->agreed), request->claim_id,
+			    request->event->u.request.body_hash);
+	if (code)
+		request_meet(core, request, code);
+	else
+		request_claim(core, request);
+}
+
+static int64_t request_deadline(struct core *core,
+				const struct event_request *asked,
+				const char *class_name)
+{
+	const struct class_rule *rule;
+	int64_t us = REQUEST_DEADLINE_US;
+
+	rule = rules_class(agreed_settings(core->agreed), class_name);
+	if (rule && rule->deadline_us)
+		us = rule->deadline_us;
+	if (asked->deadline_ms > 0 && asked->deadline_ms * 1000 < us)
+		us = asked->deadline_ms * 1000;
+	return core->now_us + us;
+}
+
+void request_take(struct core *core, struct event *event)
+{
+	struct request *request = xcalloc(1, sizeof(*request));
+	const struct event_request *asked = &event->u.request;
+	struct request_plan plan;
+
+	request->event = event;
+	request->arrived_us = core->now_us;
+	list_init(&request->pending);
+	map_insert(&core->requests, &request->node,
+		   map_hash(&asked->id, sizeof(asked->id)));
+	if (core->stop_by_us || !consensus_is_fresh(core)) {
+		request_refuse(core, request,
+			       core->stop_by_us ? RESULT_STOPPING
+						: RESULT_STALE,
+			       REQUEST_RETRY_SOON_MS, NULL);
+		return;
+	}
+	plan = request_plan(core, asked);
+	if (plan.key) {
+		request->key_id = xstrdup(plan.key->id);
+		request->organisation = xstrdup(plan.key->organisation);
+	}
+	if (plan.code) {
+		request_refuse(core, request, plan.code, 0, plan.message);
+		return;
+	}
+	request->class_name = xstrdup(plan.class_name);
+	request->idempotent = plan.idempotent;
+	request->deadline_us = request_deadline(core, asked, plan.class_name);
+	if (!plan.repeat_key) {
+		request_route(core, request);
+		return;
+	}
+	claim_id(request->claim_id, request->organisation,
+		 asked->service ? asked->service : "", plan.repeat_key);
+	request_probe(core, request);
+}
+
+void request_claim_outcome(struct core *core,
+			   const struct claim_outcome *outcome)
+{
+	struct request *request = request_find(core, outcome->ticket);
+
+	if (outcome->verb != CLAIM_VERB_OPEN)
+		return;
+	if (!request || request->state != REQUEST_CLAIMING ||
+	    strcmp(request->claim_id, outcome->id)) {
+		/*
+		 * The request was given up as "not run" while its claim was
+		 * on the way. Without this the claim would stand as sent for
+		 * ever, and the caller's resend would wait for nobody. A
+		 * second copy of the same entry finds the request routed.
+		 */
+		if (!outcome->code && !request)
+			request_unclaim(core, outcome->id, outcome->ticket);
+		return;
+	}
+	if (outcome->code) {
+		request_meet(core, request, outcome->code);
+		return;
+	}
+	answer_span(core, request, "claim", request->arrived_us, RESULT_OK,
+		    NULL);
+	request->claim_done_us = core->now_us;
+	request_route(core, request);
+}
+
+void request_claim_changed(struct core *core, const char *claim_id)
+{
+	struct request *request;
+	struct request *next;
+
+	list_foreach_safe(request, next, &core->pending, pending)
+		if (request->state == REQUEST_AWAITS_CLAIM &&
+		    !strcmp(request->claim_id, claim_id))
+			request_probe(core, request);
+}
+
+void request_withdraw_key(struct core *core, const char *key_id)
+{
+	struct request *request;
+	struct request *next;
+
+	list_foreach_safe(request, next, &core->pending, pending)
+		if (!strcmp(request->key_id, key_id))
+			request_refuse(core, request, RESULT_KEY_WITHDRAWN, 0,
+				       NULL);
+	router_withdraw_key(core->router, key_id, core->now_us, core->effects);
+}
+
+/*
+ * A caller that leaves frees its place, but not if its call may not be
+ * repeated and has begun: cutting it off would leave "unknown" where letting
+ * it end leaves an answer that the caller's resend will find.
+ */
+void request_caller_left(struct core *core, uint64_t id)
+{
+	struct request *request = request_find(core, id);
+
+	if (!request)
+		return;
+	request->caller_left = true;
+	if (request->state == REQUEST_ROUTED) {
+		if (!request->claim_id[0])
+			router_caller_left(core->router, id, core->now_us,
+					   core->effects);
+		return;
+	}
+	metrics_count_refusal(core->metrics, request->class_name,
+			      request->organisation, RESULT_CALLER_LEFT);
+	answer_refuse(core, request, RESULT_CALLER_LEFT, RUN_NOT, 0, NULL);
+	request_free(core, request);
+}
+
+/* Refuse what still waits for its claim at its deadline. */
+void request_expire(struct core *core)
+{
+	struct request *request;
+	struct request *next;
+
+	list_foreach_safe(request, next, &core->pending, pending) {
+		if (request->deadline_us > core->now_us)
+			continue;
+		if (request->state == REQUEST_AWAITS_CLAIM)
+			answer_refuse(core, request, RESULT_CLAIM_RUNNING,
+				      RUN_UNKNOWN, REQUEST_RETRY_SOON_MS, NULL);
+		else
+			answer_refuse(core, request, RESULT_NO_QUORUM, RUN_NOT,
+				      REQUEST_RETRY_SOON_MS, NULL);
+		request_free(core, request);
+	}
+}
+
+static void request_settle_claim(struct core *core,
+				 const struct request *request,
+				 const struct router_outcome *outcome)
+{
+	struct claim_op op = { 0 };
+
+	op.ticket = outcome->id;
+	memcpy(op.id, request->claim_id, sizeof(op.id));
+	op.verb = CLAIM_VERB_UNKNOWN;
+	if (outcome->run == RUN_NOT) {
+		op.verb = CLAIM_VERB_RELEASE;
+	} else if (outcome->run == RUN_RAN && outcome->http_status) {
+		op.verb = CLAIM_VERB_DONE;
+		op.http_status = outcome->http_status;
+		op.content_type = outcome->content_type;
+		op.body = outcome->answer ? outcome->answer->data : NULL;
+		op.body_len = outcome->answer ? outcome->answer->len : 0;
+	}
+	request_propose(core, &op, core->now_us + REQUEST_DEADLINE_US);
+}
+
+static void request_bill(struct core *core,
+			 const struct router_outcome *outcome)
+{
+	struct usage_counters add = { 0 };
+
+	add.requests = outcome->run == RUN_RAN || outcome->output_tokens;
+	add.prompt_tokens = add.requests ? outcome->prompt_tokens : 0;
+	add.output_tokens = outcome->output_tokens;
+	add.wasted_tokens = outcome->wasted_tokens;
+	if (add.requests || add.wasted_tokens)
+		usage_count(core->usage, outcome->organisation,
+			    outcome->class_name, &add);
+}
+
+void request_finished(void *data, const struct router_outcome *outcome)
+{
+	struct core *core = data;
+	struct request *request = request_find(core, outcome->id);
+
+	metrics_count(core->metrics, outcome);
+	request_bill(core, outcome);
+	if (!request)
+		return;
+	if (request->claim_id[0])
+		request_settle_claim(core, request, outcome);
+	answer_span(core, request, "edge", request->arrived_us, outcome->code,
+		    outcome->address);
+	request_free(core, request);
+}
--- /dev/null
+++ b/tests/core/site.h
@@ -0,0 +1,84 @@
+#ifndef FILBERTHALL_TESTS_CORE_SITE_H
+#define FILBERTHALL_TESTS_CORE_SITE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/core.h"
+
+/**
+ * Some daemons' cores in one process, for tests of what they do together.
+ * Effects between them are carried at once; disks sync at once unless held;
+ * time moves in steps of 10 ms. Effects for the edges are kept to be looked
+ * at. No sockets, no threads, no files.
+ */
+#define SITE_MAX 5
+#define SITE_KEY \
+	"1111111111111111111111111111111111111111111111111111111111111111" /* hash of the caller's key */
+#define SITE_OPERATOR \
+	"2222222222222222222222222222222222222222222222222222222222222222" /* hash of the first operator's key */
+
+struct site_daemon {
+	struct core *core;
+	struct effects kept; /* for the edges, in order */
+	bool stopped;	     /* neither ticks nor receives */
+	bool hold_disk;	     /* syncs are not answered */
+	int64_t held_ticket;
+	int64_t clock_skew_us;
+};
+
+struct site {
+	int n;
+	int64_t now_us;
+	struct site_daemon daemons[SITE_MAX];
+	bool cut[SITE_MAX][SITE_MAX]; /* no message from one to the other */
+	bool linked[SITE_MAX][SITE_MAX];
+	uint64_t next_id;
+};
+
+/** Start `n` daemons in zones of their own; the first one founds the site. */
+void site_start(struct site *site, int n, const char *settings);
+void site_free(struct site *site);
+
+/** Let time pass. */
+void site_run(struct site *site, int64_t ms);
+
+/** Give one daemon an event now. */
+void site_give(struct site *site, int daemon, struct event *event);
+
+/** Cut one daemon off from all others, or mend it. */
+void site_cut(struct site *site, int daemon, bool cut);
+
+/** Announce an engine or service (model NULL) to one daemon. */
+void site_announce(struct site *site, int daemon, const char *address,
+		   const char *model, const char *service);
+
+/** A chat completion of the caller's key; returns its id. */
+uint64_t site_chat(struct site *site, int daemon, const char *class_name);
+
+/** A lodgement at the service "register"; returns its id. */
+uint64_t site_lodge(struct site *site, int daemon, const char *repeat_key);
+
+/** An operator's call; runs until the answer is there, returns its code. */
+enum result site_admin(struct site *site, int daemon, const char *command,
+		       const char *args);
+
+/** The first kept effect of that kind with that request id, or NULL. */
+struct effect *site_find(struct site *site, int daemon, enum effect_kind kind,
+			 uint64_t id);
+
+/** Run until it is there; fails the test after 20 s of the site's time. */
+struct effect *site_await(struct site *site, int daemon, enum effect_kind kind,
+			  uint64_t id);
+
+/** End an attempt as its edge would. */
+void site_end_attempt(struct site *site, int daemon, uint64_t id,
+		      int64_t attempt, enum result code, const char *answer);
+
+/** How many attempts of that request any daemon started. */
+int site_count_attempts(struct site *site, uint64_t id);
+
+/** Number of the daemon that leads, or -1. */
+int site_leader(struct site *site);
+
+#endif
--- /dev/null
+++ b/tests/core/t-site.c
@@ -0,0 +1,337 @@
+#include <glib.h>
+#include <string.h>
+
+#include "site.h"
+
+#define SETTINGS                                                             \
+	"{\"site/cluster\":{\"voters\":3},"                                  \
+	"\"team/calves/class/lodgement\":{\"tier\":0,\"deadline_ms\":15000," \
+	"\"idempotent\":false},"                                             \
+	"\"team/calves/class/check\":{\"tier\":1,\"deadline_ms\":60000},"    \
+	"\"team/calves/organisation/yards\":{},"                             \
+	"\"team/calves/service/register\":{\"routes\":[{\"method\":"         \
+	"\"POST\",\"prefix\":\"/movements\",\"idempotency\":\"required\","   \
+	"\"class\":\"lodgement\"}]}}"
+
+#define REGISTER "127.0.0.1:9000"
+#define ENGINE "127.0.0.1:9001"
+
+static void test_start(struct site *site, int n)
+{
+	site_start(site, n, SETTINGS);
+	site_announce(site, 0, ENGINE, "base", NULL);
+	site_announce(site, n - 1, REGISTER, NULL, "register");
+	site_run(site, 100);
+}
+
+static void a_request_is_sent_and_answered(void)
+{
+	struct site site;
+	struct effect *start;
+	uint64_t id;
+
+	test_start(&site, 1);
+	id = site_chat(&site, 0, NULL);
+	start = site_await(&site, 0, EFFECT_START_ATTEMPT, id);
+	g_assert_cmpstr(start->u.start.address, ==, ENGINE);
+	site_end_attempt(&site, 0, id, 1, RESULT_OK, NULL);
+	g_assert_cmpint(site_await(&site, 0, EFFECT_ANSWER, id)->u.answer.code,
+			==, RESULT_OK);
+	site_free(&site);
+}
+
+static void each_refusal_says_not_run(void)
+{
+	struct site site;
+	struct effect *answer;
+	uint64_t id;
+
+	test_start(&site, 1);
+	id = site_chat(&site, 0, "lodgements");
+	answer = site_await(&site, 0, EFFECT_ANSWER, id);
+	g_assert_cmpint(answer->u.answer.code, ==, RESULT_CLASS_FORBIDDEN);
+	g_assert_cmpint(answer->u.answer.run, ==, RUN_NOT);
+	id = site_lodge(&site, 0, NULL);
+	answer = site_await(&site, 0, EFFECT_ANSWER, id);
+	g_assert_cmpint(answer->u.answer.code, ==,
+			RESULT_NEEDS_IDEMPOTENCY_KEY);
+	g_assert_cmpint(answer->u.answer.run, ==, RUN_NOT);
+	g_assert_cmpint(site_count_attempts(&site, id), ==, 0);
+	site_free(&site);
+}
+
+/*
+ * An agent lodges a calf movement, gets no answer and sends it again through
+ * another VM while the first one still runs, and once more afterwards. The
+ * register must see it once, and all three must get its answer.
+ */
+static void a_lodgement_sent_again_elsewhere_runs_once(void)
+{
+	struct site site;
+	struct effect *answer;
+	uint64_t first;
+	uint64_t second;
+	uint64_t third;
+
+	test_start(&site, 3);
+	first = site_lodge(&site, 0, "m-1");
+	site_await(&site, 0, EFFECT_START_ATTEMPT, first);
+	second = site_lodge(&site, 1, "m-1");
+	site_run(&site, 1000);
+	g_assert_null(site_find(&site, 1, EFFECT_ANSWER, second));
+	g_assert_cmpint(site_count_attempts(&site, second), ==, 0);
+	site_end_attempt(&site, 0, first, 1, RESULT_OK, "{\"ok\":7}");
+	answer = site_await(&site, 1, EFFECT_ANSWER, second);
+	g_assert_cmpint(answer->u.answer.http_status, ==, 200);
+	g_assert_cmpmem(answer->u.answer.body.data, answer->u.answer.body.len,
+			"{\"ok\":7}", 8);
+	third = site_lodge(&site, 2, "m-1");
+	answer = site_await(&site, 2, EFFECT_ANSWER, third);
+	g_assert_cmpint(answer->u.answer.run, ==, RUN_RAN);
+	g_assert_cmpint(site_count_attempts(&site, second), ==, 0);
+	g_assert_cmpint(site_count_attempts(&site, third), ==, 0);
+	site_free(&site);
+}
+
+/*
+ * The VM that sent a lodgement dies before the answer came. Nobody can know
+ * whether the register took it: a resend through another VM must be told
+ * "unknown", and must not run it.
+ */
+static void a_lodgement_whose_vm_died_is_unknown(void)
+{
+	struct site site;
+	struct effect *answer;
+	uint64_t first;
+	uint64_t second;
+	int sender;
+	int other;
+
+	test_start(&site, 3);
+	sender = (site_leader(&site) + 1) % 3;
+	other = (sender + 1) % 3;
+	first = site_lodge(&site, sender, "m-2");
+	site_await(&site, sender, EFFECT_START_ATTEMPT, first);
+	site.daemons[sender].stopped = true;
+	second = site_lodge(&site, other, "m-2");
+	answer = site_await(&site, other, EFFECT_ANSWER, second);
+	g_assert_cmpint(answer->u.answer.code, ==, RESULT_CLAIM_UNKNOWN);
+	g_assert_cmpint(answer->u.answer.run, ==, RUN_UNKNOWN);
+	g_assert_cmpint(site_count_attempts(&site, second), ==, 0);
+	site_free(&site);
+}
+
+/*
+ * Two VMs get the same lodgement at the same moment, from a caller that
+ * hedges. Only one of them may send it.
+ */
+static void two_arrivals_at_once_run_once(void)
+{
+	struct site site;
+	uint64_t first;
+	uint64_t second;
+
+	test_start(&site, 3);
+	first = site_lodge(&site, 1, "m-3");
+	second = site_lodge(&site, 2, "m-3");
+	site_run(&site, 2000);
+	g_assert_cmpint(site_count_attempts(&site, first) +
+				site_count_attempts(&site, second),
+			==, 1);
+	site_free(&site);
+}
+
+/*
+ * A key is withdrawn while its stream runs on another VM. The stream must end
+ * within seconds and the next request must be refused, on every VM.
+ */
+static void a_withdrawn_key_ends_its_streams(void)
+{
+	struct site site;
+	struct effect *answer;
+	uint64_t id;
+	int i;
+
+	test_start(&site, 3);
+	id = site_chat(&site, 2, NULL);
+	site_await(&site, 2, EFFECT_START_ATTEMPT, id);
+	g_assert_cmpint(site_admin(&site, 0, "key-withdraw", "{\"id\":\"k\"}"),
+			==, RESULT_OK);
+	site_run(&site, 3000);
+	g_assert_nonnull(site_find(&site, 2, EFFECT_CANCEL_ATTEMPT, id));
+	answer = site_find(&site, 2, EFFECT_ANSWER, id);
+	g_assert_nonnull(answer);
+	g_assert_cmpint(answer->u.answer.code, ==, RESULT_KEY_WITHDRAWN);
+	for (i = 0; i < 3; i++) {
+		id = site_chat(&site, i, NULL);
+		g_assert_cmpint(
+			site_await(&site, i, EFFECT_ANSWER, id)->u.answer.code,
+			==, RESULT_KEY_UNKNOWN);
+	}
+	site_free(&site);
+}
+
+/*
+ * A VM is cut off silently. The key is withdrawn meanwhile, which it can't
+ * hear: it must admit nothing soon after, and say so to the balancer.
+ */
+static void a_vm_cut_off_admits_nothing(void)
+{
+	struct site site;
+	struct effect *answer;
+	struct effect *publish = NULL;
+	struct effect *effect;
+	uint64_t id;
+	int lonely;
+
+	test_start(&site, 3);
+	lonely = (site_leader(&site) + 1) % 3;
+	site_cut(&site, lonely, true);
+	site_run(&site, 3000);
+	id = site_chat(&site, lonely, NULL);
+	answer = site_await(&site, lonely, EFFECT_ANSWER, id);
+	g_assert_cmpint(answer->u.answer.code, ==, RESULT_STALE);
+	g_assert_cmpint(answer->u.answer.run, ==, RUN_NOT);
+	list_foreach(effect, &site.daemons[lonely].kept.head, node)
+		if (effect->kind == EFFECT_PUBLISH)
+			publish = effect;
+	g_assert_nonnull(publish);
+	g_assert_false(publish->u.publish.healthy);
+	site_cut(&site, lonely, false);
+	site_run(&site, 3000);
+	id = site_chat(&site, lonely, NULL);
+	site_await(&site, lonely, EFFECT_START_ATTEMPT, id);
+	site_free(&site);
+}
+
+/*
+ * Two operators change the same class from the same version at once through
+ * two VMs. One must win and the other must be told, not overwritten.
+ */
+static void operators_racing_on_one_version(void)
+{
+	static const char args[] =
+		"{\"path\":\"team/calves/class/check\",\"version\":%d,"
+		"\"value\":{\"tier\":1,\"deadline_ms\":%d}}";
+	struct site site;
+	char first[160];
+	char second[160];
+	struct effect *answer;
+	const char *at;
+	int version;
+
+	test_start(&site, 3);
+	g_assert_cmpint(site_admin(&site, 0, "settings-get",
+				   "{\"path\":\"team/calves/class/check\"}"),
+			==, RESULT_OK);
+	answer = site_find(&site, 0, EFFECT_ADMIN_ANSWER, site.next_id - 1);
+	at = strstr(answer->u.admin_answer.body.data, "\"version\":");
+	g_assert_nonnull(at);
+	version = atoi(at + strlen("\"version\":"));
+	g_snprintf(first, sizeof(first), args, version, 50000);
+	g_snprintf(second, sizeof(second), args, version, 40000);
+	g_assert_cmpint(site_admin(&site, 1, "settings-set", first), ==,
+			RESULT_OK);
+	g_assert_cmpint(site_admin(&site, 2, "settings-set", second), ==,
+			RESULT_CONFLICT);
+	site_free(&site);
+}
+
+/*
+ * An operator's answer is lost and the change is sent again, with its change
+ * id, to another VM. It must be told "accepted", and nothing may change twice.
+ */
+static void a_change_sent_again_is_made_once(void)
+{
+	static const char args[] =
+		"{\"path\":\"team/calves/class/check/deadline_ms\","
+		"\"value\":45000,\"change_id\":\"c-1\"}";
+	struct site site;
+	struct effect *answer;
+
+	test_start(&site, 3);
+	g_assert_cmpint(site_admin(&site, 1, "settings-set", args), ==,
+			RESULT_OK);
+	g_assert_cmpint(site_admin(&site, 2, "settings-set", args), ==,
+			RESULT_OK);
+	answer = site_find(&site, 2, EFFECT_ADMIN_ANSWER, site.next_id - 1);
+	g_assert_nonnull(
+		strstr(answer->u.admin_answer.body.data, "\"repeated\":true"));
+	site_free(&site);
+}
+
+/*
+ * The leader's VM dies. Within seconds another leads, and changes and
+ * requests go on.
+ */
+static void the_leader_dies_and_work_goes_on(void)
+{
+	struct site site;
+	uint64_t id;
+	int leader;
+	int other;
+
+	test_start(&site, 3);
+	leader = site_leader(&site);
+	other = (leader + 1) % 3;
+	site.daemons[leader].stopped = true;
+	site_run(&site, 5000);
+	g_assert_cmpint(site_admin(&site, other, "settings-set",
+				   "{\"path\":\"team/calves/class/check/"
+				   "deadline_ms\",\"value\":30000}"),
+			==, RESULT_OK);
+	id = site_chat(&site, other, NULL);
+	site_await(&site, other, EFFECT_START_ATTEMPT, id);
+	site_free(&site);
+}
+
+/*
+ * A planned stop under a stream: the health check must fail at once, the
+ * stream must end whole, and only then may the process exit.
+ */
+static void a_planned_stop_cuts_no_stream(void)
+{
+	struct site site;
+	struct event *stop = event_new(EVENT_STOP);
+	uint64_t id;
+	uint64_t late;
+
+	test_start(&site, 3);
+	id = site_chat(&site, 1, NULL);
+	site_await(&site, 1, EFFECT_START_ATTEMPT, id);
+	stop->u.stop.grace_ms = 60000;
+	site_give(&site, 1, stop);
+	site_run(&site, 2000);
+	g_assert_null(site_find(&site, 1, EFFECT_EXIT, 0));
+	g_assert_null(site_find(&site, 1, EFFECT_CANCEL_ATTEMPT, id));
+	late = site_chat(&site, 1, NULL);
+	g_assert_cmpint(
+		site_await(&site, 1, EFFECT_ANSWER, late)->u.answer.code, ==,
+		RESULT_STOPPING);
+	site_end_attempt(&site, 1, id, 1, RESULT_OK, NULL);
+	g_assert_cmpint(site_await(&site, 1, EFFECT_ANSWER, id)->u.answer.code,
+			==, RESULT_OK);
+	site_await(&site, 1, EFFECT_EXIT, 0);
+	site_free(&site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/site/request", a_request_is_sent_and_answered);
+	g_test_add_func("/site/refusals", each_refusal_says_not_run);
+	g_test_add_func("/site/lodgement-resent",
+			a_lodgement_sent_again_elsewhere_runs_once);
+	g_test_add_func("/site/lodgement-unknown",
+			a_lodgement_whose_vm_died_is_unknown);
+	g_test_add_func("/site/lodgement-twice", two_arrivals_at_once_run_once);
+	g_test_add_func("/site/key-withdrawn",
+			a_withdrawn_key_ends_its_streams);
+	g_test_add_func("/site/cut-off", a_vm_cut_off_admits_nothing);
+	g_test_add_func("/site/race", operators_racing_on_one_version);
+	g_test_add_func("/site/change-resent",
+			a_change_sent_again_is_made_once);
+	g_test_add_func("/site/leader-dies", the_leader_dies_and_work_goes_on);
+	g_test_add_func("/site/planned-stop", a_planned_stop_cuts_no_stream);
+	return g_test_run();
+}
