--- /dev/null
+++ b/cli/backend.c
@@ -0,0 +1,59 @@
+#include "cli/verb.h"
+
+static const struct option_row backend_drain_rows[] = {
+	{ "undo", "undo", OPTION_FLAG, NULL, "give it new work again" },
+	{ 0 }
+};
+
+static const char *const backend_address_names[] = { "address", NULL };
+static const char *const backend_no_names[] = { NULL };
+
+static void backend_print(const json_t *answer)
+{
+	static const struct cli_column columns[] = {
+		{ "address", "BACKEND SERVER" },
+		{ "zone", "ZONE" },
+		{ "kind", "KIND" },
+		{ "serves", "SERVES" },
+		{ "version", "VERSION" },
+		{ "usable", "USABLE" },
+		{ "leaving", "LEAVING" },
+		{ "drained", "DRAINED" },
+		{ "slots", "SLOTS" },
+		{ "running", "RUNNING" },
+		{ "queued", "QUEUED" },
+		{ "own_running", "OURS" },
+		{ "report_age_s", "REPORT AGE S" },
+		{ 0 }
+	};
+
+	cli_print_table(json_object_get(answer, "backend_servers"), columns);
+}
+
+static int backend_list(struct cli *cli, json_t *args)
+{
+	return cli_call_and_print(cli, "backend-list", args, backend_print);
+}
+
+static const struct verb backend_verbs[] = {
+	{ { "", "list backend servers", NULL, backend_no_names, 0 },
+	  "list",
+	  backend_list },
+	{ { NULL, NULL, NULL, backend_no_names, 0 }, NULL, NULL }
+};
+
+int cli_backend(struct cli *cli, int argc, char **argv)
+{
+	return verb_run(cli, backend_verbs, argc, argv);
+}
+
+int cli_drain(struct cli *cli, int argc, char **argv)
+{
+	static const struct option_set set = {
+		"ADDRESS", "give a backend server no new work",
+		backend_drain_rows, backend_address_names, 1
+	};
+
+	return cli_call_and_print(cli, "backend-drain",
+				  options_read(&set, argc, argv), NULL);
+}
