--- a/tests/agreed/t-settings.c
+++ b/tests/agreed/t-settings.c
@@ -222,7 +222,7 @@
 struct naive {
 	int value[NAIVE_PATHS]; /* 0: not set */
 	int64_t version[NAIVE_PATHS];
-	int64_t last[NAIVE_PATHS]; /* change that touched it last */
+	int64_t last[NAIVE_PATHS];   /* change that touched it last */
 	int before[NAIVE_STEPS + 8]; /* by index: value replaced */
 	int path[NAIVE_STEPS + 8];   /* by index: path, -1 none */
 };
