--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -9,9 +9,6 @@
 /* Pace of one stream where nothing is known yet. */
 #define PICK_TOKEN_US 30000.0
 
-/* A request beyond the slots waits for about this many tokens of others. */
-#define PICK_TURN_TOKENS 64.0
-
 /* Reports older than this say nothing about load. */
 #define PICK_REPORT_OLD_US INT64_C(10000000)
 
@@ -43,28 +40,36 @@
 	return backend_weight(backend, options, now_us) > 0;
 }
 
+int64_t pick_own_slots(const struct backend *backend, double slots,
+		       const struct pick_query *query)
+{
+	double phase = (double)(backend->node.hash % 1024) / 1024.0;
+
+	return (int64_t)floor(query->own_until * slots + phase) -
+	       (int64_t)floor(query->own_from * slots + phase);
+}
+
 /* Whether the server has room for one more, by report and own count. */
 static bool pick_has_room(const struct backend *backend,
 			  const struct pick_query *query,
 			  const struct pick_options *options, int64_t now_us)
 {
 	double weight = backend_weight(backend, options, now_us);
-	double slots = (double)backend->slots * weight;
-	double own = slots * query->own_room;
-	double long_most = (double)backend->slots * PICK_LONG_SHARE;
-
-	if (query->hard_room && (double)backend->own.running >= ceil(own) + 1)
-		return false;
-	if (weight < 1 && (double)backend->own.running >= ceil(own))
-		return false;
+	double slots = ceil((double)backend->slots * weight);
+	double own = slots;
+
+	if (query->own_until > 0)
+		own = (double)pick_own_slots(backend, slots, query);
+	/* A probe of a server that comes back or straggles is always let by. */
+	if (weight < 1 && own < 1)
+		own = 1;
 	if (query->cap_long &&
-	    (double)backend->own.long_running >=
-		    ceil(long_most * (query->hard_room ? query->own_room : 1)))
+	    (double)backend->own.long_running >= ceil(own * PICK_LONG_SHARE))
 		return false;
-	/* Shares bound the sum; without them the report must do. */
-	if (query->hard_room)
-		return true;
-	return backend_load(backend) < ceil(slots) + PICK_QUEUE_AHEAD;
+	/* Shares bound the sum over VMs; without them the report must do. */
+	if (query->own_until > 0 || weight < 1)
+		return (double)backend->own.running < own;
+	return backend_load(backend) < slots;
 }
 
 double pick_first_token_us(const struct backend *backend,
@@ -84,7 +89,7 @@
 	if (now_us - backend->report_us > PICK_REPORT_OLD_US)
 		load = (double)backend->own.running;
 	if (load >= slots)
-		wait = (load - slots + 1) * token_us * PICK_TURN_TOKENS / slots;
+		wait = (load - slots + 1) * query->hold_us / slots;
 	if (!options->prefix_affinity ||
 	    !prefix_holds(query->prefix, backend->node.hash))
 		prompt += (double)query->prompt_tokens;
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -35,9 +35,6 @@
 #define PICK_AFFINITY_BOUND 1.25
 #define PICK_LONG_SHARE 0.75
 
-/** Requests beyond its slots that a server is sent, to keep it fed. */
-#define PICK_QUEUE_AHEAD 1
-
 struct pick_options {
 	bool two_choices;
 	bool prefix_affinity;
@@ -52,9 +49,14 @@
 	const struct prefix_entry *prefix;
 	int64_t prompt_tokens;
 	bool reclaimable;
-	bool cap_long;	 /**< a long request while short ones are about */
-	double own_room; /**< part of each server's slots that is this VM's */
-	bool hard_room;	 /**< own_room is a bound, not a hint */
+	bool cap_long;	/**< a long request while short ones are about */
+	double hold_us; /**< mean time that a request holds a slot */
+	/*
+	 * This VM's part of each server's slots: those from `own_from` to
+	 * `own_until`, both 0..1; 0 and 0 for no bound but the report.
+	 */
+	double own_from;
+	double own_until;
 };
 
 /**
@@ -71,6 +73,14 @@
 			   const struct pick_query *query,
 			   const struct pick_options *options, int64_t now_us);
 
+/**
+ * This VM's slots on a server. The VMs' parts of one server sum up to its
+ * slots, whatever the rounding, so that together they never overrun it; the
+ * odd ones fall to other VMs on each server.
+ */
+int64_t pick_own_slots(const struct backend *backend, double slots,
+		       const struct pick_query *query);
+
 /** Whether a server may take the request at all, room aside. */
 bool pick_fits(const struct backend *backend, const struct pick_query *query,
 	       const struct pick_options *options, int64_t now_us);
--- a/libfilberthall/load/preempt.c
+++ b/libfilberthall/load/preempt.c
@@ -3,7 +3,7 @@
 bool preempt_allowed(const struct preempt_victim *victim, int tier)
 {
 	return victim->tier > tier && victim->idempotent && victim->usable &&
-	       victim->done_share < PREEMPT_DONE_MOST;
+	       !victim->by_floor && victim->done_share < PREEMPT_DONE_MOST;
 }
 
 bool preempt_before(const struct preempt_victim *a,
@@ -14,9 +14,20 @@
 	return a->started_us > b->started_us;
 }
 
-bool preempt_helps(int64_t due_us, double natural_us, int64_t now_us)
+void preempt_earn(struct preempt_budget *budget, int64_t tokens)
 {
-	if (now_us + PREEMPT_FREE_US > due_us)
+	budget->tokens += PREEMPT_LOSS_SHARE * (double)tokens;
+	if (budget->tokens > PREEMPT_LOSS_SAVED)
+		budget->tokens = PREEMPT_LOSS_SAVED;
+}
+
+bool preempt_spend(struct preempt_budget *budget, int64_t tokens)
+{
+	/* A start costs a prefill even if no token has come of it. */
+	double cost = 1 + (double)tokens;
+
+	if (budget->tokens < cost)
 		return false;
-	return (double)now_us + natural_us > (double)due_us;
+	budget->tokens -= cost;
+	return true;
 }
--- a/libfilberthall/load/preempt.h
+++ b/libfilberthall/load/preempt.h
@@ -13,7 +13,8 @@
  *
  * Only of a lower tier than what takes the place, the lowest first, within
  * it the youngest: it has least work to lose. Never a non-idempotent one,
- * which could not be run again. Never in vain: not if slots come free by
+ * which could not be run again, nor one that its class's minimum share has
+ * started, or the class would starve after all. Never in vain: not if slots come free by
  * themselves before the waiting request is due, and not so late that the
  * room would come after that.
  *
@@ -23,11 +24,30 @@
 struct preempt_victim {
 	int tier;
 	bool idempotent;
+	bool by_floor; /**< runs by its class's minimum share */
 	bool usable; /**< its place is one that the waiting request can take */
 	int64_t started_us;
 	double done_share; /**< part of its expected work that is done */
 };
 
+/**
+ * What preemption may throw away: a hundredth of the tokens served, saved up
+ * to a few victims' worth. Without this bound a pool at its limit spends its
+ * time on work that is preempted again and again.
+ */
+#define PREEMPT_LOSS_SHARE 0.01
+#define PREEMPT_LOSS_SAVED 2000.0
+
+struct preempt_budget {
+	double tokens;
+};
+
+/** Tokens were served. */
+void preempt_earn(struct preempt_budget *budget, int64_t tokens);
+
+/** Whether a victim that has so many tokens may be lost; it is charged. */
+bool preempt_spend(struct preempt_budget *budget, int64_t tokens);
+
 /** Past this part of its expected work an attempt is left to end. */
 #define PREEMPT_DONE_MOST 0.75
 
@@ -41,10 +61,4 @@
 bool preempt_before(const struct preempt_victim *a,
 		    const struct preempt_victim *b);
 
-/**
- * Whether it helps at all: `due_us` is when the waiting request must start,
- * `natural_us` the expected time until a slot comes free by itself.
- */
-bool preempt_helps(int64_t due_us, double natural_us, int64_t now_us);
-
 #endif
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -55,7 +55,7 @@
 
 /** Send a request to a backend server. */
 void attempt_start(struct router *router, struct request *request,
-		   struct backend *backend, int64_t now_us,
+		   struct backend *backend, bool by_floor, int64_t now_us,
 		   struct effects *effects)
 {
 	struct pool *pool = request->queue->pool;
@@ -71,6 +71,7 @@
 	attempt->base = request->ask.stream ? request->delivered : 0;
 	attempt->work = request->entry.cost;
 	attempt->is_long = request->is_long;
+	attempt->by_floor = by_floor;
 	attempt->prompt_tokens = request->ask.prompt_tokens;
 	if (prefix_holds(prefix_find(&router->prefix, request->ask.prefix_hash),
 			 backend->node.hash))
@@ -271,6 +272,7 @@
 				     request->organisation->id, request->tier,
 				     true_cost - request->entry.cost);
 	}
+	preempt_earn(&router->preempt, tokens);
 	poison_absolve(&router->poison, request->fingerprint);
 	request_end(router, request, RESULT_OK, ended, now_us, effects);
 }
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -1,12 +1,10 @@
+#include <math.h>
 #include <string.h>
 
 #include "load/router_state.h"
 
-/*
- * The top tier may go over this VM's share by this part of it, if reports
- * say that there is room: a burst between two rounds of shares.
- */
-#define DISPATCH_BURST 0.5
+/* Slots left free for the top tier, in roots of what it has running. */
+#define DISPATCH_HEADROOM 0.8
 
 /* Short work seen within this time keeps long work to its part of a server. */
 #define DISPATCH_SHORT_US INT64_C(10000000)
@@ -61,16 +59,32 @@
 	return best ? entry_request(best) : NULL;
 }
 
+/*
+ * Slots that a lower tier leaves free for the next request of a higher one.
+ * Each VM has but a part of the pool (a seventh: 55 slots), in which slots
+ * come free too seldom for a target of half a second. Demand of n slots
+ * wavers by its square root (square-root staffing, Halfin and Whitt 1981).
+ */
+static int64_t pool_headroom(const struct pool *pool, int tier)
+{
+	int i;
+
+	for (i = 0; i < tier; i++)
+		if (pool->running_by_tier[i])
+			return (int64_t)ceil(
+				DISPATCH_HEADROOM *
+				sqrt((double)pool->running_by_tier[i]));
+	return 0;
+}
+
 static bool pool_has_share(const struct router *router, const struct pool *pool,
 			   const struct request *request)
 {
-	double grant = (double)pool->grant;
+	int64_t grant = pool->grant;
 
-	if (!router_shares(router) || pool->grant < 0)
+	if (!router_shares(router) || grant < 0)
 		return true;
-	if (request->tier == 0)
-		grant += grant * DISPATCH_BURST;
-	return (double)pool->running < grant;
+	return pool->running < grant - pool_headroom(pool, request->tier);
 }
 
 static struct backend *request_pick(struct router *router,
@@ -83,7 +97,7 @@
 		.avoid = request->avoid[0] ? request->avoid : NULL,
 		.prompt_tokens = request->ask.prompt_tokens,
 		.reclaimable = request->queue->reclaimable,
-		.own_room = 1,
+		.hold_us = pool->unit_us * pool->mean_cost,
 	};
 	struct backend *backend;
 	int tier;
@@ -94,9 +108,10 @@
 	for (tier = 0; request->is_long && tier <= request->tier; tier++)
 		query.cap_long |= now_us - pool->pressure[tier].short_us <
 				  DISPATCH_SHORT_US;
-	if (router_shares(router) && pool->grant >= 0 && pool->slots > 0) {
-		query.own_room = (double)pool->grant / pool->slots;
-		query.hard_room = (double)pool->running < (double)pool->grant;
+	if (router_shares(router) && pool->grant >= 0 &&
+	    pool->running < pool->grant) {
+		query.own_from = pool->own_from;
+		query.own_until = pool->own_until;
 	}
 	backend = pick_backend(&router->pick, &query, pool->members,
 			       pool->n_members, &router->rng, now_us);
@@ -120,7 +135,7 @@
 		return RESULT_EXPIRED;
 	if (router->options.features.early_refusal && !request->n_attempts &&
 	    request->target_us && now_us > request->target_us &&
-	    pool_standing(pool, request->tier, now_us) &&
+	    request_stands(request, now_us) &&
 	    router_may_shed(router, pool, request->tier, now_us))
 		return RESULT_DEADLINE_UNREACHABLE;
 	return RESULT_OK;
@@ -138,8 +153,8 @@
 }
 
 static void request_serve(struct router *router, struct request *request,
-			  struct backend *backend, int64_t now_us,
-			  struct effects *effects)
+			  struct backend *backend, bool by_floor,
+			  int64_t now_us, struct effects *effects)
 {
 	struct queue *queue = request->queue;
 	struct pool *pool = queue->pool;
@@ -155,7 +170,7 @@
 	pool_note_wait(pool, request, now_us);
 	router_span(router, request, "queue", request->waiting_since_us, now_us,
 		    RESULT_OK, NULL, effects);
-	attempt_start(router, request, backend, now_us, effects);
+	attempt_start(router, request, backend, by_floor, now_us, effects);
 }
 
 void router_dispatch(struct router *router, struct pool *pool, int64_t now_us,
@@ -190,8 +205,8 @@
 		if (pool_has_share(router, pool, request))
 			backend = request_pick(router, request, now_us);
 		if (backend)
-			request_serve(router, request, backend, now_us,
-				      effects);
+			request_serve(router, request, backend, by_floor,
+				      now_us, effects);
 		else if (by_floor)
 			floors = false;
 		else
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -1,12 +1,10 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/alloc.h"
 #include "load/router_state.h"
 
-/* A tier whose requests have waited long for so long has a standing queue. */
-#define POOL_STANDING_US INT64_C(1000000)
-
 /* A tier that waits for so long closes those below it. */
 #define POOL_PRESSURE_US INT64_C(200000)
 
@@ -42,6 +40,7 @@
 	pool->global_pressure = SCHED_TIERS;
 	for (i = 0; i < SCHED_TIERS; i++) {
 		pool->pressure[i].good_us = now_us;
+		pool->pressure[i].empty_us = now_us;
 		pool->pressure[i].short_us = INT64_MIN / 2;
 	}
 	if (router->options.features.min_shares)
@@ -150,13 +149,17 @@
 }
 
 /*
- * A queue that has been slow for a whole second isn't a burst any more: it
- * stands, and what waits in it only gets later (compare CoDel).
+ * A queue that hasn't been empty for twice a request's target isn't a burst
+ * any more: it stands, and what waits in it only gets later (compare CoDel).
  */
-bool pool_standing(const struct pool *pool, int tier, int64_t now_us)
+bool request_stands(const struct request *request, int64_t now_us)
 {
-	return pool->pressure[tier].waiting > 0 &&
-	       now_us - pool->pressure[tier].good_us > POOL_STANDING_US;
+	const struct pressure *pressure =
+		&request->queue->pool->pressure[request->tier];
+	int64_t target_us = request->target_us - request->ask.arrived_us;
+
+	return pressure->waiting > 0 &&
+	       now_us - pressure->empty_us > 2 * target_us;
 }
 
 double pool_own_slots(const struct router *router, const struct pool *pool)
@@ -166,11 +169,10 @@
 	return (double)pool->grant;
 }
 
-/* Expected wait of a request: the work ahead, at the pace of own slots. */
-double pool_wait_us(const struct router *router, const struct pool *pool,
-		    const struct request *request)
+/* Work ahead in strict order, at the pace of own slots. */
+static double wait_by_tier(const struct pool *pool,
+			   const struct request *request, double slots)
 {
-	double slots = pool_own_slots(router, pool);
 	double ahead = 0;
 	struct queue *queue;
 
@@ -178,13 +180,45 @@
 		ahead += sched_work_ahead(&queue->sched,
 					  request->organisation->id,
 					  request->tier, 0);
-	if (slots < 1)
-		slots = 1;
 	if (ahead <= 0 && (double)pool->running < slots)
 		return 0;
 	return (ahead + pool->mean_cost) * pool->unit_us / slots;
 }
 
+/* Work ahead in the class, at the pace of its minimum share. */
+static double wait_by_share(const struct pool *pool,
+			    const struct request *request, double slots)
+{
+	int id = request->class->id;
+	double share = pool->floor.classes[id].min_share;
+	double ahead = request->entry.cost;
+	struct queue *queue;
+
+	if (share <= 0)
+		return INFINITY;
+	list_foreach(queue, &pool->queues, in_pool)
+		ahead += sched_class_work(&queue->sched, id);
+	ahead -= pool->floor.classes[id].credit;
+	if (ahead < 0)
+		ahead = 0;
+	return ahead * pool->unit_us / (slots * share);
+}
+
+/** Expected wait: by its tier's turn or its class's minimum share. */
+double pool_wait_us(const struct router *router, const struct pool *pool,
+		    const struct request *request)
+{
+	double slots = pool_own_slots(router, pool);
+	double by_tier;
+	double by_share;
+
+	if (slots < 1)
+		slots = 1;
+	by_tier = wait_by_tier(pool, request, slots);
+	by_share = wait_by_share(pool, request, slots);
+	return by_tier < by_share ? by_tier : by_share;
+}
+
 void pool_measure(struct pool *pool, double cost, int64_t took_us)
 {
 	double gain;
--- a/libfilberthall/load/router_preempt.c
+++ b/libfilberthall/load/router_preempt.c
@@ -16,6 +16,7 @@
 	struct preempt_victim victim = {
 		.tier = request->tier,
 		.idempotent = request->ask.idempotent,
+		.by_floor = attempt->by_floor,
 		.started_us = attempt->started_us,
 	};
 
@@ -69,13 +70,22 @@
 	return best ? container_of(best, struct request, entry) : NULL;
 }
 
-/* Time until the last of a tier's waiting ones finds a slot by itself. */
-static double pool_natural_us(const struct pool *pool, int64_t waiting)
+/*
+ * How many of a tier's waiting requests won't find a slot by itself in time:
+ * slots come free one after the other as what runs ends.
+ */
+static int64_t pool_short_of(const struct pool *pool,
+			     const struct request *first, int64_t now_us)
 {
 	double hold_us = pool->unit_us * pool->mean_cost;
 	double running = pool->running > 0 ? (double)pool->running : 1;
+	double left_us = (double)(first->entry.due_us - now_us) -
+			 pool->first_token_us - (double)PREEMPT_FREE_US;
+	int64_t waiting = pool->pressure[first->tier].waiting;
 
-	return hold_us / running * (double)waiting;
+	if (left_us < 0)
+		return 0;
+	return waiting - (int64_t)(left_us * running / hold_us);
 }
 
 /** Free places of lower tiers for what waits and would be late. */
@@ -92,14 +102,11 @@
 	waiting = pool_first_waiting(pool);
 	if (!waiting)
 		return;
-	n = pool->pressure[waiting->tier].waiting;
-	if (!preempt_helps(waiting->entry.due_us -
-				   (int64_t)pool->first_token_us,
-			   pool_natural_us(pool, n), now_us))
-		return;
+	n = pool_short_of(pool, waiting, now_us);
 	while (pool->n_preempting < n) {
 		victim = pool_victim(router, pool, waiting, now_us);
-		if (!victim)
+		if (!victim || !preempt_spend(&router->preempt,
+					      victim->base + victim->tokens))
 			return;
 		pool->n_preempting++;
 		attempt_cancel(victim, RESULT_PREEMPTED, effects);
--- a/libfilberthall/load/router_share.c
+++ b/libfilberthall/load/router_share.c
@@ -1,12 +1,21 @@
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/alloc.h"
 #include "load/router_state.h"
+#include "load/share.h"
+#include "load/share_message.h"
 
 /** Who hands out shares, and which daemons live. */
 struct router_peers {
 	uint64_t allocator;
+	uint64_t *members; /* sorted */
 	int n;
+	int self;	    /* own place among them, -1 if not */
+	int64_t round_us;   /* of the last round */
+	int64_t heard_us;   /* of the last grants */
+	struct share *book; /* while this router is the allocator */
 };
 
 void router_share_init(struct router *router)
@@ -17,6 +26,8 @@
 
 void router_share_free(struct router *router)
 {
+	share_free(router->peers->book);
+	free(router->peers->members);
 	free(router->peers);
 }
 
@@ -25,27 +36,335 @@
 	return router->options.features.shares && router->peers->n > 1;
 }
 
+static int compare_member(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a;
+	uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* The equal part of a whole number that falls to this daemon. */
+static int64_t equal_part(const struct router_peers *peers, int64_t total)
+{
+	int at = peers->self < 0 ? 0 : peers->self;
+
+	return total / peers->n + (at < total % peers->n);
+}
+
+/** The part of a pool that falls to this daemon without an allocator. */
+int64_t router_equal_part(const struct router *router, const struct pool *pool)
+{
+	return equal_part(router->peers, (int64_t)pool->slots);
+}
+
+/* Nobody hands out shares: each daemon takes the equal part. */
+static void router_lapse(struct router *router, int64_t now_us)
+{
+	const struct router_peers *peers = router->peers;
+	double at = peers->self < 0 ? 0 : peers->self;
+	struct organisation *organisation;
+	struct organisation *next;
+	struct pool *pool;
+	struct pool *after;
+
+	map_foreach(pool, after, &router->pools, node) {
+		pool_refresh(router, pool, now_us);
+		pool->grant = equal_part(peers, (int64_t)pool->slots);
+		pool->own_from = at / peers->n;
+		pool->own_until = (at + 1) / peers->n;
+	}
+	map_foreach(organisation, next, &router->organisations, node)
+		quota_set_part(&organisation->quota, 1.0 / peers->n,
+			       equal_part(peers,
+					  organisation->rule.max_concurrent),
+			       now_us);
+}
+
 void router_peers(struct router *router, uint64_t allocator,
 		  const uint64_t *members, int n, int64_t now_us)
 {
-	router->peers->allocator = allocator;
-	router->peers->n = n;
+	struct router_peers *peers = router->peers;
+	int i;
+
+	free(peers->members);
+	peers->members = xcalloc((size_t)n + 1, sizeof(*members));
+	if (n)
+		memcpy(peers->members, members, (size_t)n * sizeof(*members));
+	qsort(peers->members, (size_t)n, sizeof(*members), compare_member);
+	peers->n = n > 0 ? n : 1;
+	peers->self = -1;
+	for (i = 0; i < n; i++)
+		if (peers->members[i] == router->options.self)
+			peers->self = i;
+	peers->allocator = allocator;
+	if (!router->options.features.shares)
+		return;
+	if (allocator == router->options.self) {
+		if (!peers->book)
+			peers->book = share_new();
+		share_members(peers->book, peers->members, n);
+	} else {
+		share_free(peers->book);
+		peers->book = NULL;
+	}
+	router_lapse(router, now_us);
 }
 
-void router_share_tick(struct router *router, int64_t now_us,
-		       struct effects *effects)
+static struct share_demand pool_demand(const struct pool *pool)
 {
+	struct share_demand demand = {
+		.slots = (int64_t)pool->slots,
+		.pressure = pool->local_pressure,
+	};
+	int tier;
+
+	snprintf(demand.pool, sizeof(demand.pool), "%s", pool->name);
+	for (tier = 0; tier < SCHED_TIERS; tier++)
+		demand.want[tier] = pool->running_by_tier[tier] +
+				    pool->pressure[tier].waiting;
+	return demand;
 }
 
-void router_share_crash(struct router *router, uint64_t fingerprint,
-			uint64_t server, int64_t ran_us,
-			struct effects *effects)
+static bool has_limits(const struct organisation *organisation)
 {
+	const struct organisation_rule *rule = &organisation->rule;
+
+	return rule->max_concurrent || rule->requests_per_min ||
+	       rule->tokens_per_min;
+}
+
+/* What this daemon has and wants, for the allocator. */
+static struct bytes router_demand(struct router *router, int64_t now_us)
+{
+	struct share_writer writer = { 0 };
+	struct organisation *organisation;
+	struct organisation *next;
+	struct pool *pool;
+	struct pool *after;
+
+	map_foreach(pool, after, &router->pools, node) {
+		struct share_demand demand;
+
+		pool_refresh(router, pool, now_us);
+		pool_press(router, pool, now_us);
+		demand = pool_demand(pool);
+		share_write_demand(&writer, &demand);
+	}
+	map_foreach(organisation, next, &router->organisations, node) {
+		struct quota *quota = &organisation->quota;
+		struct share_use use = {
+			.concurrent = quota->concurrent,
+			.asked = quota->asked,
+			.limit = organisation->rule.max_concurrent,
+		};
+
+		if (!has_limits(organisation))
+			continue;
+		snprintf(use.organisation, sizeof(use.organisation), "%s",
+			 organisation->rule.name);
+		share_write_use(&writer, &use);
+		quota->asked = 0;
+	}
+	return share_write_end(&writer, SHARE_DEMAND);
+}
+
+/* A message that is being read, and from whom. */
+struct message {
+	struct router *router;
+	uint64_t peer;
+	int64_t now_us;
+};
+
+static void take_heard(void *data, enum share_kind kind)
+{
+	const struct message *message = data;
+	struct router_peers *peers = message->router->peers;
+
+	if (kind == SHARE_GRANT && message->peer == peers->allocator)
+		peers->heard_us = message->now_us;
+	if (kind == SHARE_DEMAND && peers->book)
+		share_heard(peers->book, message->peer, message->now_us);
+}
+
+static void take_demand(void *data, const struct share_demand *demand)
+{
+	const struct message *message = data;
+	struct router_peers *peers = message->router->peers;
+
+	if (peers->book)
+		share_note_demand(peers->book, message->peer, demand,
+				  message->now_us);
+}
+
+static void take_use(void *data, const struct share_use *use)
+{
+	const struct message *message = data;
+	struct router_peers *peers = message->router->peers;
+
+	if (peers->book)
+		share_note_use(peers->book, message->peer, use,
+			       message->now_us);
+}
+
+static void take_grant(void *data, const struct share_grant *grant)
+{
+	const struct message *message = data;
+	struct router *router = message->router;
+	struct pool *pool;
+	const char *name = grant->pool + 2;
+	bool service = grant->pool[0] == 's';
+
+	if (message->peer != router->peers->allocator ||
+	    strlen(grant->pool) < 2)
+		return;
+	pool = pool_of(router, service ? NULL : name, service ? name : NULL,
+		       message->now_us);
+	pool->grant = grant->slots;
+	pool->own_from = 0;
+	pool->own_until = 0;
+	if (grant->total > 0) {
+		pool->own_from = (double)grant->before / (double)grant->total;
+		pool->own_until = (double)(grant->before + grant->slots) /
+				  (double)grant->total;
+	}
+	pool->global_pressure = grant->pressure < SCHED_TIERS
+					? (int)grant->pressure
+					: SCHED_TIERS;
+	pool_press(router, pool, message->now_us);
+}
+
+static void take_part(void *data, const struct share_part *part)
+{
+	const struct message *message = data;
+	struct router *router = message->router;
+	struct organisation *organisation;
+
+	if (message->peer != router->peers->allocator)
+		return;
+	organisation =
+		organisation_of(router, part->organisation, message->now_us);
+	quota_set_part(&organisation->quota, part->part, part->concurrent,
+		       message->now_us);
+}
+
+static void take_crash(void *data, const struct share_crash *crash)
+{
+	const struct message *message = data;
+	struct router *router = message->router;
+
+	if (router->options.features.poison)
+		poison_crashed(&router->poison, crash->fingerprint,
+			       crash->server, crash->ran_us, message->now_us);
 }
 
 enum result router_message(struct router *router, uint64_t peer,
 			   const struct bytes *body, int64_t now_us,
 			   struct effects *effects)
 {
-	return RESULT_OK;
+	struct message message = { router, peer, now_us };
+	struct share_reader reader = {
+		.heard = take_heard,
+		.demand = take_demand,
+		.use = take_use,
+		.grant = take_grant,
+		.part = take_part,
+		.crash = take_crash,
+		.data = &message,
+	};
+	enum result code = share_read(body, &reader);
+	struct pool *pool;
+	struct pool *next;
+
+	if (!code)
+		map_foreach(pool, next, &router->pools, node)
+			if (!list_empty(&pool->queues))
+				router_dispatch(router, pool, now_us, effects);
+	return code;
+}
+
+static void router_send(struct effects *effects, uint64_t peer,
+			struct bytes body)
+{
+	struct effect_send *send = &effects_add(effects, EFFECT_SEND)->u.send;
+
+	send->peer = peer;
+	send->channel = LINK_SHARE;
+	send->body = body;
+}
+
+static void write_grant(void *data, const struct share_grant *grant)
+{
+	share_write_grant(data, grant);
+}
+
+static void write_part(void *data, const struct share_part *part)
+{
+	share_write_part(data, part);
+}
+
+/* Work out a round and tell everybody, this router included. */
+static void router_allocate(struct router *router, int64_t now_us,
+			    struct effects *effects)
+{
+	struct router_peers *peers = router->peers;
+	struct share_writer writer = { 0 };
+	struct bytes body;
+	int i;
+
+	share_round(peers->book, now_us);
+	for (i = 0; i < peers->n; i++) {
+		share_visit(peers->book, peers->members[i], write_grant,
+			    write_part, &writer);
+		body = share_write_end(&writer, SHARE_GRANT);
+		if (i != peers->self) {
+			router_send(effects, peers->members[i], body);
+			continue;
+		}
+		router_message(router, router->options.self, &body, now_us,
+			       effects);
+		bytes_clear(&body);
+	}
+}
+
+/** Each half second: say what is wanted, hand out, or fall back. */
+void router_share_tick(struct router *router, int64_t now_us,
+		       struct effects *effects)
+{
+	struct router_peers *peers = router->peers;
+	struct bytes body;
+
+	if (!router_shares(router) || peers->self < 0 ||
+	    now_us - peers->round_us < SHARE_ROUND_US)
+		return;
+	peers->round_us = now_us;
+	body = router_demand(router, now_us);
+	if (peers->book) {
+		router_message(router, router->options.self, &body, now_us,
+			       effects);
+		bytes_clear(&body);
+		router_allocate(router, now_us, effects);
+		return;
+	}
+	if (peers->allocator)
+		router_send(effects, peers->allocator, body);
+	else
+		bytes_clear(&body);
+	if (now_us - peers->heard_us > SHARE_SILENT_US)
+		router_lapse(router, now_us);
+}
+
+/** Tell all others that a server crashed with this request on it. */
+void router_share_crash(struct router *router, uint64_t fingerprint,
+			uint64_t server, int64_t ran_us,
+			struct effects *effects)
+{
+	struct share_crash crash = { fingerprint, server, ran_us };
+	const struct router_peers *peers = router->peers;
+	int i;
+
+	for (i = 0; peers->members && i < peers->n; i++)
+		if (i != peers->self)
+			router_send(effects, peers->members[i],
+				    share_write_crash(&crash));
 }
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -10,6 +10,7 @@
 #include "load/length.h"
 #include "load/pick.h"
 #include "load/poison.h"
+#include "load/preempt.h"
 #include "load/prefix.h"
 #include "load/quota.h"
 #include "load/retry.h"
@@ -68,6 +69,7 @@
 struct pressure {
 	int64_t waiting;
 	int64_t good_us;  /**< when its queue last was empty or quick */
+	int64_t empty_us; /**< when its queue last was empty */
 	int64_t short_us; /**< when a short request last came */
 };
 
@@ -93,7 +95,8 @@
 	double mean_cost;
 	double first_token_us; /**< mean, from start of an attempt */
 	int64_t grant;	       /**< slots handed to this VM, -1 unbounded */
-	int64_t grant_us;      /**< when it was handed out */
+	double own_from;       /**< this VM's part of each server, 0..1 */
+	double own_until;
 	int64_t n_measured;
 	int n_preempting;    /**< cancelled for a higher tier, not ended */
 	int local_pressure;  /**< highest tier that waits here */
@@ -125,6 +128,7 @@
 	int64_t prompt_tokens; /**< counted on the server until prefill */
 	double work;
 	bool is_long;
+	bool by_floor; /**< started by its class's minimum share */
 	bool sent;
 	bool cancelled;
 	enum result cancel_code; /**< why it was cancelled */
@@ -178,6 +182,7 @@
 	struct prefix prefix;
 	struct poison poison;
 	struct retry retry;
+	struct preempt_budget preempt;
 	struct pick_options pick;
 	uint64_t sequence;
 	uint64_t last_organisation;
@@ -194,7 +199,7 @@
 			 const char *adapter, bool reclaimable);
 void pool_refresh(struct router *router, struct pool *pool, int64_t now_us);
 void pool_free(struct router *router, struct pool *pool);
-bool pool_standing(const struct pool *pool, int tier, int64_t now_us);
+bool request_stands(const struct request *request, int64_t now_us);
 double pool_wait_us(const struct router *router, const struct pool *pool,
 		    const struct request *request);
 double pool_own_slots(const struct router *router, const struct pool *pool);
@@ -232,10 +237,11 @@
 			uint64_t server, int64_t ran_us,
 			struct effects *effects);
 bool router_shares(const struct router *router);
+int64_t router_equal_part(const struct router *router, const struct pool *pool);
 
 /* router_attempt.c */
 void attempt_start(struct router *router, struct request *request,
-		   struct backend *backend, int64_t now_us,
+		   struct backend *backend, bool by_floor, int64_t now_us,
 		   struct effects *effects);
 void attempt_cancel(struct attempt *attempt, enum result why,
 		    struct effects *effects);
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -208,8 +208,7 @@
 	if (now_us + wait_us + request_needs_us(router, request) >
 	    request->deadline_us)
 		return true;
-	return request->target_us &&
-	       pool_standing(pool, request->tier, now_us) &&
+	return request->target_us && request_stands(request, now_us) &&
 	       now_us + wait_us + first_us > request->target_us;
 }
 
@@ -232,8 +231,10 @@
 		entry->due_us = request->ask.arrived_us;
 	sched_push(&queue->sched, entry, request->class->id,
 		   features->fairness ? request->organisation->id : 0);
-	if (!pressure->waiting++)
+	if (!pressure->waiting++) {
 		pressure->good_us = now_us;
+		pressure->empty_us = now_us;
+	}
 	if (!request->is_long)
 		pressure->short_us = now_us;
 	pool->waiting_by_class[request->class->id]++;
--- a/libfilberthall/load/sched.c
+++ b/libfilberthall/load/sched.c
@@ -380,6 +380,11 @@
 	return higher + (fair < same ? fair : same);
 }
 
+double sched_class_work(const struct sched *sched, int class_id)
+{
+	return sched->classes[class_id].cost;
+}
+
 void sched_set_class(struct sched *sched, int class_id, int tier)
 {
 	struct sched_class *class = &sched->classes[class_id];
--- a/libfilberthall/load/sched.h
+++ b/libfilberthall/load/sched.h
@@ -118,6 +118,9 @@
 double sched_work_ahead(const struct sched *sched, uint64_t organisation,
 			int tier, double cost);
 
+/** Estimated work that waits in a class. */
+double sched_class_work(const struct sched *sched, int class_id);
+
 /** Forget an organisation that has nothing waiting. */
 void sched_forget(struct sched *sched, uint64_t organisation);
 
--- /dev/null
+++ b/libfilberthall/load/share.c
@@ -0,0 +1,411 @@
+#include "load/share.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+
+struct share_slot { /* one member's row in a pool's or organisation's table */
+	bool known;
+	int64_t heard_us;
+	int64_t want[SCHED_TIERS];
+	int64_t pressure;
+	int64_t slots;
+	int64_t grant;
+	int64_t concurrent;
+	double asked; /* running sum, fading by half a round */
+	double part;
+};
+
+struct share_pool {
+	struct map_node node;
+	char name[SHARE_NAME_SIZE];
+	struct share_slot *rows; /* by index of the member */
+	int64_t pressure;
+	int64_t pressed_us; /* when that tier's pressure was last reported */
+};
+
+struct share_limit {
+	struct map_node node;
+	char name[SHARE_NAME_SIZE];
+	struct share_slot *rows;
+	int64_t limit;
+};
+
+struct share {
+	struct map pools;
+	struct map limits;
+	uint64_t *members;
+	int64_t *heard_us;
+	int n;
+	int64_t turn;
+};
+
+static int64_t sum_of(const int64_t *values, int n)
+{
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < n; i++)
+		sum += values[i];
+	return sum;
+}
+
+void share_equal(int64_t total, int64_t *parts, int n, int64_t turn)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		int64_t place = (i + turn) % n;
+
+		parts[i] += total / n + (place < total % n);
+	}
+}
+
+int64_t share_divide(int64_t total, const int64_t *wants, int64_t *parts, int n,
+		     int64_t turn)
+{
+	int64_t sum = sum_of(wants, n);
+	int64_t given = 0;
+	int i;
+
+	if (sum <= total) {
+		for (i = 0; i < n; i++)
+			parts[i] += wants[i];
+		return total - sum;
+	}
+	for (i = 0; i < n; i++) {
+		int64_t part = total * wants[i] / sum;
+
+		parts[i] += part;
+		given += part;
+	}
+	for (i = 0; given < total && i < n; i++) {
+		int at = (int)((i + turn) % n);
+
+		if (!wants[at])
+			continue;
+		parts[at]++;
+		given++;
+	}
+	return 0;
+}
+
+struct share *share_new(void)
+{
+	struct share *share = xcalloc(1, sizeof(*share));
+
+	map_init(&share->pools);
+	map_init(&share->limits);
+	return share;
+}
+
+static void share_clear_books(struct share *share)
+{
+	struct share_pool *pool;
+	struct share_pool *next_pool;
+	struct share_limit *limit;
+	struct share_limit *next_limit;
+
+	map_foreach(pool, next_pool, &share->pools, node) {
+		free(pool->rows);
+		free(pool);
+	}
+	map_foreach(limit, next_limit, &share->limits, node) {
+		free(limit->rows);
+		free(limit);
+	}
+	map_clear(&share->pools);
+	map_clear(&share->limits);
+}
+
+void share_free(struct share *share)
+{
+	if (!share)
+		return;
+	share_clear_books(share);
+	free(share->members);
+	free(share->heard_us);
+	free(share);
+}
+
+void share_members(struct share *share, const uint64_t *members, int n)
+{
+	size_t size = (size_t)n * sizeof(*members);
+
+	if (n == share->n && n && !memcmp(members, share->members, size))
+		return;
+	share_clear_books(share);
+	free(share->members);
+	free(share->heard_us);
+	share->members = xcalloc((size_t)n + 1, sizeof(*members));
+	share->heard_us = xcalloc((size_t)n + 1, sizeof(*share->heard_us));
+	if (n)
+		memcpy(share->members, members, size);
+	share->n = n;
+}
+
+static int share_index(const struct share *share, uint64_t member)
+{
+	int i;
+
+	for (i = 0; i < share->n; i++)
+		if (share->members[i] == member)
+			return i;
+	return -1;
+}
+
+static bool share_pool_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(container_of(node, struct share_pool, node)->name, key);
+}
+
+static bool share_limit_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(container_of(node, struct share_limit, node)->name, key);
+}
+
+static struct share_pool *share_pool_get(struct share *share, const char *name)
+{
+	uint64_t hash = map_hash_text(name);
+	struct map_node *node =
+		map_find(&share->pools, hash, share_pool_match, name);
+	struct share_pool *pool;
+
+	if (node)
+		return container_of(node, struct share_pool, node);
+	pool = xcalloc(1, sizeof(*pool));
+	snprintf(pool->name, sizeof(pool->name), "%s", name);
+	pool->rows = xcalloc((size_t)share->n + 1, sizeof(*pool->rows));
+	pool->pressure = SCHED_TIERS;
+	map_insert(&share->pools, &pool->node, hash);
+	return pool;
+}
+
+static struct share_limit *share_limit_get(struct share *share,
+					   const char *name)
+{
+	uint64_t hash = map_hash_text(name);
+	struct map_node *node =
+		map_find(&share->limits, hash, share_limit_match, name);
+	struct share_limit *limit;
+
+	if (node)
+		return container_of(node, struct share_limit, node);
+	limit = xcalloc(1, sizeof(*limit));
+	snprintf(limit->name, sizeof(limit->name), "%s", name);
+	limit->rows = xcalloc((size_t)share->n + 1, sizeof(*limit->rows));
+	map_insert(&share->limits, &limit->node, hash);
+	return limit;
+}
+
+void share_heard(struct share *share, uint64_t member, int64_t now_us)
+{
+	int at = share_index(share, member);
+
+	if (at >= 0)
+		share->heard_us[at] = now_us;
+}
+
+void share_note_demand(struct share *share, uint64_t member,
+		       const struct share_demand *demand, int64_t now_us)
+{
+	int at = share_index(share, member);
+	struct share_pool *pool;
+	struct share_slot *row;
+
+	if (at < 0)
+		return;
+	pool = share_pool_get(share, demand->pool);
+	row = &pool->rows[at];
+	row->known = true;
+	row->heard_us = now_us;
+	row->slots = demand->slots;
+	row->pressure = demand->pressure;
+	memcpy(row->want, demand->want, sizeof(row->want));
+}
+
+void share_note_use(struct share *share, uint64_t member,
+		    const struct share_use *use, int64_t now_us)
+{
+	int at = share_index(share, member);
+	struct share_limit *limit;
+	struct share_slot *row;
+
+	if (at < 0)
+		return;
+	limit = share_limit_get(share, use->organisation);
+	limit->limit = use->limit;
+	row = &limit->rows[at];
+	row->known = true;
+	row->heard_us = now_us;
+	row->concurrent = use->concurrent;
+	row->asked = row->asked / 2 + (double)use->asked;
+}
+
+static bool share_is_silent(const struct share *share, int at, int64_t now_us)
+{
+	return !share->heard_us[at] ||
+	       now_us - share->heard_us[at] > SHARE_SILENT_US;
+}
+
+static int64_t pool_slots(const struct share *share,
+			  const struct share_pool *pool)
+{
+	int64_t slots = 0;
+	int i;
+
+	for (i = 0; i < share->n; i++)
+		if (pool->rows[i].slots > slots)
+			slots = pool->rows[i].slots;
+	return slots;
+}
+
+/* The highest tier that waits anywhere; held a little against flapping. */
+static void pool_press_round(struct share *share, struct share_pool *pool,
+			     int64_t now_us)
+{
+	int64_t pressure = SCHED_TIERS;
+	int i;
+
+	for (i = 0; i < share->n; i++) {
+		const struct share_slot *row = &pool->rows[i];
+
+		if (row->known && !share_is_silent(share, i, now_us) &&
+		    row->pressure < pressure)
+			pressure = row->pressure;
+	}
+	if (pressure <= pool->pressure ||
+	    now_us - pool->pressed_us > SHARE_PRESSURE_HOLD_US)
+		pool->pressure = pressure;
+	if (pressure <= pool->pressure)
+		pool->pressed_us = now_us;
+}
+
+static void pool_round(struct share *share, struct share_pool *pool,
+		       int64_t now_us)
+{
+	int64_t left = pool_slots(share, pool);
+	int64_t equal = left / share->n;
+	int64_t *wants = xcalloc((size_t)share->n, sizeof(*wants));
+	int64_t *parts = xcalloc((size_t)share->n, sizeof(*parts));
+	int tier;
+	int i;
+
+	/* A daemon that isn't heard falls back to the equal part by itself. */
+	for (i = 0; i < share->n; i++)
+		if (share_is_silent(share, i, now_us))
+			left -= equal;
+	for (tier = 0; tier < SCHED_TIERS; tier++) {
+		for (i = 0; i < share->n; i++)
+			wants[i] = share_is_silent(share, i, now_us)
+					   ? 0
+					   : pool->rows[i].want[tier];
+		left = share_divide(left, wants, parts, share->n, share->turn);
+	}
+	share_equal(left, parts, share->n, share->turn);
+	for (i = 0; i < share->n; i++)
+		pool->rows[i].grant =
+			share_is_silent(share, i, now_us) ? equal : parts[i];
+	free(wants);
+	free(parts);
+	pool_press_round(share, pool, now_us);
+}
+
+/*
+ * Rates: half in equal parts, so that a daemon with no demand yet can let the
+ * first request in, half by demand. Places: what is in use stays, the rest by
+ * demand, what is left in equal parts.
+ */
+static void limit_round(struct share *share, struct share_limit *limit,
+			int64_t now_us)
+{
+	int64_t *wants = xcalloc((size_t)share->n, sizeof(*wants));
+	int64_t *parts = xcalloc((size_t)share->n, sizeof(*parts));
+	double asked = 0;
+	int64_t left;
+	int i;
+
+	for (i = 0; i < share->n; i++) {
+		wants[i] = limit->rows[i].concurrent;
+		asked += limit->rows[i].asked;
+	}
+	left = share_divide(limit->limit, wants, parts, share->n, share->turn);
+	for (i = 0; i < share->n; i++)
+		wants[i] = (int64_t)limit->rows[i].asked;
+	left = share_divide(left, wants, parts, share->n, share->turn);
+	share_equal(left, parts, share->n, share->turn);
+	for (i = 0; i < share->n; i++) {
+		struct share_slot *row = &limit->rows[i];
+		double by_demand =
+			asked > 0 ? row->asked / asked : 1.0 / share->n;
+		bool silent = share_is_silent(share, i, now_us);
+
+		row->part = silent ? 1.0 / share->n
+				   : (1.0 / share->n + by_demand) / 2;
+		row->grant = parts[i];
+	}
+	free(wants);
+	free(parts);
+}
+
+void share_round(struct share *share, int64_t now_us)
+{
+	struct share_pool *pool;
+	struct share_pool *next_pool;
+	struct share_limit *limit;
+	struct share_limit *next_limit;
+
+	if (!share->n)
+		return;
+	share->turn++;
+	map_foreach(pool, next_pool, &share->pools, node)
+		pool_round(share, pool, now_us);
+	map_foreach(limit, next_limit, &share->limits, node)
+		limit_round(share, limit, now_us);
+}
+
+static int64_t grants_up_to(const struct share_pool *pool, int n)
+{
+	int64_t sum = 0;
+	int i;
+
+	for (i = 0; i < n; i++)
+		sum += pool->rows[i].grant;
+	return sum;
+}
+
+void share_visit(const struct share *share, uint64_t member,
+		 void (*grant)(void *data, const struct share_grant *grant),
+		 void (*part)(void *data, const struct share_part *part),
+		 void *data)
+{
+	int at = share_index(share, member);
+	struct share_pool *pool;
+	struct share_pool *next_pool;
+	struct share_limit *limit;
+	struct share_limit *next_limit;
+
+	if (at < 0)
+		return;
+	map_foreach(pool, next_pool, &share->pools, node) {
+		struct share_grant out = { .slots = pool->rows[at].grant,
+					   .before = grants_up_to(pool, at),
+					   .total =
+						   grants_up_to(pool, share->n),
+					   .pressure = pool->pressure };
+
+		memcpy(out.pool, pool->name, sizeof(out.pool));
+		grant(data, &out);
+	}
+	map_foreach(limit, next_limit, &share->limits, node) {
+		struct share_part out = { .part = limit->rows[at].part,
+					  .concurrent = limit->rows[at].grant };
+
+		if (!limit->rows[at].known)
+			continue;
+		memcpy(out.organisation, limit->name, sizeof(out.organisation));
+		part(data, &out);
+	}
+}
--- /dev/null
+++ b/libfilberthall/load/share_message.c
@@ -0,0 +1,296 @@
+#include "load/share_message.h"
+
+#include <msgpack.h>
+#include <stdio.h>
+#include <string.h>
+
+static int write_bytes(void *data, const char *buf, size_t len)
+{
+	bytes_append(data, buf, len);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *packer, const char *text)
+{
+	msgpack_pack_str(packer, strlen(text));
+	msgpack_pack_str_body(packer, text, strlen(text));
+}
+
+void share_write_demand(struct share_writer *writer,
+			const struct share_demand *demand)
+{
+	msgpack_packer packer;
+	int i;
+
+	msgpack_packer_init(&packer, &writer->first, write_bytes);
+	msgpack_pack_array(&packer, 3 + SCHED_TIERS);
+	pack_text(&packer, demand->pool);
+	msgpack_pack_int64(&packer, demand->slots);
+	msgpack_pack_int64(&packer, demand->pressure);
+	for (i = 0; i < SCHED_TIERS; i++)
+		msgpack_pack_int64(&packer, demand->want[i]);
+	writer->n_first++;
+}
+
+void share_write_use(struct share_writer *writer, const struct share_use *use)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &writer->second, write_bytes);
+	msgpack_pack_array(&packer, 4);
+	pack_text(&packer, use->organisation);
+	msgpack_pack_int64(&packer, use->concurrent);
+	msgpack_pack_int64(&packer, use->asked);
+	msgpack_pack_int64(&packer, use->limit);
+	writer->n_second++;
+}
+
+void share_write_grant(struct share_writer *writer,
+		       const struct share_grant *grant)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &writer->first, write_bytes);
+	msgpack_pack_array(&packer, 5);
+	pack_text(&packer, grant->pool);
+	msgpack_pack_int64(&packer, grant->slots);
+	msgpack_pack_int64(&packer, grant->before);
+	msgpack_pack_int64(&packer, grant->total);
+	msgpack_pack_int64(&packer, grant->pressure);
+	writer->n_first++;
+}
+
+void share_write_part(struct share_writer *writer,
+		      const struct share_part *part)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &writer->second, write_bytes);
+	msgpack_pack_array(&packer, 3);
+	pack_text(&packer, part->organisation);
+	msgpack_pack_double(&packer, part->part);
+	msgpack_pack_int64(&packer, part->concurrent);
+	writer->n_second++;
+}
+
+struct bytes share_write_end(struct share_writer *writer, enum share_kind kind)
+{
+	struct bytes out = { 0 };
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &out, write_bytes);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_int(&packer, kind);
+	msgpack_pack_array(&packer, (size_t)writer->n_first);
+	bytes_append(&out, writer->first.data, writer->first.len);
+	msgpack_pack_array(&packer, (size_t)writer->n_second);
+	bytes_append(&out, writer->second.data, writer->second.len);
+	bytes_clear(&writer->first);
+	bytes_clear(&writer->second);
+	writer->n_first = 0;
+	writer->n_second = 0;
+	return out;
+}
+
+struct bytes share_write_crash(const struct share_crash *crash)
+{
+	struct bytes out = { 0 };
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, &out, write_bytes);
+	msgpack_pack_array(&packer, 4);
+	msgpack_pack_int(&packer, SHARE_CRASH);
+	msgpack_pack_uint64(&packer, crash->fingerprint);
+	msgpack_pack_uint64(&packer, crash->server);
+	msgpack_pack_int64(&packer, crash->ran_us);
+	return out;
+}
+
+/* Walks over a row; `bad` stays set after the first misfit. */
+struct row {
+	const msgpack_object_array *array;
+	uint32_t at;
+	bool bad;
+};
+
+static const msgpack_object *row_next(struct row *row)
+{
+	if (row->bad || row->at >= row->array->size) {
+		row->bad = true;
+		return NULL;
+	}
+	return &row->array->ptr[row->at++];
+}
+
+static int64_t row_int(struct row *row)
+{
+	const msgpack_object *object = row_next(row);
+
+	if (object && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    object->via.u64 <= INT64_MAX)
+		return (int64_t)object->via.u64;
+	row->bad = true;
+	return 0;
+}
+
+static uint64_t row_uint(struct row *row)
+{
+	const msgpack_object *object = row_next(row);
+
+	if (object && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return object->via.u64;
+	row->bad = true;
+	return 0;
+}
+
+static double row_real(struct row *row)
+{
+	const msgpack_object *object = row_next(row);
+
+	if (object && (object->type == MSGPACK_OBJECT_FLOAT64 ||
+		       object->type == MSGPACK_OBJECT_FLOAT32))
+		return object->via.f64;
+	row->bad = true;
+	return 0;
+}
+
+static void row_text(struct row *row, char *to, size_t size)
+{
+	const msgpack_object *object = row_next(row);
+
+	if (!object || object->type != MSGPACK_OBJECT_STR ||
+	    object->via.str.size >= size) {
+		row->bad = true;
+		return;
+	}
+	memcpy(to, object->via.str.ptr, object->via.str.size);
+	to[object->via.str.size] = '\0';
+}
+
+static bool read_demand(struct row *row, const struct share_reader *reader)
+{
+	struct share_demand demand = { 0 };
+	int i;
+
+	row_text(row, demand.pool, sizeof(demand.pool));
+	demand.slots = row_int(row);
+	demand.pressure = row_int(row);
+	for (i = 0; i < SCHED_TIERS; i++)
+		demand.want[i] = row_int(row);
+	if (!row->bad && reader->demand)
+		reader->demand(reader->data, &demand);
+	return !row->bad;
+}
+
+static bool read_use(struct row *row, const struct share_reader *reader)
+{
+	struct share_use use = { 0 };
+
+	row_text(row, use.organisation, sizeof(use.organisation));
+	use.concurrent = row_int(row);
+	use.asked = row_int(row);
+	use.limit = row_int(row);
+	if (!row->bad && reader->use)
+		reader->use(reader->data, &use);
+	return !row->bad;
+}
+
+static bool read_grant(struct row *row, const struct share_reader *reader)
+{
+	struct share_grant grant = { 0 };
+
+	row_text(row, grant.pool, sizeof(grant.pool));
+	grant.slots = row_int(row);
+	grant.before = row_int(row);
+	grant.total = row_int(row);
+	grant.pressure = row_int(row);
+	if (!row->bad && reader->grant)
+		reader->grant(reader->data, &grant);
+	return !row->bad;
+}
+
+static bool read_part(struct row *row, const struct share_reader *reader)
+{
+	struct share_part part = { 0 };
+
+	row_text(row, part.organisation, sizeof(part.organisation));
+	part.part = row_real(row);
+	part.concurrent = row_int(row);
+	if (!row->bad && reader->part)
+		reader->part(reader->data, &part);
+	return !row->bad;
+}
+
+static bool read_crash(struct row *row, const struct share_reader *reader)
+{
+	struct share_crash crash = { 0 };
+
+	crash.fingerprint = row_uint(row);
+	crash.server = row_uint(row);
+	crash.ran_us = row_int(row);
+	if (!row->bad && reader->crash)
+		reader->crash(reader->data, &crash);
+	return !row->bad;
+}
+
+typedef bool (*read_row_fn)(struct row *row, const struct share_reader *reader);
+
+static bool read_rows(struct row *message, read_row_fn read_row,
+		      const struct share_reader *reader)
+{
+	const msgpack_object *list = row_next(message);
+	uint32_t i;
+
+	if (!list || list->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (i = 0; i < list->via.array.size; i++) {
+		const msgpack_object *item = &list->via.array.ptr[i];
+		struct row row = { .array = &item->via.array };
+
+		if (item->type != MSGPACK_OBJECT_ARRAY ||
+		    !read_row(&row, reader))
+			return false;
+	}
+	return true;
+}
+
+static bool read_message(struct row *message, const struct share_reader *reader)
+{
+	int64_t kind = row_int(message);
+
+	if (message->bad)
+		return false;
+	if (reader->heard)
+		reader->heard(reader->data, (enum share_kind)kind);
+	switch (kind) {
+	case SHARE_DEMAND:
+		return read_rows(message, read_demand, reader) &&
+		       read_rows(message, read_use, reader);
+	case SHARE_GRANT:
+		return read_rows(message, read_grant, reader) &&
+		       read_rows(message, read_part, reader);
+	case SHARE_CRASH:
+		return read_crash(message, reader);
+	default:
+		return true;
+	}
+}
+
+enum result share_read(const struct bytes *body,
+		       const struct share_reader *reader)
+{
+	msgpack_unpacked unpacked;
+	struct row message = { 0 };
+	bool good = false;
+
+	msgpack_unpacked_init(&unpacked);
+	if (body->len &&
+	    msgpack_unpack_next(&unpacked, body->data, body->len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
+		message.array = &unpacked.data.via.array;
+		good = read_message(&message, reader);
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return good ? RESULT_OK : RESULT_MESSAGE_MALFORMED;
+}
--- /dev/null
+++ b/libfilberthall/load/share_message.h
@@ -0,0 +1,63 @@
+#ifndef FILBERTHALL_LOAD_SHARE_MESSAGE_H
+#define FILBERTHALL_LOAD_SHARE_MESSAGE_H
+
+#include "base/bytes.h"
+#include "base/result.h"
+#include "load/share.h"
+
+/**
+ * Messages between routers on LINK_SHARE: msgpack, each an array that begins
+ * with its kind. Unknown kinds are ignored, so that daemons of two versions
+ * can work side by side during an upgrade.
+ *
+ *	[1, [[pool, slots, pressure, want...]...], [[organisation, concurrent,
+ *	     asked, limit]...]]				demand
+ *	[2, [[pool, slots, before, total, pressure]...], [[organisation,
+ *	     part, concurrent]...]]			grants
+ *	[3, fingerprint, server, ran_us]		a crash
+ */
+enum share_kind { SHARE_DEMAND = 1, SHARE_GRANT = 2, SHARE_CRASH = 3 };
+
+struct share_crash {
+	uint64_t fingerprint;
+	uint64_t server;
+	int64_t ran_us;
+};
+
+/** A message being built: two lists of rows. */
+struct share_writer {
+	struct bytes first;
+	struct bytes second;
+	int n_first;
+	int n_second;
+};
+
+void share_write_demand(struct share_writer *writer,
+			const struct share_demand *demand);
+void share_write_use(struct share_writer *writer, const struct share_use *use);
+void share_write_grant(struct share_writer *writer,
+		       const struct share_grant *grant);
+void share_write_part(struct share_writer *writer,
+		      const struct share_part *part);
+
+/** Put the message together; the writer is empty afterwards. */
+struct bytes share_write_end(struct share_writer *writer, enum share_kind kind);
+
+struct bytes share_write_crash(const struct share_crash *crash);
+
+/** What to do with what a message holds; unused ones may be NULL. */
+struct share_reader {
+	void (*heard)(void *data, enum share_kind kind);
+	void (*demand)(void *data, const struct share_demand *demand);
+	void (*use)(void *data, const struct share_use *use);
+	void (*grant)(void *data, const struct share_grant *grant);
+	void (*part)(void *data, const struct share_part *part);
+	void (*crash)(void *data, const struct share_crash *crash);
+	void *data;
+};
+
+/** Returns RESULT_OK or RESULT_MESSAGE_MALFORMED. */
+enum result share_read(const struct bytes *body,
+		       const struct share_reader *reader);
+
+#endif
