--- a/fakes/completion.c
+++ b/fakes/completion.c
@@ -187,11 +187,11 @@
 		return;
 	if (!completion->prompt.stream) {
 		bytes_append_text(&completion->text, token);
-		return;
+	} else {
+		if (!completion->exchange->status)
+			completion_begin_stream(completion);
+		completion_stream_token(completion, token);
 	}
-	if (!completion->exchange->status)
-		completion_begin_stream(completion);
-	completion_stream_token(completion, token);
 	if (sequence->done == completion->break_after)
 		exchange_abort(completion->exchange);
 }
--- a/fakes/loop.c
+++ b/fakes/loop.c
@@ -122,18 +122,35 @@
 	return !list_empty(&timer->node);
 }
 
+/* Whether a time is nearer to the first timer's than to the last one's. */
+static bool loop_is_early(const struct loop *loop, int64_t at_us)
+{
+	const struct loop_timer *first =
+		list_first(&loop->timers, struct loop_timer, node);
+	const struct loop_timer *last =
+		list_last(&loop->timers, struct loop_timer, node);
+
+	return first && at_us - first->at_us < last->at_us - at_us;
+}
+
 void loop_timer_set(struct loop *loop, struct loop_timer *timer, int64_t at_us)
 {
-	struct list *at;
+	struct loop_timer *other;
 
 	loop_timer_cancel(timer);
 	timer->at_us = at_us;
-	/* New timers are mostly the latest: look from the end. */
-	at = loop->timers.prev;
-	while (at != &loop->timers &&
-	       container_of(at, struct loop_timer, node)->at_us > at_us)
-		at = at->prev;
-	list_prepend(at, &timer->node);
+	/* Thousands of far time-outs stand behind a few near timers. */
+	if (loop_is_early(loop, at_us)) {
+		list_foreach(other, &loop->timers, node)
+			if (other->at_us > at_us)
+				break;
+		list_insert_before(&other->node, &timer->node);
+		return;
+	}
+	other = container_of(loop->timers.prev, struct loop_timer, node);
+	while (&other->node != &loop->timers && other->at_us > at_us)
+		other = container_of(other->node.prev, struct loop_timer, node);
+	list_prepend(&other->node, &timer->node);
 }
 
 static void loop_fire_due(struct loop *loop)
