--- a/libfilberthall/agree/settings_change.c
+++ b/libfilberthall/agree/settings_change.c
@@ -305,7 +305,45 @@
 	return settings_change(settings, items, n, author, answer, handler);
 }
 
-/* Undone only where nothing was changed since: else both are shown. */
+/* Paths that were changed after a record, as keys of an object. */
+static json_t *settings_changed_since(const struct settings *settings,
+				      const struct setting_record *record)
+{
+	json_t *paths = json_object();
+	const struct list *at = record->node.next;
+
+	for (; at != &settings->history; at = at->next) {
+		const json_t *change;
+		size_t i;
+
+		record = container_of(at, const struct setting_record, node);
+		json_array_foreach(record->changes, i, change)
+			json_object_set_new(paths,
+					    codec_text(change, "path", ""),
+					    json_true());
+	}
+	return paths;
+}
+
+/*
+ * Undone only where nothing was changed since: else both are shown. A path
+ * that is deleted has version 0 whichever change deleted it, so history must
+ * tell whether that was the change to be undone.
+ */
+static void settings_revert_item(struct settings_item *item,
+				 const json_t *change, const json_t *since,
+				 int64_t version)
+{
+	json_t *old_value = json_object_get(change, "old");
+	bool deleted = json_is_null(json_object_get(change, "new"));
+
+	item->path = codec_text(change, "path", "");
+	item->value = json_is_null(old_value) ? NULL : old_value;
+	item->version = version;
+	if (deleted && !json_object_get(since, item->path))
+		item->version = 0;
+}
+
 enum result settings_revert(struct settings *settings, int64_t version,
 			    const struct settings_author *author,
 			    json_t *answer, const struct error_handler *handler)
@@ -314,6 +352,7 @@
 	cleanup(free_ptr) struct settings_item *items = NULL;
 	json_t *changes;
 	json_t *change;
+	json_t *since;
 	enum result code;
 	size_t i;
 
@@ -322,17 +361,13 @@
 				    "history holds no change %lld",
 				    (long long)version);
 	changes = json_incref(record->changes);
+	since = settings_changed_since(settings, record);
 	items = xcalloc(json_array_size(changes) + 1, sizeof(*items));
-	json_array_foreach(changes, i, change) {
-		json_t *old_value = json_object_get(change, "old");
-		json_t *new_value = json_object_get(change, "new");
-
-		items[i].path = codec_text(change, "path", "");
-		items[i].value = json_is_null(old_value) ? NULL : old_value;
-		items[i].version = json_is_null(new_value) ? 0 : version;
-	}
+	json_array_foreach(changes, i, change)
+		settings_revert_item(&items[i], change, since, version);
 	code = settings_change(settings, items, json_array_size(changes),
 			       author, answer, handler);
+	json_decref(since);
 	json_decref(changes);
 	return code;
 }
