--- a/daemon/view.c
+++ b/daemon/view.c
@@ -1,9 +1,9 @@
 #include "daemon/view.h"
 
 #include <stdlib.h>
+#include <urcu-bp.h>
 
 #include "base/alloc.h"
-#include "base/list.h"
 
 static struct view *view_new(void)
 {
@@ -27,11 +27,6 @@
 	free(view);
 }
 
-static void view_unref_late(struct rcu_head *rcu)
-{
-	view_unref(container_of(rcu, struct view, rcu));
-}
-
 void view_publish(struct view_slot *slot, const struct effect_publish *publish)
 {
 	struct view *view = view_new();
@@ -45,7 +40,8 @@
 	 * reference: the slot's own reference lives until all such readers
 	 * have left their read side.
 	 */
-	call_rcu(&view->rcu, view_unref_late);
+	synchronize_rcu();
+	view_unref(view);
 }
 
 struct view *view_get(struct view_slot *slot)
@@ -63,7 +59,5 @@
 {
 	struct view *view = atomic_exchange(&slot->view, NULL);
 
-	rcu_barrier();
-	if (view)
-		view_unref(view);
+	view_unref(view);
 }
--- a/daemon/view.h
+++ b/daemon/view.h
@@ -2,7 +2,7 @@
 #define FILBERTHALL_DAEMON_VIEW_H
 
 #include <stdatomic.h>
-#include <urcu-bp.h>
+#include <stdbool.h>
 
 #include "core/effect.h"
 
@@ -13,7 +13,6 @@
  * threads by itself.
  */
 struct view {
-	struct rcu_head rcu;
 	atomic_int references;
 	bool healthy;
 	struct bytes models;
@@ -27,14 +26,16 @@
 /** Starts unhealthy and empty. */
 void view_slot_init(struct view_slot *slot);
 
-/** Put a new view up; the old one goes when its last reader is done. */
+/**
+ * Put a new view up; the old one goes when its last reader is done. Waits for
+ * readers to leave their read side, which is three instructions long.
+ */
 void view_publish(struct view_slot *slot, const struct effect_publish *publish);
 
 /** The present view; to be given back with view_unref(). */
 struct view *view_get(struct view_slot *slot);
 void view_unref(struct view *view);
 
-/** Waits for readers. */
 void view_slot_clear(struct view_slot *slot);
 
 #endif
