daemon: links between daemons

One thread serves them all over epoll: TLS 1.3 with a pre-shared key proves the site to both ends, the hello tells version, site, VM and member. Silence of two seconds ends a link, as a path that has lost track of a connection leaves it open. Each peer has a bounded queue whose oldest messages go first, and one that doesn't read holds up nobody else. Of two connections dialled at once both ends keep the one that the lower member id dialled.

--- a/daemon/edge.h
+++ b/daemon/edge.h
@@ -40,6 +40,7 @@
 	X(announcements, "announcements_total", "announcements read")         \
 	X(link_bytes_in, "link_bytes_in_total", "bytes read from links")      \
 	X(link_bytes_out, "link_bytes_out_total", "bytes written to links")   \
+	X(link_refused, "links_refused_total", "peers not let in")            \
 	X(link_dropped, "link_dropped_total", "messages dropped, queue full")
 
 struct edge_counters {
--- /dev/null
+++ b/daemon/link_conn.c
@@ -0,0 +1,327 @@
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/alloc.h"
+#include "daemon/link_private.h"
+
+/* Frames are handed to TLS in lots of this size. */
+#define OUT_BYTES (64 * 1024)
+#define RECORD_BYTES (16 * 1024)
+
+/* One busy peer must not keep the thread from the others. */
+#define READS_AT_ONCE 16
+
+static const char priorities[] =
+	"NORMAL:-VERS-ALL:+VERS-TLS1.3:-KX-ALL:+ECDHE-PSK";
+
+static void watch(struct link_conn *conn, int operation)
+{
+	struct epoll_event event = {
+		.events = EPOLLIN | (conn->wants_write ? EPOLLOUT : 0),
+		.data.ptr = conn,
+	};
+
+	epoll_ctl(conn->hub->epoll, operation, conn->fd, &event);
+}
+
+static void want_write(struct link_conn *conn, bool wanted)
+{
+	if (conn->wants_write == wanted)
+		return;
+	conn->wants_write = wanted;
+	watch(conn, EPOLL_CTL_MOD);
+}
+
+static void set_socket_options(int fd)
+{
+	unsigned int silence_ms = LINK_SILENCE_US / 1000;
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	/* Bytes that nobody acknowledges end the connection. */
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+		   sizeof(silence_ms));
+}
+
+static void set_tls(struct link_conn *conn)
+{
+	struct link_hub *hub = conn->hub;
+
+	gnutls_init(&conn->tls,
+		    (conn->dialled ? GNUTLS_CLIENT : GNUTLS_SERVER) |
+			    GNUTLS_NONBLOCK | GNUTLS_NO_TICKETS);
+	gnutls_priority_set_direct(conn->tls, priorities, NULL);
+	if (conn->dialled)
+		gnutls_credentials_set(conn->tls, GNUTLS_CRD_PSK,
+				       hub->client_key);
+	else
+		gnutls_credentials_set(conn->tls, GNUTLS_CRD_PSK,
+				       hub->server_key);
+	gnutls_session_set_ptr(conn->tls, hub);
+	gnutls_transport_set_int(conn->tls, conn->fd);
+}
+
+struct link_conn *link_conn_new(struct link_hub *hub, int fd,
+				struct link_dial *dial)
+{
+	struct link_conn *conn = xcalloc(1, sizeof(*conn));
+
+	conn->hub = hub;
+	conn->fd = fd;
+	conn->dial = dial;
+	conn->dialled = dial != NULL;
+	conn->state = dial ? LINK_CONNECTING : LINK_SECURING;
+	conn->opened_us = edge_now_us();
+	conn->heard_us = conn->opened_us;
+	conn->wants_write = true;
+	set_socket_options(fd);
+	set_tls(conn);
+	list_append(&hub->conns, &conn->node);
+	hub->n_strangers++;
+	watch(conn, EPOLL_CTL_ADD);
+	return conn;
+}
+
+void link_conn_close(struct link_conn *conn)
+{
+	struct link_dial *dial = conn->dial;
+	bool worked = conn->state == LINK_UP;
+
+	if (conn->state == LINK_DEAD)
+		return;
+	if (!worked)
+		conn->hub->n_strangers--;
+	conn->state = LINK_DEAD;
+	conn->dial = NULL;
+	close(conn->fd);
+	if (dial)
+		link_dial_ended(conn->hub, dial, worked);
+	if (conn->peer)
+		link_peer_lost(conn);
+}
+
+void link_conn_reap(struct link_hub *hub)
+{
+	struct link_conn *conn;
+	struct link_conn *next;
+
+	list_foreach_safe(conn, next, &hub->conns, node) {
+		if (conn->state != LINK_DEAD)
+			continue;
+		list_remove(&conn->node);
+		gnutls_deinit(conn->tls);
+		bytes_clear(&conn->in);
+		bytes_clear(&conn->out);
+		free(conn);
+	}
+}
+
+static void refuse(struct link_conn *conn)
+{
+	edge_count(&conn->hub->options.counters->link_refused);
+	link_conn_close(conn);
+}
+
+static bool finish_connect(struct link_conn *conn)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	getsockopt(conn->fd, SOL_SOCKET, SO_ERROR, &error, &len);
+	if (error) {
+		link_conn_close(conn);
+		return false;
+	}
+	conn->state = LINK_SECURING;
+	return true;
+}
+
+/* Both ends prove the key here; a stranger gets no further. */
+static bool secure(struct link_conn *conn)
+{
+	int ret = gnutls_handshake(conn->tls);
+
+	if (ret == GNUTLS_E_AGAIN || ret == GNUTLS_E_INTERRUPTED) {
+		want_write(conn, gnutls_record_get_direction(conn->tls));
+		return false;
+	}
+	if (ret < 0 && !gnutls_error_is_fatal(ret))
+		return false;
+	if (ret < 0) {
+		refuse(conn);
+		return false;
+	}
+	conn->state = LINK_GREETING;
+	link_frame_add_hello(&conn->out, &conn->hub->hello);
+	return true;
+}
+
+static void fill_out(struct link_conn *conn)
+{
+	struct link_hub *hub = conn->hub;
+	struct link_peer *peer = conn->peer;
+	struct link_message *message;
+
+	while (conn->state == LINK_UP && conn->out.len < OUT_BYTES &&
+	       (message =
+			list_first(&peer->queue, struct link_message, node))) {
+		list_remove(&message->node);
+		peer->queued_bytes -= message->frame.len;
+		bytes_append(&conn->out, message->frame.data,
+			     message->frame.len);
+		edge_count(&hub->messages_out[message->channel]);
+		edge_count_many(&hub->bytes_out[message->channel],
+				message->frame.len);
+		link_message_free(message);
+	}
+}
+
+static ssize_t send_piece(struct link_conn *conn)
+{
+	size_t len = conn->out.len;
+
+	if (conn->flushing)
+		return gnutls_record_send(conn->tls, NULL, 0);
+	return gnutls_record_send(conn->tls, conn->out.data,
+				  len < RECORD_BYTES ? len : RECORD_BYTES);
+}
+
+void link_conn_send(struct link_conn *conn)
+{
+	ssize_t n;
+
+	if (conn->state != LINK_UP && conn->state != LINK_GREETING)
+		return;
+	fill_out(conn);
+	while (conn->out.len) {
+		n = send_piece(conn);
+		if (n == GNUTLS_E_AGAIN || n == GNUTLS_E_INTERRUPTED) {
+			conn->flushing = true;
+			want_write(conn, true);
+			return;
+		}
+		if (n < 0) {
+			link_conn_close(conn);
+			return;
+		}
+		conn->flushing = false;
+		conn->sent_us = edge_now_us();
+		edge_count_many(&conn->hub->options.counters->link_bytes_out,
+				n);
+		bytes_consume(&conn->out, n);
+		fill_out(conn);
+	}
+	want_write(conn, false);
+}
+
+static void take_message(struct link_conn *conn, const struct link_frame *frame)
+{
+	struct link_hub *hub = conn->hub;
+	struct event *event = event_new(EVENT_LINK_MESSAGE);
+
+	event->u.link_message.peer = conn->peer->member;
+	event->u.link_message.channel = frame->channel;
+	bytes_append(&event->u.link_message.body, frame->body, frame->body_len);
+	edge_count(&hub->messages_in[frame->channel]);
+	edge_count_many(&hub->bytes_in[frame->channel], frame->body_len);
+	hub->options.sink->post(hub->options.sink->data, event);
+}
+
+static void take_frame(struct link_conn *conn, struct link_frame *frame)
+{
+	if (conn->state == LINK_GREETING && frame->kind == LINK_FRAME_HELLO)
+		link_peer_greet(conn, &frame->hello);
+	else if (conn->state != LINK_UP || frame->kind == LINK_FRAME_HELLO)
+		refuse(conn);
+	else if (frame->kind == LINK_FRAME_MESSAGE)
+		take_message(conn, frame);
+}
+
+static void take_frames(struct link_conn *conn)
+{
+	struct link_frame frame;
+	size_t used = 1;
+	size_t at = 0;
+	enum result code;
+
+	while (used && conn->state != LINK_DEAD) {
+		code = link_frame_read(&frame, conn->in.data + at,
+				       conn->in.len - at, &used);
+		if (code)
+			refuse(conn);
+		else if (used)
+			take_frame(conn, &frame);
+		link_frame_clear(&frame);
+		at += used;
+	}
+	bytes_consume(&conn->in, at);
+}
+
+/* False once there's no more for now. */
+static bool read_piece(struct link_conn *conn)
+{
+	char buffer[RECORD_BYTES];
+	ssize_t n = gnutls_record_recv(conn->tls, buffer, sizeof(buffer));
+
+	if (n == GNUTLS_E_AGAIN || n == GNUTLS_E_INTERRUPTED)
+		return false;
+	if (n < 0 && !gnutls_error_is_fatal((int)n))
+		return true;
+	if (n <= 0) {
+		link_conn_close(conn);
+		return false;
+	}
+	conn->heard_us = edge_now_us();
+	edge_count_many(&conn->hub->options.counters->link_bytes_in, n);
+	bytes_append(&conn->in, buffer, n);
+	take_frames(conn);
+	return conn->state != LINK_DEAD;
+}
+
+static void receive(struct link_conn *conn)
+{
+	int i;
+
+	for (i = 0; i < READS_AT_ONCE || gnutls_record_check_pending(conn->tls);
+	     i++)
+		if (!read_piece(conn))
+			return;
+}
+
+void link_conn_progress(struct link_conn *conn)
+{
+	if (conn->state == LINK_CONNECTING && !finish_connect(conn))
+		return;
+	if (conn->state == LINK_SECURING && !secure(conn))
+		return;
+	if (conn->state == LINK_DEAD)
+		return;
+	link_conn_send(conn);
+	if (conn->state != LINK_DEAD)
+		receive(conn);
+}
+
+void link_conn_tick(struct link_conn *conn, int64_t now_us)
+{
+	if (conn->state == LINK_DEAD)
+		return;
+	if (conn->state != LINK_UP) {
+		if (now_us - conn->opened_us > LINK_HANDSHAKE_US)
+			link_conn_close(conn);
+		return;
+	}
+	if (now_us - conn->heard_us > LINK_SILENCE_US) {
+		link_conn_close(conn);
+		return;
+	}
+	if (now_us - conn->sent_us < LINK_HEARTBEAT_US || conn->out.len)
+		return;
+	link_frame_add_heartbeat(&conn->out);
+	link_conn_send(conn);
+}
--- /dev/null
+++ b/daemon/link_private.h
@@ -0,0 +1,161 @@
+#ifndef FILBERTHALL_DAEMON_LINK_PRIVATE_H
+#define FILBERTHALL_DAEMON_LINK_PRIVATE_H
+
+#include <gnutls/gnutls.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "base/list.h"
+#include "base/map.h"
+#include "base/rng.h"
+#include "daemon/address.h"
+#include "daemon/link.h"
+#include "daemon/link_frame.h"
+
+/** Shared by the files of the links only. All but the commands belong to the
+ *  link thread. */
+
+/* A TLS handshake and a hello take a few round trips. */
+#define LINK_HANDSHAKE_US 2000000
+
+/* Connections that haven't said who they are; beyond that none is taken. */
+#define LINK_STRANGERS 64
+
+#define LINK_DIAL_FIRST_US 100000
+#define LINK_DIAL_LAST_US 3000000
+
+enum link_state {
+	LINK_CONNECTING, /**< TCP */
+	LINK_SECURING,	 /**< TLS handshake */
+	LINK_GREETING,	 /**< own hello sent, the peer's awaited */
+	LINK_UP,
+	LINK_DEAD /**< closed; freed at the end of the round */
+};
+
+/** One TCP connection. */
+struct link_conn {
+	struct list node;
+	struct link_hub *hub;
+	int fd;
+	enum link_state state;
+	gnutls_session_t tls;
+	struct link_dial *dial; /**< NULL if the peer dialled */
+	bool dialled;
+	struct link_peer *peer; /**< once greeted */
+	struct bytes in;
+	struct bytes out;
+	bool flushing; /**< TLS holds a piece of `out` already */
+	bool wants_write;
+	int64_t opened_us;
+	int64_t heard_us;
+	int64_t sent_us;
+};
+
+/** An address to keep connected to. */
+struct link_dial {
+	struct list node;
+	struct address address;
+	char *text;
+	uint64_t member; /**< 0 while unknown */
+	bool seed;
+	bool self; /**< it turned out to be this daemon */
+	struct link_conn *conn;
+	int64_t next_us;
+	int64_t backoff_us;
+};
+
+/** Another daemon that has greeted, or has messages waiting. */
+struct link_peer {
+	struct map_node node;
+	uint64_t member;
+	uint64_t incarnation;
+	struct link_conn *conn; /**< NULL while down */
+	struct list queue;
+	size_t queued_bytes;
+};
+
+/** A message that waits for its peer. */
+struct link_message {
+	struct list node;
+	int64_t channel;
+	struct bytes frame;
+};
+
+struct link_hub {
+	struct link_options options; /**< with texts of its own */
+	struct link_hello hello;
+	gnutls_datum_t key;
+	gnutls_psk_server_credentials_t server_key;
+	gnutls_psk_client_credentials_t client_key;
+	struct rng rng;
+	pthread_t thread;
+	bool started;
+	int epoll;
+	int wake;
+	int listener;
+	int port;
+	struct list conns;
+	struct list dials;
+	struct map peers;
+	int n_strangers;
+
+	pthread_mutex_t lock; /**< guards the commands */
+	struct list commands;
+	bool stopping;
+
+	atomic_uint_fast64_t messages_in[LINK_USAGE + 1];
+	atomic_uint_fast64_t messages_out[LINK_USAGE + 1];
+	atomic_uint_fast64_t bytes_in[LINK_USAGE + 1];
+	atomic_uint_fast64_t bytes_out[LINK_USAGE + 1];
+};
+
+/** A new connection on a socket that is connected or connecting. */
+struct link_conn *link_conn_new(struct link_hub *hub, int fd,
+				struct link_dial *dial);
+
+/** The socket is ready, or there is something to send. */
+void link_conn_progress(struct link_conn *conn);
+
+/** Add what waits for the peer, and send. */
+void link_conn_send(struct link_conn *conn);
+
+/** Close it; the memory stays until link_conn_reap(). */
+void link_conn_close(struct link_conn *conn);
+
+/** Free what has been closed. */
+void link_conn_reap(struct link_hub *hub);
+
+/** Heartbeats, silence, handshakes that take too long. */
+void link_conn_tick(struct link_conn *conn, int64_t now_us);
+
+/** The peer's hello came: settle on one connection to it, or close. */
+void link_peer_greet(struct link_conn *conn, struct link_hello *hello);
+
+/** The connection of a peer is gone. */
+void link_peer_lost(struct link_conn *conn);
+
+/** Queue a frame, dropping the oldest beyond the bound. Taken over. */
+void link_peer_queue(struct link_hub *hub, uint64_t member,
+		     struct link_message *message);
+
+/** The peer with that id, or NULL. */
+struct link_peer *link_peer_find(struct link_hub *hub, uint64_t member);
+
+/** Drop a peer, its queue and its connection. */
+void link_peer_forget(struct link_hub *hub, struct link_peer *peer);
+
+void link_message_free(struct link_message *message);
+
+/** Add an address; NULL if it can't be read. */
+struct link_dial *link_dial_add(struct link_hub *hub, const char *address,
+				uint64_t member);
+void link_dial_remove(struct link_dial *dial);
+
+/** Dial if it's due and not connected already. */
+void link_dial_tick(struct link_hub *hub, struct link_dial *dial,
+		    int64_t now_us);
+
+/** A connection of this dial ended; `worked` if it had been up. */
+void link_dial_ended(struct link_hub *hub, struct link_dial *dial, bool worked);
+
+#endif
