usage: forget old windows, close by where most daemons are

The holder's own clock no longer has a say in which window is present, and the grace runs by its monotonic clock: a holder whose clock had leaped ahead could not commit anything, one whose clock had fallen back closed nothing. Rows more than 26 windows back are forgotten as the window moves on.

--- a/libfilberthall/core/billing.c
+++ b/libfilberthall/core/billing.c
@@ -23,14 +23,12 @@
 	situation.windows = agreed_windows(core->agreed);
 	situation.members = ids;
 	situation.n_members = (int)members->count;
-	situation.self = core->options.self;
 	situation.window_us =
 		(int64_t)(1e6 *
 			  rules_number(settings, "site/usage", "window_s"));
 	situation.grace_us =
 		(int64_t)(1e6 *
 			  rules_number(settings, "site/usage", "grace_s"));
-	situation.wall_us = core->wall_us;
 	situation.now_us = core->now_us;
 	return situation;
 }
--- a/libfilberthall/usage/merge.c
+++ b/libfilberthall/usage/merge.c
@@ -253,6 +253,34 @@
 	}
 }
 
+/* An earlier life of a member is needed only while rows of it are. */
+static void usage_forget_origins(struct usage *usage)
+{
+	struct usage_origin *origin;
+	struct usage_origin *next;
+
+	map_foreach(origin, next, &usage->origins, node) {
+		if (origin == usage->self || !list_empty(&origin->rows) ||
+		    origin == usage_latest(usage, origin->member))
+			continue;
+		map_remove(&usage->origins, &origin->node);
+		free(origin);
+	}
+}
+
+static void usage_forget(struct usage *usage, int64_t before)
+{
+	struct usage_window *window;
+	struct usage_window *next;
+
+	list_foreach_safe(window, next, &usage->windows, node) {
+		if (window->number >= before)
+			break;
+		usage_window_free(usage, window);
+	}
+	usage_forget_origins(usage);
+}
+
 int64_t usage_tick(struct usage *usage, int64_t window_us, int64_t wall_us,
 		   int64_t now_us)
 {
@@ -260,8 +288,10 @@
 
 	usage_follow_clock(usage, wall_us, now_us);
 	window = (now_us + usage->anchor_us) / window_us;
-	if (window > usage->window)
+	if (window > usage->window) {
 		usage->window = window;
+		usage_forget(usage, window - USAGE_WINDOWS);
+	}
 	usage->self->window = usage->window;
 	usage_relay_silent(usage, now_us);
 	return usage->window;
@@ -272,6 +302,13 @@
 	return usage->window;
 }
 
+int64_t usage_member_window(const struct usage *usage, uint64_t member)
+{
+	const struct usage_origin *origin = usage_latest(usage, member);
+
+	return origin ? origin->window : -1;
+}
+
 int64_t usage_oldest(const struct usage *usage)
 {
 	const struct usage_window *window =
@@ -383,34 +420,6 @@
 	}
 }
 
-/* An earlier life of a member is needed only while rows of it are. */
-static void usage_forget_origins(struct usage *usage)
-{
-	struct usage_origin *origin;
-	struct usage_origin *next;
-
-	map_foreach(origin, next, &usage->origins, node) {
-		if (origin == usage->self || !list_empty(&origin->rows) ||
-		    origin == usage_latest(usage, origin->member))
-			continue;
-		map_remove(&usage->origins, &origin->node);
-		free(origin);
-	}
-}
-
-void usage_forget(struct usage *usage, int64_t before)
-{
-	struct usage_window *window;
-	struct usage_window *next;
-
-	list_foreach_safe(window, next, &usage->windows, node) {
-		if (window->number >= before)
-			break;
-		usage_window_free(usage, window);
-	}
-	usage_forget_origins(usage);
-}
-
 size_t usage_rows(const struct usage *usage)
 {
 	return usage->rows.count;
--- a/libfilberthall/usage/merge.h
+++ b/libfilberthall/usage/merge.h
@@ -47,16 +47,23 @@
  * Move this daemon's window on by the wall clock. Never goes back. A step of
  * the wall clock against the monotonic one is ignored for USAGE_STEP_HOLD_US
  * and then followed, so a clock that leaps for a moment counts nothing into
- * a wrong window. Returns the present window.
+ * a wrong window. Rows of windows more than USAGE_WINDOWS back are forgotten,
+ * a little later than windows stop taking corrections (WINDOWS_KEPT).
+ *
+ * Returns the present window.
  */
 int64_t usage_tick(struct usage *usage, int64_t window_us, int64_t wall_us,
 		   int64_t now_us);
+#define USAGE_WINDOWS 26
 #define USAGE_STEP_US INT64_C(2000000)
 #define USAGE_STEP_HOLD_US INT64_C(60000000)
 
 /** This daemon's present window, -1 before the first tick. */
 int64_t usage_window(const struct usage *usage);
 
+/** The window a member counts into as far as known, -1 if it isn't. */
+int64_t usage_member_window(const struct usage *usage, uint64_t member);
+
 /** The oldest window of which a row is held, -1 for none. */
 int64_t usage_oldest(const struct usage *usage);
 
@@ -110,9 +117,6 @@
 				       const struct usage_counters *sum),
 			 void *data);
 
-/** Forget windows before `window`. */
-void usage_forget(struct usage *usage, int64_t window);
-
 /** Rows held. */
 size_t usage_rows(const struct usage *usage);
 
--- a/libfilberthall/usage/report.c
+++ b/libfilberthall/usage/report.c
@@ -15,9 +15,11 @@
 #define REPORT_REFUSALS 3
 
 struct report {
-	int64_t window;	  /**< being reported, -1 for none */
-	int64_t next_us;  /**< not sent again before */
-	int64_t retry_us; /**< wait after the next loss */
+	int64_t closing;    /**< window whose grace runs, -1 for none */
+	int64_t closing_us; /**< when most daemons had passed it */
+	int64_t window;	    /**< being reported, -1 for none */
+	int64_t next_us;    /**< not sent again before */
+	int64_t retry_us;   /**< wait after the next loss */
 	int refusals;
 };
 
@@ -38,17 +40,41 @@
 {
 	memset(report, 0, sizeof(*report));
 	report->window = -1;
+	report->closing = -1;
 	report->retry_us = REPORT_RETRY_US;
 }
 
+static int report_compare(const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *)a;
+	int64_t right = *(const int64_t *)b;
+
+	return (left < right) - (left > right);
+}
+
+/* The latest window that most daemons have reached. */
+static int64_t report_present(const struct report_situation *situation)
+{
+	cleanup(free_ptr) int64_t *windows =
+		xcalloc((size_t)situation->n_members + 1, sizeof(*windows));
+	int n = situation->n_members;
+	int i;
+
+	for (i = 0; i < n; i++)
+		windows[i] = usage_member_window(situation->usage,
+						 situation->members[i]);
+	qsort(windows, (size_t)n, sizeof(*windows), report_compare);
+	return n ? windows[n / 2] : -1;
+}
+
 /*
  * The first window that isn't committed. On a new site that is the oldest
  * one with counts. A site that was down for longer than late counts are kept
  * skips what no daemon can have counts of.
  */
-static int64_t report_candidate(const struct report_situation *situation)
+static int64_t report_candidate(const struct report_situation *situation,
+				int64_t present)
 {
-	int64_t present = usage_window(situation->usage);
 	int64_t oldest = usage_oldest(situation->usage);
 	int64_t next = windows_last(situation->windows) + 1;
 
@@ -59,39 +85,34 @@
 	return next;
 }
 
-static int report_count_passed(const struct report_situation *situation,
-			       int64_t window)
+static bool report_all_passed(const struct report_situation *situation,
+			      int64_t window)
 {
-	int passed = 0;
 	int i;
 
 	for (i = 0; i < situation->n_members; i++)
-		passed += usage_passed(situation->usage, situation->members[i],
-				       window);
-	return passed;
+		if (!usage_passed(situation->usage, situation->members[i],
+				  window))
+			return false;
+	return true;
 }
 
-/*
- * The grace alone doesn't close a window: a holder whose clock has leaped
- * ahead would commit windows that the others are still in, and no figures
- * could be committed for them later. Half of the daemons must have passed it.
- */
-int64_t report_due(const struct report *report,
+int64_t report_due(struct report *report,
 		   const struct report_situation *situation)
 {
-	int64_t window = report_candidate(situation);
-	int64_t end_us = (window + 1) * situation->window_us;
-	int passed;
+	int64_t present = report_present(situation);
+	int64_t window = report_candidate(situation, present);
 
-	if (window < 0 || window >= usage_window(situation->usage))
+	if (window < 0 || window >= present)
 		return -1;
-	passed = report_count_passed(situation, window);
-	if (passed == situation->n_members)
+	if (report->closing != window) {
+		report->closing = window;
+		report->closing_us = situation->now_us;
+	}
+	if (report_all_passed(situation, window) ||
+	    situation->now_us - report->closing_us >= situation->grace_us)
 		return window;
-	if (situation->wall_us < end_us + situation->grace_us ||
-	    2 * passed < situation->n_members)
-		return -1;
-	return window;
+	return -1;
 }
 
 /* Rows of a window's figures as they are collected. */
@@ -181,8 +202,10 @@
 	int64_t window = windows_unsettled(windows);
 
 	if (window != report->window) {
-		report_reset(report);
 		report->window = window;
+		report->next_us = 0;
+		report->retry_us = REPORT_RETRY_US;
+		report->refusals = 0;
 	}
 	if (window < 0 || now_us < report->next_us ||
 	    now_us + REPORT_TIMEOUT_MS * INT64_C(1000) > until_us)
--- a/libfilberthall/usage/report.h
+++ b/libfilberthall/usage/report.h
@@ -13,8 +13,10 @@
 /**
  * What the one in charge does about usage: closes windows, and reports them.
  *
- * A window closes when all live daemons passed it, or `grace_us` after its
- * end, whichever is first. Then its figures go into the log (the caller
+ * A window closes when all live daemons passed it, or `grace_us` after most of
+ * them did. Present is where most daemons are: neither the holder's clock nor
+ * any other single one decides it, since a holder whose clock has leaped ahead
+ * would commit windows that the others still count into. Then its figures go into the log (the caller
  * proposes report_figures()); only when they are committed is the report
  * sent, and sent again unchanged, after REPORT_RETRY_US doubling up to
  * REPORT_RETRY_MAX_US, until the platform has acknowledged it. Reports go in
@@ -35,10 +37,8 @@
 	const struct windows *windows;
 	const uint64_t *members; /**< live daemons, this one included */
 	int n_members;
-	uint64_t self;
 	int64_t window_us;
 	int64_t grace_us;
-	int64_t wall_us;
 	int64_t now_us;
 };
 
@@ -46,7 +46,7 @@
  * The window to commit now, or -1. The caller proposes an entry with
  * report_figures() and asks again only after that entry was applied or lost.
  */
-int64_t report_due(const struct report *report,
+int64_t report_due(struct report *report,
 		   const struct report_situation *situation);
 
 /**
--- a/libfilberthall/usage/window.c
+++ b/libfilberthall/usage/window.c
@@ -274,6 +274,27 @@
 	return true;
 }
 
+json_t *windows_figures(const struct windows *windows, int64_t number)
+{
+	const struct window *window = windows_find(windows, number);
+	json_t *figures = json_array();
+	const struct billed *billed;
+	const struct billed *next;
+
+	if (!window)
+		return figures;
+	map_foreach(billed, next, &window->billed, node)
+		json_array_append_new(
+			figures,
+			json_pack("{ss sI sI sI}", "name", billed->organisation,
+				  "requests", (json_int_t)billed->requests,
+				  "prompt_tokens",
+				  (json_int_t)billed->prompt_tokens,
+				  "output_tokens",
+				  (json_int_t)billed->output_tokens));
+	return figures;
+}
+
 bool windows_keeps(const struct windows *windows, int64_t number)
 {
 	return windows_find(windows, number);
--- a/libfilberthall/usage/window.h
+++ b/libfilberthall/usage/window.h
@@ -72,7 +72,7 @@
 /** The oldest window that is committed and not settled, or -1. */
 int64_t windows_unsettled(const struct windows *windows);
 
-/** The committed rows of a window, borrowed JSON, or NULL. */
+/** The rows of a window that isn't settled, borrowed JSON, or NULL. */
 const json_t *windows_rows(const struct windows *windows, int64_t window);
 
 /**
@@ -82,6 +82,9 @@
 bool windows_billed(const struct windows *windows, int64_t window,
 		    const char *organisation, struct window_row *billed);
 
+/** What was billed for a window, by organisation, as a new array. */
+json_t *windows_figures(const struct windows *windows, int64_t window);
+
 /** Whether late counts of a window can still be billed. */
 bool windows_keeps(const struct windows *windows, int64_t window);
 
