--- a/fakes/batch.c
+++ b/fakes/batch.c
@@ -1,6 +1,10 @@
 #include "fakes/batch.h"
 
-/* A step prefills at most this much, so that decoding goes on meanwhile. */
+/*
+ * A step prefills at most this much, so that decoding goes on meanwhile: what
+ * takes a sixteenth of a second, and on a slow engine so many tokens.
+ */
+#define BATCH_CHUNK_PARTS 16
 #define BATCH_CHUNK_TOKENS 512
 /* What a step costs even for a single sequence, as a part of a full step. */
 #define BATCH_STEP_FLOOR 0.5
@@ -83,9 +87,14 @@
 /* Prefill what a step can; returns the tokens prefilled. */
 static int64_t batch_prefill(struct batch *batch)
 {
-	int64_t budget = BATCH_CHUNK_TOKENS;
+	int64_t most =
+		(int64_t)(batch->limits.prefill_rate / BATCH_CHUNK_PARTS);
 	struct sequence *sequence;
+	int64_t budget;
 
+	if (most < BATCH_CHUNK_TOKENS)
+		most = BATCH_CHUNK_TOKENS;
+	budget = most;
 	list_foreach(sequence, &batch->running, node) {
 		int64_t chunk = sequence->prefill_left < budget
 					? sequence->prefill_left
@@ -95,7 +104,7 @@
 		budget -= chunk;
 		sequence->in_step = !sequence->prefill_left;
 	}
-	return BATCH_CHUNK_TOKENS - budget;
+	return most - budget;
 }
 
 static void batch_step_begin(struct batch *batch)
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -3,7 +3,9 @@
 # here are ended, by their ids.
 
 BIN=$BUILD_ROOT/bin
-WORK=$(mktemp -d)
+# A script that wants to keep its files sets WORK to a folder of its own.
+KEEP=${WORK:+kept}
+WORK=${WORK:-$(mktemp -d)}
 STARTED=
 TESTS=0
 FAILED=0
@@ -14,7 +16,7 @@
 	do
 		kill -KILL "$(cat "$WORK/$lib_name.pid")" 2>/dev/null || :
 	done
-	rm -rf "$WORK"
+	test -n "$KEEP" || rm -rf "$WORK"
 }
 trap lib_end EXIT
 trap 'exit 1' INT TERM
@@ -41,10 +43,15 @@
 	shift 2
 	rm -f "$WORK/$lib_name.yaml"
 	"$BIN/$lib_program" "$@" >>"$WORK/$lib_name.log" 2>&1 &
-	echo $! >"$WORK/$lib_name.pid"
+	lib_note "$lib_name" $!
+}
+
+# lib_note NAME PID: remembers a process to be ended at the latest at the end.
+lib_note() {
+	echo "$2" >"$WORK/$1.pid"
 	case " $STARTED " in
-	*" $lib_name "*) ;;
-	*) STARTED="$STARTED $lib_name" ;;
+	*" $1 "*) ;;
+	*) STARTED="$STARTED $1" ;;
 	esac
 }
 
@@ -67,9 +74,20 @@
 reap() {
 	lib_pid=$(cat "$WORK/$1.pid")
 	wait_for "${2-20}" lib_is_dead "$lib_pid" || return 124
+	lib_forget "$1"
 	wait "$lib_pid"
 }
 
+# Its id may soon be another process's.
+lib_forget() {
+	lib_kept=
+	for lib_name in $STARTED
+	do
+		test "$lib_name" = "$1" || lib_kept="$lib_kept $lib_name"
+	done
+	STARTED=$lib_kept
+}
+
 # A zombie is dead: its parent, this shell, has yet to wait for it.
 lib_is_dead() {
 	! kill -0 "$1" 2>/dev/null || grep -q '^State:.Z' "/proc/$1/status"
