daemon: answers handed over before a stop are written whole

The core ends its last request and then the process; the listeners closed at once and cut what libmicrohttpd hadn't written yet. The test fails without the wait.

--- a/daemon/http_call.c
+++ b/daemon/http_call.c
@@ -192,6 +192,21 @@
 	return info ? info->socket_context : NULL;
 }
 
+static void call_begins(struct http_in *in)
+{
+	pthread_mutex_lock(&in->lock);
+	in->n_calls++;
+	pthread_mutex_unlock(&in->lock);
+}
+
+void http_call_over(struct http_in *in)
+{
+	pthread_mutex_lock(&in->lock);
+	if (!--in->n_calls)
+		pthread_cond_signal(&in->drained);
+	pthread_mutex_unlock(&in->lock);
+}
+
 enum MHD_Result http_await(struct http_call *call, struct exchange *exchange,
 			   struct event *event)
 {
@@ -202,6 +217,7 @@
 	exchange->caller_id = xstrfmt("%s-%" PRIx64 "-%" PRIu64, options->vm,
 				      options->incarnation, exchange->id);
 	call->exchange = exchange;
+	call_begins(call->in);
 	edge_count(&options->counters->requests);
 	caller_watch_attach(socket_of(call), exchange);
 	/*
--- a/daemon/http_call.h
+++ b/daemon/http_call.h
@@ -23,6 +23,9 @@
 	struct http_listener listeners[HTTP_DOORS];
 	struct caller_watch *watch;
 	struct view_slot view;
+	pthread_mutex_t lock;
+	pthread_cond_t drained;
+	int n_calls; /**< that the core knows of and that aren't over */
 };
 
 /** One request while the HTTP library has it. */
@@ -68,6 +71,9 @@
 enum MHD_Result http_await(struct http_call *call, struct exchange *exchange,
 			   struct event *event);
 
+/** A call that the core knew of is over. */
+void http_call_over(struct http_in *in);
+
 /** Answer from the exchange if it has something, else sleep again. */
 enum MHD_Result http_continue(struct http_call *call);
 
--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -10,6 +10,9 @@
 #define LISTEN_BACKLOG 1024
 #define CALLER_THREADS 4
 
+/* What a caller may take to read the last of its answer at a stop. */
+#define DRAIN_US 5000000
+
 /* A request has this many idle time-outs to be read whole. */
 #define READ_IDLE_TIMES 2
 
@@ -104,6 +107,7 @@
 		if (why != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 			exchange_leave(call->exchange);
 		exchange_unref(call->exchange);
+		http_call_over(call->in);
 	}
 	bytes_clear(&call->body);
 	free(call->raw_target);
@@ -224,6 +228,8 @@
 
 	copy_options(&in->options, options);
 	view_slot_init(&in->view);
+	pthread_mutex_init(&in->lock, NULL);
+	pthread_cond_init(&in->drained, NULL);
 	in->watch =
 		caller_watch_start(options->idle_s * READ_IDLE_TIMES * 1000000,
 				   options->counters);
@@ -279,6 +285,24 @@
 	pthread_mutex_unlock(&table->lock);
 }
 
+/*
+ * The last answers have been handed over but not yet written; closing now
+ * would cut them short.
+ */
+static void drain(struct http_in *in)
+{
+	int64_t until_us = edge_now_us() + DRAIN_US;
+	struct timespec until = { .tv_sec = until_us / 1000000,
+				  .tv_nsec = until_us % 1000000 * 1000 };
+	int timed_out = 0;
+
+	pthread_mutex_lock(&in->lock);
+	while (in->n_calls && !timed_out)
+		timed_out = pthread_cond_clockwait(&in->drained, &in->lock,
+						   CLOCK_MONOTONIC, &until);
+	pthread_mutex_unlock(&in->lock);
+}
+
 void http_in_stop(struct http_in *in)
 {
 	int fds[HTTP_DOORS] = { -1, -1, -1 };
@@ -289,6 +313,7 @@
 			fds[door] =
 				MHD_quiesce_daemon(in->listeners[door].daemon);
 	wake_all(in->options.exchanges);
+	drain(in);
 	for (door = 0; door < HTTP_DOORS; door++) {
 		if (in->listeners[door].daemon)
 			MHD_stop_daemon(in->listeners[door].daemon);
@@ -297,6 +322,8 @@
 	}
 	caller_watch_stop(in->watch);
 	view_slot_clear(&in->view);
+	pthread_cond_destroy(&in->drained);
+	pthread_mutex_destroy(&in->lock);
 	free_options(&in->options);
 	free(in);
 }
--- a/tests/path/t-thread-listeners.c
+++ b/tests/path/t-thread-listeners.c
@@ -387,6 +387,53 @@
 	close(fd);
 }
 
+struct slow_reader {
+	int fd;
+	int64_t total;
+};
+
+static void *read_slowly(void *data)
+{
+	struct slow_reader *reader = data;
+	char buffer[65536];
+	ssize_t n;
+
+	while ((n = read(reader->fd, buffer, sizeof(buffer))) > 0) {
+		reader->total += n;
+		g_usleep(2000);
+	}
+	return NULL;
+}
+
+/*
+ * A caller gets half an answer when its VM is stopped: the core ends the last
+ * request and the process closes its listeners before the bytes are out.
+ */
+static void stop_lets_the_last_answer_out(void)
+{
+	struct effect_answer answer = { .http_status = 200 };
+	g_autofree char *large = g_strnfill(3000000, 'x');
+	struct slow_reader reader = { 0 };
+	struct harness harness;
+	struct event *event;
+	pthread_t thread;
+	int fd;
+
+	harness_start(&harness, NULL);
+	event = open_request(&harness, &fd);
+	answer.id = event->u.request.id;
+	event_free(event);
+	bytes_append_text(&answer.body, large);
+	http_in_answer(harness.in, &answer);
+	reader.fd = fd;
+	pthread_create(&thread, NULL, read_slowly, &reader);
+	harness_stop(&harness);
+	pthread_join(thread, NULL);
+	g_assert_cmpint(reader.total, >, 3000000);
+	bytes_clear(&answer.body);
+	close(fd);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -402,6 +449,7 @@
 	g_test_add_func("/listener/views", views_show_what_was_published);
 	g_test_add_func("/listener/backends", backend_servers_are_heard);
 	g_test_add_func("/listener/operators", operators_are_answered);
+	g_test_add_func("/listener/stop-whole", stop_lets_the_last_answer_out);
 	g_test_add_func("/listener/stop", stop_cuts_what_is_open);
 	return g_test_run();
 }
