load: a VM's part of the pool bounds it, and lower tiers leave headroom

Goodput and top-tier attainment with seven routers lay behind one central router in scenarios near and over capacity. Tried and left out: a reserve of one slot in 32 (no better than headroom).

--- a/bench/measure.h
+++ b/bench/measure.h
@@ -28,7 +28,7 @@
 	int first_capacity;
 	int64_t interval_starts;
 	double interval_work;
-	double interval_largest;
+	int64_t any_starts; /**< on cheap servers too */
 	int64_t interval_sheds;
 	int64_t interval_offered;
 	int idle_intervals; /**< in a row with demand and no start */
@@ -77,8 +77,12 @@
 
 void measure_offered(struct measure *measure, int class_index,
 		     int organisation_index);
-/** A request was first sent to a backend server. */
-void measure_started(struct measure *measure, int class_index, double work);
+/**
+ * A request was first sent to a backend server. Work on cheap servers takes
+ * nothing from classes that may not run there.
+ */
+void measure_started(struct measure *measure, int class_index, double work,
+		     bool cheap);
 void measure_ended(struct measure *measure, const struct measure_end *end);
 /** All that was generated for a request, once nothing runs for it. */
 void measure_generated(struct measure *measure, int class_index,
--- a/bench/sim_router.c
+++ b/bench/sim_router.c
@@ -212,7 +212,8 @@
 		measure_started(sim->measure, request->class_index,
 				(double)request->output_tokens +
 					SIM_PROMPT_COST *
-						(double)request->prompt_tokens);
+						(double)request->prompt_tokens,
+				sim->engines[attempt->engine].from->cheap);
 	}
 	if (!router->real)
 		return;
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -162,7 +162,8 @@
 		lease_ms = BACKEND_LEASE_DEFAULT_MS;
 	backend->sequence = announce->sequence;
 	backend->lease_end_us = now_us + lease_ms * 1000;
-	backend->slots = announce->slots > 0 ? announce->slots : 1;
+	backend->slots =
+		announce->slots > 0 ? announce->slots : BACKEND_SLOTS_DEFAULT;
 	backend->running = announce->running;
 	backend->queued = announce->queued;
 	backend->queued_prompt_tokens = announce->queued_prompt_tokens;
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -39,6 +39,9 @@
 #define BACKEND_TOMBSTONES 4096
 #define BACKEND_LEASE_DEFAULT_MS 5000
 
+/** Requests at once where a server doesn't say: a small plain service. */
+#define BACKEND_SLOTS_DEFAULT 64
+
 /** Own work on a server, counted by this VM. */
 struct backend_own {
 	int64_t running;       /**< attempts started and not ended */
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -30,7 +30,7 @@
 {
 	if (!backend_usable(backend, now_us) || !role_serves(backend))
 		return false;
-	if (backend->cheap && !query->reclaimable)
+	if (backend->cheap != query->cheap)
 		return false;
 	if (query->avoid && !strcmp(query->avoid, backend->address))
 		return false;
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -48,7 +48,7 @@
 	const char *avoid;   /**< address not to be taken, or NULL */
 	const struct prefix_entry *prefix;
 	int64_t prompt_tokens;
-	bool reclaimable;
+	bool cheap;	/**< among cheap servers, else among the others */
 	bool cap_long;	/**< a long request while short ones are about */
 	double hold_us; /**< mean time that a request holds a slot */
 	/*
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -159,6 +159,8 @@
 
 		pool->pressure[old_tier].waiting--;
 		pool->pressure[tier].waiting++;
+		list_remove(&request->in_tier);
+		list_append(&pool->pressure[tier].order, &request->in_tier);
 		request->tier = tier;
 	}
 }
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -48,8 +48,11 @@
 {
 	const struct request *request = attempt->request;
 
-	pool->running += by;
-	pool->running_by_tier[request->tier] += by;
+	/* Cheap servers are no part of what is shared by tier. */
+	if (!attempt->on_cheap) {
+		pool->running += by;
+		pool->running_by_tier[request->tier] += by;
+	}
 	pool->running_by_class[request->class->id] += by;
 }
 
@@ -72,6 +75,7 @@
 	attempt->work = request->entry.cost;
 	attempt->is_long = request->is_long;
 	attempt->by_floor = by_floor;
+	attempt->on_cheap = backend->cheap;
 	attempt->prompt_tokens = request->ask.prompt_tokens;
 	if (prefix_holds(prefix_find(&router->prefix, request->ask.prefix_hash),
 			 backend->node.hash))
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -4,7 +4,7 @@
 #include "load/router_state.h"
 
 /* Slots left free for the top tier, in roots of what it has running. */
-#define DISPATCH_HEADROOM 0.8
+#define DISPATCH_HEADROOM 1.2
 
 /* Short work seen within this time keeps long work to its part of a server. */
 #define DISPATCH_SHORT_US INT64_C(10000000)
@@ -71,22 +71,41 @@
 
 	for (i = 0; i < tier; i++)
 		if (pool->running_by_tier[i])
-			return (int64_t)ceil(
-				DISPATCH_HEADROOM *
-				sqrt((double)pool->running_by_tier[i]));
+			return (int64_t)(DISPATCH_HEADROOM *
+					 sqrt((double)pool
+						      ->running_by_tier[i]));
 	return 0;
 }
 
 static bool pool_has_share(const struct router *router, const struct pool *pool,
 			   const struct request *request)
 {
-	int64_t grant = pool->grant;
+	int64_t own = (int64_t)pool_own_slots(router, pool);
 
-	if (!router_shares(router) || grant < 0)
+	if (!router_rules_pool(router))
 		return true;
-	return pool->running < grant - pool_headroom(pool, request->tier);
+	return pool->running < own - pool_headroom(pool, request->tier);
 }
 
+static struct backend *pick_avoiding(struct router *router,
+				     const struct pool *pool,
+				     struct pick_query *query, int64_t now_us)
+{
+	struct backend *backend;
+
+	backend = pick_backend(&router->pick, query, pool->members,
+			       pool->n_members, &router->rng, now_us);
+	if (backend || !query->avoid || pool->n_members > 1)
+		return backend;
+	query->avoid = NULL;
+	return pick_backend(&router->pick, query, pool->members,
+			    pool->n_members, &router->rng, now_us);
+}
+
+/*
+ * Reclaimable work goes to cheap servers first: they cost less, and nothing
+ * else may use them. The VMs have equal parts of these.
+ */
 static struct backend *request_pick(struct router *router,
 				    struct request *request, int64_t now_us)
 {
@@ -96,10 +115,9 @@
 		.zone = router->zone,
 		.avoid = request->avoid[0] ? request->avoid : NULL,
 		.prompt_tokens = request->ask.prompt_tokens,
-		.reclaimable = request->queue->reclaimable,
 		.hold_us = pool->unit_us * pool->mean_cost,
 	};
-	struct backend *backend;
+	struct backend *backend = NULL;
 	int tier;
 
 	if (request->ask.prefix_hash)
@@ -108,18 +126,19 @@
 	for (tier = 0; request->is_long && tier <= request->tier; tier++)
 		query.cap_long |= now_us - pool->pressure[tier].short_us <
 				  DISPATCH_SHORT_US;
-	if (router_shares(router) && pool->grant >= 0 &&
-	    pool->running < pool->grant) {
-		query.own_from = pool->own_from;
-		query.own_until = pool->own_until;
+	if (request->queue->reclaimable && pool->cheap_slots > 0) {
+		query.cheap = true;
+		if (router_shares(router))
+			router_equal_bounds(router, &query.own_from,
+					    &query.own_until);
+		backend = pick_avoiding(router, pool, &query, now_us);
 	}
-	backend = pick_backend(&router->pick, &query, pool->members,
-			       pool->n_members, &router->rng, now_us);
-	if (backend || !query.avoid)
+	if (backend || !pool_has_share(router, pool, request))
 		return backend;
-	query.avoid = pool->n_members > 1 ? query.avoid : NULL;
-	return pick_backend(&router->pick, &query, pool->members,
-			    pool->n_members, &router->rng, now_us);
+	query.cheap = false;
+	query.own_from = router_shares(router) ? pool->own_from : 0;
+	query.own_until = router_shares(router) ? pool->own_until : 0;
+	return pick_avoiding(router, pool, &query, now_us);
 }
 
 /* Too late to be of use: the deadline is past, or the target is and the
@@ -141,17 +160,6 @@
 	return RESULT_OK;
 }
 
-static void pool_note_wait(struct pool *pool, const struct request *request,
-			   int64_t now_us)
-{
-	struct pressure *pressure = &pool->pressure[request->tier];
-	int64_t budget_us = request->entry.due_us - request->ask.arrived_us;
-
-	if (pressure->waiting == 0 ||
-	    (now_us - request->waiting_since_us) * 2 < budget_us)
-		pressure->good_us = now_us;
-}
-
 static void request_serve(struct router *router, struct request *request,
 			  struct backend *backend, bool by_floor,
 			  int64_t now_us, struct effects *effects)
@@ -167,7 +175,6 @@
 		waits[id] = pool->waiting_by_class[id] > 0;
 	floor_served(&pool->floor, request->class->id, request->entry.cost,
 		     waits);
-	pool_note_wait(pool, request, now_us);
 	router_span(router, request, "queue", request->waiting_since_us, now_us,
 		    RESULT_OK, NULL, effects);
 	attempt_start(router, request, backend, by_floor, now_us, effects);
@@ -201,9 +208,7 @@
 				       now_us, effects);
 			continue;
 		}
-		backend = NULL;
-		if (pool_has_share(router, pool, request))
-			backend = request_pick(router, request, now_us);
+		backend = request_pick(router, request, now_us);
 		if (backend)
 			request_serve(router, request, backend, by_floor,
 				      now_us, effects);
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -5,8 +5,8 @@
 #include "base/alloc.h"
 #include "load/router_state.h"
 
-/* A tier that waits for so long closes those below it. */
-#define POOL_PRESSURE_US INT64_C(200000)
+/* A tier whose oldest has waited for so much of its target is pressed. */
+#define POOL_PRESSURE_SHARE 0.75
 
 /* Running averages over about this many attempts. */
 #define POOL_GAIN (1.0 / 64)
@@ -35,11 +35,12 @@
 	floor_init(&pool->floor);
 	pool->unit_us = POOL_UNIT_UNKNOWN_US;
 	pool->mean_cost = POOL_COST_UNKNOWN;
+	pool->mean_log_cost = log(POOL_COST_UNKNOWN);
 	pool->grant = -1;
 	pool->local_pressure = SCHED_TIERS;
 	pool->global_pressure = SCHED_TIERS;
 	for (i = 0; i < SCHED_TIERS; i++) {
-		pool->pressure[i].good_us = now_us;
+		list_init(&pool->pressure[i].order);
 		pool->pressure[i].empty_us = now_us;
 		pool->pressure[i].short_us = INT64_MIN / 2;
 	}
@@ -129,22 +130,25 @@
 void pool_refresh(struct router *router, struct pool *pool, int64_t now_us)
 {
 	const struct fleet *fleet = router->options.fleet;
+	double weight;
 	int i;
 
 	if (pool->fleet_version != fleet->version)
 		pool_list_members(fleet, pool);
 	pool->slots = 0;
+	pool->cheap_slots = 0;
 	for (i = 0; i < pool->n_members; i++) {
 		const struct backend *member = pool->members[i];
 
 		if (!backend_usable(member, now_us))
 			continue;
-		pool->slots += (double)member->slots *
-			       (router->pick.stragglers
-					? health_weight(&member->health, now_us)
-					: 1);
+		weight = router->pick.stragglers
+				 ? health_weight(&member->health, now_us)
+				 : 1;
+		*(member->cheap ? &pool->cheap_slots : &pool->slots) +=
+			(double)member->slots * weight;
 	}
-	if (pool->slots > 0)
+	if (pool->slots + pool->cheap_slots > 0)
 		pool->usable_us = now_us;
 }
 
@@ -204,6 +208,25 @@
 	return ahead * pool->unit_us / (slots * share);
 }
 
+/* Reclaimable work ahead, at the pace of the cheap servers. */
+static double wait_by_cheap(const struct router *router,
+			    const struct pool *pool,
+			    const struct request *request)
+{
+	double slots = pool->cheap_slots * router_equal_share(router);
+	double ahead = request->entry.cost;
+	struct queue *queue;
+
+	if (!request->queue->reclaimable || slots <= 0)
+		return INFINITY;
+	list_foreach(queue, &pool->queues, in_pool)
+		if (queue->reclaimable)
+			ahead += sched_work_ahead(&queue->sched,
+						  request->organisation->id,
+						  request->tier, 0);
+	return ahead * pool->unit_us / slots;
+}
+
 /** Expected wait: by its tier's turn or its class's minimum share. */
 double pool_wait_us(const struct router *router, const struct pool *pool,
 		    const struct request *request)
@@ -211,12 +234,14 @@
 	double slots = pool_own_slots(router, pool);
 	double by_tier;
 	double by_share;
+	double by_cheap;
 
 	if (slots < 1)
 		slots = 1;
 	by_tier = wait_by_tier(pool, request, slots);
 	by_share = wait_by_share(pool, request, slots);
-	return by_tier < by_share ? by_tier : by_share;
+	by_cheap = wait_by_cheap(router, pool, request);
+	return fmin(by_cheap, fmin(by_tier, by_share));
 }
 
 void pool_measure(struct pool *pool, double cost, int64_t took_us)
@@ -229,6 +254,7 @@
 	if (gain < POOL_GAIN)
 		gain = POOL_GAIN;
 	pool->mean_cost += gain * (cost - pool->mean_cost);
+	pool->mean_log_cost += gain * (log(cost) - pool->mean_log_cost);
 	/* Weighted by work, so that it is time over work in the long run. */
 	gain *= cost / pool->mean_cost;
 	if (gain > 1)
@@ -247,6 +273,21 @@
 	return lowest;
 }
 
+static bool tier_is_pressed(const struct pressure *pressure, int64_t now_us)
+{
+	const struct request *oldest;
+	int64_t arrived_us;
+	int64_t due_us;
+
+	oldest = list_first(&pressure->order, struct request, in_tier);
+	if (!oldest)
+		return false;
+	arrived_us = oldest->ask.arrived_us;
+	due_us = oldest->target_us ? oldest->target_us : oldest->deadline_us;
+	return (double)(now_us - arrived_us) >
+	       POOL_PRESSURE_SHARE * (double)(due_us - arrived_us);
+}
+
 /* Note which tier waits, and since when those below it are closed. */
 void pool_press(struct router *router, struct pool *pool, int64_t now_us)
 {
@@ -255,8 +296,7 @@
 
 	pool->local_pressure = SCHED_TIERS;
 	for (tier = SCHED_TIERS - 1; tier >= 0; tier--)
-		if (pool->pressure[tier].waiting > 0 &&
-		    now_us - pool->pressure[tier].good_us > POOL_PRESSURE_US)
+		if (tier_is_pressed(&pool->pressure[tier], now_us))
 			pool->local_pressure = tier;
 	global = router_shares(router) ? pool->global_pressure
 				       : pool->local_pressure;
--- a/libfilberthall/load/router_preempt.c
+++ b/libfilberthall/load/router_preempt.c
@@ -11,7 +11,6 @@
 		fleet_find(router->options.fleet, attempt->address);
 	struct pick_query query = {
 		.adapter = waiting->ask.adapter,
-		.reclaimable = waiting->queue->reclaimable,
 	};
 	struct preempt_victim victim = {
 		.tier = request->tier,
--- a/libfilberthall/load/router_share.c
+++ b/libfilberthall/load/router_share.c
@@ -36,6 +36,12 @@
 	return router->options.features.shares && router->peers->n > 1;
 }
 
+/** Whether what runs before a pool is all this daemon's or its part. */
+bool router_rules_pool(const struct router *router)
+{
+	return router->options.features.shares;
+}
+
 static int compare_member(const void *a, const void *b)
 {
 	uint64_t x = *(const uint64_t *)a;
@@ -52,17 +58,26 @@
 	return total / peers->n + (at < total % peers->n);
 }
 
-/** The part of a pool that falls to this daemon without an allocator. */
-int64_t router_equal_part(const struct router *router, const struct pool *pool)
+/** The part of everything that is this daemon's without an allocator. */
+double router_equal_share(const struct router *router)
 {
-	return equal_part(router->peers, (int64_t)pool->slots);
+	return router_shares(router) ? 1.0 / router->peers->n : 1;
+}
+
+/** Its bounds, as parts of one. */
+void router_equal_bounds(const struct router *router, double *from,
+			 double *until)
+{
+	double at = router->peers->self < 0 ? 0 : router->peers->self;
+
+	*from = at / router->peers->n;
+	*until = (at + 1) / router->peers->n;
 }
 
 /* Nobody hands out shares: each daemon takes the equal part. */
 static void router_lapse(struct router *router, int64_t now_us)
 {
 	const struct router_peers *peers = router->peers;
-	double at = peers->self < 0 ? 0 : peers->self;
 	struct organisation *organisation;
 	struct organisation *next;
 	struct pool *pool;
@@ -71,8 +86,7 @@
 	map_foreach(pool, after, &router->pools, node) {
 		pool_refresh(router, pool, now_us);
 		pool->grant = equal_part(peers, (int64_t)pool->slots);
-		pool->own_from = at / peers->n;
-		pool->own_until = (at + 1) / peers->n;
+		router_equal_bounds(router, &pool->own_from, &pool->own_until);
 	}
 	map_foreach(organisation, next, &router->organisations, node)
 		quota_set_part(&organisation->quota, 1.0 / peers->n,
@@ -327,7 +341,7 @@
 	}
 }
 
-/** Each half second: say what is wanted, hand out, or fall back. */
+/** Each round: say what is wanted, hand out, or fall back. */
 void router_share_tick(struct router *router, int64_t now_us,
 		       struct effects *effects)
 {
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -68,9 +68,9 @@
 /** What is known of one tier's wait before one pool. */
 struct pressure {
 	int64_t waiting;
-	int64_t good_us;  /**< when its queue last was empty or quick */
-	int64_t empty_us; /**< when its queue last was empty */
-	int64_t short_us; /**< when a short request last came */
+	struct list order; /**< what waits, oldest first */
+	int64_t empty_us;  /**< when its queue last was empty */
+	int64_t short_us;  /**< when a short request last came */
 };
 
 /** The backend servers of one model or one service, and who waits. */
@@ -82,17 +82,19 @@
 	struct backend **members;
 	int n_members;
 	uint64_t fleet_version; /**< at which members was made */
-	double slots;		/**< of all usable members */
+	double slots;		/**< of usable members that aren't cheap */
+	double cheap_slots;	/**< of usable cheap ones */
 	int64_t usable_us;	/**< when a member was last usable */
 	struct list queues;
 	struct floor floor;
 	int64_t waiting_by_class[SCHED_CLASSES];
 	int64_t running_by_class[SCHED_CLASSES];
 	int64_t running_by_tier[SCHED_TIERS];
-	int64_t running;
+	int64_t running; /**< without those on cheap servers */
 	struct pressure pressure[SCHED_TIERS];
 	double unit_us; /**< mean time a unit of work holds a slot */
 	double mean_cost;
+	double mean_log_cost;  /**< of the logarithm: outliers weigh little */
 	double first_token_us; /**< mean, from start of an attempt */
 	int64_t grant;	       /**< slots handed to this VM, -1 unbounded */
 	double own_from;       /**< this VM's part of each server, 0..1 */
@@ -128,6 +130,7 @@
 	int64_t prompt_tokens; /**< counted on the server until prefill */
 	double work;
 	bool is_long;
+	bool on_cheap; /**< on a server that may be reclaimed */
 	bool by_floor; /**< started by its class's minimum share */
 	bool sent;
 	bool cancelled;
@@ -140,6 +143,7 @@
 	struct heap_node timer;
 	int64_t timer_us;
 	struct list in_class;	   /**< while waiting */
+	struct list in_tier;	   /**< while waiting */
 	struct router_request ask; /**< its text is owned */
 	enum request_state state;
 	struct router_class *class;
@@ -237,7 +241,10 @@
 			uint64_t server, int64_t ran_us,
 			struct effects *effects);
 bool router_shares(const struct router *router);
-int64_t router_equal_part(const struct router *router, const struct pool *pool);
+bool router_rules_pool(const struct router *router);
+double router_equal_share(const struct router *router);
+void router_equal_bounds(const struct router *router, double *from,
+			 double *until);
 
 /* router_attempt.c */
 void attempt_start(struct router *router, struct request *request,
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,7 +18,7 @@
 /* How long a pool may be without any usable server before it's given up. */
 #define SUBMIT_EMPTY_US INT64_C(10000000)
 
-/* Work this many times the mean is long. */
+/* Work this many times the (geometric) mean is long. */
 #define SUBMIT_LONG_RATIO 4.0
 
 /*
@@ -118,6 +119,7 @@
 	request_copy_text(request);
 	list_init(&request->attempts);
 	list_init(&request->in_class);
+	list_init(&request->in_tier);
 	list_init(&request->entry.order);
 	request->class = class;
 	class->n_requests++;
@@ -231,10 +233,9 @@
 		entry->due_us = request->ask.arrived_us;
 	sched_push(&queue->sched, entry, request->class->id,
 		   features->fairness ? request->organisation->id : 0);
-	if (!pressure->waiting++) {
-		pressure->good_us = now_us;
+	if (!pressure->waiting++)
 		pressure->empty_us = now_us;
-	}
+	list_append(&pressure->order, &request->in_tier);
 	if (!request->is_long)
 		pressure->short_us = now_us;
 	pool->waiting_by_class[request->class->id]++;
@@ -255,6 +256,7 @@
 	request->class->waiting--;
 	router->waiting--;
 	list_remove(&request->in_class);
+	list_remove(&request->in_tier);
 }
 
 static struct request *entry_request(struct sched_entry *entry)
@@ -345,10 +347,13 @@
 }
 
 /* No server of the model or service is known, or none for too long. */
-static enum result pool_missing(const struct pool *pool, int64_t now_us)
+static enum result pool_missing(const struct pool *pool, bool reclaimable,
+				int64_t now_us)
 {
-	if (pool->slots > 0)
+	if (pool->slots > 0 || (reclaimable && pool->cheap_slots > 0))
 		return RESULT_OK;
+	if (pool->cheap_slots > 0)
+		return RESULT_NO_CAPACITY;
 	if (!pool->usable_us)
 		return pool->service ? RESULT_NO_ROUTE : RESULT_NO_MODEL;
 	if (now_us - pool->usable_us > SUBMIT_EMPTY_US)
@@ -369,7 +374,7 @@
 	    POISON_HELD)
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
-	code = pool_missing(pool, now_us);
+	code = pool_missing(pool, request->queue->reclaimable, now_us);
 	if (code) {
 		*retry_after_ms = code == RESULT_NO_CAPACITY ? 5000 : 0;
 		return code;
@@ -432,8 +437,8 @@
 	request->queue =
 		pool_queue(router, pool, ask->adapter, class->rule.reclaimable);
 	request_estimate(router, request);
-	request->is_long =
-		request->entry.cost > SUBMIT_LONG_RATIO * pool->mean_cost;
+	request->is_long = log(request->entry.cost) >
+			   log(SUBMIT_LONG_RATIO) + pool->mean_log_cost;
 	retry_fresh(&router->retry, now_us);
 	code = request_admit(router, request, now_us, &retry_after_ms, effects);
 	if (code) {
--- a/libfilberthall/load/share.c
+++ b/libfilberthall/load/share.c
@@ -1,5 +1,6 @@
 #include "load/share.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,7 +10,7 @@
 struct share_slot { /* one member's row in a pool's or organisation's table */
 	bool known;
 	int64_t heard_us;
-	int64_t want[SCHED_TIERS];
+	double want[SCHED_TIERS]; /* running mean */
 	int64_t pressure;
 	int64_t slots;
 	int64_t grant;
@@ -208,12 +209,21 @@
 		share->heard_us[at] = now_us;
 }
 
+static double share_gain(const struct share_slot *row,
+			 const struct share_demand *demand, int tier)
+{
+	if (!tier && (double)demand->want[tier] > row->want[tier])
+		return 1;
+	return SHARE_WANT_GAIN;
+}
+
 void share_note_demand(struct share *share, uint64_t member,
 		       const struct share_demand *demand, int64_t now_us)
 {
 	int at = share_index(share, member);
 	struct share_pool *pool;
 	struct share_slot *row;
+	int tier;
 
 	if (at < 0)
 		return;
@@ -223,7 +233,10 @@
 	row->heard_us = now_us;
 	row->slots = demand->slots;
 	row->pressure = demand->pressure;
-	memcpy(row->want, demand->want, sizeof(row->want));
+	for (tier = 0; tier < SCHED_TIERS; tier++)
+		row->want[tier] +=
+			share_gain(row, demand, tier) *
+			((double)demand->want[tier] - row->want[tier]);
 }
 
 void share_note_use(struct share *share, uint64_t member,
@@ -301,7 +314,8 @@
 		for (i = 0; i < share->n; i++)
 			wants[i] = share_is_silent(share, i, now_us)
 					   ? 0
-					   : pool->rows[i].want[tier];
+					   : (int64_t)ceil(
+						     pool->rows[i].want[tier]);
 		left = share_divide(left, wants, parts, share->n, share->turn);
 	}
 	share_equal(left, parts, share->n, share->turn);
--- a/libfilberthall/load/share.h
+++ b/libfilberthall/load/share.h
@@ -18,7 +18,7 @@
  * sheds a high tier, another lets a low one in. Limits of an organisation,
  * kept by each daemon alone, are seven times what they should be.
  *
- * One allocator (whoever the agreed state names) is told each half second
+ * One allocator (whoever the agreed state names) is told four times a second
  * what each daemon has running and waiting, by pool and tier, and hands out
  * slots: all of the top tier's wants first, then the next, the rest in equal
  * parts. It also says which tier waits anywhere: below that tier every
@@ -31,14 +31,22 @@
  * longer hears. So the sum never exceeds the pool by more than what changed
  * hands in between.
  *
- * Grounds for the figures: half a second is the first-token target of the
- * quickest class seen, and shorter than a request holds a slot, so faster
- * rounds would find no slots to move; three rounds may be lost before a
- * fallback. A round costs a daemon some 100 bytes a pool each way.
+ * Grounds for the figures: a quarter of a second is half the first-token
+ * target of the quickest class; rounds of half a second cost 1% of goodput at
+ * full load and 6% of the lowest tier's attainment, rounds of a fifth gain
+ * nothing more (docs/MEASUREMENTS.md). Five rounds may be lost before a
+ * fallback. A round costs a daemon some 60 bytes a pool each way.
  */
-#define SHARE_ROUND_US INT64_C(200000)
+#define SHARE_ROUND_US INT64_C(250000)
 #define SHARE_SILENT_US INT64_C(1500000)
 
+/**
+ * What a daemon wants wavers with chance. Each change of grants moves slots
+ * that are still in use, so wants are averaged over some rounds; only a rise
+ * of the top tier counts at once.
+ */
+#define SHARE_WANT_GAIN 0.3
+
 /** A tier's pressure is held for so long after it was last reported. */
 #define SHARE_PRESSURE_HOLD_US INT64_C(1000000)
 
