daemon: deadlines without a lock, more idle connections by address

A deadline is set with each piece of an answer, so it's an atomic; the watch leaves out what is stopped already.

--- a/daemon/pool.h
+++ b/daemon/pool.h
@@ -20,8 +20,8 @@
  * so after the first such silence all idle ones to that address go.
  */
 
-#define POOL_IDLE_BY_ADDRESS 16
-#define POOL_IDLE_TOTAL 256
+#define POOL_IDLE_BY_ADDRESS 64
+#define POOL_IDLE_TOTAL 512
 
 /* Middle boxes forget idle connections after 30 s at the earliest known. */
 #define POOL_IDLE_US (20 * 1000000LL)
--- a/daemon/wire.c
+++ b/daemon/wire.c
@@ -50,7 +50,7 @@
 	stopped = atomic_load(&wire->stopped);
 	wire->sent = !stopped;
 	if (!stopped)
-		wire->deadline_us = wire_deadline(wire, wire->first_byte_ms);
+		wire_set_deadline(wire, wire->first_byte_ms);
 	else if (wire->connection->fd >= 0)
 		shutdown(wire->connection->fd, SHUT_RDWR);
 	pthread_mutex_unlock(&wire->hub->lock);
@@ -112,7 +112,7 @@
 	pthread_mutex_lock(&wire->hub->lock);
 	timed_out = wire->timed_out;
 	sent = wire->sent;
-	wire->deadline_us = 0;
+	wire_set_deadline(wire, 0);
 	pthread_mutex_unlock(&wire->hub->lock);
 	if (timed_out)
 		return sent ? RESULT_BACKEND_TIMEOUT : RESULT_BACKEND_CONNECT;
--- a/daemon/wire.h
+++ b/daemon/wire.h
@@ -62,11 +62,13 @@
 	atomic_bool stopped;
 	int http_status; /**< 0 while there is none */
 
+	/** 0 for none. Set with each piece of an answer, thus without lock. */
+	atomic_int_fast64_t deadline_us;
+
 	/* Guarded by the hub's lock. */
 	struct connection *connection;
-	bool waiting;	     /**< in the queue */
-	int64_t deadline_us; /**< 0 for none */
-	bool sent;	     /**< a byte may have left */
+	bool waiting; /**< in the queue */
+	bool sent;    /**< a byte may have left */
 	bool timed_out;
 	bool resend_stopped;
 };
--- a/daemon/wire_hub.c
+++ b/daemon/wire_hub.c
@@ -114,7 +114,7 @@
 	struct connection *connection = wire->connection;
 
 	atomic_store(&wire->stopped, true);
-	wire->deadline_us = 0;
+	atomic_store(&wire->deadline_us, 0);
 	if (connection && connection->fd >= 0) {
 		connection->aborted = wire->abort;
 		if (wire->abort)
@@ -162,10 +162,13 @@
 static void end_overdue(struct wire_hub *hub, struct list *dropped)
 {
 	int64_t now_us = edge_now_us();
+	int64_t deadline_us;
 	struct wire *wire;
 
 	list_foreach(wire, &hub->wires, node) {
-		if (!wire->deadline_us || wire->deadline_us > now_us)
+		deadline_us = atomic_load(&wire->deadline_us);
+		if (!deadline_us || deadline_us > now_us ||
+		    atomic_load(&wire->stopped))
 			continue;
 		wire->timed_out = true;
 		stop_locked(wire);
@@ -217,7 +220,7 @@
 	wire->hub = hub;
 	pthread_mutex_lock(&hub->lock);
 	wire->waiting = true;
-	wire->deadline_us = wire_deadline(wire, wire->connect_ms);
+	atomic_store(&wire->deadline_us, wire_deadline(wire, wire->connect_ms));
 	if (list_empty(&hub->wires))
 		pthread_cond_signal(&hub->watched);
 	list_append(&hub->wires, &wire->node);
@@ -248,10 +251,7 @@
 
 void wire_set_deadline(struct wire *wire, int64_t ms)
 {
-	pthread_mutex_lock(&wire->hub->lock);
-	if (!atomic_load(&wire->stopped))
-		wire->deadline_us = ms ? wire_deadline(wire, ms) : 0;
-	pthread_mutex_unlock(&wire->hub->lock);
+	atomic_store(&wire->deadline_us, ms ? wire_deadline(wire, ms) : 0);
 }
 
 void wire_hub_clear(struct wire_hub *hub)
