--- a/libfilberthall/agree/admin.c
+++ b/libfilberthall/agree/admin.c
@@ -130,7 +130,7 @@
 static enum result admin_parse(const struct bytes *body, json_t **args,
 			       const struct error_handler *handler)
 {
-	json_error_t error;
+	json_error_t error = { .text = "" };
 
 	*args = body->len ? json_loadb(body->data, body->len,
 				       JSON_REJECT_DUPLICATES, &error)
--- a/libfilberthall/agree/claim.c
+++ b/libfilberthall/agree/claim.c
@@ -311,9 +311,14 @@
 /* Answers beyond the bound go, oldest first; the marks stay. */
 static void claims_bound_answers(struct claims *claims)
 {
-	while ((int64_t)claims->answer_bytes > claims->limits.max_bytes)
-		claim_drop_answer(claims, list_first(&claims->kept,
-						     struct claim_entry, kept));
+	struct claim_entry *entry;
+	struct claim_entry *next;
+
+	list_foreach_safe(entry, next, &claims->kept, kept) {
+		if ((int64_t)claims->answer_bytes <= claims->limits.max_bytes)
+			break;
+		claim_drop_answer(claims, entry);
+	}
 }
 
 enum result claims_apply(struct claims *claims, const struct claim_owner *owner,
--- a/libfilberthall/agree/cross.c
+++ b/libfilberthall/agree/cross.c
@@ -83,7 +83,7 @@
 		if (!culprit || cross_edited(edits, n, setting->path))
 			culprit = setting;
 	}
-	if (sum <= CROSS_SHARE_LIMIT + CROSS_SHARE_ROUNDING)
+	if (!culprit || sum <= CROSS_SHARE_LIMIT + CROSS_SHARE_ROUNDING)
 		return RESULT_OK;
 	snprintf(fault->reason, sizeof(fault->reason),
 		 "makes the shares of all classes %g", sum);
--- a/libfilberthall/agree/order_book.c
+++ b/libfilberthall/agree/order_book.c
@@ -136,10 +136,14 @@
 
 static void order_book_bound(struct order_book *book)
 {
-	while (book->n_settled > ORDER_BOOK_SETTLED)
-		order_entry_remove(book,
-				   list_first(&book->settled,
-					      struct order_entry, settled));
+	struct order_entry *entry;
+	struct order_entry *next;
+
+	list_foreach_safe(entry, next, &book->settled, settled) {
+		if (book->n_settled <= ORDER_BOOK_SETTLED)
+			break;
+		order_entry_remove(book, entry);
+	}
 }
 
 enum result order_book_settle(struct order_book *book, const char *order_id,
--- a/tests/agreed/t-usage.c
+++ b/tests/agreed/t-usage.c
@@ -259,7 +259,7 @@
 {
 	struct entry_head head = entry_head_of(bench);
 	struct bytes entry = { 0 };
-	bool accepted;
+	bool accepted = false;
 	int64_t window;
 
 	window = report_answer(bench->report, bench->order_id, code, &accepted);
