--- a/libfilberthall/agree/admin.c
+++ b/libfilberthall/agree/admin.c
@@ -4,7 +4,6 @@
 
 #include "agree/codec.h"
 #include "agree/rules.h"
-#include "agree/yaml.h"
 #include "base/alloc.h"
 #include "base/cleanup.h"
 
@@ -107,26 +106,6 @@
 	return ADMIN_OTHER;
 }
 
-/* Exchange the argument "yaml" for the "values" that it holds. */
-static enum result admin_read_yaml(json_t *args,
-				   const struct error_handler *handler)
-{
-	const char *text = codec_text(args, "yaml", NULL);
-	json_t *values;
-	enum result code;
-
-	if (!text)
-		return RESULT_OK;
-	code = yaml_read_settings(codec_text(args, "file", "yaml"), text,
-				  strlen(text), &values, handler);
-	if (code != RESULT_OK)
-		return code;
-	json_object_set_new(args, "values", values);
-	json_object_del(args, "yaml");
-	json_object_del(args, "file");
-	return RESULT_OK;
-}
-
 static enum result admin_parse(const struct bytes *body, json_t **args,
 			       const struct error_handler *handler)
 {
@@ -142,7 +121,7 @@
 	if (!json_is_object(*args))
 		return error_report(handler, RESULT_BAD_REQUEST,
 				    "arguments: no object");
-	return admin_read_yaml(*args, handler);
+	return RESULT_OK;
 }
 
 static enum result admin_check_key(const struct key *key,
--- a/libfilberthall/agree/admin.h
+++ b/libfilberthall/agree/admin.h
@@ -16,18 +16,20 @@
  *
  *	settings-set	 path, value, [version], [change_id]
  *	settings-delete	 path, [version], [change_id]
- *	settings-apply	 values {PATH: VALUE|null} or yaml TEXT,
- *			 [versions {PATH: N}], [change_id]
+ *	settings-apply	 values {PATH: VALUE|null}, [versions {PATH: N}],
+ *			 [change_id]
  *	settings-revert	 version, [change_id]
  *	settings-get	 [path]
- *	settings-diff	 values or yaml
+ *	settings-diff	 values
  *	settings-history [path], [limit]
  *	key-grant	 id, hash, ... (agree/key.h), [change_id]
  *	key-limit	 id, ..., [change_id]
  *	key-withdraw	 id, [change_id]
  *	key-list	 [organisation]
  *
- * `path` of a write may name one field of an object: path/FIELD.
+ * `path` of a write may name one field of an object: path/FIELD. Files of
+ * YAML are read by the command line (agree/yaml.h), not here: a parser that
+ * hangs on an operator's text would hang the one thread that decides.
  */
 
 /** What kind of command a name is. */
@@ -40,9 +42,8 @@
 enum admin_kind admin_kind(const char *command);
 
 /**
- * Check and build the entry of a writing command. `yaml` is read here, so
- * that the state machine sees only values. The operator's key is checked
- * (again at apply). `ticket` of `head` comes back in struct applied.
+ * Check and build the entry of a writing command. The operator's key is
+ * checked (again at apply). `ticket` of `head` comes back in struct applied.
  *
  * Returns RESULT_OK and appends the entry to `out`, or an error whose
  * message goes to `handler`.
--- a/libfilberthall/agree/codec.c
+++ b/libfilberthall/agree/codec.c
@@ -171,10 +171,17 @@
 
 static json_t *codec_value(const msgpack_object *object);
 
-static bool codec_is_name(const msgpack_object *key)
+/* The library gives NULL for an empty string that is a message's first. */
+static const char *codec_str(const msgpack_object *object)
 {
-	return key->type == MSGPACK_OBJECT_STR &&
-	       !memchr(key->via.str.ptr, '\0', key->via.str.size);
+	return object->via.str.size ? object->via.str.ptr : "";
+}
+
+/* Whether an object is text that a C string can hold. */
+static bool codec_is_name(const msgpack_object *object)
+{
+	return object->type == MSGPACK_OBJECT_STR &&
+	       !memchr(codec_str(object), '\0', object->via.str.size);
 }
 
 static json_t *codec_map(const msgpack_object_map *map)
@@ -186,7 +193,7 @@
 		const msgpack_object *key = &map->ptr[i].key;
 
 		if (!codec_is_name(key) ||
-		    json_object_setn_new(value, key->via.str.ptr,
+		    json_object_setn_new(value, codec_str(key),
 					 key->via.str.size,
 					 codec_value(&map->ptr[i].val)) < 0) {
 			json_decref(value);
@@ -228,11 +235,14 @@
 	case MSGPACK_OBJECT_FLOAT64:
 		return json_real(object->via.f64);
 	case MSGPACK_OBJECT_STR:
-		if (memchr(object->via.str.ptr, '\0', object->via.str.size))
-			return NULL;
-		return json_stringn(object->via.str.ptr, object->via.str.size);
+		return codec_is_name(object)
+			       ? json_stringn(codec_str(object),
+					      object->via.str.size)
+			       : NULL;
 	case MSGPACK_OBJECT_BIN:
-		return json_stringn_nocheck(object->via.bin.ptr,
+		return json_stringn_nocheck(object->via.bin.size
+						    ? object->via.bin.ptr
+						    : "",
 					    object->via.bin.size);
 	case MSGPACK_OBJECT_ARRAY:
 		return codec_array(&object->via.array);
--- a/libfilberthall/base/yaml.c
+++ b/libfilberthall/base/yaml.c
@@ -1,6 +1,7 @@
 #include "base/yaml.h"
 
 #include <errno.h>
+#include <jansson.h>
 #include <libfyaml.h>
 #include <math.h>
 #include <stdlib.h>
@@ -230,6 +231,18 @@
 	return code;
 }
 
+/*
+ * libfyaml 0.7.12 never returns from a text such as "%\xca": a directive with
+ * half a character. So text that isn't UTF-8 doesn't reach it.
+ */
+static bool yaml_is_utf8(const char *text, size_t len)
+{
+	json_t *probe = json_stringn(text, len);
+
+	json_decref(probe);
+	return probe;
+}
+
 enum result yaml_parse(struct yaml **root, const char *name, const char *text,
 		       size_t len, const struct error_handler *handler)
 {
@@ -239,6 +252,9 @@
 	enum result code;
 
 	*root = NULL;
+	if (!yaml_is_utf8(text, len))
+		return error_report(handler, RESULT_SETTING_SYNTAX,
+				    "%s: not UTF-8", name);
 	cfg.diag = yaml_quiet_diag();
 	parser = fy_parser_create(&cfg);
 	fy_parser_set_string(parser, text, len);
--- a/tests/agreed/t-apply.c
+++ b/tests/agreed/t-apply.c
@@ -168,6 +168,18 @@
 	g_assert_null(codec_decode("\x01\x01", 2));
 }
 
+/* The library hands out NULL for an empty string that comes first. */
+static void empty_text_is_text(void)
+{
+	json_t *text = codec_decode("\xa0", 1);
+	json_t *object = codec_decode("\x81\xa0\x01", 3);
+
+	g_assert_cmpstr(json_string_value(text), ==, "");
+	g_assert_cmpint(codec_int(object, "", 0), ==, 1);
+	json_decref(text);
+	json_decref(object);
+}
+
 static void reading_commands_show_what_the_key_may_see(void)
 {
 	struct site site;
@@ -220,6 +232,7 @@
 	g_test_add_func("/apply/damaged",
 			damaged_entries_and_snapshots_are_told);
 	g_test_add_func("/apply/lengths", lengths_beyond_the_end_are_refused);
+	g_test_add_func("/apply/empty", empty_text_is_text);
 	g_test_add_func("/apply/read",
 			reading_commands_show_what_the_key_may_see);
 	return g_test_run();
--- a/tests/agreed/t-settings-file.c
+++ b/tests/agreed/t-settings-file.c
@@ -63,6 +63,7 @@
 		      "703 site.yaml: more than one document\n");
 	check_reports("site: {keys: &k {stale_ms: 300}}\nteam: *k\n",
 		      "703 site.yaml:2:8: aliases aren't supported\n");
+	check_reports("%\xca", "703 site.yaml: not UTF-8\n");
 	check_reports("- 1\n", "702 site.yaml:1:1: no tree of settings\n");
 }
 
