--- a/bench/engine.c
+++ b/bench/engine.c
@@ -200,8 +200,7 @@
 
 void engine_remove(struct engine *engine, struct engine_job *job)
 {
-	bool first = list_first(&engine->prefill, struct engine_job,
-				in_engine) == job;
+	bool first = engine->prefill.next == &job->in_engine;
 
 	switch (job->state) {
 	case JOB_QUEUED:
@@ -278,12 +277,11 @@
 int64_t engine_queued_prompt(const struct engine *engine)
 {
 	double left = list_empty(&engine->prefill) ? 0 : engine->prefill_left;
-	const struct engine_job *first =
-		list_first(&engine->prefill, struct engine_job, in_engine);
 	struct engine_job *job;
 
 	list_foreach(job, &engine->prefill, in_engine)
-		left += job == first ? 0 : (double)job->prompt_tokens;
+		if (&job->in_engine != engine->prefill.next)
+			left += (double)job->prompt_tokens;
 	list_foreach(job, &engine->queue, in_engine)
 		left += (double)job->prompt_tokens;
 	return (int64_t)left;
--- a/bench/measure.h
+++ b/bench/measure.h
@@ -52,7 +52,10 @@
 	int64_t false_not_run;
 	int64_t run_twice;
 	int64_t starved;
-	double *goodput_by_s; /**< tokens of attained requests, by second */
+	int64_t unanswered;	/**< requests that got no answer at all */
+	int64_t answers_again;	/**< answers to one that had its own already */
+	int64_t poison_crashes; /**< servers that poison requests took down */
+	double *goodput_by_s;	/**< tokens of attained requests, by second */
 	double *shed_by_s;
 	int n_seconds;
 };
--- a/bench/sim_caller.c
+++ b/bench/sim_caller.c
@@ -145,8 +145,12 @@
 	struct sim_request *request = sim_request(sim, answer->id);
 	const struct scenario_traffic *traffic;
 
-	if (!request || request->answered)
+	if (!request)
 		return;
+	if (request->answered) {
+		sim->measure->answers_again++;
+		return;
+	}
 	request->answered = true;
 	request->not_run = answer->run == RUN_NOT;
 	request->code = (enum result)answer->code;
@@ -211,6 +215,7 @@
 		}
 		measure_generated(sim->measure, request->class_index, generated,
 				  whole ? request->output_tokens : 0);
+		sim->measure->unanswered += !request->answered;
 		if (request->answered && request->not_run &&
 		    request->n_received)
 			sim->measure->false_not_run++;
--- a/bench/sim_engine.c
+++ b/bench/sim_engine.c
@@ -227,6 +227,7 @@
 	struct sim_engine *engine = &sim->engines[index];
 
 	if (attempt->job.poison) {
+		sim->measure->poison_crashes++;
 		sim_engine_crash(sim, index);
 		sim_at(sim, sim->now_us + SIM_RESTART_US, SIM_RESTART)->a =
 			index;
--- a/libfilberthall/load/router_share.c
+++ b/libfilberthall/load/router_share.c
@@ -55,7 +55,7 @@
 {
 	int at = peers->self < 0 ? 0 : peers->self;
 
-	return total / peers->n + (at < total % peers->n);
+	return share_fallback(total, peers->n, at);
 }
 
 /** The part of everything that is this daemon's without an allocator. */
--- a/libfilberthall/load/share.c
+++ b/libfilberthall/load/share.c
@@ -64,6 +64,11 @@
 	}
 }
 
+int64_t share_fallback(int64_t total, int n, int at)
+{
+	return total / n + (at < total % n);
+}
+
 int64_t share_divide(int64_t total, const int64_t *wants, int64_t *parts, int n,
 		     int64_t turn)
 {
@@ -296,34 +301,81 @@
 		pool->pressed_us = now_us;
 }
 
+/* Daemons that are heard, by index, and what the others fall back to. */
+struct share_heard_list {
+	int *index;
+	int64_t *wants;
+	int64_t *parts;
+	int n;
+};
+
+static void heard_open(const struct share *share, struct share_heard_list *list,
+		       int64_t now_us)
+{
+	size_t size = (size_t)share->n;
+	int i;
+
+	list->index = xcalloc(size, sizeof(*list->index));
+	list->wants = xcalloc(size, sizeof(*list->wants));
+	list->parts = xcalloc(size, sizeof(*list->parts));
+	list->n = 0;
+	for (i = 0; i < share->n; i++)
+		if (!share_is_silent(share, i, now_us))
+			list->index[list->n++] = i;
+}
+
+static void heard_close(struct share_heard_list *list)
+{
+	free(list->index);
+	free(list->wants);
+	free(list->parts);
+}
+
+/*
+ * A daemon that isn't heard takes the equal part by itself; the others must
+ * not be given it. Returns what is left for those that are heard.
+ */
+static int64_t without_silent(const struct share *share,
+			      const struct share_heard_list *list,
+			      int64_t total_of)
+{
+	int64_t total = total_of;
+	int next = 0;
+	int i;
+
+	for (i = 0; i < share->n; i++) {
+		if (next < list->n && list->index[next] == i)
+			next++;
+		else
+			total -= share_fallback(total_of, share->n, i);
+	}
+	return total;
+}
+
 static void pool_round(struct share *share, struct share_pool *pool,
 		       int64_t now_us)
 {
-	int64_t left = pool_slots(share, pool);
-	int64_t equal = left / share->n;
-	int64_t *wants = xcalloc((size_t)share->n, sizeof(*wants));
-	int64_t *parts = xcalloc((size_t)share->n, sizeof(*parts));
+	int64_t slots = pool_slots(share, pool);
+	struct share_heard_list list;
+	int64_t left;
 	int tier;
 	int i;
 
-	/* A daemon that isn't heard falls back to the equal part by itself. */
-	for (i = 0; i < share->n; i++)
-		if (share_is_silent(share, i, now_us))
-			left -= equal;
+	heard_open(share, &list, now_us);
+	left = without_silent(share, &list, slots);
 	for (tier = 0; tier < SCHED_TIERS; tier++) {
-		for (i = 0; i < share->n; i++)
-			wants[i] = share_is_silent(share, i, now_us)
-					   ? 0
-					   : (int64_t)ceil(
-						     pool->rows[i].want[tier]);
-		left = share_divide(left, wants, parts, share->n, share->turn);
+		for (i = 0; i < list.n; i++)
+			list.wants[i] = (int64_t)ceil(
+				pool->rows[list.index[i]].want[tier]);
+		left = share_divide(left, list.wants, list.parts, list.n,
+				    share->turn);
 	}
-	share_equal(left, parts, share->n, share->turn);
+	share_equal(left, list.parts, list.n, share->turn);
 	for (i = 0; i < share->n; i++)
-		pool->rows[i].grant =
-			share_is_silent(share, i, now_us) ? equal : parts[i];
-	free(wants);
-	free(parts);
+		pool->rows[i].grant = share_fallback(slots, share->n, i);
+	for (i = 0; i < list.n; i++)
+		pool->rows[list.index[i]].grant = list.parts[i];
+	heard_close(&list);
 	pool_press_round(share, pool, now_us);
 }
 
@@ -335,33 +387,32 @@
 static void limit_round(struct share *share, struct share_limit *limit,
 			int64_t now_us)
 {
-	int64_t *wants = xcalloc((size_t)share->n, sizeof(*wants));
-	int64_t *parts = xcalloc((size_t)share->n, sizeof(*parts));
+	struct share_heard_list list;
 	double asked = 0;
 	int64_t left;
 	int i;
 
-	for (i = 0; i < share->n; i++) {
-		wants[i] = limit->rows[i].concurrent;
-		asked += limit->rows[i].asked;
+	heard_open(share, &list, now_us);
+	left = without_silent(share, &list, limit->limit);
+	for (i = 0; i < list.n; i++) {
+		list.wants[i] = limit->rows[list.index[i]].concurrent;
+		asked += limit->rows[list.index[i]].asked;
 	}
-	left = share_divide(limit->limit, wants, parts, share->n, share->turn);
-	for (i = 0; i < share->n; i++)
-		wants[i] = (int64_t)limit->rows[i].asked;
-	left = share_divide(left, wants, parts, share->n, share->turn);
-	share_equal(left, parts, share->n, share->turn);
-	for (i = 0; i < share->n; i++) {
-		struct share_slot *row = &limit->rows[i];
+	left = share_divide(left, list.wants, list.parts, list.n, share->turn);
+	for (i = 0; i < list.n; i++)
+		list.wants[i] = (int64_t)limit->rows[list.index[i]].asked;
+	left = share_divide(left, list.wants, list.parts, list.n, share->turn);
+	share_equal(left, list.parts, list.n, share->turn);
+	for (i = 0; i < list.n; i++) {
+		struct share_slot *row = &limit->rows[list.index[i]];
 		double by_demand =
-			asked > 0 ? row->asked / asked : 1.0 / share->n;
-		bool silent = share_is_silent(share, i, now_us);
+			asked > 0 ? row->asked / asked : 1.0 / list.n;
 
-		row->part = silent ? 1.0 / share->n
-				   : (1.0 / share->n + by_demand) / 2;
-		row->grant = parts[i];
+		row->part =
+			(1.0 / share->n + by_demand * list.n / share->n) / 2;
+		row->grant = list.parts[i];
 	}
-	free(wants);
-	free(parts);
+	heard_close(&list);
 }
 
 void share_round(struct share *share, int64_t now_us)
--- a/libfilberthall/load/share.h
+++ b/libfilberthall/load/share.h
@@ -94,6 +94,12 @@
 int64_t share_divide(int64_t total, const int64_t *wants, int64_t *parts, int n,
 		     int64_t turn);
 
+/**
+ * The part of a whole number that falls to the daemon at place `at` of `n`
+ * without an allocator.
+ */
+int64_t share_fallback(int64_t total, int n, int at);
+
 /** Add `total` to `parts` in equal shares. */
 void share_equal(int64_t total, int64_t *parts, int n, int64_t turn);
 
--- /dev/null
+++ b/tests/load/t-policy.c
@@ -0,0 +1,235 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bench/sim.h"
+
+/*
+ * What callers receive from the router's decisions, before the bench's model
+ * of engines. Bounds are a little below what was measured; runs are the same
+ * each time.
+ */
+static void load_scenario(struct scenario *scenario, const char *name)
+{
+	const char *root = g_getenv("SOURCE_ROOT");
+	char *path = g_strdup_printf("%s/bench/scenarios/%s.yaml",
+				     root ? root : ".", name);
+
+	g_assert_cmpint(scenario_load(scenario, path, NULL), ==, RESULT_OK);
+	g_free(path);
+}
+
+static void run(const char *name, const char *policy_name, uint64_t seed,
+		struct scenario *scenario, struct measure *measure)
+{
+	struct policy policy;
+	struct sim_options options = { scenario, &policy, seed };
+
+	load_scenario(scenario, name);
+	g_assert_true(policy_find(policy_name, &policy));
+	sim_run(&options, measure);
+}
+
+static double attained(const struct measure *measure, const char *class_name)
+{
+	int i = scenario_class_index(measure->scenario, class_name);
+
+	return (double)measure->classes[i].attained /
+	       (double)measure->classes[i].offered;
+}
+
+static void done(struct scenario *scenario, struct measure *measure)
+{
+	measure_clear(measure);
+	scenario_clear(scenario);
+}
+
+static void no_promise_broken(const struct measure *measure)
+{
+	g_assert_cmpint(measure->unanswered, ==, 0);
+	g_assert_cmpint(measure->answers_again, ==, 0);
+	g_assert_cmpint(measure->false_not_run, ==, 0);
+	g_assert_cmpint(measure->run_twice, ==, 0);
+	g_assert_cmpint(measure->starved, ==, 0);
+	g_assert_cmpint(measure->shed_over_lower, ==, 0);
+}
+
+/*
+ * Students upload at once: captions come at six times their rate while long
+ * work fills the pool. Without tiers every caption waits for critiques to
+ * end; with them it is the long work that waits.
+ */
+static void a_burst_is_served_in_time(void)
+{
+	struct scenario scenario;
+	struct measure measure;
+
+	run("burst", "full", 1, &scenario, &measure);
+	g_assert_cmpfloat(attained(&measure, "caption"), >, 0.98);
+	g_assert_cmpfloat(attained(&measure, "critique"), >, 0.85);
+	g_assert_cmpfloat(measure_wasted_share(&measure), <, 0.02);
+	no_promise_broken(&measure);
+	done(&scenario, &measure);
+	run("burst", "no-tiers", 1, &scenario, &measure);
+	g_assert_cmpfloat(attained(&measure, "caption"), <, 0.9);
+	done(&scenario, &measure);
+}
+
+/*
+ * One organisation's loop sends twenty times what each of three others do.
+ * In order of arrival the three get a twentieth each; they must get all they
+ * ask for, and the loop what is left.
+ */
+static void a_hot_caller_harms_only_itself(void)
+{
+	struct scenario scenario;
+	struct measure measure;
+	int i;
+
+	run("hot-caller", "full", 1, &scenario, &measure);
+	for (i = 1; i < 4; i++)
+		g_assert_cmpfloat(
+			(double)measure.organisations[i].attained, >,
+			0.9 * (double)measure.organisations[i].offered);
+	no_promise_broken(&measure);
+	done(&scenario, &measure);
+	run("hot-caller", "no-fairness", 1, &scenario, &measure);
+	g_assert_cmpfloat((double)measure.organisations[1].attained, <,
+			  0.6 * (double)measure.organisations[1].offered);
+	done(&scenario, &measure);
+}
+
+/*
+ * One engine of twelve turns slow, and its own reports make it look idle.
+ * A twelfth of all requests would be late for as long as it is slow.
+ */
+static void a_slow_server_costs_little(void)
+{
+	const char *names[] = { "caption", "summary", "critique", "batch" };
+	struct scenario scenario;
+	struct measure measure;
+	double with[4];
+	int i;
+
+	run("slow-server", "full", 1, &scenario, &measure);
+	for (i = 0; i < 4; i++)
+		with[i] = attained(&measure, names[i]);
+	no_promise_broken(&measure);
+	done(&scenario, &measure);
+	run("no-slow-server", "full", 1, &scenario, &measure);
+	for (i = 0; i < 4; i++)
+		g_assert_cmpfloat(with[i], >,
+				  attained(&measure, names[i]) - 0.03);
+	done(&scenario, &measure);
+}
+
+/*
+ * Essays of a minute come in a wave that is more than the pool can do. Notes
+ * of two seconds, of the same tier, must not wait until essays end.
+ */
+static void short_work_gets_by_long_work(void)
+{
+	struct scenario scenario;
+	struct measure measure;
+
+	run("long-short", "full", 1, &scenario, &measure);
+	g_assert_cmpfloat(attained(&measure, "note"), >, 0.9);
+	no_promise_broken(&measure);
+	done(&scenario, &measure);
+	run("long-short", "least-outstanding", 1, &scenario, &measure);
+	g_assert_cmpfloat(attained(&measure, "note"), <, 0.8);
+	done(&scenario, &measure);
+}
+
+/*
+ * Five times what the pool can do, for two minutes. Work that comes too late
+ * is work for nobody: goodput must stay where it is at full load, and the
+ * top tier, which fits, must not notice.
+ */
+static void overload_does_not_collapse(void)
+{
+	struct scenario scenario;
+	struct measure measure;
+	double goodput;
+
+	run("overload-1x", "full", 1, &scenario, &measure);
+	goodput = measure_goodput(&measure);
+	no_promise_broken(&measure);
+	done(&scenario, &measure);
+	run("overload-5x", "full", 1, &scenario, &measure);
+	g_assert_cmpfloat(measure_goodput(&measure), >, 0.95 * goodput);
+	g_assert_cmpfloat(attained(&measure, "caption"), >, 0.99);
+	g_assert_cmpfloat(measure_gap(&measure), <, 0.1);
+	g_assert_cmpfloat(measure_wasted_share(&measure), <, 0.02);
+	no_promise_broken(&measure);
+	done(&scenario, &measure);
+}
+
+/*
+ * A request crashes its engine, is tried on another, crashes that too, and
+ * its caller sends it again and again. Two engines are lost to it, no third.
+ */
+static void a_poison_request_takes_two_servers_at_most(void)
+{
+	struct scenario scenario;
+	struct measure measure;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 3; seed++) {
+		run("poison", "full", seed, &scenario, &measure);
+		g_assert_cmpint(measure.poison_crashes, <=, 2);
+		g_assert_cmpfloat(attained(&measure, "caption"), >, 0.98);
+		no_promise_broken(&measure);
+		done(&scenario, &measure);
+	}
+	run("poison", "no-poison", 1, &scenario, &measure);
+	g_assert_cmpint(measure.poison_crashes, >, 4);
+	done(&scenario, &measure);
+}
+
+/* Faults, and requests that may not be sent twice, over several seeds. */
+static void promises_hold_whatever_fails(void)
+{
+	const char *names[] = { "cooperative", "crash", "silent", "reclaim" };
+	struct scenario scenario;
+	struct measure measure;
+	uint64_t seed;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		for (seed = 1; seed <= 3; seed++) {
+			run(names[i], "full", seed, &scenario, &measure);
+			no_promise_broken(&measure);
+			done(&scenario, &measure);
+		}
+}
+
+/* The same seed gives the same run, or no figure could be checked. */
+static void a_run_repeats_itself(void)
+{
+	struct scenario scenario;
+	struct measure measure;
+	double goodput;
+
+	run("crash", "full", 4, &scenario, &measure);
+	goodput = measure_goodput(&measure);
+	done(&scenario, &measure);
+	run("crash", "full", 4, &scenario, &measure);
+	g_assert_cmpfloat(measure_goodput(&measure), ==, goodput);
+	done(&scenario, &measure);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/policy/burst", a_burst_is_served_in_time);
+	g_test_add_func("/policy/hot-caller", a_hot_caller_harms_only_itself);
+	g_test_add_func("/policy/slow-server", a_slow_server_costs_little);
+	g_test_add_func("/policy/long-short", short_work_gets_by_long_work);
+	g_test_add_func("/policy/overload", overload_does_not_collapse);
+	g_test_add_func("/policy/poison",
+			a_poison_request_takes_two_servers_at_most);
+	g_test_add_func("/policy/promises", promises_hold_whatever_fails);
+	g_test_add_func("/policy/repeats", a_run_repeats_itself);
+	return g_test_run();
+}
