core, cli, daemon: a change is in force where every daemon that admits has it

Change: members silent past the staleness bound admit nothing, so they don't hold up the answer and are named; the CLI prints refusals as such; reading of secrets in a file of its own; struct caller_request in core/. Conclusion: an operator isn't kept waiting by a dead VM.

--- a/cli/settings.c
+++ b/cli/settings.c
@@ -27,25 +27,30 @@
 static const char *const settings_file_names[] = { "file", NULL };
 static const char *const settings_version_names[] = { "version", NULL };
 
-static int settings_wait(struct cli *cli, int64_t index)
+static long long settings_number(const json_t *answer, const char *key)
 {
-	json_t *answer;
-	int status;
+	return json_integer_value(json_object_get(answer, key));
+}
 
-	status = cli_call(cli, "settings-wait",
-			  json_pack("{s:I}", "index", (json_int_t)index),
-			  &answer);
-	if (answer && !cli->json)
-		printf("in force on %lld of %lld daemons after %.3f s\n",
-		       (long long)json_integer_value(
-			       json_object_get(answer, "in_force")),
-		       (long long)json_integer_value(
-			       json_object_get(answer, "members")),
-		       json_real_value(json_object_get(answer, "seconds")));
-	else if (answer)
-		json_dumpf(answer, stdout, JSON_COMPACT);
-	json_decref(answer);
-	return status;
+static void settings_print_wait(const json_t *answer)
+{
+	long long silent = settings_number(answer, "silent");
+
+	printf("in force on %lld of %lld daemons after %.3f s\n",
+	       settings_number(answer, "in_force"),
+	       settings_number(answer, "members"),
+	       json_real_value(json_object_get(answer, "seconds")));
+	if (silent)
+		printf("%lld silent, and admitting nothing until %s back\n",
+		       silent, silent == 1 ? "it is" : "they are");
+}
+
+static int settings_wait(struct cli *cli, int64_t index)
+{
+	return cli_call_and_print(cli, "settings-wait",
+				  json_pack("{s:I}", "index",
+					    (json_int_t)index),
+				  settings_print_wait);
 }
 
 static void settings_print_change(struct cli *cli, int status,
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <inttypes.h>
-#include <jansson.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -11,7 +10,6 @@
 #include <sys/random.h>
 #include <time.h>
 
-#include "agree/yaml.h"
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "core/core.h"
@@ -21,14 +19,10 @@
 #include "daemon/http_out.h"
 #include "daemon/link.h"
 #include "daemon/log.h"
+#include "daemon/secrets.h"
 #include "daemon/trace.h"
 #include "daemon/wal.h"
 
-#define DAEMON_SECRET_LEAST 16
-#define DAEMON_SECRET_MOST 4096
-#define DAEMON_PEM_MOST (256 * 1024)
-#define DAEMON_SETTINGS_MOST (4 * 1024 * 1024)
-
 /* Streams that take longer than this at a planned stop are cut. */
 #define DAEMON_GRACE_MS 60000
 
@@ -38,12 +32,7 @@
 	const struct error_handler *handler;
 	struct log *log;
 	struct trace *trace;
-	struct bytes key_secret;
-	struct bytes link_secret;
-	struct bytes certificate;
-	struct bytes private_key;
-	struct bytes seed_values;
-	char seed_key_hash[65];
+	struct secrets secrets;
 	struct raft_saved saved;
 	struct wal *wal;
 	uint64_t member_id;
@@ -59,95 +48,6 @@
 	bool signals_started;
 };
 
-static enum result daemon_read_secret(struct bytes *secret, const char *path,
-				      const struct error_handler *handler)
-{
-	enum result code;
-
-	code = file_read(secret, path, DAEMON_SECRET_MOST, handler);
-	if (code)
-		return code;
-	while (secret->len && (secret->data[secret->len - 1] == '\n' ||
-			       secret->data[secret->len - 1] == '\r'))
-		secret->len--;
-	if (secret->len < DAEMON_SECRET_LEAST)
-		return error_report(handler, RESULT_SETTING_VALUE,
-				    "%s: a secret of %d bytes or more is "
-				    "needed",
-				    path, DAEMON_SECRET_LEAST);
-	return RESULT_OK;
-}
-
-static enum result daemon_read_seed_settings(struct daemon *daemon,
-					     const char *path)
-{
-	struct bytes text = { 0 };
-	json_t *values = NULL;
-	enum result code;
-	char *dumped;
-
-	code = file_read(&text, path, DAEMON_SETTINGS_MOST, daemon->handler);
-	if (!code)
-		code = yaml_read_settings(path, bytes_text(&text), text.len,
-					  &values, daemon->handler);
-	bytes_clear(&text);
-	if (code)
-		return code;
-	dumped = json_dumps(values, JSON_COMPACT);
-	json_decref(values);
-	bytes_append_text(&daemon->seed_values, dumped ? dumped : "{}");
-	free(dumped);
-	return RESULT_OK;
-}
-
-static enum result daemon_read_seed_key(struct daemon *daemon, const char *path)
-{
-	struct bytes key = { 0 };
-	enum result code;
-
-	code = daemon_read_secret(&key, path, daemon->handler);
-	if (!code)
-		key_hash(daemon->seed_key_hash, daemon->key_secret.data,
-			 daemon->key_secret.len, key.data, key.len);
-	bytes_clear(&key);
-	return code;
-}
-
-static enum result daemon_read_tls(struct daemon *daemon)
-{
-	const struct boot *boot = daemon->boot;
-	enum result code;
-
-	if (!boot->tls_certificate)
-		return RESULT_OK;
-	code = file_read(&daemon->certificate, boot->tls_certificate,
-			 DAEMON_PEM_MOST, daemon->handler);
-	if (!code)
-		code = file_read(&daemon->private_key, boot->tls_key,
-				 DAEMON_PEM_MOST, daemon->handler);
-	return code;
-}
-
-static enum result daemon_read_files(struct daemon *daemon)
-{
-	const struct boot *boot = daemon->boot;
-	enum result code;
-
-	code = daemon_read_secret(&daemon->key_secret, boot->key_secret_file,
-				  daemon->handler);
-	if (!code)
-		code = daemon_read_secret(&daemon->link_secret,
-					  boot->link_secret_file,
-					  daemon->handler);
-	if (!code && boot->seed_settings)
-		code = daemon_read_seed_settings(daemon, boot->seed_settings);
-	if (!code && boot->seed_key_file)
-		code = daemon_read_seed_key(daemon, boot->seed_key_file);
-	if (!code)
-		code = daemon_read_tls(daemon);
-	return code;
-}
-
 static void daemon_post(struct daemon *daemon, struct event *event)
 {
 	const struct edge_sink *sink = core_thread_sink(daemon->core_thread);
@@ -212,15 +112,15 @@
 	in.address[HTTP_BACKENDS] = boot->listen_backends;
 	in.address[HTTP_OPERATORS] = boot->listen_operators;
 	if (boot->tls_certificate) {
-		in.certificate = bytes_text(&daemon->certificate);
-		in.private_key = bytes_text(&daemon->private_key);
+		in.certificate = bytes_text(&daemon->secrets.certificate);
+		in.private_key = bytes_text(&daemon->secrets.private_key);
 	}
 	in.header_bytes = boot->header_bytes;
 	in.body_bytes = boot->body_bytes;
 	in.connections = boot->connections;
 	in.idle_s = boot->idle_s;
-	in.key_secret = daemon->key_secret.data;
-	in.key_secret_len = daemon->key_secret.len;
+	in.key_secret = daemon->secrets.key_secret.data;
+	in.key_secret_len = daemon->secrets.key_secret.len;
 	in.vm = boot->vm;
 	in.incarnation = daemon->incarnation;
 	in.exchanges = &daemon->exchanges;
@@ -250,8 +150,8 @@
 	options.zone = boot->zone;
 	options.self = daemon->member_id;
 	options.incarnation = daemon->incarnation;
-	options.secret = daemon->link_secret.data;
-	options.secret_len = daemon->link_secret.len;
+	options.secret = daemon->secrets.link_secret.data;
+	options.secret_len = daemon->secrets.link_secret.len;
 	options.seeds = (const char *const *)boot->peers;
 	options.n_seeds = boot->n_peers;
 	options.sink = core_thread_sink(daemon->core_thread);
@@ -418,9 +318,10 @@
 	options.disk = boot->data_folder;
 	options.platform = boot->platform;
 	options.bootstrap = boot->bootstrap;
-	options.seed_values = daemon->seed_values;
-	options.seed_key_hash =
-		daemon->seed_key_hash[0] ? daemon->seed_key_hash : NULL;
+	options.seed_values = daemon->secrets.seed_values;
+	options.seed_key_hash = daemon->secrets.seed_key_hash[0]
+					? daemon->secrets.seed_key_hash
+					: NULL;
 	if (daemon->recording) {
 		struct bytes line = { 0 };
 
@@ -452,7 +353,7 @@
 	const struct boot *boot = daemon->boot;
 	enum result code;
 
-	code = daemon_read_files(daemon);
+	code = secrets_load(&daemon->secrets, boot, daemon->handler);
 	if (!code)
 		code = log_open(&daemon->log, boot->log_file, boot->vm,
 				boot->log_level, daemon->handler);
@@ -499,11 +400,7 @@
 		fclose(daemon->recording);
 	trace_close(daemon->trace);
 	log_close(daemon->log);
-	bytes_clear(&daemon->key_secret);
-	bytes_clear(&daemon->link_secret);
-	bytes_clear(&daemon->certificate);
-	bytes_clear(&daemon->private_key);
-	bytes_clear(&daemon->seed_values);
+	secrets_clear(&daemon->secrets);
 }
 
 enum result daemon_run(const struct boot *boot, const char *recording,
@@ -539,16 +436,10 @@
 enum result daemon_check(const struct boot *boot,
 			 const struct error_handler *handler)
 {
-	struct daemon daemon = { 0 };
+	struct secrets secrets = { 0 };
 	enum result code;
 
-	daemon.boot = boot;
-	daemon.handler = handler;
-	code = daemon_read_files(&daemon);
-	bytes_clear(&daemon.key_secret);
-	bytes_clear(&daemon.link_secret);
-	bytes_clear(&daemon.certificate);
-	bytes_clear(&daemon.private_key);
-	bytes_clear(&daemon.seed_values);
+	code = secrets_load(&secrets, boot, handler);
+	secrets_clear(&secrets);
 	return code;
 }
--- a/libfilberthall/core/answer.c
+++ b/libfilberthall/core/answer.c
@@ -13,7 +13,7 @@
 #define ANSWER_SPAN_AT 36
 #define ANSWER_SPAN_LEN 16
 
-void answer_refuse(struct core *core, const struct request *request,
+void answer_refuse(struct core *core, const struct caller_request *request,
 		   enum result code, enum run_state run, int64_t retry_after_ms,
 		   const char *message)
 {
@@ -28,7 +28,7 @@
 	answer_span(core, request, "edge", request->arrived_us, code, NULL);
 }
 
-void answer_kept(struct core *core, const struct request *request,
+void answer_kept(struct core *core, const struct caller_request *request,
 		 const struct claim *claim)
 {
 	struct effect_answer *answer =
@@ -43,7 +43,7 @@
 		    "kept answer");
 }
 
-void answer_span(struct core *core, const struct request *request,
+void answer_span(struct core *core, const struct caller_request *request,
 		 const char *name, int64_t start_us, enum result code,
 		 const char *detail)
 {
--- a/libfilberthall/core/consensus.c
+++ b/libfilberthall/core/consensus.c
@@ -225,8 +225,8 @@
 	struct consensus_names classes = { 0 };
 	struct consensus_names organisations = { 0 };
 	struct consensus_names keys = { 0 };
-	struct request *request;
-	struct request *next;
+	struct caller_request *request;
+	struct caller_request *next;
 
 	rules_visit_classes(settings, consensus_add_class, &classes);
 	rules_visit_organisations(settings, consensus_add_organisation,
--- a/libfilberthall/core/core_state.h
+++ b/libfilberthall/core/core_state.h
@@ -32,7 +32,7 @@
 	REQUEST_ROUTED,	      /**< with the router */
 };
 
-struct request {
+struct caller_request {
 	struct map_node node; /**< core.requests, by id */
 	struct list pending; /**< core.pending, while its claim isn't its own */
 	struct event *event; /**< EVENT_REQUEST, owned */
@@ -127,12 +127,12 @@
 void request_free_all(struct core *core);
 
 /* answer.c: ends of requests */
-void answer_refuse(struct core *core, const struct request *request,
+void answer_refuse(struct core *core, const struct caller_request *request,
 		   enum result code, enum run_state run, int64_t retry_after_ms,
 		   const char *message);
-void answer_kept(struct core *core, const struct request *request,
+void answer_kept(struct core *core, const struct caller_request *request,
 		 const struct claim *claim);
-void answer_span(struct core *core, const struct request *request,
+void answer_span(struct core *core, const struct caller_request *request,
 		 const char *name, int64_t start_us, enum result code,
 		 const char *detail);
 
--- a/libfilberthall/core/operator.c
+++ b/libfilberthall/core/operator.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "agree/admin.h"
+#include "agree/rules.h"
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "core/core_state.h"
@@ -387,6 +388,46 @@
 	}
 }
 
+/*
+ * Members that haven't been heard for longer than the staleness bound: they
+ * admit nothing, so an old setting can't act there, and a change needn't wait
+ * for them to be in force.
+ */
+static size_t operator_silent(const struct core *core)
+{
+	const struct members *members = raft_members(core->raft);
+	double stale_ms = rules_number(agreed_settings(core->agreed),
+				       "site/keys", "stale_ms");
+	struct member_health health;
+	size_t silent = 0;
+	size_t i;
+
+	for (i = 0; i < members->count; i++)
+		if (members->items[i].id != core->options.self &&
+		    raft_health(core->raft, members->items[i].id, &health) &&
+		    (double)(core->now_us - health.heard_us) > stale_ms * 1000)
+			silent++;
+	return silent;
+}
+
+static void operator_tell_in_force(struct core *core,
+				   struct admin_call *waiting, enum result code)
+{
+	size_t members = 0;
+	size_t applied = 0;
+
+	if (waiting->wait_index)
+		applied = raft_applied_on(core->raft, waiting->wait_index,
+					  &members);
+	operator_answer(core, waiting->peer, waiting->id, code,
+			json_pack("{s:I, s:I, s:I, s:f}", "in_force",
+				  (json_int_t)applied, "members",
+				  (json_int_t)members, "silent",
+				  (json_int_t)operator_silent(core), "seconds",
+				  (double)(core->now_us - waiting->started_us) /
+					  1e6));
+}
+
 /* Whether a waiting call can be answered now. */
 static bool operator_settle(struct core *core, struct admin_call *waiting)
 {
@@ -401,32 +442,12 @@
 		return true;
 	}
 	applied = raft_applied_on(core->raft, waiting->wait_index, &members);
-	if (applied < members)
+	if (applied + operator_silent(core) < members)
 		return false;
-	operator_answer(core, waiting->peer, waiting->id, RESULT_OK,
-			json_pack("{s:I, s:I, s:f}", "in_force",
-				  (json_int_t)applied, "members",
-				  (json_int_t)members, "seconds",
-				  (double)(core->now_us - waiting->started_us) /
-					  1e6));
+	operator_tell_in_force(core, waiting, RESULT_OK);
 	return true;
 }
 
-static void operator_give_up(struct core *core, struct admin_call *waiting)
-{
-	size_t members = 0;
-	size_t applied = 0;
-
-	if (waiting->wait_index)
-		applied = raft_applied_on(core->raft, waiting->wait_index,
-					  &members);
-	operator_answer(core, waiting->peer, waiting->id, RESULT_NO_QUORUM,
-			json_pack("{s:I, s:I, s:s}", "in_force",
-				  (json_int_t)applied, "members",
-				  (json_int_t)members, "message",
-				  "not in force everywhere in time"));
-}
-
 void operator_tick(struct core *core)
 {
 	struct admin_call *waiting;
@@ -436,7 +457,7 @@
 		bool settled = operator_settle(core, waiting);
 
 		if (!settled && waiting->give_up_us <= core->now_us) {
-			operator_give_up(core, waiting);
+			operator_tell_in_force(core, waiting, RESULT_NO_QUORUM);
 			settled = true;
 		}
 		if (settled)
--- a/libfilberthall/core/request.c
+++ b/libfilberthall/core/request.c
@@ -33,20 +33,20 @@
 
 static bool request_match(const struct map_node *node, const void *key)
 {
-	return container_of(node, struct request, node)->event->u.request.id ==
-	       *(const uint64_t *)key;
+	return container_of(node, struct caller_request, node)
+		       ->event->u.request.id == *(const uint64_t *)key;
 }
 
-static struct request *request_find(struct core *core, uint64_t id)
+static struct caller_request *request_find(struct core *core, uint64_t id)
 {
 	struct map_node *node;
 
 	node = map_find(&core->requests, map_hash(&id, sizeof(id)),
 			request_match, &id);
-	return node ? container_of(node, struct request, node) : NULL;
+	return node ? container_of(node, struct caller_request, node) : NULL;
 }
 
-static void request_free(struct core *core, struct request *request)
+static void request_free(struct core *core, struct caller_request *request)
 {
 	map_remove(&core->requests, &request->node);
 	list_remove(&request->pending);
@@ -59,15 +59,15 @@
 
 void request_free_all(struct core *core)
 {
-	struct request *request;
-	struct request *next;
+	struct caller_request *request;
+	struct caller_request *next;
 
 	map_foreach(request, next, &core->requests, node)
 		request_free(core, request);
 	map_clear(&core->requests);
 }
 
-static void request_refuse(struct core *core, struct request *request,
+static void request_refuse(struct core *core, struct caller_request *request,
 			   enum result code, int64_t retry_after_ms,
 			   const char *message)
 {
@@ -185,7 +185,7 @@
 	return plan;
 }
 
-static void request_route(struct core *core, struct request *request)
+static void request_route(struct core *core, struct caller_request *request)
 {
 	const struct event_request *asked = &request->event->u.request;
 	const struct key *key =
@@ -228,7 +228,7 @@
 	propose_entry(core, head.ticket, &entry, give_up_us);
 }
 
-static void request_claim(struct core *core, struct request *request)
+static void request_claim(struct core *core, struct caller_request *request)
 {
 	const struct event_request *asked = &request->event->u.request;
 	struct claim_op op = { 0 };
@@ -256,7 +256,7 @@
 }
 
 /* What an arrival meets whose claim is held by another, or by its past. */
-static void request_meet(struct core *core, struct request *request,
+static void request_meet(struct core *core, struct caller_request *request,
 			 enum result code)
 {
 	const struct claim *claim;
@@ -288,7 +288,7 @@
 	}
 }
 
-static void request_probe(struct core *core, struct request *request)
+static void request_probe(struct core *core, struct caller_request *request)
 {
 	enum result code;
 
@@ -317,7 +317,7 @@
 
 void request_take(struct core *core, struct event *event)
 {
-	struct request *request = xcalloc(1, sizeof(*request));
+	struct caller_request *request = xcalloc(1, sizeof(*request));
 	const struct event_request *asked = &event->u.request;
 	struct request_plan plan;
 
@@ -357,7 +357,7 @@
 void request_claim_outcome(struct core *core,
 			   const struct claim_outcome *outcome)
 {
-	struct request *request = request_find(core, outcome->ticket);
+	struct caller_request *request = request_find(core, outcome->ticket);
 
 	if (outcome->verb != CLAIM_VERB_OPEN)
 		return;
@@ -385,8 +385,8 @@
 
 void request_claim_changed(struct core *core, const char *claim_id)
 {
-	struct request *request;
-	struct request *next;
+	struct caller_request *request;
+	struct caller_request *next;
 
 	list_foreach_safe(request, next, &core->pending, pending)
 		if (request->state == REQUEST_AWAITS_CLAIM &&
@@ -396,8 +396,8 @@
 
 void request_withdraw_key(struct core *core, const char *key_id)
 {
-	struct request *request;
-	struct request *next;
+	struct caller_request *request;
+	struct caller_request *next;
 
 	list_foreach_safe(request, next, &core->pending, pending)
 		if (!strcmp(request->key_id, key_id))
@@ -413,7 +413,7 @@
  */
 void request_caller_left(struct core *core, uint64_t id)
 {
-	struct request *request = request_find(core, id);
+	struct caller_request *request = request_find(core, id);
 
 	if (!request)
 		return;
@@ -433,8 +433,8 @@
 /* Refuse what still waits for its claim at its deadline. */
 void request_expire(struct core *core)
 {
-	struct request *request;
-	struct request *next;
+	struct caller_request *request;
+	struct caller_request *next;
 
 	list_foreach_safe(request, next, &core->pending, pending) {
 		if (request->deadline_us > core->now_us)
@@ -450,7 +450,7 @@
 }
 
 static void request_settle_claim(struct core *core,
-				 const struct request *request,
+				 const struct caller_request *request,
 				 const struct router_outcome *outcome)
 {
 	struct claim_op op = { 0 };
@@ -487,7 +487,7 @@
 void request_finished(void *data, const struct router_outcome *outcome)
 {
 	struct core *core = data;
-	struct request *request = request_find(core, outcome->id);
+	struct caller_request *request = request_find(core, outcome->id);
 
 	metrics_count(core->metrics, outcome);
 	request_bill(core, outcome);
