--- a/daemon/caller_watch.h
+++ b/daemon/caller_watch.h
@@ -16,6 +16,9 @@
  * of a backend server for nobody. A caller sends a byte now and then: it
  * never idles long enough for the library's time-out and holds a connection
  * for good. One thread polls for the first and sweeps for the second.
+ *
+ * A caller that shuts down only its sending half counts as gone: it can't be
+ * told from one that closed until something is written to it.
  */
 struct caller_watch;
 
--- a/tests/path/harness.c
+++ b/tests/path/harness.c
@@ -394,3 +394,55 @@
 		   "Content-Length: %zu\r\n\r\n%s",
 		   strlen(body), body);
 }
+
+char *request_id_of(const GString *head)
+{
+	return header_value(head, "x-request-id");
+}
+
+uint64_t wait_request(struct harness *harness)
+{
+	struct event *event = harness_wait(harness, EVENT_REQUEST);
+	uint64_t id = event->u.request.id;
+
+	event_free(event);
+	return id;
+}
+
+void expect_ended(struct harness *harness, enum result code, bool sent,
+		  int64_t tokens)
+{
+	struct event *event = harness_wait(harness, EVENT_ATTEMPT_ENDED);
+
+	g_assert_cmpint(event->u.ended.code, ==, code);
+	g_assert_cmpint(event->u.ended.sent, ==, sent);
+	g_assert_cmpint(event->u.ended.tokens, ==, tokens);
+	event_free(event);
+}
+
+void scene_open(struct scene *scene, void (*serve)(struct stand_in *, int, int),
+		void (*change)(struct http_in_options *options), bool stream)
+{
+	int small = SMALL_BUFFER;
+
+	stand_in_start(&scene->peer, serve);
+	harness_start(&scene->harness, change);
+	scene->fd = harness_dial(&scene->harness, HTTP_CALLERS);
+	setsockopt(scene->fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	send_completion(scene->fd, stream);
+	scene->start = harness_attempt(wait_request(&scene->harness),
+				       scene->peer.address);
+}
+
+void scene_start(struct scene *scene)
+{
+	http_out_start_attempt(scene->harness.out, &scene->start);
+}
+
+void scene_close(struct scene *scene)
+{
+	if (scene->fd >= 0)
+		close(scene->fd);
+	harness_stop(&scene->harness);
+	stand_in_stop(&scene->peer);
+}
--- a/tests/path/harness.h
+++ b/tests/path/harness.h
@@ -85,7 +85,33 @@
 void write_stream_end(int fd, const char *request_id);
 void write_whole(int fd, const char *request_id, const char *body);
 
+/** X-Request-Id of a request, to be freed. */
+char *request_id_of(const GString *head);
+
 /** The callers' side. */
 void send_completion(int fd, bool stream);
 
+/** Bytes that the sockets of a scene take before they push back. */
+#define SMALL_BUFFER 16384
+
+/** One caller's request that has come as far as the core, and a peer. */
+struct scene {
+	struct harness harness;
+	struct stand_in peer;
+	struct effect_start_attempt start; /**< for the test to change */
+	int fd;				   /**< the caller's socket */
+};
+
+void scene_open(struct scene *scene, void (*serve)(struct stand_in *, int, int),
+		void (*change)(struct http_in_options *options), bool stream);
+void scene_start(struct scene *scene);
+void scene_close(struct scene *scene);
+
+/** The id of the next request to reach the core. */
+uint64_t wait_request(struct harness *harness);
+
+/** The next attempt to end ends so. */
+void expect_ended(struct harness *harness, enum result code, bool sent,
+		  int64_t tokens);
+
 #endif
--- a/tests/path/t-thread-attempts.c
+++ b/tests/path/t-thread-attempts.c
@@ -4,16 +4,6 @@
 
 #include "harness.h"
 
-/* Bytes enough to fill socket buffers and the exchange several times over. */
-#define FLOOD_CHUNKS 60000
-#define FLOOD_CHUNK_BYTES 256
-#define SMALL_BUFFER 16384
-
-static char *request_id_of(const GString *head)
-{
-	return header_value(head, "x-request-id");
-}
-
 /* One request on one connection, answered as a stream of two tokens. */
 static void serve_stream(struct stand_in *stand_in, int fd, int nth)
 {
@@ -34,26 +24,6 @@
 	}
 }
 
-static uint64_t wait_request(struct harness *harness)
-{
-	struct event *event = harness_wait(harness, EVENT_REQUEST);
-	uint64_t id = event->u.request.id;
-
-	event_free(event);
-	return id;
-}
-
-static void expect_ended(struct harness *harness, enum result code, bool sent,
-			 int64_t tokens)
-{
-	struct event *event = harness_wait(harness, EVENT_ATTEMPT_ENDED);
-
-	g_assert_cmpint(event->u.ended.code, ==, code);
-	g_assert_cmpint(event->u.ended.sent, ==, sent);
-	g_assert_cmpint(event->u.ended.tokens, ==, tokens);
-	event_free(event);
-}
-
 static void stream_reaches_the_caller_whole(void)
 {
 	g_autoptr(GString) answer = g_string_new(NULL);
@@ -126,30 +96,19 @@
 static void crossed_chunk_never_reaches_a_caller(void)
 {
 	g_autoptr(GString) answer = g_string_new(NULL);
-	struct effect_start_attempt start;
-	struct stand_in engine;
-	struct harness harness;
-	uint64_t id;
-	int fd;
+	struct scene scene;
 
-	stand_in_start(&engine, serve_crossed);
-	harness_start(&harness, NULL);
-	fd = harness_dial(&harness, HTTP_CALLERS);
-	send_completion(fd, true);
-	id = wait_request(&harness);
-	start = harness_attempt(id, engine.address);
-	http_out_start_attempt(harness.out, &start);
-	expect_ended(&harness, RESULT_BACKEND_CROSSED, true, 1);
-	harness_answer(&harness, id, RESULT_BACKEND_CROSSED);
-	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
+	scene_open(&scene, serve_crossed, NULL, true);
+	scene_start(&scene);
+	expect_ended(&scene.harness, RESULT_BACKEND_CROSSED, true, 1);
+	harness_answer(&scene.harness, scene.start.id, RESULT_BACKEND_CROSSED);
+	g_assert_true(read_until(scene.fd, answer, "\r\n0\r\n\r\n"));
 	g_assert_nonnull(strstr(answer->str, "mine"));
 	g_assert_null(strstr(answer->str, "secret"));
 	g_assert_nonnull(strstr(answer->str, "data: {\"error\""));
 	g_assert_null(strstr(answer->str, "[DONE]"));
-	g_assert_cmpint(atomic_load(&harness.counters.crossed), ==, 1);
-	close(fd);
-	harness_stop(&harness);
-	stand_in_stop(&engine);
+	g_assert_cmpint(atomic_load(&scene.harness.counters.crossed), ==, 1);
+	scene_close(&scene);
 }
 
 /* The whole answer of another request: head and body carry its id. */
@@ -165,27 +124,16 @@
 static void crossed_whole_answer_never_reaches_a_caller(void)
 {
 	g_autoptr(GString) answer = g_string_new(NULL);
-	struct effect_start_attempt start;
-	struct stand_in engine;
-	struct harness harness;
-	uint64_t id;
-	int fd;
+	struct scene scene;
 
-	stand_in_start(&engine, serve_whole_crossed);
-	harness_start(&harness, NULL);
-	fd = harness_dial(&harness, HTTP_CALLERS);
-	send_completion(fd, false);
-	id = wait_request(&harness);
-	start = harness_attempt(id, engine.address);
-	http_out_start_attempt(harness.out, &start);
-	expect_ended(&harness, RESULT_BACKEND_CROSSED, true, 0);
-	harness_answer(&harness, id, RESULT_BACKEND_CROSSED);
-	g_assert_true(read_until(fd, answer, "BACKEND_CROSSED"));
+	scene_open(&scene, serve_whole_crossed, NULL, false);
+	scene_start(&scene);
+	expect_ended(&scene.harness, RESULT_BACKEND_CROSSED, true, 0);
+	harness_answer(&scene.harness, scene.start.id, RESULT_BACKEND_CROSSED);
+	g_assert_true(read_until(scene.fd, answer, "BACKEND_CROSSED"));
 	g_assert_true(g_str_has_prefix(answer->str, "HTTP/1.1 502"));
 	g_assert_null(strstr(answer->str, "other.1"));
-	close(fd);
-	harness_stop(&harness);
-	stand_in_stop(&engine);
+	scene_close(&scene);
 }
 
 /*
@@ -364,81 +312,6 @@
 	stand_in_stop(&service);
 }
 
-/* Sends tokens as fast as the connection takes them. */
-static void serve_flood(struct stand_in *stand_in, int fd, int nth)
-{
-	g_autoptr(GString) head = g_string_new(NULL);
-	g_autoptr(GString) body = g_string_new(NULL);
-	g_autofree char *id = NULL;
-	int small = SMALL_BUFFER;
-	int i;
-
-	if (!read_request(fd, head, body))
-		return;
-	id = request_id_of(head);
-	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof(small));
-	write_stream_head(fd, id);
-	for (i = 0; i < FLOOD_CHUNKS; i++) {
-		write_chunk(fd, id, "0123456789012345678901234567890123456789");
-		g_atomic_int_inc(&stand_in->stage);
-	}
-	write_stream_end(fd, id);
-}
-
-static size_t waiting_bytes(struct harness *harness, uint64_t id)
-{
-	struct exchange *exchange =
-		exchange_table_find(&harness->exchanges, id);
-	size_t len;
-
-	pthread_mutex_lock(&exchange->lock);
-	len = exchange->waiting.len;
-	pthread_mutex_unlock(&exchange->lock);
-	exchange_unref(exchange);
-	return len;
-}
-
-/*
- * Memory of a VM grows with each slow caller until it is killed: the engine
- * makes tokens faster than the caller reads, and the rest piles up between.
- */
-static void slow_reader_holds_the_engine_back(void)
-{
-	g_autoptr(GString) answer = g_string_new(NULL);
-	struct effect_start_attempt start;
-	struct stand_in engine;
-	struct harness harness;
-	uint64_t id;
-	int small = SMALL_BUFFER;
-	int fd;
-
-	stand_in_start(&engine, serve_flood);
-	harness_start(&harness, NULL);
-	fd = harness_dial(&harness, HTTP_CALLERS);
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-	send_completion(fd, true);
-	id = wait_request(&harness);
-	start = harness_attempt(id, engine.address);
-	/* Waiting for the caller isn't silence of the engine. */
-	start.idle_ms = 50;
-	http_out_start_attempt(harness.out, &start);
-	while (waiting_bytes(&harness, id) + FLOOD_CHUNK_BYTES <
-	       EXCHANGE_WAITING_BYTES)
-		g_usleep(1000);
-	g_usleep(4 * start.idle_ms * 1000);
-	g_assert_cmpint(g_atomic_int_get(&engine.stage), <, FLOOD_CHUNKS);
-	g_assert_cmpuint(waiting_bytes(&harness, id), <=,
-			 EXCHANGE_WAITING_BYTES);
-	g_assert_false(harness_has(&harness, EVENT_ATTEMPT_ENDED));
-	g_assert_true(read_until(fd, answer, "[DONE]"));
-	expect_ended(&harness, RESULT_OK, true, FLOOD_CHUNKS);
-	harness_answer(&harness, id, RESULT_OK);
-	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
-	close(fd);
-	harness_stop(&harness);
-	stand_in_stop(&engine);
-}
-
 static void serve_never(struct stand_in *stand_in, int fd, int nth)
 {
 	g_autoptr(GString) head = g_string_new(NULL);
@@ -449,145 +322,6 @@
 	g_atomic_int_inc(&stand_in->stage);
 }
 
-/*
- * An engine works for nobody. The caller hangs up while its request waits for
- * the first token; its connection is suspended, so the HTTP library would
- * notice only with the next byte to write.
- */
-static void caller_that_leaves_frees_the_engine(void)
-{
-	struct effect_cancel_attempt cancel = { .attempt = 1 };
-	struct effect_start_attempt start;
-	struct stand_in engine;
-	struct harness harness;
-	struct event *event;
-	int fd;
-
-	stand_in_start(&engine, serve_never);
-	harness_start(&harness, NULL);
-	fd = harness_dial(&harness, HTTP_CALLERS);
-	send_completion(fd, true);
-	start = harness_attempt(wait_request(&harness), engine.address);
-	http_out_start_attempt(harness.out, &start);
-	wait_for_count(&engine.requests, 1);
-	close(fd);
-	event = harness_wait(&harness, EVENT_CALLER_LEFT);
-	g_assert_cmpuint(event->u.caller_left.id, ==, start.id);
-	event_free(event);
-	cancel.id = start.id;
-	http_out_cancel_attempt(harness.out, &cancel);
-	expect_ended(&harness, RESULT_CALLER_LEFT, true, 0);
-	wait_for_count(&engine.stage, 1);
-	harness_answer(&harness, start.id, RESULT_CALLER_LEFT);
-	http_out_cancel_attempt(harness.out, &cancel);
-	harness_stop(&harness);
-	stand_in_stop(&engine);
-}
-
-/* Connection 0 answers late, connection 1 at once. */
-static void serve_first_late(struct stand_in *stand_in, int fd, int nth)
-{
-	g_autoptr(GString) head = g_string_new(NULL);
-	g_autoptr(GString) body = g_string_new(NULL);
-	g_autofree char *id = NULL;
-
-	if (!read_request(fd, head, body))
-		return;
-	g_atomic_int_inc(&stand_in->requests);
-	id = request_id_of(head);
-	write_stream_head(fd, id);
-	if (!nth)
-		wait_for_count(&stand_in->stage, 1);
-	write_chunk(fd, id, nth ? "fast" : "late");
-	write_stream_end(fd, id);
-}
-
-/*
- * A caller sees two answers run into each other: a request is hedged and
- * both engines stream. Only the first to deliver may go on.
- */
-static void late_hedge_delivers_nothing(void)
-{
-	g_autoptr(GString) answer = g_string_new(NULL);
-	struct effect_start_attempt start;
-	struct stand_in engine;
-	struct harness harness;
-	int fd;
-
-	stand_in_start(&engine, serve_first_late);
-	harness_start(&harness, NULL);
-	fd = harness_dial(&harness, HTTP_CALLERS);
-	send_completion(fd, true);
-	start = harness_attempt(wait_request(&harness), engine.address);
-	http_out_start_attempt(harness.out, &start);
-	wait_for_count(&engine.requests, 1);
-	start.attempt = 2;
-	http_out_start_attempt(harness.out, &start);
-	expect_ended(&harness, RESULT_OK, true, 1);
-	g_atomic_int_set(&engine.stage, 1);
-	expect_ended(&harness, RESULT_CALLER_LEFT, true, 0);
-	harness_answer(&harness, start.id, RESULT_OK);
-	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
-	g_assert_nonnull(strstr(answer->str, "fast"));
-	g_assert_null(strstr(answer->str, "late"));
-	g_assert_cmpint(atomic_load(&harness.counters.late), ==, 1);
-	close(fd);
-	harness_stop(&harness);
-	stand_in_stop(&engine);
-}
-
-/* The first connection breaks after one token, the second goes on there. */
-static void serve_broken_then_rest(struct stand_in *stand_in, int fd, int nth)
-{
-	g_autoptr(GString) head = g_string_new(NULL);
-	g_autoptr(GString) body = g_string_new(NULL);
-	g_autofree char *resume = NULL;
-	g_autofree char *id = NULL;
-
-	if (!read_request(fd, head, body))
-		return;
-	id = request_id_of(head);
-	resume = header_value(head, "x-resume-tokens");
-	write_stream_head(fd, id);
-	if (!nth) {
-		write_chunk(fd, id, "one");
-		return;
-	}
-	g_assert_cmpstr(resume, ==, "1");
-	write_chunk(fd, id, "");
-	write_chunk(fd, id, "two");
-	write_stream_end(fd, id);
-}
-
-static void resumed_stream_joins_without_gap_or_repeat(void)
-{
-	g_autoptr(GString) answer = g_string_new(NULL);
-	struct effect_start_attempt start;
-	struct stand_in engine;
-	struct harness harness;
-	int fd;
-
-	stand_in_start(&engine, serve_broken_then_rest);
-	harness_start(&harness, NULL);
-	fd = harness_dial(&harness, HTTP_CALLERS);
-	send_completion(fd, true);
-	start = harness_attempt(wait_request(&harness), engine.address);
-	http_out_start_attempt(harness.out, &start);
-	expect_ended(&harness, RESULT_BACKEND_BROKE, true, 1);
-	start.attempt = 2;
-	start.resume_tokens = 1;
-	http_out_start_attempt(harness.out, &start);
-	expect_ended(&harness, RESULT_OK, true, 1);
-	harness_answer(&harness, start.id, RESULT_OK);
-	g_assert_true(read_until(fd, answer, "\r\n0\r\n\r\n"));
-	g_assert_nonnull(strstr(answer->str, "\"one\""));
-	g_assert_nonnull(strstr(strstr(answer->str, "\"one\""), "\"two\""));
-	g_assert_null(strstr(answer->str, "\"content\":\"\""));
-	close(fd);
-	harness_stop(&harness);
-	stand_in_stop(&engine);
-}
-
 /*
  * Two VMs believe they are in charge. An order that was given up still lies
  * in a buffer and reaches the platform when the path opens again, after
@@ -674,13 +408,6 @@
 	g_test_add_func("/attempt/refused", refused_connect_is_not_sent);
 	g_test_add_func("/attempt/silent",
 			silent_connection_takes_its_siblings_along);
-	g_test_add_func("/attempt/slow-reader",
-			slow_reader_holds_the_engine_back);
-	g_test_add_func("/attempt/caller-left",
-			caller_that_leaves_frees_the_engine);
-	g_test_add_func("/attempt/hedge", late_hedge_delivers_nothing);
-	g_test_add_func("/attempt/resume",
-			resumed_stream_joins_without_gap_or_repeat);
 	g_test_add_func("/order/given-up", order_is_given_up_for_good);
 	g_test_add_func("/order/fence", order_carries_id_and_fence);
 	return g_test_run();
