fleet: orders, planned stops, reclaimed zones, targets and spend

An order is placed in the log before it is sent; a successor reads the platform's list back before it orders anything, and sends what is open again under the same id. The plan looks ahead by a start-up, keeps a peak for as long as servers are kept, holds a floor of steady servers that survives any zone, backs off from offers that were refused and keeps budgets.

Also: the answer to a platform notice has no order id, which report_answer() would have compared.

--- /dev/null
+++ b/libfilberthall/fleet/target_plan.c
@@ -0,0 +1,262 @@
+#include <math.h>
+#include <string.h>
+
+#include "fleet/target_state.h"
+
+/* Servers that `slots` of demand need. */
+static int64_t target_servers(const struct target *target,
+			      const struct target_entry *entry, double slots,
+			      double spare)
+{
+	double room = target->policy.utilisation * (double)entry->slots;
+
+	return slots > 0 ? (int64_t)ceil(slots * (1 + spare) / room - 1e-9) : 0;
+}
+
+static bool target_zone_has_room(const struct target *target,
+				 const struct target_entry *entry, int zone,
+				 enum target_kind kind)
+{
+	const int64_t *want = entry->want.at[zone];
+	const struct target_zone *of = &target->zones[zone];
+
+	if (want[TARGET_STEADY] + want[TARGET_CHEAP] >= of->max[TARGET_STEADY])
+		return false;
+	return kind == TARGET_STEADY ||
+	       want[TARGET_CHEAP] < of->max[TARGET_CHEAP];
+}
+
+/*
+ * Whether a further server may be wanted there: one that is there already
+ * may stay, whatever is offered now; a new one must be to be had. Where the
+ * last one was refused, one is asked for at a time.
+ */
+static bool target_may_want(const struct target *target,
+			    const struct target_entry *entry, int zone,
+			    enum target_kind kind, int64_t now_us)
+{
+	const struct target_offer *offer = &target->zones[zone].offers[kind];
+	int64_t more = entry->want.at[zone][kind] - entry->have.at[zone][kind];
+
+	if (!target_zone_has_room(target, entry, zone, kind))
+		return false;
+	if (more < 0)
+		return true;
+	return target_offer_open(target, zone, kind, now_us) &&
+	       (!more || !offer->backoff_us);
+}
+
+/*
+ * The zone for one more: the emptiest, so that a lost zone takes least; among
+ * equals one where a server already stands, then the cheapest.
+ */
+static int target_best_zone(const struct target *target,
+			    const struct target_entry *entry,
+			    enum target_kind kind, int64_t now_us)
+{
+	int best = -1;
+	int zone;
+
+	for (zone = 0; zone < target->n_zones; zone++) {
+		int64_t want = entry->want.at[zone][kind];
+		bool here = want < entry->have.at[zone][kind];
+		bool there;
+		double price = target->zones[zone].offers[kind].price;
+
+		if (!target_may_want(target, entry, zone, kind, now_us))
+			continue;
+		if (best < 0 || want < entry->want.at[best][kind]) {
+			best = zone;
+			continue;
+		}
+		if (want > entry->want.at[best][kind])
+			continue;
+		there = want < entry->have.at[best][kind];
+		if (here != there
+			    ? here
+			    : price < target->zones[best].offers[kind].price)
+			best = zone;
+	}
+	return best;
+}
+
+/* Want `n` more of a kind; returns how many found no zone. */
+static int64_t target_spread(const struct target *target,
+			     struct target_entry *entry, enum target_kind kind,
+			     int64_t n, int64_t now_us)
+{
+	for (; n > 0; n--) {
+		int zone = target_best_zone(target, entry, kind, now_us);
+
+		if (zone < 0)
+			break;
+		entry->want.at[zone][kind]++;
+	}
+	return n;
+}
+
+/* Zones in which a steady server stands or can be had. */
+static int target_count_zones(const struct target *target,
+			      const struct target_entry *entry, int64_t now_us)
+{
+	int n = 0;
+	int zone;
+
+	for (zone = 0; zone < target->n_zones; zone++)
+		n += target_may_want(target, entry, zone, TARGET_STEADY,
+				     now_us);
+	return n;
+}
+
+/*
+ * With z zones, tier 0 fits without any one of them if each holds
+ * ceil(t / (z - 1)) servers, t being what tier 0 needs.
+ */
+static void target_want_floor(const struct target *target,
+			      struct target_entry *entry, int64_t now_us)
+{
+	int64_t needed = target_servers(target, entry, entry->tier0, 0);
+	int zones = target_count_zones(target, entry, now_us);
+	int zone;
+
+	entry->floor = 0;
+	if (!target->policy.survive_zone || !needed || zones < 2)
+		return;
+	entry->floor = (needed + zones - 2) / (zones - 1);
+	for (zone = 0; zone < target->n_zones; zone++) {
+		int64_t *want = &entry->want.at[zone][TARGET_STEADY];
+
+		while (*want < entry->floor &&
+		       target_may_want(target, entry, zone, TARGET_STEADY,
+				       now_us))
+			(*want)++;
+	}
+}
+
+static int64_t target_clamp(int64_t value, int64_t low, int64_t high)
+{
+	if (value > high)
+		value = high;
+	return value < low ? low : value;
+}
+
+/*
+ * A fall of the plan by less than a server's tenth is no reason to stop one:
+ * around a whole number the sum would go up and down with the noise.
+ */
+#define TARGET_KEEP 0.1
+
+static int64_t target_total(const struct target *target,
+			    const struct target_entry *entry)
+{
+	double spare = target->policy.spare;
+	int64_t total = target_servers(target, entry, entry->all, spare);
+	int64_t have = target_sum(target, &entry->have, TARGET_STEADY) +
+		       target_sum(target, &entry->have, TARGET_CHEAP);
+	double kept = entry->all + TARGET_KEEP * (double)entry->slots;
+
+	if (total < have) {
+		total = target_servers(target, entry, kept, spare);
+		if (total > have)
+			total = have;
+	}
+	return target_clamp(total, entry->pool.min, entry->pool.max);
+}
+
+void target_work_out(struct target *target, struct target_entry *entry,
+		     int64_t now_us)
+{
+	int64_t total = target_total(target, entry);
+	int64_t firm = target_servers(target, entry, entry->firm,
+				      target->policy.spare);
+	int64_t cheap;
+	int64_t steady;
+
+	memset(&entry->want, 0, sizeof(entry->want));
+	target_want_floor(target, entry, now_us);
+	steady = target_sum(target, &entry->want, TARGET_STEADY);
+	if (firm > total)
+		firm = total;
+	cheap = (int64_t)((double)(total - firm) * entry->pool.cheap_share);
+	if (steady + cheap > total)
+		cheap = total > steady ? total - steady : 0;
+	cheap -= target_spread(target, entry, TARGET_CHEAP, cheap, now_us);
+	target_spread(target, entry, TARGET_STEADY, total - cheap - steady,
+		      now_us);
+}
+
+static double target_entry_cost(const struct target *target,
+				const struct target_entry *entry)
+{
+	double cost = 0;
+	int zone;
+	int kind;
+
+	for (zone = 0; zone < target->n_zones; zone++)
+		for (kind = 0; kind < TARGET_KINDS; kind++)
+			cost += (double)entry->want.at[zone][kind] *
+				target->zones[zone].offers[kind].price;
+	return cost;
+}
+
+static double target_team_cost(const struct target *target, const char *team)
+{
+	const struct target_entry *entry;
+	double cost = 0;
+
+	list_foreach(entry, &target->pools, node)
+		if (!strcmp(entry->pool.team, team))
+			cost += target_entry_cost(target, entry);
+	return cost;
+}
+
+/* Want one less of a team's kind where most are wanted; false if none can. */
+static bool target_cut_one(struct target *target, const char *team,
+			   enum target_kind kind)
+{
+	struct target_entry *most = NULL;
+	struct target_entry *entry;
+	int64_t above = 0;
+	int at = 0;
+	int zone;
+
+	list_foreach(entry, &target->pools, node) {
+		int64_t keep = kind == TARGET_STEADY ? entry->floor : 0;
+
+		if (strcmp(entry->pool.team, team) != 0)
+			continue;
+		for (zone = 0; zone < target->n_zones; zone++) {
+			int64_t spare = entry->want.at[zone][kind] - keep;
+
+			if (spare <= above)
+				continue;
+			above = spare;
+			most = entry;
+			at = zone;
+		}
+	}
+	if (!most)
+		return false;
+	most->want.at[at][kind]--;
+	return true;
+}
+
+void target_keep_budgets(struct target *target)
+{
+	struct target_budget *budget;
+
+	list_foreach(budget, &target->budgets, node) {
+		bool cut = true;
+
+		budget->over = false;
+		while (budget->per_hour > 0 && cut &&
+		       target_team_cost(target, budget->team) >
+			       budget->per_hour) {
+			cut = target_cut_one(target, budget->team,
+					     TARGET_CHEAP) ||
+			      target_cut_one(target, budget->team,
+					     TARGET_STEADY);
+			budget->over = !cut;
+		}
+	}
+}
--- a/libfilberthall/usage/report.c
+++ b/libfilberthall/usage/report.c
@@ -225,7 +225,7 @@
 
 	snprintf(expected, sizeof(expected), "usage-%lld",
 		 (long long)report->window);
-	if (report->window < 0 || strcmp(order_id, expected) != 0)
+	if (report->window < 0 || !order_id || strcmp(order_id, expected) != 0)
 		return -1;
 	*accepted = code == RESULT_OK;
 	if (code == RESULT_PLATFORM_REFUSED)
--- /dev/null
+++ b/tests/fleet/servers.h
@@ -0,0 +1,13 @@
+#ifndef TESTS_FLEET_SERVERS_H
+#define TESTS_FLEET_SERVERS_H
+
+#include "fleet/backend.h"
+
+#define SECOND_US INT64_C(1000000)
+
+/** A server announces itself, with so many requests running. */
+void servers_announce(struct fleet *fleet, const char *address,
+		      const char *zone, bool cheap, int64_t running,
+		      int64_t now_us);
+
+#endif
--- /dev/null
+++ b/tests/fleet/t-order.c
@@ -0,0 +1,322 @@
+#include <glib.h>
+#include <string.h>
+
+#include "agree/codec.h"
+#include "base/rng.h"
+#include "fleet/order.h"
+#include "servers.h"
+
+/* A site: the log's book, and a platform that ignores fencing numbers. */
+struct site {
+	struct order_book *book;
+	struct fleet fleet;
+	int64_t now_us;
+	int64_t index;
+	GHashTable *platform; /* order id to address */
+	int started;
+	bool unavailable;
+};
+
+/* One who is, or believes to be, in charge. */
+struct holder {
+	struct site *site;
+	struct orders *orders;
+	int64_t fence;
+	int64_t until_us;
+	bool cut_off; /* nothing it proposes is committed */
+};
+
+static void place(void *data, const json_t *order)
+{
+	struct holder *holder = data;
+
+	if (!holder->cut_off)
+		order_book_place(holder->site->book, order, 1,
+				 ++holder->site->index);
+}
+
+static void settle(void *data, const char *order_id, const char *state,
+		   const char *address)
+{
+	struct holder *holder = data;
+
+	if (!holder->cut_off)
+		order_book_settle(holder->site->book, order_id, state, address);
+}
+
+static void site_start(struct site *site)
+{
+	memset(site, 0, sizeof(*site));
+	site->book = order_book_new();
+	fleet_init(&site->fleet);
+	site->platform =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void site_stop(struct site *site)
+{
+	order_book_free(site->book);
+	fleet_clear(&site->fleet);
+	g_hash_table_destroy(site->platform);
+}
+
+static void holder_start(struct holder *holder, struct site *site,
+			 int64_t fence)
+{
+	struct order_hooks hooks = { place, settle, holder };
+
+	memset(holder, 0, sizeof(*holder));
+	holder->site = site;
+	holder->fence = fence;
+	holder->until_us = INT64_MAX;
+	holder->orders = orders_new(&hooks);
+}
+
+static struct order_situation situation_of(const struct holder *holder)
+{
+	struct order_situation situation = {
+		.book = holder->site->book,
+		.fleet = &holder->site->fleet,
+		.fence = holder->fence,
+		.until_us = holder->until_us,
+		.now_us = holder->site->now_us,
+	};
+
+	return situation;
+}
+
+static json_t *platform_list(const struct site *site)
+{
+	json_t *list = json_array();
+	GHashTableIter at;
+	void *id;
+	void *address;
+
+	g_hash_table_iter_init(&at, site->platform);
+	while (g_hash_table_iter_next(&at, &id, &address))
+		json_array_append_new(list,
+				      json_pack("{s:s s:s s:s}", "order_id", id,
+						"state", "running", "address",
+						address));
+	return list;
+}
+
+/* What the platform does with a call; NULL where it can't be had. */
+static json_t *platform_take(struct site *site,
+			     const struct effect_platform_call *call)
+{
+	char *address = g_hash_table_lookup(site->platform, call->order_id);
+
+	if (!strcmp(call->verb, "list"))
+		return platform_list(site);
+	if (site->unavailable)
+		return json_pack("{s:s}", "state", "unavailable");
+	if (!address) {
+		address = g_strdup_printf("s:%d", ++site->started);
+		g_hash_table_insert(site->platform, g_strdup(call->order_id),
+				    address);
+	}
+	return json_pack("{s:s s:s}", "state", "accepted", "address", address);
+}
+
+/* Tick, carry the calls out, and hand back the answers unless `lost`. */
+static int holder_tick(struct holder *holder, struct target *target, bool lost)
+{
+	struct order_situation situation = situation_of(holder);
+	struct effects effects;
+	struct effect *effect;
+	int calls = 0;
+
+	effects_init(&effects);
+	orders_tick(holder->orders, &situation, &effects);
+	while ((effect = effects_take(&effects))) {
+		struct effect_platform_call *call = &effect->u.platform_call;
+		struct event_platform answer = { .order_id = call->order_id };
+		json_t *body = platform_take(holder->site, call);
+		char *text = json_dumps(body, 0);
+
+		calls++;
+		g_assert_cmpint(call->fence, ==, holder->fence);
+		bytes_append_text(&answer.body, text);
+		if (!strcmp(codec_text(body, "state", ""), "unavailable"))
+			answer.code = RESULT_PLATFORM_REFUSED;
+		if (!lost)
+			orders_answer(holder->orders, &situation, &answer,
+				      target);
+		bytes_clear(&answer.body);
+		free(text);
+		json_decref(body);
+		effect_free(effect);
+	}
+	return calls;
+}
+
+static enum result holder_order(struct holder *holder)
+{
+	struct order_situation situation = situation_of(holder);
+	struct target_step step = { .start = true, .pool = "m", .zone = "z1" };
+
+	return orders_place(holder->orders, &situation, &step);
+}
+
+static void count_open(void *data, const struct placed_order *placed)
+{
+	*(int *)data += !placed->settled;
+}
+
+/*
+ * The one in charge sends a start, its answer is lost, and it is replaced.
+ * The successor must read back before it orders, find the server that was
+ * started, and not start a second one; the platform checks no fence.
+ */
+static void successor_starts_no_second_server(void)
+{
+	struct site site;
+	struct holder first;
+	struct holder second;
+	int open = 0;
+
+	site_start(&site);
+	holder_start(&first, &site, 4);
+	g_assert_cmpint(holder_order(&first), ==, RESULT_LEASE_LOST);
+	holder_tick(&first, NULL, false);
+	g_assert_cmpint(holder_order(&first), ==, RESULT_OK);
+	g_assert_cmpint(holder_tick(&first, NULL, true), ==, 1);
+	g_assert_cmpint(site.started, ==, 1);
+
+	holder_start(&second, &site, 5);
+	g_assert_cmpint(holder_order(&second), ==, RESULT_LEASE_LOST);
+	holder_tick(&second, NULL, false);
+	g_assert_true(orders_ready(second.orders));
+	g_assert_cmpint(holder_tick(&second, NULL, false), ==, 0);
+	order_book_visit(site.book, count_open, &open);
+	g_assert_cmpint(open, ==, 1);
+	servers_announce(&site.fleet, "s:1", "z1", false, 0, 1);
+	holder_tick(&second, NULL, false);
+	open = 0;
+	order_book_visit(site.book, count_open, &open);
+	g_assert_cmpint(open, ==, 0);
+	g_assert_cmpint(site.started, ==, 1);
+	orders_free(first.orders);
+	orders_free(second.orders);
+	site_stop(&site);
+}
+
+/*
+ * A holder is stopped and continued after its lease has ended; another one is
+ * in charge by then. It must send nothing, or the platform, which checks no
+ * fence, gets orders from two.
+ */
+static void holder_past_its_lease_sends_nothing(void)
+{
+	struct site site;
+	struct holder holder;
+
+	site_start(&site);
+	holder_start(&holder, &site, 4);
+	holder_tick(&holder, NULL, false);
+	holder_order(&holder);
+	holder.until_us = 3 * SECOND_US;
+	site.now_us = 3 * SECOND_US - ORDER_TIMEOUT_MS * 1000 + 1;
+	g_assert_cmpint(holder_tick(&holder, NULL, false), ==, 0);
+	g_assert_cmpint(holder_order(&holder), ==, RESULT_LEASE_LOST);
+	site.now_us--;
+	g_assert_cmpint(holder_tick(&holder, NULL, false), ==, 1);
+	orders_free(holder.orders);
+	site_stop(&site);
+}
+
+/* An order whose answer is lost again and again starts one server. */
+static void lost_answers_start_one_server(void)
+{
+	struct site site;
+	struct holder holder;
+	int calls = 0;
+	int i;
+
+	site_start(&site);
+	holder_start(&holder, &site, 4);
+	holder_tick(&holder, NULL, false);
+	holder_order(&holder);
+	for (i = 0; i < 600; i++) {
+		site.now_us += SECOND_US;
+		calls += holder_tick(&holder, NULL, true);
+	}
+	g_assert_cmpint(site.started, ==, 1);
+	g_assert_cmpint(calls, >, 5);
+	g_assert_cmpint(calls, <, 20);
+	orders_free(holder.orders);
+	site_stop(&site);
+}
+
+/*
+ * Random changes of the one in charge, lost answers and proposals, against
+ * the count of what was ordered: each order starts one server.
+ */
+static void random_changes_of_holder_start_each_server_once(void)
+{
+	unsigned int seed;
+
+	for (seed = 1; seed <= 50; seed++) {
+		struct rng rng = { seed };
+		struct site site;
+		struct holder holder;
+		int64_t fence = 1;
+		int i;
+
+		site_start(&site);
+		holder_start(&holder, &site, fence);
+		for (i = 0; i < 300; i++) {
+			site.now_us += SECOND_US;
+			holder.cut_off = !rng_below(&rng, 8);
+			if (!rng_below(&rng, 20)) {
+				orders_free(holder.orders);
+				holder_start(&holder, &site, ++fence);
+			}
+			if (!rng_below(&rng, 10))
+				holder_order(&holder);
+			holder_tick(&holder, NULL, rng_below(&rng, 3));
+		}
+		holder.cut_off = false;
+		for (i = 0; i < 200; i++) {
+			site.now_us += SECOND_US;
+			holder_tick(&holder, NULL, false);
+		}
+		g_assert_cmpint(site.started, ==, (int)site.index);
+		orders_free(holder.orders);
+		site_stop(&site);
+	}
+}
+
+static void order_that_cannot_be_had_closes_the_offer(void)
+{
+	struct site site;
+	struct holder holder;
+	struct target *target = target_new();
+	int open = 0;
+
+	site_start(&site);
+	site.unavailable = true;
+	holder_start(&holder, &site, 4);
+	holder_tick(&holder, target, false);
+	holder_order(&holder);
+	holder_tick(&holder, target, false);
+	order_book_visit(site.book, count_open, &open);
+	g_assert_cmpint(open, ==, 0);
+	orders_free(holder.orders);
+	target_free(target);
+	site_stop(&site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/order/successor", successor_starts_no_second_server);
+	g_test_add_func("/order/lease", holder_past_its_lease_sends_nothing);
+	g_test_add_func("/order/lost", lost_answers_start_one_server);
+	g_test_add_func("/order/random",
+			random_changes_of_holder_start_each_server_once);
+	g_test_add_func("/order/unavailable",
+			order_that_cannot_be_had_closes_the_offer);
+	return g_test_run();
+}
