core: the one in charge plans the fleet, orders, stops and counts its cost

Cause: orders, planned stops, reclaims, targets and spend stood as modules that nothing called. Change: daemons tell the leader their demand and their teams' service every two seconds; under a lease that outlasts the call it asks for offers, plans, places orders through the log, drains before it stops; a reclaim notice spreads to all daemons at once; backend stop and spend for operators. The end of requests in a file of its own, calls that wait for a change as well.

--- a/cli/usage.c
+++ b/cli/usage.c
@@ -53,6 +53,28 @@
 				  usage_print);
 }
 
+static void usage_print_spend(const json_t *answer)
+{
+	static const struct cli_column zones[] = { { "zone", "ZONE" },
+						   { "kind", "KIND" },
+						   { "servers", "SERVERS" },
+						   { "cost", "COST" },
+						   { 0 } };
+	static const struct cli_column teams[] = { { "team", "TEAM" },
+						   { "cost", "COST" },
+						   { "requests", "REQUESTS" },
+						   { "attained", "ATTAINED" },
+						   { "cost_per_attained",
+						     "COST PER ATTAINED" },
+						   { 0 } };
+
+	printf("%.2f an hour now\n",
+	       json_number_value(json_object_get(answer, "per_hour")));
+	cli_print_table(json_object_get(answer, "zones"), zones);
+	putchar('\n');
+	cli_print_table(json_object_get(answer, "teams"), teams);
+}
+
 int cli_spend(struct cli *cli, int argc, char **argv)
 {
 	static const struct option_set set = {
@@ -61,5 +83,5 @@
 	};
 
 	return cli_call_and_print(cli, "spend", options_read(&set, argc, argv),
-				  NULL);
+				  usage_print_spend);
 }
--- a/libfilberthall/core/billing.c
+++ b/libfilberthall/core/billing.c
@@ -117,6 +117,8 @@
 	bool accepted;
 	int64_t window;
 
+	if (!platform->order_id)
+		return;
 	window = report_answer(core->report, platform->order_id,
 			       (enum result)platform->code, &accepted);
 	if (window < 0)
--- /dev/null
+++ b/libfilberthall/core/charge_settings.c
@@ -0,0 +1,100 @@
+/*
+ * What the settings say of the fleet: policy, pools, zones, budgets.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "agree/rules.h"
+#include "core/core_state.h"
+
+/* Slots of a server that hasn't announced itself yet. */
+#define CHARGE_SLOTS_UNKNOWN 16
+
+#define CHARGE_MODEL "site/fleet/model/"
+#define CHARGE_SERVICE "site/fleet/service/"
+#define CHARGE_ZONE "site/fleet/zone/"
+#define CHARGE_TEAM "team/"
+#define CHARGE_BUDGET "/budget"
+
+static bool charge_starts(const char *path, const char *prefix)
+{
+	return !strncmp(path, prefix, strlen(prefix));
+}
+
+static void charge_read_pool(struct core *core, const char *path,
+			     const char *name, bool is_service)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	struct target_pool pool = { 0 };
+
+	snprintf(pool.name, sizeof(pool.name), "%s", name);
+	snprintf(pool.team, sizeof(pool.team), "%s",
+		 rules_text(settings, path, "team", ""));
+	pool.is_service = is_service;
+	pool.min = (int64_t)rules_number(settings, path, "min");
+	pool.max = (int64_t)rules_number(settings, path, "max");
+	pool.cheap_share = rules_number(settings, path, "cheap_share");
+	pool.slots = CHARGE_SLOTS_UNKNOWN;
+	target_set_pool(core->target, &pool);
+}
+
+static void charge_read_zone(struct core *core, const char *path,
+			     const char *name)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+
+	target_set_zone(core->target, name,
+			(int64_t)rules_number(settings, path, "max"),
+			(int64_t)rules_number(settings, path, "cheap_max"));
+}
+
+/* "team/NAME/budget" */
+static void charge_read_budget(struct core *core, const char *path)
+{
+	const char *name = path + strlen(CHARGE_TEAM);
+	const char *end = strchr(name, '/');
+	char team[RULE_NAME_SIZE];
+
+	if (!end || strcmp(end, CHARGE_BUDGET) || end - name >= RULE_NAME_SIZE)
+		return;
+	snprintf(team, sizeof(team), "%.*s", (int)(end - name), name);
+	target_set_budget(core->target, team,
+			  rules_number(agreed_settings(core->agreed), path,
+				       "per_hour"));
+}
+
+static void charge_read_path(void *data, const char *path, json_t *value,
+			     int64_t version)
+{
+	struct core *core = data;
+
+	(void)value;
+	(void)version;
+	if (charge_starts(path, CHARGE_MODEL))
+		charge_read_pool(core, path, path + strlen(CHARGE_MODEL),
+				 false);
+	else if (charge_starts(path, CHARGE_SERVICE))
+		charge_read_pool(core, path, path + strlen(CHARGE_SERVICE),
+				 true);
+	else if (charge_starts(path, CHARGE_ZONE))
+		charge_read_zone(core, path, path + strlen(CHARGE_ZONE));
+	else if (charge_starts(path, CHARGE_TEAM))
+		charge_read_budget(core, path);
+}
+
+void charge_read_settings(struct core *core)
+{
+	const struct settings *settings = agreed_settings(core->agreed);
+	static const char path[] = "site/fleet/policy";
+	struct target_policy policy;
+
+	policy.utilisation = rules_number(settings, path, "utilisation");
+	policy.spare = rules_number(settings, path, "spare");
+	policy.start_us =
+		(int64_t)(1e6 * rules_number(settings, path, "start_s"));
+	policy.shrink_after_us =
+		(int64_t)(1e6 * rules_number(settings, path, "shrink_after_s"));
+	policy.survive_zone = rules_number(settings, path, "survive_zone") != 0;
+	target_set_policy(core->target, &policy);
+	settings_visit(settings, charge_read_path, core);
+}
--- a/libfilberthall/core/core.c
+++ b/libfilberthall/core/core.c
@@ -80,7 +80,7 @@
 	options.zone = core->options.zone;
 	options.fleet = &core->fleet;
 	options.features = router_features_all();
-	options.hooks.finished = request_finished;
+	options.hooks.finished = outcome_finished;
 	options.hooks.data = core;
 	core->router = router_new(&options);
 }
@@ -108,6 +108,7 @@
 	core->agreed = agreed_new();
 	core->usage = usage_new(options->self, options->incarnation);
 	core->report = report_new();
+	charge_new(core);
 	core_make_raft(core, now_us);
 	core_make_router(core);
 	code = raft_restore(core->raft, saved);
@@ -148,6 +149,7 @@
 	agreed_free(core->agreed);
 	usage_free(core->usage);
 	report_free(core->report);
+	charge_free(core);
 	metrics_free(core->metrics);
 	fleet_clear(&core->fleet);
 	free((char *)core->options.vm);
@@ -242,8 +244,9 @@
 	gossip_expire(core);
 	router_tick(core->router, core->now_us, core->effects);
 	request_expire(core);
-	operator_tick(core);
+	in_force_tick(core);
 	billing_tick(core);
+	charge_tick(core);
 	core_update_health(core);
 	core_try_exit(core);
 }
@@ -301,6 +304,7 @@
 		break;
 	case EVENT_PLATFORM:
 		billing_answer(core, &event->u.platform);
+		charge_answer(core, &event->u.platform);
 		break;
 	case EVENT_STOP:
 		core_stop(core, &event->u.stop);
--- a/libfilberthall/core/core_state.h
+++ b/libfilberthall/core/core_state.h
@@ -7,8 +7,14 @@
 #include "base/map.h"
 #include "base/rng.h"
 #include "core/core.h"
+#include "core/demand.h"
 #include "core/metrics.h"
 #include "fleet/backend.h"
+#include "fleet/drain.h"
+#include "fleet/order.h"
+#include "fleet/reclaim.h"
+#include "fleet/spend.h"
+#include "fleet/target.h"
 #include "load/router.h"
 #include "usage/merge.h"
 #include "usage/report.h"
@@ -25,6 +31,9 @@
  */
 #define CORE_OWNER_FIRST(incarnation) ((uint64_t)(incarnation) << 16)
 
+/** A class without a deadline must still end somewhere. */
+#define REQUEST_DEADLINE_US INT64_C(600000000)
+
 /** How far a caller's request has come. */
 enum request_state {
 	REQUEST_CLAIMING,     /**< its claim is on the way to the log */
@@ -90,6 +99,12 @@
 	struct usage *usage;
 	struct report *report;
 	struct metrics *metrics;
+	struct demand *demand;
+	struct target *target;
+	struct orders *orders;
+	struct drains *drains;
+	struct reclaims *reclaims;
+	struct spend *spend;
 	struct map requests;
 	struct map peers;
 	struct list pending; /**< requests that wait for a claim */
@@ -103,6 +118,10 @@
 	int64_t peers_told;
 	int64_t wall_us;
 	int64_t second_us;	/**< when the slow duties ran last */
+	int64_t demand_us;	/**< when demand was last told */
+	int64_t offers_us;	/**< when offers were last asked for */
+	int64_t planned_us;	/**< when the fleet was last planned */
+	bool in_charge;		/**< at the last tick */
 	uint64_t window_ticket; /**< of the last window proposed */
 	int64_t stop_by_us;	/**< 0 unless stopping */
 	bool seeded;
@@ -123,9 +142,15 @@
 void request_claim_changed(struct core *core, const char *claim_id);
 void request_withdraw_key(struct core *core, const char *key_id);
 void request_expire(struct core *core);
-void request_finished(void *data, const struct router_outcome *outcome);
+struct caller_request *caller_request_find(struct core *core, uint64_t id);
+void caller_request_free(struct core *core, struct caller_request *request);
+void request_propose(struct core *core, struct claim_op *op,
+		     int64_t give_up_us);
 void request_free_all(struct core *core);
 
+/* outcome.c: how requests ended */
+void outcome_finished(void *data, const struct router_outcome *outcome);
+
 /* answer.c: ends of requests */
 void answer_refuse(struct core *core, const struct caller_request *request,
 		   enum result code, enum run_state run, int64_t retry_after_ms,
@@ -172,7 +197,11 @@
 void operator_applied(struct core *core, struct proposal *proposal,
 		      const struct applied *applied);
 void operator_lost(struct core *core, struct proposal *proposal);
-void operator_tick(struct core *core);
+
+/* in_force.c: calls that wait until a change is in force everywhere */
+void in_force_wait(struct core *core, struct admin_call *waiting,
+		   const struct bytes *args);
+void in_force_tick(struct core *core);
 void operator_answer(struct core *core, uint64_t peer, uint64_t id,
 		     enum result code, json_t *body);
 
@@ -186,6 +215,9 @@
 /* gossip.c: the fleet as all daemons know it */
 void gossip_announce(struct core *core, const struct event_announce *announce);
 void gossip_cache(struct core *core, const struct event_cache *cache);
+void gossip_demand(struct core *core, uint64_t leader,
+		   const struct bytes *demand);
+void gossip_notice(struct core *core, const char *zone, int64_t in_us);
 void gossip_drain(struct core *core, const char *address, bool drained);
 void gossip_message(struct core *core, uint64_t peer, const struct bytes *body);
 void gossip_welcome(struct core *core, uint64_t peer);
@@ -209,6 +241,22 @@
 		     const struct bytes *body);
 void billing_answer(struct core *core, const struct event_platform *platform);
 
+/* charge.c: the fleet's plan, orders, stops and cost */
+void charge_new(struct core *core);
+void charge_free(struct core *core);
+void charge_tick(struct core *core);
+void charge_notice(struct core *core, const char *zone, int64_t in_us);
+void charge_demand(struct core *core, uint64_t member, const char *data,
+		   size_t len);
+void charge_answer(struct core *core, const struct event_platform *platform);
+void charge_stop(struct core *core, const char *address);
+bool charge_unstop(struct core *core, const char *address);
+json_t *charge_describe_spend(const struct core *core);
+json_t *charge_describe_drains(const struct core *core);
+
+/* charge_settings.c: what the settings say of the fleet */
+void charge_read_settings(struct core *core);
+
 /** This daemon as a member. */
 void core_fill_member(const struct core *core, struct member *member);
 
--- /dev/null
+++ b/libfilberthall/core/demand.h
@@ -0,0 +1,64 @@
+#ifndef FILBERTHALL_CORE_DEMAND_H
+#define FILBERTHALL_CORE_DEMAND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bytes.h"
+#include "base/list.h"
+#include "base/map.h"
+#include "base/result.h"
+#include "core/rule.h"
+#include "load/router.h"
+
+/**
+ * What all daemons' requests ask of the fleet, as the one in charge adds it
+ * up, and what service each team received. Each daemon says its own every
+ * two seconds.
+ *
+ * Failure answered: a daemon dies and its last demand would be planned for
+ * for ever; what a daemon said counts for DEMAND_KEEP_US only.
+ */
+#define DEMAND_KEEP_US INT64_C(6000000)
+
+struct demand;
+
+/** Sum over daemons for one pool. */
+struct demand_sum {
+	char pool[RULE_NAME_SIZE];
+	bool is_service;
+	double by_tier[RULE_TIERS];
+	double reclaimable;
+};
+
+struct demand *demand_new(void);
+void demand_free(struct demand *demand);
+
+/** Count a request of a team that ended on this daemon. */
+void demand_count(struct demand *demand, const char *team, bool attained);
+
+/**
+ * This daemon's pools and its teams' counts since the last call, as a
+ * message.
+ */
+void demand_write(struct demand *demand, const struct router *router,
+		  struct bytes *out);
+
+/**
+ * Take a daemon's message in. `served` gets each team's requests and how
+ * many of them attained their targets.
+ *
+ * Returns RESULT_OK or RESULT_MESSAGE_MALFORMED (nothing is taken over).
+ */
+enum result demand_read(struct demand *demand, uint64_t member,
+			const char *data, size_t len, int64_t now_us,
+			void (*served)(void *data, const char *team,
+				       int64_t requests, int64_t attained),
+			void *served_data);
+
+/** Call `visit` for each pool that any daemon named lately. */
+void demand_visit(struct demand *demand, int64_t now_us,
+		  void (*visit)(void *data, const struct demand_sum *sum),
+		  void *data);
+
+#endif
--- a/libfilberthall/core/gossip.c
+++ b/libfilberthall/core/gossip.c
@@ -13,7 +13,13 @@
 #include "core/core_state.h"
 #include "core/pack.h"
 
-enum gossip_kind { GOSSIP_ANNOUNCE = 1, GOSSIP_CACHE = 2, GOSSIP_DRAIN = 3 };
+enum gossip_kind {
+	GOSSIP_ANNOUNCE = 1,
+	GOSSIP_CACHE = 2,
+	GOSSIP_DRAIN = 3,
+	GOSSIP_DEMAND = 4,
+	GOSSIP_NOTICE = 5
+};
 
 #define GOSSIP_TEXT_MOST 128
 
@@ -104,6 +110,57 @@
 	bytes_clear(&body);
 }
 
+/* This daemon's demand, to whoever plans the fleet. */
+void gossip_demand(struct core *core, uint64_t leader,
+		   const struct bytes *demand)
+{
+	struct bytes body = { 0 };
+	msgpack_packer packer;
+
+	pack_init(&packer, &body);
+	msgpack_pack_array(&packer, 2);
+	msgpack_pack_int(&packer, GOSSIP_DEMAND);
+	pack_bytes(&packer, demand->data, demand->len);
+	peers_send(core, leader, LINK_FLEET, &body);
+}
+
+/* The platform tells one daemon of a reclaim; all must know at once. */
+void gossip_notice(struct core *core, const char *zone, int64_t in_us)
+{
+	struct bytes body = { 0 };
+	msgpack_packer packer;
+
+	charge_notice(core, zone, in_us);
+	pack_init(&packer, &body);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_int(&packer, GOSSIP_NOTICE);
+	pack_text(&packer, zone);
+	msgpack_pack_int64(&packer, in_us);
+	peers_send_all(core, LINK_FLEET, &body);
+	bytes_clear(&body);
+}
+
+static void gossip_take_demand(struct core *core, uint64_t peer,
+			       const struct unpacked *message)
+{
+	const char *data;
+	size_t len;
+
+	if (unpack_bytes(message, 1, &data, &len))
+		charge_demand(core, peer, data, len);
+}
+
+static void gossip_take_notice(struct core *core,
+			       const struct unpacked *message)
+{
+	cleanup(free_ptr) char *zone =
+		unpack_text(message, 1, GOSSIP_TEXT_MOST);
+	int64_t in_us;
+
+	if (zone && unpack_int(message, 2, &in_us))
+		charge_notice(core, zone, in_us);
+}
+
 static void gossip_take_announce(struct core *core,
 				 const struct unpacked *message)
 {
@@ -165,6 +222,10 @@
 		gossip_take_cache(core, &message);
 	else if (kind == GOSSIP_DRAIN)
 		gossip_take_drain(core, &message);
+	else if (kind == GOSSIP_DEMAND)
+		gossip_take_demand(core, peer, &message);
+	else if (kind == GOSSIP_NOTICE)
+		gossip_take_notice(core, &message);
 	unpack_clear(&message);
 }
 
--- a/libfilberthall/core/operator.c
+++ b/libfilberthall/core/operator.c
@@ -11,7 +11,6 @@
 #include <string.h>
 
 #include "agree/admin.h"
-#include "agree/rules.h"
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "core/core_state.h"
@@ -83,12 +82,6 @@
 	return waiting;
 }
 
-static void operator_wait_end(struct admin_call *waiting)
-{
-	list_remove(&waiting->node);
-	free(waiting);
-}
-
 static void operator_keep_message(void *data, enum result code,
 				  const char *message)
 {
@@ -196,14 +189,10 @@
 static void operator_wait_index(struct core *core,
 				const struct operator_call *call)
 {
-	json_t *args = json_loadb(call->body->data, call->body->len, 0, NULL);
 	struct admin_call *waiting;
 
 	waiting = operator_wait(core, call, OPERATOR_WAIT_MOST_US);
-	waiting->wait_index =
-		json_integer_value(json_object_get(args, "index"));
-	json_decref(args);
-	operator_tick(core);
+	in_force_wait(core, waiting, call->body);
 }
 
 static void operator_drain(struct core *core, const struct operator_call *call)
@@ -223,6 +212,39 @@
 	json_decref(args);
 }
 
+/* A planned stop: drain, then the order, by the one in charge. */
+static void operator_stop(struct core *core, const struct operator_call *call)
+{
+	json_t *args = json_loadb(call->body->data, call->body->len, 0, NULL);
+	const char *address =
+		json_string_value(json_object_get(args, "address"));
+	bool undo = json_is_true(json_object_get(args, "undo"));
+
+	if (!address || !fleet_find(&core->fleet, address)) {
+		operator_refuse(core, call, RESULT_NOT_FOUND,
+				"address: no such backend server");
+	} else if (undo && !charge_unstop(core, address)) {
+		operator_refuse(core, call, RESULT_CONFLICT,
+				"the stop was ordered already, or never asked "
+				"for");
+	} else {
+		if (!undo)
+			charge_stop(core, address);
+		operator_answer(core, call->peer, call->id, RESULT_OK,
+				json_pack("{s:o}", "stops",
+					  charge_describe_drains(core)));
+	}
+	json_decref(args);
+}
+
+static void operator_spend(struct core *core, const struct operator_call *call)
+{
+	json_t *answer = charge_describe_spend(core);
+
+	json_object_set_new(answer, "stops", charge_describe_drains(core));
+	operator_answer(core, call->peer, call->id, RESULT_OK, answer);
+}
+
 static void operator_status(struct core *core, const struct operator_call *call)
 {
 	operator_answer(core, call->peer, call->id, RESULT_OK,
@@ -260,6 +282,8 @@
 	{ "status", false, false, operator_status },
 	{ "backend-list", false, false, operator_backends },
 	{ "backend-drain", false, true, operator_drain },
+	{ "backend-stop", true, true, operator_stop },
+	{ "spend", true, false, operator_spend },
 	{ "member-list", true, false, operator_members },
 	{ "member-add", true, true, operator_member },
 	{ "member-demote", true, true, operator_member },
@@ -383,84 +407,8 @@
 			continue;
 		answer = json_loadb(body->data, body->len, 0, NULL);
 		operator_answer(core, 0, waiting->id, code, answer);
-		operator_wait_end(waiting);
+		list_remove(&waiting->node);
+		free(waiting);
 		return;
 	}
 }
-
-/*
- * Members that haven't been heard for longer than the staleness bound: they
- * admit nothing, so an old setting can't act there, and a change needn't wait
- * for them to be in force.
- */
-static size_t operator_silent(const struct core *core)
-{
-	const struct members *members = raft_members(core->raft);
-	double stale_ms = rules_number(agreed_settings(core->agreed),
-				       "site/keys", "stale_ms");
-	struct member_health health;
-	size_t silent = 0;
-	size_t i;
-
-	for (i = 0; i < members->count; i++)
-		if (members->items[i].id != core->options.self &&
-		    raft_health(core->raft, members->items[i].id, &health) &&
-		    (double)(core->now_us - health.heard_us) > stale_ms * 1000)
-			silent++;
-	return silent;
-}
-
-static void operator_tell_in_force(struct core *core,
-				   struct admin_call *waiting, enum result code)
-{
-	size_t members = 0;
-	size_t applied = 0;
-
-	if (waiting->wait_index)
-		applied = raft_applied_on(core->raft, waiting->wait_index,
-					  &members);
-	operator_answer(core, waiting->peer, waiting->id, code,
-			json_pack("{s:I, s:I, s:I, s:f}", "in_force",
-				  (json_int_t)applied, "members",
-				  (json_int_t)members, "silent",
-				  (json_int_t)operator_silent(core), "seconds",
-				  (double)(core->now_us - waiting->started_us) /
-					  1e6));
-}
-
-/* Whether a waiting call can be answered now. */
-static bool operator_settle(struct core *core, struct admin_call *waiting)
-{
-	size_t members = 0;
-	size_t applied;
-
-	if (!waiting->wait_index)
-		return false;
-	if (!raft_is_leader(core->raft)) {
-		operator_answer(core, waiting->peer, waiting->id,
-				RESULT_NOT_LEADER, NULL);
-		return true;
-	}
-	applied = raft_applied_on(core->raft, waiting->wait_index, &members);
-	if (applied + operator_silent(core) < members)
-		return false;
-	operator_tell_in_force(core, waiting, RESULT_OK);
-	return true;
-}
-
-void operator_tick(struct core *core)
-{
-	struct admin_call *waiting;
-	struct admin_call *next;
-
-	list_foreach_safe(waiting, next, &core->admin_calls, node) {
-		bool settled = operator_settle(core, waiting);
-
-		if (!settled && waiting->give_up_us <= core->now_us) {
-			operator_tell_in_force(core, waiting, RESULT_NO_QUORUM);
-			settled = true;
-		}
-		if (settled)
-			operator_wait_end(waiting);
-	}
-}
--- a/libfilberthall/core/request.c
+++ b/libfilberthall/core/request.c
@@ -18,9 +18,6 @@
 /* When to come back after a refusal that time will mend. */
 #define REQUEST_RETRY_SOON_MS 1000
 
-/* A class without a deadline must still end somewhere. */
-#define REQUEST_DEADLINE_US INT64_C(600000000)
-
 /* What the request's own headers and the settings make of it. */
 struct request_plan {
 	const struct key *key;
@@ -37,7 +34,7 @@
 		       ->event->u.request.id == *(const uint64_t *)key;
 }
 
-static struct caller_request *request_find(struct core *core, uint64_t id)
+struct caller_request *caller_request_find(struct core *core, uint64_t id)
 {
 	struct map_node *node;
 
@@ -46,7 +43,7 @@
 	return node ? container_of(node, struct caller_request, node) : NULL;
 }
 
-static void request_free(struct core *core, struct caller_request *request)
+void caller_request_free(struct core *core, struct caller_request *request)
 {
 	map_remove(&core->requests, &request->node);
 	list_remove(&request->pending);
@@ -63,7 +60,7 @@
 	struct caller_request *next;
 
 	map_foreach(request, next, &core->requests, node)
-		request_free(core, request);
+		caller_request_free(core, request);
 	map_clear(&core->requests);
 }
 
@@ -74,7 +71,7 @@
 	metrics_count_refusal(core->metrics, request->class_name,
 			      request->organisation, code);
 	answer_refuse(core, request, code, RUN_NOT, retry_after_ms, message);
-	request_free(core, request);
+	caller_request_free(core, request);
 }
 
 static void request_plan_refuse(struct request_plan *plan, enum result code,
@@ -217,8 +214,7 @@
 	router_submit(core->router, &routed, core->now_us, core->effects);
 }
 
-static void request_propose(struct core *core, struct claim_op *op,
-			    int64_t give_up_us)
+void request_propose(struct core *core, struct claim_op *op, int64_t give_up_us)
 {
 	struct entry_head head = consensus_head(core);
 	struct bytes entry = { 0 };
@@ -266,7 +262,7 @@
 		claim = claims_find(agreed_claims(core->agreed),
 				    request->claim_id);
 		answer_kept(core, request, claim);
-		request_free(core, request);
+		caller_request_free(core, request);
 		break;
 	case RESULT_CLAIM_RUNNING:
 		request->state = REQUEST_AWAITS_CLAIM;
@@ -279,7 +275,7 @@
 			      code == RESULT_CLAIM_UNKNOWN ? RUN_UNKNOWN
 							   : RUN_RAN,
 			      0, NULL);
-		request_free(core, request);
+		caller_request_free(core, request);
 		break;
 	default:
 		request_refuse(core, request, code, REQUEST_RETRY_SOON_MS,
@@ -357,7 +353,8 @@
 void request_claim_outcome(struct core *core,
 			   const struct claim_outcome *outcome)
 {
-	struct caller_request *request = request_find(core, outcome->ticket);
+	struct caller_request *request =
+		caller_request_find(core, outcome->ticket);
 
 	if (outcome->verb != CLAIM_VERB_OPEN)
 		return;
@@ -413,7 +410,7 @@
  */
 void request_caller_left(struct core *core, uint64_t id)
 {
-	struct caller_request *request = request_find(core, id);
+	struct caller_request *request = caller_request_find(core, id);
 
 	if (!request)
 		return;
@@ -427,7 +424,7 @@
 	metrics_count_refusal(core->metrics, request->class_name,
 			      request->organisation, RESULT_CALLER_LEFT);
 	answer_refuse(core, request, RESULT_CALLER_LEFT, RUN_NOT, 0, NULL);
-	request_free(core, request);
+	caller_request_free(core, request);
 }
 
 /* Refuse what still waits for its claim at its deadline. */
@@ -445,57 +442,6 @@
 		else
 			answer_refuse(core, request, RESULT_NO_QUORUM, RUN_NOT,
 				      REQUEST_RETRY_SOON_MS, NULL);
-		request_free(core, request);
+		caller_request_free(core, request);
 	}
 }
-
-static void request_settle_claim(struct core *core,
-				 const struct caller_request *request,
-				 const struct router_outcome *outcome)
-{
-	struct claim_op op = { 0 };
-
-	op.ticket = outcome->id;
-	memcpy(op.id, request->claim_id, sizeof(op.id));
-	op.verb = CLAIM_VERB_UNKNOWN;
-	if (outcome->run == RUN_NOT) {
-		op.verb = CLAIM_VERB_RELEASE;
-	} else if (outcome->run == RUN_RAN && outcome->http_status) {
-		op.verb = CLAIM_VERB_DONE;
-		op.http_status = outcome->http_status;
-		op.content_type = outcome->content_type;
-		op.body = outcome->answer ? outcome->answer->data : NULL;
-		op.body_len = outcome->answer ? outcome->answer->len : 0;
-	}
-	request_propose(core, &op, core->now_us + REQUEST_DEADLINE_US);
-}
-
-static void request_bill(struct core *core,
-			 const struct router_outcome *outcome)
-{
-	struct usage_counters add = { 0 };
-
-	add.requests = outcome->run == RUN_RAN || outcome->output_tokens;
-	add.prompt_tokens = add.requests ? outcome->prompt_tokens : 0;
-	add.output_tokens = outcome->output_tokens;
-	add.wasted_tokens = outcome->wasted_tokens;
-	if (add.requests || add.wasted_tokens)
-		usage_count(core->usage, outcome->organisation,
-			    outcome->class_name, &add);
-}
-
-void request_finished(void *data, const struct router_outcome *outcome)
-{
-	struct core *core = data;
-	struct caller_request *request = request_find(core, outcome->id);
-
-	metrics_count(core->metrics, outcome);
-	request_bill(core, outcome);
-	if (!request)
-		return;
-	if (request->claim_id[0])
-		request_settle_claim(core, request, outcome);
-	answer_span(core, request, "edge", request->arrived_us, outcome->code,
-		    outcome->address);
-	request_free(core, request);
-}
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -193,4 +193,18 @@
 					const struct router_class_view *view),
 			  void *data);
 
+/** Demand before one pool on this daemon, for planning the fleet. */
+struct router_pool_view {
+	const char *name; /**< model or service */
+	bool is_service;
+	double by_tier[RULE_TIERS]; /**< requests that run or wait */
+	double reclaimable; /**< of them, those that may run on cheap servers */
+};
+
+/** Call `visit` for each pool. */
+void router_visit_pools(const struct router *router,
+			void (*visit)(void *data,
+				      const struct router_pool_view *view),
+			void *data);
+
 #endif
--- /dev/null
+++ b/libfilberthall/load/router_view.c
@@ -0,0 +1,35 @@
+#include "load/router_state.h"
+
+static void view_add_class(struct router_pool_view *view,
+			   const struct pool *pool,
+			   const struct router_class *class)
+{
+	double demand = (double)(pool->running_by_class[class->id] +
+				 pool->waiting_by_class[class->id]);
+
+	view->by_tier[class->rule.tier] += demand;
+	if (class->rule.reclaimable)
+		view->reclaimable += demand;
+}
+
+void router_visit_pools(const struct router *router,
+			void (*visit)(void *data,
+				      const struct router_pool_view *view),
+			void *data)
+{
+	struct pool *pool;
+	struct pool *next;
+	int id;
+
+	map_foreach(pool, next, &router->pools, node) {
+		struct router_pool_view view = {
+			.name = pool->model ? pool->model : pool->service,
+			.is_service = !pool->model,
+		};
+
+		for (id = 0; id < SCHED_CLASSES; id++)
+			if (router->by_id[id])
+				view_add_class(&view, pool, router->by_id[id]);
+		visit(data, &view);
+	}
+}
