--- a/tests/agree/sim.c
+++ b/tests/agree/sim.c
@@ -318,7 +318,7 @@
 
 	node->boot++;
 	if (at == SIM_LEARNER || !node->id)
-		node->id = (uint64_t)(100 * ++node->generation + at + 1);
+		node->id = 100 * ++node->generation + (uint64_t)at + 1;
 	options = sim_raft_options(sim, at);
 	effects_init(&effects);
 	node->state.index = 0;
--- a/tests/agree/sim_internal.h
+++ b/tests/agree/sim_internal.h
@@ -35,7 +35,7 @@
 	struct raft *raft; /* NULL while down */
 	uint64_t id;
 	uint64_t boot;
-	int generation;
+	uint64_t generation;
 	bool gone;     /* for good */
 	bool paused;   /* SIGSTOP */
 	bool disk_bad; /* the next sync fails */
--- a/tests/agree/t-member.c
+++ b/tests/agree/t-member.c
@@ -163,7 +163,7 @@
 	struct group group;
 
 	group_of_three(&group, 0);
-	strcpy(group.items[2].zone, "b");
+	group.items[2].zone[0] = 'b';
 	change = group_next(&group);
 	expect(change, MEMBER_PROMOTE, 5);
 	members_change(&group.members, &change);
@@ -179,7 +179,7 @@
 	struct group group;
 
 	group_of_three(&group, 3);
-	strcpy(group.items[4].vm, group.items[2].vm);
+	group.items[4].vm[3] = group.items[2].vm[3];
 	expect(group_next(&group), MEMBER_PROMOTE, 5);
 }
 
