--- a/libfilberthall/fleet/reclaim.c
+++ b/libfilberthall/fleet/reclaim.c
@@ -122,24 +122,20 @@
 	reclaim_mark(reclaims, reclaim, fleet);
 }
 
-/* The server with least on it that wasn't given up yet. */
+/* The server with least on it that wasn't given up yet, or NULL. */
 static struct reclaimed *reclaim_next(const struct reclaim *reclaim,
-				      const struct fleet *fleet, int64_t *left)
+				      const struct fleet *fleet)
 {
 	struct reclaimed *least = NULL;
 	struct reclaimed *server;
 	int64_t least_running = 0;
 
-	*left = 0;
 	list_foreach(server, &reclaim->servers, node) {
 		const struct backend *backend =
 			fleet_find(fleet, server->address);
 		int64_t running = backend ? backend->running : 0;
 
-		if (server->moved)
-			continue;
-		(*left)++;
-		if (least && running >= least_running)
+		if (server->moved || (least && running >= least_running))
 			continue;
 		least = server;
 		least_running = running;
@@ -163,15 +159,20 @@
 static void reclaim_move_due(struct reclaims *reclaims, struct reclaim *reclaim,
 			     const struct fleet *fleet, int64_t now_us)
 {
-	int64_t left;
-	struct reclaimed *server = reclaim_next(reclaim, fleet, &left);
-	int64_t total = left;
+	int64_t time_us = reclaim->end_us - now_us;
+	struct reclaimed *server;
+	int64_t total = 0;
+	int64_t left = 0;
 
-	list_foreach(server, &reclaim->servers, node)
-		total += server->moved;
-	while ((server = reclaim_next(reclaim, fleet, &left)) &&
-	       reclaim->end_us - now_us <= RECLAIM_MOVE_US * left / total)
-		reclaim_move(reclaims, server, fleet);
+	list_foreach(server, &reclaim->servers, node) {
+		total++;
+		left += !server->moved;
+	}
+	for (; left > 0 && time_us * total <= RECLAIM_MOVE_US * left; left--) {
+		server = reclaim_next(reclaim, fleet);
+		if (server)
+			reclaim_move(reclaims, server, fleet);
+	}
 }
 
 void reclaims_tick(struct reclaims *reclaims, const struct fleet *fleet,
--- a/tests/agreed/t-usage.c
+++ b/tests/agreed/t-usage.c
@@ -246,11 +246,13 @@
 		bench->late++;
 	json_array_foreach(list, i, row) {
 		int64_t of = codec_int(row, "correction_of", -1);
+		const char *name = codec_text(row, "name", "");
 		int o = 0;
 
 		of = of < 0 ? window : of - FIRST_US / WINDOW_US;
-		while (strcmp(organisations[o], codec_text(row, "name", "")))
+		while (o < ORGANISATIONS - 1 && strcmp(organisations[o], name))
 			o++;
+		g_assert_cmpstr(organisations[o], ==, name);
 		bench->billed[of][o] += codec_int(row, "output_tokens", 0);
 	}
 }
