--- a/libfilberthall/load/router_preempt.c
+++ b/libfilberthall/load/router_preempt.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "load/preempt.h"
 #include "load/router_state.h"
 
@@ -80,11 +82,13 @@
 	double running = pool->running > 0 ? (double)pool->running : 1;
 	double left_us = (double)(first->entry.due_us - now_us) -
 			 pool->first_token_us - (double)PREEMPT_FREE_US;
-	int64_t waiting = pool->pressure[first->tier].waiting;
+	double waiting = (double)pool->pressure[first->tier].waiting;
+	double by_itself;
 
-	if (left_us < 0)
+	if (left_us < 0 || hold_us <= 0)
 		return 0;
-	return waiting - (int64_t)(left_us * running / hold_us);
+	by_itself = floor(left_us * running / hold_us);
+	return waiting > by_itself ? (int64_t)(waiting - by_itself) : 0;
 }
 
 /** Free places of lower tiers for what waits and would be late. */
--- a/tests/load/t-router.c
+++ b/tests/load/t-router.c
@@ -120,7 +120,9 @@
 		.id = id,
 		.attempt = attempt,
 		.code = code,
-		.tokens = code ? 0 : 10,
+		.tokens = code == RESULT_CALLER_LEFT ? 5
+			  : code		     ? 0
+						     : 10,
 		.sent = sent,
 	};
 
@@ -233,6 +235,130 @@
 	bed_close(&bed);
 }
 
+static uint64_t bed_submit_body(struct bed *bed, const char *body_hash)
+{
+	struct router_request request = {
+		.id = ++bed->last_id,
+		.organisation = "a",
+		.class_name = "high",
+		.model = "base",
+		.body_hash = body_hash,
+		.arrived_us = bed->now_us,
+		.idempotent = true,
+		.stream = true,
+	};
+
+	router_submit(bed->router, &request, bed->now_us, &bed->effects);
+	return request.id;
+}
+
+/*
+ * A request crashes its server, is sent to a second, crashes that, and its
+ * caller sends it again. It must not reach a third, on no VM; its resend is
+ * told that it didn't run.
+ */
+static void a_poison_request_is_held_on_all_vms(void)
+{
+	uint64_t members[2] = { 1, 2 };
+	struct bytes told = { 0 };
+	struct effect *effect;
+	struct bed other;
+	struct bed bed;
+	uint64_t id;
+
+	bed_open(&bed);
+	bed_open(&other);
+	router_peers(bed.router, 2, members, 2, bed.now_us);
+	bed_engine(&bed, "10.0.0.1:1", 8, 1);
+	bed_engine(&bed, "10.0.0.2:1", 8, 1);
+	bed_engine(&bed, "10.0.0.3:1", 8, 1);
+	bed_engine(&other, "10.0.0.3:1", 8, 1);
+	id = bed_submit_body(&bed, "p");
+	bed.now_us += SECOND / 10;
+	bed_end(&bed, id, 1, RESULT_BACKEND_BROKE, true);
+	effect = bed_effect(&bed, EFFECT_SEND);
+	g_assert_nonnull(effect);
+	router_message(other.router, 1, &effect->u.send.body, other.now_us,
+		       &other.effects);
+	effect_free(effect);
+	bed.now_us += SECOND / 10;
+	bed_end(&bed, id, 2, RESULT_BACKEND_BROKE, true);
+	effect = bed_effect(&bed, EFFECT_SEND);
+	g_assert_nonnull(effect);
+	told = bytes_copy(&effect->u.send.body);
+	effect_free(effect);
+	effect = bed_effect(&bed, EFFECT_ANSWER);
+	g_assert_cmpint(effect->u.answer.code, ==, RESULT_POISON);
+	g_assert_cmpint(effect->u.answer.run, ==, RUN_UNKNOWN);
+	effect_free(effect);
+	router_message(other.router, 1, &told, other.now_us, &other.effects);
+	bytes_clear(&told);
+	bed_submit_body(&other, "p");
+	effect = bed_effect(&other, EFFECT_ANSWER);
+	g_assert_nonnull(effect);
+	g_assert_cmpint(effect->u.answer.code, ==, RESULT_POISON);
+	g_assert_cmpint(effect->u.answer.run, ==, RUN_NOT);
+	effect_free(effect);
+	bed_submit_body(&other, "q");
+	effect = bed_effect(&other, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	effect_free(effect);
+	bed_close(&bed);
+	bed_close(&other);
+}
+
+/*
+ * A long request of a low tier holds the only slot when a caption comes that
+ * has half a second. It gives way if it may run again, and waits for its turn
+ * with what its caller has had; one that may not be repeated is left alone.
+ */
+static void only_repeatable_work_gives_way(bool idempotent)
+{
+	struct class_rule rule = { .name = "high",
+				   .first_token_us = SECOND / 2,
+				   .deadline_us = 10 * SECOND };
+	struct event_attempt_tokens tokens = { .attempt = 1,
+					       .tokens = 5,
+					       .first = true };
+	struct effect *effect;
+	struct bed bed;
+	uint64_t high;
+
+	bed_open(&bed);
+	router_set_class(bed.router, &rule, bed.now_us, &bed.effects);
+	bed_engine(&bed, "10.0.0.1:1", 1, 1);
+	tokens.id = bed_submit(&bed, "low", idempotent);
+	effect_free(bed_effect(&bed, EFFECT_START_ATTEMPT));
+	router_tokens(bed.router, &tokens, bed.now_us, &bed.effects);
+	high = bed_submit(&bed, "high", true);
+	effect = bed_effect(&bed, EFFECT_CANCEL_ATTEMPT);
+	g_assert_true(!!effect == idempotent);
+	if (!effect) {
+		bed_close(&bed);
+		return;
+	}
+	g_assert_cmpuint(effect->u.cancel.id, ==, tokens.id);
+	effect_free(effect);
+	bed_end(&bed, tokens.id, 1, RESULT_CALLER_LEFT, true);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	g_assert_cmpuint(effect->u.start.id, ==, high);
+	effect_free(effect);
+	bed_end(&bed, high, 1, RESULT_OK, true);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	g_assert_cmpuint(effect->u.start.id, ==, tokens.id);
+	g_assert_cmpint(effect->u.start.resume_tokens, ==, 5);
+	effect_free(effect);
+	bed_close(&bed);
+}
+
+static void a_caption_takes_a_long_ones_place(void)
+{
+	only_repeatable_work_gives_way(true);
+	only_repeatable_work_gives_way(false);
+}
+
 /*
  * Low and high requests wait. An operator gives the low class tier 0 and its
  * older request a shorter deadline: it is now the next one to be sent.
@@ -344,6 +470,8 @@
 	g_test_add_func("/router/elsewhere",
 			a_failed_connection_is_tried_elsewhere);
 	g_test_add_func("/router/tier-first", the_higher_tier_is_served_first);
+	g_test_add_func("/router/poison", a_poison_request_is_held_on_all_vms);
+	g_test_add_func("/router/preempt", a_caption_takes_a_long_ones_place);
 	g_test_add_func("/router/class-change",
 			a_change_of_class_acts_on_what_waits);
 	g_test_add_func("/router/withdrawn-key",
