--- a/libfilberthall/load/retry.c
+++ b/libfilberthall/load/retry.c
@@ -10,6 +10,7 @@
 	*retry = (struct retry){
 		.unlimited = !limited,
 		.budget = RETRY_LEAST,
+		.most = RETRY_LEAST,
 		.noted_us = now_us,
 	};
 }
@@ -17,19 +18,17 @@
 void retry_fresh(struct retry *retry, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - retry->noted_us);
-	double most;
-
 	if (elapsed_us > 0) {
 		retry->rate *= exp(-elapsed_us / RETRY_RATE_US);
 		retry->noted_us = now_us;
 	}
 	retry->rate += 1e6 / RETRY_RATE_US;
-	most = retry->rate * RETRY_SAVED_S * RETRY_SHARE;
-	if (most < RETRY_LEAST)
-		most = RETRY_LEAST;
+	retry->most = retry->rate * RETRY_SAVED_S * RETRY_SHARE;
+	if (retry->most < RETRY_LEAST)
+		retry->most = RETRY_LEAST;
 	retry->budget += RETRY_SHARE;
-	if (retry->budget > most)
-		retry->budget = most;
+	if (retry->budget > retry->most)
+		retry->budget = retry->most;
 }
 
 /* Whether another server might do better. */
@@ -66,7 +65,7 @@
 		return why->code;
 	if (retry->unlimited)
 		return RESULT_OK;
-	if (retry->budget < 1)
+	if (retry->budget < 1 + retry->most * why->tier / 8)
 		return RESULT_RETRY_BUDGET;
 	retry->budget -= 1;
 	return RESULT_OK;
--- a/libfilberthall/load/retry.h
+++ b/libfilberthall/load/retry.h
@@ -20,19 +20,22 @@
  * Grounds for the figures: a budget of a tenth of fresh traffic bounds the
  * extra load at 10%, while faults in ordinary times touch far less. It saves
  * up for ten seconds' worth, since one crash of an engine in twelve returns
- * about 2.5 s of a twelfth of the traffic at once. A few retries are always
- * allowed, so that a VM with little traffic can use them. Three attempts: a
- * request that two servers have failed is more likely the cause than the
- * victim.
+ * about 2.5 s of a twelfth of the traffic at once. As many as one engine has
+ * slots are always allowed, so that a VM with little traffic can use them.
+ * Each lower tier must leave an eighth of the budget to those above it: spent
+ * blindly, batch work took it from captions when engines flapped. Three
+ * attempts: a request that two servers have failed is more likely the cause
+ * than the victim.
  */
 #define RETRY_SHARE 0.1
-#define RETRY_LEAST 10.0
+#define RETRY_LEAST 32.0
 #define RETRY_SAVED_S 10.0
 #define RETRY_ATTEMPTS 3
 
 struct retry {
 	bool unlimited; /**< for the ablation */
 	double budget;
+	double most; /**< that can be saved up */
 	double rate; /**< fresh requests a second, running average */
 	int64_t noted_us;
 };
@@ -45,6 +48,7 @@
 	bool idempotent; /**< may run twice */
 	int attempts;	 /**< so far */
 	int64_t deadline_us;
+	int tier;
 	int64_t needs_us; /**< estimated time of another attempt */
 };
 
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -306,6 +306,7 @@
 		.sent = request->may_have_run,
 		.idempotent = request->ask.idempotent,
 		.attempts = request->n_attempts,
+		.tier = request->tier,
 		.deadline_us = request->deadline_us,
 		.needs_us = request_needs_us(router, request) / 2,
 	};
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -8,6 +8,13 @@
 /* A tier whose oldest has waited for so much of its target is pressed. */
 #define POOL_PRESSURE_SHARE 0.75
 
+/*
+ * Lower tiers stay closed for so long after that. A request of the pressed
+ * tier may just have been shed; without the hold, capacity that comes back
+ * lets lower tiers in within the same second.
+ */
+#define POOL_PRESSURE_HOLD_US INT64_C(1250000)
+
 /* Members are counted anew so often; each decision would be too often. */
 #define POOL_COUNT_US INT64_C(20000)
 
@@ -44,6 +51,7 @@
 	pool->global_pressure = SCHED_TIERS;
 	for (i = 0; i < SCHED_TIERS; i++) {
 		list_init(&pool->pressure[i].order);
+		pool->pressure[i].pressed_us = INT64_MIN / 2;
 		pool->pressure[i].empty_us = now_us;
 		pool->pressure[i].short_us = INT64_MIN / 2;
 	}
@@ -304,6 +312,14 @@
 	       POOL_PRESSURE_SHARE * (double)(due_us - arrived_us);
 }
 
+/* Whether the tier is pressed or has been within the hold. */
+static bool tier_is_held(struct pressure *pressure, int64_t now_us)
+{
+	if (tier_is_pressed(pressure, now_us))
+		pressure->pressed_us = now_us;
+	return now_us - pressure->pressed_us < POOL_PRESSURE_HOLD_US;
+}
+
 /* Note which tier waits, and since when those below it are closed. */
 void pool_press(struct router *router, struct pool *pool, int64_t now_us)
 {
@@ -312,7 +328,7 @@
 
 	pool->local_pressure = SCHED_TIERS;
 	for (tier = SCHED_TIERS - 1; tier >= 0; tier--)
-		if (tier_is_pressed(&pool->pressure[tier], now_us))
+		if (tier_is_held(&pool->pressure[tier], now_us))
 			pool->local_pressure = tier;
 	global = router_shares(router) ? pool->global_pressure
 				       : pool->local_pressure;
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -68,9 +68,10 @@
 /** What is known of one tier's wait before one pool. */
 struct pressure {
 	int64_t waiting;
-	struct list order; /**< what waits, oldest first */
-	int64_t empty_us;  /**< when its queue last was empty */
-	int64_t short_us;  /**< when a short request last came */
+	struct list order;  /**< what waits, oldest first */
+	int64_t pressed_us; /**< when it last was pressed */
+	int64_t empty_us;   /**< when its queue last was empty */
+	int64_t short_us;   /**< when a short request last came */
 };
 
 /** The backend servers of one model or one service, and who waits. */
@@ -161,7 +162,7 @@
 	int64_t estimate;  /**< output tokens */
 	bool is_long;
 	bool may_have_run; /**< a byte may have left */
-	bool hedged;
+	int64_t hedge_us;  /**< not looked at for a hedge before then */
 	char avoid[BACKEND_NAME_SIZE]; /**< where it has failed */
 	struct list attempts;
 	int n_attempts;
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -12,6 +12,9 @@
 #define TIME_HEDGE_RATIO 4.0
 #define TIME_HEDGE_LEAST_US 1000000.0
 
+/* An overdue attempt is looked at again after so long. */
+#define TIME_HEDGE_AGAIN_US INT64_C(500000)
+
 /* A key's bucket is full again after so long without a request. */
 #define TIME_KEY_IDLE_US INT64_C(600000000)
 
@@ -35,13 +38,15 @@
 	const struct attempt *attempt = request_attempt(request);
 	double after = TIME_HEDGE_RATIO * request->queue->pool->first_token_us;
 
-	if (!router->options.features.hedging || request->hedged || !attempt ||
+	if (!router->options.features.hedging || !attempt ||
 	    attempt->first_us || !request->ask.idempotent ||
 	    !request->ask.model)
 		return INT64_MAX;
 	if (after < TIME_HEDGE_LEAST_US)
 		after = TIME_HEDGE_LEAST_US;
-	return attempt->started_us + (int64_t)after;
+	after += (double)attempt->started_us;
+	return after > (double)request->hedge_us ? (int64_t)after
+						 : request->hedge_us;
 }
 
 /** Set the request's timer to what may happen to it next. */
@@ -72,10 +77,23 @@
 	       (double)pool->running < pool_own_slots(router, pool);
 }
 
+/* Nobody has had a token of the server lately, or it is a straggler. */
+static bool server_is_suspect(const struct router *router,
+			      const struct attempt *attempt, int64_t now_us)
+{
+	const struct backend *backend =
+		fleet_find(router->options.fleet, attempt->address);
+
+	return !backend || backend->health.straggles ||
+	       now_us - backend->health.heard_us >= HEALTH_SILENT_US;
+}
+
 /*
- * The first token is long overdue: the server has lost the request or is a
- * straggler. It is cancelled and sent to another one; the edge can't join
- * two answers, so the two never run side by side for the caller.
+ * The first token is long overdue: the server has lost the request, is silent
+ * or a straggler. It is cancelled and sent to another one; the edge can't
+ * join two answers, so the two never run side by side for the caller. On a
+ * server that serves others well the request waits for its prefill, and to
+ * start that anew elsewhere would only add to the queues.
  */
 static void request_hedge(struct router *router, struct request *request,
 			  int64_t now_us, struct effects *effects)
@@ -87,17 +105,20 @@
 		.sent = true,
 		.idempotent = request->ask.idempotent,
 		.attempts = request->n_attempts,
+		.tier = request->tier,
 		.deadline_us = request->deadline_us,
 		.needs_us = request_needs_us(router, request) / 2,
 	};
 
-	request->hedged = true;
-	if (!hedge_has_room(router, request) ||
-	    retry_ask(&router->retry, &why, now_us))
+	request->hedge_us = now_us + TIME_HEDGE_AGAIN_US;
+	if (!server_is_suspect(router, attempt, now_us))
 		return;
 	backend = fleet_find(router->options.fleet, attempt->address);
 	if (backend)
 		health_overdue(&backend->health, now_us);
+	if (!hedge_has_room(router, request) ||
+	    retry_ask(&router->retry, &why, now_us))
+		return;
 	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
 
--- a/libfilberthall/load/share.c
+++ b/libfilberthall/load/share.c
@@ -204,25 +204,20 @@
 	return slots;
 }
 
-/* The highest tier that waits anywhere; held a little against flapping. */
-static void pool_press_round(struct share *share, struct share_pool *pool,
+/* The highest tier that is pressed on any daemon that is heard. */
+static void pool_press_round(const struct share *share, struct share_pool *pool,
 			     int64_t now_us)
 {
-	int64_t pressure = SCHED_TIERS;
 	int i;
 
+	pool->pressure = SCHED_TIERS;
 	for (i = 0; i < share->n; i++) {
 		const struct share_slot *row = &pool->rows[i];
 
 		if (row->known && !share_is_silent(share, i, now_us) &&
-		    row->pressure < pressure)
-			pressure = row->pressure;
+		    row->pressure < pool->pressure)
+			pool->pressure = row->pressure;
 	}
-	if (pressure <= pool->pressure ||
-	    now_us - pool->pressed_us > SHARE_PRESSURE_HOLD_US)
-		pool->pressure = pressure;
-	if (pressure <= pool->pressure)
-		pool->pressed_us = now_us;
 }
 
 void heard_open(const struct share *share, struct share_heard_list *list,
--- a/libfilberthall/load/share.h
+++ b/libfilberthall/load/share.h
@@ -54,9 +54,6 @@
  */
 #define SHARE_WANT_GAIN 0.3
 
-/** A tier's pressure is held for so long after it was last reported. */
-#define SHARE_PRESSURE_HOLD_US INT64_C(1000000)
-
 #define SHARE_NAME_SIZE 72
 
 /** What one daemon says of one pool. */
--- a/libfilberthall/load/share_state.h
+++ b/libfilberthall/load/share_state.h
@@ -24,7 +24,6 @@
 	char name[SHARE_NAME_SIZE];
 	struct share_slot *rows; /* by index of the member */
 	int64_t pressure;
-	int64_t pressed_us; /* when that tier's pressure was last reported */
 };
 
 struct share_limit {
--- a/tests/load/t-promises.c
+++ b/tests/load/t-promises.c
@@ -85,7 +85,8 @@
 	g_assert_cmpint(world->now_us, <, asked->deadline_us);
 	backend = fleet_find(&world->fleet, start->address);
 	g_assert_nonnull(backend);
-	g_assert_true(backend_usable(backend, world->now_us));
+	g_assert_false(backend->leaving);
+	g_assert_cmpint(world->now_us, <, backend->lease_end_us);
 	asked->n_attempts++;
 	asked->attempts[start->attempt].active = true;
 }
