--- a/tests/site.sh
+++ b/tests/site.sh
@@ -1,11 +1,13 @@
 # A site of daemons for tests, the demo and 'make run'; after tests/lib.sh.
 
-# site_init: secrets, the operator's key and the first settings in $WORK.
+# site_init: secrets, the operator's key and the first settings in $WORK, and
+# an engine that no daemon knows, to ask what the right text is.
 site_init() {
 	head -c 32 /dev/urandom | base64 >"$WORK/key-secret"
 	head -c 32 /dev/urandom | base64 >"$WORK/link-secret"
 	site_new_key >"$WORK/operator-key"
 	test -s "$WORK/settings.yaml" || site_settings >"$WORK/settings.yaml"
+	start oracle fake-engine --decode 1000000 --prefill 10000000
 }
 
 site_new_key() {
@@ -120,9 +122,9 @@
 	printf '"content":"%s"}]}' "$1"
 }
 
-# expected CONTENT: the text that a fake engine gives for that completion.
+# expected CONTENT: the text that any fake engine gives for that completion.
 expected() {
-	curl -sN "$(address "${EXPECT_FROM-engine-1}")/v1/chat/completions" \
+	curl -sN "$(address "oracle")/v1/chat/completions" \
 		-d "$(completion_body "$1")" | sse_text
 }
 
