daemon: idle connections are closed in time, no request without a watch

Idle connections went only when the next request to their address came. Out of descriptors, a request could have run with no way to end it early; now it isn't sent.

--- a/daemon/pool.c
+++ b/daemon/pool.c
@@ -23,6 +23,7 @@
 	pthread_mutex_init(&pool->lock, NULL);
 	map_init(&pool->addresses);
 	pool->counters = counters;
+	pool->idle_us = POOL_IDLE_US;
 }
 
 static bool address_match(const struct map_node *node, const void *key)
@@ -114,7 +115,7 @@
 
 static struct connection *take_idle(struct pool *pool, const char *address)
 {
-	int64_t oldest_us = edge_now_us() - POOL_IDLE_US;
+	int64_t oldest_us = edge_now_us() - pool->idle_us;
 	struct connection *connection = NULL;
 	struct connection *found = NULL;
 	struct pool_address *at;
@@ -222,6 +223,39 @@
 	close_all(&out);
 }
 
+/* The longest idle stand last. */
+static void expire_address(struct pool *pool, struct pool_address *at,
+			   int64_t oldest_us, struct list *out)
+{
+	struct connection *connection;
+
+	while ((connection = list_last(&at->idle, struct connection, node)) &&
+	       connection->idle_since_us < oldest_us) {
+		take_out(pool, at, connection);
+		list_append(out, &connection->node);
+	}
+	if (!at->n_idle)
+		forget_address(pool, at);
+}
+
+bool pool_expire(struct pool *pool)
+{
+	int64_t oldest_us = edge_now_us() - pool->idle_us;
+	struct pool_address *at;
+	struct pool_address *next;
+	struct list out;
+	bool some;
+
+	list_init(&out);
+	pthread_mutex_lock(&pool->lock);
+	map_foreach(at, next, &pool->addresses, node)
+		expire_address(pool, at, oldest_us, &out);
+	some = pool->n_idle > 0;
+	pthread_mutex_unlock(&pool->lock);
+	close_all(&out);
+	return some;
+}
+
 void pool_clear(struct pool *pool)
 {
 	struct pool_address *at;
--- a/daemon/pool.h
+++ b/daemon/pool.h
@@ -42,6 +42,7 @@
 	pthread_mutex_t lock;
 	struct map addresses;
 	size_t n_idle;
+	int64_t idle_us; /**< after which an idle one is closed */
 	struct edge_counters *counters;
 };
 
@@ -60,6 +61,9 @@
 /** Close a connection. */
 void connection_close(struct connection *connection);
 
+/** Close what has been idle for too long; true if idle ones remain. */
+bool pool_expire(struct pool *pool);
+
 /** Close all idle connections to an address. */
 void pool_distrust(struct pool *pool, const char *address);
 
--- a/daemon/wire.c
+++ b/daemon/wire.c
@@ -32,6 +32,9 @@
 		close(connection->fd);
 	if (allowed)
 		connection->fd = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+	/* Out of descriptors: without one no deadline would hold. */
+	if (allowed && connection->fd < 0)
+		allowed = false;
 	pthread_mutex_unlock(&wire->hub->lock);
 	if (!allowed && wire->resend_stopped)
 		edge_count(&wire->hub->counters->resends_stopped);
--- a/daemon/wire_hub.c
+++ b/daemon/wire_hub.c
@@ -9,6 +9,9 @@
  * takes memory. */
 #define WORKER_STACK_BYTES (512 * 1024)
 
+/* How often idle connections are looked at. */
+#define POOL_EXPIRE_MS 1000
+
 struct wire_worker {
 	pthread_t thread;
 	struct wire_hub *hub;
@@ -176,21 +179,37 @@
 	}
 }
 
+/* The lock must be held. At rest there is nothing to wake up for. */
+static void watch_sleep(struct wire_hub *hub, bool pooled)
+{
+	if (!list_empty(&hub->wires))
+		sleep_on(&hub->watched, &hub->lock, WIRE_WATCH_MS);
+	else if (pooled)
+		sleep_on(&hub->watched, &hub->lock, POOL_EXPIRE_MS);
+	else
+		pthread_cond_wait(&hub->watched, &hub->lock);
+}
+
 static void *watch_run(void *data)
 {
 	struct wire_hub *hub = data;
+	int64_t expired_us = 0;
+	bool pooled = false;
 	struct list dropped;
 
 	list_init(&dropped);
 	pthread_mutex_lock(&hub->lock);
 	while (!hub->stopping) {
-		if (list_empty(&hub->wires))
-			pthread_cond_wait(&hub->watched, &hub->lock);
-		else
-			sleep_on(&hub->watched, &hub->lock, WIRE_WATCH_MS);
+		watch_sleep(hub, pooled);
+		/* What woke it may have left a connection behind. */
+		pooled = true;
 		end_overdue(hub, &dropped);
 		pthread_mutex_unlock(&hub->lock);
 		drop_all(&dropped);
+		if (edge_now_us() - expired_us >= POOL_EXPIRE_MS * 1000) {
+			expired_us = edge_now_us();
+			pooled = pool_expire(&hub->pool);
+		}
 		pthread_mutex_lock(&hub->lock);
 	}
 	pthread_mutex_unlock(&hub->lock);
