load: a second attempt goes over a new connection

tests/e2e/silent.t: connections to both engines go silent at once. A stream that stood still was sent again after 15 s over another pooled connection, silent too, and its caller got an error; a completion over an idle connection waited for its deadline, since the hedge took a silent one as well. Attempts after the first now go over a connection just opened: 2 of 11 checks failed before, none in two runs after. With a single engine there is no hedge, and the first request over a silent connection still waits until its deadline.

--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -37,9 +37,11 @@
 	start->resume_tokens = attempt->base;
 	/*
 	 * A pooled connection may have died unseen. Whether the request got
-	 * through it can't be known, and this one may not be sent twice.
+	 * through it can't be known, and this one may not be sent twice. Nor
+	 * may a second attempt meet the fate of the first: what silenced one
+	 * connection often silenced those to other servers as well.
 	 */
-	start->proven = !request->ask.idempotent;
+	start->proven = !request->ask.idempotent || attempt->number > 1;
 	start->keep_answer = request->ask.keep_answer;
 	start->keep_limit = ATTEMPT_KEEP_LIMIT;
 }
