--- a/libfilberthall/agree/schema_table.c
+++ b/libfilberthall/agree/schema_table.c
@@ -146,7 +146,7 @@
 		   "part of its slots that a backend server is planned for"),
 	REAL_FIELD("spare", 0, 2, 0.15, "capacity beyond the demand"),
 	INT_FIELD("start_s", 1, 3600, 90, "a backend server's start-up time"),
-	INT_FIELD("shrink_after_s", 1, 86400, 300,
+	INT_FIELD("shrink_after_s", 1, 86400, 1200,
 		  "less must have sufficed for this long before a stop"),
 	BOOL_FIELD("survive_zone", 1,
 		   "tier 0 must fit without any one availability zone"),
--- a/libfilberthall/fleet/drain.c
+++ b/libfilberthall/fleet/drain.c
@@ -13,6 +13,7 @@
 	enum drain_state state;
 	int64_t began_us;
 	int64_t deadline_us;
+	int64_t asked_us; /**< when the stop was asked for last */
 	char reason[192]; /**< why it is held */
 };
 
@@ -155,9 +156,11 @@
 	       !backend->running && !backend->queued && !backend->own.running;
 }
 
-static void drain_stop(struct drains *drains, struct drain *drain)
+static void drain_stop(struct drains *drains, struct drain *drain,
+		       int64_t now_us)
 {
 	drain->state = DRAIN_STOPPING;
+	drain->asked_us = now_us;
 	drains->hooks.stop(drains->hooks.data, drain->address);
 }
 
@@ -174,7 +177,10 @@
 	} else if (drain->state == DRAIN_DRAINING &&
 		   (drain_is_empty(drain, backend) ||
 		    (policy->cut && now_us >= drain->deadline_us))) {
-		drain_stop(drains, drain);
+		drain_stop(drains, drain, now_us);
+	} else if (drain->state == DRAIN_STOPPING &&
+		   now_us - drain->asked_us >= DRAIN_ASK_US) {
+		drain_stop(drains, drain, now_us);
 	}
 }
 
--- a/libfilberthall/fleet/drain.h
+++ b/libfilberthall/fleet/drain.h
@@ -23,6 +23,12 @@
  */
 #define DRAIN_SPREAD_US INT64_C(3000000)
 
+/**
+ * A server that still announces itself so long after its stop was asked for
+ * wasn't stopped: no order could be given then, or it was lost.
+ */
+#define DRAIN_ASK_US INT64_C(30000000)
+
 enum drain_state {
 	DRAIN_HELD,	/**< would leave too little capacity */
 	DRAIN_DRAINING, /**< no new work; streams go on */
--- a/libfilberthall/fleet/order.c
+++ b/libfilberthall/fleet/order.c
@@ -18,6 +18,7 @@
 struct sent_order {
 	struct list node;
 	char *order_id;
+	int64_t placed_us;   /**< when it was proposed here, 0 if it was not */
 	int64_t next_us;     /**< not sent again before */
 	int64_t retry_us;    /**< wait after the next loss */
 	char proposed[16];   /**< state that was proposed last */
@@ -137,6 +138,24 @@
 			 step->pool, "kind", step->cheap ? "cheap" : "steady");
 }
 
+/*
+ * A plan is made of what the book holds. While an order of an earlier plan is
+ * still on its way into it (a slow quorum), the next plan would order the same
+ * again; all of them would be committed in the end.
+ */
+static bool orders_are_on_their_way(struct orders *orders,
+				    const struct order_situation *situation)
+{
+	const struct sent_order *sent;
+
+	list_foreach(sent, &orders->sent, node)
+		if (sent->placed_us && sent->placed_us != situation->now_us &&
+		    situation->now_us - sent->placed_us < ORDER_PROPOSE_US &&
+		    !order_book_find(situation->book, sent->order_id))
+			return true;
+	return false;
+}
+
 /* Ids carry the fencing number, so two holders never make the same one. */
 enum result orders_place(struct orders *orders,
 			 const struct order_situation *situation,
@@ -148,6 +167,8 @@
 
 	if (!orders->ready || !order_fits_lease(situation))
 		return RESULT_LEASE_LOST;
+	if (orders_are_on_their_way(orders, situation))
+		return RESULT_CONFLICT;
 	if (!step->start)
 		order_book_visit(situation->book, order_search_stop, &search);
 	if (search.found)
@@ -155,6 +176,7 @@
 	order_id = xstrfmt("o-%lld-%lld", (long long)situation->fence,
 			   (long long)++orders->sequence);
 	order = order_build(order_id, situation, step);
+	orders_get(orders, order_id)->placed_us = situation->now_us;
 	orders->hooks.place(orders->hooks.data, order);
 	json_decref(order);
 	return RESULT_OK;
--- a/libfilberthall/fleet/order.h
+++ b/libfilberthall/fleet/order.h
@@ -70,7 +70,9 @@
  * Place an order for a step of the plan. Only when orders_ready(). A stop is
  * not placed if one for that address is open.
  *
- * Returns RESULT_OK or RESULT_LEASE_LOST (not ready, or no lease).
+ * Returns RESULT_OK; RESULT_LEASE_LOST (not ready, or no lease); or
+ * RESULT_CONFLICT while orders of an earlier call are on their way into the
+ * log.
  */
 enum result orders_place(struct orders *orders,
 			 const struct order_situation *situation,
--- a/libfilberthall/fleet/target.c
+++ b/libfilberthall/fleet/target.c
@@ -24,7 +24,7 @@
 		.utilisation = 0.7,
 		.spare = 0.15,
 		.start_us = INT64_C(90000000),
-		.shrink_after_us = INT64_C(300000000),
+		.shrink_after_us = INT64_C(1200000000),
 		.survive_zone = true,
 	};
 	return target;
--- a/libfilberthall/fleet/target_plan.c
+++ b/libfilberthall/fleet/target_plan.c
@@ -46,6 +46,40 @@
 	       (!more || !offer->backoff_us);
 }
 
+/*
+ * How full a zone would be with one more. A server that stands there counts
+ * for one less: zones may differ by one, or each change of what is offered
+ * would start a server in one zone and stop one in another.
+ */
+static int64_t target_fill(const struct target_entry *entry, int zone,
+			   enum target_kind kind)
+{
+	int64_t want = entry->want.at[zone][kind];
+
+	return want < entry->have.at[zone][kind] ? want - 1 : want;
+}
+
+/* Whether `zone` is to be preferred to `other`; with no other it is. */
+static bool target_is_better(const struct target *target,
+			     const struct target_entry *entry, int zone,
+			     int other, enum target_kind kind)
+{
+	int64_t fill = target_fill(entry, zone, kind);
+	int64_t than;
+	bool here;
+
+	if (other < 0)
+		return true;
+	than = target_fill(entry, other, kind);
+	here = fill < entry->want.at[zone][kind];
+	if (fill != than)
+		return fill < than;
+	if (here != (than < entry->want.at[other][kind]))
+		return here;
+	return target->zones[zone].offers[kind].price <
+	       target->zones[other].offers[kind].price;
+}
+
 /*
  * The zone for one more: the emptiest, so that a lost zone takes least; among
  * equals one where a server already stands, then the cheapest.
@@ -57,26 +91,10 @@
 	int best = -1;
 	int zone;
 
-	for (zone = 0; zone < target->n_zones; zone++) {
-		int64_t want = entry->want.at[zone][kind];
-		bool here = want < entry->have.at[zone][kind];
-		bool there;
-		double price = target->zones[zone].offers[kind].price;
-
-		if (!target_may_want(target, entry, zone, kind, now_us))
-			continue;
-		if (best < 0 || want < entry->want.at[best][kind]) {
-			best = zone;
-			continue;
-		}
-		if (want > entry->want.at[best][kind])
-			continue;
-		there = want < entry->have.at[best][kind];
-		if (here != there
-			    ? here
-			    : price < target->zones[best].offers[kind].price)
+	for (zone = 0; zone < target->n_zones; zone++)
+		if (target_may_want(target, entry, zone, kind, now_us) &&
+		    target_is_better(target, entry, zone, best, kind))
 			best = zone;
-	}
 	return best;
 }
 
@@ -175,6 +193,8 @@
 	memset(&entry->want, 0, sizeof(entry->want));
 	target_want_floor(target, entry, now_us);
 	steady = target_sum(target, &entry->want, TARGET_STEADY);
+	firm = target_clamp(target_sum(target, &entry->have, TARGET_STEADY),
+			    firm, firm + 1);
 	if (firm > total)
 		firm = total;
 	cheap = (int64_t)((double)(total - firm) * entry->pool.cheap_share);
--- a/tests/fleet/t-drain.c
+++ b/tests/fleet/t-drain.c
@@ -128,6 +128,8 @@
 		drains_tick(drains, &seen.fleet, &policy, second * SECOND_US);
 		g_assert_cmpint(seen.stops, ==, second >= 31);
 	}
+	drains_tick(drains, &seen.fleet, &policy, 61 * SECOND_US);
+	g_assert_cmpint(seen.stops, ==, 2); /* it is still there */
 	drains_free(drains);
 	fleet_clear(&seen.fleet);
 }
--- a/tests/fleet/t-order.c
+++ b/tests/fleet/t-order.c
@@ -24,13 +24,16 @@
 	int64_t fence;
 	int64_t until_us;
 	bool cut_off; /* nothing it proposes is committed */
+	json_t *late; /* proposed and not committed yet */
 };
 
 static void place(void *data, const json_t *order)
 {
 	struct holder *holder = data;
 
-	if (!holder->cut_off)
+	if (holder->late)
+		json_array_append(holder->late, (json_t *)order);
+	else if (!holder->cut_off)
 		order_book_place(holder->site->book, order, 1,
 				 ++holder->site->index);
 }
@@ -249,6 +252,36 @@
 	site_stop(&site);
 }
 
+/*
+ * The quorum is slow: an order takes ten seconds into the log, and the plan
+ * is made each five. The second plan must not order the same server again.
+ */
+static void slow_commit_orders_nothing_twice(void)
+{
+	struct site site;
+	struct holder holder;
+	int i;
+
+	site_start(&site);
+	holder_start(&holder, &site, 4);
+	holder_tick(&holder, NULL, false);
+	holder.late = json_array();
+	site.now_us = SECOND_US;
+	g_assert_cmpint(holder_order(&holder), ==, RESULT_OK);
+	g_assert_cmpint(holder_order(&holder), ==, RESULT_OK);
+	for (i = 0; i < 2; i++) {
+		site.now_us += 5 * SECOND_US;
+		g_assert_cmpint(holder_order(&holder), ==, RESULT_CONFLICT);
+	}
+	for (i = 0; i < 2; i++)
+		order_book_place(site.book, json_array_get(holder.late, i), 1,
+				 ++site.index);
+	g_assert_cmpint(holder_order(&holder), ==, RESULT_OK);
+	json_decref(holder.late);
+	orders_free(holder.orders);
+	site_stop(&site);
+}
+
 /*
  * Random changes of the one in charge, lost answers and proposals, against
  * the count of what was ordered: each order starts one server.
@@ -314,6 +347,7 @@
 	g_test_add_func("/order/successor", successor_starts_no_second_server);
 	g_test_add_func("/order/lease", holder_past_its_lease_sends_nothing);
 	g_test_add_func("/order/lost", lost_answers_start_one_server);
+	g_test_add_func("/order/slow", slow_commit_orders_nothing_twice);
 	g_test_add_func("/order/random",
 			random_changes_of_holder_start_each_server_once);
 	g_test_add_func("/order/unavailable",
