--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -300,16 +300,15 @@
 static bool tier_is_pressed(const struct pressure *pressure, int64_t now_us)
 {
 	const struct request *oldest;
-	int64_t arrived_us;
 	int64_t due_us;
 
 	oldest = list_first(&pressure->order, struct request, in_tier);
 	if (!oldest)
 		return false;
-	arrived_us = oldest->ask.arrived_us;
 	due_us = oldest->target_us ? oldest->target_us : oldest->deadline_us;
-	return (double)(now_us - arrived_us) >
-	       POOL_PRESSURE_SHARE * (double)(due_us - arrived_us);
+	/* A retried one is late by its server, not for want of room. */
+	return (double)(now_us - oldest->waiting_since_us) >
+	       POOL_PRESSURE_SHARE * (double)(due_us - oldest->ask.arrived_us);
 }
 
 /* Whether the tier is pressed or has been within the hold. */
--- a/libfilberthall/load/router_preempt.c
+++ b/libfilberthall/load/router_preempt.c
@@ -54,7 +54,7 @@
 	return best;
 }
 
-/* The highest tier's next, of those that wait. */
+/* The highest tier's next, of those that wait for room alone. */
 static struct request *pool_first_waiting(const struct pool *pool)
 {
 	struct sched_entry *best = NULL;
@@ -62,7 +62,7 @@
 	struct queue *queue;
 
 	list_foreach(queue, &pool->queues, in_pool) {
-		entry = sched_next(&queue->sched, SCHED_TIERS - 1);
+		entry = sched_next(&queue->sched, pool_lowest_open(pool));
 		if (!entry)
 			continue;
 		if (!best || sched_tier_of(entry) < sched_tier_of(best))
