floor: minimum shares aren't held up by headroom

Cause: lower tiers leave headroom for the top tier, minimum shares did so too, and a class that was owed a start for seconds got all of them at once when an engine came back.

--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -78,13 +78,20 @@
 }
 
 static bool pool_has_share(const struct router *router, const struct pool *pool,
-			   const struct request *request)
+			   const struct request *request, bool by_floor)
 {
 	int64_t own = (int64_t)pool_own_slots(router, pool);
 
 	if (!router_rules_pool(router))
 		return true;
-	return pool->running < own - pool_headroom(pool, request->tier);
+	/*
+	 * A minimum share isn't held up by headroom: where the top tier fills
+	 * every slot, the class would starve, and what it is owed would come
+	 * all at once when slots come free.
+	 */
+	if (!by_floor)
+		own -= pool_headroom(pool, request->tier);
+	return pool->running < own;
 }
 
 static struct backend *pick_avoiding(struct router *router,
@@ -116,7 +123,8 @@
  * else may use them. The VMs have equal parts of these.
  */
 static struct backend *request_pick(struct router *router,
-				    struct request *request, int64_t now_us)
+				    struct request *request, bool by_floor,
+				    int64_t now_us)
 {
 	struct pool *pool = request->queue->pool;
 	struct pick_query query = {
@@ -147,7 +155,7 @@
 					    &query.own_until);
 		backend = pick_avoiding(router, pool, &query, now_us);
 	}
-	if (backend || !pool_has_share(router, pool, request))
+	if (backend || !pool_has_share(router, pool, request, by_floor))
 		return backend;
 	query.cheap = false;
 	query.own_from = 0;
@@ -226,7 +234,7 @@
 				       now_us, effects);
 			continue;
 		}
-		backend = request_pick(router, request, now_us);
+		backend = request_pick(router, request, by_floor, now_us);
 		if (backend)
 			request_serve(router, request, backend, by_floor,
 				      now_us, effects);
