agree: feeders by zone that work, and two faults of theirs mended

Refusals now carry the configuration to newcomers, and a link asked for gets time.

Found by the simulation on the way: a feeder confirmed entries that it held but that weren't committed, which a later leader's commit index then committed; and an operator could demote a voter while another had just died. By reading: a reply echoed the feeder's clock to the leader.

Tests: votes after sync, the wait after a restart and the drift of the read lease have written-out schedules beside the seeded ones.

--- a/libfilberthall/agree/raft.c
+++ b/libfilberthall/agree/raft.c
@@ -54,6 +54,7 @@
 	list_init(&raft->tickets);
 	list_init(&raft->waiting);
 	list_init(&raft->peers);
+	map_init(&raft->peers_by_id);
 	raft->last_leader_us = forgetful ? RAFT_NEVER : now_us;
 	raft->fresh_us = RAFT_NEVER;
 	raft->feeder_heard_us = RAFT_NEVER;
@@ -79,6 +80,7 @@
 	}
 	list_foreach_safe(peer, next_peer, &raft->peers, node)
 		free(peer);
+	map_clear(&raft->peers_by_id);
 }
 
 void raft_free(struct raft *raft)
@@ -189,7 +191,7 @@
 	if (raft->transfer_sent)
 		return;
 	list_foreach(peer, &raft->peers, node) {
-		if (!peer->up || peer->failed || !raft_peer_votes(raft, peer) ||
+		if (!peer->up || peer->failed || !peer->votes ||
 		    peer->match < raft_log_last(&raft->log))
 			continue;
 		raft->transfer_sent = true;
@@ -272,7 +274,7 @@
 		raft_on_follow(raft, peer, message, now_us, effects);
 		break;
 	case RAFT_FOLLOW_REFUSED:
-		raft_on_follow_refused(raft, peer, message, now_us);
+		raft_on_follow_refused(raft, peer, message, effects);
 		break;
 	}
 }
@@ -309,8 +311,8 @@
 	peer->probing = true;
 	peer->n_flight = 0;
 	peer->snapshot_index = 0;
-	peer->feeding = peer->child || (raft->role == RAFT_LEADER &&
-					raft_leader_feeds(raft, peer));
+	peer->feeding = peer->child ||
+			(raft->role == RAFT_LEADER && raft_leader_feeds(peer));
 	raft_feed(raft, peer, true, now_us, effects);
 	raft_finish(raft, now_us, effects);
 }
@@ -324,8 +326,7 @@
 		return;
 	peer->up = false;
 	peer->child = false;
-	peer->feeding =
-		raft->role == RAFT_LEADER && raft_leader_feeds(raft, peer);
+	peer->feeding = raft->role == RAFT_LEADER && raft_leader_feeds(peer);
 	raft_finish(raft, now_us, effects);
 }
 
@@ -399,5 +400,5 @@
 
 bool raft_transfer_done(const struct raft *raft)
 {
-	return raft->role != RAFT_LEADER || members_voters(&raft->members) <= 1;
+	return raft->role != RAFT_LEADER || raft->voters <= 1;
 }
--- a/libfilberthall/agree/raft_election.c
+++ b/libfilberthall/agree/raft_election.c
@@ -42,9 +42,12 @@
  */
 void raft_distrust_tail(struct raft *raft)
 {
+	struct raft_peer *peer;
+
 	raft->verified = raft->commit;
 	raft->acknowledged = 0;
-	raft->leader_sent_us = 0;
+	list_foreach(peer, &raft->peers, node)
+		peer->echo_us = 0;
 }
 
 void raft_become_follower(struct raft *raft, int64_t term, uint64_t leader,
@@ -118,7 +121,7 @@
 	struct raft_peer *peer;
 
 	list_foreach(peer, &raft->peers, node) {
-		if (!peer->up || !raft_peer_votes(raft, peer))
+		if (!peer->up || !peer->votes)
 			continue;
 		if (kind == RAFT_VOTE)
 			raft_send_after_sync(raft, peer->id, &message, effects);
@@ -185,7 +188,7 @@
 		peer->progress_us = now_us;
 		peer->heard_us = now_us;
 		peer->snapshot_index = 0;
-		peer->feeding = peer->child || raft_leader_feeds(raft, peer);
+		peer->feeding = peer->child || raft_leader_feeds(peer);
 	}
 	raft_say(effects, LOG_INFO, "leader in term %lld",
 		 (long long)raft->term);
@@ -198,12 +201,12 @@
 void raft_count_votes(struct raft *raft, int64_t now_us,
 		      struct effects *effects)
 {
-	int quorum = members_quorum(members_voters(&raft->members));
+	int quorum = members_quorum(raft->voters);
 	int votes = raft->self_vote && raft_can_vote(raft);
 	struct raft_peer *peer;
 
 	list_foreach(peer, &raft->peers, node)
-		if (peer->granted && raft_peer_votes(raft, peer))
+		if (peer->granted && peer->votes)
 			votes++;
 	if (votes < quorum)
 		return;
@@ -219,8 +222,7 @@
 {
 	struct raft_message reply = { .kind = RAFT_PREVOTE_REPLY };
 
-	if (raft_is_member(raft, raft->options.self.id) &&
-	    !raft_is_member(raft, peer->id)) {
+	if (raft->self_member && !peer->member) {
 		reply.flags = RAFT_REJECTED | RAFT_REMOVED;
 		reply.term = raft->term;
 	} else if (message->term > raft->term && raft_may_grant(raft) &&
--- a/libfilberthall/agree/raft_follow.c
+++ b/libfilberthall/agree/raft_follow.c
@@ -24,7 +24,7 @@
 	struct raft_message reply = {
 		.kind = RAFT_APPEND_REPLY,
 		.term = raft->term,
-		.echo_us = raft->leader_sent_us,
+		.echo_us = peer->echo_us,
 		.sent_us = now_us,
 		.applied = raft->applied,
 		.flags = raft->failed ? RAFT_DISK_LOST : 0,
@@ -127,6 +127,12 @@
 	bool behind = message->index < raft->log.first - 1;
 	bool stored;
 
+	/*
+	 * A feeder may hold entries that aren't committed; that ours are the
+	 * same doesn't make them the leader's.
+	 */
+	if (message->flags & RAFT_FED && last > message->commit)
+		last = message->commit;
 	if (!behind &&
 	    raft_log_term(&raft->log, message->index) != message->log_term) {
 		raft_reply_append(raft, peer, true,
@@ -172,7 +178,7 @@
 	 */
 	if (message->age_us && message->age_us < raft_feed_age_limit(raft))
 		raft->feeder_heard_us = now_us;
-	raft->leader_sent_us = message->sent_us;
+	peer->echo_us = message->sent_us;
 	raft_take_entries(raft, peer, message, now_us, effects);
 }
 
@@ -203,8 +209,8 @@
 	raft->feeder = peer->id;
 	raft->feeder_heard_us = now_us;
 	raft->feeder_attempt = 0;
-	if (message->sent_us > raft->leader_sent_us)
-		raft->leader_sent_us = message->sent_us;
+	if (message->sent_us > peer->echo_us)
+		peer->echo_us = message->sent_us;
 	raft_reset_election(raft, now_us);
 	raft_take_entries(raft, peer, message, now_us, effects);
 }
--- a/libfilberthall/agree/raft_internal.h
+++ b/libfilberthall/agree/raft_internal.h
@@ -3,6 +3,7 @@
 
 #include "agree/raft.h"
 #include "base/list.h"
+#include "base/map.h"
 #include "base/rng.h"
 
 /** What the parts of Raft share; nobody else includes this. */
@@ -83,7 +84,11 @@
 /** Another member, or a VM that has a link to us. */
 struct raft_peer {
 	struct list node;
+	struct map_node by_id;
 	uint64_t id;
+	bool member;   /**< in the present configuration */
+	bool votes;    /**< as a voter */
+	bool has_disk; /**< it may become one */
 	bool up;       /**< its link stands */
 	bool feeding;  /**< we send entries to it */
 	bool child;    /**< a learner that asked for them */
@@ -100,6 +105,7 @@
 	int64_t sent_us;     /**< last append or chunk sent */
 	int64_t progress_us; /**< last progress or start of probing */
 	int64_t acked_us;    /**< newest send time that it answered */
+	int64_t echo_us;     /**< its clock in its last append of this term */
 	int64_t their_us;    /**< its clock in its last message */
 	int64_t heard_us;
 	int64_t snapshot_index;	 /**< being sent, 0 for none */
@@ -154,7 +160,6 @@
 	/* as follower */
 	int64_t verified;	/**< log is the leader's up to here */
 	int64_t acknowledged;	/**< match last told to the leader */
-	int64_t leader_sent_us; /**< leader's clock, to be echoed */
 	int64_t last_leader_us; /**< when the leader was last heard */
 	int64_t election_at_us;
 	int64_t fresh_us;
@@ -174,6 +179,7 @@
 	/* as learner */
 	uint64_t feeder;
 	int feeder_attempt;
+	int link_attempt; /**< times that its link was asked for */
 	int64_t feeder_heard_us;
 	int64_t follow_at_us;
 	int64_t join_at_us;
@@ -183,7 +189,11 @@
 	struct members members;
 	int64_t members_index;
 	struct members joining; /**< leader: to be added next */
+	int voters;		/**< in `members` */
+	bool self_member;	/**< whether we are in it */
+	bool self_votes;
 	struct list peers;
+	struct map peers_by_id;
 };
 
 /* raft_log.c */
@@ -281,9 +291,8 @@
 /* raft_member.c */
 struct raft_peer *raft_peer_find(const struct raft *raft, uint64_t id);
 struct raft_peer *raft_peer_get(struct raft *raft, uint64_t id, int64_t now_us);
-bool raft_is_member(const struct raft *raft, uint64_t id);
-bool raft_leader_feeds(const struct raft *raft, const struct raft_peer *peer);
-bool raft_peer_votes(const struct raft *raft, const struct raft_peer *peer);
+bool raft_leader_feeds(const struct raft_peer *peer);
+void raft_members_changed(struct raft *raft, struct effects *effects);
 void raft_scan_members(struct raft *raft, struct effects *effects);
 void raft_adopt_members(struct raft *raft, const struct raft_entry *entry,
 			struct effects *effects);
@@ -302,7 +311,8 @@
 		    const struct raft_message *message, int64_t now_us,
 		    struct effects *effects);
 void raft_on_follow_refused(struct raft *raft, struct raft_peer *peer,
-			    const struct raft_message *message, int64_t now_us);
+			    const struct raft_message *message,
+			    struct effects *effects);
 void raft_add_reports(struct raft *raft, struct raft_message *message,
 		      int64_t now_us);
 void raft_take_reports(struct raft *raft, const struct raft_message *message,
--- a/libfilberthall/agree/raft_learner.c
+++ b/libfilberthall/agree/raft_learner.c
@@ -30,9 +30,24 @@
 	       peer->id == raft->feeder;
 }
 
+/** Too many for the leader to feed all of them. */
+static bool raft_is_large(const struct raft *raft)
+{
+	return raft->members.count > (size_t)raft->options.max_children + 1;
+}
+
+/**
+ * Children of each node of the tree: half of what a feeder takes, so that it
+ * has room for those whose own feeder is dead.
+ */
+static size_t raft_fan(const struct raft *raft)
+{
+	return (size_t)raft->options.max_children / 2 + 1;
+}
+
 static uint64_t raft_any_voter(const struct raft *raft, int attempt)
 {
-	int voters = members_voters(&raft->members);
+	int voters = raft->voters;
 	uint64_t self = raft->options.self.id;
 	int wanted;
 	size_t i;
@@ -72,7 +87,7 @@
 	uint64_t ids[MEMBER_MAX];
 	size_t own = MEMBER_MAX;
 	size_t n = raft_zone_peers(raft, ids, &own);
-	size_t fan = (size_t)raft->options.max_children;
+	size_t fan = raft_fan(raft);
 
 	if (own >= n)
 		return raft_any_voter(raft, attempt);
@@ -104,12 +119,10 @@
 static uint64_t raft_choose_feeder(const struct raft *raft)
 {
 	int attempt = raft->feeder_attempt;
-	bool small =
-		raft->members.count <= (size_t)raft->options.max_children + 1;
 
 	if (!raft->members.count)
 		return raft_any_peer(raft, attempt);
-	if (!raft->options.self.disk && !small)
+	if (!raft->options.self.disk && raft_is_large(raft))
 		return raft_tree_feeder(raft, attempt);
 	if (!attempt && raft->leader)
 		return raft->leader;
@@ -131,6 +144,9 @@
 	effect->u.link_open.zone = xstrdup(member->zone);
 }
 
+/** A link that was asked for gets some time before another feeder's turn. */
+#define RAFT_LINK_ATTEMPTS 4
+
 static void raft_ask_feeder(struct raft *raft, int64_t now_us,
 			    struct effects *effects)
 {
@@ -144,12 +160,16 @@
 	const struct raft_peer *peer;
 
 	raft->feeder = raft_choose_feeder(raft);
-	raft->feeder_attempt++;
 	peer = raft_peer_find(raft, raft->feeder);
-	if (peer && peer->up)
+	if (peer && peer->up) {
 		raft_send(raft, raft->feeder, &message, effects);
-	else
+	} else {
 		raft_want_link(raft, raft->feeder, effects);
+		if (++raft->link_attempt < RAFT_LINK_ATTEMPTS)
+			return;
+	}
+	raft->link_attempt = 0;
+	raft->feeder_attempt++;
 }
 
 void raft_tick_learner(struct raft *raft, int64_t now_us,
@@ -159,8 +179,11 @@
 
 	if (raft_is_voter(raft) && !raft->outcast)
 		return;
-	if (now_us - raft->feeder_heard_us < RAFT_SILENT_HEARTBEATS * beat_us ||
-	    now_us < raft->follow_at_us)
+	if (now_us - raft->feeder_heard_us < RAFT_SILENT_HEARTBEATS * beat_us) {
+		raft->feeder_attempt = 0;
+		return;
+	}
+	if (now_us < raft->follow_at_us)
 		return;
 	raft->follow_at_us = now_us + beat_us;
 	raft_ask_feeder(raft, now_us, effects);
@@ -176,22 +199,48 @@
 	return children;
 }
 
-void raft_on_follow(struct raft *raft, struct raft_peer *peer,
-		    const struct raft_message *message, int64_t now_us,
-		    struct effects *effects)
+/**
+ * Send it elsewhere. A VM that has just joined by us knows nobody else yet,
+ * so it gets the configuration to choose from.
+ */
+static void raft_refuse_follow(struct raft *raft, struct raft_peer *peer,
+			       const struct raft_message *asked,
+			       struct effects *effects)
 {
 	struct raft_message refused = { .kind = RAFT_FOLLOW_REFUSED,
 					.term = raft->term,
 					.leader = raft->leader };
+	struct bytes body = { 0 };
+
+	if (!asked->index) {
+		members_encode(&raft->members, &body);
+		refused.data = body.data;
+		refused.len = body.len;
+	}
+	raft_send(raft, peer->id, &refused, effects);
+	bytes_clear(&body);
+}
+
+static bool raft_has_room(const struct raft *raft)
+{
+	int room = raft_is_large(raft) ? (int)raft_fan(raft) + 2
+				       : raft->options.max_children;
+
+	return raft_children(raft) < room;
+}
+
+void raft_on_follow(struct raft *raft, struct raft_peer *peer,
+		    const struct raft_message *message, int64_t now_us,
+		    struct effects *effects)
+{
 	bool fresh = raft_fresh_us(raft, now_us) + raft_feed_age_limit(raft) >
 		     now_us;
 
-	if (!peer->child &&
-	    (!fresh || raft_children(raft) >= raft->options.max_children)) {
-		raft_send(raft, peer->id, &refused, effects);
+	if (!peer->child && (!fresh || !raft_has_room(raft))) {
+		raft_refuse_follow(raft, peer, message, effects);
 		return;
 	}
-	if (raft_peer_votes(raft, peer) && raft->role != RAFT_LEADER)
+	if (peer->votes && raft->role != RAFT_LEADER)
 		return;
 	peer->child = true;
 	peer->feeding = true;
@@ -207,14 +256,23 @@
 	raft_feed(raft, peer, true, now_us, effects);
 }
 
+/** Without any entry of our own, the newest configuration told is ours. */
 void raft_on_follow_refused(struct raft *raft, struct raft_peer *peer,
-			    const struct raft_message *message, int64_t now_us)
+			    const struct raft_message *message,
+			    struct effects *effects)
 {
-	if (peer->id != raft->feeder)
+	size_t known = raft->members.count;
+	struct members told = { 0 };
+
+	if (peer->id != raft->feeder || raft_log_last(&raft->log) ||
+	    !members_decode(&told, message->data, message->len))
 		return;
-	if (!raft->members.count && message->leader)
-		raft->leader = message->leader;
-	raft->follow_at_us = now_us;
+	raft->leader = message->leader;
+	members_clear(&raft->members);
+	raft->members = told;
+	raft_members_changed(raft, effects);
+	if (told.count != known)
+		raft->feeder_attempt = 0;
 }
 
 /** Whether this VM must tell the leader who and where it is. */
@@ -296,10 +354,9 @@
 		struct raft_peer *peer;
 		int64_t heard_us = now_us - report->age_ms * 1000;
 
-		if (!raft_is_member(raft, report->id))
-			continue;
-		peer = raft_peer_get(raft, report->id, now_us);
-		if (!peer || peer->feeding || heard_us < peer->heard_us)
+		peer = raft_peer_find(raft, report->id);
+		if (!peer || !peer->member || peer->feeding ||
+		    heard_us < peer->heard_us)
 			continue;
 		peer->below = true;
 		peer->heard_us = heard_us;
--- a/libfilberthall/agree/raft_member.c
+++ b/libfilberthall/agree/raft_member.c
@@ -7,34 +7,25 @@
 #define RAFT_CAUGHT_UP_ENTRIES 64
 #define RAFT_FORGET_US 60000000
 
-struct raft_peer *raft_peer_find(const struct raft *raft, uint64_t id)
-{
-	struct raft_peer *peer;
-
-	list_foreach(peer, &raft->peers, node)
-		if (peer->id == id)
-			return peer;
-	return NULL;
-}
-
-bool raft_is_member(const struct raft *raft, uint64_t id)
+static bool raft_peer_match(const struct map_node *node, const void *key)
 {
-	return members_find(&raft->members, id);
+	return container_of(node, struct raft_peer, by_id)->id ==
+	       *(const uint64_t *)key;
 }
 
-bool raft_peer_votes(const struct raft *raft, const struct raft_peer *peer)
+struct raft_peer *raft_peer_find(const struct raft *raft, uint64_t id)
 {
-	const struct member *member = members_find(&raft->members, peer->id);
+	struct map_node *node =
+		map_find(&raft->peers_by_id, map_hash(&id, sizeof(id)),
+			 raft_peer_match, &id);
 
-	return member && member->role == MEMBER_VOTER;
+	return node ? container_of(node, struct raft_peer, by_id) : NULL;
 }
 
 /** Voters, and learners that may have to take over from one. */
-bool raft_leader_feeds(const struct raft *raft, const struct raft_peer *peer)
+bool raft_leader_feeds(const struct raft_peer *peer)
 {
-	const struct member *member = members_find(&raft->members, peer->id);
-
-	return member && (member->role == MEMBER_VOTER || member->disk);
+	return peer->member && (peer->votes || peer->has_disk);
 }
 
 struct raft_peer *raft_peer_get(struct raft *raft, uint64_t id, int64_t now_us)
@@ -52,6 +43,7 @@
 	peer->heard_us = now_us;
 	peer->progress_us = now_us;
 	list_append(&raft->peers, &peer->node);
+	map_insert(&raft->peers_by_id, &peer->by_id, map_hash(&id, sizeof(id)));
 	return peer;
 }
 
@@ -62,10 +54,11 @@
 	struct raft_peer *next;
 
 	list_foreach_safe(peer, next, &raft->peers, node) {
-		if (peer->up || raft_is_member(raft, peer->id) ||
+		if (peer->up || peer->member ||
 		    now_us - peer->heard_us < RAFT_FORGET_US)
 			continue;
 		list_remove(&peer->node);
+		map_remove(&raft->peers_by_id, &peer->by_id);
 		free(peer);
 	}
 }
@@ -95,17 +88,45 @@
 	}
 }
 
-static void raft_members_changed(struct raft *raft, struct effects *effects)
+/** What each message needs of the configuration, at hand with the peers. */
+static void raft_note_members(struct raft *raft)
 {
 	struct raft_peer *peer;
 	size_t i;
 
-	for (i = 0; i < raft->members.count; i++)
-		raft_peer_get(raft, raft->members.items[i].id, raft->fresh_us);
+	list_foreach(peer, &raft->peers, node) {
+		peer->member = false;
+		peer->votes = false;
+	}
+	raft->voters = members_voters(&raft->members);
+	raft->self_member = false;
+	raft->self_votes = false;
+	for (i = 0; i < raft->members.count; i++) {
+		const struct member *member = &raft->members.items[i];
+		bool votes = member->role == MEMBER_VOTER;
+
+		if (member->id == raft->options.self.id) {
+			raft->self_member = true;
+			raft->self_votes = votes;
+			continue;
+		}
+		peer = raft_peer_get(raft, member->id, raft->fresh_us);
+		if (!peer)
+			continue;
+		peer->member = true;
+		peer->votes = votes;
+		peer->has_disk = member->disk;
+	}
+}
+
+void raft_members_changed(struct raft *raft, struct effects *effects)
+{
+	struct raft_peer *peer;
+
+	raft_note_members(raft);
 	if (raft->role == RAFT_LEADER)
 		list_foreach(peer, &raft->peers, node)
-			peer->feeding =
-				peer->child || raft_leader_feeds(raft, peer);
+			peer->feeding = peer->child || raft_leader_feeds(peer);
 	raft_open_links(raft, effects);
 }
 
@@ -310,27 +331,25 @@
 	const struct raft_peer *peer;
 
 	list_foreach(peer, &raft->peers, node)
-		if (peer->id != id && raft_peer_votes(raft, peer) &&
-		    !peer->failed &&
+		if (peer->id != id && peer->votes && !peer->failed &&
 		    now_us - peer->heard_us < raft->options.election_us)
 			living++;
 	return living;
 }
 
 /**
- * Whether a voter may go. Another one may just have died without our knowing
- * yet, so a living voter is spared only if the rest bears one loss more;
- * otherwise the change itself could stop the group for good.
+ * Whether a voter may go, dead or alive. Another one may just have died
+ * without our knowing yet, so the rest must bear one loss more than we know
+ * of; otherwise the change itself could stop the group for good.
  */
 static bool raft_can_spare(const struct raft *raft, uint64_t id, int64_t now_us)
 {
-	int left = members_voters(&raft->members) - 1;
+	int left = raft->voters - 1;
 	int living = raft_living_voters(raft, id, now_us);
-	bool alive = raft_living_voters(raft, 0, now_us) > living;
 
 	if (left <= 1)
 		return left == 1 && living == 1;
-	return living - alive >= members_quorum(left);
+	return living - 1 >= members_quorum(left);
 }
 
 static enum result raft_check_promotion(const struct raft *raft,
@@ -338,7 +357,7 @@
 					int64_t now_us)
 {
 	struct member_health health = { 0 };
-	int voters = members_voters(&raft->members) + 1;
+	int voters = raft->voters + 1;
 
 	raft_health(raft, member->id, &health);
 	if (!member->disk || !health.caught_up ||
--- a/libfilberthall/agree/raft_replicate.c
+++ b/libfilberthall/agree/raft_replicate.c
@@ -106,8 +106,8 @@
 {
 	if (!peer->up || !peer->feeding)
 		return;
-	if (peer->next > raft_log_last(&raft->log) + 1)
-		peer->next = raft_log_last(&raft->log) + 1;
+	if (peer->next > raft_feed_limit(raft) + 1)
+		peer->next = raft_feed_limit(raft) + 1;
 	if (raft_log_term(&raft->log, peer->next - 1) < 0) {
 		raft_send_chunk(raft, peer, now_us, effects);
 		return;
@@ -134,7 +134,7 @@
 	list_foreach(peer, &raft->peers, node) {
 		bool idle = notice && !peer->n_flight;
 
-		if (raft_peer_votes(raft, peer) || peer->probing ||
+		if (peer->votes || peer->probing ||
 		    now_us - peer->sent_us >=
 			    raft->options.learner_heartbeat_us)
 			raft_feed(raft, peer, idle, now_us, effects);
@@ -168,9 +168,8 @@
 
 	list_foreach(peer, &raft->peers, node) {
 		int64_t interval_us =
-			raft_peer_votes(raft, peer)
-				? raft->options.heartbeat_us
-				: raft->options.learner_heartbeat_us;
+			peer->votes ? raft->options.heartbeat_us
+				    : raft->options.learner_heartbeat_us;
 
 		if (!peer->feeding)
 			continue;
@@ -193,14 +192,14 @@
 				 bool times)
 {
 	int64_t values[MEMBER_MAX];
-	int voters = members_voters(&raft->members);
+	int voters = raft->voters;
 	struct raft_peer *peer;
 	int n = 0;
 
 	if (raft_can_vote(raft))
 		values[n++] = own;
 	list_foreach(peer, &raft->peers, node)
-		if (raft_peer_votes(raft, peer))
+		if (peer->votes)
 			values[n++] = times ? peer->acked_us : peer->match;
 	while (n < voters)
 		values[n++] = times ? RAFT_NEVER : 0;
@@ -291,7 +290,8 @@
 	if (!peer->feeding ||
 	    (raft->role == RAFT_LEADER && message->term != raft->term))
 		return;
-	if (!peer->failed && message->echo_us > peer->acked_us)
+	if (!peer->failed && message->echo_us > peer->acked_us &&
+	    message->echo_us <= now_us)
 		peer->acked_us = message->echo_us;
 	if (message->flags & RAFT_REJECTED) {
 		raft_take_rejection(peer, message);
@@ -305,7 +305,7 @@
 		raft_renew_lease(raft, now_us);
 		raft_advance_commit(raft, now_us, effects);
 	}
-	if (raft_peer_votes(raft, peer) || message->flags & RAFT_REJECTED ||
+	if (peer->votes || message->flags & RAFT_REJECTED ||
 	    raft_may_send_entries(raft, peer))
 		raft_feed(raft, peer, false, now_us, effects);
 }
--- a/libfilberthall/agree/raft_snapshot.c
+++ b/libfilberthall/agree/raft_snapshot.c
@@ -148,7 +148,8 @@
 	if (!peer->feeding ||
 	    (raft->role == RAFT_LEADER && message->term != raft->term))
 		return;
-	if (!peer->failed && message->echo_us > peer->acked_us)
+	if (!peer->failed && message->echo_us > peer->acked_us &&
+	    message->echo_us <= now_us)
 		peer->acked_us = message->echo_us;
 	if (message->index != peer->snapshot_index ||
 	    message->offset == peer->snapshot_offset ||
--- a/libfilberthall/agree/raft_view.c
+++ b/libfilberthall/agree/raft_view.c
@@ -21,10 +21,7 @@
 
 bool raft_is_voter(const struct raft *raft)
 {
-	const struct member *self =
-		members_find(&raft->members, raft->options.self.id);
-
-	return self && self->role == MEMBER_VOTER;
+	return raft->self_votes;
 }
 
 bool raft_has_failed(const struct raft *raft)
@@ -118,7 +115,7 @@
 
 	*members = raft->members.count;
 	list_foreach(peer, &raft->peers, node)
-		if (raft_is_member(raft, peer->id) && peer->applied >= index)
+		if (peer->member && peer->applied >= index)
 			applied++;
 	return applied;
 }
--- a/tests/agree/sim.c
+++ b/tests/agree/sim.c
@@ -232,7 +232,7 @@
 /* What wasn't synced is lost, but for some first part of it. */
 static void sim_lose_unsynced(struct sim *sim, struct sim_node *node)
 {
-	uint64_t kept = rng_below(&sim->rng, 4);
+	uint64_t kept = rng_below(&sim->rng, 2) ? rng_below(&sim->rng, 4) : 0;
 	struct effect *effect;
 
 	while ((effect = list_first(&node->pending, struct effect, node))) {
--- a/tests/agree/sim.h
+++ b/tests/agree/sim.h
@@ -17,6 +17,7 @@
 	uint64_t seed;
 	enum raft_mutant mutant;
 	int64_t duration_us; /**< with faults; a calm phase follows */
+	bool lease_faults;   /**< mostly what could break a lease */
 	bool members_change; /**< losses for good and operators' changes */
 };
 
--- a/tests/agree/sim_fault.c
+++ b/tests/agree/sim_fault.c
@@ -240,8 +240,31 @@
 		sim_cut_off(sim, leader, way != 0, way != 1);
 }
 
+static void sim_mend(struct sim *sim)
+{
+	memset(sim->cut, 0, sizeof(sim->cut));
+	sim_restart_some(sim);
+}
+
+/* The network is mended, and a leader settles, before it is cut again. */
+static bool sim_lease_faults(struct sim *sim)
+{
+	if (!sim->options.lease_faults || sim->now_us < sim->quiet_until_us)
+		return sim->options.lease_faults;
+	if (!sim->mended) {
+		sim_mend(sim);
+		sim->quiet_until_us = sim->now_us + 3000000;
+	} else {
+		sim_lose_sight(sim);
+	}
+	sim->mended = !sim->mended;
+	return true;
+}
+
 void sim_faults(struct sim *sim)
 {
+	if (sim_lease_faults(sim))
+		return;
 	switch (rng_below(&sim->rng, 20)) {
 	case 0:
 	case 1:
@@ -289,8 +312,7 @@
 		sim_lose_sight(sim);
 		break;
 	default:
-		memset(sim->cut, 0, sizeof(sim->cut));
-		sim_restart_some(sim);
+		sim_mend(sim);
 		break;
 	}
 }
--- a/tests/agree/sim_internal.h
+++ b/tests/agree/sim_internal.h
@@ -61,6 +61,7 @@
 	bool calm;
 	int blind; /* voter that doesn't hear the leader */
 	bool ambush;
+	bool mended;
 	int kills; /* of leaders just elected, still to come */
 	int64_t quiet_until_us;
 	bool founded;
--- a/tests/agree/t-raft-mutants.c
+++ b/tests/agree/t-raft-mutants.c
@@ -13,12 +13,15 @@
 {
 	enum raft_mutant mutant = (enum raft_mutant)GPOINTER_TO_INT(data);
 	struct sim_stats stats = { 0 };
+	bool lease = mutant == RAFT_MUTANT_NO_RESTART_WAIT ||
+		     mutant == RAFT_MUTANT_LEASE_WITHOUT_DRIFT;
 	uint64_t seed;
 
 	for (seed = 1; seed <= RUNS; seed++) {
 		struct sim_options options = { .seed = seed,
 					       .mutant = mutant,
 					       .duration_us = DURATION_US,
+					       .lease_faults = lease,
 					       .members_change = seed / 2 % 2 };
 		char *violation = sim_run(&options, &stats);
 
--- a/tests/agree/t-raft-sim.c
+++ b/tests/agree/t-raft-sim.c
@@ -5,7 +5,8 @@
 #define RUNS 1000
 #define DURATION_US 16000000
 
-static void sim_must_hold(bool members_change, uint64_t first)
+static void sim_must_hold(bool members_change, bool lease_faults,
+			  uint64_t first)
 {
 	struct sim_stats stats = { 0 };
 	uint64_t seed;
@@ -13,6 +14,7 @@
 	for (seed = first; seed < first + RUNS; seed++) {
 		struct sim_options options = { .seed = seed,
 					       .duration_us = DURATION_US,
+					       .lease_faults = lease_faults,
 					       .members_change =
 						       members_change };
 		char *violation = sim_run(&options, &stats);
@@ -41,7 +43,7 @@
  */
 static void nothing_accepted_is_lost_under_crashes_and_cuts(void)
 {
-	sim_must_hold(false, 1);
+	sim_must_hold(false, false, 1);
 }
 
 /*
@@ -51,7 +53,17 @@
  */
 static void second_loss_right_after_a_repair_loses_nothing(void)
 {
-	sim_must_hold(true, 1000000);
+	sim_must_hold(true, false, 1000000);
+}
+
+/*
+ * A leader that was cut off answers a read from its own state while another
+ * one has changed it: voters restart, lose sight of the leader, and clocks
+ * run as far apart as the bound allows.
+ */
+static void lease_holds_under_cuts_restarts_and_drift(void)
+{
+	sim_must_hold(false, true, 2000000);
 }
 
 int main(int argc, char **argv)
@@ -61,5 +73,7 @@
 			nothing_accepted_is_lost_under_crashes_and_cuts);
 	g_test_add_func("/raft-sim/second-loss",
 			second_loss_right_after_a_repair_loses_nothing);
+	g_test_add_func("/raft-sim/lease",
+			lease_holds_under_cuts_restarts_and_drift);
 	return g_test_run();
 }
--- a/tests/agree/t-raft.c
+++ b/tests/agree/t-raft.c
@@ -188,6 +188,132 @@
 	raft_free(raft);
 }
 
+static bool vote_told_before_sync(enum raft_mutant mutant)
+{
+	struct raft_message vote = {
+		.kind = RAFT_VOTE, .term = 9, .index = 99, .log_term = 8
+	};
+	struct raft *raft = restored(mutant, true);
+	struct raft_message reply;
+	struct effects effects;
+	bool early;
+
+	effects_init(&effects);
+	raft_peer_up(raft, 2, 0, &effects);
+	deliver(raft, 2, vote, 2 * SECOND, &effects);
+	early = take_sent(&effects, RAFT_VOTE_REPLY, &reply);
+	raft_synced(raft, 1, 2 * SECOND + 1000, &effects);
+	g_assert_true(early || take_sent(&effects, RAFT_VOTE_REPLY, &reply));
+	g_assert_cmpint(reply.flags, ==, RAFT_GRANTED);
+	effects_clear(&effects);
+	raft_free(raft);
+	return early;
+}
+
+/*
+ * A voter tells its vote, crashes before the disk has it, and votes again in
+ * the same term for another: two leaders.
+ */
+static void vote_is_told_after_its_sync(void)
+{
+	g_assert_false(vote_told_before_sync(RAFT_MUTANT_NONE));
+	g_assert_true(vote_told_before_sync(RAFT_MUTANT_VOTE_BEFORE_SYNC));
+}
+
+static bool granted_after_restart(enum raft_mutant mutant, int64_t now_us)
+{
+	struct raft_message prevote = {
+		.kind = RAFT_PREVOTE, .term = 9, .index = 99, .log_term = 8
+	};
+	struct raft *raft = restored(mutant, true);
+	struct raft_message reply;
+	struct effects effects;
+
+	effects_init(&effects);
+	raft_peer_up(raft, 2, 0, &effects);
+	effects_clear(&effects);
+	deliver(raft, 2, prevote, now_us, &effects);
+	g_assert_true(take_sent(&effects, RAFT_PREVOTE_REPLY, &reply));
+	raft_free(raft);
+	return reply.flags == RAFT_GRANTED;
+}
+
+/*
+ * A voter restarts, has forgotten that it just heard the leader, and helps
+ * to elect another one while the first still answers reads by its lease.
+ */
+static void restarted_voter_waits_before_it_votes(void)
+{
+	g_assert_false(granted_after_restart(RAFT_MUTANT_NONE, SECOND - 1));
+	g_assert_true(granted_after_restart(RAFT_MUTANT_NONE, SECOND));
+	g_assert_true(granted_after_restart(RAFT_MUTANT_NO_RESTART_WAIT, 1));
+}
+
+static bool reads_after(enum raft_mutant mutant, int64_t since_us)
+{
+	struct raft_message reply = { .kind = RAFT_APPEND_REPLY,
+				      .term = 3,
+				      .match = 3,
+				      .held = 3,
+				      .echo_us = 3 * SECOND };
+	struct raft_committed committed;
+	struct effects effects;
+	struct raft *raft;
+	bool reads;
+
+	effects_init(&effects);
+	raft = elected(mutant, &effects);
+	deliver(raft, 3, reply, 3 * SECOND + 1000, &effects);
+	while (raft_next_committed(raft, &committed))
+		continue;
+	reads = raft_may_read(raft, 3 * SECOND + since_us);
+	effects_clear(&effects);
+	raft_free(raft);
+	return reads;
+}
+
+/*
+ * The leader's clock runs slow and a voter's fast, both within 1 %: the
+ * leader must stop reading before that voter may elect another.
+ */
+static void read_lease_leaves_room_for_drift(void)
+{
+	g_assert_true(reads_after(RAFT_MUTANT_NONE, 980000));
+	g_assert_false(reads_after(RAFT_MUTANT_NONE, 980199));
+	g_assert_true(reads_after(RAFT_MUTANT_LEASE_WITHOUT_DRIFT, 980199));
+}
+
+/*
+ * A feeder hands on that it holds the same uncommitted entry as we do. When
+ * the leader has replaced it meanwhile, its commit index must not commit
+ * ours.
+ */
+static void feeder_confirms_only_what_is_committed(void)
+{
+	struct raft_message fed = { .kind = RAFT_APPEND,
+				    .term = 2,
+				    .index = 2,
+				    .log_term = 2,
+				    .commit = 1,
+				    .age_us = 1,
+				    .leader = 3,
+				    .flags = RAFT_FED };
+	struct raft *raft = restored(RAFT_MUTANT_NONE, true);
+	struct raft_message reply;
+	struct effects effects;
+
+	effects_init(&effects);
+	raft->self_votes = false;
+	raft->feeder = 2;
+	raft_peer_up(raft, 2, 0, &effects);
+	effects_clear(&effects);
+	deliver(raft, 2, fed, 10, &effects);
+	g_assert_true(take_sent(&effects, RAFT_APPEND_REPLY, &reply));
+	g_assert_cmpint(reply.held, ==, 1);
+	g_assert_cmpint(raft_commit_index(raft), ==, 1);
+	raft_free(raft);
+}
+
 /*
  * A VM without a disk votes, restarts, has forgotten it and votes again: two
  * leaders in one term.
@@ -281,6 +407,11 @@
 			entry_of_an_earlier_term_is_not_committed_alone);
 	g_test_add_func("/raft/failed-disk",
 			failed_disk_ends_all_acknowledgements);
+	g_test_add_func("/raft/vote-sync", vote_is_told_after_its_sync);
+	g_test_add_func("/raft/restart-wait",
+			restarted_voter_waits_before_it_votes);
+	g_test_add_func("/raft/drift", read_lease_leaves_room_for_drift);
+	g_test_add_func("/raft/feeder", feeder_confirms_only_what_is_committed);
 	g_test_add_func("/raft/diskless", member_without_a_disk_never_votes);
 	g_test_add_func("/raft/malformed", malformed_messages_change_nothing);
 	g_test_add_func("/raft/transfer",
