--- a/daemon/adapter_announce.c
+++ b/daemon/adapter_announce.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <jansson.h>
 #include <math.h>
 #include <stdlib.h>
@@ -7,6 +6,7 @@
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "daemon/adapter.h"
+#include "daemon/address.h"
 
 /* What backend servers and the platform tell of themselves. */
 
@@ -102,18 +102,9 @@
 
 static bool is_address(const char *text)
 {
-	const char *colon = strrchr(text, ':');
-	cleanup(free_ptr) char *host = NULL;
-	struct in6_addr address;
-	char *end;
-	long port;
+	struct address address;
 
-	if (!colon)
-		return false;
-	host = xmemdup(text, colon - text);
-	port = strtol(colon + 1, &end, 10);
-	return colon[1] >= '0' && colon[1] <= '9' && !*end && port > 0 &&
-	       port < 65536 && inet_pton(AF_INET, host, &address) == 1;
+	return address_parse(&address, text) && address_port(&address);
 }
 
 static enum result check_announce(const struct event_announce *announce,
