--- a/tests/core/site.c
+++ b/tests/core/site.c
@@ -1,6 +1,7 @@
 #include "site.h"
 
 #include <glib.h>
+#include <jansson.h>
 #include <string.h>
 
 #include "base/alloc.h"
@@ -151,6 +152,8 @@
 	site->n = n;
 	site->now_us = 1000000000;
 	site->next_id = 1;
+	site->reported = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, free);
 	for (a = 0; a < n; a++)
 		site_start_daemon(site, a, settings);
 	for (a = 0; a < n; a++)
@@ -170,6 +173,7 @@
 {
 	int i;
 
+	g_hash_table_destroy(site->reported);
 	for (i = 0; i < site->n; i++) {
 		core_free(site->daemons[i].core);
 		effects_clear(&site->daemons[i].kept);
@@ -340,6 +344,49 @@
 	site_give(site, daemon, event);
 }
 
+static int64_t site_billed(struct site *site, const struct bytes *body)
+{
+	json_t *root = json_loadb(body->data, body->len, 0, NULL);
+	const json_t *rows = json_object_get(root, "organisations");
+	char *figures = json_dumps(rows, JSON_SORT_KEYS);
+	gint64 *window = g_new(gint64, 1);
+	const char *known;
+	int64_t tokens = 0;
+	json_t *row;
+	size_t i;
+
+	g_assert_nonnull(rows);
+	*window = json_integer_value(json_object_get(root, "window"));
+	known = g_hash_table_lookup(site->reported, window);
+	if (known)
+		g_assert_cmpstr(known, ==, figures);
+	json_array_foreach(rows, i, row)
+		tokens +=
+			known ? 0
+			      : json_integer_value(
+					json_object_get(row, "output_tokens"));
+	g_hash_table_insert(site->reported, window, figures);
+	json_decref(root);
+	return tokens;
+}
+
+int64_t site_take_report(struct site *site, int daemon, struct effect *effect)
+{
+	struct event *answer;
+	int64_t tokens;
+
+	if (effect->kind != EFFECT_PLATFORM_CALL ||
+	    strcmp(effect->u.platform_call.verb, "report"))
+		return 0;
+	tokens = site_billed(site, &effect->u.platform_call.body);
+	answer = event_new(EVENT_PLATFORM);
+	answer->u.platform.order_id = xstrdup(effect->u.platform_call.order_id);
+	list_remove(&effect->node);
+	effect_free(effect);
+	site_give(site, daemon, answer);
+	return tokens;
+}
+
 int site_count_attempts(struct site *site, uint64_t id)
 {
 	struct effect *effect;
--- a/tests/core/site.h
+++ b/tests/core/site.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTHALL_TESTS_CORE_SITE_H
 #define FILBERTHALL_TESTS_CORE_SITE_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -34,6 +35,7 @@
 	bool cut[SITE_MAX][SITE_MAX]; /* no message from one to the other */
 	bool linked[SITE_MAX][SITE_MAX];
 	uint64_t next_id;
+	GHashTable *reported; /* window to its figures */
 };
 
 /** Start `n` daemons in zones of their own; the first one founds the site. */
@@ -75,6 +77,13 @@
 void site_end_attempt(struct site *site, int daemon, uint64_t id,
 		      int64_t attempt, enum result code, const char *answer);
 
+/**
+ * If the effect is a usage report, answer it as a platform would and drop it;
+ * returns the output tokens that it bills, else 0. The same window again must
+ * have the same figures, and bills nothing more.
+ */
+int64_t site_take_report(struct site *site, int daemon, struct effect *effect);
+
 /** How many attempts of that request any daemon started. */
 int site_count_attempts(struct site *site, uint64_t id);
 
