--- a/libfilberthall/agree/member.h
+++ b/libfilberthall/agree/member.h
@@ -50,6 +50,7 @@
 	int64_t heard_us; /**< leader's clock, last sign of life */
 	int64_t applied;  /**< last index that it has applied */
 	bool caught_up;	  /**< holds all that is committed */
+	bool present;	  /**< heard within a few heartbeats */
 	bool failed;	  /**< its disk has failed */
 };
 
--- a/libfilberthall/agree/raft_member.c
+++ b/libfilberthall/agree/raft_member.c
@@ -4,6 +4,7 @@
 #include "base/alloc.h"
 
 #define RAFT_REPAIR_US 500000
+#define RAFT_PRESENT_HEARTBEATS 3
 #define RAFT_CAUGHT_UP_ENTRIES 64
 #define RAFT_FORGET_US 60000000
 
@@ -227,6 +228,20 @@
 	return true;
 }
 
+/** Heard so lately that it can hardly have died since. */
+static bool raft_is_present(const struct raft *raft, uint64_t id,
+			    int64_t now_us)
+{
+	const struct raft_peer *peer = raft_peer_find(raft, id);
+	int64_t beat_us = raft->options.heartbeat_us;
+
+	if (!peer)
+		return false;
+	if (!peer->votes)
+		beat_us = raft->options.learner_heartbeat_us;
+	return now_us - peer->heard_us <= RAFT_PRESENT_HEARTBEATS * beat_us;
+}
+
 static void raft_repair(struct raft *raft, int64_t now_us,
 			struct effects *effects)
 {
@@ -236,14 +251,21 @@
 	size_t n = 0;
 	size_t i;
 
-	for (i = 0; i < raft->members.count; i++)
-		if (raft_health(raft, raft->members.items[i].id, &health[n]))
-			n++;
+	for (i = 0; i < raft->members.count; i++) {
+		uint64_t id = raft->members.items[i].id;
+
+		if (!raft_health(raft, id, &health[n]))
+			continue;
+		health[n++].present = raft_is_present(raft, id, now_us);
+	}
 	change = member_repair(&raft->options.policy, &raft->members, health, n,
 			       raft->options.self.id, now_us);
 	free(health);
-	if (change.kind != MEMBER_NO_CHANGE)
-		raft_apply_change(raft, &change, now_us, effects);
+	if (change.kind == MEMBER_NO_CHANGE)
+		return;
+	/* the next step follows as soon as this one is committed */
+	raft->repair_at_us = now_us;
+	raft_apply_change(raft, &change, now_us, effects);
 }
 
 /** All VMs that asked to join meanwhile come in by one entry. */
@@ -278,6 +300,10 @@
 		raft_admit(raft, now_us, effects);
 		return;
 	}
+	/* not while the quorum itself is in doubt */
+	if (now_us - raft_quorum_us(raft, now_us) >
+	    RAFT_PRESENT_HEARTBEATS * raft->options.heartbeat_us)
+		return;
 	raft->repair_at_us = now_us + RAFT_REPAIR_US;
 	raft_repair(raft, now_us, effects);
 }
--- a/libfilberthall/agree/repair.c
+++ b/libfilberthall/agree/repair.c
@@ -79,6 +79,26 @@
 	return living;
 }
 
+/** Voters that were heard just now; any of the others may have died since. */
+static int repair_present_voters(const struct repair_view *view)
+{
+	int present = 0;
+	size_t i;
+
+	for (i = 0; i < view->members->count; i++) {
+		const struct member *member = &view->members->items[i];
+		const struct member_health *health =
+			repair_health(view, member->id);
+
+		if (member->role != MEMBER_VOTER)
+			continue;
+		present += member->id == view->self ||
+			   (health && health->present &&
+			    !repair_dead(view, member));
+	}
+	return present;
+}
+
 /** Living voters in a zone. */
 static int repair_zone_voters(const struct repair_view *view, const char *zone)
 {
@@ -106,7 +126,8 @@
 	const struct member_health *health = repair_health(view, member->id);
 
 	return member->role == MEMBER_LEARNER && member->disk && health &&
-	       health->caught_up && !repair_dead(view, member);
+	       health->caught_up && health->present &&
+	       !repair_dead(view, member);
 }
 
 /** The candidate whose zone has the fewest living voters, or NULL. */
@@ -185,8 +206,11 @@
 }
 
 /**
- * The replacement comes in first and the dead voter goes out next: if the
- * dead one comes back in between, the group is the stronger for it.
+ * The dead voter goes out first and its replacement comes in next. The other
+ * way round the group needs three of four for a moment, one of them the
+ * replacement: if that has just died too, nothing can be committed any more,
+ * also no repair. Without a replacement a dead voter goes only if a smaller
+ * group bears more.
  */
 static struct member_change repair_voters(const struct repair_view *view)
 {
@@ -196,17 +220,12 @@
 	int living = repair_living_voters(view);
 	int candidates;
 	const struct member *candidate = repair_candidate(view, &candidates);
+	bool smaller_is_better = voters > view->policy->voters ||
+				 voters % 2 == 0 || voters - living >= 2;
 
-	if (dead && voters > view->policy->voters)
+	if (dead && (candidate || smaller_is_better) &&
+	    repair_present_voters(view) >= members_quorum(voters - 1))
 		return repair_step(MEMBER_REMOVE, dead, "dead voter");
-	if (dead && candidate && living + 1 >= members_quorum(voters + 1))
-		return repair_step(MEMBER_PROMOTE, candidate,
-				   "in place of a dead voter");
-	if (dead && (voters % 2 == 0 || voters - living >= 2) &&
-	    living >= members_quorum(voters - 1))
-		/* nobody to take over: a smaller group bears more */
-		return repair_step(MEMBER_REMOVE, dead,
-				   "dead voter without a replacement");
 	if (!dead && candidate && voters < view->policy->voters &&
 	    (voters % 2 == 0 || candidates >= 2))
 		return repair_step(MEMBER_PROMOTE, candidate,
--- /dev/null
+++ b/tests/agree/t-raft-tree.c
@@ -0,0 +1,292 @@
+#include <glib.h>
+#include <string.h>
+
+#include "agree/raft.h"
+#include "base/alloc.h"
+
+#define MEMBERS 60
+#define VOTERS 3
+#define ZONES 3
+#define SECOND 1000000
+
+struct letter {
+	struct list node;
+	int from;
+	int to;
+	int64_t ticket;
+	struct bytes body;
+};
+
+struct tree {
+	struct raft *rafts[MEMBERS];
+	bool dead[MEMBERS];
+	int64_t sent[MEMBERS]; /* messages so far */
+	int64_t now_us;
+	struct list letters;
+};
+
+static int slot_of(uint64_t id)
+{
+	return (int)(id >> 48) - 1;
+}
+
+static uint64_t id_of(int at)
+{
+	return ((uint64_t)at + 1) << 48;
+}
+
+static void tree_carry_out(struct tree *tree, int at, struct effects *effects);
+
+static void tree_link(struct tree *tree, int a, int b)
+{
+	struct effects effects;
+
+	if (tree->dead[a] || tree->dead[b])
+		return;
+	effects_init(&effects);
+	raft_peer_up(tree->rafts[a], id_of(b), tree->now_us, &effects);
+	tree_carry_out(tree, a, &effects);
+	raft_peer_up(tree->rafts[b], id_of(a), tree->now_us, &effects);
+	tree_carry_out(tree, b, &effects);
+}
+
+static void tree_carry_out(struct tree *tree, int at, struct effects *effects)
+{
+	struct effect *effect;
+
+	while ((effect = effects_take(effects))) {
+		struct letter *letter = xcalloc(1, sizeof(*letter));
+
+		letter->from = at;
+		letter->to = at;
+		if (effect->kind == EFFECT_SEND) {
+			letter->to = slot_of(effect->u.send.peer);
+			letter->body = bytes_copy(&effect->u.send.body);
+			tree->sent[at]++;
+		} else if (effect->kind == EFFECT_LOG_SYNC) {
+			letter->ticket = effect->u.log_sync.ticket;
+		} else {
+			free(letter);
+			letter = NULL;
+		}
+		if (letter)
+			list_append(&tree->letters, &letter->node);
+		if (effect->kind == EFFECT_LINK_OPEN)
+			tree_link(tree, at, slot_of(effect->u.link_open.peer));
+		effect_free(effect);
+	}
+}
+
+static void tree_deliver(struct tree *tree, struct letter *letter)
+{
+	struct raft *raft = tree->rafts[letter->to];
+	struct effects effects;
+
+	if (tree->dead[letter->to] || tree->dead[letter->from])
+		return;
+	effects_init(&effects);
+	if (letter->to == letter->from)
+		raft_synced(raft, letter->ticket, tree->now_us, &effects);
+	else
+		raft_message(raft, id_of(letter->from), letter->body.data,
+			     letter->body.len, tree->now_us, &effects);
+	tree_carry_out(tree, letter->to, &effects);
+}
+
+/* One round of letters a millisecond, a tick every 50. */
+static void tree_run(struct tree *tree, int64_t for_us)
+{
+	int64_t until_us = tree->now_us + for_us;
+	struct raft_committed committed;
+
+	for (; tree->now_us < until_us; tree->now_us += 1000) {
+		struct list round;
+		struct letter *letter;
+		int i;
+
+		list_init(&round);
+		while ((letter = list_first(&tree->letters, struct letter,
+					    node))) {
+			list_remove(&letter->node);
+			list_append(&round, &letter->node);
+		}
+		while ((letter = list_first(&round, struct letter, node))) {
+			list_remove(&letter->node);
+			tree_deliver(tree, letter);
+			bytes_clear(&letter->body);
+			free(letter);
+		}
+		for (i = 0; i < MEMBERS; i++) {
+			struct effects effects;
+
+			if (tree->dead[i])
+				continue;
+			effects_init(&effects);
+			if (tree->now_us % 50000 == i * 1000 % 50000)
+				raft_tick(tree->rafts[i], tree->now_us,
+					  &effects);
+			tree_carry_out(tree, i, &effects);
+			while (raft_next_committed(tree->rafts[i], &committed))
+				continue;
+		}
+	}
+}
+
+static void tree_start(struct tree *tree)
+{
+	struct effects effects;
+	int i;
+
+	memset(tree, 0, sizeof(*tree));
+	list_init(&tree->letters);
+	for (i = 0; i < MEMBERS; i++) {
+		struct raft_options options = raft_default_options();
+
+		options.seed = (uint64_t)i;
+		options.self.id = id_of(i);
+		options.self.disk = i < VOTERS;
+		g_snprintf(options.self.vm, MEMBER_TEXT_SIZE, "vm-%d", i);
+		g_snprintf(options.self.zone, MEMBER_TEXT_SIZE, "zone-%d",
+			   i % ZONES);
+		tree->rafts[i] = raft_new(&options, 0);
+	}
+	effects_init(&effects);
+	raft_bootstrap(tree->rafts[0], 0, &effects);
+	tree_carry_out(tree, 0, &effects);
+	for (i = 1; i < MEMBERS; i++)
+		tree_link(tree, i, 0);
+	tree_run(tree, 20 * (int64_t)SECOND);
+}
+
+static void tree_clear(struct tree *tree)
+{
+	struct letter *letter;
+	int i;
+
+	while ((letter = list_first(&tree->letters, struct letter, node))) {
+		list_remove(&letter->node);
+		bytes_clear(&letter->body);
+		free(letter);
+	}
+	for (i = 0; i < MEMBERS; i++)
+		raft_free(tree->rafts[i]);
+}
+
+static int tree_leader(const struct tree *tree)
+{
+	int i;
+
+	for (i = 0; i < VOTERS; i++)
+		if (!tree->dead[i] && raft_is_leader(tree->rafts[i]))
+			return i;
+	return -1;
+}
+
+/* Propose, and return how many living members lack it after a while. */
+static int tree_propose(struct tree *tree, int64_t within_us)
+{
+	int leader = tree_leader(tree);
+	struct effects effects;
+	int64_t index;
+	int64_t term;
+	int lacking = 0;
+	int i;
+
+	g_assert_cmpint(leader, >=, 0);
+	effects_init(&effects);
+	g_assert_cmpint(raft_propose(tree->rafts[leader], "x", 1, tree->now_us,
+				     &effects, &index, &term),
+			==, RESULT_OK);
+	tree_carry_out(tree, leader, &effects);
+	tree_run(tree, within_us);
+	for (i = 0; i < MEMBERS; i++)
+		lacking += !tree->dead[i] &&
+			   raft_applied_index(tree->rafts[i]) < index;
+	return lacking;
+}
+
+static void tree_kill(struct tree *tree, int at)
+{
+	int i;
+
+	tree->dead[at] = true;
+	for (i = 0; i < MEMBERS; i++) {
+		struct effects effects;
+
+		if (tree->dead[i])
+			continue;
+		effects_init(&effects);
+		raft_peer_down(tree->rafts[i], id_of(at), tree->now_us,
+			       &effects);
+		tree_carry_out(tree, i, &effects);
+	}
+}
+
+/*
+ * A key is withdrawn while 60 daemons follow: it must stop working on all of
+ * them within seconds, though the leader doesn't feed them all itself.
+ */
+static void change_reaches_all_within_seconds(void)
+{
+	struct tree tree;
+	size_t members;
+	int64_t before;
+	int i;
+
+	tree_start(&tree);
+	g_assert_cmpint(tree_propose(&tree, 2 * SECOND), ==, 0);
+	for (i = 0; i < MEMBERS; i++)
+		g_assert_cmpint(raft_fresh_us(tree.rafts[i], tree.now_us), >,
+				tree.now_us - 3 * SECOND);
+	g_assert_cmpuint(raft_applied_on(tree.rafts[tree_leader(&tree)],
+					 raft_commit_index(tree.rafts[0]),
+					 &members),
+			 ==, MEMBERS);
+	g_assert_cmpuint(members, ==, MEMBERS);
+	before = tree.sent[tree_leader(&tree)];
+	tree_run(&tree, 10 * (int64_t)SECOND);
+	/* 20 a second to each voter, 2 a second to at most 11 learners */
+	g_assert_cmpint(tree.sent[tree_leader(&tree)] - before, <,
+			10 * (2 * 20 + 11 * 2 + 10));
+	tree_clear(&tree);
+}
+
+/*
+ * VMs that pass changes on die: those behind them would keep a withdrawn key
+ * alive. They find another feeder within seconds.
+ */
+static void those_behind_a_dead_feeder_find_another(void)
+{
+	struct tree tree;
+	int i;
+
+	tree_start(&tree);
+	for (i = VOTERS; i < VOTERS + 2 * ZONES; i++)
+		tree_kill(&tree, i);
+	tree_kill(&tree, tree_leader(&tree) == 1 ? 2 : 1);
+	tree_run(&tree, 10 * (int64_t)SECOND);
+	g_assert_cmpint(tree_propose(&tree, 3 * SECOND), ==, 0);
+	tree_clear(&tree);
+}
+
+/* The leader dies: all follow the next one without being told. */
+static void all_follow_the_next_leader(void)
+{
+	struct tree tree;
+
+	tree_start(&tree);
+	tree_kill(&tree, tree_leader(&tree));
+	tree_run(&tree, 10 * (int64_t)SECOND);
+	g_assert_cmpint(tree_propose(&tree, 3 * SECOND), ==, 0);
+	tree_clear(&tree);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/raft-tree/change", change_reaches_all_within_seconds);
+	g_test_add_func("/raft-tree/dead-feeder",
+			those_behind_a_dead_feeder_find_another);
+	g_test_add_func("/raft-tree/leader", all_follow_the_next_leader);
+	return g_test_run();
+}
