--- a/libfilberthall/fleet/health.h
+++ b/libfilberthall/fleet/health.h
@@ -35,7 +35,7 @@
 #define HEALTH_HOLD_MOST_US INT64_C(30000000)
 
 /** A busy server that gives nobody a token for so long is silent. */
-#define HEALTH_SILENT_US INT64_C(1000000)
+#define HEALTH_SILENT_US INT64_C(3000000)
 
 /** Time in which a returning server's share of room doubles. */
 #define HEALTH_RETURN_STEP_US INT64_C(1000000)
--- a/libfilberthall/load/preempt.h
+++ b/libfilberthall/load/preempt.h
@@ -36,7 +36,7 @@
  * bound a pool at its limit spends its time on work that is preempted again
  * and again: a tenth of all tokens in the trial. A burst of the top tier
  * needs the savings: with half of them 1.4% of its captions missed their
- * target, with these 0.6%. They are in seconds, since a small site's would
+ * target, with these 0.8%. They are in seconds, since a small site's would
  * else be a greater part of what it serves.
  */
 #define PREEMPT_LOSS_SHARE 0.005
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -10,7 +10,7 @@
 
 /* An attempt without a first token for so many times the mean is hedged. */
 #define TIME_HEDGE_RATIO 4.0
-#define TIME_HEDGE_LEAST_US 1000000.0
+#define TIME_HEDGE_LEAST_US 3000000.0
 
 /* An overdue attempt is looked at again after so long. */
 #define TIME_HEDGE_AGAIN_US INT64_C(500000)
--- a/libfilberthall/load/share.h
+++ b/libfilberthall/load/share.h
@@ -32,10 +32,10 @@
  * hands in between.
  *
  * Grounds for the figures: a quarter of a second is half the first-token
- * target of the quickest class; rounds of half a second cost 1% of goodput at
- * full load and 6% of the lowest tier's attainment, rounds of a fifth gain
- * nothing more (docs/MEASUREMENTS.md). Five rounds may be lost before a
- * fallback. A round costs a daemon some 60 bytes a pool each way.
+ * target of the quickest class. Rounds of half a second cost 2.5% of goodput
+ * at twice the load (overload-2x: 19545 against 20038 tokens/s, seeds 1 and
+ * 2); rounds of a fifth gained nothing more. Five rounds may be lost before a
+ * fallback.
  */
 #define SHARE_ROUND_US INT64_C(250000)
 #define SHARE_SILENT_US INT64_C(1500000)
