--- a/libfilberthall/agree/claim.c
+++ b/libfilberthall/agree/claim.c
@@ -4,10 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "agree/codec.h"
+#include "agree/claim_state.h"
 #include "base/alloc.h"
-#include "base/list.h"
-#include "base/map.h"
 
 /*
  * Members whose gone incarnations are remembered. Only an entry that was
@@ -16,32 +14,6 @@
  */
 #define CLAIM_MEMBERS 1024
 
-struct claim_entry {
-	struct map_node node;
-	struct list age;  /**< in claims.by_age, oldest change first */
-	struct list kept; /**< in claims.kept, oldest answer first */
-	struct claim claim;
-	char *body_hash;
-	char *content_type;
-	char *body;
-};
-
-/* Incarnations of a member up to `gone` are gone. */
-struct claim_member {
-	struct map_node node;
-	uint64_t member;
-	uint64_t gone;
-};
-
-struct claims {
-	struct map by_id;
-	struct list by_age;
-	struct list kept;
-	struct map members;
-	size_t answer_bytes;
-	struct claim_limits limits;
-};
-
 struct claim_limits claims_default_limits(void)
 {
 	struct claim_limits limits = {
@@ -135,8 +107,8 @@
 		       id);
 }
 
-static struct claim_entry *claims_find_entry(const struct claims *claims,
-					     const char *id)
+struct claim_entry *claims_find_entry(const struct claims *claims,
+				      const char *id)
 {
 	struct map_node *node =
 		map_find(&claims->by_id, map_hash_text(id), claims_match, id);
@@ -190,8 +162,8 @@
 	return RESULT_OK;
 }
 
-static void claim_touch(struct claims *claims, struct claim_entry *entry,
-			enum claim_state state, int64_t time_us)
+void claim_touch(struct claims *claims, struct claim_entry *entry,
+		 enum claim_state state, int64_t time_us)
 {
 	entry->claim.state = state;
 	entry->claim.changed_us = time_us;
@@ -199,9 +171,9 @@
 	list_append(&claims->by_age, &entry->age);
 }
 
-static struct claim_entry *claim_add(struct claims *claims, const char *id,
-				     const char *body_hash,
-				     const struct claim_owner *owner)
+struct claim_entry *claim_add(struct claims *claims, const char *id,
+			      const char *body_hash,
+			      const struct claim_owner *owner)
 {
 	struct claim_entry *entry = xcalloc(1, sizeof(*entry));
 
@@ -216,8 +188,8 @@
 	return entry;
 }
 
-static void claim_set_head(struct claim_entry *entry, int64_t http_status,
-			   const char *content_type)
+void claim_set_head(struct claim_entry *entry, int64_t http_status,
+		    const char *content_type)
 {
 	free(entry->content_type);
 	entry->content_type = xstrdup(content_type ? content_type : "");
@@ -225,8 +197,8 @@
 	entry->claim.http_status = http_status;
 }
 
-static void claim_keep_body(struct claims *claims, struct claim_entry *entry,
-			    const char *body, size_t len)
+void claim_keep_body(struct claims *claims, struct claim_entry *entry,
+		     const char *body, size_t len)
 {
 	entry->body = xmemdup(body ? body : "", len);
 	entry->claim.body = entry->body;
@@ -372,8 +344,8 @@
 	return node ? container_of(node, struct claim_member, node) : NULL;
 }
 
-static void claims_remember_gone(struct claims *claims,
-				 const struct claim_owner *owner)
+void claims_remember_gone(struct claims *claims,
+			  const struct claim_owner *owner)
 {
 	struct claim_member *member = claims_find_member(claims, owner->member);
 
@@ -435,86 +407,3 @@
 			claim_touch(claims, entry, CLAIM_UNKNOWN, time_us);
 	}
 }
-
-static json_t *claim_save(const struct claim *claim)
-{
-	json_t *body =
-		claim->kept ? json_stringn_nocheck(claim->body, claim->body_len)
-			    : json_null();
-
-	return json_pack("[s s o o i I I s o]", claim->id, claim->body_hash,
-			 codec_uint(claim->owner.member),
-			 codec_uint(claim->owner.incarnation),
-			 (int)claim->state, (json_int_t)claim->changed_us,
-			 (json_int_t)claim->http_status, claim->content_type,
-			 body);
-}
-
-json_t *claims_save(const struct claims *claims)
-{
-	const struct claim_entry *entry;
-	const struct claim_member *member;
-	json_t *saved = json_array();
-	json_t *members = json_array();
-
-	list_foreach(entry, &claims->by_age, age)
-		json_array_append_new(saved, claim_save(&entry->claim));
-	list_foreach(member, &claims->members.order, node.order)
-		json_array_append_new(members,
-				      json_pack("[o o]",
-						codec_uint(member->member),
-						codec_uint(member->gone)));
-	return json_pack("{so so}", "claims", saved, "members", members);
-}
-
-static bool claim_load(struct claims *claims, json_t *saved)
-{
-	struct claim_op op = { 0 };
-	struct claim_owner owner;
-	struct claim_entry *entry;
-	const char *id;
-	json_int_t member;
-	json_int_t incarnation;
-	json_int_t changed_us;
-	json_int_t status;
-	json_t *body;
-	int state;
-
-	if (json_unpack(saved, "[s s I I i I I s o]", &id, &op.body_hash,
-			&member, &incarnation, &state, &changed_us, &status,
-			&op.content_type, &body) < 0 ||
-	    strlen(id) != CLAIM_ID_SIZE - 1 || state < CLAIM_OPEN ||
-	    state > CLAIM_UNKNOWN || claims_find_entry(claims, id))
-		return false;
-	owner.member = (uint64_t)member;
-	owner.incarnation = (uint64_t)incarnation;
-	entry = claim_add(claims, id, op.body_hash, &owner);
-	claim_set_head(entry, status, op.content_type);
-	if (state == CLAIM_DONE && json_is_string(body))
-		claim_keep_body(claims, entry, json_string_value(body),
-				json_string_length(body));
-	claim_touch(claims, entry, (enum claim_state)state, changed_us);
-	return true;
-}
-
-enum result claims_load(struct claims *claims, const json_t *saved)
-{
-	json_t *item;
-	size_t i;
-
-	json_array_foreach(json_object_get(saved, "claims"), i, item)
-		if (!claim_load(claims, item))
-			return RESULT_MESSAGE_MALFORMED;
-	json_array_foreach(json_object_get(saved, "members"), i, item) {
-		struct claim_owner owner = { 0 };
-		json_int_t member;
-		json_int_t gone;
-
-		if (json_unpack(item, "[I I]", &member, &gone) < 0)
-			return RESULT_MESSAGE_MALFORMED;
-		owner.member = (uint64_t)member;
-		owner.incarnation = (uint64_t)gone;
-		claims_remember_gone(claims, &owner);
-	}
-	return RESULT_OK;
-}
--- a/libfilberthall/agree/claim.h
+++ b/libfilberthall/agree/claim.h
@@ -156,7 +156,18 @@
 size_t claims_count(const struct claims *claims);
 size_t claims_answer_bytes(const struct claims *claims);
 
+/**
+ * For a snapshot: all but the claims themselves as JSON, and the claims as
+ * msgpack arrays of at most CLAIMS_CHUNK, so that neither side ever holds
+ * 100,000 of them as a tree of JSON, which would take hundreds of megabytes.
+ */
+#define CLAIMS_CHUNK 512
+
 json_t *claims_save(const struct claims *claims);
+void claims_save_chunks(const struct claims *claims, struct bytes *out);
+
+/** Load what claims_save() gave, then each chunk. */
 enum result claims_load(struct claims *claims, const json_t *saved);
+enum result claims_load_chunk(struct claims *claims, const json_t *chunk);
 
 #endif
--- /dev/null
+++ b/libfilberthall/agree/claim_state.h
@@ -0,0 +1,62 @@
+#ifndef FILBERTHALL_AGREE_CLAIM_STATE_H
+#define FILBERTHALL_AGREE_CLAIM_STATE_H
+
+#include "agree/claim.h"
+#include "base/list.h"
+#include "base/map.h"
+
+/**
+ * Inside of the claims, shared by claim.c and claim_save.c; no one else
+ * includes it.
+ */
+struct claim_entry {
+	struct map_node node;
+	struct list age;  /**< in claims.by_age, oldest change first */
+	struct list kept; /**< in claims.kept, oldest answer first */
+	struct claim claim;
+	char *body_hash;
+	char *content_type;
+	char *body;
+};
+
+/* Incarnations of a member up to `gone` are gone. */
+struct claim_member {
+	struct map_node node;
+	uint64_t member;
+	uint64_t gone;
+};
+
+struct claims {
+	struct map by_id;
+	struct list by_age;
+	struct list kept;
+	struct map members;
+	size_t answer_bytes;
+	struct claim_limits limits;
+};
+
+struct claim_entry *claims_find_entry(const struct claims *claims,
+				      const char *id);
+
+/** A new claim; claim_touch() gives it state and age. */
+struct claim_entry *claim_add(struct claims *claims, const char *id,
+			      const char *body_hash,
+			      const struct claim_owner *owner);
+
+/** Set the state, and the age anew. */
+void claim_touch(struct claims *claims, struct claim_entry *entry,
+		 enum claim_state state, int64_t time_us);
+
+/** Status and content type of the answer. */
+void claim_set_head(struct claim_entry *entry, int64_t http_status,
+		    const char *content_type);
+
+/** Keep the answer's body, whatever its size. */
+void claim_keep_body(struct claims *claims, struct claim_entry *entry,
+		     const char *body, size_t len);
+
+/** Note that an incarnation and those before it are gone. */
+void claims_remember_gone(struct claims *claims,
+			  const struct claim_owner *owner);
+
+#endif
--- a/libfilberthall/agree/codec.c
+++ b/libfilberthall/agree/codec.c
@@ -136,9 +136,10 @@
  * The library allocates an array as soon as it has read its length, so a
  * damaged or hostile message of five bytes could ask for gigabytes. Walk the
  * lengths first: each item needs at least one byte, so no count may exceed
- * the bytes that are left.
+ * the bytes that are left. Returns the size of the first item, 0 if it isn't
+ * whole.
  */
-static bool codec_lengths_hold(const unsigned char *data, size_t len)
+static size_t codec_item_size(const unsigned char *data, size_t len)
 {
 	size_t items = 1;
 	size_t at = 0;
@@ -148,25 +149,25 @@
 		size_t count;
 
 		if (items > len - at)
-			return false;
+			return 0;
 		if (!codec_small_item(data[at], &item) &&
 		    !codec_large_item(data[at], &item))
-			return false;
+			return 0;
 		at++;
 		items--;
 		if (item.size_bytes > len - at)
-			return false;
+			return 0;
 		count = item.fixed;
 		for (; item.size_bytes; item.size_bytes--)
 			count = count << 8 | data[at++];
 		if (count > len - at)
-			return false;
+			return 0;
 		if (item.parts)
 			items += count * (size_t)item.parts;
 		else
 			at += count;
 	}
-	return at == len;
+	return at;
 }
 
 static json_t *codec_value(const msgpack_object *object);
@@ -253,23 +254,36 @@
 	}
 }
 
-json_t *codec_decode(const void *data, size_t len)
+json_t *codec_decode_next(const void *data, size_t len, size_t *at)
 {
+	const char *item = (const char *)data + *at;
+	size_t size = codec_item_size((const unsigned char *)item, len - *at);
 	msgpack_unpacked unpacked;
 	json_t *value = NULL;
-	size_t at = 0;
+	size_t used = 0;
 
-	if (!len || !codec_lengths_hold(data, len))
+	if (!size)
 		return NULL;
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, len, &at) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    at == len)
+	if (msgpack_unpack_next(&unpacked, item, size, &used) ==
+	    MSGPACK_UNPACK_SUCCESS)
 		value = codec_value(&unpacked.data);
 	msgpack_unpacked_destroy(&unpacked);
+	*at += size;
 	return value;
 }
 
+json_t *codec_decode(const void *data, size_t len)
+{
+	size_t at = 0;
+	json_t *value = codec_decode_next(data, len, &at);
+
+	if (at == len)
+		return value;
+	json_decref(value);
+	return NULL;
+}
+
 json_t *codec_uint(uint64_t value)
 {
 	return json_integer((json_int_t)value);
--- a/libfilberthall/agree/codec.h
+++ b/libfilberthall/agree/codec.h
@@ -25,6 +25,12 @@
  */
 json_t *codec_decode(const void *data, size_t len);
 
+/**
+ * The same for one of several values that stand one behind the other: reads
+ * the one at `*at`, which is moved behind it.
+ */
+json_t *codec_decode_next(const void *data, size_t len, size_t *at);
+
 /** Member ids and fencing numbers, unsigned, as JSON's signed numbers. */
 json_t *codec_uint(uint64_t value);
 uint64_t codec_uint_value(const json_t *value);
--- /dev/null
+++ b/libfilberthall/agree/key_field.h
@@ -0,0 +1,24 @@
+#ifndef FILBERTHALL_AGREE_KEY_FIELD_H
+#define FILBERTHALL_AGREE_KEY_FIELD_H
+
+#include <jansson.h>
+
+#include "base/error.h"
+#include "base/result.h"
+
+/** Checks of a key's fields in JSON, as keys_grant() takes them. */
+
+#define KEY_HASH_LEN 64
+
+/**
+ * Each field must be known and of its type. Returns RESULT_OK, or
+ * RESULT_BAD_REQUEST with a message that names the field.
+ */
+enum result key_check_fields(const json_t *args,
+			     const struct error_handler *handler);
+
+/** The same for "id" and "hash", which a new key must have. */
+enum result key_check_identity(const json_t *args,
+			       const struct error_handler *handler);
+
+#endif
--- a/libfilberthall/agree/snapshot.c
+++ b/libfilberthall/agree/snapshot.c
@@ -20,6 +20,7 @@
 
 	codec_encode(saved, out);
 	json_decref(saved);
+	claims_save_chunks(agreed->claims, out);
 }
 
 static bool snapshot_load(struct agreed *agreed, json_t *saved)
@@ -50,6 +51,26 @@
 	       resends_load(agreed->resends, resends) == RESULT_OK;
 }
 
+/* The claims behind the rest: as many as it says, and nothing after them. */
+static bool snapshot_load_claims(struct agreed *agreed, const json_t *saved,
+				 const void *snapshot, size_t len, size_t at)
+{
+	int64_t wanted =
+		codec_int(json_object_get(saved, "claims"), "claims", -1);
+
+	while (at < len) {
+		json_t *chunk = codec_decode_next(snapshot, len, &at);
+		enum result code = RESULT_MESSAGE_MALFORMED;
+
+		if (json_is_array(chunk))
+			code = claims_load_chunk(agreed->claims, chunk);
+		json_decref(chunk);
+		if (code != RESULT_OK)
+			return false;
+	}
+	return (int64_t)claims_count(agreed->claims) == wanted;
+}
+
 /*
  * Loaded beside the present state and exchanged only when whole, so that a
  * damaged snapshot leaves a daemon with what it had.
@@ -58,9 +79,11 @@
 			   size_t len)
 {
 	struct agreed *loaded = agreed_new();
-	json_t *saved = codec_decode(snapshot, len);
 	struct agreed swap;
-	bool whole = saved && snapshot_load(loaded, saved);
+	size_t at = 0;
+	json_t *saved = codec_decode_next(snapshot, len, &at);
+	bool whole = saved && snapshot_load(loaded, saved) &&
+		     snapshot_load_claims(loaded, saved, snapshot, len, at);
 
 	json_decref(saved);
 	if (whole) {
