tests: leaps of clocks, results kept, and what mutants got past

With each guard taken out in turn, four changes went unseen: following a clock's step at once, closing windows by the clock that is furthest ahead, ordering before the platform's list was read back after charge was taken anew, and stopping a server by a report from before the other daemons had stopped sending. Each is seen now.

--- a/tests/agreed/t-apply.c
+++ b/tests/agreed/t-apply.c
@@ -4,6 +4,7 @@
 #include "agree/admin.h"
 #include "agree/codec.h"
 #include "agree/order_book.h"
+#include "agree/resend.h"
 #include "base/rng.h"
 #include "site.h"
 #include "usage/window.h"
@@ -99,6 +100,38 @@
 	site_stop(&site);
 }
 
+/* Results of commands are bounded in count and in time. */
+static void kept_results_are_bounded(void)
+{
+	struct resends *resends = resends_new();
+	json_t *args = json_object();
+	json_t *answer = json_object();
+	char id[16];
+	bool same;
+	int i;
+
+	for (i = 0; i < RESENDS_KEPT + 100; i++) {
+		g_snprintf(id, sizeof(id), "c%d", i);
+		resends_keep(resends, "root", id, "settings-set", args, answer,
+			     i);
+	}
+	g_assert_cmpuint(resends_count(resends), ==, RESENDS_KEPT);
+	g_assert_null(resends_find(resends, "root", "c99", "settings-set", args,
+				   &same));
+	g_assert_nonnull(resends_find(resends, "root", "c100", "settings-set",
+				      args, &same));
+	g_assert_null(resends_find(resends, "ann", "c100", "settings-set", args,
+				   &same));
+	resends_expire(resends, RESENDS_KEEP_US + 199);
+	g_assert_null(resends_find(resends, "root", "c199", "settings-set",
+				   args, &same));
+	g_assert_nonnull(resends_find(resends, "root", "c200", "settings-set",
+				      args, &same));
+	json_decref(args);
+	json_decref(answer);
+	resends_free(resends);
+}
+
 static void snapshot_of(const struct site *site, struct bytes *out)
 {
 	bytes_clear(out);
@@ -229,6 +262,7 @@
 			successor_finds_the_order_that_was_placed);
 	g_test_add_func("/apply/window", first_figures_of_a_window_stand);
 	g_test_add_func("/apply/seed", seed_is_taken_once);
+	g_test_add_func("/apply/resends", kept_results_are_bounded);
 	g_test_add_func("/apply/damaged",
 			damaged_entries_and_snapshots_are_told);
 	g_test_add_func("/apply/lengths", lengths_beyond_the_end_are_refused);
--- a/tests/agreed/t-usage.c
+++ b/tests/agreed/t-usage.c
@@ -571,6 +571,80 @@
 	usage_free(holder);
 }
 
+/*
+ * A VM's wall clock leaps an hour ahead for half a minute, as after a resume
+ * from a wrong host. It must count nothing into the windows of that hour; a
+ * step that lasts is followed, but never back.
+ */
+static void leap_of_a_clock_moves_no_window_at_once(void)
+{
+	struct usage *usage = usage_new(1, 1);
+	int64_t leap = 360 * WINDOW_US;
+	int64_t now;
+
+	usage_tick(usage, WINDOW_US, FIRST_US, 0);
+	for (now = 1; now <= 30; now++)
+		usage_tick(usage, WINDOW_US,
+			   FIRST_US + leap + now * SITE_SECOND_US,
+			   now * SITE_SECOND_US);
+	g_assert_cmpint(usage_window(usage), ==, FIRST_US / WINDOW_US + 3);
+	usage_tick(usage, WINDOW_US, FIRST_US + 31 * SITE_SECOND_US,
+		   31 * SITE_SECOND_US);
+	for (now = 32; now <= 100; now++)
+		usage_tick(usage, WINDOW_US,
+			   FIRST_US + leap + now * SITE_SECOND_US,
+			   now * SITE_SECOND_US);
+	g_assert_cmpint(usage_window(usage), ==,
+			(FIRST_US + leap) / WINDOW_US + 10);
+	usage_tick(usage, WINDOW_US, FIRST_US, 101 * SITE_SECOND_US);
+	g_assert_cmpint(usage_window(usage), ==,
+			(FIRST_US + leap) / WINDOW_US + 10);
+	usage_free(usage);
+}
+
+/*
+ * The one in charge has a clock that is a day ahead for good. Were it to
+ * close what its clock calls over, no figures could be committed any more for
+ * the windows that the other two are still in.
+ */
+static void holder_a_day_ahead_closes_nothing_early(void)
+{
+	struct usage *holder = usage_new(1, 1);
+	struct windows *windows = windows_new();
+	struct report *report = report_new();
+	uint64_t members[] = { 1, 2, 3 };
+	struct report_situation situation = { .usage = holder,
+					      .windows = windows,
+					      .members = members,
+					      .n_members = 3,
+					      .window_us = WINDOW_US,
+					      .grace_us = GRACE_US };
+	struct usage_counters one = { .requests = 1 };
+	struct bytes body = { 0 };
+	struct bytes reply = { 0 };
+	uint64_t other;
+
+	usage_tick(holder, WINDOW_US, FIRST_US + 8640 * WINDOW_US, 0);
+	for (other = 2; other <= 3; other++) {
+		struct usage *usage = usage_new(other, 1);
+
+		usage_tick(usage, WINDOW_US, FIRST_US, 0);
+		usage_peers(usage, 1, 0);
+		usage_count(usage, "yard", "caption", &one);
+		usage_next_message(usage, 1, 0, 1024, &body);
+		usage_receive(holder, other, &body, 0, &reply);
+		bytes_clear(&body);
+		bytes_clear(&reply);
+		usage_free(usage);
+	}
+	for (; situation.now_us < 3 * GRACE_US;
+	     situation.now_us += SITE_SECOND_US)
+		g_assert_cmpint(report_due(report, &situation), ==, -1);
+	report_free(report);
+	windows_free(windows);
+	usage_free(holder);
+}
+
 /* Platform answers to one committed window, and what is sent again. */
 static void platform_answer_lost_doubled_and_refused(void)
 {
@@ -627,6 +701,9 @@
 	g_test_add_func("/usage/quiet", quiet_site_bills_all_in_time);
 	g_test_add_func("/usage/loss",
 			loss_of_a_vm_loses_at_most_the_last_second);
+	g_test_add_func("/usage/leap", leap_of_a_clock_moves_no_window_at_once);
+	g_test_add_func("/usage/ahead",
+			holder_a_day_ahead_closes_nothing_early);
 	g_test_add_func("/usage/platform",
 			platform_answer_lost_doubled_and_refused);
 	g_test_add_func("/usage/faults",
--- a/tests/fleet/t-drain.c
+++ b/tests/fleet/t-drain.c
@@ -53,7 +53,7 @@
 	servers_announce(&seen.fleet, "b:1", "z2", false, 3, 1);
 	g_assert_true(drains_begin(drains, &seen.fleet, "a:1", 1));
 	for (second = 1; second <= 70; second++) {
-		int64_t running = second < 2 ? 0 : second < 60 ? 1 : 0;
+		int64_t running = second >= 4 && second < 60;
 
 		servers_announce(&seen.fleet, "a:1", "z1", false, running,
 				 second * SECOND_US);
--- a/tests/fleet/t-order.c
+++ b/tests/fleet/t-order.c
@@ -225,6 +225,9 @@
 	g_assert_cmpint(holder_order(&holder), ==, RESULT_LEASE_LOST);
 	site.now_us--;
 	g_assert_cmpint(holder_tick(&holder, NULL, false), ==, 1);
+	orders_reset(holder.orders);
+	g_assert_false(orders_ready(holder.orders));
+	g_assert_cmpint(holder_order(&holder), ==, RESULT_LEASE_LOST);
 	orders_free(holder.orders);
 	site_stop(&site);
 }
