--- a/tests/agreed/t-usage.c
+++ b/tests/agreed/t-usage.c
@@ -571,6 +571,48 @@
 	usage_free(holder);
 }
 
+/* One message of `from`, handed to `to` (and answered) unless it is lost. */
+static bool pass_on(struct usage *from, struct usage *to, int64_t now_us,
+		    bool lost)
+{
+	struct bytes body = { 0 };
+	struct bytes reply = { 0 };
+	bool sent = usage_next_message(from, 2, now_us, 1024, &body);
+
+	if (sent && !lost) {
+		usage_receive(to, 1, &body, now_us, &reply);
+		usage_receive(from, 2, &reply, now_us, NULL);
+	}
+	bytes_clear(&body);
+	bytes_clear(&reply);
+	return sent;
+}
+
+/*
+ * A link breaks with a message on its way; the next one comes through. The
+ * receiver must not acknowledge over the gap, or the lost counts would stay
+ * unknown until the same organisation is counted again.
+ */
+static void message_lost_with_its_link_is_sent_again(void)
+{
+	struct usage *usage = usage_new(1, 1);
+	struct usage *holder = usage_new(2, 1);
+	struct usage_counters one = { .requests = 1 };
+	int64_t second;
+
+	usage_peers(usage, 2, 0);
+	usage_tick(usage, WINDOW_US, FIRST_US, 0);
+	usage_count(usage, "yard", "caption", &one);
+	g_assert_true(pass_on(usage, holder, 0, true));
+	usage_count(usage, "college", "caption", &one);
+	for (second = 1; second <= 5; second++)
+		while (pass_on(usage, holder, second * SITE_SECOND_US, false))
+			;
+	g_assert_cmpuint(usage_rows(holder), ==, 2);
+	usage_free(usage);
+	usage_free(holder);
+}
+
 /*
  * A VM's wall clock leaps an hour ahead for half a minute, as after a resume
  * from a wrong host. It must count nothing into the windows of that hour; a
@@ -701,6 +743,7 @@
 	g_test_add_func("/usage/quiet", quiet_site_bills_all_in_time);
 	g_test_add_func("/usage/loss",
 			loss_of_a_vm_loses_at_most_the_last_second);
+	g_test_add_func("/usage/gap", message_lost_with_its_link_is_sent_again);
 	g_test_add_func("/usage/leap", leap_of_a_clock_moves_no_window_at_once);
 	g_test_add_func("/usage/ahead",
 			holder_a_day_ahead_closes_nothing_early);
