--- /dev/null
+++ b/daemon/descriptors.h
@@ -0,0 +1,19 @@
+#ifndef FILBERTHALL_DAEMON_DESCRIPTORS_H
+#define FILBERTHALL_DAEMON_DESCRIPTORS_H
+
+/**
+ * Shares of the process's descriptors.
+ *
+ * When callers could take them all, none would be left to reach a backend
+ * server: each request would be taken in and refused, and nothing served. So
+ * callers get a share that leaves two more for each of their requests; those
+ * beyond it wait in the listen queue.
+ */
+
+/** Connections of callers at most, out of the `wanted` ones. */
+int descriptors_for_callers(int wanted);
+
+/** Idle connections to backend servers at most, out of the `wanted` ones. */
+int descriptors_for_idle(int wanted);
+
+#endif
--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -5,6 +5,7 @@
 
 #include "base/alloc.h"
 #include "daemon/address.h"
+#include "daemon/descriptors.h"
 #include "daemon/http_call.h"
 
 #define LISTEN_BACKLOG 1024
@@ -152,6 +153,15 @@
 	return fd;
 }
 
+static unsigned int connection_limit(const struct http_listener *listener)
+{
+	int wanted = (int)listener->in->options.connections;
+
+	if (listener->door != HTTP_CALLERS)
+		return (unsigned int)wanted;
+	return (unsigned int)descriptors_for_callers(wanted);
+}
+
 static bool open_listener(struct http_listener *listener,
 			  const struct error_handler *handler)
 {
@@ -176,7 +186,7 @@
 		flags, 0, NULL, NULL, handle, listener,
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_POOL_SIZE,
 		listener->door == HTTP_CALLERS ? CALLER_THREADS : 0U,
-		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)options->connections,
+		MHD_OPTION_CONNECTION_LIMIT, connection_limit(listener),
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)options->idle_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
 		(size_t)options->header_bytes + ANSWER_HEADER_BYTES,
--- a/daemon/pool.c
+++ b/daemon/pool.c
@@ -10,6 +10,7 @@
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "daemon/address.h"
+#include "daemon/descriptors.h"
 
 struct pool_address {
 	struct map_node node;
@@ -24,6 +25,7 @@
 	map_init(&pool->addresses);
 	pool->counters = counters;
 	pool->idle_us = POOL_IDLE_US;
+	pool->idle_total = (size_t)descriptors_for_idle(POOL_IDLE_TOTAL);
 }
 
 static bool address_match(const struct map_node *node, const void *key)
@@ -156,7 +158,7 @@
 	struct connection *oldest = NULL;
 
 	if (at->n_idle <= POOL_IDLE_BY_ADDRESS &&
-	    pool->n_idle <= POOL_IDLE_TOTAL)
+	    pool->n_idle <= pool->idle_total)
 		return NULL;
 	oldest = list_last(&at->idle, struct connection, node);
 	take_out(pool, at, oldest);
--- a/daemon/pool.h
+++ b/daemon/pool.h
@@ -42,6 +42,7 @@
 	pthread_mutex_t lock;
 	struct map addresses;
 	size_t n_idle;
+	size_t idle_total;
 	int64_t idle_us; /**< after which an idle one is closed */
 	struct edge_counters *counters;
 };
--- a/tests/path/t-pool.c
+++ b/tests/path/t-pool.c
@@ -1,5 +1,7 @@
 #include <glib.h>
+#include <sys/resource.h>
 
+#include "daemon/descriptors.h"
 #include "daemon/pool.h"
 
 static void fill(struct pool *pool, const char *address, int n)
@@ -16,6 +18,7 @@
 	int port;
 
 	pool_init(&pool, &counters);
+	pool.idle_total = POOL_IDLE_TOTAL;
 	fill(&pool, "127.0.0.1:1", 2 * POOL_IDLE_BY_ADDRESS);
 	g_assert_cmpuint(pool.n_idle, ==, POOL_IDLE_BY_ADDRESS);
 	for (port = 2; port < 20; port++) {
@@ -77,6 +80,25 @@
 	pool_clear(&pool);
 }
 
+/*
+ * A VM refuses every request while callers keep coming: their connections
+ * have taken all descriptors, and none is left to reach a backend server.
+ */
+static void callers_leave_descriptors_for_their_requests(void)
+{
+	struct rlimit limit;
+	int callers;
+
+	getrlimit(RLIMIT_NOFILE, &limit);
+	limit.rlim_cur = 1000;
+	g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+	callers = descriptors_for_callers(5000);
+	g_assert_cmpint(callers, >, 200);
+	g_assert_cmpint(3 * callers + 2 * descriptors_for_idle(5000), <, 900);
+	g_assert_cmpint(descriptors_for_callers(7), ==, 7);
+	g_assert_cmpint(descriptors_for_idle(7), ==, 7);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -84,5 +106,7 @@
 	g_test_add_func("/pool/distrust", distrust_closes_one_address_only);
 	g_test_add_func("/pool/old", old_connections_are_closed);
 	g_test_add_func("/pool/address", name_is_no_address);
+	g_test_add_func("/descriptors/shares",
+			callers_leave_descriptors_for_their_requests);
 	return g_test_run();
 }
