--- a/bench/commit-cost.c
+++ b/bench/commit-cost.c
@@ -379,6 +379,8 @@
 {
 	struct group group = { .folder = folder, .n = voters, .open = open };
 	int64_t syncs;
+	size_t median;
+	size_t high;
 	int i;
 
 	pthread_mutex_init(&group.mutex, NULL);
@@ -398,11 +400,12 @@
 	group_run(&group, RUN_US, true);
 	syncs = wal_syncs(group_leader(&group)->wal) - syncs;
 	qsort(group.samples, group.n_samples, sizeof(int64_t), compare_up);
+	median = group.n_samples / 2;
+	high = group.n_samples * 99 / 100;
 	printf("| %d | %d | %.0f | %.2f | %.2f | %.0f | %.1f |\n", voters, open,
 	       (double)group.n_samples * 1e6 / RUN_US,
-	       (double)group.samples[group.n_samples / 2] / 1e3,
-	       (double)group.samples[group.n_samples * 99 / 100] / 1e3,
-	       (double)syncs * 1e6 / RUN_US,
+	       (double)group.samples[median] / 1e3,
+	       (double)group.samples[high] / 1e3, (double)syncs * 1e6 / RUN_US,
 	       (double)group.n_samples / (double)(syncs ? syncs : 1));
 	fflush(stdout);
 	group_clear(&group);
--- a/bench/load.c
+++ b/bench/load.c
@@ -156,9 +156,12 @@
 static void load_send(struct load *load, struct tally *tally,
 		      int64_t planned_us)
 {
-	struct load_request *request = xcalloc(1, sizeof(*request));
+	struct load_request *request;
 	struct request_text text = { 0 };
 
+	if (!tally)
+		return;
+	request = xcalloc(1, sizeof(*request));
 	request->load = load;
 	request->tally = tally;
 	request->organisation = load_pick_organisation(load);
