--- a/Makefile
+++ b/Makefile
@@ -37,12 +37,12 @@
 	TEST_SET=threads sh tests/run-tests build-tsan
 
 lint:
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 	sh tests/run-tidy $(BUILD)
 	test -z "$(wildcard man/*)" || mandoc -T lint -W warning man/*
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 model:
 	sh model/run
