health: compare servers by kind in n log n

Each second every server looked through all others for its kind: with 1,000 servers half a million comparisons of names.

--- a/libfilberthall/fleet/backend_peers.c
+++ b/libfilberthall/fleet/backend_peers.c
@@ -4,6 +4,9 @@
 #include "base/alloc.h"
 #include "fleet/backend.h"
 
+/* Fewer servers than these have no median worth the name. */
+#define PEERS_LEAST 3
+
 static int compare_double(const void *a, const void *b)
 {
 	double x = *(const double *)a;
@@ -12,61 +15,54 @@
 	return (x > y) - (x < y);
 }
 
-static bool same_kind(const struct backend *a, const struct backend *b)
-{
-	return !strcmp(a->model, b->model) && !strcmp(a->service, b->service);
-}
-
-/* Median time between tokens of a server's peers, 0 if fewer than three. */
-static double peers_median(const struct fleet *fleet, const struct backend *of,
-			   double *speeds)
+static int compare_kind(const void *a, const void *b)
 {
-	struct backend *peer;
-	struct backend *next;
-	size_t n = 0;
+	const struct backend *x = *(struct backend *const *)a;
+	const struct backend *y = *(struct backend *const *)b;
+	int order = strcmp(x->service, y->service);
 
-	map_foreach(peer, next, &fleet->backends, node)
-		if (same_kind(of, peer) && peer->health.token_us > 0)
-			speeds[n++] = peer->health.token_us;
-	if (n < 3)
-		return 0;
-	qsort(speeds, n, sizeof(*speeds), compare_double);
-	return speeds[n / 2];
+	return order ? order : strcmp(x->model, y->model);
 }
 
-/* An earlier server of the same kind has been compared already. */
-static bool is_first_of_kind(const struct fleet *fleet,
-			     const struct backend *of)
+/* Compare `n` servers of one kind with the median pace among them. */
+static void compare_peers(struct backend *const *peers, size_t n,
+			  double *speeds)
 {
-	struct backend *peer;
-	struct backend *next;
+	double median = 0;
+	size_t known = 0;
+	size_t i;
 
-	map_foreach(peer, next, &fleet->backends, node) {
-		if (peer == of)
-			return true;
-		if (same_kind(of, peer))
-			return false;
+	for (i = 0; i < n; i++)
+		if (peers[i]->health.token_us > 0)
+			speeds[known++] = peers[i]->health.token_us;
+	if (known >= PEERS_LEAST) {
+		qsort(speeds, known, sizeof(*speeds), compare_double);
+		median = speeds[known / 2];
 	}
-	return true;
+	for (i = 0; i < n; i++)
+		health_compare(&peers[i]->health, median);
 }
 
 void fleet_compare(struct fleet *fleet)
 {
+	size_t count = fleet->backends.count;
+	struct backend **sorted = xcalloc(count + 1, sizeof(*sorted));
+	double *speeds = xcalloc(count + 1, sizeof(*speeds));
 	struct backend *backend;
 	struct backend *next;
-	struct backend *peer;
-	struct backend *after;
-	double *speeds;
-	double median;
+	size_t from = 0;
+	size_t n = 0;
+	size_t i;
 
-	speeds = xcalloc(fleet->backends.count + 1, sizeof(*speeds));
-	map_foreach(backend, next, &fleet->backends, node) {
-		if (!is_first_of_kind(fleet, backend))
+	map_foreach(backend, next, &fleet->backends, node)
+		sorted[n++] = backend;
+	qsort(sorted, n, sizeof(*sorted), compare_kind);
+	for (i = 1; i <= n; i++) {
+		if (i < n && !compare_kind(&sorted[from], &sorted[i]))
 			continue;
-		median = peers_median(fleet, backend, speeds);
-		map_foreach(peer, after, &fleet->backends, node)
-			if (same_kind(backend, peer))
-				health_compare(&peer->health, median);
+		compare_peers(&sorted[from], i - from, speeds);
+		from = i;
 	}
+	free(sorted);
 	free(speeds);
 }
--- a/tests/load/t-backend.c
+++ b/tests/load/t-backend.c
@@ -120,6 +120,39 @@
 	fleet_clear(&fleet);
 }
 
+/*
+ * Of three servers of one model one is four times as slow; a server of
+ * another model is slower still, and is no straggler among its own.
+ */
+static void a_straggler_is_found_among_its_peers(void)
+{
+	static const double paces[] = { 20000, 21000, 80000, 90000 };
+	struct event_announce announce = announce_of("a", 1);
+	char address[] = "10.0.0.1:1";
+	struct fleet fleet;
+	int i;
+
+	fleet_init(&fleet);
+	announce.address = address;
+	for (i = 0; i < 4; i++) {
+		struct backend *backend;
+
+		address[7] = (char)('1' + i);
+		announce.model = i == 3 ? "other" : "base";
+		fleet_announce(&fleet, &announce, 0);
+		backend = fleet_find(&fleet, address);
+		backend->health.token_us = paces[i];
+		backend->health.n_answers = 10;
+	}
+	fleet_compare(&fleet);
+	for (i = 0; i < 4; i++) {
+		address[7] = (char)('1' + i);
+		g_assert_true(fleet_find(&fleet, address)->health.straggles ==
+			      (i == 2));
+	}
+	fleet_clear(&fleet);
+}
+
 static void adapters_are_matched_by_whole_names(void)
 {
 	struct fleet fleet;
@@ -145,6 +178,8 @@
 			an_announcement_is_passed_on_whole);
 	g_test_add_func("/backend/own-work",
 			own_work_counts_on_top_of_the_report);
+	g_test_add_func("/backend/straggler",
+			a_straggler_is_found_among_its_peers);
 	g_test_add_func("/backend/adapters",
 			adapters_are_matched_by_whole_names);
 	return g_test_run();
