--- a/bench/commit-cost.c
+++ b/bench/commit-cost.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -9,16 +8,14 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/snapshot.h"
 #include "daemon/wal.h"
 
 /**
  * What a commit costs on this machine's disk: commits a second and latency
  * with 1, 3 and 5 voters in one process, each with its own log on real files,
- * against the disk's own rate of syncs in the same run; then recovery by
- * length of the log, and snapshots by size. Messages are handed over in
- * memory, so the figures are those of the core and the disk, not of a
- * network.
+ * against the disk's own rate of syncs in the same run. Messages are handed
+ * over in memory, so the figures are those of the core and the disk, not of
+ * a network.
  */
 #define MAX_VOTERS 5
 #define MAX_OPEN 1024
@@ -431,89 +428,6 @@
 	       ENTRY_BYTES);
 }
 
-static void measure_recovery(const char *folder, int64_t entries)
-{
-	struct group group = { .folder = folder, .n = 1 };
-	cleanup(free_ptr) char *path = xstrfmt("%s/voter-0", folder);
-	struct wal_options options = wal_default_options();
-	struct raft_saved saved;
-	struct voter voter = { .group = &group };
-	struct raft_options raft = raft_default_options();
-	struct raft *core;
-	int64_t start_us;
-	int64_t opened_us;
-	int64_t i;
-
-	pthread_mutex_init(&group.mutex, NULL);
-	pthread_cond_init(&group.changed, NULL);
-	list_init(&group.told);
-	options.folder = path;
-	options.synced = on_synced;
-	options.failed = on_failed;
-	options.errors = &errors;
-	options.data = &voter;
-	if (wal_open(&options, &saved, &voter.wal) != RESULT_OK)
-		exit(EXIT_FAILURE);
-	for (i = 1; i <= entries; i++) {
-		struct effect *effect;
-		struct effects effects;
-		static const char body[ENTRY_BYTES] = { RAFT_ENTRY_COMMAND };
-
-		effects_init(&effects);
-		effects_add(&effects, EFFECT_HARD_STATE)->u.hard_state.term = 1;
-		wal_put(voter.wal, effects_take(&effects));
-		effect = effects_add(&effects, EFFECT_LOG_APPEND);
-		effect->u.log_append.index = i;
-		effect->u.log_append.term = 1;
-		bytes_append(&effect->u.log_append.body, body, sizeof(body));
-		wal_put(voter.wal, effects_take(&effects));
-		if (i % 1000 == 0)
-			wal_flush(voter.wal);
-	}
-	wal_close(voter.wal);
-	start_us = now_us();
-	if (wal_open(&options, &saved, &voter.wal) != RESULT_OK)
-		exit(EXIT_FAILURE);
-	opened_us = now_us();
-	raft.self.id = wal_member_id(voter.wal);
-	raft.self.disk = true;
-	core = raft_new(&raft, now_us());
-	if (raft_restore(core, &saved) != RESULT_OK)
-		exit(EXIT_FAILURE);
-	printf("| %lld | %.1f | %.1f |\n", (long long)entries,
-	       (double)(opened_us - start_us) / 1e3,
-	       (double)(now_us() - opened_us) / 1e3);
-	raft_free(core);
-	raft_saved_clear(&saved);
-	wal_close(voter.wal);
-	remove_folder(path);
-}
-
-static void measure_snapshot(const char *folder, size_t megabytes)
-{
-	struct snapshot snapshot = { .index = 1, .term = 1 };
-	struct snapshot read;
-	size_t len = megabytes << 20;
-	cleanup(free_ptr) char *body = xcalloc(1, len);
-	cleanup(free_ptr) char *path = xstrfmt("%s/snapshot-%020d", folder, 1);
-	int64_t start_us;
-	int64_t saved_us;
-
-	bytes_append(&snapshot.body, body, len);
-	start_us = now_us();
-	if (snapshot_save(folder, &snapshot, file_ops_system(), &errors))
-		exit(EXIT_FAILURE);
-	saved_us = now_us();
-	if (snapshot_load(folder, &read, &errors))
-		exit(EXIT_FAILURE);
-	printf("| %zu | %.1f | %.1f |\n", megabytes,
-	       (double)(saved_us - start_us) / 1e3,
-	       (double)(now_us() - saved_us) / 1e3);
-	bytes_clear(&read.body);
-	bytes_clear(&snapshot.body);
-	unlink(path);
-}
-
 int main(int argc, char **argv)
 {
 	static const int voters[] = { 1, 3, 5 };
@@ -533,14 +447,6 @@
 	for (i = 0; i < 3; i++)
 		for (j = 0; j < 3; j++)
 			measure_commits(folder, voters[i], open[j]);
-	printf("\n| log entries | read ms | restore ms |\n|---|---|---|\n");
-	measure_recovery(folder, 1000);
-	measure_recovery(folder, 10000);
-	measure_recovery(folder, 100000);
-	printf("\n| snapshot MB | save ms | load ms |\n|---|---|---|\n");
-	measure_snapshot(folder, 1);
-	measure_snapshot(folder, 8);
-	measure_snapshot(folder, 32);
 	rmdir(folder);
 	free(folder);
 	return EXIT_SUCCESS;
--- a/libfilberthall/agree/raft_internal.h
+++ b/libfilberthall/agree/raft_internal.h
@@ -108,6 +108,8 @@
 	int64_t echo_us;     /**< its clock in its last append of this term */
 	int64_t their_us;    /**< its clock in its last message */
 	int64_t heard_us;
+	int64_t told_applied; /**< last reported to our feeder, and when */
+	int64_t told_us;
 	int64_t snapshot_index;	 /**< being sent, 0 for none */
 	int64_t snapshot_offset; /**< bytes acknowledged */
 };
--- a/libfilberthall/agree/raft_learner.c
+++ b/libfilberthall/agree/raft_learner.c
@@ -16,6 +16,7 @@
  */
 #define RAFT_SILENT_HEARTBEATS 3
 #define RAFT_FRESH_HEARTBEATS 12
+#define RAFT_REPORT_HEARTBEATS 5
 
 /** Older than this, a feeder doesn't count as one. */
 int64_t raft_feed_age_limit(const struct raft *raft)
@@ -310,18 +311,27 @@
 	bytes_clear(&body);
 }
 
+/**
+ * Whether our feeder should hear of a member below us: something new, or at
+ * times that it still lives. Each report of each member goes up to the
+ * leader, so with hundreds of members they are most of what it receives.
+ */
 static bool raft_reportable(const struct raft *raft,
 			    const struct raft_peer *peer, int64_t now_us)
 {
+	int64_t beat_us = raft->options.learner_heartbeat_us;
+
 	return (peer->child || peer->below) &&
-	       now_us - peer->heard_us < raft_feed_age_limit(raft);
+	       now_us - peer->heard_us < raft_feed_age_limit(raft) &&
+	       (peer->applied != peer->told_applied ||
+		now_us - peer->told_us >= RAFT_REPORT_HEARTBEATS * beat_us);
 }
 
-/** Tell our feeder about the learners below us, once a learner heartbeat. */
+/** Tell our feeder about the learners below us. */
 void raft_add_reports(struct raft *raft, struct raft_message *message,
 		      int64_t now_us)
 {
-	const struct raft_peer *peer;
+	struct raft_peer *peer;
 	size_t n = 0;
 
 	if (now_us < raft->report_at_us)
@@ -341,6 +351,8 @@
 		report->id = peer->id;
 		report->applied = peer->applied;
 		report->age_ms = (now_us - peer->heard_us) / 1000;
+		peer->told_applied = peer->applied;
+		peer->told_us = now_us;
 	}
 }
 
--- a/tests/agree/sim_internal.h
+++ b/tests/agree/sim_internal.h
@@ -84,6 +84,10 @@
 void sim_wake(struct sim *sim, int node, enum sim_phase phase, int64_t in_us);
 void sim_carry_out(struct sim *sim, int node, struct effects *effects);
 
+/* sim_disk.c */
+void sim_settle_disk(struct sim_node *node, int64_t ticket);
+void sim_lose_unsynced(struct sim *sim, struct sim_node *node);
+
 /* sim_check.c */
 void sim_check(struct sim *sim, int node);
 void sim_drain(struct sim *sim, int node);
