tests: say what failed where prove hides it

Cause: one run of tests/fakes/service.t failed in its third check while the machine was loaded (load average 23); twelve runs side by side didn't. What it had got wasn't to be seen. Change: a failed check says what it compared on standard error. Conclusion: the cause is open; the next failure will show it.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -122,9 +122,13 @@
 	else
 		FAILED=$((FAILED + 1))
 		echo "not ok $TESTS - $lib_what"
-		echo "# $*" | head -c 2000
-		echo
-		sed 's/^/# /' "$WORK/check.out" | head -n 20
+		# To standard error: prove shows that also where it hides TAP.
+		{
+			echo "# failed: $lib_what"
+			echo "# $*" | head -c 2000
+			echo
+			sed 's/^/# /' "$WORK/check.out" | head -n 20
+		} >&2
 	fi
 }
 
