agree: no ticket is looked at after it was settled

Cause: t-raft-mutants under ASan: a diskless member's ticket is settled and freed at once, and a mutant's branch then read it (only with a mutant set); UBSan: memcpy of an empty text from a null pointer. Change: number and index in locals; nothing copied where there is nothing.

--- a/libfilberthall/agree/member.c
+++ b/libfilberthall/agree/member.c
@@ -47,7 +47,9 @@
 	if (!from->count)
 		return copy;
 	copy.items = xcalloc(from->count, sizeof(*copy.items));
-	memcpy(copy.items, from->items, from->count * sizeof(*copy.items));
+	if (from->count)
+		memcpy(copy.items, from->items,
+		       from->count * sizeof(*copy.items));
 	return copy;
 }
 
@@ -151,7 +153,8 @@
 	if (object->type != MSGPACK_OBJECT_STR ||
 	    object->via.str.size >= MEMBER_TEXT_SIZE)
 		return false;
-	memcpy(text, object->via.str.ptr, object->via.str.size);
+	if (object->via.str.size)
+		memcpy(text, object->via.str.ptr, object->via.str.size);
 	text[object->via.str.size] = '\0';
 	return true;
 }
--- a/libfilberthall/agree/raft_disk.c
+++ b/libfilberthall/agree/raft_disk.c
@@ -185,34 +185,36 @@
 		raft->dirty = false;
 	while (raft->dirty) {
 		struct raft_ticket *ticket = xcalloc(1, sizeof(*ticket));
+		int64_t last_index = raft_log_last(&raft->log);
+		int64_t number = ++raft->last_ticket;
 
 		raft->dirty = false;
-		ticket->ticket = ++raft->last_ticket;
-		ticket->last_index = raft_log_last(&raft->log);
+		ticket->ticket = number;
+		ticket->last_index = last_index;
 		ticket->term = raft->term;
 		list_append(&raft->tickets, &ticket->node);
 		if (raft_writes(raft)) {
 			raft->counters.syncs++;
 			effects_add(effects, EFFECT_LOG_SYNC)
-				->u.log_sync.ticket = ticket->ticket;
+				->u.log_sync.ticket = number;
 		}
-		/* nothing to wait for without a disk; never if it failed */
+		/* nothing to wait for without a disk: settled and freed */
 		if (!raft->options.self.disk)
-			raft_settle(raft, ticket->ticket, now_us, effects);
+			raft_settle(raft, number, now_us, effects);
 		switch (raft->options.mutant) {
 		case RAFT_MUTANT_VOTE_BEFORE_SYNC:
-			raft_release_waiting(raft, ticket->ticket, effects);
+			raft_release_waiting(raft, number, effects);
 			break;
 		case RAFT_MUTANT_ACK_BEFORE_SYNC:
 			if (raft->role == RAFT_LEADER)
 				break;
-			raft->synced_index = ticket->last_index;
+			raft->synced_index = last_index;
 			raft_acknowledge(raft, now_us, effects);
 			break;
 		case RAFT_MUTANT_COUNT_OWN_BEFORE_SYNC:
 			if (raft->role != RAFT_LEADER)
 				break;
-			raft->synced_index = ticket->last_index;
+			raft->synced_index = last_index;
 			raft_advance_commit(raft, now_us, effects);
 			break;
 		default:
