--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -116,12 +116,11 @@
 
 # wait_for SECONDS COMMAND...: until the command succeeds; 1 if it never does.
 wait_for() {
-	lib_left=$(($1 * 50))
+	lib_until=$(($(date +%s) + $1))
 	shift
 	until "$@" >/dev/null 2>&1
 	do
-		lib_left=$((lib_left - 1))
-		test "$lib_left" -gt 0 || return 1
+		test "$(date +%s)" -le "$lib_until" || return 1
 		sleep 0.02
 	done
 }
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -90,7 +90,7 @@
 operate() {
 	site_at=$(address "$1" operators)
 	shift
-	"$BIN/filberthall" --server "$site_at" \
+	timeout "${OPERATE_S:-90}" "$BIN/filberthall" --server "$site_at" \
 		--key-file "$WORK/operator-key" "$@"
 }
 
