load: work leaves a lost server at once, and no token comes twice

tests/e2e/reclaim.t had passed only because a wait of 4 s counted turns of a slow command and lasted some 10 s. With the clock it showed that router_backend_lost() moved nothing: a stream still ran in the zone 14 s after a notice of 4 s. Attempts there that may run twice are now cancelled and wait again. That in turn showed that the tokens which reach the caller between the core's cancel and the edge's were not counted: 6 of 12 callers got 1 to 4 tokens twice (804 in place of 800). Preemption in mid-stream had the same fault.

--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -355,14 +355,29 @@
 			    cache->held);
 }
 
+/* What may run twice moves on; the rest may still end by itself. */
+static void pool_leave(struct pool *pool, const char *address,
+		       struct effects *effects)
+{
+	struct attempt *attempt;
+
+	list_foreach(attempt, &pool->running_list, in_pool)
+		if (attempt->request->ask.idempotent &&
+		    !strcmp(attempt->address, address))
+			attempt_cancel(attempt, RESULT_BACKEND_BROKE, effects);
+}
+
 void router_backend_lost(struct router *router, const char *address,
 			 int64_t now_us, struct effects *effects)
 {
 	struct backend *backend = fleet_find(router->options.fleet, address);
+	struct pool *pool;
+	struct pool *next;
 
-	(void)effects;
 	if (backend)
 		health_failed(&backend->health, now_us);
+	map_foreach(pool, next, &router->pools, node)
+		pool_leave(pool, address, effects);
 }
 
 void router_drain(struct router *router, int64_t now_us)
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -366,7 +366,12 @@
 	router_span(router, request, "attempt", attempt->started_us, now_us,
 		    (enum result)ended->code, attempt->address, effects);
 	copy = *attempt;
-	if (request->ask.stream && !copy.cancelled)
+	/*
+	 * Tokens go on to the caller until the edge carries the cancel out.
+	 * Were they not counted, the next attempt would give them again.
+	 */
+	if (request->ask.stream &&
+	    (!copy.cancelled || request->delivered < copy.base + ended->tokens))
 		request->delivered = copy.base + ended->tokens;
 	attempt_remove(router, attempt, now_us);
 	if (request->state == REQUEST_ENDED) {
