--- a/libfilberthall/agree/member.c
+++ b/libfilberthall/agree/member.c
@@ -47,9 +47,7 @@
 	if (!from->count)
 		return copy;
 	copy.items = xcalloc(from->count, sizeof(*copy.items));
-	if (from->count)
-		memcpy(copy.items, from->items,
-		       from->count * sizeof(*copy.items));
+	memcpy(copy.items, from->items, from->count * sizeof(*copy.items));
 	return copy;
 }
 
