--- a/tests/e2e/billing.t
+++ b/tests/e2e/billing.t
@@ -49,18 +49,6 @@
 all_billed() {
 	test "$(billed)" = "$(served)"
 }
-in_charge() {
-	for daemon
-	do
-		if operate $daemon --json status | grep -q '"in_charge":true'
-		then
-			echo $daemon
-			return
-		fi
-	done
-	return 1
-}
-
 check "one is in charge" wait_for 20 in_charge d1 d2 d3
 FIRST=$(in_charge d1 d2 d3)
 OTHERS=$(echo d1 d2 d3 | sed "s/$FIRST//")
--- a/tests/e2e/fleet.t
+++ b/tests/e2e/fleet.t
@@ -82,17 +82,6 @@
 check "then the server was stopped" wait_for 40 gone
 
 # The VM in charge dies.
-in_charge() {
-	for daemon
-	do
-		if operate $daemon --json status | grep -q '"in_charge":true'
-		then
-			echo $daemon
-			return
-		fi
-	done
-	return 1
-}
 check "the floor is back" wait_for 40 has_servers d1 4
 FIRST=$(in_charge d1 d2 d3)
 OTHERS=$(echo d1 d2 d3 | sed "s/$FIRST//")
--- a/tests/e2e/reclaim.t
+++ b/tests/e2e/reclaim.t
@@ -19,7 +19,6 @@
 wait_for 20 voters d1 1
 start_daemon d2 z2
 check "two daemons" wait_for 30 test -s "$WORK/d2.yaml"
-start oracle fake-engine --model calf-7b --decode 400000
 start steady fake-engine --model calf-7b --zone z1 --decode 2000 \
 	$(backends d1 d2)
 wait_for 20 grant d1 agent derwent-yards --class summary \
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -31,7 +31,7 @@
 	do
 		kill -KILL "$(cat "$WORK/$lib_name.pid")" 2>/dev/null || :
 	done
-	rm -rf "$WORK"
+	test -n "$KEEP" || rm -rf "$WORK"
 }
 trap lib_end EXIT
 trap 'exit 1' INT TERM
--- a/tests/site.sh
+++ b/tests/site.sh
@@ -178,3 +178,17 @@
 		echo "--daemon $(address "$site_daemon" backends)"
 	done
 }
+
+# in_charge DAEMON...: the one of them that is in charge; fails if none is.
+in_charge() {
+	for site_daemon
+	do
+		if operate "$site_daemon" --json status |
+			grep -q '"in_charge":true'
+		then
+			echo "$site_daemon"
+			return
+		fi
+	done
+	return 1
+}
