fleet, core, cli: steady floors, and no waiting for a leader that is gone

Cause: found by tests through real processes: a pool without demand was bought as cheap servers wherever cheap_share was left at its default, and requests that may not be reclaimed were refused for as long as that lasted; an operators' call that had gone to a leader that stopped hung for 70 s. Change: cheap servers at most for what reclaimable demand needs; a forwarded call ends as NOT_LEADER once another daemon leads, and the command line waits 15 s for an answer unless asked to wait for more. Figures: before, the idle pool's one server is cheap (the new test fails without the bound); the stopped leader's call ends with the election. Conclusion: both have a test.

--- a/cli/call.c
+++ b/cli/call.c
@@ -16,7 +16,10 @@
 #include "cli/cli.h"
 
 #define CLI_CONNECT_S 3
-#define CLI_READ_S 90
+
+/* A daemon answers within ten seconds but where it is asked to wait. */
+#define CLI_READ_S 15
+#define CLI_WAIT_S 90
 #define CLI_FILE_MOST (16 * 1024 * 1024)
 
 int cli_exit_status(int64_t code)
@@ -151,7 +154,8 @@
 	session = ne_session_create("http", host,
 				    (unsigned int)strtoul(colon + 1, NULL, 10));
 	ne_set_connect_timeout(session, CLI_CONNECT_S);
-	ne_set_read_timeout(session, CLI_READ_S);
+	ne_set_read_timeout(session,
+			    strstr(path, "-wait") ? CLI_WAIT_S : CLI_READ_S);
 	request = ne_request_create(session, "POST", path);
 	/* neon may send again by itself; the change id makes that harmless. */
 	ne_add_request_header(request, "Content-Type", "application/json");
--- a/libfilberthall/core/core_state.h
+++ b/libfilberthall/core/core_state.h
@@ -84,6 +84,7 @@
 	uint64_t id;	    /**< of the listener, or a forwarded ticket */
 	uint64_t peer;	    /**< whom to answer, 0 for this listener */
 	uint64_t ticket;    /**< of a call sent to the leader, else 0 */
+	uint64_t leader;    /**< whom it was sent to */
 	int64_t wait_index; /**< settings-wait: to be applied on all */
 	int64_t started_us;
 	int64_t give_up_us;
--- a/libfilberthall/core/in_force.c
+++ b/libfilberthall/core/in_force.c
@@ -52,6 +52,18 @@
 	size_t members = 0;
 	size_t applied;
 
+	/*
+	 * The leader that a call was sent to died or was stopped with it: its
+	 * answer won't come, and the operator would wait a minute for nothing.
+	 */
+	if (waiting->ticket && raft_leader(core->raft) != waiting->leader) {
+		operator_answer(core, waiting->peer, waiting->id,
+				RESULT_NOT_LEADER,
+				json_pack("{s:s}", "message",
+					  "the leader changed meanwhile; send "
+					  "the call again"));
+		return true;
+	}
 	if (!waiting->wait_index)
 		return false;
 	if (!raft_is_leader(core->raft)) {
--- a/libfilberthall/core/operator.c
+++ b/libfilberthall/core/operator.c
@@ -317,6 +317,7 @@
 	waiting = operator_wait(core, call,
 				OPERATOR_WAIT_MOST_US + OPERATOR_GIVE_UP_US);
 	waiting->ticket = ++core->next_ticket;
+	waiting->leader = leader;
 	forward_admin(core, leader, waiting->ticket, call->key->id,
 		      call->command, call->body);
 }
--- a/libfilberthall/fleet/target_plan.c
+++ b/libfilberthall/fleet/target_plan.c
@@ -187,6 +187,7 @@
 	int64_t total = target_total(target, entry);
 	int64_t firm = target_servers(target, entry, entry->firm,
 				      target->policy.spare);
+	int64_t carried;
 	int64_t cheap;
 	int64_t steady;
 
@@ -198,6 +199,15 @@
 	if (firm > total)
 		firm = total;
 	cheap = (int64_t)((double)(total - firm) * entry->pool.cheap_share);
+	/*
+	 * Servers beyond the demand (the pool's least number, hysteresis) must
+	 * be able to take anything: a floor of cheap ones alone would refuse
+	 * every request that may not be reclaimed.
+	 */
+	carried = target_servers(target, entry, entry->all - entry->firm,
+				 target->policy.spare);
+	if (cheap > carried)
+		cheap = carried;
 	if (steady + cheap > total)
 		cheap = total > steady ? total - steady : 0;
 	cheap -= target_spread(target, entry, TARGET_CHEAP, cheap, now_us);
--- a/tests/core/t-site.c
+++ b/tests/core/t-site.c
@@ -315,6 +315,28 @@
 	site_free(&site);
 }
 
+/*
+ * An operator's call goes to the leader, which is stopped at that moment. The
+ * operator must be told to send it again as soon as another one leads, not
+ * after a minute.
+ */
+static void a_call_to_a_stopped_leader_ends(void)
+{
+	struct site site;
+	int leader;
+	int other;
+
+	test_start(&site, 3);
+	leader = site_leader(&site);
+	other = (leader + 1) % 3;
+	site.daemons[leader].stopped = true;
+	g_assert_cmpint(site_admin(&site, other, "member-list", "{}"), ==,
+			RESULT_NOT_LEADER);
+	g_assert_cmpint(site_admin(&site, other, "member-list", "{}"), ==,
+			RESULT_OK);
+	site_free(&site);
+}
+
 #define BILLED                                                            \
 	"{\"site/usage\":{\"window_s\":2,\"grace_s\":1},"                 \
 	"\"team/calves/class/check\":{\"tier\":1,\"deadline_ms\":60000}," \
@@ -393,6 +415,8 @@
 			a_change_sent_again_is_made_once);
 	g_test_add_func("/site/leader-dies", the_leader_dies_and_work_goes_on);
 	g_test_add_func("/site/planned-stop", a_planned_stop_cuts_no_stream);
+	g_test_add_func("/site/stopped-leader",
+			a_call_to_a_stopped_leader_ends);
 	g_test_add_func("/site/usage", usage_outlives_the_vm_in_charge);
 	return g_test_run();
 }
--- a/tests/fleet/t-target.c
+++ b/tests/fleet/t-target.c
@@ -125,6 +125,22 @@
 	site_stop(&site);
 }
 
+/*
+ * A site comes up: nobody asks for anything yet, and the pool's least number
+ * of servers is bought. Cheap ones would refuse the first request that may not
+ * be reclaimed, for as long as a server takes to start.
+ */
+static void an_idle_pool_has_steady_servers(void)
+{
+	struct site site;
+
+	site_start(&site, 1);
+	run(&site, 200, 0, 0, 0);
+	g_assert_cmpint(count(&site, NULL, false), ==, 1);
+	g_assert_cmpint(count(&site, NULL, true), ==, 0);
+	site_stop(&site);
+}
+
 /*
  * Demand wavers by a third each minute. Without hysteresis servers would be
  * stopped and started with it, and each start is paid for.
@@ -215,6 +231,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/target/zone", tier_0_fits_without_any_zone);
+	g_test_add_func("/target/idle", an_idle_pool_has_steady_servers);
 	g_test_add_func("/target/waver", wavering_demand_makes_no_flapping);
 	g_test_add_func("/target/unavailable",
 			unavailable_cheap_servers_are_replaced);
