load: a pooled connection that says nothing is given up in seconds

Cause: with a single engine the first request over an idle connection that the middle had lost track of waited its whole deadline: the first-byte bound was the time left, and hedging needs a second server. Ruled out: TCP keepalive alone (an end in the middle may answer it). Change: a stream over a pooled connection gets eight mean first tokens, five seconds at the least; the next attempt goes over a new connection. Conclusion: bounded also where there is nothing to hedge with.

--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -10,12 +10,38 @@
 /* A stream that says nothing for so long is dead. */
 #define ATTEMPT_IDLE_MS 15000
 
+/* When a pooled connection is taken for lost, see attempt_first_byte_ms(). */
+#define ATTEMPT_SILENT_MS 5000
+#define ATTEMPT_SILENT_FACTOR 8
+
 /* Least time for the first byte, however near the deadline is. */
 #define ATTEMPT_FIRST_BYTE_MS 1000
 
 /* Bytes of an answer kept for a claimed request. */
 #define ATTEMPT_KEEP_LIMIT (INT64_C(1) << 20)
 
+/*
+ * A pooled connection may have been lost track of in the middle while new
+ * ones to the same server work. A stream that says nothing there for far
+ * longer than first tokens take is given up and tried over a new connection;
+ * without this bound the request would wait its whole deadline where there
+ * is no second server to hedge with. Eight times the mean, and five seconds
+ * at the least: a slow prefill must not be taken for a lost connection.
+ */
+static int64_t attempt_first_byte_ms(const struct request *request, bool proven,
+				     int64_t left_ms)
+{
+	double mean_us = request->queue->pool->first_token_us;
+	int64_t bound_ms = (int64_t)(ATTEMPT_SILENT_FACTOR * mean_us / 1000);
+
+	if (bound_ms < ATTEMPT_SILENT_MS)
+		bound_ms = ATTEMPT_SILENT_MS;
+	if (!proven && request->ask.stream && left_ms > bound_ms)
+		left_ms = bound_ms;
+	return left_ms > ATTEMPT_FIRST_BYTE_MS ? left_ms
+					       : ATTEMPT_FIRST_BYTE_MS;
+}
+
 static void attempt_effect(const struct attempt *attempt,
 			   struct effects *effects, int64_t now_us)
 {
@@ -30,9 +56,6 @@
 	start->trace = xstrdup(request->ask.trace);
 	start->priority = request->class->rule.tier;
 	start->connect_ms = ATTEMPT_CONNECT_MS;
-	start->first_byte_ms = left_ms > ATTEMPT_FIRST_BYTE_MS
-				       ? left_ms
-				       : ATTEMPT_FIRST_BYTE_MS;
 	start->idle_ms = ATTEMPT_IDLE_MS;
 	start->resume_tokens = attempt->base;
 	/*
@@ -42,6 +65,8 @@
 	 * connection often silenced those to other servers as well.
 	 */
 	start->proven = !request->ask.idempotent || attempt->number > 1;
+	start->first_byte_ms =
+		attempt_first_byte_ms(request, start->proven, left_ms);
 	start->keep_answer = request->ask.keep_answer;
 	start->keep_limit = ATTEMPT_KEEP_LIMIT;
 }
