core: usage shows settled windows, metrics show spend and goodput

Cause: rows of a settled window are dropped, so `filberthall usage` showed only what wasn't reported yet; spend, goodput and unreported windows were missing from the metrics. Change: the billed figures of the last eight windows; four metrics.

--- a/libfilberthall/core/metrics.c
+++ b/libfilberthall/core/metrics.c
@@ -151,6 +151,7 @@
 	organisation->offered++;
 	if (outcome->attained) {
 		class->attained++;
+		class->goodput_tokens += outcome->output_tokens;
 		organisation->attained++;
 	}
 	metrics_count_end(class, outcome);
@@ -220,6 +221,8 @@
 	{ "cut_total", offsetof(struct metrics_class, cut) },
 	{ "output_tokens_total",
 	  offsetof(struct metrics_class, output_tokens) },
+	{ "goodput_tokens_total",
+	  offsetof(struct metrics_class, goodput_tokens) },
 	{ "wasted_tokens_total",
 	  offsetof(struct metrics_class, wasted_tokens) },
 };
--- a/libfilberthall/core/metrics.h
+++ b/libfilberthall/core/metrics.h
@@ -31,6 +31,7 @@
 	int64_t expired;
 	int64_t cut;
 	int64_t output_tokens;
+	int64_t goodput_tokens; /**< of requests that attained all targets */
 	int64_t wasted_tokens;
 	int64_t first_token[METRICS_FIRST_TOKEN_BUCKETS + 1];
 	int64_t first_token_sum_us;
--- a/libfilberthall/core/status.c
+++ b/libfilberthall/core/status.c
@@ -9,6 +9,9 @@
 #include "base/alloc.h"
 #include "core/core_state.h"
 
+/* Committed usage windows that `usage` shows. */
+#define STATUS_WINDOWS 8
+
 static double status_seconds(int64_t us)
 {
 	return (double)us / 1e6;
@@ -187,13 +190,17 @@
 	int64_t i;
 
 	usage_visit_classes(core->usage, window, status_add_usage, rows);
-	for (i = last; i >= 0 && i > last - 8 && windows_rows(windows, i); i--)
+	for (i = last; i >= 0 && i > last - STATUS_WINDOWS; i--) {
+		enum window_state state = windows_state(windows, i);
+
+		if (state == WINDOW_OPEN)
+			break;
 		json_array_append_new(committed,
-				      json_pack("{s:I, s:i, s:O}", "window",
-						(json_int_t)i, "state",
-						windows_state(windows, i),
+				      json_pack("{s:I, s:i, s:o}", "window",
+						(json_int_t)i, "state", state,
 						"rows",
-						windows_rows(windows, i)));
+						windows_figures(windows, i)));
+	}
 	return json_pack("{s:I, s:o, s:o}", "window", (json_int_t)window,
 			 "rows", rows, "committed", committed);
 }
@@ -245,6 +252,28 @@
 			    status_seconds(view->oldest_us));
 }
 
+static void status_write_spend(struct core *core, struct bytes *out)
+{
+	const struct windows *windows = agreed_windows(core->agreed);
+	json_t *spend = charge_describe_spend(core);
+	int64_t unsettled = windows_unsettled(windows);
+	json_t *team;
+	size_t i;
+
+	bytes_append_format(
+		out,
+		"filberthall_spend_per_hour %g\n"
+		"filberthall_usage_windows_unreported %" PRId64 "\n",
+		json_number_value(json_object_get(spend, "per_hour")),
+		unsettled < 0 ? 0 : windows_last(windows) - unsettled + 1);
+	json_array_foreach(json_object_get(spend, "teams"), i, team)
+		bytes_append_format(
+			out, "filberthall_spend_total{team=\"%s\"} %g\n",
+			json_string_value(json_object_get(team, "team")),
+			json_number_value(json_object_get(team, "cost")));
+	json_decref(spend);
+}
+
 static void status_write_metrics(struct core *core, struct bytes *out)
 {
 	const struct raft_counters *raft = raft_counters(core->raft);
@@ -252,6 +281,7 @@
 		core->now_us - raft_fresh_us(core->raft, core->now_us);
 
 	metrics_write(core->metrics, out);
+	status_write_spend(core, out);
 	router_visit_classes(core->router, core->now_us, status_write_queue,
 			     out);
 	bytes_append_format(
