daemon, core: a planned stop waits for long streams, a second signal cuts

Cause: read-through: the grace of a planned stop was 60 s, while classes may give an answer 15 minutes; a critique would have been cut by an upgrade. The choice of a request's class was hard to follow. Change: limits.stop_grace_s, 900 s unless set; a second signal ends at once; caller's class, route's class, key's class in that order and one pass. Conclusion: a story on one core for both signals; boot settings' messages as before but for the new key.

--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -72,6 +72,8 @@
 	  100000, 2000 },
 	{ "limits", "idle_s", BOOT_NUMBER, BOOT_AT(idle_s), false, 1, 3600,
 	  30 },
+	{ "limits", "stop_grace_s", BOOT_NUMBER, BOOT_AT(stop_grace_s), false,
+	  1, 86400, 900 },
 	{ "log", "level", BOOT_LEVEL, BOOT_AT(log_level), false, 0, 0,
 	  LOG_INFO },
 	{ "log", "file", BOOT_PATH, BOOT_AT(log_file), false, 0, 0, 0 },
--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -42,6 +42,7 @@
 	int64_t body_bytes;
 	int64_t connections;
 	int64_t idle_s;
+	int64_t stop_grace_s; /**< for streams to end at a planned stop */
 };
 
 /**
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -23,9 +23,6 @@
 #include "daemon/trace.h"
 #include "daemon/wal.h"
 
-/* Streams that take longer than this at a planned stop are cut. */
-#define DAEMON_GRACE_MS 60000
-
 /* Everything a daemon is made of, in the order in which it is started. */
 struct daemon {
 	const struct boot *boot;
@@ -273,7 +270,7 @@
 	while (!sigwait(&set, &signal) && signal != SIGUSR1) {
 		struct event *event = event_new(EVENT_STOP);
 
-		event->u.stop.grace_ms = DAEMON_GRACE_MS;
+		event->u.stop.grace_ms = daemon->boot->stop_grace_s * 1000;
 		daemon_post(daemon, event);
 	}
 	return NULL;
--- a/libfilberthall/core/core.c
+++ b/libfilberthall/core/core.c
@@ -190,8 +190,11 @@
 
 static void core_stop(struct core *core, const struct event_stop *stop)
 {
-	if (core->stop_by_us)
+	if (core->stop_by_us) {
+		/* Asked a second time: whoever asks won't wait any longer. */
+		core->stop_by_us = core->now_us;
 		return;
+	}
 	core->stop_by_us = core->now_us + stop->grace_ms * 1000;
 	core_log(core, LOG_INFO, "core",
 		 "stopping: no new requests, %lld running",
--- a/libfilberthall/core/request.c
+++ b/libfilberthall/core/request.c
@@ -127,15 +127,6 @@
 		plan->repeat_key = asked->idempotency_key;
 }
 
-static void request_plan_class(const struct event_request *asked,
-			       struct request_plan *plan)
-{
-	if (asked->class_name)
-		plan->class_name = asked->class_name;
-	else if (plan->key->default_class[0])
-		plan->class_name = plan->key->default_class;
-}
-
 static void request_plan_permit(struct core *core,
 				const struct event_request *asked,
 				struct request_plan *plan)
@@ -169,13 +160,13 @@
 		request_plan_refuse(&plan, RESULT_KEY_UNKNOWN, NULL);
 		return plan;
 	}
-	if (asked->kind == REQUEST_SERVICE && !asked->class_name)
-		request_plan_service(core, asked, &plan);
-	if (!plan.class_name)
-		request_plan_class(asked, &plan);
-	if (asked->kind == REQUEST_SERVICE && asked->class_name)
+	/* The caller's word first, then the route's, then the key's. */
+	plan.class_name = asked->class_name;
+	if (asked->kind == REQUEST_SERVICE)
 		request_plan_service(core, asked, &plan);
-	else if (asked->kind != REQUEST_SERVICE)
+	if (!plan.class_name && plan.key->default_class[0])
+		plan.class_name = plan.key->default_class;
+	if (asked->kind != REQUEST_SERVICE)
 		request_plan_completion(core, asked, &plan);
 	if (!plan.code)
 		request_plan_permit(core, asked, &plan);
--- a/tests/core/t-site.c
+++ b/tests/core/t-site.c
@@ -315,6 +315,32 @@
 	site_free(&site);
 }
 
+/*
+ * A VM is asked to stop while a long critique streams, and asked again by an
+ * operator who can't wait. The first time the stream goes on; the second time
+ * the process ends.
+ */
+static void a_second_request_to_stop_is_final(void)
+{
+	struct site site;
+	struct event *stop;
+	uint64_t id;
+	int times;
+
+	test_start(&site, 1);
+	id = site_chat(&site, 0, NULL);
+	site_await(&site, 0, EFFECT_START_ATTEMPT, id);
+	for (times = 0; times < 2; times++) {
+		g_assert_null(site_find(&site, 0, EFFECT_EXIT, 0));
+		stop = event_new(EVENT_STOP);
+		stop->u.stop.grace_ms = 900000;
+		site_give(&site, 0, stop);
+		site_run(&site, 5000);
+	}
+	g_assert_nonnull(site_find(&site, 0, EFFECT_EXIT, 0));
+	site_free(&site);
+}
+
 /*
  * An operator's call goes to the leader, which is stopped at that moment. The
  * operator must be told to send it again as soon as another one leads, not
@@ -415,6 +441,7 @@
 			a_change_sent_again_is_made_once);
 	g_test_add_func("/site/leader-dies", the_leader_dies_and_work_goes_on);
 	g_test_add_func("/site/planned-stop", a_planned_stop_cuts_no_stream);
+	g_test_add_func("/site/second-stop", a_second_request_to_stop_is_final);
 	g_test_add_func("/site/stopped-leader",
 			a_call_to_a_stopped_leader_ends);
 	g_test_add_func("/site/usage", usage_outlives_the_vm_in_charge);
