--- a/bench/fleet-bench.c
+++ b/bench/fleet-bench.c
@@ -21,12 +21,9 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "base/rng.h"
+#include "bench/fleet_world.h"
 #include "fleet/target.h"
 
-#define STEP_S 10
-#define DAYS 3
-#define STEPS (DAYS * 86400 / STEP_S)
 #define START_S 90
 #define DRAIN_S 60
 #define SLOTS 16
@@ -34,19 +31,11 @@
 #define STEADY_PRICE 3.0
 #define CHEAP_PRICE 1.0
 #define SERVERS 400
-#define ZONES 4
 #define STEP_US (STEP_S * INT64_C(1000000))
 
 static const char *const zone_names[ZONES] = { "z1", "z2", "z3", "z4" };
 static const double tier_parts[RULE_TIERS] = { 0.3, 0.2, 0.3, 0.2 };
 
-struct site {
-	const char *name;
-	int zones;
-	double peak; /* slots */
-	double (*curve)(double hour);
-};
-
 struct server {
 	bool used;
 	bool cheap;
@@ -56,14 +45,6 @@
 	char address[32];
 };
 
-/* The outside world of a run; the same for all policies. */
-struct world {
-	double demand[STEPS];
-	bool cheap_open[STEPS][ZONES];
-	bool reclaimed[STEPS][ZONES];
-	bool lost[STEPS][ZONES];
-};
-
 struct run {
 	const struct site *site;
 	const struct world *world;
@@ -81,73 +62,6 @@
 	struct order_book *book;
 };
 
-static double bump(double hour, double at, double width)
-{
-	double distance = fabs(hour - at);
-
-	if (distance > 12)
-		distance = 24 - distance;
-	return exp(-distance * distance / (2 * width * width));
-}
-
-/* Calves are lodged at dawn, and again when the sales close. */
-static double curve_cooperative(double hour)
-{
-	return 0.12 + 0.88 * bump(hour, 6, 1.2) + 0.4 * bump(hour, 17, 1.5);
-}
-
-/* Students upload from noon until late. */
-static double curve_archive(double hour)
-{
-	return 0.15 + 0.6 * bump(hour, 15, 2.5) + 0.85 * bump(hour, 21, 2);
-}
-
-static void world_fill_demand(struct world *world, const struct site *site,
-			      struct rng *rng)
-{
-	double noise = 0;
-	int burst = 0;
-	int step;
-
-	for (step = 0; step < STEPS; step++) {
-		double hour = fmod(step * STEP_S / 3600.0, 24);
-
-		noise = 0.95 * noise + 0.05 * (rng_unit(rng) - 0.5);
-		if (!rng_below(rng, 2 * 3600 / STEP_S))
-			burst = 300 / STEP_S;
-		world->demand[step] = site->peak * site->curve(hour) *
-				      (1 + 4 * noise) * (burst > 0 ? 1.3 : 1);
-		burst--;
-	}
-}
-
-static void world_fill_faults(struct world *world, const struct site *site,
-			      struct rng *rng)
-{
-	int step;
-	int zone;
-	int day;
-
-	for (zone = 0; zone < site->zones; zone++) {
-		bool open = true;
-
-		for (step = 0; step < STEPS; step++) {
-			if (!rng_below(rng, (open ? 10800 : 2400) / STEP_S))
-				open = !open;
-			world->cheap_open[step][zone] = open;
-			world->reclaimed[step][zone] =
-				!rng_below(rng, 8 * 3600 / STEP_S);
-		}
-	}
-	for (day = 0; day < DAYS; day++) {
-		int at = day * 86400 / STEP_S + (int)rng_below(rng, 8000);
-
-		zone = (int)rng_below(rng, (uint64_t)site->zones);
-		for (step = at; step < at + 1800 / STEP_S; step++)
-			world->lost[step][zone] = true;
-	}
-}
-
 static bool server_is_up(const struct server *server)
 {
 	return server->used && !server->stopped_step;
@@ -490,11 +404,9 @@
 {
 	struct world *world = xcalloc(1, sizeof(*world));
 	struct run *runs = xcalloc(3, sizeof(*runs));
-	struct rng rng = { seed };
 	double base;
 
-	world_fill_demand(world, site, &rng);
-	world_fill_faults(world, site, &rng);
+	world_fill(world, site, seed);
 	run_start(&runs[0], site, world, 0);
 	run_days(&runs[0], plan_target);
 	run_start(&runs[1], site, world, 0);
@@ -511,8 +423,8 @@
 int main(int argc, char **argv)
 {
 	static const struct site sites[] = {
-		{ "Co-operative", 4, 130, curve_cooperative },
-		{ "Archive", 3, 130, curve_archive },
+		{ "Co-operative", 4, 130, world_curve_cooperative },
+		{ "Archive", 3, 130, world_curve_archive },
 	};
 	uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	size_t i;
--- /dev/null
+++ b/tests/load/bed.h
@@ -0,0 +1,32 @@
+#ifndef FILBERTHALL_TESTS_LOAD_BED_H
+#define FILBERTHALL_TESTS_LOAD_BED_H
+
+#include "base/alloc.h"
+#include "fleet/backend.h"
+#include "load/router.h"
+
+/** One router with its fleet, for tests that play the edges. */
+#define SECOND INT64_C(1000000)
+
+struct bed {
+	struct fleet fleet;
+	struct router *router;
+	struct effects effects;
+	int64_t now_us;
+	uint64_t last_id;
+	int finished;
+	struct router_outcome last;
+};
+
+void bed_class(struct bed *bed, const char *name, int tier);
+void bed_engine(struct bed *bed, char *address, int64_t slots,
+		int64_t sequence);
+void bed_open_as(struct bed *bed, uint64_t self);
+void bed_open(struct bed *bed);
+void bed_close(struct bed *bed);
+uint64_t bed_submit(struct bed *bed, const char *class_name, bool idempotent);
+struct effect *bed_effect(struct bed *bed, enum effect_kind kind);
+void bed_end(struct bed *bed, uint64_t id, int64_t attempt, enum result code,
+	     bool sent);
+
+#endif
