daemon: an order never leaves after its lease, however long the VM slept

Cause: read-through: the edge counted an order's time from when it got it. A VM stopped between the core's decision and that moment would have sent the order with a full time-out after it went on, beside its successor's. Change: orders and reports carry the lease's end; past it the edge sends nothing and answers "unknown". Conclusion: what is left is the time between the last look at the clock and the write.

--- a/daemon/http_out.c
+++ b/daemon/http_out.c
@@ -70,7 +70,7 @@
 			     RESULT_PLATFORM_REFUSED);
 	else
 		order_start(&target, effect->order_id, effect->timeout_ms,
-			    &call);
+			    effect->until_us, &call);
 }
 
 void http_out_engine_order(struct http_out *out,
@@ -84,7 +84,7 @@
 		order_refuse(out->sink, effect->order_id,
 			     RESULT_PLATFORM_REFUSED);
 	else
-		order_start(&target, effect->order_id, effect->timeout_ms,
+		order_start(&target, effect->order_id, effect->timeout_ms, 0,
 			    &call);
 }
 
--- a/daemon/order.c
+++ b/daemon/order.c
@@ -80,11 +80,31 @@
 	.block = order_block,
 };
 
+void order_refuse(const struct edge_sink *sink, const char *order_id,
+		  enum result code)
+{
+	struct event *event = event_new(EVENT_PLATFORM);
+
+	event->u.platform.order_id = xstrdup(order_id);
+	event->u.platform.code = code;
+	sink->post(sink->data, event);
+}
+
 void order_start(const struct order_target *target, const char *order_id,
-		 int64_t timeout_ms, struct adapter_call *call)
+		 int64_t timeout_ms, int64_t until_us,
+		 struct adapter_call *call)
 {
-	struct order *order = xcalloc(1, sizeof(*order));
-	struct wire *wire = &order->wire;
+	int64_t now_us = edge_now_us();
+	struct order *order;
+	struct wire *wire;
+
+	if (until_us && now_us >= until_us) {
+		bytes_clear(&call->body);
+		order_refuse(target->sink, order_id, RESULT_PLATFORM_UNKNOWN);
+		return;
+	}
+	order = xcalloc(1, sizeof(*order));
+	wire = &order->wire;
 
 	order->sink = target->sink;
 	order->order_id = xstrdup(order_id);
@@ -101,18 +121,10 @@
 	wire->connect_ms = timeout_ms;
 	wire->first_byte_ms = timeout_ms;
 	wire->idle_ms = timeout_ms;
-	wire->until_us = edge_now_us() + timeout_ms * 1000;
+	wire->until_us = now_us + timeout_ms * 1000;
+	if (until_us && until_us < wire->until_us)
+		wire->until_us = until_us;
 	wire->fresh = true;
 	wire->abort = true;
 	wire_submit(target->hub, wire);
 }
-
-void order_refuse(const struct edge_sink *sink, const char *order_id,
-		  enum result code)
-{
-	struct event *event = event_new(EVENT_PLATFORM);
-
-	event->u.platform.order_id = xstrdup(order_id);
-	event->u.platform.code = code;
-	sink->post(sink->data, event);
-}
--- a/daemon/order.h
+++ b/daemon/order.h
@@ -19,9 +19,17 @@
 	const char *address;
 };
 
-/** `call` is taken over. */
+/**
+ * Send a call; `call` is taken over.
+ *
+ * @param timeout_ms	when it is given up, from now
+ * @param until_us	monotonic time after which it must not be on its way,
+ *			0 for none. A process that was stopped between the
+ *			core's decision and this sends nothing.
+ */
 void order_start(const struct order_target *target, const char *order_id,
-		 int64_t timeout_ms, struct adapter_call *call);
+		 int64_t timeout_ms, int64_t until_us,
+		 struct adapter_call *call);
 
 /** Nothing can be sent: the event says so. */
 void order_refuse(const struct edge_sink *sink, const char *order_id,
--- a/libfilberthall/core/effect.c
+++ b/libfilberthall/core/effect.c
@@ -97,6 +97,7 @@
 	EFFECT_FIELD(platform_call, verb, TEXT),
 	EFFECT_FIELD(platform_call, fence, INT),
 	EFFECT_FIELD(platform_call, timeout_ms, INT),
+	EFFECT_FIELD(platform_call, until_us, INT),
 	EFFECT_FIELD(platform_call, body, BYTES),
 };
 
--- a/libfilberthall/core/effect.h
+++ b/libfilberthall/core/effect.h
@@ -140,7 +140,8 @@
 	char *verb; /**< "start", "stop", "list", "report" */
 	int64_t fence;
 	int64_t timeout_ms; /**< the call is given up then for good */
-	struct bytes body;  /**< JSON arguments */
+	int64_t until_us;  /**< never on its way later than this, 0: no bound */
+	struct bytes body; /**< JSON arguments */
 };
 
 /** An order to an engine: load, unload, role, cancel, export, import. */
--- a/libfilberthall/fleet/order.c
+++ b/libfilberthall/fleet/order.c
@@ -243,6 +243,7 @@
 	call->verb = xstrdup(verb);
 	call->fence = situation->fence;
 	call->timeout_ms = ORDER_TIMEOUT_MS;
+	call->until_us = situation->until_us;
 	bytes_append_text(&call->body, text ? text : "{}");
 }
 
--- a/libfilberthall/usage/report.c
+++ b/libfilberthall/usage/report.c
@@ -172,7 +172,8 @@
 }
 
 static void report_send(const struct windows *windows, int64_t window,
-			int64_t fence, struct effects *effects)
+			int64_t fence, int64_t until_us,
+			struct effects *effects)
 {
 	struct effect *effect = effects_add(effects, EFFECT_PLATFORM_CALL);
 	struct effect_platform_call *call = &effect->u.platform_call;
@@ -183,6 +184,7 @@
 	call->verb = xstrdup("report");
 	call->fence = fence;
 	call->timeout_ms = REPORT_TIMEOUT_MS;
+	call->until_us = until_us;
 	body = json_pack("{ss sI sI sO}", "report_id", call->order_id, "fence",
 			 (json_int_t)fence, "window", (json_int_t)window,
 			 "organisations", windows_rows(windows, window));
@@ -210,7 +212,7 @@
 	if (window < 0 || now_us < report->next_us ||
 	    now_us + REPORT_TIMEOUT_MS * INT64_C(1000) > until_us)
 		return;
-	report_send(windows, window, fence, effects);
+	report_send(windows, window, fence, until_us, effects);
 	report->next_us =
 		now_us + REPORT_TIMEOUT_MS * INT64_C(1000) + report->retry_us;
 	report->retry_us *= 2;
--- a/tests/path/harness.c
+++ b/tests/path/harness.c
@@ -31,6 +31,13 @@
 
 void harness_start(struct harness *harness,
 		   void (*change)(struct http_in_options *options))
+{
+	harness_start_with(harness, change, NULL);
+}
+
+void harness_start_with(struct harness *harness,
+			void (*change)(struct http_in_options *options),
+			const char *platform)
 {
 	struct http_in_options in = {
 		.address = { "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0" },
@@ -43,7 +50,9 @@
 		.vm = "entry-1",
 		.incarnation = 0xabc,
 	};
-	struct http_out_options out = { .vm = "entry-1", .incarnation = 0xabc };
+	struct http_out_options out = { .vm = "entry-1",
+					.incarnation = 0xabc,
+					.platform = platform };
 
 	signal(SIGPIPE, SIG_IGN);
 	memset(harness, 0, sizeof(*harness));
--- a/tests/path/harness.h
+++ b/tests/path/harness.h
@@ -26,6 +26,11 @@
 /** Starts the edges; `change` may alter the listeners' options. */
 void harness_start(struct harness *harness,
 		   void (*change)(struct http_in_options *options));
+
+/** The same with a platform at that address. */
+void harness_start_with(struct harness *harness,
+			void (*change)(struct http_in_options *options),
+			const char *platform);
 void harness_stop(struct harness *harness);
 
 /** The first event of that kind, to be freed; others of it stay. */
--- a/tests/path/t-thread-attempts.c
+++ b/tests/path/t-thread-attempts.c
@@ -354,6 +354,33 @@
 	stand_in_stop(&engine);
 }
 
+/*
+ * The VM in charge decides on an order and is stopped in that very moment, for
+ * longer than its lease. When it goes on, the order must not leave it any
+ * more, however much time of its own it had: another VM may be in charge.
+ */
+static void order_after_its_lease_never_leaves(void)
+{
+	struct effect_platform_call call = { .order_id = "o-3",
+					     .verb = "list",
+					     .timeout_ms = HARNESS_WAIT_MS,
+					     .until_us = 1 };
+	struct stand_in platform;
+	struct harness harness;
+	struct event *event;
+
+	stand_in_start(&platform, serve_never);
+	harness_start_with(&harness, NULL, platform.address);
+	http_out_platform_call(harness.out, &call);
+	event = harness_wait(&harness, EVENT_PLATFORM);
+	g_assert_cmpstr(event->u.platform.order_id, ==, "o-3");
+	g_assert_cmpint(event->u.platform.code, ==, RESULT_PLATFORM_UNKNOWN);
+	event_free(event);
+	harness_stop(&harness);
+	g_assert_cmpint(g_atomic_int_get(&platform.connections), ==, 0);
+	stand_in_stop(&platform);
+}
+
 static void serve_order(struct stand_in *stand_in, int fd, int nth)
 {
 	g_autoptr(GString) head = g_string_new(NULL);
@@ -397,6 +424,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/attempt/stream", stream_reaches_the_caller_whole);
+	g_test_add_func("/order/after-lease",
+			order_after_its_lease_never_leaves);
 	g_test_add_func("/attempt/crossed-chunk",
 			crossed_chunk_never_reaches_a_caller);
 	g_test_add_func("/attempt/crossed-whole",
