core, load: one way to write spans, with pick and stream among them

Cause: core and load each built child spans from a traceparent; the hops pick and stream had none. Conclusion: the logic stands once.

--- a/libfilberthall/core/answer.c
+++ b/libfilberthall/core/answer.c
@@ -1,17 +1,14 @@
 /*
  * Ends of requests that never reached, or no longer need, the router.
  */
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "base/alloc.h"
 #include "core/core_state.h"
+#include "core/span.h"
 
-/* Fields of a traceparent: "00-TRACE-SPAN-FLAGS". */
-#define ANSWER_TRACE_LEN 55
-#define ANSWER_SPAN_AT 36
-#define ANSWER_SPAN_LEN 16
+/* Name of the span that all others of a request are below. */
+#define ANSWER_EDGE "edge"
 
 void answer_refuse(struct core *core, const struct caller_request *request,
 		   enum result code, enum run_state run, int64_t retry_after_ms,
@@ -47,26 +44,12 @@
 		 const char *name, int64_t start_us, enum result code,
 		 const char *detail)
 {
-	const char *trace = request->event->u.request.trace;
-	struct effect_span *span;
-
-	if (!trace || strlen(trace) != ANSWER_TRACE_LEN)
-		return;
-	span = &effects_add(core->effects, EFFECT_SPAN)->u.span;
-	span->id = request->event->u.request.id;
-	span->trace = xstrdup(trace);
-	span->name = xstrdup(name);
-	span->start_us = start_us;
-	span->end_us = core->now_us;
-	span->code = code;
-	span->detail = xstrdup(detail);
-	if (!strcmp(name, "edge"))
-		return;
-	/* A child of the edge's span gets a span id of its own. */
-	span->parent = xmemdup(trace + ANSWER_SPAN_AT, ANSWER_SPAN_LEN);
-	snprintf(span->trace + ANSWER_SPAN_AT, ANSWER_SPAN_LEN + 1,
-		 "%016" PRIx64, rng_next(&core->rng));
-	memcpy(span->trace + ANSWER_SPAN_AT + ANSWER_SPAN_LEN,
-	       trace + ANSWER_SPAN_AT + ANSWER_SPAN_LEN,
-	       ANSWER_TRACE_LEN - ANSWER_SPAN_AT - ANSWER_SPAN_LEN);
+	const struct event_request *asked = &request->event->u.request;
+	struct span_note note = { asked->id,	asked->trace, name,  start_us,
+				  core->now_us, code,	      detail };
+
+	if (strcmp(name, ANSWER_EDGE))
+		span_child(core->effects, &core->rng, &note);
+	else
+		span_root(core->effects, &note);
 }
--- /dev/null
+++ b/libfilberthall/core/span.h
@@ -0,0 +1,29 @@
+#ifndef FILBERTHALL_CORE_SPAN_H
+#define FILBERTHALL_CORE_SPAN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/result.h"
+#include "base/rng.h"
+#include "core/effect.h"
+
+/** A finished span, to be written. Text is borrowed. */
+struct span_note {
+	uint64_t id;	   /**< request */
+	const char *trace; /**< traceparent of the edge's span */
+	const char *name;
+	int64_t start_us;
+	int64_t end_us;
+	enum result code;
+	const char *detail; /**< or NULL */
+};
+
+/** The edge's own span, the root on this VM. */
+void span_root(struct effects *effects, const struct span_note *note);
+
+/** A span below the edge's, with an id drawn from `rng`. */
+void span_child(struct effects *effects, struct rng *rng,
+		const struct span_note *note);
+
+#endif
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -116,6 +116,8 @@
 	attempt_count(attempt, pool, 1);
 	request->state = REQUEST_RUNNING;
 	attempt_effect(attempt, effects, now_us);
+	router_span(router, request, "pick", now_us, now_us, RESULT_OK,
+		    attempt->address, effects);
 	request_rearm(router, request, now_us);
 }
 
@@ -390,6 +392,10 @@
 	attempt_judge(router, attempt, ended, now_us, effects);
 	router_span(router, request, "attempt", attempt->started_us, now_us,
 		    (enum result)ended->code, attempt->address, effects);
+	if (attempt->first_us)
+		router_span(router, request, "stream", attempt->first_us,
+			    now_us, (enum result)ended->code, attempt->address,
+			    effects);
 	copy = *attempt;
 	/*
 	 * Tokens go on to the caller until the edge carries the cancel out.
--- a/libfilberthall/load/router_log.c
+++ b/libfilberthall/load/router_log.c
@@ -1,36 +1,23 @@
 #include <stdarg.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 
 #include "base/alloc.h"
+#include "core/span.h"
 #include "load/router_state.h"
 
-#define TRACE_LENGTH 55 /* 00-, 32 hex digits, -, 16 hex digits, -01 */
-#define TRACE_SPAN_AT 36
-#define TRACE_SPAN_LENGTH 16
-
 void router_span(struct router *router, const struct request *request,
 		 const char *name, int64_t start_us, int64_t end_us,
 		 enum result code, const char *detail, struct effects *effects)
 {
-	const char *trace = request->ask.trace;
-	struct effect_span *span;
-	unsigned long long id;
+	struct span_note note = { request->ask.id,
+				  request->ask.trace,
+				  name,
+				  start_us,
+				  end_us,
+				  code,
+				  detail };
 
-	if (!trace || strlen(trace) != TRACE_LENGTH)
-		return;
-	id = (unsigned long long)rng_next(&router->rng) | 1;
-	span = &effects_add(effects, EFFECT_SPAN)->u.span;
-	span->id = request->ask.id;
-	span->trace = xstrfmt("%.*s%016llx%s", TRACE_SPAN_AT, trace, id,
-			      trace + TRACE_SPAN_AT + TRACE_SPAN_LENGTH);
-	span->parent = xmemdup(trace + TRACE_SPAN_AT, TRACE_SPAN_LENGTH);
-	span->name = xstrdup(name);
-	span->start_us = start_us;
-	span->end_us = end_us;
-	span->code = code;
-	span->detail = xstrdup(detail);
+	span_child(effects, &router->rng, &note);
 }
 
 void router_log(const struct request *request, enum log_level level,
--- a/tests/e2e/replay.t
+++ b/tests/e2e/replay.t
@@ -37,7 +37,7 @@
 
 "$BIN/filberthall" trace "$WORK/d1.trace" --svg "$WORK/trace.svg" \
 	>"$WORK/waterfall"
-for hop in edge queue claim attempt
+for hop in edge queue claim pick attempt stream
 do
 	check "a span for the hop $hop" grep -q " $hop " "$WORK/waterfall"
 done
