--- a/libfilberthall/core/consensus.c
+++ b/libfilberthall/core/consensus.c
@@ -225,8 +225,6 @@
 	struct consensus_names classes = { 0 };
 	struct consensus_names organisations = { 0 };
 	struct consensus_names keys = { 0 };
-	struct caller_request *request;
-	struct caller_request *next;
 
 	rules_visit_classes(settings, consensus_add_class, &classes);
 	rules_visit_organisations(settings, consensus_add_organisation,
@@ -243,9 +241,7 @@
 					  core);
 		consensus_drop_gone(core, &classes, &organisations, &keys);
 	}
-	list_foreach_safe(request, next, &core->pending, pending)
-		if (request->state == REQUEST_AWAITS_CLAIM)
-			request_claim_changed(core, request->claim_id);
+	request_claim_changed(core, NULL);
 	consensus_names_clear(&classes);
 	consensus_names_clear(&organisations);
 	consensus_names_clear(&keys);
--- a/libfilberthall/core/request.c
+++ b/libfilberthall/core/request.c
@@ -371,6 +371,7 @@
 	request_route(core, request);
 }
 
+/* A claim left its state, or any may have (`claim_id` NULL): look again. */
 void request_claim_changed(struct core *core, const char *claim_id)
 {
 	struct caller_request *request;
@@ -378,7 +379,7 @@
 
 	list_foreach_safe(request, next, &core->pending, pending)
 		if (request->state == REQUEST_AWAITS_CLAIM &&
-		    !strcmp(request->claim_id, claim_id))
+		    (!claim_id || !strcmp(request->claim_id, claim_id)))
 			request_probe(core, request);
 }
 
