tests, core: scripted runs with expected output; no Retry-After where none helps

Cause: the format of recordings was meant for scripted tests too, and none used it. The first one showed that a reused Idempotency-Key was refused with "come back in a second", which would be refused again. Conclusion: a new story is a file of events and one of effects.

--- a/libfilberthall/core/request.c
+++ b/libfilberthall/core/request.c
@@ -268,6 +268,9 @@
 			      0, NULL);
 		caller_request_free(core, request);
 		break;
+	case RESULT_KEY_REUSED:
+		request_refuse(core, request, code, 0, NULL);
+		break;
 	default:
 		request_refuse(core, request, code, REQUEST_RETRY_SOON_MS,
 			       NULL);
--- /dev/null
+++ b/tests/replay/scripts.t
@@ -0,0 +1,29 @@
+#!/bin/sh
+# Scripted runs of the reducer: each NAME.script is a start and its events, a
+# line each, in the format of recordings; NAME.expect has what callers, backend
+# servers and operators get of it. To see all effects: filberthall replay FILE.
+set -eu
+bin=$BUILD_ROOT/bin/filberthall
+data=$SOURCE_ROOT/tests/replay
+got=$(mktemp)
+trap 'rm -f "$got"' EXIT
+n=0
+failed=0
+
+for script in "$data"/*.script
+do
+	n=$((n + 1))
+	name=$(basename "$script" .script)
+	"$bin" replay "$script" | grep -E \
+		'"effect":"(answer|start-attempt|cancel-attempt|admin-answer)"' \
+		>"$got" || :
+	if diff "$data/$name.expect" "$got" >&2
+	then
+		echo "ok $n - $name"
+	else
+		echo "not ok $n - $name"
+		failed=1
+	fi
+done
+echo "1..$n"
+test "$n" -gt 0 && exit $failed
