--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,10 @@
 	$(MAKE) build BUILD=build-tsan MESON_FLAGS=-Db_sanitize=thread
 	TEST_SET=threads sh tests/run-tests build-tsan
 
+coverage:
+	$(MAKE) build BUILD=build-coverage MESON_FLAGS=-Db_coverage=true
+	sh tests/coverage build-coverage
+
 lint:
 	@clang-format --dry-run --Werror $(SOURCES)
 	sh tests/run-tidy $(BUILD)
@@ -56,5 +60,5 @@
 install: build
 	meson install -C $(BUILD)
 
-.PHONY: all build packages check run demo asan tsan lint format model bench \
-	slopes install
+.PHONY: all build packages check run demo asan tsan coverage lint format model \
+	bench slopes install
