core: a member's id is read before its text is freed; commands on any VM

Cause: coverage showed that nothing ran the operators' commands through the reducer. The first test of each on each VM failed: member add and remove looked at the id's text after the arguments were freed, and refused good ids by chance. Change: looked at before; a test of seventeen calls on a leader and on two followers, and one of an operator's subtree. Conclusion: the commands answer on any VM.

--- a/libfilberthall/core/operator.c
+++ b/libfilberthall/core/operator.c
@@ -165,8 +165,10 @@
 	const char *id = json_string_value(json_object_get(args, "id"));
 	char *end = NULL;
 	enum result code;
+	bool good;
 
 	change.member.id = id ? strtoull(id, &end, 16) : 0;
+	good = change.member.id && !*end;
 	if (!strcmp(call->command, "member-add"))
 		change.kind = MEMBER_PROMOTE;
 	else if (!strcmp(call->command, "member-demote"))
@@ -174,7 +176,7 @@
 	else
 		change.kind = MEMBER_REMOVE;
 	json_decref(args);
-	if (!change.member.id || *end) {
+	if (!good) {
 		operator_refuse(core, call, RESULT_BAD_REQUEST,
 				"id: a member id as `member list` shows it is "
 				"needed");
--- a/tests/core/site.c
+++ b/tests/core/site.c
@@ -152,6 +152,7 @@
 	site->n = n;
 	site->now_us = 1000000000;
 	site->next_id = 1;
+	site->operator_hash = SITE_OPERATOR;
 	site->reported = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, free);
 	for (a = 0; a < n; a++)
@@ -276,7 +277,7 @@
 	uint64_t id = site->next_id++;
 
 	event->u.admin.id = id;
-	event->u.admin.key_hash = xstrdup(SITE_OPERATOR);
+	event->u.admin.key_hash = xstrdup(site->operator_hash);
 	event->u.admin.command = xstrdup(command);
 	bytes_append_text(&event->u.admin.body, args);
 	site_give(site, daemon, event);
--- a/tests/core/site.h
+++ b/tests/core/site.h
@@ -16,6 +16,8 @@
 #define SITE_MAX 5
 #define SITE_KEY \
 	"1111111111111111111111111111111111111111111111111111111111111111" /* hash of the caller's key */
+#define SITE_TEAM \
+	"3333333333333333333333333333333333333333333333333333333333333333"
 #define SITE_OPERATOR \
 	"2222222222222222222222222222222222222222222222222222222222222222" /* hash of the first operator's key */
 
@@ -35,7 +37,8 @@
 	bool cut[SITE_MAX][SITE_MAX]; /* no message from one to the other */
 	bool linked[SITE_MAX][SITE_MAX];
 	uint64_t next_id;
-	GHashTable *reported; /* window to its figures */
+	const char *operator_hash; /* of the key that operators' calls use */
+	GHashTable *reported;	   /* window to its figures */
 };
 
 /** Start `n` daemons in zones of their own; the first one founds the site. */
--- a/tests/core/t-site.c
+++ b/tests/core/t-site.c
@@ -315,6 +315,84 @@
 	site_free(&site);
 }
 
+/* Each command on a VM that leads and on one that doesn't. */
+static void operators_commands_answer_on_any_vm(void)
+{
+	static const struct {
+		const char *command;
+		const char *args;
+		enum result code;
+	} calls[] = {
+		{ "status", "{}", RESULT_OK },
+		{ "member-list", "{}", RESULT_OK },
+		{ "backend-list", "{}", RESULT_OK },
+		{ "usage", "{}", RESULT_OK },
+		{ "spend", "{}", RESULT_OK },
+		{ "key-list", "{}", RESULT_OK },
+		{ "settings-get", "{\"path\":\"team/calves\"}", RESULT_OK },
+		{ "settings-history", "{}", RESULT_OK },
+		{ "settings-wait", "{\"index\":1}", RESULT_OK },
+		{ "backend-drain", "{\"address\":\"" ENGINE "\"}", RESULT_OK },
+		{ "backend-drain", "{\"address\":\"" ENGINE "\",\"undo\":true}",
+		  RESULT_OK },
+		{ "backend-drain", "{\"address\":\"10.9.9.9:1\"}",
+		  RESULT_NOT_FOUND },
+		{ "backend-stop", "{\"address\":\"10.9.9.9:1\"}",
+		  RESULT_NOT_FOUND },
+		{ "member-add", "{\"id\":\"nobody\"}", RESULT_BAD_REQUEST },
+		{ "member-remove", "{\"id\":\"ffff\"}", RESULT_NOT_FOUND },
+		{ "settings-set", "not JSON", RESULT_BAD_REQUEST },
+		{ "no-such-command", "{}", RESULT_NO_ROUTE },
+	};
+	struct site site;
+	size_t i;
+	int daemon;
+
+	test_start(&site, 3);
+	for (daemon = 0; daemon < 3; daemon++)
+		for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+			g_test_message("%s on vm-%d", calls[i].command,
+				       daemon + 1);
+			g_assert_cmpint(site_admin(&site, daemon,
+						   calls[i].command,
+						   calls[i].args),
+					==, calls[i].code);
+		}
+	site_free(&site);
+}
+
+/*
+ * An operator of one team tries to change another team's classes, and the
+ * site's members. Both must be refused, whoever holds the key.
+ */
+static void an_operator_stays_in_its_subtree(void)
+{
+	struct site site;
+
+	test_start(&site, 1);
+	g_assert_cmpint(site_admin(&site, 0, "key-grant",
+				   "{\"id\":\"team-op\",\"hash\":\"" SITE_TEAM
+				   "\",\"operates\":true,\"subtree\":"
+				   "\"team/calves\"}"),
+			==, RESULT_OK);
+	site.operator_hash = SITE_TEAM;
+	g_assert_cmpint(site_admin(&site, 0, "settings-set",
+				   "{\"path\":\"team/calves/class/check/"
+				   "deadline_ms\",\"value\":30000}"),
+			==, RESULT_OK);
+	g_assert_cmpint(site_admin(&site, 0, "settings-set",
+				   "{\"path\":\"team/folio/class/x\","
+				   "\"value\":{\"tier\":1}}"),
+			==, RESULT_PATH_FORBIDDEN);
+	g_assert_cmpint(site_admin(&site, 0, "member-remove",
+				   "{\"id\":\"65\"}"),
+			==, RESULT_PATH_FORBIDDEN);
+	site.operator_hash = SITE_KEY;
+	g_assert_cmpint(site_admin(&site, 0, "status", "{}"), ==,
+			RESULT_KEY_UNKNOWN);
+	site_free(&site);
+}
+
 /*
  * A VM is asked to stop while a long critique streams, and asked again by an
  * operator who can't wait. The first time the stream goes on; the second time
@@ -441,6 +519,8 @@
 			a_change_sent_again_is_made_once);
 	g_test_add_func("/site/leader-dies", the_leader_dies_and_work_goes_on);
 	g_test_add_func("/site/planned-stop", a_planned_stop_cuts_no_stream);
+	g_test_add_func("/site/commands", operators_commands_answer_on_any_vm);
+	g_test_add_func("/site/subtree", an_operator_stays_in_its_subtree);
 	g_test_add_func("/site/second-stop", a_second_request_to_stop_is_final);
 	g_test_add_func("/site/stopped-leader",
 			a_call_to_a_stopped_leader_ends);
