core, agree, fleet, load, daemon: one msgpack writer

Cause: read-through: eight files each had their own function that appends packed bytes, beside pack_init() of core/pack.c, and two their own pack_text(). Change: all call core/pack.c; the one that packs a missing text as nil says so in its name. Conclusion: the logic stands once.

--- a/daemon/link_frame.c
+++ b/daemon/link_frame.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "core/pack.h"
 #include "daemon/link.h"
 
 #define LENGTH_BYTES 4
@@ -12,20 +13,6 @@
 /* Kind, channel and the body's own length. */
 #define OVERHEAD_BYTES 64
 
-static int add_bytes(void *data, const char *bytes, size_t len)
-{
-	bytes_append(data, bytes, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *packer, const char *text)
-{
-	size_t len = text ? strlen(text) : 0;
-
-	msgpack_pack_str(packer, len);
-	msgpack_pack_str_body(packer, text, len);
-}
-
 /* Leaves room for the length; end_frame() fills it in. */
 static size_t begin_frame(struct bytes *out, msgpack_packer *packer,
 			  enum link_frame_kind kind)
@@ -34,7 +21,7 @@
 	size_t at = out->len;
 
 	bytes_append(out, room, sizeof(room));
-	msgpack_packer_init(packer, out, add_bytes);
+	pack_init(packer, out);
 	msgpack_pack_uint64(packer, kind);
 	return at;
 }
--- a/libfilberthall/agree/claim_save.c
+++ b/libfilberthall/agree/claim_save.c
@@ -3,6 +3,7 @@
 
 #include "agree/claim_state.h"
 #include "agree/codec.h"
+#include "core/pack.h"
 
 json_t *claims_save(const struct claims *claims)
 {
@@ -18,12 +19,6 @@
 			 "members", members);
 }
 
-static int claim_write(void *data, const char *buffer, size_t len)
-{
-	bytes_append(data, buffer, len);
-	return 0;
-}
-
 static void claim_pack_text(msgpack_packer *packer, const char *text)
 {
 	size_t len = strlen(text);
@@ -59,7 +54,7 @@
 	size_t in_chunk = 0;
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, claim_write);
+	pack_init(&packer, out);
 	list_foreach(entry, &claims->by_age, age) {
 		if (!in_chunk) {
 			in_chunk = left < CLAIMS_CHUNK ? left : CLAIMS_CHUNK;
--- a/libfilberthall/agree/codec.c
+++ b/libfilberthall/agree/codec.c
@@ -5,12 +5,7 @@
 #include <string.h>
 
 #include "base/cleanup.h"
-
-static int codec_write(void *data, const char *buffer, size_t len)
-{
-	bytes_append(data, buffer, len);
-	return 0;
-}
+#include "core/pack.h"
 
 static bool codec_is_text(const char *text, size_t len)
 {
@@ -82,7 +77,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, codec_write);
+	pack_init(&packer, out);
 	codec_pack(&packer, value);
 }
 
--- a/libfilberthall/agree/member.c
+++ b/libfilberthall/agree/member.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "core/pack.h"
 
 #define MEMBER_FIELDS 7
 
@@ -113,12 +114,6 @@
 	}
 }
 
-static int member_write(void *data, const char *buffer, size_t len)
-{
-	bytes_append(data, buffer, len);
-	return 0;
-}
-
 static void member_pack_text(msgpack_packer *packer, const char *text)
 {
 	msgpack_pack_str(packer, strlen(text));
@@ -130,7 +125,7 @@
 	msgpack_packer packer;
 	size_t i;
 
-	msgpack_packer_init(&packer, out, member_write);
+	pack_init(&packer, out);
 	msgpack_pack_array(&packer, members->count);
 	for (i = 0; i < members->count; i++) {
 		const struct member *member = &members->items[i];
--- a/libfilberthall/agree/raft_message.c
+++ b/libfilberthall/agree/raft_message.c
@@ -4,6 +4,7 @@
 
 #include "agree/raft_internal.h"
 #include "base/alloc.h"
+#include "core/pack.h"
 
 /**
  * A message is a msgpack map from small numbers to values; what is 0 or empty
@@ -37,12 +38,6 @@
 
 #define RAFT_NUMBERS (sizeof(raft_numbers) / sizeof(raft_numbers[0]))
 
-static int raft_message_write(void *data, const char *buffer, size_t len)
-{
-	bytes_append(data, buffer, len);
-	return 0;
-}
-
 static int64_t raft_message_number(const struct raft_message *message,
 				   size_t key)
 {
@@ -111,7 +106,7 @@
 	fields += message->len != 0;
 	fields += message->n_entries != 0;
 	fields += message->n_reports != 0;
-	msgpack_packer_init(&packer, out, raft_message_write);
+	pack_init(&packer, out);
 	msgpack_pack_map(&packer, fields);
 	raft_pack_numbers(&packer, message);
 	if (message->leader) {
--- a/libfilberthall/fleet/backend_pack.c
+++ b/libfilberthall/fleet/backend_pack.c
@@ -3,15 +3,10 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "core/pack.h"
 #include "fleet/backend.h"
 
-static int pack_to_bytes(void *data, const char *buf, size_t len)
-{
-	bytes_append(data, buf, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *packer, const char *text)
+static void pack_text_or_nil(msgpack_packer *packer, const char *text)
 {
 	if (!text) {
 		msgpack_pack_nil(packer);
@@ -43,7 +38,7 @@
 		msgpack_pack_double(packer, *(const double *)at);
 		break;
 	case FIELD_TEXT:
-		pack_text(packer, *(char *const *)at);
+		pack_text_or_nil(packer, *(char *const *)at);
 		break;
 	case FIELD_BYTES:
 		msgpack_pack_nil(packer);
@@ -99,7 +94,7 @@
 
 	announce_of(backend, now_us, &event.u.announce);
 	fields = event_fields(EVENT_ANNOUNCE, &n);
-	msgpack_packer_init(&packer, to, pack_to_bytes);
+	pack_init(&packer, to);
 	msgpack_pack_array(&packer, n);
 	for (i = 0; i < n; i++)
 		pack_field(&packer, &fields[i], &event);
--- a/libfilberthall/fleet/digest.c
+++ b/libfilberthall/fleet/digest.c
@@ -3,6 +3,8 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "core/pack.h"
+
 /* One server's row, in the order in which it is packed. */
 enum digest_item {
 	DIGEST_ADDRESS,
@@ -43,12 +45,6 @@
 	return map_hash(parts, sizeof(parts));
 }
 
-static int digest_append(void *data, const char *buffer, size_t len)
-{
-	bytes_append(data, buffer, len);
-	return 0;
-}
-
 static void digest_pack_row(msgpack_packer *packer,
 			    const struct backend *backend, int64_t now_us)
 {
@@ -76,7 +72,7 @@
 		rows += backend->untold;
 	if (!rows)
 		return 0;
-	msgpack_packer_init(&packer, out, digest_append);
+	pack_init(&packer, out);
 	msgpack_pack_array(&packer, (size_t)rows * DIGEST_ITEMS);
 	map_foreach(backend, next, &fleet->backends, node) {
 		if (!backend->untold)
--- a/libfilberthall/load/share_message.c
+++ b/libfilberthall/load/share_message.c
@@ -4,17 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
-static int write_bytes(void *data, const char *buf, size_t len)
-{
-	bytes_append(data, buf, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *packer, const char *text)
-{
-	msgpack_pack_str(packer, strlen(text));
-	msgpack_pack_str_body(packer, text, strlen(text));
-}
+#include "core/pack.h"
 
 void share_write_demand(struct share_writer *writer,
 			const struct share_demand *demand)
@@ -22,7 +12,7 @@
 	msgpack_packer packer;
 	int i;
 
-	msgpack_packer_init(&packer, &writer->first, write_bytes);
+	pack_init(&packer, &writer->first);
 	msgpack_pack_array(&packer, 3 + SCHED_TIERS);
 	pack_text(&packer, demand->pool);
 	msgpack_pack_int64(&packer, demand->slots);
@@ -36,7 +26,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, &writer->second, write_bytes);
+	pack_init(&packer, &writer->second);
 	msgpack_pack_array(&packer, 4);
 	pack_text(&packer, use->organisation);
 	msgpack_pack_int64(&packer, use->concurrent);
@@ -50,7 +40,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, &writer->first, write_bytes);
+	pack_init(&packer, &writer->first);
 	msgpack_pack_array(&packer, 5);
 	pack_text(&packer, grant->pool);
 	msgpack_pack_int64(&packer, grant->slots);
@@ -65,7 +55,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, &writer->second, write_bytes);
+	pack_init(&packer, &writer->second);
 	msgpack_pack_array(&packer, 3);
 	pack_text(&packer, part->organisation);
 	msgpack_pack_double(&packer, part->part);
@@ -78,7 +68,7 @@
 	struct bytes out = { 0 };
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, &out, write_bytes);
+	pack_init(&packer, &out);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_int(&packer, kind);
 	msgpack_pack_array(&packer, (size_t)writer->n_first);
@@ -97,7 +87,7 @@
 	struct bytes out = { 0 };
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, &out, write_bytes);
+	pack_init(&packer, &out);
 	msgpack_pack_array(&packer, 4);
 	msgpack_pack_int(&packer, SHARE_CRASH);
 	msgpack_pack_uint64(&packer, crash->fingerprint);
