--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -20,15 +20,22 @@
 	BOOT_ADDRESS, /* IP:port */
 	BOOT_FLAG,
 	BOOT_NUMBER,
-	BOOT_LEVEL
+	BOOT_LEVEL,
+	BOOT_ROLE
 };
 
+/* In which roles a key must be given. */
+#define NEEDED_ALL 1u
+#define NEEDED_ENTRY 2u
+#define NEEDED_CONTROL 4u
+#define NEEDED 7u
+
 struct boot_key {
 	const char *section; /* NULL at the top */
 	const char *name;
 	enum boot_type type;
 	size_t offset;
-	bool required;
+	unsigned int required;
 	int64_t least;
 	int64_t most;
 	int64_t fallback;
@@ -37,47 +44,39 @@
 #define BOOT_AT(field) offsetof(struct boot, field)
 
 static const struct boot_key boot_keys[] = {
-	{ NULL, "vm", BOOT_NAME, BOOT_AT(vm), true, 0, 0, 0 },
-	{ NULL, "zone", BOOT_NAME, BOOT_AT(zone), true, 0, 0, 0 },
-	{ NULL, "site", BOOT_NAME, BOOT_AT(site), true, 0, 0, 0 },
-	{ NULL, "data_folder", BOOT_PATH, BOOT_AT(data_folder), false, 0, 0,
-	  0 },
-	{ NULL, "bootstrap", BOOT_FLAG, BOOT_AT(bootstrap), false, 0, 0, 0 },
-	{ NULL, "seed_settings", BOOT_PATH, BOOT_AT(seed_settings), false, 0, 0,
-	  0 },
-	{ NULL, "seed_key_file", BOOT_PATH, BOOT_AT(seed_key_file), false, 0, 0,
-	  0 },
-	{ NULL, "key_secret_file", BOOT_PATH, BOOT_AT(key_secret_file), true, 0,
-	  0, 0 },
-	{ NULL, "link_secret_file", BOOT_PATH, BOOT_AT(link_secret_file), true,
-	  0, 0, 0 },
-	{ "listen", "callers", BOOT_ADDRESS, BOOT_AT(listen_callers), true, 0,
-	  0, 0 },
-	{ "listen", "backends", BOOT_ADDRESS, BOOT_AT(listen_backends), true, 0,
-	  0, 0 },
-	{ "listen", "operators", BOOT_ADDRESS, BOOT_AT(listen_operators), true,
-	  0, 0, 0 },
-	{ "listen", "links", BOOT_ADDRESS, BOOT_AT(listen_links), true, 0, 0,
-	  0 },
-	{ NULL, "publish", BOOT_PATH, BOOT_AT(publish), false, 0, 0, 0 },
-	{ NULL, "platform", BOOT_ADDRESS, BOOT_AT(platform), false, 0, 0, 0 },
-	{ "tls", "certificate", BOOT_PATH, BOOT_AT(tls_certificate), false, 0,
-	  0, 0 },
-	{ "tls", "key", BOOT_PATH, BOOT_AT(tls_key), false, 0, 0, 0 },
-	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), false,
-	  1024, 1048576, 16384 },
-	{ "limits", "body_bytes", BOOT_NUMBER, BOOT_AT(body_bytes), false, 1024,
-	  67108864, 4194304 },
-	{ "limits", "connections", BOOT_NUMBER, BOOT_AT(connections), false, 4,
-	  100000, 2000 },
-	{ "limits", "idle_s", BOOT_NUMBER, BOOT_AT(idle_s), false, 1, 3600,
-	  30 },
-	{ "limits", "stop_grace_s", BOOT_NUMBER, BOOT_AT(stop_grace_s), false,
-	  1, 86400, 900 },
-	{ "log", "level", BOOT_LEVEL, BOOT_AT(log_level), false, 0, 0,
-	  LOG_INFO },
-	{ "log", "file", BOOT_PATH, BOOT_AT(log_file), false, 0, 0, 0 },
-	{ NULL, "trace_file", BOOT_PATH, BOOT_AT(trace_file), false, 0, 0, 0 },
+	{ NULL, "role", BOOT_ROLE, BOOT_AT(role), 0, 0, 0, 0 },
+	{ NULL, "vm", BOOT_NAME, BOOT_AT(vm), NEEDED, 0, 0, 0 },
+	{ NULL, "zone", BOOT_NAME, BOOT_AT(zone), NEEDED, 0, 0, 0 },
+	{ NULL, "site", BOOT_NAME, BOOT_AT(site), NEEDED, 0, 0, 0 },
+	{ NULL, "data_folder", BOOT_PATH, BOOT_AT(data_folder), NEEDED_CONTROL, 0, 0, 0 },
+	{ NULL, "bootstrap", BOOT_FLAG, BOOT_AT(bootstrap), 0, 0, 0, 0 },
+	{ NULL, "seed_settings", BOOT_PATH, BOOT_AT(seed_settings), 0, 0, 0, 0 },
+	{ NULL, "seed_key_file", BOOT_PATH, BOOT_AT(seed_key_file), 0, 0, 0, 0 },
+	{ NULL, "key_secret_file", BOOT_PATH, BOOT_AT(key_secret_file), NEEDED_ALL, 0, 0, 0 },
+	{ NULL, "link_secret_file", BOOT_PATH, BOOT_AT(link_secret_file), NEEDED_ALL, 0, 0, 0 },
+	{ "listen", "callers", BOOT_ADDRESS, BOOT_AT(listen_callers), NEEDED_ALL | NEEDED_ENTRY, 0, 0, 0 },
+	{ "listen", "backends", BOOT_ADDRESS, BOOT_AT(listen_backends), NEEDED_ALL, 0, 0, 0 },
+	{ "listen", "operators", BOOT_ADDRESS, BOOT_AT(listen_operators), NEEDED_ALL | NEEDED_CONTROL, 0, 0, 0 },
+	{ "listen", "links", BOOT_ADDRESS, BOOT_AT(listen_links), NEEDED, 0, 0, 0 },
+	{ "listen", "ready", BOOT_ADDRESS, BOOT_AT(listen_ready), NEEDED_ENTRY, 0, 0, 0 },
+	{ "listen", "metrics", BOOT_ADDRESS, BOOT_AT(listen_metrics), 0, 0, 0, 0 },
+	{ NULL, "publish", BOOT_PATH, BOOT_AT(publish), 0, 0, 0, 0 },
+	{ NULL, "platform", BOOT_ADDRESS, BOOT_AT(platform), 0, 0, 0, 0 },
+	{ "tls", "certificate", BOOT_PATH, BOOT_AT(tls_certificate), 0, 0, 0, 0 },
+	{ "tls", "key", BOOT_PATH, BOOT_AT(tls_key), 0, 0, 0, 0 },
+	{ "cluster", "voters", BOOT_NUMBER, BOOT_AT(voters), 0, 1, 9, 5 },
+	{ "cluster", "tolerate", BOOT_NUMBER, BOOT_AT(tolerate), 0, 0, 4, 2 },
+	{ "cluster", "lease_ms", BOOT_NUMBER, BOOT_AT(lease_ms), 0, 2000, 60000, 3000 },
+	{ "keys", "fresh_ms", BOOT_NUMBER, BOOT_AT(fresh_ms), 0, 500, 600000, 4500 },
+	{ "usage", "window_s", BOOT_NUMBER, BOOT_AT(window_s), 0, 1, 86400, 5 },
+	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), 0, 1024, 1048576, 16384 },
+	{ "limits", "body_bytes", BOOT_NUMBER, BOOT_AT(body_bytes), 0, 1024, 67108864, 4194304 },
+	{ "limits", "connections", BOOT_NUMBER, BOOT_AT(connections), 0, 4, 100000, 2000 },
+	{ "limits", "idle_s", BOOT_NUMBER, BOOT_AT(idle_s), 0, 1, 3600, 30 },
+	{ "limits", "stop_grace_s", BOOT_NUMBER, BOOT_AT(stop_grace_s), 0, 1, 86400, 900 },
+	{ "log", "level", BOOT_LEVEL, BOOT_AT(log_level), 0, 0, 0, LOG_INFO },
+	{ "log", "file", BOOT_PATH, BOOT_AT(log_file), 0, 0, 0, 0 },
+	{ NULL, "trace_file", BOOT_PATH, BOOT_AT(trace_file), 0, 0, 0, 0 },
 };
 
 #define BOOT_KEYS (sizeof(boot_keys) / sizeof(boot_keys[0]))
@@ -175,10 +174,28 @@
 	return boot_refuse(reader, at, "debug, info, warn or error is needed");
 }
 
+static const char *const boot_roles[] = { "all", "entry", "control" };
+
+static enum result boot_set_role(struct boot_reader *reader,
+				 const struct yaml *at)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(boot_roles) / sizeof(boot_roles[0]); i++) {
+		if (at->kind != YAML_SCALAR || strcmp(at->text, boot_roles[i]))
+			continue;
+		reader->boot->role = (enum boot_role)i;
+		return RESULT_OK;
+	}
+	return boot_refuse(reader, at, "all, entry or control is needed");
+}
+
 static enum result boot_set(struct boot_reader *reader,
 			    const struct boot_key *key, const struct yaml *at)
 {
 	switch (key->type) {
+	case BOOT_ROLE:
+		return boot_set_role(reader, at);
 	case BOOT_FLAG:
 		if (!yaml_bool(at,
 			       (bool *)((char *)reader->boot + key->offset)))
@@ -235,7 +252,8 @@
 		if (boot_same_section(boot_keys[i].section, section))
 			bytes_append_format(&allowed, " %s", boot_keys[i].name);
 	if (!section)
-		bytes_append_text(&allowed, " listen limits log peers tls");
+		bytes_append_text(&allowed, " cluster keys listen limits log peers "
+					    "seeds tls usage");
 	code = error_report(reader->handler, RESULT_SETTING_UNKNOWN,
 			    "%s:%d: %s: no such key; allowed are:%s",
 			    reader->name, at->line, at->key,
@@ -244,8 +262,9 @@
 	return code;
 }
 
-static enum result boot_read_peers(struct boot_reader *reader,
-				   const struct yaml *at)
+/* A list of addresses, up to BOOT_MAX_PEERS of them. */
+static enum result boot_read_list(struct boot_reader *reader,
+				  const struct yaml *at, char **list, int *n)
 {
 	const struct yaml *peer;
 	char ip[64];
@@ -258,11 +277,10 @@
 		    !boot_split_address(peer->text, ip, &port))
 			return boot_refuse(reader, peer,
 					   "each peer is IP:port");
-		if (reader->boot->n_peers == BOOT_MAX_PEERS)
+		if (*n == BOOT_MAX_PEERS)
 			return boot_refuse(reader, at,
 					   "16 peers are allowed at most");
-		reader->boot->peers[reader->boot->n_peers++] =
-			xstrdup(peer->text);
+		list[(*n)++] = xstrdup(peer->text);
 	}
 	return RESULT_OK;
 }
@@ -282,7 +300,11 @@
 		if (key)
 			code = boot_set(reader, key, at);
 		else if (!section && !strcmp(at->key, "peers"))
-			code = boot_read_peers(reader, at);
+			code = boot_read_list(reader, at, reader->boot->peers,
+					      &reader->boot->n_peers);
+		else if (!section && !strcmp(at->key, "seeds"))
+			code = boot_read_list(reader, at, reader->boot->seeds,
+					      &reader->boot->n_seeds);
 		else if (!section && boot_is_section(at->key))
 			code = boot_read_section(reader, at->key, at);
 		else
@@ -301,7 +323,7 @@
 	for (i = 0; i < BOOT_KEYS; i++) {
 		const struct boot_key *key = &boot_keys[i];
 
-		if (key->required &&
+		if (key->required & 1u << boot->role &&
 		    !*(char *const *)((const char *)boot + key->offset))
 			return error_report(reader->handler,
 					    RESULT_SETTING_VALUE,
@@ -314,7 +336,8 @@
 		return error_report(reader->handler, RESULT_SETTING_VALUE,
 				    "%s: bootstrap needs a data_folder",
 				    reader->name);
-	if (!boot->bootstrap && !boot->data_folder && !boot->n_peers)
+	if (boot->role == BOOT_ROLE_ALL && !boot->bootstrap &&
+	    !boot->data_folder && !boot->n_peers)
 		return error_report(reader->handler, RESULT_SETTING_VALUE,
 				    "%s: without bootstrap, peers are needed "
 				    "to join by",
@@ -385,5 +408,7 @@
 	}
 	for (peer = 0; peer < boot->n_peers; peer++)
 		free(boot->peers[peer]);
+	for (peer = 0; peer < boot->n_seeds; peer++)
+		free(boot->seeds[peer]);
 	memset(boot, 0, sizeof(*boot));
 }
--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -10,12 +10,20 @@
 
 #define BOOT_MAX_PEERS 16
 
+/** What a daemon does at a site; docs/PLATFORM.md. */
+enum boot_role {
+	BOOT_ROLE_ALL,	  /**< everything, with the product's own interface */
+	BOOT_ROLE_ENTRY,  /**< takes callers' requests */
+	BOOT_ROLE_CONTROL /**< agrees on the configuration */
+};
+
 /**
  * A daemon's own settings, read once at its start: where it listens, which
  * zone it stands in, where its data folder is. Everything that operators
  * change while it runs is in the agreed settings tree instead.
  */
 struct boot {
+	enum boot_role role;
 	char *vm;
 	char *zone;
 	char *site;
@@ -29,6 +37,8 @@
 	char *listen_backends;
 	char *listen_operators;
 	char *listen_links;
+	char *listen_ready;   /**< entry: the balancer's questions */
+	char *listen_metrics; /**< NULL: none */
 	char *publish;
 	char *platform; /**< IP:port, or NULL */
 	char *tls_certificate;
@@ -38,6 +48,14 @@
 	char *trace_file;
 	char *peers[BOOT_MAX_PEERS];
 	int n_peers;
+	char *seeds[BOOT_MAX_PEERS]; /**< operators' addresses of control VMs;
+					  their links have our links' port */
+	int n_seeds;
+	int64_t voters;	     /**< wanted in the group, odd */
+	int64_t tolerate;    /**< disks that may be lost at once */
+	int64_t lease_ms;    /**< of the one in charge */
+	int64_t fresh_ms;    /**< older knowledge of keys isn't acted upon */
+	int64_t window_s;    /**< usage window */
 	int64_t header_bytes;
 	int64_t body_bytes;
 	int64_t connections;
--- a/daemon/edge.h
+++ b/daemon/edge.h
@@ -59,12 +59,18 @@
 	atomic_fetch_add_explicit(counter, n, memory_order_relaxed);
 }
 
-/** Monotonic time in microseconds. */
+/**
+ * Time since the VM's start in microseconds; never goes back.
+ *
+ * CLOCK_BOOTTIME, since CLOCK_MONOTONIC stands still while a VM is suspended:
+ * a holder of the lease that is woken after ten seconds would believe that no
+ * time has passed and give orders beside its successor.
+ */
 static inline int64_t edge_now_us(void)
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
+	clock_gettime(CLOCK_BOOTTIME, &now);
 	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
 
--- /dev/null
+++ b/daemon/entry_daemon.c
@@ -0,0 +1,420 @@
+/*
+ * An entry VM's process: the listeners for callers and for the balancer's
+ * questions, relays to backend servers, and entry/entry.h in the middle.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "base/alloc.h"
+#include "daemon/relay.h"
+#include "daemon/role.h"
+
+/*
+ * A new connection stands within a few milliseconds; where the queue of a
+ * server's listener is full, the opening packet is sent again after a second,
+ * which is too late for most requests.
+ */
+#define CONNECT_MS 500
+
+/* A server whose machine says nothing for so long is gone. */
+#define SILENT_MS 2000
+
+/* Kept connections to one server: more are in use at once only in bursts. */
+#define IDLE_MOST 8
+
+/* Of the balancer's questions. */
+#define READY_HEADER_BYTES 8192
+#define READY_BODY_BYTES 1024
+#define READY_HEADER_MS 3000
+#define READY_IDLE_MS 60000
+
+/* Until the document says what callers may send. */
+#define STOP_MARGIN_MS 500
+
+struct entry_daemon {
+	struct role role;
+	struct entry *entry;
+	struct http_server *callers;
+	struct http_server *ready;
+	struct http_client *client;
+	struct relay_host host;
+	struct map relays;
+	uint64_t next_id;
+	int64_t version; /* of the document whose limits hold */
+	ev_timer tick;
+	struct effects effects;
+	bool carrying_out;
+};
+
+struct relay_node {
+	struct map_node node; /* by id */
+	struct relay *relay;
+};
+
+static void carry_out_all(struct entry_daemon *daemon);
+
+static bool relay_match(const struct map_node *node, const void *key)
+{
+	return relay_id(container_of(node, struct relay_node, node)->relay) ==
+	       *(const uint64_t *)key;
+}
+
+static struct relay_node *relay_find(struct entry_daemon *daemon, uint64_t id)
+{
+	struct map_node *node = map_find(
+		&daemon->relays, map_hash(&id, sizeof(id)), relay_match, &id);
+
+	return node ? container_of(node, struct relay_node, node) : NULL;
+}
+
+static void relay_drop(struct entry_daemon *daemon, struct relay_node *node)
+{
+	map_remove(&daemon->relays, &node->node);
+	relay_free(node->relay);
+	free(node);
+}
+
+static void carry_out_relay(struct entry_daemon *daemon, uint64_t id,
+			    struct effect *effect)
+{
+	struct relay_node *node = relay_find(daemon, id);
+
+	if (!node)
+		return;
+	if (effect->kind == EFFECT_START_ATTEMPT)
+		relay_start(node->relay, &effect->u.start, edge_now_us());
+	else if (effect->kind == EFFECT_CANCEL_ATTEMPT)
+		relay_cancel(node->relay, effect->u.cancel.attempt);
+	else
+		relay_answer(node->relay, &effect->u.answer);
+	if (relay_is_over(node->relay))
+		relay_drop(daemon, node);
+}
+
+static void carry_out(struct entry_daemon *daemon, struct effect *effect)
+{
+	switch (effect->kind) {
+	case EFFECT_ANSWER:
+		carry_out_relay(daemon, effect->u.answer.id, effect);
+		break;
+	case EFFECT_START_ATTEMPT:
+		carry_out_relay(daemon, effect->u.start.id, effect);
+		break;
+	case EFFECT_CANCEL_ATTEMPT:
+		carry_out_relay(daemon, effect->u.cancel.id, effect);
+		break;
+	case EFFECT_DISTRUST:
+		http_client_distrust(daemon->client,
+				     effect->u.distrust.address);
+		break;
+	case EFFECT_EXIT:
+		role_exit(&daemon->role);
+		break;
+	default:
+		role_carry_out(&daemon->role, effect);
+		break;
+	}
+	effect_free(effect);
+}
+
+/* What carrying out brings about is carried out in turn, not inside. */
+static void carry_out_all(struct entry_daemon *daemon)
+{
+	struct effect *effect;
+
+	if (daemon->carrying_out)
+		return;
+	daemon->carrying_out = true;
+	while ((effect = effects_take(&daemon->effects)))
+		carry_out(daemon, effect);
+	daemon->carrying_out = false;
+}
+
+static void on_tokens(void *data, const struct event_attempt_tokens *tokens)
+{
+	struct entry_daemon *daemon = data;
+
+	entry_tokens(daemon->entry, tokens, edge_now_us(), &daemon->effects);
+	carry_out_all(daemon);
+}
+
+static void on_ended(void *data, const struct event_attempt_ended *ended)
+{
+	struct entry_daemon *daemon = data;
+	struct relay_node *node;
+
+	entry_ended(daemon->entry, ended, edge_now_us(), &daemon->effects);
+	carry_out_all(daemon);
+	if (daemon->carrying_out)
+		return;
+	node = relay_find(daemon, ended->id);
+	if (node && relay_is_over(node->relay))
+		relay_drop(daemon, node);
+}
+
+static void on_load(void *data, const char *address,
+		    const struct dialect_answer *answer)
+{
+	struct entry_daemon *daemon = data;
+
+	entry_load(daemon->entry, address, answer->running, answer->waiting,
+		   answer->slots, edge_now_us());
+}
+
+static void on_request(void *data, struct http_exchange *exchange)
+{
+	struct entry_daemon *daemon = data;
+	struct relay_node *node = xcalloc(1, sizeof(*node));
+	uint64_t id = ++daemon->next_id;
+	struct entry_request request;
+
+	node->relay = relay_new(&daemon->host, exchange, id);
+	map_insert(&daemon->relays, &node->node, map_hash(&id, sizeof(id)));
+	request = relay_request(node->relay);
+	entry_submit(daemon->entry, &request, edge_now_us(), &daemon->effects);
+	carry_out_all(daemon);
+}
+
+static void on_left(void *data, struct http_exchange *exchange)
+{
+	struct entry_daemon *daemon = data;
+	struct relay *relay = http_exchange_user(exchange);
+	struct relay_node *node;
+	uint64_t id;
+
+	if (!relay)
+		return;
+	id = relay_id(relay);
+	relay_caller_left(relay);
+	entry_caller_left(daemon->entry, id, edge_now_us(), &daemon->effects);
+	carry_out_all(daemon);
+	node = relay_find(daemon, id);
+	if (node && relay_is_over(node->relay) && !daemon->carrying_out)
+		relay_drop(daemon, node);
+}
+
+static void on_ready_request(void *data, struct http_exchange *exchange)
+{
+	struct entry_daemon *daemon = data;
+	bool known = daemon->role.dialect->is_ready_call(
+		http_exchange_head(exchange));
+	bool ready = entry_ready(daemon->entry, edge_now_us());
+
+	http_exchange_answer(exchange, !known ? 404 : ready ? 200 : 503, NULL,
+			     NULL);
+}
+
+static void on_ready_left(void *data, struct http_exchange *exchange)
+{
+}
+
+static struct document *read_document(void *data, const char *text, size_t len)
+{
+	struct entry_daemon *daemon = data;
+
+	return daemon->role.dialect->read_document(text, len,
+						   daemon->role.handler);
+}
+
+/* What callers may send follows the document. */
+static void follow_limits(struct entry_daemon *daemon)
+{
+	const struct document *document = entry_document(daemon->entry);
+	struct http_limits limits;
+
+	if (!document || document->version == daemon->version)
+		return;
+	daemon->version = document->version;
+	limits.header_bytes = document->limits.header_bytes;
+	limits.body_bytes = document->limits.body_bytes;
+	limits.header_ms = document->limits.header_ms;
+	limits.idle_ms = document->limits.idle_ms;
+	http_server_set_limits(daemon->callers, &limits);
+}
+
+static void on_event(void *data, struct event *event)
+{
+	struct entry_daemon *daemon = data;
+	int64_t now_us = edge_now_us();
+
+	if (event->kind == EVENT_LINK_UP)
+		entry_link_up(daemon->entry, &event->u.link_up, now_us,
+			      &daemon->effects);
+	else if (event->kind == EVENT_LINK_DOWN)
+		entry_link_down(daemon->entry, event->u.link_down.peer, now_us,
+				&daemon->effects);
+	else if (event->kind == EVENT_LINK_MESSAGE)
+		entry_link_message(daemon->entry, &event->u.link_message,
+				   now_us, &daemon->effects);
+	event_free(event);
+	carry_out_all(daemon);
+	follow_limits(daemon);
+}
+
+static void on_tick(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct entry_daemon *daemon = timer->data;
+	int64_t now_us = edge_now_us();
+	int64_t next_us;
+
+	entry_tick(daemon->entry, now_us, &daemon->effects);
+	carry_out_all(daemon);
+	now_us = edge_now_us();
+	next_us = entry_next_tick(daemon->entry, now_us) - now_us;
+	ev_timer_stop(ev, timer);
+	ev_timer_set(timer, next_us > 1000 ? (double)next_us / 1e6 : 0.001, 0);
+	ev_timer_start(ev, timer);
+}
+
+static void on_stop(void *data)
+{
+	struct entry_daemon *daemon = data;
+	int64_t grace_ms = daemon->role.boot->stop_grace_s * 1000;
+
+	http_server_wind_down(daemon->callers);
+	entry_stop(daemon->entry, edge_now_us(),
+		   (grace_ms - STOP_MARGIN_MS) * 1000, &daemon->effects);
+	carry_out_all(daemon);
+}
+
+static void write_metrics(void *data, struct bytes *out)
+{
+	struct entry_daemon *daemon = data;
+	struct entry_view view = entry_view(daemon->entry, edge_now_us());
+
+	bytes_append_format(
+		out,
+		"filberthall_ready %d\nfilberthall_document_version %" PRId64
+		"\nfilberthall_fresh_age_us %" PRId64
+		"\nfilberthall_control_vms %d\nfilberthall_servers %d\n"
+		"filberthall_requests_open %" PRId64
+		"\nfilberthall_requests_total %" PRId64
+		"\nfilberthall_requests_refused_total %" PRId64
+		"\nfilberthall_requests_served_total %" PRId64
+		"\nfilberthall_requests_failed_total %" PRId64
+		"\nfilberthall_attempts_total %" PRId64
+		"\nfilberthall_connections_opened_total %" PRId64 "\n",
+		entry_ready(daemon->entry, edge_now_us()), view.version,
+		view.fresh_age_us, view.control_vms, view.servers, view.open,
+		view.submitted, view.refused, view.served, view.failed,
+		view.attempts, http_client_opened(daemon->client));
+}
+
+static void make_client(struct entry_daemon *daemon)
+{
+	struct http_client_options options = {
+		.id_header = daemon->role.dialect->id_header,
+		.connect_ms = CONNECT_MS,
+		.silent_ms = SILENT_MS,
+		.idle_most = IDLE_MOST,
+	};
+
+	daemon->client = http_client_new(&daemon->role.streams, &options);
+	daemon->host.dialect = daemon->role.dialect;
+	daemon->host.client = daemon->client;
+	daemon->host.entry = daemon->entry;
+	daemon->host.tokens = on_tokens;
+	daemon->host.ended = on_ended;
+	daemon->host.load = on_load;
+	daemon->host.data = daemon;
+}
+
+static enum result open_listeners(struct entry_daemon *daemon)
+{
+	const struct boot *boot = daemon->role.boot;
+	struct http_limits ready = { READY_HEADER_BYTES, READY_BODY_BYTES,
+				     READY_HEADER_MS, READY_IDLE_MS };
+	struct document_limits limits = document_default_limits();
+	struct http_limits callers = { limits.header_bytes, limits.body_bytes,
+				       limits.header_ms, limits.idle_ms };
+	struct http_server_hooks ready_hooks = { on_ready_request,
+						 on_ready_left, daemon };
+	struct http_server_hooks hooks = { on_request, on_left, daemon };
+
+	daemon->ready = http_server_start(&daemon->role.streams,
+					  boot->listen_ready, &ready,
+					  &ready_hooks, daemon->role.handler);
+	if (!daemon->ready)
+		return RESULT_SETTING_VALUE;
+	daemon->callers = http_server_start(&daemon->role.streams,
+					    boot->listen_callers, &callers,
+					    &hooks, daemon->role.handler);
+	return daemon->callers ? RESULT_OK : RESULT_SETTING_VALUE;
+}
+
+static enum result open_all(struct entry_daemon *daemon)
+{
+	const struct boot *boot = daemon->role.boot;
+	struct entry_options options = { 0 };
+	enum result code;
+
+	code = role_open(&daemon->role);
+	if (code)
+		return code;
+	/* An observer is a new one at each start: it has nothing to keep. */
+	if (getrandom(&options.self, sizeof(options.self), 0) !=
+		    sizeof(options.self) ||
+	    getrandom(&options.seed, sizeof(options.seed), 0) !=
+		    sizeof(options.seed))
+		return RESULT_DISK_FAILED;
+	options.self |= 1;
+	options.vm = boot->vm;
+	options.zone = boot->zone;
+	options.fresh_us = boot->fresh_ms * 1000;
+	options.window_us = boot->window_s * 1000000;
+	options.read_document = read_document;
+	options.data = daemon;
+	daemon->entry = entry_new(&options, edge_now_us());
+	make_client(daemon);
+	code = role_open_links(&daemon->role, options.self, 1, true);
+	return code ? code : open_listeners(daemon);
+}
+
+static void close_all(struct entry_daemon *daemon)
+{
+	struct relay_node *node;
+	struct relay_node *next;
+
+	http_server_stop(daemon->callers);
+	http_server_stop(daemon->ready);
+	map_foreach(node, next, &daemon->relays, node)
+		relay_drop(daemon, node);
+	map_clear(&daemon->relays);
+	http_client_free(daemon->client);
+	effects_clear(&daemon->effects);
+	entry_free(daemon->entry);
+	role_close(&daemon->role);
+}
+
+enum result entry_daemon_run(const struct boot *boot, const char *settings,
+			     const struct dialect *dialect,
+			     const struct error_handler *handler)
+{
+	struct entry_daemon daemon = { 0 };
+	enum result code;
+
+	daemon.role.boot = boot;
+	daemon.role.settings = settings;
+	daemon.role.dialect = dialect;
+	daemon.role.handler = handler;
+	daemon.role.take = on_event;
+	daemon.role.stop = on_stop;
+	daemon.role.write_metrics = write_metrics;
+	daemon.role.data = &daemon;
+	map_init(&daemon.relays);
+	effects_init(&daemon.effects);
+	code = open_all(&daemon);
+	if (!code) {
+		ev_timer_init(&daemon.tick, on_tick, 0, 0);
+		daemon.tick.data = &daemon;
+		ev_timer_start(daemon.role.ev, &daemon.tick);
+		log_line(daemon.role.log, LOG_INFO, "daemon",
+			 "event=start role=entry callers=%s links=%s",
+			 boot->listen_callers, boot->listen_links);
+		role_run(&daemon.role);
+	}
+	close_all(&daemon);
+	return code;
+}
--- /dev/null
+++ b/daemon/http_client.c
@@ -0,0 +1,448 @@
+#include "daemon/http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/alloc.h"
+#include "base/list.h"
+#include "base/map.h"
+#include "daemon/address.h"
+
+/* Of an answer's head; ours are a tenth of it. */
+#define HEAD_BYTES (64 * 1024)
+
+/* A server that doesn't say how long it keeps connections: hardly at all. */
+#define KEPT_DEFAULT_MS 500
+
+/* We stop using a connection so long before the server closes it. */
+#define KEPT_MARGIN_MS 500
+
+/* Longest time for which a connection is kept, whatever the server says. */
+#define KEPT_MOST_MS 10000
+
+/* Of an answer, waiting to be taken; each piece is taken as it comes. */
+#define READ_MOST (256 * 1024)
+
+struct origin {
+	struct map_node node; /* by address */
+	char *address;
+	struct list idle; /* connections, the one used last first */
+	int n_idle;
+};
+
+struct wire_conn {
+	struct list node; /* among the idle ones of its origin */
+	struct http_client *client;
+	struct origin *origin;
+	struct stream *stream;
+	ev_timer timer; /* connecting; later the idle time */
+	struct http_parse parse;
+	struct http_call *call;
+	bool connected;
+	bool spoiled;
+	bool skipping; /* an answer of another request */
+	bool reading;  /* its bytes are being parsed: not to be freed now */
+	int64_t kept_ms;
+};
+
+struct http_call {
+	struct list node;
+	struct http_client *client;
+	struct wire_conn *conn;
+	struct http_call_hooks hooks;
+	void *data;
+	char *id;
+	ev_timer timer;
+	bool sent;
+};
+
+struct http_client {
+	struct stream_loop *loop;
+	struct http_client_options options;
+	struct map origins;
+	struct list calls;
+	int64_t opened;
+};
+
+static bool origin_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(container_of(node, struct origin, node)->address, key);
+}
+
+static struct origin *origin_of(struct http_client *client, const char *address)
+{
+	struct map_node *node = map_find(
+		&client->origins, map_hash_text(address), origin_match, address);
+	struct origin *origin;
+
+	if (node)
+		return container_of(node, struct origin, node);
+	origin = xcalloc(1, sizeof(*origin));
+	origin->address = xstrdup(address);
+	list_init(&origin->idle);
+	map_insert(&client->origins, &origin->node, map_hash_text(address));
+	return origin;
+}
+
+static void wire_free(struct wire_conn *conn)
+{
+	if (!list_empty(&conn->node)) {
+		list_remove(&conn->node);
+		conn->origin->n_idle--;
+	}
+	http_parse_clear(&conn->parse);
+	ev_timer_stop(conn->client->loop->ev, &conn->timer);
+	stream_free(conn->stream);
+	free(conn);
+}
+
+static void call_free(struct http_call *call)
+{
+	list_remove(&call->node);
+	ev_timer_stop(call->client->loop->ev, &call->timer);
+	free(call->id);
+	free(call);
+}
+
+/* The call is over; its connection must have been dealt with. */
+static void call_end(struct http_call *call, enum result code)
+{
+	struct http_call_hooks hooks = call->hooks;
+	void *data = call->data;
+	bool sent = call->sent;
+
+	call_free(call);
+	hooks.end(data, code, sent);
+}
+
+static void wire_fail(struct wire_conn *conn, enum result code)
+{
+	struct http_call *call = conn->call;
+
+	wire_free(conn);
+	if (call)
+		call_end(call, code);
+}
+
+static void arm(struct http_client *client, ev_timer *timer, int64_t ms)
+{
+	ev_timer_stop(client->loop->ev, timer);
+	ev_timer_set(timer, (double)ms / 1000, 0);
+	ev_timer_start(client->loop->ev, timer);
+}
+
+static void on_call_timer(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct http_call *call = timer->data;
+
+	wire_fail(call->conn, RESULT_BACKEND_TIMEOUT);
+}
+
+static void on_conn_timer(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct wire_conn *conn = timer->data;
+
+	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
+					: RESULT_BACKEND_CONNECT);
+}
+
+/* How long the server keeps the connection, less a margin; 0 for not. */
+static int64_t kept_ms(const struct http_head *head)
+{
+	const char *text = http_head_get(head, "Keep-Alive");
+	const char *timeout = text ? strstr(text, "timeout=") : NULL;
+	int64_t ms = KEPT_DEFAULT_MS;
+
+	if (timeout)
+		ms = strtoll(timeout + strlen("timeout="), NULL, 10) * 1000 -
+		     KEPT_MARGIN_MS;
+	return ms < KEPT_MOST_MS ? ms : KEPT_MOST_MS;
+}
+
+static bool on_head(void *data, const struct http_head *head)
+{
+	struct wire_conn *conn = data;
+	struct http_call *call = conn->call;
+	const char *id_header = conn->client->options.id_header;
+	const char *id;
+
+	if (head->status < 200)
+		return true;
+	id = id_header ? http_head_get(head, id_header) : NULL;
+	conn->skipping = call->id && (!id || strcmp(id, call->id) != 0);
+	conn->kept_ms = kept_ms(head);
+	if (conn->skipping)
+		conn->spoiled = true;
+	else
+		call->hooks.head(call->data, head);
+	return conn->call != NULL;
+}
+
+static bool on_body(void *data, const char *piece, size_t len)
+{
+	struct wire_conn *conn = data;
+
+	if (conn->skipping)
+		return true;
+	conn->call->hooks.body(conn->call->data, piece, len);
+	/* The hook may have given the call up, and this connection with it. */
+	return conn->call != NULL;
+}
+
+static const struct http_parse_hooks parse_hooks = { on_head, on_body };
+
+/* Keep the connection, or close it if anything about it is doubtful. */
+static void wire_keep(struct wire_conn *conn, bool keep_alive)
+{
+	struct origin *origin = conn->origin;
+
+	conn->call = NULL;
+	if (!keep_alive || conn->spoiled || conn->kept_ms <= 0 ||
+	    stream_input(conn->stream)->len || stream_unwritten(conn->stream)) {
+		wire_free(conn);
+		return;
+	}
+	http_parse_next(&conn->parse);
+	list_prepend(&origin->idle, &conn->node);
+	arm(conn->client, &conn->timer, conn->kept_ms);
+	if (++origin->n_idle > conn->client->options.idle_most)
+		wire_free(list_last(&origin->idle, struct wire_conn, node));
+}
+
+/* False once the connection isn't ours to read any more. */
+static bool wire_answered(struct wire_conn *conn)
+{
+	struct http_call *call = conn->call;
+	bool keep_alive = conn->parse.head.keep_alive;
+	bool other = conn->skipping || conn->parse.head.status < 200;
+
+	if (other && keep_alive) {
+		conn->skipping = false;
+		http_parse_next(&conn->parse);
+		return true;
+	}
+	if (other) {
+		wire_fail(conn, RESULT_BACKEND_BROKE);
+		return false;
+	}
+	wire_keep(conn, keep_alive);
+	call_end(call, RESULT_OK);
+	return false;
+}
+
+static void on_read(void *data, struct bytes *in)
+{
+	struct wire_conn *conn = data;
+
+	/* Nobody asked, so nobody knows whose these bytes are. */
+	if (!conn->call) {
+		wire_free(conn);
+		return;
+	}
+	while (in->len) {
+		enum http_parse_state state;
+
+		conn->reading = true;
+		state = http_parse_feed(&conn->parse, in);
+		conn->reading = false;
+		/* A hook that gave the call up left the connection to us. */
+		if (state == HTTP_PARSE_BAD || !conn->call) {
+			wire_fail(conn, RESULT_BACKEND_BROKE);
+			return;
+		}
+		if (state != HTTP_PARSE_DONE || !wire_answered(conn))
+			return;
+	}
+}
+
+static void on_connected(void *data)
+{
+	struct wire_conn *conn = data;
+
+	conn->connected = true;
+	ev_timer_stop(conn->client->loop->ev, &conn->timer);
+	if (conn->call)
+		conn->call->sent = true;
+}
+
+/* A closed connection ends an answer without a length; a reset one doesn't. */
+static void on_eof(struct wire_conn *conn)
+{
+	struct http_call *call = conn->call;
+
+	if (call && !conn->skipping && conn->parse.head.status >= 200 &&
+	    http_parse_eof(&conn->parse) == HTTP_PARSE_DONE && conn->call) {
+		wire_free(conn);
+		call_end(call, RESULT_OK);
+		return;
+	}
+	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
+					: RESULT_BACKEND_CONNECT);
+}
+
+static void on_closed(void *data, bool reset)
+{
+	struct wire_conn *conn = data;
+
+	if (!reset)
+		on_eof(conn);
+	else
+		wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
+						: RESULT_BACKEND_CONNECT);
+}
+
+static const struct stream_hooks stream_hooks = {
+	.connected = on_connected,
+	.readable = on_read,
+	.closed = on_closed,
+};
+
+static void set_options(int fd, int64_t silent_ms)
+{
+	unsigned int user_ms = (unsigned int)silent_ms;
+	int seconds = (int)((silent_ms + 999) / 2000);
+	int count = 1;
+	int one = 1;
+
+	if (seconds < 1)
+		seconds = 1;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
+		   sizeof(user_ms));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+}
+
+static struct wire_conn *wire_new(struct http_client *client,
+				  struct origin *origin)
+{
+	struct wire_conn *conn = xcalloc(1, sizeof(*conn));
+
+	conn->client = client;
+	conn->origin = origin;
+	list_init(&conn->node);
+	ev_timer_init(&conn->timer, on_conn_timer, 0, 0);
+	conn->timer.data = conn;
+	http_parse_init(&conn->parse, HTTP_RESPONSE, HEAD_BYTES, &parse_hooks,
+			conn);
+	conn->stream = stream_connect(client->loop, origin->address, READ_MOST,
+				      &stream_hooks, conn);
+	if (stream_fd(conn->stream) >= 0)
+		set_options(stream_fd(conn->stream),
+			    client->options.silent_ms);
+	arm(client, &conn->timer, client->options.connect_ms);
+	client->opened++;
+	return conn;
+}
+
+static struct wire_conn *wire_of(struct http_client *client,
+				 const struct http_call_request *request)
+{
+	struct origin *origin = origin_of(client, request->address);
+	struct wire_conn *conn =
+		list_first(&origin->idle, struct wire_conn, node);
+
+	if (conn && !request->fresh) {
+		list_remove(&conn->node);
+		origin->n_idle--;
+		ev_timer_stop(client->loop->ev, &conn->timer);
+		return conn;
+	}
+	return wire_new(client, origin);
+}
+
+struct http_call *http_call_start(struct http_client *client,
+				  const struct http_call_request *request,
+				  const struct http_call_hooks *hooks,
+				  void *data)
+{
+	struct http_call *call = xcalloc(1, sizeof(*call));
+	struct wire_conn *conn = wire_of(client, request);
+
+	call->client = client;
+	call->conn = conn;
+	call->hooks = *hooks;
+	call->data = data;
+	call->id = xstrdup(request->id);
+	call->sent = conn->connected;
+	ev_timer_init(&call->timer, on_call_timer, 0, 0);
+	call->timer.data = call;
+	list_append(&client->calls, &call->node);
+	conn->call = call;
+	conn->parse.no_body = request->no_body;
+	arm(client, &call->timer,
+	    request->timeout_ms > 0 ? request->timeout_ms : 1);
+	stream_write(conn->stream, request->head->data, request->head->len);
+	if (request->body)
+		stream_write(conn->stream, request->body->data,
+			     request->body->len);
+	return call;
+}
+
+void http_call_cancel(struct http_call *call)
+{
+	struct wire_conn *conn = call->conn;
+
+	conn->call = NULL;
+	call_free(call);
+	if (!conn->reading)
+		wire_free(conn);
+}
+
+bool http_call_sent(const struct http_call *call)
+{
+	return call->sent;
+}
+
+void http_client_distrust(struct http_client *client, const char *address)
+{
+	struct origin *origin = origin_of(client, address);
+	struct wire_conn *conn;
+	struct wire_conn *next;
+
+	list_foreach_safe(conn, next, &origin->idle, node)
+		wire_free(conn);
+}
+
+int64_t http_client_opened(const struct http_client *client)
+{
+	return client->opened;
+}
+
+struct http_client *http_client_new(struct stream_loop *loop,
+				    const struct http_client_options *options)
+{
+	struct http_client *client = xcalloc(1, sizeof(*client));
+
+	client->loop = loop;
+	client->options = *options;
+	map_init(&client->origins);
+	list_init(&client->calls);
+	return client;
+}
+
+void http_client_free(struct http_client *client)
+{
+	struct http_call *call;
+	struct http_call *next_call;
+	struct origin *origin;
+	struct origin *next;
+
+	if (!client)
+		return;
+	list_foreach_safe(call, next_call, &client->calls, node)
+		http_call_cancel(call);
+	map_foreach(origin, next, &client->origins, node) {
+		http_client_distrust(client, origin->address);
+		map_remove(&client->origins, &origin->node);
+		free(origin->address);
+		free(origin);
+	}
+	map_clear(&client->origins);
+	free(client);
+}
--- /dev/null
+++ b/daemon/http_server.h
@@ -0,0 +1,87 @@
+#ifndef FILBERTHALL_DAEMON_HTTP_SERVER_H
+#define FILBERTHALL_DAEMON_HTTP_SERVER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "daemon/http_parse.h"
+#include "daemon/stream.h"
+
+/**
+ * Listens for HTTP/1.1 on one address, in the thread of its loop. One
+ * request of a connection at a time is handed over, whole; those behind it
+ * wait unread. Bytes and framing only: what an answer says is others' matter.
+ */
+struct http_server;
+
+/** A request that has been read, until it is answered or its caller leaves. */
+struct http_exchange;
+
+/** Bounds of what may be sent here; may change while it runs. */
+struct http_limits {
+	int64_t header_bytes;
+	int64_t body_bytes;
+	int64_t header_ms; /**< for a request's head and body to come in */
+	int64_t idle_ms;   /**< a kept connection without a request */
+};
+
+struct http_server_hooks {
+	/** A request was read whole. */
+	void (*request)(void *data, struct http_exchange *exchange);
+	/**
+	 * The caller has gone before the answer's end; the exchange is freed
+	 * after this call.
+	 */
+	void (*left)(void *data, struct http_exchange *exchange);
+	void *data;
+};
+
+/** Returns NULL after a message to `handler`. */
+struct http_server *http_server_start(struct stream_loop *loop,
+				      const char *address,
+				      const struct http_limits *limits,
+				      const struct http_server_hooks *hooks,
+				      const struct error_handler *handler);
+
+/** The port really bound. */
+int http_server_port(const struct http_server *server);
+
+void http_server_set_limits(struct http_server *server,
+			    const struct http_limits *limits);
+
+/** From now on answers end their connections: a planned stop. */
+void http_server_wind_down(struct http_server *server);
+
+/** Close everything. */
+void http_server_stop(struct http_server *server);
+
+const struct http_head *http_exchange_head(const struct http_exchange *exchange);
+const struct bytes *http_exchange_body(const struct http_exchange *exchange);
+
+/** A pointer of the owner's. */
+void http_exchange_set_user(struct http_exchange *exchange, void *user);
+void *http_exchange_user(const struct http_exchange *exchange);
+
+/**
+ * Answer whole. Frees the exchange.
+ *
+ * @param headers	lines, each with its CRLF, without lengths; may be NULL
+ * @param body		may be NULL
+ */
+void http_exchange_answer(struct http_exchange *exchange, int status,
+			  const char *headers, const struct bytes *body);
+
+/** Begin an answer that comes in pieces. */
+void http_exchange_begin(struct http_exchange *exchange, int status,
+			 const char *headers);
+void http_exchange_piece(struct http_exchange *exchange, const char *data,
+			 size_t len);
+
+/** The answer is whole. Frees the exchange. */
+void http_exchange_end(struct http_exchange *exchange);
+
+/** The answer breaks off: the caller sees that. Frees the exchange. */
+void http_exchange_cut(struct http_exchange *exchange);
+
+#endif
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -20,7 +20,12 @@
 /* All daemons of a site hold the same key; who is who the hello tells. */
 static const char key_name[] = "filberthall";
 
-enum command_kind { COMMAND_SEND, COMMAND_OPEN, COMMAND_CLOSE };
+enum command_kind {
+	COMMAND_SEND,
+	COMMAND_OPEN,
+	COMMAND_CLOSE,
+	COMMAND_SEED
+};
 
 /** What another thread asked for. */
 struct command {
@@ -46,6 +51,18 @@
 	return 0;
 }
 
+static void add_seed(struct link_hub *hub, const char *address)
+{
+	struct link_dial *dial;
+
+	list_foreach(dial, &hub->dials, node)
+		if (dial->seed && !strcmp(dial->text, address))
+			return;
+	dial = link_dial_add(hub, address, 0);
+	if (dial)
+		dial->seed = true;
+}
+
 static void run_command(struct link_hub *hub, struct command *command)
 {
 	struct link_dial *dial;
@@ -56,6 +73,10 @@
 		link_peer_queue(hub, command->member, command->message);
 		return;
 	}
+	if (command->kind == COMMAND_SEED) {
+		add_seed(hub, command->address);
+		return;
+	}
 	list_foreach_safe(dial, next, &hub->dials, node)
 		if (!dial->seed && dial->member == command->member)
 			link_dial_remove(dial);
@@ -169,7 +190,7 @@
 	struct command *command;
 
 	if (send->body.len > LINK_FRAME_BYTES || send->channel < LINK_RAFT ||
-	    send->channel > LINK_USAGE) {
+	    send->channel >= LINK_CHANNELS) {
 		edge_count(&hub->options.counters->link_dropped);
 		return;
 	}
@@ -194,6 +215,14 @@
 	command_post(hub, command_new(COMMAND_CLOSE, close->peer));
 }
 
+void link_add_seed(struct link_hub *hub, const char *address)
+{
+	struct command *command = command_new(COMMAND_SEED, 0);
+
+	command->address = xstrdup(address);
+	command_post(hub, command);
+}
+
 int link_port(const struct link_hub *hub)
 {
 	return hub->port;
@@ -203,7 +232,7 @@
 {
 	int i;
 
-	for (i = 0; i <= LINK_USAGE; i++)
+	for (i = 0; i < LINK_CHANNELS; i++)
 		to[i] = atomic_load(&from[i]);
 }
 
@@ -228,6 +257,14 @@
 					  GNUTLS_PSK_KEY_RAW);
 }
 
+static void drop_key(struct link_hub *hub)
+{
+	gnutls_psk_free_server_credentials(hub->server_key);
+	gnutls_psk_free_client_credentials(hub->client_key);
+	sodium_memzero(hub->key.data, hub->key.size);
+	free(hub->key.data);
+}
+
 static void set_hello(struct link_hub *hub, const struct address *listen)
 {
 	const struct link_options *options = &hub->options;
@@ -239,6 +276,7 @@
 	hub->hello.zone = xstrdup(options->zone);
 	hub->hello.member = options->self;
 	hub->hello.incarnation = options->incarnation;
+	hub->hello.observer = options->observer;
 	hub->hello.address = options->address
 				     ? xstrdup(options->address)
 				     : xstrfmt("%s:%d", host, hub->port);
@@ -263,14 +301,10 @@
 
 static void add_seeds(struct link_hub *hub, const struct link_options *options)
 {
-	struct link_dial *dial;
 	int i;
 
-	for (i = 0; i < options->n_seeds; i++) {
-		dial = link_dial_add(hub, options->seeds[i], 0);
-		if (dial)
-			dial->seed = true;
-	}
+	for (i = 0; i < options->n_seeds; i++)
+		add_seed(hub, options->seeds[i]);
 }
 
 static struct link_hub *hub_new(const struct link_options *options)
@@ -286,7 +320,8 @@
 	list_init(&hub->conns);
 	list_init(&hub->dials);
 	map_init(&hub->peers);
-	set_key(hub, options->secret, options->secret_len);
+	if (options->secret)
+		set_key(hub, options->secret, options->secret_len);
 	return hub;
 }
 
@@ -370,10 +405,8 @@
 	close_if_open(hub->epoll);
 	close_if_open(hub->wake);
 	close_if_open(hub->listener);
-	gnutls_psk_free_server_credentials(hub->server_key);
-	gnutls_psk_free_client_credentials(hub->client_key);
-	sodium_memzero(hub->key.data, hub->key.size);
-	free(hub->key.data);
+	if (hub->key.data)
+		drop_key(hub);
 	link_hello_clear(&hub->hello);
 	free((char *)hub->options.site);
 	pthread_mutex_destroy(&hub->lock);
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -8,6 +8,8 @@
 /**
  * Links between daemons: one TCP connection between each two, msgpack frames
  * under TLS with a pre-shared key, heartbeats. One thread serves them all.
+ * Without a key the frames go in the clear, for sites whose network lets
+ * nobody else in (docs/SECURITY.md).
  *
  * A link that something in the middle has forgotten looks open for many
  * minutes; without heartbeats a dead peer would go on counting as a voter
@@ -32,8 +34,9 @@
 	const char *zone;
 	uint64_t self; /**< own member id */
 	uint64_t incarnation;
-	const void *secret; /**< pre-shared key */
+	const void *secret; /**< pre-shared key, NULL for links in the clear */
 	size_t secret_len;
+	bool observer; /**< never joins the group */
 	const char *const *seeds; /**< IP:port of peers to join by */
 	int n_seeds;
 	const struct edge_sink *sink;
@@ -56,12 +59,15 @@
 void link_open(struct link_hub *hub, const struct effect_link_open *open);
 void link_close(struct link_hub *hub, const struct effect_link_close *close);
 
+/** Dial another address to join by; nothing happens if it is dialled already. */
+void link_add_seed(struct link_hub *hub, const char *address);
+
 /** Messages and bytes by channel since the start. */
 struct link_statistics {
-	uint64_t messages_in[LINK_USAGE + 1];
-	uint64_t messages_out[LINK_USAGE + 1];
-	uint64_t bytes_in[LINK_USAGE + 1];
-	uint64_t bytes_out[LINK_USAGE + 1];
+	uint64_t messages_in[LINK_CHANNELS];
+	uint64_t messages_out[LINK_CHANNELS];
+	uint64_t bytes_in[LINK_CHANNELS];
+	uint64_t bytes_out[LINK_CHANNELS];
 };
 
 void link_read_statistics(struct link_hub *hub,
--- a/daemon/link_conn.c
+++ b/daemon/link_conn.c
@@ -81,7 +81,8 @@
 	conn->heard_us = conn->opened_us;
 	conn->wants_write = true;
 	set_socket_options(fd);
-	set_tls(conn);
+	if (hub->key.data)
+		set_tls(conn);
 	list_append(&hub->conns, &conn->node);
 	hub->n_strangers++;
 	watch(conn, EPOLL_CTL_ADD);
@@ -115,7 +116,8 @@
 		if (conn->state != LINK_DEAD)
 			continue;
 		list_remove(&conn->node);
-		gnutls_deinit(conn->tls);
+		if (conn->tls)
+			gnutls_deinit(conn->tls);
 		bytes_clear(&conn->in);
 		bytes_clear(&conn->out);
 		free(conn);
@@ -142,11 +144,22 @@
 	return true;
 }
 
+static void greet(struct link_conn *conn)
+{
+	conn->state = LINK_GREETING;
+	link_frame_add_hello(&conn->out, &conn->hub->hello);
+}
+
 /* Both ends prove the key here; a stranger gets no further. */
 static bool secure(struct link_conn *conn)
 {
-	int ret = gnutls_handshake(conn->tls);
+	int ret;
 
+	if (!conn->tls) {
+		greet(conn);
+		return true;
+	}
+	ret = gnutls_handshake(conn->tls);
 	if (ret == GNUTLS_E_AGAIN || ret == GNUTLS_E_INTERRUPTED) {
 		want_write(conn, gnutls_record_get_direction(conn->tls));
 		return false;
@@ -157,8 +170,7 @@
 		refuse(conn);
 		return false;
 	}
-	conn->state = LINK_GREETING;
-	link_frame_add_hello(&conn->out, &conn->hub->hello);
+	greet(conn);
 	return true;
 }
 
@@ -182,10 +194,23 @@
 	}
 }
 
+/* What a socket call returned, in the terms of TLS. */
+static ssize_t clear_result(ssize_t n)
+{
+	if (n >= 0)
+		return n;
+	if (errno == EAGAIN || errno == EWOULDBLOCK)
+		return GNUTLS_E_AGAIN;
+	return errno == EINTR ? GNUTLS_E_INTERRUPTED : GNUTLS_E_PUSH_ERROR;
+}
+
 static ssize_t send_piece(struct link_conn *conn)
 {
 	size_t len = conn->out.len;
 
+	if (!conn->tls)
+		return clear_result(
+			send(conn->fd, conn->out.data, len, MSG_NOSIGNAL));
 	if (conn->flushing)
 		return gnutls_record_send(conn->tls, NULL, 0);
 	return gnutls_record_send(conn->tls, conn->out.data,
@@ -202,7 +227,7 @@
 	while (conn->out.len) {
 		n = send_piece(conn);
 		if (n == GNUTLS_E_AGAIN || n == GNUTLS_E_INTERRUPTED) {
-			conn->flushing = true;
+			conn->flushing = conn->tls != NULL;
 			want_write(conn, true);
 			return;
 		}
@@ -263,11 +288,23 @@
 	bytes_consume(&conn->in, at);
 }
 
+static ssize_t receive_piece(struct link_conn *conn, char *buffer, size_t size)
+{
+	if (!conn->tls)
+		return clear_result(recv(conn->fd, buffer, size, 0));
+	return gnutls_record_recv(conn->tls, buffer, size);
+}
+
+static bool has_pending(const struct link_conn *conn)
+{
+	return conn->tls && gnutls_record_check_pending(conn->tls);
+}
+
 /* False once there's no more for now. */
 static bool read_piece(struct link_conn *conn)
 {
 	char buffer[RECORD_BYTES];
-	ssize_t n = gnutls_record_recv(conn->tls, buffer, sizeof(buffer));
+	ssize_t n = receive_piece(conn, buffer, sizeof(buffer));
 
 	if (n == GNUTLS_E_AGAIN || n == GNUTLS_E_INTERRUPTED)
 		return false;
@@ -288,8 +325,7 @@
 {
 	int i;
 
-	for (i = 0; i < READS_AT_ONCE || gnutls_record_check_pending(conn->tls);
-	     i++)
+	for (i = 0; i < READS_AT_ONCE || has_pending(conn); i++)
 		if (!read_piece(conn))
 			return;
 }
--- a/daemon/link_frame.c
+++ b/daemon/link_frame.c
@@ -48,6 +48,7 @@
 	pack_text(&packer, hello->address);
 	msgpack_pack_uint64(&packer, hello->member);
 	msgpack_pack_uint64(&packer, hello->incarnation);
+	msgpack_pack_uint64(&packer, hello->observer);
 	end_frame(out, at);
 }
 
@@ -137,7 +138,8 @@
 	       read_text(cursor, &hello->zone) &&
 	       read_text(cursor, &hello->address) &&
 	       read_uint(cursor, &hello->member) &&
-	       read_uint(cursor, &hello->incarnation);
+	       read_uint(cursor, &hello->incarnation) &&
+	       read_uint(cursor, &hello->observer);
 }
 
 static bool read_message(struct cursor *cursor, struct link_frame *frame)
@@ -146,7 +148,7 @@
 	uint64_t channel;
 
 	if (!read_uint(cursor, &channel) || channel < LINK_RAFT ||
-	    channel > LINK_USAGE ||
+	    channel >= LINK_CHANNELS ||
 	    !next_object(cursor, MSGPACK_OBJECT_BIN, &object))
 		return false;
 	frame->channel = (int64_t)channel;
--- a/daemon/link_frame.h
+++ b/daemon/link_frame.h
@@ -11,7 +11,7 @@
  * fields of that kind. No containers, so a few bytes can't claim much memory.
  */
 
-#define LINK_VERSION 1
+#define LINK_VERSION 2
 
 /** Of text fields. */
 #define LINK_TEXT_BYTES 255
@@ -31,6 +31,7 @@
 	char *address; /**< of its links */
 	uint64_t member;
 	uint64_t incarnation; /**< new at each start of the process */
+	uint64_t observer;    /**< 1 if it never joins the group, else 0 */
 };
 
 struct link_frame {
--- a/daemon/link_peer.c
+++ b/daemon/link_peer.c
@@ -91,6 +91,8 @@
 	event->u.link_up.peer = hello->member;
 	event->u.link_up.name = xstrdup(hello->vm);
 	event->u.link_up.zone = xstrdup(hello->zone);
+	event->u.link_up.address = xstrdup(hello->address);
+	event->u.link_up.observer = hello->observer;
 	post(hub, event);
 }
 
--- a/daemon/link_private.h
+++ b/daemon/link_private.h
@@ -22,7 +22,8 @@
 #define LINK_STRANGERS 64
 
 #define LINK_DIAL_FIRST_US 100000
-#define LINK_DIAL_LAST_US 3000000
+/* A peer that came back is found within about a second and a half. */
+#define LINK_DIAL_LAST_US 1000000
 
 enum link_state {
 	LINK_CONNECTING, /**< TCP */
@@ -103,10 +104,10 @@
 	struct list commands;
 	bool stopping;
 
-	atomic_uint_fast64_t messages_in[LINK_USAGE + 1];
-	atomic_uint_fast64_t messages_out[LINK_USAGE + 1];
-	atomic_uint_fast64_t bytes_in[LINK_USAGE + 1];
-	atomic_uint_fast64_t bytes_out[LINK_USAGE + 1];
+	atomic_uint_fast64_t messages_in[LINK_CHANNELS];
+	atomic_uint_fast64_t messages_out[LINK_CHANNELS];
+	atomic_uint_fast64_t bytes_in[LINK_CHANNELS];
+	atomic_uint_fast64_t bytes_out[LINK_CHANNELS];
 };
 
 /** A new connection on a socket that is connected or connecting. */
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -1,6 +1,7 @@
 #include "daemon/log.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <log4c.h>
@@ -10,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
@@ -21,8 +23,14 @@
 	pthread_mutex_t mutex; /* lines of several threads stay whole */
 	log4c_category_t *category;
 	log4c_appender_t *appender;
+	bool bounded;	      /* never waits; what doesn't fit is dropped */
+	struct bytes waiting; /* the rest of lines begun */
+	uint64_t dropped;
 };
 
+/* What may wait for a slow reader of standard output. */
+#define LOG_WAITING_BYTES (64 * 1024)
+
 static const char *const log_level_names[] = { "debug", "info", "warn",
 					       "error" };
 
@@ -41,12 +49,49 @@
 	return LOG4C_PRIORITY_INFO;
 }
 
+static void log_push(struct log *log)
+{
+	ssize_t n;
+
+	while (log->waiting.len) {
+		n = write(fileno(log->file), log->waiting.data,
+			  log->waiting.len);
+		if (n <= 0)
+			return;
+		bytes_consume(&log->waiting, (size_t)n);
+	}
+}
+
+static void log_append_bounded(struct log *log, const char *line)
+{
+	log_push(log);
+	if (log->waiting.len + strlen(line) > LOG_WAITING_BYTES) {
+		log->dropped++;
+		return;
+	}
+	if (log->dropped) {
+		bytes_append_format(&log->waiting,
+				    "{\"level\":\"warn\",\"module\":\"log\","
+				    "\"message\":\"event=dropped lines=%" PRIu64
+				    "\"}\n",
+				    log->dropped);
+		log->dropped = 0;
+	}
+	bytes_append_format(&log->waiting, "%s\n", line);
+	log_push(log);
+}
+
 static int log_append(log4c_appender_t *appender,
 		      const log4c_logging_event_t *event)
 {
 	struct log *log = log4c_appender_get_udata(appender);
 
 	pthread_mutex_lock(&log->mutex);
+	if (log->bounded) {
+		log_append_bounded(log, event->evt_msg);
+		pthread_mutex_unlock(&log->mutex);
+		return 0;
+	}
 	fputs(event->evt_msg, log->file);
 	fputc('\n', log->file);
 	fflush(log->file);
@@ -85,7 +130,15 @@
 {
 	struct log *opened = xcalloc(1, sizeof(*opened));
 
-	opened->file = path ? fopen(path, "ae") : stderr;
+	opened->bounded = path && !strcmp(path, "-");
+	opened->file = stderr;
+	if (opened->bounded) {
+		opened->file = stdout;
+		fcntl(STDOUT_FILENO, F_SETFL,
+		      fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+	} else if (path) {
+		opened->file = fopen(path, "ae");
+	}
 	if (!opened->file) {
 		free(opened);
 		return error_report(handler, RESULT_SETTING_VALUE,
@@ -172,7 +225,10 @@
 	if (!log)
 		return;
 	log4c_fini();
-	if (log->file != stderr)
+	if (log->bounded)
+		log_push(log);
+	bytes_clear(&log->waiting);
+	if (log->file != stderr && log->file != stdout)
 		fclose(log->file);
 	pthread_mutex_destroy(&log->mutex);
 	free(log->vm);
--- a/daemon/log.h
+++ b/daemon/log.h
@@ -10,7 +10,13 @@
 /** Structured log: one JSON object a line, through log4c. */
 struct log;
 
-/** Open the log; `path` NULL is standard error. */
+/**
+ * Open the log; `path` NULL is standard error, "-" standard output.
+ *
+ * Standard output is never waited for: a reader that has stopped would stop
+ * the daemon with it. Lines that find no room are dropped, and the next one
+ * that does says how many.
+ */
 enum result log_open(struct log **log, const char *path, const char *vm,
 		     enum log_level level, const struct error_handler *handler);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -5,6 +5,8 @@
 
 #include "daemon/boot.h"
 #include "daemon/daemon.h"
+#include "daemon/role.h"
+#include "platform/platform.h"
 
 const char *argp_program_version = "filberthalld 0.1.0";
 
@@ -78,6 +80,12 @@
 		return EXIT_FAILURE;
 	if (arguments.check)
 		code = daemon_check(&boot, &handler);
+	else if (boot.role == BOOT_ROLE_ENTRY)
+		code = entry_daemon_run(&boot, arguments.settings,
+					platform_dialect(), &handler);
+	else if (boot.role == BOOT_ROLE_CONTROL)
+		code = control_daemon_run(&boot, arguments.settings,
+					  platform_dialect(), &handler);
 	else
 		code = daemon_run(&boot, arguments.recording, &handler);
 	boot_clear(&boot);
--- /dev/null
+++ b/daemon/relay.c
@@ -0,0 +1,367 @@
+#include "daemon/relay.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/alloc.h"
+
+/* The server answers at its time-out by itself; we wait a little longer. */
+#define TIMEOUT_SLACK_MS 100
+
+/* Bytes of a whole answer at most; those of plain services are a few kB. */
+#define WHOLE_BYTES (8 * 1024 * 1024)
+
+/* Of an event's id that we may have to repeat. */
+#define EVENT_ID_BYTES 256
+
+/* What an answer in the making turned out to be. */
+enum answer_kind {
+	ANSWER_NONE,	 /* no head yet */
+	ANSWER_STREAM,	 /* success, passed on event by event */
+	ANSWER_WHOLE,	 /* held until it is whole */
+	ANSWER_REJECTED, /* the server says that it didn't run the request */
+	ANSWER_WRONG	 /* not the server's own answer */
+};
+
+struct relay {
+	const struct relay_host *host;
+	struct http_exchange *exchange; /* NULL once answered or left */
+	uint64_t id;
+	struct dialect_request asked;
+	char body_hash[17];
+	bool stream;
+
+	/* the attempt that is under way */
+	struct http_call *call;
+	int64_t attempt;
+	char address[BACKEND_NAME_SIZE];
+	enum answer_kind kind;
+	int status;
+	struct bytes headers; /* lines for the caller */
+	struct bytes whole;
+	struct sse sse;
+	int64_t events; /* passed on by this attempt */
+
+	/* of all attempts */
+	bool begun; /* the caller has the head of a stream */
+	char event_id[EVENT_ID_BYTES];
+	bool has_event_id;
+	bool held; /* `status`, `headers` and `whole` are a server's answer */
+};
+
+static void hash_body(struct relay *relay)
+{
+	const struct http_head *head = http_exchange_head(relay->exchange);
+	const struct bytes *body = http_exchange_body(relay->exchange);
+	uint64_t hash = XXH3_64bits(body->data, body->len) * 31 +
+			XXH3_64bits(head->target, strlen(head->target));
+
+	snprintf(relay->body_hash, sizeof(relay->body_hash), "%016llx",
+		 (unsigned long long)hash);
+}
+
+struct relay *relay_new(const struct relay_host *host,
+			struct http_exchange *exchange, uint64_t id)
+{
+	struct relay *relay = xcalloc(1, sizeof(*relay));
+
+	relay->host = host;
+	relay->exchange = exchange;
+	relay->id = id;
+	host->dialect->read_request(http_exchange_head(exchange),
+				    &relay->asked);
+	hash_body(relay);
+	http_exchange_set_user(exchange, relay);
+	return relay;
+}
+
+uint64_t relay_id(const struct relay *relay)
+{
+	return relay->id;
+}
+
+struct entry_request relay_request(struct relay *relay)
+{
+	const struct dialect_request *asked = &relay->asked;
+	struct entry_request request = {
+		.id = relay->id,
+		.name = asked->id ? asked->id : "none",
+		.host = asked->host ? asked->host : "",
+		.path = http_exchange_head(relay->exchange)->target,
+		.key = asked->key,
+		.model = asked->model,
+		.body_hash = relay->body_hash,
+		.prefix_hash = asked->prefix_hash,
+		.prompt_tokens = asked->prompt_tokens,
+		.output_tokens = asked->output_tokens,
+		.deadline_ms = asked->deadline_ms,
+	};
+
+	return request;
+}
+
+/* Forget an attempt's answer, as another one may follow. */
+static void forget_answer(struct relay *relay)
+{
+	relay->kind = ANSWER_NONE;
+	relay->status = 0;
+	relay->events = 0;
+	relay->held = false;
+	bytes_clear(&relay->headers);
+	bytes_clear(&relay->whole);
+	sse_clear(&relay->sse);
+	memset(&relay->sse, 0, sizeof(relay->sse));
+}
+
+static void tell_ended(struct relay *relay, enum result code, bool sent)
+{
+	struct event_attempt_ended ended = {
+		.id = relay->id,
+		.attempt = relay->attempt,
+		.code = code,
+		.http_status = relay->status,
+		.tokens = relay->events,
+		.sent = sent,
+	};
+
+	relay->host->ended(relay->host->data, &ended);
+}
+
+static void on_head(void *data, const struct http_head *head)
+{
+	struct relay *relay = data;
+	const struct relay_host *host = relay->host;
+	struct dialect_answer answer = { 0 };
+	bool success = head->status >= 200 && head->status < 300;
+
+	host->dialect->read_answer(head, &answer);
+	if (answer.has_load)
+		host->load(host->data, relay->address, &answer);
+	relay->status = head->status;
+	if (answer.not_run)
+		relay->kind = ANSWER_REJECTED;
+	else if (success && (!answer.signed_off || answer.encoded))
+		relay->kind = ANSWER_WRONG;
+	else if (success && relay->stream)
+		relay->kind = ANSWER_STREAM;
+	else
+		relay->kind = ANSWER_WHOLE;
+	host->dialect->write_answer(head, &relay->headers);
+}
+
+/* Remember the id of an event: where another server would go on. */
+static void note_event_id(struct relay *relay, const char *event, size_t len)
+{
+	const char *line = event;
+	const char *end = event + len;
+	const char *next;
+	size_t n;
+
+	for (; line < end; line = next + 1) {
+		next = memchr(line, '\n', (size_t)(end - line));
+		if (!next)
+			return;
+		if (strncmp(line, "id:", 3) != 0)
+			continue;
+		line += 3;
+		while (line < next && *line == ' ')
+			line++;
+		n = (size_t)(next - line);
+		if (n && line[n - 1] == '\r')
+			n--;
+		if (n >= sizeof(relay->event_id))
+			return;
+		memcpy(relay->event_id, line, n);
+		relay->event_id[n] = '\0';
+		relay->has_event_id = true;
+		return;
+	}
+}
+
+static enum result pass_event(void *data, const char *event, size_t len,
+			      const char *payload, size_t payload_len)
+{
+	struct relay *relay = data;
+	struct event_attempt_tokens tokens = {
+		.id = relay->id,
+		.attempt = relay->attempt,
+		.tokens = ++relay->events,
+		.first = relay->events == 1,
+	};
+
+	(void)payload;
+	(void)payload_len;
+	if (!relay->exchange)
+		return RESULT_CALLER_LEFT;
+	if (!relay->begun) {
+		relay->begun = true;
+		http_exchange_begin(relay->exchange, relay->status,
+				    bytes_text(&relay->headers));
+	}
+	note_event_id(relay, event, len);
+	http_exchange_piece(relay->exchange, event, len);
+	relay->host->tokens(relay->host->data, &tokens);
+	return RESULT_OK;
+}
+
+static void on_body(void *data, const char *piece, size_t len)
+{
+	struct relay *relay = data;
+
+	if (relay->kind == ANSWER_STREAM) {
+		if (sse_feed(&relay->sse, piece, len, pass_event, relay) ==
+		    RESULT_BACKEND_BROKE)
+			relay->kind = ANSWER_WRONG;
+	} else if (relay->kind == ANSWER_WHOLE) {
+		bytes_append(&relay->whole, piece, len);
+		if (relay->whole.len > WHOLE_BYTES)
+			relay->kind = ANSWER_WRONG;
+	}
+}
+
+/* What an answer that came whole means. */
+static enum result judge(struct relay *relay)
+{
+	switch (relay->kind) {
+	case ANSWER_REJECTED:
+		return RESULT_BACKEND_ERROR;
+	case ANSWER_STREAM:
+		return relay->sse.rest.len ? RESULT_BACKEND_BROKE : RESULT_OK;
+	case ANSWER_WHOLE:
+		relay->held = true;
+		return relay->status >= 500 ? RESULT_BACKEND_ERROR : RESULT_OK;
+	case ANSWER_NONE:
+	case ANSWER_WRONG:
+		break;
+	}
+	return RESULT_BACKEND_CROSSED;
+}
+
+static void on_end(void *data, enum result code, bool sent)
+{
+	struct relay *relay = data;
+
+	relay->call = NULL;
+	if (!code)
+		code = judge(relay);
+	if (relay->kind == ANSWER_REJECTED)
+		sent = false;
+	tell_ended(relay, code, sent);
+}
+
+static const struct http_call_hooks call_hooks = { on_head, on_body, on_end };
+
+void relay_start(struct relay *relay, const struct effect_start_attempt *start,
+		 int64_t now_us)
+{
+	const struct relay_host *host = relay->host;
+	struct dialect_forward forward = { 0 };
+	struct http_call_request request = { 0 };
+	struct entry_call call;
+	struct bytes head = { 0 };
+
+	forget_answer(relay);
+	relay->attempt = start->attempt;
+	snprintf(relay->address, sizeof(relay->address), "%s", start->address);
+	if (!relay->exchange ||
+	    !entry_find_call(host->entry, relay->id, &call)) {
+		tell_ended(relay, RESULT_CALLER_LEFT, false);
+		return;
+	}
+	relay->stream = call.stream;
+	forward.organisation = call.organisation;
+	forward.server = entry_server_at(host->entry, start->address);
+	forward.resume_after = relay->has_event_id ? relay->event_id : NULL;
+	forward.tier = call.tier;
+	forward.wait_ms = (call.deadline_us - now_us) / 1000;
+	forward.body_len = http_exchange_body(relay->exchange)->len;
+	host->dialect->write_request(http_exchange_head(relay->exchange),
+				     &forward, &head);
+	request.address = relay->address;
+	request.head = &head;
+	request.body = http_exchange_body(relay->exchange);
+	request.id = relay->asked.id;
+	request.fresh = start->proven;
+	request.no_body =
+		!strcmp(http_exchange_head(relay->exchange)->method, "HEAD");
+	request.timeout_ms = forward.wait_ms + TIMEOUT_SLACK_MS;
+	relay->call = http_call_start(host->client, &request, &call_hooks,
+				      relay);
+	bytes_clear(&head);
+}
+
+void relay_cancel(struct relay *relay, int64_t attempt)
+{
+	bool sent;
+
+	if (!relay->call || relay->attempt != attempt)
+		return;
+	sent = http_call_sent(relay->call);
+	http_call_cancel(relay->call);
+	relay->call = NULL;
+	tell_ended(relay, RESULT_CALLER_LEFT, sent);
+}
+
+static void answer_held(struct relay *relay)
+{
+	http_exchange_answer(relay->exchange, relay->status,
+			     bytes_text(&relay->headers), &relay->whole);
+}
+
+static void answer_refusal(struct relay *relay,
+			   const struct effect_answer *answer)
+{
+	struct bytes headers = { 0 };
+	int status = relay->host->dialect->write_refusal(
+		relay->asked.id, (enum result)answer->code,
+		(enum run_state)answer->run, answer->retry_after_ms, &headers);
+
+	http_exchange_answer(relay->exchange, status, bytes_text(&headers),
+			     NULL);
+	bytes_clear(&headers);
+}
+
+void relay_answer(struct relay *relay, const struct effect_answer *answer)
+{
+	struct http_exchange *exchange = relay->exchange;
+
+	if (!exchange)
+		return;
+	if (answer->code == RESULT_OK && relay->begun)
+		http_exchange_end(exchange);
+	else if (relay->begun)
+		http_exchange_cut(exchange);
+	else if (relay->held && (answer->code == RESULT_OK ||
+				 answer->code == RESULT_BACKEND_ERROR ||
+				 answer->code == RESULT_RETRY_BUDGET))
+		answer_held(relay);
+	else if (answer->code == RESULT_OK)
+		/* A stream without any event: an empty answer, whole. */
+		answer_held(relay);
+	else
+		answer_refusal(relay, answer);
+	relay->exchange = NULL;
+}
+
+void relay_caller_left(struct relay *relay)
+{
+	relay->exchange = NULL;
+}
+
+bool relay_is_over(const struct relay *relay)
+{
+	return !relay->exchange && !relay->call;
+}
+
+void relay_free(struct relay *relay)
+{
+	if (relay->call)
+		http_call_cancel(relay->call);
+	free(relay->asked.key);
+	bytes_clear(&relay->headers);
+	bytes_clear(&relay->whole);
+	sse_clear(&relay->sse);
+	free(relay);
+}
--- /dev/null
+++ b/daemon/role.h
@@ -0,0 +1,66 @@
+#ifndef FILBERTHALL_DAEMON_ROLE_H
+#define FILBERTHALL_DAEMON_ROLE_H
+
+#include "core/effect.h"
+#include "daemon/boot.h"
+#include "daemon/dialect.h"
+#include "daemon/http_server.h"
+#include "daemon/link.h"
+#include "daemon/log.h"
+#include "daemon/mailbox.h"
+#include "daemon/stream.h"
+
+/**
+ * What entry and control daemons share: the loop, signals, links, log, the
+ * listener for metrics, and settings that change while they run.
+ */
+struct role {
+	const struct boot *boot;
+	const char *settings; /**< path of the boot settings */
+	const struct dialect *dialect;
+	const struct error_handler *handler;
+	struct ev_loop *ev;
+	struct stream_loop streams;
+	struct mailbox *mailbox;
+	struct link_hub *links;
+	struct log *log;
+	struct http_server *metrics;
+	struct edge_counters counters;
+	ev_signal on_term;
+	ev_signal on_int;
+	ev_signal on_hup;
+	ev_timer settings_timer;
+	int64_t settings_mtime_us;
+	char ip[64];   /**< of the links' listener */
+	int link_port;
+	void (*take)(void *data, struct event *event);
+	void (*stop)(void *data);
+	void (*write_metrics)(void *data, struct bytes *out);
+	void *data;
+};
+
+/** Begin: the log, the loop and its signals. The hooks must be set. */
+enum result role_open(struct role *role);
+
+/** Open the links, under an identity that is new at each start. */
+enum result role_open_links(struct role *role, uint64_t self,
+			    uint64_t incarnation, bool observer);
+
+/** Carry out what concerns links and the log; false if it is another's. */
+bool role_carry_out(struct role *role, struct effect *effect);
+
+/** Run the loop until role_exit(). */
+void role_run(struct role *role);
+void role_exit(struct role *role);
+
+void role_close(struct role *role);
+
+/** Run a daemon of that role until a signal ends it. */
+enum result entry_daemon_run(const struct boot *boot, const char *settings,
+			     const struct dialect *dialect,
+			     const struct error_handler *handler);
+enum result control_daemon_run(const struct boot *boot, const char *settings,
+			       const struct dialect *dialect,
+			       const struct error_handler *handler);
+
+#endif
--- a/libfilberthall/agree/member.h
+++ b/libfilberthall/agree/member.h
@@ -58,6 +58,12 @@
 	int voters;	    /**< wanted, odd */
 	int64_t replace_us; /**< silence after which a voter counts as dead */
 	int64_t drop_us;    /**< silence after which a learner is dropped */
+	/**
+	 * A dead voter goes only when another can take its place. A smaller
+	 * group commits on fewer disks: after two losses of five, three
+	 * voters would acknowledge on two disks what a third loss takes.
+	 */
+	bool keep_voters;
 };
 
 enum member_change_kind {
--- a/libfilberthall/agree/repair.c
+++ b/libfilberthall/agree/repair.c
@@ -33,9 +33,15 @@
 	return !health || view->now_us - health->heard_us >= for_us;
 }
 
+static bool repair_same_place(const struct member *a, const struct member *b)
+{
+	return !strcmp(a->vm, b->vm) ||
+	       (a->address[0] && !strcmp(a->address, b->address));
+}
+
 /**
- * Whether another member of the same VM has a newer life: then this one's
- * folder is gone and it can't come back.
+ * Whether another member of the same VM, or at the same address, lives: then
+ * this one's folder is gone and it can't come back.
  */
 static bool repair_superseded(const struct repair_view *view,
 			      const struct member *member)
@@ -45,7 +51,8 @@
 	for (i = 0; i < view->members->count; i++) {
 		const struct member *other = &view->members->items[i];
 
-		if (other->id != member->id && !strcmp(other->vm, member->vm) &&
+		if (other->id != member->id &&
+		    repair_same_place(other, member) &&
 		    !repair_silent(view, other->id, view->policy->replace_us))
 			return true;
 	}
@@ -220,8 +227,10 @@
 	int living = repair_living_voters(view);
 	int candidates;
 	const struct member *candidate = repair_candidate(view, &candidates);
-	bool smaller_is_better = voters > view->policy->voters ||
-				 voters % 2 == 0 || voters - living >= 2;
+	bool smaller_is_better =
+		voters > view->policy->voters ||
+		(!view->policy->keep_voters &&
+		 (voters % 2 == 0 || voters - living >= 2));
 
 	if (dead && (candidate || smaller_is_better) &&
 	    repair_present_voters(view) >= members_quorum(voters - 1))
--- /dev/null
+++ b/libfilberthall/control/control.c
@@ -0,0 +1,375 @@
+#include "control/control.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "control/control_state.h"
+
+/*
+ * Log bytes that call for a snapshot, and entries kept behind one. A document
+ * of many routes is some 60 kB and each change is a whole one: 2 MB are thirty
+ * of them, and a log of hundreds would fill memory and a 128 MB disk.
+ */
+#define SNAPSHOT_BYTES (INT64_C(2) * 1024 * 1024)
+#define SNAPSHOT_KEPT 16
+
+/*
+ * Silence after which a voter is replaced, if another VM can take its place.
+ * A new VM is expected to count four seconds after its start.
+ */
+#define REPLACE_US INT64_C(3000000)
+
+/* Silence after which a VM that doesn't vote is forgotten. */
+#define DROP_US INT64_C(30000000)
+
+/* How long a planned stop waits until leadership is handed over. */
+#define STOP_US INT64_C(1500000)
+
+void control_log(struct effects *effects, enum log_level level,
+		 const char *module, const char *format, ...)
+{
+	struct effect *effect = effects_add(effects, EFFECT_LOG);
+	char *text = NULL;
+	va_list args;
+
+	va_start(args, format);
+	if (vasprintf(&text, format, args) < 0)
+		abort();
+	va_end(args);
+	effect->u.log.level = level;
+	effect->u.log.module = xstrdup(module);
+	effect->u.log.message = text;
+}
+
+static struct raft_options raft_options_of(const struct control *control)
+{
+	const struct control_options *options = &control->options;
+	struct raft_options raft = raft_default_options();
+	struct member *self = &raft.self;
+
+	self->id = options->self;
+	self->incarnation = options->incarnation;
+	self->disk = true;
+	snprintf(self->vm, sizeof(self->vm), "%s", control->vm);
+	snprintf(self->zone, sizeof(self->zone), "%s", control->zone);
+	snprintf(self->address, sizeof(self->address), "%s", control->address);
+	raft.seed = options->seed;
+	raft.snapshot_bytes = SNAPSHOT_BYTES;
+	raft.keep_entries = SNAPSHOT_KEPT;
+	raft.policy.voters = options->voters;
+	raft.policy.keep_voters = true;
+	raft.policy.replace_us = REPLACE_US;
+	raft.policy.drop_us = DROP_US;
+	raft.lease.duration_us = options->lease_us;
+	return raft;
+}
+
+enum result control_new(struct control **out,
+			const struct control_options *options,
+			const struct raft_saved *saved, int64_t now_us,
+			struct effects *effects)
+{
+	struct control *control = xcalloc(1, sizeof(*control));
+	struct raft_options raft;
+	enum result code;
+
+	control->options = *options;
+	control->vm = xstrdup(options->vm);
+	control->zone = xstrdup(options->zone);
+	control->address = xstrdup(options->address);
+	ledger_init(&control->ledger);
+	registry_init(&control->registry);
+	begun_init(&control->begun);
+	map_init(&control->peers);
+	list_init(&control->proposals);
+	list_init(&control->reports);
+	raft = raft_options_of(control);
+	control->raft = raft_new(&raft, now_us);
+	code = raft_restore(control->raft, saved);
+	if (code) {
+		control_free(control);
+		return code;
+	}
+	if (options->found && !saved->term && !saved->n_entries &&
+	    !saved->snapshot_index) {
+		control_log(effects, LOG_INFO, "group",
+			    "event=found vm=%s address=%s", control->vm,
+			    control->address);
+		raft_bootstrap(control->raft, now_us, effects);
+	}
+	*out = control;
+	control_drain(control, now_us, effects);
+	return RESULT_OK;
+}
+
+void control_free(struct control *control)
+{
+	struct control_proposal *proposal;
+	struct control_proposal *next_proposal;
+	struct control_peer *peer;
+	struct control_peer *next_peer;
+
+	if (!control)
+		return;
+	list_foreach_safe(proposal, next_proposal, &control->proposals, node)
+		free(proposal);
+	map_foreach(peer, next_peer, &control->peers, node)
+		free(peer);
+	map_clear(&control->peers);
+	control_drop_reports(control);
+	raft_free(control->raft);
+	ledger_clear(&control->ledger);
+	registry_clear(&control->registry);
+	begun_clear(&control->begun);
+	members_clear(&control->told);
+	free(control->vm);
+	free(control->zone);
+	free(control->address);
+	free(control);
+}
+
+static void apply_command(struct control *control,
+			  const struct raft_committed *committed,
+			  int64_t now_us, struct effects *effects)
+{
+	enum ledger_change change = ledger_apply(
+		&control->ledger, committed->data, committed->len);
+
+	if (change == LEDGER_DOCUMENT) {
+		control_log(effects, LOG_INFO, "document",
+			    "event=in-force version=%lld index=%lld term=%lld",
+			    (long long)control->ledger.version,
+			    (long long)committed->index,
+			    (long long)committed->term);
+		control_tell_version(control, now_us, effects);
+	}
+	if (change == LEDGER_WINDOW)
+		control_window_applied(control, now_us);
+}
+
+static void apply_snapshot(struct control *control,
+			   const struct raft_committed *committed,
+			   int64_t now_us, struct effects *effects)
+{
+	if (!ledger_load(&control->ledger, committed->data, committed->len))
+		control_log(effects, LOG_ERROR, "group",
+			    "event=snapshot-unreadable index=%lld",
+			    (long long)committed->index);
+	control_log(effects, LOG_INFO, "document",
+		    "event=in-force version=%lld index=%lld by=snapshot",
+		    (long long)control->ledger.version,
+		    (long long)committed->index);
+	control_tell_version(control, now_us, effects);
+}
+
+static void take_snapshot(struct control *control, int64_t now_us,
+			  struct effects *effects)
+{
+	struct bytes state = { 0 };
+
+	ledger_save(&control->ledger, &state);
+	raft_snapshot_done(control->raft, raft_applied_index(control->raft),
+			   state.data, state.len, now_us, effects);
+	bytes_clear(&state);
+}
+
+static void note_roles(struct control *control, int64_t now_us,
+		       struct effects *effects)
+{
+	bool leader = raft_is_leader(control->raft);
+	bool in_charge = lease_valid(raft_lease(control->raft), now_us);
+
+	if (leader != control->leader)
+		control_log(effects, LOG_INFO, "group",
+			    "event=%s term=%lld commit=%lld voters=%d",
+			    leader ? "leader" : "no-leader",
+			    (long long)raft_term(control->raft),
+			    (long long)raft_commit_index(control->raft),
+			    members_voters(raft_members(control->raft)));
+	if (in_charge != control->in_charge) {
+		control_log(effects, LOG_INFO, "duty",
+			    "event=%s term=%lld until_ms=%lld",
+			    in_charge ? "in-charge" : "not-in-charge",
+			    (long long)raft_term(control->raft),
+			    (long long)((raft_lease(control->raft)->until_us -
+					 now_us) /
+					1000));
+		control_drop_reports(control);
+		control->window_next = 0;
+		control->window_pending = 0;
+	}
+	control->leader = leader;
+	control->in_charge = in_charge;
+}
+
+void control_drain(struct control *control, int64_t now_us,
+		   struct effects *effects)
+{
+	struct raft_committed committed;
+
+	while (raft_next_committed(control->raft, &committed)) {
+		if (committed.kind == RAFT_COMMITTED_COMMAND)
+			apply_command(control, &committed, now_us, effects);
+		else if (committed.kind == RAFT_COMMITTED_SNAPSHOT)
+			apply_snapshot(control, &committed, now_us, effects);
+		control_document_applied(control, committed.index,
+					 committed.term, effects);
+	}
+	if (raft_need_snapshot(control->raft))
+		take_snapshot(control, now_us, effects);
+	if (control->told_index != raft_members_index(control->raft))
+		control_tell_members(control, effects);
+	note_roles(control, now_us, effects);
+}
+
+static void check_stop(struct control *control, int64_t now_us,
+		       struct effects *effects)
+{
+	if (!control->stop_by_us || control->exited)
+		return;
+	if (now_us < control->stop_by_us && !raft_transfer_done(control->raft))
+		return;
+	control->exited = true;
+	effects_add(effects, EFFECT_EXIT);
+}
+
+void control_tick(struct control *control, int64_t wall_us, int64_t now_us,
+		  struct effects *effects)
+{
+	wall_note(&control->wall, 0, wall_us, now_us);
+	raft_tick(control->raft, now_us, effects);
+	control_drain(control, now_us, effects);
+	control_expire_proposals(control, now_us, effects);
+	control_feed_tick(control, wall_us, now_us, effects);
+	control_duty_tick(control, now_us, effects);
+	control_drain(control, now_us, effects);
+	check_stop(control, now_us, effects);
+}
+
+static bool peer_match(const struct map_node *node, const void *key)
+{
+	return container_of(node, struct control_peer, node)->id ==
+	       *(const uint64_t *)key;
+}
+
+static struct control_peer *peer_find(const struct control *control,
+				      uint64_t id)
+{
+	struct map_node *node = map_find(
+		&control->peers, map_hash(&id, sizeof(id)), peer_match, &id);
+
+	return node ? container_of(node, struct control_peer, node) : NULL;
+}
+
+void control_link_up(struct control *control, const struct event_link_up *up,
+		     int64_t now_us, struct effects *effects)
+{
+	struct control_peer *peer = peer_find(control, up->peer);
+
+	if (!peer) {
+		peer = xcalloc(1, sizeof(*peer));
+		peer->id = up->peer;
+		map_insert(&control->peers, &peer->node,
+			   map_hash(&peer->id, sizeof(peer->id)));
+	}
+	peer->observer = up->observer;
+	control_log(effects, LOG_INFO, "link", "event=up vm=%s zone=%s role=%s",
+		    up->name, up->zone, up->observer ? "entry" : "control");
+	if (!peer->observer) {
+		raft_peer_up(control->raft, up->peer, now_us, effects);
+		control_drain(control, now_us, effects);
+	}
+	control_welcome(control, peer, now_us, effects);
+}
+
+void control_link_down(struct control *control, uint64_t id, int64_t now_us,
+		       struct effects *effects)
+{
+	struct control_peer *peer = peer_find(control, id);
+
+	if (!peer)
+		return;
+	control_log(effects, LOG_INFO, "link", "event=down peer=%llx role=%s",
+		    (unsigned long long)id,
+		    peer->observer ? "entry" : "control");
+	if (!peer->observer) {
+		raft_peer_down(control->raft, id, now_us, effects);
+		control_drain(control, now_us, effects);
+	}
+	map_remove(&control->peers, &peer->node);
+	free(peer);
+}
+
+void control_link_message(struct control *control,
+			  const struct event_link_message *message,
+			  int64_t now_us, struct effects *effects)
+{
+	struct control_peer *peer = peer_find(control, message->peer);
+
+	if (!peer)
+		return;
+	if (message->channel == LINK_FEED) {
+		control_feed_message(control, message->peer, &message->body,
+				     now_us, effects);
+	} else if (message->channel == LINK_RAFT && !peer->observer) {
+		raft_message(control->raft, message->peer, message->body.data,
+			     message->body.len, now_us, effects);
+		control_drain(control, now_us, effects);
+	}
+}
+
+void control_synced(struct control *control, int64_t ticket, int64_t now_us,
+		    struct effects *effects)
+{
+	raft_synced(control->raft, ticket, now_us, effects);
+	control_drain(control, now_us, effects);
+}
+
+void control_disk_failed(struct control *control, enum result code,
+			 int64_t now_us, struct effects *effects)
+{
+	raft_disk_failed(control->raft, code, now_us, effects);
+	control_drain(control, now_us, effects);
+}
+
+void control_stop(struct control *control, int64_t now_us,
+		  struct effects *effects)
+{
+	if (control->stop_by_us)
+		return;
+	control_log(effects, LOG_INFO, "daemon", "event=stop leader=%d",
+		    raft_is_leader(control->raft));
+	control->stop_by_us = now_us + STOP_US;
+	raft_transfer(control->raft, now_us, effects);
+	control_drain(control, now_us, effects);
+	check_stop(control, now_us, effects);
+}
+
+struct control_view control_view(const struct control *control, int64_t now_us)
+{
+	const struct raft *raft = control->raft;
+	const struct members *members = raft_members(raft);
+	struct control_view view = {
+		.leader = raft_is_leader(raft),
+		.in_charge = lease_valid(raft_lease(raft), now_us),
+		.term = raft_term(raft),
+		.commit = raft_commit_index(raft),
+		.version = control->ledger.version,
+		.voters = members_voters(members),
+		.members = (int)members->count,
+		.reported = control->reported,
+	};
+	struct control_peer *peer;
+	struct control_peer *next_peer;
+	struct registered *registered;
+	struct registered *next;
+
+	map_foreach(peer, next_peer, &control->peers, node)
+		view.entry_vms += peer->observer;
+	map_foreach(registered, next, &control->registry.by_id, node)
+		view.servers += registered_usable(registered);
+	return view;
+}
--- /dev/null
+++ b/libfilberthall/control/control.h
@@ -0,0 +1,115 @@
+#ifndef FILBERTHALL_CONTROL_CONTROL_H
+#define FILBERTHALL_CONTROL_CONTROL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "agree/raft.h"
+#include "base/bytes.h"
+#include "core/effect.h"
+#include "core/event.h"
+#include "fleet/registry.h"
+
+/**
+ * The reducer of a control VM: agrees with the others on the document in
+ * force and on usage windows, hears backend servers, feeds the entry VMs, and
+ * while it is in charge reports usage.
+ *
+ * It reads no clock and no socket. What is to be done is appended to
+ * `effects`: SEND, LINK_OPEN, LINK_CLOSE, the LOG_ and SNAPSHOT writes,
+ * ADMIN_ANSWER (an operator's call is over), PLATFORM_CALL, LOG, EXIT.
+ *
+ * ADMIN_ANSWER's codes: OK with the document as body for a read; NOT_LEADER
+ * with the address of the leader's links as body, empty if none is known;
+ * NO_QUORUM if nothing can be promised now.
+ */
+struct control;
+
+struct control_options {
+	uint64_t self;	     /**< member id */
+	int64_t incarnation; /**< number of this start */
+	uint64_t seed;
+	const char *vm;
+	const char *zone;
+	const char *address; /**< IP:port of its links */
+	bool found;	     /**< found the group if the folder is empty */
+	int voters;	     /**< wanted, odd */
+	int tolerate;	     /**< disks that may be lost at once */
+	int64_t lease_us;    /**< length of the lease to give orders */
+	int64_t window_us;   /**< length of a usage window */
+	bool report;	     /**< there is a platform that takes reports */
+};
+
+/**
+ * @param saved	what the data folder holds
+ * @return RESULT_OK, or RESULT_LOG_DAMAGED if that makes no sense
+ */
+enum result control_new(struct control **control,
+			const struct control_options *options,
+			const struct raft_saved *saved, int64_t now_us,
+			struct effects *effects);
+void control_free(struct control *control);
+
+/** Let time pass; at least every CONTROL_TICK_US. */
+#define CONTROL_TICK_US INT64_C(50000)
+void control_tick(struct control *control, int64_t wall_us, int64_t now_us,
+		  struct effects *effects);
+
+void control_link_up(struct control *control, const struct event_link_up *up,
+		     int64_t now_us, struct effects *effects);
+void control_link_down(struct control *control, uint64_t peer, int64_t now_us,
+		       struct effects *effects);
+void control_link_message(struct control *control,
+			  const struct event_link_message *message,
+			  int64_t now_us, struct effects *effects);
+
+/** Writes of the log are on the disk, or will never be. */
+void control_synced(struct control *control, int64_t ticket, int64_t now_us,
+		    struct effects *effects);
+void control_disk_failed(struct control *control, enum result code,
+			 int64_t now_us, struct effects *effects);
+
+/** An operator sends a document that has been checked; `text` as it came. */
+void control_put_document(struct control *control, uint64_t call,
+			  int64_t version, const struct bytes *text,
+			  int64_t now_us, struct effects *effects);
+
+/** An operator reads the document in force. */
+void control_get_document(struct control *control, uint64_t call,
+			  int64_t now_us, struct effects *effects);
+
+/** A backend server says what it is; the entry VMs hear of it at once. */
+void control_register(struct control *control,
+		      const struct registration *told, int64_t now_us,
+		      struct effects *effects);
+
+/** A backend server says goodbye. */
+void control_unregister(struct control *control, const char *id,
+			int64_t now_us, struct effects *effects);
+
+/** A PLATFORM_CALL is over. */
+void control_platform_answer(struct control *control, const char *order_id,
+			     enum result code, int64_t now_us,
+			     struct effects *effects);
+
+/** A planned stop: hand leadership over, then EXIT. */
+void control_stop(struct control *control, int64_t now_us,
+		  struct effects *effects);
+
+/** For metrics and status. */
+struct control_view {
+	bool leader;
+	bool in_charge;
+	int64_t term;
+	int64_t commit;
+	int64_t version;
+	int voters;
+	int members;
+	int entry_vms;
+	int servers;
+	int64_t reported; /**< usage windows that the platform has taken */
+};
+struct control_view control_view(const struct control *control,
+				 int64_t now_us);
+
+#endif
--- /dev/null
+++ b/libfilberthall/control/control_duty.c
@@ -0,0 +1,231 @@
+/*
+ * The duty of the one in charge: each usage window is added up, its figure
+ * agreed through the log, and only then reported.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "control/control_state.h"
+
+/*
+ * How long after its end a window is added up. Entry VMs tell their counts
+ * every tenth of a second; two seconds cover a link that has to be set up
+ * again, and leave eight of the ten until a report is due.
+ */
+#define SETTLE_US INT64_C(2000000)
+
+/* A window this old is no use to anybody any more. */
+#define WINDOW_OLD_US INT64_C(60000000)
+
+/* One call to the platform; it must fit into the lease with room to spare. */
+#define CALL_MS INT64_C(1000)
+
+/* Pauses between tries, doubled each time up to the second. */
+#define AGAIN_FIRST_US INT64_C(250000)
+#define AGAIN_LAST_US INT64_C(4000000)
+
+/* A proposal that isn't applied by then is made again. */
+#define PROPOSED_US INT64_C(2000000)
+
+/* A new holder repeats what was agreed so lately; repeats are ignored. */
+#define REPEAT_WINDOWS 3
+
+void control_drop_reports(struct control *control)
+{
+	struct control_report *report;
+	struct control_report *next;
+
+	list_foreach_safe(report, next, &control->reports, node) {
+		list_remove(&report->node);
+		free(report);
+	}
+}
+
+static struct control_report *report_find(struct control *control,
+					  int64_t window)
+{
+	struct control_report *report;
+
+	list_foreach(report, &control->reports, node)
+		if (report->window == window)
+			return report;
+	return NULL;
+}
+
+static void report_add(struct control *control, int64_t window)
+{
+	struct control_report *report;
+
+	if (report_find(control, window))
+		return;
+	report = xcalloc(1, sizeof(*report));
+	report->window = window;
+	list_append(&control->reports, &report->node);
+}
+
+void control_window_applied(struct control *control, int64_t now_us)
+{
+	(void)now_us;
+	control->window_pending = 0;
+	if (control->in_charge)
+		report_add(control, control->ledger.last_window);
+}
+
+/* The next window that has ended and settled, 0 if there is none. */
+static int64_t next_window(struct control *control, int64_t wall_us)
+{
+	int64_t length_us = control->options.window_us;
+	int64_t newest = (wall_us - SETTLE_US) / length_us - 1;
+	int64_t oldest = (wall_us - WINDOW_OLD_US) / length_us;
+
+	if (control->window_next < oldest)
+		control->window_next = oldest;
+	if (control->window_next <= control->ledger.last_window)
+		control->window_next = control->ledger.last_window + 1;
+	return control->window_next <= newest ? control->window_next : 0;
+}
+
+static void propose_window(struct control *control, int64_t wall_us,
+			   int64_t now_us, struct effects *effects)
+{
+	struct feed_begun total;
+	struct bytes entry = { 0 };
+	int64_t window;
+	int64_t index;
+	int64_t term;
+
+	if (control->window_pending &&
+	    now_us - control->window_us < PROPOSED_US)
+		return;
+	control->window_pending = 0;
+	while ((window = next_window(control, wall_us))) {
+		total = begun_total(&control->begun, window);
+		if (total.n_counts)
+			break;
+		control->window_next++;
+	}
+	if (!window)
+		return;
+	ledger_write_window(&entry, &total);
+	free(total.counts);
+	if (!raft_propose(control->raft, entry.data, entry.len, now_us, effects,
+			  &index, &term)) {
+		control->window_pending = window;
+		control->window_us = now_us;
+	}
+	bytes_clear(&entry);
+}
+
+static void report_body(struct bytes *out, const struct feed_begun *total)
+{
+	json_t *counts = json_object();
+	json_t *root = json_object();
+	char *text;
+	size_t i;
+
+	for (i = 0; i < total->n_counts; i++)
+		json_object_set_new(counts, total->counts[i].organisation,
+				    json_integer(total->counts[i].requests));
+	json_object_set_new(root, "window", json_integer(total->window));
+	json_object_set_new(root, "counts", counts);
+	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	json_decref(root);
+	bytes_append_text(out, text);
+	free(text);
+}
+
+static void send_report(struct control *control, struct control_report *report,
+			const struct feed_begun *total, int64_t now_us,
+			struct effects *effects)
+{
+	const struct lease *lease = raft_lease(control->raft);
+	struct effect_platform_call *call;
+
+	report->under_way = true;
+	report->tries++;
+	call = &effects_add(effects, EFFECT_PLATFORM_CALL)->u.platform_call;
+	call->order_id = xstrfmt("usage-%lld", (long long)report->window);
+	call->verb = xstrdup("report");
+	call->fence = lease->term;
+	call->timeout_ms = CALL_MS;
+	call->until_us = lease_order_deadline(lease);
+	report_body(&call->body, total);
+	control_log(effects, LOG_INFO, "duty",
+		    "event=report window=%lld try=%d fence=%lld lease_ms=%lld",
+		    (long long)report->window, report->tries,
+		    (long long)lease->term,
+		    (long long)((lease->until_us - now_us) / 1000));
+}
+
+static void send_reports(struct control *control, int64_t now_us,
+			 struct effects *effects)
+{
+	const struct lease *lease = raft_lease(control->raft);
+	struct control_report *report;
+	struct control_report *next;
+
+	list_foreach_safe(report, next, &control->reports, node) {
+		const struct feed_begun *total =
+			ledger_window(&control->ledger, report->window);
+
+		if (!total) {
+			list_remove(&report->node);
+			free(report);
+			continue;
+		}
+		if (report->under_way || now_us < report->next_us ||
+		    !lease_may_order(lease, CALL_MS * 1000, now_us))
+			continue;
+		send_report(control, report, total, now_us, effects);
+	}
+}
+
+void control_duty_tick(struct control *control, int64_t now_us,
+		       struct effects *effects)
+{
+	int64_t wall_us = wall_time_us(&control->wall, now_us);
+	int64_t window;
+
+	if (!control->options.report || !control->in_charge || !wall_us)
+		return;
+	/* Just put in charge: the one before may not have got its through. */
+	if (!control->window_next) {
+		window = (wall_us / control->options.window_us) -
+			 REPEAT_WINDOWS;
+		for (; window <= control->ledger.last_window; window++)
+			if (ledger_window(&control->ledger, window))
+				report_add(control, window);
+	}
+	propose_window(control, wall_us, now_us, effects);
+	send_reports(control, now_us, effects);
+}
+
+void control_platform_answer(struct control *control, const char *order_id,
+			     enum result code, int64_t now_us,
+			     struct effects *effects)
+{
+	struct control_report *report;
+	int64_t pause_us = AGAIN_FIRST_US;
+	int i;
+
+	report = report_find(control, strtoll(order_id + strlen("usage-"), NULL,
+					      10));
+	if (!report)
+		return;
+	report->under_way = false;
+	if (code == RESULT_OK) {
+		control->reported++;
+		list_remove(&report->node);
+		free(report);
+		return;
+	}
+	for (i = 1; i < report->tries && pause_us < AGAIN_LAST_US; i++)
+		pause_us *= 2;
+	report->next_us = now_us + pause_us;
+	control_log(effects, LOG_WARN, "duty",
+		    "event=report-failed window=%lld try=%d code=%d",
+		    (long long)report->window, report->tries, code);
+}
--- /dev/null
+++ b/libfilberthall/control/control_feed.c
@@ -0,0 +1,309 @@
+/*
+ * What entry VMs and other control VMs are told: the newest version and how
+ * fresh that is, where control VMs are, which backend servers there are.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "control/control_state.h"
+
+/*
+ * How often the others hear which servers are alive. Servers beat about once
+ * a second and are missed after eight, so once a second loses nothing.
+ */
+#define ALIVE_US INT64_C(1000000)
+
+void control_send(struct control *control, uint64_t peer, struct bytes *body,
+		  struct effects *effects)
+{
+	struct effect *effect = effects_add(effects, EFFECT_SEND);
+
+	(void)control;
+	effect->u.send.peer = peer;
+	effect->u.send.channel = LINK_FEED;
+	effect->u.send.body = bytes_copy(body);
+}
+
+/* To all daemons, or only to entry VMs; frees the body. */
+static void send_all(struct control *control, bool only_entry,
+		     struct bytes *body, struct effects *effects)
+{
+	struct control_peer *peer;
+	struct control_peer *next;
+
+	map_foreach(peer, next, &control->peers, node)
+		if (peer->observer || !only_entry)
+			control_send(control, peer->id, body, effects);
+	bytes_clear(body);
+}
+
+static struct feed_state state_now(const struct control *control,
+				   int64_t echo_us, int64_t now_us)
+{
+	int64_t fresh_us = raft_fresh_us(control->raft, now_us);
+	struct feed_state state = {
+		.echo_us = echo_us,
+		.age_us = fresh_us > INT64_MIN / 8 ? now_us - fresh_us : -1,
+		.version = control->ledger.version,
+		.wall_us = wall_time_us(&control->wall, now_us),
+	};
+
+	return state;
+}
+
+void control_tell_version(struct control *control, int64_t now_us,
+			  struct effects *effects)
+{
+	struct feed_state state = state_now(control, 0, now_us);
+	struct bytes body = { 0 };
+
+	feed_write_state(&body, &state);
+	send_all(control, true, &body, effects);
+}
+
+static void write_member(struct bytes *body, const struct member *member,
+			 bool removed)
+{
+	struct feed_member told = {
+		.id = member->id,
+		.address = (char *)member->address,
+		.removed = removed,
+	};
+
+	feed_write_member(body, &told);
+}
+
+/** Tell entry VMs which control VMs came and went. */
+void control_tell_members(struct control *control, struct effects *effects)
+{
+	const struct members *members = raft_members(control->raft);
+	struct bytes body = { 0 };
+	size_t i;
+
+	for (i = 0; i < control->told.count; i++) {
+		const struct member *old = &control->told.items[i];
+
+		if (members_find(members, old->id))
+			continue;
+		write_member(&body, old, true);
+		send_all(control, true, &body, effects);
+	}
+	for (i = 0; i < members->count; i++) {
+		const struct member *now = &members->items[i];
+		const struct member *old =
+			members_find(&control->told, now->id);
+
+		if (old && !strcmp(old->address, now->address))
+			continue;
+		write_member(&body, now, false);
+		send_all(control, true, &body, effects);
+	}
+	members_clear(&control->told);
+	control->told = members_copy(members);
+	control->told_index = raft_members_index(control->raft);
+}
+
+/** A link came up: tell what the daemon at its other end may have missed. */
+void control_welcome(struct control *control, const struct control_peer *peer,
+		     int64_t now_us, struct effects *effects)
+{
+	const struct members *members = raft_members(control->raft);
+	struct feed_state state = state_now(control, 0, now_us);
+	struct registered *registered;
+	struct registered *next;
+	struct bytes body = { 0 };
+	size_t i;
+
+	map_foreach(registered, next, &control->registry.by_id, node) {
+		feed_write_registration(&body, &registered->told,
+					now_us - registered->heard_us);
+		control_send(control, peer->id, &body, effects);
+		bytes_clear(&body);
+	}
+	if (!peer->observer)
+		return;
+	for (i = 0; i < members->count; i++) {
+		write_member(&body, &members->items[i], false);
+		control_send(control, peer->id, &body, effects);
+		bytes_clear(&body);
+	}
+	feed_write_state(&body, &state);
+	control_send(control, peer->id, &body, effects);
+	bytes_clear(&body);
+}
+
+static void answer_poll(struct control *control, uint64_t peer,
+			const struct feed_poll *poll, int64_t now_us,
+			struct effects *effects)
+{
+	struct feed_state state = state_now(control, poll->sent_us, now_us);
+	struct bytes body = { 0 };
+
+	feed_write_state(&body, &state);
+	control_send(control, peer, &body, effects);
+	bytes_clear(&body);
+}
+
+static void answer_fetch(struct control *control, uint64_t peer,
+			 struct effects *effects)
+{
+	struct bytes body = { 0 };
+
+	if (!control->ledger.version)
+		return;
+	feed_write_document(&body, control->ledger.version,
+			    control->ledger.document.data,
+			    control->ledger.document.len);
+	control_send(control, peer, &body, effects);
+	bytes_clear(&body);
+}
+
+static void take_alive(struct control *control,
+		       const struct feed_message *message, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < message->n_alive; i++)
+		registry_alive(&control->registry, message->alive[i].id,
+			       message->alive[i].born_ms,
+			       now_us - message->alive[i].age_us);
+}
+
+void control_feed_message(struct control *control, uint64_t peer,
+			  const struct bytes *body, int64_t now_us,
+			  struct effects *effects)
+{
+	struct registered *replaced;
+	struct feed_message message;
+
+	if (!feed_read(&message, body->data, body->len)) {
+		control_log(effects, LOG_WARN, "feed",
+			    "event=malformed peer=%llx bytes=%zu",
+			    (unsigned long long)peer, body->len);
+		return;
+	}
+	switch (message.kind) {
+	case FEED_POLL:
+		answer_poll(control, peer, &message.u.poll, now_us, effects);
+		break;
+	case FEED_FETCH:
+		answer_fetch(control, peer, effects);
+		break;
+	case FEED_REGISTRATION:
+		registry_take(&control->registry, &message.u.registration,
+			      now_us - message.age_us, &replaced);
+		break;
+	case FEED_ALIVE:
+		take_alive(control, &message, now_us);
+		break;
+	case FEED_BEGUN:
+		begun_take(&control->begun, peer, &message.u.begun);
+		break;
+	case FEED_CLOCK:
+		wall_note(&control->wall, peer, message.u.clock_us, now_us);
+		break;
+	case FEED_STATE:
+	case FEED_DOCUMENT:
+	case FEED_MEMBER:
+		break;
+	}
+	feed_clear(&message);
+}
+
+static void tell_registered(struct control *control,
+			    const struct registered *registered, int64_t now_us,
+			    struct effects *effects)
+{
+	const struct registration *told = &registered->told;
+	struct bytes body = { 0 };
+
+	control_log(effects, LOG_INFO, "server",
+		    "event=%s server=%s address=%s service=%s zone=%s "
+		    "born_ms=%lld sequence=%lld slots=%lld cheap=%d",
+		    told->gone	    ? "gone"
+		    : told->leaving ? "leaving"
+				    : "ready",
+		    told->id, told->address, told->service, told->zone,
+		    (long long)told->born_ms, (long long)told->sequence,
+		    (long long)told->slots, told->cheap);
+	feed_write_registration(&body, told, now_us - registered->heard_us);
+	send_all(control, false, &body, effects);
+}
+
+void control_register(struct control *control, const struct registration *told,
+		      int64_t now_us, struct effects *effects)
+{
+	struct registered *registered;
+	struct registered *replaced;
+	enum registry_outcome outcome;
+
+	outcome = registry_take(&control->registry, told, now_us, &replaced);
+	if (outcome == REGISTRY_STALE)
+		return;
+	registered = registry_find(&control->registry, told->id);
+	registered->here_us = now_us;
+	if (replaced)
+		tell_registered(control, replaced, now_us, effects);
+	if (outcome == REGISTRY_CHANGED)
+		tell_registered(control, registered, now_us, effects);
+}
+
+void control_unregister(struct control *control, const char *id, int64_t now_us,
+			struct effects *effects)
+{
+	struct registered *registered = registry_leave(&control->registry, id);
+
+	if (registered)
+		tell_registered(control, registered, now_us, effects);
+}
+
+static void tell_alive(struct control *control, int64_t now_us,
+		       struct effects *effects)
+{
+	size_t most = control->registry.by_id.count;
+	struct feed_alive *alive = xcalloc(most + 1, sizeof(*alive));
+	struct registered *registered;
+	struct registered *next;
+	struct bytes body = { 0 };
+	size_t n = 0;
+
+	map_foreach(registered, next, &control->registry.by_id, node) {
+		if (registered->told.gone ||
+		    registered->here_us <= control->alive_us)
+			continue;
+		memcpy(alive[n].id, registered->told.id, sizeof(alive[n].id));
+		alive[n].born_ms = registered->told.born_ms;
+		alive[n++].age_us = now_us - registered->here_us;
+	}
+	if (n) {
+		feed_write_alive(&body, alive, n);
+		send_all(control, false, &body, effects);
+	}
+	free(alive);
+}
+
+static void tell_clock(struct control *control, int64_t wall_us,
+		       struct effects *effects)
+{
+	struct control_peer *peer;
+	struct control_peer *next;
+	struct bytes body = { 0 };
+
+	feed_write_clock(&body, wall_us);
+	map_foreach(peer, next, &control->peers, node)
+		if (!peer->observer)
+			control_send(control, peer->id, &body, effects);
+	bytes_clear(&body);
+}
+
+void control_feed_tick(struct control *control, int64_t wall_us, int64_t now_us,
+		       struct effects *effects)
+{
+	if (now_us - control->alive_us < ALIVE_US)
+		return;
+	tell_alive(control, now_us, effects);
+	tell_clock(control, wall_us, effects);
+	registry_expire(&control->registry, now_us, NULL, NULL);
+	control->alive_us = now_us;
+}
--- /dev/null
+++ b/libfilberthall/control/control_state.h
@@ -0,0 +1,97 @@
+#ifndef FILBERTHALL_CONTROL_CONTROL_STATE_H
+#define FILBERTHALL_CONTROL_CONTROL_STATE_H
+
+#include "base/list.h"
+#include "base/map.h"
+#include "control/control.h"
+#include "control/ledger.h"
+#include "usage/begun.h"
+#include "usage/wall.h"
+
+/** What the files control*.c share; nobody else includes this. */
+
+/** Another daemon that has a link to us. */
+struct control_peer {
+	struct map_node node; /**< by id */
+	uint64_t id;
+	bool observer; /**< an entry VM */
+};
+
+/** An operator's change on its way through the log. */
+struct control_proposal {
+	struct list node;
+	uint64_t call;
+	int64_t index;
+	int64_t term;
+	int64_t give_up_us;
+};
+
+/** A window's figure on its way to the platform. */
+struct control_report {
+	struct list node;
+	int64_t window;
+	bool under_way;
+	int64_t next_us; /**< not tried again before then */
+	int tries;
+};
+
+struct control {
+	struct control_options options;
+	char *vm;
+	char *zone;
+	char *address;
+	struct raft *raft;
+	struct ledger ledger;
+	struct registry registry;
+	struct begun begun;
+	struct wall wall;
+	struct map peers;
+	struct list proposals;
+	struct list reports;
+	struct members told;	/**< members that entry VMs were told of */
+	int64_t told_index;	/**< configuration that they come from */
+	int64_t alive_us;	/**< when FEED_ALIVE was last sent */
+	int64_t window_pending; /**< proposed and not applied, 0 for none */
+	int64_t window_us;	/**< when it was proposed */
+	int64_t window_next;	/**< next window to look at */
+	int64_t reported;
+	int64_t stop_by_us; /**< 0 unless stopping */
+	bool leader;	    /**< at the last look */
+	bool in_charge;	    /**< at the last look */
+	bool exited;
+};
+
+/* control.c */
+void control_log(struct effects *effects, enum log_level level,
+		 const char *module, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+void control_drain(struct control *control, int64_t now_us,
+		   struct effects *effects);
+
+/* control_document.c */
+void control_document_applied(struct control *control, int64_t index,
+			      int64_t term, struct effects *effects);
+void control_expire_proposals(struct control *control, int64_t now_us,
+			      struct effects *effects);
+
+/* control_feed.c */
+void control_send(struct control *control, uint64_t peer, struct bytes *body,
+		  struct effects *effects);
+void control_welcome(struct control *control, const struct control_peer *peer,
+		     int64_t now_us, struct effects *effects);
+void control_feed_message(struct control *control, uint64_t peer,
+			  const struct bytes *body, int64_t now_us,
+			  struct effects *effects);
+void control_tell_version(struct control *control, int64_t now_us,
+			  struct effects *effects);
+void control_tell_members(struct control *control, struct effects *effects);
+void control_feed_tick(struct control *control, int64_t wall_us, int64_t now_us,
+		       struct effects *effects);
+
+/* control_duty.c */
+void control_duty_tick(struct control *control, int64_t now_us,
+		       struct effects *effects);
+void control_window_applied(struct control *control, int64_t now_us);
+void control_drop_reports(struct control *control);
+
+#endif
--- /dev/null
+++ b/libfilberthall/control/ledger.c
@@ -0,0 +1,231 @@
+#include "control/ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "core/pack.h"
+
+enum ledger_entry { ENTRY_DOCUMENT = 1, ENTRY_WINDOW };
+
+void ledger_init(struct ledger *ledger)
+{
+	memset(ledger, 0, sizeof(*ledger));
+	list_init(&ledger->windows);
+}
+
+static void window_free(struct ledger_window *window)
+{
+	list_remove(&window->node);
+	free(window->total.counts);
+	free(window);
+}
+
+void ledger_clear(struct ledger *ledger)
+{
+	struct ledger_window *window;
+	struct ledger_window *next;
+
+	list_foreach_safe(window, next, &ledger->windows, node)
+		window_free(window);
+	bytes_clear(&ledger->document);
+	ledger_init(ledger);
+}
+
+void ledger_write_document(struct bytes *out, int64_t version,
+			   const struct bytes *text)
+{
+	msgpack_packer packer;
+
+	pack_init(&packer, out);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_int64(&packer, ENTRY_DOCUMENT);
+	msgpack_pack_int64(&packer, version);
+	pack_bytes(&packer, text->data, text->len);
+}
+
+static void pack_total(msgpack_packer *packer, const struct feed_begun *total)
+{
+	size_t i;
+
+	msgpack_pack_int64(packer, total->window);
+	for (i = 0; i < total->n_counts; i++) {
+		pack_text(packer, total->counts[i].organisation);
+		msgpack_pack_int64(packer, total->counts[i].requests);
+	}
+}
+
+void ledger_write_window(struct bytes *out, const struct feed_begun *total)
+{
+	msgpack_packer packer;
+
+	pack_init(&packer, out);
+	msgpack_pack_array(&packer, 2 + 2 * total->n_counts);
+	msgpack_pack_int64(&packer, ENTRY_WINDOW);
+	pack_total(&packer, total);
+}
+
+const struct feed_begun *ledger_window(const struct ledger *ledger,
+				       int64_t number)
+{
+	struct ledger_window *window;
+
+	list_foreach(window, &ledger->windows, node)
+		if (window->window == number)
+			return &window->total;
+	return NULL;
+}
+
+static enum ledger_change take_document(struct ledger *ledger,
+					const struct unpacked *items)
+{
+	int64_t version;
+	const char *text;
+	size_t len;
+
+	if (!unpack_int(items, 1, &version) ||
+	    !unpack_bytes(items, 2, &text, &len) || version <= ledger->version)
+		return LEDGER_NOTHING;
+	ledger->version = version;
+	bytes_clear(&ledger->document);
+	bytes_append(&ledger->document, text, len);
+	return LEDGER_DOCUMENT;
+}
+
+/* Organisations and their requests, from item `at` on. */
+static bool read_counts(const struct unpacked *items, size_t at,
+			struct feed_begun *total)
+{
+	size_t n = (items->n - at) / 2;
+	size_t i;
+
+	total->counts = xcalloc(n + 1, sizeof(*total->counts));
+	total->n_counts = n;
+	for (i = 0; i < n; i++) {
+		struct feed_count *count = &total->counts[i];
+		char *name = unpack_text(items, at + 2 * i,
+					 sizeof(count->organisation) - 1);
+		bool read = name &&
+			    unpack_int(items, at + 2 * i + 1, &count->requests);
+
+		if (name)
+			memcpy(count->organisation, name, strlen(name) + 1);
+		free(name);
+		if (!read)
+			return false;
+	}
+	return true;
+}
+
+static bool read_total(const struct unpacked *items, size_t at,
+		       struct feed_begun *total)
+{
+	memset(total, 0, sizeof(*total));
+	if (!unpack_int(items, at, &total->window))
+		return false;
+	if (read_counts(items, at + 1, total))
+		return true;
+	free(total->counts);
+	return false;
+}
+
+/* The first figure holds; takes `total` over. */
+static enum ledger_change take_window(struct ledger *ledger,
+				      struct feed_begun *total)
+{
+	struct ledger_window *window;
+
+	if (ledger_window(ledger, total->window)) {
+		free(total->counts);
+		return LEDGER_NOTHING;
+	}
+	window = xcalloc(1, sizeof(*window));
+	window->window = total->window;
+	window->total = *total;
+	list_append(&ledger->windows, &window->node);
+	if (total->window > ledger->last_window)
+		ledger->last_window = total->window;
+	if (++ledger->n_windows > LEDGER_WINDOWS) {
+		ledger->n_windows--;
+		window_free(list_first(&ledger->windows, struct ledger_window,
+				       node));
+	}
+	return LEDGER_WINDOW;
+}
+
+static enum ledger_change apply_items(struct ledger *ledger,
+				      const struct unpacked *items)
+{
+	struct feed_begun total;
+	int64_t kind;
+
+	if (!unpack_int(items, 0, &kind))
+		return LEDGER_NOTHING;
+	if (kind == ENTRY_DOCUMENT)
+		return take_document(ledger, items);
+	if (kind == ENTRY_WINDOW && read_total(items, 1, &total))
+		return take_window(ledger, &total);
+	return LEDGER_NOTHING;
+}
+
+enum ledger_change ledger_apply(struct ledger *ledger, const char *data,
+				size_t len)
+{
+	struct unpacked items;
+	enum ledger_change change;
+
+	if (!unpack_array(&items, data, len))
+		return LEDGER_NOTHING;
+	change = apply_items(ledger, &items);
+	unpack_clear(&items);
+	return change;
+}
+
+/* A row of entries, each behind its length as four bytes. */
+static void save_entry(struct bytes *out, struct bytes *entry)
+{
+	unsigned char length[4];
+	int i;
+
+	for (i = 0; i < 4; i++)
+		length[i] = (unsigned char)(entry->len >> (8 * i));
+	bytes_append(out, length, sizeof(length));
+	bytes_append(out, entry->data, entry->len);
+	bytes_clear(entry);
+}
+
+void ledger_save(const struct ledger *ledger, struct bytes *out)
+{
+	struct ledger_window *window;
+	struct bytes entry = { 0 };
+
+	if (ledger->version) {
+		ledger_write_document(&entry, ledger->version,
+				      &ledger->document);
+		save_entry(out, &entry);
+	}
+	list_foreach(window, &ledger->windows, node) {
+		ledger_write_window(&entry, &window->total);
+		save_entry(out, &entry);
+	}
+}
+
+bool ledger_load(struct ledger *ledger, const char *data, size_t len)
+{
+	const unsigned char *at = (const unsigned char *)data;
+	size_t entry;
+
+	ledger_clear(ledger);
+	while (len) {
+		if (len < 4)
+			return false;
+		entry = at[0] | (size_t)at[1] << 8 | (size_t)at[2] << 16 |
+			(size_t)at[3] << 24;
+		if (entry > len - 4)
+			return false;
+		ledger_apply(ledger, (const char *)at + 4, entry);
+		at += 4 + entry;
+		len -= 4 + entry;
+	}
+	return true;
+}
--- /dev/null
+++ b/libfilberthall/control/ledger.h
@@ -0,0 +1,61 @@
+#ifndef FILBERTHALL_CONTROL_LEDGER_H
+#define FILBERTHALL_CONTROL_LEDGER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bytes.h"
+#include "base/list.h"
+#include "feed/feed.h"
+
+/**
+ * What the control VMs agree on: the document in force, as the bytes that it
+ * came in, and the figure of each usage window. The log's entries are applied
+ * in order on each of them; the same entries give the same state.
+ *
+ * Failures answered: operators race, and send again what was accepted long
+ * ago; only a higher version takes effect. Two leaders in turn add up a
+ * window at different moments; the first figure in the log is the window's
+ * figure for ever, so it can't be reported in two ways.
+ */
+
+/** Figures are kept for so many windows, far longer than reports take. */
+#define LEDGER_WINDOWS 128
+
+struct ledger_window {
+	struct list node; /**< the oldest first */
+	int64_t window;
+	struct feed_begun total;
+};
+
+struct ledger {
+	int64_t version; /**< of the document, 0 for none */
+	struct bytes document;
+	struct list windows;
+	int n_windows;
+	int64_t last_window; /**< highest one that has a figure, 0 for none */
+};
+
+enum ledger_change { LEDGER_NOTHING, LEDGER_DOCUMENT, LEDGER_WINDOW };
+
+void ledger_init(struct ledger *ledger);
+void ledger_clear(struct ledger *ledger);
+
+/** Write entries for the log. */
+void ledger_write_document(struct bytes *out, int64_t version,
+			   const struct bytes *text);
+void ledger_write_window(struct bytes *out, const struct feed_begun *total);
+
+/** Apply one entry; what it changed. A malformed entry changes nothing. */
+enum ledger_change ledger_apply(struct ledger *ledger, const char *data,
+				size_t len);
+
+/** The figure of a window, or NULL. */
+const struct feed_begun *ledger_window(const struct ledger *ledger,
+				       int64_t window);
+
+/** The whole state as bytes, and back; false if malformed. */
+void ledger_save(const struct ledger *ledger, struct bytes *out);
+bool ledger_load(struct ledger *ledger, const char *data, size_t len);
+
+#endif
--- a/libfilberthall/core/consensus.c
+++ b/libfilberthall/core/consensus.c
@@ -339,7 +339,7 @@
 static void consensus_set_policy(struct core *core)
 {
 	const struct settings *settings = agreed_settings(core->agreed);
-	struct member_policy policy;
+	struct member_policy policy = { 0 };
 
 	policy.voters = (int)rules_number(settings, "site/cluster", "voters");
 	policy.replace_us =
--- a/libfilberthall/core/event.c
+++ b/libfilberthall/core/event.c
@@ -98,6 +98,8 @@
 	EVENT_FIELD(link_up, peer, UINT),
 	EVENT_FIELD(link_up, name, TEXT),
 	EVENT_FIELD(link_up, zone, TEXT),
+	EVENT_FIELD(link_up, address, TEXT),
+	EVENT_FIELD(link_up, observer, BOOL),
 };
 
 static const struct field event_link_down_fields[] = {
--- a/libfilberthall/core/event.h
+++ b/libfilberthall/core/event.h
@@ -146,6 +146,8 @@
 	uint64_t peer; /**< member id */
 	char *name;    /**< VM name */
 	char *zone;
+	char *address; /**< IP:port of its links, or NULL */
+	bool observer; /**< follows the group and never joins it */
 };
 
 struct event_link_down {
@@ -158,7 +160,9 @@
 	LINK_FORWARD = 2, /**< proposals and admin calls to the leader */
 	LINK_FLEET = 3,	  /**< announcements, health, cache hints */
 	LINK_SHARE = 4,	  /**< demand, capacity and limit shares, poison */
-	LINK_USAGE = 5	  /**< usage counters */
+	LINK_USAGE = 5,	  /**< usage counters */
+	LINK_FEED = 6,	  /**< between control VMs and entry VMs */
+	LINK_CHANNELS	  /**< one more than the last */
 };
 
 struct event_link_message {
--- /dev/null
+++ b/libfilberthall/entry/entry.c
@@ -0,0 +1,264 @@
+#include "entry/entry.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "entry/entry_state.h"
+
+/* Counts, polls and waiting requests are looked at so often. */
+#define TICK_US INT64_C(50000)
+
+/*
+ * How long a stopping VM goes on taking what still comes: the balancer asks
+ * once a second, needs two misses, and callers that it has just sent here
+ * still connect.
+ */
+#define LINGER_US INT64_C(3500000)
+
+void entry_log(struct entry *entry, enum log_level level, const char *module,
+	       const char *format, ...)
+{
+	struct effect *effect = effects_add(entry->effects, EFFECT_LOG);
+	char *text = NULL;
+	va_list args;
+
+	va_start(args, format);
+	if (vasprintf(&text, format, args) < 0)
+		abort();
+	va_end(args);
+	effect->u.log.level = level;
+	effect->u.log.module = xstrdup(module);
+	effect->u.log.message = text;
+}
+
+/*
+ * Shares need links between entry VMs; without them servers' own figures
+ * bound what each VM sends. Hedging and preemption send a request twice, which
+ * the budget shared by all VMs has no room for.
+ */
+static struct router_features features(void)
+{
+	struct router_features features = router_features_all();
+
+	features.shares = false;
+	features.hedging = false;
+	features.preemption = false;
+	return features;
+}
+
+struct entry *entry_new(const struct entry_options *options, int64_t now_us)
+{
+	struct entry *entry = xcalloc(1, sizeof(*entry));
+	struct router_options router = { 0 };
+
+	entry->options = *options;
+	entry->vm = xstrdup(options->vm);
+	entry->zone = xstrdup(options->zone);
+	entry->rng.state = options->seed;
+	entry->fresh_us = INT64_MIN / 2;
+	entry->polled_us = INT64_MIN / 2;
+	entry->fetched_us = INT64_MIN / 2;
+	fleet_init(&entry->fleet);
+	registry_init(&entry->registry);
+	begun_init(&entry->begun);
+	map_init(&entry->peers);
+	map_init(&entry->calls);
+	list_init(&entry->classes);
+	router.seed = rng_next(&entry->rng);
+	router.self = options->self;
+	router.zone = entry->zone;
+	router.fleet = &entry->fleet;
+	router.services_exist = true;
+	router.features = features();
+	router.hooks.finished = entry_finished;
+	router.hooks.data = entry;
+	entry->router = router_new(&router);
+	entry->now_us = now_us;
+	return entry;
+}
+
+void entry_free(struct entry *entry)
+{
+	struct entry_class *class;
+	struct entry_class *next_class;
+	struct entry_peer *peer;
+	struct entry_peer *next_peer;
+
+	if (!entry)
+		return;
+	router_free(entry->router);
+	entry_free_calls(entry);
+	list_foreach_safe(class, next_class, &entry->classes, node)
+		free(class);
+	map_foreach(peer, next_peer, &entry->peers, node)
+		free(peer);
+	map_clear(&entry->peers);
+	fleet_clear(&entry->fleet);
+	registry_clear(&entry->registry);
+	begun_clear(&entry->begun);
+	document_free(entry->document);
+	free(entry->vm);
+	free(entry->zone);
+	free(entry);
+}
+
+static void begin(struct entry *entry, int64_t now_us, struct effects *effects)
+{
+	entry->now_us = now_us;
+	entry->effects = effects;
+}
+
+static void check_stop(struct entry *entry)
+{
+	int64_t now_us = entry->now_us;
+	bool idle = !entry->calls.count &&
+		    now_us - entry->stop_us >= LINGER_US;
+
+	if (!entry->stop_us || entry->exited ||
+	    (!idle && now_us < entry->stop_by_us))
+		return;
+	entry_tell_begun(entry);
+	entry_log(entry, LOG_INFO, "daemon", "event=exit open=%zu",
+		  entry->calls.count);
+	entry->exited = true;
+	effects_add(entry->effects, EFFECT_EXIT);
+}
+
+static void note_fresh(struct entry *entry)
+{
+	bool fresh = entry_is_fresh(entry, entry->now_us);
+
+	if (fresh == entry->was_fresh)
+		return;
+	entry->was_fresh = fresh;
+	entry_log(entry, fresh ? LOG_INFO : LOG_WARN, "fresh",
+		  "event=%s age_ms=%lld version=%lld control_vms=%zu",
+		  fresh ? "fresh" : "stale",
+		  (long long)((entry->now_us - entry->fresh_us) / 1000),
+		  (long long)(entry->document ? entry->document->version : 0),
+		  entry->peers.count);
+}
+
+void entry_tick(struct entry *entry, int64_t now_us, struct effects *effects)
+{
+	begin(entry, now_us, effects);
+	entry_feed_tick(entry);
+	router_tick(entry->router, now_us, effects);
+	note_fresh(entry);
+	check_stop(entry);
+}
+
+int64_t entry_next_tick(const struct entry *entry, int64_t now_us)
+{
+	int64_t router_us = router_next_tick(entry->router, now_us);
+
+	return router_us < now_us + TICK_US ? router_us : now_us + TICK_US;
+}
+
+static bool peer_match(const struct map_node *node, const void *key)
+{
+	return container_of(node, struct entry_peer, node)->id ==
+	       *(const uint64_t *)key;
+}
+
+static struct entry_peer *peer_find(const struct entry *entry, uint64_t id)
+{
+	struct map_node *node = map_find(
+		&entry->peers, map_hash(&id, sizeof(id)), peer_match, &id);
+
+	return node ? container_of(node, struct entry_peer, node) : NULL;
+}
+
+void entry_link_up(struct entry *entry, const struct event_link_up *up,
+		   int64_t now_us, struct effects *effects)
+{
+	struct entry_peer *peer = peer_find(entry, up->peer);
+
+	begin(entry, now_us, effects);
+	if (up->observer)
+		return;
+	if (!peer) {
+		peer = xcalloc(1, sizeof(*peer));
+		peer->id = up->peer;
+		map_insert(&entry->peers, &peer->node,
+			   map_hash(&peer->id, sizeof(peer->id)));
+	}
+	entry_log(entry, LOG_INFO, "link", "event=up vm=%s zone=%s", up->name,
+		  up->zone);
+	begun_tell_again(&entry->begun);
+	entry_poll(entry);
+}
+
+void entry_link_down(struct entry *entry, uint64_t id, int64_t now_us,
+		     struct effects *effects)
+{
+	struct entry_peer *peer = peer_find(entry, id);
+
+	begin(entry, now_us, effects);
+	if (!peer)
+		return;
+	entry_log(entry, LOG_INFO, "link", "event=down peer=%llx left=%zu",
+		  (unsigned long long)id, entry->peers.count - 1);
+	map_remove(&entry->peers, &peer->node);
+	free(peer);
+}
+
+void entry_link_message(struct entry *entry,
+			const struct event_link_message *message,
+			int64_t now_us, struct effects *effects)
+{
+	begin(entry, now_us, effects);
+	if (message->channel == LINK_FEED && peer_find(entry, message->peer))
+		entry_feed_message(entry, message->peer, &message->body);
+	note_fresh(entry);
+}
+
+void entry_stop(struct entry *entry, int64_t now_us, int64_t grace_us,
+		struct effects *effects)
+{
+	begin(entry, now_us, effects);
+	if (entry->stop_us)
+		return;
+	entry_log(entry, LOG_INFO, "daemon", "event=stop open=%zu",
+		  entry->calls.count);
+	entry->stop_us = now_us;
+	entry->stop_by_us = now_us + grace_us;
+	check_stop(entry);
+}
+
+bool entry_stopping(const struct entry *entry)
+{
+	return entry->stop_us != 0;
+}
+
+bool entry_ready(const struct entry *entry, int64_t now_us)
+{
+	return !entry->stop_us && entry->document &&
+	       entry_is_fresh(entry, now_us) &&
+	       entry->fleet.backends.count > 0;
+}
+
+const struct document *entry_document(const struct entry *entry)
+{
+	return entry->document;
+}
+
+struct entry_view entry_view(const struct entry *entry, int64_t now_us)
+{
+	struct entry_view view = entry->totals;
+	struct registered *registered;
+	struct registered *next;
+
+	view.version = entry->document ? entry->document->version : 0;
+	view.fresh_age_us = entry->fresh_us > INT64_MIN / 4
+				    ? now_us - entry->fresh_us
+				    : -1;
+	view.control_vms = (int)entry->peers.count;
+	view.open = (int64_t)entry->calls.count;
+	map_foreach(registered, next, &entry->registry.by_id, node)
+		view.servers += registered_usable(registered);
+	return view;
+}
--- /dev/null
+++ b/libfilberthall/entry/entry.h
@@ -0,0 +1,126 @@
+#ifndef FILBERTHALL_ENTRY_ENTRY_H
+#define FILBERTHALL_ENTRY_ENTRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/effect.h"
+#include "core/event.h"
+#include "document/document.h"
+
+/**
+ * The reducer of an entry VM: which request may run, for whom, and where. It
+ * follows the document and the backend servers as the control VMs tell them,
+ * and drives load/router.
+ *
+ * It reads no clock and no socket. What is to be done is appended to
+ * `effects`: ANSWER, START_ATTEMPT, CANCEL_ATTEMPT and DISTRUST as the router
+ * makes them, SEND, LINK_OPEN, LINK_CLOSE, LOG, EXIT.
+ */
+struct entry;
+
+struct entry_options {
+	uint64_t self; /**< id on links, new at each start */
+	uint64_t seed;
+	const char *vm;
+	const char *zone;
+	int64_t fresh_us;  /**< older knowledge of keys isn't acted upon */
+	int64_t window_us; /**< length of a usage window */
+	/**
+	 * Read a document; NULL if it can't be. Control VMs have checked it,
+	 * so this fails only if they run another release.
+	 */
+	struct document *(*read_document)(void *data, const char *text,
+					  size_t len);
+	void *data;
+};
+
+/** A caller's request that has been read whole. Text is borrowed. */
+struct entry_request {
+	uint64_t id;	  /**< unique in this VM's life */
+	const char *name; /**< the caller's own id of it, for logs */
+	const char *host;
+	const char *path;      /**< with its query */
+	const char *key;       /**< or NULL */
+	const char *model;     /**< or NULL */
+	const char *body_hash; /**< of path and body, hex */
+	uint64_t prefix_hash;  /**< of the prompt's shared parts; 0 for none */
+	int64_t prompt_tokens;
+	int64_t output_tokens; /**< the caller's bound or guess, 0 unknown */
+	int64_t deadline_ms;   /**< the caller waits so long; 0 unknown */
+};
+
+/** What the edge needs to carry a request out. */
+struct entry_call {
+	const char *organisation; /**< empty on an open route */
+	bool stream;
+	bool resumable;
+	int tier; /**< 0 is the highest */
+	int64_t deadline_us;
+};
+
+struct entry *entry_new(const struct entry_options *options, int64_t now_us);
+void entry_free(struct entry *entry);
+
+/** Let time pass; at entry_next_tick() at the latest. */
+void entry_tick(struct entry *entry, int64_t now_us, struct effects *effects);
+int64_t entry_next_tick(const struct entry *entry, int64_t now_us);
+
+void entry_link_up(struct entry *entry, const struct event_link_up *up,
+		   int64_t now_us, struct effects *effects);
+void entry_link_down(struct entry *entry, uint64_t peer, int64_t now_us,
+		     struct effects *effects);
+void entry_link_message(struct entry *entry,
+			const struct event_link_message *message,
+			int64_t now_us, struct effects *effects);
+
+/** Decide on a request: it is started, waits, or an ANSWER refuses it. */
+void entry_submit(struct entry *entry, const struct entry_request *request,
+		  int64_t now_us, struct effects *effects);
+
+/** A request that was submitted and not yet answered; false if unknown. */
+bool entry_find_call(const struct entry *entry, uint64_t id,
+		     struct entry_call *out);
+
+/** The start of a backend server that is known at that address, or NULL. */
+const char *entry_server_at(const struct entry *entry, const char *address);
+
+/** What became of attempts; as the events of core/event.h. */
+void entry_tokens(struct entry *entry, const struct event_attempt_tokens *tokens,
+		  int64_t now_us, struct effects *effects);
+void entry_ended(struct entry *entry, const struct event_attempt_ended *ended,
+		 int64_t now_us, struct effects *effects);
+void entry_caller_left(struct entry *entry, uint64_t id, int64_t now_us,
+		       struct effects *effects);
+
+/** A backend server's answer said how much it has to do. */
+void entry_load(struct entry *entry, const char *address, int64_t running,
+		int64_t waiting, int64_t slots, int64_t now_us);
+
+/** A planned stop: not ready any more, EXIT once all is answered. */
+void entry_stop(struct entry *entry, int64_t now_us, int64_t grace_us,
+		struct effects *effects);
+bool entry_stopping(const struct entry *entry);
+
+/** Whether this VM should get requests. */
+bool entry_ready(const struct entry *entry, int64_t now_us);
+
+/** The document in force, or NULL. */
+const struct document *entry_document(const struct entry *entry);
+
+/** For metrics and status. */
+struct entry_view {
+	int64_t version;
+	int64_t fresh_age_us; /**< -1 unknown */
+	int control_vms;
+	int servers;
+	int64_t open;
+	int64_t submitted;
+	int64_t refused; /**< without having run */
+	int64_t served;
+	int64_t failed;
+	int64_t attempts;
+};
+struct entry_view entry_view(const struct entry *entry, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/libfilberthall/entry/entry_feed.c
@@ -0,0 +1,282 @@
+/*
+ * What the control VMs tell: the document, how fresh it is, and the backend
+ * servers, which become the router's fleet.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "entry/entry_state.h"
+
+/*
+ * How often each control VM is asked. A key must be dead five seconds after
+ * it was withdrawn; with an answer twice a second several may be lost before
+ * this VM has to stop serving.
+ */
+#define POLL_US INT64_C(400000)
+
+/* How often counts of begun requests are told while they change. */
+#define TELL_US INT64_C(100000)
+
+/* An answer with the document that isn't here by then is asked for again. */
+#define FETCH_US INT64_C(300000)
+
+/*
+ * The registry, not the fleet's lease, tells which servers live: the lease
+ * only has to outlast it.
+ */
+#define FLEET_LEASE_MS INT64_C(86400000)
+
+static void send_to(struct entry *entry, uint64_t peer,
+		    const struct bytes *body)
+{
+	struct effect *effect = effects_add(entry->effects, EFFECT_SEND);
+
+	effect->u.send.peer = peer;
+	effect->u.send.channel = LINK_FEED;
+	effect->u.send.body = bytes_copy(body);
+}
+
+static void send_all(struct entry *entry, struct bytes *body)
+{
+	struct entry_peer *peer;
+	struct entry_peer *next;
+
+	map_foreach(peer, next, &entry->peers, node)
+		send_to(entry, peer->id, body);
+	bytes_clear(body);
+}
+
+void entry_poll(struct entry *entry)
+{
+	struct feed_poll poll = { entry->now_us };
+	struct bytes body = { 0 };
+
+	feed_write_poll(&body, &poll);
+	send_all(entry, &body);
+	entry->polled_us = entry->now_us;
+}
+
+void entry_tell_begun(struct entry *entry)
+{
+	struct bytes body = { 0 };
+
+	if (!entry->peers.count)
+		return;
+	while (begun_tell(&entry->begun, &body))
+		send_all(entry, &body);
+	entry->told_us = entry->now_us;
+}
+
+static void fetch(struct entry *entry, uint64_t peer, int64_t version)
+{
+	struct bytes body = { 0 };
+
+	if (entry->now_us - entry->fetched_us < FETCH_US)
+		return;
+	entry->fetched_us = entry->now_us;
+	entry_log(entry, LOG_INFO, "document",
+		  "event=fetch version=%lld held=%lld from=%llx",
+		  (long long)version,
+		  (long long)(entry->document ? entry->document->version : 0),
+		  (unsigned long long)peer);
+	feed_write_fetch(&body);
+	send_to(entry, peer, &body);
+	bytes_clear(&body);
+}
+
+static void take_state(struct entry *entry, uint64_t peer,
+		       const struct feed_state *state)
+{
+	int64_t held = entry->document ? entry->document->version : 0;
+	int64_t fresh_us = state->echo_us - state->age_us;
+
+	if (state->wall_us)
+		wall_note(&entry->wall, peer, state->wall_us, entry->now_us);
+	if (state->version > held)
+		fetch(entry, peer, state->version);
+	/*
+	 * Counted from when we asked: what was withdrawn before the answer
+	 * was made is known, what came later isn't. An answer that took long
+	 * on its way must not look fresh.
+	 */
+	if (state->echo_us && state->age_us >= 0 && state->version <= held &&
+	    state->echo_us <= entry->now_us && fresh_us > entry->fresh_us)
+		entry->fresh_us = fresh_us;
+}
+
+static void take_document(struct entry *entry,
+			  const struct feed_document *told)
+{
+	int64_t held = entry->document ? entry->document->version : 0;
+	struct document *document;
+
+	if (told->version <= held)
+		return;
+	document = entry->options.read_document(entry->options.data, told->text,
+						told->len);
+	if (!document) {
+		entry_log(entry, LOG_ERROR, "document",
+			  "event=unreadable version=%lld bytes=%zu",
+			  (long long)told->version, told->len);
+		return;
+	}
+	document_free(entry->document);
+	entry->document = document;
+	entry->fetched_us = INT64_MIN / 2;
+	entry_log(entry, LOG_INFO, "document",
+		  "event=in-force version=%lld before=%lld routes=%zu "
+		  "organisations=%zu",
+		  (long long)document->version, (long long)held,
+		  document->n_routes, document->n_organisations);
+	entry_poll(entry);
+}
+
+static void take_member(struct entry *entry, const struct feed_member *member)
+{
+	struct effect *effect;
+
+	if (member->removed) {
+		effect = effects_add(entry->effects, EFFECT_LINK_CLOSE);
+		effect->u.link_close.peer = member->id;
+		return;
+	}
+	effect = effects_add(entry->effects, EFFECT_LINK_OPEN);
+	effect->u.link_open.peer = member->id;
+	effect->u.link_open.address = xstrdup(member->address);
+}
+
+static void announce(struct entry *entry, const struct registration *told)
+{
+	char boot_id[BACKEND_NAME_SIZE];
+	struct event_announce announce = {
+		.address = (char *)told->address,
+		.boot_id = boot_id,
+		.sequence = ++entry->announced,
+		.zone = (char *)told->zone,
+		.service = (char *)told->service,
+		.cheap = told->cheap,
+		.lease_ms = FLEET_LEASE_MS,
+		.slots = told->slots,
+	};
+
+	snprintf(boot_id, sizeof(boot_id), "%.40s@%lld", told->id,
+		 (long long)told->born_ms);
+	fleet_announce(&entry->fleet, &announce, entry->now_us);
+	fleet_drain(&entry->fleet, told->address, false);
+}
+
+/* Bring the router's fleet in line with one registration. */
+static void publish(struct entry *entry, const struct registered *registered)
+{
+	const struct registration *told = &registered->told;
+	const struct registered *holder =
+		registry_at(&entry->registry, told->address);
+
+	if (registered_usable(registered))
+		announce(entry, told);
+	else if (!holder || holder == registered)
+		fleet_drain(&entry->fleet, told->address, true);
+	entry_log(entry, LOG_INFO, "server",
+		  "event=%s server=%s address=%s service=%s zone=%s cheap=%d "
+		  "heard_ms=%lld",
+		  told->gone	       ? "gone"
+		  : told->leaving      ? "leaving"
+		  : registered->silent ? "silent"
+				       : "ready",
+		  told->id, told->address, told->service, told->zone,
+		  told->cheap,
+		  (long long)((entry->now_us - registered->heard_us) / 1000));
+}
+
+static void take_registration(struct entry *entry,
+			      const struct feed_message *message)
+{
+	const struct registration *told = &message->u.registration;
+	struct registered *replaced;
+	enum registry_outcome outcome;
+
+	outcome = registry_take(&entry->registry, told,
+				entry->now_us - message->age_us, &replaced);
+	if (replaced)
+		publish(entry, replaced);
+	if (outcome == REGISTRY_CHANGED)
+		publish(entry, registry_find(&entry->registry, told->id));
+}
+
+static void take_alive(struct entry *entry, const struct feed_message *message)
+{
+	size_t i;
+
+	for (i = 0; i < message->n_alive; i++) {
+		const struct feed_alive *alive = &message->alive[i];
+		struct registered *known =
+			registry_find(&entry->registry, alive->id);
+		bool was_silent = known && known->silent;
+
+		known = registry_alive(&entry->registry, alive->id,
+				       alive->born_ms,
+				       entry->now_us - alive->age_us);
+		if (known && was_silent && !known->silent)
+			publish(entry, known);
+	}
+}
+
+void entry_feed_message(struct entry *entry, uint64_t peer,
+			const struct bytes *body)
+{
+	struct feed_message message;
+
+	if (!feed_read(&message, body->data, body->len)) {
+		entry_log(entry, LOG_WARN, "feed",
+			  "event=malformed peer=%llx bytes=%zu",
+			  (unsigned long long)peer, body->len);
+		return;
+	}
+	switch (message.kind) {
+	case FEED_STATE:
+		take_state(entry, peer, &message.u.state);
+		break;
+	case FEED_DOCUMENT:
+		take_document(entry, &message.u.document);
+		break;
+	case FEED_MEMBER:
+		take_member(entry, &message.u.member);
+		break;
+	case FEED_REGISTRATION:
+		take_registration(entry, &message);
+		break;
+	case FEED_ALIVE:
+		take_alive(entry, &message);
+		break;
+	case FEED_POLL:
+	case FEED_FETCH:
+	case FEED_BEGUN:
+	case FEED_CLOCK:
+		break;
+	}
+	feed_clear(&message);
+}
+
+static void now_silent(void *data, struct registered *registered)
+{
+	publish(data, registered);
+}
+
+void entry_feed_tick(struct entry *entry)
+{
+	if (entry->now_us - entry->polled_us >= POLL_US)
+		entry_poll(entry);
+	if (entry->now_us - entry->told_us >= TELL_US)
+		entry_tell_begun(entry);
+	registry_expire(&entry->registry, entry->now_us, now_silent, entry);
+}
+
+const char *entry_server_at(const struct entry *entry, const char *address)
+{
+	const struct registered *registered =
+		registry_at(&entry->registry, address);
+
+	return registered ? registered->told.id : NULL;
+}
--- /dev/null
+++ b/libfilberthall/entry/entry_request.c
@@ -0,0 +1,340 @@
+/*
+ * Callers' requests: who may run what, by the document in force; the rest is
+ * the router's to decide.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "entry/entry_state.h"
+
+/* Where neither the caller nor the route says how long it may take. */
+#define DEADLINE_MS 30000
+
+/* When callers of a VM that is out of touch should come back: two polls. */
+#define STALE_RETRY_MS 1000
+
+/*
+ * Classes that the router keeps at once; it has room for 64. Each document
+ * may bring new ones, and those that are in no use any more must go.
+ */
+#define CLASSES_MOST 48
+
+bool entry_is_fresh(const struct entry *entry, int64_t now_us)
+{
+	return now_us - entry->fresh_us < entry->options.fresh_us;
+}
+
+static bool call_match(const struct map_node *node, const void *key)
+{
+	return container_of(node, struct open_call, node)->id ==
+	       *(const uint64_t *)key;
+}
+
+static struct open_call *call_find(const struct entry *entry, uint64_t id)
+{
+	struct map_node *node = map_find(
+		&entry->calls, map_hash(&id, sizeof(id)), call_match, &id);
+
+	return node ? container_of(node, struct open_call, node) : NULL;
+}
+
+static void call_free(struct entry *entry, struct open_call *call)
+{
+	map_remove(&entry->calls, &call->node);
+	free(call->name);
+	free(call->organisation);
+	free(call->class_name);
+	free(call);
+}
+
+void entry_free_calls(struct entry *entry)
+{
+	struct open_call *call;
+	struct open_call *next;
+
+	map_foreach(call, next, &entry->calls, node)
+		call_free(entry, call);
+	map_clear(&entry->calls);
+}
+
+bool entry_find_call(const struct entry *entry, uint64_t id,
+		     struct entry_call *out)
+{
+	const struct open_call *call = call_find(entry, id);
+
+	if (!call)
+		return false;
+	out->organisation = call->organisation;
+	out->stream = call->stream;
+	out->resumable = call->resumable;
+	out->tier = call->tier;
+	out->deadline_us = call->deadline_us;
+	return true;
+}
+
+static void refuse(struct entry *entry, const struct entry_request *request,
+		   enum result code, int64_t retry_after_ms)
+{
+	struct effect *effect = effects_add(entry->effects, EFFECT_ANSWER);
+
+	effect->u.answer.id = request->id;
+	effect->u.answer.code = code;
+	effect->u.answer.run = RUN_NOT;
+	effect->u.answer.retry_after_ms = retry_after_ms;
+	entry->totals.refused++;
+	entry_log(entry, LOG_INFO, "request",
+		  "event=refused request=%s code=%s host=%s path=%s "
+		  "version=%lld fresh_ms=%lld retry_ms=%lld",
+		  request->name, result_name(code), request->host,
+		  request->path,
+		  (long long)(entry->document ? entry->document->version : 0),
+		  (long long)((entry->now_us - entry->fresh_us) / 1000),
+		  (long long)retry_after_ms);
+}
+
+static void class_forget_oldest(struct entry *entry)
+{
+	struct entry_class *oldest =
+		list_first(&entry->classes, struct entry_class, node);
+
+	router_remove_class(entry->router, oldest->rule.name, entry->now_us,
+			    entry->effects);
+	list_remove(&oldest->node);
+	free(oldest);
+	entry->n_classes--;
+}
+
+/*
+ * The router's class for a tier and its targets. Routes with the same ones
+ * share it: a document may have hundreds of routes.
+ */
+static const struct class_rule *class_of(struct entry *entry,
+					 const struct route *route, int tier)
+{
+	struct class_rule rule = { .tier = tier, .reclaimable = true };
+	struct entry_class *class;
+
+	snprintf(rule.name, sizeof(rule.name), "t%d-g%lld-p%lld", tier,
+		 (long long)route->goal_ms, (long long)route->pause_ms);
+	rule.first_token_us = route->goal_ms * 1000;
+	rule.inter_token_us = route->pause_ms * 1000;
+	rule.idempotent = true;
+	list_foreach(class, &entry->classes, node) {
+		if (strcmp(class->rule.name, rule.name) != 0)
+			continue;
+		list_remove(&class->node);
+		list_append(&entry->classes, &class->node);
+		return &class->rule;
+	}
+	if (entry->n_classes == CLASSES_MOST)
+		class_forget_oldest(entry);
+	class = xcalloc(1, sizeof(*class));
+	class->rule = rule;
+	list_append(&entry->classes, &class->node);
+	entry->n_classes++;
+	router_set_class(entry->router, &class->rule, entry->now_us,
+			 entry->effects);
+	return &class->rule;
+}
+
+static struct open_call *call_new(struct entry *entry,
+				  const struct entry_request *request,
+				  const struct route *route,
+				  const struct document_organisation *holder)
+{
+	struct open_call *call = xcalloc(1, sizeof(*call));
+	int64_t wait_ms = route->timeout_ms;
+
+	if (request->deadline_ms > 0 && request->deadline_ms < wait_ms)
+		wait_ms = request->deadline_ms;
+	if (wait_ms <= 0)
+		wait_ms = DEADLINE_MS;
+	call->id = request->id;
+	call->name = xstrdup(request->name);
+	call->organisation = xstrdup(holder ? holder->name : "");
+	call->stream = route->kind == ROUTE_STREAM;
+	call->resumable = call->stream && route->resumable;
+	call->tier = holder && holder->tier >= 0 ? holder->tier : route->tier;
+	call->arrived_us = entry->now_us;
+	call->deadline_us = entry->now_us + wait_ms * 1000;
+	map_insert(&entry->calls, &call->node,
+		   map_hash(&call->id, sizeof(call->id)));
+	return call;
+}
+
+static void route_request(struct entry *entry,
+			  const struct entry_request *request,
+			  const struct route *route,
+			  const struct document_organisation *holder)
+{
+	struct open_call *call = call_new(entry, request, route, holder);
+	const char *service = route_choose(route, rng_unit(&entry->rng));
+	const struct class_rule *rule = class_of(entry, route, call->tier);
+	struct router_request ask = {
+		.id = request->id,
+		.organisation = call->organisation,
+		.class_name = rule->name,
+		.model = request->model,
+		.service = service,
+		.body_hash = request->body_hash,
+		.prefix_hash = request->prefix_hash,
+		.prompt_tokens = request->prompt_tokens,
+		.max_tokens = request->output_tokens,
+		.arrived_us = entry->now_us,
+		.deadline_us = call->deadline_us,
+		.idempotent = route->kind == ROUTE_IDEMPOTENT ||
+			      call->resumable,
+		.stream = call->stream,
+		.attempts_most = route->attempts,
+	};
+
+	call->class_name = xstrdup(rule->name);
+	entry->totals.submitted++;
+	entry_log(entry, LOG_INFO, "request",
+		  "event=taken request=%s route=%s service=%s organisation=%s "
+		  "tier=%d version=%lld fresh_ms=%lld prompt=%lld output=%lld "
+		  "wait_ms=%lld",
+		  request->name, route->name, service, call->organisation,
+		  call->tier, (long long)entry->document->version,
+		  (long long)((entry->now_us - entry->fresh_us) / 1000),
+		  (long long)request->prompt_tokens,
+		  (long long)request->output_tokens,
+		  (long long)((call->deadline_us - entry->now_us) / 1000));
+	router_submit(entry->router, &ask, entry->now_us, entry->effects);
+}
+
+void entry_submit(struct entry *entry, const struct entry_request *request,
+		  int64_t now_us, struct effects *effects)
+{
+	const struct document *document = entry->document;
+	const struct document_organisation *holder = NULL;
+	const struct route *route;
+
+	entry->now_us = now_us;
+	entry->effects = effects;
+	/*
+	 * A VM that may not have heard of the newest document can't tell that
+	 * something isn't there, nor that a key still holds.
+	 */
+	if (!document || !entry_is_fresh(entry, now_us)) {
+		refuse(entry, request, RESULT_STALE, STALE_RETRY_MS);
+		return;
+	}
+	route = document_route(document, request->host, request->path);
+	if (!route) {
+		refuse(entry, request, RESULT_NO_ROUTE, 0);
+		return;
+	}
+	if (document->n_organisations && !route->open) {
+		if (request->key)
+			holder = document_holder(document, request->key);
+		if (!holder) {
+			refuse(entry, request,
+			       request->key ? RESULT_KEY_UNKNOWN
+					    : RESULT_NO_KEY,
+			       0);
+			return;
+		}
+	}
+	route_request(entry, request, route, holder);
+}
+
+void entry_finished(void *data, const struct router_outcome *outcome)
+{
+	struct entry *entry = data;
+	struct open_call *call = call_find(entry, outcome->id);
+
+	if (!call)
+		return;
+	if (outcome->code == RESULT_OK)
+		entry->totals.served++;
+	else if (outcome->run == RUN_NOT)
+		entry->totals.refused++;
+	else
+		entry->totals.failed++;
+	entry_log(entry, LOG_INFO, "request",
+		  "event=ended request=%s code=%s run=%s organisation=%s "
+		  "class=%s server=%s attempts=%d first_ms=%lld took_ms=%lld "
+		  "pieces=%lld",
+		  call->name, result_name(outcome->code),
+		  run_state_name(outcome->run), call->organisation,
+		  outcome->class_name,
+		  outcome->address ? outcome->address : "none",
+		  outcome->attempts,
+		  (long long)(outcome->first_token_us
+				      ? (outcome->first_token_us -
+					 outcome->arrived_us) /
+						1000
+				      : -1),
+		  (long long)((outcome->ended_us - outcome->arrived_us) / 1000),
+		  (long long)outcome->output_tokens);
+	call_free(entry, call);
+}
+
+/* A request counts once, in the window in which it began. */
+static void count_begun(struct entry *entry, uint64_t id)
+{
+	struct open_call *call = call_find(entry, id);
+	int64_t wall_us = wall_time_us(&entry->wall, entry->now_us);
+
+	if (!call || call->begun || !call->organisation[0] || !wall_us)
+		return;
+	call->begun = true;
+	begun_add(&entry->begun, wall_us / entry->options.window_us,
+		  call->organisation);
+}
+
+void entry_tokens(struct entry *entry, const struct event_attempt_tokens *tokens,
+		  int64_t now_us, struct effects *effects)
+{
+	entry->now_us = now_us;
+	entry->effects = effects;
+	if (tokens->first)
+		count_begun(entry, tokens->id);
+	router_tokens(entry->router, tokens, now_us, effects);
+}
+
+void entry_ended(struct entry *entry, const struct event_attempt_ended *ended,
+		 int64_t now_us, struct effects *effects)
+{
+	const struct open_call *call = call_find(entry, ended->id);
+
+	entry->now_us = now_us;
+	entry->effects = effects;
+	entry->totals.attempts++;
+	if (ended->http_status && ended->sent)
+		count_begun(entry, ended->id);
+	if (call && ended->code)
+		entry_log(entry, LOG_INFO, "attempt",
+			  "event=failed request=%s attempt=%lld code=%s "
+			  "status=%lld sent=%d pieces=%lld",
+			  call->name, (long long)ended->attempt,
+			  result_name((enum result)ended->code),
+			  (long long)ended->http_status, ended->sent,
+			  (long long)ended->tokens);
+	router_ended(entry->router, ended, now_us, effects);
+}
+
+void entry_caller_left(struct entry *entry, uint64_t id, int64_t now_us,
+		       struct effects *effects)
+{
+	entry->now_us = now_us;
+	entry->effects = effects;
+	router_caller_left(entry->router, id, now_us, effects);
+}
+
+void entry_load(struct entry *entry, const char *address, int64_t running,
+		int64_t waiting, int64_t slots, int64_t now_us)
+{
+	struct backend *backend = fleet_find(&entry->fleet, address);
+
+	if (!backend)
+		return;
+	backend->running = running;
+	backend->queued = waiting;
+	if (slots > 0)
+		backend->slots = slots;
+	backend->report_us = now_us;
+}
--- /dev/null
+++ b/libfilberthall/entry/entry_state.h
@@ -0,0 +1,86 @@
+#ifndef FILBERTHALL_ENTRY_ENTRY_STATE_H
+#define FILBERTHALL_ENTRY_ENTRY_STATE_H
+
+#include "base/map.h"
+#include "base/rng.h"
+#include "entry/entry.h"
+#include "fleet/registry.h"
+#include "load/router.h"
+#include "usage/begun.h"
+#include "usage/wall.h"
+
+/** What the files entry*.c share; nobody else includes this. */
+
+/** A control VM that has a link to us. */
+struct entry_peer {
+	struct map_node node; /**< by id */
+	uint64_t id;
+};
+
+/** A request from its submission to its answer. */
+struct open_call {
+	struct map_node node; /**< by id */
+	uint64_t id;
+	char *name;
+	char *organisation;
+	char *class_name;
+	bool stream;
+	bool resumable;
+	bool begun;
+	int tier;
+	int64_t arrived_us;
+	int64_t deadline_us;
+};
+
+/** A class that the router was told of. */
+struct entry_class {
+	struct list node; /**< the one used last stands last */
+	struct class_rule rule;
+};
+
+struct entry {
+	struct entry_options options;
+	char *vm;
+	char *zone;
+	struct rng rng;
+	struct router *router;
+	struct fleet fleet;
+	struct registry registry;
+	struct document *document;
+	struct begun begun;
+	struct wall wall;
+	struct map peers;
+	struct map calls;
+	struct list classes;
+	int n_classes;
+	int64_t announced;	/**< counter of what the fleet is told */
+	int64_t fresh_us;	/**< keys are known as of this moment */
+	bool was_fresh;
+	int64_t polled_us;
+	int64_t told_us;	/**< when counts were last told */
+	int64_t fetched_us;	/**< when the document was last asked for */
+	int64_t stop_us;	/**< when the stop was asked for, 0 if not */
+	int64_t stop_by_us;
+	bool exited;
+	struct entry_view totals;
+	struct effects *effects; /**< of the call that runs */
+	int64_t now_us;		 /**< of the call that runs */
+};
+
+/* entry.c */
+void entry_log(struct entry *entry, enum log_level level, const char *module,
+	       const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+/* entry_feed.c */
+void entry_feed_message(struct entry *entry, uint64_t peer,
+			const struct bytes *body);
+void entry_feed_tick(struct entry *entry);
+void entry_poll(struct entry *entry);
+void entry_tell_begun(struct entry *entry);
+
+/* entry_request.c */
+void entry_finished(void *data, const struct router_outcome *outcome);
+void entry_free_calls(struct entry *entry);
+bool entry_is_fresh(const struct entry *entry, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/libfilberthall/feed/feed.c
@@ -0,0 +1,283 @@
+#include "feed/feed.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "core/pack.h"
+
+/* Items in a list of one message; a larger one is malformed. */
+#define FEED_LIST_MOST 16384
+
+static void begin(msgpack_packer *packer, struct bytes *out, size_t items,
+		  enum feed_kind kind)
+{
+	pack_init(packer, out);
+	msgpack_pack_array(packer, items + 1);
+	msgpack_pack_int64(packer, kind);
+}
+
+void feed_write_poll(struct bytes *out, const struct feed_poll *poll)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 1, FEED_POLL);
+	msgpack_pack_int64(&packer, poll->sent_us);
+}
+
+void feed_write_state(struct bytes *out, const struct feed_state *state)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 4, FEED_STATE);
+	msgpack_pack_int64(&packer, state->echo_us);
+	msgpack_pack_int64(&packer, state->age_us);
+	msgpack_pack_int64(&packer, state->version);
+	msgpack_pack_int64(&packer, state->wall_us);
+}
+
+void feed_write_fetch(struct bytes *out)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 0, FEED_FETCH);
+}
+
+void feed_write_document(struct bytes *out, int64_t version, const char *text,
+			 size_t len)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 2, FEED_DOCUMENT);
+	msgpack_pack_int64(&packer, version);
+	pack_bytes(&packer, text, len);
+}
+
+void feed_write_member(struct bytes *out, const struct feed_member *member)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 3, FEED_MEMBER);
+	msgpack_pack_uint64(&packer, member->id);
+	pack_text(&packer, member->address);
+	msgpack_pack_int64(&packer, member->removed);
+}
+
+void feed_write_registration(struct bytes *out, const struct registration *told,
+			     int64_t age_us)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 12, FEED_REGISTRATION);
+	pack_text(&packer, told->id);
+	pack_text(&packer, told->address);
+	pack_text(&packer, told->service);
+	pack_text(&packer, told->zone);
+	msgpack_pack_int64(&packer, told->born_ms);
+	msgpack_pack_int64(&packer, told->sequence);
+	msgpack_pack_int64(&packer, told->slots);
+	msgpack_pack_int64(&packer, told->leaves_ms);
+	msgpack_pack_int64(&packer, told->cheap);
+	msgpack_pack_int64(&packer, told->leaving);
+	msgpack_pack_int64(&packer, told->gone);
+	msgpack_pack_int64(&packer, age_us);
+}
+
+void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
+		      size_t n_alive)
+{
+	msgpack_packer packer;
+	size_t i;
+
+	begin(&packer, out, 3 * n_alive, FEED_ALIVE);
+	for (i = 0; i < n_alive; i++) {
+		pack_text(&packer, alive[i].id);
+		msgpack_pack_int64(&packer, alive[i].born_ms);
+		msgpack_pack_int64(&packer, alive[i].age_us);
+	}
+}
+
+void feed_write_begun(struct bytes *out, const struct feed_begun *begun)
+{
+	msgpack_packer packer;
+	size_t i;
+
+	begin(&packer, out, 1 + 2 * begun->n_counts, FEED_BEGUN);
+	msgpack_pack_int64(&packer, begun->window);
+	for (i = 0; i < begun->n_counts; i++) {
+		pack_text(&packer, begun->counts[i].organisation);
+		msgpack_pack_int64(&packer, begun->counts[i].requests);
+	}
+}
+
+void feed_write_clock(struct bytes *out, int64_t wall_us)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 1, FEED_CLOCK);
+	msgpack_pack_int64(&packer, wall_us);
+}
+
+static bool read_name(const struct unpacked *items, size_t i,
+		      char name[BACKEND_NAME_SIZE])
+{
+	char *text = unpack_text(items, i, BACKEND_NAME_SIZE - 1);
+
+	if (!text)
+		return false;
+	memcpy(name, text, strlen(text) + 1);
+	free(text);
+	return true;
+}
+
+static bool read_flag(const struct unpacked *items, size_t i, bool *flag)
+{
+	int64_t value;
+
+	if (!unpack_int(items, i, &value))
+		return false;
+	*flag = value != 0;
+	return true;
+}
+
+static bool read_state(const struct unpacked *items, struct feed_state *state)
+{
+	return unpack_int(items, 1, &state->echo_us) &&
+	       unpack_int(items, 2, &state->age_us) &&
+	       unpack_int(items, 3, &state->version) &&
+	       unpack_int(items, 4, &state->wall_us);
+}
+
+static bool read_document(const struct unpacked *items,
+			  struct feed_document *document)
+{
+	return unpack_int(items, 1, &document->version) &&
+	       unpack_bytes(items, 2, &document->text, &document->len);
+}
+
+static bool read_member(const struct unpacked *items,
+			struct feed_member *member)
+{
+	if (!unpack_uint(items, 1, &member->id) ||
+	    !read_flag(items, 3, &member->removed))
+		return false;
+	member->address = unpack_text(items, 2, BACKEND_NAME_SIZE);
+	return member->address != NULL;
+}
+
+static bool read_registration(const struct unpacked *items,
+			      struct registration *told, int64_t *age_us)
+{
+	return read_name(items, 1, told->id) &&
+	       read_name(items, 2, told->address) &&
+	       read_name(items, 3, told->service) &&
+	       read_name(items, 4, told->zone) &&
+	       unpack_int(items, 5, &told->born_ms) &&
+	       unpack_int(items, 6, &told->sequence) &&
+	       unpack_int(items, 7, &told->slots) &&
+	       unpack_int(items, 8, &told->leaves_ms) &&
+	       read_flag(items, 9, &told->cheap) &&
+	       read_flag(items, 10, &told->leaving) &&
+	       read_flag(items, 11, &told->gone) &&
+	       unpack_int(items, 12, age_us);
+}
+
+static bool read_alive(const struct unpacked *items,
+		       struct feed_message *message)
+{
+	size_t n = (items->n - 1) / 3;
+	size_t i;
+
+	if (n > FEED_LIST_MOST || items->n != 3 * n + 1)
+		return false;
+	message->alive = xcalloc(n + 1, sizeof(*message->alive));
+	message->n_alive = n;
+	for (i = 0; i < n; i++) {
+		struct feed_alive *alive = &message->alive[i];
+
+		if (!read_name(items, 3 * i + 1, alive->id) ||
+		    !unpack_int(items, 3 * i + 2, &alive->born_ms) ||
+		    !unpack_int(items, 3 * i + 3, &alive->age_us))
+			return false;
+	}
+	return true;
+}
+
+static bool read_begun(const struct unpacked *items, struct feed_begun *begun)
+{
+	size_t n = items->n / 2 - 1;
+	size_t i;
+
+	if (items->n < 2 || items->n % 2 || n > FEED_LIST_MOST ||
+	    !unpack_int(items, 1, &begun->window))
+		return false;
+	begun->counts = xcalloc(n + 1, sizeof(*begun->counts));
+	begun->n_counts = n;
+	for (i = 0; i < n; i++) {
+		struct feed_count *count = &begun->counts[i];
+
+		if (!read_name(items, 2 * i + 2, count->organisation) ||
+		    !unpack_int(items, 2 * i + 3, &count->requests))
+			return false;
+	}
+	return true;
+}
+
+static bool read_items(struct feed_message *message,
+		       const struct unpacked *items)
+{
+	int64_t kind;
+
+	if (!unpack_int(items, 0, &kind))
+		return false;
+	message->kind = (enum feed_kind)kind;
+	switch (kind) {
+	case FEED_POLL:
+		return unpack_int(items, 1, &message->u.poll.sent_us);
+	case FEED_STATE:
+		return read_state(items, &message->u.state);
+	case FEED_FETCH:
+		return true;
+	case FEED_DOCUMENT:
+		return read_document(items, &message->u.document);
+	case FEED_MEMBER:
+		return read_member(items, &message->u.member);
+	case FEED_REGISTRATION:
+		return read_registration(items, &message->u.registration,
+					 &message->age_us);
+	case FEED_ALIVE:
+		return read_alive(items, message);
+	case FEED_BEGUN:
+		return read_begun(items, &message->u.begun);
+	case FEED_CLOCK:
+		return unpack_int(items, 1, &message->u.clock_us);
+	default:
+		return false;
+	}
+}
+
+bool feed_read(struct feed_message *message, const char *data, size_t len)
+{
+	struct unpacked items;
+	bool read;
+
+	memset(message, 0, sizeof(*message));
+	if (!unpack_array(&items, data, len))
+		return false;
+	read = read_items(message, &items);
+	unpack_clear(&items);
+	if (!read)
+		feed_clear(message);
+	return read;
+}
+
+void feed_clear(struct feed_message *message)
+{
+	free(message->alive);
+	message->alive = NULL;
+	if (message->kind == FEED_MEMBER)
+		free(message->u.member.address);
+	if (message->kind == FEED_BEGUN)
+		free(message->u.begun.counts);
+	memset(&message->u, 0, sizeof(message->u));
+}
--- /dev/null
+++ b/libfilberthall/feed/feed.h
@@ -0,0 +1,113 @@
+#ifndef FILBERTHALL_FEED_FEED_H
+#define FILBERTHALL_FEED_FEED_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bytes.h"
+#include "fleet/registry.h"
+
+/**
+ * What control VMs and entry VMs tell each other on LINK_FEED, and control
+ * VMs each other: msgpack arrays whose first item is the kind.
+ *
+ * Nothing here is relied on to arrive. What an entry VM must know it asks for
+ * again; registrations are repeated as a whole when a link comes up.
+ */
+enum feed_kind {
+	FEED_POLL = 1,	   /**< entry to control: how new are you? */
+	FEED_STATE,	   /**< control to entry: the answer, or a push */
+	FEED_FETCH,	   /**< entry to control: send the document */
+	FEED_DOCUMENT,	   /**< control to entry */
+	FEED_MEMBER,	   /**< control to entry: where a control VM is */
+	FEED_REGISTRATION, /**< control to all */
+	FEED_ALIVE,	   /**< control to all: servers heard since the last */
+	FEED_BEGUN,	   /**< entry to control: requests begun in a window */
+	FEED_CLOCK	   /**< control to control: its wall clock */
+};
+
+struct feed_poll {
+	int64_t sent_us; /**< entry VM's clock */
+};
+
+struct feed_state {
+	int64_t echo_us; /**< of the poll; 0 for a push */
+	int64_t age_us;	 /**< since a quorum stood behind it; -1 unknown */
+	int64_t version; /**< of the newest document applied, 0 for none */
+	int64_t wall_us; /**< wall clock when it was sent */
+};
+
+struct feed_document {
+	int64_t version;
+	const char *text; /**< inside the message that was read */
+	size_t len;
+};
+
+struct feed_member {
+	uint64_t id;
+	char *address; /**< owned; IP:port of its links */
+	bool removed;
+};
+
+/** One server of FEED_ALIVE. */
+struct feed_alive {
+	char id[BACKEND_NAME_SIZE];
+	int64_t born_ms;
+	int64_t age_us; /**< since it was heard */
+};
+
+/** One organisation's part of FEED_BEGUN. */
+struct feed_count {
+	char organisation[BACKEND_NAME_SIZE];
+	int64_t requests;
+};
+
+/** What one entry VM has seen begin in one window, in all so far. */
+struct feed_begun {
+	int64_t window;
+	struct feed_count *counts; /**< owned */
+	size_t n_counts;
+};
+
+/** One message as it was read. */
+struct feed_message {
+	enum feed_kind kind;
+	union {
+		struct feed_poll poll;
+		struct feed_state state;
+		struct feed_document document;
+		struct feed_member member;
+		struct registration registration;
+		struct feed_begun begun;
+		int64_t clock_us;
+	} u;
+	int64_t age_us; /**< of a registration, since the server was heard */
+	struct feed_alive *alive;
+	size_t n_alive;
+};
+
+void feed_write_poll(struct bytes *out, const struct feed_poll *poll);
+void feed_write_state(struct bytes *out, const struct feed_state *state);
+void feed_write_fetch(struct bytes *out);
+void feed_write_document(struct bytes *out, int64_t version, const char *text,
+			 size_t len);
+void feed_write_member(struct bytes *out, const struct feed_member *member);
+void feed_write_registration(struct bytes *out,
+			     const struct registration *registration,
+			     int64_t age_us);
+void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
+		      size_t n_alive);
+void feed_write_begun(struct bytes *out, const struct feed_begun *begun);
+void feed_write_clock(struct bytes *out, int64_t wall_us);
+
+/**
+ * Read a message. What it points to stays valid as long as `data`, and until
+ * feed_clear().
+ *
+ * @return false if it is malformed; nothing is to be cleared then
+ */
+bool feed_read(struct feed_message *message, const char *data, size_t len);
+
+void feed_clear(struct feed_message *message);
+
+#endif
--- a/libfilberthall/load/retry.c
+++ b/libfilberthall/load/retry.c
@@ -59,7 +59,10 @@
 	 */
 	if (why->sent && !why->idempotent)
 		return why->code;
-	if (why->attempts >= RETRY_ATTEMPTS && !retry->unlimited)
+	if (why->attempts >= (why->most ? why->most : RETRY_ATTEMPTS) &&
+	    !retry->unlimited)
+		return why->code;
+	if (why->sendings >= RETRY_SENDINGS && !retry->unlimited)
 		return why->code;
 	if (why->deadline_us && now_us + why->needs_us > why->deadline_us)
 		return why->code;
--- a/libfilberthall/load/retry.h
+++ b/libfilberthall/load/retry.h
@@ -32,6 +32,9 @@
 #define RETRY_SAVED_S 10.0
 #define RETRY_ATTEMPTS 3
 
+/** How often a request is sent at most, also where nobody ran it. */
+#define RETRY_SENDINGS 4
+
 struct retry {
 	bool unlimited; /**< for the ablation */
 	double budget;
@@ -46,7 +49,9 @@
 	int64_t http_status;
 	bool sent;	 /**< a byte may have left, in any attempt */
 	bool idempotent; /**< may run twice */
-	int attempts;	 /**< so far */
+	int attempts;	 /**< that may have run, so far */
+	int most;	 /**< of these; 0 for RETRY_ATTEMPTS */
+	int sendings;	 /**< all attempts so far, 0 if not known */
 	int64_t deadline_us;
 	int tier;
 	int64_t needs_us; /**< estimated time of another attempt */
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -72,6 +72,11 @@
 	uint64_t self; /**< own member id */
 	const char *zone;
 	struct fleet *fleet; /**< not owned; who there is to choose from */
+	/**
+	 * Services are known to exist before a request is submitted: one
+	 * without servers is a matter of capacity, not an unknown name.
+	 */
+	bool services_exist;
 	struct router_features features;
 	struct router_hooks hooks;
 };
@@ -98,6 +103,7 @@
 	bool stream;
 	bool keep_answer;   /**< a claim needs the whole answer */
 	int64_t send_by_us; /**< never sent later than this; 0 for none */
+	int attempts_most; /**< servers that may run it; 0 for the default */
 };
 
 /** All mechanisms on. */
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -334,13 +334,18 @@
 		.http_status = ended->http_status,
 		.sent = request->may_have_run,
 		.idempotent = request->ask.idempotent,
-		.attempts = request->n_attempts,
+		.most = request->ask.attempts_most,
+		.sendings = request->n_attempts,
 		.tier = request->tier,
 		.deadline_us = request->deadline_us,
 		.needs_us = request_needs_us(router, request) / 2,
 	};
 	enum result code;
 
+	if (!ended->sent && !attempt->sent)
+		request->n_rejected++;
+	why.attempts = request->n_attempts - request->n_rejected;
+
 	if (ended->code == RESULT_BACKEND_BROKE && request->may_have_run &&
 	    attempt_poisoned(router, attempt, now_us, effects)) {
 		request_end(router, request, RESULT_POISON, ended, now_us,
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -166,6 +166,7 @@
 	char avoid[BACKEND_NAME_SIZE]; /**< where it has failed */
 	struct list attempts;
 	int n_attempts;
+	int n_rejected; /**< of them, those that surely didn't run */
 	int64_t waiting_since_us;
 	int64_t delivered; /**< tokens that the caller has had */
 	int64_t prompt_tokens;
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -365,13 +365,16 @@
 }
 
 /* No server of the model or service is known, or none for too long. */
-static enum result pool_missing(const struct pool *pool, bool reclaimable,
+static enum result pool_missing(const struct router *router,
+				const struct pool *pool, bool reclaimable,
 				int64_t now_us)
 {
 	if (pool->slots > 0 || (reclaimable && pool->cheap_slots > 0))
 		return RESULT_OK;
 	if (pool->cheap_slots > 0)
 		return RESULT_NO_CAPACITY;
+	if (!pool->usable_us && router->options.services_exist)
+		return RESULT_NO_CAPACITY;
 	if (!pool->usable_us)
 		return pool->service ? RESULT_NO_ROUTE : RESULT_NO_MODEL;
 	if (now_us - pool->usable_us > SUBMIT_EMPTY_US)
@@ -392,7 +395,8 @@
 	    POISON_HELD)
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
-	code = pool_missing(pool, request->queue->reclaimable, now_us);
+	code = pool_missing(router, pool, request->queue->reclaimable,
+			    now_us);
 	if (code) {
 		*retry_after_ms = code == RESULT_NO_CAPACITY ? 5000 : 0;
 		return code;
