entry: a planned stop refuses what it could not end in time

Ruled out: the balancer sending new channels (it stops after 2 s), the time to hand over. Now what comes 2.8 s after the signal is refused as not run, kept channels on which nothing is asked are closed then, and the end comes 0.25 s before the grace's.

--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -151,11 +151,18 @@
 {
 	int64_t *slot = (int64_t *)((char *)reader->boot + key->offset);
 	char allowed[96];
+	double real;
 
 	snprintf(allowed, sizeof(allowed),
 		 "a whole number from %lld to %lld is needed",
 		 (long long)key->least, (long long)key->most);
-	if (!yaml_int(at, slot) || *slot < key->least || *slot > key->most)
+	/* A template may fill in a fraction; its whole part will do. */
+	if (yaml_real(at, &real) && real >= (double)key->least &&
+	    real <= (double)key->most)
+		*slot = (int64_t)real;
+	else
+		return boot_refuse(reader, at, allowed);
+	if (*slot < key->least || *slot > key->most)
 		return boot_refuse(reader, at, allowed);
 	return RESULT_OK;
 }
--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -30,8 +30,8 @@
 #define READY_HEADER_MS 3000
 #define READY_IDLE_MS 60000
 
-/* Until the document says what callers may send. */
-#define STOP_MARGIN_MS 500
+/* What is left of the grace for closing and exiting once it is nearly over. */
+#define STOP_MARGIN_MS 250
 
 struct entry_daemon {
 	struct role role;
@@ -44,6 +44,7 @@
 	uint64_t next_id;
 	int64_t version; /* of the document whose limits hold */
 	ev_timer tick;
+	ev_timer close_idle;
 	struct effects effects;
 	bool carrying_out;
 };
@@ -268,11 +269,25 @@
 	ev_timer_start(ev, timer);
 }
 
+static void on_close_idle(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct entry_daemon *daemon = timer->data;
+
+	http_server_close_idle(daemon->callers);
+}
+
 static void on_stop(void *data)
 {
 	struct entry_daemon *daemon = data;
 	int64_t grace_ms = daemon->role.boot->stop_grace_s * 1000;
 
+	if (entry_stopping(daemon->entry))
+		return;
+	ev_timer_init(&daemon->close_idle, on_close_idle,
+		      (double)ENTRY_STOP_TAKES_US / 1e6, 0);
+	daemon->close_idle.data = daemon;
+	ev_timer_start(daemon->role.ev, &daemon->close_idle);
+
 	http_server_wind_down(daemon->callers);
 	entry_stop(daemon->entry, edge_now_us(),
 		   (grace_ms - STOP_MARGIN_MS) * 1000, &daemon->effects);
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -325,6 +325,17 @@
 	server->winding_down = true;
 }
 
+void http_server_close_idle(struct http_server *server)
+{
+	struct conn *conn;
+	struct conn *next;
+
+	list_foreach_safe(conn, next, &server->conns, node)
+		if (conn->state == CONN_READING && !conn->request_begun &&
+		    !stream_unwritten(conn->stream))
+			conn_free(conn);
+}
+
 void http_server_stop(struct http_server *server)
 {
 	struct conn *conn;
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -53,6 +53,12 @@
 /** From now on answers end their connections: a planned stop. */
 void http_server_wind_down(struct http_server *server);
 
+/**
+ * Close kept connections on which nothing has been asked. A request that
+ * crosses this isn't read, so its caller may send it again elsewhere.
+ */
+void http_server_close_idle(struct http_server *server);
+
 /** Close everything. */
 void http_server_stop(struct http_server *server);
 
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -97,6 +97,13 @@
 void entry_load(struct entry *entry, const char *address, int64_t running,
 		int64_t waiting, int64_t slots, int64_t now_us);
 
+/**
+ * How long a stopping VM goes on taking what still comes: the balancer asks
+ * once a second and needs two misses. What comes later could not be ended
+ * before the process is; it is refused as not run, to be sent elsewhere.
+ */
+#define ENTRY_STOP_TAKES_US INT64_C(2800000)
+
 /** A planned stop: not ready any more, EXIT once all is answered. */
 void entry_stop(struct entry *entry, int64_t now_us, int64_t grace_us,
 		struct effects *effects);
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -15,6 +15,9 @@
 /* When callers of a VM that is out of touch should come back: two polls. */
 #define STALE_RETRY_MS 1000
 
+/* Another VM takes it at once; callers of this one mustn't come as a crowd. */
+#define STOPPING_RETRY_MS 50
+
 /*
  * Classes that the router keeps at once; it has room for 64. Each document
  * may bring new ones, and those that are in no use any more must go.
@@ -218,6 +221,10 @@
 	 * A VM that may not have heard of the newest document can't tell that
 	 * something isn't there, nor that a key still holds.
 	 */
+	if (entry->stop_us && now_us - entry->stop_us >= ENTRY_STOP_TAKES_US) {
+		refuse(entry, request, RESULT_STOPPING, STOPPING_RETRY_MS);
+		return;
+	}
 	if (!document || !entry_is_fresh(entry, now_us)) {
 		refuse(entry, request, RESULT_STALE, STALE_RETRY_MS);
 		return;
