--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -100,6 +100,14 @@
 	sink->post(sink->data, event);
 }
 
+static struct document *read_document(void *data, const char *text, size_t len)
+{
+	struct control_daemon *daemon = data;
+
+	return daemon->role.dialect->read_document(text, len,
+						   daemon->role.handler);
+}
+
 static struct control_options control_options_of(struct control_daemon *daemon)
 {
 	const struct boot *boot = daemon->role.boot;
@@ -114,6 +122,8 @@
 		.lease_us = boot->lease_ms * 1000,
 		.window_us = boot->window_s * 1000000,
 		.report = boot->platform != NULL,
+		.read_document = read_document,
+		.data = daemon,
 	};
 
 	if (getrandom(&options.seed, sizeof(options.seed), 0) < 0)
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -25,6 +25,7 @@
 	char *key;	   /**< owned, or NULL */
 	uint64_t prefix_hash;
 	int64_t prompt_tokens;
+	int64_t shared_tokens; /**< of the prompt, in parts that others share */
 	int64_t output_tokens;
 	int64_t deadline_ms; /**< 0 if it doesn't say */
 };
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -95,6 +95,7 @@
 		.body_hash = relay->body_hash,
 		.prefix_hash = asked->prefix_hash,
 		.prompt_tokens = asked->prompt_tokens,
+		.shared_tokens = asked->shared_tokens,
 		.output_tokens = asked->output_tokens,
 		.deadline_ms = asked->deadline_ms,
 	};
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -86,8 +86,10 @@
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->reports);
+	list_init(&control->sizes);
 	raft = raft_options_of(control);
 	control->raft = raft_new(&raft, now_us);
+	control->told_index = -1;
 	code = raft_restore(control->raft, saved);
 	if (code) {
 		control_free(control);
@@ -120,6 +122,8 @@
 		free(peer);
 	map_clear(&control->peers);
 	control_drop_reports(control);
+	control_drop_sizes(control);
+	document_free(control->document);
 	raft_free(control->raft);
 	ledger_clear(&control->ledger);
 	registry_clear(&control->registry);
@@ -144,6 +148,7 @@
 			    (long long)control->ledger.version,
 			    (long long)committed->index,
 			    (long long)committed->term);
+		control_fleet_document(control);
 		control_tell_version(control, now_us, effects);
 	}
 	if (change == LEDGER_WINDOW)
@@ -162,6 +167,7 @@
 		    "event=in-force version=%lld index=%lld by=snapshot",
 		    (long long)control->ledger.version,
 		    (long long)committed->index);
+	control_fleet_document(control);
 	control_tell_version(control, now_us, effects);
 }
 
@@ -198,6 +204,7 @@
 					 now_us) /
 					1000));
 		control_drop_reports(control);
+		control_drop_sizes(control);
 		control->window_next = 0;
 		control->window_pending = 0;
 	}
@@ -245,6 +252,7 @@
 	control_expire_proposals(control, now_us, effects);
 	control_feed_tick(control, wall_us, now_us, effects);
 	control_duty_tick(control, now_us, effects);
+	control_fleet_tick(control, now_us, effects);
 	control_drain(control, now_us, effects);
 	check_stop(control, now_us, effects);
 }
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -8,6 +8,7 @@
 #include "base/bytes.h"
 #include "core/effect.h"
 #include "core/event.h"
+#include "document/document.h"
 #include "fleet/registry.h"
 
 /**
@@ -38,6 +39,10 @@
 	int64_t lease_us;    /**< length of the lease to give orders */
 	int64_t window_us;   /**< length of a usage window */
 	bool report;	     /**< there is a platform that takes reports */
+	/** Read the document in force; NULL if it can't be. */
+	struct document *(*read_document)(void *data, const char *text,
+					  size_t len);
+	void *data;
 };
 
 /**
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -211,6 +211,10 @@
 	int64_t pause_us = AGAIN_FIRST_US;
 	int i;
 
+	if (strncmp(order_id, "usage-", strlen("usage-")) != 0) {
+		control_fleet_answer(control, order_id, code, now_us, effects);
+		return;
+	}
 	report = report_find(control, strtoll(order_id + strlen("usage-"), NULL,
 					      10));
 	if (!report)
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -74,7 +74,33 @@
 	feed_write_member(body, &told);
 }
 
-/** Tell entry VMs which control VMs came and went. */
+static void open_link(const struct control *control,
+		      const struct member *member, struct effects *effects)
+{
+	struct effect *effect;
+
+	if (member->id == control->options.self)
+		return;
+	effect = effects_add(effects, EFFECT_LINK_OPEN);
+	effect->u.link_open.peer = member->id;
+	effect->u.link_open.name = xstrdup(member->vm);
+	effect->u.link_open.address = xstrdup(member->address);
+	effect->u.link_open.zone = xstrdup(member->zone);
+}
+
+static void close_link(const struct member *member, struct effects *effects)
+{
+	effects_add(effects, EFFECT_LINK_CLOSE)->u.link_close.peer = member->id;
+}
+
+/**
+ * Tell entry VMs which control VMs came and went, and keep links to them.
+ *
+ * Links must be opened from what the folder says as well: after a loss of
+ * power, two of three survivors that only dialled the seeds, which had lost
+ * their disks, never met, and as the third's log was behind, none of them
+ * could be elected.
+ */
 void control_tell_members(struct control *control, struct effects *effects)
 {
 	const struct members *members = raft_members(control->raft);
@@ -86,6 +112,7 @@
 
 		if (members_find(members, old->id))
 			continue;
+		close_link(old, effects);
 		write_member(&body, old, true);
 		send_all(control, true, &body, effects);
 	}
@@ -96,6 +123,7 @@
 
 		if (old && !strcmp(old->address, now->address))
 			continue;
+		open_link(control, now, effects);
 		write_member(&body, now, false);
 		send_all(control, true, &body, effects);
 	}
--- /dev/null
+++ b/libfilberthall/control/control_fleet.c
@@ -0,0 +1,223 @@
+/*
+ * The duty of the one in charge to order servers: what each service's zones
+ * shall have, and orders where that isn't what they have.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "control/control_state.h"
+#include "fleet/sizing.h"
+
+/* How often the plan is made anew. */
+#define PLAN_US INT64_C(500000)
+
+/* One call to the platform; it must fit into the lease with room to spare. */
+#define CALL_MS INT64_C(1000)
+
+/* A place that had no server to give is asked again after so long. */
+#define DRY_US INT64_C(3000000)
+
+/* An order for one place and kind. */
+struct size_order {
+	struct list node;
+	char service[BACKEND_NAME_SIZE];
+	char zone[BACKEND_NAME_SIZE];
+	bool cheap;
+	int64_t ordered; /* accepted last; -1 for none of ours */
+	int64_t asked;	 /* of the call under way */
+	bool under_way;
+	int64_t next_us; /* not ordered again before then */
+	int64_t dry_us;	 /* no server to be had until then */
+};
+
+void control_drop_sizes(struct control *control)
+{
+	struct size_order *order;
+	struct size_order *next;
+
+	list_foreach_safe(order, next, &control->sizes, node) {
+		list_remove(&order->node);
+		free(order);
+	}
+}
+
+void control_fleet_document(struct control *control)
+{
+	struct document *document;
+
+	document = control->options.read_document(control->options.data,
+						  control->ledger.document.data,
+						  control->ledger.document.len);
+	if (!document)
+		return;
+	document_free(control->document);
+	control->document = document;
+}
+
+static struct size_order *order_of(struct control *control, const char *service,
+				   const char *zone, bool cheap)
+{
+	struct size_order *order;
+
+	list_foreach(order, &control->sizes, node)
+		if (order->cheap == cheap && !strcmp(order->service, service) &&
+		    !strcmp(order->zone, zone))
+			return order;
+	order = xcalloc(1, sizeof(*order));
+	snprintf(order->service, sizeof(order->service), "%s", service);
+	snprintf(order->zone, sizeof(order->zone), "%s", zone);
+	order->cheap = cheap;
+	order->ordered = -1;
+	list_append(&control->sizes, &order->node);
+	return order;
+}
+
+static void count_servers(const struct control *control, const char *service,
+			  const char *zone, struct sizing_zone *out)
+{
+	struct registered *registered;
+	struct registered *next;
+
+	map_foreach(registered, next, &control->registry.by_id, node) {
+		const struct registration *told = &registered->told;
+
+		if (!registered_usable(registered) ||
+		    strcmp(told->service, service) != 0 ||
+		    strcmp(told->zone, zone) != 0)
+			continue;
+		if (told->cheap)
+			out->cheap++;
+		else
+			out->steady++;
+	}
+}
+
+static void size_body(struct bytes *out, const struct size_order *order)
+{
+	json_t *root = json_pack("{s:s, s:s, s:I, s:b}", "service",
+				 order->service, "zone", order->zone, "servers",
+				 (json_int_t)order->asked, "cheap",
+				 (int)order->cheap);
+	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+
+	json_decref(root);
+	bytes_append_text(out, text);
+	free(text);
+}
+
+static void send_order(struct control *control, struct size_order *order,
+		       int64_t have, int64_t want, struct effects *effects)
+{
+	const struct lease *lease = raft_lease(control->raft);
+	struct effect_platform_call *call;
+
+	order->under_way = true;
+	order->asked = want;
+	call = &effects_add(effects, EFFECT_PLATFORM_CALL)->u.platform_call;
+	call->order_id = xstrfmt("size-%d-%s/%s", order->cheap, order->service,
+				 order->zone);
+	call->verb = xstrdup("size");
+	call->fence = lease->term;
+	call->timeout_ms = CALL_MS;
+	call->until_us = lease_order_deadline(lease);
+	size_body(&call->body, order);
+	control_log(effects, LOG_INFO, "fleet",
+		    "event=order service=%s zone=%s cheap=%d servers=%lld "
+		    "have=%lld fence=%lld",
+		    order->service, order->zone, order->cheap, (long long)want,
+		    (long long)have, (long long)lease->term);
+}
+
+/* Order what differs, unless that has just been done. */
+static void follow(struct control *control, struct size_order *order,
+		   int64_t have, int64_t want, int64_t boot_ms, int64_t now_us,
+		   struct effects *effects)
+{
+	if (order->under_way || now_us < order->next_us ||
+	    (order->ordered < 0 ? have == want : order->ordered == want) ||
+	    !lease_may_order(raft_lease(control->raft), CALL_MS * 1000, now_us))
+		return;
+	order->next_us = now_us + boot_ms * 1000;
+	send_order(control, order, have, want, effects);
+}
+
+static void plan_service(struct control *control, const struct service *service,
+			 int64_t now_us, struct effects *effects)
+{
+	const struct service_scaling *scaling = &service->scaling;
+	struct sizing sizing = {
+		.least = scaling->least,
+		.most = scaling->most,
+		.has_cheap = scaling->cheap_price > 0,
+		.n_zones = scaling->n_zones < SIZING_ZONES ? scaling->n_zones
+							   : SIZING_ZONES,
+	};
+	size_t i;
+
+	for (i = 0; i < sizing.n_zones; i++) {
+		const char *zone = scaling->zones[i].name;
+
+		sizing.zones[i].dry =
+			now_us < order_of(control, service->name, zone, true)
+					 ->dry_us;
+		count_servers(control, service->name, zone, &sizing.zones[i]);
+	}
+	sizing_plan(&sizing);
+	for (i = 0; i < sizing.n_zones; i++) {
+		const char *zone = scaling->zones[i].name;
+
+		follow(control, order_of(control, service->name, zone, true),
+		       sizing.zones[i].cheap, sizing.zones[i].want_cheap,
+		       scaling->boot_ms, now_us, effects);
+		follow(control, order_of(control, service->name, zone, false),
+		       sizing.zones[i].steady, sizing.zones[i].want_steady,
+		       scaling->boot_ms, now_us, effects);
+	}
+}
+
+void control_fleet_tick(struct control *control, int64_t now_us,
+			struct effects *effects)
+{
+	size_t i;
+
+	if (!control->in_charge || !control->options.report ||
+	    !control->document || now_us - control->sized_us < PLAN_US)
+		return;
+	control->sized_us = now_us;
+	for (i = 0; i < control->document->n_services; i++)
+		if (control->document->services[i].scaling.allowed)
+			plan_service(control, &control->document->services[i],
+				     now_us, effects);
+}
+
+void control_fleet_answer(struct control *control, const char *order_id,
+			  enum result code, int64_t now_us,
+			  struct effects *effects)
+{
+	struct size_order *order;
+	char id[2 * BACKEND_NAME_SIZE + 16];
+
+	list_foreach(order, &control->sizes, node) {
+		snprintf(id, sizeof(id), "size-%d-%s/%s", order->cheap,
+			 order->service, order->zone);
+		if (strcmp(id, order_id) != 0)
+			continue;
+		order->under_way = false;
+		if (code == RESULT_OK) {
+			order->ordered = order->asked;
+			return;
+		}
+		if (code == RESULT_PLATFORM_REFUSED)
+			order->dry_us = now_us + DRY_US;
+		order->next_us = now_us + DRY_US;
+		control_log(effects, LOG_WARN, "fleet",
+			    "event=order-failed service=%s zone=%s cheap=%d "
+			    "servers=%lld code=%s",
+			    order->service, order->zone, order->cheap,
+			    (long long)order->asked, result_name(code));
+		return;
+	}
+}
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -55,6 +55,9 @@
 	int64_t window_us;	/**< when it was proposed */
 	int64_t window_next;	/**< next window to look at */
 	int64_t reported;
+	struct document *document; /**< as the ledger's bytes say */
+	struct list sizes;	   /**< orders of servers, by place and kind */
+	int64_t sized_us;	   /**< when the plan was last made */
 	int64_t stop_by_us; /**< 0 unless stopping */
 	bool leader;	    /**< at the last look */
 	bool in_charge;	    /**< at the last look */
@@ -94,4 +97,13 @@
 void control_window_applied(struct control *control, int64_t now_us);
 void control_drop_reports(struct control *control);
 
+/* control_fleet.c */
+void control_fleet_document(struct control *control);
+void control_fleet_tick(struct control *control, int64_t now_us,
+			struct effects *effects);
+void control_fleet_answer(struct control *control, const char *order_id,
+			  enum result code, int64_t now_us,
+			  struct effects *effects);
+void control_drop_sizes(struct control *control);
+
 #endif
--- a/libfilberthall/document/document.c
+++ b/libfilberthall/document/document.c
@@ -48,6 +48,17 @@
 	free(route->prefix);
 }
 
+static void service_clear(struct service *service)
+{
+	size_t i;
+
+	for (i = 0; i < service->scaling.n_zones; i++)
+		free(service->scaling.zones[i].name);
+	free(service->scaling.zones);
+	free(service->name);
+	free(service->health_path);
+}
+
 static void organisation_clear(struct document_organisation *organisation)
 {
 	size_t i;
@@ -66,10 +77,8 @@
 
 	if (!document)
 		return;
-	for (i = 0; i < document->n_services; i++) {
-		free(document->services[i].name);
-		free(document->services[i].health_path);
-	}
+	for (i = 0; i < document->n_services; i++)
+		service_clear(&document->services[i]);
 	for (i = 0; i < document->n_routes; i++)
 		route_clear(&document->routes[i]);
 	for (i = 0; i < document->n_organisations; i++)
@@ -118,6 +127,17 @@
 	return organisation;
 }
 
+void service_add_zone(struct service *service, const char *name, double price)
+{
+	struct service_scaling *scaling = &service->scaling;
+	struct service_zone *zone;
+
+	zone = add_item((void **)&scaling->zones, &scaling->n_zones,
+			sizeof(*scaling->zones));
+	zone->name = xstrdup(name);
+	zone->price = price;
+}
+
 void route_add_split(struct route *route, const char *service, int64_t weight)
 {
 	struct route_split *split;
--- a/libfilberthall/document/document.h
+++ b/libfilberthall/document/document.h
@@ -46,13 +46,21 @@
 	size_t n_splits;
 };
 
-/** What a service says of the servers that it may order. */
+/** A zone in which a service's servers may be ordered. */
+struct service_zone {
+	char *name;
+	double price; /**< of a second of a server there */
+};
+
+/** What a service says of the servers that may be ordered for it. */
 struct service_scaling {
 	bool allowed;
-	int64_t least; /**< servers in each zone */
+	int64_t least; /**< servers in each zone, of both kinds together */
 	int64_t most;
 	int64_t boot_ms;
 	double cheap_price; /**< part of the price of the others, 0 for none */
+	struct service_zone *zones;
+	size_t n_zones;
 };
 
 struct service {
@@ -111,6 +119,7 @@
 struct document_organisation *
 document_add_organisation(struct document *document);
 
+void service_add_zone(struct service *service, const char *name, double price);
 void route_add_split(struct route *route, const char *service, int64_t weight);
 void document_add_key(struct document *document, size_t organisation,
 		      const char *text);
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -46,6 +46,7 @@
 	const char *body_hash; /**< of path and body, hex */
 	uint64_t prefix_hash;  /**< of the prompt's shared parts; 0 for none */
 	int64_t prompt_tokens;
+	int64_t shared_tokens; /**< of the prompt, in parts that others share */
 	int64_t output_tokens; /**< the caller's bound or guess, 0 unknown */
 	int64_t deadline_ms;   /**< the caller waits so long; 0 unknown */
 };
--- /dev/null
+++ b/libfilberthall/fleet/sizing.c
@@ -0,0 +1,64 @@
+#include "fleet/sizing.h"
+
+#include <math.h>
+
+static int64_t cheap_serving(const struct sizing *sizing)
+{
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < sizing->n_zones; i++)
+		n += sizing->zones[i].cheap;
+	return n;
+}
+
+static int64_t enough(const struct sizing *sizing)
+{
+	return (int64_t)ceil(SIZING_ENOUGH * (double)sizing->most *
+			     (double)sizing->n_zones);
+}
+
+/* What a zone may have of steady ones beside the cheap ones there. */
+static int64_t room_for_steady(const struct sizing *sizing,
+			       const struct sizing_zone *zone)
+{
+	int64_t room = sizing->most - zone->cheap;
+
+	return room > 0 ? room : 0;
+}
+
+/* Without enough cheap ones: what serves stays, and the rest is made up. */
+static void plan_steady(struct sizing *sizing)
+{
+	int64_t missing = enough(sizing) - cheap_serving(sizing);
+	int64_t zones = (int64_t)sizing->n_zones;
+	int64_t each = (missing + zones - 1) / zones;
+	size_t i;
+
+	for (i = 0; i < sizing->n_zones; i++) {
+		struct sizing_zone *zone = &sizing->zones[i];
+		int64_t room = room_for_steady(sizing, zone);
+		int64_t want = zone->steady > each ? zone->steady : each;
+
+		zone->want_steady = want < room ? want : room;
+		/* Those must fit beside the cheap ones that are ordered. */
+		if (zone->want_cheap > sizing->most - zone->want_steady)
+			zone->want_cheap = sizing->most - zone->want_steady;
+	}
+}
+
+void sizing_plan(struct sizing *sizing)
+{
+	size_t i;
+
+	for (i = 0; i < sizing->n_zones; i++) {
+		struct sizing_zone *zone = &sizing->zones[i];
+
+		zone->want_cheap = sizing->has_cheap ? sizing->most : 0;
+		zone->want_steady = sizing->has_cheap ? 0 : zone->steady;
+		if (!sizing->has_cheap && zone->want_steady < sizing->least)
+			zone->want_steady = sizing->least;
+	}
+	if (sizing->has_cheap && cheap_serving(sizing) < enough(sizing))
+		plan_steady(sizing);
+}
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -177,6 +177,22 @@
 	return best;
 }
 
+/* What decides whether a server may take a request, for place_choose(). */
+struct pick_case {
+	const struct pick_options *options;
+	const struct pick_query *query;
+	int64_t now_us;
+};
+
+static bool case_fits(const void *data, const struct backend *backend)
+{
+	const struct pick_case *pick = data;
+
+	return pick_fits(backend, pick->query, pick->options, pick->now_us) &&
+	       pick_has_room(backend, pick->query, pick->options,
+			     pick->now_us);
+}
+
 struct backend *pick_backend(const struct pick_options *options,
 			     const struct pick_query *query,
 			     struct backend *const *members, int n,
@@ -186,8 +202,13 @@
 	struct backend *second;
 	struct backend *holder;
 
+	struct pick_case pick = { options, query, now_us };
+
 	if (!n)
 		return NULL;
+	if (options->homes)
+		return place_choose(&query->place, members, n, case_fits, &pick,
+				    now_us);
 	holder = pick_holder(options, query, members, n, now_us);
 	if (!options->two_choices) {
 		first = pick_best(options, query, members, n, now_us);
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -6,6 +6,7 @@
 
 #include "base/rng.h"
 #include "fleet/backend.h"
+#include "load/place.h"
 #include "load/prefix.h"
 
 /**
@@ -36,6 +37,7 @@
 #define PICK_LONG_SHARE 0.75
 
 struct pick_options {
+	bool homes; /**< by load/place.h, in place of the rest */
 	bool two_choices;
 	bool prefix_affinity;
 	bool stragglers;
@@ -58,6 +60,7 @@
 	 */
 	double own_from;
 	double own_until;
+	struct place_query place; /**< with `homes` */
 };
 
 /**
--- /dev/null
+++ b/libfilberthall/load/place.h
@@ -0,0 +1,92 @@
+#ifndef FILBERTHALL_LOAD_PLACE_H
+#define FILBERTHALL_LOAD_PLACE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleet/backend.h"
+#include "load/prefix.h"
+
+/**
+ * Where a model's request is best sent, when many VMs choose on their own.
+ *
+ * Load pattern: each request repeats 6,000 to 13,000 prompt tokens that some
+ * hundred others share and brings 1,000 to 4,000 of its own. An engine that
+ * has read the shared part before reads only the rest. If each VM remembers
+ * for itself where it sent a part, seven VMs read it on seven engines: in a
+ * calm day a sixth of all prompt tokens were shared parts read again, the
+ * engines' memory held each part several times, and captions beside such a
+ * reading stood still for a fifth of a second per event.
+ *
+ * - Each shared part has a home that all VMs agree on without a word: the
+ *   engine with the highest hash of part and address (rendezvous hashing). An
+ *   engine that goes moves only its own parts, and one that comes takes only
+ *   what becomes its own.
+ * - Another engine is taken only if the home is so far behind that reading the
+ *   part anew is quicker by PLACE_AGAIN times: it also costs those who are
+ *   served there.
+ * - Short prompts keep a part of the engines to themselves, for long ones
+ *   delay every token that is generated beside them; only when these are
+ *   behind do short ones go elsewhere.
+ */
+
+/** How many times over the reading of a shared part counts where it's new. */
+#define PLACE_AGAIN 3.0
+
+/** A prompt below this part of the mean one is short. */
+#define PLACE_SHORT 0.35
+
+/** Part of the engines that is kept for short prompts. */
+#define PLACE_SHORT_SHARE 0.25
+
+/** What a short prompt bears before it goes among the long ones, s. */
+#define PLACE_SPILL_S 0.05
+
+/** What another zone's way and bytes count for, s. */
+#define PLACE_ZONE_S 0.004
+
+struct place_query {
+	uint64_t prefix_hash;  /**< of the shared parts, 0 for none */
+	int64_t shared_tokens; /**< of the prompt */
+	int64_t prompt_tokens; /**< in all */
+	double mean_prompt;    /**< of the pool's requests */
+	double rate;	       /**< prompt tokens an engine reads a second */
+	const char *zone;      /**< own availability zone */
+	const struct prefix_entry *prefix; /**< where we sent it, or NULL */
+};
+
+/** Whether a prompt is short, compared with what the pool gets. */
+bool place_is_short(const struct place_query *query);
+
+/** Rank of a home: the highest is the home of that part. */
+uint64_t place_score(uint64_t prefix_hash, const struct backend *backend);
+
+/**
+ * Mark which of `members` are kept for short prompts, the same on each VM
+ * that knows the same members.
+ */
+void place_divide(struct backend *const *members, int n);
+
+/** Prompt tokens that the server would have to read. */
+int64_t place_unread(const struct place_query *query, bool holds);
+
+/**
+ * What sending the request there costs, in seconds.
+ *
+ * @param home	the server is the part's home
+ */
+double place_cost(const struct place_query *query,
+		  const struct backend *backend, bool home, int64_t now_us);
+
+/**
+ * The member that should take the request, or NULL.
+ *
+ * @param fits	whether a member may take it at all
+ */
+struct backend *place_choose(const struct place_query *query,
+			     struct backend *const *members, int n,
+			     bool (*fits)(const void *data,
+					  const struct backend *backend),
+			     const void *data, int64_t now_us);
+
+#endif
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -44,6 +44,7 @@
 		.poison = true,
 		.preemption = true,
 		.shares = true,
+		.homes = false,
 	};
 }
 
@@ -66,6 +67,7 @@
 	retry_init(&router->retry, options->features.retry_budget, 0);
 	preempt_open(&router->preempt);
 	router->pick = (struct pick_options){
+		.homes = options->features.homes,
 		.two_choices = options->features.two_choices,
 		.prefix_affinity = options->features.prefix_affinity,
 		.stragglers = options->features.stragglers,
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -36,6 +36,7 @@
 	bool hedging;
 	bool poison;
 	bool preemption;
+	bool homes;  /**< shared prompt parts have homes; load/place.h */
 	bool shares; /**< capacity and limits shared with the other daemons */
 };
 
@@ -96,6 +97,7 @@
 	const char *trace;
 	uint64_t prefix_hash;
 	int64_t prompt_tokens;
+	int64_t shared_tokens; /**< of the prompt, in parts that others share */
 	int64_t max_tokens; /**< 0 if open */
 	int64_t arrived_us;
 	int64_t deadline_us; /**< absolute; 0 for the class's own */
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -90,6 +90,8 @@
 {
 	struct pool *pool = request->queue->pool;
 	struct attempt *attempt = xcalloc(1, sizeof(*attempt));
+	struct place_query place;
+	bool holds;
 
 	attempt->request = request;
 	attempt->number = ++request->n_attempts;
@@ -104,9 +106,15 @@
 	attempt->by_floor = by_floor;
 	attempt->on_cheap = backend->cheap;
 	attempt->prompt_tokens = request->ask.prompt_tokens;
-	if (prefix_holds(prefix_find(&router->prefix, request->ask.prefix_hash),
-			 backend->node.hash))
+	holds = prefix_holds(prefix_find(&router->prefix,
+					 request->ask.prefix_hash),
+			     backend->node.hash);
+	if (router->options.features.homes) {
+		place = request_place(router, request);
+		attempt->prompt_tokens = place_unread(&place, holds);
+	} else if (holds) {
 		attempt->prompt_tokens = 0;
+	}
 	backend_started(backend, attempt->prompt_tokens, attempt->work,
 			attempt->is_long, now_us);
 	prefix_note(&router->prefix, request->ask.prefix_hash, backend->address,
@@ -180,6 +188,7 @@
 	backend = fleet_find(router->options.fleet, attempt->address);
 	if (backend)
 		backend_prefilled(backend, attempt->prompt_tokens);
+	pool_note_read(pool, attempt->prompt_tokens, now_us - attempt->started_us);
 	attempt->prompt_tokens = 0;
 	/* The engine generates anew what the caller has already had. */
 	request->wasted += attempt->base;
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -118,6 +118,24 @@
 	return own_slots >= 2.0 * pool->n_members;
 }
 
+struct place_query request_place(const struct router *router,
+				 const struct request *request)
+{
+	const struct pool *pool = request->queue->pool;
+	struct place_query query = {
+		.prefix_hash = request->ask.prefix_hash,
+		.shared_tokens = request->ask.shared_tokens,
+		.prompt_tokens = request->ask.prompt_tokens,
+		.mean_prompt = pool->mean_prompt,
+		.rate = pool->read_rate,
+		.zone = router->zone,
+		.prefix = prefix_find(&router->prefix,
+				      request->ask.prefix_hash),
+	};
+
+	return query;
+}
+
 /*
  * Reclaimable work goes to cheap servers first: they cost less, and nothing
  * else may use them. The VMs have equal parts of these.
@@ -143,6 +161,7 @@
 	if (request->ask.prefix_hash)
 		query.prefix =
 			prefix_find(&router->prefix, request->ask.prefix_hash);
+	query.place = request_place(router, request);
 	for (tier = 0; request->is_long && tier <= request->tier; tier++)
 		query.cap_long |= now_us - pool->pressure[tier].short_us <
 				  DISPATCH_SHORT_US;
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -25,6 +25,15 @@
 #define POOL_COST_UNKNOWN 300.0
 #define POOL_UNIT_UNKNOWN_US 20000.0
 
+/* Until measured: prompt tokens that an engine reads a second. */
+#define POOL_READ_UNKNOWN 20000.0
+
+/* Shorter prompts say little about the pace of reading. */
+#define POOL_READ_LEAST 4000
+
+/* A best pace that isn't seen again fades by half in some 350 answers. */
+#define POOL_READ_FADE 0.002
+
 static bool pool_match(const struct map_node *node, const void *key)
 {
 	return !strcmp(container_of(node, struct pool, node)->name, key);
@@ -46,6 +55,7 @@
 	pool->unit_us = POOL_UNIT_UNKNOWN_US;
 	pool->mean_cost = POOL_COST_UNKNOWN;
 	pool->mean_log_cost = log(POOL_COST_UNKNOWN);
+	pool->read_rate = POOL_READ_UNKNOWN;
 	pool->grant = -1;
 	pool->local_pressure = SCHED_TIERS;
 	pool->global_pressure = SCHED_TIERS;
@@ -136,6 +146,7 @@
 		if (backend_serves(backend, pool->model, NULL, pool->service))
 			pool->members[pool->n_members++] = backend;
 	pool->fleet_version = fleet->version;
+	place_divide(pool->members, pool->n_members);
 }
 
 /* Slots and load, weighted by health, of members that may get work. */
@@ -286,6 +297,31 @@
 	pool->unit_us += gain * ((double)took_us / cost - pool->unit_us);
 }
 
+void pool_note_prompt(struct pool *pool, int64_t prompt_tokens)
+{
+	if (pool->mean_prompt <= 0)
+		pool->mean_prompt = (double)prompt_tokens;
+	pool->mean_prompt +=
+		((double)prompt_tokens - pool->mean_prompt) * POOL_GAIN;
+}
+
+/*
+ * How quickly an engine reads: the best that was seen lately. First tokens
+ * come later than by reading alone, for all that an engine does beside it, so
+ * a mean would be far too low.
+ */
+void pool_note_read(struct pool *pool, int64_t tokens, int64_t took_us)
+{
+	double rate;
+
+	if (tokens < POOL_READ_LEAST || took_us <= 0)
+		return;
+	rate = (double)tokens * 1e6 / (double)took_us;
+	pool->read_rate *= 1 - POOL_READ_FADE;
+	if (rate > pool->read_rate)
+		pool->read_rate = rate;
+}
+
 int pool_lowest_open(const struct pool *pool)
 {
 	int lowest = SCHED_TIERS - 1;
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -99,6 +99,8 @@
 	double mean_cost;
 	double mean_log_cost;  /**< of the logarithm: outliers weigh little */
 	double first_token_us; /**< mean, from start of an attempt */
+	double mean_prompt;    /**< prompt tokens of a request */
+	double read_rate;      /**< prompt tokens an engine reads a second */
 	int64_t grant;	       /**< slots handed to this VM, -1 unbounded */
 	double own_from;       /**< this VM's part of each server, 0..1 */
 	double own_until;
@@ -212,6 +214,8 @@
 double pool_wait_us(const struct router *router, const struct pool *pool,
 		    const struct request *request);
 double pool_own_slots(const struct router *router, const struct pool *pool);
+void pool_note_prompt(struct pool *pool, int64_t prompt_tokens);
+void pool_note_read(struct pool *pool, int64_t tokens, int64_t took_us);
 int pool_lowest_open(const struct pool *pool);
 void pool_press(struct router *router, struct pool *pool, int64_t now_us);
 void pool_measure(struct pool *pool, double cost, int64_t took_us);
@@ -252,6 +256,9 @@
 void router_equal_bounds(const struct router *router, double *from,
 			 double *until);
 
+struct place_query request_place(const struct router *router,
+				 const struct request *request);
+
 /* router_attempt.c */
 void attempt_start(struct router *router, struct request *request,
 		   struct backend *backend, bool by_floor, int64_t now_us,
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -460,6 +460,8 @@
 	request->queue =
 		pool_queue(router, pool, ask->adapter, class->rule.reclaimable);
 	request_estimate(router, request);
+	if (ask->prompt_tokens)
+		pool_note_prompt(pool, ask->prompt_tokens);
 	request->is_long = log(request->entry.cost) >
 			   log(SUBMIT_LONG_RATIO) + pool->mean_log_cost;
 	retry_fresh(&router->retry, now_us);
