--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -20,6 +20,9 @@
 /* A place that had no server to give is asked again after so long. */
 #define DRY_US INT64_C(3000000)
 
+/* Beyond the boot time, before an order is given again. */
+#define AGAIN_US INT64_C(1500000)
+
 /* An order for one place and kind. */
 struct size_order {
 	struct list node;
@@ -131,16 +134,22 @@
 		    (long long)have, (long long)lease->term);
 }
 
-/* Order what differs, unless that has just been done. */
+/*
+ * Order what differs. An order is given again while the servers aren't there
+ * some time after they should be: a place may have had room for a part only,
+ * beside servers that had still to leave.
+ */
 static void follow(struct control *control, struct size_order *order,
 		   int64_t have, int64_t want, int64_t boot_ms, int64_t now_us,
 		   struct effects *effects)
 {
-	if (order->under_way || now_us < order->next_us ||
-	    (order->ordered < 0 ? have == want : order->ordered == want) ||
+	bool changed = order->ordered != want;
+
+	if (order->under_way || have == want ||
+	    now_us < (changed ? order->dry_us : order->next_us) ||
 	    !lease_may_order(raft_lease(control->raft), CALL_MS * 1000, now_us))
 		return;
-	order->next_us = now_us + boot_ms * 1000;
+	order->next_us = now_us + boot_ms * 1000 + AGAIN_US;
 	send_order(control, order, have, want, effects);
 }
 
--- a/libfilberthall/fleet/sizing.c
+++ b/libfilberthall/fleet/sizing.c
@@ -54,7 +54,10 @@
 	for (i = 0; i < sizing->n_zones; i++) {
 		struct sizing_zone *zone = &sizing->zones[i];
 
-		zone->want_cheap = sizing->has_cheap ? sizing->most : 0;
+		/* A place takes no more of both together. */
+		zone->want_cheap = 0;
+		if (sizing->has_cheap && zone->steady < sizing->most)
+			zone->want_cheap = sizing->most - zone->steady;
 		zone->want_steady = sizing->has_cheap ? 0 : zone->steady;
 		if (!sizing->has_cheap && zone->want_steady < sizing->least)
 			zone->want_steady = sizing->least;
