fleet: a server that said it is full is asked again

Cause: load figures come with answers. Ruled out: the listener (other routes of the same VM went on), CPU time. Figures now fade by half each 100 ms without a new one. Links: room for 512 connections that haven't greeted, as 96 VMs dial at once.

--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -312,9 +312,9 @@
 	platform_done(call, code);
 }
 
-static const struct http_call_hooks platform_hooks = {
-	on_platform_head, on_platform_body, on_platform_end
-};
+static const struct http_call_hooks platform_hooks = { on_platform_head,
+						       on_platform_body,
+						       on_platform_end };
 
 /*
  * The lease ends: bytes that still wait in this VM must not reach the platform
@@ -553,8 +553,9 @@
 	struct registration told;
 	enum result code;
 
-	code = daemon->role.dialect->read_registration(
-		server, body->data, body->len, &told, &handler);
+	code = daemon->role.dialect->read_registration(server, body->data,
+						       body->len, &told,
+						       &handler);
 	if (code) {
 		log_line(daemon->role.log, LOG_WARN, "server",
 			 "event=unreadable server=%s reason=%s", server,
@@ -617,18 +618,19 @@
 
 	if (daemon->control)
 		view = control_view(daemon->control, edge_now_us());
-	bytes_append_format(
-		out,
-		"filberthall_leader %d\nfilberthall_in_charge %d\n"
-		"filberthall_term %" PRId64 "\nfilberthall_commit %" PRId64
-		"\nfilberthall_document_version %" PRId64
-		"\nfilberthall_voters %d\nfilberthall_members %d\n"
-		"filberthall_entry_vms %d\nfilberthall_servers %d\n"
-		"filberthall_windows_reported_total %" PRId64
-		"\nfilberthall_disk_failed %d\n",
-		view.leader, view.in_charge, view.term, view.commit,
-		view.version, view.voters, view.members, view.entry_vms,
-		view.servers, view.reported, daemon->disk_failed);
+	bytes_append_format(out,
+			    "filberthall_leader %d\nfilberthall_in_charge %d\n"
+			    "filberthall_term %" PRId64
+			    "\nfilberthall_commit %" PRId64
+			    "\nfilberthall_document_version %" PRId64
+			    "\nfilberthall_voters %d\nfilberthall_members %d\n"
+			    "filberthall_entry_vms %d\nfilberthall_servers %d\n"
+			    "filberthall_windows_reported_total %" PRId64
+			    "\nfilberthall_disk_failed %d\n",
+			    view.leader, view.in_charge, view.term, view.commit,
+			    view.version, view.voters, view.members,
+			    view.entry_vms, view.servers, view.reported,
+			    daemon->disk_failed);
 }
 
 static enum result open_all(struct control_daemon *daemon)
@@ -649,9 +651,9 @@
 	ev_timer_init(&daemon->reopen, on_reopen, REOPEN_S, REOPEN_S);
 	daemon->reopen.data = daemon;
 	daemon->platform = http_client_new(&daemon->role.streams, &platform);
-	daemon->server = http_server_start(&daemon->role.streams,
-					   boot->listen_operators, &limits,
-					   &hooks, daemon->role.handler);
+	daemon->server =
+		http_server_start(&daemon->role.streams, boot->listen_operators,
+				  &limits, &hooks, daemon->role.handler);
 	if (!daemon->server)
 		return RESULT_SETTING_VALUE;
 	code = open_control(daemon);
--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -42,10 +42,10 @@
 
 /** What a backend server's head says. Text points into the head. */
 struct dialect_answer {
-	bool signed_off;  /**< it says that the server ran the request */
-	bool not_run;	  /**< it says that the server didn't, and won't */
-	bool encoded;	  /**< the body isn't the server's own bytes */
-	bool has_load;	  /**< the three below are set */
+	bool signed_off; /**< it says that the server ran the request */
+	bool not_run;	 /**< it says that the server didn't, and won't */
+	bool encoded;	 /**< the body isn't the server's own bytes */
+	bool has_load;	 /**< the three below are set */
 	int64_t running;
 	int64_t waiting;
 	int64_t slots;
--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -64,8 +64,9 @@
 
 static struct relay_node *relay_find(struct entry_daemon *daemon, uint64_t id)
 {
-	struct map_node *node = map_find(
-		&daemon->relays, map_hash(&id, sizeof(id)), relay_match, &id);
+	struct map_node *node =
+		map_find(&daemon->relays, map_hash(&id, sizeof(id)),
+			 relay_match, &id);
 
 	return node ? container_of(node, struct relay_node, node) : NULL;
 }
@@ -203,8 +204,11 @@
 		http_exchange_head(exchange));
 	bool ready = entry_ready(daemon->entry, edge_now_us());
 
-	http_exchange_answer(exchange, !known ? 404 : ready ? 200 : 503, NULL,
-			     NULL);
+	http_exchange_answer(exchange,
+			     !known  ? 404
+			     : ready ? 200
+				     : 503,
+			     NULL, NULL);
 }
 
 static void on_ready_left(void *data, struct http_exchange *exchange)
@@ -348,14 +352,14 @@
 						 on_ready_left, daemon };
 	struct http_server_hooks hooks = { on_request, on_left, daemon };
 
-	daemon->ready = http_server_start(&daemon->role.streams,
-					  boot->listen_ready, &ready,
-					  &ready_hooks, daemon->role.handler);
+	daemon->ready =
+		http_server_start(&daemon->role.streams, boot->listen_ready,
+				  &ready, &ready_hooks, daemon->role.handler);
 	if (!daemon->ready)
 		return RESULT_SETTING_VALUE;
-	daemon->callers = http_server_start(&daemon->role.streams,
-					    boot->listen_callers, &callers,
-					    &hooks, daemon->role.handler);
+	daemon->callers =
+		http_server_start(&daemon->role.streams, boot->listen_callers,
+				  &callers, &hooks, daemon->role.handler);
 	return daemon->callers ? RESULT_OK : RESULT_SETTING_VALUE;
 }
 
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -74,8 +74,9 @@
 
 static struct origin *origin_of(struct http_client *client, const char *address)
 {
-	struct map_node *node = map_find(
-		&client->origins, map_hash_text(address), origin_match, address);
+	struct map_node *node =
+		map_find(&client->origins, map_hash_text(address), origin_match,
+			 address);
 	struct origin *origin;
 
 	if (node)
@@ -333,8 +334,7 @@
 	conn->stream = stream_connect(client->loop, origin->address, READ_MOST,
 				      &stream_hooks, conn);
 	if (stream_fd(conn->stream) >= 0)
-		set_options(stream_fd(conn->stream),
-			    client->options.silent_ms);
+		set_options(stream_fd(conn->stream), client->options.silent_ms);
 	arm(client, &conn->timer, client->options.connect_ms);
 	client->opened++;
 	return conn;
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -49,12 +49,12 @@
 };
 
 struct http_call_request {
-	const char *address;	/**< IP:port */
+	const char *address;	  /**< IP:port */
 	const struct bytes *head; /**< lines with the empty one at the end */
 	const struct bytes *body; /**< copied; or NULL */
-	const char *id;		/**< expected in the answer, or NULL */
-	bool fresh;		/**< only over a new connection */
-	bool no_body;		/**< the answer has none: HEAD */
+	const char *id;		  /**< expected in the answer, or NULL */
+	bool fresh;		  /**< only over a new connection */
+	bool no_body;		  /**< the answer has none: HEAD */
 	int64_t timeout_ms;
 };
 
--- a/daemon/http_parse.c
+++ b/daemon/http_parse.c
@@ -141,8 +141,9 @@
 		if (!next || next == line || next[-1] != '\r')
 			return false;
 		if (line == head) {
-			if (request && !check_request_line(
-					       line, (size_t)(next - line) - 1))
+			if (request &&
+			    !check_request_line(line,
+						(size_t)(next - line) - 1))
 				return false;
 		} else if (next - line > 1) {
 			if (!check_field(line, (size_t)(next - line) - 1,
--- a/daemon/http_parse.h
+++ b/daemon/http_parse.h
@@ -62,11 +62,11 @@
 	const struct http_parse_hooks *hooks;
 	void *data;
 	size_t head_limit;
-	bool no_body;	 /**< an answer to HEAD */
-	bool in_value;	 /**< the last header text was a value */
-	bool head_done;	 /**< trailers aren't kept */
-	bool too_large;	 /**< the head is longer than allowed */
-	bool stopped;	 /**< by a hook */
+	bool no_body;	/**< an answer to HEAD */
+	bool in_value;	/**< the last header text was a value */
+	bool head_done; /**< trailers aren't kept */
+	bool too_large; /**< the head is longer than allowed */
+	bool stopped;	/**< by a hook */
 };
 
 void http_parse_init(struct http_parse *parse, enum http_parser_type type,
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -165,7 +165,8 @@
 
 	conn->exchange = xcalloc(1, sizeof(*conn->exchange));
 	conn->exchange->conn = conn;
-	if (length && strtoll(length, NULL, 10) > conn->server->limits.body_bytes)
+	if (length &&
+	    strtoll(length, NULL, 10) > conn->server->limits.body_bytes)
 		return false;
 	if (expect && !strcasecmp(expect, "100-continue"))
 		write_text(conn, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -259,10 +260,10 @@
 	struct conn *conn = xcalloc(1, sizeof(*conn));
 
 	conn->server = server;
-	conn->stream = stream_new(server->loop, fd,
-				  (size_t)server->limits.body_bytes +
-					  PIPELINE_BYTES,
-				  &stream_hooks, conn);
+	conn->stream =
+		stream_new(server->loop, fd,
+			   (size_t)server->limits.body_bytes + PIPELINE_BYTES,
+			   &stream_hooks, conn);
 	ev_timer_init(&conn->timer, on_timer, 0, 0);
 	conn->timer.data = conn;
 	http_parse_init(&conn->parse, HTTP_REQUEST,
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -62,7 +62,8 @@
 /** Close everything. */
 void http_server_stop(struct http_server *server);
 
-const struct http_head *http_exchange_head(const struct http_exchange *exchange);
+const struct http_head *
+http_exchange_head(const struct http_exchange *exchange);
 const struct bytes *http_exchange_body(const struct http_exchange *exchange);
 
 /** A pointer of the owner's. */
--- a/daemon/link.c
+++ b/daemon/link.c
@@ -20,12 +20,7 @@
 /* All daemons of a site hold the same key; who is who the hello tells. */
 static const char key_name[] = "filberthall";
 
-enum command_kind {
-	COMMAND_SEND,
-	COMMAND_OPEN,
-	COMMAND_CLOSE,
-	COMMAND_SEED
-};
+enum command_kind { COMMAND_SEND, COMMAND_OPEN, COMMAND_CLOSE, COMMAND_SEED };
 
 /** What another thread asked for. */
 struct command {
--- a/daemon/link.h
+++ b/daemon/link.h
@@ -36,7 +36,7 @@
 	uint64_t incarnation;
 	const void *secret; /**< pre-shared key, NULL for links in the clear */
 	size_t secret_len;
-	bool observer; /**< never joins the group */
+	bool observer;		  /**< never joins the group */
 	const char *const *seeds; /**< IP:port of peers to join by */
 	int n_seeds;
 	const struct edge_sink *sink;
--- a/daemon/link_private.h
+++ b/daemon/link_private.h
@@ -18,8 +18,12 @@
 /* A TLS handshake and a hello take a few round trips. */
 #define LINK_HANDSHAKE_US 2000000
 
-/* Connections that haven't said who they are; beyond that none is taken. */
-#define LINK_STRANGERS 64
+/*
+ * Connections that haven't said who they are; beyond that none is taken. After
+ * a loss of power all VMs dial at the same moment: with room for 64 only, 96
+ * of them needed several rounds of waiting, ever longer ones.
+ */
+#define LINK_STRANGERS 512
 
 #define LINK_DIAL_FIRST_US 100000
 /* A peer that came back is found within about a second and a half. */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -288,8 +288,8 @@
 	request.no_body =
 		!strcmp(http_exchange_head(relay->exchange)->method, "HEAD");
 	request.timeout_ms = forward.wait_ms + TIMEOUT_SLACK_MS;
-	relay->call = http_call_start(host->client, &request, &call_hooks,
-				      relay);
+	relay->call =
+		http_call_start(host->client, &request, &call_hooks, relay);
 	bytes_clear(&head);
 }
 
--- a/daemon/role.c
+++ b/daemon/role.c
@@ -127,9 +127,9 @@
 
 	if (!role->boot->listen_metrics)
 		return RESULT_OK;
-	role->metrics = http_server_start(&role->streams,
-					  role->boot->listen_metrics, &limits,
-					  &hooks, role->handler);
+	role->metrics =
+		http_server_start(&role->streams, role->boot->listen_metrics,
+				  &limits, &hooks, role->handler);
 	return role->metrics ? RESULT_OK : RESULT_SETTING_VALUE;
 }
 
--- a/daemon/role.h
+++ b/daemon/role.h
@@ -31,7 +31,7 @@
 	ev_signal on_hup;
 	ev_timer settings_timer;
 	int64_t settings_mtime_us;
-	char ip[64];   /**< of the links' listener */
+	char ip[64]; /**< of the links' listener */
 	int link_port;
 	void (*take)(void *data, struct event *event);
 	void (*stop)(void *data);
--- a/daemon/stream.c
+++ b/daemon/stream.c
@@ -214,10 +214,9 @@
 			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	stream = stream_alloc(loop, fd, read_most, hooks, data);
 	stream->connecting = true;
-	if (fd >= 0 &&
-	    (!connect(fd, (const struct sockaddr *)&address.storage,
-		      address.len) ||
-	     errno == EINPROGRESS))
+	if (fd >= 0 && (!connect(fd, (const struct sockaddr *)&address.storage,
+				 address.len) ||
+			errno == EINPROGRESS))
 		ev_io_start(loop->ev, &stream->writer);
 	else
 		ev_timer_start(loop->ev, &stream->failed);
--- a/libfilberthall/agree/repair.c
+++ b/libfilberthall/agree/repair.c
@@ -227,10 +227,9 @@
 	int living = repair_living_voters(view);
 	int candidates;
 	const struct member *candidate = repair_candidate(view, &candidates);
-	bool smaller_is_better =
-		voters > view->policy->voters ||
-		(!view->policy->keep_voters &&
-		 (voters % 2 == 0 || voters - living >= 2));
+	bool smaller_is_better = voters > view->policy->voters ||
+				 (!view->policy->keep_voters &&
+				  (voters % 2 == 0 || voters - living >= 2));
 
 	if (dead && (candidate || smaller_is_better) &&
 	    repair_present_voters(view) >= members_quorum(voters - 1))
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -139,8 +139,8 @@
 			  const struct raft_committed *committed,
 			  int64_t now_us, struct effects *effects)
 {
-	enum ledger_change change = ledger_apply(
-		&control->ledger, committed->data, committed->len);
+	enum ledger_change change =
+		ledger_apply(&control->ledger, committed->data, committed->len);
 
 	if (change == LEDGER_DOCUMENT) {
 		control_log(effects, LOG_INFO, "document",
@@ -266,8 +266,9 @@
 static struct control_peer *peer_find(const struct control *control,
 				      uint64_t id)
 {
-	struct map_node *node = map_find(
-		&control->peers, map_hash(&id, sizeof(id)), peer_match, &id);
+	struct map_node *node =
+		map_find(&control->peers, map_hash(&id, sizeof(id)), peer_match,
+			 &id);
 
 	return node ? container_of(node, struct control_peer, node) : NULL;
 }
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -84,13 +84,12 @@
 			  int64_t now_us, struct effects *effects);
 
 /** A backend server says what it is; the entry VMs hear of it at once. */
-void control_register(struct control *control,
-		      const struct registration *told, int64_t now_us,
-		      struct effects *effects);
+void control_register(struct control *control, const struct registration *told,
+		      int64_t now_us, struct effects *effects);
 
 /** A backend server says goodbye. */
-void control_unregister(struct control *control, const char *id,
-			int64_t now_us, struct effects *effects);
+void control_unregister(struct control *control, const char *id, int64_t now_us,
+			struct effects *effects);
 
 /** A PLATFORM_CALL is over. */
 void control_platform_answer(struct control *control, const char *order_id,
@@ -114,7 +113,6 @@
 	int servers;
 	int64_t reported; /**< usage windows that the platform has taken */
 };
-struct control_view control_view(const struct control *control,
-				 int64_t now_us);
+struct control_view control_view(const struct control *control, int64_t now_us);
 
 #endif
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -193,8 +193,8 @@
 		return;
 	/* Just put in charge: the one before may not have got its through. */
 	if (!control->window_next) {
-		window = (wall_us / control->options.window_us) -
-			 REPEAT_WINDOWS;
+		window =
+			(wall_us / control->options.window_us) - REPEAT_WINDOWS;
 		for (; window <= control->ledger.last_window; window++)
 			if (ledger_window(&control->ledger, window))
 				report_add(control, window);
@@ -215,8 +215,8 @@
 		control_fleet_answer(control, order_id, code, now_us, effects);
 		return;
 	}
-	report = report_find(control, strtoll(order_id + strlen("usage-"), NULL,
-					      10));
+	report = report_find(control,
+			     strtoll(order_id + strlen("usage-"), NULL, 10));
 	if (!report)
 		return;
 	report->under_way = false;
--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -100,10 +100,10 @@
 
 static void size_body(struct bytes *out, const struct size_order *order)
 {
-	json_t *root = json_pack("{s:s, s:s, s:I, s:b}", "service",
-				 order->service, "zone", order->zone, "servers",
-				 (json_int_t)order->asked, "cheap",
-				 (int)order->cheap);
+	json_t *root =
+		json_pack("{s:s, s:s, s:I, s:b}", "service", order->service,
+			  "zone", order->zone, "servers",
+			  (json_int_t)order->asked, "cheap", (int)order->cheap);
 	char *text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 
 	json_decref(root);
@@ -170,8 +170,8 @@
 		const char *zone = scaling->zones[i].name;
 
 		sizing.zones[i].dry =
-			now_us < order_of(control, service->name, zone, true)
-					 ->dry_us;
+			now_us <
+			order_of(control, service->name, zone, true)->dry_us;
 		count_servers(control, service->name, zone, &sizing.zones[i]);
 	}
 	sizing_plan(&sizing);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -58,9 +58,9 @@
 	struct document *document; /**< as the ledger's bytes say */
 	struct list sizes;	   /**< orders of servers, by place and kind */
 	int64_t sized_us;	   /**< when the plan was last made */
-	int64_t stop_by_us; /**< 0 unless stopping */
-	bool leader;	    /**< at the last look */
-	bool in_charge;	    /**< at the last look */
+	int64_t stop_by_us;	   /**< 0 unless stopping */
+	bool leader;		   /**< at the last look */
+	bool in_charge;		   /**< at the last look */
 	bool exited;
 };
 
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -11,6 +11,12 @@
 /* Counts, polls and waiting requests are looked at so often. */
 #define TICK_US INT64_C(50000)
 
+/*
+ * Load figures come with answers only. A plain service's request takes some
+ * 60 ms, so what a server said before that long has been worked off.
+ */
+#define FADE_US INT64_C(100000)
+
 /*
  * How long a stopping VM goes on taking what still comes: the balancer asks
  * once a second, needs two misses, and callers that it has just sent here
@@ -115,8 +121,7 @@
 static void check_stop(struct entry *entry)
 {
 	int64_t now_us = entry->now_us;
-	bool idle = !entry->calls.count &&
-		    now_us - entry->stop_us >= LINGER_US;
+	bool idle = !entry->calls.count && now_us - entry->stop_us >= LINGER_US;
 
 	if (!entry->stop_us || entry->exited ||
 	    (!idle && now_us < entry->stop_by_us))
@@ -147,6 +152,10 @@
 {
 	begin(entry, now_us, effects);
 	entry_feed_tick(entry);
+	if (now_us - entry->faded_us >= FADE_US) {
+		entry->faded_us = now_us;
+		fleet_fade(&entry->fleet, FADE_US, now_us);
+	}
 	router_tick(entry->router, now_us, effects);
 	note_fresh(entry);
 	check_stop(entry);
@@ -167,8 +176,9 @@
 
 static struct entry_peer *peer_find(const struct entry *entry, uint64_t id)
 {
-	struct map_node *node = map_find(
-		&entry->peers, map_hash(&id, sizeof(id)), peer_match, &id);
+	struct map_node *node =
+		map_find(&entry->peers, map_hash(&id, sizeof(id)), peer_match,
+			 &id);
 
 	return node ? container_of(node, struct entry_peer, node) : NULL;
 }
@@ -238,8 +248,7 @@
 bool entry_ready(const struct entry *entry, int64_t now_us)
 {
 	return !entry->stop_us && entry->document &&
-	       entry_is_fresh(entry, now_us) &&
-	       entry->fleet.backends.count > 0;
+	       entry_is_fresh(entry, now_us) && entry->fleet.backends.count > 0;
 }
 
 const struct document *entry_document(const struct entry *entry)
@@ -254,9 +263,8 @@
 	struct registered *next;
 
 	view.version = entry->document ? entry->document->version : 0;
-	view.fresh_age_us = entry->fresh_us > INT64_MIN / 4
-				    ? now_us - entry->fresh_us
-				    : -1;
+	view.fresh_age_us =
+		entry->fresh_us > INT64_MIN / 4 ? now_us - entry->fresh_us : -1;
 	view.control_vms = (int)entry->peers.count;
 	view.open = (int64_t)entry->calls.count;
 	map_foreach(registered, next, &entry->registry.by_id, node)
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -87,8 +87,9 @@
 const char *entry_server_at(const struct entry *entry, const char *address);
 
 /** What became of attempts; as the events of core/event.h. */
-void entry_tokens(struct entry *entry, const struct event_attempt_tokens *tokens,
-		  int64_t now_us, struct effects *effects);
+void entry_tokens(struct entry *entry,
+		  const struct event_attempt_tokens *tokens, int64_t now_us,
+		  struct effects *effects);
 void entry_ended(struct entry *entry, const struct event_attempt_ended *ended,
 		 int64_t now_us, struct effects *effects);
 void entry_caller_left(struct entry *entry, uint64_t id, int64_t now_us,
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -106,8 +106,7 @@
 		entry->fresh_us = fresh_us;
 }
 
-static void take_document(struct entry *entry,
-			  const struct feed_document *told)
+static void take_document(struct entry *entry, const struct feed_document *told)
 {
 	int64_t held = entry->document ? entry->document->version : 0;
 	struct document *document;
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -37,8 +37,9 @@
 
 static struct open_call *call_find(const struct entry *entry, uint64_t id)
 {
-	struct map_node *node = map_find(
-		&entry->calls, map_hash(&id, sizeof(id)), call_match, &id);
+	struct map_node *node =
+		map_find(&entry->calls, map_hash(&id, sizeof(id)), call_match,
+			 &id);
 
 	return node ? container_of(node, struct open_call, node) : NULL;
 }
@@ -188,8 +189,8 @@
 		.max_tokens = request->output_tokens,
 		.arrived_us = entry->now_us,
 		.deadline_us = call->deadline_us,
-		.idempotent = route->kind == ROUTE_IDEMPOTENT ||
-			      call->resumable,
+		.idempotent =
+			route->kind == ROUTE_IDEMPOTENT || call->resumable,
 		.stream = call->stream,
 		.attempts_most = route->attempts,
 	};
@@ -294,8 +295,9 @@
 		  call->organisation);
 }
 
-void entry_tokens(struct entry *entry, const struct event_attempt_tokens *tokens,
-		  int64_t now_us, struct effects *effects)
+void entry_tokens(struct entry *entry,
+		  const struct event_attempt_tokens *tokens, int64_t now_us,
+		  struct effects *effects)
 {
 	entry->now_us = now_us;
 	entry->effects = effects;
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -53,13 +53,14 @@
 	struct map calls;
 	struct list classes;
 	int n_classes;
-	int64_t announced;	/**< counter of what the fleet is told */
-	int64_t fresh_us;	/**< keys are known as of this moment */
+	int64_t announced; /**< counter of what the fleet is told */
+	int64_t fresh_us;  /**< keys are known as of this moment */
 	bool was_fresh;
 	int64_t polled_us;
-	int64_t told_us;	/**< when counts were last told */
-	int64_t fetched_us;	/**< when the document was last asked for */
-	int64_t stop_us;	/**< when the stop was asked for, 0 if not */
+	int64_t faded_us;   /* when load figures were last faded */
+	int64_t told_us;    /**< when counts were last told */
+	int64_t fetched_us; /**< when the document was last asked for */
+	int64_t stop_us;    /**< when the stop was asked for, 0 if not */
 	int64_t stop_by_us;
 	bool exited;
 	struct entry_view totals;
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -249,6 +249,19 @@
 	return n;
 }
 
+void fleet_fade(struct fleet *fleet, int64_t step_us, int64_t now_us)
+{
+	struct backend *backend;
+	struct backend *next;
+
+	map_foreach(backend, next, &fleet->backends, node) {
+		if (now_us - backend->report_us < step_us)
+			continue;
+		backend->running /= 2;
+		backend->queued /= 2;
+	}
+}
+
 bool fleet_drain(struct fleet *fleet, const char *address, bool drained)
 {
 	struct backend *backend = fleet_find(fleet, address);
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -69,7 +69,7 @@
 	bool drained; /**< by an operator's or the system's order */
 	bool fences;
 	bool for_short; /**< kept for short prompts (load/place.h) */
-	bool untold; /**< figures heard directly, not yet passed on */
+	bool untold;	/**< figures heard directly, not yet passed on */
 	int64_t sequence;
 	int64_t lease_end_us;
 	int64_t slots;
@@ -129,6 +129,17 @@
 bool backend_serves(const struct backend *backend, const char *model,
 		    const char *adapter, const char *service);
 
+/**
+ * Let load figures fade that come only with answers: halve those older than
+ * `step_us`; to be called once in each such step.
+ *
+ * Failure answered: a server said that it is full, so nothing is sent there,
+ * so it says nothing more. Without fading it stays full for ever: a plain
+ * service of four servers got no request from a VM any more, while its
+ * callers waited out their deadlines.
+ */
+void fleet_fade(struct fleet *fleet, int64_t step_us, int64_t now_us);
+
 /** Count an attempt that was started. */
 void backend_started(struct backend *backend, int64_t prompt_tokens,
 		     double work, bool is_long, int64_t now_us);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -65,9 +65,8 @@
 		    const struct registration *told)
 {
 	return before->born_ms != told->born_ms ||
-	       before->leaving != told->leaving ||
-	       before->gone != told->gone || before->cheap != told->cheap ||
-	       before->slots != told->slots ||
+	       before->leaving != told->leaving || before->gone != told->gone ||
+	       before->cheap != told->cheap || before->slots != told->slots ||
 	       strcmp(before->address, told->address) ||
 	       strcmp(before->service, told->service) ||
 	       strcmp(before->zone, told->zone);
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -29,13 +29,13 @@
 	char address[BACKEND_NAME_SIZE]; /**< IP:port */
 	char service[BACKEND_NAME_SIZE];
 	char zone[BACKEND_NAME_SIZE];
-	int64_t born_ms;  /**< wall clock of its start; 0 if it doesn't say */
-	int64_t sequence; /**< grows with all that this start says */
-	int64_t slots;	  /**< requests at once */
+	int64_t born_ms;   /**< wall clock of its start; 0 if it doesn't say */
+	int64_t sequence;  /**< grows with all that this start says */
+	int64_t slots;	   /**< requests at once */
 	int64_t leaves_ms; /**< when it will be gone, 0 unknown */
-	bool cheap;	  /**< may be reclaimed, with its zone */
-	bool leaving;	  /**< no new work */
-	bool gone;	  /**< this start will never work again */
+	bool cheap;	   /**< may be reclaimed, with its zone */
+	bool leaving;	   /**< no new work */
+	bool gone;	   /**< this start will never work again */
 };
 
 /** A registration as it is kept. */
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -7,8 +7,7 @@
 
 bool place_is_short(const struct place_query *query)
 {
-	return (double)query->prompt_tokens <
-	       PLACE_SHORT * query->mean_prompt;
+	return (double)query->prompt_tokens < PLACE_SHORT * query->mean_prompt;
 }
 
 uint64_t place_score(uint64_t prefix_hash, const struct backend *backend)
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -98,14 +98,14 @@
 	uint64_t prefix_hash;
 	int64_t prompt_tokens;
 	int64_t shared_tokens; /**< of the prompt, in parts that others share */
-	int64_t max_tokens; /**< 0 if open */
+	int64_t max_tokens;    /**< 0 if open */
 	int64_t arrived_us;
 	int64_t deadline_us; /**< absolute; 0 for the class's own */
 	bool idempotent;     /**< may be sent again after a byte left */
 	bool stream;
 	bool keep_answer;   /**< a claim needs the whole answer */
 	int64_t send_by_us; /**< never sent later than this; 0 for none */
-	int attempts_most; /**< servers that may run it; 0 for the default */
+	int attempts_most;  /**< servers that may run it; 0 for the default */
 };
 
 /** All mechanisms on. */
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -188,7 +188,8 @@
 	backend = fleet_find(router->options.fleet, attempt->address);
 	if (backend)
 		backend_prefilled(backend, attempt->prompt_tokens);
-	pool_note_read(pool, attempt->prompt_tokens, now_us - attempt->started_us);
+	pool_note_read(pool, attempt->prompt_tokens,
+		       now_us - attempt->started_us);
 	attempt->prompt_tokens = 0;
 	/* The engine generates anew what the caller has already had. */
 	request->wasted += attempt->base;
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -129,8 +129,8 @@
 		.mean_prompt = pool->mean_prompt,
 		.rate = pool->read_rate,
 		.zone = router->zone,
-		.prefix = prefix_find(&router->prefix,
-				      request->ask.prefix_hash),
+		.prefix =
+			prefix_find(&router->prefix, request->ask.prefix_hash),
 	};
 
 	return query;
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -395,8 +395,7 @@
 	    POISON_HELD)
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
-	code = pool_missing(router, pool, request->queue->reclaimable,
-			    now_us);
+	code = pool_missing(router, pool, request->queue->reclaimable, now_us);
 	if (code) {
 		*retry_after_ms = code == RESULT_NO_CAPACITY ? 5000 : 0;
 		return code;
--- a/tests/path/t-thread-link.c
+++ b/tests/path/t-thread-link.c
@@ -242,7 +242,9 @@
 static void odd_peer_dial(struct odd_peer *peer, const struct site_vm *vm,
 			  uint64_t member, uint64_t version)
 {
-	struct link_hello hello = { version, "site", "vm", "z", "", member, 7, 0 };
+	struct link_hello hello = {
+		version, "site", "vm", "z", "", member, 7, 0
+	};
 	unsigned char key[32];
 	gnutls_datum_t datum = { key, sizeof(key) };
 	struct bytes out = { 0 };
