--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -199,6 +199,7 @@
 static void wire_keep(struct wire_conn *conn, bool keep_alive)
 {
 	struct origin *origin = conn->origin;
+	struct wire_conn *oldest;
 
 	conn->call = NULL;
 	if (!keep_alive || conn->spoiled || conn->kept_ms <= 0 ||
@@ -209,8 +210,10 @@
 	http_parse_next(&conn->parse);
 	list_prepend(&origin->idle, &conn->node);
 	arm(conn->client, &conn->timer, conn->kept_ms);
-	if (++origin->n_idle > conn->client->options.idle_most)
-		wire_free(list_last(&origin->idle, struct wire_conn, node));
+	origin->n_idle++;
+	oldest = list_last(&origin->idle, struct wire_conn, node);
+	if (oldest && origin->n_idle > conn->client->options.idle_most)
+		wire_free(oldest);
 }
 
 /* False once the connection isn't ours to read any more. */
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -134,6 +134,7 @@
 				      struct feed_begun *total)
 {
 	struct ledger_window *window;
+	struct ledger_window *oldest;
 
 	if (ledger_window(ledger, total->window)) {
 		free(total->counts);
@@ -145,10 +146,10 @@
 	list_append(&ledger->windows, &window->node);
 	if (total->window > ledger->last_window)
 		ledger->last_window = total->window;
-	if (++ledger->n_windows > LEDGER_WINDOWS) {
+	oldest = list_first(&ledger->windows, struct ledger_window, node);
+	if (++ledger->n_windows > LEDGER_WINDOWS && oldest) {
 		ledger->n_windows--;
-		window_free(list_first(&ledger->windows, struct ledger_window,
-				       node));
+		window_free(oldest);
 	}
 	return LEDGER_WINDOW;
 }
--- a/libfilberthall/fleet/sizing.c
+++ b/libfilberthall/fleet/sizing.c
@@ -51,6 +51,8 @@
 {
 	size_t i;
 
+	if (!sizing->n_zones)
+		return;
 	for (i = 0; i < sizing->n_zones; i++) {
 		struct sizing_zone *zone = &sizing->zones[i];
 
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -95,7 +95,7 @@
 
 		if (!fits(data, members[i]))
 			continue;
-		cost = place_cost(query, members[i], members[i] == home,
+		cost = place_cost(query, members[i], home && members[i] == home,
 				  now_us);
 		if (best && cost >= best_cost)
 			continue;
