tests: document, registry, sizing, windows, and a group of control VMs

The group runs its reducers over links that follow seeds and LINK_OPEN and over disks that are wiped, killed and full.

--- /dev/null
+++ b/tests/agreed/t-begun.c
@@ -0,0 +1,117 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "usage/begun.h"
+#include "usage/wall.h"
+
+#define SECOND INT64_C(1000000)
+
+/* Hand all that an entry VM has to tell to a control VM. */
+static int pass_on(struct begun *from, uint64_t source, struct begun *to)
+{
+	struct bytes body = { 0 };
+	struct feed_message message;
+	int n = 0;
+
+	while (begun_tell(from, &body)) {
+		g_assert_true(feed_read(&message, body.data, body.len));
+		begun_take(to, source, &message.u.begun);
+		feed_clear(&message);
+		bytes_clear(&body);
+		n++;
+	}
+	return n;
+}
+
+static int64_t requests(const struct begun *begun, int64_t window,
+			const char *organisation)
+{
+	struct feed_begun total = begun_total(begun, window);
+	int64_t found = 0;
+	size_t i;
+
+	for (i = 0; i < total.n_counts; i++)
+		if (!strcmp(total.counts[i].organisation, organisation))
+			found = total.counts[i].requests;
+	free(total.counts);
+	return found;
+}
+
+/*
+ * Two entry VMs tell their totals again and again, late and twice, and a
+ * control VM is new: the sum is right all the while.
+ */
+static void test_totals(void)
+{
+	struct begun first;
+	struct begun second;
+	struct begun control;
+	struct begun fresh;
+
+	begun_init(&first);
+	begun_init(&second);
+	begun_init(&control);
+	begun_init(&fresh);
+	begun_add(&first, 10, "yards");
+	g_assert_cmpint(pass_on(&first, 1, &control), ==, 1);
+	begun_add(&first, 10, "yards");
+	begun_add(&first, 11, "drivers");
+	begun_add(&second, 10, "yards");
+	g_assert_cmpint(pass_on(&first, 1, &control), ==, 2);
+	g_assert_cmpint(pass_on(&first, 1, &control), ==, 0);
+	pass_on(&second, 2, &control);
+	g_assert_cmpint(requests(&control, 10, "yards"), ==, 3);
+	g_assert_cmpint(requests(&control, 11, "drivers"), ==, 1);
+	begun_tell_again(&first);
+	pass_on(&first, 1, &fresh);
+	g_assert_cmpint(requests(&fresh, 10, "yards"), ==, 2);
+	begun_tell_again(&first);
+	pass_on(&first, 1, &control);
+	g_assert_cmpint(requests(&control, 10, "yards"), ==, 3);
+	begun_clear(&first);
+	begun_clear(&second);
+	begun_clear(&control);
+	begun_clear(&fresh);
+}
+
+static void test_windows_bounded(void)
+{
+	struct begun begun;
+	int i;
+
+	begun_init(&begun);
+	for (i = 0; i < 100; i++)
+		begun_add(&begun, i, "yards");
+	g_assert_cmpint(requests(&begun, 99, "yards"), ==, 1);
+	g_assert_cmpint(requests(&begun, 100 - BEGUN_WINDOWS, "yards"), ==, 1);
+	g_assert_cmpint(requests(&begun, 99 - BEGUN_WINDOWS, "yards"), ==, 0);
+	begun_clear(&begun);
+}
+
+/* Two of five wall clocks jump by seconds: true time stays where it is. */
+static void test_wall(void)
+{
+	struct wall wall = { 0 };
+	uint64_t i;
+
+	g_assert_cmpint(wall_time_us(&wall, 5 * SECOND), ==, 0);
+	for (i = 0; i < 5; i++)
+		wall_note(&wall, i, 1000 * SECOND, 5 * SECOND);
+	g_assert_cmpint(wall_time_us(&wall, 6 * SECOND), ==, 1001 * SECOND);
+	wall_note(&wall, 0, 1003 * SECOND, 6 * SECOND);
+	wall_note(&wall, 1, 999 * SECOND, 6 * SECOND);
+	g_assert_cmpint(wall_time_us(&wall, 6 * SECOND), ==, 1001 * SECOND);
+	/* A clock that isn't heard any more doesn't count. */
+	wall_note(&wall, 1, 1099 * SECOND, 100 * SECOND);
+	g_assert_cmpint(wall_time_us(&wall, 100 * SECOND), ==, 1099 * SECOND);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/begun/totals", test_totals);
+	g_test_add_func("/begun/windows-bounded", test_windows_bounded);
+	g_test_add_func("/wall/median", test_wall);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/control/group.c
@@ -0,0 +1,578 @@
+#include "group.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "feed/feed.h"
+
+#define WALL_US INT64_C(1700000000000000)
+#define ENTRY_ID 9999
+
+struct vm {
+	char name[32];
+	char address[32];
+	struct control *control;
+	struct raft_saved disk; /* all that was synced */
+	uint64_t id;
+	int64_t incarnation;
+	int64_t wall_off_us;
+	bool wants[GROUP_VMS]; /* a link to that VM was asked for */
+	bool linked[GROUP_VMS];
+	bool disk_fails;
+};
+
+/* A message or a synced write on its way. */
+struct post {
+	struct post *next;
+	int to;
+	int64_t at_us;
+	uint64_t life; /* id and start of the receiver */
+	struct event *event;
+};
+
+struct answer {
+	uint64_t call;
+	int code;
+	char *body;
+};
+
+struct group {
+	struct vm vms[GROUP_VMS];
+	int n_vms;
+	bool is_seed[GROUP_VMS];
+	bool cut[GROUP_VMS][GROUP_VMS];
+	int64_t now_us;
+	uint64_t next_id;
+	uint64_t next_call;
+	uint64_t seed;
+	struct post *posts;
+	GArray *answers;
+	GArray *calls;
+	enum result call_code;
+};
+
+static uint64_t life_of(const struct vm *vm)
+{
+	return vm->id * 1000 + (uint64_t)vm->incarnation;
+}
+
+static int vm_by_id(const struct group *group, uint64_t id)
+{
+	int i;
+
+	for (i = 0; i < group->n_vms; i++)
+		if (group->vms[i].id == id && group->vms[i].control)
+			return i;
+	return -1;
+}
+
+static int vm_by_address(const struct group *group, const char *address)
+{
+	int i;
+
+	for (i = 0; i < group->n_vms; i++)
+		if (!strcmp(group->vms[i].address, address))
+			return i;
+	return -1;
+}
+
+static void post(struct group *group, int to, struct event *event)
+{
+	struct post *item = xcalloc(1, sizeof(*item));
+	struct post **at = &group->posts;
+
+	item->to = to;
+	item->at_us = group->now_us + GROUP_STEP_US;
+	item->life = life_of(&group->vms[to]);
+	item->event = event;
+	while (*at)
+		at = &(*at)->next;
+	*at = item;
+}
+
+static void disk_append(struct raft_saved *disk,
+			const struct effect_log_append *append)
+{
+	struct raft_entry *entry;
+
+	disk->entries = xrealloc(disk->entries, (disk->n_entries + 1) *
+							sizeof(*disk->entries));
+	entry = &disk->entries[disk->n_entries++];
+	entry->index = append->index;
+	entry->term = append->term;
+	entry->body = bytes_copy(&append->body);
+}
+
+static void disk_truncate(struct raft_saved *disk, int64_t from)
+{
+	while (disk->n_entries &&
+	       disk->entries[disk->n_entries - 1].index >= from)
+		bytes_clear(&disk->entries[--disk->n_entries].body);
+}
+
+static void disk_snapshot(struct raft_saved *disk,
+			  const struct effect_snapshot *snapshot)
+{
+	disk->snapshot_index = snapshot->index;
+	disk->snapshot_term = snapshot->term;
+	bytes_clear(&disk->snapshot);
+	disk->snapshot = bytes_copy(&snapshot->body);
+}
+
+static struct raft_saved disk_copy(const struct raft_saved *disk)
+{
+	struct raft_saved copy = *disk;
+	size_t i;
+
+	copy.snapshot = bytes_copy(&disk->snapshot);
+	copy.entries = xcalloc(disk->n_entries + 1, sizeof(*copy.entries));
+	for (i = 0; i < disk->n_entries; i++) {
+		copy.entries[i] = disk->entries[i];
+		copy.entries[i].body = bytes_copy(&disk->entries[i].body);
+	}
+	return copy;
+}
+
+static void note_answer(struct group *group,
+			const struct effect_admin_answer *told)
+{
+	struct answer answer = { told->id, (int)told->code, NULL };
+
+	answer.body = xmemdup(told->body.data ? told->body.data : "",
+			      told->body.len);
+	g_array_append_val(group->answers, answer);
+}
+
+static void note_call(struct group *group, int vm,
+		      const struct effect_platform_call *told)
+{
+	struct group_call call = { vm, group->now_us, "", told->fence };
+
+	g_strlcpy(call.order_id, told->order_id, sizeof(call.order_id));
+	g_array_append_val(group->calls, call);
+}
+
+static void send_message(struct group *group, int from,
+			 const struct effect_send *send)
+{
+	int to = vm_by_id(group, send->peer);
+	struct event *event;
+
+	if (to < 0 || !group->vms[from].linked[to])
+		return;
+	event = event_new(EVENT_LINK_MESSAGE);
+	event->u.link_message.peer = group->vms[from].id;
+	event->u.link_message.channel = send->channel;
+	event->u.link_message.body = bytes_copy(&send->body);
+	post(group, to, event);
+}
+
+static void carry_out(struct group *group, int at, struct effects *effects)
+{
+	struct vm *vm = &group->vms[at];
+	struct effect *effect;
+	struct event *event;
+	int to;
+
+	while ((effect = effects_take(effects))) {
+		switch (effect->kind) {
+		case EFFECT_SEND:
+			send_message(group, at, &effect->u.send);
+			break;
+		case EFFECT_LINK_OPEN:
+			to = vm_by_address(group, effect->u.link_open.address);
+			if (to >= 0)
+				vm->wants[to] = true;
+			break;
+		case EFFECT_LOG_APPEND:
+			disk_append(&vm->disk, &effect->u.log_append);
+			break;
+		case EFFECT_LOG_TRUNCATE:
+			disk_truncate(&vm->disk, effect->u.log_truncate.index);
+			break;
+		case EFFECT_HARD_STATE:
+			vm->disk.term = effect->u.hard_state.term;
+			vm->disk.vote = effect->u.hard_state.vote;
+			break;
+		case EFFECT_SNAPSHOT:
+			disk_snapshot(&vm->disk, &effect->u.snapshot);
+			break;
+		case EFFECT_LOG_SYNC:
+			event = event_new(vm->disk_fails ? EVENT_DISK_FAILED
+							 : EVENT_DISK_SYNCED);
+			if (vm->disk_fails)
+				event->u.disk_failed.code = RESULT_DISK_FULL;
+			else
+				event->u.synced.ticket =
+					effect->u.log_sync.ticket;
+			post(group, at, event);
+			break;
+		case EFFECT_ADMIN_ANSWER:
+			note_answer(group, &effect->u.admin_answer);
+			break;
+		case EFFECT_PLATFORM_CALL:
+			note_call(group, at, &effect->u.platform_call);
+			break;
+		default:
+			break;
+		}
+		effect_free(effect);
+	}
+}
+
+static bool may_link(const struct group *group, int a, int b)
+{
+	const struct vm *x = &group->vms[a];
+	const struct vm *y = &group->vms[b];
+	bool asked = x->wants[b] || y->wants[a] || group->is_seed[a] ||
+		     group->is_seed[b];
+
+	return a != b && x->control && y->control && !group->cut[a][b] && asked;
+}
+
+static void set_link(struct group *group, int a, int b, bool up)
+{
+	struct event *event;
+
+	group->vms[a].linked[b] = up;
+	if (!group->vms[a].control)
+		return;
+	if (up) {
+		event = event_new(EVENT_LINK_UP);
+		event->u.link_up.peer = group->vms[b].id;
+		event->u.link_up.name = xstrdup(group->vms[b].name);
+		event->u.link_up.zone = xstrdup("z1");
+	} else {
+		event = event_new(EVENT_LINK_DOWN);
+		event->u.link_down.peer = group->vms[b].id;
+	}
+	post(group, a, event);
+}
+
+static void update_links(struct group *group)
+{
+	int a;
+	int b;
+
+	for (a = 0; a < group->n_vms; a++)
+		for (b = 0; b < group->n_vms; b++)
+			if (may_link(group, a, b) != group->vms[a].linked[b])
+				set_link(group, a, b,
+					 !group->vms[a].linked[b]);
+}
+
+static void deliver(struct group *group, struct post *item)
+{
+	struct vm *vm = &group->vms[item->to];
+	struct control *control = vm->control;
+	struct event *event = item->event;
+	int64_t now_us = group->now_us;
+	struct effects effects;
+
+	effects_init(&effects);
+	if (control && item->life == life_of(vm)) {
+		if (event->kind == EVENT_LINK_UP)
+			control_link_up(control, &event->u.link_up, now_us,
+					&effects);
+		else if (event->kind == EVENT_LINK_DOWN)
+			control_link_down(control, event->u.link_down.peer,
+					  now_us, &effects);
+		else if (event->kind == EVENT_LINK_MESSAGE)
+			control_link_message(control, &event->u.link_message,
+					     now_us, &effects);
+		else if (event->kind == EVENT_DISK_SYNCED)
+			control_synced(control, event->u.synced.ticket, now_us,
+				       &effects);
+		else if (event->kind == EVENT_DISK_FAILED)
+			control_disk_failed(control, RESULT_DISK_FULL, now_us,
+					    &effects);
+		carry_out(group, item->to, &effects);
+	}
+	event_free(event);
+	free(item);
+}
+
+static void deliver_all(struct group *group)
+{
+	struct post *item;
+
+	while ((item = group->posts) && item->at_us <= group->now_us) {
+		group->posts = item->next;
+		deliver(group, item);
+	}
+}
+
+static void tick(struct group *group, int at)
+{
+	struct vm *vm = &group->vms[at];
+	struct effects effects;
+
+	if (!vm->control || group->now_us % CONTROL_TICK_US)
+		return;
+	effects_init(&effects);
+	control_tick(vm->control, WALL_US + group->now_us + vm->wall_off_us,
+		     group->now_us, &effects);
+	carry_out(group, at, &effects);
+}
+
+void group_run(struct group *group, int64_t us)
+{
+	int64_t until_us = group->now_us + us;
+	int i;
+
+	while (group->now_us < until_us) {
+		group->now_us += GROUP_STEP_US;
+		update_links(group);
+		deliver_all(group);
+		for (i = 0; i < group->n_vms; i++)
+			tick(group, i);
+	}
+}
+
+int64_t group_now(const struct group *group)
+{
+	return group->now_us;
+}
+
+static struct document *read_document(void *data, const char *text, size_t len)
+{
+	return document_new();
+}
+
+void group_start(struct group *group, int at)
+{
+	struct vm *vm = &group->vms[at];
+	struct raft_saved saved = disk_copy(&vm->disk);
+	struct control_options options = {
+		.vm = vm->name,
+		.zone = "z1",
+		.address = vm->address,
+		.voters = 5,
+		.tolerate = 2,
+		.lease_us = 3000000,
+		.window_us = 5000000,
+		.report = true,
+		.read_document = read_document,
+	};
+	struct effects effects;
+
+	if (!vm->id)
+		vm->id = ++group->next_id;
+	options.self = vm->id;
+	options.incarnation = ++vm->incarnation;
+	options.seed = group->seed + (uint64_t)at * 77;
+	options.found = at == 0 && !group->now_us;
+	memset(vm->wants, 0, sizeof(vm->wants));
+	vm->disk_fails = false;
+	effects_init(&effects);
+	g_assert_cmpint(control_new(&vm->control, &options, &saved,
+				    group->now_us, &effects),
+			==, RESULT_OK);
+	raft_saved_clear(&saved);
+	carry_out(group, at, &effects);
+}
+
+void group_kill(struct group *group, int at)
+{
+	int i;
+
+	control_free(group->vms[at].control);
+	group->vms[at].control = NULL;
+	for (i = 0; i < group->n_vms; i++)
+		group->vms[at].linked[i] = false;
+}
+
+void group_wipe(struct group *group, int at)
+{
+	struct vm *vm = &group->vms[at];
+
+	if (vm->control)
+		group_kill(group, at);
+	raft_saved_clear(&vm->disk);
+	vm->id = 0;
+	vm->incarnation = 0;
+}
+
+void group_cut(struct group *group, int a, int b, bool cut)
+{
+	group->cut[a][b] = cut;
+	group->cut[b][a] = cut;
+}
+
+void group_fail_disk(struct group *group, int at)
+{
+	group->vms[at].disk_fails = true;
+}
+
+void group_step_wall(struct group *group, int at, int64_t us)
+{
+	group->vms[at].wall_off_us = us;
+}
+
+struct group *group_new(int n_vms, const int *seeds, int n_seeds, uint64_t seed)
+{
+	struct group *group = xcalloc(1, sizeof(*group));
+	int i;
+
+	group->n_vms = n_vms;
+	group->seed = seed;
+	group->answers = g_array_new(false, true, sizeof(struct answer));
+	group->calls = g_array_new(false, true, sizeof(struct group_call));
+	for (i = 0; i < n_seeds; i++)
+		group->is_seed[seeds[i]] = true;
+	for (i = 0; i < n_vms; i++) {
+		struct vm *vm = &group->vms[i];
+
+		g_snprintf(vm->name, sizeof(vm->name), "vm-%d", i);
+		g_snprintf(vm->address, sizeof(vm->address), "10.0.0.%d:7000",
+			   i + 1);
+	}
+	return group;
+}
+
+void group_free(struct group *group)
+{
+	struct post *item;
+	guint at;
+	int i;
+
+	while ((item = group->posts)) {
+		group->posts = item->next;
+		event_free(item->event);
+		free(item);
+	}
+	for (i = 0; i < group->n_vms; i++) {
+		control_free(group->vms[i].control);
+		raft_saved_clear(&group->vms[i].disk);
+	}
+	for (at = 0; at < group->answers->len; at++)
+		free(g_array_index(group->answers, struct answer, at).body);
+	g_array_free(group->answers, true);
+	g_array_free(group->calls, true);
+	free(group);
+}
+
+struct control_view group_view(struct group *group, int at)
+{
+	struct control_view none = { 0 };
+
+	if (!group->vms[at].control)
+		return none;
+	return control_view(group->vms[at].control, group->now_us);
+}
+
+int group_leader(struct group *group)
+{
+	int found = -1;
+	int i;
+
+	for (i = 0; i < group->n_vms; i++) {
+		if (!group_view(group, i).leader)
+			continue;
+		if (found >= 0)
+			return -1;
+		found = i;
+	}
+	return found;
+}
+
+uint64_t group_put(struct group *group, int at, int64_t version)
+{
+	struct bytes text = { 0 };
+	struct effects effects;
+
+	effects_init(&effects);
+	bytes_append_format(&text, "document %d", (int)version);
+	control_put_document(group->vms[at].control, ++group->next_call,
+			     version, &text, group->now_us, &effects);
+	carry_out(group, at, &effects);
+	bytes_clear(&text);
+	return group->next_call;
+}
+
+uint64_t group_get(struct group *group, int at)
+{
+	struct effects effects;
+
+	effects_init(&effects);
+	control_get_document(group->vms[at].control, ++group->next_call,
+			     group->now_us, &effects);
+	carry_out(group, at, &effects);
+	return group->next_call;
+}
+
+static const struct answer *answer_of(const struct group *group, uint64_t call)
+{
+	guint i;
+
+	for (i = 0; i < group->answers->len; i++)
+		if (g_array_index(group->answers, struct answer, i).call ==
+		    call)
+			return &g_array_index(group->answers, struct answer, i);
+	return NULL;
+}
+
+int group_code(struct group *group, uint64_t call)
+{
+	const struct answer *answer = answer_of(group, call);
+
+	return answer ? answer->code : -1;
+}
+
+const char *group_body(struct group *group, uint64_t call)
+{
+	const struct answer *answer = answer_of(group, call);
+
+	return answer ? answer->body : NULL;
+}
+
+void group_begun(struct group *group, int64_t window, int64_t requests)
+{
+	struct feed_count count = { "yards", requests };
+	struct feed_begun begun = { window, &count, 1 };
+	struct event_link_up up = { ENTRY_ID, (char *)"entry", (char *)"z1",
+				    NULL, true };
+	struct event_link_message message = { ENTRY_ID, LINK_FEED, { 0 } };
+	struct effects effects;
+	int i;
+
+	feed_write_begun(&message.body, &begun);
+	for (i = 0; i < group->n_vms; i++) {
+		if (!group->vms[i].control)
+			continue;
+		effects_init(&effects);
+		control_link_up(group->vms[i].control, &up, group->now_us,
+				&effects);
+		control_link_message(group->vms[i].control, &message,
+				     group->now_us, &effects);
+		carry_out(group, i, &effects);
+	}
+	bytes_clear(&message.body);
+}
+
+const struct group_call *group_calls(const struct group *group, int *n)
+{
+	*n = (int)group->calls->len;
+	return (const struct group_call *)(void *)group->calls->data;
+}
+
+void group_answer_calls(struct group *group, enum result code)
+{
+	struct effects effects;
+	guint i;
+
+	effects_init(&effects);
+	for (i = 0; i < group->calls->len; i++) {
+		const struct group_call *call =
+			&g_array_index(group->calls, struct group_call, i);
+		struct control *control = group->vms[call->vm].control;
+
+		if (!control)
+			continue;
+		control_platform_answer(control, call->order_id, code,
+					group->now_us, &effects);
+		carry_out(group, call->vm, &effects);
+	}
+}
--- /dev/null
+++ b/tests/control/group.h
@@ -0,0 +1,73 @@
+#ifndef TESTS_CONTROL_GROUP_H
+#define TESTS_CONTROL_GROUP_H
+
+#include "control/control.h"
+
+/**
+ * Control VMs in one process: their reducers, links as seeds and LINK_OPEN
+ * ask for, and disks that a crash, a loss of power or a wipe strikes. Time
+ * goes by in steps; a message takes one step.
+ */
+
+#define GROUP_VMS 8
+#define GROUP_STEP_US INT64_C(10000)
+
+struct group;
+
+/** A call to the platform as it was sent. */
+struct group_call {
+	int vm;
+	int64_t at_us;
+	char order_id[96];
+	int64_t fence;
+};
+
+struct group *group_new(int n_vms, const int *seeds, int n_seeds,
+			uint64_t seed);
+void group_free(struct group *group);
+
+/** Let time pass. */
+void group_run(struct group *group, int64_t us);
+int64_t group_now(const struct group *group);
+
+/** Take a VM away; its disk stays. */
+void group_kill(struct group *group, int vm);
+
+/** The disk is lost as well. */
+void group_wipe(struct group *group, int vm);
+
+/** Start it (again); `name` NULL for the VM's own name and address. */
+void group_start(struct group *group, int vm);
+
+/** Cut or join the way between two VMs, both ways. */
+void group_cut(struct group *group, int a, int b, bool cut);
+
+/** Its disk fails from now on, as a full one does. */
+void group_fail_disk(struct group *group, int vm);
+
+struct control_view group_view(struct group *group, int vm);
+
+/** The VM that leads, -1 for none or more than one. */
+int group_leader(struct group *group);
+
+/** Send a document; the call's number. */
+uint64_t group_put(struct group *group, int vm, int64_t version);
+uint64_t group_get(struct group *group, int vm);
+
+/** The code of a call's answer, -1 while there is none. */
+int group_code(struct group *group, uint64_t call);
+
+/** The body of a call's answer, NULL while there is none. */
+const char *group_body(struct group *group, uint64_t call);
+
+/** An entry VM has seen requests begin in a window. */
+void group_begun(struct group *group, int64_t window, int64_t requests);
+
+/** Calls to the platform so far. All are answered with `code`. */
+const struct group_call *group_calls(const struct group *group, int *n);
+void group_answer_calls(struct group *group, enum result code);
+
+/** The wall clock of a VM is off by so much. */
+void group_step_wall(struct group *group, int vm, int64_t us);
+
+#endif
--- /dev/null
+++ b/tests/control/t-ledger.c
@@ -0,0 +1,124 @@
+#include <glib.h>
+#include <string.h>
+
+#include "control/ledger.h"
+
+static enum ledger_change put(struct ledger *ledger, int64_t version,
+			      const char *text)
+{
+	struct bytes body = { 0 };
+	struct bytes entry = { 0 };
+	enum ledger_change change;
+
+	bytes_append_text(&body, text);
+	ledger_write_document(&entry, version, &body);
+	change = ledger_apply(ledger, entry.data, entry.len);
+	bytes_clear(&body);
+	bytes_clear(&entry);
+	return change;
+}
+
+static enum ledger_change close_window(struct ledger *ledger, int64_t window,
+				       int64_t requests)
+{
+	struct feed_count count = { .organisation = "yards",
+				    .requests = requests };
+	struct feed_begun total = { window, &count, 1 };
+	struct bytes entry = { 0 };
+	enum ledger_change change;
+
+	ledger_write_window(&entry, &total);
+	change = ledger_apply(ledger, entry.data, entry.len);
+	bytes_clear(&entry);
+	return change;
+}
+
+/*
+ * Two operators race, and one sends again what was accepted long ago: the
+ * highest version holds, and other content under its number is never obeyed.
+ */
+static void test_versions(void)
+{
+	struct ledger ledger;
+
+	ledger_init(&ledger);
+	g_assert_cmpint(put(&ledger, 7, "seven"), ==, LEDGER_DOCUMENT);
+	g_assert_cmpint(put(&ledger, 5, "five"), ==, LEDGER_NOTHING);
+	g_assert_cmpint(put(&ledger, 7, "other"), ==, LEDGER_NOTHING);
+	g_assert_cmpstr(bytes_text(&ledger.document), ==, "seven");
+	g_assert_cmpint(put(&ledger, 12, "twelve"), ==, LEDGER_DOCUMENT);
+	g_assert_cmpint(ledger.version, ==, 12);
+	ledger_clear(&ledger);
+}
+
+/* Two leaders in turn add up a window; the first figure stays. */
+static void test_windows(void)
+{
+	struct ledger ledger;
+
+	ledger_init(&ledger);
+	g_assert_cmpint(close_window(&ledger, 100, 41), ==, LEDGER_WINDOW);
+	g_assert_cmpint(close_window(&ledger, 100, 42), ==, LEDGER_NOTHING);
+	g_assert_cmpint(ledger_window(&ledger, 100)->counts[0].requests, ==,
+			41);
+	g_assert_cmpint(ledger.last_window, ==, 100);
+	ledger_clear(&ledger);
+}
+
+static void test_windows_bounded(void)
+{
+	struct ledger ledger;
+	int i;
+
+	ledger_init(&ledger);
+	for (i = 1; i <= LEDGER_WINDOWS + 10; i++)
+		close_window(&ledger, i, i);
+	g_assert_cmpint(ledger.n_windows, ==, LEDGER_WINDOWS);
+	g_assert_null(ledger_window(&ledger, 10));
+	g_assert_nonnull(ledger_window(&ledger, 11));
+	ledger_clear(&ledger);
+}
+
+static void test_save(void)
+{
+	struct bytes saved = { 0 };
+	struct ledger other;
+	struct ledger ledger;
+
+	ledger_init(&ledger);
+	ledger_init(&other);
+	put(&ledger, 7, "seven");
+	close_window(&ledger, 100, 41);
+	close_window(&ledger, 101, 42);
+	ledger_save(&ledger, &saved);
+	g_assert_true(ledger_load(&other, saved.data, saved.len));
+	g_assert_cmpint(other.version, ==, 7);
+	g_assert_cmpstr(bytes_text(&other.document), ==, "seven");
+	g_assert_cmpint(ledger_window(&other, 101)->counts[0].requests, ==, 42);
+	g_assert_false(ledger_load(&other, saved.data, saved.len - 1));
+	bytes_clear(&saved);
+	ledger_clear(&ledger);
+	ledger_clear(&other);
+}
+
+static void test_malformed(void)
+{
+	struct ledger ledger;
+
+	ledger_init(&ledger);
+	g_assert_cmpint(ledger_apply(&ledger, "\x93\x01", 2), ==,
+			LEDGER_NOTHING);
+	g_assert_cmpint(ledger_apply(&ledger, NULL, 0), ==, LEDGER_NOTHING);
+	ledger_clear(&ledger);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/ledger/versions", test_versions);
+	g_test_add_func("/ledger/windows", test_windows);
+	g_test_add_func("/ledger/windows-bounded", test_windows_bounded);
+	g_test_add_func("/ledger/save", test_save);
+	g_test_add_func("/ledger/malformed", test_malformed);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/fleet/t-registry.c
@@ -0,0 +1,162 @@
+#include <glib.h>
+#include <string.h>
+
+#include "fleet/registry.h"
+
+#define SECOND INT64_C(1000000)
+
+static struct registration told(const char *id, const char *address,
+				int64_t born_ms, int64_t sequence)
+{
+	struct registration told = { .born_ms = born_ms,
+				     .sequence = sequence,
+				     .slots = 4 };
+
+	g_strlcpy(told.id, id, sizeof(told.id));
+	g_strlcpy(told.address, address, sizeof(told.address));
+	g_strlcpy(told.service, "desk", sizeof(told.service));
+	g_strlcpy(told.zone, "z1", sizeof(told.zone));
+	return told;
+}
+
+static enum registry_outcome take(struct registry *registry,
+				  struct registration told, int64_t heard_us)
+{
+	struct registered *replaced;
+
+	return registry_take(registry, &told, heard_us, &replaced);
+}
+
+static bool usable(const struct registry *registry, const char *id)
+{
+	struct registered *registered = registry_find(registry, id);
+
+	return registered && registered_usable(registered);
+}
+
+static void test_beats(void)
+{
+	struct registry registry;
+
+	registry_init(&registry);
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 1), 0), ==,
+			REGISTRY_CHANGED);
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 2), 1), ==,
+			REGISTRY_HEARD);
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 2), 2), ==,
+			REGISTRY_STALE);
+	g_assert_true(usable(&registry, "s1"));
+	registry_clear(&registry);
+}
+
+/*
+ * A server leaves: "leaving", then goodbye. A beat that was held up says
+ * "ready" and arrives last. Requests would go to a server that is gone.
+ */
+static void test_late_ready(void)
+{
+	struct registration leaving = told("s1", "a:1", 100, 5);
+	struct registry registry;
+
+	registry_init(&registry);
+	take(&registry, told("s1", "a:1", 100, 3), 0);
+	leaving.leaving = true;
+	g_assert_cmpint(take(&registry, leaving, 1), ==, REGISTRY_CHANGED);
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 4), 2), ==,
+			REGISTRY_STALE);
+	g_assert_false(usable(&registry, "s1"));
+	g_assert_nonnull(registry_leave(&registry, "s1"));
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 9), 3), ==,
+			REGISTRY_STALE);
+	g_assert_false(usable(&registry, "s1"));
+	registry_clear(&registry);
+}
+
+/* The same id starts again: its counter begins anew, and it works. */
+static void test_reused_id(void)
+{
+	struct registry registry;
+
+	registry_init(&registry);
+	take(&registry, told("s1", "a:1", 100, 50), 0);
+	registry_leave(&registry, "s1");
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 200, 1), 1), ==,
+			REGISTRY_CHANGED);
+	g_assert_true(usable(&registry, "s1"));
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 51), 2), ==,
+			REGISTRY_STALE);
+	registry_clear(&registry);
+}
+
+/*
+ * A server crashes behind a partition and another service's server gets its
+ * address. Then the partition heals and a beat of the dead one arrives: by
+ * its word alone requests of one service would go to the other.
+ */
+static void test_reused_address(void)
+{
+	struct registration other = told("s2", "a:1", 200, 1);
+	struct registered *replaced;
+	struct registry registry;
+
+	registry_init(&registry);
+	take(&registry, told("s1", "a:1", 100, 7), 0);
+	g_strlcpy(other.service, "scribe", sizeof(other.service));
+	g_assert_cmpint(registry_take(&registry, &other, 1, &replaced), ==,
+			REGISTRY_CHANGED);
+	g_assert_cmpstr(replaced->told.id, ==, "s1");
+	g_assert_false(usable(&registry, "s1"));
+	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 8), 2), ==,
+			REGISTRY_STALE);
+	/* A start that nobody knew yet, older than the one at the address. */
+	g_assert_cmpint(take(&registry, told("s0", "a:1", 50, 3), 3), ==,
+			REGISTRY_STALE);
+	g_assert_cmpstr(registry_at(&registry, "a:1")->told.id, ==, "s2");
+	registry_clear(&registry);
+}
+
+/* One server is silent while another is heard: no work for it until it is. */
+static void test_silence(void)
+{
+	struct registry registry;
+
+	registry_init(&registry);
+	take(&registry, told("s1", "a:1", 100, 1), 0);
+	take(&registry, told("s2", "a:2", 100, 1), 0);
+	registry_alive(&registry, "s2", 100, 9 * SECOND);
+	registry_expire(&registry, 9 * SECOND, NULL, NULL);
+	g_assert_false(usable(&registry, "s1"));
+	g_assert_true(usable(&registry, "s2"));
+	registry_alive(&registry, "s1", 100, 10 * SECOND);
+	g_assert_true(usable(&registry, "s1"));
+	registry_clear(&registry);
+}
+
+/*
+ * The whole control side is gone for a minute: nobody is heard, so nobody is
+ * missed, and the last known servers go on serving.
+ */
+static void test_silence_of_all(void)
+{
+	struct registry registry;
+
+	registry_init(&registry);
+	take(&registry, told("s1", "a:1", 100, 1), 0);
+	take(&registry, told("s2", "a:2", 100, 1), SECOND);
+	registry_expire(&registry, 60 * SECOND, NULL, NULL);
+	g_assert_true(usable(&registry, "s1"));
+	g_assert_true(usable(&registry, "s2"));
+	registry_clear(&registry);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/registry/beats", test_beats);
+	g_test_add_func("/registry/late-ready", test_late_ready);
+	g_test_add_func("/registry/reused-id", test_reused_id);
+	g_test_add_func("/registry/reused-address", test_reused_address);
+	g_test_add_func("/registry/silence", test_silence);
+	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/fleet/t-sizing.c
@@ -0,0 +1,99 @@
+#include <glib.h>
+
+#include "fleet/sizing.h"
+
+#define ZONES 4
+
+static struct sizing pool(int64_t steady, int64_t cheap)
+{
+	struct sizing sizing = {
+		.least = 1, .most = 6, .has_cheap = true, .n_zones = ZONES
+	};
+	int i;
+
+	for (i = 0; i < ZONES; i++) {
+		sizing.zones[i].steady = steady;
+		sizing.zones[i].cheap = cheap;
+	}
+	return sizing;
+}
+
+/* What was there at first serves on until cheap ones do. */
+static void test_start(void)
+{
+	struct sizing sizing = pool(3, 0);
+
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 3);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 3);
+}
+
+static void test_cheap_serve(void)
+{
+	struct sizing sizing = pool(3, 3);
+
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 0);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 3);
+	sizing = pool(0, 3);
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 6);
+}
+
+/*
+ * Three of four zones are taken away and have nothing to give: what is left
+ * is too little, so steady ones are asked for in each zone with room.
+ */
+static void test_reclaimed(void)
+{
+	struct sizing sizing = pool(0, 0);
+
+	sizing.zones[0].cheap = 6;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 0);
+	g_assert_cmpint(sizing.zones[1].want_steady, ==, 1);
+	g_assert_cmpint(sizing.zones[1].want_cheap, ==, 5);
+}
+
+static void test_no_cheap(void)
+{
+	struct sizing sizing = pool(2, 0);
+
+	sizing.has_cheap = false;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 2);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 0);
+	sizing = pool(0, 0);
+	sizing.has_cheap = false;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 1);
+}
+
+/* Never more of both than a place takes. */
+static void test_bounds(void)
+{
+	int64_t steady;
+	int64_t cheap;
+
+	for (steady = 0; steady <= 6; steady++) {
+		for (cheap = 0; cheap + steady <= 6; cheap++) {
+			struct sizing sizing = pool(steady, cheap);
+
+			sizing_plan(&sizing);
+			g_assert_cmpint(sizing.zones[0].want_steady +
+						sizing.zones[0].want_cheap,
+					<=, 6);
+		}
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/sizing/start", test_start);
+	g_test_add_func("/sizing/cheap-serve", test_cheap_serve);
+	g_test_add_func("/sizing/reclaimed", test_reclaimed);
+	g_test_add_func("/sizing/no-cheap", test_no_cheap);
+	g_test_add_func("/sizing/bounds", test_bounds);
+	return g_test_run();
+}
