--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -140,8 +140,8 @@
 {
 	struct answer answer = { told->id, (int)told->code, NULL };
 
-	answer.body = xmemdup(told->body.data ? told->body.data : "",
-			      told->body.len);
+	answer.body =
+		xmemdup(told->body.data ? told->body.data : "", told->body.len);
 	g_array_append_val(group->answers, answer);
 }
 
@@ -259,8 +259,7 @@
 	for (a = 0; a < group->n_vms; a++)
 		for (b = 0; b < group->n_vms; b++)
 			if (may_link(group, a, b) != group->vms[a].linked[b])
-				set_link(group, a, b,
-					 !group->vms[a].linked[b]);
+				set_link(group, a, b, !group->vms[a].linked[b]);
 }
 
 static void deliver(struct group *group, struct post *item)
--- /dev/null
+++ b/tests/load/t-place.c
@@ -0,0 +1,220 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/rng.h"
+#include "load/place.h"
+
+#define ENGINES 12
+#define VMS 7
+#define PARTS 267
+
+struct pool {
+	struct fleet fleet;
+	struct backend *members[ENGINES * 2];
+	int n;
+};
+
+static void pool_add(struct pool *pool, int n)
+{
+	char address[32];
+	char boot_id[32];
+	struct event_announce announce = {
+		.address = address,
+		.boot_id = boot_id,
+		.zone = (char *)"z1",
+		.service = (char *)"scribe",
+		.lease_ms = 86400000,
+		.slots = 128,
+	};
+
+	while (pool->n < n) {
+		g_snprintf(address, sizeof(address), "10.0.0.%d:80", pool->n);
+		g_snprintf(boot_id, sizeof(boot_id), "b%d", pool->n);
+		announce.sequence = 1;
+		fleet_announce(&pool->fleet, &announce, 0);
+		pool->members[pool->n++] = fleet_find(&pool->fleet, address);
+	}
+	place_divide(pool->members, pool->n);
+}
+
+static void pool_start(struct pool *pool, int n)
+{
+	memset(pool, 0, sizeof(*pool));
+	fleet_init(&pool->fleet);
+	pool_add(pool, n);
+}
+
+static bool fits(const void *data, const struct backend *backend)
+{
+	return backend_usable(backend, 1);
+}
+
+static struct place_query long_prompt(uint64_t part)
+{
+	struct place_query query = {
+		.prefix_hash = map_hash(&part, sizeof(part)),
+		.shared_tokens = 13300,
+		.prompt_tokens = 17000,
+		.mean_prompt = 9000,
+		.rate = 100000,
+	};
+
+	return query;
+}
+
+static struct place_query short_prompt(void)
+{
+	struct place_query query = {
+		.prompt_tokens = 1400,
+		.mean_prompt = 9000,
+		.rate = 100000,
+	};
+
+	return query;
+}
+
+static struct backend *choose(const struct pool *pool,
+			      const struct place_query *query)
+{
+	return place_choose(query, pool->members, pool->n, fits, NULL, 1);
+}
+
+/*
+ * Seven VMs that share nothing send requests over 267 long shared parts to
+ * twelve engines. What counts for callers is how often an engine has to read
+ * 13,300 tokens that another one has read already.
+ */
+static int read_again(struct pool *vms)
+{
+	static bool read[ENGINES][PARTS];
+	struct rng rng = { 1 };
+	int again = 0;
+	int i;
+	int e;
+
+	memset(read, 0, sizeof(read));
+	for (i = 0; i < 4000; i++) {
+		struct pool *pool = &vms[rng_below(&rng, VMS)];
+		int part = (int)rng_below(&rng, PARTS);
+		struct place_query query = long_prompt((uint64_t)part);
+		struct backend *chosen = choose(pool, &query);
+		bool known = false;
+
+		for (e = 0; e < ENGINES; e++) {
+			known |= read[e][part];
+			if (pool->members[e] != chosen)
+				continue;
+			if (!read[e][part])
+				again += known;
+			read[e][part] = true;
+			known = true;
+		}
+	}
+	return again;
+}
+
+static void test_homes(void)
+{
+	struct pool vms[VMS];
+	int i;
+
+	for (i = 0; i < VMS; i++)
+		pool_start(&vms[i], ENGINES);
+	g_assert_cmpint(read_again(vms), ==, 0);
+	for (i = 0; i < VMS; i++)
+		fleet_clear(&vms[i].fleet);
+}
+
+/* An engine goes: only the parts that had their home there move. */
+static void test_moves(void)
+{
+	struct backend *before[PARTS];
+	struct pool pool;
+	int moved = 0;
+	int homeless = 0;
+	int part;
+
+	pool_start(&pool, ENGINES);
+	for (part = 0; part < PARTS; part++) {
+		struct place_query query = long_prompt((uint64_t)part);
+
+		before[part] = choose(&pool, &query);
+	}
+	fleet_drain(&pool.fleet, before[0]->address, true);
+	for (part = 0; part < PARTS; part++) {
+		struct place_query query = long_prompt((uint64_t)part);
+
+		homeless += before[part] == before[0];
+		moved += choose(&pool, &query) != before[part];
+	}
+	g_assert_cmpint(homeless, >, 0);
+	g_assert_cmpint(moved, ==, homeless);
+	fleet_clear(&pool.fleet);
+}
+
+/* Captions don't stand behind critiques: they have engines of their own. */
+static void test_short(void)
+{
+	struct place_query query = short_prompt();
+	struct pool pool;
+	int part;
+	int i;
+
+	pool_start(&pool, ENGINES);
+	g_assert_true(place_is_short(&query));
+	for (i = 0; i < 50; i++) {
+		struct backend *chosen = choose(&pool, &query);
+
+		g_assert_true(chosen->for_short);
+		backend_started(chosen, 1400, 100, false, 1);
+		backend_prefilled(chosen, 1400);
+	}
+	for (part = 0; part < PARTS; part++) {
+		query = long_prompt((uint64_t)part);
+		g_assert_false(choose(&pool, &query)->for_short);
+	}
+	fleet_clear(&pool.fleet);
+}
+
+/* The home is far behind: reading anew elsewhere is quicker. */
+static void test_overloaded_home(void)
+{
+	struct place_query query = long_prompt(5);
+	struct backend *home;
+	struct pool pool;
+
+	pool_start(&pool, ENGINES);
+	home = choose(&pool, &query);
+	backend_started(home, 20000, 100, false, 1);
+	g_assert_true(choose(&pool, &query) == home);
+	backend_started(home, 60000, 100, false, 1);
+	g_assert_true(choose(&pool, &query) != home);
+	fleet_clear(&pool.fleet);
+}
+
+/* All engines for short prompts are behind: better among the long ones. */
+static void test_spill(void)
+{
+	struct place_query query = short_prompt();
+	struct pool pool;
+	int i;
+
+	pool_start(&pool, ENGINES);
+	for (i = 0; i < pool.n; i++)
+		if (pool.members[i]->for_short)
+			backend_started(pool.members[i], 60000, 100, false, 1);
+	g_assert_false(choose(&pool, &query)->for_short);
+	fleet_clear(&pool.fleet);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/place/homes", test_homes);
+	g_test_add_func("/place/moves", test_moves);
+	g_test_add_func("/place/short", test_short);
+	g_test_add_func("/place/overloaded-home", test_overloaded_home);
+	g_test_add_func("/place/spill", test_spill);
+	return g_test_run();
+}
