--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -666,6 +666,15 @@
 	return code;
 }
 
+static enum result publish(struct control_daemon *daemon)
+{
+	const struct boot *boot = daemon->role.boot;
+	struct role_listener listener = { "operators", boot->listen_operators,
+					  http_server_port(daemon->server) };
+
+	return role_publish(&daemon->role, &listener, 1);
+}
+
 static void close_all(struct control_daemon *daemon)
 {
 	struct platform_call *platform;
@@ -711,8 +720,10 @@
 		log_line(daemon.role.log, LOG_INFO, "daemon",
 			 "event=start role=control operators=%s links=%s",
 			 boot->listen_operators, boot->listen_links);
-		role_run(&daemon.role);
+		code = publish(&daemon);
 	}
+	if (!code)
+		role_run(&daemon.role);
 	close_all(&daemon);
 	return code;
 }
--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -391,6 +391,20 @@
 	return code ? code : open_listeners(daemon);
 }
 
+static enum result publish(struct entry_daemon *daemon)
+{
+	const struct boot *boot = daemon->role.boot;
+	struct role_listener listeners[] = {
+		{ "callers", boot->listen_callers,
+		  http_server_port(daemon->callers) },
+		{ "ready", boot->listen_ready,
+		  http_server_port(daemon->ready) },
+	};
+
+	return role_publish(&daemon->role, listeners,
+			    sizeof(listeners) / sizeof(listeners[0]));
+}
+
 static void close_all(struct entry_daemon *daemon)
 {
 	struct relay_node *node;
@@ -432,8 +446,10 @@
 		log_line(daemon.role.log, LOG_INFO, "daemon",
 			 "event=start role=entry callers=%s links=%s",
 			 boot->listen_callers, boot->listen_links);
-		role_run(&daemon.role);
+		code = publish(&daemon);
 	}
+	if (!code)
+		role_run(&daemon.role);
 	close_all(&daemon);
 	return code;
 }
--- a/daemon/role.c
+++ b/daemon/role.c
@@ -9,6 +9,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
+#include "daemon/file.h"
 
 /* How often the settings file is looked at; it may change without a signal. */
 #define SETTINGS_S 1.0
@@ -224,6 +225,34 @@
 	return RESULT_OK;
 }
 
+static void add_listener(struct bytes *text, const char *name,
+			 const char *address, int port)
+{
+	bytes_append_format(text, "%s: %.*s:%d\n", name,
+			    (int)strcspn(address, ":"), address, port);
+}
+
+enum result role_publish(struct role *role,
+			 const struct role_listener *listeners, size_t n)
+{
+	struct bytes text = { 0 };
+	enum result code = RESULT_OK;
+	size_t i;
+
+	if (!role->boot->publish)
+		return RESULT_OK;
+	for (i = 0; i < n; i++)
+		add_listener(&text, listeners[i].name, listeners[i].address,
+			     listeners[i].port);
+	if (role->links)
+		add_listener(&text, "links", role->boot->listen_links,
+			     role->link_port);
+	code = file_publish(role->boot->publish, bytes_text(&text),
+			    role->handler);
+	bytes_clear(&text);
+	return code;
+}
+
 bool role_carry_out(struct role *role, struct effect *effect)
 {
 	switch (effect->kind) {
--- a/daemon/role.h
+++ b/daemon/role.h
@@ -46,6 +46,18 @@
 enum result role_open_links(struct role *role, uint64_t self,
 			    uint64_t incarnation, bool observer);
 
+/**
+ * Tell the bound addresses in the file that the settings name, if any: lines
+ * "NAME: IP:PORT" for the listeners given and for the links.
+ */
+struct role_listener {
+	const char *name;
+	const char *address; /**< as asked for */
+	int port;	     /**< as bound */
+};
+enum result role_publish(struct role *role,
+			 const struct role_listener *listeners, size_t n);
+
 /** Carry out what concerns links and the log; false if it is another's. */
 bool role_carry_out(struct role *role, struct effect *effect);
 
--- a/tests/path/t-http-loop.c
+++ b/tests/path/t-http-loop.c
@@ -119,8 +119,8 @@
 
 	bed_start(&bed);
 	fd = dial(http_server_port(bed.server));
-	say(fd, "GET /1 HTTP/1.1\r\n" HOST "\r\nGET /2 HTTP/1.1\r\n" HOST
-		"\r\n");
+	say(fd,
+	    "GET /1 HTTP/1.1\r\n" HOST "\r\nGET /2 HTTP/1.1\r\n" HOST "\r\n");
 	run(&bed, NULL);
 	g_assert_cmpint(bed.requests, ==, 1);
 	http_exchange_answer(bed.exchange, 200, "X: y\r\n", NULL);
@@ -321,7 +321,7 @@
 	return accept(peer->listener, NULL, NULL);
 }
 
-#define ANSWER(id, body) \
+#define ANSWER(id, body)                                             \
 	"HTTP/1.1 200 OK\r\nId: " id "\r\nKeep-Alive: timeout=5\r\n" \
 	"Content-Length: 1\r\n\r\n" body
 
--- a/tests/path/t-http-parse.c
+++ b/tests/path/t-http-parse.c
@@ -33,8 +33,8 @@
 	enum http_parse_state state = HTTP_PARSE_HEAD;
 	size_t at;
 
-	for (at = 0; at < len && state != HTTP_PARSE_DONE &&
-		     state != HTTP_PARSE_BAD;
+	for (at = 0;
+	     at < len && state != HTTP_PARSE_DONE && state != HTTP_PARSE_BAD;
 	     at += step) {
 		bytes_append(in, text + at, len - at < step ? len - at : step);
 		state = http_parse_feed(parse, in);
@@ -103,8 +103,9 @@
 
 	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
 		for (step = 1; step < 200; step += 66) {
-			enum http_parse_state state = read_request(
-				texts[i], strlen(texts[i]), step, &seen);
+			enum http_parse_state state =
+				read_request(texts[i], strlen(texts[i]), step,
+					     &seen);
 
 			if (state != HTTP_PARSE_BAD || seen.heads)
 				g_error("taken: %s", texts[i]);
@@ -115,8 +116,7 @@
 
 static void test_nul(void)
 {
-	static const char text[] =
-		"GET / HTTP/1.1\r\n" HOST "X: a\0b\r\n\r\n";
+	static const char text[] = "GET / HTTP/1.1\r\n" HOST "X: a\0b\r\n\r\n";
 	struct seen seen;
 
 	g_assert_cmpint(read_request(text, sizeof(text) - 1, 100, &seen), ==,
@@ -126,10 +126,8 @@
 static void test_taken(void)
 {
 	static const char *const texts[] = {
-		"POST /a?b=c HTTP/1.1\r\n" HOST
-		"Content-Length: 4\r\n\r\nabcd",
-		"POST /a HTTP/1.1\r\n" HOST
-		"Transfer-Encoding: chunked\r\n\r\n"
+		"POST /a?b=c HTTP/1.1\r\n" HOST "Content-Length: 4\r\n\r\nabcd",
+		"POST /a HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
 		"2\r\nab\r\n2;x=y\r\ncd\r\n0\r\n\r\n",
 		"POST /a HTTP/1.1\r\n" HOST
 		"transfer-encoding:  Chunked \r\n\r\n"
@@ -141,9 +139,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
 		for (step = 1; step < 200; step += 33) {
-			g_assert_cmpint(read_request(texts[i],
-						     strlen(texts[i]), step,
-						     &seen),
+			g_assert_cmpint(read_request(texts[i], strlen(texts[i]),
+						     step, &seen),
 					==, HTTP_PARSE_DONE);
 			g_assert_cmpstr(bytes_text(&seen.body), ==, "abcd");
 			bytes_clear(&seen.body);
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -115,8 +115,8 @@
 		   const char *expected)
 {
 	struct bytes headers = { 0 };
-	int status = platform_write_refusal("9c41", code, run, retry_ms,
-					    &headers);
+	int status =
+		platform_write_refusal("9c41", code, run, retry_ms, &headers);
 
 	g_assert_cmpstr(bytes_text(&headers), ==, expected);
 	bytes_clear(&headers);
@@ -163,8 +163,9 @@
 
 static void test_document(void)
 {
-	struct document *document = platform_read_document(
-		document_text, strlen(document_text), NULL);
+	struct document *document =
+		platform_read_document(document_text, strlen(document_text),
+				       NULL);
 	const struct service *service;
 	const struct route *route;
 
@@ -218,8 +219,8 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(texts); i++)
-		g_assert_null(
-			platform_read_document(texts[i], strlen(texts[i]), NULL));
+		g_assert_null(platform_read_document(texts[i], strlen(texts[i]),
+						     NULL));
 }
 
 static enum result take(const char *text, struct registration *told)
@@ -232,12 +233,13 @@
 {
 	struct registration told;
 
-	g_assert_cmpint(take("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
-			     "\"zone\":\"a\",\"slots\":64,\"state\":\"draining\","
-			     "\"sequence\":4,\"born\":17,\"spot_enabled\":true,"
-			     "\"leaves_ms\":2300.5}",
-			     &told),
-			==, RESULT_OK);
+	g_assert_cmpint(
+		take("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+		     "\"zone\":\"a\",\"slots\":64,\"state\":\"draining\","
+		     "\"sequence\":4,\"born\":17,\"spot_enabled\":true,"
+		     "\"leaves_ms\":2300.5}",
+		     &told),
+		==, RESULT_OK);
 	g_assert_cmpstr(told.id, ==, "i-7f");
 	g_assert_true(told.leaving);
 	g_assert_true(told.cheap);
@@ -276,7 +278,8 @@
 static void check_order(const char *verb, const char *body,
 			const char *expected)
 {
-	struct effect_platform_call call = { .verb = (char *)verb, .fence = 12 };
+	struct effect_platform_call call = { .verb = (char *)verb,
+					     .fence = 12 };
 	struct bytes out = { 0 };
 
 	bytes_append_text(&call.body, body);
