entry: requests wait a moment for a VM that is being founded anew

Weighed and not tried: a shorter Retry-After alone; callers have one retry. A request now waits up to 1.5 s, a third of its own time at most, until this VM knows what is in force; it runs nothing before that.

--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -45,9 +45,9 @@
 	const char *record; /* file for reports and orders */
 	const char *controls[CONTROLS_MOST];
 	int n_controls;
-	int events;  /* of a stream */
+	int events;   /* of a stream */
 	double gap_s; /* between them */
-	int cut_at;  /* break a stream off in this event, 0 for never */
+	int cut_at;   /* break a stream off in this event, 0 for never */
 	bool unsigned_answers;
 	struct ev_loop *ev;
 	struct stream_loop loop;
@@ -123,10 +123,14 @@
 	}
 }
 
-static const struct argp parser = { options, parse, NULL,
+static const struct argp parser = { options,
+				    parse,
+				    NULL,
 				    "A stand-in backend server of the "
 				    "operators' platform.",
-				    NULL,    NULL,  NULL };
+				    NULL,
+				    NULL,
+				    NULL };
 
 static char *answer_headers(const struct stand_in *server,
 			    const struct http_head *head)
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -73,6 +73,7 @@
 	begun_init(&entry->begun);
 	map_init(&entry->peers);
 	map_init(&entry->calls);
+	list_init(&entry->parked);
 	list_init(&entry->classes);
 	router.seed = rng_next(&entry->rng);
 	router.self = options->self;
@@ -98,6 +99,7 @@
 		return;
 	router_free(entry->router);
 	entry_free_calls(entry);
+	entry_free_parked(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
 	map_foreach(peer, next_peer, &entry->peers, node)
@@ -121,7 +123,8 @@
 static void check_stop(struct entry *entry)
 {
 	int64_t now_us = entry->now_us;
-	bool idle = !entry->calls.count && now_us - entry->stop_us >= LINGER_US;
+	bool idle = !entry->calls.count && list_empty(&entry->parked) &&
+		    now_us - entry->stop_us >= LINGER_US;
 
 	if (!entry->stop_us || entry->exited ||
 	    (!idle && now_us < entry->stop_by_us))
@@ -158,6 +161,7 @@
 	}
 	router_tick(entry->router, now_us, effects);
 	note_fresh(entry);
+	entry_unpark(entry);
 	check_stop(entry);
 }
 
@@ -225,6 +229,7 @@
 	if (message->channel == LINK_FEED && peer_find(entry, message->peer))
 		entry_feed_message(entry, message->peer, &message->body);
 	note_fresh(entry);
+	entry_unpark(entry);
 }
 
 void entry_stop(struct entry *entry, int64_t now_us, int64_t grace_us,
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -12,9 +12,6 @@
 /* Where neither the caller nor the route says how long it may take. */
 #define DEADLINE_MS 30000
 
-/* When callers of a VM that is out of touch should come back: two polls. */
-#define STALE_RETRY_MS 1000
-
 /* Another VM takes it at once; callers of this one mustn't come as a crowd. */
 #define STOPPING_RETRY_MS 50
 
@@ -78,8 +75,9 @@
 	return true;
 }
 
-static void refuse(struct entry *entry, const struct entry_request *request,
-		   enum result code, int64_t retry_after_ms)
+/** Answer at once that the request didn't run. */
+void entry_refuse(struct entry *entry, const struct entry_request *request,
+		  enum result code, int64_t retry_after_ms)
 {
 	struct effect *effect = effects_add(entry->effects, EFFECT_ANSWER);
 
@@ -210,46 +208,56 @@
 	router_submit(entry->router, &ask, entry->now_us, entry->effects);
 }
 
-void entry_submit(struct entry *entry, const struct entry_request *request,
-		  int64_t now_us, struct effects *effects)
+/** By the document in force: refuse the request, or hand it to the router. */
+void entry_decide(struct entry *entry, const struct entry_request *request)
 {
 	const struct document *document = entry->document;
 	const struct document_organisation *holder = NULL;
 	const struct route *route;
 
-	entry->now_us = now_us;
-	entry->effects = effects;
-	/*
-	 * A VM that may not have heard of the newest document can't tell that
-	 * something isn't there, nor that a key still holds.
-	 */
-	if (entry->stop_us && now_us - entry->stop_us >= ENTRY_STOP_TAKES_US) {
-		refuse(entry, request, RESULT_STOPPING, STOPPING_RETRY_MS);
-		return;
-	}
-	if (!document || !entry_is_fresh(entry, now_us)) {
-		refuse(entry, request, RESULT_STALE, STALE_RETRY_MS);
-		return;
-	}
 	route = document_route(document, request->host, request->path);
 	if (!route) {
-		refuse(entry, request, RESULT_NO_ROUTE, 0);
+		entry_refuse(entry, request, RESULT_NO_ROUTE, 0);
 		return;
 	}
 	if (document->n_organisations && !route->open) {
 		if (request->key)
 			holder = document_holder(document, request->key);
 		if (!holder) {
-			refuse(entry, request,
-			       request->key ? RESULT_KEY_UNKNOWN
-					    : RESULT_NO_KEY,
-			       0);
+			entry_refuse(entry, request,
+				     request->key ? RESULT_KEY_UNKNOWN
+						  : RESULT_NO_KEY,
+				     0);
 			return;
 		}
 	}
 	route_request(entry, request, route, holder);
 }
 
+/**
+ * A VM that may not have heard of the newest document can't tell that
+ * something isn't there, nor that a key still holds.
+ */
+bool entry_can_decide(const struct entry *entry)
+{
+	return entry->document && entry_is_fresh(entry, entry->now_us);
+}
+
+void entry_submit(struct entry *entry, const struct entry_request *request,
+		  int64_t now_us, struct effects *effects)
+{
+	entry->now_us = now_us;
+	entry->effects = effects;
+	if (entry->stop_us && now_us - entry->stop_us >= ENTRY_STOP_TAKES_US)
+		entry_refuse(entry, request, RESULT_STOPPING,
+			     STOPPING_RETRY_MS);
+	else if (entry_can_decide(entry))
+		entry_decide(entry, request);
+	else if (!entry_park(entry, request))
+		entry_refuse(entry, request, RESULT_STALE,
+			     ENTRY_STALE_RETRY_MS);
+}
+
 void entry_finished(void *data, const struct router_outcome *outcome)
 {
 	struct entry *entry = data;
@@ -332,7 +340,8 @@
 {
 	entry->now_us = now_us;
 	entry->effects = effects;
-	router_caller_left(entry->router, id, now_us, effects);
+	if (!entry_drop_parked(entry, id))
+		router_caller_left(entry->router, id, now_us, effects);
 }
 
 void entry_load(struct entry *entry, const char *address, int64_t running,
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -11,6 +11,9 @@
 
 /** What the files entry*.c share; nobody else includes this. */
 
+/** When callers of a VM that is out of touch should come back: two polls. */
+#define ENTRY_STALE_RETRY_MS 1000
+
 /** A control VM that has a link to us. */
 struct entry_peer {
 	struct map_node node; /**< by id */
@@ -32,6 +35,14 @@
 	int64_t deadline_us;
 };
 
+/** A request that waits until this VM is fresh. Text is owned. */
+struct parked_request {
+	struct list node;
+	struct entry_request ask;
+	int64_t since_us;
+	int64_t until_us; /**< refused then */
+};
+
 /** A class that the router was told of. */
 struct entry_class {
 	struct list node; /**< the one used last stands last */
@@ -51,6 +62,7 @@
 	struct wall wall;
 	struct map peers;
 	struct map calls;
+	struct list parked; /**< oldest first */
 	struct list classes;
 	int n_classes;
 	int64_t announced; /**< counter of what the fleet is told */
@@ -81,6 +93,14 @@
 
 /* entry_request.c */
 void entry_finished(void *data, const struct router_outcome *outcome);
+void entry_unpark(struct entry *entry);
+bool entry_drop_parked(struct entry *entry, uint64_t id);
+void entry_free_parked(struct entry *entry);
+bool entry_park(struct entry *entry, const struct entry_request *request);
+void entry_decide(struct entry *entry, const struct entry_request *request);
+void entry_refuse(struct entry *entry, const struct entry_request *request,
+		  enum result code, int64_t retry_after_ms);
+bool entry_can_decide(const struct entry *entry);
 void entry_free_calls(struct entry *entry);
 bool entry_is_fresh(const struct entry *entry, int64_t now_us);
 
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -234,6 +234,18 @@
 	bed_end(&bed);
 }
 
+/* A VM that is out of touch runs nothing; what it can't decide it refuses. */
+static void check_stale(struct bed *bed)
+{
+	uint64_t id = ask(bed, "/lodge/7", "k1");
+
+	g_assert_cmpuint(bed->started, !=, id);
+	pass(bed, 3 * SECOND / 2);
+	check_refused(bed, id, RESULT_STALE);
+	g_assert_cmpint(bed->retry_ms, >, 0);
+	g_assert_cmpuint(bed->started, !=, id);
+}
+
 /*
  * A key is withdrawn while this VM is cut off. It can't know, so it must stop
  * serving that key's holder before the key has to be dead, and serve again
@@ -248,11 +260,10 @@
 	g_assert_cmpuint(ask(&bed, "/lodge/7", "k1"), ==, bed.started);
 	pass(&bed, SECOND);
 	g_assert_false(entry_ready(bed.entry, bed.now_us));
-	check_refused(&bed, ask(&bed, "/lodge/7", "k1"), RESULT_STALE);
-	g_assert_cmpint(bed.retry_ms, >, 0);
+	check_stale(&bed);
 	hear_state(&bed, bed.polled_us, 0, 2);
 	g_assert_true(bed.fetched);
-	check_refused(&bed, ask(&bed, "/lodge/7", "k1"), RESULT_STALE);
+	check_stale(&bed);
 	hear_document(&bed, 2, "k2");
 	hear_state(&bed, bed.polled_us, 0, 2);
 	check_refused(&bed, ask(&bed, "/lodge/7", "k1"), RESULT_KEY_UNKNOWN);
@@ -274,7 +285,7 @@
 	pass(&bed, 4 * SECOND);
 	hear_state(&bed, asked_us, 0, 1);
 	pass(&bed, SECOND);
-	check_refused(&bed, ask(&bed, "/lodge/7", "k1"), RESULT_STALE);
+	check_stale(&bed);
 	bed_end(&bed);
 }
 
@@ -286,9 +297,43 @@
 	bed_start(&bed);
 	pass(&bed, 5 * SECOND);
 	hear_state(&bed, bed.polled_us, 5 * SECOND, 1);
-	check_refused(&bed, ask(&bed, "/lodge/7", "k1"), RESULT_STALE);
+	check_stale(&bed);
 	hear_state(&bed, bed.polled_us, -1, 1);
-	check_refused(&bed, ask(&bed, "/lodge/7", "k1"), RESULT_STALE);
+	check_stale(&bed);
+	bed_end(&bed);
+}
+
+/*
+ * All VMs lost power. Callers that are sent away come back once; those that
+ * wait a moment are served as soon as a leader is there again.
+ */
+static void test_waits_for_fresh(void)
+{
+	struct bed bed;
+	uint64_t id;
+
+	bed_start(&bed);
+	pass(&bed, 5 * SECOND);
+	id = ask(&bed, "/lodge/7", "k1");
+	pass(&bed, SECOND);
+	g_assert_cmpuint(bed.answered, ==, 0);
+	hear_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpuint(bed.started, ==, id);
+	bed_end(&bed);
+}
+
+/* A caller that leaves while it waits so is forgotten. */
+static void test_leaves_waiting(void)
+{
+	struct bed bed;
+	uint64_t id;
+
+	bed_start(&bed);
+	pass(&bed, 5 * SECOND);
+	id = ask(&bed, "/lodge/7", "k1");
+	entry_caller_left(bed.entry, id, bed.now_us, &bed.effects);
+	hear_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpuint(bed.started, ==, 0);
 	bed_end(&bed);
 }
 
@@ -405,6 +450,8 @@
 	g_test_add_func("/entry/cut-off", test_cut_off);
 	g_test_add_func("/entry/slow-answer", test_slow_answer);
 	g_test_add_func("/entry/old-proof", test_old_proof);
+	g_test_add_func("/entry/waits-for-fresh", test_waits_for_fresh);
+	g_test_add_func("/entry/leaves-waiting", test_leaves_waiting);
 	g_test_add_func("/entry/late-document", test_late_document);
 	g_test_add_func("/entry/leaving", test_leaving);
 	g_test_add_func("/entry/stop", test_stop);
