cli, entry: a request's story from the logs, and times as histograms

One line for each attempt that is sent. /metrics has first-event and whole times by doubling bounds.

--- a/cli/main.c
+++ b/cli/main.c
@@ -20,6 +20,7 @@
 	{ "spend", "show what service costs", cli_spend },
 	{ "status", "show classes and this VM", cli_status },
 	{ "trace", "draw a request's spans", cli_trace },
+	{ "explain", "tell a request's story from log files", cli_explain },
 	{ "replay", "run a recording through the reducer", cli_replay },
 	{ "check", "check settings files offline", cli_check },
 	{ "completion", "print completion for bash", cli_completion },
--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -78,6 +78,18 @@
 	free(node);
 }
 
+static void log_attempt(struct entry_daemon *daemon, const struct relay *relay,
+			const struct effect_start_attempt *start)
+{
+	const char *server = entry_server_at(daemon->entry, start->address);
+
+	log_line(daemon->role.log, LOG_INFO, "attempt",
+		 "event=sent request=%s attempt=%" PRId64
+		 " server=%s start=%s new_connection=%d",
+		 relay_name(relay), start->attempt, start->address,
+		 server ? server : "unknown", start->proven);
+}
+
 static void carry_out_relay(struct entry_daemon *daemon, uint64_t id,
 			    struct effect *effect)
 {
@@ -85,6 +97,8 @@
 
 	if (!node)
 		return;
+	if (effect->kind == EFFECT_START_ATTEMPT)
+		log_attempt(daemon, node->relay, &effect->u.start);
 	if (effect->kind == EFFECT_START_ATTEMPT)
 		relay_start(node->relay, &effect->u.start, edge_now_us());
 	else if (effect->kind == EFFECT_CANCEL_ATTEMPT)
@@ -298,6 +312,27 @@
 	carry_out_all(daemon);
 }
 
+static void write_histogram(struct bytes *out, const char *name,
+			    const struct entry_histogram *histogram)
+{
+	int64_t bound = ENTRY_BUCKET_FIRST_MS;
+	int64_t below = 0;
+	int i;
+
+	for (i = 0; i < ENTRY_BUCKETS - 1; i++, bound *= 2) {
+		below += histogram->buckets[i];
+		bytes_append_format(out,
+				    "%s_bucket{le=\"%" PRId64 "\"} %" PRId64
+				    "\n",
+				    name, bound, below);
+	}
+	bytes_append_format(out,
+			    "%s_bucket{le=\"+Inf\"} %" PRId64
+			    "\n%s_count %" PRId64 "\n%s_sum %" PRId64 "\n",
+			    name, histogram->n, name, histogram->n, name,
+			    histogram->sum_ms);
+}
+
 static void write_metrics(void *data, struct bytes *out)
 {
 	struct entry_daemon *daemon = data;
@@ -319,6 +354,8 @@
 		view.fresh_age_us, view.control_vms, view.servers, view.open,
 		view.submitted, view.refused, view.served, view.failed,
 		view.attempts, http_client_opened(daemon->client));
+	write_histogram(out, "filberthall_first_ms", &view.first);
+	write_histogram(out, "filberthall_whole_ms", &view.whole);
 }
 
 static void make_client(struct entry_daemon *daemon)
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -87,7 +87,7 @@
 	const struct dialect_request *asked = &relay->asked;
 	struct entry_request request = {
 		.id = relay->id,
-		.name = asked->id ? asked->id : "none",
+		.name = relay_name(relay),
 		.host = asked->host ? asked->host : "",
 		.path = http_exchange_head(relay->exchange)->target,
 		.key = asked->key,
@@ -103,6 +103,11 @@
 	return request;
 }
 
+const char *relay_name(const struct relay *relay)
+{
+	return relay->asked.id ? relay->asked.id : "none";
+}
+
 /* Forget an attempt's answer, as another one may follow. */
 static void forget_answer(struct relay *relay)
 {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -41,6 +41,9 @@
 
 uint64_t relay_id(const struct relay *relay);
 
+/** The caller's own id of the request, for logs. */
+const char *relay_name(const struct relay *relay);
+
 /** EFFECT_START_ATTEMPT. */
 void relay_start(struct relay *relay, const struct effect_start_attempt *start,
 		 int64_t now_us);
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -117,8 +117,22 @@
 /** The document in force, or NULL. */
 const struct document *entry_document(const struct entry *entry);
 
+/**
+ * Times in milliseconds, counted by upper bounds that double: 25, 50, ...
+ * 12,800; the last bucket has none.
+ */
+#define ENTRY_BUCKETS 11
+#define ENTRY_BUCKET_FIRST_MS 25
+struct entry_histogram {
+	int64_t buckets[ENTRY_BUCKETS];
+	int64_t n;
+	int64_t sum_ms;
+};
+
 /** For metrics and status. */
 struct entry_view {
+	struct entry_histogram first; /**< to the first event or the answer */
+	struct entry_histogram whole; /**< to the end of a success */
 	int64_t version;
 	int64_t fresh_age_us; /**< -1 unknown */
 	int control_vms;
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -258,6 +258,32 @@
 			     ENTRY_STALE_RETRY_MS);
 }
 
+static void histogram_add(struct entry_histogram *histogram, int64_t ms)
+{
+	int64_t bound = ENTRY_BUCKET_FIRST_MS;
+	int i;
+
+	for (i = 0; i < ENTRY_BUCKETS - 1 && ms > bound; i++)
+		bound *= 2;
+	histogram->buckets[i]++;
+	histogram->n++;
+	histogram->sum_ms += ms;
+}
+
+static void note_times(struct entry *entry,
+		       const struct router_outcome *outcome)
+{
+	int64_t first_us = outcome->first_token_us ? outcome->first_token_us
+						   : outcome->ended_us;
+
+	if (outcome->code)
+		return;
+	histogram_add(&entry->totals.first,
+		      (first_us - outcome->arrived_us) / 1000);
+	histogram_add(&entry->totals.whole,
+		      (outcome->ended_us - outcome->arrived_us) / 1000);
+}
+
 void entry_finished(void *data, const struct router_outcome *outcome)
 {
 	struct entry *entry = data;
@@ -265,6 +291,7 @@
 
 	if (!call)
 		return;
+	note_times(entry, outcome);
 	if (outcome->code == RESULT_OK)
 		entry->totals.served++;
 	else if (outcome->run == RUN_NOT)
