--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -39,6 +39,13 @@
 	free(sorted);
 }
 
+bool place_has_room(const struct place_query *query,
+		    const struct backend *backend)
+{
+	return (double)backend->own.prompt_tokens <
+	       PLACE_BACKLOG_S * query->rate;
+}
+
 int64_t place_unread(const struct place_query *query, bool holds)
 {
 	int64_t own = query->prompt_tokens - query->shared_tokens;
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -45,6 +45,9 @@
 /** What another zone's way and bytes count for, s. */
 #define PLACE_ZONE_S 0.004
 
+/** Unread prompts that one VM has at one server at most, s of reading. */
+#define PLACE_BACKLOG_S 0.6
+
 struct place_query {
 	uint64_t prefix_hash;  /**< of the shared parts, 0 for none */
 	int64_t shared_tokens; /**< of the prompt */
@@ -67,6 +70,14 @@
  */
 void place_divide(struct backend *const *members, int n);
 
+/**
+ * Whether the server has worked off enough of what this VM sent it to take
+ * more. What waits here keeps its order by tier and due time and can still be
+ * refused as not run; what waits at a server can't.
+ */
+bool place_has_room(const struct place_query *query,
+		    const struct backend *backend);
+
 /** Prompt tokens that the server would have to read. */
 int64_t place_unread(const struct place_query *query, bool holds);
 
