entry: count the route's tier within an organisation

Cause: the tier of a request was its organisation's rank, so all routes of an organisation were equal. Under load the scheduler refuses first what can't meet its goal, which are the routes with the tightest goals: the more urgent ones. The rank now goes before the route's tier and both count, in sixteen steps.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -47,8 +47,8 @@
 static void add_line(struct lines *lines, const char *text)
 {
 	const char *start = strchr(text, '{');
-	json_t *root = start ? json_loads(start, JSON_DISABLE_EOF_CHECK, NULL)
-			     : NULL;
+	json_t *root =
+		start ? json_loads(start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
 	const char *message =
 		json_string_value(json_object_get(root, "message"));
 	const char *module = json_string_value(json_object_get(root, "module"));
@@ -56,8 +56,8 @@
 	struct line *line;
 
 	if (message && module && vm) {
-		lines->items = xrealloc(lines->items, (lines->n + 1) *
-							      sizeof(*line));
+		lines->items =
+			xrealloc(lines->items, (lines->n + 1) * sizeof(*line));
 		line = &lines->items[lines->n];
 		line->at_ms = read_time(
 			json_string_value(json_object_get(root, "time")));
@@ -126,10 +126,11 @@
 	double age_s = (double)(at->at_ms - told->at_ms) / 1000;
 
 	if (out)
-		json_array_append_new(
-			out, json_pack("{s:s, s:s, s:f, s:s}", "vm", told->vm,
-				       "believed", told->module, "age_s", age_s,
-				       "message", told->message));
+		json_array_append_new(out,
+				      json_pack("{s:s, s:s, s:f, s:s}", "vm",
+						told->vm, "believed",
+						told->module, "age_s", age_s,
+						"message", told->message));
 	else
 		printf("    %s knew for %.3f s: %s %s\n", told->vm, age_s,
 		       told->module, told->message);
@@ -185,10 +186,11 @@
 	double after_s = (double)(line->at_ms - first_ms) / 1000;
 
 	if (out)
-		json_array_append_new(
-			out, json_pack("{s:s, s:f, s:s, s:s}", "vm", line->vm,
-				       "after_s", after_s, "module",
-				       line->module, "message", line->message));
+		json_array_append_new(out,
+				      json_pack("{s:s, s:f, s:s, s:s}", "vm",
+						line->vm, "after_s", after_s,
+						"module", line->module,
+						"message", line->message));
 	else
 		printf("%9.3f s  %s  %s %s\n", after_s, line->vm, line->module,
 		       line->message);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -271,8 +271,7 @@
 
 void entry_feed_tick(struct entry *entry)
 {
-	int64_t poll_us =
-		entry_can_decide(entry) ? POLL_US : POLL_STALE_US;
+	int64_t poll_us = entry_can_decide(entry) ? POLL_US : POLL_STALE_US;
 
 	if (entry->now_us - entry->polled_us >= poll_us)
 		entry_poll(entry);
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -8,6 +8,7 @@
 
 #include "base/alloc.h"
 #include "entry/entry_state.h"
+#include "load/sched.h"
 
 /* Where neither the caller nor the route says how long it may take. */
 #define DEADLINE_MS 30000
@@ -141,6 +142,21 @@
 	return &class->rule;
 }
 
+/*
+ * An organisation's rank goes before the route's; among its own requests the
+ * route's decides. By its rank alone the routes of one organisation were equal,
+ * and under load those with the tightest goals were refused first, the more
+ * urgent ones among them.
+ */
+static int call_tier(const struct route *route,
+		     const struct document_organisation *holder)
+{
+	int rank = holder && holder->tier >= 0 ? holder->tier : route->tier;
+	int tier = rank * RULE_TIERS + route->tier;
+
+	return tier < SCHED_TIERS ? tier : SCHED_TIERS - 1;
+}
+
 static struct open_call *call_new(struct entry *entry,
 				  const struct entry_request *request,
 				  const struct route *route,
@@ -158,7 +174,7 @@
 	call->organisation = xstrdup(holder ? holder->name : "");
 	call->stream = route->kind == ROUTE_STREAM;
 	call->resumable = call->stream && route->resumable;
-	call->tier = holder && holder->tier >= 0 ? holder->tier : route->tier;
+	call->tier = call_tier(route, holder);
 	call->arrived_us = entry->now_us;
 	call->deadline_us = entry->now_us + wait_ms * 1000;
 	map_insert(&entry->calls, &call->node,
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -346,7 +346,8 @@
 		.idempotent = request->ask.idempotent,
 		.most = request->ask.attempts_most,
 		.sendings = request->n_attempts,
-		.tier = request->tier,
+		.tier = request->tier < RULE_TIERS ? request->tier
+						   : RULE_TIERS - 1,
 		.deadline_us = request->deadline_us,
 		.needs_us = request_needs_us(router, request) / 2,
 	};
--- a/libfilberthall/load/router_view.c
+++ b/libfilberthall/load/router_view.c
@@ -6,8 +6,10 @@
 {
 	double demand = (double)(pool->running_by_class[class->id] +
 				 pool->waiting_by_class[class->id]);
+	int tier = class->rule.tier;
 
-	view->by_tier[class->rule.tier] += demand;
+	/* Steps below an operator's last tier count as that one. */
+	view->by_tier[tier < RULE_TIERS ? tier : RULE_TIERS - 1] += demand;
 	if (class->rule.reclaimable)
 		view->reclaimable += demand;
 }
--- a/libfilberthall/load/sched.h
+++ b/libfilberthall/load/sched.h
@@ -30,7 +30,11 @@
  * class.
  */
 
-#define SCHED_TIERS 4
+/**
+ * Steps of urgency, 0 first. Operators' classes use the first four; an entry
+ * VM puts an organisation's rank before the route's, four by four.
+ */
+#define SCHED_TIERS 16
 #define SCHED_CLASSES 64 /**< ids of classes are below this */
 
 struct sched_lane;
