--- a/cli/explain.c
+++ b/cli/explain.c
@@ -92,6 +92,11 @@
 	return left->order < right->order ? -1 : left->order > right->order;
 }
 
+static bool is(const char *text, const char *word)
+{
+	return text && !strcmp(text, word);
+}
+
 /* Whether a message has the word NAME=VALUE. */
 static bool has_word(const char *message, const char *name, const char *value)
 {
@@ -149,7 +154,7 @@
 	while (at--) {
 		const struct line *line = &lines->items[at];
 
-		if (!strcmp(line->vm, vm) && !strcmp(line->module, module) &&
+		if (is(line->vm, vm) && is(line->module, module) &&
 		    (!name || has_word(line->message, name, value)))
 			return line;
 	}
--- /dev/null
+++ b/daemon/control_calls.c
@@ -0,0 +1,221 @@
+/* Calls of operators and backend servers at a control VM. */
+#include <stdlib.h>
+
+#include "base/alloc.h"
+#include "base/cleanup.h"
+#include "daemon/control_daemon_state.h"
+
+/* Bounds of a call: a document of hundreds of routes is some 100 kB. */
+#define CALL_HEADER_BYTES 16384
+#define CALL_BODY_BYTES (4 * 1024 * 1024)
+#define CALL_HEADER_MS 10000
+#define CALL_IDLE_MS 15000
+
+/* An operator's call that waits for the reducer. */
+struct open_call {
+	struct list node;
+	uint64_t id;
+	struct http_exchange *exchange; /* NULL once its caller has left */
+};
+
+static struct open_call *call_find(struct control_daemon *daemon, uint64_t id)
+{
+	struct open_call *call;
+
+	list_foreach(call, &daemon->calls, node)
+		if (call->id == id)
+			return call;
+	return NULL;
+}
+
+static void answer(struct control_daemon *daemon,
+		   struct http_exchange *exchange, enum result code,
+		   const char *headers, const struct bytes *body)
+{
+	http_exchange_answer(exchange, result_http_status(code), headers, body);
+}
+
+/* Send the operator to the leader: its IP, and the port that we listen on. */
+static void answer_elsewhere(struct control_daemon *daemon,
+			     struct http_exchange *exchange,
+			     const struct bytes *address)
+{
+	const struct http_head *head = http_exchange_head(exchange);
+	cleanup(free_ptr) char *location = NULL;
+	cleanup(free_ptr) char *leader =
+		xmemdup(address->data ? address->data : "", address->len);
+	char ip[64];
+	int port;
+
+	if (!boot_split_address(leader, ip, &port)) {
+		answer(daemon, exchange, RESULT_NOT_LEADER, NULL, NULL);
+		return;
+	}
+	location = xstrfmt("Location: http://%s:%d%s\r\n", ip,
+			   http_server_port(daemon->server), head->target);
+	http_exchange_answer(exchange, 307, location, NULL);
+}
+
+void control_calls_answer(struct control_daemon *daemon,
+			  const struct effect_admin_answer *told)
+{
+	struct open_call *call = call_find(daemon, told->id);
+
+	if (!call)
+		return;
+	list_remove(&call->node);
+	if (call->exchange && told->code == RESULT_NOT_LEADER)
+		answer_elsewhere(daemon, call->exchange, &told->body);
+	else if (call->exchange)
+		answer(daemon, call->exchange, (enum result)told->code,
+		       told->body.len ? "Content-Type: application/json\r\n"
+				      : NULL,
+		       &told->body);
+	free(call);
+}
+
+static struct open_call *call_new(struct control_daemon *daemon,
+				  struct http_exchange *exchange)
+{
+	struct open_call *call = xcalloc(1, sizeof(*call));
+
+	call->id = ++daemon->next_call;
+	call->exchange = exchange;
+	http_exchange_set_user(exchange, call);
+	list_append(&daemon->calls, &call->node);
+	return call;
+}
+
+/* Keeps the words of a refusal for the answer and the log. */
+static void keep_message(void *data, enum result code, const char *message)
+{
+	bytes_append_text(data, message);
+}
+
+static void put_document(struct control_daemon *daemon,
+			 struct http_exchange *exchange)
+{
+	const struct bytes *body = http_exchange_body(exchange);
+	struct bytes message = { 0 };
+	struct error_handler handler = { keep_message, &message };
+	struct document *document;
+	struct open_call *call;
+
+	document = daemon->role.dialect->read_document(body->data, body->len,
+						       &handler);
+	if (!document) {
+		log_line(daemon->role.log, LOG_WARN, "document",
+			 "event=invalid bytes=%zu reason=%s", body->len,
+			 bytes_text(&message));
+		http_exchange_answer(exchange, 400, NULL, &message);
+		bytes_clear(&message);
+		return;
+	}
+	call = call_new(daemon, exchange);
+	control_put_document(daemon->control, call->id, document->version, body,
+			     edge_now_us(), &daemon->effects);
+	document_free(document);
+	bytes_clear(&message);
+}
+
+static void get_document(struct control_daemon *daemon,
+			 struct http_exchange *exchange)
+{
+	struct open_call *call = call_new(daemon, exchange);
+
+	control_get_document(daemon->control, call->id, edge_now_us(),
+			     &daemon->effects);
+}
+
+static void register_server(struct control_daemon *daemon, const char *server,
+			    struct http_exchange *exchange)
+{
+	const struct bytes *body = http_exchange_body(exchange);
+	struct bytes message = { 0 };
+	struct error_handler handler = { keep_message, &message };
+	struct registration told;
+	enum result code;
+
+	code = daemon->role.dialect->read_registration(server, body->data,
+						       body->len, &told,
+						       &handler);
+	if (code) {
+		log_line(daemon->role.log, LOG_WARN, "server",
+			 "event=unreadable server=%s reason=%s", server,
+			 bytes_text(&message));
+	} else {
+		control_register(daemon->control, &told, edge_now_us(),
+				 &daemon->effects);
+	}
+	/* The entry VMs are told before the server reads that we know. */
+	control_daemon_carry_out(daemon);
+	answer(daemon, exchange, code, NULL, &message);
+	bytes_clear(&message);
+}
+
+static void on_request(void *data, struct http_exchange *exchange)
+{
+	struct control_daemon *daemon = data;
+	struct dialect_call call = { 0 };
+
+	if (!daemon->control || daemon->disk_failed) {
+		answer(daemon, exchange, RESULT_NO_QUORUM, NULL, NULL);
+		return;
+	}
+	daemon->role.dialect->read_call(http_exchange_head(exchange), &call);
+	switch (call.kind) {
+	case CALL_PUT_DOCUMENT:
+		put_document(daemon, exchange);
+		break;
+	case CALL_GET_DOCUMENT:
+		get_document(daemon, exchange);
+		break;
+	case CALL_REGISTER:
+		register_server(daemon, call.server, exchange);
+		break;
+	case CALL_UNREGISTER:
+		control_unregister(daemon->control, call.server, edge_now_us(),
+				   &daemon->effects);
+		control_daemon_carry_out(daemon);
+		answer(daemon, exchange, RESULT_OK, NULL, NULL);
+		break;
+	case CALL_UNKNOWN:
+		answer(daemon, exchange, RESULT_NO_ROUTE, NULL, NULL);
+		break;
+	}
+	control_daemon_carry_out(daemon);
+}
+
+static void on_left(void *data, struct http_exchange *exchange)
+{
+	struct open_call *call = http_exchange_user(exchange);
+
+	if (call)
+		call->exchange = NULL;
+}
+
+enum result control_calls_open(struct control_daemon *daemon)
+{
+	struct http_limits limits = { CALL_HEADER_BYTES, CALL_BODY_BYTES,
+				      CALL_HEADER_MS, CALL_IDLE_MS };
+	struct http_server_hooks hooks = { on_request, on_left, daemon };
+
+	list_init(&daemon->calls);
+	daemon->server = http_server_start(&daemon->role.streams,
+					   daemon->role.boot->listen_operators,
+					   &limits, &hooks,
+					   daemon->role.handler);
+	return daemon->server ? RESULT_OK : RESULT_SETTING_VALUE;
+}
+
+void control_calls_close(struct control_daemon *daemon)
+{
+	struct open_call *call;
+	struct open_call *next;
+
+	if (!daemon->server)
+		return;
+	http_server_stop(daemon->server);
+	list_foreach_safe(call, next, &daemon->calls, node)
+		free(call);
+}
--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -1,6 +1,7 @@
 /*
- * A control VM's process: the listener for operators and backend servers, the
- * log on the disk, calls to the platform, and control/control.h in the middle.
+ * A control VM's process: the log on the disk, events and effects, with
+ * control/control.h in the middle. The calls of operators and backend servers
+ * are in control_calls.c, those to the platform in control_orders.c.
  */
 #include <inttypes.h>
 #include <signal.h>
@@ -12,66 +13,18 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "control/control.h"
-#include "daemon/http_client.h"
-#include "daemon/role.h"
+#include "daemon/control_daemon_state.h"
 #include "daemon/wal.h"
 
-/* Bounds of a call: a document of hundreds of routes is some 100 kB. */
-#define CALL_HEADER_BYTES 16384
-#define CALL_BODY_BYTES (4 * 1024 * 1024)
-#define CALL_HEADER_MS 10000
-#define CALL_IDLE_MS 15000
-
 /*
  * How often a folder that has failed is opened again: a disk that was full for
  * seconds must not cost a voter for good.
  */
 #define REOPEN_S 0.5
 
-/* Of the platform's API; the call's own time-out ends it anyway. */
-#define PLATFORM_CONNECT_MS 800
-#define PLATFORM_SILENT_MS 2000
-
 /* Segments of the log: small, as the disks are. */
 #define SEGMENT_BYTES (INT64_C(4) * 1024 * 1024)
 
-/* An operator's call that waits for the reducer. */
-struct open_call {
-	struct list node;
-	uint64_t id;
-	struct http_exchange *exchange; /* NULL once its caller has left */
-};
-
-/* A call to the platform that is under way. */
-struct platform_call {
-	struct list node;
-	struct control_daemon *daemon;
-	char *order_id;
-	int status;
-	struct http_call *call;
-	ev_timer lease; /* nothing of it may be under way after the lease */
-};
-
-struct control_daemon {
-	struct role role;
-	struct control *control;
-	struct wal *wal;
-	struct http_server *server;
-	struct http_client *platform;
-	struct list calls;
-	struct list platform_calls;
-	uint64_t next_call;
-	ev_timer tick;
-	ev_timer reopen;
-	struct effects effects;
-	bool carrying_out;
-	bool disk_failed;
-	bool exiting;
-};
-
-static void carry_out_all(struct control_daemon *daemon);
-
 static int64_t wall_now_us(void)
 {
 	struct timespec now;
@@ -215,162 +168,6 @@
 	effects_clear(&daemon->effects);
 }
 
-static struct open_call *call_find(struct control_daemon *daemon, uint64_t id)
-{
-	struct open_call *call;
-
-	list_foreach(call, &daemon->calls, node)
-		if (call->id == id)
-			return call;
-	return NULL;
-}
-
-static void answer(struct control_daemon *daemon,
-		   struct http_exchange *exchange, enum result code,
-		   const char *headers, const struct bytes *body)
-{
-	http_exchange_answer(exchange, result_http_status(code), headers, body);
-}
-
-/* Send the operator to the leader: its IP, and the port that we listen on. */
-static void answer_elsewhere(struct control_daemon *daemon,
-			     struct http_exchange *exchange,
-			     const struct bytes *address)
-{
-	const struct http_head *head = http_exchange_head(exchange);
-	cleanup(free_ptr) char *location = NULL;
-	cleanup(free_ptr) char *leader =
-		xmemdup(address->data ? address->data : "", address->len);
-	char ip[64];
-	int port;
-
-	if (!boot_split_address(leader, ip, &port)) {
-		answer(daemon, exchange, RESULT_NOT_LEADER, NULL, NULL);
-		return;
-	}
-	location = xstrfmt("Location: http://%s:%d%s\r\n", ip,
-			   http_server_port(daemon->server), head->target);
-	http_exchange_answer(exchange, 307, location, NULL);
-}
-
-static void carry_out_answer(struct control_daemon *daemon,
-			     const struct effect_admin_answer *told)
-{
-	struct open_call *call = call_find(daemon, told->id);
-
-	if (!call)
-		return;
-	list_remove(&call->node);
-	if (call->exchange && told->code == RESULT_NOT_LEADER)
-		answer_elsewhere(daemon, call->exchange, &told->body);
-	else if (call->exchange)
-		answer(daemon, call->exchange, (enum result)told->code,
-		       told->body.len ? "Content-Type: application/json\r\n"
-				      : NULL,
-		       &told->body);
-	free(call);
-}
-
-static void platform_call_free(struct platform_call *call)
-{
-	ev_timer_stop(call->daemon->role.ev, &call->lease);
-	list_remove(&call->node);
-	free(call->order_id);
-	free(call);
-}
-
-static void platform_done(struct platform_call *call, enum result code)
-{
-	struct control_daemon *daemon = call->daemon;
-
-	if (daemon->control)
-		control_platform_answer(daemon->control, call->order_id, code,
-					edge_now_us(), &daemon->effects);
-	platform_call_free(call);
-	carry_out_all(daemon);
-}
-
-static void on_platform_head(void *data, const struct http_head *head)
-{
-	struct platform_call *call = data;
-
-	call->status = head->status;
-}
-
-static void on_platform_body(void *data, const char *piece, size_t len)
-{
-}
-
-static void on_platform_end(void *data, enum result code, bool sent)
-{
-	struct platform_call *call = data;
-
-	call->call = NULL;
-	if (!code)
-		code = call->daemon->role.dialect->read_platform_status(
-			call->status);
-	platform_done(call, code);
-}
-
-static const struct http_call_hooks platform_hooks = { on_platform_head,
-						       on_platform_body,
-						       on_platform_end };
-
-/*
- * The lease ends: bytes that still wait in this VM must not reach the platform
- * after its successor's, so the connection is dropped with them.
- */
-static void on_lease_end(struct ev_loop *ev, ev_timer *timer, int events)
-{
-	struct platform_call *call = timer->data;
-
-	if (call->call)
-		http_call_cancel(call->call);
-	call->call = NULL;
-	platform_done(call, RESULT_PLATFORM_UNKNOWN);
-}
-
-static void send_platform_call(struct control_daemon *daemon,
-			       struct platform_call *call,
-			       const struct effect_platform_call *order)
-{
-	const struct boot *boot = daemon->role.boot;
-	struct http_call_request request = { 0 };
-	struct bytes text = { 0 };
-	int64_t left_us = order->until_us - edge_now_us();
-
-	request.address = boot->platform;
-	request.head = &text;
-	request.fresh = true;
-	request.timeout_ms = order->timeout_ms;
-	ev_timer_init(&call->lease, on_lease_end,
-		      left_us > 0 ? (double)left_us / 1e6 : 0, 0);
-	call->lease.data = call;
-	ev_timer_start(daemon->role.ev, &call->lease);
-	if (left_us <= order->timeout_ms * 1000 ||
-	    daemon->role.dialect->write_platform_call(order, boot->vm,
-						      boot->platform, &text)) {
-		ev_timer_stop(daemon->role.ev, &call->lease);
-		ev_timer_set(&call->lease, 0, 0);
-		ev_timer_start(daemon->role.ev, &call->lease);
-	} else {
-		call->call = http_call_start(daemon->platform, &request,
-					     &platform_hooks, call);
-	}
-	bytes_clear(&text);
-}
-
-static void carry_out_platform(struct control_daemon *daemon,
-			       const struct effect_platform_call *order)
-{
-	struct platform_call *call = xcalloc(1, sizeof(*call));
-
-	call->daemon = daemon;
-	call->order_id = xstrdup(order->order_id);
-	list_append(&daemon->platform_calls, &call->node);
-	send_platform_call(daemon, call, order);
-}
-
 static void carry_out(struct control_daemon *daemon, struct effect *effect)
 {
 	switch (effect->kind) {
@@ -382,10 +179,10 @@
 		wal_put(daemon->wal, effect);
 		return; /* the disk thread frees it */
 	case EFFECT_ADMIN_ANSWER:
-		carry_out_answer(daemon, &effect->u.admin_answer);
+		control_calls_answer(daemon, &effect->u.admin_answer);
 		break;
 	case EFFECT_PLATFORM_CALL:
-		carry_out_platform(daemon, &effect->u.platform_call);
+		control_orders_send(daemon, &effect->u.platform_call);
 		break;
 	case EFFECT_EXIT:
 		daemon->exiting = true;
@@ -399,7 +196,7 @@
 }
 
 /* What carrying out brings about is carried out in turn, not inside. */
-static void carry_out_all(struct control_daemon *daemon)
+void control_daemon_carry_out(struct control_daemon *daemon)
 {
 	struct effect *effect;
 
@@ -422,7 +219,7 @@
 	}
 	ev_timer_stop(ev, timer);
 	daemon->disk_failed = false;
-	carry_out_all(daemon);
+	control_daemon_carry_out(daemon);
 }
 
 static void disk_failed(struct control_daemon *daemon, enum result code)
@@ -435,7 +232,7 @@
 	if (daemon->control)
 		control_disk_failed(daemon->control, code, edge_now_us(),
 				    &daemon->effects);
-	carry_out_all(daemon);
+	control_daemon_carry_out(daemon);
 	ev_timer_stop(daemon->role.ev, &daemon->reopen);
 	ev_timer_set(&daemon->reopen, REOPEN_S, REOPEN_S);
 	ev_timer_start(daemon->role.ev, &daemon->reopen);
@@ -463,7 +260,7 @@
 			 !daemon->disk_failed)
 			control_synced(control, event->u.synced.ticket, now_us,
 				       &daemon->effects);
-		carry_out_all(daemon);
+		control_daemon_carry_out(daemon);
 	}
 	event_free(event);
 }
@@ -475,7 +272,7 @@
 	if (daemon->control)
 		control_tick(daemon->control, wall_now_us(), edge_now_us(),
 			     &daemon->effects);
-	carry_out_all(daemon);
+	control_daemon_carry_out(daemon);
 }
 
 static void on_stop(void *data)
@@ -488,127 +285,7 @@
 		return;
 	}
 	control_stop(daemon->control, edge_now_us(), &daemon->effects);
-	carry_out_all(daemon);
-}
-
-static struct open_call *call_new(struct control_daemon *daemon,
-				  struct http_exchange *exchange)
-{
-	struct open_call *call = xcalloc(1, sizeof(*call));
-
-	call->id = ++daemon->next_call;
-	call->exchange = exchange;
-	http_exchange_set_user(exchange, call);
-	list_append(&daemon->calls, &call->node);
-	return call;
-}
-
-/* Keeps the words of a refusal for the answer and the log. */
-static void keep_message(void *data, enum result code, const char *message)
-{
-	bytes_append_text(data, message);
-}
-
-static void put_document(struct control_daemon *daemon,
-			 struct http_exchange *exchange)
-{
-	const struct bytes *body = http_exchange_body(exchange);
-	struct bytes message = { 0 };
-	struct error_handler handler = { keep_message, &message };
-	struct document *document;
-	struct open_call *call;
-
-	document = daemon->role.dialect->read_document(body->data, body->len,
-						       &handler);
-	if (!document) {
-		log_line(daemon->role.log, LOG_WARN, "document",
-			 "event=invalid bytes=%zu reason=%s", body->len,
-			 bytes_text(&message));
-		http_exchange_answer(exchange, 400, NULL, &message);
-		bytes_clear(&message);
-		return;
-	}
-	call = call_new(daemon, exchange);
-	control_put_document(daemon->control, call->id, document->version, body,
-			     edge_now_us(), &daemon->effects);
-	document_free(document);
-	bytes_clear(&message);
-}
-
-static void get_document(struct control_daemon *daemon,
-			 struct http_exchange *exchange)
-{
-	struct open_call *call = call_new(daemon, exchange);
-
-	control_get_document(daemon->control, call->id, edge_now_us(),
-			     &daemon->effects);
-}
-
-static void register_server(struct control_daemon *daemon, const char *server,
-			    struct http_exchange *exchange)
-{
-	const struct bytes *body = http_exchange_body(exchange);
-	struct bytes message = { 0 };
-	struct error_handler handler = { keep_message, &message };
-	struct registration told;
-	enum result code;
-
-	code = daemon->role.dialect->read_registration(server, body->data,
-						       body->len, &told,
-						       &handler);
-	if (code) {
-		log_line(daemon->role.log, LOG_WARN, "server",
-			 "event=unreadable server=%s reason=%s", server,
-			 bytes_text(&message));
-	} else {
-		control_register(daemon->control, &told, edge_now_us(),
-				 &daemon->effects);
-	}
-	/* The entry VMs are told before the server reads that we know. */
-	carry_out_all(daemon);
-	answer(daemon, exchange, code, NULL, &message);
-	bytes_clear(&message);
-}
-
-static void on_request(void *data, struct http_exchange *exchange)
-{
-	struct control_daemon *daemon = data;
-	struct dialect_call call = { 0 };
-
-	if (!daemon->control || daemon->disk_failed) {
-		answer(daemon, exchange, RESULT_NO_QUORUM, NULL, NULL);
-		return;
-	}
-	daemon->role.dialect->read_call(http_exchange_head(exchange), &call);
-	switch (call.kind) {
-	case CALL_PUT_DOCUMENT:
-		put_document(daemon, exchange);
-		break;
-	case CALL_GET_DOCUMENT:
-		get_document(daemon, exchange);
-		break;
-	case CALL_REGISTER:
-		register_server(daemon, call.server, exchange);
-		break;
-	case CALL_UNREGISTER:
-		control_unregister(daemon->control, call.server, edge_now_us(),
-				   &daemon->effects);
-		carry_out_all(daemon);
-		answer(daemon, exchange, RESULT_OK, NULL, NULL);
-		break;
-	case CALL_UNKNOWN:
-		answer(daemon, exchange, RESULT_NO_ROUTE, NULL, NULL);
-		break;
-	}
-	carry_out_all(daemon);
-}
-
-static void on_left(void *data, struct http_exchange *exchange)
-{
-	struct open_call *call = http_exchange_user(exchange);
-
-	if (call)
-		call->exchange = NULL;
+	control_daemon_carry_out(daemon);
 }
 
 static void write_metrics(void *data, struct bytes *out)
@@ -635,14 +312,6 @@
 
 static enum result open_all(struct control_daemon *daemon)
 {
-	const struct boot *boot = daemon->role.boot;
-	struct http_limits limits = { CALL_HEADER_BYTES, CALL_BODY_BYTES,
-				      CALL_HEADER_MS, CALL_IDLE_MS };
-	struct http_server_hooks hooks = { on_request, on_left, daemon };
-	struct http_client_options platform = {
-		.connect_ms = PLATFORM_CONNECT_MS,
-		.silent_ms = PLATFORM_SILENT_MS,
-	};
 	enum result code;
 
 	code = role_open(&daemon->role);
@@ -650,12 +319,10 @@
 		return code;
 	ev_timer_init(&daemon->reopen, on_reopen, REOPEN_S, REOPEN_S);
 	daemon->reopen.data = daemon;
-	daemon->platform = http_client_new(&daemon->role.streams, &platform);
-	daemon->server =
-		http_server_start(&daemon->role.streams, boot->listen_operators,
-				  &limits, &hooks, daemon->role.handler);
-	if (!daemon->server)
-		return RESULT_SETTING_VALUE;
+	control_orders_open(daemon);
+	code = control_calls_open(daemon);
+	if (code)
+		return code;
 	code = open_control(daemon);
 	/* A disk that is full or fails is a state, not an end. */
 	if (code == RESULT_DISK_FULL || code == RESULT_DISK_FAILED) {
@@ -677,18 +344,8 @@
 
 static void close_all(struct control_daemon *daemon)
 {
-	struct platform_call *platform;
-	struct platform_call *next_platform;
-	struct open_call *call;
-	struct open_call *next;
-
-	http_server_stop(daemon->server);
-	list_foreach_safe(call, next, &daemon->calls, node)
-		free(call);
-	list_foreach_safe(platform, next_platform, &daemon->platform_calls,
-			  node)
-		platform_call_free(platform);
-	http_client_free(daemon->platform);
+	control_calls_close(daemon);
+	control_orders_close(daemon);
 	close_control(daemon);
 	role_close(&daemon->role);
 }
@@ -708,8 +365,6 @@
 	daemon.role.stop = on_stop;
 	daemon.role.write_metrics = write_metrics;
 	daemon.role.data = &daemon;
-	list_init(&daemon.calls);
-	list_init(&daemon.platform_calls);
 	effects_init(&daemon.effects);
 	code = open_all(&daemon);
 	if (!code) {
--- a/tests/path/t-http-loop.c
+++ b/tests/path/t-http-loop.c
@@ -262,7 +262,9 @@
 	socklen_t len = sizeof(at);
 
 	peer->listener = socket(AF_INET, SOCK_STREAM, 0);
-	bind(peer->listener, (struct sockaddr *)&at, sizeof(at));
+	g_assert_cmpint(bind(peer->listener, (struct sockaddr *)&at,
+			     sizeof(at)),
+			==, 0);
 	listen(peer->listener, 8);
 	getsockname(peer->listener, (struct sockaddr *)&at, &len);
 	g_snprintf(peer->address, sizeof(peer->address), "127.0.0.1:%d",
