document: a route's tier below 0 counts as 0

A document with a negative tier was accepted, and the tier is an index into the scheduler's tables: the first request on that route wrote outside them. Seen while reading what the organisation's rank is multiplied with; tests/document/t-document tier-range failed before.

--- a/libfilberthall/document/document.c
+++ b/libfilberthall/document/document.c
@@ -282,6 +282,8 @@
 				    route->name);
 	if (route->tier > TIER_LOWEST)
 		route->tier = TIER_LOWEST;
+	if (route->tier < 0)
+		route->tier = 0;
 	if (route->attempts < 1)
 		route->attempts = 1;
 	map_insert(&document->by_place, &route->node, place_hash(&place));
--- a/tests/document/t-document.c
+++ b/tests/document/t-document.c
@@ -45,6 +45,22 @@
 	document_free(document);
 }
 
+/* A tier is an index into tables of the router: out of range it crashed them. */
+static void test_tier_range(void)
+{
+	struct document *document = start();
+
+	document->routes[0].tier = -7;
+	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
+	g_assert_cmpint(document->routes[0].tier, ==, 0);
+	document_free(document);
+	document = start();
+	document->routes[0].tier = 1000;
+	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
+	g_assert_cmpint(document->routes[0].tier, <, 4);
+	document_free(document);
+}
+
 static void refused(struct document *document)
 {
 	g_assert_cmpint(document_check(document, NULL), ==,
@@ -183,5 +199,6 @@
 	g_test_add_func("/document/route", test_route);
 	g_test_add_func("/document/choose", test_choose);
 	g_test_add_func("/document/holder", test_holder);
+	g_test_add_func("/document/tier-range", test_tier_range);
 	return g_test_run();
 }
