entry: room for as many classes as a site has goals

A class is a tier and a pair of goals. With ranks of organisations and tiers of routes both counted there are up to sixteen tiers, and at 48 classes the one used least lately was dropped with what waited in it: refused though nothing was full. tests/entry/t-entry many-goals: an urgent request that waits while 150 routes with goals of their own are asked was refused before.

--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -17,10 +17,10 @@
 #define STOPPING_RETRY_MS 50
 
 /*
- * Classes that the router keeps at once; it has room for 64. Each document
+ * Classes that the router keeps at once; it has room for 256. Each document
  * may bring new ones, and those that are in no use any more must go.
  */
-#define CLASSES_MOST 48
+#define CLASSES_MOST 240
 
 bool entry_is_fresh(const struct entry *entry, int64_t now_us)
 {
--- a/libfilberthall/load/sched.h
+++ b/libfilberthall/load/sched.h
@@ -35,7 +35,7 @@
  * VM puts an organisation's rank before the route's, four by four.
  */
 #define SCHED_TIERS 16
-#define SCHED_CLASSES 64 /**< ids of classes are below this */
+#define SCHED_CLASSES 256 /**< ids of classes are below this */
 
 struct sched_lane;
 struct sched_flow;
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -7,6 +7,7 @@
 #include "feed/feed.h"
 
 #define SECOND INT64_C(1000000)
+#define ROUTES 150 /* with goals of their own each */
 #define CONTROL 1
 #define ENGINE "10.0.0.1:80"
 #define CHEAP "10.0.0.2:80"
@@ -42,6 +43,7 @@
 	char *key = strchr(copy, ' ');
 	struct document_organisation *holder;
 	struct route *route;
+	int i;
 
 	document->version = strtoll(copy, NULL, 10);
 	document_add_service(document)->name = xstrdup("desk");
@@ -62,6 +64,16 @@
 	route->goal_ms = 300;
 	route->tier = 2;
 	route_add_split(route, "desk", 1);
+	for (i = 0; i < ROUTES; i++) {
+		route = document_add_route(document);
+		route->name = g_strdup_printf("r%d", i);
+		route->host = xstrdup("a.example");
+		route->prefix = g_strdup_printf("/r%d/", i);
+		route->timeout_ms = 4000;
+		route->goal_ms = 1000 + i;
+		route->tier = 3;
+		route_add_split(route, "desk", 1);
+	}
 	holder = document_add_organisation(document);
 	holder->name = xstrdup("yards");
 	holder->tier = 1;
@@ -512,6 +524,32 @@
 	bed_end(&bed);
 }
 
+/*
+ * A site with more different goals than there was room for: the class that was
+ * used least lately went, and refused those who waited in it.
+ */
+static void test_many_goals(void)
+{
+	struct bed bed;
+	uint64_t first;
+	uint64_t waits;
+	int i;
+
+	bed_start(&bed);
+	first = ask(&bed, "/shed/1", "k1");
+	ask(&bed, "/shed/2", "k1");
+	waits = ask(&bed, "/lodge/7", "k1");
+	for (i = 0; i < ROUTES; i++) {
+		g_autofree char *path = g_strdup_printf("/r%d/x", i);
+
+		ask(&bed, path, "k1");
+		g_assert_cmpuint(bed.answered, !=, waits);
+	}
+	end_attempt(&bed, first, RESULT_OK, 200, true);
+	g_assert_cmpuint(bed.started, ==, waits);
+	bed_end(&bed);
+}
+
 /* Rejected, so not run: another server may have it, though it may run once. */
 static void test_rejected(void)
 {
@@ -560,6 +598,7 @@
 	g_test_add_func("/entry/urgent-route", test_urgent_route);
 	g_test_add_func("/entry/steady-beside-cheap", test_steady_beside_cheap);
 	g_test_add_func("/entry/tells-missed", test_tells_missed);
+	g_test_add_func("/entry/many-goals", test_many_goals);
 	g_test_add_func("/entry/rejected", test_rejected);
 	g_test_add_func("/entry/answer-lost", test_answer_lost);
 	return g_test_run();
