platform: numbers from outside are cut to what can be counted with

Times come in ms and are taken in us, and the header of a caller's wait, a document's figures and a server's had no upper bound: 1e300 as a real number or 2^63-1 as an integer overflowed. On this processor the result was a time long past, so a request was refused at once; by the language it is undefined. Numbers above 2^50 are cut, a registration with one is refused. Test: t-platform huge-numbers.

--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -248,6 +248,31 @@
 }
 
 /* Others write there as well; what isn't whole names no server to use. */
+/* Numbers without bounds overflowed once they were taken in microseconds. */
+static void test_huge_numbers(void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"path_prefix\":\"/\",\"type\":\"idempotent\","
+		"\"timeout_ms\":1e300,\"latency_goal_ms\":-1e300,"
+		"\"service\":\"s\"}],\"services\":[{\"name\":\"s\","
+		"\"scaling\":{\"boot_time_s\":1e300}}]}";
+	struct document *document =
+		platform_read_document(text, strlen(text), NULL);
+	struct registration told;
+
+	g_assert_nonnull(document);
+	g_assert_cmpint(document->routes[0].timeout_ms, ==, INT64_C(1) << 50);
+	g_assert_cmpint(document->routes[0].goal_ms, ==, -(INT64_C(1) << 50));
+	g_assert_cmpint(document->services[0].scaling.boot_ms, ==, 0);
+	document_free(document);
+	g_assert_cmpint(take("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+			     "\"zone\":\"a\",\"state\":\"ready\","
+			     "\"sequence\":1e300}",
+			     &told),
+			==, RESULT_BAD_REQUEST);
+}
+
 static void test_foreign_registrations(void)
 {
 	static const char *const texts[] = {
@@ -356,5 +381,6 @@
 			test_foreign_registrations);
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/calls", test_calls);
+	g_test_add_func("/platform/huge-numbers", test_huge_numbers);
 	return g_test_run();
 }
