core, feed: log lines and peers of both roles written once

The reducers of entry and control VMs and the group's each built a log effect of their own, and entry and control each kept their peers in a map with the same match, find and insert and sent on LINK_FEED by the same four lines. effects_add_log() and feed/peers serve all of them; the clock's own loop over control VMs goes, as the sender takes whom it means. Nothing else changes.

--- a/libfilberthall/agree/raft_disk.c
+++ b/libfilberthall/agree/raft_disk.c
@@ -250,15 +250,9 @@
 void raft_say(struct effects *effects, enum log_level level, const char *format,
 	      ...)
 {
-	struct effect *effect = effects_add(effects, EFFECT_LOG);
-	char *text = NULL;
 	va_list args;
 
 	va_start(args, format);
-	if (vasprintf(&text, format, args) < 0)
-		abort();
+	effects_add_log(effects, level, "raft", format, args);
 	va_end(args);
-	effect->u.log.level = level;
-	effect->u.log.module = xstrdup("raft");
-	effect->u.log.message = text;
 }
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -39,17 +39,11 @@
 void control_log(struct effects *effects, enum log_level level,
 		 const char *module, const char *format, ...)
 {
-	struct effect *effect = effects_add(effects, EFFECT_LOG);
-	char *text = NULL;
 	va_list args;
 
 	va_start(args, format);
-	if (vasprintf(&text, format, args) < 0)
-		abort();
+	effects_add_log(effects, level, module, format, args);
 	va_end(args);
-	effect->u.log.level = level;
-	effect->u.log.module = xstrdup(module);
-	effect->u.log.message = text;
 }
 
 static struct raft_options raft_options_of(const struct control *control)
@@ -122,16 +116,12 @@
 {
 	struct control_proposal *proposal;
 	struct control_proposal *next_proposal;
-	struct control_peer *peer;
-	struct control_peer *next_peer;
 
 	if (!control)
 		return;
 	list_foreach_safe(proposal, next_proposal, &control->proposals, node)
 		free(proposal);
-	map_foreach(peer, next_peer, &control->peers, node)
-		free(peer);
-	map_clear(&control->peers);
+	feed_peers_clear(&control->peers);
 	control_drop_reports(control);
 	control_drop_sizes(control);
 	document_free(control->document);
@@ -269,34 +259,12 @@
 	check_stop(control, now_us, effects);
 }
 
-static bool peer_match(const struct map_node *node, const void *key)
-{
-	return container_of(node, struct control_peer, node)->id ==
-	       *(const uint64_t *)key;
-}
-
-static struct control_peer *peer_find(const struct control *control,
-				      uint64_t id)
-{
-	struct map_node *node =
-		map_find(&control->peers, map_hash(&id, sizeof(id)), peer_match,
-			 &id);
-
-	return node ? container_of(node, struct control_peer, node) : NULL;
-}
-
 void control_link_up(struct control *control, const struct event_link_up *up,
 		     int64_t now_us, struct effects *effects)
 {
-	struct control_peer *peer = peer_find(control, up->peer);
+	struct feed_peer *peer =
+		feed_peer_up(&control->peers, up->peer, up->observer);
 
-	if (!peer) {
-		peer = xcalloc(1, sizeof(*peer));
-		peer->id = up->peer;
-		map_insert(&control->peers, &peer->node,
-			   map_hash(&peer->id, sizeof(peer->id)));
-	}
-	peer->observer = up->observer;
 	control_log(effects, LOG_INFO, "link", "event=up vm=%s zone=%s role=%s",
 		    up->name, up->zone, up->observer ? "entry" : "control");
 	if (!peer->observer) {
@@ -309,7 +277,7 @@
 void control_link_down(struct control *control, uint64_t id, int64_t now_us,
 		       struct effects *effects)
 {
-	struct control_peer *peer = peer_find(control, id);
+	struct feed_peer *peer = feed_peer_find(&control->peers, id);
 
 	if (!peer)
 		return;
@@ -320,15 +288,14 @@
 		raft_peer_down(control->raft, id, now_us, effects);
 		control_drain(control, now_us, effects);
 	}
-	map_remove(&control->peers, &peer->node);
-	free(peer);
+	feed_peer_down(&control->peers, peer);
 }
 
 void control_link_message(struct control *control,
 			  const struct event_link_message *message,
 			  int64_t now_us, struct effects *effects)
 {
-	struct control_peer *peer = peer_find(control, message->peer);
+	struct feed_peer *peer = feed_peer_find(&control->peers, message->peer);
 
 	if (!peer)
 		return;
@@ -383,8 +350,8 @@
 		.members = (int)members->count,
 		.reported = control->reported,
 	};
-	struct control_peer *peer;
-	struct control_peer *next_peer;
+	struct feed_peer *peer;
+	struct feed_peer *next_peer;
 	struct registered *registered;
 	struct registered *next;
 
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -14,27 +14,20 @@
  */
 #define ALIVE_US INT64_C(1000000)
 
-void control_send(struct control *control, uint64_t peer, struct bytes *body,
-		  struct effects *effects)
-{
-	struct effect *effect = effects_add(effects, EFFECT_SEND);
-
-	(void)control;
-	effect->u.send.peer = peer;
-	effect->u.send.channel = LINK_FEED;
-	effect->u.send.body = bytes_copy(body);
-}
+/* Which of the daemons that have a link to us. */
+enum audience { TO_ENTRY, TO_CONTROL, TO_ALL };
 
-/* To all daemons, or only to entry VMs; frees the body. */
-static void send_all(struct control *control, bool only_entry,
-		     struct bytes *body, struct effects *effects)
+/* Frees the body. */
+static void send_to(struct control *control, enum audience audience,
+		    struct bytes *body, struct effects *effects)
 {
-	struct control_peer *peer;
-	struct control_peer *next;
+	struct feed_peer *peer;
+	struct feed_peer *next;
 
 	map_foreach(peer, next, &control->peers, node)
-		if (peer->observer || !only_entry)
-			control_send(control, peer->id, body, effects);
+		if (audience == TO_ALL ||
+		    peer->observer == (audience == TO_ENTRY))
+			feed_send(effects, peer->id, body);
 	bytes_clear(body);
 }
 
@@ -59,7 +52,7 @@
 	struct bytes body = { 0 };
 
 	feed_write_state(&body, &state);
-	send_all(control, true, &body, effects);
+	send_to(control, TO_ENTRY, &body, effects);
 }
 
 static void write_member(struct bytes *body, const struct member *member,
@@ -114,7 +107,7 @@
 			continue;
 		close_link(old, effects);
 		write_member(&body, old, true);
-		send_all(control, true, &body, effects);
+		send_to(control, TO_ENTRY, &body, effects);
 	}
 	for (i = 0; i < members->count; i++) {
 		const struct member *now = &members->items[i];
@@ -125,7 +118,7 @@
 			continue;
 		open_link(control, now, effects);
 		write_member(&body, now, false);
-		send_all(control, true, &body, effects);
+		send_to(control, TO_ENTRY, &body, effects);
 	}
 	members_clear(&control->told);
 	control->told = members_copy(members);
@@ -133,7 +126,7 @@
 }
 
 /** A link came up: tell what the daemon at its other end may have missed. */
-void control_welcome(struct control *control, const struct control_peer *peer,
+void control_welcome(struct control *control, const struct feed_peer *peer,
 		     int64_t now_us, struct effects *effects)
 {
 	const struct members *members = raft_members(control->raft);
@@ -146,18 +139,18 @@
 	map_foreach(registered, next, &control->registry.by_id, node) {
 		feed_write_registration(&body, &registered->told,
 					now_us - registered->heard_us);
-		control_send(control, peer->id, &body, effects);
+		feed_send(effects, peer->id, &body);
 		bytes_clear(&body);
 	}
 	if (!peer->observer)
 		return;
 	for (i = 0; i < members->count; i++) {
 		write_member(&body, &members->items[i], false);
-		control_send(control, peer->id, &body, effects);
+		feed_send(effects, peer->id, &body);
 		bytes_clear(&body);
 	}
 	feed_write_state(&body, &state);
-	control_send(control, peer->id, &body, effects);
+	feed_send(effects, peer->id, &body);
 	bytes_clear(&body);
 }
 
@@ -169,7 +162,7 @@
 	struct bytes body = { 0 };
 
 	feed_write_state(&body, &state);
-	control_send(control, peer, &body, effects);
+	feed_send(effects, peer, &body);
 	bytes_clear(&body);
 }
 
@@ -183,7 +176,7 @@
 	feed_write_document(&body, control->ledger.version,
 			    control->ledger.document.data,
 			    control->ledger.document.len);
-	control_send(control, peer, &body, effects);
+	feed_send(effects, peer, &body);
 	bytes_clear(&body);
 }
 
@@ -259,7 +252,7 @@
 		    (long long)told->born_ms, (long long)told->sequence,
 		    (long long)told->slots, told->cheap);
 	feed_write_registration(&body, told, now_us - registered->heard_us);
-	send_all(control, false, &body, effects);
+	send_to(control, TO_ALL, &body, effects);
 }
 
 void control_register(struct control *control, const struct registration *told,
@@ -309,7 +302,7 @@
 	}
 	if (n) {
 		feed_write_alive(&body, alive, n);
-		send_all(control, false, &body, effects);
+		send_to(control, TO_ALL, &body, effects);
 	}
 	free(alive);
 }
@@ -317,15 +310,10 @@
 static void tell_clock(struct control *control, int64_t wall_us,
 		       struct effects *effects)
 {
-	struct control_peer *peer;
-	struct control_peer *next;
 	struct bytes body = { 0 };
 
 	feed_write_clock(&body, wall_us);
-	map_foreach(peer, next, &control->peers, node)
-		if (!peer->observer)
-			control_send(control, peer->id, &body, effects);
-	bytes_clear(&body);
+	send_to(control, TO_CONTROL, &body, effects);
 }
 
 void control_feed_tick(struct control *control, int64_t wall_us, int64_t now_us,
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -5,19 +5,13 @@
 #include "base/map.h"
 #include "control/control.h"
 #include "control/ledger.h"
+#include "feed/peers.h"
 #include "fleet/missed.h"
 #include "usage/begun.h"
 #include "usage/wall.h"
 
 /** What the files control*.c share; nobody else includes this. */
 
-/** Another daemon that has a link to us. */
-struct control_peer {
-	struct map_node node; /**< by id */
-	uint64_t id;
-	bool observer; /**< an entry VM */
-};
-
 /** An operator's change on its way through the log. */
 struct control_proposal {
 	struct list node;
@@ -47,7 +41,7 @@
 	struct begun begun;
 	struct wall wall;
 	struct missed missed;
-	struct map peers;
+	struct map peers; /**< struct feed_peer */
 	struct list proposals;
 	struct list reports;
 	struct members told;	/**< members that entry VMs were told of */
@@ -80,9 +74,7 @@
 			      struct effects *effects);
 
 /* control_feed.c */
-void control_send(struct control *control, uint64_t peer, struct bytes *body,
-		  struct effects *effects);
-void control_welcome(struct control *control, const struct control_peer *peer,
+void control_welcome(struct control *control, const struct feed_peer *peer,
 		     int64_t now_us, struct effects *effects);
 void control_feed_message(struct control *control, uint64_t peer,
 			  const struct bytes *body, int64_t now_us,
--- a/libfilberthall/core/effect.c
+++ b/libfilberthall/core/effect.c
@@ -1,5 +1,6 @@
 #include "core/effect.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "base/alloc.h"
@@ -188,6 +189,19 @@
 	return effect;
 }
 
+void effects_add_log(struct effects *effects, enum log_level level,
+		     const char *module, const char *format, va_list args)
+{
+	struct effect *effect = effects_add(effects, EFFECT_LOG);
+	char *text = NULL;
+
+	if (vasprintf(&text, format, args) < 0)
+		abort();
+	effect->u.log.level = level;
+	effect->u.log.module = xstrdup(module);
+	effect->u.log.message = text;
+}
+
 struct effect *effects_take(struct effects *effects)
 {
 	struct effect *first = list_first(&effects->head, struct effect, node);
--- a/libfilberthall/core/effect.h
+++ b/libfilberthall/core/effect.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTHALL_CORE_EFFECT_H
 #define FILBERTHALL_CORE_EFFECT_H
 
+#include <stdarg.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -225,6 +226,16 @@
 /** Append a zeroed effect of that kind and return it to be filled. */
 struct effect *effects_add(struct effects *effects, enum effect_kind kind);
 
+/**
+ * Append a line for the log.
+ *
+ * @param module What writes it, a short name.
+ * @param format As of printf(), with `args`.
+ */
+void effects_add_log(struct effects *effects, enum log_level level,
+		     const char *module, const char *format, va_list args)
+	__attribute__((format(printf, 4, 0)));
+
 /** Take the first effect out, or NULL. */
 struct effect *effects_take(struct effects *effects);
 
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -27,17 +27,11 @@
 void entry_log(struct entry *entry, enum log_level level, const char *module,
 	       const char *format, ...)
 {
-	struct effect *effect = effects_add(entry->effects, EFFECT_LOG);
-	char *text = NULL;
 	va_list args;
 
 	va_start(args, format);
-	if (vasprintf(&text, format, args) < 0)
-		abort();
+	effects_add_log(entry->effects, level, module, format, args);
 	va_end(args);
-	effect->u.log.level = level;
-	effect->u.log.module = xstrdup(module);
-	effect->u.log.message = text;
 }
 
 /*
@@ -93,8 +87,6 @@
 {
 	struct entry_class *class;
 	struct entry_class *next_class;
-	struct entry_peer *peer;
-	struct entry_peer *next_peer;
 
 	if (!entry)
 		return;
@@ -103,9 +95,7 @@
 	entry_free_parked(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
-	map_foreach(peer, next_peer, &entry->peers, node)
-		free(peer);
-	map_clear(&entry->peers);
+	feed_peers_clear(&entry->peers);
 	fleet_clear(&entry->fleet);
 	registry_clear(&entry->registry);
 	begun_clear(&entry->begun);
@@ -174,35 +164,13 @@
 	return router_us < now_us + TICK_US ? router_us : now_us + TICK_US;
 }
 
-static bool peer_match(const struct map_node *node, const void *key)
-{
-	return container_of(node, struct entry_peer, node)->id ==
-	       *(const uint64_t *)key;
-}
-
-static struct entry_peer *peer_find(const struct entry *entry, uint64_t id)
-{
-	struct map_node *node =
-		map_find(&entry->peers, map_hash(&id, sizeof(id)), peer_match,
-			 &id);
-
-	return node ? container_of(node, struct entry_peer, node) : NULL;
-}
-
 void entry_link_up(struct entry *entry, const struct event_link_up *up,
 		   int64_t now_us, struct effects *effects)
 {
-	struct entry_peer *peer = peer_find(entry, up->peer);
-
 	begin(entry, now_us, effects);
 	if (up->observer)
 		return;
-	if (!peer) {
-		peer = xcalloc(1, sizeof(*peer));
-		peer->id = up->peer;
-		map_insert(&entry->peers, &peer->node,
-			   map_hash(&peer->id, sizeof(peer->id)));
-	}
+	feed_peer_up(&entry->peers, up->peer, false);
 	entry_log(entry, LOG_INFO, "link", "event=up vm=%s zone=%s", up->name,
 		  up->zone);
 	begun_tell_again(&entry->begun);
@@ -212,15 +180,14 @@
 void entry_link_down(struct entry *entry, uint64_t id, int64_t now_us,
 		     struct effects *effects)
 {
-	struct entry_peer *peer = peer_find(entry, id);
+	struct feed_peer *peer = feed_peer_find(&entry->peers, id);
 
 	begin(entry, now_us, effects);
 	if (!peer)
 		return;
 	entry_log(entry, LOG_INFO, "link", "event=down peer=%llx left=%zu",
 		  (unsigned long long)id, entry->peers.count - 1);
-	map_remove(&entry->peers, &peer->node);
-	free(peer);
+	feed_peer_down(&entry->peers, peer);
 }
 
 void entry_link_message(struct entry *entry,
@@ -228,7 +195,8 @@
 			int64_t now_us, struct effects *effects)
 {
 	begin(entry, now_us, effects);
-	if (message->channel == LINK_FEED && peer_find(entry, message->peer))
+	if (message->channel == LINK_FEED &&
+	    feed_peer_find(&entry->peers, message->peer))
 		entry_feed_message(entry, message->peer, &message->body);
 	note_fresh(entry);
 	entry_unpark(entry);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -37,23 +37,13 @@
  */
 #define FLEET_LEASE_MS INT64_C(86400000)
 
-static void send_to(struct entry *entry, uint64_t peer,
-		    const struct bytes *body)
-{
-	struct effect *effect = effects_add(entry->effects, EFFECT_SEND);
-
-	effect->u.send.peer = peer;
-	effect->u.send.channel = LINK_FEED;
-	effect->u.send.body = bytes_copy(body);
-}
-
 static void send_all(struct entry *entry, struct bytes *body)
 {
-	struct entry_peer *peer;
-	struct entry_peer *next;
+	struct feed_peer *peer;
+	struct feed_peer *next;
 
 	map_foreach(peer, next, &entry->peers, node)
-		send_to(entry, peer->id, body);
+		feed_send(entry->effects, peer->id, body);
 	bytes_clear(body);
 }
 
@@ -91,7 +81,7 @@
 		  (long long)(entry->document ? entry->document->version : 0),
 		  (unsigned long long)peer);
 	feed_write_fetch(&body);
-	send_to(entry, peer, &body);
+	feed_send(entry->effects, peer, &body);
 	bytes_clear(&body);
 }
 
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -4,6 +4,7 @@
 #include "base/map.h"
 #include "base/rng.h"
 #include "entry/entry.h"
+#include "feed/peers.h"
 #include "fleet/missed.h"
 #include "fleet/registry.h"
 #include "load/router.h"
@@ -15,12 +16,6 @@
 /** When callers of a VM that is out of touch should come back: two polls. */
 #define ENTRY_STALE_RETRY_MS 1000
 
-/** A control VM that has a link to us. */
-struct entry_peer {
-	struct map_node node; /**< by id */
-	uint64_t id;
-};
-
 /** A request from its submission to its answer. */
 struct open_call {
 	struct map_node node; /**< by id */
@@ -63,7 +58,7 @@
 	struct begun begun;
 	struct wall wall;
 	struct missed missed;
-	struct map peers;
+	struct map peers; /**< struct feed_peer: control VMs */
 	struct map calls;
 	struct list parked; /**< oldest first */
 	struct list classes;
--- /dev/null
+++ b/libfilberthall/feed/peers.c
@@ -0,0 +1,58 @@
+#include "feed/peers.h"
+
+#include <stdlib.h>
+
+#include "base/alloc.h"
+#include "core/event.h"
+
+static bool peer_match(const struct map_node *node, const void *key)
+{
+	return container_of(node, struct feed_peer, node)->id ==
+	       *(const uint64_t *)key;
+}
+
+struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id)
+{
+	struct map_node *node =
+		map_find(peers, map_hash(&id, sizeof(id)), peer_match, &id);
+
+	return node ? container_of(node, struct feed_peer, node) : NULL;
+}
+
+struct feed_peer *feed_peer_up(struct map *peers, uint64_t id, bool observer)
+{
+	struct feed_peer *peer = feed_peer_find(peers, id);
+
+	if (!peer) {
+		peer = xcalloc(1, sizeof(*peer));
+		peer->id = id;
+		map_insert(peers, &peer->node, map_hash(&id, sizeof(id)));
+	}
+	peer->observer = observer;
+	return peer;
+}
+
+void feed_peer_down(struct map *peers, struct feed_peer *peer)
+{
+	map_remove(peers, &peer->node);
+	free(peer);
+}
+
+void feed_peers_clear(struct map *peers)
+{
+	struct feed_peer *peer;
+	struct feed_peer *next;
+
+	map_foreach(peer, next, peers, node)
+		free(peer);
+	map_clear(peers);
+}
+
+void feed_send(struct effects *effects, uint64_t peer, const struct bytes *body)
+{
+	struct effect *effect = effects_add(effects, EFFECT_SEND);
+
+	effect->u.send.peer = peer;
+	effect->u.send.channel = LINK_FEED;
+	effect->u.send.body = bytes_copy(body);
+}
--- /dev/null
+++ b/libfilberthall/feed/peers.h
@@ -0,0 +1,32 @@
+#ifndef FILBERTHALL_FEED_PEERS_H
+#define FILBERTHALL_FEED_PEERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/bytes.h"
+#include "base/map.h"
+#include "core/effect.h"
+
+/** The daemons that have a link to us, and what goes to them on LINK_FEED. */
+struct feed_peer {
+	struct map_node node; /**< by id */
+	uint64_t id;
+	bool observer; /**< an entry VM */
+};
+
+struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
+
+/** A link is up: the daemon at its other end, new or known. */
+struct feed_peer *feed_peer_up(struct map *peers, uint64_t id, bool observer);
+
+/** The link is down; `peer` is freed. */
+void feed_peer_down(struct map *peers, struct feed_peer *peer);
+
+void feed_peers_clear(struct map *peers);
+
+/** Send a copy of a message that a feed_write_*() made. */
+void feed_send(struct effects *effects, uint64_t peer,
+	       const struct bytes *body);
+
+#endif
