control, fleet: calls, windows and counts written once

Reports and orders built the same call to the platform, each with its own CALL_MS; the log's windows were packed and read by a second copy of what the feed does with the same bytes; both views counted the usable servers; two plans of the sizing fitted steady ones beside cheap ones. Each has one function now.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -154,7 +154,7 @@
 		control_tell_version(control, now_us, effects);
 	}
 	if (change == LEDGER_WINDOW)
-		control_window_applied(control, now_us);
+		control_window_applied(control);
 }
 
 static void apply_snapshot(struct control *control,
@@ -348,16 +348,13 @@
 		.version = control->ledger.version,
 		.voters = members_voters(members),
 		.members = (int)members->count,
+		.servers = registry_usable(&control->registry),
 		.reported = control->reported,
 	};
 	struct feed_peer *peer;
 	struct feed_peer *next_peer;
-	struct registered *registered;
-	struct registered *next;
 
 	map_foreach(peer, next_peer, &control->peers, node)
 		view.entry_vms += peer->observer;
-	map_foreach(registered, next, &control->registry.by_id, node)
-		view.servers += registered_usable(registered);
 	return view;
 }
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -66,9 +66,8 @@
 	list_append(&control->reports, &report->node);
 }
 
-void control_window_applied(struct control *control, int64_t now_us)
+void control_window_applied(struct control *control)
 {
-	(void)now_us;
 	control->window_pending = 0;
 	if (control->in_charge)
 		report_add(control, control->ledger.last_window);
@@ -137,6 +136,29 @@
 	free(text);
 }
 
+/** Whether the lease lasts long enough for a call to the platform. */
+bool control_may_call(const struct control *control, int64_t now_us)
+{
+	return lease_may_order(raft_lease(control->raft), CALL_MS * 1000,
+			       now_us);
+}
+
+/** A call of the one in charge; its id and body are the caller's to fill. */
+struct effect_platform_call *
+control_platform_call(const struct control *control, const char *verb,
+		      struct effects *effects)
+{
+	const struct lease *lease = raft_lease(control->raft);
+	struct effect_platform_call *call;
+
+	call = &effects_add(effects, EFFECT_PLATFORM_CALL)->u.platform_call;
+	call->verb = xstrdup(verb);
+	call->fence = lease->term;
+	call->timeout_ms = CALL_MS;
+	call->until_us = lease_order_deadline(lease);
+	return call;
+}
+
 static void send_report(struct control *control, struct control_report *report,
 			const struct feed_begun *total, int64_t now_us,
 			struct effects *effects)
@@ -146,12 +168,8 @@
 
 	report->under_way = true;
 	report->tries++;
-	call = &effects_add(effects, EFFECT_PLATFORM_CALL)->u.platform_call;
+	call = control_platform_call(control, "report", effects);
 	call->order_id = xstrfmt("usage-%lld", (long long)report->window);
-	call->verb = xstrdup("report");
-	call->fence = lease->term;
-	call->timeout_ms = CALL_MS;
-	call->until_us = lease_order_deadline(lease);
 	report_body(&call->body, total);
 	control_log(effects, LOG_INFO, "duty",
 		    "event=report window=%lld try=%d fence=%lld lease_ms=%lld",
@@ -163,7 +181,6 @@
 static void send_reports(struct control *control, int64_t now_us,
 			 struct effects *effects)
 {
-	const struct lease *lease = raft_lease(control->raft);
 	struct control_report *report;
 	struct control_report *next;
 
@@ -177,7 +194,7 @@
 			continue;
 		}
 		if (report->under_way || now_us < report->next_us ||
-		    !lease_may_order(lease, CALL_MS * 1000, now_us))
+		    !control_may_call(control, now_us))
 			continue;
 		send_report(control, report, total, now_us, effects);
 	}
--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -14,9 +14,6 @@
 /* How often the plan is made anew. */
 #define PLAN_US INT64_C(500000)
 
-/* One call to the platform; it must fit into the lease with room to spare. */
-#define CALL_MS INT64_C(1000)
-
 /* A place that had no server to give is asked again after so long. */
 #define DRY_US INT64_C(3000000)
 
@@ -115,24 +112,19 @@
 static void send_order(struct control *control, struct size_order *order,
 		       int64_t have, int64_t want, struct effects *effects)
 {
-	const struct lease *lease = raft_lease(control->raft);
 	struct effect_platform_call *call;
 
 	order->under_way = true;
 	order->asked = want;
-	call = &effects_add(effects, EFFECT_PLATFORM_CALL)->u.platform_call;
+	call = control_platform_call(control, "size", effects);
 	call->order_id = xstrfmt("size-%d-%s/%s", order->cheap, order->service,
 				 order->zone);
-	call->verb = xstrdup("size");
-	call->fence = lease->term;
-	call->timeout_ms = CALL_MS;
-	call->until_us = lease_order_deadline(lease);
 	size_body(&call->body, order);
 	control_log(effects, LOG_INFO, "fleet",
 		    "event=order service=%s zone=%s cheap=%d servers=%lld "
 		    "have=%lld fence=%lld",
 		    order->service, order->zone, order->cheap, (long long)want,
-		    (long long)have, (long long)lease->term);
+		    (long long)have, (long long)call->fence);
 }
 
 /*
@@ -148,7 +140,7 @@
 
 	if (order->under_way || have == want ||
 	    now_us < (changed ? order->dry_us : order->next_us) ||
-	    !lease_may_order(raft_lease(control->raft), CALL_MS * 1000, now_us))
+	    !control_may_call(control, now_us))
 		return;
 	order->next_us = now_us + boot_ms * 1000 + AGAIN_US;
 	send_order(control, order, have, want, effects);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -88,7 +88,11 @@
 /* control_duty.c */
 void control_duty_tick(struct control *control, int64_t now_us,
 		       struct effects *effects);
-void control_window_applied(struct control *control, int64_t now_us);
+void control_window_applied(struct control *control);
+bool control_may_call(const struct control *control, int64_t now_us);
+struct effect_platform_call *
+control_platform_call(const struct control *control, const char *verb,
+		      struct effects *effects);
 void control_drop_reports(struct control *control);
 
 /* control_fleet.c */
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -44,25 +44,9 @@
 	pack_bytes(&packer, text->data, text->len);
 }
 
-static void pack_total(msgpack_packer *packer, const struct feed_begun *total)
-{
-	size_t i;
-
-	msgpack_pack_int64(packer, total->window);
-	for (i = 0; i < total->n_counts; i++) {
-		pack_text(packer, total->counts[i].organisation);
-		msgpack_pack_int64(packer, total->counts[i].requests);
-	}
-}
-
 void ledger_write_window(struct bytes *out, const struct feed_begun *total)
 {
-	msgpack_packer packer;
-
-	pack_init(&packer, out);
-	msgpack_pack_array(&packer, 2 + 2 * total->n_counts);
-	msgpack_pack_int64(&packer, ENTRY_WINDOW);
-	pack_total(&packer, total);
+	feed_pack_begun(out, ENTRY_WINDOW, total);
 }
 
 const struct feed_begun *ledger_window(const struct ledger *ledger,
@@ -92,43 +76,6 @@
 	return LEDGER_DOCUMENT;
 }
 
-/* Organisations and their requests, from item `at` on. */
-static bool read_counts(const struct unpacked *items, size_t at,
-			struct feed_begun *total)
-{
-	size_t n = (items->n - at) / 2;
-	size_t i;
-
-	total->counts = xcalloc(n + 1, sizeof(*total->counts));
-	total->n_counts = n;
-	for (i = 0; i < n; i++) {
-		struct feed_count *count = &total->counts[i];
-		char *name = unpack_text(items, at + 2 * i,
-					 sizeof(count->organisation) - 1);
-		bool read = name &&
-			    unpack_int(items, at + 2 * i + 1, &count->requests);
-
-		if (name)
-			memcpy(count->organisation, name, strlen(name) + 1);
-		free(name);
-		if (!read)
-			return false;
-	}
-	return true;
-}
-
-static bool read_total(const struct unpacked *items, size_t at,
-		       struct feed_begun *total)
-{
-	memset(total, 0, sizeof(*total));
-	if (!unpack_int(items, at, &total->window))
-		return false;
-	if (read_counts(items, at + 1, total))
-		return true;
-	free(total->counts);
-	return false;
-}
-
 /* The first figure holds; takes `total` over. */
 static enum ledger_change take_window(struct ledger *ledger,
 				      struct feed_begun *total)
@@ -157,15 +104,18 @@
 static enum ledger_change apply_items(struct ledger *ledger,
 				      const struct unpacked *items)
 {
-	struct feed_begun total;
+	struct feed_begun total = { 0 };
 	int64_t kind;
 
 	if (!unpack_int(items, 0, &kind))
 		return LEDGER_NOTHING;
 	if (kind == ENTRY_DOCUMENT)
 		return take_document(ledger, items);
-	if (kind == ENTRY_WINDOW && read_total(items, 1, &total))
+	if (kind != ENTRY_WINDOW)
+		return LEDGER_NOTHING;
+	if (feed_unpack_begun(items, &total))
 		return take_window(ledger, &total);
+	free(total.counts);
 	return LEDGER_NOTHING;
 }
 
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -234,15 +234,12 @@
 struct entry_view entry_view(const struct entry *entry, int64_t now_us)
 {
 	struct entry_view view = entry->totals;
-	struct registered *registered;
-	struct registered *next;
 
 	view.version = entry->document ? entry->document->version : 0;
 	view.fresh_age_us =
 		entry->fresh_us > INT64_MIN / 4 ? now_us - entry->fresh_us : -1;
 	view.control_vms = (int)entry->peers.count;
 	view.open = (int64_t)entry->calls.count;
-	map_foreach(registered, next, &entry->registry.by_id, node)
-		view.servers += registered_usable(registered);
+	view.servers = registry_usable(&entry->registry);
 	return view;
 }
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -97,12 +97,15 @@
 	}
 }
 
-void feed_write_begun(struct bytes *out, const struct feed_begun *begun)
+void feed_pack_begun(struct bytes *out, int64_t kind,
+		     const struct feed_begun *begun)
 {
 	msgpack_packer packer;
 	size_t i;
 
-	begin(&packer, out, 1 + 2 * begun->n_counts, FEED_BEGUN);
+	pack_init(&packer, out);
+	msgpack_pack_array(&packer, 2 + 2 * begun->n_counts);
+	msgpack_pack_int64(&packer, kind);
 	msgpack_pack_int64(&packer, begun->window);
 	for (i = 0; i < begun->n_counts; i++) {
 		pack_text(&packer, begun->counts[i].organisation);
@@ -110,6 +113,11 @@
 	}
 }
 
+void feed_write_begun(struct bytes *out, const struct feed_begun *begun)
+{
+	feed_pack_begun(out, FEED_BEGUN, begun);
+}
+
 void feed_write_missed(struct bytes *out, const struct feed_missed *missed)
 {
 	msgpack_packer packer;
@@ -213,7 +221,7 @@
 	return true;
 }
 
-static bool read_begun(const struct unpacked *items, struct feed_begun *begun)
+bool feed_unpack_begun(const struct unpacked *items, struct feed_begun *begun)
 {
 	size_t n = items->n / 2 - 1;
 	size_t i;
@@ -266,7 +274,7 @@
 	case FEED_ALIVE:
 		return read_alive(items, message);
 	case FEED_BEGUN:
-		return read_begun(items, &message->u.begun);
+		return feed_unpack_begun(items, &message->u.begun);
 	case FEED_MISSED:
 		return read_missed(items, &message->u.missed);
 	case FEED_CLOCK:
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "base/bytes.h"
+#include "core/pack.h"
 #include "fleet/registry.h"
 
 /**
@@ -107,6 +108,13 @@
 void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
 		      size_t n_alive);
 void feed_write_begun(struct bytes *out, const struct feed_begun *begun);
+/** The array of a window's counts behind any kind; the log has them too. */
+void feed_pack_begun(struct bytes *out, int64_t kind,
+		     const struct feed_begun *begun);
+
+/** Read such an array; `begun->counts` is to be freed in any case. */
+bool feed_unpack_begun(const struct unpacked *items, struct feed_begun *begun);
+
 void feed_write_missed(struct bytes *out, const struct feed_missed *missed);
 void feed_write_clock(struct bytes *out, int64_t wall_us);
 
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -145,6 +145,17 @@
 	       !registered->silent;
 }
 
+int registry_usable(const struct registry *registry)
+{
+	struct registered *registered;
+	struct registered *next;
+	int n = 0;
+
+	map_foreach(registered, next, &registry->by_id, node)
+		n += registered_usable(registered);
+	return n;
+}
+
 void registry_expire(struct registry *registry, int64_t now_us,
 		     void (*silent)(void *data, struct registered *registered),
 		     void *data)
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -96,6 +96,9 @@
 /** Whether the start may get new work. */
 bool registered_usable(const struct registered *registered);
 
+/** Number of servers that may get work. */
+int registry_usable(const struct registry *registry);
+
 struct registered *registry_find(const struct registry *registry,
 				 const char *id);
 
--- a/libfilberthall/fleet/sizing.c
+++ b/libfilberthall/fleet/sizing.c
@@ -27,6 +27,17 @@
 	return room > 0 ? room : 0;
 }
 
+/* Steady ones as far as there's room, and cheap ones in what they leave. */
+static void want_steady(const struct sizing *sizing, struct sizing_zone *zone,
+			int64_t want)
+{
+	int64_t room = room_for_steady(sizing, zone);
+
+	zone->want_steady = want < room ? want : room;
+	if (zone->want_cheap > sizing->most - zone->want_steady)
+		zone->want_cheap = sizing->most - zone->want_steady;
+}
+
 /* Without enough cheap ones: what serves stays, and the rest is made up. */
 static void plan_steady(struct sizing *sizing)
 {
@@ -37,13 +48,9 @@
 
 	for (i = 0; i < sizing->n_zones; i++) {
 		struct sizing_zone *zone = &sizing->zones[i];
-		int64_t room = room_for_steady(sizing, zone);
-		int64_t want = zone->steady > each ? zone->steady : each;
 
-		zone->want_steady = want < room ? want : room;
-		/* Those must fit beside the cheap ones that are ordered. */
-		if (zone->want_cheap > sizing->most - zone->want_steady)
-			zone->want_cheap = sizing->most - zone->want_steady;
+		want_steady(sizing, zone,
+			    zone->steady > each ? zone->steady : each);
 	}
 }
 
@@ -66,13 +73,9 @@
 	for (i = 0; i < sizing->n_zones; i++) {
 		struct sizing_zone *zone = &sizing->zones[i];
 		int64_t want = sizing->pressed ? each : zone->steady;
-		int64_t room = room_for_steady(sizing, zone);
 
-		if (!zone->dry || want <= zone->want_steady)
-			continue;
-		zone->want_steady = want < room ? want : room;
-		if (zone->want_cheap > sizing->most - zone->want_steady)
-			zone->want_cheap = sizing->most - zone->want_steady;
+		if (zone->dry && want > zone->want_steady)
+			want_steady(sizing, zone, want);
 	}
 }
 
