daemon: what the roles wrote again, and what nobody read

The wall clock was read by three copies of the same lines, a document by two, signals were blocked by two, words of settings matched by two loops; a lost connection was told by three copies. Gone as dead: the hub's own IP and the exit flag of a control VM, the begun flag of an exchange, the result of role_carry_out(), a forward declaration, a parameter, the second TCP_NODELAY of a connection, four empty hooks (a hook may be NULL now where its owner has no use for it). 0.02 in the cost of a place has a name.

--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -185,18 +185,28 @@
 	return RESULT_OK;
 }
 
+/* Which of `n` words the value is; -1 for none. */
+static int boot_word(const struct yaml *at, const char *const *words, int n)
+{
+	int i;
+
+	for (i = 0; at->kind == YAML_SCALAR && i < n; i++)
+		if (!strcmp(at->text, words[i]))
+			return i;
+	return -1;
+}
+
 static enum result boot_set_level(struct boot_reader *reader,
 				  const struct yaml *at)
 {
-	size_t i;
+	int level = boot_word(at, boot_levels,
+			      sizeof(boot_levels) / sizeof(boot_levels[0]));
 
-	for (i = 0; i < sizeof(boot_levels) / sizeof(boot_levels[0]); i++) {
-		if (at->kind != YAML_SCALAR || strcmp(at->text, boot_levels[i]))
-			continue;
-		reader->boot->log_level = (enum log_level)i;
-		return RESULT_OK;
-	}
-	return boot_refuse(reader, at, "debug, info, warn or error is needed");
+	if (level < 0)
+		return boot_refuse(reader, at,
+				   "debug, info, warn or error is needed");
+	reader->boot->log_level = (enum log_level)level;
+	return RESULT_OK;
 }
 
 static const char *const boot_roles[] = { "all", "entry", "control" };
@@ -204,15 +214,14 @@
 static enum result boot_set_role(struct boot_reader *reader,
 				 const struct yaml *at)
 {
-	size_t i;
+	int role = boot_word(at, boot_roles,
+			     sizeof(boot_roles) / sizeof(boot_roles[0]));
 
-	for (i = 0; i < sizeof(boot_roles) / sizeof(boot_roles[0]); i++) {
-		if (at->kind != YAML_SCALAR || strcmp(at->text, boot_roles[i]))
-			continue;
-		reader->boot->role = (enum boot_role)i;
-		return RESULT_OK;
-	}
-	return boot_refuse(reader, at, "all, entry or control is needed");
+	if (role < 0)
+		return boot_refuse(reader, at,
+				   "all, entry or control is needed");
+	reader->boot->role = (enum boot_role)role;
+	return RESULT_OK;
 }
 
 static enum result boot_set(struct boot_reader *reader,
--- a/daemon/control_calls.c
+++ b/daemon/control_calls.c
@@ -28,8 +28,7 @@
 	return NULL;
 }
 
-static void answer(struct control_daemon *daemon,
-		   struct http_exchange *exchange, enum result code,
+static void answer(struct http_exchange *exchange, enum result code,
 		   const char *headers, const struct bytes *body)
 {
 	http_exchange_answer(exchange, result_http_status(code), headers, body);
@@ -48,7 +47,7 @@
 	int port;
 
 	if (!boot_split_address(leader, ip, &port)) {
-		answer(daemon, exchange, RESULT_NOT_LEADER, NULL, NULL);
+		answer(exchange, RESULT_NOT_LEADER, NULL, NULL);
 		return;
 	}
 	location = xstrfmt("Location: http://%s:%d%s\r\n", ip,
@@ -67,7 +66,7 @@
 	if (call->exchange && told->code == RESULT_NOT_LEADER)
 		answer_elsewhere(daemon, call->exchange, &told->body);
 	else if (call->exchange)
-		answer(daemon, call->exchange, (enum result)told->code,
+		answer(call->exchange, (enum result)told->code,
 		       told->body.len ? "Content-Type: application/json\r\n"
 				      : NULL,
 		       &told->body);
@@ -149,7 +148,7 @@
 	}
 	/* The entry VMs are told before the server reads that we know. */
 	control_daemon_carry_out(daemon);
-	answer(daemon, exchange, code, NULL, &message);
+	answer(exchange, code, NULL, &message);
 	bytes_clear(&message);
 }
 
@@ -159,7 +158,7 @@
 	struct dialect_call call = { 0 };
 
 	if (!daemon->control || daemon->disk_failed) {
-		answer(daemon, exchange, RESULT_NO_QUORUM, NULL, NULL);
+		answer(exchange, RESULT_NO_QUORUM, NULL, NULL);
 		return;
 	}
 	daemon->role.dialect->read_call(http_exchange_head(exchange), &call);
@@ -177,10 +176,10 @@
 		control_unregister(daemon->control, call.server, edge_now_us(),
 				   &daemon->effects);
 		control_daemon_carry_out(daemon);
-		answer(daemon, exchange, RESULT_OK, NULL, NULL);
+		answer(exchange, RESULT_OK, NULL, NULL);
 		break;
 	case CALL_UNKNOWN:
-		answer(daemon, exchange, RESULT_NO_ROUTE, NULL, NULL);
+		answer(exchange, RESULT_NO_ROUTE, NULL, NULL);
 		break;
 	}
 	control_daemon_carry_out(daemon);
--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -5,14 +5,10 @@
  */
 #include <inttypes.h>
 #include <signal.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
-#include <time.h>
 
 #include "base/alloc.h"
-#include "base/cleanup.h"
 #include "daemon/control_daemon_state.h"
 #include "daemon/wal.h"
 
@@ -25,14 +21,6 @@
 /* Segments of the log: small, as the disks are. */
 #define SEGMENT_BYTES (INT64_C(4) * 1024 * 1024)
 
-static int64_t wall_now_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
-}
-
 /* On the disk thread. */
 static void on_synced(void *data, int64_t ticket)
 {
@@ -53,14 +41,6 @@
 	sink->post(sink->data, event);
 }
 
-static struct document *read_document(void *data, const char *text, size_t len)
-{
-	struct control_daemon *daemon = data;
-
-	return daemon->role.dialect->read_document(text, len,
-						   daemon->role.handler);
-}
-
 static struct control_options control_options_of(struct control_daemon *daemon)
 {
 	const struct boot *boot = daemon->role.boot;
@@ -75,8 +55,8 @@
 		.lease_us = boot->lease_ms * 1000,
 		.window_us = boot->window_s * 1000000,
 		.report = boot->platform != NULL,
-		.read_document = read_document,
-		.data = daemon,
+		.read_document = role_read_document,
+		.data = &daemon->role,
 	};
 
 	if (getrandom(&options.seed, sizeof(options.seed), 0) < 0)
@@ -106,7 +86,6 @@
 	struct wal_options options = wal_default_options();
 	enum result code;
 	sigset_t before;
-	sigset_t all;
 
 	options.folder = daemon->role.boot->data_folder;
 	options.segment_bytes = SEGMENT_BYTES;
@@ -117,8 +96,7 @@
 	code = wal_open(&options, saved, &daemon->wal);
 	if (code)
 		return code;
-	sigfillset(&all);
-	pthread_sigmask(SIG_BLOCK, &all, &before);
+	role_block_signals(&before);
 	code = wal_start(daemon->wal);
 	pthread_sigmask(SIG_SETMASK, &before, NULL);
 	return code;
@@ -185,7 +163,6 @@
 		control_orders_send(daemon, &effect->u.platform_call);
 		break;
 	case EFFECT_EXIT:
-		daemon->exiting = true;
 		role_exit(&daemon->role);
 		break;
 	default:
@@ -270,7 +247,7 @@
 	struct control_daemon *daemon = timer->data;
 
 	if (daemon->control)
-		control_tick(daemon->control, wall_now_us(), edge_now_us(),
+		control_tick(daemon->control, edge_wall_us(), edge_now_us(),
 			     &daemon->effects);
 	control_daemon_carry_out(daemon);
 }
--- a/daemon/control_daemon_state.h
+++ b/daemon/control_daemon_state.h
@@ -21,7 +21,6 @@
 	struct effects effects;
 	bool carrying_out;
 	bool disk_failed;
-	bool exiting;
 };
 
 /**
--- a/daemon/control_orders.c
+++ b/daemon/control_orders.c
@@ -44,10 +44,6 @@
 	call->status = head->status;
 }
 
-static void on_platform_body(void *data, const char *piece, size_t len)
-{
-}
-
 static void on_platform_end(void *data, enum result code, bool sent)
 {
 	struct platform_call *call = data;
@@ -59,8 +55,7 @@
 	platform_done(call, code);
 }
 
-static const struct http_call_hooks platform_hooks = { on_platform_head,
-						       on_platform_body,
+static const struct http_call_hooks platform_hooks = { on_platform_head, NULL,
 						       on_platform_end };
 
 /*
--- a/daemon/core_thread.c
+++ b/daemon/core_thread.c
@@ -58,14 +58,6 @@
 	return &thread->sink;
 }
 
-static int64_t core_thread_wall_us(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
-}
-
 static void core_thread_record(struct core_thread *thread, struct event *event)
 {
 	struct bytes line = { 0 };
@@ -120,7 +112,7 @@
 {
 	struct event *tick = event_new(EVENT_TICK);
 
-	tick->u.tick.wall_us = core_thread_wall_us();
+	tick->u.tick.wall_us = edge_wall_us();
 	core_thread_step(thread, tick);
 }
 
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -338,11 +338,7 @@
 
 static int64_t daemon_epoch_us(void)
 {
-	struct timespec wall;
-
-	clock_gettime(CLOCK_REALTIME, &wall);
-	return (int64_t)wall.tv_sec * 1000000 + wall.tv_nsec / 1000 -
-	       edge_now_us();
+	return edge_wall_us() - edge_now_us();
 }
 
 static enum result daemon_open(struct daemon *daemon, const char *recording)
--- a/daemon/edge.h
+++ b/daemon/edge.h
@@ -74,4 +74,13 @@
 	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
 
+/** The wall clock in microseconds since 1970; may be set. */
+static inline int64_t edge_wall_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
 #endif
--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -54,8 +54,6 @@
 	struct relay *relay;
 };
 
-static void carry_out_all(struct entry_daemon *daemon);
-
 static bool relay_match(const struct map_node *node, const void *key)
 {
 	return relay_id(container_of(node, struct relay_node, node)->relay) ==
@@ -97,14 +95,14 @@
 
 	if (!node)
 		return;
-	if (effect->kind == EFFECT_START_ATTEMPT)
+	if (effect->kind == EFFECT_START_ATTEMPT) {
 		log_attempt(daemon, node->relay, &effect->u.start);
-	if (effect->kind == EFFECT_START_ATTEMPT)
 		relay_start(node->relay, &effect->u.start, edge_now_us());
-	else if (effect->kind == EFFECT_CANCEL_ATTEMPT)
+	} else if (effect->kind == EFFECT_CANCEL_ATTEMPT) {
 		relay_cancel(node->relay, effect->u.cancel.attempt);
-	else
+	} else {
 		relay_answer(node->relay, &effect->u.answer);
+	}
 	if (relay_is_over(node->relay))
 		relay_drop(daemon, node);
 }
@@ -225,18 +223,6 @@
 			     NULL, NULL);
 }
 
-static void on_ready_left(void *data, struct http_exchange *exchange)
-{
-}
-
-static struct document *read_document(void *data, const char *text, size_t len)
-{
-	struct entry_daemon *daemon = data;
-
-	return daemon->role.dialect->read_document(text, len,
-						   daemon->role.handler);
-}
-
 /* What callers may send follows the document. */
 static void follow_limits(struct entry_daemon *daemon)
 {
@@ -385,8 +371,8 @@
 	struct document_limits limits = document_default_limits();
 	struct http_limits callers = { limits.header_bytes, limits.body_bytes,
 				       limits.header_ms, limits.idle_ms };
-	struct http_server_hooks ready_hooks = { on_ready_request,
-						 on_ready_left, daemon };
+	struct http_server_hooks ready_hooks = { on_ready_request, NULL,
+						 daemon };
 	struct http_server_hooks hooks = { on_request, on_left, daemon };
 
 	daemon->ready =
@@ -420,8 +406,8 @@
 	options.zone = boot->zone;
 	options.fresh_us = boot->fresh_ms * 1000;
 	options.window_us = boot->window_s * 1000000;
-	options.read_document = read_document;
-	options.data = daemon;
+	options.read_document = role_read_document;
+	options.data = &daemon->role;
 	daemon->entry = entry_new(&options, edge_now_us());
 	make_client(daemon);
 	code = role_open_links(&daemon->role, options.self, 1, true);
--- a/daemon/http_client.c
+++ b/daemon/http_client.c
@@ -128,6 +128,13 @@
 		call_end(call, code);
 }
 
+/* Whatever ended it, a request may have arrived once it was connected. */
+static void wire_lost(struct wire_conn *conn)
+{
+	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
+					: RESULT_BACKEND_CONNECT);
+}
+
 static void arm(struct http_client *client, ev_timer *timer, int64_t ms)
 {
 	ev_timer_stop(client->loop->ev, timer);
@@ -144,10 +151,7 @@
 
 static void on_conn_timer(struct ev_loop *ev, ev_timer *timer, int events)
 {
-	struct wire_conn *conn = timer->data;
-
-	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
-					: RESULT_BACKEND_CONNECT);
+	wire_lost(timer->data);
 }
 
 /* How long the server keeps the connection, less a margin; 0 for not. */
@@ -188,7 +192,8 @@
 
 	if (conn->skipping)
 		return true;
-	conn->call->hooks.body(conn->call->data, piece, len);
+	if (conn->call->hooks.body)
+		conn->call->hooks.body(conn->call->data, piece, len);
 	/* The hook may have given the call up, and this connection with it. */
 	return conn->call != NULL;
 }
@@ -283,19 +288,17 @@
 		call_end(call, RESULT_OK);
 		return;
 	}
-	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
-					: RESULT_BACKEND_CONNECT);
+	wire_lost(conn);
 }
 
 static void on_closed(void *data, bool reset)
 {
 	struct wire_conn *conn = data;
 
-	if (!reset)
-		on_eof(conn);
+	if (reset)
+		wire_lost(conn);
 	else
-		wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
-						: RESULT_BACKEND_CONNECT);
+		on_eof(conn);
 }
 
 static const struct stream_hooks stream_hooks = {
@@ -313,7 +316,6 @@
 
 	if (seconds < 1)
 		seconds = 1;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_ms,
 		   sizeof(user_ms));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -39,7 +39,7 @@
 struct http_call_hooks {
 	/** The answer's head; informational ones are left out. */
 	void (*head)(void *data, const struct http_head *head);
-	void (*body)(void *data, const char *piece, size_t len);
+	void (*body)(void *data, const char *piece, size_t len); /**< or NULL */
 	/**
 	 * The call is over and freed after this. RESULT_OK once the answer is
 	 * whole; BACKEND_CONNECT if nothing was sent; BACKEND_TIMEOUT;
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -37,7 +37,6 @@
 	struct http_head head;
 	struct bytes body;
 	void *user;
-	bool begun; /* an answer in pieces */
 };
 
 struct conn {
@@ -86,7 +85,7 @@
 {
 	struct http_server *server = conn->server;
 
-	if (conn->state == CONN_ANSWERING)
+	if (conn->state == CONN_ANSWERING && server->hooks.left)
 		server->hooks.left(server->hooks.data, conn->exchange);
 	conn_free(conn);
 }
@@ -409,7 +408,6 @@
 {
 	struct conn *conn = exchange->conn;
 
-	exchange->begun = true;
 	write_head(conn, status, headers);
 	write_text(conn, "Transfer-Encoding: chunked\r\n\r\n");
 }
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -31,7 +31,7 @@
 	void (*request)(void *data, struct http_exchange *exchange);
 	/**
 	 * The caller has gone before the answer's end; the exchange is freed
-	 * after this call.
+	 * after this call. NULL for an owner that answers at once.
 	 */
 	void (*left)(void *data, struct http_exchange *exchange);
 	void *data;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -339,12 +339,10 @@
 		http_exchange_end(exchange);
 	else if (relay->begun)
 		http_exchange_cut(exchange);
-	else if (relay->held && (answer->code == RESULT_OK ||
-				 answer->code == RESULT_BACKEND_ERROR ||
-				 answer->code == RESULT_RETRY_BUDGET))
-		answer_held(relay);
-	else if (answer->code == RESULT_OK)
-		/* A stream without any event: an empty answer, whole. */
+	else if (answer->code == RESULT_OK ||
+		 (relay->held && (answer->code == RESULT_BACKEND_ERROR ||
+				  answer->code == RESULT_RETRY_BUDGET)))
+		/* Nothing is held of a stream without events: empty, whole. */
 		answer_held(relay);
 	else
 		answer_refusal(relay, answer);
--- a/daemon/role.c
+++ b/daemon/role.c
@@ -115,16 +115,11 @@
 	bytes_clear(&body);
 }
 
-static void metrics_left(void *data, struct http_exchange *exchange)
-{
-}
-
 static enum result open_metrics(struct role *role)
 {
 	struct http_limits limits = { METRICS_HEADER_BYTES, METRICS_BODY_BYTES,
 				      METRICS_HEADER_MS, METRICS_IDLE_MS };
-	struct http_server_hooks hooks = { metrics_request, metrics_left,
-					   role };
+	struct http_server_hooks hooks = { metrics_request, NULL, role };
 
 	if (!role->boot->listen_metrics)
 		return RESULT_OK;
@@ -162,8 +157,7 @@
 	return open_metrics(role);
 }
 
-/* Signals are for the loop's thread, not for those started from here. */
-static void block_signals(sigset_t *before)
+void role_block_signals(sigset_t *before)
 {
 	sigset_t set;
 
@@ -198,7 +192,6 @@
 	struct link_options options = { 0 };
 	cleanup(free_ptr) char *secret = NULL;
 	sigset_t before;
-	int port;
 
 	secret = read_secret(role, &options.secret_len);
 	if (boot->link_secret_file && !secret)
@@ -214,12 +207,11 @@
 	options.observer = observer;
 	options.sink = mailbox_sink(role->mailbox);
 	options.counters = &role->counters;
-	block_signals(&before);
+	role_block_signals(&before);
 	role->links = link_start(&options, role->handler);
 	pthread_sigmask(SIG_SETMASK, &before, NULL);
 	if (!role->links)
 		return RESULT_SETTING_VALUE;
-	boot_split_address(boot->listen_links, role->ip, &port);
 	role->link_port = link_port(role->links);
 	add_seeds(role, boot);
 	return RESULT_OK;
@@ -253,26 +245,33 @@
 	return code;
 }
 
-bool role_carry_out(struct role *role, struct effect *effect)
+void role_carry_out(struct role *role, struct effect *effect)
 {
 	switch (effect->kind) {
 	case EFFECT_SEND:
 		link_send(role->links, &effect->u.send);
-		return true;
+		break;
 	case EFFECT_LINK_OPEN:
 		link_open(role->links, &effect->u.link_open);
-		return true;
+		break;
 	case EFFECT_LINK_CLOSE:
 		link_close(role->links, &effect->u.link_close);
-		return true;
+		break;
 	case EFFECT_LOG:
 		log_effect(role->log, &effect->u.log);
-		return true;
+		break;
 	default:
-		return false;
+		break;
 	}
 }
 
+struct document *role_read_document(void *data, const char *text, size_t len)
+{
+	struct role *role = data;
+
+	return role->dialect->read_document(text, len, role->handler);
+}
+
 void role_run(struct role *role)
 {
 	ev_run(role->ev, 0);
--- a/daemon/role.h
+++ b/daemon/role.h
@@ -1,6 +1,8 @@
 #ifndef FILBERTHALL_DAEMON_ROLE_H
 #define FILBERTHALL_DAEMON_ROLE_H
 
+#include <signal.h>
+
 #include "core/effect.h"
 #include "daemon/boot.h"
 #include "daemon/dialect.h"
@@ -31,7 +33,6 @@
 	ev_signal on_hup;
 	ev_timer settings_timer;
 	int64_t settings_mtime_us;
-	char ip[64]; /**< of the links' listener */
 	int link_port;
 	void (*take)(void *data, struct event *event);
 	void (*stop)(void *data);
@@ -58,8 +59,14 @@
 enum result role_publish(struct role *role,
 			 const struct role_listener *listeners, size_t n);
 
-/** Carry out what concerns links and the log; false if it is another's. */
-bool role_carry_out(struct role *role, struct effect *effect);
+/** Carry out what concerns links and the log; others are left alone. */
+void role_carry_out(struct role *role, struct effect *effect);
+
+/** Signals are for the loop's thread: block them while others are started. */
+void role_block_signals(sigset_t *before);
+
+/** The dialect's document, for the reducers; `data` is the role. */
+struct document *role_read_document(void *data, const char *text, size_t len);
 
 /** Run the loop until role_exit(). */
 void role_run(struct role *role);
--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -273,15 +273,11 @@
 {
 }
 
-static void on_beat_body(void *data, const char *piece, size_t len)
-{
-}
-
 static void on_beat_end(void *data, enum result code, bool sent)
 {
 }
 
-static const struct http_call_hooks beat_hooks = { on_beat_head, on_beat_body,
+static const struct http_call_hooks beat_hooks = { on_beat_head, NULL,
 						   on_beat_end };
 
 /* To one control VM after another, as each VM's call may be lost. */
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -71,8 +71,8 @@
 		cost += is_short ? PLACE_SPILL_S : 1;
 	if (query->zone && strcmp(query->zone, backend->zone) != 0)
 		cost += PLACE_ZONE_S;
-	/* A fuller batch is slower; this also spreads what is equal. */
-	return cost + 0.02 * backend_load(backend) / slots;
+	/* This also spreads what is equal. */
+	return cost + PLACE_FULL_S * backend_load(backend) / slots;
 }
 
 struct backend *place_choose(const struct place_query *query,
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -45,6 +45,9 @@
 /** What another zone's way and bytes count for, s. */
 #define PLACE_ZONE_S 0.004
 
+/** What a full batch counts for against an empty one, s: it is slower. */
+#define PLACE_FULL_S 0.02
+
 /** Unread prompts that one VM has at one server at most, s of reading. */
 #define PLACE_BACKLOG_S 0.6
 
