load: a request isn't kept from the only server that is left

The others were leaving, which take nothing but are members until they are forgotten, so the request waited out its deadline: 4 s, and then the caller was told that it had expired.

Ruled out: the server's own answer (in the log after 65 ms) and its health (the hold of 1 s was over).

--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -94,6 +94,23 @@
 	return pool->running < own;
 }
 
+/*
+ * Those that are leaving are members still, but take nothing more: counted as
+ * others, they kept a request from the only server left until it expired.
+ */
+static bool has_other(const struct pool *pool, const char *address,
+		      int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < pool->n_members; i++)
+		if (backend_usable(pool->members[i], now_us) &&
+		    strcmp(pool->members[i]->address, address) != 0)
+			return true;
+	return false;
+}
+
+/* Not where it has failed before, as long as there is another server. */
 static struct backend *pick_avoiding(struct router *router,
 				     const struct pool *pool,
 				     struct pick_query *query, int64_t now_us)
@@ -102,7 +119,7 @@
 
 	backend = pick_backend(&router->pick, query, pool->members,
 			       pool->n_members, &router->rng, now_us);
-	if (backend || !query->avoid || pool->n_members > 1)
+	if (backend || !query->avoid || has_other(pool, query->avoid, now_us))
 		return backend;
 	query->avoid = NULL;
 	return pick_backend(&router->pick, query, pool->members,
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -64,6 +64,15 @@
 	route->goal_ms = 300;
 	route->tier = 2;
 	route_add_split(route, "desk", 1);
+	route = document_add_route(document);
+	route->name = xstrdup("porch");
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup("/porch/");
+	route->kind = ROUTE_IDEMPOTENT;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->attempts = 2;
+	route_add_split(route, "desk", 1);
 	for (i = 0; i < ROUTES; i++) {
 		route = document_add_route(document);
 		route->name = g_strdup_printf("r%d", i);
@@ -148,14 +157,16 @@
 }
 
 /* A further server of the service, bought for good or reclaimable. */
-static void hear_other(struct bed *bed, const char *address, bool cheap)
+static void hear_other(struct bed *bed, const char *address, int64_t sequence,
+		       bool cheap, bool leaving)
 {
 	struct registration told = { .service = "desk",
 				     .zone = "z1",
 				     .born_ms = 7,
-				     .sequence = 1,
+				     .sequence = sequence,
 				     .slots = 8,
-				     .cheap = cheap };
+				     .cheap = cheap,
+				     .leaving = leaving };
 	struct bytes body = { 0 };
 
 	g_strlcpy(told.id, address, sizeof(told.id));
@@ -497,8 +508,8 @@
 
 	bed_start(&bed);
 	hear_engine(&bed, 2, true);
-	hear_other(&bed, CHEAP, true);
-	hear_other(&bed, STEADY, false);
+	hear_other(&bed, CHEAP, 1, true, false);
+	hear_other(&bed, STEADY, 1, false, false);
 	for (i = 0; i < 6; i++)
 		ask(&bed, "/lodge/7", "k1");
 	g_assert_cmpint(bed.at_steady, ==, 3);
@@ -550,6 +561,28 @@
 	bed_end(&bed);
 }
 
+/*
+ * A server answers wrongly, and those beside it are leaving but still known.
+ * The request was kept from the one server that was left, waited out its
+ * deadline and ended as expired after 4 s, where it could be tried again.
+ */
+static void test_only_server_left(void)
+{
+	struct bed bed;
+	uint64_t id;
+
+	bed_start(&bed);
+	hear_other(&bed, CHEAP, 1, true, false);
+	hear_other(&bed, CHEAP, 2, true, true);
+	id = ask(&bed, "/porch/7", "k1");
+	g_assert_cmpuint(bed.started, ==, id);
+	bed.started = 0;
+	end_attempt(&bed, id, RESULT_BACKEND_CROSSED, 200, true);
+	pass(&bed, 3 * SECOND / 2);
+	g_assert_cmpuint(bed.started, ==, id);
+	bed_end(&bed);
+}
+
 /* Rejected, so not run: another server may have it, though it may run once. */
 static void test_rejected(void)
 {
@@ -599,6 +632,7 @@
 	g_test_add_func("/entry/steady-beside-cheap", test_steady_beside_cheap);
 	g_test_add_func("/entry/tells-missed", test_tells_missed);
 	g_test_add_func("/entry/many-goals", test_many_goals);
+	g_test_add_func("/entry/only-server-left", test_only_server_left);
 	g_test_add_func("/entry/rejected", test_rejected);
 	g_test_add_func("/entry/answer-lost", test_answer_lost);
 	return g_test_run();
