--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../agree/saved.h"
 #include "base/alloc.h"
 #include "feed/feed.h"
 
@@ -92,35 +93,6 @@
 	*at = item;
 }
 
-static void disk_append(struct raft_saved *disk,
-			const struct effect_log_append *append)
-{
-	struct raft_entry *entry;
-
-	disk->entries = xrealloc(disk->entries, (disk->n_entries + 1) *
-							sizeof(*disk->entries));
-	entry = &disk->entries[disk->n_entries++];
-	entry->index = append->index;
-	entry->term = append->term;
-	entry->body = bytes_copy(&append->body);
-}
-
-static void disk_truncate(struct raft_saved *disk, int64_t from)
-{
-	while (disk->n_entries &&
-	       disk->entries[disk->n_entries - 1].index >= from)
-		bytes_clear(&disk->entries[--disk->n_entries].body);
-}
-
-static void disk_snapshot(struct raft_saved *disk,
-			  const struct effect_snapshot *snapshot)
-{
-	disk->snapshot_index = snapshot->index;
-	disk->snapshot_term = snapshot->term;
-	bytes_clear(&disk->snapshot);
-	disk->snapshot = bytes_copy(&snapshot->body);
-}
-
 static struct raft_saved disk_copy(const struct raft_saved *disk)
 {
 	struct raft_saved copy = *disk;
@@ -187,17 +159,10 @@
 				vm->wants[to] = true;
 			break;
 		case EFFECT_LOG_APPEND:
-			disk_append(&vm->disk, &effect->u.log_append);
-			break;
 		case EFFECT_LOG_TRUNCATE:
-			disk_truncate(&vm->disk, effect->u.log_truncate.index);
-			break;
 		case EFFECT_HARD_STATE:
-			vm->disk.term = effect->u.hard_state.term;
-			vm->disk.vote = effect->u.hard_state.vote;
-			break;
 		case EFFECT_SNAPSHOT:
-			disk_snapshot(&vm->disk, &effect->u.snapshot);
+			saved_apply(&vm->disk, effect);
 			break;
 		case EFFECT_LOG_SYNC:
 			event = event_new(vm->disk_fails ? EVENT_DISK_FAILED
--- /dev/null
+++ b/tests/entry/bed.c
@@ -0,0 +1,243 @@
+#include "bed.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "feed/feed.h"
+
+/*
+ * "VERSION KEY": one service, open to whoever has the key. Of the routes
+ * "lodge" is more urgent than "shed"; the organisation has a rank of its own.
+ */
+static struct document *read_document(void *data, const char *text, size_t len)
+{
+	struct document *document = document_new();
+	char *copy = xmemdup(text, len);
+	char *key = strchr(copy, ' ');
+	struct document_organisation *holder;
+	struct route *route;
+	int i;
+
+	document->version = strtoll(copy, NULL, 10);
+	document_add_service(document)->name = xstrdup("desk");
+	route = document_add_route(document);
+	route->name = xstrdup("lodge");
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup("/lodge/");
+	route->kind = ROUTE_ONCE;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route_add_split(route, "desk", 1);
+	route = document_add_route(document);
+	route->name = xstrdup("shed");
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup("/shed/");
+	route->kind = ROUTE_ONCE;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->tier = 2;
+	route_add_split(route, "desk", 1);
+	route = document_add_route(document);
+	route->name = xstrdup("porch");
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup("/porch/");
+	route->kind = ROUTE_IDEMPOTENT;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->attempts = 2;
+	route_add_split(route, "desk", 1);
+	for (i = 0; i < ROUTES; i++) {
+		route = document_add_route(document);
+		route->name = g_strdup_printf("r%d", i);
+		route->host = xstrdup("a.example");
+		route->prefix = g_strdup_printf("/r%d/", i);
+		route->timeout_ms = 4000;
+		route->goal_ms = 1000 + i;
+		route->tier = 3;
+		route_add_split(route, "desk", 1);
+	}
+	holder = document_add_organisation(document);
+	holder->name = xstrdup("yards");
+	holder->tier = 1;
+	document_add_key(document, 0, key + 1);
+	free(copy);
+	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
+	return document;
+}
+
+static void look(struct bed *bed)
+{
+	struct feed_message message;
+	struct effect *effect;
+
+	while ((effect = effects_take(&bed->effects))) {
+		if (effect->kind == EFFECT_ANSWER) {
+			bed->answered = effect->u.answer.id;
+			bed->code = effect->u.answer.code;
+			bed->run = effect->u.answer.run;
+			bed->retry_ms = effect->u.answer.retry_after_ms;
+		} else if (effect->kind == EFFECT_START_ATTEMPT) {
+			bed->started = effect->u.start.id;
+			bed->at_steady +=
+				!strcmp(effect->u.start.address, STEADY);
+		} else if (effect->kind == EFFECT_EXIT) {
+			bed->exited = true;
+		} else if (effect->kind == EFFECT_SEND) {
+			const struct bytes *body = &effect->u.send.body;
+
+			g_assert_true(
+				feed_read(&message, body->data, body->len));
+			if (message.kind == FEED_POLL)
+				bed->polled_us = message.u.poll.sent_us;
+			bed->fetched |= message.kind == FEED_FETCH;
+			bed->told += message.kind == FEED_BEGUN;
+			if (message.kind == FEED_MISSED)
+				bed->missed += message.u.missed.missed;
+			feed_clear(&message);
+		}
+		effect_free(effect);
+	}
+}
+
+static void hear(struct bed *bed, struct bytes *body)
+{
+	struct event_link_message message = { CONTROL, LINK_FEED, *body };
+
+	entry_link_message(bed->entry, &message, bed->now_us, &bed->effects);
+	bytes_clear(body);
+	look(bed);
+}
+
+void bed_hear_state(struct bed *bed, int64_t echo_us, int64_t age_us,
+		       int64_t version)
+{
+	struct feed_state state = { echo_us, age_us, version,
+				    1000 * SECOND + bed->now_us };
+	struct bytes body = { 0 };
+
+	feed_write_state(&body, &state);
+	hear(bed, &body);
+}
+
+void bed_hear_document(struct bed *bed, int64_t version, const char *key)
+{
+	char *text = g_strdup_printf("%d %s", (int)version, key);
+	struct bytes body = { 0 };
+
+	feed_write_document(&body, version, text, strlen(text));
+	g_free(text);
+	hear(bed, &body);
+}
+
+void bed_hear_other(struct bed *bed, const char *address, int64_t sequence,
+		       bool cheap, bool leaving)
+{
+	struct registration told = { .service = "desk",
+				     .zone = "z1",
+				     .born_ms = 7,
+				     .sequence = sequence,
+				     .slots = 8,
+				     .cheap = cheap,
+				     .leaving = leaving };
+	struct bytes body = { 0 };
+
+	g_strlcpy(told.id, address, sizeof(told.id));
+	g_strlcpy(told.address, address, sizeof(told.address));
+	feed_write_registration(&body, &told, 0);
+	hear(bed, &body);
+}
+
+void bed_hear_engine(struct bed *bed, int64_t sequence, bool leaving)
+{
+	struct registration told = { .id = "s1",
+				     .address = ENGINE,
+				     .service = "desk",
+				     .zone = "z1",
+				     .born_ms = 7,
+				     .sequence = sequence,
+				     .slots = 2,
+				     .leaving = leaving };
+	struct bytes body = { 0 };
+
+	feed_write_registration(&body, &told, 0);
+	hear(bed, &body);
+}
+
+void bed_pass(struct bed *bed, int64_t us)
+{
+	int64_t until_us = bed->now_us + us;
+
+	while (bed->now_us < until_us) {
+		bed->now_us += 50000;
+		entry_tick(bed->entry, bed->now_us, &bed->effects);
+		look(bed);
+	}
+}
+
+void bed_start(struct bed *bed)
+{
+	struct entry_options options = { .self = 77,
+					 .seed = 1,
+					 .vm = "entry-1",
+					 .zone = "z1",
+					 .fresh_us = 4500000,
+					 .window_us = 5 * SECOND,
+					 .read_document = read_document };
+	struct event_link_up up = { CONTROL, (char *)"control-1", (char *)"z1",
+				    NULL, false };
+
+	memset(bed, 0, sizeof(*bed));
+	effects_init(&bed->effects);
+	bed->now_us = 100 * SECOND;
+	bed->entry = entry_new(&options, bed->now_us);
+	entry_link_up(bed->entry, &up, bed->now_us, &bed->effects);
+	look(bed);
+	bed_hear_state(bed, bed->polled_us, 0, 1);
+	bed_hear_document(bed, 1, "k1");
+	bed_hear_state(bed, bed->polled_us, 0, 1);
+	bed_hear_engine(bed, 1, false);
+}
+
+void bed_end(struct bed *bed)
+{
+	entry_free(bed->entry);
+	effects_clear(&bed->effects);
+}
+
+uint64_t bed_ask(struct bed *bed, const char *path, const char *key)
+{
+	struct entry_request request = {
+		.id = ++bed->next_id,
+		.name = "r",
+		.host = "a.example",
+		.path = path,
+		.key = key,
+		.body_hash = "x",
+	};
+
+	entry_submit(bed->entry, &request, bed->now_us, &bed->effects);
+	look(bed);
+	return request.id;
+}
+
+void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
+			int64_t status, bool sent)
+{
+	struct event_attempt_ended ended = { .id = id,
+					     .attempt = 1,
+					     .code = code,
+					     .http_status = status,
+					     .sent = sent };
+
+	entry_ended(bed->entry, &ended, bed->now_us, &bed->effects);
+	look(bed);
+}
+
+void bed_check_refused(struct bed *bed, uint64_t id, enum result code)
+{
+	g_assert_cmpuint(bed->answered, ==, id);
+	g_assert_cmpint(bed->code, ==, code);
+	g_assert_cmpint(bed->run, ==, RUN_NOT);
+}
--- /dev/null
+++ b/tests/entry/bed.h
@@ -0,0 +1,55 @@
+#ifndef TESTS_ENTRY_BED_H
+#define TESTS_ENTRY_BED_H
+
+#include "entry/entry.h"
+
+#define SECOND INT64_C(1000000)
+#define ROUTES 150 /* with goals of their own each */
+#define CONTROL 1
+#define ENGINE "10.0.0.1:80"
+#define CHEAP "10.0.0.2:80"
+#define STEADY "10.0.0.3:80"
+
+/* One entry VM, one control VM that the test speaks for. */
+struct bed {
+	struct entry *entry;
+	struct effects effects;
+	int64_t now_us;
+	int64_t polled_us; /* sent time of the last poll */
+	bool fetched;
+	uint64_t next_id;
+	uint64_t started; /* the request that was sent last */
+	uint64_t answered;
+	int64_t code;
+	int64_t run;
+	int64_t retry_ms;
+	bool exited;
+	int told;	/* reports of begun requests */
+	int at_steady;	/* attempts at STEADY */
+	int64_t missed; /* requests told to have missed their goals */
+};
+
+/** What a control VM answers a poll: how old, which version. */
+void bed_hear_state(struct bed *bed, int64_t echo_us, int64_t age_us,
+		       int64_t version);
+/** The document of that version, open to whoever has the key. */
+void bed_hear_document(struct bed *bed, int64_t version, const char *key);
+/** A further server of the service, bought for good or reclaimable. */
+void bed_hear_other(struct bed *bed, const char *address, int64_t sequence,
+		       bool cheap, bool leaving);
+/** The server at ENGINE. */
+void bed_hear_engine(struct bed *bed, int64_t sequence, bool leaving);
+/** Let time pass, with ticks. */
+void bed_pass(struct bed *bed, int64_t us);
+/** A fresh entry VM that knows version 1, key "k1" and ENGINE. */
+void bed_start(struct bed *bed);
+void bed_end(struct bed *bed);
+/** A request; its id. `key` may be NULL. */
+uint64_t bed_ask(struct bed *bed, const char *path, const char *key);
+/** The first attempt of a request is over. */
+void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
+			int64_t status, bool sent);
+/** The last answer is that request's, and says that it didn't run. */
+void bed_check_refused(struct bed *bed, uint64_t id, enum result code);
+
+#endif
--- a/tests/path/t-http-loop.c
+++ b/tests/path/t-http-loop.c
@@ -112,16 +112,25 @@
 	return text;
 }
 
+/* A fresh server, and a caller that has said `text`; its socket. */
+static int bed_ask(struct bed *bed, const char *text)
+{
+	int fd;
+
+	bed_start(bed);
+	fd = dial(http_server_port(bed->server));
+	say(fd, text);
+	run(bed, NULL);
+	return fd;
+}
+
 static void test_kept(void)
 {
 	struct bed bed;
 	int fd;
 
-	bed_start(&bed);
-	fd = dial(http_server_port(bed.server));
-	say(fd,
-	    "GET /1 HTTP/1.1\r\n" HOST "\r\nGET /2 HTTP/1.1\r\n" HOST "\r\n");
-	run(&bed, NULL);
+	fd = bed_ask(&bed, "GET /1 HTTP/1.1\r\n" HOST
+			   "\r\nGET /2 HTTP/1.1\r\n" HOST "\r\n");
 	g_assert_cmpint(bed.requests, ==, 1);
 	http_exchange_answer(bed.exchange, 200, "X: y\r\n", NULL);
 	run(&bed, NULL);
@@ -146,10 +155,7 @@
 	struct bed bed;
 	int fd;
 
-	bed_start(&bed);
-	fd = dial(http_server_port(bed.server));
-	say(fd, "GET /1 HTTP/1.1\r\n" HOST "\r\n");
-	run(&bed, NULL);
+	fd = bed_ask(&bed, "GET /1 HTTP/1.1\r\n" HOST "\r\n");
 	close(fd);
 	run(&bed, NULL);
 	g_assert_cmpint(bed.left, ==, 1);
@@ -162,10 +168,7 @@
 	struct bed bed;
 	int fd;
 
-	bed_start(&bed);
-	fd = dial(http_server_port(bed.server));
-	say(fd, "GET /1 HTTP/1.1\r\n" HOST "\r\n");
-	run(&bed, NULL);
+	fd = bed_ask(&bed, "GET /1 HTTP/1.1\r\n" HOST "\r\n");
 	http_exchange_begin(bed.exchange, 200, NULL);
 	http_exchange_piece(bed.exchange, "ab", 2);
 	http_exchange_cut(bed.exchange);
@@ -182,10 +185,7 @@
 	struct bed bed;
 	int fd;
 
-	bed_start(&bed);
-	fd = dial(http_server_port(bed.server));
-	say(fd, text);
-	run(&bed, NULL);
+	fd = bed_ask(&bed, text);
 	g_assert_true(g_str_has_prefix(hear(fd), start));
 	g_assert_cmpint(bed.requests, ==, 0);
 	g_assert_cmpstr(hear(fd), ==, "EOF");
