--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -12,11 +12,11 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <time.h>
 
 #include "base/alloc.h"
 #include "base/bytes.h"
 #include "base/list.h"
+#include "daemon/edge.h"
 #include "daemon/file.h"
 #include "daemon/http_client.h"
 #include "daemon/http_server.h"
@@ -332,12 +332,10 @@
 	struct http_limits limits = { 65536, 8388608, 5000, 15000 };
 	struct http_server_hooks hooks = { on_request, on_left, server };
 	struct http_client_options client = { NULL, 500, 2000, 0 };
-	struct timespec now;
 	char *text;
 	bool published = true;
 
-	clock_gettime(CLOCK_REALTIME, &now);
-	server->born_ms = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+	server->born_ms = edge_wall_us() / 1000;
 	server->ev = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOTIMERFD);
 	stream_loop_init(&server->loop, server->ev);
 	server->client = http_client_new(&server->loop, &client);
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -111,7 +111,7 @@
 }
 
 void bed_hear_state(struct bed *bed, int64_t echo_us, int64_t age_us,
-		       int64_t version)
+		    int64_t version)
 {
 	struct feed_state state = { echo_us, age_us, version,
 				    1000 * SECOND + bed->now_us };
@@ -132,7 +132,7 @@
 }
 
 void bed_hear_other(struct bed *bed, const char *address, int64_t sequence,
-		       bool cheap, bool leaving)
+		    bool cheap, bool leaving)
 {
 	struct registration told = { .service = "desk",
 				     .zone = "z1",
@@ -223,7 +223,7 @@
 }
 
 void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
-			int64_t status, bool sent)
+		     int64_t status, bool sent)
 {
 	struct event_attempt_ended ended = { .id = id,
 					     .attempt = 1,
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -31,12 +31,12 @@
 
 /** What a control VM answers a poll: how old, which version. */
 void bed_hear_state(struct bed *bed, int64_t echo_us, int64_t age_us,
-		       int64_t version);
+		    int64_t version);
 /** The document of that version, open to whoever has the key. */
 void bed_hear_document(struct bed *bed, int64_t version, const char *key);
 /** A further server of the service, bought for good or reclaimable. */
 void bed_hear_other(struct bed *bed, const char *address, int64_t sequence,
-		       bool cheap, bool leaving);
+		    bool cheap, bool leaving);
 /** The server at ENGINE. */
 void bed_hear_engine(struct bed *bed, int64_t sequence, bool leaving);
 /** Let time pass, with ticks. */
@@ -48,7 +48,7 @@
 uint64_t bed_ask(struct bed *bed, const char *path, const char *key);
 /** The first attempt of a request is over. */
 void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
-			int64_t status, bool sent);
+		     int64_t status, bool sent);
 /** The last answer is that request's, and says that it didn't run. */
 void bed_check_refused(struct bed *bed, uint64_t id, enum result code);
 
