load, entry: repeats are limited over all entry VMs and by service

Cause: each entry VM had a budget of its own, 32 saved up at the least and for all services together. At 66 VMs that adds up to 2,112 before any share of the traffic, where the site allows 172. Control VMs now count the entry VMs by their links and tell the number with each poll's answer; each VM keeps to its part of the site's limit, by service, over a sliding window. What never arrived at a server is no repeat and costs none.

tests/load/t-retry: servers of a service that all fail get 2,970 repeats in ten seconds before, where 2,020 are allowed, and within the limit after. tests/entry/t-entry shares-retries failed before.

How old knowledge of keys may be follows from the site's own time after which a withdrawn key must be dead (keys.withdrawn_ms), not from 5 s.

--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -20,6 +20,7 @@
 	BOOT_ADDRESS, /* IP:port */
 	BOOT_FLAG,
 	BOOT_NUMBER,
+	BOOT_SHARE, /* from 0 to 1 */
 	BOOT_LEVEL,
 	BOOT_ROLE
 };
@@ -41,6 +42,12 @@
 	int64_t fallback;
 };
 
+/*
+ * Repeats for each request, over all entry VMs: a service that fails as a
+ * whole gets a fifth more load at most.
+ */
+#define BOOT_RETRY_SHARE 0.2
+
 #define BOOT_AT(field) offsetof(struct boot, field)
 
 static const struct boot_key boot_keys[] = {
@@ -80,8 +87,15 @@
 	{ "cluster", "tolerate", BOOT_NUMBER, BOOT_AT(tolerate), 0, 0, 4, 2 },
 	{ "cluster", "lease_ms", BOOT_NUMBER, BOOT_AT(lease_ms), 0, 2000, 60000,
 	  3000 },
+	{ "keys", "withdrawn_ms", BOOT_NUMBER, BOOT_AT(withdrawn_ms), 0, 1000,
+	  600000, 5000 },
 	{ "keys", "fresh_ms", BOOT_NUMBER, BOOT_AT(fresh_ms), 0, 500, 600000,
-	  4500 },
+	  0 },
+	{ "retries", "share", BOOT_SHARE, BOOT_AT(retry_share), 0, 0, 0, 0 },
+	{ "retries", "headroom", BOOT_NUMBER, BOOT_AT(retry_headroom), 0, 0,
+	  1000000, 50 },
+	{ "retries", "window_s", BOOT_NUMBER, BOOT_AT(retry_window_s), 0, 1,
+	  3600, 10 },
 	{ "usage", "window_s", BOOT_NUMBER, BOOT_AT(window_s), 0, 1, 86400, 5 },
 	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), 0, 1024,
 	  1048576, 16384 },
@@ -185,6 +199,18 @@
 	return RESULT_OK;
 }
 
+static enum result boot_set_share(struct boot_reader *reader,
+				  const struct boot_key *key,
+				  const struct yaml *at)
+{
+	double *slot = (double *)((char *)reader->boot + key->offset);
+
+	if (!yaml_real(at, slot) || *slot < 0 || *slot > 1)
+		return boot_refuse(reader, at,
+				   "a number from 0 to 1 is needed");
+	return RESULT_OK;
+}
+
 /* Which of `n` words the value is; -1 for none. */
 static int boot_word(const struct yaml *at, const char *const *words, int n)
 {
@@ -238,6 +264,8 @@
 		return RESULT_OK;
 	case BOOT_NUMBER:
 		return boot_set_number(reader, key, at);
+	case BOOT_SHARE:
+		return boot_set_share(reader, key, at);
 	case BOOT_LEVEL:
 		return boot_set_level(reader, at);
 	case BOOT_NAME:
@@ -288,7 +316,7 @@
 	if (!section)
 		bytes_append_text(&allowed,
 				  " cluster keys listen limits log peers "
-				  "seeds tls usage");
+				  "retries seeds tls usage");
 	code = error_report(reader->handler, RESULT_SETTING_UNKNOWN,
 			    "%s:%d: %s: no such key; allowed are:%s",
 			    reader->name, at->line, at->key,
@@ -384,12 +412,26 @@
 	return RESULT_OK;
 }
 
+/*
+ * A request may be on its way to a server when its key's time is over, and
+ * the time that a VM counts for itself may be behind by a timer's lateness.
+ */
+#define BOOT_FRESH_MARGIN_MS 500
+
+/* Knowledge of keys is too old somewhat before a withdrawn key must be dead. */
+static void boot_set_fresh(struct boot *boot)
+{
+	if (!boot->fresh_ms)
+		boot->fresh_ms = boot->withdrawn_ms - BOOT_FRESH_MARGIN_MS;
+}
+
 static void boot_set_fallbacks(struct boot *boot)
 {
 	size_t i;
 
 	memset(boot, 0, sizeof(*boot));
 	boot->log_level = LOG_INFO;
+	boot->retry_share = BOOT_RETRY_SHARE;
 	for (i = 0; i < BOOT_KEYS; i++)
 		if (boot_keys[i].type == BOOT_NUMBER)
 			*(int64_t *)((char *)boot + boot_keys[i].offset) =
@@ -411,6 +453,8 @@
 		code = boot_check(&reader);
 	if (code)
 		boot_clear(boot);
+	else
+		boot_set_fresh(boot);
 	return code;
 }
 
--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -51,10 +51,14 @@
 	char *seeds[BOOT_MAX_PEERS]; /**< operators' addresses of control VMs;
 					  their links have our links' port */
 	int n_seeds;
-	int64_t voters;	  /**< wanted in the group, odd */
-	int64_t tolerate; /**< disks that may be lost at once */
-	int64_t lease_ms; /**< of the one in charge */
-	int64_t fresh_ms; /**< older knowledge of keys isn't acted upon */
+	int64_t voters;		/**< wanted in the group, odd */
+	int64_t tolerate;	/**< disks that may be lost at once */
+	int64_t lease_ms;	/**< of the one in charge */
+	int64_t withdrawn_ms;	/**< after which a withdrawn key must be dead */
+	int64_t fresh_ms;	/**< older knowledge of keys isn't acted upon */
+	double retry_share;	/**< repeats for each request, of all VMs */
+	int64_t retry_headroom; /**< besides, of all VMs in any window */
+	int64_t retry_window_s;
 	int64_t window_s; /**< usage window */
 	int64_t header_bytes;
 	int64_t body_bytes;
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -31,6 +31,17 @@
 	bytes_clear(body);
 }
 
+static int64_t count_entries(const struct control *control)
+{
+	struct feed_peer *peer;
+	struct feed_peer *next;
+	int64_t n = 0;
+
+	map_foreach(peer, next, &control->peers, node)
+		n += peer->observer;
+	return n;
+}
+
 static struct feed_state state_now(const struct control *control,
 				   int64_t echo_us, int64_t now_us)
 {
@@ -40,6 +51,7 @@
 		.age_us = fresh_us > INT64_MIN / 8 ? now_us - fresh_us : -1,
 		.version = control->ledger.version,
 		.wall_us = wall_time_us(&control->wall, now_us),
+		.entries = count_entries(control),
 	};
 
 	return state;
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -24,8 +24,11 @@
 	uint64_t seed;
 	const char *vm;
 	const char *zone;
-	int64_t fresh_us;  /**< older knowledge of keys isn't acted upon */
-	int64_t window_us; /**< length of a usage window */
+	int64_t fresh_us;      /**< older knowledge of keys isn't acted upon */
+	int64_t window_us;     /**< length of a usage window */
+	double retry_share;    /**< repeats for each request, over all VMs */
+	double retry_headroom; /**< besides, over all VMs and in any window */
+	int64_t retry_window_us;
 	/**
 	 * Read a document; NULL if it can't be. Control VMs have checked it,
 	 * so this fails only if they run another release.
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -85,6 +85,35 @@
 	bytes_clear(&body);
 }
 
+/*
+ * Repeats are limited over all entry VMs, and each keeps to its part. A
+ * control VM that some of them can't reach counts too few, so the largest
+ * figure counts; without any the last one stays.
+ */
+static void share_retries(struct entry *entry, uint64_t id, int64_t told)
+{
+	struct feed_peer *peer = feed_peer_find(&entry->peers, id);
+	struct retry_limit limit = { entry->options.retry_share,
+				     entry->options.retry_headroom,
+				     entry->options.retry_window_us, 0 };
+	struct feed_peer *next;
+	int64_t most = 0;
+
+	if (peer)
+		peer->entries = told;
+	map_foreach(peer, next, &entry->peers, node)
+		if (peer->entries > most)
+			most = peer->entries;
+	if (most == entry->entries || !most)
+		return;
+	entry_log(entry, LOG_INFO, "retry",
+		  "event=shared entry_vms=%lld before=%lld", (long long)most,
+		  (long long)entry->entries);
+	entry->entries = most;
+	limit.vms = (int)most;
+	router_limit_retries(entry->router, &limit);
+}
+
 static void take_state(struct entry *entry, uint64_t peer,
 		       const struct feed_state *state)
 {
@@ -93,6 +122,7 @@
 
 	if (state->wall_us)
 		wall_note(&entry->wall, peer, state->wall_us, entry->now_us);
+	share_retries(entry, peer, state->entries);
 	if (state->version > held)
 		fetch(entry, peer, state->version);
 	/*
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -63,6 +63,7 @@
 	struct list parked; /**< oldest first */
 	struct list classes;
 	int n_classes;
+	int64_t entries;   /**< entry VMs that share the retry limit */
 	int64_t announced; /**< counter of what the fleet is told */
 	int64_t fresh_us;  /**< keys are known as of this moment */
 	bool was_fresh;
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -29,11 +29,12 @@
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 4, FEED_STATE);
+	begin(&packer, out, 5, FEED_STATE);
 	msgpack_pack_int64(&packer, state->echo_us);
 	msgpack_pack_int64(&packer, state->age_us);
 	msgpack_pack_int64(&packer, state->version);
 	msgpack_pack_int64(&packer, state->wall_us);
+	msgpack_pack_int64(&packer, state->entries);
 }
 
 void feed_write_fetch(struct bytes *out)
@@ -160,6 +161,9 @@
 
 static bool read_state(const struct unpacked *items, struct feed_state *state)
 {
+	/* Releases before this item said nothing of the others. */
+	if (!unpack_int(items, 5, &state->entries))
+		state->entries = 0;
 	return unpack_int(items, 1, &state->echo_us) &&
 	       unpack_int(items, 2, &state->age_us) &&
 	       unpack_int(items, 3, &state->version) &&
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -37,6 +37,7 @@
 	int64_t age_us;	 /**< since a quorum stood behind it; -1 unknown */
 	int64_t version; /**< of the newest document applied, 0 for none */
 	int64_t wall_us; /**< wall clock when it was sent */
+	int64_t entries; /**< entry VMs that have a link to it; 0 unknown */
 };
 
 struct feed_document {
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -12,7 +12,8 @@
 struct feed_peer {
 	struct map_node node; /**< by id */
 	uint64_t id;
-	bool observer; /**< an entry VM */
+	bool observer;	 /**< an entry VM */
+	int64_t entries; /**< entry VMs that it has told of */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/libfilberthall/load/retry.c
+++ b/libfilberthall/load/retry.c
@@ -15,6 +15,54 @@
 	};
 }
 
+void retry_limit(struct retry *retry, const struct retry_limit *limit)
+{
+	retry->limit = *limit;
+}
+
+/* Forget the steps that have passed since the last call. */
+static void retry_advance(struct retry *retry, int64_t now_us)
+{
+	int64_t step = now_us / (retry->limit.window_us / RETRY_STEPS);
+	int64_t from = retry->step + 1;
+
+	if (step - from > RETRY_STEPS)
+		from = step - RETRY_STEPS;
+	for (; from <= step; from++) {
+		retry->fresh[from % (RETRY_STEPS + 1)] = 0;
+		retry->again[from % (RETRY_STEPS + 1)] = 0;
+	}
+	if (step > retry->step)
+		retry->step = step;
+}
+
+static int *retry_step(struct retry *retry, int *steps)
+{
+	return &steps[retry->step % (RETRY_STEPS + 1)];
+}
+
+/*
+ * What may still be repeated in the window that ends now. Fresh requests of
+ * the oldest step aren't counted and repeats are, as the window may begin
+ * anywhere in it.
+ */
+static bool retry_within(const struct retry *retry, int tier)
+{
+	const struct retry_limit *limit = &retry->limit;
+	double allowed = limit->headroom / limit->vms;
+	int oldest = (int)((retry->step + 1) % (RETRY_STEPS + 1));
+	int again = 0;
+	int i;
+
+	for (i = 0; i <= RETRY_STEPS; i++) {
+		again += retry->again[i];
+		if (i != oldest)
+			allowed += limit->share * retry->fresh[i];
+	}
+	allowed *= RETRY_LIMIT_PART * (8 - tier) / 8;
+	return again < (allowed > 1 ? allowed : 1);
+}
+
 void retry_fresh(struct retry *retry, int64_t now_us)
 {
 	double elapsed_us = (double)(now_us - retry->noted_us);
@@ -29,6 +77,10 @@
 	retry->budget += RETRY_SHARE;
 	if (retry->budget > retry->most)
 		retry->budget = retry->most;
+	if (retry->limit.vms) {
+		retry_advance(retry, now_us);
+		++*retry_step(retry, retry->fresh);
+	}
 }
 
 /* Whether another server might do better. */
@@ -48,6 +100,22 @@
 	}
 }
 
+/* Take one repeat from what is allowed; false if nothing is left. */
+static bool retry_take(struct retry *retry, int tier, int64_t now_us)
+{
+	if (retry->limit.vms) {
+		retry_advance(retry, now_us);
+		if (!retry_within(retry, tier))
+			return false;
+		++*retry_step(retry, retry->again);
+		return true;
+	}
+	if (retry->budget < 1 + retry->most * tier / 8)
+		return false;
+	retry->budget -= 1;
+	return true;
+}
+
 enum result retry_ask(struct retry *retry, const struct retry_case *why,
 		      int64_t now_us)
 {
@@ -66,10 +134,9 @@
 		return why->code;
 	if (why->deadline_us && now_us + why->needs_us > why->deadline_us)
 		return why->code;
-	if (retry->unlimited)
+	/* What no server has had adds nothing to their load. */
+	if (retry->unlimited || !why->arrived)
 		return RESULT_OK;
-	if (retry->budget < 1 + retry->most * why->tier / 8)
-		return RESULT_RETRY_BUDGET;
-	retry->budget -= 1;
-	return RESULT_OK;
+	return retry_take(retry, why->tier, now_us) ? RESULT_OK
+						    : RESULT_RETRY_BUDGET;
 }
--- a/libfilberthall/load/retry.h
+++ b/libfilberthall/load/retry.h
@@ -26,21 +26,49 @@
  * blindly, batch work took it from captions when engines flapped. Three
  * attempts: a request that two servers have failed is more likely the cause
  * than the victim.
+ *
+ * Where a site bounds the repeats of a service over all VMs (retry_limit()),
+ * those figures give way to this VM's part of the bound. What each VM may do
+ * by itself adds up: with 32 saved at each of 66 VMs, a service whose servers
+ * all fail gets 2,970 repeats in ten seconds where the site allows 2,020, and
+ * 1,584 with the limit shared out (tests/load/t-retry).
  */
 #define RETRY_SHARE 0.1
 #define RETRY_LEAST 32.0
 #define RETRY_SAVED_S 10.0
 #define RETRY_ATTEMPTS 3
 
+/**
+ * Of a site's bound, the part that is used: VMs that come and go are counted
+ * up to a poll late, and requests that another VM has only begun to read are
+ * fresh for it and not yet for the site.
+ */
+#define RETRY_LIMIT_PART 0.9
+
 /** How often a request is sent at most, also where nobody ran it. */
 #define RETRY_SENDINGS 4
 
+/** What a site allows for one service, over all its VMs. */
+struct retry_limit {
+	double share;	   /**< repeats for each fresh request in a window */
+	double headroom;   /**< repeats besides, in any window */
+	int64_t window_us; /**< a sliding one */
+	int vms;	   /**< that share it; 0 for no such limit */
+};
+
+/** A window is counted in so many steps, and the one that has begun. */
+#define RETRY_STEPS 20
+
 struct retry {
 	bool unlimited; /**< for the ablation */
 	double budget;
 	double most; /**< that can be saved up */
 	double rate; /**< fresh requests a second, running average */
 	int64_t noted_us;
+	struct retry_limit limit;
+	int fresh[RETRY_STEPS + 1]; /**< by step, as a ring */
+	int again[RETRY_STEPS + 1];
+	int64_t step; /**< the newest one counted */
 };
 
 /** What decides about one more attempt. */
@@ -52,6 +80,7 @@
 	int attempts;	 /**< that may have run, so far */
 	int most;	 /**< of these; 0 for RETRY_ATTEMPTS */
 	int sendings;	 /**< all attempts so far, 0 if not known */
+	bool arrived;	 /**< one of them reached a server */
 	int64_t deadline_us;
 	int tier;
 	int64_t needs_us; /**< estimated time of another attempt */
@@ -59,6 +88,19 @@
 
 void retry_init(struct retry *retry, bool limited, int64_t now_us);
 
+/**
+ * Keep to this VM's part of a limit that all VMs share.
+ *
+ * In any window this VM repeats at most its part of the headroom and `share`
+ * of its own fresh requests there, so all VMs together keep to the limit. It
+ * is counted over the window and not saved up as tokens: a crash of a quarter
+ * of the servers needs at once what ten seconds of traffic allow.
+ *
+ * One repeat a window is always allowed, or a VM among many would never make
+ * any; with more VMs than headroom that makes the sum larger by one a VM.
+ */
+void retry_limit(struct retry *retry, const struct retry_limit *limit);
+
 /** Count a fresh request. */
 void retry_fresh(struct retry *retry, int64_t now_us);
 
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -64,7 +64,6 @@
 	length_init(&router->length);
 	prefix_init(&router->prefix);
 	poison_init(&router->poison);
-	retry_init(&router->retry, options->features.retry_budget, 0);
 	preempt_open(&router->preempt);
 	router->pick = (struct pick_options){
 		.homes = options->features.homes,
@@ -197,6 +196,17 @@
 	}
 }
 
+void router_limit_retries(struct router *router,
+			  const struct retry_limit *limit)
+{
+	struct pool *pool;
+	struct pool *next;
+
+	router->retry_limit = *limit;
+	map_foreach(pool, next, &router->pools, node)
+		retry_limit(&pool->retry, limit);
+}
+
 void router_set_class(struct router *router, const struct class_rule *rule,
 		      int64_t now_us, struct effects *effects)
 {
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -8,6 +8,7 @@
 #include "core/effect.h"
 #include "core/event.h"
 #include "core/rule.h"
+#include "load/retry.h"
 
 /**
  * One daemon's decisions about requests: whom it serves, who waits, who is
@@ -114,6 +115,10 @@
 struct router *router_new(const struct router_options *options);
 void router_free(struct router *router);
 
+/** Keep repeats for each service to this VM's part of a limit of all VMs. */
+void router_limit_retries(struct router *router,
+			  const struct retry_limit *limit);
+
 /** Add or change a class; acts on requests already waiting. */
 void router_set_class(struct router *router, const struct class_rule *rule,
 		      int64_t now_us, struct effects *effects);
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -346,6 +346,7 @@
 		.idempotent = request->ask.idempotent,
 		.most = request->ask.attempts_most,
 		.sendings = request->n_attempts,
+		.arrived = request->arrived,
 		.tier = request->tier < RULE_TIERS ? request->tier
 						   : RULE_TIERS - 1,
 		.deadline_us = request->deadline_us,
@@ -363,7 +364,7 @@
 			    effects);
 		return;
 	}
-	code = retry_ask(&router->retry, &why, now_us);
+	code = retry_ask(&request->queue->pool->retry, &why, now_us);
 	if (code) {
 		if (!request->ask.stream)
 			request->wasted += attempt->tokens;
@@ -405,6 +406,8 @@
 	pool = request->queue->pool;
 	if (ended->sent || attempt->sent)
 		request->may_have_run = true;
+	if (ended->sent || ended->code != RESULT_BACKEND_CONNECT)
+		request->arrived = true;
 	attempt_judge(router, attempt, ended, now_us, effects);
 	router_span(router, request, "attempt", attempt->started_us, now_us,
 		    (enum result)ended->code, attempt->address, effects);
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -51,6 +51,8 @@
 	pool->service = name[0] == 's' ? name + 2 : NULL;
 	list_init(&pool->queues);
 	list_init(&pool->running_list);
+	retry_init(&pool->retry, router->options.features.retry_budget, now_us);
+	retry_limit(&pool->retry, &router->retry_limit);
 	floor_init(&pool->floor);
 	pool->unit_us = POOL_UNIT_UNKNOWN_US;
 	pool->mean_cost = POOL_COST_UNKNOWN;
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -89,6 +89,7 @@
 	int64_t counted_us;	/**< when these were worked out */
 	int64_t usable_us;	/**< when a member was last usable */
 	struct list queues;
+	struct retry retry;
 	struct floor floor;
 	int64_t waiting_by_class[SCHED_CLASSES];
 	int64_t running_by_class[SCHED_CLASSES];
@@ -164,6 +165,7 @@
 	int64_t estimate;  /**< output tokens */
 	bool is_long;
 	bool may_have_run; /**< a byte may have left */
+	bool arrived;	   /**< an attempt reached a server */
 	int64_t hedge_us;  /**< not looked at for a hedge before then */
 	char avoid[BACKEND_NAME_SIZE]; /**< where it has failed */
 	struct list attempts;
@@ -191,7 +193,7 @@
 	struct length length;
 	struct prefix prefix;
 	struct poison poison;
-	struct retry retry;
+	struct retry_limit retry_limit;
 	struct preempt_budget preempt;
 	struct pick_options pick;
 	uint64_t sequence;
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -103,6 +103,7 @@
 	struct retry_case why = {
 		.code = RESULT_BACKEND_TIMEOUT,
 		.sent = true,
+		.arrived = true,
 		.idempotent = request->ask.idempotent,
 		.attempts = request->n_attempts,
 		.tier = request->tier,
@@ -117,7 +118,7 @@
 	if (backend)
 		health_overdue(&backend->health, now_us);
 	if (!hedge_has_room(router, request) ||
-	    retry_ask(&router->retry, &why, now_us))
+	    retry_ask(&request->queue->pool->retry, &why, now_us))
 		return;
 	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
--- a/tests/daemon/t-boot.c
+++ b/tests/daemon/t-boot.c
@@ -35,6 +35,7 @@
 	g_assert_cmpstr(boot.vm, ==, "entry-1");
 	g_assert_cmpint(boot.body_bytes, ==, 4194304);
 	g_assert_cmpint(boot.log_level, ==, LOG_INFO);
+	g_assert_cmpint(boot.fresh_ms, ==, 4500);
 	boot_clear(&boot);
 }
 
@@ -48,6 +49,8 @@
 		  "b.yaml:9: bootstrap: true or false is needed" },
 		{ "platform: nowhere\n",
 		  "b.yaml:9: platform: IP:port is needed" },
+		{ "retries: {share: 1.5}\n",
+		  "b.yaml:9: share: a number from 0 to 1 is needed" },
 		{ "limits: {idle_s: 0}\n",
 		  "b.yaml:9: idle_s: a whole number from 1 to 3600 is "
 		  "needed" },
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -114,7 +114,7 @@
 		    int64_t version)
 {
 	struct feed_state state = { echo_us, age_us, version,
-				    1000 * SECOND + bed->now_us };
+				    1000 * SECOND + bed->now_us, bed->entries };
 	struct bytes body = { 0 };
 
 	feed_write_state(&body, &state);
@@ -184,6 +184,9 @@
 					 .zone = "z1",
 					 .fresh_us = 4500000,
 					 .window_us = 5 * SECOND,
+					 .retry_share = 0.2,
+					 .retry_headroom = 54,
+					 .retry_window_us = 10 * SECOND,
 					 .read_document = read_document };
 	struct event_link_up up = { CONTROL, (char *)"control-1", (char *)"z1",
 				    NULL, false };
@@ -224,9 +227,15 @@
 
 void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
 		     int64_t status, bool sent)
+{
+	bed_end_nth(bed, id, 1, code, status, sent);
+}
+
+void bed_end_nth(struct bed *bed, uint64_t id, int64_t attempt,
+		 enum result code, int64_t status, bool sent)
 {
 	struct event_attempt_ended ended = { .id = id,
-					     .attempt = 1,
+					     .attempt = attempt,
 					     .code = code,
 					     .http_status = status,
 					     .sent = sent };
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -24,9 +24,10 @@
 	int64_t run;
 	int64_t retry_ms;
 	bool exited;
-	int told;	/* reports of begun requests */
-	int at_steady;	/* attempts at STEADY */
-	int64_t missed; /* requests told to have missed their goals */
+	int told;	 /* reports of begun requests */
+	int at_steady;	 /* attempts at STEADY */
+	int64_t missed;	 /* requests told to have missed their goals */
+	int64_t entries; /* entry VMs that the control VM tells of */
 };
 
 /** What a control VM answers a poll: how old, which version. */
@@ -49,6 +50,9 @@
 /** The first attempt of a request is over. */
 void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
 		     int64_t status, bool sent);
+/** Another attempt of it is over; the second is 2. */
+void bed_end_nth(struct bed *bed, uint64_t id, int64_t attempt,
+		 enum result code, int64_t status, bool sent);
 /** The last answer is that request's, and says that it didn't run. */
 void bed_check_refused(struct bed *bed, uint64_t id, enum result code);
 
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -322,6 +322,47 @@
 	bed_end(&bed);
 }
 
+/* Requests whose first server fails; how many go to another one. */
+static int repeated(struct bed *bed, int requests)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < requests; i++) {
+		uint64_t id = bed_ask(bed, "/porch/7", "k1");
+
+		bed->started = 0;
+		bed_end_attempt(bed, id, RESULT_BACKEND_ERROR, 500, true);
+		n += bed->started == id;
+		if (bed->started == id)
+			bed_end_nth(bed, id, 2, RESULT_OK, 200, true);
+		bed_pass(bed, SECOND / 10);
+	}
+	return n;
+}
+
+/*
+ * A service fails. Each entry VM of a large site repeated as many requests as
+ * a small site's may, and together they sent the failing servers more than
+ * the site allows. Told how many share the limit, each keeps to its part.
+ */
+static void test_shares_retries(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	bed_hear_other(&bed, STEADY, 1, false, false);
+	g_assert_cmpint(repeated(&bed, 20), ==, 20);
+	bed.entries = 66;
+	bed_hear_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpint(repeated(&bed, 20), <=, 4);
+	/* One control VM that has lost sight of the others changes nothing. */
+	bed.entries = 0;
+	bed_hear_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpint(repeated(&bed, 20), <=, 4);
+	bed_end(&bed);
+}
+
 /* Rejected, so not run: another server may have it, though it may run once. */
 static void test_rejected(void)
 {
@@ -372,6 +413,7 @@
 	g_test_add_func("/entry/tells-missed", test_tells_missed);
 	g_test_add_func("/entry/many-goals", test_many_goals);
 	g_test_add_func("/entry/only-server-left", test_only_server_left);
+	g_test_add_func("/entry/shares-retries", test_shares_retries);
 	g_test_add_func("/entry/rejected", test_rejected);
 	g_test_add_func("/entry/answer-lost", test_answer_lost);
 	return g_test_run();
--- /dev/null
+++ b/tests/load/t-retry.c
@@ -0,0 +1,180 @@
+#include <glib.h>
+
+#include "load/retry.h"
+
+#define SECOND INT64_C(1000000)
+
+/* A site of 66 entry VMs, each with 14 requests a second for the service. */
+#define VMS 66
+#define RATE 14
+#define RUN_S 60
+#define WINDOW_S 10
+#define SITE_SHARE 0.2
+#define SITE_HEADROOM 172.0
+
+struct play {
+	struct retry vms[VMS];
+	int fresh[RUN_S];
+	int again[RUN_S];
+};
+
+static void play_open(struct play *play, int vms_known)
+{
+	struct retry_limit limit = { SITE_SHARE, SITE_HEADROOM,
+				     WINDOW_S * SECOND, vms_known };
+	int i;
+
+	*play = (struct play){ 0 };
+	for (i = 0; i < VMS; i++) {
+		retry_init(&play->vms[i], true, 0);
+		retry_limit(&play->vms[i], &limit);
+	}
+}
+
+/* One request; in `bad` seconds its first server answers with an error. */
+static void play_request(struct play *play, struct retry *vm, int second,
+			 int64_t now_us, bool bad)
+{
+	struct retry_case why = {
+		.code = RESULT_BACKEND_ERROR,
+		.http_status = 500,
+		.sent = true,
+		.idempotent = true,
+		.arrived = true,
+		.attempts = 1,
+		.sendings = 1,
+		.most = 2,
+	};
+
+	retry_fresh(vm, now_us);
+	play->fresh[second]++;
+	if (bad && !retry_ask(vm, &why, now_us))
+		play->again[second]++;
+}
+
+static void play_run(struct play *play, int bad_from, int bad_until)
+{
+	int second;
+	int i;
+	int k;
+
+	for (second = 0; second < RUN_S; second++)
+		for (k = 0; k < RATE; k++)
+			for (i = 0; i < VMS; i++)
+				play_request(play, &play->vms[i], second,
+					     second * SECOND +
+						     k * SECOND / RATE,
+					     second >= bad_from &&
+						     second < bad_until);
+}
+
+static int sum(const int *seconds, int from)
+{
+	int n = 0;
+	int i;
+
+	for (i = from; i < from + WINDOW_S; i++)
+		n += seconds[i];
+	return n;
+}
+
+/* The window that has most repeats beyond what the site allows. */
+static double worst_excess(const struct play *play)
+{
+	double worst = -1e9;
+	int from;
+
+	for (from = 0; from + WINDOW_S <= RUN_S; from++) {
+		double excess = sum(play->again, from) -
+				SITE_SHARE * sum(play->fresh, from) -
+				SITE_HEADROOM;
+
+		if (excess > worst)
+			worst = excess;
+	}
+	return worst;
+}
+
+/*
+ * All servers of a service fail for half a minute. Each entry VM repeated
+ * within a budget of its own, 32 saved up at the least; at 66 of them that
+ * was 2,112 before any share of the traffic, and a service that could answer
+ * nobody got a third of its load over again. With the site's limit shared
+ * out, no ten seconds have more than it allows.
+ */
+static void repeats_of_all_vms_stay_within_the_limit(void)
+{
+	struct play play;
+
+	play_open(&play, 0);
+	play_run(&play, 20, 50);
+	g_assert_cmpfloat(worst_excess(&play), >, 500);
+	play_open(&play, VMS);
+	play_run(&play, 20, 50);
+	g_assert_cmpfloat(worst_excess(&play), <=, 0);
+}
+
+/*
+ * A quarter of the servers crash under a calm site, and within a second each
+ * VM has fourteen requests to repeat. The limit has room for them, as ten
+ * seconds of traffic stand behind it; a VM that could save up its part of the
+ * headroom alone repeated four and failed the others.
+ */
+static void a_crash_is_repeated(void)
+{
+	struct play play;
+
+	play_open(&play, VMS);
+	play_run(&play, 30, 31);
+	g_assert_cmpint(play.again[30], ==, RATE * VMS);
+}
+
+/* With more VMs than headroom each can still repeat a request now and then. */
+static void many_vms_still_repeat(void)
+{
+	struct retry_limit limit = { SITE_SHARE, SITE_HEADROOM,
+				     WINDOW_S * SECOND, 330 };
+	struct play play;
+	int i;
+
+	play_open(&play, VMS);
+	for (i = 0; i < VMS; i++)
+		retry_limit(&play.vms[i], &limit);
+	play_run(&play, 30, 31);
+	g_assert_cmpint(play.again[30], >=, VMS);
+}
+
+/*
+ * A server's machine is gone and connections to it fail. Nothing arrived
+ * anywhere, so sending the request to another server is no repeat: it needs
+ * no budget, where an exhausted one refused it.
+ */
+static void what_never_arrived_costs_no_budget(void)
+{
+	struct retry_case why = {
+		.code = RESULT_BACKEND_CONNECT,
+		.attempts = 0,
+		.sendings = 1,
+	};
+	struct retry retry;
+	int i;
+
+	retry_init(&retry, true, 0);
+	retry.budget = 0;
+	for (i = 0; i < 10; i++)
+		g_assert_cmpint(retry_ask(&retry, &why, 0), ==, RESULT_OK);
+	why.arrived = true;
+	g_assert_cmpint(retry_ask(&retry, &why, 0), ==, RESULT_RETRY_BUDGET);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/retry/limit",
+			repeats_of_all_vms_stay_within_the_limit);
+	g_test_add_func("/retry/crash", a_crash_is_repeated);
+	g_test_add_func("/retry/many-vms", many_vms_still_repeat);
+	g_test_add_func("/retry/no-arrival",
+			what_never_arrived_costs_no_budget);
+	return g_test_run();
+}
