soak: real daemons under storms of faults, and what others see of them

Five control and three entry VMs as processes on loopback; callers, backend servers, an operator and the platform's side in one test process around them, with proxies between that delay, hold one or both ways, forget and reset connections. Daemons are killed, paused, stopped, emptied, their files kept from growing. Checked from outside: runs at most once, a refusal that says "not run", whole answers, keys and their withdrawal, documents that don't revert, leaving servers, planned stops, one in charge, recovery.

reach.operators, reach.links: a control VM behind address translation tells these addresses; the soak's proxies need them.

--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -88,6 +88,9 @@
 	  0, 0, 0 },
 	{ "listen", "metrics", BOOT_ADDRESS, BOOT_AT(listen_metrics), 0, 0, 0,
 	  0 },
+	{ "reach", "operators", BOOT_ADDRESS, BOOT_AT(reach_operators), 0, 0, 0,
+	  0 },
+	{ "reach", "links", BOOT_ADDRESS, BOOT_AT(reach_links), 0, 0, 0, 0 },
 	{ NULL, "publish", BOOT_PATH, BOOT_AT(publish), 0, 0, 0, 0 },
 	{ NULL, "platform", BOOT_ADDRESS, BOOT_AT(platform), 0, 0, 0, 0 },
 	{ "tls", "certificate", BOOT_PATH, BOOT_AT(tls_certificate), 0, 0, 0,
@@ -328,7 +331,7 @@
 	if (!section)
 		bytes_append_text(&allowed,
 				  " cluster keys listen limits log peers "
-				  "retries seeds tls usage");
+				  "reach retries seeds tls usage");
 	code = error_report(reader->handler, RESULT_SETTING_UNKNOWN,
 			    "%s:%d: %s: no such key; allowed are:%s",
 			    reader->name, at->line, at->key,
--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -37,8 +37,10 @@
 	char *listen_backends;
 	char *listen_operators;
 	char *listen_links;
-	char *listen_ready;   /**< entry: the balancer's questions */
-	char *listen_metrics; /**< NULL: none */
+	char *listen_ready;    /**< entry: the balancer's questions */
+	char *listen_metrics;  /**< NULL: none */
+	char *reach_operators; /**< told to others, NULL: as listened on */
+	char *reach_links;
 	char *publish;
 	char *platform; /**< IP:port, or NULL */
 	char *tls_certificate;
--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -49,7 +49,8 @@
 		.incarnation = wal_incarnation(daemon->wal),
 		.vm = boot->vm,
 		.zone = boot->zone,
-		.address = boot->listen_links,
+		.address = boot->reach_links ? boot->reach_links
+					     : boot->listen_links,
 		.voters = (int)boot->voters,
 		.tolerate = (int)boot->tolerate,
 		.lease_us = boot->lease_ms * 1000,
@@ -71,14 +72,15 @@
  */
 static bool is_founder(const struct boot *boot)
 {
+	const char *own = boot->reach_operators ? boot->reach_operators
+						: boot->listen_operators;
 	const char *first = NULL;
 	int i;
 
 	for (i = 0; i < boot->n_seeds; i++)
 		if (!first || strcmp(boot->seeds[i], first) < 0)
 			first = boot->seeds[i];
-	return boot->bootstrap && first && boot->listen_operators &&
-	       !strcmp(first, boot->listen_operators);
+	return boot->bootstrap && first && own && !strcmp(first, own);
 }
 
 static enum result open_wal(struct control_daemon *daemon,
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -74,6 +75,14 @@
 	struct boot boot;
 	enum result code;
 
+	/*
+	 * Settings may change, and whoever changed them tell us, before the
+	 * loop listens for it: by default that signal ends a process. So does
+	 * the one for a file that may not grow, where the write's error is
+	 * dealt with as that of any full disk.
+	 */
+	signal(SIGHUP, SIG_IGN);
+	signal(SIGXFSZ, SIG_IGN);
 	argp_parse(&main_argp, argc, argv, 0, NULL, &arguments);
 	code = boot_load(&boot, arguments.settings, &handler);
 	if (code)
--- a/daemon/role.c
+++ b/daemon/role.c
@@ -198,6 +198,7 @@
 		return error_report(role->handler, RESULT_SETTING_VALUE,
 				    "%s can't be read", boot->link_secret_file);
 	options.listen = boot->listen_links;
+	options.address = boot->reach_links;
 	options.site = boot->site;
 	options.vm = boot->vm;
 	options.zone = boot->zone;
--- /dev/null
+++ b/tests/soak/server.c
@@ -0,0 +1,396 @@
+#include "server.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "base/cleanup.h"
+#include "daemon/http_server.h"
+#include "ledger.h"
+#include "platform/names.h"
+#include "proxy.h"
+#include "vm.h"
+
+#define EVENTS 5
+#define EVENT_MS 30
+#define WORK_MS 25
+#define SLOTS 16
+#define BEAT_MS 400
+#define HOST 20
+#define PROXY_HOST 120
+/* After the leave was acknowledged: the site's time, and a little. */
+#define LEAVE_MS (SOAK_DRAIN_US / 1000 + 1500)
+#define LEAVE_UNHEARD_MS 6000
+
+/* A request that runs. */
+struct run {
+	struct list node;
+	struct server *server;
+	struct http_exchange *exchange; /* NULL once its caller has left */
+	ev_timer timer;
+	int number;
+	int next; /* event of a stream */
+	enum server_fault fault;
+};
+
+struct server {
+	struct soak *soak;
+	int index;
+	const char *service;
+	char id[32];
+	int starts;
+	struct http_server *http;
+	struct http_client *client; /* for its announcements */
+	struct proxy *proxy;
+	char *listen_at;
+	char *reached_at;
+	struct list runs;
+	ev_timer beat;
+	ev_timer start;
+	ev_timer end;
+	int64_t born_ms;
+	int64_t sequence;
+	bool leaving;
+	int64_t leave_heard_us; /* when that was acknowledged, 0 if not */
+	enum server_fault fault;
+	double share;
+};
+
+static void run_free(struct run *run)
+{
+	ev_timer_stop(run->server->soak->ev, &run->timer);
+	list_remove(&run->node);
+	free(run);
+}
+
+static char *headers_of(const struct server *server, const struct run *run,
+			bool ran)
+{
+	char id[24];
+
+	ledger_id(run->number, id);
+	return xstrfmt("%s: %s\r\n%s: 1\r\n%s: %d,0,%d\r\n", HEADER_REQUEST_ID,
+		       id, ran ? HEADER_SIGNATURE : HEADER_NOT_RUN, HEADER_LOAD,
+		       0, SLOTS);
+}
+
+static void answer(struct run *run, int status, const struct bytes *body)
+{
+	char *headers = headers_of(run->server, run, run->fault != SERVER_FULL);
+
+	http_exchange_answer(run->exchange, status, headers, body);
+	free(headers);
+	run_free(run);
+}
+
+static void answer_whole(struct run *run)
+{
+	const char *target = http_exchange_head(run->exchange)->target;
+	struct bytes body = { 0 };
+
+	bytes_append_format(&body, "%s\n", target);
+	answer(run, 200, &body);
+	bytes_clear(&body);
+}
+
+static void next_event(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct run *run = timer->data;
+	char text[64];
+	int len;
+
+	if (run->next > EVENTS) {
+		http_exchange_end(run->exchange);
+		run_free(run);
+		return;
+	}
+	len = snprintf(text, sizeof(text), "id: %d\ndata: %d of %d\n\n",
+		       run->next, run->next, run->number);
+	if (run->fault == SERVER_CUT && run->next == EVENTS / 2) {
+		http_exchange_piece(run->exchange, text, (size_t)len / 2);
+		http_exchange_cut(run->exchange);
+		run_free(run);
+		return;
+	}
+	http_exchange_piece(run->exchange, text, (size_t)len);
+	run->next++;
+	soak_timer(run->server->soak, &run->timer, next_event, EVENT_MS, run);
+}
+
+static void begin_stream(struct run *run)
+{
+	char *headers = headers_of(run->server, run, true);
+
+	http_exchange_begin(run->exchange, 200, headers);
+	free(headers);
+	next_event(run->server->soak->ev, &run->timer, 0);
+}
+
+static void on_worked(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct run *run = timer->data;
+	struct bytes text = { 0 };
+
+	switch (run->fault) {
+	case SERVER_ERROR:
+		bytes_append_text(&text, "failed\n");
+		answer(run, 500, &text);
+		bytes_clear(&text);
+		return;
+	case SERVER_LOST:
+		http_exchange_cut(run->exchange);
+		run_free(run);
+		return;
+	case SERVER_MUTE:
+		return;
+	case SERVER_CUT:
+	case SERVER_WELL:
+	case SERVER_FULL:
+	case SERVER_FAULTS:
+		break;
+	}
+	if (strstr(http_exchange_head(run->exchange)->target, "/stream/"))
+		begin_stream(run);
+	else
+		answer_whole(run);
+}
+
+/* What the server can see that isn't as promised. */
+static void check_request(struct server *server, const struct http_head *head,
+			  int number)
+{
+	const char *organisation = http_head_get(head, HEADER_ORGANISATION);
+	cleanup(free_ptr) char *path =
+		ledger_path(server->soak->ledger, number);
+	int64_t heard_us = server->leave_heard_us;
+
+	if (strcmp(path, head->target) != 0)
+		soak_violation(server->soak, "unasked",
+			       "request %d came with path %s", number,
+			       head->target);
+	if (http_head_get(head, "Authorization"))
+		soak_violation(server->soak, "key",
+			       "request %d came with its key", number);
+	if (!organisation || strcmp(organisation, "yards") != 0)
+		soak_violation(server->soak, "key",
+			       "request %d came for organisation %s", number,
+			       organisation ? organisation : "none");
+	if (heard_us && edge_now_us() > heard_us + SOAK_DRAIN_US &&
+	    soak_calm_since(server->soak, heard_us))
+		soak_violation(server->soak, "leaving",
+			       "request %d came %" PRId64
+			       " ms after the leave was acknowledged",
+			       number, (edge_now_us() - heard_us) / 1000);
+}
+
+static bool is_meant(const struct server *server, const struct http_head *head)
+{
+	const char *meant = http_head_get(head, HEADER_SERVER_START);
+
+	return meant && !strcmp(meant, server->id);
+}
+
+static void on_request(void *data, struct http_exchange *exchange)
+{
+	struct server *server = data;
+	const struct http_head *head = http_exchange_head(exchange);
+	const char *last = http_head_get(head, "Last-Event-Id");
+	int number = ledger_number(server->soak->ledger,
+				   http_head_get(head, HEADER_REQUEST_ID));
+	struct run *run;
+
+	if (number < 0) {
+		soak_violation(server->soak, "unasked", "id of %s",
+			       head->target);
+		http_exchange_answer(exchange, 400, NULL, NULL);
+		return;
+	}
+	run = xcalloc(1, sizeof(*run));
+	run->server = server;
+	run->exchange = exchange;
+	run->number = number;
+	run->next = last ? atoi(last) + 1 : 1;
+	list_append(&server->runs, &run->node);
+	ev_timer_init(&run->timer, on_worked, 0, 0);
+	run->timer.data = run;
+	http_exchange_set_user(exchange, run);
+	if (rng_unit(&server->soak->rng) < server->share)
+		run->fault = server->fault;
+	if (!is_meant(server, head) || run->fault == SERVER_FULL) {
+		run->fault = SERVER_FULL;
+		answer(run, is_meant(server, head) ? 503 : 421, NULL);
+		return;
+	}
+	check_request(server, head, number);
+	ledger_runs(server->soak->ledger, number, last != NULL);
+	soak_timer(server->soak, &run->timer, on_worked, WORK_MS, run);
+}
+
+static void on_left(void *data, struct http_exchange *exchange)
+{
+	struct run *run = http_exchange_user(exchange);
+
+	if (run)
+		run_free(run);
+}
+
+static void on_beat_head(void *data, const struct http_head *head)
+{
+	struct server *server = data;
+
+	if (server->leaving && head->status == 200 && !server->leave_heard_us)
+		server->leave_heard_us = edge_now_us();
+}
+
+static void on_beat_end(void *data, enum result code, bool sent)
+{
+}
+
+static const struct http_call_hooks beat_hooks = { on_beat_head, NULL,
+						   on_beat_end };
+
+static void on_beat(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct server *server = timer->data;
+	struct http_call_request request = { .timeout_ms = 1000 };
+	struct bytes text = { 0 };
+	struct bytes body = { 0 };
+	const struct vm *vm =
+		server->soak->vms[rng_below(&server->soak->rng, SOAK_CONTROLS)];
+
+	server->sequence++;
+	bytes_append_format(
+		&body,
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z%d\","
+		"\"slots\":%d,\"state\":\"%s\",\"sequence\":%" PRId64
+		",\"born\":%" PRId64 "}",
+		server->service, server->reached_at, server->index % 3, SLOTS,
+		server->leaving ? "draining" : "ready", server->sequence,
+		server->born_ms);
+	bytes_append_format(&text,
+			    "PUT %s%s HTTP/1.1\r\nHost: c\r\n"
+			    "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+			    PATH_SERVERS, server->id, body.len);
+	request.address = vm->operators_at;
+	request.head = &text;
+	request.body = &body;
+	http_call_start(server->client, &request, &beat_hooks, server);
+	bytes_clear(&text);
+	bytes_clear(&body);
+	soak_timer(server->soak, &server->beat, on_beat, BEAT_MS, server);
+}
+
+static void report(void *data, enum result code, const char *message)
+{
+	fprintf(stderr, "soak: %s\n", message);
+}
+
+static void on_start(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct server *server = timer->data;
+	struct error_handler handler = { report, NULL };
+	struct http_limits limits = { 65536, 1048576, 5000, 15000 };
+	struct http_server_hooks hooks = { on_request, on_left, server };
+
+	server->http = http_server_start(&server->soak->loop, server->listen_at,
+					 &limits, &hooks, &handler);
+	if (!server->http)
+		abort();
+	snprintf(server->id, sizeof(server->id), "s%d-%d", server->index,
+		 ++server->starts);
+	server->born_ms = edge_wall_us() / 1000;
+	server->sequence = 0;
+	server->leaving = false;
+	server->leave_heard_us = 0;
+	soak_timer(server->soak, &server->beat, on_beat, 0, server);
+}
+
+static void end(struct server *server)
+{
+	struct run *run;
+	struct run *next;
+
+	ev_timer_stop(server->soak->ev, &server->beat);
+	ev_timer_stop(server->soak->ev, &server->end);
+	if (server->http)
+		http_server_stop(server->http);
+	server->http = NULL;
+	list_foreach_safe(run, next, &server->runs, node)
+		run_free(run);
+}
+
+void server_crash(struct server *server, int64_t down_ms)
+{
+	end(server);
+	proxy_reset(server->proxy);
+	soak_timer(server->soak, &server->start, on_start, down_ms, server);
+}
+
+/* Until it is heard it stays; unheard it goes after some seconds. */
+static void on_end(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct server *server = timer->data;
+	int64_t heard_us = server->leave_heard_us;
+	int64_t left_us =
+		heard_us ? heard_us + LEAVE_MS * SOAK_MS - edge_now_us() : 0;
+
+	if (left_us > 0) {
+		soak_timer(server->soak, &server->end, on_end,
+			   left_us / SOAK_MS + 1, server);
+		return;
+	}
+	server_crash(server, 500);
+}
+
+void server_leave(struct server *server)
+{
+	if (server->leaving || !server->http)
+		return;
+	server->leaving = true;
+	soak_timer(server->soak, &server->end, on_end, LEAVE_UNHEARD_MS,
+		   server);
+}
+
+void server_misbehave(struct server *server, enum server_fault fault,
+		      double share)
+{
+	server->fault = fault;
+	server->share = fault == SERVER_WELL ? 0 : share;
+}
+
+struct proxy *server_proxy(struct server *server)
+{
+	return server->proxy;
+}
+
+struct server *server_new(struct soak *soak, int index)
+{
+	struct http_client_options client = { NULL, 500, 2000, 0 };
+	struct server *server = xcalloc(1, sizeof(*server));
+
+	server->soak = soak;
+	server->index = index;
+	server->service = index % 2 ? "scribe" : "desk";
+	server->listen_at =
+		soak_address(soak, HOST + index, soak->port_callers);
+	server->reached_at =
+		soak_address(soak, PROXY_HOST + index, soak->port_callers);
+	server->proxy = proxy_new(soak, server->reached_at, server->listen_at);
+	server->client = http_client_new(&soak->loop, &client);
+	list_init(&server->runs);
+	soak_timer(soak, &server->start, on_start, 0, server);
+	return server;
+}
+
+void server_free(struct server *server)
+{
+	end(server);
+	ev_timer_stop(server->soak->ev, &server->start);
+	http_client_free(server->client);
+	proxy_free(server->proxy);
+	free(server->listen_at);
+	free(server->reached_at);
+	free(server);
+}
