control: elections begin when they are due, heartbeats at each tick

Cause: a control VM looked at elections each 50 ms.

tests/control/t-control elects-soon fails without it.

--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -18,6 +18,9 @@
  */
 #define REOPEN_S 0.5
 
+/* Until then it is looked at so often whether the folder can be opened. */
+#define CLOSED_TICK_US INT64_C(50000)
+
 /* Segments of the log: small, as the disks are. */
 #define SEGMENT_BYTES (INT64_C(4) * 1024 * 1024)
 
@@ -249,10 +252,17 @@
 {
 	struct control_daemon *daemon = timer->data;
 
-	if (daemon->control)
-		control_tick(daemon->control, edge_wall_us(), edge_now_us(),
+	int64_t now_us = edge_now_us();
+	int64_t wait_us = CLOSED_TICK_US;
+
+	if (daemon->control) {
+		control_tick(daemon->control, edge_wall_us(), now_us,
 			     &daemon->effects);
+		wait_us = control_next_tick(daemon->control, now_us) - now_us;
+	}
 	control_daemon_carry_out(daemon);
+	ev_timer_set(timer, (double)wait_us / 1e6, 0);
+	ev_timer_start(ev, timer);
 }
 
 static void on_stop(void *data)
@@ -348,8 +358,7 @@
 	effects_init(&daemon.effects);
 	code = open_all(&daemon);
 	if (!code) {
-		ev_timer_init(&daemon.tick, on_tick, 0,
-			      (double)CONTROL_TICK_US / 1e6);
+		ev_timer_init(&daemon.tick, on_tick, 0, 0);
 		daemon.tick.data = &daemon;
 		ev_timer_start(daemon.role.ev, &daemon.tick);
 		log_line(daemon.role.log, LOG_INFO, "daemon",
--- a/libfilberthall/agree/raft.h
+++ b/libfilberthall/agree/raft.h
@@ -240,6 +240,9 @@
  */
 int64_t raft_fresh_us(const struct raft *raft, int64_t now_us);
 
+/** When raft_tick() may have an election to begin; far off for others. */
+int64_t raft_election_us(const struct raft *raft);
+
 /** The lease of the one in charge. */
 const struct lease *raft_lease(const struct raft *raft);
 
--- a/libfilberthall/agree/raft_view.c
+++ b/libfilberthall/agree/raft_view.c
@@ -108,6 +108,13 @@
 	return fresh_us < now_us ? fresh_us : now_us;
 }
 
+int64_t raft_election_us(const struct raft *raft)
+{
+	if (raft->role == RAFT_LEADER || !raft_can_vote(raft))
+		return INT64_MAX;
+	return raft->election_at_us;
+}
+
 size_t raft_applied_on(const struct raft *raft, int64_t index, size_t *members)
 {
 	const struct raft_peer *peer;
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -17,7 +17,10 @@
 #define SNAPSHOT_KEPT 16
 
 /* So many heartbeats may be lost before a silence is long enough to elect. */
-#define HEARTBEATS 5
+#define HEARTBEATS 6
+
+/* Heartbeats, polls and duties are looked at so often. */
+#define TICK_US INT64_C(50000)
 
 /*
  * Silence after which a voter is replaced, if another VM can take its place.
@@ -254,6 +257,20 @@
 	check_stop(control, now_us, effects);
 }
 
+/*
+ * Elections are begun when they are due and not at the next tick: the random
+ * waits of VMs that were started together would all end at a few ticks, and
+ * candidates that begin together take each other's votes.
+ */
+int64_t control_next_tick(const struct control *control, int64_t now_us)
+{
+	int64_t at_us = raft_election_us(control->raft);
+
+	if (at_us <= now_us || at_us > now_us + TICK_US)
+		return now_us + TICK_US;
+	return at_us;
+}
+
 void control_link_up(struct control *control, const struct event_link_up *up,
 		     int64_t now_us, struct effects *effects)
 {
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -57,10 +57,10 @@
 			struct effects *effects);
 void control_free(struct control *control);
 
-/** Let time pass; at least every CONTROL_TICK_US. */
-#define CONTROL_TICK_US INT64_C(50000)
+/** Let time pass; at control_next_tick() at the latest. */
 void control_tick(struct control *control, int64_t wall_us, int64_t now_us,
 		  struct effects *effects);
+int64_t control_next_tick(const struct control *control, int64_t now_us);
 
 void control_link_up(struct control *control, const struct event_link_up *up,
 		     int64_t now_us, struct effects *effects);
--- a/tests/control/t-control.c
+++ b/tests/control/t-control.c
@@ -4,6 +4,9 @@
 #include "group.h"
 
 #define SECOND INT64_C(1000000)
+/* Elections after a loss of power, and what they may take in the mean. */
+#define ELECTIONS 100
+#define ELECTION_MEAN_US (400 * SECOND / 1000)
 #define WALL_WINDOW (INT64_C(1700000000) / 5)
 
 static const int first_seeds[] = { 0, 1, 2 };
@@ -327,6 +330,41 @@
 	group_free(group);
 }
 
+/*
+ * All control VMs lose power and are back together. Until they have a leader
+ * no entry VM may serve a request with a key, so callers wait for it; with a
+ * longer silence than the settings name they waited for twice as long.
+ */
+static void test_elects_soon(void)
+{
+	int64_t sum_us = 0;
+	uint64_t seed;
+	int i;
+
+	for (seed = 1; seed <= ELECTIONS; seed++) {
+		struct group *group = site(seed);
+		int64_t from_us;
+
+		for (i = 0; i < 5; i++)
+			group_kill(group, i);
+		group_run(group, SECOND / 2);
+		/* They don't start at quite the same moment. */
+		for (i = 0; i < 5; i++) {
+			group_start(group, i);
+			group_run(group, GROUP_STEP_US);
+		}
+		from_us = group_now(group);
+		while (group_leader(group) < 0)
+			group_run(group, GROUP_STEP_US);
+		sum_us += group_now(group) - from_us;
+		g_assert_cmpint(group_now(group) - from_us, <, 3 * SECOND / 4);
+		group_run(group, SECOND / 10);
+		check_held(group, 1);
+		group_free(group);
+	}
+	g_assert_cmpint(sum_us / ELECTIONS, <, ELECTION_MEAN_US);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -343,5 +381,6 @@
 	g_test_add_func("/control/report", test_report);
 	g_test_add_func("/control/hand-over", test_hand_over);
 	g_test_add_func("/control/wall-step", test_wall_step);
+	g_test_add_func("/control/elects-soon", test_elects_soon);
 	return g_test_run();
 }
--- a/tests/daemon/t-boot.c
+++ b/tests/daemon/t-boot.c
@@ -36,6 +36,7 @@
 	g_assert_cmpint(boot.body_bytes, ==, 4194304);
 	g_assert_cmpint(boot.log_level, ==, LOG_INFO);
 	g_assert_cmpint(boot.fresh_ms, ==, 4500);
+	g_assert_cmpint(boot.election_ms, ==, 300);
 	boot_clear(&boot);
 }
 
