agree: a voter with a full disk stays while another one is in doubt

Cause: a voter whose disk failed counted as dead at once, and as a VM was ready to take a place, it was removed although another voter had just gone for good. The change stood in two logs; with it four vote, two of them lost, and those two couldn't elect; without it three of five were there, but the third one's log was shorter. Two disks were lost, which the site bears.

Ruled out: the vote rules (each refusal was right), a failed disk that isn't noticed as healed (the VM had restarted).

--- a/libfilberthall/agree/repair.c
+++ b/libfilberthall/agree/repair.c
@@ -162,17 +162,61 @@
 	return best;
 }
 
+/** Its process lives, so it may be a voter again once its disk works. */
+static bool repair_may_recover(const struct repair_view *view,
+			       const struct member *member)
+{
+	const struct member_health *health = repair_health(view, member->id);
+
+	return health && health->failed &&
+	       !repair_silent(view, member->id, view->policy->replace_us);
+}
+
+/** How sure it is that a dead voter doesn't come back. */
+static int repair_finality(const struct repair_view *view,
+			   const struct member *dead)
+{
+	if (repair_may_recover(view, dead))
+		return 0;
+	return repair_superseded(view, dead) ? 2 : 1;
+}
+
+/** Rather one whose folder is gone than one that may be cut off or full. */
 static const struct member *repair_dead_voter(const struct repair_view *view)
 {
+	const struct member *found = NULL;
 	size_t i;
 
 	for (i = 0; i < view->members->count; i++) {
 		const struct member *member = &view->members->items[i];
 
-		if (member->role == MEMBER_VOTER && repair_dead(view, member))
-			return member;
+		if (member->role != MEMBER_VOTER || !repair_dead(view, member))
+			continue;
+		if (!found || repair_finality(view, member) >
+				      repair_finality(view, found))
+			found = member;
 	}
-	return NULL;
+	return found;
+}
+
+/**
+ * Whether the group can commit without a dead voter, also if one that fell
+ * silent just now is gone.
+ *
+ * One with a failed disk goes only while all others are there. A disk that
+ * was full for seconds comes back, and its vote was what two lost ones left:
+ * the change that removed it stood in two logs of the three that lived, could
+ * not be committed, and kept each of them from being elected for ever.
+ */
+static bool repair_can_spare(const struct repair_view *view,
+			     const struct member *dead)
+{
+	int voters = members_voters(view->members);
+	int needed = repair_may_recover(view, dead)
+			     ? voters - 1
+			     : members_quorum(voters - 1);
+
+	return repair_present_voters(view) >= needed;
 }
 
 /** The living voter, not ourselves, whose zone has the most voters. */
@@ -232,7 +276,7 @@
 				  (voters % 2 == 0 || voters - living >= 2));
 
 	if (dead && (candidate || smaller_is_better) &&
-	    repair_present_voters(view) >= members_quorum(voters - 1))
+	    repair_can_spare(view, dead))
 		return repair_step(MEMBER_REMOVE, dead, "dead voter");
 	if (!dead && candidate && voters < view->policy->voters &&
 	    (voters % 2 == 0 || candidates >= 2))
--- a/tests/agree/t-member.c
+++ b/tests/agree/t-member.c
@@ -125,6 +125,32 @@
 	expect(group_next(&group), MEMBER_NO_CHANGE, 0);
 }
 
+/*
+ * Of five voters one has a full disk; a second one is gone for good, and the
+ * VM in its place is ready to vote. The first must not be what goes: once a
+ * third one lost its disk, those with the change and the one without it held
+ * each other up for ever, though three of the five were there again.
+ */
+static void full_disk_is_no_reason_while_another_is_in_doubt(void)
+{
+	struct group group;
+
+	group_init(&group);
+	group.policy.voters = 5;
+	group.policy.keep_voters = true;
+	group_add(&group, 1, "a", MEMBER_VOTER, true, 0);
+	group_add(&group, 2, "b", MEMBER_VOTER, true, 0);
+	group_add(&group, 3, "c", MEMBER_VOTER, true, 1);
+	group_add(&group, 4, "a", MEMBER_VOTER, true, 0);
+	group_add(&group, 5, "b", MEMBER_VOTER, true, 0);
+	group_add(&group, 6, "c", MEMBER_LEARNER, true, 0);
+	group.health[1].failed = true;
+	expect(group_next(&group), MEMBER_NO_CHANGE, 0);
+	/* Once it is known which one is gone, that one goes. */
+	group.health[2].heard_us = group.now_us - group.policy.replace_us;
+	expect(group_next(&group), MEMBER_REMOVE, 3);
+}
+
 /* A learner that just fell silent is no replacement. */
 static void silent_learner_is_no_candidate(void)
 {
@@ -249,6 +275,8 @@
 	g_test_add_func("/member/failed-disk",
 			voter_with_a_failed_disk_counts_as_dead);
 	g_test_add_func("/member/doubt", voter_stays_while_another_is_in_doubt);
+	g_test_add_func("/member/full-disk",
+			full_disk_is_no_reason_while_another_is_in_doubt);
 	g_test_add_func("/member/silent-candidate",
 			silent_learner_is_no_candidate);
 	g_test_add_func("/member/shrink",
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -23,6 +23,7 @@
 	bool wants[GROUP_VMS]; /* a link to that VM was asked for */
 	bool linked[GROUP_VMS];
 	bool disk_fails;
+	bool frozen;
 };
 
 /* A message or a synced write on its way. */
@@ -45,6 +46,7 @@
 	int n_vms;
 	bool is_seed[GROUP_VMS];
 	bool cut[GROUP_VMS][GROUP_VMS];
+	bool mute[GROUP_VMS][GROUP_VMS];
 	int64_t now_us;
 	uint64_t next_id;
 	uint64_t next_call;
@@ -133,7 +135,7 @@
 	int to = vm_by_id(group, send->peer);
 	struct event *event;
 
-	if (to < 0 || !group->vms[from].linked[to])
+	if (to < 0 || !group->vms[from].linked[to] || group->mute[from][to])
 		return;
 	event = event_new(EVENT_LINK_MESSAGE);
 	event->u.link_message.peer = group->vms[from].id;
@@ -259,12 +261,18 @@
 	free(item);
 }
 
+/* What is for a VM that stands still waits for it. */
 static void deliver_all(struct group *group)
 {
+	struct post **at = &group->posts;
 	struct post *item;
 
-	while ((item = group->posts) && item->at_us <= group->now_us) {
-		group->posts = item->next;
+	while ((item = *at) && item->at_us <= group->now_us) {
+		if (group->vms[item->to].frozen) {
+			at = &item->next;
+			continue;
+		}
+		*at = item->next;
 		deliver(group, item);
 	}
 }
@@ -274,7 +282,7 @@
 	struct vm *vm = &group->vms[at];
 	struct effects effects;
 
-	if (!vm->control || group->now_us < vm->tick_us)
+	if (!vm->control || vm->frozen || group->now_us < vm->tick_us)
 		return;
 	effects_init(&effects);
 	control_tick(vm->control, WALL_US + group->now_us + vm->wall_off_us,
@@ -332,6 +340,7 @@
 	options.seed = group->seed + (uint64_t)at * 77;
 	options.found = at == 0 && !group->now_us;
 	memset(vm->wants, 0, sizeof(vm->wants));
+	vm->frozen = false;
 	vm->disk_fails = false;
 	vm->tick_us = group->now_us;
 	effects_init(&effects);
@@ -369,6 +378,21 @@
 	group->cut[b][a] = cut;
 }
 
+void group_mute(struct group *group, int from, int to, bool mute)
+{
+	group->mute[from][to] = mute;
+}
+
+void group_freeze(struct group *group, int at, bool freeze)
+{
+	bool was = group->vms[at].frozen;
+
+	group->vms[at].frozen = freeze;
+	/* The worst order: it acts before it hears what it has missed. */
+	if (was && !freeze)
+		tick(group, at);
+}
+
 void group_fail_disk(struct group *group, int at)
 {
 	group->vms[at].disk_fails = true;
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -42,6 +42,12 @@
 /** Cut or join the way between two VMs, both ways. */
 void group_cut(struct group *group, int a, int b, bool cut);
 
+/** What one VM sends another one is lost, and neither sees why. */
+void group_mute(struct group *group, int from, int to, bool mute);
+
+/** It stands still; what is sent to it waits. */
+void group_freeze(struct group *group, int vm, bool freeze);
+
 /** Its disk fails from now on, as a full one does. */
 void group_fail_disk(struct group *group, int vm);
 
