agree: a replacement comes in before a silent voter goes

Cause: a voter that stood still for 4.7 s was removed, as a VM was ready to take a place, and another voter was lost before that was committed. Two logs had the change, and by it three of four voters were needed, two of them lost for good; the one that came back had the shorter log. Two disks were lost, as many as the site bears.

With a silent voter the replacement now comes in first: whoever comes back completes the larger quorum. Only a voter whose folder is known to be gone, as its VM or address has a new member, still goes first. And a new leader doesn't give new time to those that had no link to us before either, so that the one really gone is replaced first.

Members of the all-in-one role are replaced as before (keep_voters is off there).

Ruled out: electing by the older membership while the newer one isn't known to be committed; two changes on, its majorities needn't overlap.

--- a/libfilberthall/agree/raft.c
+++ b/libfilberthall/agree/raft.c
@@ -326,6 +326,9 @@
 		return;
 	peer->up = false;
 	peer->child = false;
+	/* A leader counts its silence from what it last said. */
+	if (raft->role != RAFT_LEADER)
+		peer->heard_us = now_us;
 	peer->feeding = raft->role == RAFT_LEADER && raft_leader_feeds(peer);
 	raft_finish(raft, now_us, effects);
 }
--- a/libfilberthall/agree/raft_election.c
+++ b/libfilberthall/agree/raft_election.c
@@ -186,7 +186,13 @@
 		peer->sent_us = RAFT_NEVER;
 		peer->acked_us = RAFT_NEVER;
 		peer->progress_us = now_us;
-		peer->heard_us = now_us;
+		/*
+		 * Who had no link to us before either isn't given new time: a
+		 * voter that was gone for seconds, and a VM ready to take its
+		 * place, would wait once more at each change of leader.
+		 */
+		if (peer->up)
+			peer->heard_us = now_us;
 		peer->snapshot_index = 0;
 		peer->feeding = peer->child || raft_leader_feeds(peer);
 	}
--- a/libfilberthall/agree/repair.c
+++ b/libfilberthall/agree/repair.c
@@ -256,6 +256,27 @@
 	return change;
 }
 
+/**
+ * Whether a replacement comes in before a dead voter goes.
+ *
+ * One that is cut off or stands still comes back. If it is removed and a
+ * voter is lost before that is committed, those that have the change lack a
+ * quorum by it, and the one that is back can't be elected by the shorter log:
+ * nobody leads ever again, with no more disks lost than the group bears. With
+ * the replacement in first, whoever comes back completes the larger quorum.
+ * Where its folder is known to be gone nothing can come back, and the smaller
+ * quorum is what a further loss leaves more room in.
+ */
+static bool repair_adds_first(const struct repair_view *view,
+			      const struct member *dead)
+{
+	int voters = members_voters(view->members);
+
+	return view->policy->keep_voters && !repair_superseded(view, dead) &&
+	       voters <= view->policy->voters &&
+	       repair_present_voters(view) + 1 >= members_quorum(voters + 1);
+}
+
 /**
  * The dead voter goes out first and its replacement comes in next. The other
  * way round the group needs three of four for a moment, one of them the
@@ -275,6 +296,10 @@
 				 (!view->policy->keep_voters &&
 				  (voters % 2 == 0 || voters - living >= 2));
 
+	if (dead && candidate && repair_can_spare(view, dead) &&
+	    repair_adds_first(view, dead))
+		return repair_step(MEMBER_PROMOTE, candidate,
+				   "in place of a silent voter");
 	if (dead && (candidate || smaller_is_better) &&
 	    repair_can_spare(view, dead))
 		return repair_step(MEMBER_REMOVE, dead, "dead voter");
--- a/tests/agree/t-member.c
+++ b/tests/agree/t-member.c
@@ -146,8 +146,31 @@
 	group_add(&group, 6, "c", MEMBER_LEARNER, true, 0);
 	group.health[1].failed = true;
 	expect(group_next(&group), MEMBER_NO_CHANGE, 0);
-	/* Once it is known which one is gone, that one goes. */
+	/* Once it is known which one is gone, that one goes, and comes last. */
 	group.health[2].heard_us = group.now_us - group.policy.replace_us;
+	expect(group_next(&group), MEMBER_PROMOTE, 6);
+	group.items[5].role = MEMBER_VOTER;
+	expect(group_next(&group), MEMBER_REMOVE, 3);
+}
+
+/*
+ * A voter is silent, and its VM's new start asks in: its folder is gone, so it
+ * goes first and leaves the smaller quorum.
+ */
+static void emptied_voter_goes_before_its_successor_votes(void)
+{
+	struct group group;
+
+	group_init(&group);
+	group.policy.voters = 5;
+	group.policy.keep_voters = true;
+	group_add(&group, 1, "a", MEMBER_VOTER, true, 0);
+	group_add(&group, 2, "b", MEMBER_VOTER, true, 0);
+	group_add(&group, 3, "c", MEMBER_VOTER, true, 10);
+	group_add(&group, 4, "a", MEMBER_VOTER, true, 0);
+	group_add(&group, 5, "b", MEMBER_VOTER, true, 0);
+	group_add(&group, 6, "c", MEMBER_LEARNER, true, 0);
+	memcpy(group.items[5].vm, group.items[2].vm, MEMBER_TEXT_SIZE);
 	expect(group_next(&group), MEMBER_REMOVE, 3);
 }
 
@@ -275,6 +298,8 @@
 	g_test_add_func("/member/failed-disk",
 			voter_with_a_failed_disk_counts_as_dead);
 	g_test_add_func("/member/doubt", voter_stays_while_another_is_in_doubt);
+	g_test_add_func("/member/emptied",
+			emptied_voter_goes_before_its_successor_votes);
 	g_test_add_func("/member/full-disk",
 			full_disk_is_no_reason_while_another_is_in_doubt);
 	g_test_add_func("/member/silent-candidate",
--- a/tests/control/t-storm.c
+++ b/tests/control/t-storm.c
@@ -30,9 +30,16 @@
 /*
  * Failed once. 507: a voter with a full disk was removed while two others were
  * being lost; those with that change in their logs and the one without it kept
- * each other from being elected for ever.
+ * each other from being elected for ever. 1055: the same with a voter that
+ * stood still for seconds and came back.
  */
-static const uint64_t failed_once[] = { 507 };
+static const struct {
+	uint64_t seed;
+	int patience;
+} failed_once[] = {
+	{ 507, 1 },
+	{ 1055, 4 },
+};
 
 static const int seeds_of_site[] = { 0, 1, 2 };
 
@@ -50,6 +57,7 @@
 	bool gone[VMS]; /* replaced for good, or not yet added */
 	bool sick[VMS]; /* its disk fails until it is started again */
 	bool frozen[VMS];
+	int patience;	 /* before all is healed; seeds differ in it */
 	int lost;	 /* disks, until the group was seen whole */
 	int64_t calm_us; /* since nothing has been wrong; 0 if something is */
 	struct put puts[PUTS_MOST];
@@ -306,7 +314,7 @@
 			vm = leader_up(storm);
 		storm->calm_us = 0;
 		strike(storm, vm);
-	} else if (!storm->calm_us) {
+	} else if (!storm->calm_us && !pick(storm, storm->patience)) {
 		heal(storm);
 		storm->calm_us = group_now(storm->group);
 		/* Now and then long enough to be whole again. */
@@ -360,13 +368,14 @@
 	check_orders(storm);
 }
 
-static void play(uint64_t seed, struct storm *storm)
+static void play(uint64_t seed, int patience, struct storm *storm)
 {
 	int i;
 
 	memset(storm, 0, sizeof(*storm));
 	storm->seed = seed;
 	storm->rng.state = seed;
+	storm->patience = patience;
 	storm->group = group_new(VMS, seeds_of_site, 3, seed);
 	storm->window = WINDOWS_FROM;
 	for (i = 0; i < VMS; i++)
@@ -401,9 +410,9 @@
 	if (range)
 		sscanf(range, "%d-%d", &from, &to);
 	for (i = 0; !range && i < G_N_ELEMENTS(failed_once); i++)
-		play(failed_once[i], &storm);
+		play(failed_once[i].seed, failed_once[i].patience, &storm);
 	for (seed = from; seed <= to; seed++) {
-		play((uint64_t)seed, &storm);
+		play((uint64_t)seed, 1 + seed % 4, &storm);
 		changes += storm.n_acked;
 		reads += storm.reads;
 	}
