control: leases and losses as a site names them

A third of a short lease is for the call now, a sixth for the margin, and so many voters are wanted as bear the losses named.

tests/control/t-control short-lease (1 s) had no call in 15 s before.

--- a/daemon/control_daemon.c
+++ b/daemon/control_daemon.c
@@ -44,6 +44,14 @@
 	sink->post(sink->data, event);
 }
 
+/* As many as bear the loss of `tolerate` disks, whatever else is wanted. */
+static int voters_wanted(const struct boot *boot)
+{
+	int64_t needed = 2 * boot->tolerate + 1;
+
+	return (int)(boot->voters > needed ? boot->voters : needed);
+}
+
 static struct control_options control_options_of(struct control_daemon *daemon)
 {
 	const struct boot *boot = daemon->role.boot;
@@ -54,7 +62,7 @@
 		.zone = boot->zone,
 		.address = boot->reach_links ? boot->reach_links
 					     : boot->listen_links,
-		.voters = (int)boot->voters,
+		.voters = voters_wanted(boot),
 		.tolerate = (int)boot->tolerate,
 		.lease_us = boot->lease_ms * 1000,
 		.election_us = boot->election_ms * 1000,
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -66,6 +66,9 @@
 	raft.policy.replace_us = REPLACE_US;
 	raft.policy.drop_us = DROP_US;
 	raft.lease.duration_us = options->lease_us;
+	/* The usual margin is for the usual lease: a sixth of a shorter one. */
+	if (raft.lease.margin_us > options->lease_us / 6)
+		raft.lease.margin_us = options->lease_us / 6;
 	return raft;
 }
 
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -137,10 +137,18 @@
 }
 
 /** Whether the lease lasts long enough for a call to the platform. */
+/* With a short lease less, so that a call fits in and time is left for more. */
+static int64_t call_ms(const struct control *control)
+{
+	int64_t third_ms = control->options.lease_us / 3000;
+
+	return third_ms < CALL_MS ? third_ms : CALL_MS;
+}
+
 bool control_may_call(const struct control *control, int64_t now_us)
 {
-	return lease_may_order(raft_lease(control->raft), CALL_MS * 1000,
-			       now_us);
+	return lease_may_order(raft_lease(control->raft),
+			       call_ms(control) * 1000, now_us);
 }
 
 /** A call of the one in charge; its id and body are the caller's to fill. */
@@ -154,7 +162,7 @@
 	call = &effects_add(effects, EFFECT_PLATFORM_CALL)->u.platform_call;
 	call->verb = xstrdup(verb);
 	call->fence = lease->term;
-	call->timeout_ms = CALL_MS;
+	call->timeout_ms = call_ms(control);
 	call->until_us = lease_order_deadline(lease);
 	return call;
 }
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -55,6 +55,7 @@
 	GArray *answers;
 	GArray *calls;
 	enum result call_code;
+	int64_t lease_us;
 };
 
 static uint64_t life_of(const struct vm *vm)
@@ -325,7 +326,7 @@
 		.address = vm->address,
 		.voters = 5,
 		.tolerate = 2,
-		.lease_us = 3000000,
+		.lease_us = group->lease_us,
 		.election_us = 300000,
 		.window_us = 5000000,
 		.report = true,
@@ -378,6 +379,11 @@
 	group->cut[b][a] = cut;
 }
 
+void group_set_lease(struct group *group, int64_t lease_us)
+{
+	group->lease_us = lease_us;
+}
+
 void group_mute(struct group *group, int from, int to, bool mute)
 {
 	group->mute[from][to] = mute;
@@ -410,6 +416,7 @@
 
 	group->n_vms = n_vms;
 	group->seed = seed;
+	group->lease_us = 3000000;
 	group->answers = g_array_new(false, true, sizeof(struct answer));
 	group->calls = g_array_new(false, true, sizeof(struct group_call));
 	for (i = 0; i < n_seeds; i++)
--- a/tests/control/t-control.c
+++ b/tests/control/t-control.c
@@ -330,6 +330,33 @@
 	group_free(group);
 }
 
+/*
+ * A site names a lease shorter than a call's usual time. Orders and reports
+ * were never given, as none fitted into it; now the call is shorter too.
+ */
+static void test_short_lease(void)
+{
+	struct group *group = group_new(8, first_seeds, 3, 5);
+	uint64_t call;
+	int n;
+	int i;
+
+	group_set_lease(group, SECOND);
+	for (i = 0; i < 5; i++)
+		group_start(group, i);
+	group_run(group, 4 * SECOND);
+	call = group_put(group, group_leader(group), 1);
+	group_begun(group, WALL_WINDOW, 3);
+	for (i = 0; i < 15; i++) {
+		group_run(group, SECOND);
+		group_answer_calls(group, RESULT_OK);
+	}
+	g_assert_cmpint(group_code(group, call), ==, RESULT_OK);
+	group_calls(group, &n);
+	g_assert_cmpint(n, >, 0);
+	group_free(group);
+}
+
 /*
  * All control VMs lose power and are back together. Until they have a leader
  * no entry VM may serve a request with a key, so callers wait for it; with a
@@ -381,6 +408,7 @@
 	g_test_add_func("/control/report", test_report);
 	g_test_add_func("/control/hand-over", test_hand_over);
 	g_test_add_func("/control/wall-step", test_wall_step);
+	g_test_add_func("/control/short-lease", test_short_lease);
 	g_test_add_func("/control/elects-soon", test_elects_soon);
 	return g_test_run();
 }
