--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -1,62 +1,12 @@
 #include "group.h"
 
-#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "../agree/saved.h"
 #include "base/alloc.h"
-#include "feed/feed.h"
+#include "group_state.h"
 
 #define WALL_US INT64_C(1700000000000000)
-#define ENTRY_ID 9999
-
-struct vm {
-	char name[32];
-	char address[32];
-	struct control *control;
-	struct raft_saved disk; /* all that was synced */
-	uint64_t id;
-	int64_t incarnation;
-	int64_t wall_off_us;
-	int64_t tick_us;       /* when it is due */
-	bool wants[GROUP_VMS]; /* a link to that VM was asked for */
-	bool linked[GROUP_VMS];
-	bool disk_fails;
-	bool frozen;
-};
-
-/* A message or a synced write on its way. */
-struct post {
-	struct post *next;
-	int to;
-	int64_t at_us;
-	uint64_t life; /* id and start of the receiver */
-	struct event *event;
-};
-
-struct answer {
-	uint64_t call;
-	int code;
-	char *body;
-};
-
-struct group {
-	struct vm vms[GROUP_VMS];
-	int n_vms;
-	bool is_seed[GROUP_VMS];
-	bool cut[GROUP_VMS][GROUP_VMS];
-	bool mute[GROUP_VMS][GROUP_VMS];
-	int64_t now_us;
-	uint64_t next_id;
-	uint64_t next_call;
-	uint64_t seed;
-	struct post *posts;
-	GArray *answers;
-	GArray *calls;
-	enum result call_code;
-	int64_t lease_us;
-};
 
 static uint64_t life_of(const struct vm *vm)
 {
@@ -111,25 +61,6 @@
 	return copy;
 }
 
-static void note_answer(struct group *group,
-			const struct effect_admin_answer *told)
-{
-	struct answer answer = { told->id, (int)told->code, NULL };
-
-	answer.body =
-		xmemdup(told->body.data ? told->body.data : "", told->body.len);
-	g_array_append_val(group->answers, answer);
-}
-
-static void note_call(struct group *group, int vm,
-		      const struct effect_platform_call *told)
-{
-	struct group_call call = { vm, group->now_us, "", told->fence };
-
-	g_strlcpy(call.order_id, told->order_id, sizeof(call.order_id));
-	g_array_append_val(group->calls, call);
-}
-
 static void send_message(struct group *group, int from,
 			 const struct effect_send *send)
 {
@@ -145,7 +76,7 @@
 	post(group, to, event);
 }
 
-static void carry_out(struct group *group, int at, struct effects *effects)
+void group_carry_out(struct group *group, int at, struct effects *effects)
 {
 	struct vm *vm = &group->vms[at];
 	struct effect *effect;
@@ -179,10 +110,10 @@
 			post(group, at, event);
 			break;
 		case EFFECT_ADMIN_ANSWER:
-			note_answer(group, &effect->u.admin_answer);
+			group_note_answer(group, &effect->u.admin_answer);
 			break;
 		case EFFECT_PLATFORM_CALL:
-			note_call(group, at, &effect->u.platform_call);
+			group_note_call(group, at, &effect->u.platform_call);
 			break;
 		default:
 			break;
@@ -256,7 +187,7 @@
 		else if (event->kind == EVENT_DISK_FAILED)
 			control_disk_failed(control, RESULT_DISK_FULL, now_us,
 					    &effects);
-		carry_out(group, item->to, &effects);
+		group_carry_out(group, item->to, &effects);
 	}
 	event_free(event);
 	free(item);
@@ -289,7 +220,7 @@
 	control_tick(vm->control, WALL_US + group->now_us + vm->wall_off_us,
 		     group->now_us, &effects);
 	vm->tick_us = control_next_tick(vm->control, group->now_us);
-	carry_out(group, at, &effects);
+	group_carry_out(group, at, &effects);
 }
 
 void group_run(struct group *group, int64_t us)
@@ -349,7 +280,7 @@
 				    group->now_us, &effects),
 			==, RESULT_OK);
 	raft_saved_clear(&saved);
-	carry_out(group, at, &effects);
+	group_carry_out(group, at, &effects);
 }
 
 void group_kill(struct group *group, int at)
@@ -476,102 +407,3 @@
 	}
 	return found;
 }
-
-uint64_t group_put(struct group *group, int at, int64_t version)
-{
-	struct bytes text = { 0 };
-	struct effects effects;
-
-	effects_init(&effects);
-	bytes_append_format(&text, "document %d", (int)version);
-	control_put_document(group->vms[at].control, ++group->next_call,
-			     version, &text, group->now_us, &effects);
-	carry_out(group, at, &effects);
-	bytes_clear(&text);
-	return group->next_call;
-}
-
-uint64_t group_get(struct group *group, int at)
-{
-	struct effects effects;
-
-	effects_init(&effects);
-	control_get_document(group->vms[at].control, ++group->next_call,
-			     group->now_us, &effects);
-	carry_out(group, at, &effects);
-	return group->next_call;
-}
-
-static const struct answer *answer_of(const struct group *group, uint64_t call)
-{
-	guint i;
-
-	for (i = 0; i < group->answers->len; i++)
-		if (g_array_index(group->answers, struct answer, i).call ==
-		    call)
-			return &g_array_index(group->answers, struct answer, i);
-	return NULL;
-}
-
-int group_code(struct group *group, uint64_t call)
-{
-	const struct answer *answer = answer_of(group, call);
-
-	return answer ? answer->code : -1;
-}
-
-const char *group_body(struct group *group, uint64_t call)
-{
-	const struct answer *answer = answer_of(group, call);
-
-	return answer ? answer->body : NULL;
-}
-
-void group_begun(struct group *group, int64_t window, int64_t requests)
-{
-	struct feed_count count = { "yards", requests };
-	struct feed_begun begun = { window, &count, 1 };
-	struct event_link_up up = { ENTRY_ID, (char *)"entry", (char *)"z1",
-				    NULL, true };
-	struct event_link_message message = { ENTRY_ID, LINK_FEED, { 0 } };
-	struct effects effects;
-	int i;
-
-	feed_write_begun(&message.body, &begun);
-	for (i = 0; i < group->n_vms; i++) {
-		if (!group->vms[i].control)
-			continue;
-		effects_init(&effects);
-		control_link_up(group->vms[i].control, &up, group->now_us,
-				&effects);
-		control_link_message(group->vms[i].control, &message,
-				     group->now_us, &effects);
-		carry_out(group, i, &effects);
-	}
-	bytes_clear(&message.body);
-}
-
-const struct group_call *group_calls(const struct group *group, int *n)
-{
-	*n = (int)group->calls->len;
-	return (const struct group_call *)(void *)group->calls->data;
-}
-
-void group_answer_calls(struct group *group, enum result code)
-{
-	struct effects effects;
-	guint i;
-
-	effects_init(&effects);
-	for (i = 0; i < group->calls->len; i++) {
-		const struct group_call *call =
-			&g_array_index(group->calls, struct group_call, i);
-		struct control *control = group->vms[call->vm].control;
-
-		if (!control)
-			continue;
-		control_platform_answer(control, call->order_id, code,
-					group->now_us, &effects);
-		carry_out(group, call->vm, &effects);
-	}
-}
--- /dev/null
+++ b/tests/control/group_calls.c
@@ -0,0 +1,129 @@
+/*
+ * The operator's calls, what entry VMs tell, and the platform's side.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "feed/feed.h"
+#include "group_state.h"
+
+#define ENTRY_ID 9999
+
+void group_note_answer(struct group *group,
+		       const struct effect_admin_answer *told)
+{
+	struct answer answer = { told->id, (int)told->code, NULL };
+
+	answer.body =
+		xmemdup(told->body.data ? told->body.data : "", told->body.len);
+	g_array_append_val(group->answers, answer);
+}
+
+void group_note_call(struct group *group, int vm,
+		     const struct effect_platform_call *told)
+{
+	struct group_call call = { vm, group->now_us, "", told->fence };
+
+	g_strlcpy(call.order_id, told->order_id, sizeof(call.order_id));
+	g_array_append_val(group->calls, call);
+}
+
+uint64_t group_put(struct group *group, int at, int64_t version)
+{
+	struct bytes text = { 0 };
+	struct effects effects;
+
+	effects_init(&effects);
+	bytes_append_format(&text, "document %d", (int)version);
+	control_put_document(group->vms[at].control, ++group->next_call,
+			     version, &text, group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+	bytes_clear(&text);
+	return group->next_call;
+}
+
+uint64_t group_get(struct group *group, int at)
+{
+	struct effects effects;
+
+	effects_init(&effects);
+	control_get_document(group->vms[at].control, ++group->next_call,
+			     group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+	return group->next_call;
+}
+
+static const struct answer *answer_of(const struct group *group, uint64_t call)
+{
+	guint i;
+
+	for (i = 0; i < group->answers->len; i++)
+		if (g_array_index(group->answers, struct answer, i).call ==
+		    call)
+			return &g_array_index(group->answers, struct answer, i);
+	return NULL;
+}
+
+int group_code(struct group *group, uint64_t call)
+{
+	const struct answer *answer = answer_of(group, call);
+
+	return answer ? answer->code : -1;
+}
+
+const char *group_body(struct group *group, uint64_t call)
+{
+	const struct answer *answer = answer_of(group, call);
+
+	return answer ? answer->body : NULL;
+}
+
+void group_begun(struct group *group, int64_t window, int64_t requests)
+{
+	struct feed_count count = { "yards", requests };
+	struct feed_begun begun = { window, &count, 1 };
+	struct event_link_up up = { ENTRY_ID, (char *)"entry", (char *)"z1",
+				    NULL, true };
+	struct event_link_message message = { ENTRY_ID, LINK_FEED, { 0 } };
+	struct effects effects;
+	int i;
+
+	feed_write_begun(&message.body, &begun);
+	for (i = 0; i < group->n_vms; i++) {
+		if (!group->vms[i].control)
+			continue;
+		effects_init(&effects);
+		control_link_up(group->vms[i].control, &up, group->now_us,
+				&effects);
+		control_link_message(group->vms[i].control, &message,
+				     group->now_us, &effects);
+		group_carry_out(group, i, &effects);
+	}
+	bytes_clear(&message.body);
+}
+
+const struct group_call *group_calls(const struct group *group, int *n)
+{
+	*n = (int)group->calls->len;
+	return (const struct group_call *)(void *)group->calls->data;
+}
+
+void group_answer_calls(struct group *group, enum result code)
+{
+	struct effects effects;
+	guint i;
+
+	effects_init(&effects);
+	for (i = 0; i < group->calls->len; i++) {
+		const struct group_call *call =
+			&g_array_index(group->calls, struct group_call, i);
+		struct control *control = group->vms[call->vm].control;
+
+		if (!control)
+			continue;
+		control_platform_answer(control, call->order_id, code,
+					group->now_us, &effects);
+		group_carry_out(group, call->vm, &effects);
+	}
+}
