fleet, boot: silence of servers by their own beat; the demo's second act

A server is missed after six of its beats (backends.beat_ms, which the platform names), eight seconds at least: counted in seconds alone, a site with beats of 3 s would lose a server's work by two lost ones. tests/fleet/t-registry slow-beats failed before. A withdrawn key's time below a second no longer ends a start.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 demo: build
 	sh tests/demo/run $(BUILD)
+	sh tests/demo/run-roles $(BUILD)
 
 asan:
 	$(MAKE) build BUILD=build-asan \
--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -102,7 +102,7 @@
 	  3000 },
 	{ "cluster", "election_ms", BOOT_NUMBER, BOOT_AT(election_ms), 0, 100,
 	  60000, BOOT_ELECTION_MS },
-	{ "keys", "withdrawn_ms", BOOT_NUMBER, BOOT_AT(withdrawn_ms), 0, 1000,
+	{ "keys", "withdrawn_ms", BOOT_NUMBER, BOOT_AT(withdrawn_ms), 0, 100,
 	  600000, 5000 },
 	{ "keys", "fresh_ms", BOOT_NUMBER, BOOT_AT(fresh_ms), 0, 500, 600000,
 	  0 },
@@ -111,6 +111,8 @@
 	  1000000, 50 },
 	{ "retries", "window_s", BOOT_NUMBER, BOOT_AT(retry_window_s), 0, 1,
 	  3600, 10 },
+	{ "backends", "beat_ms", BOOT_NUMBER, BOOT_AT(beat_ms), 0, 1, 600000,
+	  1200 },
 	{ "usage", "window_s", BOOT_NUMBER, BOOT_AT(window_s), 0, 1, 86400, 5 },
 	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), 0, 1024,
 	  1048576, 16384 },
@@ -329,9 +331,10 @@
 		if (boot_same_section(boot_keys[i].section, section))
 			bytes_append_format(&allowed, " %s", boot_keys[i].name);
 	if (!section)
-		bytes_append_text(&allowed,
-				  " cluster keys listen limits log peers "
-				  "reach retries seeds tls usage");
+		bytes_append_text(
+			&allowed,
+			" backends cluster keys listen limits log peers "
+			"reach retries seeds tls usage");
 	code = error_report(reader->handler, RESULT_SETTING_UNKNOWN,
 			    "%s:%d: %s: no such key; allowed are:%s",
 			    reader->name, at->line, at->key,
@@ -436,8 +439,12 @@
 /* Knowledge of keys is too old somewhat before a withdrawn key must be dead. */
 static void boot_set_fresh(struct boot *boot)
 {
+	int64_t margin_ms = BOOT_FRESH_MARGIN_MS;
+
+	if (margin_ms > boot->withdrawn_ms / 2)
+		margin_ms = boot->withdrawn_ms / 2;
 	if (!boot->fresh_ms)
-		boot->fresh_ms = boot->withdrawn_ms - BOOT_FRESH_MARGIN_MS;
+		boot->fresh_ms = boot->withdrawn_ms - margin_ms;
 }
 
 static void boot_set_fallbacks(struct boot *boot)
--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -407,6 +407,7 @@
 	options.fresh_us = boot->fresh_ms * 1000;
 	options.window_us = boot->window_s * 1000000;
 	options.retry_share = boot->retry_share;
+	options.beat_us = boot->beat_ms * 1000;
 	options.retry_window_us = boot->retry_window_s * 1000000;
 	options.retry_headroom = (double)boot->retry_headroom;
 	options.read_document = role_read_document;
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -86,7 +86,7 @@
 	control->zone = xstrdup(options->zone);
 	control->address = xstrdup(options->address);
 	ledger_init(&control->ledger);
-	registry_init(&control->registry);
+	registry_init(&control->registry, options->beat_us);
 	begun_init(&control->begun);
 	missed_init(&control->missed);
 	map_init(&control->peers);
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -40,6 +40,7 @@
 	int64_t election_us; /**< silence of a leader before another one is
 				  elected, also after a start */
 	int64_t window_us;   /**< length of a usage window */
+	int64_t beat_us;     /**< servers announce themselves so often */
 	bool report;	     /**< there is a platform that takes reports */
 	/** Read the document in force; NULL if it can't be. */
 	struct document *(*read_document)(void *data, const char *text,
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -63,7 +63,7 @@
 	entry->polled_us = INT64_MIN / 2;
 	entry->fetched_us = INT64_MIN / 2;
 	fleet_init(&entry->fleet);
-	registry_init(&entry->registry);
+	registry_init(&entry->registry, options->beat_us);
 	begun_init(&entry->begun);
 	missed_init(&entry->missed);
 	map_init(&entry->peers);
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -29,6 +29,7 @@
 	double retry_share;    /**< repeats for each request, over all VMs */
 	double retry_headroom; /**< besides, over all VMs and in any window */
 	int64_t retry_window_us;
+	int64_t beat_us; /**< backend servers announce themselves so often */
 	/**
 	 * Read a document; NULL if it can't be. Control VMs have checked it,
 	 * so this fails only if they run another release.
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -11,9 +11,12 @@
 		       key);
 }
 
-void registry_init(struct registry *registry)
+void registry_init(struct registry *registry, int64_t beat_us)
 {
 	map_init(&registry->by_id);
+	registry->silent_us = REGISTRY_SILENT_BEATS * beat_us;
+	if (registry->silent_us < REGISTRY_SILENT_US)
+		registry->silent_us = REGISTRY_SILENT_US;
 	registry->heard_us = INT64_MIN / 2;
 }
 
@@ -77,7 +80,7 @@
 {
 	if (heard_us > registered->heard_us)
 		registered->heard_us = heard_us;
-	if (registry->heard_us - registered->heard_us <= REGISTRY_SILENT_US)
+	if (registry->heard_us - registered->heard_us <= registry->silent_us)
 		registered->silent = false;
 	if (heard_us > registry->heard_us)
 		registry->heard_us = heard_us;
@@ -166,7 +169,7 @@
 	map_foreach(registered, next, &registry->by_id, node) {
 		if (!registered->told.gone && !registered->silent &&
 		    registry->heard_us - registered->heard_us >
-			    REGISTRY_SILENT_US) {
+			    registry->silent_us) {
 			registered->silent = true;
 			if (silent)
 				silent(data, registered);
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -49,7 +49,8 @@
 
 struct registry {
 	struct map by_id;
-	int64_t heard_us; /**< when any server was last heard of */
+	int64_t heard_us;  /**< when any server was last heard of */
+	int64_t silent_us; /**< for so long unheard while others were */
 };
 
 /** What a message did. */
@@ -60,10 +61,11 @@
 };
 
 /**
- * A start that nobody has heard for so long gets no work until it is heard
- * again: six of its beats, so that a VM that was cut off and the beats that
- * went to it don't cost a server.
+ * A start that nobody has heard for so many of its beats, and this time at
+ * least, gets no work until it is heard again: so that a VM that was cut off
+ * and the beats that went to it don't cost a server.
  */
+#define REGISTRY_SILENT_BEATS 6
 #define REGISTRY_SILENT_US INT64_C(8000000)
 
 /**
@@ -72,7 +74,8 @@
  */
 #define REGISTRY_DEAD_US INT64_C(600000000)
 
-void registry_init(struct registry *registry);
+/** `beat_us`: how often servers are heard from, 0 if it isn't known. */
+void registry_init(struct registry *registry, int64_t beat_us);
 void registry_clear(struct registry *registry);
 
 /**
--- a/tests/daemon/t-boot.c
+++ b/tests/daemon/t-boot.c
@@ -52,6 +52,9 @@
 		  "b.yaml:9: platform: IP:port is needed" },
 		{ "retries: {share: 1.5}\n",
 		  "b.yaml:9: share: a number from 0 to 1 is needed" },
+		{ "backends: {beat_ms: 0}\n",
+		  "b.yaml:9: beat_ms: a whole number from 1 to 600000 is "
+		  "needed" },
 		{ "limits: {idle_s: 0}\n",
 		  "b.yaml:9: idle_s: a whole number from 1 to 3600 is "
 		  "needed" },
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -38,7 +38,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry);
+	registry_init(&registry, SECOND);
 	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 1), 0), ==,
 			REGISTRY_CHANGED);
 	g_assert_cmpint(take(&registry, told("s1", "a:1", 100, 2), 1), ==,
@@ -58,7 +58,7 @@
 	struct registration leaving = told("s1", "a:1", 100, 5);
 	struct registry registry;
 
-	registry_init(&registry);
+	registry_init(&registry, SECOND);
 	take(&registry, told("s1", "a:1", 100, 3), 0);
 	leaving.leaving = true;
 	g_assert_cmpint(take(&registry, leaving, 1), ==, REGISTRY_CHANGED);
@@ -77,7 +77,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry);
+	registry_init(&registry, SECOND);
 	take(&registry, told("s1", "a:1", 100, 50), 0);
 	registry_leave(&registry, "s1");
 	g_assert_cmpint(take(&registry, told("s1", "a:1", 200, 1), 1), ==,
@@ -99,7 +99,7 @@
 	struct registered *replaced;
 	struct registry registry;
 
-	registry_init(&registry);
+	registry_init(&registry, SECOND);
 	take(&registry, told("s1", "a:1", 100, 7), 0);
 	g_strlcpy(other.service, "scribe", sizeof(other.service));
 	g_assert_cmpint(registry_take(&registry, &other, 1, &replaced), ==,
@@ -120,7 +120,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry);
+	registry_init(&registry, SECOND);
 	take(&registry, told("s1", "a:1", 100, 1), 0);
 	take(&registry, told("s2", "a:2", 100, 1), 0);
 	registry_alive(&registry, "s2", 100, 9 * SECOND);
@@ -132,6 +132,26 @@
 	registry_clear(&registry);
 }
 
+/*
+ * Servers of a site announce themselves each three seconds. Two lost beats
+ * took a sound server's work away, as silence was counted in seconds alone.
+ */
+static void test_slow_beats(void)
+{
+	struct registry registry;
+
+	registry_init(&registry, 3 * SECOND);
+	take(&registry, told("s1", "a:1", 100, 1), 0);
+	take(&registry, told("s2", "a:2", 100, 1), 0);
+	registry_alive(&registry, "s2", 100, 10 * SECOND);
+	registry_expire(&registry, 10 * SECOND, NULL, NULL);
+	g_assert_true(usable(&registry, "s1"));
+	registry_alive(&registry, "s2", 100, 19 * SECOND);
+	registry_expire(&registry, 19 * SECOND, NULL, NULL);
+	g_assert_false(usable(&registry, "s1"));
+	registry_clear(&registry);
+}
+
 /*
  * The whole control side is gone for a minute: nobody is heard, so nobody is
  * missed, and the last known servers go on serving.
@@ -140,7 +160,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry);
+	registry_init(&registry, SECOND);
 	take(&registry, told("s1", "a:1", 100, 1), 0);
 	take(&registry, told("s2", "a:2", 100, 1), SECOND);
 	registry_expire(&registry, 60 * SECOND, NULL, NULL);
@@ -157,6 +177,7 @@
 	g_test_add_func("/registry/reused-id", test_reused_id);
 	g_test_add_func("/registry/reused-address", test_reused_address);
 	g_test_add_func("/registry/silence", test_silence);
+	g_test_add_func("/registry/slow-beats", test_slow_beats);
 	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
 	return g_test_run();
 }
