--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -9,127 +9,12 @@
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "base/yaml.h"
+#include "daemon/boot_key.h"
 #include "daemon/file.h"
 
 #define BOOT_FILE_LIMIT (256 * 1024)
 #define BOOT_NAME_LIMIT 63
 
-enum boot_type {
-	BOOT_NAME,    /* letters, digits, '-', '_', '.' */
-	BOOT_PATH,    /* of a file or folder */
-	BOOT_ADDRESS, /* IP:port */
-	BOOT_FLAG,
-	BOOT_NUMBER,
-	BOOT_SHARE, /* from 0 to 1 */
-	BOOT_LEVEL,
-	BOOT_ROLE
-};
-
-/* In which roles a key must be given. */
-#define NEEDED_ALL 1u
-#define NEEDED_ENTRY 2u
-#define NEEDED_CONTROL 4u
-#define NEEDED 7u
-
-struct boot_key {
-	const char *section; /* NULL at the top */
-	const char *name;
-	enum boot_type type;
-	size_t offset;
-	unsigned int required;
-	int64_t least;
-	int64_t most;
-	int64_t fallback;
-};
-
-/*
- * Repeats for each request, over all entry VMs: a service that fails as a
- * whole gets a fifth more load at most.
- */
-#define BOOT_RETRY_SHARE 0.2
-
-/*
- * After a loss of power nobody is served until there is a leader again, so
- * its election counts; control VMs of one region are a few milliseconds
- * apart, and five lost heartbeats are borne. Mean of the two worst seconds of
- * a day that ends with a loss of all VMs, 18 plays of each site's days with
- * 600, 400 and 300 ms: 0.643, 0.661, 0.672 and 0.624, 0.652, 0.650 of what was
- * owed. Control VMs in several regions need more than their longest way.
- */
-#define BOOT_ELECTION_MS 300
-
-#define BOOT_AT(field) offsetof(struct boot, field)
-
-static const struct boot_key boot_keys[] = {
-	{ NULL, "role", BOOT_ROLE, BOOT_AT(role), 0, 0, 0, 0 },
-	{ NULL, "vm", BOOT_NAME, BOOT_AT(vm), NEEDED, 0, 0, 0 },
-	{ NULL, "zone", BOOT_NAME, BOOT_AT(zone), NEEDED, 0, 0, 0 },
-	{ NULL, "site", BOOT_NAME, BOOT_AT(site), NEEDED, 0, 0, 0 },
-	{ NULL, "data_folder", BOOT_PATH, BOOT_AT(data_folder), NEEDED_CONTROL,
-	  0, 0, 0 },
-	{ NULL, "bootstrap", BOOT_FLAG, BOOT_AT(bootstrap), 0, 0, 0, 0 },
-	{ NULL, "seed_settings", BOOT_PATH, BOOT_AT(seed_settings), 0, 0, 0,
-	  0 },
-	{ NULL, "seed_key_file", BOOT_PATH, BOOT_AT(seed_key_file), 0, 0, 0,
-	  0 },
-	{ NULL, "key_secret_file", BOOT_PATH, BOOT_AT(key_secret_file),
-	  NEEDED_ALL, 0, 0, 0 },
-	{ NULL, "link_secret_file", BOOT_PATH, BOOT_AT(link_secret_file),
-	  NEEDED_ALL, 0, 0, 0 },
-	{ "listen", "callers", BOOT_ADDRESS, BOOT_AT(listen_callers),
-	  NEEDED_ALL | NEEDED_ENTRY, 0, 0, 0 },
-	{ "listen", "backends", BOOT_ADDRESS, BOOT_AT(listen_backends),
-	  NEEDED_ALL, 0, 0, 0 },
-	{ "listen", "operators", BOOT_ADDRESS, BOOT_AT(listen_operators),
-	  NEEDED_ALL | NEEDED_CONTROL, 0, 0, 0 },
-	{ "listen", "links", BOOT_ADDRESS, BOOT_AT(listen_links), NEEDED, 0, 0,
-	  0 },
-	{ "listen", "ready", BOOT_ADDRESS, BOOT_AT(listen_ready), NEEDED_ENTRY,
-	  0, 0, 0 },
-	{ "listen", "metrics", BOOT_ADDRESS, BOOT_AT(listen_metrics), 0, 0, 0,
-	  0 },
-	{ "reach", "operators", BOOT_ADDRESS, BOOT_AT(reach_operators), 0, 0, 0,
-	  0 },
-	{ "reach", "links", BOOT_ADDRESS, BOOT_AT(reach_links), 0, 0, 0, 0 },
-	{ NULL, "publish", BOOT_PATH, BOOT_AT(publish), 0, 0, 0, 0 },
-	{ NULL, "platform", BOOT_ADDRESS, BOOT_AT(platform), 0, 0, 0, 0 },
-	{ "tls", "certificate", BOOT_PATH, BOOT_AT(tls_certificate), 0, 0, 0,
-	  0 },
-	{ "tls", "key", BOOT_PATH, BOOT_AT(tls_key), 0, 0, 0, 0 },
-	{ "cluster", "voters", BOOT_NUMBER, BOOT_AT(voters), 0, 1, 9, 5 },
-	{ "cluster", "tolerate", BOOT_NUMBER, BOOT_AT(tolerate), 0, 0, 100, 2 },
-	{ "cluster", "lease_ms", BOOT_NUMBER, BOOT_AT(lease_ms), 0, 100, 600000,
-	  3000 },
-	{ "cluster", "election_ms", BOOT_NUMBER, BOOT_AT(election_ms), 0, 100,
-	  60000, BOOT_ELECTION_MS },
-	{ "keys", "withdrawn_ms", BOOT_NUMBER, BOOT_AT(withdrawn_ms), 0, 100,
-	  600000, 5000 },
-	{ "keys", "fresh_ms", BOOT_NUMBER, BOOT_AT(fresh_ms), 0, 500, 600000,
-	  0 },
-	{ "retries", "share", BOOT_SHARE, BOOT_AT(retry_share), 0, 0, 0, 0 },
-	{ "retries", "headroom", BOOT_NUMBER, BOOT_AT(retry_headroom), 0, 0,
-	  1000000, 50 },
-	{ "retries", "window_s", BOOT_NUMBER, BOOT_AT(retry_window_s), 0, 1,
-	  3600, 10 },
-	{ "backends", "beat_ms", BOOT_NUMBER, BOOT_AT(beat_ms), 0, 1, 600000,
-	  1200 },
-	{ "usage", "window_s", BOOT_NUMBER, BOOT_AT(window_s), 0, 1, 86400, 5 },
-	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), 0, 1024,
-	  1048576, 16384 },
-	{ "limits", "body_bytes", BOOT_NUMBER, BOOT_AT(body_bytes), 0, 1024,
-	  67108864, 4194304 },
-	{ "limits", "connections", BOOT_NUMBER, BOOT_AT(connections), 0, 4,
-	  100000, 2000 },
-	{ "limits", "idle_s", BOOT_NUMBER, BOOT_AT(idle_s), 0, 1, 3600, 30 },
-	{ "limits", "stop_grace_s", BOOT_NUMBER, BOOT_AT(stop_grace_s), 0, 1,
-	  86400, 900 },
-	{ "log", "level", BOOT_LEVEL, BOOT_AT(log_level), 0, 0, 0, LOG_INFO },
-	{ "log", "file", BOOT_PATH, BOOT_AT(log_file), 0, 0, 0, 0 },
-	{ NULL, "trace_file", BOOT_PATH, BOOT_AT(trace_file), 0, 0, 0, 0 },
-};
-
-#define BOOT_KEYS (sizeof(boot_keys) / sizeof(boot_keys[0]))
-
 static const char *const boot_levels[] = { "debug", "info", "warn", "error" };
 
 struct boot_reader {
@@ -303,7 +188,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < BOOT_KEYS; i++)
+	for (i = 0; i < boot_keys_count; i++)
 		if (boot_same_section(boot_keys[i].section, section) &&
 		    !strcmp(boot_keys[i].name, name))
 			return &boot_keys[i];
@@ -314,7 +199,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < BOOT_KEYS; i++)
+	for (i = 0; i < boot_keys_count; i++)
 		if (boot_keys[i].section && !strcmp(boot_keys[i].section, name))
 			return true;
 	return false;
@@ -327,7 +212,7 @@
 	enum result code;
 	size_t i;
 
-	for (i = 0; i < BOOT_KEYS; i++)
+	for (i = 0; i < boot_keys_count; i++)
 		if (boot_same_section(boot_keys[i].section, section))
 			bytes_append_format(&allowed, " %s", boot_keys[i].name);
 	if (!section)
@@ -401,7 +286,7 @@
 	const struct boot *boot = reader->boot;
 	size_t i;
 
-	for (i = 0; i < BOOT_KEYS; i++) {
+	for (i = 0; i < boot_keys_count; i++) {
 		const struct boot_key *key = &boot_keys[i];
 
 		if (key->required & 1u << boot->role &&
@@ -454,7 +339,7 @@
 	memset(boot, 0, sizeof(*boot));
 	boot->log_level = LOG_INFO;
 	boot->retry_share = BOOT_RETRY_SHARE;
-	for (i = 0; i < BOOT_KEYS; i++)
+	for (i = 0; i < boot_keys_count; i++)
 		if (boot_keys[i].type == BOOT_NUMBER)
 			*(int64_t *)((char *)boot + boot_keys[i].offset) =
 				boot_keys[i].fallback;
@@ -500,7 +385,7 @@
 	size_t i;
 	int peer;
 
-	for (i = 0; i < BOOT_KEYS; i++) {
+	for (i = 0; i < boot_keys_count; i++) {
 		enum boot_type type = boot_keys[i].type;
 
 		if (type == BOOT_NAME || type == BOOT_PATH ||
--- a/tests/agree/t-member.c
+++ b/tests/agree/t-member.c
@@ -59,6 +59,20 @@
 	group_add(group, 5, "c", MEMBER_LEARNER, true, 0);
 }
 
+/* leader 1, voters 2 to 5 that are kept; learner 6 with a disk */
+static void group_of_five(struct group *group, int64_t silent_s)
+{
+	group_init(group);
+	group->policy.voters = 5;
+	group->policy.keep_voters = true;
+	group_add(group, 1, "a", MEMBER_VOTER, true, 0);
+	group_add(group, 2, "b", MEMBER_VOTER, true, 0);
+	group_add(group, 3, "c", MEMBER_VOTER, true, silent_s);
+	group_add(group, 4, "a", MEMBER_VOTER, true, 0);
+	group_add(group, 5, "b", MEMBER_VOTER, true, 0);
+	group_add(group, 6, "c", MEMBER_LEARNER, true, 0);
+}
+
 static void expect(struct member_change change, enum member_change_kind kind,
 		   uint64_t id)
 {
@@ -135,15 +149,7 @@
 {
 	struct group group;
 
-	group_init(&group);
-	group.policy.voters = 5;
-	group.policy.keep_voters = true;
-	group_add(&group, 1, "a", MEMBER_VOTER, true, 0);
-	group_add(&group, 2, "b", MEMBER_VOTER, true, 0);
-	group_add(&group, 3, "c", MEMBER_VOTER, true, 1);
-	group_add(&group, 4, "a", MEMBER_VOTER, true, 0);
-	group_add(&group, 5, "b", MEMBER_VOTER, true, 0);
-	group_add(&group, 6, "c", MEMBER_LEARNER, true, 0);
+	group_of_five(&group, 1);
 	group.health[1].failed = true;
 	expect(group_next(&group), MEMBER_NO_CHANGE, 0);
 	/* Once it is known which one is gone, that one goes, and comes last. */
@@ -161,15 +167,7 @@
 {
 	struct group group;
 
-	group_init(&group);
-	group.policy.voters = 5;
-	group.policy.keep_voters = true;
-	group_add(&group, 1, "a", MEMBER_VOTER, true, 0);
-	group_add(&group, 2, "b", MEMBER_VOTER, true, 0);
-	group_add(&group, 3, "c", MEMBER_VOTER, true, 10);
-	group_add(&group, 4, "a", MEMBER_VOTER, true, 0);
-	group_add(&group, 5, "b", MEMBER_VOTER, true, 0);
-	group_add(&group, 6, "c", MEMBER_LEARNER, true, 0);
+	group_of_five(&group, 10);
 	memcpy(group.items[5].vm, group.items[2].vm, MEMBER_TEXT_SIZE);
 	expect(group_next(&group), MEMBER_REMOVE, 3);
 }
