--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -16,6 +16,10 @@
 #define PAUSE_MOST_MS 600
 #define PLAN_MOST_MS 2500
 #define LASTS_MOST_MS 3000
+/* Longer than links between VMs of a region take, shorter than an election. */
+#define SLOW_MS 40
+/* Of a sick server's answers. */
+#define SICK_SHARE 0.5
 /* Longer than a withdrawn key may work where nobody tells of it. */
 #define CUT_LEAST_MS 4000
 #define CUT_MORE_MS 5000
@@ -214,7 +218,7 @@
 		proxy_hold(links, hold->target % 2 ? PROXY_IN : PROXY_OUT, on);
 		break;
 	case SLOW_LINKS:
-		proxy_delay(links, on ? 40 : 0);
+		proxy_delay(links, on ? SLOW_MS : 0);
 		break;
 	case CUT_OPERATORS:
 		proxy_hold(operators, PROXY_OUT, on);
@@ -225,7 +229,7 @@
 					      1 + hold->target %
 							  (SERVER_FAULTS - 1))
 				    : SERVER_WELL,
-				 0.5);
+				 SICK_SHARE);
 		break;
 	case CUT_SERVER:
 		proxy_hold(server_proxy(sick), PROXY_OUT, on);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -44,7 +44,6 @@
 	int64_t looked_us;
 	int late; /* times that this process was kept waiting */
 	int storms;
-	bool verbose;
 };
 
 static const struct argp_option options[] = {
@@ -74,7 +73,7 @@
 		run->soak.program = arg;
 		return 0;
 	case 'v':
-		run->verbose = true;
+		run->soak.verbose = true;
 		return 0;
 	case ARGP_KEY_END:
 		if (!run->soak.folder || !run->soak.program || run->storms < 1)
@@ -113,10 +112,9 @@
 
 void soak_say(const struct soak *soak, const char *format, ...)
 {
-	const struct run *run = (const struct run *)(const void *)soak;
 	va_list args;
 
-	if (!run->verbose)
+	if (!soak->verbose)
 		return;
 	va_start(args, format);
 	print(soak, "#", format, args);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -62,6 +62,7 @@
 	int port_links;
 	int port_callers;
 	int port_ready;
+	bool verbose;
 	int64_t rough_us; /**< when a fault last began, ended or held */
 	int faults;	  /**< that hold now */
 	int violations;
