--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -38,6 +38,7 @@
 	struct faults *faults;
 	ev_timer look;
 	ev_timer limit;
+	ev_signal stops[2];
 	enum end_state state;
 	int64_t state_us;
 	struct callers_tally before;
@@ -226,6 +227,28 @@
 	ev_break(ev, EVBREAK_ALL);
 }
 
+/* Whoever ends the soak ends its daemons with it. */
+static void on_stop(struct ev_loop *ev, ev_signal *signal, int events)
+{
+	struct run *run = signal->data;
+
+	soak_violation(&run->soak, "end", "stopped by signal %d",
+		       signal->signum);
+	ev_break(ev, EVBREAK_ALL);
+}
+
+static void watch_signals(struct run *run)
+{
+	static const int numbers[] = { SIGTERM, SIGINT };
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		ev_signal_init(&run->stops[i], on_stop, numbers[i]);
+		run->stops[i].data = run;
+		ev_signal_start(run->soak.ev, &run->stops[i]);
+	}
+}
+
 static void set_up(struct run *run)
 {
 	struct soak *soak = &run->soak;
@@ -298,6 +321,7 @@
 	/* Inherited: a write to a full disk fails and doesn't end a daemon. */
 	signal(SIGXFSZ, SIG_IGN);
 	set_up(&run);
+	watch_signals(&run);
 	soak_timer(&run.soak, &run.look, on_look, LOOK_MS, &run);
 	soak_timer(&run.soak, &run.limit, on_limit,
 		   INT64_C(1000) * (END_S + ROUND_S * run.storms), &run);
