load: a stream is judged by its longest pause

Cause: the mean between pieces was compared with what a route allows between two of them.

The log says pause_ms and attained for each request.

Tests of make check: all pass.

--- a/libfilberthall/core/rule.h
+++ b/libfilberthall/core/rule.h
@@ -24,7 +24,8 @@
 	char team[RULE_NAME_SIZE];
 	int tier;
 	int64_t first_token_us; /**< target, 0 for none */
-	int64_t inter_token_us; /**< target, 0 for none */
+	int64_t inter_token_us; /**< target of the mean, 0 for none */
+	int64_t pause_us;	/**< longest between pieces, 0 for any */
 	int64_t deadline_us;	/**< whole answer, from arrival */
 	double min_share;	/**< part of dispatches guaranteed, 0..0.5 */
 	int64_t queue_bound;	/**< requests waiting on one VM at most */
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -123,7 +123,7 @@
 	snprintf(rule.name, sizeof(rule.name), "t%d-g%lld-p%lld", tier,
 		 (long long)route->goal_ms, (long long)route->pause_ms);
 	rule.first_token_us = route->goal_ms * 1000;
-	rule.inter_token_us = route->pause_ms * 1000;
+	rule.pause_us = route->pause_ms * 1000;
 	rule.idempotent = true;
 	list_foreach(class, &entry->classes, node) {
 		if (strcmp(class->rule.name, rule.name) != 0)
@@ -342,7 +342,7 @@
 	entry_log(entry, LOG_INFO, "request",
 		  "event=ended request=%s code=%s run=%s organisation=%s "
 		  "class=%s server=%s attempts=%d first_ms=%lld took_ms=%lld "
-		  "pieces=%lld",
+		  "pieces=%lld pause_ms=%lld attained=%d",
 		  call->name, result_name(outcome->code),
 		  run_state_name(outcome->run), call->organisation,
 		  outcome->class_name,
@@ -354,7 +354,8 @@
 						1000
 				      : -1),
 		  (long long)((outcome->ended_us - outcome->arrived_us) / 1000),
-		  (long long)outcome->output_tokens);
+		  (long long)outcome->output_tokens,
+		  (long long)(outcome->pause_us / 1000), outcome->attained);
 	call_free(entry, call);
 }
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -57,6 +57,7 @@
 	int64_t wasted_tokens; /**< generated and never used */
 	int64_t arrived_us;
 	int64_t first_token_us; /**< time of it, 0 if none */
+	int64_t pause_us;	/**< longest between two pieces */
 	int64_t ended_us;
 	bool attained;		    /**< whole, and within all its targets */
 	const struct bytes *answer; /**< kept answer of a claimed request */
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -196,6 +196,16 @@
 	request_rearm(router, request, now_us);
 }
 
+/* The caller's view: a pause counts also where another server goes on. */
+static void request_note_piece(struct request *request, int64_t now_us)
+{
+	int64_t pause_us = now_us - request->piece_us;
+
+	if (request->piece_us && pause_us > request->pause_us)
+		request->pause_us = pause_us;
+	request->piece_us = now_us;
+}
+
 void router_tokens(struct router *router,
 		   const struct event_attempt_tokens *tokens, int64_t now_us,
 		   struct effects *effects)
@@ -215,8 +225,10 @@
 	attempt->sent = true;
 	request->may_have_run = true;
 	attempt->tokens = tokens->tokens;
-	if (request->ask.stream)
+	if (request->ask.stream) {
 		request->delivered = attempt->base + attempt->tokens;
+		request_note_piece(request, now_us);
+	}
 	if (!attempt->first_us)
 		attempt_first_token(router, attempt, now_us);
 }
--- a/libfilberthall/load/router_end.c
+++ b/libfilberthall/load/router_end.c
@@ -108,6 +108,12 @@
 		return false;
 	if (request->target_us && first > request->target_us)
 		return false;
+	/*
+	 * A mean hides it: a stream that stands still for a second while long
+	 * prompts are read beside it still has a quick mean.
+	 */
+	if (rule->pause_us && request->pause_us > rule->pause_us)
+		return false;
 	return !rule->inter_token_us || gaps < 1 ||
 	       (now_us - first) / gaps <= rule->inter_token_us;
 }
@@ -133,6 +139,7 @@
 		.wasted_tokens = request->wasted,
 		.arrived_us = request->ask.arrived_us,
 		.first_token_us = request->first_token_us,
+		.pause_us = request->pause_us,
 		.ended_us = now_us,
 		.attained = request_attained(request, code, now_us),
 	};
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -176,6 +176,8 @@
 	int64_t prompt_tokens;
 	int64_t wasted;
 	int64_t first_token_us;
+	int64_t piece_us; /**< when the last piece came */
+	int64_t pause_us; /**< longest between two pieces so far */
 	char address[BACKEND_NAME_SIZE]; /**< of the last attempt */
 };
 
