fleet: steady servers at once where no cheap ones are to be had

Cause: a place that had no cheap server to give was made up with steady ones only while requests were seen to miss their goals.

--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -154,8 +154,6 @@
 		.least = scaling->least,
 		.most = scaling->most,
 		.has_cheap = scaling->cheap_price > 0,
-		.pressed =
-			missed_pressed(&control->missed, service->name, now_us),
 		.n_zones = scaling->n_zones < SIZING_ZONES ? scaling->n_zones
 							   : SIZING_ZONES,
 	};
--- a/libfilberthall/fleet/sizing.c
+++ b/libfilberthall/fleet/sizing.c
@@ -55,12 +55,13 @@
 }
 
 /*
- * Zones that have no cheap ones to give. What was ordered under pressure stays
- * until they have: the pressure ends because of it.
+ * Zones that have no cheap ones to give. What has to be made up there is ordered
+ * at once: by the time requests come late, four more seconds of them will. It
+ * stays until the zones have cheap ones again.
  */
 static void plan_dry(struct sizing *sizing)
 {
-	int64_t missing = part(sizing, SIZING_PRESSED) - cheap_serving(sizing);
+	int64_t missing = part(sizing, SIZING_LEAST) - cheap_serving(sizing);
 	int64_t n_dry = 0;
 	int64_t each;
 	size_t i;
@@ -72,7 +73,7 @@
 	each = (missing + n_dry - 1) / n_dry;
 	for (i = 0; i < sizing->n_zones; i++) {
 		struct sizing_zone *zone = &sizing->zones[i];
-		int64_t want = sizing->pressed ? each : zone->steady;
+		int64_t want = each > zone->steady ? each : zone->steady;
 
 		if (zone->dry && want > zone->want_steady)
 			want_steady(sizing, zone, want);
--- a/libfilberthall/fleet/sizing.h
+++ b/libfilberthall/fleet/sizing.h
@@ -17,13 +17,8 @@
  * shared prompt parts, and a burst of twice the load or a zone that is taken
  * away finds room at once, while a server ordered then serves four seconds
  * later. Steady ones serve until enough cheap ones do, and again when too few
- * are left. While requests miss their goals for want of servers, places that
- * have no cheap ones to give are made up with steady ones, to half the pool.
- *
- * Grounds for the figures (plays of both sites' standard days, mean worth):
- * 3, 4 and 6 cheap ones a zone 0.551, 0.535, 0.611 at one site, 3, 5 and 8
- * 0.512, 0.479, 0.585 at the other; 12 steady ones and no cheap ones 0.28 and
- * 0.35 before shared parts had homes.
+ * are left. Places that have no cheap ones to give are made up with steady ones
+ * at once, to half the pool: a burst just then finds it without room.
  */
 
 #define SIZING_ZONES 16
@@ -34,12 +29,8 @@
  */
 #define SIZING_ENOUGH (1.0 / 3)
 
-/**
- * So much of those wanted shall serve while the service is pressed. Eight plays
- * of three days with zones taken away, mean worth: none for pressure 0.710,
- * 0.658, 0.675; half 0.775, 0.646, 0.688; two thirds 0.720, 0.640, 0.681.
- */
-#define SIZING_PRESSED 0.5
+/** So large a part of those wanted shall serve where a place has none to give. */
+#define SIZING_LEAST 0.5
 
 struct sizing_zone {
 	int64_t steady; /**< servers that serve now */
@@ -53,7 +44,6 @@
 	int64_t least; /**< of both kinds, in each zone */
 	int64_t most;
 	bool has_cheap;
-	bool pressed; /**< requests miss their goals for want of servers */
 	size_t n_zones;
 	struct sizing_zone zones[SIZING_ZONES];
 };
