entry: servers take the kind of request before the organisation's rank

Cause: the urgency that a server was told put the organisation's rank first.

Our own order of service and whom we refuse still go by the rank first.

--- a/daemon/dialect.h
+++ b/daemon/dialect.h
@@ -35,7 +35,7 @@
 	const char *organisation; /**< empty for none */
 	const char *server;	  /**< the start that is meant, or NULL */
 	const char *resume_after; /**< id of the last event passed, or NULL */
-	int tier;		  /**< 0 is the highest */
+	int urgency;		  /**< 0 is the most urgent */
 	int64_t wait_ms;	  /**< the server may take so long */
 	size_t body_len;
 };
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -280,7 +280,7 @@
 	forward.organisation = call.organisation;
 	forward.server = entry_server_at(host->entry, start->address);
 	forward.resume_after = relay->has_event_id ? relay->event_id : NULL;
-	forward.tier = call.tier;
+	forward.urgency = call.urgency;
 	forward.wait_ms = (call.deadline_us - now_us) / 1000;
 	forward.body_len = http_exchange_body(relay->exchange)->len;
 	host->dialect->write_request(http_exchange_head(relay->exchange),
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -60,7 +60,7 @@
 	const char *organisation; /**< empty on an open route */
 	bool stream;
 	bool resumable;
-	int tier; /**< 0 is the highest */
+	int urgency; /**< for the server; 0 is the most urgent */
 	int64_t deadline_us;
 };
 
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -22,6 +22,11 @@
  */
 #define CLASSES_MOST 240
 
+/*
+ * Ranks of organisations that a server tells apart among requests of one kind.
+ */
+#define URGENCY_RANKS 3
+
 bool entry_is_fresh(const struct entry *entry, int64_t now_us)
 {
 	return now_us - entry->fresh_us < entry->options.fresh_us;
@@ -72,7 +77,7 @@
 	out->organisation = call->organisation;
 	out->stream = call->stream;
 	out->resumable = call->resumable;
-	out->tier = call->tier;
+	out->urgency = call->urgency;
 	out->deadline_us = call->deadline_us;
 	return true;
 }
@@ -158,6 +163,22 @@
 	return tier < SCHED_TIERS ? tier : SCHED_TIERS - 1;
 }
 
+/*
+ * How urgent the server shall take the request to be: by its kind first, then
+ * by its organisation's rank. A server that runs out of memory stops what is
+ * least urgent. With the rank first, a stream of cues was stopped in the middle
+ * while prompts that can wait were read on beside it.
+ */
+static int call_urgency(const struct route *route,
+			const struct document_organisation *holder)
+{
+	int rank = holder && holder->tier >= 0 ? holder->tier : 0;
+
+	if (rank >= URGENCY_RANKS)
+		rank = URGENCY_RANKS - 1;
+	return route->tier * URGENCY_RANKS + rank;
+}
+
 static struct open_call *call_new(struct entry *entry,
 				  const struct entry_request *request,
 				  const struct route *route,
@@ -176,6 +197,7 @@
 	call->stream = route->kind == ROUTE_STREAM;
 	call->resumable = call->stream && route->resumable;
 	call->tier = call_tier(route, holder);
+	call->urgency = call_urgency(route, holder);
 	call->arrived_us = entry->now_us;
 	call->deadline_us = entry->now_us + wait_ms * 1000;
 	map_insert(&entry->calls, &call->node,
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -28,6 +28,7 @@
 	bool resumable;
 	bool begun;
 	int tier;
+	int urgency; /**< for the server; 0 is the most urgent */
 	int64_t arrived_us;
 	int64_t deadline_us;
 };
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -9,7 +9,8 @@
 
 /*
  * "VERSION KEY": one service, open to whoever has the key. Of the routes
- * "lodge" is more urgent than "shed"; the organisation has a rank of its own.
+ * "lodge" is more urgent than "shed". The organisation has a rank of its own,
+ * below that of the board.
  */
 static struct document *read_document(void *data, const char *text, size_t len)
 {
@@ -62,6 +63,10 @@
 	holder->name = xstrdup("yards");
 	holder->tier = 1;
 	document_add_key(document, 0, key + 1);
+	holder = document_add_organisation(document);
+	holder->name = xstrdup("board");
+	holder->tier = 0;
+	document_add_key(document, 1, BOARD_KEY);
 	free(copy);
 	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -9,6 +9,7 @@
 #define ENGINE "10.0.0.1:80"
 #define CHEAP "10.0.0.2:80"
 #define STEADY "10.0.0.3:80"
+#define BOARD_KEY "kb" /* of the organisation with the highest rank */
 
 /* One entry VM, one control VM that the test speaks for. */
 struct bed {
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -394,6 +394,36 @@
 	bed_end(&bed);
 }
 
+static int urgency_of(struct bed *bed, const char *path, const char *key)
+{
+	uint64_t id = bed_ask(bed, path, key);
+	struct entry_call call;
+
+	g_assert_true(entry_find_call(bed->entry, id, &call));
+	return call.urgency;
+}
+
+/*
+ * A server's memory is full, and it stops the newest of the least urgent. With
+ * the organisation's rank first, singers' cues stopped in the middle while the
+ * board's long prompts, which have two seconds, were read on beside them.
+ */
+static void test_urgency(void)
+{
+	struct bed bed;
+	int urgent;
+	int board;
+	int patient;
+
+	bed_start(&bed);
+	urgent = urgency_of(&bed, "/lodge/7", "k1");
+	board = urgency_of(&bed, "/lodge/7", BOARD_KEY);
+	patient = urgency_of(&bed, "/shed/7", BOARD_KEY);
+	g_assert_cmpint(urgent, <, patient);
+	g_assert_cmpint(board, <, urgent);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -416,5 +446,6 @@
 	g_test_add_func("/entry/shares-retries", test_shares_retries);
 	g_test_add_func("/entry/rejected", test_rejected);
 	g_test_add_func("/entry/answer-lost", test_answer_lost);
+	g_test_add_func("/entry/urgency", test_urgency);
 	return g_test_run();
 }
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -57,7 +57,7 @@
 {
 	struct dialect_forward forward = { .organisation = "hule",
 					   .server = "i-7f",
-					   .tier = 1,
+					   .urgency = 1,
 					   .wait_ms = 900 };
 	struct bytes out = { 0 };
 	struct http_parse parse;
