load: time that a request needs by its class, fading while none ends

Cause: one mean of time by work in tokens, for all classes of a pool, decided who is refused as too late. Cues (700 tokens in, 2 s of answer) raised it, and a score of 9,000 tokens, which takes half a second, seemed to need more than the 6 s it had.

Ruled out: that they waited (the queue's median was 0.00 s).

Tests: two of a pool with both kinds, which fail on the code before.

--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -134,6 +134,8 @@
 static struct router_class *class_add(struct router *router, const char *name)
 {
 	struct router_class *class;
+	struct pool *pool;
+	struct pool *next;
 	int id = 0;
 
 	while (id < SCHED_CLASSES && router->by_id[id])
@@ -144,6 +146,9 @@
 	class->id = id;
 	list_init(&class->order);
 	router->by_id[id] = class;
+	/* The id may have been another class's. */
+	map_foreach(pool, next, &router->pools, node)
+		pool->times[id] = (struct class_time){ 0 };
 	map_insert(&router->classes, &class->node, map_hash_text(name));
 	return class;
 }
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -276,6 +276,8 @@
 						: 0,
 					now_us);
 		pool_measure(pool, attempt->work, now_us - attempt->started_us);
+		pool_note_time(pool, attempt->request->class->id,
+			       now_us - attempt->started_us, now_us);
 		return;
 	}
 	if (attempt->cancelled || !code_is_fault(ended->code))
@@ -362,7 +364,7 @@
 		.tier = request->tier < RULE_TIERS ? request->tier
 						   : RULE_TIERS - 1,
 		.deadline_us = request->deadline_us,
-		.needs_us = request_needs_us(router, request) / 2,
+		.needs_us = request_needs_us(router, request, now_us) / 2,
 	};
 	enum result code;
 
@@ -391,7 +393,7 @@
 			      const struct attempt *attempt, int64_t now_us,
 			      struct effects *effects)
 {
-	if (now_us + request_needs_us(router, request) / 2 >
+	if (now_us + request_needs_us(router, request, now_us) / 2 >
 	    request->deadline_us) {
 		request_end(router, request, attempt->cancel_code, NULL, now_us,
 			    effects);
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -21,6 +21,12 @@
 /* Running averages over about this many attempts. */
 #define POOL_GAIN (1.0 / 64)
 
+/* Running averages of one class, which ends fewer. */
+#define POOL_CLASS_GAIN (1.0 / 16)
+
+/* The time of a class of which nothing ends counts half after so long. */
+#define POOL_CLASS_HALF_US 2000000.0
+
 /* Until measured: a request's work in tokens and time in a slot. */
 #define POOL_COST_UNKNOWN 300.0
 #define POOL_UNIT_UNKNOWN_US 20000.0
@@ -299,6 +305,31 @@
 	pool->unit_us += gain * ((double)took_us / cost - pool->unit_us);
 }
 
+void pool_note_time(struct pool *pool, int class_id, int64_t took_us,
+		    int64_t now_us)
+{
+	struct class_time *time = &pool->times[class_id];
+
+	if (time->mean_us <= 0)
+		time->mean_us = (double)took_us;
+	time->mean_us += ((double)took_us - time->mean_us) * POOL_CLASS_GAIN;
+	time->at_us = now_us;
+}
+
+/*
+ * By class: work in tokens doesn't tell, as a long prompt takes less time than
+ * a short one with a long answer, and where the latter abound, the former was
+ * refused for want of time that it didn't need. A class that is refused gives
+ * no new figures, so the old one fades until a request is tried again.
+ */
+double pool_class_us(const struct pool *pool, int class_id, int64_t now_us)
+{
+	const struct class_time *time = &pool->times[class_id];
+	int64_t age_us = now_us - time->at_us;
+
+	return time->mean_us * exp2(-(double)age_us / POOL_CLASS_HALF_US);
+}
+
 void pool_note_prompt(struct pool *pool, int64_t prompt_tokens)
 {
 	if (pool->mean_prompt <= 0)
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -74,6 +74,12 @@
 	int64_t short_us;   /**< when a short request last came */
 };
 
+/** How long a class's requests hold a slot of one pool. */
+struct class_time {
+	double mean_us; /**< running average, 0 while none has ended */
+	int64_t at_us;	/**< when one last ended */
+};
+
 /** The backend servers of one model or one service, and who waits. */
 struct pool {
 	struct map_node node; /**< by name */
@@ -96,6 +102,7 @@
 	int64_t running_by_tier[SCHED_TIERS];
 	int64_t running; /**< without those on cheap servers */
 	struct pressure pressure[SCHED_TIERS];
+	struct class_time times[SCHED_CLASSES];
 	double unit_us; /**< mean time a unit of work holds a slot */
 	double mean_cost;
 	double mean_log_cost;  /**< of the logarithm: outliers weigh little */
@@ -223,6 +230,9 @@
 int pool_lowest_open(const struct pool *pool);
 void pool_press(struct router *router, struct pool *pool, int64_t now_us);
 void pool_measure(struct pool *pool, double cost, int64_t took_us);
+void pool_note_time(struct pool *pool, int class_id, int64_t took_us,
+		    int64_t now_us);
+double pool_class_us(const struct pool *pool, int class_id, int64_t now_us);
 
 /* router_submit.c */
 struct organisation *organisation_of(struct router *router, const char *name,
@@ -234,7 +244,7 @@
 void request_take_rule(struct router *router, struct request *request);
 void request_dequeue(struct router *router, struct request *request);
 int64_t request_needs_us(const struct router *router,
-			 const struct request *request);
+			 const struct request *request, int64_t now_us);
 int64_t request_retry_after_ms(const struct router *router,
 			       const struct request *request);
 
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -173,14 +173,14 @@
 			      SUBMIT_PROMPT_COST * (double)ask->prompt_tokens;
 }
 
-/** Estimated time that the request needs once it is sent. */
+/** Time that the request needs once it is sent, as its class lately did. */
 int64_t request_needs_us(const struct router *router,
-			 const struct request *request)
+			 const struct request *request, int64_t now_us)
 {
 	const struct pool *pool = request->queue->pool;
 
 	(void)router;
-	return (int64_t)(request->entry.cost * pool->unit_us);
+	return (int64_t)pool_class_us(pool, request->class->id, now_us);
 }
 
 /** When coming back may help: the expected wait, rounded up to a second. */
@@ -225,7 +225,7 @@
 	if (pool->n_measured < SUBMIT_MEASURED_LEAST)
 		return false;
 
-	if (now_us + wait_us + request_needs_us(router, request) >
+	if (now_us + wait_us + request_needs_us(router, request, now_us) >
 	    request->deadline_us)
 		return true;
 	return request->target_us && request_stands(request, now_us) &&
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -108,7 +108,7 @@
 		.attempts = request->n_attempts,
 		.tier = request->tier,
 		.deadline_us = request->deadline_us,
-		.needs_us = request_needs_us(router, request) / 2,
+		.needs_us = request_needs_us(router, request, now_us) / 2,
 	};
 
 	request->hedge_us = now_us + TIME_HEDGE_AGAIN_US;
--- a/tests/load/t-pace.c
+++ b/tests/load/t-pace.c
@@ -61,10 +61,95 @@
 	bed_close(&bed);
 }
 
+/* A request with a prompt of its own length and six seconds left. */
+static uint64_t ask(struct bed *bed, const char *class_name, int64_t prompt)
+{
+	struct router_request request = {
+		.id = ++bed->last_id,
+		.organisation = "a",
+		.class_name = class_name,
+		.model = "base",
+		.prompt_tokens = prompt,
+		.arrived_us = bed->now_us,
+		.deadline_us = bed->now_us + 6 * SECOND,
+		.idempotent = true,
+		.stream = true,
+	};
+
+	router_submit(bed->router, &request, bed->now_us, &bed->effects);
+	return request.id;
+}
+
+static bool was_sent(struct bed *bed, uint64_t id)
+{
+	struct effect *effect;
+	bool sent = false;
+
+	while ((effect = effects_take(&bed->effects))) {
+		sent |= effect->kind == EFFECT_START_ATTEMPT &&
+			effect->u.start.id == id;
+		effect_free(effect);
+	}
+	return sent;
+}
+
+/* Requests of a class end one after the other; the server stays known. */
+static void serve(struct bed *bed, const char *class_name, int64_t prompt,
+		  int64_t takes_us, int n)
+{
+	while (n--) {
+		uint64_t id;
+
+		bed_engine(bed, "10.0.0.1:1", 8, bed->now_us);
+		id = ask(bed, class_name, prompt);
+		bed->now_us += takes_us;
+		bed_end(bed, id, 1, RESULT_OK, true);
+	}
+	bed_engine(bed, "10.0.0.1:1", 8, bed->now_us);
+}
+
+/*
+ * Cues of 700 prompt tokens take two seconds for their long answers, scores of
+ * 9,000 take half a second. By one figure of time per token for both, a score
+ * seemed to need far more than the 6 s it had, and was refused while servers stood
+ * idle.
+ */
+static void a_long_prompt_is_judged_by_its_own_kind(void)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	serve(&bed, "low", 9000, SECOND / 2, 1);
+	serve(&bed, "high", 700, 2 * SECOND, 32);
+	g_assert_true(was_sent(&bed, ask(&bed, "low", 9000)));
+	bed_close(&bed);
+}
+
+/*
+ * In an overload scores took seven seconds each, and those with six left were
+ * refused as hopeless. The overload went, but none was tried any more, so the
+ * figure stayed and half of all scores were refused for a minute.
+ */
+static void a_refused_kind_is_tried_again(void)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	serve(&bed, "high", 700, SECOND / 10, 8);
+	serve(&bed, "low", 9000, 7 * SECOND, 1);
+	g_assert_false(was_sent(&bed, ask(&bed, "low", 9000)));
+	serve(&bed, "high", 700, SECOND / 10, 20);
+	g_assert_true(was_sent(&bed, ask(&bed, "low", 9000)));
+	bed_close(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/pace/stood-still",
 			a_stream_that_stood_still_has_missed);
+	g_test_add_func("/pace/own-kind",
+			a_long_prompt_is_judged_by_its_own_kind);
+	g_test_add_func("/pace/tried-again", a_refused_kind_is_tried_again);
 	return g_test_run();
 }
