load: servers for paced streams, as many as their work needs

Cause: a quarter of the servers was kept for prompts below 0.35 of the mean. And while two zones were gone, the quarter let cues wait for 3 to 4 s before it while the rest gave first tokens within 0.5 s.

Now the streams with the shortest pause asked for count as paced, unless their own prompt takes half of the pause to read (load/divide), and the part follows their work, from a quarter to six tenths. Others keep off it for 4 s in place of 1 s.

--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -68,7 +68,7 @@
 	bool leaving;
 	bool drained; /**< by an operator's or the system's order */
 	bool fences;
-	bool for_short; /**< kept for short prompts (load/place.h) */
+	bool for_paced; /**< kept for paced streams (load/divide.h) */
 	bool untold;	/**< figures heard directly, not yet passed on */
 	int64_t sequence;
 	int64_t lease_end_us;
--- /dev/null
+++ b/libfilberthall/load/divide.c
@@ -0,0 +1,106 @@
+#include "load/divide.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+
+/* A pause that nobody has asked for in so long is forgotten. */
+#define PAUSE_KEPT_US INT64_C(10000000)
+
+/* Pauses up to so many times the shortest are as short. */
+#define PAUSE_ALIKE 1.25
+
+/* A prompt that is read within this part of the pause holds up no stream. */
+#define PAUSE_READ_PART 0.5
+
+/* Where no pause is asked for, a prompt below this part of the mean is short. */
+#define PROMPT_SHORT 0.35
+
+/* Work of paced streams counts less by e after so long. */
+#define USED_FADE_US 4300000.0
+
+void divide_init(struct divide *divide)
+{
+	*divide = (struct divide){ .share = DIVIDE_LEAST };
+}
+
+void divide_seen(struct divide *divide, int64_t pause_us, int64_t now_us)
+{
+	bool forgotten = now_us - divide->pause_seen_us > PAUSE_KEPT_US;
+
+	if (pause_us <= 0)
+		return;
+	if (divide->pause_us && !forgotten && pause_us > divide->pause_us)
+		return;
+	divide->pause_us = pause_us;
+	divide->pause_seen_us = now_us;
+}
+
+bool divide_is_paced(const struct divide *divide,
+		     const struct divide_query *query)
+{
+	double prompt = (double)query->prompt_tokens;
+	double pause_us = (double)divide->pause_us;
+
+	if (!divide->pause_us)
+		return prompt < PROMPT_SHORT * query->mean_prompt;
+	return query->pause_us > 0 &&
+	       (double)query->pause_us <= PAUSE_ALIKE * pause_us &&
+	       prompt / query->rate * 1e6 < PAUSE_READ_PART * pause_us;
+}
+
+static void fade(struct divide *divide, int64_t now_us)
+{
+	double age_us = (double)(now_us - divide->used_at_us);
+
+	divide->used_us *= exp(-age_us / USED_FADE_US);
+	divide->used_at_us = now_us;
+}
+
+void divide_used(struct divide *divide, double server_us, int64_t now_us)
+{
+	fade(divide, now_us);
+	divide->used_us += server_us;
+}
+
+bool divide_adjust(struct divide *divide, int vms, int n, int64_t now_us)
+{
+	double servers;
+	double share;
+
+	if (n <= 0)
+		return false;
+	fade(divide, now_us);
+	servers = divide->used_us / USED_FADE_US * (vms > 0 ? vms : 1);
+	share = DIVIDE_HEADROOM * servers / n;
+	share = fmax(DIVIDE_LEAST, fmin(DIVIDE_MOST, share));
+	if (fabs(share - divide->share) < DIVIDE_STEP)
+		return false;
+	divide->share = share;
+	return true;
+}
+
+static int compare_hash(const void *a, const void *b)
+{
+	uint64_t left = (*(struct backend *const *)a)->node.hash;
+	uint64_t right = (*(struct backend *const *)b)->node.hash;
+
+	return left < right ? -1 : left > right;
+}
+
+void divide_mark(const struct divide *divide, struct backend *const *members,
+		 int n)
+{
+	struct backend **sorted = xcalloc((size_t)n + 1, sizeof(*sorted));
+	int n_paced = (int)(divide->share * n + 0.5);
+	int i;
+
+	if (n)
+		memcpy(sorted, members, (size_t)n * sizeof(*sorted));
+	qsort(sorted, (size_t)n, sizeof(*sorted), compare_hash);
+	for (i = 0; i < n; i++)
+		sorted[i]->for_paced = i < n_paced;
+	free(sorted);
+}
--- /dev/null
+++ b/libfilberthall/load/divide.h
@@ -0,0 +1,87 @@
+#ifndef FILBERTHALL_LOAD_DIVIDE_H
+#define FILBERTHALL_LOAD_DIVIDE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleet/backend.h"
+
+/**
+ * Division of a pool's servers between paced streams and the rest.
+ *
+ * Load pattern: a server reads prompts in chunks between the tokens that it
+ * generates, so one that reads a prompt of 9,000 tokens gives no other stream
+ * a token for a fifth of a second and more. Streams that may rest for a
+ * quarter of a second come late beside each such prompt; those that may rest
+ * for a second don't.
+ *
+ * - Paced are the streams with the shortest pause that any request of the pool
+ *   has asked for lately, unless their own prompt is long.
+ * - A part of the servers is kept for them: a quarter, and more while their
+ *   work needs it. In a burst of six times the usual, a quarter let them wait
+ *   for seconds before servers whose other streams had hardly begun.
+ * - The part is worked out from this VM's own requests and the number of entry
+ *   VMs. Servers change sides in one order that all VMs share, so that VMs that
+ *   differ a little differ in the last servers only, and the homes of shared
+ *   prompt parts stay (load/place.h).
+ *
+ * Without any pause asked for, requests are divided by the length of their
+ * prompts.
+ */
+struct divide {
+	int64_t pause_us;      /**< shortest asked for, 0 for none */
+	int64_t pause_seen_us; /**< when it last was */
+	double used_us;	       /**< servers' time of paced streams, fading */
+	int64_t used_at_us;
+	double share; /**< of the servers, kept for paced streams */
+};
+
+/** What decides on which side a request belongs. */
+struct divide_query {
+	int64_t pause_us;      /**< longest that it allows, 0 for any */
+	int64_t prompt_tokens; /**< in all */
+	double mean_prompt;    /**< of the pool's requests */
+	double rate;	       /**< prompt tokens a server reads a second */
+};
+
+/** Least part of the servers that is kept for paced streams. */
+#define DIVIDE_LEAST 0.25
+
+/** Largest part: the rest must live too. */
+#define DIVIDE_MOST 0.6
+
+/** Room for paced streams, in times of the work that they bring. */
+#define DIVIDE_HEADROOM 2.5
+
+/** The part changes by so much at least, as homes move with it. */
+#define DIVIDE_STEP 0.05
+
+void divide_init(struct divide *divide);
+
+/** A request that allows that pause (0 for any) has come. */
+void divide_seen(struct divide *divide, int64_t pause_us, int64_t now_us);
+
+/** Whether a request belongs on the servers kept for paced streams. */
+bool divide_is_paced(const struct divide *divide,
+		     const struct divide_query *query);
+
+/**
+ * A paced stream has taken a part of a server for a while: the time to read
+ * its prompt, or that of its answer by the server's slots.
+ */
+void divide_used(struct divide *divide, double server_us, int64_t now_us);
+
+/**
+ * Work out the part again.
+ *
+ * @param vms	entry VMs that bring about as much as this one
+ * @param n	servers of the pool
+ * @return whether it has changed
+ */
+bool divide_adjust(struct divide *divide, int vms, int n, int64_t now_us);
+
+/** Mark which of `members` are kept for paced streams. */
+void divide_mark(const struct divide *divide, struct backend *const *members,
+		 int n);
+
+#endif
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -1,15 +1,7 @@
 #include "load/place.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#include "base/alloc.h"
-
-bool place_is_short(const struct place_query *query)
-{
-	return (double)query->prompt_tokens < PLACE_SHORT * query->mean_prompt;
-}
-
 uint64_t place_score(uint64_t prefix_hash, const struct backend *backend)
 {
 	uint64_t key[2] = { prefix_hash, backend->node.hash };
@@ -17,28 +9,6 @@
 	return map_hash(key, sizeof(key));
 }
 
-static int compare_hash(const void *a, const void *b)
-{
-	uint64_t left = (*(struct backend *const *)a)->node.hash;
-	uint64_t right = (*(struct backend *const *)b)->node.hash;
-
-	return left < right ? -1 : left > right;
-}
-
-void place_divide(struct backend *const *members, int n)
-{
-	struct backend **sorted = xcalloc((size_t)n + 1, sizeof(*sorted));
-	int n_short = (int)(PLACE_SHORT_SHARE * n + 0.5);
-	int i;
-
-	if (n)
-		memcpy(sorted, members, (size_t)n * sizeof(*sorted));
-	qsort(sorted, (size_t)n, sizeof(*sorted), compare_hash);
-	for (i = 0; i < n; i++)
-		sorted[i]->for_short = i < n_short;
-	free(sorted);
-}
-
 bool place_has_room(const struct place_query *query,
 		    const struct backend *backend)
 {
@@ -56,7 +26,6 @@
 double place_cost(const struct place_query *query,
 		  const struct backend *backend, bool home, int64_t now_us)
 {
-	bool is_short = place_is_short(query);
 	bool holds = home || prefix_holds(query->prefix, backend->node.hash);
 	double cost = backend_queued_prompt(backend, now_us) / query->rate;
 	double slots = (double)(backend->slots > 0 ? backend->slots : 1);
@@ -67,8 +36,8 @@
 		cost += PLACE_AGAIN * (double)query->shared_tokens /
 			query->rate;
 	/* Without prompts, as of a plain service, there is nothing to divide. */
-	if (query->mean_prompt > 0 && is_short != backend->for_short)
-		cost += is_short ? PLACE_SPILL_S : 1;
+	if (query->divided && query->paced != backend->for_paced)
+		cost += query->paced ? PLACE_SPILL_S : PLACE_INTRUDE_S;
 	if (query->zone && strcmp(query->zone, backend->zone) != 0)
 		cost += PLACE_ZONE_S;
 	/* This also spreads what is equal. */
@@ -81,7 +50,6 @@
 					  const struct backend *backend),
 			     const void *data, int64_t now_us)
 {
-	bool is_short = place_is_short(query);
 	struct backend *home = NULL;
 	struct backend *best = NULL;
 	uint64_t home_score = 0;
@@ -91,7 +59,7 @@
 	for (i = 0; query->prefix_hash && i < n; i++) {
 		uint64_t score = place_score(query->prefix_hash, members[i]);
 
-		if (members[i]->for_short != is_short ||
+		if (members[i]->for_paced != query->paced ||
 		    !backend_usable(members[i], now_us) ||
 		    (home && score <= home_score))
 			continue;
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -25,23 +25,20 @@
  * - Another engine is taken only if the home is so far behind that reading the
  *   part anew is quicker by PLACE_AGAIN times: it also costs those who are
  *   served there.
- * - Short prompts keep a part of the engines to themselves, for long ones
- *   delay every token that is generated beside them; only when these are
- *   behind do short ones go elsewhere.
+ * - Paced streams have a part of the engines to themselves (load/divide.h), for
+ *   long prompts delay every token that is generated beside them; only when
+ *   these are behind do they go elsewhere.
  */
 
 /** How many times over the reading of a shared part counts where it's new. */
 #define PLACE_AGAIN 3.0
 
-/** A prompt below this part of the mean one is short. */
-#define PLACE_SHORT 0.35
-
-/** Part of the engines that is kept for short prompts. */
-#define PLACE_SHORT_SHARE 0.25
-
-/** What a short prompt bears before it goes among the long ones, s. */
+/** What a paced stream bears before it goes among the others, s. */
 #define PLACE_SPILL_S 0.05
 
+/** What the others bear before they go among paced streams, s. */
+#define PLACE_INTRUDE_S 4.0
+
 /** What another zone's way and bytes count for, s. */
 #define PLACE_ZONE_S 0.004
 
@@ -55,24 +52,16 @@
 	uint64_t prefix_hash;  /**< of the shared parts, 0 for none */
 	int64_t shared_tokens; /**< of the prompt */
 	int64_t prompt_tokens; /**< in all */
-	double mean_prompt;    /**< of the pool's requests */
+	bool divided;	       /**< the pool's requests have prompts */
+	bool paced;	       /**< belongs on the engines for paced streams */
 	double rate;	       /**< prompt tokens an engine reads a second */
 	const char *zone;      /**< own availability zone */
 	const struct prefix_entry *prefix; /**< where we sent it, or NULL */
 };
 
-/** Whether a prompt is short, compared with what the pool gets. */
-bool place_is_short(const struct place_query *query);
-
 /** Rank of a home: the highest is the home of that part. */
 uint64_t place_score(uint64_t prefix_hash, const struct backend *backend);
 
-/**
- * Mark which of `members` are kept for short prompts, the same on each VM
- * that knows the same members.
- */
-void place_divide(struct backend *const *members, int n);
-
 /**
  * Whether the server has worked off enough of what this VM sent it to take
  * more. What waits here keeps its order by tier and due time and can still be
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -105,6 +105,7 @@
 	attempt->is_long = request->is_long;
 	attempt->by_floor = by_floor;
 	attempt->on_cheap = backend->cheap;
+	attempt->slots = backend->slots > 0 ? backend->slots : 1;
 	attempt->prompt_tokens = request->ask.prompt_tokens;
 	holds = prefix_holds(prefix_find(&router->prefix,
 					 request->ask.prefix_hash),
@@ -112,9 +113,15 @@
 	if (router->options.features.homes) {
 		place = request_place(router, request);
 		attempt->prompt_tokens = place_unread(&place, holds);
+		attempt->paced = place.paced;
 	} else if (holds) {
 		attempt->prompt_tokens = 0;
 	}
+	if (attempt->paced)
+		divide_used(&pool->divide,
+			    1e6 * (double)attempt->prompt_tokens /
+				    pool->read_rate,
+			    now_us);
 	backend_started(backend, attempt->prompt_tokens, attempt->work,
 			attempt->is_long, now_us);
 	prefix_note(&router->prefix, request->ask.prefix_hash, backend->address,
@@ -245,6 +252,11 @@
 	if (backend)
 		backend_ended(backend, attempt->prompt_tokens, attempt->work,
 			      attempt->is_long, now_us);
+	if (attempt->paced && attempt->first_us)
+		divide_used(&pool->divide,
+			    (double)(now_us - attempt->first_us) /
+				    (double)attempt->slots,
+			    now_us);
 	if (attempt->cancelled && attempt->cancel_code == RESULT_PREEMPTED)
 		pool->n_preempting--;
 	attempt_count(attempt, pool, -1);
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -139,11 +139,18 @@
 				 const struct request *request)
 {
 	const struct pool *pool = request->queue->pool;
+	struct divide_query side = {
+		.pause_us = request->class->rule.pause_us,
+		.prompt_tokens = request->ask.prompt_tokens,
+		.mean_prompt = pool->mean_prompt,
+		.rate = pool->read_rate,
+	};
 	struct place_query query = {
 		.prefix_hash = request->ask.prefix_hash,
 		.shared_tokens = request->ask.shared_tokens,
 		.prompt_tokens = request->ask.prompt_tokens,
-		.mean_prompt = pool->mean_prompt,
+		.divided = pool->mean_prompt > 0,
+		.paced = divide_is_paced(&pool->divide, &side),
 		.rate = pool->read_rate,
 		.zone = router->zone,
 		.prefix =
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -60,6 +60,7 @@
 	retry_init(&pool->retry, router->options.features.retry_budget, now_us);
 	retry_limit(&pool->retry, &router->retry_limit);
 	floor_init(&pool->floor);
+	divide_init(&pool->divide);
 	pool->unit_us = POOL_UNIT_UNKNOWN_US;
 	pool->mean_cost = POOL_COST_UNKNOWN;
 	pool->mean_log_cost = log(POOL_COST_UNKNOWN);
@@ -154,7 +155,7 @@
 		if (backend_serves(backend, pool->model, NULL, pool->service))
 			pool->members[pool->n_members++] = backend;
 	pool->fleet_version = fleet->version;
-	place_divide(pool->members, pool->n_members);
+	divide_mark(&pool->divide, pool->members, pool->n_members);
 }
 
 /* Slots and load, weighted by health, of members that may get work. */
@@ -191,8 +192,12 @@
 
 	if (changed)
 		pool_list_members(fleet, pool);
-	if (changed || now_us - pool->counted_us >= POOL_COUNT_US)
-		pool_count_members(router, pool, now_us);
+	if (!changed && now_us - pool->counted_us < POOL_COUNT_US)
+		return;
+	if (divide_adjust(&pool->divide, router->retry_limit.vms,
+			  pool->n_members, now_us))
+		divide_mark(&pool->divide, pool->members, pool->n_members);
+	pool_count_members(router, pool, now_us);
 }
 
 /*
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -5,6 +5,7 @@
 #include "base/map.h"
 #include "base/rng.h"
 #include "fleet/backend.h"
+#include "load/divide.h"
 #include "load/floor.h"
 #include "load/heap.h"
 #include "load/length.h"
@@ -103,6 +104,7 @@
 	int64_t running; /**< without those on cheap servers */
 	struct pressure pressure[SCHED_TIERS];
 	struct class_time times[SCHED_CLASSES];
+	struct divide divide;
 	double unit_us; /**< mean time a unit of work holds a slot */
 	double mean_cost;
 	double mean_log_cost;  /**< of the logarithm: outliers weigh little */
@@ -143,6 +145,8 @@
 	int64_t prompt_tokens; /**< counted on the server until prefill */
 	double work;
 	bool is_long;
+	bool paced;    /**< by load/divide.h */
+	int64_t slots; /**< of its server */
 	bool on_cheap; /**< on a server that may be reclaimed */
 	bool by_floor; /**< started by its class's minimum share */
 	bool sent;
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -461,6 +461,8 @@
 	request_estimate(router, request);
 	if (ask->prompt_tokens)
 		pool_note_prompt(pool, ask->prompt_tokens);
+	if (ask->stream)
+		divide_seen(&pool->divide, class->rule.pause_us, now_us);
 	request->is_long = log(request->entry.cost) >
 			   log(SUBMIT_LONG_RATIO) + pool->mean_log_cost;
 	retry_fresh(&pool->retry, now_us);
--- /dev/null
+++ b/tests/load/t-divide.c
@@ -0,0 +1,137 @@
+#include <glib.h>
+#include <string.h>
+
+#include "load/divide.h"
+
+#define SECOND INT64_C(1000000)
+#define ENGINES 140
+#define ENGINES_LEFT 40
+#define VMS 71
+
+/* Cues, coaching and scores of a site, as they ask. */
+static const struct divide_query cue = { SECOND / 4, 700, 3500, 30000 };
+static const struct divide_query coach = { 2 * SECOND / 5, 2400, 3500, 30000 };
+static const struct divide_query score = { SECOND, 9000, 3500, 30000 };
+
+static void all_come(struct divide *divide, int64_t now_us)
+{
+	divide_seen(divide, score.pause_us, now_us);
+	divide_seen(divide, cue.pause_us, now_us);
+	divide_seen(divide, coach.pause_us, now_us);
+}
+
+/*
+ * Singers' cues may rest for a quarter of a second, and came late beside
+ * scores of 9,000 tokens. They have servers of their own; a long prompt of
+ * their kind would hurt them there as well.
+ */
+static void test_paced(void)
+{
+	struct divide_query long_cue = cue;
+	struct divide divide;
+
+	long_cue.prompt_tokens = 8000;
+	divide_init(&divide);
+	all_come(&divide, SECOND);
+	g_assert_true(divide_is_paced(&divide, &cue));
+	g_assert_false(divide_is_paced(&divide, &coach));
+	g_assert_false(divide_is_paced(&divide, &score));
+	g_assert_false(divide_is_paced(&divide, &long_cue));
+}
+
+/*
+ * A burst of cues halves the mean prompt. Measured against the mean, a third of
+ * the cues then counted as long, went among the scores and came late.
+ */
+static void test_mix(void)
+{
+	struct divide_query big_cue = cue;
+	struct divide divide;
+
+	big_cue.prompt_tokens = 1400;
+	big_cue.mean_prompt = 1500;
+	divide_init(&divide);
+	all_come(&divide, SECOND);
+	g_assert_true(divide_is_paced(&divide, &big_cue));
+}
+
+/* Nobody asks for a pause: by the length of the prompt. */
+static void test_no_pause(void)
+{
+	struct divide_query query = { 0, 700, 3500, 30000 };
+	struct divide divide;
+
+	divide_init(&divide);
+	g_assert_true(divide_is_paced(&divide, &query));
+	query.prompt_tokens = 9000;
+	g_assert_false(divide_is_paced(&divide, &query));
+}
+
+/* The route with the shortest pause is gone; the next one takes its place. */
+static void test_forgotten(void)
+{
+	struct divide divide;
+
+	divide_init(&divide);
+	all_come(&divide, SECOND);
+	divide_seen(&divide, coach.pause_us, 5 * SECOND);
+	g_assert_false(divide_is_paced(&divide, &coach));
+	divide_seen(&divide, coach.pause_us, 12 * SECOND);
+	g_assert_true(divide_is_paced(&divide, &coach));
+}
+
+/* What one VM sees of `rate` cues a second at all VMs, for some seconds. */
+static void play(struct divide *divide, int engines, double rate,
+		 int64_t from_us, int64_t for_us)
+{
+	int64_t every_us = (int64_t)(1e6 * VMS / rate);
+	int64_t now_us;
+
+	for (now_us = from_us; now_us < from_us + for_us; now_us += every_us) {
+		divide_used(divide, 1e6 * 700 / 30000, now_us);
+		divide_used(divide, 2e6 / 24, now_us);
+		divide_adjust(divide, VMS, engines, now_us);
+	}
+}
+
+/*
+ * Two zones' servers are gone and cues come at four times their rate: they wait
+ * for four seconds before a quarter of the servers while the others have room.
+ * The part follows their work, and goes back with it.
+ */
+static void test_burst(void)
+{
+	struct divide divide;
+
+	divide_init(&divide);
+	play(&divide, ENGINES, 90, SECOND, 10 * SECOND);
+	g_assert_cmpfloat(divide.share, ==, DIVIDE_LEAST);
+	play(&divide, ENGINES_LEFT, 360, 11 * SECOND, 6 * SECOND);
+	g_assert_cmpfloat(divide.share, >, DIVIDE_MOST - DIVIDE_STEP);
+	g_assert_cmpfloat(divide.share, <=, DIVIDE_MOST);
+	play(&divide, ENGINES, 90, 17 * SECOND, 20 * SECOND);
+	g_assert_cmpfloat(divide.share, <, DIVIDE_LEAST + DIVIDE_STEP);
+}
+
+/* A VM that sees no cues at all leaves a quarter to those of the others. */
+static void test_least(void)
+{
+	struct divide divide;
+
+	divide_init(&divide);
+	g_assert_false(divide_adjust(&divide, VMS, ENGINES, 60 * SECOND));
+	g_assert_cmpfloat(divide.share, ==, DIVIDE_LEAST);
+	g_assert_false(divide_adjust(&divide, 0, 0, 60 * SECOND));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/divide/paced", test_paced);
+	g_test_add_func("/divide/mix", test_mix);
+	g_test_add_func("/divide/no-pause", test_no_pause);
+	g_test_add_func("/divide/forgotten", test_forgotten);
+	g_test_add_func("/divide/burst", test_burst);
+	g_test_add_func("/divide/least", test_least);
+	return g_test_run();
+}
