link: a connection that isn't made in 250 ms is dialled again

Cause: after a loss of all power entry VMs dialled control VMs that weren't up yet.

Ruled out: the election (0.40 s after the third voter's start, of which 0.30 s are the lease that a vote must not break).

--- a/daemon/link_conn.c
+++ b/daemon/link_conn.c
@@ -343,19 +343,32 @@
 		receive(conn);
 }
 
-void link_conn_tick(struct link_conn *conn, int64_t now_us)
+bool link_is_overdue(enum link_state state, int64_t opened_us, int64_t heard_us,
+		     int64_t now_us)
 {
-	if (conn->state == LINK_DEAD)
-		return;
-	if (conn->state != LINK_UP) {
-		if (now_us - conn->opened_us > LINK_HANDSHAKE_US)
-			link_conn_close(conn);
-		return;
+	switch (state) {
+	case LINK_CONNECTING:
+		return now_us - opened_us > LINK_CONNECT_US;
+	case LINK_SECURING:
+	case LINK_GREETING:
+		return now_us - opened_us > LINK_HANDSHAKE_US;
+	case LINK_UP:
+		return now_us - heard_us > LINK_SILENCE_US;
+	case LINK_DEAD:
+		break;
 	}
-	if (now_us - conn->heard_us > LINK_SILENCE_US) {
+	return false;
+}
+
+void link_conn_tick(struct link_conn *conn, int64_t now_us)
+{
+	if (link_is_overdue(conn->state, conn->opened_us, conn->heard_us,
+			    now_us)) {
 		link_conn_close(conn);
 		return;
 	}
+	if (conn->state != LINK_UP)
+		return;
 	if (now_us - conn->sent_us < LINK_HEARTBEAT_US || conn->out.len)
 		return;
 	link_frame_add_heartbeat(&conn->out);
--- a/daemon/link_private.h
+++ b/daemon/link_private.h
@@ -25,6 +25,14 @@
  */
 #define LINK_STRANGERS 512
 
+/*
+ * A VM without power doesn't answer the first packet of a connection, and the
+ * kernel sends the next one after a second. When all VMs come back from a loss
+ * of power, those that were a little earlier waited for that second before they
+ * could serve; a new connection finds the other side as soon as it is there.
+ */
+#define LINK_CONNECT_US 250000
+
 #define LINK_DIAL_FIRST_US 100000
 /* A peer that came back is found within about a second and a half. */
 #define LINK_DIAL_LAST_US 1000000
@@ -133,6 +141,10 @@
 /** Heartbeats, silence, handshakes that take too long. */
 void link_conn_tick(struct link_conn *conn, int64_t now_us);
 
+/** Whether a connection in that state has had its time and is to be closed. */
+bool link_is_overdue(enum link_state state, int64_t opened_us, int64_t heard_us,
+		     int64_t now_us);
+
 /** The peer's hello came: settle on one connection to it, or close. */
 void link_peer_greet(struct link_conn *conn, struct link_hello *hello);
 
