load: servers that are leaving don't count in the division

Cause: the servers kept for paced streams were chosen among all that are known, those that are leaving among them.

The test fails on the code before (none of those that stay were kept).

--- a/libfilberthall/load/divide.c
+++ b/libfilberthall/load/divide.c
@@ -2,7 +2,6 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/alloc.h"
 
@@ -91,16 +90,21 @@
 }
 
 void divide_mark(const struct divide *divide, struct backend *const *members,
-		 int n)
+		 int n, int64_t now_us)
 {
 	struct backend **sorted = xcalloc((size_t)n + 1, sizeof(*sorted));
-	int n_paced = (int)(divide->share * n + 0.5);
+	int n_usable = 0;
+	int n_paced;
 	int i;
 
-	if (n)
-		memcpy(sorted, members, (size_t)n * sizeof(*sorted));
-	qsort(sorted, (size_t)n, sizeof(*sorted), compare_hash);
-	for (i = 0; i < n; i++)
-		sorted[i]->for_paced = i < n_paced;
+	for (i = 0; i < n; i++) {
+		members[i]->for_paced = false;
+		if (backend_usable(members[i], now_us))
+			sorted[n_usable++] = members[i];
+	}
+	qsort(sorted, (size_t)n_usable, sizeof(*sorted), compare_hash);
+	n_paced = (int)(divide->share * n_usable + 0.5);
+	for (i = 0; i < n_paced; i++)
+		sorted[i]->for_paced = true;
 	free(sorted);
 }
--- a/libfilberthall/load/divide.h
+++ b/libfilberthall/load/divide.h
@@ -80,8 +80,12 @@
  */
 bool divide_adjust(struct divide *divide, int vms, int n, int64_t now_us);
 
-/** Mark which of `members` are kept for paced streams. */
+/**
+ * Mark which of `members` are kept for paced streams. Those that are leaving
+ * don't count: when two of three zones go, nearly all of the part could be
+ * theirs, and paced streams would be left with one server or none.
+ */
 void divide_mark(const struct divide *divide, struct backend *const *members,
-		 int n);
+		 int n, int64_t now_us);
 
 #endif
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -142,7 +142,8 @@
 }
 
 /* The fleet has changed since the members were listed. */
-static void pool_list_members(const struct fleet *fleet, struct pool *pool)
+static void pool_list_members(const struct fleet *fleet, struct pool *pool,
+			      int64_t now_us)
 {
 	struct backend *backend;
 	struct backend *next;
@@ -155,7 +156,7 @@
 		if (backend_serves(backend, pool->model, NULL, pool->service))
 			pool->members[pool->n_members++] = backend;
 	pool->fleet_version = fleet->version;
-	divide_mark(&pool->divide, pool->members, pool->n_members);
+	divide_mark(&pool->divide, pool->members, pool->n_members, now_us);
 }
 
 /* Slots and load, weighted by health, of members that may get work. */
@@ -191,12 +192,13 @@
 	bool changed = pool->fleet_version != fleet->version;
 
 	if (changed)
-		pool_list_members(fleet, pool);
+		pool_list_members(fleet, pool, now_us);
 	if (!changed && now_us - pool->counted_us < POOL_COUNT_US)
 		return;
 	if (divide_adjust(&pool->divide, router->retry_limit.vms,
 			  pool->n_members, now_us))
-		divide_mark(&pool->divide, pool->members, pool->n_members);
+		divide_mark(&pool->divide, pool->members, pool->n_members,
+			    now_us);
 	pool_count_members(router, pool, now_us);
 }
 
--- a/tests/load/t-divide.c
+++ b/tests/load/t-divide.c
@@ -124,6 +124,56 @@
 	g_assert_false(divide_adjust(&divide, 0, 0, 60 * SECOND));
 }
 
+static int kept(struct backend *const *members, int n, bool usable)
+{
+	int n_kept = 0;
+	int i;
+
+	for (i = 0; i < n; i++)
+		n_kept += members[i]->for_paced &&
+			  backend_usable(members[i], SECOND) == usable;
+	return n_kept;
+}
+
+/*
+ * Two of three zones are taken away; their servers are still known while they
+ * leave. Most of the servers kept for cues were theirs, so cues went among
+ * scores on those that stayed and came late.
+ */
+static void test_leaving(void)
+{
+	struct backend *members[24];
+	struct fleet fleet;
+	struct divide divide;
+	char address[32];
+	int i;
+
+	fleet_init(&fleet);
+	divide_init(&divide);
+	for (i = 0; i < 24; i++) {
+		struct event_announce announce = { .address = address,
+						   .boot_id = "b",
+						   .sequence = 1,
+						   .service = "scribe",
+						   .zone = "z",
+						   .lease_ms = 60000,
+						   .slots = 128 };
+
+		g_snprintf(address, sizeof(address), "10.0.0.%d:80", i);
+		fleet_announce(&fleet, &announce, 0);
+		members[i] = fleet_find(&fleet, address);
+	}
+	divide_mark(&divide, members, 24, SECOND);
+	g_assert_cmpint(kept(members, 24, true), ==, 6);
+	/* All that were kept, and ten others, leave. */
+	for (i = 0; i < 24; i++)
+		members[i]->leaving = members[i]->for_paced || i >= 14;
+	divide_mark(&divide, members, 24, SECOND);
+	g_assert_cmpint(kept(members, 24, true), >=, 2);
+	g_assert_cmpint(kept(members, 24, false), ==, 0);
+	fleet_clear(&fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -133,5 +183,6 @@
 	g_test_add_func("/divide/forgotten", test_forgotten);
 	g_test_add_func("/divide/burst", test_burst);
 	g_test_add_func("/divide/least", test_least);
+	g_test_add_func("/divide/leaving", test_leaving);
 	return g_test_run();
 }
--- a/tests/load/t-place.c
+++ b/tests/load/t-place.c
@@ -38,7 +38,7 @@
 		pool->members[pool->n++] = fleet_find(&pool->fleet, address);
 	}
 	divide_init(&divide);
-	divide_mark(&divide, pool->members, pool->n);
+	divide_mark(&divide, pool->members, pool->n, 0);
 }
 
 static void pool_start(struct pool *pool, int n)
