fleet: no counts of missed requests, which order nothing any more

Entry VMs told control VMs each second how many requests missed their goals; the one in charge ordered steady servers by it.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -88,7 +88,6 @@
 	ledger_init(&control->ledger);
 	registry_init(&control->registry, options->beat_us);
 	begun_init(&control->begun);
-	missed_init(&control->missed);
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->reports);
@@ -130,7 +129,6 @@
 	ledger_clear(&control->ledger);
 	registry_clear(&control->registry);
 	begun_clear(&control->begun);
-	missed_clear(&control->missed);
 	members_clear(&control->told);
 	free(control->vm);
 	free(control->zone);
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -233,9 +233,6 @@
 	case FEED_BEGUN:
 		begun_take(&control->begun, peer, &message.u.begun);
 		break;
-	case FEED_MISSED:
-		missed_add(&control->missed, &message.u.missed, now_us);
-		break;
 	case FEED_CLOCK:
 		wall_note(&control->wall, peer, message.u.clock_us, now_us);
 		break;
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -6,7 +6,6 @@
 #include "control/control.h"
 #include "control/ledger.h"
 #include "feed/peers.h"
-#include "fleet/missed.h"
 #include "usage/begun.h"
 #include "usage/wall.h"
 
@@ -40,7 +39,6 @@
 	struct registry registry;
 	struct begun begun;
 	struct wall wall;
-	struct missed missed;
 	struct map peers; /**< struct feed_peer */
 	struct list proposals;
 	struct list reports;
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -65,7 +65,6 @@
 	fleet_init(&entry->fleet);
 	registry_init(&entry->registry, options->beat_us);
 	begun_init(&entry->begun);
-	missed_init(&entry->missed);
 	map_init(&entry->peers);
 	map_init(&entry->calls);
 	list_init(&entry->parked);
@@ -99,7 +98,6 @@
 	fleet_clear(&entry->fleet);
 	registry_clear(&entry->registry);
 	begun_clear(&entry->begun);
-	missed_clear(&entry->missed);
 	document_free(entry->document);
 	free(entry->vm);
 	free(entry->zone);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -25,9 +25,6 @@
 /* How often counts of begun requests are told while they change. */
 #define TELL_US INT64_C(100000)
 
-/* How often it is told how many requests missed their goals. */
-#define TELL_MISSED_US INT64_C(1000000)
-
 /* An answer with the document that isn't here by then is asked for again. */
 #define FETCH_US INT64_C(300000)
 
@@ -281,7 +278,6 @@
 	case FEED_FETCH:
 	case FEED_BEGUN:
 	case FEED_CLOCK:
-	case FEED_MISSED:
 		break;
 	}
 	feed_clear(&message);
@@ -292,15 +288,6 @@
 	publish(data, registered);
 }
 
-static void tell_missed(struct entry *entry)
-{
-	struct bytes body = { 0 };
-
-	while (missed_tell(&entry->missed, &body))
-		send_all(entry, &body);
-	entry->told_missed_us = entry->now_us;
-}
-
 void entry_feed_tick(struct entry *entry)
 {
 	int64_t poll_us = entry_can_decide(entry) ? POLL_US : POLL_STALE_US;
@@ -309,8 +296,6 @@
 		entry_poll(entry);
 	if (entry->now_us - entry->told_us >= TELL_US)
 		entry_tell_begun(entry);
-	if (entry->now_us - entry->told_missed_us >= TELL_MISSED_US)
-		tell_missed(entry);
 	registry_expire(&entry->registry, entry->now_us, now_silent, entry);
 }
 
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -324,28 +324,6 @@
 		      (outcome->ended_us - outcome->arrived_us) / 1000);
 }
 
-/* Only what more servers would have mended. */
-static void note_missed(struct entry *entry, const struct open_call *call,
-			const struct router_outcome *outcome)
-{
-	struct feed_missed told = { .ended = 1 };
-
-	switch (outcome->code) {
-	case RESULT_OK:
-	case RESULT_EXPIRED:
-	case RESULT_DEADLINE_UNREACHABLE:
-	case RESULT_CALLER_LEFT:
-		told.missed = !outcome->attained;
-		break;
-	default:
-		break;
-	}
-	if (!call->service)
-		return;
-	snprintf(told.service, sizeof(told.service), "%s", call->service);
-	missed_add(&entry->missed, &told, entry->now_us);
-}
-
 void entry_finished(void *data, const struct router_outcome *outcome)
 {
 	struct entry *entry = data;
@@ -354,7 +332,6 @@
 	if (!call)
 		return;
 	note_times(entry, outcome);
-	note_missed(entry, call, outcome);
 	if (outcome->code == RESULT_OK)
 		entry->totals.served++;
 	else if (outcome->run == RUN_NOT)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -5,7 +5,6 @@
 #include "base/rng.h"
 #include "entry/entry.h"
 #include "feed/peers.h"
-#include "fleet/missed.h"
 #include "fleet/registry.h"
 #include "load/router.h"
 #include "usage/begun.h"
@@ -58,7 +57,6 @@
 	struct document *document;
 	struct begun begun;
 	struct wall wall;
-	struct missed missed;
 	struct map peers; /**< struct feed_peer: control VMs */
 	struct map calls;
 	struct list parked; /**< oldest first */
@@ -69,9 +67,8 @@
 	int64_t fresh_us;  /**< keys are known as of this moment */
 	bool was_fresh;
 	int64_t polled_us;
-	int64_t faded_us; /* when load figures were last faded */
-	int64_t told_us;  /**< when counts were last told */
-	int64_t told_missed_us;
+	int64_t faded_us;   /* when load figures were last faded */
+	int64_t told_us;    /**< when counts were last told */
 	int64_t fetched_us; /**< when the document was last asked for */
 	int64_t stop_us;    /**< when the stop was asked for, 0 if not */
 	int64_t stop_by_us;
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -119,16 +119,6 @@
 	feed_pack_begun(out, FEED_BEGUN, begun);
 }
 
-void feed_write_missed(struct bytes *out, const struct feed_missed *missed)
-{
-	msgpack_packer packer;
-
-	begin(&packer, out, 3, FEED_MISSED);
-	pack_text(&packer, missed->service);
-	msgpack_pack_int64(&packer, missed->ended);
-	msgpack_pack_int64(&packer, missed->missed);
-}
-
 void feed_write_clock(struct bytes *out, int64_t wall_us)
 {
 	msgpack_packer packer;
@@ -245,14 +235,6 @@
 	return true;
 }
 
-static bool read_missed(const struct unpacked *items,
-			struct feed_missed *missed)
-{
-	return read_name(items, 1, missed->service) &&
-	       unpack_int(items, 2, &missed->ended) &&
-	       unpack_int(items, 3, &missed->missed);
-}
-
 static bool read_items(struct feed_message *message,
 		       const struct unpacked *items)
 {
@@ -279,8 +261,6 @@
 		return read_alive(items, message);
 	case FEED_BEGUN:
 		return feed_unpack_begun(items, &message->u.begun);
-	case FEED_MISSED:
-		return read_missed(items, &message->u.missed);
 	case FEED_CLOCK:
 		return unpack_int(items, 1, &message->u.clock_us);
 	default:
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -24,8 +24,7 @@
 	FEED_REGISTRATION, /**< control to all */
 	FEED_ALIVE,	   /**< control to all: servers heard since the last */
 	FEED_BEGUN,	   /**< entry to control: requests begun in a window */
-	FEED_CLOCK,	   /**< control to control: its wall clock */
-	FEED_MISSED	   /**< entry to control: requests that ended late */
+	FEED_CLOCK	   /**< control to control: its wall clock */
 };
 
 struct feed_poll {
@@ -72,13 +71,6 @@
 	size_t n_counts;
 };
 
-/** Requests of a service that have ended since an entry VM last told. */
-struct feed_missed {
-	char service[BACKEND_NAME_SIZE];
-	int64_t ended;
-	int64_t missed; /**< of them, for want of servers */
-};
-
 /** One message as it was read. */
 struct feed_message {
 	enum feed_kind kind;
@@ -89,7 +81,6 @@
 		struct feed_member member;
 		struct registration registration;
 		struct feed_begun begun;
-		struct feed_missed missed;
 		int64_t clock_us;
 	} u;
 	int64_t age_us; /**< of a registration, since the server was heard */
@@ -116,7 +107,6 @@
 /** Read such an array; `begun->counts` is to be freed in any case. */
 bool feed_unpack_begun(const struct unpacked *items, struct feed_begun *begun);
 
-void feed_write_missed(struct bytes *out, const struct feed_missed *missed);
 void feed_write_clock(struct bytes *out, int64_t wall_us);
 
 /**
