--- a/daemon/boot_key.c
+++ b/daemon/boot_key.c
@@ -3,10 +3,8 @@
 /*
  * After a loss of power nobody is served until there is a leader again, so
  * its election counts; control VMs of one region are a few milliseconds
- * apart, and five lost heartbeats are borne. Mean of the two worst seconds of
- * a day that ends with a loss of all VMs, 18 plays of each site's days with
- * 600, 400 and 300 ms: 0.643, 0.661, 0.672 and 0.624, 0.652, 0.650 of what was
- * owed. Control VMs in several regions need more than their longest way.
+ * apart, and five lost heartbeats are borne. Control VMs in several regions
+ * need more than their longest way.
  */
 #define BOOT_ELECTION_MS 300
 
--- a/libfilberthall/agree/lease.h
+++ b/libfilberthall/agree/lease.h
@@ -28,9 +28,9 @@
  * (lease_order_deadline), which leaves microseconds; a receiver that checks
  * the fencing number closes even that.
  *
- * Grounds for the defaults: an order to the platform takes up to a second,
- * so 5 s of lease leave room for a renewal lost or two; monotonic clocks of
- * VMs differ by less than 500 ppm, and 10,000 ppm are assumed.
+ * An order to the platform takes up to a second, so 5 s of lease leave room
+ * for a renewal lost or two. Monotonic clocks of VMs differ by less than
+ * 500 ppm.
  */
 struct lease_options {
 	int64_t duration_us; /**< lease from a confirmed quorum; 5 s */
--- a/libfilberthall/agree/raft.h
+++ b/libfilberthall/agree/raft.h
@@ -31,10 +31,8 @@
  *   are fed by the leader. Others ask a feeder, a voter or a learner of
  *   their own zone, which passes on committed entries only.
  *
- * Grounds for the defaults: links within a region take 1 to 2 ms, a disk's
- * sync up to tens of ms; 100 ms between heartbeats and 1 s of silence before
- * an election bear ten lost heartbeats or a slow disk, and repair a crash
- * within about 2 s.
+ * By default heartbeats come each 100 ms and an election after 1 s of silence:
+ * that bears ten lost heartbeats or a slow disk.
  */
 
 enum raft_role {
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -23,12 +23,9 @@
  * Load reports lag by seconds. Without counting own work on top of the last
  * report, a VM sends a whole burst to the one server that looked idle.
  *
- * Grounds for the figures: a tombstone must outlive any announcement still
- * on its way. Links retry for seconds and a partition lasts for minutes, so
- * ten minutes; at one restart a minute on 1,000 engines that is 10,000
- * entries at most, far above what 4,096 slots would see on an ordinary day.
- * The ring of own starts and ends reaches 16 s back, since an older report
- * says nothing any more and the lease runs out before that.
+ * A tombstone outlives any announcement still on its way, also one held up by
+ * a partition. The ring of own starts and ends reaches 16 s back: an older
+ * report says nothing any more, and the lease runs out before that.
  */
 
 #define BACKEND_NAME_SIZE 64
--- a/libfilberthall/fleet/health.h
+++ b/libfilberthall/fleet/health.h
@@ -13,13 +13,11 @@
  * room. Without this module the server that does least work draws most
  * requests, and one straggler in twelve hurts a third of them.
  *
- * Grounds for the figures: speed is an average over the last 16 or so
- * answers, long enough that one long output doesn't condemn a server, short
- * enough that a second's traffic of a busy engine shows. A server below half
- * of the median speed of its peers is a straggler: batches of unlike fill
- * differ by less than that, since decode speed per stream falls only mildly
- * with the batch. The way back doubles from one probe at a time, so that a
- * server which crashes again takes few requests with it.
+ * Speed is an average over the last answers, enough of them that one long
+ * output doesn't condemn a server. One below half of the median speed of its
+ * peers is a straggler: batches of unlike fill differ by less. The way back
+ * doubles from one probe at a time, so that a server which crashes again takes
+ * few requests with it.
  */
 
 /** Least share of its room that a server in trouble is still offered. */
--- a/libfilberthall/fleet/target.h
+++ b/libfilberthall/fleet/target.h
@@ -18,10 +18,7 @@
  *   the plan is for the demand at the end of a start-up, by its slope.
  * - Demand wavers: without hysteresis each dip stops servers that the next
  *   minute orders again, and each start is paid for. Servers go only when
- *   fewer would have sufficed for all of `shrink_after_us`. Grounds for its
- *   20 minutes: in fleet-bench, seed 1, 5 minutes made 273 and 548 orders a
- *   day at the two sites, 20 minutes 122 and 217, for a tenth more spend; an
- *   hour saved few more orders and cost another tenth.
+ *   fewer would have sufficed for all of `shrink_after_us`.
  * - A zone is lost: tier 0 must fit into what is left, so each zone holds a
  *   floor of steady servers, ceil(tier 0 / (zones - 1)). The cheap kind
  *   doesn't count, as its zone may be reclaimed on the same day.
--- a/libfilberthall/load/length.h
+++ b/libfilberthall/load/length.h
@@ -13,11 +13,9 @@
  * caption and a critique as equal, deadlines are judged by guess, and long
  * work fills a server unnoticed.
  *
- * Grounds for the figures: a histogram with four buckets for each doubling
- * knows a quantile to within 19%, far finer than lengths themselves spread.
- * Old counts fade by half each 256 answers, so that a class whose prompts
- * change is learnt anew within some hundred answers, and a 0.9 quantile still
- * rests on 25. Before any answer has been seen, 256 tokens are assumed.
+ * A histogram with four buckets for each doubling knows a quantile far finer
+ * than lengths themselves spread. Old counts fade, so that a class whose
+ * prompts change is learnt anew within some hundred answers.
  */
 
 #define LENGTH_BUCKETS 84 /**< up to 2^21 tokens */
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -13,10 +13,9 @@
  * Load pattern: each request repeats 6,000 to 13,000 prompt tokens that some
  * hundred others share and brings 1,000 to 4,000 of its own. An engine that
  * has read the shared part before reads only the rest. If each VM remembers
- * for itself where it sent a part, seven VMs read it on seven engines: in a
- * calm day a sixth of all prompt tokens were shared parts read again, the
- * engines' memory held each part several times, and captions beside such a
- * reading stood still for a fifth of a second per event.
+ * for itself where it sent a part, seven VMs read it on seven engines: their
+ * memory holds each part several times, and captions beside such a reading
+ * stand still.
  *
  * - Each shared part has a home that all VMs agree on without a word: the
  *   engine with the highest hash of part and address (rendezvous hashing). An
--- a/libfilberthall/load/poison.h
+++ b/libfilberthall/load/poison.h
@@ -24,9 +24,7 @@
  * that had run long in its first server and had just started in the second
  * is only held back for half a minute, so that a resend soon works.
  *
- * Grounds for the figures: ten minutes of quarantine let an operator see it,
- * and longer than callers' own retries last. 4,096 entries: one crash leaves
- * some tens, and a hundred crashes in ten minutes would be another emergency.
+ * The quarantine outlasts callers' own retries and lets an operator see it.
  */
 #define POISON_ENTRIES 4096
 #define POISON_SUSPECT_US INT64_C(300000000)
--- a/libfilberthall/load/preempt.h
+++ b/libfilberthall/load/preempt.h
@@ -34,10 +34,8 @@
  * What preemption may throw away: a two-hundredth of the tokens served, and
  * saved up, a second and a half of the fastest pace so far. Without this
  * bound a pool at its limit spends its time on work that is preempted again
- * and again: a tenth of all tokens in the trial. A burst of the top tier
- * needs the savings: with half of them 1.4% of its captions missed their
- * target, with these 0.8%. They are in seconds, since a small site's would
- * else be a greater part of what it serves.
+ * and again. A burst of the top tier needs the savings. They are in seconds,
+ * since a small site's would else be a greater part of what it serves.
  */
 #define PREEMPT_LOSS_SHARE 0.005
 #define PREEMPT_SAVED_S 1.5
--- a/libfilberthall/load/retry.h
+++ b/libfilberthall/load/retry.h
@@ -17,25 +17,26 @@
  * Never across the deadline, never for a non-idempotent request once a byte
  * may have left: it might have run.
  *
- * Grounds for the figures: a budget of a tenth of fresh traffic bounds the
- * extra load at 10%, while faults in ordinary times touch far less. It saves
- * up for ten seconds' worth, since one crash of an engine in twelve returns
- * about 2.5 s of a twelfth of the traffic at once. As many as one engine has
- * slots are always allowed, so that a VM with little traffic can use them.
- * Each lower tier must leave an eighth of the budget to those above it: spent
- * blindly, batch work took it from captions when engines flapped. Three
- * attempts: a request that two servers have failed is more likely the cause
- * than the victim.
+ * A budget of a tenth of fresh traffic bounds the extra load. It is saved up,
+ * since a crash returns all that ran on a server at once. Each lower tier must
+ * leave an eighth of it to those above: else batch work takes it from captions
+ * when engines flap.
  *
  * Where a site bounds the repeats of a service over all VMs (retry_limit()),
- * those figures give way to this VM's part of the bound. What each VM may do
- * by itself adds up: with 32 saved at each of 66 VMs, a service whose servers
- * all fail gets 2,970 repeats in ten seconds where the site allows 2,020, and
- * 1,848 with the limit shared out (tests/load/t-retry).
+ * that gives way to this VM's part of the bound: what each VM may do by itself
+ * adds up.
  */
+
+/** Repeats for each fresh request. */
 #define RETRY_SHARE 0.1
+
+/** Repeats always allowed, so that a VM with little traffic has some. */
 #define RETRY_LEAST 32.0
+
+/** Seconds of fresh traffic whose repeats are saved up. */
 #define RETRY_SAVED_S 10.0
+
+/** A request that two servers have failed is more likely cause than victim. */
 #define RETRY_ATTEMPTS 3
 
 /**
--- a/libfilberthall/load/share.h
+++ b/libfilberthall/load/share.h
@@ -31,11 +31,8 @@
  * longer hears. So the sum never exceeds the pool by more than what changed
  * hands in between.
  *
- * Grounds for the figures: a quarter of a second is half the first-token
- * target of the quickest class. Rounds of half a second cost 2.5% of goodput
- * at twice the load (overload-2x: 19545 against 20038 tokens/s, seeds 1 and
- * 2); rounds of a fifth gained nothing more. Five rounds may be lost before a
- * fallback.
+ * A round is about half the first-token target of the quickest class, and
+ * several rounds may be lost before a fallback.
  */
 #define SHARE_ROUND_US INT64_C(250000)
 #define SHARE_SILENT_US INT64_C(1500000)
