entry: a stopping VM takes what surely ends before it does

Cause: 2.8 s after the signal a stopping VM refused all that came.

A request is taken now if its own time ends half a second before the process must; what can't, as a stream of 15 s, is refused as before.

--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -105,8 +105,9 @@
 
 /**
  * How long a stopping VM goes on taking what still comes: the balancer asks
- * once a second and needs two misses. What comes later could not be ended
- * before the process is; it is refused as not run, to be sent elsewhere.
+ * once a second and needs two misses. What comes later is taken only if its own
+ * time ends before the process does; else it is refused as not run, to be sent
+ * elsewhere.
  */
 #define ENTRY_STOP_TAKES_US INT64_C(2800000)
 
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -16,6 +16,9 @@
 /* Another VM takes it at once; callers of this one mustn't come as a crowd. */
 #define STOPPING_RETRY_MS 50
 
+/* Left between the end of the last request and that of a stopping process. */
+#define STOP_MARGIN_US INT64_C(500000)
+
 /*
  * Classes that the router keeps at once; it has room for 256. Each document
  * may bring new ones, and those that are in no use any more must go.
@@ -179,18 +182,43 @@
 	return route->tier * URGENCY_RANKS + rank;
 }
 
-static struct open_call *call_new(struct entry *entry,
-				  const struct entry_request *request,
-				  const struct route *route,
-				  const struct document_organisation *holder)
+/* How long the caller waits, and the route lets it wait, at most. */
+static int64_t wait_of_us(const struct entry_request *request,
+			  const struct route *route)
 {
-	struct open_call *call = xcalloc(1, sizeof(*call));
 	int64_t wait_ms = route->timeout_ms;
 
 	if (request->deadline_ms > 0 && request->deadline_ms < wait_ms)
 		wait_ms = request->deadline_ms;
 	if (wait_ms <= 0)
 		wait_ms = DEADLINE_MS;
+	return wait_ms * 1000;
+}
+
+/*
+ * Planned stops of several VMs of a zone at once leave its callers no other VM:
+ * the balancer sends them to those that stop. A request whose own time ends
+ * before this process does is in no danger here, and was refused again and
+ * again until its caller gave up.
+ */
+static bool stops_too_soon(const struct entry *entry,
+			   const struct entry_request *request,
+			   const struct route *route)
+{
+	int64_t ends_us = entry->now_us + wait_of_us(request, route);
+
+	return entry->stop_us &&
+	       entry->now_us - entry->stop_us >= ENTRY_STOP_TAKES_US &&
+	       ends_us + STOP_MARGIN_US > entry->stop_by_us;
+}
+
+static struct open_call *call_new(struct entry *entry,
+				  const struct entry_request *request,
+				  const struct route *route,
+				  const struct document_organisation *holder)
+{
+	struct open_call *call = xcalloc(1, sizeof(*call));
+
 	call->id = request->id;
 	call->name = xstrdup(request->name);
 	call->organisation = xstrdup(holder ? holder->name : "");
@@ -199,7 +227,7 @@
 	call->tier = call_tier(route, holder);
 	call->urgency = call_urgency(route, holder);
 	call->arrived_us = entry->now_us;
-	call->deadline_us = entry->now_us + wait_ms * 1000;
+	call->deadline_us = entry->now_us + wait_of_us(request, route);
 	map_insert(&entry->calls, &call->node,
 		   map_hash(&call->id, sizeof(call->id)));
 	return call;
@@ -260,6 +288,11 @@
 		entry_refuse(entry, request, RESULT_NO_ROUTE, 0);
 		return;
 	}
+	if (stops_too_soon(entry, request, route)) {
+		entry_refuse(entry, request, RESULT_STOPPING,
+			     STOPPING_RETRY_MS);
+		return;
+	}
 	if (document->n_organisations && !route->open) {
 		if (request->key)
 			holder = document_holder(document, request->key);
@@ -288,10 +321,7 @@
 {
 	entry->now_us = now_us;
 	entry->effects = effects;
-	if (entry->stop_us && now_us - entry->stop_us >= ENTRY_STOP_TAKES_US)
-		entry_refuse(entry, request, RESULT_STOPPING,
-			     STOPPING_RETRY_MS);
-	else if (entry_can_decide(entry))
+	if (entry_can_decide(entry))
 		entry_decide(entry, request);
 	else if (!entry_park(entry, request))
 		entry_refuse(entry, request, RESULT_STALE,
