cli: tally, and a help for each command

Where the worth was lost was found by counting log lines by class, second and server with throw-away scripts; operators need the same when many callers complain at once. tally does it from the entry VMs' logs; the reader of log files is explain's, in a file of its own.

explain told of a VM that ended in the middle of a request by silence only; it says now when the VM was last heard and when it started anew.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -46,6 +46,7 @@
 int cli_spend(struct cli *cli, int argc, char **argv);
 int cli_status(struct cli *cli, int argc, char **argv);
 int cli_explain(struct cli *cli, int argc, char **argv);
+int cli_tally(struct cli *cli, int argc, char **argv);
 int cli_trace(struct cli *cli, int argc, char **argv);
 int cli_replay(struct cli *cli, int argc, char **argv);
 int cli_check(struct cli *cli, int argc, char **argv);
--- a/cli/explain.c
+++ b/cli/explain.c
@@ -6,126 +6,22 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "cli/cli.h"
-
-#define LINE_BYTES 65536
+#include "cli/log_lines.h"
+#include "cli/options.h"
 
 /* What a VM may believe, by the module that logs it. */
 static const char *const beliefs[] = { "document", "fresh", "group" };
 
-struct line {
-	int64_t at_ms;
-	size_t order; /* in the files: breaks ties */
-	char *vm;
-	char *module;
-	char *message;
-};
-
-struct lines {
-	struct line *items;
-	size_t n;
-};
-
-static int64_t read_time(const char *text)
-{
-	struct tm utc = { 0 };
-	const char *rest;
-	int64_t ms;
-
-	rest = text ? strptime(text, "%Y-%m-%dT%H:%M:%S", &utc) : NULL;
-	if (!rest)
-		return 0;
-	ms = (int64_t)timegm(&utc) * 1000;
-	return *rest == '.' ? ms + strtoll(rest + 1, NULL, 10) : ms;
-}
-
-/* A line may have something in front, such as a collector's stamp. */
-static void add_line(struct lines *lines, const char *text)
-{
-	const char *start = strchr(text, '{');
-	json_t *root =
-		start ? json_loads(start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
-	const char *message =
-		json_string_value(json_object_get(root, "message"));
-	const char *module = json_string_value(json_object_get(root, "module"));
-	const char *vm = json_string_value(json_object_get(root, "vm"));
-	struct line *line;
-
-	if (message && module && vm) {
-		lines->items =
-			xrealloc(lines->items, (lines->n + 1) * sizeof(*line));
-		line = &lines->items[lines->n];
-		line->at_ms = read_time(
-			json_string_value(json_object_get(root, "time")));
-		line->order = lines->n++;
-		line->vm = xstrdup(vm);
-		line->module = xstrdup(module);
-		line->message = xstrdup(message);
-	}
-	json_decref(root);
-}
-
-static bool read_file(struct lines *lines, const char *path)
-{
-	FILE *file = fopen(path, "re");
-	cleanup(free_ptr) char *text = xcalloc(1, LINE_BYTES);
-
-	if (!file)
-		return false;
-	while (fgets(text, LINE_BYTES, file))
-		add_line(lines, text);
-	fclose(file);
-	return true;
-}
-
-static int compare(const void *a, const void *b)
-{
-	const struct line *left = a;
-	const struct line *right = b;
-
-	if (left->at_ms != right->at_ms)
-		return left->at_ms < right->at_ms ? -1 : 1;
-	return left->order < right->order ? -1 : left->order > right->order;
-}
-
 static bool is(const char *text, const char *word)
 {
 	return text && !strcmp(text, word);
 }
 
-/* Whether a message has the word NAME=VALUE. */
-static bool has_word(const char *message, const char *name, const char *value)
-{
-	cleanup(free_ptr) char *word = xstrfmt("%s=%s", name, value);
-	size_t len = strlen(word);
-	const char *at = message;
-
-	while ((at = strstr(at, word))) {
-		if ((at == message || at[-1] == ' ') &&
-		    (!at[len] || at[len] == ' '))
-			return true;
-		at += len;
-	}
-	return false;
-}
-
-/* The value of NAME= in a message, to be freed, or NULL. */
-static char *word_of(const char *message, const char *name)
-{
-	cleanup(free_ptr) char *start = xstrfmt("%s=", name);
-	const char *at = strstr(message, start);
-
-	if (!at || (at != message && at[-1] != ' '))
-		return NULL;
-	at += strlen(start);
-	return xmemdup(at, strcspn(at, " "));
-}
-
-static void print_belief(const struct line *told, const struct line *at,
+static void print_belief(const struct log_line *told, const struct log_line *at,
 			 json_t *out)
 {
 	double age_s = (double)(at->at_ms - told->at_ms) / 1000;
@@ -145,25 +41,25 @@
  * The last line before `at` of the same VM and that module, and with the word
  * NAME=VALUE if a name is given; NULL if there is none.
  */
-static const struct line *last_before(const struct lines *lines, size_t at,
-				      const char *module, const char *name,
-				      const char *value)
+static const struct log_line *last_before(const struct log_lines *lines,
+					  size_t at, const char *module,
+					  const char *name, const char *value)
 {
 	const char *vm = lines->items[at].vm;
 
 	while (at--) {
-		const struct line *line = &lines->items[at];
+		const struct log_line *line = &lines->items[at];
 
 		if (is(line->vm, vm) && is(line->module, module) &&
-		    (!name || has_word(line->message, name, value)))
+		    (!name || log_has_word(line->message, name, value)))
 			return line;
 	}
 	return NULL;
 }
 
-static void print_beliefs(const struct lines *lines, size_t at, json_t *out)
+static void print_beliefs(const struct log_lines *lines, size_t at, json_t *out)
 {
-	const struct line *told;
+	const struct log_line *told;
 	size_t i;
 
 	for (i = 0; i < sizeof(beliefs) / sizeof(beliefs[0]); i++) {
@@ -174,11 +70,11 @@
 }
 
 /* What the VM had last heard of the server that the line names. */
-static void print_server(const struct lines *lines, size_t at, json_t *out)
+static void print_server(const struct log_lines *lines, size_t at, json_t *out)
 {
 	cleanup(free_ptr) char *server =
-		word_of(lines->items[at].message, "server");
-	const struct line *told = NULL;
+		log_word(lines->items[at].message, "server");
+	const struct log_line *told = NULL;
 
 	if (server)
 		told = last_before(lines, at, "server", "address", server);
@@ -186,7 +82,8 @@
 		print_belief(told, &lines->items[at], out);
 }
 
-static void print_line(const struct line *line, int64_t first_ms, json_t *out)
+static void print_line(const struct log_line *line, int64_t first_ms,
+		       json_t *out)
 {
 	double after_s = (double)(line->at_ms - first_ms) / 1000;
 
@@ -201,18 +98,60 @@
 		       line->message);
 }
 
+/*
+ * A VM that ends in the middle of a request logs nothing of it: the story just
+ * stops. When it was last heard before and next after that tells that it was
+ * the VM, not the request.
+ */
+static void print_silence(const struct log_lines *lines, size_t last,
+			  int64_t first_ms, json_t *out)
+{
+	const struct log_line *line = &lines->items[last];
+	const struct log_line *before = line;
+	const struct log_line *after = NULL;
+	size_t i;
+
+	if (log_has_word(line->message, "event", "ended") ||
+	    log_has_word(line->message, "event", "refused"))
+		return;
+	for (i = last + 1; i < lines->n && !after; i++) {
+		if (!is(lines->items[i].vm, line->vm))
+			continue;
+		if (log_has_word(lines->items[i].message, "event", "start"))
+			after = &lines->items[i];
+		else
+			before = &lines->items[i];
+	}
+	if (out)
+		json_array_append_new(
+			out,
+			json_pack("{s:s, s:b, s:f}", "vm", line->vm,
+				  "started_anew", after != NULL, "last_heard_s",
+				  (double)(before->at_ms - first_ms) / 1000));
+	else if (after)
+		printf("%9.3f s  %s  logged last; it started anew at %.3f s, "
+		       "and no end of the request is logged\n",
+		       (double)(before->at_ms - first_ms) / 1000, line->vm,
+		       (double)(after->at_ms - first_ms) / 1000);
+	else
+		printf("%9.3f s  %s  logged last; no end of the request is "
+		       "logged\n",
+		       (double)(before->at_ms - first_ms) / 1000, line->vm);
+}
+
 /* Number of lines that name the request. */
-static size_t tell(const struct lines *lines, const char *id, json_t *out)
+static size_t tell(const struct log_lines *lines, const char *id, json_t *out)
 {
 	const char *vm = NULL;
 	int64_t first_ms = 0;
 	size_t told = 0;
+	size_t last = 0;
 	size_t i;
 
 	for (i = 0; i < lines->n; i++) {
-		const struct line *line = &lines->items[i];
+		const struct log_line *line = &lines->items[i];
 
-		if (!has_word(line->message, "request", id))
+		if (!log_has_word(line->message, "request", id))
 			continue;
 		if (!told++)
 			first_ms = line->at_ms;
@@ -221,44 +160,50 @@
 		vm = line->vm;
 		print_line(line, first_ms, out);
 		print_server(lines, i, out);
+		last = i;
 	}
+	if (told)
+		print_silence(lines, last, first_ms, out);
 	return told;
 }
 
-static void lines_clear(struct lines *lines)
-{
-	size_t i;
+static const char *const explain_names[] = { "request", NULL };
 
-	for (i = 0; i < lines->n; i++) {
-		free(lines->items[i].vm);
-		free(lines->items[i].module);
-		free(lines->items[i].message);
-	}
-	free(lines->items);
-}
+static const struct option_set explain_options = {
+	.usage = "REQUEST FILE...",
+	.summary = "tell a request's story from log files",
+	.positional = explain_names,
+};
 
 int cli_explain(struct cli *cli, int argc, char **argv)
 {
+	json_t *args = options_read_rest(&explain_options, "files", argc, argv);
+	cleanup(free_ptr) char *id = options_take_text(args, "request");
+	const json_t *files = json_object_get(args, "files");
 	json_t *out = cli->json ? json_array() : NULL;
-	struct lines lines = { 0 };
+	struct log_lines lines = { 0 };
 	int status = 0;
-	int i;
+	json_t *file;
+	size_t i;
+
+	if (!id || !files)
+		status = cli_fail(cli, RESULT_BAD_REQUEST,
+				  "explain needs a request's id and log files");
+	json_array_foreach(files, i, file) {
+		const char *path = json_string_value(file);
 
-	if (argc < 3)
-		return cli_fail(cli, RESULT_BAD_REQUEST,
-				"explain needs a request's id and log files");
-	for (i = 2; i < argc && !status; i++)
-		if (!read_file(&lines, argv[i]))
+		if (!log_lines_read(&lines, path))
 			status = cli_fail(cli, RESULT_NOT_FOUND,
-					  "%s can't be read", argv[i]);
-	if (lines.n)
-		qsort(lines.items, lines.n, sizeof(*lines.items), compare);
-	if (!status && !tell(&lines, argv[1], out))
+					  "%s can't be read", path);
+	}
+	log_lines_sort(&lines);
+	if (!status && !tell(&lines, id, out))
 		status = cli_fail(cli, RESULT_NOT_FOUND,
-				  "no line names request %s", argv[1]);
+				  "no line names request %s", id);
 	if (!status && out)
 		json_dumpf(out, stdout, JSON_INDENT(2));
 	json_decref(out);
-	lines_clear(&lines);
+	json_decref(args);
+	log_lines_clear(&lines);
 	return status;
 }
--- /dev/null
+++ b/cli/log_lines.h
@@ -0,0 +1,39 @@
+#ifndef FILBERTHALL_CLI_LOG_LINES_H
+#define FILBERTHALL_CLI_LOG_LINES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Lines of daemons' logs, of several VMs, in the order of their time. */
+struct log_line {
+	int64_t at_ms; /**< wall clock */
+	size_t order;  /**< in the files: breaks ties */
+	char *vm;
+	char *module;
+	char *message;
+};
+
+struct log_lines {
+	struct log_line *items;
+	size_t n;
+};
+
+/** Add a file's lines; what isn't a log line is passed over. */
+bool log_lines_read(struct log_lines *lines, const char *path);
+
+/** Put what was read in order. */
+void log_lines_sort(struct log_lines *lines);
+
+void log_lines_clear(struct log_lines *lines);
+
+/** Whether a message has the word NAME=VALUE. */
+bool log_has_word(const char *message, const char *name, const char *value);
+
+/** The value of NAME= in a message, to be freed, or NULL. */
+char *log_word(const char *message, const char *name);
+
+/** The number after NAME= in a message, or `none` if there is none. */
+int64_t log_number(const char *message, const char *name, int64_t none);
+
+#endif
--- a/cli/main.c
+++ b/cli/main.c
@@ -21,6 +21,7 @@
 	{ "status", "show classes and this VM", cli_status },
 	{ "trace", "draw a request's spans", cli_trace },
 	{ "explain", "tell a request's story from log files", cli_explain },
+	{ "tally", "count what became of requests, from log files", cli_tally },
 	{ "replay", "run a recording through the reducer", cli_replay },
 	{ "check", "check settings files offline", cli_check },
 	{ "completion", "print completion for bash", cli_completion },
--- a/cli/options.c
+++ b/cli/options.c
@@ -14,6 +14,7 @@
 	const struct option_set *set;
 	json_t *args;
 	int n_positional;
+	const char *rest; /* key of the list of further ones, or NULL */
 };
 
 static void options_add_number(struct argp_state *state, json_t *args,
@@ -29,14 +30,13 @@
 	json_object_set_new(args, row->key, json_integer(value));
 }
 
-static void options_add_list(json_t *args, const struct option_row *row,
-			     const char *text)
+static void options_add_list(json_t *args, const char *key, const char *text)
 {
-	json_t *list = json_object_get(args, row->key);
+	json_t *list = json_object_get(args, key);
 
 	if (!list) {
 		list = json_array();
-		json_object_set_new(args, row->key, list);
+		json_object_set_new(args, key, list);
 	}
 	json_array_append_new(list, json_string(text));
 }
@@ -52,7 +52,7 @@
 		options_add_number(state, args, row, text);
 		break;
 	case OPTION_LIST:
-		options_add_list(args, row, text);
+		options_add_list(args, row->key, text);
 		break;
 	case OPTION_FLAG:
 		json_object_set_new(args, row->key, json_true());
@@ -72,7 +72,14 @@
 		return 0;
 	}
 	if (key == ARGP_KEY_ARG) {
-		if (!set->positional[options->n_positional])
+		bool named = set->positional &&
+			     set->positional[options->n_positional];
+
+		if (!named && options->rest) {
+			options_add_list(options->args, options->rest, arg);
+			return 0;
+		}
+		if (!named)
 			argp_error(state, "no such argument: %s", arg);
 		json_object_set_new(options->args,
 				    set->positional[options->n_positional++],
@@ -88,10 +95,11 @@
 	return ARGP_ERR_UNKNOWN;
 }
 
-json_t *options_read(const struct option_set *set, int argc, char **argv)
+json_t *options_read_rest(const struct option_set *set, const char *rest,
+			  int argc, char **argv)
 {
 	struct argp_option table[OPTIONS_MOST + 1] = { 0 };
-	struct options_state state = { set, json_object(), 0 };
+	struct options_state state = { set, json_object(), 0, rest };
 	struct argp argp = { table, options_parse, set->usage, set->summary,
 			     NULL,  NULL,	   NULL };
 	int i;
@@ -106,6 +114,11 @@
 	return state.args;
 }
 
+json_t *options_read(const struct option_set *set, int argc, char **argv)
+{
+	return options_read_rest(set, NULL, argc, argv);
+}
+
 char *options_take_text(json_t *args, const char *key)
 {
 	char *text = xstrdup(json_string_value(json_object_get(args, key)));
--- a/cli/options.h
+++ b/cli/options.h
@@ -38,6 +38,13 @@
 /** Take a key out of the arguments: text (borrowed by no one), or NULL. */
 char *options_take_text(json_t *args, const char *key);
 
+/**
+ * The same, with any number of further positional arguments: they become the
+ * list `rest`, which is missing if there are none.
+ */
+json_t *options_read_rest(const struct option_set *set, const char *rest,
+			  int argc, char **argv);
+
 /** Take a flag out of the arguments. */
 bool options_take_flag(json_t *args, const char *key);
 
