--- a/cli/explain.c
+++ b/cli/explain.c
@@ -183,20 +183,12 @@
 	json_t *out = cli->json ? json_array() : NULL;
 	struct log_lines lines = { 0 };
 	int status = 0;
-	json_t *file;
-	size_t i;
 
 	if (!id || !files)
 		status = cli_fail(cli, RESULT_BAD_REQUEST,
 				  "explain needs a request's id and log files");
-	json_array_foreach(files, i, file) {
-		const char *path = json_string_value(file);
-
-		if (!log_lines_read(&lines, path))
-			status = cli_fail(cli, RESULT_NOT_FOUND,
-					  "%s can't be read", path);
-	}
-	log_lines_sort(&lines);
+	if (!status)
+		status = log_lines_read_all(cli, &lines, files);
 	if (!status && !tell(&lines, id, out))
 		status = cli_fail(cli, RESULT_NOT_FOUND,
 				  "no line names request %s", id);
--- a/cli/log_lines.c
+++ b/cli/log_lines.c
@@ -50,7 +50,7 @@
 	json_decref(root);
 }
 
-bool log_lines_read(struct log_lines *lines, const char *path)
+static bool read_file(struct log_lines *lines, const char *path)
 {
 	FILE *file = fopen(path, "re");
 	cleanup(free_ptr) char *text = xcalloc(1, LINE_BYTES);
@@ -111,10 +111,23 @@
 	free(lines->items);
 }
 
-void log_lines_sort(struct log_lines *lines)
+int log_lines_read_all(struct cli *cli, struct log_lines *lines,
+		       const json_t *files)
 {
+	int status = 0;
+	json_t *file;
+	size_t i;
+
+	json_array_foreach(files, i, file) {
+		const char *path = json_string_value(file);
+
+		if (!read_file(lines, path))
+			status = cli_fail(cli, RESULT_NOT_FOUND,
+					  "%s can't be read", path);
+	}
 	if (lines->n)
 		qsort(lines->items, lines->n, sizeof(*lines->items), compare);
+	return status;
 }
 
 int64_t log_number(const char *message, const char *name, int64_t none)
--- a/cli/log_lines.h
+++ b/cli/log_lines.h
@@ -5,7 +5,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Lines of daemons' logs, of several VMs, in the order of their time. */
+#include "cli/cli.h"
+
+/** Lines of daemons' logs, of several VMs. What isn't a log line is passed over. */
 struct log_line {
 	int64_t at_ms; /**< wall clock */
 	size_t order;  /**< in the files: breaks ties */
@@ -19,11 +21,13 @@
 	size_t n;
 };
 
-/** Add a file's lines; what isn't a log line is passed over. */
-bool log_lines_read(struct log_lines *lines, const char *path);
-
-/** Put what was read in order. */
-void log_lines_sort(struct log_lines *lines);
+/**
+ * Read the files of a list and put their lines in order.
+ *
+ * @return 0, or the exit status after a message
+ */
+int log_lines_read_all(struct cli *cli, struct log_lines *lines,
+		       const json_t *files);
 
 void log_lines_clear(struct log_lines *lines);
 
--- a/cli/options.c
+++ b/cli/options.c
@@ -79,8 +79,10 @@
 			options_add_list(options->args, options->rest, arg);
 			return 0;
 		}
-		if (!named)
+		if (!named) {
 			argp_error(state, "no such argument: %s", arg);
+			return EINVAL;
+		}
 		json_object_set_new(options->args,
 				    set->positional[options->n_positional++],
 				    json_string(arg));
--- a/cli/tally.c
+++ b/cli/tally.c
@@ -256,8 +256,6 @@
 	struct log_lines lines = { 0 };
 	const json_t *files = json_object_get(args, "files");
 	int status = 0;
-	json_t *file;
-	size_t i;
 
 	if (!files)
 		status = cli_fail(cli, RESULT_BAD_REQUEST,
@@ -267,14 +265,8 @@
 	list_init(&tally.classes);
 	list_init(&tally.times);
 	list_init(&tally.servers);
-	json_array_foreach(files, i, file) {
-		const char *path = json_string_value(file);
-
-		if (!log_lines_read(&lines, path))
-			status = cli_fail(cli, RESULT_NOT_FOUND,
-					  "%s can't be read", path);
-	}
-	log_lines_sort(&lines);
+	if (!status)
+		status = log_lines_read_all(cli, &lines, files);
 	count_all(&tally, &lines);
 	if (!status)
 		print_tally(cli, &tally, by);
