--- a/cli/options.c
+++ b/cli/options.c
@@ -102,8 +102,10 @@
 {
 	struct argp_option table[OPTIONS_MOST + 1] = { 0 };
 	struct options_state state = { set, json_object(), 0, rest };
-	struct argp argp = { table, options_parse, set->usage, set->summary,
-			     NULL,  NULL,	   NULL };
+	/* glibc's help leaks two bytes over a table without options. */
+	const struct argp_option *options = set->rows ? table : NULL;
+	struct argp argp = { options, options_parse, set->usage, set->summary,
+			     NULL,    NULL,	     NULL };
 	int i;
 
 	for (i = 0; set->rows && set->rows[i].name && i < OPTIONS_MOST; i++) {
