cli: tally without figures that nothing reads

The goal and the first piece's time of a request were read from each log line and used nowhere: what is late is told by attained and the longest pause. Found by reading the change again; tests of the command line pass unchanged.

--- a/cli/tally.c
+++ b/cli/tally.c
@@ -50,9 +50,7 @@
 	bool attained;
 	bool ran;
 	int64_t attempts;
-	int64_t first_ms;
 	int64_t pause_ms;
-	int64_t goal_ms;    /**< of its class, -1 if unknown */
 	int64_t allowed_ms; /**< longest pause of its class, 0 for any */
 };
 
@@ -132,14 +130,12 @@
 		.ran = run && strcmp(run, "not-run") != 0,
 		.attained = log_number(line->message, "attained", 0) != 0,
 		.attempts = log_number(line->message, "attempts", 0),
-		.first_ms = log_number(line->message, "first_ms", -1),
 		.pause_ms = log_number(line->message, "pause_ms", 0),
 	};
 	char step[32];
 
 	if (!class_name || !server || !code)
 		return;
-	end.goal_ms = class_figure(class_name, "-g", -1);
 	end.allowed_ms = class_figure(class_name, "-p", 0);
 	if (!tally->start_ms)
 		tally->start_ms = began_ms;
