daemon: a stop no longer aborts while callers connect

Cause: http_in_stop() called MHD_quiesce_daemon(), which takes the listening socket out of each worker's epoll set while that worker may do the same; the second removal finds it gone and libmicrohttpd ends the process ("Failed to remove listen FD from epoll set").

Ruled out: an assertion of the test itself.

Now the accept policy turns connections away and the daemons are only stopped. A caller that connects during a stop is closed at once, where it waited in the backlog for up to five seconds before.

--- a/daemon/http_call.h
+++ b/daemon/http_call.h
@@ -2,6 +2,7 @@
 #define FILBERTHALL_DAEMON_HTTP_CALL_H
 
 #include <microhttpd.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -23,6 +24,7 @@
 	struct http_listener listeners[HTTP_DOORS];
 	struct caller_watch *watch;
 	struct view_slot view;
+	atomic_bool stopping; /**< connections are closed at once */
 	pthread_mutex_t lock;
 	pthread_cond_t drained;
 	int n_calls; /**< that the core knows of and that aren't over */
--- a/daemon/http_in.c
+++ b/daemon/http_in.c
@@ -162,6 +162,21 @@
 	return (unsigned int)descriptors_for_callers(wanted);
 }
 
+/*
+ * A stop takes no further connection. MHD_quiesce_daemon() isn't used for that:
+ * it takes the listening socket out of the epoll set while the library's own
+ * thread may do the same, and the second of them aborts the process.
+ */
+static enum MHD_Result
+accept_connection(void *data, const struct sockaddr *from, socklen_t len)
+{
+	const struct http_listener *listener = data;
+
+	(void)from;
+	(void)len;
+	return atomic_load(&listener->in->stopping) ? MHD_NO : MHD_YES;
+}
+
 static bool open_listener(struct http_listener *listener,
 			  const struct error_handler *handler)
 {
@@ -183,7 +198,7 @@
 	if (fd < 0)
 		return false;
 	listener->daemon = MHD_start_daemon(
-		flags, 0, NULL, NULL, handle, listener,
+		flags, 0, accept_connection, listener, handle, listener,
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_POOL_SIZE,
 		listener->door == HTTP_CALLERS ? CALLER_THREADS : 0U,
 		MHD_OPTION_CONNECTION_LIMIT, connection_limit(listener),
@@ -315,21 +330,14 @@
 
 void http_in_stop(struct http_in *in)
 {
-	int fds[HTTP_DOORS] = { -1, -1, -1 };
 	int door;
 
-	for (door = 0; door < HTTP_DOORS; door++)
-		if (in->listeners[door].daemon)
-			fds[door] =
-				MHD_quiesce_daemon(in->listeners[door].daemon);
+	atomic_store(&in->stopping, true);
 	wake_all(in->options.exchanges);
 	drain(in);
-	for (door = 0; door < HTTP_DOORS; door++) {
+	for (door = 0; door < HTTP_DOORS; door++)
 		if (in->listeners[door].daemon)
 			MHD_stop_daemon(in->listeners[door].daemon);
-		if (fds[door] >= 0)
-			close(fds[door]);
-	}
 	caller_watch_stop(in->watch);
 	view_slot_clear(&in->view);
 	pthread_cond_destroy(&in->drained);
