tests: a refused connection's port is held by its test

Cause: /attempt/refused freed its port and then expected nobody there. Beside other tests the port was soon another stand-in's, which answered: 504 or 0 for 501, and one connection too many at the other test.

Ruled out: a fault in the daemon's verdict; the answers came from the other test's stand-in. The check is the same: code 501 and nothing sent.

--- a/tests/path/harness.c
+++ b/tests/path/harness.c
@@ -203,25 +203,37 @@
 	return NULL;
 }
 
-void stand_in_start(struct stand_in *stand_in,
-		    void (*serve)(struct stand_in *, int, int))
+/* A socket at a free port of loopback; its address goes to `stand_in`. */
+static void bind_free_port(struct stand_in *stand_in)
 {
 	struct sockaddr_in at = { .sin_family = AF_INET,
 				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t len = sizeof(at);
 
-	memset(stand_in, 0, sizeof(*stand_in));
-	stand_in->serve = serve;
-	stand_in->threads = g_ptr_array_new_with_free_func(g_free);
-	stand_in->fds = g_array_new(FALSE, FALSE, sizeof(int));
-	pthread_mutex_init(&stand_in->lock, NULL);
 	stand_in->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	g_assert_cmpint(bind(stand_in->listener, (struct sockaddr *)&at, len),
 			==, 0);
-	g_assert_cmpint(listen(stand_in->listener, 64), ==, 0);
 	getsockname(stand_in->listener, (struct sockaddr *)&at, &len);
 	g_snprintf(stand_in->address, sizeof(stand_in->address), "127.0.0.1:%d",
 		   ntohs(at.sin_port));
+}
+
+void stand_in_refuse(struct stand_in *stand_in)
+{
+	memset(stand_in, 0, sizeof(*stand_in));
+	bind_free_port(stand_in);
+}
+
+void stand_in_start(struct stand_in *stand_in,
+		    void (*serve)(struct stand_in *, int, int))
+{
+	memset(stand_in, 0, sizeof(*stand_in));
+	stand_in->serve = serve;
+	stand_in->threads = g_ptr_array_new_with_free_func(g_free);
+	stand_in->fds = g_array_new(FALSE, FALSE, sizeof(int));
+	pthread_mutex_init(&stand_in->lock, NULL);
+	bind_free_port(stand_in);
+	g_assert_cmpint(listen(stand_in->listener, 64), ==, 0);
 	pthread_create(&stand_in->thread, NULL, serve_all, stand_in);
 }
 
--- a/tests/path/harness.h
+++ b/tests/path/harness.h
@@ -66,6 +66,12 @@
 		    void (*serve)(struct stand_in *, int, int));
 void stand_in_stop(struct stand_in *stand_in);
 
+/**
+ * A port that refuses connections until `listener` is closed. The test holds
+ * it: a free port would soon be another test's, which would answer.
+ */
+void stand_in_refuse(struct stand_in *stand_in);
+
 /** Wait until `*at` is at least `value`. */
 void wait_for_count(gint *at, gint value);
 void wait_for_counter(atomic_uint_fast64_t *counter, uint64_t value);
--- a/tests/path/t-thread-attempts.c
+++ b/tests/path/t-thread-attempts.c
@@ -230,8 +230,7 @@
 	struct harness harness;
 	int fd;
 
-	stand_in_start(&engine, serve_stream);
-	stand_in_stop(&engine);
+	stand_in_refuse(&engine);
 	harness_start(&harness, NULL);
 	fd = harness_dial(&harness, HTTP_CALLERS);
 	send_completion(fd, true);
@@ -241,6 +240,7 @@
 	g_assert_false(harness_has(&harness, EVENT_ATTEMPT_SENT));
 	close(fd);
 	harness_stop(&harness);
+	close(engine.listener);
 }
 
 /*
