--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -29,10 +29,15 @@
 #define FETCH_US INT64_C(300000)
 
 /*
- * The registry, not the fleet's lease, tells which servers live: the lease
- * only has to outlast it.
+ * The registry tells which servers live, and a start is announced to the fleet
+ * once. Its lease there is a century, so that it never runs out before the
+ * server does: with a day's, a server that nothing happened to got no more
+ * work after a day.
  */
-#define FLEET_LEASE_MS INT64_C(86400000)
+#define FLEET_LEASE_MS INT64_C(3155760000000)
+
+/* How often starts that have long been gone are looked for. */
+#define FORGET_US INT64_C(1000000)
 
 static void send_all(struct entry *entry, struct bytes *body)
 {
@@ -201,7 +206,8 @@
 	if (registered_usable(registered))
 		announce(entry, told);
 	else if (!holder || holder == registered)
-		fleet_drain(&entry->fleet, told->address, true);
+		fleet_retire(&entry->fleet, told->address,
+			     entry->now_us + REGISTRY_DEAD_US);
 	entry_log(entry, LOG_INFO, "server",
 		  "event=%s server=%s address=%s service=%s zone=%s cheap=%d "
 		  "heard_ms=%lld",
@@ -297,6 +303,10 @@
 	if (entry->now_us - entry->told_us >= TELL_US)
 		entry_tell_begun(entry);
 	registry_expire(&entry->registry, entry->now_us, now_silent, entry);
+	if (entry->now_us - entry->forgot_us < FORGET_US)
+		return;
+	fleet_expire(&entry->fleet, entry->now_us, NULL, NULL);
+	entry->forgot_us = entry->now_us;
 }
 
 const char *entry_server_at(const struct entry *entry, const char *address)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -68,6 +68,7 @@
 	bool was_fresh;
 	int64_t polled_us;
 	int64_t faded_us;   /* when load figures were last faded */
+	int64_t forgot_us;  /* when dead starts were last looked for */
 	int64_t told_us;    /**< when counts were last told */
 	int64_t fetched_us; /**< when the document was last asked for */
 	int64_t stop_us;    /**< when the stop was asked for, 0 if not */
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -189,6 +189,7 @@
 {
 	const char *boot_id = announce->boot_id ? announce->boot_id : "";
 	struct backend *backend;
+	bool was_usable;
 	bool is_new;
 	bool left;
 
@@ -199,6 +200,7 @@
 	backend = fleet_find(fleet, announce->address);
 	if (announce_is_stale(fleet, backend, announce, boot_id))
 		return ANNOUNCE_STALE;
+	was_usable = backend && backend_usable(backend, now_us);
 	is_new = !backend || strcmp(backend->boot_id, boot_id);
 	if (!backend) {
 		backend = backend_new(fleet, announce->address);
@@ -213,7 +215,7 @@
 	backend->leaving = announce->leaving;
 	backend_take_names(backend, announce);
 	backend_take_figures(backend, announce, now_us);
-	if (is_new || left)
+	if (is_new || was_usable != backend_usable(backend, now_us))
 		fleet->version++;
 	if (left)
 		return ANNOUNCE_LEFT;
@@ -274,6 +276,16 @@
 	return true;
 }
 
+void fleet_retire(struct fleet *fleet, const char *address, int64_t until_us)
+{
+	struct backend *backend = fleet_find(fleet, address);
+
+	if (!backend)
+		return;
+	fleet_drain(fleet, address, true);
+	backend->lease_end_us = until_us;
+}
+
 bool backend_usable(const struct backend *backend, int64_t now_us)
 {
 	return !backend->leaving && !backend->drained &&
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -85,7 +85,7 @@
 struct fleet {
 	struct map backends;
 	struct map tombstones;
-	uint64_t version; /**< grows when a server joins, leaves or moves */
+	uint64_t version; /**< grows when who may get work changes */
 };
 
 /** What an announcement did. */
@@ -119,6 +119,13 @@
 /** No new work for a server (or again some); false if it is unknown. */
 bool fleet_drain(struct fleet *fleet, const char *address, bool drained);
 
+/**
+ * A start that won't work again: no new work, and out of the fleet when
+ * fleet_expire() is called after `until_us`, unless it is announced anew. Until
+ * then its counts stay for the attempts that still end there.
+ */
+void fleet_retire(struct fleet *fleet, const char *address, int64_t until_us);
+
 /** Whether the server may get new work: alive, not leaving, not drained. */
 bool backend_usable(const struct backend *backend, int64_t now_us);
 
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -428,6 +428,42 @@
 	bed_end(&bed);
 }
 
+/*
+ * A site serves for a day and then refuses everything for want of servers. They
+ * are all well, and as nothing changed, nobody announced them again: the lease
+ * that the entry VM had given them had run out.
+ */
+static void test_server_of_yesterday(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	bed.now_us += 50 * 3600 * SECOND;
+	bed_pass(&bed, SECOND);
+	bed_hear_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpuint(bed_ask(&bed, "/lodge/7", "k1"), ==, bed.started);
+	bed_end(&bed);
+}
+
+/*
+ * A server that has left comes back as the same start, said by a control VM
+ * that was cut off, after the entry VM has forgotten it: it serves again.
+ */
+static void test_forgotten_server(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	bed_hear_engine(&bed, 2, true);
+	bed_pass(&bed, SECOND);
+	bed.now_us += 3600 * SECOND;
+	bed_pass(&bed, 2 * SECOND);
+	bed_hear_state(&bed, bed.polled_us, 0, 1);
+	bed_hear_engine(&bed, 3, false);
+	g_assert_cmpuint(bed_ask(&bed, "/lodge/7", "k1"), ==, bed.started);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -451,5 +487,7 @@
 	g_test_add_func("/entry/rejected", test_rejected);
 	g_test_add_func("/entry/answer-lost", test_answer_lost);
 	g_test_add_func("/entry/urgency", test_urgency);
+	g_test_add_func("/entry/server-of-yesterday", test_server_of_yesterday);
+	g_test_add_func("/entry/forgotten-server", test_forgotten_server);
 	return g_test_run();
 }
