load: servers that leave keep their place in the division

Servers kept for paced streams were chosen anew among the rest whenever some left; with 46 of 138 leaving some nine changed sides at once and captions came late beside long prompts.

Now those that leave keep their place and further ones are marked only where too few stay.

The new test fails on the code before: 9 of 92 servers change sides, 0 after. The test of two lost zones is unchanged and passes.

--- a/libfilberthall/load/divide.c
+++ b/libfilberthall/load/divide.c
@@ -89,22 +89,32 @@
 	return left < right ? -1 : left > right;
 }
 
+/* Servers of `n` that are kept for paced streams. */
+static int part_of(const struct divide *divide, int n)
+{
+	return (int)(divide->share * n + 0.5);
+}
+
 void divide_mark(const struct divide *divide, struct backend *const *members,
 		 int n, int64_t now_us)
 {
 	struct backend **sorted = xcalloc((size_t)n + 1, sizeof(*sorted));
 	int n_usable = 0;
-	int n_paced;
+	int n_paced = 0;
 	int i;
 
 	for (i = 0; i < n; i++) {
-		members[i]->for_paced = false;
-		if (backend_usable(members[i], now_us))
-			sorted[n_usable++] = members[i];
+		sorted[i] = members[i];
+		n_usable += backend_usable(members[i], now_us);
+	}
+	qsort(sorted, (size_t)n, sizeof(*sorted), compare_hash);
+	for (i = 0; i < n; i++) {
+		bool in_part = i < part_of(divide, n) ||
+			       n_paced < part_of(divide, n_usable);
+
+		sorted[i]->for_paced =
+			in_part && backend_usable(sorted[i], now_us);
+		n_paced += sorted[i]->for_paced;
 	}
-	qsort(sorted, (size_t)n_usable, sizeof(*sorted), compare_hash);
-	n_paced = (int)(divide->share * n_usable + 0.5);
-	for (i = 0; i < n_paced; i++)
-		sorted[i]->for_paced = true;
 	free(sorted);
 }
--- a/libfilberthall/load/divide.h
+++ b/libfilberthall/load/divide.h
@@ -81,9 +81,13 @@
 bool divide_adjust(struct divide *divide, int vms, int n, int64_t now_us);
 
 /**
- * Mark which of `members` are kept for paced streams. Those that are leaving
- * don't count: when two of three zones go, nearly all of the part could be
- * theirs, and paced streams would be left with one server or none.
+ * Mark which of `members` are kept for paced streams.
+ *
+ * Those that are leaving keep their place in the order, as others are mostly on
+ * their way to replace them: were the part chosen anew among the rest, servers
+ * would change sides and back within seconds, and paced streams would meet the
+ * long prompts that are read there. Further servers are marked only where too
+ * few of the part stay, as when two of three zones go without replacement.
  */
 void divide_mark(const struct divide *divide, struct backend *const *members,
 		 int n, int64_t now_us);
--- a/tests/load/t-divide.c
+++ b/tests/load/t-divide.c
@@ -135,22 +135,13 @@
 	return n_kept;
 }
 
-/*
- * Two of three zones are taken away; their servers are still known while they
- * leave. Most of the servers kept for cues were theirs, so cues went among
- * scores on those that stayed and came late.
- */
-static void test_leaving(void)
+static void announce_servers(struct fleet *fleet, struct backend **members,
+			     int n)
 {
-	struct backend *members[24];
-	struct fleet fleet;
-	struct divide divide;
 	char address[32];
 	int i;
 
-	fleet_init(&fleet);
-	divide_init(&divide);
-	for (i = 0; i < 24; i++) {
+	for (i = 0; i < n; i++) {
 		struct event_announce announce = { .address = address,
 						   .boot_id = "b",
 						   .sequence = 1,
@@ -160,9 +151,26 @@
 						   .slots = 128 };
 
 		g_snprintf(address, sizeof(address), "10.0.0.%d:80", i);
-		fleet_announce(&fleet, &announce, 0);
-		members[i] = fleet_find(&fleet, address);
+		fleet_announce(fleet, &announce, 0);
+		members[i] = fleet_find(fleet, address);
 	}
+}
+
+/*
+ * Two of three zones are taken away; their servers are still known while they
+ * leave. Most of the servers kept for cues were theirs, so cues went among
+ * scores on those that stayed and came late.
+ */
+static void test_leaving(void)
+{
+	struct backend *members[24];
+	struct fleet fleet;
+	struct divide divide;
+	int i;
+
+	fleet_init(&fleet);
+	divide_init(&divide);
+	announce_servers(&fleet, members, 24);
 	divide_mark(&divide, members, 24, SECOND);
 	g_assert_cmpint(kept(members, 24, true), ==, 6);
 	/* All that were kept, and ten others, leave. */
@@ -174,6 +182,53 @@
 	fleet_clear(&fleet);
 }
 
+#define MANY 184
+
+/* Every second server leaves; how many of the others change sides. */
+static int sides_changed(int odd, int *missing)
+{
+	struct backend *members[MANY];
+	bool before[MANY];
+	struct fleet fleet;
+	struct divide divide;
+	int changed = 0;
+	int i;
+
+	fleet_init(&fleet);
+	divide_init(&divide);
+	announce_servers(&fleet, members, MANY);
+	divide_mark(&divide, members, MANY, SECOND);
+	*missing = MANY / 8;
+	for (i = 0; i < MANY; i++) {
+		before[i] = members[i]->for_paced;
+		members[i]->leaving = i % 2 == odd;
+		*missing -= before[i] && !members[i]->leaving;
+	}
+	divide_mark(&divide, members, MANY, SECOND);
+	for (i = 0; i < MANY; i++)
+		changed += !members[i]->leaving &&
+			   members[i]->for_paced != before[i];
+	g_assert_cmpint(kept(members, MANY, true), >=, MANY / 8);
+	fleet_clear(&fleet);
+	return changed;
+}
+
+/*
+ * Captions stand still in the middle of a burst: two zones leave and others are
+ * on their way to replace them. The part was chosen anew among the rest, so
+ * servers changed sides and paced streams met the long prompts that were being
+ * read there; a few seconds later all went back. Only what is missing changes.
+ */
+static void test_replaced(void)
+{
+	int missing;
+	int odd;
+
+	for (odd = 0; odd < 2; odd++)
+		g_assert_cmpint(sides_changed(odd, &missing), ==,
+				MAX(missing, 0));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -184,5 +239,6 @@
 	g_test_add_func("/divide/burst", test_burst);
 	g_test_add_func("/divide/least", test_least);
 	g_test_add_func("/divide/leaving", test_leaving);
+	g_test_add_func("/divide/replaced", test_replaced);
 	return g_test_run();
 }
