link: a large message doesn't make its sender deaf

Cause of /link/large failing under TSan beside load (KNOWN-RED): the sending loop moved the rest of the buffer to the front after each record of 16 KB, some 500 MB for a frame of 4 MB. The thread read nothing meanwhile, and its next tick took the peer for silent although heartbeats lay unread in the socket; the link ended and the message was gone.

Ruled out: the receiver (a partial frame costs it one look at four bytes) and TLS itself (0.9 s of the 1.9 s that the test took).

Now what has been sent stays in the buffer until it is half of it, and a link is judged silent only after what lies in its socket has been read.

--- a/daemon/link_conn.c
+++ b/daemon/link_conn.c
@@ -174,13 +174,32 @@
 	return true;
 }
 
+static size_t unsent(const struct link_conn *conn)
+{
+	return conn->out.len - conn->out_at;
+}
+
+/*
+ * Bytes before `out_at` stay until they are half of the buffer. Were the rest
+ * moved to the front after each record, a frame of 4 MB would have 500 MB
+ * moved, and the thread would hear nobody meanwhile.
+ */
+static void sent(struct link_conn *conn, size_t n)
+{
+	conn->out_at += n;
+	if (conn->out_at * 2 < conn->out.len)
+		return;
+	bytes_consume(&conn->out, conn->out_at);
+	conn->out_at = 0;
+}
+
 static void fill_out(struct link_conn *conn)
 {
 	struct link_hub *hub = conn->hub;
 	struct link_peer *peer = conn->peer;
 	struct link_message *message;
 
-	while (conn->state == LINK_UP && conn->out.len < OUT_BYTES &&
+	while (conn->state == LINK_UP && unsent(conn) < OUT_BYTES &&
 	       (message =
 			list_first(&peer->queue, struct link_message, node))) {
 		list_remove(&message->node);
@@ -206,14 +225,14 @@
 
 static ssize_t send_piece(struct link_conn *conn)
 {
-	size_t len = conn->out.len;
+	const char *data = conn->out.data + conn->out_at;
+	size_t len = unsent(conn);
 
 	if (!conn->tls)
-		return clear_result(
-			send(conn->fd, conn->out.data, len, MSG_NOSIGNAL));
+		return clear_result(send(conn->fd, data, len, MSG_NOSIGNAL));
 	if (conn->flushing)
 		return gnutls_record_send(conn->tls, NULL, 0);
-	return gnutls_record_send(conn->tls, conn->out.data,
+	return gnutls_record_send(conn->tls, data,
 				  len < RECORD_BYTES ? len : RECORD_BYTES);
 }
 
@@ -224,7 +243,7 @@
 	if (conn->state != LINK_UP && conn->state != LINK_GREETING)
 		return;
 	fill_out(conn);
-	while (conn->out.len) {
+	while (unsent(conn)) {
 		n = send_piece(conn);
 		if (n == GNUTLS_E_AGAIN || n == GNUTLS_E_INTERRUPTED) {
 			conn->flushing = conn->tls != NULL;
@@ -239,7 +258,7 @@
 		conn->sent_us = edge_now_us();
 		edge_count_many(&conn->hub->options.counters->link_bytes_out,
 				n);
-		bytes_consume(&conn->out, n);
+		sent(conn, (size_t)n);
 		fill_out(conn);
 	}
 	want_write(conn, false);
@@ -362,6 +381,14 @@
 
 void link_conn_tick(struct link_conn *conn, int64_t now_us)
 {
+	/*
+	 * The silence may be this thread's own: while it sends a large message
+	 * or waits for a processor, heartbeats lie unread in the socket.
+	 */
+	if (conn->state == LINK_UP &&
+	    link_is_overdue(conn->state, conn->opened_us, conn->heard_us,
+			    now_us))
+		receive(conn);
 	if (link_is_overdue(conn->state, conn->opened_us, conn->heard_us,
 			    now_us)) {
 		link_conn_close(conn);
@@ -369,7 +396,7 @@
 	}
 	if (conn->state != LINK_UP)
 		return;
-	if (now_us - conn->sent_us < LINK_HEARTBEAT_US || conn->out.len)
+	if (now_us - conn->sent_us < LINK_HEARTBEAT_US || unsent(conn))
 		return;
 	link_frame_add_heartbeat(&conn->out);
 	link_conn_send(conn);
--- a/daemon/link_private.h
+++ b/daemon/link_private.h
@@ -57,6 +57,7 @@
 	struct link_peer *peer; /**< once greeted */
 	struct bytes in;
 	struct bytes out;
+	size_t out_at; /**< of it, what has been sent */
 	bool flushing; /**< TLS holds a piece of `out` already */
 	bool wants_write;
 	int64_t opened_us;
