load: no bound of unread prompts a VM and server

With 71 entry VMs it never binds.

Ruled out: a bound over the whole pool in its place.

A home that is behind is still passed over: place_cost() counts its queue.

--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -189,7 +189,6 @@
 	const struct pick_case *pick = data;
 
 	return pick_fits(backend, pick->query, pick->options, pick->now_us) &&
-	       place_has_room(&pick->query->place, backend) &&
 	       pick_has_room(backend, pick->query, pick->options, pick->now_us);
 }
 
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -9,13 +9,6 @@
 	return map_hash(key, sizeof(key));
 }
 
-bool place_has_room(const struct place_query *query,
-		    const struct backend *backend)
-{
-	return (double)backend->own.prompt_tokens <
-	       PLACE_BACKLOG_S * query->rate;
-}
-
 int64_t place_unread(const struct place_query *query, bool holds)
 {
 	int64_t own = query->prompt_tokens - query->shared_tokens;
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -44,9 +44,6 @@
 /** What a full batch counts for against an empty one, s: it is slower. */
 #define PLACE_FULL_S 0.02
 
-/** Unread prompts that one VM has at one server at most, s of reading. */
-#define PLACE_BACKLOG_S 0.6
-
 struct place_query {
 	uint64_t prefix_hash;  /**< of the shared parts, 0 for none */
 	int64_t shared_tokens; /**< of the prompt */
@@ -61,14 +58,6 @@
 /** Rank of a home: the highest is the home of that part. */
 uint64_t place_score(uint64_t prefix_hash, const struct backend *backend);
 
-/**
- * Whether the server has worked off enough of what this VM sent it to take
- * more. What waits here keeps its order by tier and due time and can still be
- * refused as not run; what waits at a server can't.
- */
-bool place_has_room(const struct place_query *query,
-		    const struct backend *backend);
-
 /** Prompt tokens that the server would have to read. */
 int64_t place_unread(const struct place_query *query, bool holds);
 
