tests: the listener's and the client's tests in files of their own

The bed that both use is loop_bed.c; the thirteen tests move as they are but for /http-client/no-listener, which closed its port and expected nobody there: beside other tests the port may be another's by then (as happened to /attempt/refused).

--- /dev/null
+++ b/tests/path/t-http-client.c
@@ -0,0 +1,278 @@
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "loop_bed.h"
+
+/* A peer of the client: a listening socket and the address to call. */
+struct peer {
+	int listener;
+	char address[32];
+};
+
+/* A port that refuses connections as long as the test holds it. */
+static void peer_bind(struct peer *peer)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET,
+				  .sin_addr = { htonl(INADDR_LOOPBACK) } };
+	socklen_t len = sizeof(at);
+
+	peer->listener = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(bind(peer->listener, (struct sockaddr *)&at,
+			     sizeof(at)),
+			==, 0);
+	getsockname(peer->listener, (struct sockaddr *)&at, &len);
+	g_snprintf(peer->address, sizeof(peer->address), "127.0.0.1:%d",
+		   ntohs(at.sin_port));
+}
+
+static void peer_start(struct peer *peer)
+{
+	peer_bind(peer);
+	listen(peer->listener, 8);
+}
+
+static void on_call_head(void *data, const struct http_head *head)
+{
+	struct bed *bed = data;
+
+	bed->status = head->status;
+}
+
+static void on_call_body(void *data, const char *piece, size_t len)
+{
+	struct bed *bed = data;
+
+	bytes_append(&bed->body, piece, len);
+}
+
+static void on_call_end(void *data, enum result code, bool sent)
+{
+	struct bed *bed = data;
+
+	bed->over = true;
+	bed->code = code;
+	bed->sent = sent;
+}
+
+static const struct http_call_hooks call_hooks = { on_call_head, on_call_body,
+						   on_call_end };
+
+static struct http_call *call(struct bed *bed, const char *address,
+			      const char *id, bool fresh)
+{
+	struct bytes head = { 0 };
+	struct http_call_request request = { .address = address,
+					     .head = &head,
+					     .id = id,
+					     .fresh = fresh,
+					     .timeout_ms = 1000 };
+	struct http_call *call;
+
+	bed->over = false;
+	bed->status = 0;
+	bytes_clear(&bed->body);
+	bytes_append_text(&head, "GET / HTTP/1.1\r\n\r\n");
+	call = http_call_start(bed->client, &request, &call_hooks, bed);
+	bytes_clear(&head);
+	return call;
+}
+
+static int accept_call(struct bed *bed, struct peer *peer)
+{
+	bed_run(bed, NULL);
+	return accept(peer->listener, NULL, NULL);
+}
+
+#define ANSWER(id, body)                                             \
+	"HTTP/1.1 200 OK\r\nId: " id "\r\nKeep-Alive: timeout=5\r\n" \
+	"Content-Length: 1\r\n\r\n" body
+
+/*
+ * A server answers twice: the second copy comes late, where the next answer
+ * is due. By position alone the next caller would get another's answer.
+ */
+static void test_late_copy(void)
+{
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", false);
+	fd = accept_call(&bed, &peer);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, &bed.over);
+	call(&bed, peer.address, "2", false);
+	bed_run(&bed, NULL);
+	bed_say(fd, ANSWER("1", "a") ANSWER("2", "b"));
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	g_assert_cmpstr(bytes_text(&bed.body), ==, "b");
+	/* Its connection isn't used again. */
+	call(&bed, peer.address, "3", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 2);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/* Bytes that nobody asked for spoil a kept connection. */
+static void test_unasked_bytes(void)
+{
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", false);
+	fd = accept_call(&bed, &peer);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, &bed.over);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, NULL);
+	call(&bed, peer.address, "2", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 2);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/*
+ * A server closes a kept connection after reading the request. It may have
+ * run: the client must say so and must not send it again by itself.
+ */
+static void test_closed_after_reading(void)
+{
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", false);
+	fd = accept_call(&bed, &peer);
+	bed_hear(fd);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, &bed.over);
+	call(&bed, peer.address, "2", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpstr(bed_hear(fd), ==, "GET / HTTP/1.1\r\n\r\n");
+	close(fd);
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_BACKEND_BROKE);
+	g_assert_true(bed.sent);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 1);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/* Nobody listens: nothing was sent, so another server may have it. */
+static void test_no_listener(void)
+{
+	struct peer peer;
+	struct bed bed;
+
+	bed_start(&bed);
+	peer_bind(&peer);
+	call(&bed, peer.address, "1", false);
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_BACKEND_CONNECT);
+	g_assert_false(bed.sent);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/* An answer without a length is whole by FIN, and cut by RST. */
+static void test_no_length(void)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabc";
+	struct linger reset = { 1, 0 };
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", true);
+	fd = accept_call(&bed, &peer);
+	bed_hear(fd);
+	bed_say(fd, answer);
+	close(fd);
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	g_assert_cmpstr(bytes_text(&bed.body), ==, "abc");
+	call(&bed, peer.address, "1", true);
+	fd = accept_call(&bed, &peer);
+	bed_hear(fd);
+	bed_say(fd, answer);
+	bed_run(&bed, NULL);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_BACKEND_BROKE);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/* A server that says nothing ends with the call's time-out. */
+static void test_silent(void)
+{
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", true);
+	fd = accept_call(&bed, &peer);
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_BACKEND_TIMEOUT);
+	g_assert_true(bed.sent);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/* A caller left: the server sees its connection end at once. */
+static void test_cancel(void)
+{
+	struct http_call *given_up;
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	given_up = call(&bed, peer.address, "1", true);
+	fd = accept_call(&bed, &peer);
+	bed_hear(fd);
+	http_call_cancel(given_up);
+	bed_run(&bed, NULL);
+	g_assert_cmpstr(bed_hear(fd), ==, "EOF");
+	g_assert_false(bed.over);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-client/late-copy", test_late_copy);
+	g_test_add_func("/http-client/unasked-bytes", test_unasked_bytes);
+	g_test_add_func("/http-client/closed-after-reading",
+			test_closed_after_reading);
+	g_test_add_func("/http-client/no-listener", test_no_listener);
+	g_test_add_func("/http-client/no-length", test_no_length);
+	g_test_add_func("/http-client/silent", test_silent);
+	g_test_add_func("/http-client/cancel", test_cancel);
+	return g_test_run();
+}
