--- a/tests/core/t-site.c
+++ b/tests/core/t-site.c
@@ -441,66 +441,6 @@
 	site_free(&site);
 }
 
-#define BILLED                                                            \
-	"{\"site/usage\":{\"window_s\":2,\"grace_s\":1},"                 \
-	"\"team/calves/class/check\":{\"tier\":1,\"deadline_ms\":60000}," \
-	"\"team/calves/organisation/yards\":{}}"
-
-/* Ask for one completion and let it end with five tokens. */
-static void test_serve(struct site *site, int daemon)
-{
-	uint64_t id = site_chat(site, daemon, NULL);
-
-	site_await(site, daemon, EFFECT_START_ATTEMPT, id);
-	site_end_attempt(site, daemon, id, 1, RESULT_OK, NULL);
-}
-
-/* Run and play a platform that takes each report; returns tokens billed. */
-static int64_t test_run_platform(struct site *site, int64_t ms)
-{
-	int64_t tokens = 0;
-	struct effect *effect;
-	struct effect *next;
-	int i;
-
-	for (; ms > 0; ms -= 100) {
-		site_run(site, 100);
-		for (i = 0; i < site->n; i++)
-			list_foreach_safe(effect, next,
-					  &site->daemons[i].kept.head, node)
-				tokens += site_take_report(site, i, effect);
-	}
-	return tokens;
-}
-
-/*
- * The VM in charge dies right after requests on all VMs, before their window
- * was reported. The next one must bill what the other two served, at once or
- * as a correction, and once.
- */
-static void usage_outlives_the_vm_in_charge(void)
-{
-	struct site site;
-	int64_t billed;
-	int leader;
-	int i;
-
-	site_start(&site, 3, BILLED);
-	site_announce(&site, 0, ENGINE, "base", NULL);
-	billed = test_run_platform(&site, 3000);
-	leader = site_leader(&site);
-	for (i = 0; i < 3; i++)
-		test_serve(&site, i);
-	site_run(&site, 1500);
-	site.daemons[leader].stopped = true;
-	for (i = 0; i < 3; i++)
-		if (i != leader)
-			test_serve(&site, i);
-	billed += test_run_platform(&site, 30000);
-	g_assert_cmpint(billed, ==, 5 * 5);
-	site_free(&site);
-}
-
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -524,6 +464,5 @@
 	g_test_add_func("/site/second-stop", a_second_request_to_stop_is_final);
 	g_test_add_func("/site/stopped-leader",
 			a_call_to_a_stopped_leader_ends);
-	g_test_add_func("/site/usage", usage_outlives_the_vm_in_charge);
 	return g_test_run();
 }
