load: the part for paced streams has slots for those that run

Cause: the work of paced streams counts when it is done, so a burst of long answers shows only seconds later.

Now the part holds at least the servers whose slots paced streams fill.

The new test fails without the rule (the part stays at a quarter).

--- a/libfilberthall/load/divide.c
+++ b/libfilberthall/load/divide.c
@@ -64,16 +64,41 @@
 	divide->used_us += server_us;
 }
 
-bool divide_adjust(struct divide *divide, int vms, int n, int64_t now_us)
+void divide_started(struct divide *divide, int64_t slots)
 {
-	double servers;
+	divide->running += 1.0 / (double)slots;
+}
+
+void divide_ended(struct divide *divide, int64_t slots)
+{
+	divide->running -= 1.0 / (double)slots;
+}
+
+static double share_by_work(const struct divide *divide,
+			    const struct divide_pool *pool, int vms)
+{
+	double servers = divide->used_us / USED_FADE_US * vms;
+
+	return DIVIDE_HEADROOM * servers / pool->n;
+}
+
+static double share_by_slots(const struct divide *divide,
+			     const struct divide_pool *pool, int vms)
+{
+	return pool->n_usable ? divide->running * vms / pool->n_usable : 0;
+}
+
+bool divide_adjust(struct divide *divide, const struct divide_pool *pool,
+		   int64_t now_us)
+{
+	int vms = pool->vms > 0 ? pool->vms : 1;
 	double share;
 
-	if (n <= 0)
+	if (pool->n <= 0)
 		return false;
 	fade(divide, now_us);
-	servers = divide->used_us / USED_FADE_US * (vms > 0 ? vms : 1);
-	share = DIVIDE_HEADROOM * servers / n;
+	share = fmax(share_by_work(divide, pool, vms),
+		     share_by_slots(divide, pool, vms));
 	share = fmax(DIVIDE_LEAST, fmin(DIVIDE_MOST, share));
 	if (fabs(share - divide->share) < DIVIDE_STEP)
 		return false;
--- a/libfilberthall/load/divide.h
+++ b/libfilberthall/load/divide.h
@@ -20,6 +20,10 @@
  * - A part of the servers is kept for them: a quarter, and more while their
  *   work needs it. In a burst of six times the usual, a quarter let them wait
  *   for seconds before servers whose other streams had hardly begun.
+ * - Where a server has few slots, streams with long answers fill them long
+ *   before they fill its time: the part also has slots for those that run now.
+ *   Their work is known only once they end; until then a burst of them waited
+ *   for slots while the other side's were free.
  * - The part is worked out from this VM's own requests and the number of entry
  *   VMs. Servers change sides in one order that all VMs share, so that VMs that
  *   differ a little differ in the last servers only, and the homes of shared
@@ -32,6 +36,7 @@
 	int64_t pause_us;      /**< shortest asked for, 0 for none */
 	int64_t pause_seen_us; /**< when it last was */
 	double used_us;	       /**< servers' time of paced streams, fading */
+	double running;	       /**< servers whose slots they fill now */
 	int64_t used_at_us;
 	double share; /**< of the servers, kept for paced streams */
 };
@@ -71,14 +76,20 @@
  */
 void divide_used(struct divide *divide, double server_us, int64_t now_us);
 
-/**
- * Work out the part again.
- *
- * @param vms	entry VMs that bring about as much as this one
- * @param n	servers of the pool
- * @return whether it has changed
- */
-bool divide_adjust(struct divide *divide, int vms, int n, int64_t now_us);
+/** A paced stream has taken a slot of a server with that many, or left it. */
+void divide_started(struct divide *divide, int64_t slots);
+void divide_ended(struct divide *divide, int64_t slots);
+
+/** What the part is worked out for. */
+struct divide_pool {
+	int vms;      /**< entry VMs that bring about as much as this one */
+	int n;	      /**< servers of the pool */
+	int n_usable; /**< of them, those that take new work */
+};
+
+/** Work out the part again; returns whether it has changed. */
+bool divide_adjust(struct divide *divide, const struct divide_pool *pool,
+		   int64_t now_us);
 
 /**
  * Mark which of `members` are kept for paced streams.
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -117,11 +117,13 @@
 	} else if (holds) {
 		attempt->prompt_tokens = 0;
 	}
-	if (attempt->paced)
+	if (attempt->paced) {
+		divide_started(&pool->divide, attempt->slots);
 		divide_used(&pool->divide,
 			    1e6 * (double)attempt->prompt_tokens /
 				    pool->read_rate,
 			    now_us);
+	}
 	backend_started(backend, attempt->prompt_tokens, attempt->work,
 			attempt->is_long, now_us);
 	prefix_note(&router->prefix, request->ask.prefix_hash, backend->address,
@@ -252,6 +254,8 @@
 	if (backend)
 		backend_ended(backend, attempt->prompt_tokens, attempt->work,
 			      attempt->is_long, now_us);
+	if (attempt->paced)
+		divide_ended(&pool->divide, attempt->slots);
 	if (attempt->paced && attempt->first_us)
 		divide_used(&pool->divide,
 			    (double)(now_us - attempt->first_us) /
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -169,11 +169,13 @@
 	pool->slots = 0;
 	pool->cheap_slots = 0;
 	pool->load = 0;
+	pool->n_usable = 0;
 	for (i = 0; i < pool->n_members; i++) {
 		const struct backend *member = pool->members[i];
 
 		if (!backend_usable(member, now_us))
 			continue;
+		pool->n_usable++;
 		weight = router->pick.stragglers
 				 ? health_weight(&member->health, now_us)
 				 : 1;
@@ -190,16 +192,19 @@
 {
 	const struct fleet *fleet = router->options.fleet;
 	bool changed = pool->fleet_version != fleet->version;
+	struct divide_pool divided;
 
 	if (changed)
 		pool_list_members(fleet, pool, now_us);
 	if (!changed && now_us - pool->counted_us < POOL_COUNT_US)
 		return;
-	if (divide_adjust(&pool->divide, router->retry_limit.vms,
-			  pool->n_members, now_us))
+	pool_count_members(router, pool, now_us);
+	divided = (struct divide_pool){ .vms = router->retry_limit.vms,
+					.n = pool->n_members,
+					.n_usable = pool->n_usable };
+	if (divide_adjust(&pool->divide, &divided, now_us))
 		divide_mark(&pool->divide, pool->members, pool->n_members,
 			    now_us);
-	pool_count_members(router, pool, now_us);
 }
 
 /*
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -89,6 +89,7 @@
 	const char *service;  /**< part of name, or NULL */
 	struct backend **members;
 	int n_members;
+	int n_usable;		/**< members that take new work */
 	uint64_t fleet_version; /**< at which members was made */
 	double slots;		/**< of usable members that aren't cheap */
 	double cheap_slots;	/**< of usable cheap ones */
--- a/tests/load/t-divide.c
+++ b/tests/load/t-divide.c
@@ -84,13 +84,14 @@
 static void play(struct divide *divide, int engines, double rate,
 		 int64_t from_us, int64_t for_us)
 {
+	const struct divide_pool pool = { VMS, engines, engines };
 	int64_t every_us = (int64_t)(1e6 * VMS / rate);
 	int64_t now_us;
 
 	for (now_us = from_us; now_us < from_us + for_us; now_us += every_us) {
 		divide_used(divide, 1e6 * 700 / 30000, now_us);
 		divide_used(divide, 2e6 / 24, now_us);
-		divide_adjust(divide, VMS, engines, now_us);
+		divide_adjust(divide, &pool, now_us);
 	}
 }
 
@@ -113,15 +114,46 @@
 	g_assert_cmpfloat(divide.share, <, DIVIDE_LEAST + DIVIDE_STEP);
 }
 
+#define SLOTS 24
+#define BURST_OF_VM 5 /* 355 cues at all VMs */
+
+/*
+ * Cues come at once while half of the servers are gone; each takes one of 24
+ * slots for four seconds. A quarter of the servers has 240 slots, so a third of
+ * the cues waits there beside servers with free slots, and until the first of
+ * them end, their work tells nothing of it. The slots that they fill do.
+ */
+static void test_slots(void)
+{
+	const struct divide_pool pool = { VMS, ENGINES, ENGINES_LEFT };
+	struct divide divide;
+	int i;
+
+	divide_init(&divide);
+	for (i = 0; i < BURST_OF_VM; i++) {
+		divide_started(&divide, SLOTS);
+		divide_used(&divide, 1e6 * 700 / 30000, SECOND);
+	}
+	g_assert_true(divide_adjust(&divide, &pool, SECOND));
+	g_assert_cmpfloat(divide.share * ENGINES_LEFT * SLOTS, >,
+			  BURST_OF_VM * VMS - 1);
+	for (i = 0; i < BURST_OF_VM; i++)
+		divide_ended(&divide, SLOTS);
+	g_assert_true(divide_adjust(&divide, &pool, 2 * SECOND));
+	g_assert_cmpfloat(divide.share, ==, DIVIDE_LEAST);
+}
+
 /* A VM that sees no cues at all leaves a quarter to those of the others. */
 static void test_least(void)
 {
+	const struct divide_pool pool = { VMS, ENGINES, ENGINES };
+	const struct divide_pool none = { 0, 0, 0 };
 	struct divide divide;
 
 	divide_init(&divide);
-	g_assert_false(divide_adjust(&divide, VMS, ENGINES, 60 * SECOND));
+	g_assert_false(divide_adjust(&divide, &pool, 60 * SECOND));
 	g_assert_cmpfloat(divide.share, ==, DIVIDE_LEAST);
-	g_assert_false(divide_adjust(&divide, 0, 0, 60 * SECOND));
+	g_assert_false(divide_adjust(&divide, &none, 60 * SECOND));
 }
 
 static int kept(struct backend *const *members, int n, bool usable)
@@ -237,6 +269,7 @@
 	g_test_add_func("/divide/no-pause", test_no_pause);
 	g_test_add_func("/divide/forgotten", test_forgotten);
 	g_test_add_func("/divide/burst", test_burst);
+	g_test_add_func("/divide/slots", test_slots);
 	g_test_add_func("/divide/least", test_least);
 	g_test_add_func("/divide/leaving", test_leaving);
 	g_test_add_func("/divide/replaced", test_replaced);
