load: say which servers the division counts

A comment: the work of paced streams is set against all servers that are known, the slots against those that take work. No change of behaviour.

--- a/libfilberthall/load/divide.h
+++ b/libfilberthall/load/divide.h
@@ -83,7 +83,7 @@
 /** What the part is worked out for. */
 struct divide_pool {
 	int vms;      /**< entry VMs that bring about as much as this one */
-	int n;	      /**< servers of the pool */
+	int n;	      /**< servers that are known, also those that left */
 	int n_usable; /**< of them, those that take new work */
 };
 
