entry: each document that arrives is logged and counted

`event=received` now tells bytes, time since it was asked for and whether it was used; four counters tell the same in the metrics.

--- a/daemon/entry_daemon.c
+++ b/daemon/entry_daemon.c
@@ -319,6 +319,18 @@
 			    histogram->sum_ms);
 }
 
+static void write_documents(struct bytes *out,
+			    const struct entry_documents *documents)
+{
+	bytes_append_format(out,
+			    "filberthall_document_fetches_total %" PRId64
+			    "\nfilberthall_documents_received_total %" PRId64
+			    "\nfilberthall_documents_unused_total %" PRId64
+			    "\nfilberthall_document_bytes_total %" PRId64 "\n",
+			    documents->asked, documents->received,
+			    documents->unused, documents->bytes);
+}
+
 static void write_metrics(void *data, struct bytes *out)
 {
 	struct entry_daemon *daemon = data;
@@ -340,6 +352,7 @@
 		view.fresh_age_us, view.control_vms, view.servers, view.open,
 		view.submitted, view.refused, view.served, view.failed,
 		view.attempts, http_client_opened(daemon->client));
+	write_documents(out, &view.documents);
 	write_histogram(out, "filberthall_first_ms", &view.first);
 	write_histogram(out, "filberthall_whole_ms", &view.whole);
 }
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -134,6 +134,14 @@
 	int64_t sum_ms;
 };
 
+/** Documents asked of control VMs, since the start. */
+struct entry_documents {
+	int64_t asked;
+	int64_t received;
+	int64_t unused; /**< of those received: not newer than the one held */
+	int64_t bytes;	/**< received, as they travelled */
+};
+
 /** For metrics and status. */
 struct entry_view {
 	struct entry_histogram first; /**< to the first event or the answer */
@@ -148,6 +156,7 @@
 	int64_t served;
 	int64_t failed;
 	int64_t attempts;
+	struct entry_documents documents;
 };
 struct entry_view entry_view(const struct entry *entry, int64_t now_us);
 
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -77,6 +77,7 @@
 	if (entry->now_us - entry->fetched_us < FETCH_US)
 		return;
 	entry->fetched_us = entry->now_us;
+	entry->totals.documents.asked++;
 	entry_log(entry, LOG_INFO, "document",
 		  "event=fetch version=%lld held=%lld from=%llx",
 		  (long long)version,
@@ -137,11 +138,31 @@
 		entry->fresh_us = fresh_us;
 }
 
-static void take_document(struct entry *entry, const struct feed_document *told)
+static void note_received(struct entry *entry, uint64_t peer,
+			  const struct feed_document *told, int64_t held)
+{
+	struct entry_documents *documents = &entry->totals.documents;
+	bool used = told->version > held;
+
+	documents->received++;
+	documents->unused += !used;
+	documents->bytes += (int64_t)told->len;
+	entry_log(entry, LOG_INFO, "document",
+		  "event=received version=%lld held=%lld from=%llx bytes=%zu "
+		  "asked_ms=%lld used=%d",
+		  (long long)told->version, (long long)held,
+		  (unsigned long long)peer, told->len,
+		  (long long)((entry->now_us - entry->fetched_us) / 1000),
+		  used);
+}
+
+static void take_document(struct entry *entry, uint64_t peer,
+			  const struct feed_document *told)
 {
 	int64_t held = entry->document ? entry->document->version : 0;
 	struct document *document;
 
+	note_received(entry, peer, told, held);
 	if (told->version <= held)
 		return;
 	document = entry->options.read_document(entry->options.data, told->text,
@@ -269,7 +290,7 @@
 		take_state(entry, peer, &message.u.state);
 		break;
 	case FEED_DOCUMENT:
-		take_document(entry, &message.u.document);
+		take_document(entry, peer, &message.u.document);
 		break;
 	case FEED_MEMBER:
 		take_member(entry, &message.u.member);
--- /dev/null
+++ b/tests/entry/t-entry-feed.c
@@ -0,0 +1,29 @@
+#include <glib.h>
+#include <string.h>
+
+#include "bed.h"
+
+/* A copy of the document that travelled for nothing shows in the metrics. */
+static void test_counts_documents(void)
+{
+	struct entry_documents documents;
+	struct bed bed;
+
+	bed_start(&bed);
+	bed_hear_state(&bed, bed.polled_us, 0, 2);
+	bed_hear_document(&bed, 2, "k1");
+	bed_hear_document(&bed, 2, "k1");
+	documents = entry_view(bed.entry, bed.now_us).documents;
+	g_assert_cmpint(documents.asked, ==, 2);
+	g_assert_cmpint(documents.received, ==, 3);
+	g_assert_cmpint(documents.unused, ==, 1);
+	g_assert_cmpint(documents.bytes, ==, 3 * strlen("1 k1"));
+	bed_end(&bed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry-feed/counts-documents", test_counts_documents);
+	return g_test_run();
+}
