entry: one copy of the document is on its way at a time

Cause: an entry VM asked for the document again 0.3 s after it had last asked, whatever was on its way. One document of 4,249 routes (0.83 MB) takes 0.7 s on its link of 10 Mbit/s. Each copy delayed the others and the callers' traffic; which made further ones due.

Ruled out: reading the document (a few hundredths of a processor) and late news of it (VMs knew of the version 0.2 s after its commit).

Now one answer is awaited at a time. It is asked for again when it is known to be lost: the same control VM has answered a later poll (links keep order), its link is gone, or nothing came for 1 s, then 2 s, and so on. A newer version waits for the one on its way, as a series of changes would else keep each from arriving.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -61,7 +61,7 @@
 	entry->rng.state = options->seed;
 	entry->fresh_us = INT64_MIN / 2;
 	entry->polled_us = INT64_MIN / 2;
-	entry->fetched_us = INT64_MIN / 2;
+	fetch_init(&entry->fetch);
 	fleet_init(&entry->fleet);
 	registry_init(&entry->registry, options->beat_us);
 	begun_init(&entry->begun);
@@ -186,6 +186,8 @@
 	entry_log(entry, LOG_INFO, "link", "event=down peer=%llx left=%zu",
 		  (unsigned long long)id, entry->peers.count - 1);
 	feed_peer_down(&entry->peers, peer);
+	if (fetch_lose_peer(&entry->fetch, id))
+		entry_poll(entry);
 }
 
 void entry_link_message(struct entry *entry,
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -25,9 +25,6 @@
 /* How often counts of begun requests are told while they change. */
 #define TELL_US INT64_C(100000)
 
-/* An answer with the document that isn't here by then is asked for again. */
-#define FETCH_US INT64_C(300000)
-
 /*
  * The registry tells which servers live, and a start is announced to the fleet
  * once. Its lease there is a century, so that it never runs out before the
@@ -70,21 +67,20 @@
 	entry->told_us = entry->now_us;
 }
 
-static void fetch(struct entry *entry, uint64_t peer, int64_t version)
+static void fetch_document(struct entry *entry, const struct fetch_offer *offer)
 {
+	int64_t held = entry->document ? entry->document->version : 0;
 	struct bytes body = { 0 };
 
-	if (entry->now_us - entry->fetched_us < FETCH_US)
+	if (!fetch_take_offer(&entry->fetch, offer, held, entry->now_us))
 		return;
-	entry->fetched_us = entry->now_us;
 	entry->totals.documents.asked++;
 	entry_log(entry, LOG_INFO, "document",
 		  "event=fetch version=%lld held=%lld from=%llx",
-		  (long long)version,
-		  (long long)(entry->document ? entry->document->version : 0),
-		  (unsigned long long)peer);
+		  (long long)offer->version, (long long)held,
+		  (unsigned long long)offer->peer);
 	feed_write_fetch(&body);
-	feed_send(entry->effects, peer, &body);
+	feed_send(entry->effects, offer->peer, &body);
 	bytes_clear(&body);
 }
 
@@ -122,12 +118,12 @@
 {
 	int64_t held = entry->document ? entry->document->version : 0;
 	int64_t fresh_us = state->echo_us - state->age_us;
+	struct fetch_offer offer = { peer, state->version, state->echo_us };
 
 	if (state->wall_us)
 		wall_note(&entry->wall, peer, state->wall_us, entry->now_us);
 	share_retries(entry, peer, state->entries);
-	if (state->version > held)
-		fetch(entry, peer, state->version);
+	fetch_document(entry, &offer);
 	/*
 	 * Counted from when we asked: what was withdrawn before the answer
 	 * was made is known, what came later isn't. An answer that took long
@@ -152,7 +148,7 @@
 		  "asked_ms=%lld used=%d",
 		  (long long)told->version, (long long)held,
 		  (unsigned long long)peer, told->len,
-		  (long long)((entry->now_us - entry->fetched_us) / 1000),
+		  (long long)((entry->now_us - entry->fetch.asked_us) / 1000),
 		  used);
 }
 
@@ -175,7 +171,7 @@
 	}
 	document_free(entry->document);
 	entry->document = document;
-	entry->fetched_us = INT64_MIN / 2;
+	fetch_done(&entry->fetch);
 	entry_log(entry, LOG_INFO, "document",
 		  "event=in-force version=%lld before=%lld routes=%zu "
 		  "organisations=%zu",
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -4,6 +4,7 @@
 #include "base/map.h"
 #include "base/rng.h"
 #include "entry/entry.h"
+#include "entry/fetch.h"
 #include "feed/peers.h"
 #include "fleet/registry.h"
 #include "load/router.h"
@@ -70,7 +71,7 @@
 	int64_t faded_us;   /* when load figures were last faded */
 	int64_t forgot_us;  /* when dead starts were last looked for */
 	int64_t told_us;    /**< when counts were last told */
-	int64_t fetched_us; /**< when the document was last asked for */
+	struct fetch fetch; /**< of the document */
 	int64_t stop_us;    /**< when the stop was asked for, 0 if not */
 	int64_t stop_by_us;
 	bool exited;
--- /dev/null
+++ b/libfilberthall/entry/fetch.c
@@ -0,0 +1,68 @@
+#include "entry/fetch.h"
+
+/*
+ * A control VM may be slow while the others aren't. The wait doubles with each
+ * copy that is asked for, as a wait shorter than the transfer adds copies that
+ * make it longer still.
+ */
+#define FETCH_PATIENCE_US INT64_C(1000000)
+#define FETCH_PATIENCE_MOST_US INT64_C(16000000)
+
+void fetch_init(struct fetch *fetch)
+{
+	fetch->peer = 0;
+	fetch->asked_us = 0;
+	fetch->patience_us = FETCH_PATIENCE_US;
+}
+
+/*
+ * A link keeps order: what answers a poll that was sent after the question
+ * comes behind the answer to the question.
+ */
+static bool answer_lost(const struct fetch *fetch,
+			const struct fetch_offer *offer)
+{
+	return offer->peer == fetch->peer && offer->echo_us > fetch->asked_us;
+}
+
+static bool impatient(const struct fetch *fetch, int64_t now_us)
+{
+	return now_us - fetch->asked_us >= fetch->patience_us;
+}
+
+static void ask(struct fetch *fetch, uint64_t peer, int64_t now_us)
+{
+	fetch->peer = peer;
+	fetch->asked_us = now_us;
+}
+
+bool fetch_take_offer(struct fetch *fetch, const struct fetch_offer *offer,
+		      int64_t held, int64_t now_us)
+{
+	if (offer->version <= held)
+		return false;
+	if (!fetch->peer || answer_lost(fetch, offer)) {
+		ask(fetch, offer->peer, now_us);
+		return true;
+	}
+	if (offer->peer == fetch->peer || !impatient(fetch, now_us))
+		return false;
+	fetch->patience_us *= 2;
+	if (fetch->patience_us > FETCH_PATIENCE_MOST_US)
+		fetch->patience_us = FETCH_PATIENCE_MOST_US;
+	ask(fetch, offer->peer, now_us);
+	return true;
+}
+
+void fetch_done(struct fetch *fetch)
+{
+	fetch_init(fetch);
+}
+
+bool fetch_lose_peer(struct fetch *fetch, uint64_t peer)
+{
+	if (fetch->peer != peer)
+		return false;
+	fetch->peer = 0;
+	return true;
+}
