control: each call of an operator leaves a line, with its answer

Redirects, reads, the answers to proposals, callers that left and calls refused for a failed disk weren't logged, so it couldn't be told where the seconds went.

Now they are.

--- a/daemon/control_calls.c
+++ b/daemon/control_calls.c
@@ -1,4 +1,5 @@
 /* Calls of operators and backend servers at a control VM. */
+#include <inttypes.h>
 #include <stdlib.h>
 
 #include "base/alloc.h"
@@ -152,16 +153,28 @@
 	bytes_clear(&message);
 }
 
+/* Servers announce themselves by the second; only operators' calls are logged. */
+static void refuse_without_disk(struct control_daemon *daemon,
+				struct http_exchange *exchange,
+				enum dialect_call_kind kind)
+{
+	if (kind == CALL_PUT_DOCUMENT || kind == CALL_GET_DOCUMENT)
+		log_line(daemon->role.log, LOG_WARN, "document",
+			 "event=refused what=%s reason=disk-failed",
+			 kind == CALL_PUT_DOCUMENT ? "change" : "read");
+	answer(exchange, RESULT_NO_QUORUM, NULL, NULL);
+}
+
 static void on_request(void *data, struct http_exchange *exchange)
 {
 	struct control_daemon *daemon = data;
 	struct dialect_call call = { 0 };
 
+	daemon->role.dialect->read_call(http_exchange_head(exchange), &call);
 	if (!daemon->control || daemon->disk_failed) {
-		answer(exchange, RESULT_NO_QUORUM, NULL, NULL);
+		refuse_without_disk(daemon, exchange, call.kind);
 		return;
 	}
-	daemon->role.dialect->read_call(http_exchange_head(exchange), &call);
 	switch (call.kind) {
 	case CALL_PUT_DOCUMENT:
 		put_document(daemon, exchange);
@@ -188,9 +201,13 @@
 static void on_left(void *data, struct http_exchange *exchange)
 {
 	struct open_call *call = http_exchange_user(exchange);
+	struct control_daemon *daemon = data;
 
-	if (call)
-		call->exchange = NULL;
+	if (!call)
+		return;
+	log_line(daemon->role.log, LOG_INFO, "document",
+		 "event=left call=%" PRIu64, call->id);
+	call->exchange = NULL;
 }
 
 enum result control_calls_open(struct control_daemon *daemon)
--- a/libfilberthall/control/control_document.c
+++ b/libfilberthall/control/control_document.c
@@ -27,6 +27,7 @@
 
 /* Name the leader, if another VM is known to be it. */
 static void answer_elsewhere(const struct control *control, uint64_t call,
+			     const char *what, int64_t version,
 			     struct effects *effects)
 {
 	uint64_t leader = raft_leader(control->raft);
@@ -37,6 +38,13 @@
 		member = members_find(raft_members(control->raft), leader);
 	if (member)
 		bytes_append_text(&address, member->address);
+	control_log(effects, LOG_INFO, "document",
+		    "event=redirected call=%llu what=%s version=%lld "
+		    "held=%lld leader=%s term=%lld",
+		    (unsigned long long)call, what, (long long)version,
+		    (long long)control->ledger.version,
+		    member ? member->vm : "",
+		    (long long)raft_term(control->raft));
 	answer(effects, call, RESULT_NOT_LEADER, &address);
 	bytes_clear(&address);
 }
@@ -95,7 +103,7 @@
 		return;
 	}
 	if (!raft_is_leader(control->raft)) {
-		answer_elsewhere(control, call, effects);
+		answer_elsewhere(control, call, "change", version, effects);
 		return;
 	}
 	if (!enough_disks(control)) {
@@ -115,13 +123,32 @@
 void control_get_document(struct control *control, uint64_t call,
 			  int64_t now_us, struct effects *effects)
 {
-	if (!raft_is_leader(control->raft))
-		answer_elsewhere(control, call, effects);
-	else if (!raft_may_read(control->raft, now_us) ||
-		 !control->ledger.version)
-		answer(effects, call, RESULT_NO_QUORUM, NULL);
-	else
-		answer(effects, call, RESULT_OK, &control->ledger.document);
+	enum result code = RESULT_OK;
+
+	if (!raft_is_leader(control->raft)) {
+		answer_elsewhere(control, call, "read", 0, effects);
+		return;
+	}
+	if (!raft_may_read(control->raft, now_us) || !control->ledger.version)
+		code = RESULT_NO_QUORUM;
+	control_log(effects, LOG_INFO, "document",
+		    "event=read call=%llu version=%lld code=%s",
+		    (unsigned long long)call,
+		    (long long)control->ledger.version, result_name(code));
+	answer(effects, call, code, code ? NULL : &control->ledger.document);
+}
+
+static void end_proposal(struct control_proposal *proposal, enum result code,
+			 struct effects *effects)
+{
+	control_log(effects, LOG_INFO, "document",
+		    "event=answered call=%llu index=%lld term=%lld code=%s",
+		    (unsigned long long)proposal->call,
+		    (long long)proposal->index, (long long)proposal->term,
+		    result_name(code));
+	answer(effects, proposal->call, code, NULL);
+	list_remove(&proposal->node);
+	free(proposal);
 }
 
 /** The entry at `index` was applied: the calls that waited for it are over. */
@@ -135,13 +162,11 @@
 		if (proposal->index > index)
 			continue;
 		/* Another term's entry in its place: it is lost, or unclear. */
-		answer(effects, proposal->call,
-		       proposal->index == index && proposal->term == term
-			       ? RESULT_OK
-			       : RESULT_NO_QUORUM,
-		       NULL);
-		list_remove(&proposal->node);
-		free(proposal);
+		end_proposal(proposal,
+			     proposal->index == index && proposal->term == term
+				     ? RESULT_OK
+				     : RESULT_NO_QUORUM,
+			     effects);
 	}
 }
 
@@ -154,8 +179,6 @@
 	list_foreach_safe(proposal, next, &control->proposals, node) {
 		if (now_us < proposal->give_up_us)
 			continue;
-		answer(effects, proposal->call, RESULT_NO_QUORUM, NULL);
-		list_remove(&proposal->node);
-		free(proposal);
+		end_proposal(proposal, RESULT_NO_QUORUM, effects);
 	}
 }
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -116,6 +116,10 @@
 					effect->u.log_sync.ticket;
 			post(group, at, event);
 			break;
+		case EFFECT_LOG:
+			g_ptr_array_add(vm->log,
+					g_strdup(effect->u.log.message));
+			break;
 		case EFFECT_ADMIN_ANSWER:
 			group_note_answer(group, &effect->u.admin_answer);
 			break;
@@ -318,6 +322,17 @@
 	group->cut[b][a] = cut;
 }
 
+int group_logged(const struct group *group, int at, const char *text)
+{
+	const GPtrArray *log = group->vms[at].log;
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < log->len; i++)
+		n += strstr(g_ptr_array_index(log, i), text) != NULL;
+	return n;
+}
+
 void group_set_lease(struct group *group, int64_t lease_us)
 {
 	group->lease_us = lease_us;
@@ -376,6 +391,7 @@
 		g_snprintf(vm->name, sizeof(vm->name), "vm-%d", i);
 		g_snprintf(vm->address, sizeof(vm->address), "10.0.0.%d:7000",
 			   i + 1);
+		vm->log = g_ptr_array_new_with_free_func(g_free);
 	}
 	return group;
 }
@@ -393,6 +409,7 @@
 	}
 	for (i = 0; i < group->n_vms; i++) {
 		control_free(group->vms[i].control);
+		g_ptr_array_free(group->vms[i].log, TRUE);
 		raft_saved_clear(&group->vms[i].disk);
 	}
 	for (at = 0; at < group->answers->len; at++)
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -42,6 +42,9 @@
 /** Cut or join the way between two VMs, both ways. */
 void group_cut(struct group *group, int a, int b, bool cut);
 
+/** Lines that a VM has logged with that text in them. */
+int group_logged(const struct group *group, int vm, const char *text);
+
 /** For VMs that are started after this; 3 s before. */
 void group_set_lease(struct group *group, int64_t lease_us);
 
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -16,6 +16,7 @@
 	uint64_t id;
 	int64_t incarnation;
 	int64_t wall_off_us;
+	GPtrArray *log;
 	int64_t tick_us;       /* when it is due */
 	bool wants[GROUP_VMS]; /* a link to that VM was asked for */
 	bool linked[GROUP_VMS];
