control: documents of up to 4 MB are taken

What an operator would see: a valid document of more than 1 MB, some 5,400 routes, is refused with 413 at once and for ever, while the listener takes bodies of 4 MB.

Cause: the bounds don't fit each other. A command in the log has at most 1 MB.

Documents above 1,000 kB now stand in the log compressed; shorter ones stay as they were, so that earlier releases read them. What is too large even so is refused before it is in the log, as before, and doesn't stop what follows.

--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -4,9 +4,19 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/compression.h"
 #include "core/pack.h"
 
-enum ledger_entry { ENTRY_DOCUMENT = 1, ENTRY_WINDOW };
+enum ledger_entry { ENTRY_DOCUMENT = 1, ENTRY_WINDOW, ENTRY_PACKED_DOCUMENT };
+
+/*
+ * Longer documents are written compressed, as the log takes no entry of more
+ * than a megabyte. Shorter ones stay as earlier releases read them.
+ */
+#define PLAIN_MOST (1000 * 1024)
+
+/* An entry that claims to unpack to more is malformed. */
+#define DOCUMENT_MOST (64 * 1024 * 1024)
 
 void ledger_init(struct ledger *ledger)
 {
@@ -32,11 +42,31 @@
 	ledger_init(ledger);
 }
 
+static void write_packed(struct bytes *out, int64_t version,
+			 const struct bytes *text)
+{
+	struct bytes packed = { 0 };
+	msgpack_packer packer;
+
+	compression_pack(&packed, text->data, text->len);
+	pack_init(&packer, out);
+	msgpack_pack_array(&packer, 4);
+	msgpack_pack_int64(&packer, ENTRY_PACKED_DOCUMENT);
+	msgpack_pack_int64(&packer, version);
+	pack_bytes(&packer, packed.data, packed.len);
+	msgpack_pack_int64(&packer, (int64_t)text->len);
+	bytes_clear(&packed);
+}
+
 void ledger_write_document(struct bytes *out, int64_t version,
 			   const struct bytes *text)
 {
 	msgpack_packer packer;
 
+	if (text->len > PLAIN_MOST) {
+		write_packed(out, version, text);
+		return;
+	}
 	pack_init(&packer, out);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_int64(&packer, ENTRY_DOCUMENT);
@@ -76,6 +106,27 @@
 	return LEDGER_DOCUMENT;
 }
 
+static enum ledger_change take_packed(struct ledger *ledger,
+				      const struct unpacked *items)
+{
+	struct bytes text = { 0 };
+	int64_t unpacked;
+	int64_t version;
+	const char *data;
+	size_t len;
+
+	if (!unpack_int(items, 1, &version) ||
+	    !unpack_bytes(items, 2, &data, &len) ||
+	    !unpack_int(items, 3, &unpacked) || unpacked < 0 ||
+	    unpacked > DOCUMENT_MOST || version <= ledger->version ||
+	    !compression_unpack(&text, data, len, (size_t)unpacked))
+		return LEDGER_NOTHING;
+	ledger->version = version;
+	bytes_clear(&ledger->document);
+	ledger->document = text;
+	return LEDGER_DOCUMENT;
+}
+
 /* The first figure holds; takes `total` over. */
 static enum ledger_change take_window(struct ledger *ledger,
 				      struct feed_begun *total)
@@ -111,6 +162,8 @@
 		return LEDGER_NOTHING;
 	if (kind == ENTRY_DOCUMENT)
 		return take_document(ledger, items);
+	if (kind == ENTRY_PACKED_DOCUMENT)
+		return take_packed(ledger, items);
 	if (kind != ENTRY_WINDOW)
 		return LEDGER_NOTHING;
 	if (feed_unpack_begun(items, &total))
--- a/tests/control/t-large-document.c
+++ b/tests/control/t-large-document.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "base/compression.h"
 #include "feed/feed.h"
@@ -38,13 +39,13 @@
 				"\"service\":\"folio\",\"max_attempts\":2},");
 }
 
-static struct bytes document_text(uint32_t seed)
+static struct bytes document_text(uint32_t seed, int routes)
 {
 	GRand *rand = g_rand_new_with_seed(seed);
 	struct bytes text = { 0 };
 	int i;
 
-	for (i = 0; i < ROUTES; i++)
+	for (i = 0; i < routes; i++)
 		write_route(&text, rand);
 	g_rand_free(rand);
 	return text;
@@ -110,8 +111,8 @@
 static void test_travels_packed(void)
 {
 	struct group *group = start();
-	struct bytes first = document_text(1);
-	struct bytes second = document_text(2);
+	struct bytes first = document_text(1, ROUTES);
+	struct bytes second = document_text(2, ROUTES);
 	int vm;
 
 	put(group, 1, &first);
@@ -129,7 +130,7 @@
 static void test_earlier_release(void)
 {
 	struct group *group = start();
-	struct bytes text = document_text(1);
+	struct bytes text = document_text(1, ROUTES);
 
 	put(group, 1, &text);
 	check_fetch(group, 0, false, &text, text.len + 100);
@@ -137,11 +138,56 @@
 	group_free(group);
 }
 
+/* Guards against a valid document that is refused for its size. */
+static void test_largest(void)
+{
+	struct group *group = start();
+	struct bytes text = document_text(1, 22000);
+	uint64_t call;
+	int vm;
+
+	g_assert_cmpuint(text.len, <, 4 * 1024 * 1024);
+	g_assert_cmpuint(text.len, >, 3 * 1024 * 1024);
+	put(group, 1, &text);
+	for (vm = 0; vm < 5; vm++)
+		check_fetch(group, vm, true, &text, text.len / 4);
+	call = group_get(group, group_leader(group));
+	g_assert_cmpint(group_code(group, call), ==, RESULT_OK);
+	g_assert_true(!memcmp(group_body(group, call), text.data, text.len));
+	bytes_clear(&text);
+	group_free(group);
+}
+
+/* Guards against a log that an entry too large for its links blocks. */
+static void test_too_large(void)
+{
+	struct group *group = start();
+	struct bytes noise = { 0 };
+	GRand *rand = g_rand_new_with_seed(1);
+	struct bytes small = document_text(1, 10);
+	uint64_t call;
+
+	while (noise.len < 3 * 1024 * 1024) {
+		char byte = (char)g_rand_int_range(rand, 0, 256);
+
+		bytes_append(&noise, &byte, 1);
+	}
+	call = group_put_text(group, group_leader(group), 1, &noise);
+	g_assert_cmpint(group_code(group, call), ==, RESULT_TOO_LARGE);
+	put(group, 2, &small);
+	g_rand_free(rand);
+	bytes_clear(&noise);
+	bytes_clear(&small);
+	group_free(group);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/large-document/travels-packed", test_travels_packed);
 	g_test_add_func("/large-document/earlier-release",
 			test_earlier_release);
+	g_test_add_func("/large-document/largest", test_largest);
+	g_test_add_func("/large-document/too-large", test_too_large);
 	return g_test_run();
 }
