--- a/daemon/control_calls.c
+++ b/daemon/control_calls.c
@@ -6,7 +6,7 @@
 #include "base/cleanup.h"
 #include "daemon/control_daemon_state.h"
 
-/* Bounds of a call: a document of hundreds of routes is some 100 kB. */
+/* Bounds of a call: a document of some thousand routes is a megabyte. */
 #define CALL_HEADER_BYTES 16384
 #define CALL_BODY_BYTES (4 * 1024 * 1024)
 #define CALL_HEADER_MS 10000
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -9,9 +9,8 @@
 #include "control/control_state.h"
 
 /*
- * Log bytes that call for a snapshot, and entries kept behind one. A document
- * of many routes is some 60 kB and each change is a whole one: 2 MB are thirty
- * of them, and a log of hundreds would fill memory and a 128 MB disk.
+ * Log bytes that call for a snapshot, and entries kept behind one. Each change
+ * is a whole document, and hundreds of them would fill memory and the disk.
  */
 #define SNAPSHOT_BYTES (INT64_C(2) * 1024 * 1024)
 #define SNAPSHOT_KEPT 16
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -7,8 +7,8 @@
 
 #include "base/alloc.h"
 #include "base/compression.h"
-#include "document/encoding.h"
 #include "control/control_state.h"
+#include "document/encoding.h"
 
 /*
  * How often the others hear which servers are alive. Servers beat about once
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -18,10 +18,7 @@
  */
 #define POLL_US INT64_C(400000)
 
-/*
- * How often while this VM is out of touch: requests wait for the answer. With
- * 0.4 s they waited 0.2 s longer than it took to elect a leader.
- */
+/* How often while this VM is out of touch: requests wait for the answer. */
 #define POLL_STALE_US INT64_C(100000)
 
 /* How often counts of begun requests are told while they change. */
@@ -29,9 +26,7 @@
 
 /*
  * The registry tells which servers live, and a start is announced to the fleet
- * once. Its lease there is a century, so that it never runs out before the
- * server does: with a day's, a server that nothing happened to got no more
- * work after a day.
+ * once, so its lease there must outlast any server.
  */
 #define FLEET_LEASE_MS INT64_C(3155760000000)
 
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -153,9 +153,9 @@
 
 /*
  * An organisation's rank goes before the route's; among its own requests the
- * route's decides. By its rank alone the routes of one organisation were equal,
- * and under load those with the tightest goals were refused first, the more
- * urgent ones among them.
+ * route's decides. By its rank alone the routes of one organisation would be
+ * equal, and under load those with the tightest goals would be refused first,
+ * the more urgent ones among them.
  */
 static int call_tier(const struct route *route,
 		     const struct document_organisation *holder)
@@ -169,8 +169,8 @@
 /*
  * How urgent the server shall take the request to be: by its kind first, then
  * by its organisation's rank. A server that runs out of memory stops what is
- * least urgent. With the rank first, a stream of cues was stopped in the middle
- * while prompts that can wait were read on beside it.
+ * least urgent; with the rank first it would stop short streams and read on
+ * long prompts that can wait.
  */
 static int call_urgency(const struct route *route,
 			const struct document_organisation *holder)
