--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -322,13 +322,6 @@
 	group->cut[b][a] = cut;
 }
 
-void group_set_reader(struct group *group,
-		      struct document *(*read)(void *data, const char *text,
-					       size_t len))
-{
-	group->read_document = read;
-}
-
 int group_logged(const struct group *group, int at, const char *text)
 {
 	const GPtrArray *log = group->vms[at].log;
@@ -404,6 +397,21 @@
 	return group;
 }
 
+struct group *group_founded(group_reader *read)
+{
+	static const int seeds[] = { 0, 1, 2 };
+	struct group *group = group_new(5, seeds, 3, 7);
+	int vm;
+
+	if (read)
+		group->read_document = read;
+	for (vm = 0; vm < 5; vm++)
+		group_start(group, vm);
+	group_run(group, 10000000);
+	g_assert_cmpint(group_leader(group), >=, 0);
+	return group;
+}
+
 void group_free(struct group *group)
 {
 	struct post *item;
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -81,13 +81,11 @@
  */
 struct bytes group_fetch(struct group *group, int vm, bool packed);
 
-/**
- * How VMs that are started after this read a document; by default one without
- * a version.
- */
-void group_set_reader(struct group *group,
-		      struct document *(*read)(void *data, const char *text,
-					       size_t len));
+/** How VMs read a document; by default as one without a version. */
+typedef struct document *group_reader(void *data, const char *text, size_t len);
+
+/** Five VMs, the first three as seeds, that have a leader; `read` may be NULL. */
+struct group *group_founded(group_reader *read);
 
 /** The code of a call's answer, -1 while there is none. */
 int group_code(struct group *group, uint64_t call);
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -56,8 +56,7 @@
 	GArray *calls;
 	enum result call_code;
 	int64_t lease_us;
-	struct document *(*read_document)(void *data, const char *text,
-					  size_t len);
+	group_reader *read_document;
 };
 
 /** Carry out what a VM's reducer wants. */
--- a/tests/control/t-calls-logged.c
+++ b/tests/control/t-calls-logged.c
@@ -4,24 +4,10 @@
 
 #define SECOND INT64_C(1000000)
 
-static const int seeds[] = { 0, 1, 2 };
-
-static struct group *start(void)
-{
-	struct group *group = group_new(5, seeds, 3, 7);
-	int vm;
-
-	for (vm = 0; vm < 5; vm++)
-		group_start(group, vm);
-	group_run(group, 10 * SECOND);
-	g_assert_cmpint(group_leader(group), >=, 0);
-	return group;
-}
-
 /* Guards against an operator's call that leaves no line on any VM. */
 static void test_each_call_is_logged(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(NULL);
 	int leader = group_leader(group);
 	int other = (leader + 1) % 5;
 
@@ -53,7 +39,7 @@
 /* Guards against a change whose fate is unclear without a line that says so. */
 static void test_unclear_change_is_logged(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(NULL);
 	int leader = group_leader(group);
 	int vm;
 
--- a/tests/control/t-large-document.c
+++ b/tests/control/t-large-document.c
@@ -15,8 +15,6 @@
 /* What an entry VM's link of 10 Mbit/s carries in a quarter of a second. */
 #define BYTES_MOST 312500
 
-static const int seeds[] = { 0, 1, 2 };
-
 static void write_name(struct bytes *text, GRand *rand, int len)
 {
 	static const char letters[] = "abcdefghijkmnpqrstuvwxyz23456789";
@@ -89,19 +87,6 @@
 	return document;
 }
 
-static struct group *start(void)
-{
-	struct group *group = group_new(5, seeds, 3, 7);
-	int vm;
-
-	group_set_reader(group, read_document);
-	for (vm = 0; vm < 5; vm++)
-		group_start(group, vm);
-	group_run(group, 10 * SECOND);
-	g_assert_cmpint(group_leader(group), >=, 0);
-	return group;
-}
-
 static void put(struct group *group, int64_t version, const struct bytes *text)
 {
 	uint64_t call =
@@ -165,7 +150,7 @@
 /* Guards against documents that fill the links of entry VMs. */
 static void test_travels_packed(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(read_document);
 	struct bytes first = document_text(1, ROUTES);
 	struct bytes second = document_text(2, ROUTES);
 	int vm;
@@ -184,7 +169,7 @@
 /* Guards against an entry VM of an earlier release that can't read it. */
 static void test_earlier_release(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(read_document);
 	struct bytes text = document_text(1, ROUTES);
 	struct feed_message message;
 	struct bytes body;
@@ -204,7 +189,7 @@
 /* Guards against a valid document that is refused for its size. */
 static void test_largest(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(read_document);
 	struct bytes text = document_text(1, ROUTES_MOST);
 	uint64_t call;
 	int vm;
@@ -224,7 +209,7 @@
 /* Guards against a log that an entry too large for its links blocks. */
 static void test_too_large(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(read_document);
 	struct bytes noise = { 0 };
 	GRand *rand = g_rand_new_with_seed(1);
 	struct bytes small = document_text(2, 10);
--- a/tests/control/t-slow-replication.c
+++ b/tests/control/t-slow-replication.c
@@ -9,20 +9,6 @@
 /* Longer than the election timeout, as a large entry takes on a slow link. */
 #define SLOW_US (400 * MS)
 
-static const int seeds[] = { 0, 1, 2 };
-
-static struct group *start(void)
-{
-	struct group *group = group_new(5, seeds, 3, 7);
-	int vm;
-
-	for (vm = 0; vm < 5; vm++)
-		group_start(group, vm);
-	group_run(group, 10 * SECOND);
-	g_assert_cmpint(group_leader(group), >=, 0);
-	return group;
-}
-
 static void put_large(struct group *group, int leader, int64_t version)
 {
 	struct bytes text = { 0 };
@@ -44,7 +30,7 @@
 /* Guards against entries that are sent again while they are on their way. */
 static void test_entry_sent_once(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(NULL);
 	int leader = group_leader(group);
 	int slow = other_than(leader);
 	int64_t before;
@@ -64,7 +50,7 @@
 /* Guards against a follower that never gets an entry that was lost. */
 static void test_lost_entry(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(NULL);
 	int leader = group_leader(group);
 	int deaf = other_than(leader);
 
@@ -80,7 +66,7 @@
 /* Guards against pieces of a snapshot that are sent again and again. */
 static void test_snapshot_sent_once(void)
 {
-	struct group *group = start();
+	struct group *group = group_founded(NULL);
 	int leader = group_leader(group);
 	int late = other_than(leader);
 	int64_t version;
