--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -75,10 +75,7 @@
 uint64_t group_put_text(struct group *group, int vm, int64_t version,
 			const struct bytes *text);
 
-/**
- * An entry VM asks for the document; the message that answers, empty if none
- * does.
- */
+/** What an entry VM that asks for the document gets, empty for nothing. */
 struct bytes group_fetch(struct group *group, int vm, bool packed);
 
 /** How VMs read a document; by default as one without a version. */
--- a/tests/entry/slow_link.h
+++ b/tests/entry/slow_link.h
@@ -5,10 +5,7 @@
 
 #define SLOW_LINK_PEERS 5
 
-/**
- * An entry VM behind a link that carries so many bytes a second, and control
- * VMs that answer at once. The link carries a packet of each of them in turn.
- */
+/** An entry VM behind a slow link that carries packets of VMs by turns. */
 struct slow_link;
 
 struct slow_link *slow_link_new(int64_t bytes_per_s);
