--- a/tests/entry/slow_link.c
+++ b/tests/entry/slow_link.c
@@ -31,7 +31,6 @@
 	struct effects effects;
 	int64_t now_us;
 	int64_t bytes_per_s;
-	int64_t sent;
 	int turn; /* flow whose packet is next */
 	struct flow flows[SLOW_LINK_PEERS];
 	int64_t version;
@@ -71,7 +70,6 @@
 		bytes_clear(body);
 		return;
 	}
-	link->sent += (int64_t)body->len;
 	message = g_new0(struct message, 1);
 	message->sent_us = link->now_us;
 	message->left = body->len;
@@ -245,11 +243,6 @@
 	return link->now_us;
 }
 
-int64_t slow_link_bytes(const struct slow_link *link)
-{
-	return link->sent;
-}
-
 struct entry_documents slow_link_documents(const struct slow_link *link)
 {
 	return entry_view(link->entry, link->now_us).documents;
--- a/tests/entry/slow_link.h
+++ b/tests/entry/slow_link.h
@@ -33,9 +33,6 @@
 int64_t slow_link_in_force_us(const struct slow_link *link, int64_t version);
 int64_t slow_link_now_us(const struct slow_link *link);
 
-/** Bytes that were sent to the entry VM. */
-int64_t slow_link_bytes(const struct slow_link *link);
-
 struct entry_documents slow_link_documents(const struct slow_link *link);
 
 #endif
