usage: steps of wall clocks are held back

Operators were billed wrongly where wall clocks of half of the VMs jumped by seconds, control VMs among them: windows were closed while they ran, or reported seconds after they were due.

Cause: each control VM votes with its wall clock, and the median of clocks of which half have jumped is wrong. A VM knows better: against its steady clock a step is seen at once. It is now believed only after 300 s, or if it leads to the time that the others agree on, as after a start with a wrong clock.

Ruled out: wider medians (half of the clocks are wrong whatever the rule), and adopting the others' time at once (a right clock would follow wrong ones). Not covered: a majority of control VMs that start while their clocks are wrong.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -244,9 +244,28 @@
 	effects_add(effects, EFFECT_EXIT);
 }
 
+/* The wall clock that this VM believes and tells the others. */
+static int64_t own_wall_us(struct control *control, int64_t wall_us,
+			   int64_t now_us, struct effects *effects)
+{
+	bool stepping = control->own_wall.stepping;
+	int64_t agreed_us = wall_others_us(&control->wall, now_us);
+	int64_t believed_us =
+		stepout_time_us(&control->own_wall, wall_us, agreed_us, now_us);
+
+	if (control->own_wall.stepping != stepping)
+		control_log(effects, LOG_WARN, "clock",
+			    "event=%s wall_us=%lld believed_us=%lld "
+			    "others_us=%lld",
+			    stepping ? "step-over" : "step", (long long)wall_us,
+			    (long long)believed_us, (long long)agreed_us);
+	return believed_us;
+}
+
 void control_tick(struct control *control, int64_t wall_us, int64_t now_us,
 		  struct effects *effects)
 {
+	wall_us = own_wall_us(control, wall_us, now_us, effects);
 	wall_note(&control->wall, 0, wall_us, now_us);
 	raft_tick(control->raft, now_us, effects);
 	control_drain(control, now_us, effects);
--- a/libfilberthall/usage/wall.c
+++ b/libfilberthall/usage/wall.c
@@ -1,5 +1,6 @@
 #include "usage/wall.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 
 static struct wall_vote *vote_of(struct wall *wall, uint64_t voter)
@@ -36,17 +37,30 @@
 	return left < right ? -1 : left > right;
 }
 
-int64_t wall_time_us(const struct wall *wall, int64_t now_us)
+/* The median of the votes that aren't old, 0 if there are fewer than `least`. */
+static int64_t median_us(const struct wall *wall, bool with_own, int least,
+			 int64_t now_us)
 {
 	int64_t ahead[WALL_VOTES];
 	int n = 0;
 	int i;
 
 	for (i = 0; i < wall->n_votes; i++)
-		if (now_us - wall->votes[i].at_us <= WALL_OLD_US)
+		if (now_us - wall->votes[i].at_us <= WALL_OLD_US &&
+		    (with_own || wall->votes[i].voter))
 			ahead[n++] = wall->votes[i].ahead_us;
-	if (!n)
+	if (n < least)
 		return 0;
 	qsort(ahead, (size_t)n, sizeof(*ahead), compare);
 	return now_us + ahead[(n - 1) / 2];
 }
+
+int64_t wall_time_us(const struct wall *wall, int64_t now_us)
+{
+	return median_us(wall, true, 1, now_us);
+}
+
+int64_t wall_others_us(const struct wall *wall, int64_t now_us)
+{
+	return median_us(wall, false, WALL_OTHERS_LEAST, now_us);
+}
--- a/libfilberthall/usage/wall.h
+++ b/libfilberthall/usage/wall.h
@@ -12,7 +12,8 @@
  *
  * Each VM keeps how far the others' wall clocks are ahead of its own steady
  * clock and takes the median. It holds while fewer than half of those asked
- * are wrong.
+ * are wrong; clocks that step while they are watched don't count as such, as
+ * each VM holds its own steps back (usage/stepout.h).
  */
 
 #define WALL_VOTES 16
@@ -20,6 +21,9 @@
 /** A vote older than this is left out: its VM is gone or cut off. */
 #define WALL_OLD_US INT64_C(10000000)
 
+/** Fewer other VMs than that agree on nothing. */
+#define WALL_OTHERS_LEAST 2
+
 struct wall_vote {
 	uint64_t voter;
 	int64_t ahead_us; /**< wall clock less our steady clock */
@@ -38,4 +42,7 @@
 /** Microseconds since 1970 at `now_us` of our clock; 0 if nobody voted. */
 int64_t wall_time_us(const struct wall *wall, int64_t now_us);
 
+/** The same by the other VMs alone; 0 if too few of them voted. */
+int64_t wall_others_us(const struct wall *wall, int64_t now_us);
+
 #endif
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -19,6 +19,7 @@
 	int vm;
 	int64_t at_us;
 	char order_id[96];
+	char body[256];
 	int64_t fence;
 };
 
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -23,9 +23,11 @@
 void group_note_call(struct group *group, int vm,
 		     const struct effect_platform_call *told)
 {
-	struct group_call call = { vm, group->now_us, "", told->fence };
+	struct group_call call = { vm, group->now_us, "", "", told->fence };
 
 	g_strlcpy(call.order_id, told->order_id, sizeof(call.order_id));
+	g_snprintf(call.body, sizeof(call.body), "%.*s", (int)told->body.len,
+		   told->body.data ? told->body.data : "");
 	g_array_append_val(group->calls, call);
 }
 
