--- a/libfilberthall/usage/begun.c
+++ b/libfilberthall/usage/begun.c
@@ -9,22 +9,39 @@
 /* One organisation's requests as one source counted them. */
 struct begun_count {
 	struct list node;
-	uint64_t source; /* 0: counted here */
 	struct feed_count count;
 };
 
+/* What one daemon has counted in a window. */
+struct begun_source {
+	struct map_node node; /* by id */
+	uint64_t id;	      /* 0: counted here */
+	struct list counts;
+};
+
 void begun_init(struct begun *begun)
 {
 	list_init(&begun->windows);
 }
 
-static void window_free(struct begun_window *window)
+static void source_free(struct begun_source *source)
 {
 	struct begun_count *count;
 	struct begun_count *next;
 
-	list_foreach_safe(count, next, &window->counts, node)
+	list_foreach_safe(count, next, &source->counts, node)
 		free(count);
+	free(source);
+}
+
+static void window_free(struct begun_window *window)
+{
+	struct begun_source *source;
+	struct begun_source *next;
+
+	map_foreach(source, next, &window->sources, node)
+		source_free(source);
+	map_clear(&window->sources);
 	list_remove(&window->node);
 	free(window);
 }
@@ -72,26 +89,46 @@
 		return window;
 	window = xcalloc(1, sizeof(*window));
 	window->window = number;
-	list_init(&window->counts);
+	map_init(&window->sources);
 	list_prepend(&begun->windows, &window->node);
 	drop_oldest(begun);
 	return window_find(begun, number);
 }
 
-static struct begun_count *count_of(struct begun_window *window,
-				    uint64_t source, const char *organisation)
+static bool source_match(const struct map_node *node, const void *key)
+{
+	return container_of(node, struct begun_source, node)->id ==
+	       *(const uint64_t *)key;
+}
+
+static struct begun_source *source_of(struct begun_window *window, uint64_t id)
+{
+	uint64_t hash = map_hash(&id, sizeof(id));
+	struct map_node *node =
+		map_find(&window->sources, hash, source_match, &id);
+	struct begun_source *source;
+
+	if (node)
+		return container_of(node, struct begun_source, node);
+	source = xcalloc(1, sizeof(*source));
+	source->id = id;
+	list_init(&source->counts);
+	map_insert(&window->sources, &source->node, hash);
+	return source;
+}
+
+static struct begun_count *count_of(struct begun_source *source,
+				    const char *organisation)
 {
 	struct begun_count *count;
 
-	list_foreach(count, &window->counts, node)
-		if (count->source == source &&
-		    !strcmp(count->count.organisation, organisation))
+	list_foreach(count, &source->counts, node)
+		if (!strcmp(count->count.organisation, organisation))
 			return count;
 	count = xcalloc(1, sizeof(*count));
-	count->source = source;
 	snprintf(count->count.organisation, sizeof(count->count.organisation),
 		 "%s", organisation);
-	list_append(&window->counts, &count->node);
+	list_append(&source->counts, &count->node);
 	return count;
 }
 
@@ -101,30 +138,61 @@
 
 	if (!window)
 		return;
-	count_of(window, 0, organisation)->count.requests++;
+	count_of(source_of(window, 0), organisation)->count.requests++;
 	window->untold = true;
 }
 
-static struct feed_begun window_total(const struct begun_window *window)
+static size_t window_counts(const struct begun_window *window)
 {
-	struct feed_begun total = { .window = window->window };
+	struct begun_source *source;
+	struct begun_source *next;
 	struct begun_count *count;
+	size_t n = 0;
+
+	map_foreach(source, next, &window->sources, node)
+		list_foreach(count, &source->counts, node)
+			n++;
+	return n;
+}
+
+static int compare_organisation(const void *a, const void *b)
+{
+	return strcmp(((const struct feed_count *)a)->organisation,
+		      ((const struct feed_count *)b)->organisation);
+}
+
+/* Add up equal neighbours. */
+static void merge_counts(struct feed_begun *total, size_t n)
+{
+	size_t last = 0;
 	size_t i;
 
-	list_foreach(count, &window->counts, node) {
-		for (i = 0; i < total.n_counts; i++)
-			if (!strcmp(total.counts[i].organisation,
-				    count->count.organisation))
-				break;
-		if (i == total.n_counts) {
-			total.counts = xrealloc(total.counts,
-						++total.n_counts *
-							sizeof(*total.counts));
-			total.counts[i] = count->count;
-		} else {
-			total.counts[i].requests += count->count.requests;
-		}
+	for (i = 1; i < n; i++) {
+		if (!compare_organisation(&total->counts[last],
+					  &total->counts[i]))
+			total->counts[last].requests +=
+				total->counts[i].requests;
+		else
+			total->counts[++last] = total->counts[i];
 	}
+	total->n_counts = n ? last + 1 : 0;
+}
+
+static struct feed_begun window_total(const struct begun_window *window)
+{
+	struct feed_begun total = { .window = window->window };
+	struct begun_source *source;
+	struct begun_source *next;
+	struct begun_count *count;
+	size_t n = 0;
+
+	total.counts =
+		xcalloc(window_counts(window) + 1, sizeof(*total.counts));
+	map_foreach(source, next, &window->sources, node)
+		list_foreach(count, &source->counts, node)
+			total.counts[n++] = count->count;
+	qsort(total.counts, n, sizeof(*total.counts), compare_organisation);
+	merge_counts(&total, n);
 	return total;
 }
 
@@ -153,17 +221,18 @@
 		window->untold = true;
 }
 
-void begun_take(struct begun *begun, uint64_t source,
-		const struct feed_begun *told)
+void begun_take(struct begun *begun, uint64_t id, const struct feed_begun *told)
 {
 	struct begun_window *window = window_of(begun, told->window);
+	struct begun_source *source;
 	struct begun_count *count;
 	size_t i;
 
 	if (!window)
 		return;
+	source = source_of(window, id);
 	for (i = 0; i < told->n_counts; i++) {
-		count = count_of(window, source, told->counts[i].organisation);
+		count = count_of(source, told->counts[i].organisation);
 		/* Totals only grow; a smaller one was overtaken on the way. */
 		if (told->counts[i].requests > count->count.requests)
 			count->count.requests = told->counts[i].requests;
--- a/libfilberthall/usage/begun.h
+++ b/libfilberthall/usage/begun.h
@@ -24,8 +24,8 @@
 struct begun_window {
 	struct list node;
 	int64_t window;
-	bool untold; /**< entry VM: counted since it was told */
-	struct list counts;
+	bool untold;	    /**< entry VM: counted since it was told */
+	struct map sources; /**< what each daemon has counted */
 };
 
 struct begun {
--- a/tests/agreed/t-begun.c
+++ b/tests/agreed/t-begun.c
@@ -89,6 +89,37 @@
 	begun_clear(&begun);
 }
 
+/* Totals of many entry VMs and organisations, each told several times. */
+static void test_many_sources(void)
+{
+	struct begun control;
+	struct begun entry;
+	uint64_t source;
+	int i;
+
+	begun_init(&control);
+	for (source = 1; source <= 200; source++) {
+		begun_init(&entry);
+		for (i = 0; i < 80; i++) {
+			char name[16];
+
+			g_snprintf(name, sizeof(name), "org%d", i % 40);
+			begun_add(&entry, 10, name);
+			if (i % 8 == 0)
+				pass_on(&entry, source, &control);
+		}
+		pass_on(&entry, source, &control);
+		begun_clear(&entry);
+	}
+	for (i = 0; i < 40; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "org%d", i);
+		g_assert_cmpint(requests(&control, 10, name), ==, 400);
+	}
+	begun_clear(&control);
+}
+
 /* Two of five wall clocks jump by seconds: true time stays where it is. */
 static void test_wall(void)
 {
@@ -112,6 +143,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/begun/totals", test_totals);
 	g_test_add_func("/begun/windows-bounded", test_windows_bounded);
+	g_test_add_func("/begun/many-sources", test_many_sources);
 	g_test_add_func("/wall/median", test_wall);
 	return g_test_run();
 }
