control: a window that is told late gets its figure

Windows were never reported, also long after clocks were right again: the one in charge looked at each window once, in order. It passed over one that had no counts at that moment for as long as it held office, and over all below the highest one that had a figure. Entry VMs whose clock is behind, or that were cut off, tell of their windows later than others do.

Now each window of the last minute that has counts and no figure is proposed, the oldest first. /usage-windows/told-late failed before: no report.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -206,7 +206,7 @@
 					1000));
 		control_drop_reports(control);
 		control_drop_sizes(control);
-		control->window_next = 0;
+		control->repeated = false;
 		control->window_pending = 0;
 	}
 	control->leader = leader;
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -70,21 +70,24 @@
 {
 	control->window_pending = 0;
 	if (control->in_charge)
-		report_add(control, control->ledger.last_window);
+		report_add(control, control->ledger.applied_window);
 }
 
-/* The next window that has ended and settled, 0 if there is none. */
-static int64_t next_window(struct control *control, int64_t wall_us)
+/*
+ * The first window that has ended and settled and has no figure yet, 0 if
+ * there is none. One without counts is looked at again: entry VMs may tell of
+ * it late, and those whose clock was wrong have counted in another one.
+ */
+static int64_t next_window(const struct control *control, int64_t wall_us)
 {
 	int64_t length_us = control->options.window_us;
 	int64_t newest = (wall_us - SETTLE_US) / length_us - 1;
-	int64_t oldest = (wall_us - WINDOW_OLD_US) / length_us;
+	int64_t window = (wall_us - WINDOW_OLD_US) / length_us - 1;
 
-	if (control->window_next < oldest)
-		control->window_next = oldest;
-	if (control->window_next <= control->ledger.last_window)
-		control->window_next = control->ledger.last_window + 1;
-	return control->window_next <= newest ? control->window_next : 0;
+	while ((window = begun_next(&control->begun, window)))
+		if (window > newest || !ledger_window(&control->ledger, window))
+			break;
+	return window <= newest ? window : 0;
 }
 
 static void propose_window(struct control *control, int64_t wall_us,
@@ -100,14 +103,10 @@
 	    now_us - control->window_us < PROPOSED_US)
 		return;
 	control->window_pending = 0;
-	while ((window = next_window(control, wall_us))) {
-		total = begun_total(&control->begun, window);
-		if (total.n_counts)
-			break;
-		control->window_next++;
-	}
+	window = next_window(control, wall_us);
 	if (!window)
 		return;
+	total = begun_total(&control->begun, window);
 	ledger_write_window(&entry, &total);
 	free(total.counts);
 	if (!raft_propose(control->raft, entry.data, entry.len, now_us, effects,
@@ -208,22 +207,26 @@
 	}
 }
 
+/* Just put in charge: the one before may not have got its reports through. */
+static void repeat_reports(struct control *control, int64_t wall_us)
+{
+	int64_t window = wall_us / control->options.window_us - REPEAT_WINDOWS;
+
+	for (; window <= control->ledger.last_window; window++)
+		if (ledger_window(&control->ledger, window))
+			report_add(control, window);
+	control->repeated = true;
+}
+
 void control_duty_tick(struct control *control, int64_t now_us,
 		       struct effects *effects)
 {
 	int64_t wall_us = wall_time_us(&control->wall, now_us);
-	int64_t window;
 
 	if (!control->options.report || !control->in_charge || !wall_us)
 		return;
-	/* Just put in charge: the one before may not have got its through. */
-	if (!control->window_next) {
-		window =
-			(wall_us / control->options.window_us) - REPEAT_WINDOWS;
-		for (; window <= control->ledger.last_window; window++)
-			if (ledger_window(&control->ledger, window))
-				report_add(control, window);
-	}
+	if (!control->repeated)
+		repeat_reports(control, wall_us);
 	propose_window(control, wall_us, now_us, effects);
 	send_reports(control, now_us, effects);
 }
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -49,7 +49,7 @@
 	int64_t alive_us;	/**< when FEED_ALIVE was last sent */
 	int64_t window_pending; /**< proposed and not applied, 0 for none */
 	int64_t window_us;	/**< when it was proposed */
-	int64_t window_next;	/**< next window to look at */
+	bool repeated;		/**< what was agreed before we took over */
 	int64_t reported;
 	struct document *document; /**< as the ledger's bytes say */
 	struct bytes packed;	   /**< the document for entry VMs */
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -142,6 +142,7 @@
 	window->window = total->window;
 	window->total = *total;
 	list_append(&ledger->windows, &window->node);
+	ledger->applied_window = total->window;
 	if (total->window > ledger->last_window)
 		ledger->last_window = total->window;
 	oldest = list_first(&ledger->windows, struct ledger_window, node);
--- a/libfilberthall/control/ledger.h
+++ b/libfilberthall/control/ledger.h
@@ -34,6 +34,7 @@
 	struct list windows;
 	int n_windows;
 	int64_t last_window; /**< highest one that has a figure, 0 for none */
+	int64_t applied_window; /**< the one that got its figure last */
 };
 
 enum ledger_change { LEDGER_NOTHING, LEDGER_DOCUMENT, LEDGER_WINDOW };
--- a/libfilberthall/usage/begun.c
+++ b/libfilberthall/usage/begun.c
@@ -239,6 +239,18 @@
 	}
 }
 
+int64_t begun_next(const struct begun *begun, int64_t after)
+{
+	struct begun_window *window;
+	int64_t found = 0;
+
+	list_foreach(window, &begun->windows, node)
+		if (window->window > after &&
+		    (!found || window->window < found))
+			found = window->window;
+	return found;
+}
+
 struct feed_begun begun_total(const struct begun *begun, int64_t number)
 {
 	struct begun_window *window = window_find(begun, number);
--- a/libfilberthall/usage/begun.h
+++ b/libfilberthall/usage/begun.h
@@ -48,6 +48,9 @@
 void begun_take(struct begun *begun, uint64_t source,
 		const struct feed_begun *told);
 
+/** Control VM: the first window behind `after` with counts, 0 for none. */
+int64_t begun_next(const struct begun *begun, int64_t after);
+
 /** Control VM: totals of a window over all entry VMs; to be freed. */
 struct feed_begun begun_total(const struct begun *begun, int64_t window);
 
--- a/tests/control/t-usage-windows.c
+++ b/tests/control/t-usage-windows.c
@@ -115,10 +115,27 @@
 	play_step(-9 * SECOND);
 }
 
+/* A window skipped for ever as a later one had its figure before it. */
+static void test_told_late(void)
+{
+	struct group *group = founded();
+	int64_t window = window_now(group);
+
+	group_begun(group, window + 1, 7);
+	group_run(group, 3 * WINDOW_US);
+	group_answer_calls(group, RESULT_OK);
+	g_assert_nonnull(report_of(group, window + 1));
+	group_begun(group, window, 40);
+	group_run(group, SECOND);
+	g_assert_nonnull(report_of(group, window));
+	group_free(group);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/usage-windows/clocks-ahead", test_clocks_ahead);
 	g_test_add_func("/usage-windows/clocks-behind", test_clocks_behind);
+	g_test_add_func("/usage-windows/told-late", test_told_late);
 	return g_test_run();
 }
