agree: a silent voter goes once its replacement votes

A group of three could stop for good: one voter had been silent for seconds, a second one was lost 0.6 to 1.1 s before the repair removed the first. The leader then needed both of the two that were left, and the silent one, once it was back, didn't count for those that held the change.

Cause: where groups may shrink, the repair removed a silent voter before its replacement came in. It now promotes the replacement first, as groups that keep their voters already do; the voter that is back then completes the quorum. Where its folder is known to be gone it still goes first.

--- a/libfilberthall/agree/repair.c
+++ b/libfilberthall/agree/repair.c
@@ -272,17 +272,15 @@
 {
 	int voters = members_voters(view->members);
 
-	return view->policy->keep_voters && !repair_superseded(view, dead) &&
+	return !repair_superseded(view, dead) &&
 	       voters <= view->policy->voters &&
 	       repair_present_voters(view) + 1 >= members_quorum(voters + 1);
 }
 
 /**
- * The dead voter goes out first and its replacement comes in next. The other
- * way round the group needs three of four for a moment, one of them the
- * replacement: if that has just died too, nothing can be committed any more,
- * also no repair. Without a replacement a dead voter goes only if a smaller
- * group bears more.
+ * Its replacement comes in first where a dead voter may come back, and next
+ * where it can't. Without a replacement it goes only if a smaller group bears
+ * more.
  */
 static struct member_change repair_voters(const struct repair_view *view)
 {
--- a/tests/agree/t-raft-sim.c
+++ b/tests/agree/t-raft-sim.c
@@ -66,6 +66,22 @@
 	sim_must_hold(false, true, 2000000);
 }
 
+/* A silent voter removed by repair just as another one is lost for good. */
+static void silent_voter_stays_until_it_is_replaced(void)
+{
+	static const uint64_t failed_once[] = { 6672, 8863, 34920 };
+	struct sim_stats stats = { 0 };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(failed_once); i++) {
+		struct sim_options options = { .seed = failed_once[i],
+					       .duration_us = DURATION_US,
+					       .members_change = true };
+
+		g_assert_cmpstr(sim_run(&options, &stats), ==, NULL);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -75,5 +91,7 @@
 			second_loss_right_after_a_repair_loses_nothing);
 	g_test_add_func("/raft-sim/lease",
 			lease_holds_under_cuts_restarts_and_drift);
+	g_test_add_func("/raft-sim/failed-once",
+			silent_voter_stays_until_it_is_replaced);
 	return g_test_run();
 }
