usage: requests whose answers were lost are counted

Cause: an entry VM counted a request with its first piece or its status.

Ruled out: counts lost on their way to control VMs, and windows closed early (all entry VMs in touch, the sums the same on each control VM). Not counted are attempts without any answer: a silent server may never have had them.

--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -416,11 +416,14 @@
 		 int64_t now_us, struct effects *effects)
 {
 	const struct open_call *call = call_find(entry, ended->id);
+	int64_t took_us = router_attempt_us(entry->router, ended->id,
+					    ended->attempt, now_us);
 
 	entry->now_us = now_us;
 	entry->effects = effects;
 	entry->totals.attempts++;
-	if (ended->http_status && ended->sent)
+	if ((ended->http_status && ended->sent) ||
+	    begun_presumed((enum result)ended->code, ended->sent, took_us))
 		count_begun(entry, ended->id);
 	if (call && ended->code)
 		entry_log(entry, LOG_INFO, "attempt",
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -167,6 +167,14 @@
 	return NULL;
 }
 
+int64_t router_attempt_us(const struct router *router, uint64_t id,
+			  int64_t number, int64_t now_us)
+{
+	const struct attempt *attempt = attempt_find(router, id, number);
+
+	return attempt ? now_us - attempt->started_us : 0;
+}
+
 void router_sent(struct router *router, const struct event_attempt_sent *sent,
 		 int64_t now_us, struct effects *effects)
 {
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -102,6 +102,8 @@
 			if (message.kind == FEED_FETCH)
 				bed->packed = message.u.fetch.packed;
 			bed->told += message.kind == FEED_BEGUN;
+			if (message.kind == FEED_BEGUN)
+				bed->begun = message.u.begun.counts[0].requests;
 			feed_clear(&message);
 		}
 		effect_free(effect);
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -27,6 +27,7 @@
 	int64_t retry_ms;
 	bool exited;
 	int told;	 /* reports of begun requests */
+	int64_t begun;	 /* of one organisation, as told last */
 	int at_steady;	 /* attempts at STEADY */
 	int64_t entries; /* entry VMs that the control VM tells of */
 };
