daemon: rooms for HTTP, links, disk and roles

Fifty files lay in one folder. What all daemons share stays in daemon/ itself: start, settings, log, the core thread.

--- a/bench/commit-cost.c
+++ b/bench/commit-cost.c
@@ -8,7 +8,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/wal.h"
+#include "daemon/disk/wal.h"
 
 /**
  * What a commit costs on this machine's disk: commits a second and latency
--- a/bench/recovery-cost.c
+++ b/bench/recovery-cost.c
@@ -6,8 +6,8 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/snapshot.h"
-#include "daemon/wal.h"
+#include "daemon/disk/snapshot.h"
+#include "daemon/disk/wal.h"
 
 /**
  * What a restart costs by the length of the log, and a snapshot by its size,
--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -10,7 +10,7 @@
 #include "base/cleanup.h"
 #include "base/yaml.h"
 #include "daemon/boot_key.h"
-#include "daemon/file.h"
+#include "daemon/disk/file.h"
 
 #define BOOT_FILE_LIMIT (256 * 1024)
 #define BOOT_NAME_LIMIT 63
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -14,14 +14,14 @@
 #include "base/cleanup.h"
 #include "core/core.h"
 #include "daemon/core_thread.h"
-#include "daemon/file.h"
-#include "daemon/http_in.h"
-#include "daemon/http_out.h"
-#include "daemon/link.h"
+#include "daemon/disk/file.h"
+#include "daemon/http/http_in.h"
+#include "daemon/http/http_out.h"
+#include "daemon/link/link.h"
 #include "daemon/log.h"
 #include "daemon/secrets.h"
 #include "daemon/trace.h"
-#include "daemon/wal.h"
+#include "daemon/disk/wal.h"
 
 /* Everything a daemon is made of, in the order in which it is started. */
 struct daemon {
--- a/daemon/file.c
+++ b/daemon/disk/file.c
@@ -1,4 +1,4 @@
-#include "daemon/file.h"
+#include "daemon/disk/file.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/daemon/file_ops.c
+++ b/daemon/disk/file_ops.c
@@ -1,4 +1,4 @@
-#include "daemon/file_ops.h"
+#include "daemon/disk/file_ops.h"
 
 #include <fcntl.h>
 #include <stdio.h>
--- a/daemon/folder.c
+++ b/daemon/disk/folder.c
@@ -1,4 +1,4 @@
-#include "daemon/folder.h"
+#include "daemon/disk/folder.h"
 
 #include <errno.h>
 #include <fcntl.h>
--- a/daemon/folder.h
+++ b/daemon/disk/folder.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 #include "base/error.h"
-#include "daemon/file_ops.h"
+#include "daemon/disk/file_ops.h"
 
 /** The data folder: its lock, the member's identity, safe file writes. */
 
--- a/daemon/snapshot.c
+++ b/daemon/disk/snapshot.c
@@ -1,4 +1,4 @@
-#include "daemon/snapshot.h"
+#include "daemon/disk/snapshot.h"
 
 #include <dirent.h>
 #include <errno.h>
@@ -10,7 +10,7 @@
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "base/map.h"
-#include "daemon/folder.h"
+#include "daemon/disk/folder.h"
 
 #define SNAPSHOT_MAGIC UINT64_C(0x31736e6662686c31)
 #define SNAPSHOT_PREFIX "snapshot-"
--- a/daemon/snapshot.h
+++ b/daemon/disk/snapshot.h
@@ -5,7 +5,7 @@
 
 #include "base/bytes.h"
 #include "base/error.h"
-#include "daemon/file_ops.h"
+#include "daemon/disk/file_ops.h"
 
 /**
  * Snapshots in the data folder: written aside, synced, renamed, the folder
--- a/daemon/wal.c
+++ b/daemon/disk/wal.c
@@ -1,4 +1,4 @@
-#include "daemon/wal.h"
+#include "daemon/disk/wal.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -9,8 +9,8 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/snapshot.h"
-#include "daemon/wal_internal.h"
+#include "daemon/disk/snapshot.h"
+#include "daemon/disk/wal_internal.h"
 
 #define WAL_SEGMENT_BYTES (INT64_C(16) * 1024 * 1024)
 
--- a/daemon/wal.h
+++ b/daemon/disk/wal.h
@@ -5,7 +5,7 @@
 
 #include "agree/raft.h"
 #include "base/error.h"
-#include "daemon/file_ops.h"
+#include "daemon/disk/file_ops.h"
 
 /**
  * The write-ahead log of Raft under one data folder, with the folder's lock,
--- a/daemon/wal_internal.h
+++ b/daemon/disk/wal_internal.h
@@ -4,8 +4,8 @@
 #include <pthread.h>
 
 #include "base/list.h"
-#include "daemon/folder.h"
-#include "daemon/wal.h"
+#include "daemon/disk/folder.h"
+#include "daemon/disk/wal.h"
 
 /**
  * A segment is a header and frames. A frame is one batch: it is written by
--- a/daemon/wal_replay.c
+++ b/daemon/disk/wal_replay.c
@@ -9,8 +9,8 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/snapshot.h"
-#include "daemon/wal_internal.h"
+#include "daemon/disk/snapshot.h"
+#include "daemon/disk/wal_internal.h"
 
 /** Reading of what an earlier life wrote. */
 
--- a/daemon/wal_segment.c
+++ b/daemon/disk/wal_segment.c
@@ -7,7 +7,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/wal_internal.h"
+#include "daemon/disk/wal_internal.h"
 
 /** Writing of segments. */
 
--- a/daemon/adapter.c
+++ b/daemon/http/adapter.c
@@ -1,4 +1,4 @@
-#include "daemon/adapter.h"
+#include "daemon/http/adapter.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/daemon/adapter_announce.c
+++ b/daemon/http/adapter_announce.c
@@ -5,7 +5,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/adapter.h"
+#include "daemon/http/adapter.h"
 #include "daemon/address.h"
 
 /* What backend servers and the platform tell of themselves. */
--- a/daemon/attempt.c
+++ b/daemon/http/attempt.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "daemon/adapter.h"
-#include "daemon/attempt_private.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/attempt_private.h"
 
 struct attempt_key {
 	uint64_t id;
--- a/daemon/attempt.h
+++ b/daemon/http/attempt.h
@@ -2,9 +2,9 @@
 #define FILBERTHALL_DAEMON_ATTEMPT_H
 
 #include "base/map.h"
-#include "daemon/exchange.h"
-#include "daemon/sse.h"
-#include "daemon/wire.h"
+#include "daemon/http/exchange.h"
+#include "daemon/http/sse.h"
+#include "daemon/http/wire.h"
 
 /**
  * One attempt at a caller's request: sends it to a backend server and passes
--- a/daemon/attempt_answer.c
+++ b/daemon/http/attempt_answer.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "daemon/adapter.h"
-#include "daemon/attempt_private.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/attempt_private.h"
 
 /* The core hears of the first token at once, then at most this often. */
 #define TOKENS_EVENT_US 100000
--- a/daemon/attempt_private.h
+++ b/daemon/http/attempt_private.h
@@ -1,7 +1,7 @@
 #ifndef FILBERTHALL_DAEMON_ATTEMPT_PRIVATE_H
 #define FILBERTHALL_DAEMON_ATTEMPT_PRIVATE_H
 
-#include "daemon/attempt.h"
+#include "daemon/http/attempt.h"
 
 /** Shared by the files of an attempt only. */
 
--- a/daemon/caller_watch.c
+++ b/daemon/http/caller_watch.c
@@ -1,4 +1,4 @@
-#include "daemon/caller_watch.h"
+#include "daemon/http/caller_watch.h"
 
 #include <errno.h>
 #include <stdlib.h>
--- a/daemon/caller_watch.h
+++ b/daemon/http/caller_watch.h
@@ -7,7 +7,7 @@
 
 #include "base/list.h"
 #include "base/map.h"
-#include "daemon/exchange.h"
+#include "daemon/http/exchange.h"
 
 /**
  * Watches the sockets of callers for two failures that libmicrohttpd doesn't
--- a/daemon/connect_watch.c
+++ b/daemon/http/connect_watch.c
@@ -1,4 +1,4 @@
-#include "daemon/connect_watch.h"
+#include "daemon/http/connect_watch.h"
 
 #include <dlfcn.h>
 #include <errno.h>
--- a/daemon/exchange.c
+++ b/daemon/http/exchange.c
@@ -1,4 +1,4 @@
-#include "daemon/exchange.h"
+#include "daemon/http/exchange.h"
 
 #include <jansson.h>
 #include <stdlib.h>
--- a/daemon/http_backend.c
+++ b/daemon/http/http_backend.c
@@ -1,8 +1,8 @@
 #include <string.h>
 
 #include "base/cleanup.h"
-#include "daemon/adapter.h"
-#include "daemon/http_call.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/http_call.h"
 
 static enum MHD_Result accepted(struct http_call *call)
 {
--- a/daemon/http_call.c
+++ b/daemon/http/http_call.c
@@ -1,4 +1,4 @@
-#include "daemon/http_call.h"
+#include "daemon/http/http_call.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -6,7 +6,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/adapter.h"
+#include "daemon/http/adapter.h"
 
 #define STREAM_BLOCK_BYTES 4096
 
--- a/daemon/http_call.h
+++ b/daemon/http/http_call.h
@@ -6,8 +6,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "daemon/caller_watch.h"
-#include "daemon/http_in.h"
+#include "daemon/http/caller_watch.h"
+#include "daemon/http/http_in.h"
 #include "daemon/view.h"
 
 /** Shared by the files of the listeners only. */
--- a/daemon/http_caller.c
+++ b/daemon/http/http_caller.c
@@ -7,8 +7,8 @@
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "core/prompt.h"
-#include "daemon/adapter.h"
-#include "daemon/http_call.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/http_call.h"
 
 #define NAME_BYTES 63
 #define IDEMPOTENCY_KEY_BYTES 255
--- a/daemon/http_client.c
+++ b/daemon/http/http_client.c
@@ -1,4 +1,4 @@
-#include "daemon/http_client.h"
+#include "daemon/http/http_client.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/daemon/http_client.h
+++ b/daemon/http/http_client.h
@@ -5,8 +5,8 @@
 #include <stdint.h>
 
 #include "base/bytes.h"
-#include "daemon/http_parse.h"
-#include "daemon/stream.h"
+#include "daemon/http/http_parse.h"
+#include "daemon/http/stream.h"
 
 /**
  * Sends HTTP/1.1 requests in the thread of its loop and keeps
--- a/daemon/http_in.c
+++ b/daemon/http/http_in.c
@@ -6,7 +6,7 @@
 #include "base/alloc.h"
 #include "daemon/address.h"
 #include "daemon/descriptors.h"
-#include "daemon/http_call.h"
+#include "daemon/http/http_call.h"
 
 #define LISTEN_BACKLOG 1024
 #define CALLER_THREADS 4
--- a/daemon/http_in.h
+++ b/daemon/http/http_in.h
@@ -4,7 +4,7 @@
 #include "base/error.h"
 #include "core/effect.h"
 #include "daemon/edge.h"
-#include "daemon/exchange.h"
+#include "daemon/http/exchange.h"
 
 /**
  * The listeners: callers, backend servers and the platform, operators. Reads
--- a/daemon/http_operator.c
+++ b/daemon/http/http_operator.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "daemon/adapter.h"
-#include "daemon/http_call.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/http_call.h"
 
 /*
  * A key's secret goes no further than this: what it is granted by is its
--- a/daemon/http_out.c
+++ b/daemon/http/http_out.c
@@ -1,12 +1,12 @@
-#include "daemon/http_out.h"
+#include "daemon/http/http_out.h"
 
 #include <neon/ne_socket.h>
 #include <stdlib.h>
 
 #include "base/alloc.h"
-#include "daemon/adapter.h"
-#include "daemon/attempt.h"
-#include "daemon/order.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/attempt.h"
+#include "daemon/http/order.h"
 
 struct http_out {
 	struct wire_hub hub;
--- a/daemon/http_out.h
+++ b/daemon/http/http_out.h
@@ -4,7 +4,7 @@
 #include "base/error.h"
 #include "core/effect.h"
 #include "daemon/edge.h"
-#include "daemon/exchange.h"
+#include "daemon/http/exchange.h"
 
 /**
  * Requests to backend servers and to the platform: a bounded set of worker
--- a/daemon/http_parse.c
+++ b/daemon/http/http_parse.c
@@ -1,4 +1,4 @@
-#include "daemon/http_parse.h"
+#include "daemon/http/http_parse.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/daemon/http_server.c
+++ b/daemon/http/http_server.c
@@ -1,4 +1,4 @@
-#include "daemon/http_server.h"
+#include "daemon/http/http_server.h"
 
 #include <errno.h>
 #include <stdio.h>
--- a/daemon/http_server.h
+++ b/daemon/http/http_server.h
@@ -5,8 +5,8 @@
 #include <stdint.h>
 
 #include "base/error.h"
-#include "daemon/http_parse.h"
-#include "daemon/stream.h"
+#include "daemon/http/http_parse.h"
+#include "daemon/http/stream.h"
 
 /**
  * Listens for HTTP/1.1 on one address, in the thread of its loop. One
--- a/daemon/order.c
+++ b/daemon/http/order.c
@@ -1,4 +1,4 @@
-#include "daemon/order.h"
+#include "daemon/http/order.h"
 
 #include <stdlib.h>
 
--- a/daemon/order.h
+++ b/daemon/http/order.h
@@ -1,9 +1,9 @@
 #ifndef FILBERTHALL_DAEMON_ORDER_H
 #define FILBERTHALL_DAEMON_ORDER_H
 
-#include "daemon/adapter.h"
+#include "daemon/http/adapter.h"
 #include "daemon/edge.h"
-#include "daemon/wire.h"
+#include "daemon/http/wire.h"
 
 /**
  * One call to the platform or an order to an engine. Its answer, or the lack
--- a/daemon/pool.c
+++ b/daemon/http/pool.c
@@ -1,4 +1,4 @@
-#include "daemon/pool.h"
+#include "daemon/http/pool.h"
 
 #include <neon/ne_request.h>
 #include <poll.h>
--- a/daemon/sse.c
+++ b/daemon/http/sse.c
@@ -1,4 +1,4 @@
-#include "daemon/sse.h"
+#include "daemon/http/sse.h"
 
 #include <string.h>
 
--- a/daemon/stream.c
+++ b/daemon/http/stream.c
@@ -1,4 +1,4 @@
-#include "daemon/stream.h"
+#include "daemon/http/stream.h"
 
 #include <errno.h>
 #include <netinet/in.h>
--- a/daemon/wire.c
+++ b/daemon/http/wire.c
@@ -1,11 +1,11 @@
-#include "daemon/wire.h"
+#include "daemon/http/wire.h"
 
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <fcntl.h>
 
-#include "daemon/connect_watch.h"
+#include "daemon/http/connect_watch.h"
 
 #define BLOCK_BYTES 8192
 
--- a/daemon/wire.h
+++ b/daemon/http/wire.h
@@ -9,7 +9,7 @@
 
 #include "base/list.h"
 #include "base/result.h"
-#include "daemon/pool.h"
+#include "daemon/http/pool.h"
 
 /**
  * One HTTP request going out, and the hub of threads that run them: workers,
--- a/daemon/wire_hub.c
+++ b/daemon/http/wire_hub.c
@@ -3,7 +3,7 @@
 #include <sys/socket.h>
 
 #include "base/alloc.h"
-#include "daemon/wire.h"
+#include "daemon/http/wire.h"
 
 /* jansson's deepest recursion and getaddrinfo() fit; only what is touched
  * takes memory. */
--- a/daemon/key_hash.c
+++ b/daemon/key_hash.c
@@ -1,6 +1,6 @@
 #include <sodium.h>
 
-#include "daemon/http_in.h"
+#include "daemon/http/http_in.h"
 
 void key_hash(char out[65], const void *secret, size_t secret_len,
 	      const char *key, size_t key_len)
--- a/daemon/link.c
+++ b/daemon/link/link.c
@@ -1,4 +1,4 @@
-#include "daemon/link.h"
+#include "daemon/link/link.h"
 
 #include <errno.h>
 #include <sodium.h>
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 #include "base/alloc.h"
-#include "daemon/link_private.h"
+#include "daemon/link/link_private.h"
 
 #define TICK_MS 50
 #define EVENTS_AT_ONCE 64
--- a/daemon/link_conn.c
+++ b/daemon/link/link_conn.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #include "base/alloc.h"
-#include "daemon/link_private.h"
+#include "daemon/link/link_private.h"
 
 /* Frames are handed to TLS in lots of this size. */
 #define OUT_BYTES (64 * 1024)
--- a/daemon/link_frame.c
+++ b/daemon/link/link_frame.c
@@ -1,4 +1,4 @@
-#include "daemon/link_frame.h"
+#include "daemon/link/link_frame.h"
 
 #include <msgpack.h>
 #include <stdlib.h>
@@ -6,7 +6,7 @@
 
 #include "base/alloc.h"
 #include "core/pack.h"
-#include "daemon/link.h"
+#include "daemon/link/link.h"
 
 #define LENGTH_BYTES 4
 
--- a/daemon/link_peer.c
+++ b/daemon/link/link_peer.c
@@ -5,7 +5,7 @@
 #include <unistd.h>
 
 #include "base/alloc.h"
-#include "daemon/link_private.h"
+#include "daemon/link/link_private.h"
 
 static bool peer_match(const struct map_node *node, const void *key)
 {
--- a/daemon/link_private.h
+++ b/daemon/link/link_private.h
@@ -9,8 +9,8 @@
 #include "base/map.h"
 #include "base/rng.h"
 #include "daemon/address.h"
-#include "daemon/link.h"
-#include "daemon/link_frame.h"
+#include "daemon/link/link.h"
+#include "daemon/link/link_frame.h"
 
 /** Shared by the files of the links only. All but the commands belong to the
  *  link thread. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,7 +6,7 @@
 
 #include "daemon/boot.h"
 #include "daemon/daemon.h"
-#include "daemon/role.h"
+#include "daemon/role/role.h"
 #include "platform/platform.h"
 
 const char *argp_program_version = "filberthalld 0.1.0";
--- a/daemon/control_calls.c
+++ b/daemon/role/control_calls.c
@@ -4,7 +4,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/control_daemon_state.h"
+#include "daemon/role/control_daemon_state.h"
 
 /* Bounds of a call: a document of some thousand routes is a megabyte. */
 #define CALL_HEADER_BYTES 16384
--- a/daemon/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -9,8 +9,8 @@
 #include <sys/random.h>
 
 #include "base/alloc.h"
-#include "daemon/control_daemon_state.h"
-#include "daemon/wal.h"
+#include "daemon/role/control_daemon_state.h"
+#include "daemon/disk/wal.h"
 
 /*
  * How often a folder that has failed is opened again: a disk that was full for
--- a/daemon/control_daemon_state.h
+++ b/daemon/role/control_daemon_state.h
@@ -2,9 +2,9 @@
 #define DAEMON_CONTROL_DAEMON_STATE_H
 
 #include "control/control.h"
-#include "daemon/http_client.h"
-#include "daemon/reader.h"
-#include "daemon/role.h"
+#include "daemon/http/http_client.h"
+#include "daemon/role/reader.h"
+#include "daemon/role/role.h"
 
 /** What the files of a control VM's process share. All on its one loop. */
 
--- a/daemon/control_orders.c
+++ b/daemon/role/control_orders.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 
 #include "base/alloc.h"
-#include "daemon/control_daemon_state.h"
+#include "daemon/role/control_daemon_state.h"
 
 /* Of the platform's API; the call's own time-out ends it anyway. */
 #define PLATFORM_CONNECT_MS 800
--- a/daemon/dialect.h
+++ b/daemon/role/dialect.h
@@ -7,7 +7,7 @@
 #include "base/bytes.h"
 #include "base/error.h"
 #include "core/effect.h"
-#include "daemon/http_parse.h"
+#include "daemon/http/http_parse.h"
 #include "document/document.h"
 #include "fleet/registry.h"
 
--- a/daemon/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -8,8 +8,8 @@
 #include <sys/random.h>
 
 #include "base/alloc.h"
-#include "daemon/relay.h"
-#include "daemon/role.h"
+#include "daemon/role/relay.h"
+#include "daemon/role/role.h"
 
 /*
  * A new connection stands within a few milliseconds; where the queue of a
--- a/daemon/mailbox.c
+++ b/daemon/role/mailbox.c
@@ -1,4 +1,4 @@
-#include "daemon/mailbox.h"
+#include "daemon/role/mailbox.h"
 
 #include <pthread.h>
 #include <stdlib.h>
--- a/daemon/reader.c
+++ b/daemon/role/reader.c
@@ -1,4 +1,4 @@
-#include "daemon/reader.h"
+#include "daemon/role/reader.h"
 
 #include <pthread.h>
 #include <stdbool.h>
--- a/daemon/relay.c
+++ b/daemon/role/relay.c
@@ -1,4 +1,4 @@
-#include "daemon/relay.h"
+#include "daemon/role/relay.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/daemon/relay.h
+++ b/daemon/role/relay.h
@@ -1,10 +1,10 @@
 #ifndef FILBERTHALL_DAEMON_RELAY_H
 #define FILBERTHALL_DAEMON_RELAY_H
 
-#include "daemon/dialect.h"
-#include "daemon/http_client.h"
-#include "daemon/http_server.h"
-#include "daemon/sse.h"
+#include "daemon/role/dialect.h"
+#include "daemon/http/http_client.h"
+#include "daemon/http/http_server.h"
+#include "daemon/http/sse.h"
 #include "entry/entry.h"
 
 /**
--- a/daemon/role.c
+++ b/daemon/role/role.c
@@ -1,4 +1,4 @@
-#include "daemon/role.h"
+#include "daemon/role/role.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -9,7 +9,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/file.h"
+#include "daemon/disk/file.h"
 #include "daemon/secrets.h"
 
 /* How often the settings file is looked at; it may change without a signal. */
--- a/daemon/role.h
+++ b/daemon/role/role.h
@@ -5,12 +5,12 @@
 
 #include "core/effect.h"
 #include "daemon/boot.h"
-#include "daemon/dialect.h"
-#include "daemon/http_server.h"
-#include "daemon/link.h"
+#include "daemon/role/dialect.h"
+#include "daemon/http/http_server.h"
+#include "daemon/link/link.h"
 #include "daemon/log.h"
-#include "daemon/mailbox.h"
-#include "daemon/stream.h"
+#include "daemon/role/mailbox.h"
+#include "daemon/http/stream.h"
 
 /**
  * What entry and control daemons share: the loop, signals, links, log, the
--- a/daemon/secrets.c
+++ b/daemon/secrets.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 
 #include "agree/yaml.h"
-#include "daemon/file.h"
-#include "daemon/http_in.h"
+#include "daemon/disk/file.h"
+#include "daemon/http/http_in.h"
 
 #define SECRETS_LEAST 16
 #define SECRETS_PEM_MOST (256 * 1024)
--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -17,9 +17,9 @@
 #include "base/bytes.h"
 #include "base/list.h"
 #include "daemon/edge.h"
-#include "daemon/file.h"
-#include "daemon/http_client.h"
-#include "daemon/http_server.h"
+#include "daemon/disk/file.h"
+#include "daemon/http/http_client.h"
+#include "daemon/http/http_server.h"
 #include "platform/names.h"
 
 #define CONTROLS_MOST 8
--- a/tests/agree/disk.h
+++ b/tests/agree/disk.h
@@ -1,7 +1,7 @@
 #ifndef TESTS_AGREE_DISK_H
 #define TESTS_AGREE_DISK_H
 
-#include "daemon/wal.h"
+#include "daemon/disk/wal.h"
 
 /** A data folder for tests, with file calls that can be made to fail. */
 struct disk {
--- a/tests/fuzz/fuzz-announce.c
+++ b/tests/fuzz/fuzz-announce.c
@@ -1,7 +1,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 
-#include "daemon/adapter.h"
+#include "daemon/http/adapter.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
 
--- a/tests/fuzz/fuzz-chunk.c
+++ b/tests/fuzz/fuzz-chunk.c
@@ -1,6 +1,6 @@
 #include <stdint.h>
 
-#include "daemon/adapter.h"
+#include "daemon/http/adapter.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
 
--- a/tests/fuzz/fuzz-frame.c
+++ b/tests/fuzz/fuzz-frame.c
@@ -1,8 +1,8 @@
 #include <stdint.h>
 #include <stdlib.h>
 
-#include "daemon/link.h"
-#include "daemon/link_frame.h"
+#include "daemon/link/link.h"
+#include "daemon/link/link_frame.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
 
--- a/tests/fuzz/fuzz-sse.c
+++ b/tests/fuzz/fuzz-sse.c
@@ -1,7 +1,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 
-#include "daemon/sse.h"
+#include "daemon/http/sse.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
 
--- a/tests/path/harness.h
+++ b/tests/path/harness.h
@@ -5,8 +5,8 @@
 #include <pthread.h>
 #include <stdbool.h>
 
-#include "daemon/http_in.h"
-#include "daemon/http_out.h"
+#include "daemon/http/http_in.h"
+#include "daemon/http/http_out.h"
 
 /* What a test waits for must come within this time, or the test fails. */
 #define HARNESS_WAIT_MS 20000
--- a/tests/path/loop_bed.h
+++ b/tests/path/loop_bed.h
@@ -1,8 +1,8 @@
 #ifndef TESTS_PATH_LOOP_BED_H
 #define TESTS_PATH_LOOP_BED_H
 
-#include "daemon/http_client.h"
-#include "daemon/http_server.h"
+#include "daemon/http/http_client.h"
+#include "daemon/http/http_server.h"
 
 /**
  * The listener and the client of the entry and control roles in one loop,
--- a/tests/path/t-adapter.c
+++ b/tests/path/t-adapter.c
@@ -1,9 +1,9 @@
 #include <glib.h>
 #include <string.h>
 
-#include "daemon/adapter.h"
-#include "daemon/http_in.h"
-#include "daemon/sse.h"
+#include "daemon/http/adapter.h"
+#include "daemon/http/http_in.h"
+#include "daemon/http/sse.h"
 
 struct call_case {
 	const char *verb;
--- a/tests/path/t-http-parse.c
+++ b/tests/path/t-http-parse.c
@@ -1,7 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "daemon/http_parse.h"
+#include "daemon/http/http_parse.h"
 
 struct seen {
 	int heads;
--- a/tests/path/t-link-state.c
+++ b/tests/path/t-link-state.c
@@ -1,6 +1,6 @@
 #include <glib.h>
 
-#include "daemon/link_private.h"
+#include "daemon/link/link_private.h"
 
 #define SECOND INT64_C(1000000)
 
--- a/tests/path/t-pool.c
+++ b/tests/path/t-pool.c
@@ -2,7 +2,7 @@
 #include <sys/resource.h>
 
 #include "daemon/descriptors.h"
-#include "daemon/pool.h"
+#include "daemon/http/pool.h"
 
 static void fill(struct pool *pool, const char *address, int n)
 {
--- a/tests/path/t-thread-link.c
+++ b/tests/path/t-thread-link.c
@@ -5,8 +5,8 @@
 #include <unistd.h>
 
 #include "daemon/address.h"
-#include "daemon/link.h"
-#include "daemon/link_frame.h"
+#include "daemon/link/link.h"
+#include "daemon/link/link_frame.h"
 #include "harness.h"
 
 static const char secret[] = "links of one site";
--- a/tests/path/t-thread-reader.c
+++ b/tests/path/t-thread-reader.c
@@ -1,7 +1,7 @@
 #include <ev.h>
 #include <glib.h>
 
-#include "daemon/reader.h"
+#include "daemon/role/reader.h"
 
 #define READINGS 3
 #define WAIT_US (30 * G_USEC_PER_SEC)
--- a/tests/soak/platform.c
+++ b/tests/soak/platform.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "daemon/http_server.h"
+#include "daemon/http/http_server.h"
 #include "ledger.h"
 #include "platform/names.h"
 #include "vm.h"
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -7,7 +7,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/http_server.h"
+#include "daemon/http/http_server.h"
 #include "ledger.h"
 #include "platform/names.h"
 #include "proxy.h"
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -7,8 +7,8 @@
 
 #include "base/rng.h"
 #include "daemon/edge.h"
-#include "daemon/http_client.h"
-#include "daemon/stream.h"
+#include "daemon/http/http_client.h"
+#include "daemon/http/stream.h"
 
 /**
  * A randomized soak of entry and control VMs: the real daemons as processes on
