fleet: starts of servers are found by address

Cause: registry_at() compared an address with all known starts. Each announcement that a control VM hears and each registration that an entry VM is told asks it, and so does each attempt's line of log: 3,000 servers that are replaced at once, told over five links, are some 50,000 walks over 6,000 starts.

--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -11,9 +11,37 @@
 		       key);
 }
 
+static bool address_match(const struct map_node *node, const void *key)
+{
+	return !strcmp(
+		container_of(node, struct registered, place)->told.address,
+		key);
+}
+
+static void unplace(struct registry *registry, struct registered *registered)
+{
+	if (registered->placed)
+		map_remove(&registry->by_address, &registered->place);
+	registered->placed = false;
+}
+
+static void place(struct registry *registry, struct registered *registered)
+{
+	map_insert(&registry->by_address, &registered->place,
+		   map_hash_text(registered->told.address));
+	registered->placed = true;
+}
+
+static void set_gone(struct registry *registry, struct registered *registered)
+{
+	unplace(registry, registered);
+	registered->told.gone = true;
+}
+
 void registry_init(struct registry *registry, int64_t beat_us)
 {
 	map_init(&registry->by_id);
+	map_init(&registry->by_address);
 	registry->silent_us = REGISTRY_SILENT_BEATS * beat_us;
 	if (registry->silent_us < REGISTRY_SILENT_US)
 		registry->silent_us = REGISTRY_SILENT_US;
@@ -28,6 +56,7 @@
 	map_foreach(registered, next, &registry->by_id, node)
 		free(registered);
 	map_clear(&registry->by_id);
+	map_clear(&registry->by_address);
 }
 
 struct registered *registry_find(const struct registry *registry,
@@ -42,14 +71,11 @@
 struct registered *registry_at(const struct registry *registry,
 			       const char *address)
 {
-	struct registered *registered;
-	struct registered *next;
+	struct map_node *node =
+		map_find(&registry->by_address, map_hash_text(address),
+			 address_match, address);
 
-	map_foreach(registered, next, &registry->by_id, node)
-		if (!registered->told.gone &&
-		    !strcmp(registered->told.address, address))
-			return registered;
-	return NULL;
+	return node ? container_of(node, struct registered, place) : NULL;
 }
 
 /* A start that left stays dead, whatever else arrives of it. */
@@ -111,12 +137,15 @@
 		map_insert(&registry->by_id, &known->node,
 			   map_hash_text(told->id));
 	}
-	known->told = *told;
-	note_heard(registry, known, heard_us);
 	if (holder && !told->gone) {
-		holder->told.gone = true;
+		set_gone(registry, holder);
 		*replaced = holder;
 	}
+	unplace(registry, known);
+	known->told = *told;
+	if (!told->gone)
+		place(registry, known);
+	note_heard(registry, known, heard_us);
 	return news ? REGISTRY_CHANGED : REGISTRY_HEARD;
 }
 
@@ -125,7 +154,7 @@
 	struct registered *known = registry_find(registry, id);
 
 	if (known)
-		known->told.gone = true;
+		set_gone(registry, known);
 	return known;
 }
 
@@ -178,6 +207,7 @@
 		    now_us - registered->heard_us < REGISTRY_DEAD_US)
 			continue;
 		map_remove(&registry->by_id, &registered->node);
+		unplace(registry, registered);
 		free(registered);
 	}
 }
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -40,7 +40,9 @@
 
 /** A registration as it is kept. */
 struct registered {
-	struct map_node node; /**< by id */
+	struct map_node node;  /**< by id */
+	struct map_node place; /**< by address, unless gone */
+	bool placed;	       /**< `place` is in its map */
 	struct registration told;
 	int64_t heard_us; /**< last sign of life, own clock */
 	int64_t here_us;  /**< last one that this VM heard by itself */
@@ -49,8 +51,9 @@
 
 struct registry {
 	struct map by_id;
-	int64_t heard_us;  /**< when any server was last heard of */
-	int64_t silent_us; /**< for so long unheard while others were */
+	struct map by_address; /**< those that aren't gone */
+	int64_t heard_us;      /**< when any server was last heard of */
+	int64_t silent_us;     /**< for so long unheard while others were */
 };
 
 /** What a message did. */
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -169,6 +169,53 @@
 	registry_clear(&registry);
 }
 
+/* The living start at an address, looked for one by one. */
+static struct registered *naive_at(const struct registry *registry,
+				   const char *address)
+{
+	struct registered *registered;
+	struct registered *next;
+
+	map_foreach(registered, next, &registry->by_id, node)
+		if (!registered->told.gone &&
+		    !strcmp(registered->told.address, address))
+			return registered;
+	return NULL;
+}
+
+/* Starts that come, leave, move and take each other's addresses and ids. */
+static void test_at_address(void)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+	struct registry registry;
+	int i;
+
+	registry_init(&registry, SECOND);
+	for (i = 1; i <= 20000; i++) {
+		struct registration one;
+		char id[16];
+		char address[16];
+
+		g_snprintf(id, sizeof(id), "s%d",
+			   g_rand_int_range(rand, 0, 60));
+		g_snprintf(address, sizeof(address), "a:%d",
+			   g_rand_int_range(rand, 0, 40));
+		one = told(id, address, g_rand_int_range(rand, 1, 2 + i / 50),
+			   i);
+		one.gone = !g_rand_int_range(rand, 0, 8);
+		take(&registry, one, i);
+		if (!g_rand_int_range(rand, 0, 10))
+			registry_leave(&registry, id);
+		if (!g_rand_int_range(rand, 0, 2000))
+			registry_expire(&registry, i + REGISTRY_DEAD_US, NULL,
+					NULL);
+		g_assert_true(registry_at(&registry, address) ==
+			      naive_at(&registry, address));
+	}
+	registry_clear(&registry);
+	g_rand_free(rand);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -176,6 +223,7 @@
 	g_test_add_func("/registry/late-ready", test_late_ready);
 	g_test_add_func("/registry/reused-id", test_reused_id);
 	g_test_add_func("/registry/reused-address", test_reused_address);
+	g_test_add_func("/registry/at-address", test_at_address);
 	g_test_add_func("/registry/silence", test_silence);
 	g_test_add_func("/registry/slow-beats", test_slow_beats);
 	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
