load: pools of thousands are listed and counted less often

With 3,000 servers an entry VM listed and sorted its pool anew for each server that came or went, and counted all members 20 times a second. Both now wait for 100 us a member in pools of more than 256, so that either takes a bounded part of a core: 0.3 s with 3,000. What is freed still goes from the list at once, and what leaves is refused where a server is picked.

--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -241,6 +241,7 @@
 		map_remove(&fleet->backends, &backend->node);
 		free(backend);
 		fleet->version++;
+		fleet->removals++;
 		n++;
 	}
 	map_foreach(stone, after, &fleet->tombstones, node) {
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -85,7 +85,8 @@
 struct fleet {
 	struct map backends;
 	struct map tombstones;
-	uint64_t version; /**< grows when who may get work changes */
+	uint64_t version;  /**< grows when who may get work changes */
+	uint64_t removals; /**< grows when a backend is freed */
 };
 
 /** What an announcement did. */
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -18,6 +18,15 @@
 /* Members are counted anew so often; each decision would be too often. */
 #define POOL_COUNT_US INT64_C(20000)
 
+/*
+ * Time that goes by for each member before they are counted or listed again:
+ * so a pool of thousands that comes and goes costs no more than a small one.
+ */
+#define POOL_MEMBER_US INT64_C(100)
+
+/* Up to so many are listed anew with each change. */
+#define POOL_SMALL 256
+
 /* Running averages over about this many attempts. */
 #define POOL_GAIN (1.0 / 64)
 
@@ -156,6 +165,8 @@
 		if (backend_serves(backend, pool->model, NULL, pool->service))
 			pool->members[pool->n_members++] = backend;
 	pool->fleet_version = fleet->version;
+	pool->fleet_removals = fleet->removals;
+	pool->listed_us = now_us;
 	divide_mark(&pool->divide, pool->members, pool->n_members, now_us);
 }
 
@@ -188,15 +199,35 @@
 	pool->counted_us = now_us;
 }
 
+/* What was freed must go at once; the rest may wait in a large pool. */
+static bool pool_must_list(const struct pool *pool, const struct fleet *fleet,
+			   int64_t now_us)
+{
+	if (pool->fleet_removals != fleet->removals)
+		return true;
+	if (pool->fleet_version == fleet->version)
+		return false;
+	return pool->n_members <= POOL_SMALL ||
+	       now_us - pool->listed_us >= pool->n_members * POOL_MEMBER_US;
+}
+
+static bool pool_must_count(const struct pool *pool, int64_t now_us)
+{
+	int64_t age_us = now_us - pool->counted_us;
+
+	return age_us >= POOL_COUNT_US &&
+	       age_us >= pool->n_members * POOL_MEMBER_US;
+}
+
 void pool_refresh(struct router *router, struct pool *pool, int64_t now_us)
 {
 	const struct fleet *fleet = router->options.fleet;
-	bool changed = pool->fleet_version != fleet->version;
+	bool listed = pool_must_list(pool, fleet, now_us);
 	struct divide_pool divided;
 
-	if (changed)
+	if (listed)
 		pool_list_members(fleet, pool, now_us);
-	if (!changed && now_us - pool->counted_us < POOL_COUNT_US)
+	if (!listed && !pool_must_count(pool, now_us))
 		return;
 	pool_count_members(router, pool, now_us);
 	divided = (struct divide_pool){ .vms = router->retry_limit.vms,
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -91,11 +91,13 @@
 	int n_members;
 	int n_usable;		/**< members that take new work */
 	uint64_t fleet_version; /**< at which members was made */
-	double slots;		/**< of usable members that aren't cheap */
-	double cheap_slots;	/**< of usable cheap ones */
-	double load;		/**< requests on all usable members */
-	int64_t counted_us;	/**< when these were worked out */
-	int64_t usable_us;	/**< when a member was last usable */
+	uint64_t fleet_removals;
+	int64_t listed_us;  /**< when that was */
+	double slots;	    /**< of usable members that aren't cheap */
+	double cheap_slots; /**< of usable cheap ones */
+	double load;	    /**< requests on all usable members */
+	int64_t counted_us; /**< when these were worked out */
+	int64_t usable_us;  /**< when a member was last usable */
 	struct list queues;
 	struct retry retry;
 	struct floor floor;
