feed: entry VMs hear of living servers by short marks

Each control VM told each entry VM once a second which servers it had heard, with name, start and age: some 45 bytes a server, 45 KB/s at 1,000 servers where a daemon may spend 5 KB/s on control.

A start is now named by five bytes of a hash of its id and moment of birth, and the list has one age. Registrations still travel whole, once; an entry VM looks marks up among what it was told. Two of 3,000 share a mark in one case of 10^5; then the dead one of them is found out by its failures alone.

Ruled out: telling only who fell silent (it needs each control VM's view kept apart, and a stale link vouches for the dead), and a longer interval (silence is seen later).

--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -168,6 +168,15 @@
 	bytes_clear(&body);
 }
 
+static void note_poll(struct control *control, uint64_t id,
+		      const struct feed_poll *poll)
+{
+	struct feed_peer *peer = feed_peer_find(&control->peers, id);
+
+	if (peer)
+		peer->marks = poll->marks;
+}
+
 static void answer_poll(struct control *control, uint64_t peer,
 			const struct feed_poll *poll, int64_t now_us,
 			struct effects *effects)
@@ -281,6 +290,7 @@
 	}
 	switch (message.kind) {
 	case FEED_POLL:
+		note_poll(control, peer, &message.u.poll);
 		answer_poll(control, peer, &message.u.poll, now_us, effects);
 		break;
 	case FEED_FETCH:
@@ -299,6 +309,7 @@
 	case FEED_CLOCK:
 		wall_note(&control->wall, peer, message.u.clock_us, now_us);
 		break;
+	case FEED_MARKS:
 	case FEED_STATE:
 	case FEED_DOCUMENT:
 	case FEED_MEMBER:
@@ -354,9 +365,47 @@
 		tell_registered(control, registered, now_us, effects);
 }
 
+static bool takes_marks(const struct feed_peer *peer)
+{
+	return peer->observer && peer->marks;
+}
+
+/* Frees both bodies. */
+static void send_alive(struct control *control, struct bytes *names,
+		       struct bytes *marks, struct effects *effects)
+{
+	struct feed_peer *peer;
+	struct feed_peer *next;
+
+	map_foreach(peer, next, &control->peers, node)
+		feed_send(effects, peer->id, takes_marks(peer) ? marks : names);
+	bytes_clear(names);
+	bytes_clear(marks);
+}
+
+static void write_marks(struct bytes *out, const struct feed_alive *alive,
+			size_t n)
+{
+	struct feed_marks marks = { 0 };
+	struct bytes bytes = { 0 };
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		feed_add_mark(&bytes,
+			      registration_mark(alive[i].id, alive[i].born_ms));
+		if (alive[i].age_us > marks.age_us)
+			marks.age_us = alive[i].age_us;
+	}
+	marks.bytes = bytes.data;
+	marks.len = bytes.len;
+	feed_write_marks(out, &marks);
+	bytes_clear(&bytes);
+}
+
 static void tell_alive(struct control *control, int64_t now_us,
 		       struct effects *effects)
 {
+	struct bytes marks = { 0 };
 	size_t most = control->registry.by_id.count;
 	struct feed_alive *alive = xcalloc(most + 1, sizeof(*alive));
 	struct registered *registered;
@@ -374,7 +423,8 @@
 	}
 	if (n) {
 		feed_write_alive(&body, alive, n);
-		send_to(control, TO_ALL, &body, effects);
+		write_marks(&marks, alive, n);
+		send_alive(control, &body, &marks, effects);
 	}
 	free(alive);
 }
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -45,7 +45,7 @@
 
 void entry_poll(struct entry *entry)
 {
-	struct feed_poll poll = { entry->now_us };
+	struct feed_poll poll = { entry->now_us, true };
 	struct bytes body = { 0 };
 
 	feed_write_poll(&body, &poll);
@@ -266,21 +266,42 @@
 		publish(entry, registry_find(&entry->registry, told->id));
 }
 
+static void heard_alive(struct entry *entry, const char *id, int64_t born_ms,
+			int64_t heard_us)
+{
+	struct registered *known = registry_find(&entry->registry, id);
+	bool was_silent = known && known->silent;
+
+	known = registry_alive(&entry->registry, id, born_ms, heard_us);
+	if (known && was_silent && !known->silent)
+		publish(entry, known);
+}
+
 static void take_alive(struct entry *entry, const struct feed_message *message)
 {
 	size_t i;
 
 	for (i = 0; i < message->n_alive; i++) {
 		const struct feed_alive *alive = &message->alive[i];
-		struct registered *known =
-			registry_find(&entry->registry, alive->id);
-		bool was_silent = known && known->silent;
-
-		known = registry_alive(&entry->registry, alive->id,
-				       alive->born_ms,
-				       entry->now_us - alive->age_us);
-		if (known && was_silent && !known->silent)
-			publish(entry, known);
+
+		heard_alive(entry, alive->id, alive->born_ms,
+			    entry->now_us - alive->age_us);
+	}
+}
+
+static void take_marks(struct entry *entry, const struct feed_marks *marks)
+{
+	int64_t heard_us = entry->now_us - marks->age_us;
+	struct registered *known;
+	size_t i;
+
+	registry_heard(&entry->registry, heard_us);
+	for (i = 0; i < feed_marks_count(marks); i++) {
+		known = registry_find_mark(&entry->registry,
+					   feed_mark_at(marks, i));
+		if (known)
+			heard_alive(entry, known->told.id, known->told.born_ms,
+				    heard_us);
 	}
 }
 
@@ -311,6 +332,9 @@
 	case FEED_ALIVE:
 		take_alive(entry, &message);
 		break;
+	case FEED_MARKS:
+		take_marks(entry, &message.u.marks);
+		break;
 	case FEED_POLL:
 	case FEED_FETCH:
 	case FEED_BEGUN:
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -24,8 +24,9 @@
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 1, FEED_POLL);
+	begin(&packer, out, 2, FEED_POLL);
 	msgpack_pack_int64(&packer, poll->sent_us);
+	msgpack_pack_int64(&packer, poll->marks);
 }
 
 void feed_write_state(struct bytes *out, const struct feed_state *state)
@@ -103,6 +104,42 @@
 	}
 }
 
+void feed_write_marks(struct bytes *out, const struct feed_marks *marks)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 2, FEED_MARKS);
+	msgpack_pack_int64(&packer, marks->age_us);
+	pack_bytes(&packer, marks->bytes, marks->len);
+}
+
+void feed_add_mark(struct bytes *bytes, uint64_t mark)
+{
+	char raw[REGISTRATION_MARK_BYTES];
+	int i;
+
+	for (i = 0; i < REGISTRATION_MARK_BYTES; i++)
+		raw[i] = (char)(mark >> (8 * i));
+	bytes_append(bytes, raw, sizeof(raw));
+}
+
+uint64_t feed_mark_at(const struct feed_marks *marks, size_t i)
+{
+	const unsigned char *raw = (const unsigned char *)marks->bytes +
+				   i * REGISTRATION_MARK_BYTES;
+	uint64_t mark = 0;
+	int at;
+
+	for (at = 0; at < REGISTRATION_MARK_BYTES; at++)
+		mark |= (uint64_t)raw[at] << (8 * at);
+	return mark;
+}
+
+size_t feed_marks_count(const struct feed_marks *marks)
+{
+	return marks->len / REGISTRATION_MARK_BYTES;
+}
+
 void feed_pack_begun(struct bytes *out, int64_t kind,
 		     const struct feed_begun *begun)
 {
@@ -154,6 +191,21 @@
 	return true;
 }
 
+/* Releases before this item know FEED_ALIVE alone. */
+static bool read_poll(const struct unpacked *items, struct feed_poll *poll)
+{
+	if (!read_flag(items, 2, &poll->marks))
+		poll->marks = false;
+	return unpack_int(items, 1, &poll->sent_us);
+}
+
+static bool read_marks(const struct unpacked *items, struct feed_marks *marks)
+{
+	return unpack_int(items, 1, &marks->age_us) &&
+	       unpack_bytes(items, 2, &marks->bytes, &marks->len) &&
+	       marks->len % REGISTRATION_MARK_BYTES == 0;
+}
+
 static bool read_state(const struct unpacked *items, struct feed_state *state)
 {
 	/* Releases before this item said nothing of the others. */
@@ -265,7 +317,7 @@
 	message->kind = (enum feed_kind)kind;
 	switch (kind) {
 	case FEED_POLL:
-		return unpack_int(items, 1, &message->u.poll.sent_us);
+		return read_poll(items, &message->u.poll);
 	case FEED_STATE:
 		return read_state(items, &message->u.state);
 	case FEED_FETCH:
@@ -283,6 +335,8 @@
 		return feed_unpack_begun(items, &message->u.begun);
 	case FEED_CLOCK:
 		return unpack_int(items, 1, &message->u.clock_us);
+	case FEED_MARKS:
+		return read_marks(items, &message->u.marks);
 	default:
 		return false;
 	}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -24,11 +24,13 @@
 	FEED_REGISTRATION, /**< control to all */
 	FEED_ALIVE,	   /**< control to all: servers heard since the last */
 	FEED_BEGUN,	   /**< entry to control: requests begun in a window */
-	FEED_CLOCK	   /**< control to control: its wall clock */
+	FEED_CLOCK,	   /**< control to control: its wall clock */
+	FEED_MARKS	   /**< control to entry: FEED_ALIVE in few bytes */
 };
 
 struct feed_poll {
 	int64_t sent_us; /**< entry VM's clock */
+	bool marks;	 /**< FEED_MARKS is understood */
 };
 
 struct feed_state {
@@ -67,6 +69,13 @@
 	int64_t age_us; /**< since it was heard */
 };
 
+/** Servers heard lately, each by registration_mark(). */
+struct feed_marks {
+	int64_t age_us;	   /**< since the one was heard that was heard first */
+	const char *bytes; /**< inside the message that was read */
+	size_t len;
+};
+
 /** One organisation's part of FEED_BEGUN. */
 struct feed_count {
 	char organisation[BACKEND_NAME_SIZE];
@@ -91,6 +100,7 @@
 		struct feed_member member;
 		struct registration registration;
 		struct feed_begun begun;
+		struct feed_marks marks;
 		int64_t clock_us;
 	} u;
 	int64_t age_us; /**< of a registration, since the server was heard */
@@ -109,6 +119,12 @@
 			     int64_t age_us);
 void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
 		      size_t n_alive);
+void feed_write_marks(struct bytes *out, const struct feed_marks *marks);
+
+/** Append a mark to the bytes of a list, and read the one at `i`. */
+void feed_add_mark(struct bytes *bytes, uint64_t mark);
+uint64_t feed_mark_at(const struct feed_marks *marks, size_t i);
+size_t feed_marks_count(const struct feed_marks *marks);
 void feed_write_begun(struct bytes *out, const struct feed_begun *begun);
 /** The array of a window's counts behind any kind; the log has them too. */
 void feed_pack_begun(struct bytes *out, int64_t kind,
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -15,6 +15,7 @@
 	bool observer;	 /**< an entry VM */
 	int64_t entries; /**< entry VMs that it has told of */
 	bool fetches;	 /**< waits for the document in force */
+	bool marks;	 /**< understands FEED_MARKS */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -20,8 +20,10 @@
 
 static void unplace(struct registry *registry, struct registered *registered)
 {
-	if (registered->placed)
+	if (registered->placed) {
 		map_remove(&registry->by_address, &registered->place);
+		map_remove(&registry->by_mark, &registered->mark);
+	}
 	registered->placed = false;
 }
 
@@ -29,6 +31,9 @@
 {
 	map_insert(&registry->by_address, &registered->place,
 		   map_hash_text(registered->told.address));
+	map_insert(&registry->by_mark, &registered->mark,
+		   registration_mark(registered->told.id,
+				     registered->told.born_ms));
 	registered->placed = true;
 }
 
@@ -42,6 +47,7 @@
 {
 	map_init(&registry->by_id);
 	map_init(&registry->by_address);
+	map_init(&registry->by_mark);
 	registry->silent_us = REGISTRY_SILENT_BEATS * beat_us;
 	if (registry->silent_us < REGISTRY_SILENT_US)
 		registry->silent_us = REGISTRY_SILENT_US;
@@ -57,6 +63,7 @@
 		free(registered);
 	map_clear(&registry->by_id);
 	map_clear(&registry->by_address);
+	map_clear(&registry->by_mark);
 }
 
 struct registered *registry_find(const struct registry *registry,
@@ -158,19 +165,45 @@
 	return known;
 }
 
+void registry_heard(struct registry *registry, int64_t heard_us)
+{
+	if (heard_us > registry->heard_us)
+		registry->heard_us = heard_us;
+}
+
 struct registered *registry_alive(struct registry *registry, const char *id,
 				  int64_t born_ms, int64_t heard_us)
 {
 	struct registered *known = registry_find(registry, id);
 
-	if (heard_us > registry->heard_us)
-		registry->heard_us = heard_us;
+	registry_heard(registry, heard_us);
 	if (!known || known->told.born_ms != born_ms || known->told.gone)
 		return NULL;
 	note_heard(registry, known, heard_us);
 	return known;
 }
 
+uint64_t registration_mark(const char *id, int64_t born_ms)
+{
+	uint64_t key[2] = { map_hash_text(id), (uint64_t)born_ms };
+
+	return map_hash(key, sizeof(key)) >> (64 - 8 * REGISTRATION_MARK_BYTES);
+}
+
+static bool mark_match(const struct map_node *node, const void *key)
+{
+	return node->hash == *(const uint64_t *)key;
+}
+
+struct registered *registry_find_mark(const struct registry *registry,
+				      uint64_t mark)
+{
+	struct map_node *node =
+		map_find(&registry->by_mark, mark, mark_match, &mark);
+
+	return node ? container_of(node, struct registered, mark) : NULL;
+}
+
 bool registered_usable(const struct registered *registered)
 {
 	return !registered->told.gone && !registered->told.leaving &&
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -42,7 +42,8 @@
 struct registered {
 	struct map_node node;  /**< by id */
 	struct map_node place; /**< by address, unless gone */
-	bool placed;	       /**< `place` is in its map */
+	struct map_node mark;  /**< by registration_mark(), unless gone */
+	bool placed;	       /**< `place` and `mark` are in their maps */
 	struct registration told;
 	int64_t heard_us; /**< last sign of life, own clock */
 	int64_t here_us;  /**< last one that this VM heard by itself */
@@ -52,6 +53,7 @@
 struct registry {
 	struct map by_id;
 	struct map by_address; /**< those that aren't gone */
+	struct map by_mark;    /**< the same */
 	int64_t heard_us;      /**< when any server was last heard of */
 	int64_t silent_us;     /**< for so long unheard while others were */
 };
@@ -99,6 +101,17 @@
 struct registered *registry_alive(struct registry *registry, const char *id,
 				  int64_t born_ms, int64_t heard_us);
 
+/** A start's short name on links: REGISTRATION_MARK_BYTES of a hash. */
+#define REGISTRATION_MARK_BYTES 5
+uint64_t registration_mark(const char *id, int64_t born_ms);
+
+/** The start with that mark that isn't gone, or NULL. */
+struct registered *registry_find_mark(const struct registry *registry,
+				      uint64_t mark);
+
+/** Some server was heard, known or not. */
+void registry_heard(struct registry *registry, int64_t heard_us);
+
 /** Whether the start may get new work. */
 bool registered_usable(const struct registered *registered);
 
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -73,12 +73,14 @@
 {
 	struct feed_message message;
 
+	vm->entry_bytes += (int64_t)send->body.len;
 	if (!feed_read(&message, send->body.data, send->body.len))
 		return;
 	if (message.kind == FEED_DOCUMENT) {
 		bytes_clear(&vm->fetched);
 		vm->fetched = bytes_copy(&send->body);
 	}
+	vm->entry_names += (int)message.n_alive;
 	feed_clear(&message);
 }
 
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -82,6 +82,17 @@
 /** The document that the entry VM was sent last, empty for none. */
 struct bytes group_fetched(struct group *group, int vm);
 
+/** The entry VM polls a VM; `marks`: it understands FEED_MARKS. */
+void group_poll(struct group *group, int vm, bool marks);
+
+/** What a VM has sent the entry VM: bytes, and servers by name. */
+int64_t group_entry_bytes(const struct group *group, int vm);
+int group_entry_names(const struct group *group, int vm);
+
+/** A server announces itself at a VM. */
+void group_register(struct group *group, int vm, const char *id,
+		    int64_t sequence);
+
 /** How VMs read a document; by default as one without a version. */
 typedef struct document *group_reader(void *data, const char *text, size_t len);
 
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -148,6 +148,53 @@
 	return answer;
 }
 
+void group_poll(struct group *group, int at, bool marks)
+{
+	struct event_link_up up = { GROUP_ENTRY_ID, (char *)"entry",
+				    (char *)"z1", NULL, true };
+	struct event_link_message message = { GROUP_ENTRY_ID,
+					      LINK_FEED,
+					      { 0 } };
+	struct feed_poll poll = { group->now_us, marks };
+	struct control *control = group->vms[at].control;
+	struct effects effects;
+
+	effects_init(&effects);
+	feed_write_poll(&message.body, &poll);
+	control_link_up(control, &up, group->now_us, &effects);
+	control_link_message(control, &message, group->now_us, &effects);
+	bytes_clear(&message.body);
+	group_carry_out(group, at, &effects);
+}
+
+int64_t group_entry_bytes(const struct group *group, int at)
+{
+	return group->vms[at].entry_bytes;
+}
+
+int group_entry_names(const struct group *group, int at)
+{
+	return group->vms[at].entry_names;
+}
+
+void group_register(struct group *group, int at, const char *id,
+		    int64_t sequence)
+{
+	struct registration told = { .born_ms = 100,
+				     .sequence = sequence,
+				     .slots = 4 };
+	struct effects effects;
+
+	g_strlcpy(told.id, id, sizeof(told.id));
+	g_strlcpy(told.address, id, sizeof(told.address));
+	g_strlcpy(told.service, "desk", sizeof(told.service));
+	g_strlcpy(told.zone, "z1", sizeof(told.zone));
+	effects_init(&effects);
+	control_register(group->vms[at].control, &told, group->now_us,
+			 &effects);
+	group_carry_out(group, at, &effects);
+}
+
 struct bytes group_fetched(struct group *group, int at)
 {
 	return bytes_copy(&group->vms[at].fetched);
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -25,6 +25,8 @@
 	int64_t read_version;
 	int64_t read_us;      /* when it is there */
 	struct bytes fetched; /* message to the entry VM */
+	int64_t entry_bytes;  /* to the entry VM */
+	int entry_names;      /* servers told it by name */
 	bool frozen;
 };
 
--- /dev/null
+++ b/tests/control/t-alive.c
@@ -0,0 +1,86 @@
+#include <glib.h>
+
+#include "group.h"
+
+#define SECOND INT64_C(1000000)
+#define SERVERS 1000
+#define BEAT_US (6 * SECOND / 5)
+/* What a daemon may receive a second for control, at that many servers. */
+#define BYTES_MOST 5120
+
+static void beat(struct group *group, int64_t sequence)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < SERVERS; i++) {
+		g_snprintf(id, sizeof(id), "i-%08x", i * 7919);
+		group_register(group, i % 5, id, sequence);
+	}
+}
+
+static int64_t bytes(struct group *group)
+{
+	int64_t sum = 0;
+	int vm;
+
+	for (vm = 0; vm < 5; vm++)
+		sum += group_entry_bytes(group, vm);
+	return sum;
+}
+
+static int names(struct group *group)
+{
+	int sum = 0;
+	int vm;
+
+	for (vm = 0; vm < 5; vm++)
+		sum += group_entry_names(group, vm);
+	return sum;
+}
+
+/* Bytes a second to an entry VM once all servers are known. */
+static int64_t play(struct group *group, bool marks)
+{
+	int64_t before;
+	int i;
+
+	beat(group, 1);
+	for (i = 0; i < 5; i++)
+		group_poll(group, i, marks);
+	group_run(group, 2 * SECOND);
+	before = bytes(group);
+	for (i = 0; i < 10; i++) {
+		beat(group, 2 + i);
+		group_run(group, BEAT_US);
+	}
+	return (bytes(group) - before) * SECOND / (10 * BEAT_US);
+}
+
+/* Lists of living servers outgrew entry VMs' links. */
+static void test_bytes(void)
+{
+	struct group *group = group_founded(NULL);
+
+	g_assert_cmpint(play(group, true), <=, BYTES_MOST);
+	g_assert_cmpint(names(group), ==, 0);
+	group_free(group);
+}
+
+/* Entry VMs of earlier releases would hold all servers for silent. */
+static void test_earlier_release(void)
+{
+	struct group *group = group_founded(NULL);
+
+	play(group, false);
+	g_assert_cmpint(names(group), >=, 9 * SERVERS);
+	group_free(group);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/alive/bytes", test_bytes);
+	g_test_add_func("/alive/earlier-release", test_earlier_release);
+	return g_test_run();
+}
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -9,6 +9,8 @@
 #include "document/encoding.h"
 #include "feed/feed.h"
 
+#define BORN_MS 7
+
 /*
  * "VERSION KEY": one service, open to whoever has the key. Of the routes
  * "lodge" is more urgent than "shed". The organisation has a rank of its own,
@@ -177,7 +179,7 @@
 {
 	struct registration told = { .service = "desk",
 				     .zone = "z1",
-				     .born_ms = 7,
+				     .born_ms = BORN_MS,
 				     .sequence = sequence,
 				     .slots = 8,
 				     .cheap = cheap,
@@ -190,13 +192,29 @@
 	hear(bed, &body);
 }
 
+void bed_hear_marks(struct bed *bed, const char *address, bool engine)
+{
+	struct feed_marks marks = { 0 };
+	struct bytes list = { 0 };
+	struct bytes body = { 0 };
+
+	feed_add_mark(&list, registration_mark(address, BORN_MS));
+	if (engine)
+		feed_add_mark(&list, registration_mark("s1", BORN_MS));
+	marks.bytes = list.data;
+	marks.len = list.len;
+	feed_write_marks(&body, &marks);
+	bytes_clear(&list);
+	hear(bed, &body);
+}
+
 void bed_hear_engine(struct bed *bed, int64_t sequence, bool leaving)
 {
 	struct registration told = { .id = "s1",
 				     .address = ENGINE,
 				     .service = "desk",
 				     .zone = "z1",
-				     .born_ms = 7,
+				     .born_ms = BORN_MS,
 				     .sequence = sequence,
 				     .slots = 2,
 				     .leaving = leaving };
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -46,6 +46,8 @@
 		    bool cheap, bool leaving);
 /** The server at ENGINE. */
 void bed_hear_engine(struct bed *bed, int64_t sequence, bool leaving);
+/** Both that server and ENGINE, or it alone, were heard, told by marks. */
+void bed_hear_marks(struct bed *bed, const char *address, bool engine);
 /** Let time pass, with ticks. */
 void bed_pass(struct bed *bed, int64_t us);
 /** A fresh entry VM that knows version 1, key "k1" and ENGINE. */
--- a/tests/entry/t-entry-feed.c
+++ b/tests/entry/t-entry-feed.c
@@ -53,11 +53,46 @@
 	bed_end(&bed);
 }
 
+/* A server that no control VM hears gets no work; marks tell who is heard. */
+static void test_marks(void)
+{
+	struct bed bed;
+	uint64_t id;
+	int i;
+
+	bed_start(&bed);
+	bed_hear_other(&bed, STEADY, 1, false, false);
+	for (i = 0; i < 24; i++) {
+		bed_pass(&bed, SECOND / 2);
+		bed_hear_state(&bed, bed.polled_us, 0, 1);
+		bed_hear_marks(&bed, STEADY, i < 12);
+		if (i == 11)
+			g_assert_cmpint(
+				entry_view(bed.entry, bed.now_us).servers, ==,
+				2);
+	}
+	bed_pass(&bed, 4 * SECOND);
+	bed_hear_state(&bed, bed.polled_us, 0, 1);
+	bed_hear_marks(&bed, STEADY, false);
+	bed_pass(&bed, SECOND / 10);
+	g_assert_cmpint(entry_view(bed.entry, bed.now_us).servers, ==, 1);
+	for (i = 0; i < 8; i++) {
+		bed.at_steady = 0;
+		id = bed_ask(&bed, "/r3/", BOARD_KEY);
+		g_assert_cmpint(bed.at_steady, ==, 1);
+		bed_end_attempt(&bed, id, RESULT_OK, 200, true);
+	}
+	bed_hear_marks(&bed, STEADY, true);
+	g_assert_cmpint(entry_view(bed.entry, bed.now_us).servers, ==, 2);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/entry-feed/counts-documents", test_counts_documents);
 	g_test_add_func("/entry-feed/takes-packed", test_takes_packed);
 	g_test_add_func("/entry-feed/asks-for-plain", test_asks_for_plain);
+	g_test_add_func("/entry-feed/marks", test_marks);
 	return g_test_run();
 }
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -216,6 +216,28 @@
 	g_rand_free(rand);
 }
 
+/* A mark names one life of a server, and only while that isn't gone. */
+static void test_marks(void)
+{
+	struct registry registry;
+	uint64_t first = registration_mark("s1", 100);
+	uint64_t second = registration_mark("s1", 200);
+
+	registry_init(&registry, SECOND);
+	take(&registry, told("s1", "a:1", 100, 1), 0);
+	take(&registry, told("s2", "a:2", 100, 1), 0);
+	g_assert_true(registry_find_mark(&registry, first) ==
+		      registry_find(&registry, "s1"));
+	g_assert_null(registry_find_mark(&registry, second));
+	take(&registry, told("s1", "a:1", 200, 1), 1);
+	g_assert_null(registry_find_mark(&registry, first));
+	g_assert_true(registry_find_mark(&registry, second) ==
+		      registry_find(&registry, "s1"));
+	registry_leave(&registry, "s1");
+	g_assert_null(registry_find_mark(&registry, second));
+	registry_clear(&registry);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -224,6 +246,7 @@
 	g_test_add_func("/registry/reused-id", test_reused_id);
 	g_test_add_func("/registry/reused-address", test_reused_address);
 	g_test_add_func("/registry/at-address", test_at_address);
+	g_test_add_func("/registry/marks", test_marks);
 	g_test_add_func("/registry/silence", test_silence);
 	g_test_add_func("/registry/slow-beats", test_slow_beats);
 	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
