load: of servers that are as good each request draws one

Cause: where costs are equal the first member won, and members stand in the order in which they were told, much the same on all VMs. A VM of 195 knows of hardly any load, so costs are equal most of the time. The same holds for what spills over from a busy home (busiest of the engines 2.9 times the mean).

Now each request draws among those within 50 us, less than one running request counts for at 128 slots. /place/equals failed before: all 1,200 at one of six.

--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -37,6 +37,12 @@
 	return cost + PLACE_FULL_S * backend_load(backend) / slots;
 }
 
+/* From 0 to 1, by chance but the same for the same draw and server. */
+static double place_chance(uint64_t draw, const struct backend *backend)
+{
+	return (double)place_score(draw, backend) / (double)UINT64_MAX;
+}
+
 struct backend *place_choose(const struct place_query *query,
 			     struct backend *const *members, int n,
 			     bool (*fits)(const void *data,
@@ -66,6 +72,7 @@
 			continue;
 		cost = place_cost(query, members[i], home && members[i] == home,
 				  now_us);
+		cost += PLACE_ALIKE_S * place_chance(query->draw, members[i]);
 		if (best && cost >= best_cost)
 			continue;
 		best = members[i];
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -24,6 +24,9 @@
  * - Another engine is taken only if the home is so far behind that reading the
  *   part anew is quicker by PLACE_AGAIN times: it also costs those who are
  *   served there.
+ * - Where several are as good, each request draws one. Without that all VMs
+ *   take the same one of equals: second tries and what spills over from a busy
+ *   home met on one server while others had nothing to do.
  * - Paced streams have a part of the engines to themselves (load/divide.h), for
  *   long prompts delay every token that is generated beside them; only when
  *   these are behind do they go elsewhere.
@@ -41,6 +44,9 @@
 /** What another zone's way and bytes count for, s. */
 #define PLACE_ZONE_S 0.004
 
+/** Servers that differ by less are as good, s. */
+#define PLACE_ALIKE_S 0.00005
+
 /** What a full batch counts for against an empty one, s: it is slower. */
 #define PLACE_FULL_S 0.02
 
@@ -52,6 +58,7 @@
 	bool paced;	       /**< belongs on the engines for paced streams */
 	double rate;	       /**< prompt tokens an engine reads a second */
 	const char *zone;      /**< own availability zone */
+	uint64_t draw;	       /**< of this request, at random */
 	const struct prefix_entry *prefix; /**< where we sent it, or NULL */
 };
 
--- a/tests/load/t-place.c
+++ b/tests/load/t-place.c
@@ -229,6 +229,26 @@
 	fleet_clear(&pool.fleet);
 }
 
+/* Second tries of all VMs met on one of six servers that were as good. */
+static void test_equals(void)
+{
+	struct place_query query = { .rate = 100000, .zone = "z2" };
+	struct rng rng = { 1 };
+	struct pool pool;
+	int i;
+
+	pool_start(&pool, 6);
+	for (i = 0; i < 1200; i++) {
+		query.draw = rng_next(&rng);
+		choose(&pool, &query)->slots++;
+	}
+	for (i = 0; i < 6; i++) {
+		g_assert_cmpint(pool.members[i]->slots, >, 128 + 100);
+		g_assert_cmpint(pool.members[i]->slots, <, 128 + 400);
+	}
+	fleet_clear(&pool.fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -238,5 +258,6 @@
 	g_test_add_func("/place/overloaded-home", test_overloaded_home);
 	g_test_add_func("/place/spill", test_spill);
 	g_test_add_func("/place/plain", test_plain);
+	g_test_add_func("/place/equals", test_equals);
 	return g_test_run();
 }
