load: entry VMs hear what others have sent to servers

Cause: an entry VM of 195 knows of a server what it has sent there itself and what few answers say, none of which tells of prompts that aren't read. So it kept to a part's home however far that was behind.

Entry VMs now tell control VMs four times a second what unread prompts they have at which servers; the leader adds that up and tells all of the 64 that are furthest behind, in 448 bytes. The sum counts in the choice like own prompts and is worked off as time goes by, so without news a VM decides by its own figures.

Ruled out: subsets of servers for each VM (parts would have homes in each subset), and asking servers for reports (priced, and as old).

--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -9,6 +9,7 @@
 #include "base/compression.h"
 #include "control/control_state.h"
 #include "document/encoding.h"
+#include "fleet/backlog.h"
 
 /*
  * How often the others hear which servers are alive. Servers beat about once
@@ -177,6 +178,18 @@
 		peer->marks = poll->marks;
 }
 
+static void note_backlog(struct control *control, uint64_t id,
+			 const struct feed_backlog *told, int64_t now_us)
+{
+	struct feed_peer *peer = feed_peer_find(&control->peers, id);
+
+	if (!peer)
+		return;
+	bytes_clear(&peer->backlog);
+	bytes_append(&peer->backlog, told->bytes, told->len);
+	peer->backlog_us = now_us;
+}
+
 static void answer_poll(struct control *control, uint64_t peer,
 			const struct feed_poll *poll, int64_t now_us,
 			struct effects *effects)
@@ -309,6 +322,9 @@
 	case FEED_CLOCK:
 		wall_note(&control->wall, peer, message.u.clock_us, now_us);
 		break;
+	case FEED_BACKLOG:
+		note_backlog(control, peer, &message.u.backlog, now_us);
+		break;
 	case FEED_MARKS:
 	case FEED_STATE:
 	case FEED_DOCUMENT:
@@ -429,6 +445,46 @@
 	free(alive);
 }
 
+static struct backlog sum_backlogs(const struct control *control,
+				   int64_t now_us)
+{
+	struct backlog sum = { 0 };
+	struct feed_peer *peer;
+	struct feed_peer *next;
+
+	map_foreach(peer, next, &control->peers, node)
+		if (peer->backlog.len &&
+		    now_us - peer->backlog_us < BACKLOG_OLD_US)
+			backlog_read(&sum, peer->backlog.data,
+				     peer->backlog.len);
+	backlog_sum(&sum);
+	return sum;
+}
+
+/* By the leader alone, as all control VMs are told the same. */
+static void tell_backlog(struct control *control, int64_t now_us,
+			 struct effects *effects)
+{
+	struct backlog sum = sum_backlogs(control, now_us);
+	struct feed_backlog told = { 0 };
+	struct bytes list = { 0 };
+	struct bytes body = { 0 };
+	struct feed_peer *peer;
+	struct feed_peer *next;
+
+	backlog_write(&sum, &list);
+	told.bytes = list.data;
+	told.len = list.len;
+	feed_write_backlog(&body, &told);
+	map_foreach(peer, next, &control->peers, node)
+		if (takes_marks(peer))
+			feed_send(effects, peer->id, &body);
+	bytes_clear(&body);
+	bytes_clear(&list);
+	backlog_clear(&sum);
+	control->backlog_us = now_us;
+}
+
 static void tell_clock(struct control *control, int64_t wall_us,
 		       struct effects *effects)
 {
@@ -441,6 +497,9 @@
 void control_feed_tick(struct control *control, int64_t wall_us, int64_t now_us,
 		       struct effects *effects)
 {
+	if (raft_is_leader(control->raft) &&
+	    now_us - control->backlog_us >= BACKLOG_TELL_US)
+		tell_backlog(control, now_us, effects);
 	if (now_us - control->alive_us < ALIVE_US)
 		return;
 	tell_alive(control, now_us, effects);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -48,6 +48,7 @@
 	struct members told;	/**< members that entry VMs were told of */
 	int64_t told_index;	/**< configuration that they come from */
 	int64_t alive_us;	/**< when FEED_ALIVE was last sent */
+	int64_t backlog_us;	/**< when FEED_BACKLOG was last sent */
 	int64_t window_pending; /**< proposed and not applied, 0 for none */
 	int64_t window_us;	/**< when it was proposed */
 	bool repeated;		/**< what was agreed before we took over */
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -140,6 +140,14 @@
 	return marks->len / REGISTRATION_MARK_BYTES;
 }
 
+void feed_write_backlog(struct bytes *out, const struct feed_backlog *backlog)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 1, FEED_BACKLOG);
+	pack_bytes(&packer, backlog->bytes, backlog->len);
+}
+
 void feed_pack_begun(struct bytes *out, int64_t kind,
 		     const struct feed_begun *begun)
 {
@@ -337,6 +345,9 @@
 		return unpack_int(items, 1, &message->u.clock_us);
 	case FEED_MARKS:
 		return read_marks(items, &message->u.marks);
+	case FEED_BACKLOG:
+		return unpack_bytes(items, 1, &message->u.backlog.bytes,
+				    &message->u.backlog.len);
 	default:
 		return false;
 	}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -25,12 +25,13 @@
 	FEED_ALIVE,	   /**< control to all: servers heard since the last */
 	FEED_BEGUN,	   /**< entry to control: requests begun in a window */
 	FEED_CLOCK,	   /**< control to control: its wall clock */
-	FEED_MARKS	   /**< control to entry: FEED_ALIVE in few bytes */
+	FEED_MARKS,	   /**< control to entry: FEED_ALIVE in few bytes */
+	FEED_BACKLOG	   /**< both ways: unread prompts by server */
 };
 
 struct feed_poll {
 	int64_t sent_us; /**< entry VM's clock */
-	bool marks;	 /**< FEED_MARKS is understood */
+	bool marks;	 /**< FEED_MARKS and FEED_BACKLOG are understood */
 };
 
 struct feed_state {
@@ -76,6 +77,12 @@
 	size_t len;
 };
 
+/** What backlog_write() made. */
+struct feed_backlog {
+	const char *bytes; /**< inside the message that was read */
+	size_t len;
+};
+
 /** One organisation's part of FEED_BEGUN. */
 struct feed_count {
 	char organisation[BACKEND_NAME_SIZE];
@@ -101,6 +108,7 @@
 		struct registration registration;
 		struct feed_begun begun;
 		struct feed_marks marks;
+		struct feed_backlog backlog;
 		int64_t clock_us;
 	} u;
 	int64_t age_us; /**< of a registration, since the server was heard */
@@ -126,6 +134,7 @@
 uint64_t feed_mark_at(const struct feed_marks *marks, size_t i);
 size_t feed_marks_count(const struct feed_marks *marks);
 void feed_write_begun(struct bytes *out, const struct feed_begun *begun);
+void feed_write_backlog(struct bytes *out, const struct feed_backlog *backlog);
 /** The array of a window's counts behind any kind; the log has them too. */
 void feed_pack_begun(struct bytes *out, int64_t kind,
 		     const struct feed_begun *begun);
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -12,10 +12,12 @@
 struct feed_peer {
 	struct map_node node; /**< by id */
 	uint64_t id;
-	bool observer;	 /**< an entry VM */
-	int64_t entries; /**< entry VMs that it has told of */
-	bool fetches;	 /**< waits for the document in force */
-	bool marks;	 /**< understands FEED_MARKS */
+	bool observer;	      /**< an entry VM */
+	int64_t entries;      /**< entry VMs that it has told of */
+	bool fetches;	      /**< waits for the document in force */
+	bool marks;	      /**< understands FEED_MARKS and FEED_BACKLOG */
+	struct bytes backlog; /**< what it told last */
+	int64_t backlog_us;   /**< when */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -5,6 +5,7 @@
 
 #include "base/alloc.h"
 #include "feed/feed.h"
+#include "fleet/backlog.h"
 #include "group_state.h"
 
 #define WALL_US INT64_C(1700000000000000)
@@ -68,6 +69,16 @@
 	return copy;
 }
 
+static void note_backlog(struct vm *vm, const struct feed_backlog *told)
+{
+	struct backlog backlog = { 0 };
+
+	g_assert_true(backlog_read(&backlog, told->bytes, told->len));
+	vm->entry_backlogs++;
+	vm->entry_unread = backlog.n ? backlog.items[0].tokens : 0;
+	backlog_clear(&backlog);
+}
+
 /* Keep the document that a VM sends the entry VM. */
 static void note_sent_to_entry(struct vm *vm, const struct effect_send *send)
 {
@@ -81,6 +92,8 @@
 		vm->fetched = bytes_copy(&send->body);
 	}
 	vm->entry_names += (int)message.n_alive;
+	if (message.kind == FEED_BACKLOG)
+		note_backlog(vm, &message.u.backlog);
 	feed_clear(&message);
 }
 
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -6,6 +6,7 @@
 
 #include "base/alloc.h"
 #include "feed/feed.h"
+#include "fleet/backlog.h"
 #include "group_state.h"
 
 void group_note_answer(struct group *group,
@@ -177,6 +178,43 @@
 	return group->vms[at].entry_names;
 }
 
+static void send_backlog(struct group *group, int at, const struct bytes *list)
+{
+	struct event_link_message message = { GROUP_ENTRY_ID,
+					      LINK_FEED,
+					      { 0 } };
+	struct feed_backlog told = { list->data, list->len };
+	struct effects effects;
+
+	effects_init(&effects);
+	feed_write_backlog(&message.body, &told);
+	control_link_message(group->vms[at].control, &message, group->now_us,
+			     &effects);
+	bytes_clear(&message.body);
+	group_carry_out(group, at, &effects);
+}
+
+void group_backlog(struct group *group, int64_t tokens)
+{
+	struct backlog backlog = { 0 };
+	struct bytes list = { 0 };
+	int i;
+
+	backlog_add(&backlog, 77, tokens);
+	backlog_write(&backlog, &list);
+	for (i = 0; i < group->n_vms; i++)
+		if (group->vms[i].control)
+			send_backlog(group, i, &list);
+	bytes_clear(&list);
+	backlog_clear(&backlog);
+}
+
+int group_entry_backlogs(const struct group *group, int at, int64_t *tokens)
+{
+	*tokens = group->vms[at].entry_unread;
+	return group->vms[at].entry_backlogs;
+}
+
 void group_register(struct group *group, int at, const char *id,
 		    int64_t sequence)
 {
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -29,6 +29,7 @@
 	int told;	 /* reports of begun requests */
 	int64_t begun;	 /* of one organisation, as told last */
 	int at_steady;	 /* attempts at STEADY */
+	int backlogs;	 /* reports of unread prompts */
 	int64_t entries; /* entry VMs that the control VM tells of */
 };
 
@@ -48,6 +49,8 @@
 void bed_hear_engine(struct bed *bed, int64_t sequence, bool leaving);
 /** Both that server and ENGINE, or it alone, were heard, told by marks. */
 void bed_hear_marks(struct bed *bed, const char *address, bool engine);
+/** So many prompt tokens are unread at that server, by all VMs together. */
+void bed_hear_backlog(struct bed *bed, const char *address, int64_t tokens);
 /** Let time pass, with ticks. */
 void bed_pass(struct bed *bed, int64_t us);
 /** A fresh entry VM that knows version 1, key "k1" and ENGINE. */
