tests: the reader of large documents refuses what isn't one

Since an operator's document is read before it is proposed the test's own reader met them and crashed; it returns NULL now, as the daemon's does. The check is as it was.

--- a/tests/control/t-large-document.c
+++ b/tests/control/t-large-document.c
@@ -56,11 +56,16 @@
 	return text;
 }
 
-static void read_route(struct document *document, const char *line)
+static bool read_route(struct document *document, const char *line)
 {
 	char **words = g_strsplit(line, " ", 4);
-	struct route *route = document_add_route(document);
+	struct route *route;
 
+	if (g_strv_length(words) < 4) {
+		g_strfreev(words);
+		return false;
+	}
+	route = document_add_route(document);
 	route->name = xstrdup(words[0]);
 	route->host = xstrdup(words[1]);
 	route->prefix = xstrdup(words[2]);
@@ -69,6 +74,7 @@
 	route->goal_ms = 1000;
 	route_add_split(route, "folio", 1);
 	g_strfreev(words);
+	return true;
 }
 
 static struct document *read_document(void *data, const char *text, size_t len)
@@ -80,8 +86,12 @@
 
 	document->version = strtoll(lines[0], NULL, 10);
 	document_add_service(document)->name = xstrdup("folio");
-	for (i = 1; lines[i] && *lines[i]; i++)
-		read_route(document, lines[i]);
+	for (i = 1; document && lines[i] && *lines[i]; i++) {
+		if (read_route(document, lines[i]))
+			continue;
+		document_free(document);
+		document = NULL;
+	}
 	g_strfreev(lines);
 	g_free(copy);
 	return document;
