--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -4,9 +4,6 @@
 #include <string.h>
 
 #include "base/alloc.h"
-#include "base/compression.h"
-#include "feed/feed.h"
-#include "fleet/backlog.h"
 #include "group_state.h"
 
 #define WALL_US INT64_C(1700000000000000)
@@ -70,62 +67,6 @@
 	return copy;
 }
 
-static void note_backlog(struct vm *vm, const struct feed_backlog *told)
-{
-	struct backlog backlog = { 0 };
-
-	g_assert_true(backlog_read(&backlog, told->bytes, told->len));
-	vm->entry_backlogs++;
-	vm->entry_unread = backlog.n ? backlog.items[0].tokens : 0;
-	backlog_clear(&backlog);
-}
-
-static int count_bundle(const struct feed_bundle *bundle)
-{
-	struct bytes list = { 0 };
-	struct feed_message message;
-	const char *data;
-	const char *one;
-	size_t one_len;
-	size_t len;
-	int n = 0;
-
-	g_assert_true(compression_unpack(&list, bundle->bytes, bundle->len,
-					 bundle->unpacked));
-	data = list.data;
-	len = list.len;
-	while (feed_bundle_next(&data, &len, &one, &one_len)) {
-		g_assert_true(feed_read(&message, one, one_len));
-		n += message.kind == FEED_REGISTRATION;
-		feed_clear(&message);
-	}
-	g_assert_cmpuint(len, ==, 0);
-	bytes_clear(&list);
-	return n;
-}
-
-/* Keep the document that a VM sends the entry VM. */
-static void note_sent_to_entry(struct vm *vm, const struct effect_send *send)
-{
-	struct feed_message message;
-
-	vm->entry_bytes += (int64_t)send->body.len;
-	if (!feed_read(&message, send->body.data, send->body.len))
-		return;
-	if (message.kind == FEED_DOCUMENT) {
-		bytes_clear(&vm->fetched);
-		vm->fetched = bytes_copy(&send->body);
-	}
-	vm->entry_names += (int)message.n_alive;
-	vm->entry_messages++;
-	vm->entry_servers += message.kind == FEED_REGISTRATION;
-	if (message.kind == FEED_BUNDLE)
-		vm->entry_servers += count_bundle(&message.u.bundle);
-	if (message.kind == FEED_BACKLOG)
-		note_backlog(vm, &message.u.backlog);
-	feed_clear(&message);
-}
-
 static void send_message(struct group *group, int from,
 			 const struct effect_send *send)
 {
@@ -133,7 +74,7 @@
 	struct event *event;
 
 	if (send->peer == GROUP_ENTRY_ID)
-		note_sent_to_entry(&group->vms[from], send);
+		group_note_to_entry(&group->vms[from], send);
 	if (to < 0 || !group->vms[from].linked[to] || group->mute[from][to])
 		return;
 	event = event_new(EVENT_LINK_MESSAGE);
@@ -499,21 +440,6 @@
 	return group;
 }
 
-struct group *group_founded(group_reader *read)
-{
-	static const int seeds[] = { 0, 1, 2 };
-	struct group *group = group_new(5, seeds, 3, 7);
-	int vm;
-
-	if (read)
-		group->read_document = read;
-	for (vm = 0; vm < 5; vm++)
-		group_start(group, vm);
-	group_run(group, 10000000);
-	g_assert_cmpint(group_leader(group), >=, 0);
-	return group;
-}
-
 void group_free(struct group *group)
 {
 	struct post *item;
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -6,9 +6,23 @@
 
 #include "base/alloc.h"
 #include "feed/feed.h"
-#include "fleet/backlog.h"
 #include "group_state.h"
 
+struct group *group_founded(group_reader *read)
+{
+	static const int seeds[] = { 0, 1, 2 };
+	struct group *group = group_new(5, seeds, 3, 7);
+	int vm;
+
+	if (read)
+		group->read_document = read;
+	for (vm = 0; vm < 5; vm++)
+		group_start(group, vm);
+	group_run(group, 10000000);
+	g_assert_cmpint(group_leader(group), >=, 0);
+	return group;
+}
+
 void group_note_answer(struct group *group,
 		       const struct effect_admin_answer *told)
 {
@@ -121,110 +135,6 @@
 	bytes_clear(&message.body);
 }
 
-struct bytes group_fetch(struct group *group, int at, bool packed)
-{
-	struct event_link_up up = { GROUP_ENTRY_ID, (char *)"entry",
-				    (char *)"z1", NULL, true };
-	struct event_link_message message = { GROUP_ENTRY_ID,
-					      LINK_FEED,
-					      { 0 } };
-	struct feed_fetch fetch = { packed };
-	struct bytes answer = { 0 };
-	struct effect *effect;
-	struct effects effects;
-
-	effects_init(&effects);
-	feed_write_fetch(&message.body, &fetch);
-	control_link_up(group->vms[at].control, &up, group->now_us, &effects);
-	effects_clear(&effects);
-	control_link_message(group->vms[at].control, &message, group->now_us,
-			     &effects);
-	bytes_clear(&message.body);
-	while ((effect = effects_take(&effects))) {
-		if (effect->kind == EFFECT_SEND &&
-		    effect->u.send.peer == GROUP_ENTRY_ID && !answer.len)
-			answer = bytes_copy(&effect->u.send.body);
-		effect_free(effect);
-	}
-	return answer;
-}
-
-void group_poll(struct group *group, int at, bool marks)
-{
-	struct event_link_up up = { GROUP_ENTRY_ID, (char *)"entry",
-				    (char *)"z1", NULL, true };
-	struct event_link_message message = { GROUP_ENTRY_ID,
-					      LINK_FEED,
-					      { 0 } };
-	struct feed_poll poll = { group->now_us, marks };
-	struct control *control = group->vms[at].control;
-	struct effects effects;
-
-	effects_init(&effects);
-	feed_write_poll(&message.body, &poll);
-	control_link_up(control, &up, group->now_us, &effects);
-	control_link_message(control, &message, group->now_us, &effects);
-	bytes_clear(&message.body);
-	group_carry_out(group, at, &effects);
-}
-
-int64_t group_entry_bytes(const struct group *group, int at)
-{
-	return group->vms[at].entry_bytes;
-}
-
-int group_entry_names(const struct group *group, int at)
-{
-	return group->vms[at].entry_names;
-}
-
-static void send_backlog(struct group *group, int at, const struct bytes *list)
-{
-	struct event_link_message message = { GROUP_ENTRY_ID,
-					      LINK_FEED,
-					      { 0 } };
-	struct feed_backlog told = { list->data, list->len };
-	struct effects effects;
-
-	effects_init(&effects);
-	feed_write_backlog(&message.body, &told);
-	control_link_message(group->vms[at].control, &message, group->now_us,
-			     &effects);
-	bytes_clear(&message.body);
-	group_carry_out(group, at, &effects);
-}
-
-void group_backlog(struct group *group, int64_t tokens)
-{
-	struct backlog backlog = { 0 };
-	struct bytes list = { 0 };
-	int i;
-
-	backlog_add(&backlog, 77, tokens);
-	backlog_write(&backlog, &list);
-	for (i = 0; i < group->n_vms; i++)
-		if (group->vms[i].control)
-			send_backlog(group, i, &list);
-	bytes_clear(&list);
-	backlog_clear(&backlog);
-}
-
-int group_entry_backlogs(const struct group *group, int at, int64_t *tokens)
-{
-	*tokens = group->vms[at].entry_unread;
-	return group->vms[at].entry_backlogs;
-}
-
-int group_entry_messages(const struct group *group, int at)
-{
-	return group->vms[at].entry_messages;
-}
-
-int group_entry_servers(const struct group *group, int at)
-{
-	return group->vms[at].entry_servers;
-}
-
 void group_register(struct group *group, int at, const char *id,
 		    int64_t sequence)
 {
@@ -243,11 +153,6 @@
 	group_carry_out(group, at, &effects);
 }
 
-struct bytes group_fetched(struct group *group, int at)
-{
-	return bytes_copy(&group->vms[at].fetched);
-}
-
 const struct group_call *group_calls(const struct group *group, int *n)
 {
 	*n = (int)group->calls->len;
--- /dev/null
+++ b/tests/control/group_entry.c
@@ -0,0 +1,173 @@
+/*
+ * The one entry VM that there is: what it asks and tells, and what it is sent.
+ */
+#include <stdlib.h>
+
+#include "base/compression.h"
+#include "feed/feed.h"
+#include "fleet/backlog.h"
+#include "group_state.h"
+
+static void note_backlog(struct vm *vm, const struct feed_backlog *told)
+{
+	struct backlog backlog = { 0 };
+
+	g_assert_true(backlog_read(&backlog, told->bytes, told->len));
+	vm->entry_backlogs++;
+	vm->entry_unread = backlog.n ? backlog.items[0].tokens : 0;
+	backlog_clear(&backlog);
+}
+
+static int count_bundle(const struct feed_bundle *bundle)
+{
+	struct bytes list = { 0 };
+	struct feed_message message;
+	const char *data;
+	const char *one;
+	size_t one_len;
+	size_t len;
+	int n = 0;
+
+	g_assert_true(compression_unpack(&list, bundle->bytes, bundle->len,
+					 bundle->unpacked));
+	data = list.data;
+	len = list.len;
+	while (feed_bundle_next(&data, &len, &one, &one_len)) {
+		g_assert_true(feed_read(&message, one, one_len));
+		n += message.kind == FEED_REGISTRATION;
+		feed_clear(&message);
+	}
+	g_assert_cmpuint(len, ==, 0);
+	bytes_clear(&list);
+	return n;
+}
+
+void group_note_to_entry(struct vm *vm, const struct effect_send *send)
+{
+	struct feed_message message;
+
+	vm->entry_bytes += (int64_t)send->body.len;
+	if (!feed_read(&message, send->body.data, send->body.len))
+		return;
+	if (message.kind == FEED_DOCUMENT) {
+		bytes_clear(&vm->fetched);
+		vm->fetched = bytes_copy(&send->body);
+	}
+	vm->entry_names += (int)message.n_alive;
+	vm->entry_messages++;
+	vm->entry_servers += message.kind == FEED_REGISTRATION;
+	if (message.kind == FEED_BUNDLE)
+		vm->entry_servers += count_bundle(&message.u.bundle);
+	if (message.kind == FEED_BACKLOG)
+		note_backlog(vm, &message.u.backlog);
+	feed_clear(&message);
+}
+
+struct bytes group_fetch(struct group *group, int at, bool packed)
+{
+	struct event_link_up up = { GROUP_ENTRY_ID, (char *)"entry",
+				    (char *)"z1", NULL, true };
+	struct event_link_message message = { GROUP_ENTRY_ID,
+					      LINK_FEED,
+					      { 0 } };
+	struct feed_fetch fetch = { packed };
+	struct bytes answer = { 0 };
+	struct effect *effect;
+	struct effects effects;
+
+	effects_init(&effects);
+	feed_write_fetch(&message.body, &fetch);
+	control_link_up(group->vms[at].control, &up, group->now_us, &effects);
+	effects_clear(&effects);
+	control_link_message(group->vms[at].control, &message, group->now_us,
+			     &effects);
+	bytes_clear(&message.body);
+	while ((effect = effects_take(&effects))) {
+		if (effect->kind == EFFECT_SEND &&
+		    effect->u.send.peer == GROUP_ENTRY_ID && !answer.len)
+			answer = bytes_copy(&effect->u.send.body);
+		effect_free(effect);
+	}
+	return answer;
+}
+
+void group_poll(struct group *group, int at, bool marks)
+{
+	struct event_link_up up = { GROUP_ENTRY_ID, (char *)"entry",
+				    (char *)"z1", NULL, true };
+	struct event_link_message message = { GROUP_ENTRY_ID,
+					      LINK_FEED,
+					      { 0 } };
+	struct feed_poll poll = { group->now_us, marks };
+	struct control *control = group->vms[at].control;
+	struct effects effects;
+
+	effects_init(&effects);
+	feed_write_poll(&message.body, &poll);
+	control_link_up(control, &up, group->now_us, &effects);
+	control_link_message(control, &message, group->now_us, &effects);
+	bytes_clear(&message.body);
+	group_carry_out(group, at, &effects);
+}
+
+int64_t group_entry_bytes(const struct group *group, int at)
+{
+	return group->vms[at].entry_bytes;
+}
+
+int group_entry_names(const struct group *group, int at)
+{
+	return group->vms[at].entry_names;
+}
+
+static void send_backlog(struct group *group, int at, const struct bytes *list)
+{
+	struct event_link_message message = { GROUP_ENTRY_ID,
+					      LINK_FEED,
+					      { 0 } };
+	struct feed_backlog told = { list->data, list->len };
+	struct effects effects;
+
+	effects_init(&effects);
+	feed_write_backlog(&message.body, &told);
+	control_link_message(group->vms[at].control, &message, group->now_us,
+			     &effects);
+	bytes_clear(&message.body);
+	group_carry_out(group, at, &effects);
+}
+
+void group_backlog(struct group *group, int64_t tokens)
+{
+	struct backlog backlog = { 0 };
+	struct bytes list = { 0 };
+	int i;
+
+	backlog_add(&backlog, 77, tokens);
+	backlog_write(&backlog, &list);
+	for (i = 0; i < group->n_vms; i++)
+		if (group->vms[i].control)
+			send_backlog(group, i, &list);
+	bytes_clear(&list);
+	backlog_clear(&backlog);
+}
+
+int group_entry_backlogs(const struct group *group, int at, int64_t *tokens)
+{
+	*tokens = group->vms[at].entry_unread;
+	return group->vms[at].entry_backlogs;
+}
+
+int group_entry_messages(const struct group *group, int at)
+{
+	return group->vms[at].entry_messages;
+}
+
+int group_entry_servers(const struct group *group, int at)
+{
+	return group->vms[at].entry_servers;
+}
+
+struct bytes group_fetched(struct group *group, int at)
+{
+	return bytes_copy(&group->vms[at].fetched);
+}
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -73,6 +73,9 @@
 /** The one entry VM there is. */
 #define GROUP_ENTRY_ID 9999
 
+/** Count what a VM sends the entry VM, and keep the document. */
+void group_note_to_entry(struct vm *vm, const struct effect_send *send);
+
 /** Carry out what a VM's reducer wants. */
 void group_carry_out(struct group *group, int at, struct effects *effects);
 
