tests: the reader's test waits by what the thread sanitizer knows

The sanitizer reported a race on the test's own counter: it doesn't see GLib's locks. The test waits by pthread's. What it checks is as it was.

--- a/tests/path/t-thread-reader.c
+++ b/tests/path/t-thread-reader.c
@@ -1,16 +1,17 @@
 #include <ev.h>
 #include <glib.h>
+#include <pthread.h>
 
 #include "daemon/role/reader.h"
 
 #define READINGS 3
-#define WAIT_US (30 * G_USEC_PER_SEC)
+#define WAIT_S 30
 
 struct bed {
 	struct ev_loop *ev;
 	ev_timer timer;
-	GMutex lock;
-	GCond ticked;
+	pthread_mutex_t lock;
+	pthread_cond_t ticked;
 	int ticks;
 	uint64_t calls[READINGS];
 	int64_t versions[READINGS];
@@ -21,25 +22,28 @@
 {
 	struct bed *bed = timer->data;
 
-	g_mutex_lock(&bed->lock);
+	pthread_mutex_lock(&bed->lock);
 	bed->ticks++;
-	g_cond_signal(&bed->ticked);
-	g_mutex_unlock(&bed->lock);
+	pthread_cond_signal(&bed->ticked);
+	pthread_mutex_unlock(&bed->lock);
 }
 
 /* Ends only once the loop has gone on meanwhile. */
 static void read_slowly(void *data, struct reading *reading)
 {
-	gint64 until_us = g_get_monotonic_time() + WAIT_US;
+	struct timespec until;
 	struct bed *bed = data;
 	int from;
 
-	g_mutex_lock(&bed->lock);
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += WAIT_S;
+	pthread_mutex_lock(&bed->lock);
 	from = bed->ticks;
 	while (bed->ticks < from + 3)
-		g_assert_true(
-			g_cond_wait_until(&bed->ticked, &bed->lock, until_us));
-	g_mutex_unlock(&bed->lock);
+		g_assert_cmpint(pthread_cond_timedwait(&bed->ticked, &bed->lock,
+						       &until),
+				==, 0);
+	pthread_mutex_unlock(&bed->lock);
 	g_assert_cmpstr(bytes_text(&reading->text), ==, "text");
 	reading->document = document_new();
 }
@@ -58,8 +62,8 @@
 static void bed_open(struct bed *bed)
 {
 	*bed = (struct bed){ .ev = ev_loop_new(EVFLAG_AUTO) };
-	g_mutex_init(&bed->lock);
-	g_cond_init(&bed->ticked);
+	pthread_mutex_init(&bed->lock, NULL);
+	pthread_cond_init(&bed->ticked, NULL);
 	ev_timer_init(&bed->timer, on_timer, 0.001, 0.001);
 	bed->timer.data = bed;
 	ev_timer_start(bed->ev, &bed->timer);
@@ -69,8 +73,8 @@
 {
 	ev_timer_stop(bed->ev, &bed->timer);
 	ev_loop_destroy(bed->ev);
-	g_cond_clear(&bed->ticked);
-	g_mutex_clear(&bed->lock);
+	pthread_cond_destroy(&bed->ticked);
+	pthread_mutex_destroy(&bed->lock);
 }
 
 /* The loop stood still while a document was read. */
