--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -290,9 +290,6 @@
 	case FEED_CLOCK:
 		wall_note(&control->wall, peer, message.u.clock_us, now_us);
 		break;
-	case FEED_BACKLOG:
-		control_note_backlog(control, peer, &message.u.backlog, now_us);
-		break;
 	case FEED_BUNDLE:
 	case FEED_MARKS:
 	case FEED_STATE:
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -1,6 +1,6 @@
 /*
  * What entry VMs and other control VMs are told of backend servers: which there
- * are, who is alive, and what prompts they haven't read.
+ * are and who is alive.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +8,6 @@
 #include "base/alloc.h"
 #include "base/compression.h"
 #include "control/control_state.h"
-#include "fleet/backlog.h"
 
 /*
  * How often the others hear which servers are alive. Servers beat about once
@@ -114,18 +113,6 @@
 			       now_us - message->alive[i].age_us);
 }
 
-void control_note_backlog(struct control *control, uint64_t id,
-			  const struct feed_backlog *told, int64_t now_us)
-{
-	struct feed_peer *peer = feed_peer_find(&control->peers, id);
-
-	if (!peer)
-		return;
-	bytes_clear(&peer->backlog);
-	bytes_append(&peer->backlog, told->bytes, told->len);
-	peer->backlog_us = now_us;
-}
-
 /*
  * That a server may not be used is told at once. That it may be, to entry VMs
  * in bundles: thousands that start together would be as many messages to each.
@@ -271,53 +258,10 @@
 	free(alive);
 }
 
-static struct backlog sum_backlogs(const struct control *control,
-				   int64_t now_us)
-{
-	struct backlog sum = { 0 };
-	struct feed_peer *peer;
-	struct feed_peer *next;
-
-	map_foreach(peer, next, &control->peers, node)
-		if (peer->backlog.len &&
-		    now_us - peer->backlog_us < BACKLOG_OLD_US)
-			backlog_read(&sum, peer->backlog.data,
-				     peer->backlog.len);
-	backlog_sum(&sum);
-	return sum;
-}
-
-/* By the leader alone, as all control VMs are told the same. */
-static void tell_backlog(struct control *control, int64_t now_us,
-			 struct effects *effects)
-{
-	struct backlog sum = sum_backlogs(control, now_us);
-	struct feed_backlog told = { 0 };
-	struct bytes list = { 0 };
-	struct bytes body = { 0 };
-	struct feed_peer *peer;
-	struct feed_peer *next;
-
-	backlog_write(&sum, &list);
-	told.bytes = list.data;
-	told.len = list.len;
-	feed_write_backlog(&body, &told);
-	map_foreach(peer, next, &control->peers, node)
-		if (takes_marks(peer))
-			feed_send(effects, peer->id, &body);
-	bytes_clear(&body);
-	bytes_clear(&list);
-	backlog_clear(&sum);
-	control->backlog_us = now_us;
-}
-
 void control_servers_tick(struct control *control, int64_t now_us,
 			  struct effects *effects)
 {
 	tell_news(control, effects);
-	if (raft_is_leader(control->raft) &&
-	    now_us - control->backlog_us >= BACKLOG_TELL_US)
-		tell_backlog(control, now_us, effects);
 	if (now_us - control->alive_us < ALIVE_US)
 		return;
 	tell_alive(control, now_us, effects);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -49,7 +49,6 @@
 	int64_t told_index;  /**< configuration that they come from */
 	int64_t clock_us;    /**< when FEED_CLOCK was last sent */
 	int64_t alive_us;    /**< when FEED_ALIVE was last sent */
-	int64_t backlog_us;  /**< when FEED_BACKLOG was last sent */
 	struct bytes news;   /**< registrations that wait for a bundle */
 	struct bytes fleet;  /**< FEED_BUNDLE's list of all servers */
 	size_t fleet_unpacked;
@@ -113,8 +112,6 @@
 			       int64_t now_us);
 void control_take_alive(struct control *control,
 			const struct feed_message *message, int64_t now_us);
-void control_note_backlog(struct control *control, uint64_t id,
-			  const struct feed_backlog *told, int64_t now_us);
 void control_servers_tick(struct control *control, int64_t now_us,
 			  struct effects *effects);
 
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -9,7 +9,6 @@
 #include "base/alloc.h"
 #include "base/compression.h"
 #include "document/encoding.h"
-#include "fleet/backlog.h"
 #include "entry/entry_state.h"
 
 /*
@@ -306,89 +305,6 @@
 	}
 }
 
-/* What others have sent: the sums hold our own part too. */
-static void take_backlog(struct entry *entry, const struct feed_backlog *told)
-{
-	struct backlog sum = { 0 };
-	struct backend *backend;
-	struct backend *next;
-	size_t i;
-
-	map_foreach(backend, next, &entry->fleet.backends, node)
-		backend->others_prompt = 0;
-	backlog_read(&sum, told->bytes, told->len);
-	for (i = 0; i < sum.n; i++) {
-		const struct registered *known =
-			registry_find_mark(&entry->registry, sum.items[i].mark);
-
-		backend = known ? fleet_find(&entry->fleet, known->told.address)
-				: NULL;
-		if (!backend ||
-		    sum.items[i].tokens <= backend->own.prompt_tokens)
-			continue;
-		backend->others_prompt =
-			sum.items[i].tokens - backend->own.prompt_tokens;
-		backend->others_us = entry->now_us;
-	}
-	backlog_clear(&sum);
-}
-
-static struct backlog own_backlog(const struct entry *entry)
-{
-	struct backlog own = { 0 };
-	struct backend *backend;
-	struct backend *next;
-
-	map_foreach(backend, next, &entry->fleet.backends, node) {
-		const struct registered *known;
-
-		if (backend->own.prompt_tokens <= 0)
-			continue;
-		known = registry_at(&entry->registry, backend->address);
-		if (known)
-			backlog_add(&own,
-				    registration_mark(known->told.id,
-						      known->told.born_ms),
-				    backend->own.prompt_tokens);
-	}
-	return own;
-}
-
-/* Nothing is told again and again while there is nothing. */
-static void tell_backlog(struct entry *entry)
-{
-	struct backlog own = own_backlog(entry);
-	struct feed_backlog told = { 0 };
-	struct bytes list = { 0 };
-	struct bytes body = { 0 };
-	struct feed_peer *peer;
-	struct feed_peer *next;
-
-	if (own.n || entry->backlog_told) {
-		backlog_write(&own, &list);
-		told.bytes = list.data;
-		told.len = list.len;
-		feed_write_backlog(&body, &told);
-		map_foreach(peer, next, &entry->peers, node)
-			if (peer->marks)
-				feed_send(entry->effects, peer->id, &body);
-	}
-	entry->backlog_told = own.n > 0;
-	entry->backlog_us = entry->now_us;
-	bytes_clear(&body);
-	bytes_clear(&list);
-	backlog_clear(&own);
-}
-
-/* Only control VMs of this release send marks and backlogs. */
-static void note_marks(struct entry *entry, uint64_t id)
-{
-	struct feed_peer *peer = feed_peer_find(&entry->peers, id);
-
-	if (peer)
-		peer->marks = true;
-}
-
 static void take_bundle(struct entry *entry, const struct feed_bundle *bundle)
 {
 	struct bytes list = { 0 };
@@ -444,16 +360,11 @@
 		take_alive(entry, &message);
 		break;
 	case FEED_MARKS:
-		note_marks(entry, peer);
 		take_marks(entry, &message.u.marks);
 		break;
 	case FEED_BUNDLE:
 		take_bundle(entry, &message.u.bundle);
 		break;
-	case FEED_BACKLOG:
-		note_marks(entry, peer);
-		take_backlog(entry, &message.u.backlog);
-		break;
 	case FEED_POLL:
 	case FEED_FETCH:
 	case FEED_BEGUN:
@@ -476,8 +387,6 @@
 		entry_poll(entry);
 	if (entry->now_us - entry->told_us >= TELL_US)
 		entry_tell_begun(entry);
-	if (entry->now_us - entry->backlog_us >= BACKLOG_TELL_US)
-		tell_backlog(entry);
 	registry_expire(&entry->registry, entry->now_us, now_silent, entry);
 	if (entry->now_us - entry->forgot_us < FORGET_US)
 		return;
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -71,8 +71,6 @@
 	int64_t faded_us;   /* when load figures were last faded */
 	int64_t forgot_us;  /* when dead starts were last looked for */
 	int64_t told_us;    /**< when counts were last told */
-	int64_t backlog_us; /**< when unread prompts were last told */
-	bool backlog_told;  /**< and that there were any */
 	struct fetch fetch; /**< of the document */
 	bool plain;	    /**< a packed one couldn't be read */
 	int64_t stop_us;    /**< when the stop was asked for, 0 if not */
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -140,14 +140,6 @@
 	return marks->len / REGISTRATION_MARK_BYTES;
 }
 
-void feed_write_backlog(struct bytes *out, const struct feed_backlog *backlog)
-{
-	msgpack_packer packer;
-
-	begin(&packer, out, 1, FEED_BACKLOG);
-	pack_bytes(&packer, backlog->bytes, backlog->len);
-}
-
 void feed_write_bundle(struct bytes *out, const struct feed_bundle *bundle)
 {
 	msgpack_packer packer;
@@ -403,9 +395,6 @@
 		return read_marks(items, &message->u.marks);
 	case FEED_BUNDLE:
 		return read_bundle(items, &message->u.bundle);
-	case FEED_BACKLOG:
-		return unpack_bytes(items, 1, &message->u.backlog.bytes,
-				    &message->u.backlog.len);
 	default:
 		return false;
 	}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -26,13 +26,12 @@
 	FEED_BEGUN,	   /**< entry to control: requests begun in a window */
 	FEED_CLOCK,	   /**< control to control: its wall clock */
 	FEED_MARKS,	   /**< control to entry: FEED_ALIVE in few bytes */
-	FEED_BACKLOG,	   /**< both ways: unread prompts by server */
 	FEED_BUNDLE	   /**< control to entry: FEED_REGISTRATIONs */
 };
 
 struct feed_poll {
 	int64_t sent_us; /**< entry VM's clock */
-	bool marks;	 /**< so are FEED_MARKS, _BACKLOG and _BUNDLE */
+	bool marks;	 /**< FEED_MARKS and FEED_BUNDLE are understood */
 };
 
 struct feed_state {
@@ -78,12 +77,6 @@
 	size_t len;
 };
 
-/** What backlog_write() made. */
-struct feed_backlog {
-	const char *bytes; /**< inside the message that was read */
-	size_t len;
-};
-
 /** Registrations, each behind its length as four bytes, compressed. */
 struct feed_bundle {
 	int64_t age_us; /**< since it was made, to be added to each age */
@@ -117,7 +110,6 @@
 		struct registration registration;
 		struct feed_begun begun;
 		struct feed_marks marks;
-		struct feed_backlog backlog;
 		struct feed_bundle bundle;
 		int64_t clock_us;
 	} u;
@@ -156,7 +148,6 @@
  */
 bool feed_bundle_next(const char **data, size_t *len, const char **message,
 		      size_t *message_len);
-void feed_write_backlog(struct bytes *out, const struct feed_backlog *backlog);
 /** The array of a window's counts behind any kind; the log has them too. */
 void feed_pack_begun(struct bytes *out, int64_t kind,
 		     const struct feed_begun *begun);
--- a/libfilberthall/feed/peers.c
+++ b/libfilberthall/feed/peers.c
@@ -11,12 +11,6 @@
 	       *(const uint64_t *)key;
 }
 
-static void peer_free(struct feed_peer *peer)
-{
-	bytes_clear(&peer->backlog);
-	free(peer);
-}
-
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id)
 {
 	struct map_node *node =
@@ -41,7 +35,7 @@
 void feed_peer_down(struct map *peers, struct feed_peer *peer)
 {
 	map_remove(peers, &peer->node);
-	peer_free(peer);
+	free(peer);
 }
 
 void feed_peers_clear(struct map *peers)
@@ -50,7 +44,7 @@
 	struct feed_peer *next;
 
 	map_foreach(peer, next, peers, node)
-		peer_free(peer);
+		free(peer);
 	map_clear(peers);
 }
 
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -17,8 +17,6 @@
 	bool fetches;	 /**< waits for the document in force */
 	bool marks;	 /**< understands FEED_MARKS and what came with it */
 	bool welcomed;	 /**< was told of all servers */
-	struct bytes backlog; /**< what it told last */
-	int64_t backlog_us;   /**< when */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -423,12 +423,3 @@
 		left = 0;
 	return left + (double)backend->own.prompt_tokens;
 }
-
-double backend_others_prompt(const struct backend *backend, double rate,
-			     int64_t now_us)
-{
-	double age_s = (double)(now_us - backend->others_us) / 1e6;
-	double left = (double)backend->others_prompt - age_s * rate;
-
-	return left > 0 ? left : 0;
-}
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -77,9 +77,7 @@
 	int64_t kv_used;
 	double prefill_rate;
 	double decode_rate;
-	int64_t report_us;     /**< when the load figures were true */
-	int64_t others_prompt; /**< unread tokens that other VMs have sent */
-	int64_t others_us;     /**< when that was told */
+	int64_t report_us; /**< when the load figures were true */
 	struct backend_own own;
 	struct health health;
 };
@@ -161,14 +159,6 @@
 /** Estimated requests on the server now: last report and own since. */
 double backend_load(const struct backend *backend);
 
-/**
- * Prompt tokens that other VMs have sent and that aren't read by now.
- *
- * @param rate	prompt tokens that the server reads a second
- */
-double backend_others_prompt(const struct backend *backend, double rate,
-			     int64_t now_us);
-
 /** Estimated prompt tokens that wait for prefill there now. */
 double backend_queued_prompt(const struct backend *backend, int64_t now_us);
 
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -20,9 +20,7 @@
 		  const struct backend *backend, bool home, int64_t now_us)
 {
 	bool holds = home || prefix_holds(query->prefix, backend->node.hash);
-	double unread = backend_queued_prompt(backend, now_us) +
-			backend_others_prompt(backend, query->rate, now_us);
-	double cost = unread / query->rate;
+	double cost = backend_queued_prompt(backend, now_us) / query->rate;
 	double slots = (double)(backend->slots > 0 ? backend->slots : 1);
 
 	cost += (double)(query->prompt_tokens - query->shared_tokens) /
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -33,7 +33,7 @@
  */
 
 /** How many times over the reading of a shared part counts where it's new. */
-#define PLACE_AGAIN 6.0
+#define PLACE_AGAIN 3.0
 
 /** What a paced stream bears before it goes among the others, s. */
 #define PLACE_SPILL_S 0.05
