--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -30,6 +30,9 @@
  */
 #define FLEET_LEASE_MS INT64_C(3155760000000)
 
+/* How often silent servers are looked for: thousands are looked through. */
+#define EXPIRE_US INT64_C(250000)
+
 /* How often starts that have long been gone are looked for. */
 #define FORGET_US INT64_C(1000000)
 
@@ -379,6 +382,14 @@
 	publish(data, registered);
 }
 
+static void expire_servers(struct entry *entry)
+{
+	if (entry->now_us - entry->expired_us < EXPIRE_US)
+		return;
+	registry_expire(&entry->registry, entry->now_us, now_silent, entry);
+	entry->expired_us = entry->now_us;
+}
+
 void entry_feed_tick(struct entry *entry)
 {
 	int64_t poll_us = entry_can_decide(entry) ? POLL_US : POLL_STALE_US;
@@ -387,7 +398,7 @@
 		entry_poll(entry);
 	if (entry->now_us - entry->told_us >= TELL_US)
 		entry_tell_begun(entry);
-	registry_expire(&entry->registry, entry->now_us, now_silent, entry);
+	expire_servers(entry);
 	if (entry->now_us - entry->forgot_us < FORGET_US)
 		return;
 	fleet_expire(&entry->fleet, entry->now_us, NULL, NULL);
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -69,6 +69,7 @@
 	bool was_fresh;
 	int64_t polled_us;
 	int64_t faded_us;   /* when load figures were last faded */
+	int64_t expired_us; /* when silent servers were last looked for */
 	int64_t forgot_us;  /* when dead starts were last looked for */
 	int64_t told_us;    /**< when counts were last told */
 	struct fetch fetch; /**< of the document */
