load: requests with a shared part draw by it among equals

What spills over from a busy home now meets where the part was read before, in place of a server that each request draws anew.

--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -24,9 +24,10 @@
  * - Another engine is taken only if the home is so far behind that reading the
  *   part anew is quicker by PLACE_AGAIN times: it also costs those who are
  *   served there.
- * - Where several are as good, each request draws one. Without that all VMs
- *   take the same one of equals: second tries and what spills over from a busy
- *   home met on one server while others had nothing to do.
+ * - Where several are as good, each request draws one, by its part if it has
+ *   one: what spills over from a busy home then meets where the part was read.
+ *   Without that all VMs take the same one of equals, and second tries meet on
+ *   one server while others have nothing to do.
  * - Paced streams have a part of the engines to themselves (load/divide.h), for
  *   long prompts delay every token that is generated beside them; only when
  *   these are behind do they go elsewhere.
@@ -58,7 +59,7 @@
 	bool paced;	       /**< belongs on the engines for paced streams */
 	double rate;	       /**< prompt tokens an engine reads a second */
 	const char *zone;      /**< own availability zone */
-	uint64_t draw;	       /**< of this request, at random */
+	uint64_t draw;	       /**< chooses among servers that are as good */
 	const struct prefix_entry *prefix; /**< where we sent it, or NULL */
 };
 
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -186,7 +186,8 @@
 		query.prefix =
 			prefix_find(&router->prefix, request->ask.prefix_hash);
 	query.place = request_place(router, request);
-	query.place.draw = rng_next(&router->rng);
+	query.place.draw = query.place.prefix_hash ? query.place.prefix_hash
+						   : rng_next(&router->rng);
 	for (tier = 0; request->is_long && tier <= request->tier; tier++)
 		query.cap_long |= now_us - pool->pressure[tier].short_us <
 				  DISPATCH_SHORT_US;
