usage: a lost answer counts once its server is heard again

A server that crashes or is reclaimed breaks off with requests that wait in its queue.

Which it was shows a moment later: a server that lost an answer goes on announcing itself. Such a request is now kept with the start of the server that had it, and counts, in the window of the break, when that start is heard at least 0.2 s later; after 5 s, or if it begins elsewhere, it is forgotten.

/entry/crash-counts-nothing failed before: 1 counted of 0.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -65,6 +65,7 @@
 	fleet_init(&entry->fleet);
 	registry_init(&entry->registry, options->beat_us);
 	begun_init(&entry->begun);
+	presumed_init(&entry->presumed);
 	map_init(&entry->peers);
 	map_init(&entry->calls);
 	list_init(&entry->parked);
@@ -98,6 +99,7 @@
 	fleet_clear(&entry->fleet);
 	registry_clear(&entry->registry);
 	begun_clear(&entry->begun);
+	presumed_clear(&entry->presumed);
 	document_free(entry->document);
 	free(entry->vm);
 	free(entry->zone);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -396,6 +396,7 @@
 
 	if (entry->now_us - entry->polled_us >= poll_us)
 		entry_poll(entry);
+	entry_count_presumed(entry);
 	if (entry->now_us - entry->told_us >= TELL_US)
 		entry_tell_begun(entry);
 	expire_servers(entry);
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -397,10 +397,53 @@
 	if (!call || call->begun || !call->organisation[0] || !wall_us)
 		return;
 	call->begun = true;
+	presumed_drop(&entry->presumed, id);
 	begun_add(&entry->begun, wall_us / entry->options.window_us,
 		  call->organisation);
 }
 
+/* Its server broke off without an answer: did it run? */
+static void presume_begun(struct entry *entry,
+			  const struct event_attempt_ended *ended)
+{
+	const struct open_call *call = call_find(entry, ended->id);
+	int64_t wall_us = wall_time_us(&entry->wall, entry->now_us);
+	struct presumed_break what = { .request = ended->id };
+	const struct registered *server = NULL;
+	struct router_attempt_view attempt;
+
+	if (!call || call->begun || !call->organisation[0] || !wall_us ||
+	    !router_attempt(entry->router, ended->id, ended->attempt,
+			    entry->now_us, &attempt) ||
+	    !presumed_possible((enum result)ended->code, ended->sent,
+			       attempt.us))
+		return;
+	server = registry_at(&entry->registry, attempt.address);
+	if (!server)
+		return;
+	what.server = &server->told;
+	what.organisation = call->organisation;
+	what.window = wall_us / entry->options.window_us;
+	presumed_add(&entry->presumed, &what, entry->now_us);
+}
+
+static void count_presumed(void *data, uint64_t request,
+			   const char *organisation, int64_t window)
+{
+	struct entry *entry = data;
+	struct open_call *call = call_find(entry, request);
+
+	if (call)
+		call->begun = true;
+	begun_add(&entry->begun, window, organisation);
+}
+
+void entry_count_presumed(struct entry *entry)
+{
+	presumed_tick(&entry->presumed, &entry->registry, entry->now_us,
+		      count_presumed, entry);
+}
+
 void entry_tokens(struct entry *entry,
 		  const struct event_attempt_tokens *tokens, int64_t now_us,
 		  struct effects *effects)
@@ -416,15 +459,14 @@
 		 int64_t now_us, struct effects *effects)
 {
 	const struct open_call *call = call_find(entry, ended->id);
-	int64_t took_us = router_attempt_us(entry->router, ended->id,
-					    ended->attempt, now_us);
 
 	entry->now_us = now_us;
 	entry->effects = effects;
 	entry->totals.attempts++;
-	if ((ended->http_status && ended->sent) ||
-	    begun_presumed((enum result)ended->code, ended->sent, took_us))
+	if (ended->http_status && ended->sent)
 		count_begun(entry, ended->id);
+	else
+		presume_begun(entry, ended);
 	if (call && ended->code)
 		entry_log(entry, LOG_INFO, "attempt",
 			  "event=failed request=%s attempt=%lld code=%s "
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -9,6 +9,7 @@
 #include "fleet/registry.h"
 #include "load/router.h"
 #include "usage/begun.h"
+#include "usage/presumed.h"
 #include "usage/wall.h"
 
 /** What the files entry*.c share; nobody else includes this. */
@@ -57,6 +58,7 @@
 	struct registry registry;
 	struct document *document;
 	struct begun begun;
+	struct presumed presumed;
 	struct wall wall;
 	struct map peers; /**< struct feed_peer: control VMs */
 	struct map calls;
@@ -92,6 +94,7 @@
 void entry_feed_tick(struct entry *entry);
 void entry_poll(struct entry *entry);
 void entry_tell_begun(struct entry *entry);
+void entry_count_presumed(struct entry *entry);
 
 /* entry_request.c */
 void entry_finished(void *data, const struct router_outcome *outcome);
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -146,9 +146,15 @@
 void router_withdraw_key(struct router *router, const char *key_id,
 			 int64_t now_us, struct effects *effects);
 
-/** How long an attempt has been under way, 0 if it is unknown. */
-int64_t router_attempt_us(const struct router *router, uint64_t id,
-			  int64_t attempt, int64_t now_us);
+/** An attempt under way. */
+struct router_attempt_view {
+	const char *address; /**< of its server */
+	int64_t us;	     /**< since it was started */
+};
+
+/** Look at an attempt; false if it isn't under way. */
+bool router_attempt(const struct router *router, uint64_t id, int64_t attempt,
+		    int64_t now_us, struct router_attempt_view *view);
 
 void router_sent(struct router *router, const struct event_attempt_sent *sent,
 		 int64_t now_us, struct effects *effects);
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -167,12 +167,16 @@
 	return NULL;
 }
 
-int64_t router_attempt_us(const struct router *router, uint64_t id,
-			  int64_t number, int64_t now_us)
+bool router_attempt(const struct router *router, uint64_t id, int64_t number,
+		    int64_t now_us, struct router_attempt_view *view)
 {
 	const struct attempt *attempt = attempt_find(router, id, number);
 
-	return attempt ? now_us - attempt->started_us : 0;
+	if (!attempt)
+		return false;
+	view->address = attempt->address;
+	view->us = now_us - attempt->started_us;
+	return true;
 }
 
 void router_sent(struct router *router, const struct event_attempt_sent *sent,
--- a/libfilberthall/usage/begun.c
+++ b/libfilberthall/usage/begun.c
@@ -55,14 +55,6 @@
 		window_free(window);
 }
 
-/* A break that comes sooner is of the connection, not of the request. */
-#define PRESUMED_LEAST_US INT64_C(5000)
-
-bool begun_presumed(enum result code, bool sent, int64_t us)
-{
-	return code == RESULT_BACKEND_BROKE && sent && us >= PRESUMED_LEAST_US;
-}
-
 static struct begun_window *window_find(const struct begun *begun,
 					int64_t number)
 {
--- a/libfilberthall/usage/begun.h
+++ b/libfilberthall/usage/begun.h
@@ -5,7 +5,6 @@
 #include <stdint.h>
 
 #include "base/list.h"
-#include "base/result.h"
 #include "base/map.h"
 #include "feed/feed.h"
 
@@ -39,19 +38,6 @@
 /** Entry VM: a request of the organisation began in that window. */
 void begun_add(struct begun *begun, int64_t window, const char *organisation);
 
-/**
- * Whether an attempt that ended without an answer counts as begun.
- *
- * A server that breaks off has mostly run the request and its answer is lost;
- * the organisation pays for that as well. One that had no room for the
- * connection, or was just closing it, breaks off at once.
- *
- * @param code	how the attempt ended
- * @param sent	a byte may have left this VM
- * @param us	since the attempt was started
- */
-bool begun_presumed(enum result code, bool sent, int64_t us);
-
 /** Entry VM: write the next untold window as FEED_BEGUN; false if none is. */
 bool begun_tell(struct begun *begun, struct bytes *out);
 
--- a/tests/entry/t-entry-usage.c
+++ b/tests/entry/t-entry-usage.c
@@ -2,6 +2,15 @@
 
 #include "bed.h"
 
+/* One request whose server breaks off 40 ms after it was sent. */
+static void lose_answer(struct bed *bed)
+{
+	uint64_t id = bed_ask(bed, "/lodge/7", "k1");
+
+	bed_pass(bed, SECOND / 25);
+	bed_end_attempt(bed, id, RESULT_BACKEND_BROKE, 0, true);
+}
+
 /* Requests whose answers were lost were missing from their usage window. */
 static void test_lost_answer_counts(void)
 {
@@ -9,10 +18,11 @@
 	uint64_t id;
 
 	bed_start(&bed);
-	id = bed_ask(&bed, "/lodge/7", "k1");
-	bed_pass(&bed, SECOND / 25);
-	bed_end_attempt(&bed, id, RESULT_BACKEND_BROKE, 0, true);
+	lose_answer(&bed);
 	bed_pass(&bed, SECOND);
+	g_assert_cmpint(bed.begun, ==, 0);
+	bed_hear_engine(&bed, 9, false);
+	bed_pass(&bed, SECOND / 2);
 	g_assert_cmpint(bed.begun, ==, 1);
 	/* The connection was refused, or nothing was sent: it can't have run. */
 	id = bed_ask(&bed, "/lodge/7", "k1");
@@ -20,14 +30,32 @@
 	id = bed_ask(&bed, "/lodge/7", "k1");
 	bed_pass(&bed, SECOND / 25);
 	bed_end_attempt(&bed, id, RESULT_BACKEND_CONNECT, 0, false);
-	bed_pass(&bed, SECOND);
+	bed_pass(&bed, SECOND / 2);
+	bed_hear_engine(&bed, 10, false);
+	bed_pass(&bed, SECOND / 2);
 	g_assert_cmpint(bed.begun, ==, 1);
 	bed_end(&bed);
 }
 
+/* Requests that a crashed server had not begun were billed. */
+static void test_crash_counts_nothing(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	lose_answer(&bed);
+	bed_pass(&bed, 6 * SECOND);
+	bed_hear_engine(&bed, 9, false);
+	bed_pass(&bed, SECOND);
+	g_assert_cmpint(bed.begun, ==, 0);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/entry/lost-answer-counts", test_lost_answer_counts);
+	g_test_add_func("/entry/crash-counts-nothing",
+			test_crash_counts_nothing);
 	return g_test_run();
 }
