--- a/tests/agree/t-raft.c
+++ b/tests/agree/t-raft.c
@@ -1,125 +1,7 @@
 #include <glib.h>
 #include <string.h>
 
-#include "agree/raft_internal.h"
-#include "core/event.h"
-
-#define SECOND 1000000
-
-static struct members three_voters(void)
-{
-	struct members members = { 0 };
-	uint64_t id;
-
-	members.items = g_new0(struct member, 3);
-	members.count = 3;
-	for (id = 1; id <= 3; id++) {
-		members.items[id - 1].id = id;
-		members.items[id - 1].disk = true;
-		members.items[id - 1].role = MEMBER_VOTER;
-	}
-	return members;
-}
-
-static void add_entry(struct raft_saved *saved, int64_t term,
-		      enum raft_entry_kind kind, const struct bytes *body)
-{
-	struct raft_entry *entry;
-	char first = (char)kind;
-
-	saved->entries = g_renew(struct raft_entry, saved->entries,
-				 saved->n_entries + 1);
-	entry = &saved->entries[saved->n_entries++];
-	memset(entry, 0, sizeof(*entry));
-	entry->index = (int64_t)saved->n_entries;
-	entry->term = term;
-	bytes_append(&entry->body, &first, 1);
-	bytes_append(&entry->body, body->data, body->len);
-}
-
-/* member 1 of three, with a configuration and one command of term 2 */
-static struct raft *restored(enum raft_mutant mutant, bool disk)
-{
-	struct raft_options options = raft_default_options();
-	struct members members = three_voters();
-	struct raft_saved saved = { .term = 2, .vote = 1 };
-	struct bytes body = { 0 };
-	struct raft *raft;
-
-	members_encode(&members, &body);
-	add_entry(&saved, 1, RAFT_ENTRY_MEMBERS, &body);
-	add_entry(&saved, 2, RAFT_ENTRY_COMMAND, &body);
-	options.self.id = 1;
-	options.self.disk = disk;
-	options.mutant = mutant;
-	raft = raft_new(&options, 0);
-	g_assert_cmpint(raft_restore(raft, &saved), ==, RESULT_OK);
-	bytes_clear(&body);
-	members_clear(&members);
-	raft_saved_clear(&saved);
-	return raft;
-}
-
-static void deliver(struct raft *raft, uint64_t from,
-		    struct raft_message message, int64_t now_us,
-		    struct effects *effects)
-{
-	struct bytes body = { 0 };
-
-	raft_message_encode(&message, &body);
-	raft_message(raft, from, body.data, body.len, now_us, effects);
-	bytes_clear(&body);
-}
-
-/* Take the effects; the first sent message of that kind, and its peer. */
-static bool take_sent(struct effects *effects, int64_t kind,
-		      struct raft_message *out)
-{
-	struct effect *effect;
-	bool found = false;
-
-	memset(out, 0, sizeof(*out));
-	while ((effect = effects_take(effects))) {
-		struct raft_message message;
-
-		if (effect->kind == EFFECT_SEND && !found) {
-			g_assert_true(
-				raft_message_decode(&message,
-						    effect->u.send.body.data,
-						    effect->u.send.body.len));
-			found = message.kind == kind;
-			*out = message;
-			raft_message_clear(&message);
-			out->data = NULL;
-			out->entries = NULL;
-			out->reports = NULL;
-		}
-		effect_free(effect);
-	}
-	return found;
-}
-
-/* Term 3: member 1 is elected by 2; everything is synced. */
-static struct raft *elected(enum raft_mutant mutant, struct effects *effects)
-{
-	struct raft *raft = restored(mutant, true);
-	struct raft_message grant = { .kind = RAFT_PREVOTE_REPLY,
-				      .term = 3,
-				      .flags = RAFT_GRANTED };
-
-	raft_peer_up(raft, 2, 0, effects);
-	raft_peer_up(raft, 3, 0, effects);
-	raft_tick(raft, 3 * SECOND, effects);
-	g_assert_cmpint(raft_role(raft), ==, RAFT_PRE_CANDIDATE);
-	deliver(raft, 2, grant, 3 * SECOND, effects);
-	g_assert_cmpint(raft_role(raft), ==, RAFT_CANDIDATE);
-	raft_synced(raft, 1, 3 * SECOND, effects);
-	grant.kind = RAFT_VOTE_REPLY;
-	deliver(raft, 2, grant, 3 * SECOND, effects);
-	g_assert_true(raft_is_leader(raft));
-	raft_synced(raft, 2, 3 * SECOND, effects);
-	return raft;
-}
+#include "raft_bed.h"
 
 static int64_t commit_of_old_term(enum raft_mutant mutant)
 {
@@ -131,8 +13,8 @@
 	int64_t commit;
 
 	effects_init(&effects);
-	raft = elected(mutant, &effects);
-	deliver(raft, 2, reply, 3 * SECOND + 1000, &effects);
+	raft = bed_elected(mutant, &effects);
+	bed_deliver(raft, 2, reply, 3 * SECOND + 1000, &effects);
 	commit = raft_commit_index(raft);
 	effects_clear(&effects);
 	raft_free(raft);
@@ -166,7 +48,7 @@
 	struct raft_message vote = {
 		.kind = RAFT_VOTE, .term = 9, .index = 99, .log_term = 8
 	};
-	struct raft *raft = restored(RAFT_MUTANT_NONE, true);
+	struct raft *raft = bed_restored(RAFT_MUTANT_NONE, true);
 	struct raft_message reply;
 	struct effects effects;
 
@@ -175,13 +57,13 @@
 	raft_disk_failed(raft, RESULT_DISK_FAILED, 10, &effects);
 	g_assert_true(raft_has_failed(raft));
 	effects_clear(&effects);
-	deliver(raft, 2, append, 20, &effects);
-	g_assert_true(take_sent(&effects, RAFT_APPEND_REPLY, &reply));
+	bed_deliver(raft, 2, append, 20, &effects);
+	g_assert_true(bed_take_sent(&effects, RAFT_APPEND_REPLY, &reply));
 	g_assert_cmpint(reply.flags, ==, RAFT_DISK_LOST);
 	g_assert_cmpint(raft_commit_index(raft), ==, 2);
 	raft_synced(raft, 1, 30, &effects);
-	deliver(raft, 3, vote, 9 * SECOND, &effects);
-	g_assert_false(take_sent(&effects, RAFT_VOTE_REPLY, &reply));
+	bed_deliver(raft, 3, vote, 9 * SECOND, &effects);
+	g_assert_false(bed_take_sent(&effects, RAFT_VOTE_REPLY, &reply));
 	raft_tick(raft, 20 * SECOND, &effects);
 	g_assert_cmpint(raft_role(raft), ==, RAFT_FOLLOWER);
 	effects_clear(&effects);
@@ -193,17 +75,18 @@
 	struct raft_message vote = {
 		.kind = RAFT_VOTE, .term = 9, .index = 99, .log_term = 8
 	};
-	struct raft *raft = restored(mutant, true);
+	struct raft *raft = bed_restored(mutant, true);
 	struct raft_message reply;
 	struct effects effects;
 	bool early;
 
 	effects_init(&effects);
 	raft_peer_up(raft, 2, 0, &effects);
-	deliver(raft, 2, vote, 2 * SECOND, &effects);
-	early = take_sent(&effects, RAFT_VOTE_REPLY, &reply);
+	bed_deliver(raft, 2, vote, 2 * SECOND, &effects);
+	early = bed_take_sent(&effects, RAFT_VOTE_REPLY, &reply);
 	raft_synced(raft, 1, 2 * SECOND + 1000, &effects);
-	g_assert_true(early || take_sent(&effects, RAFT_VOTE_REPLY, &reply));
+	g_assert_true(early ||
+		      bed_take_sent(&effects, RAFT_VOTE_REPLY, &reply));
 	g_assert_cmpint(reply.flags, ==, RAFT_GRANTED);
 	effects_clear(&effects);
 	raft_free(raft);
@@ -225,15 +108,15 @@
 	struct raft_message prevote = {
 		.kind = RAFT_PREVOTE, .term = 9, .index = 99, .log_term = 8
 	};
-	struct raft *raft = restored(mutant, true);
+	struct raft *raft = bed_restored(mutant, true);
 	struct raft_message reply;
 	struct effects effects;
 
 	effects_init(&effects);
 	raft_peer_up(raft, 2, 0, &effects);
 	effects_clear(&effects);
-	deliver(raft, 2, prevote, now_us, &effects);
-	g_assert_true(take_sent(&effects, RAFT_PREVOTE_REPLY, &reply));
+	bed_deliver(raft, 2, prevote, now_us, &effects);
+	g_assert_true(bed_take_sent(&effects, RAFT_PREVOTE_REPLY, &reply));
 	raft_free(raft);
 	return reply.flags == RAFT_GRANTED;
 }
@@ -262,8 +145,8 @@
 	bool reads;
 
 	effects_init(&effects);
-	raft = elected(mutant, &effects);
-	deliver(raft, 3, reply, 3 * SECOND + 1000, &effects);
+	raft = bed_elected(mutant, &effects);
+	bed_deliver(raft, 3, reply, 3 * SECOND + 1000, &effects);
 	while (raft_next_committed(raft, &committed))
 		continue;
 	reads = raft_may_read(raft, 3 * SECOND + since_us);
@@ -298,7 +181,7 @@
 				    .age_us = 1,
 				    .leader = 3,
 				    .flags = RAFT_FED };
-	struct raft *raft = restored(RAFT_MUTANT_NONE, true);
+	struct raft *raft = bed_restored(RAFT_MUTANT_NONE, true);
 	struct raft_message reply;
 	struct effects effects;
 
@@ -307,8 +190,8 @@
 	raft->feeder = 2;
 	raft_peer_up(raft, 2, 0, &effects);
 	effects_clear(&effects);
-	deliver(raft, 2, fed, 10, &effects);
-	g_assert_true(take_sent(&effects, RAFT_APPEND_REPLY, &reply));
+	bed_deliver(raft, 2, fed, 10, &effects);
+	g_assert_true(bed_take_sent(&effects, RAFT_APPEND_REPLY, &reply));
 	g_assert_cmpint(reply.held, ==, 1);
 	g_assert_cmpint(raft_commit_index(raft), ==, 1);
 	raft_free(raft);
@@ -320,7 +203,7 @@
  */
 static void member_without_a_disk_never_votes(void)
 {
-	struct raft *raft = restored(RAFT_MUTANT_NONE, false);
+	struct raft *raft = bed_restored(RAFT_MUTANT_NONE, false);
 	struct raft_message vote = {
 		.kind = RAFT_VOTE, .term = 9, .index = 99, .log_term = 8
 	};
@@ -332,8 +215,8 @@
 	raft_tick(raft, 10 * SECOND, &effects);
 	g_assert_cmpint(raft_role(raft), ==, RAFT_FOLLOWER);
 	effects_clear(&effects);
-	deliver(raft, 2, vote, 10 * SECOND, &effects);
-	g_assert_true(take_sent(&effects, RAFT_VOTE_REPLY, &reply));
+	bed_deliver(raft, 2, vote, 10 * SECOND, &effects);
+	g_assert_true(bed_take_sent(&effects, RAFT_VOTE_REPLY, &reply));
 	g_assert_cmpint(reply.flags, ==, RAFT_REJECTED);
 	raft_free(raft);
 }
@@ -348,7 +231,7 @@
 					.leader = 2,
 					.data = "abc",
 					.len = 3 };
-	struct raft *raft = restored(RAFT_MUTANT_NONE, true);
+	struct raft *raft = bed_restored(RAFT_MUTANT_NONE, true);
 	struct bytes body = { 0 };
 	struct effects effects;
 	size_t len;
@@ -381,14 +264,14 @@
 	int64_t term;
 
 	effects_init(&effects);
-	raft = elected(RAFT_MUTANT_NONE, &effects);
+	raft = bed_elected(RAFT_MUTANT_NONE, &effects);
 	reply.echo_us = 3 * SECOND;
-	deliver(raft, 3, reply, 3 * SECOND + 1000, &effects);
+	bed_deliver(raft, 3, reply, 3 * SECOND + 1000, &effects);
 	g_assert_cmpint(raft_commit_index(raft), ==, 3);
 	g_assert_true(raft_lease(raft)->held);
 	effects_clear(&effects);
 	raft_transfer(raft, 3 * SECOND + 2000, &effects);
-	g_assert_true(take_sent(&effects, RAFT_TIMEOUT_NOW, &sent));
+	g_assert_true(bed_take_sent(&effects, RAFT_TIMEOUT_NOW, &sent));
 	g_assert_false(raft_lease(raft)->held);
 	g_assert_false(raft_may_read(raft, 3 * SECOND + 2000));
 	g_assert_cmpint(raft_propose(raft, "x", 1, 3 * SECOND + 3000, &effects,
@@ -420,9 +303,9 @@
 	struct raft *raft;
 
 	effects_init(&effects);
-	raft = elected(mutant, &effects);
+	raft = bed_elected(mutant, &effects);
 	if (own_committed)
-		deliver(raft, 2, reply, 3 * SECOND + 1000, &effects);
+		bed_deliver(raft, 2, reply, 3 * SECOND + 1000, &effects);
 	codes[0] = put_member(raft, 4, &effects);
 	codes[1] = put_member(raft, 5, &effects);
 	effects_clear(&effects);
