agree: a leader's own pause is nobody's silence

A leader that is paused for longer than a voter may be silent, and isn't replaced meanwhile, takes each member that hasn't answered yet for dead when it goes on: with one fresh answer it has its quorum, and the repair promotes a candidate in place of a voter whose answer comes a moment later. In the all-in-one daemon claims of owners that live would end as unknown the same way, and callers that ask again be told so while their request runs.

Messages that are read before the leader's first tick kept it in office, so stepping down at that tick doesn't cover it.

The leader notes when it last ran. After a gap of an election timeout it counts silence anew and repairs no sooner than after an election, by the same function. Stepping down at once was weighed: where nobody else was elected, it would cost an election.

/raft-silence/own-pause failed before: the candidate was a voter.

--- a/libfilberthall/agree/raft.c
+++ b/libfilberthall/agree/raft.c
@@ -225,8 +225,21 @@
 	       now_us - raft->feeder_heard_us < raft->options.election_us;
 }
 
+/**
+ * A leader that was paused heard nobody meanwhile: members that live would
+ * count as silent until their first answers come.
+ */
+static void raft_note_pause(struct raft *raft, int64_t now_us)
+{
+	if (raft->role == RAFT_LEADER &&
+	    now_us - raft->ran_us >= raft->options.election_us)
+		raft_count_silence_anew(raft, now_us);
+	raft->ran_us = now_us;
+}
+
 void raft_tick(struct raft *raft, int64_t now_us, struct effects *effects)
 {
+	raft_note_pause(raft, now_us);
 	if (raft->role == RAFT_LEADER)
 		raft_tick_leader(raft, now_us, effects);
 	else if (now_us >= raft->election_at_us && raft_can_vote(raft) &&
@@ -306,6 +319,7 @@
 			 (unsigned long long)peer_id);
 		return;
 	}
+	raft_note_pause(raft, now_us);
 	alive_us = raft_alive_us(&message, now_us);
 	if (alive_us > peer->heard_us)
 		peer->heard_us = alive_us;
--- a/libfilberthall/agree/raft_election.c
+++ b/libfilberthall/agree/raft_election.c
@@ -162,6 +162,21 @@
 		raft->self_vote = true;
 }
 
+void raft_count_silence_anew(struct raft *raft, int64_t now_us)
+{
+	struct raft_peer *peer;
+
+	raft->repair_at_us = now_us + raft->options.election_us;
+	/*
+	 * Who had no link to us before either isn't given new time: a voter
+	 * that was gone for seconds, and a VM ready to take its place, would
+	 * wait once more at each change of leader.
+	 */
+	list_foreach(peer, &raft->peers, node)
+		if (peer->up)
+			peer->heard_us = now_us;
+}
+
 static void raft_become_leader(struct raft *raft, int64_t now_us,
 			       struct effects *effects)
 {
@@ -171,7 +186,7 @@
 	raft->role = RAFT_LEADER;
 	raft->leader = raft->options.self.id;
 	raft->elected_us = now_us;
-	raft->repair_at_us = now_us + raft->options.election_us;
+	raft_count_silence_anew(raft, now_us);
 	raft->transferring = false;
 	raft->transfer_sent = false;
 	lease_elected(&raft->lease, raft->term, now_us);
@@ -185,13 +200,6 @@
 		peer->n_flight = 0;
 		peer->sent_us = RAFT_NEVER;
 		peer->acked_us = RAFT_NEVER;
-		/*
-		 * Who had no link to us before either isn't given new time: a
-		 * voter that was gone for seconds, and a VM ready to take its
-		 * place, would wait once more at each change of leader.
-		 */
-		if (peer->up)
-			peer->heard_us = now_us;
 		peer->snapshot_index = 0;
 		peer->feeding = peer->child || raft_leader_feeds(peer);
 	}
--- a/libfilberthall/agree/raft_internal.h
+++ b/libfilberthall/agree/raft_internal.h
@@ -178,6 +178,7 @@
 	bool transfer_sent;
 	int64_t transfer_until_us;
 	int64_t repair_at_us;
+	int64_t ran_us; /**< last message or tick */
 	struct lease lease;
 
 	/* as learner */
@@ -236,6 +237,10 @@
 
 /* raft_election.c */
 bool raft_can_vote(const struct raft *raft);
+
+/** Leader: nobody was listened to until now; silence counts from here on. */
+void raft_count_silence_anew(struct raft *raft, int64_t now_us);
+
 void raft_reset_election(struct raft *raft, int64_t now_us);
 void raft_distrust_tail(struct raft *raft);
 void raft_become_follower(struct raft *raft, int64_t term, uint64_t leader,
--- a/tests/agree/t-raft-silence.c
+++ b/tests/agree/t-raft-silence.c
@@ -156,6 +156,28 @@
 	bed_clear(&bed);
 }
 
+/* A voter that lives is replaced for the time its leader was paused. */
+static void pause_of_the_leader_is_nobodys_silence(void)
+{
+	struct member_health health = { 0 };
+	struct silence_bed bed;
+	int64_t now_us;
+
+	bed_init(&bed);
+	for (now_us = 20 * SECOND; now_us < 22 * SECOND;
+	     now_us += SECOND / 20) {
+		bed_answer(&bed, 2, now_us - 1000, now_us);
+		bed_answer(&bed, CANDIDATE, now_us - 1000, now_us);
+		raft_tick(bed.raft, now_us, &bed.effects);
+		bed_sync(&bed, now_us);
+	}
+	g_assert_true(raft_is_leader(bed.raft));
+	g_assert_cmpint(bed_member(&bed, CANDIDATE)->role, ==, MEMBER_LEARNER);
+	g_assert_true(raft_health(bed.raft, 3, &health));
+	g_assert_cmpint(health.heard_us, ==, 20 * SECOND);
+	bed_clear(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -165,5 +187,7 @@
 			late_answer_spares_no_voter);
 	g_test_add_func("/raft-silence/late-report",
 			late_report_is_no_sign_of_life);
+	g_test_add_func("/raft-silence/own-pause",
+			pause_of_the_leader_is_nobodys_silence);
 	return g_test_run();
 }
