control: a window waits for entry VMs that are cut off

Cause, from the logs of all VMs: 14 entry VMs of 71 are cut off from all control VMs at 17.5 s and back at 28.0 s. They go on serving, and tell their counts when they are back; but a figure is agreed 2 s after its window's end. Ruled out: lost answers (31 attempts broke off in the ten seconds), an early or late close (reports left 2.0 s after the end, or when a new leader's lease began), wrong clocks (no step logged).

A control VM now keeps by VM name which entry VMs have a link, and adds up a window only when none is missing, else as late as the report allows: the new setting usage.due_s (10, the platform's usage_delay_s) less 1.5 s for the log and a lost call. One that was started anew under another id isn't waited for, as its counts are gone. Each figure leaves a line "added-up" with how long after the end and how many were absent.

Weighed: figures corrected later, as the all-in-one daemon does in the next window, which this platform's reports don't know; control VMs that relay counts, which doesn't help where no control VM is reached. The all-in-one daemon waits for daemons that are behind already (usage/report.c) and bills what comes late as a correction. A cut that outlasts due_s leaves counts out as before.

/usage-windows/cut-off failed before; stays-away and restarted guard the other side, a report that comes too late for a VM that won't come back.

--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -63,6 +63,7 @@
 	int64_t retry_headroom; /**< besides, of all VMs in any window */
 	int64_t retry_window_s;
 	int64_t window_s; /**< usage window */
+	int64_t due_s;	  /**< its report is due so long after its end */
 	int64_t beat_ms;  /**< backend servers announce themselves so often */
 	int64_t header_bytes;
 	int64_t body_bytes;
--- a/daemon/boot_key.c
+++ b/daemon/boot_key.c
@@ -64,6 +64,7 @@
 	{ "backends", "beat_ms", BOOT_NUMBER, BOOT_AT(beat_ms), 0, 1, 600000,
 	  1200 },
 	{ "usage", "window_s", BOOT_NUMBER, BOOT_AT(window_s), 0, 1, 86400, 5 },
+	{ "usage", "due_s", BOOT_NUMBER, BOOT_AT(due_s), 0, 1, 86400, 10 },
 	{ "limits", "header_bytes", BOOT_NUMBER, BOOT_AT(header_bytes), 0, 1024,
 	  1048576, 16384 },
 	{ "limits", "body_bytes", BOOT_NUMBER, BOOT_AT(body_bytes), 0, 1024,
--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -67,6 +67,7 @@
 		.lease_us = boot->lease_ms * 1000,
 		.election_us = boot->election_ms * 1000,
 		.window_us = boot->window_s * 1000000,
+		.due_us = boot->due_s * 1000000,
 		.beat_us = boot->beat_ms * 1000,
 		.report = boot->platform != NULL,
 	};
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -87,6 +87,7 @@
 	ledger_init(&control->ledger);
 	registry_init(&control->registry, options->beat_us);
 	begun_init(&control->begun);
+	roster_init(&control->roster);
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->reports);
@@ -131,6 +132,7 @@
 	bytes_clear(&control->fleet);
 	registry_clear(&control->registry);
 	begun_clear(&control->begun);
+	roster_clear(&control->roster);
 	members_clear(&control->told);
 	free(control->vm);
 	free(control->zone);
@@ -309,6 +311,8 @@
 	if (!peer->observer) {
 		raft_peer_up(control->raft, up->peer, now_us, effects);
 		control_drain(control, now_us, effects);
+	} else {
+		roster_up(&control->roster, up->name, up->peer, now_us);
 	}
 	control_welcome(control, peer, now_us, effects);
 }
@@ -326,6 +330,8 @@
 	if (!peer->observer) {
 		raft_peer_down(control->raft, id, now_us, effects);
 		control_drain(control, now_us, effects);
+	} else {
+		roster_down(&control->roster, id, now_us);
 	}
 	feed_peer_down(&control->peers, peer);
 }
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -41,6 +41,7 @@
 	int64_t election_us; /**< silence of a leader before another one is
 				  elected, also after a start */
 	int64_t window_us;   /**< length of a usage window */
+	int64_t due_us;	     /**< its report is due so long after its end */
 	int64_t beat_us;     /**< servers announce themselves so often */
 	bool report;	     /**< there is a platform that takes reports */
 };
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -13,10 +13,13 @@
 /*
  * How long after its end a window is added up. Entry VMs tell their counts
  * every tenth of a second; two seconds cover a link that has to be set up
- * again, and leave eight of the ten until a report is due.
+ * again.
  */
 #define SETTLE_US INT64_C(2000000)
 
+/* What a figure needs to be agreed and reported, one lost call included. */
+#define REPORT_US INT64_C(1500000)
+
 /* A window this old is no use to anybody any more. */
 #define WINDOW_OLD_US INT64_C(60000000)
 
@@ -73,15 +76,30 @@
 		report_add(control, control->ledger.applied_window);
 }
 
+/*
+ * How long after its end a window is added up now. Counts of entry VMs that are
+ * cut off are waited for as long as the report may wait.
+ */
+static int64_t settle_us(struct control *control, int64_t now_us)
+{
+	int64_t patience_us = control->options.due_us - REPORT_US;
+
+	return patience_us > SETTLE_US &&
+			       roster_awaited(&control->roster, now_us)
+		       ? patience_us
+		       : SETTLE_US;
+}
+
 /*
  * The first window that has ended and settled and has no figure yet, 0 if
  * there is none. One without counts is looked at again: entry VMs may tell of
  * it late, and those whose clock was wrong have counted in another one.
  */
-static int64_t next_window(const struct control *control, int64_t wall_us)
+static int64_t next_window(struct control *control, int64_t wall_us,
+			   int64_t now_us)
 {
 	int64_t length_us = control->options.window_us;
-	int64_t newest = (wall_us - SETTLE_US) / length_us - 1;
+	int64_t newest = (wall_us - settle_us(control, now_us)) / length_us - 1;
 	int64_t window = (wall_us - WINDOW_OLD_US) / length_us - 1;
 
 	while ((window = begun_next(&control->begun, window)))
@@ -103,12 +121,19 @@
 	    now_us - control->window_us < PROPOSED_US)
 		return;
 	control->window_pending = 0;
-	window = next_window(control, wall_us);
+	window = next_window(control, wall_us, now_us);
 	if (!window)
 		return;
 	total = begun_total(&control->begun, window);
 	ledger_write_window(&entry, &total);
 	free(total.counts);
+	control_log(effects, LOG_INFO, "duty",
+		    "event=added-up window=%lld after_ms=%lld absent=%d",
+		    (long long)window,
+		    (long long)((wall_us -
+				 (window + 1) * control->options.window_us) /
+				1000),
+		    roster_awaited(&control->roster, now_us));
 	if (!raft_propose(control->raft, entry.data, entry.len, now_us, effects,
 			  &index, &term)) {
 		control->window_pending = window;
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -7,6 +7,7 @@
 #include "control/ledger.h"
 #include "feed/peers.h"
 #include "usage/begun.h"
+#include "usage/roster.h"
 #include "usage/stepout.h"
 #include "usage/wall.h"
 
@@ -40,6 +41,7 @@
 	struct ledger ledger;
 	struct registry registry;
 	struct begun begun;
+	struct roster roster;
 	struct stepout own_wall; /**< this VM's wall clock */
 	struct wall wall;
 	struct map peers; /**< struct feed_peer */
--- /dev/null
+++ b/tests/agreed/t-roster.c
@@ -0,0 +1,47 @@
+#include <glib.h>
+
+#include "usage/roster.h"
+
+#define SECOND INT64_C(1000000)
+
+/* Counts of an entry VM that is cut off are left out of a window's figure. */
+static void one_without_a_link_is_awaited(void)
+{
+	struct roster roster;
+
+	roster_init(&roster);
+	g_assert_cmpint(roster_awaited(&roster, 0), ==, 0);
+	roster_up(&roster, "entry-1", 1, 0);
+	roster_up(&roster, "entry-2", 2, 0);
+	g_assert_cmpint(roster_awaited(&roster, SECOND), ==, 0);
+	roster_down(&roster, 1, SECOND);
+	g_assert_cmpint(roster_awaited(&roster, 10 * SECOND), ==, 1);
+	roster_up(&roster, "entry-1", 1, 10 * SECOND);
+	g_assert_cmpint(roster_awaited(&roster, 10 * SECOND + 1), ==, 1);
+	g_assert_cmpint(roster_awaited(&roster, 11 * SECOND), ==, 0);
+	roster_clear(&roster);
+}
+
+/* Windows wait for ever for a process that ended. */
+static void one_that_ended_is_not_awaited(void)
+{
+	struct roster roster;
+
+	roster_init(&roster);
+	roster_up(&roster, "entry-1", 1, 0);
+	roster_up(&roster, "entry-1", 2, SECOND);
+	roster_down(&roster, 1, 2 * SECOND);
+	g_assert_cmpint(roster_awaited(&roster, 3 * SECOND), ==, 0);
+	roster_down(&roster, 2, 4 * SECOND);
+	g_assert_cmpint(roster_awaited(&roster, 63 * SECOND), ==, 1);
+	g_assert_cmpint(roster_awaited(&roster, 64 * SECOND), ==, 0);
+	roster_clear(&roster);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/roster/cut-off", one_without_a_link_is_awaited);
+	g_test_add_func("/roster/ended", one_that_ended_is_not_awaited);
+	return g_test_run();
+}
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -316,6 +316,7 @@
 		.lease_us = group->lease_us,
 		.election_us = 300000,
 		.window_us = 5000000,
+		.due_us = 10000000,
 		.report = true,
 	};
 	struct effects effects;
@@ -423,6 +424,7 @@
 
 	group->n_vms = n_vms;
 	group->seed = seed;
+	group->entry_id = GROUP_ENTRY_ID;
 	group->lease_us = 3000000;
 	group->read_document = read_document;
 	group->answers = g_array_new(false, true, sizeof(struct answer));
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -112,9 +112,15 @@
 /** The body of a call's answer, NULL while there is none. */
 const char *group_body(struct group *group, uint64_t call);
 
-/** An entry VM has seen requests begin in a window. */
+/** An entry VM has seen requests begin in a window, and tells all VMs. */
 void group_begun(struct group *group, int64_t window, int64_t requests);
 
+/** The entry VM's links are down. */
+void group_entry_down(struct group *group);
+
+/** It was started anew, and has links to all VMs. */
+void group_entry_restart(struct group *group);
+
 /** Calls to the platform so far. All are answered with `code`. */
 const struct group_call *group_calls(const struct group *group, int *n);
 void group_answer_calls(struct group *group, enum result code);
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -109,13 +109,23 @@
 	return answer ? answer->body : NULL;
 }
 
+/* The entry VM's link to a VM comes up, if it isn't. */
+static void entry_link_up(struct group *group, int at)
+{
+	struct event_link_up up = { group->entry_id, (char *)"entry",
+				    (char *)"z1", NULL, true };
+	struct effects effects;
+
+	effects_init(&effects);
+	control_link_up(group->vms[at].control, &up, group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+}
+
 void group_begun(struct group *group, int64_t window, int64_t requests)
 {
 	struct feed_count count = { "yards", requests };
 	struct feed_begun begun = { window, &count, 1 };
-	struct event_link_up up = { GROUP_ENTRY_ID, (char *)"entry",
-				    (char *)"z1", NULL, true };
-	struct event_link_message message = { GROUP_ENTRY_ID,
+	struct event_link_message message = { group->entry_id,
 					      LINK_FEED,
 					      { 0 } };
 	struct effects effects;
@@ -125,9 +135,8 @@
 	for (i = 0; i < group->n_vms; i++) {
 		if (!group->vms[i].control)
 			continue;
+		entry_link_up(group, i);
 		effects_init(&effects);
-		control_link_up(group->vms[i].control, &up, group->now_us,
-				&effects);
 		control_link_message(group->vms[i].control, &message,
 				     group->now_us, &effects);
 		group_carry_out(group, i, &effects);
@@ -135,6 +144,32 @@
 	bytes_clear(&message.body);
 }
 
+void group_entry_down(struct group *group)
+{
+	struct effects effects;
+	int i;
+
+	for (i = 0; i < group->n_vms; i++) {
+		if (!group->vms[i].control)
+			continue;
+		effects_init(&effects);
+		control_link_down(group->vms[i].control, group->entry_id,
+				  group->now_us, &effects);
+		group_carry_out(group, i, &effects);
+	}
+}
+
+void group_entry_restart(struct group *group)
+{
+	int i;
+
+	group_entry_down(group);
+	group->entry_id++;
+	for (i = 0; i < group->n_vms; i++)
+		if (group->vms[i].control)
+			entry_link_up(group, i);
+}
+
 void group_register(struct group *group, int at, const char *id,
 		    int64_t sequence)
 {
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -57,6 +57,7 @@
 	int64_t sent_bytes[GROUP_VMS][GROUP_VMS];
 	int64_t now_us;
 	uint64_t next_id;
+	uint64_t entry_id; /* of the entry VM that tells what it counts */
 	uint64_t next_call;
 	uint64_t seed;
 	struct post *posts;
--- a/tests/control/t-usage-windows.c
+++ b/tests/control/t-usage-windows.c
@@ -131,11 +131,67 @@
 	group_free(group);
 }
 
+/* Requests begin at an entry VM that is cut off, and are told later. */
+static void test_cut_off(void)
+{
+	struct group *group = founded();
+	int64_t window = window_now(group) + 1;
+	const struct group_call *report;
+
+	group_begun(group, window, 30);
+	group_run(group, window_end_us(window) - group_now(group) - SECOND);
+	group_entry_down(group);
+	group_run(group, window_end_us(window) - group_now(group) + 8 * SECOND);
+	group_begun(group, window, 50);
+	group_run(group, SECOND);
+	group_answer_calls(group, RESULT_OK);
+	report = report_of(group, window);
+	g_assert_nonnull(report);
+	g_assert_nonnull(strstr(report->body, "\"yards\":50"));
+	g_assert_cmpint(report->at_us, <=, window_end_us(window) + DUE_US);
+	group_free(group);
+}
+
+/* A window that waits for an entry VM that stays away is reported too late. */
+static void test_stays_away(void)
+{
+	struct group *group = founded();
+	int64_t window = window_now(group) + 1;
+	const struct group_call *report;
+
+	group_begun(group, window, 30);
+	group_entry_down(group);
+	group_run(group, window_end_us(window) - group_now(group) + DUE_US);
+	group_answer_calls(group, RESULT_OK);
+	report = report_of(group, window);
+	g_assert_nonnull(report);
+	g_assert_cmpint(report->at_us, <=,
+			window_end_us(window) + DUE_US - SECOND);
+	group_free(group);
+}
+
+/* Windows wait for a process that ended, and won't tell any more. */
+static void test_restarted(void)
+{
+	struct group *group = founded();
+	int64_t window = window_now(group) + 1;
+
+	group_begun(group, window, 30);
+	group_run(group, window_end_us(window) - group_now(group) - SECOND);
+	group_entry_restart(group);
+	group_run(group, 4 * SECOND);
+	g_assert_nonnull(report_of(group, window));
+	group_free(group);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/usage-windows/clocks-ahead", test_clocks_ahead);
 	g_test_add_func("/usage-windows/clocks-behind", test_clocks_behind);
 	g_test_add_func("/usage-windows/told-late", test_told_late);
+	g_test_add_func("/usage-windows/cut-off", test_cut_off);
+	g_test_add_func("/usage-windows/stays-away", test_stays_away);
+	g_test_add_func("/usage-windows/restarted", test_restarted);
 	return g_test_run();
 }
--- a/tests/daemon/t-boot.c
+++ b/tests/daemon/t-boot.c
@@ -55,6 +55,9 @@
 		{ "backends: {beat_ms: 0}\n",
 		  "b.yaml:9: beat_ms: a whole number from 1 to 600000 is "
 		  "needed" },
+		{ "usage: {due_s: 0}\n",
+		  "b.yaml:9: due_s: a whole number from 1 to 86400 is "
+		  "needed" },
 		{ "limits: {idle_s: 0}\n",
 		  "b.yaml:9: idle_s: a whole number from 1 to 3600 is "
 		  "needed" },
