control: what a waiting window has counted is in the log

A window that waits for entry VMs that are cut off would be lost if all VMs lost power meanwhile: its counts are in memory until there is a figure, up to 8.5 s after its end instead of 2 s.

What is known of a window 2 s after its end goes into the log at once, as before; while counts are missing it goes in as counted so far, not as the figure. The figure is never less than that, for any organisation.

Weighed: a figure that a later one replaces. A report may have left for the first one, and no window is reported twice with different figures.

/usage-windows/power-lost failed before: no report.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -162,6 +162,8 @@
 	}
 	if (change == LEDGER_WINDOW)
 		control_window_applied(control);
+	if (change == LEDGER_COUNTED)
+		control->window_pending = 0;
 }
 
 static void apply_snapshot(struct control *control,
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -90,56 +90,112 @@
 		       : SETTLE_US;
 }
 
+/* The next window that anything is known of, here or in the log. */
+static int64_t known_window(const struct control *control, int64_t after)
+{
+	int64_t told = begun_next(&control->begun, after);
+	int64_t counted = ledger_next_counted(&control->ledger, after);
+
+	return counted && (!told || counted < told) ? counted : told;
+}
+
+typedef const struct feed_begun *window_lookup(const struct ledger *ledger,
+					       int64_t window);
+
 /*
- * The first window that has ended and settled and has no figure yet, 0 if
- * there is none. One without counts is looked at again: entry VMs may tell of
- * it late, and those whose clock was wrong have counted in another one.
+ * The first window that ended `settled_us` ago and that the log has nothing of
+ * yet, 0 if there is none. One without counts is looked at again: entry VMs
+ * may tell of it late, and those whose clock was wrong have counted in another
+ * one.
  */
-static int64_t next_window(struct control *control, int64_t wall_us,
-			   int64_t now_us)
+static int64_t next_window(const struct control *control, window_lookup *has,
+			   int64_t settled_us, int64_t wall_us)
 {
 	int64_t length_us = control->options.window_us;
-	int64_t newest = (wall_us - settle_us(control, now_us)) / length_us - 1;
+	int64_t newest = (wall_us - settled_us) / length_us - 1;
 	int64_t window = (wall_us - WINDOW_OLD_US) / length_us - 1;
 
-	while ((window = begun_next(&control->begun, window)))
-		if (window > newest || !ledger_window(&control->ledger, window))
+	while ((window = known_window(control, window)))
+		if (window > newest || !has(&control->ledger, window))
 			break;
 	return window <= newest ? window : 0;
 }
 
+/* A figure, or what was counted before there was one. */
+static const struct feed_begun *any_counts(const struct ledger *ledger,
+					   int64_t window)
+{
+	const struct feed_begun *figure = ledger_window(ledger, window);
+
+	return figure ? figure : ledger_counted(ledger, window);
+}
+
+static bool propose_entry(struct control *control, struct bytes *entry,
+			  int64_t window, int64_t now_us,
+			  struct effects *effects)
+{
+	int64_t index;
+	int64_t term;
+	enum result code = raft_propose(control->raft, entry->data, entry->len,
+					now_us, effects, &index, &term);
+
+	bytes_clear(entry);
+	if (code)
+		return false;
+	control->window_pending = window;
+	control->window_us = now_us;
+	return true;
+}
+
+static void propose_figure(struct control *control, int64_t window,
+			   int64_t wall_us, int64_t now_us,
+			   struct effects *effects)
+{
+	int64_t end_us = (window + 1) * control->options.window_us;
+	struct feed_begun total = begun_total(&control->begun, window);
+	struct bytes entry = { 0 };
+
+	begun_raise(&total, ledger_counted(&control->ledger, window));
+	ledger_write_window(&entry, &total);
+	free(total.counts);
+	if (!propose_entry(control, &entry, window, now_us, effects))
+		return;
+	control_log(effects, LOG_INFO, "duty",
+		    "event=added-up window=%lld after_ms=%lld absent=%d",
+		    (long long)window, (long long)((wall_us - end_us) / 1000),
+		    roster_awaited(&control->roster, now_us));
+}
+
+/* So that a window that waits isn't lost if all VMs lose power meanwhile. */
+static void propose_counted(struct control *control, int64_t window,
+			    int64_t now_us, struct effects *effects)
+{
+	struct feed_begun total = begun_total(&control->begun, window);
+	struct bytes entry = { 0 };
+
+	ledger_write_counted(&entry, &total);
+	free(total.counts);
+	propose_entry(control, &entry, window, now_us, effects);
+}
+
 static void propose_window(struct control *control, int64_t wall_us,
 			   int64_t now_us, struct effects *effects)
 {
-	struct feed_begun total;
-	struct bytes entry = { 0 };
 	int64_t window;
-	int64_t index;
-	int64_t term;
 
 	if (control->window_pending &&
 	    now_us - control->window_us < PROPOSED_US)
 		return;
 	control->window_pending = 0;
-	window = next_window(control, wall_us, now_us);
-	if (!window)
+	window = next_window(control, ledger_window, settle_us(control, now_us),
+			     wall_us);
+	if (window) {
+		propose_figure(control, window, wall_us, now_us, effects);
 		return;
-	total = begun_total(&control->begun, window);
-	ledger_write_window(&entry, &total);
-	free(total.counts);
-	control_log(effects, LOG_INFO, "duty",
-		    "event=added-up window=%lld after_ms=%lld absent=%d",
-		    (long long)window,
-		    (long long)((wall_us -
-				 (window + 1) * control->options.window_us) /
-				1000),
-		    roster_awaited(&control->roster, now_us));
-	if (!raft_propose(control->raft, entry.data, entry.len, now_us, effects,
-			  &index, &term)) {
-		control->window_pending = window;
-		control->window_us = now_us;
 	}
-	bytes_clear(&entry);
+	window = next_window(control, any_counts, SETTLE_US, wall_us);
+	if (window)
+		propose_counted(control, window, now_us, effects);
 }
 
 static void report_body(struct bytes *out, const struct feed_begun *total)
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -7,7 +7,12 @@
 #include "base/compression.h"
 #include "core/pack.h"
 
-enum ledger_entry { ENTRY_DOCUMENT = 1, ENTRY_WINDOW, ENTRY_PACKED_DOCUMENT };
+enum ledger_entry {
+	ENTRY_DOCUMENT = 1,
+	ENTRY_WINDOW,
+	ENTRY_PACKED_DOCUMENT,
+	ENTRY_COUNTED
+};
 
 /*
  * Longer documents are written compressed, as the log takes no entry of more
@@ -22,6 +27,7 @@
 {
 	memset(ledger, 0, sizeof(*ledger));
 	list_init(&ledger->windows);
+	list_init(&ledger->waiting);
 }
 
 static void window_free(struct ledger_window *window)
@@ -38,6 +44,8 @@
 
 	list_foreach_safe(window, next, &ledger->windows, node)
 		window_free(window);
+	list_foreach_safe(window, next, &ledger->waiting, node)
+		window_free(window);
 	bytes_clear(&ledger->document);
 	ledger_init(ledger);
 }
@@ -79,17 +87,50 @@
 	feed_pack_begun(out, ENTRY_WINDOW, total);
 }
 
-const struct feed_begun *ledger_window(const struct ledger *ledger,
-				       int64_t number)
+void ledger_write_counted(struct bytes *out, const struct feed_begun *total)
+{
+	feed_pack_begun(out, ENTRY_COUNTED, total);
+}
+
+static struct ledger_window *window_find(const struct list *windows,
+					 int64_t number)
 {
 	struct ledger_window *window;
 
-	list_foreach(window, &ledger->windows, node)
+	list_foreach(window, windows, node)
 		if (window->window == number)
-			return &window->total;
+			return window;
 	return NULL;
 }
 
+const struct feed_begun *ledger_window(const struct ledger *ledger,
+				       int64_t number)
+{
+	struct ledger_window *window = window_find(&ledger->windows, number);
+
+	return window ? &window->total : NULL;
+}
+
+const struct feed_begun *ledger_counted(const struct ledger *ledger,
+					int64_t number)
+{
+	struct ledger_window *window = window_find(&ledger->waiting, number);
+
+	return window ? &window->total : NULL;
+}
+
+int64_t ledger_next_counted(const struct ledger *ledger, int64_t after)
+{
+	struct ledger_window *window;
+	int64_t found = 0;
+
+	list_foreach(window, &ledger->waiting, node)
+		if (window->window > after &&
+		    (!found || window->window < found))
+			found = window->window;
+	return found;
+}
+
 static enum ledger_change take_document(struct ledger *ledger,
 					const struct unpacked *items)
 {
@@ -127,21 +168,50 @@
 	return LEDGER_DOCUMENT;
 }
 
+/* Takes `total` over. */
+static void window_add(struct list *windows, struct feed_begun *total)
+{
+	struct ledger_window *window = xcalloc(1, sizeof(*window));
+
+	window->window = total->window;
+	window->total = *total;
+	list_append(windows, &window->node);
+}
+
+/* The first counts hold until there is a figure; takes `total` over. */
+static enum ledger_change take_counted(struct ledger *ledger,
+				       struct feed_begun *total)
+{
+	struct ledger_window *window;
+	struct ledger_window *next;
+
+	if (ledger_window(ledger, total->window) ||
+	    ledger_counted(ledger, total->window)) {
+		free(total->counts);
+		return LEDGER_NOTHING;
+	}
+	list_foreach_safe(window, next, &ledger->waiting, node)
+		if (window->window <= total->window - LEDGER_WINDOWS)
+			window_free(window);
+	window_add(&ledger->waiting, total);
+	return LEDGER_COUNTED;
+}
+
 /* The first figure holds; takes `total` over. */
 static enum ledger_change take_window(struct ledger *ledger,
 				      struct feed_begun *total)
 {
-	struct ledger_window *window;
 	struct ledger_window *oldest;
+	struct ledger_window *counted;
 
 	if (ledger_window(ledger, total->window)) {
 		free(total->counts);
 		return LEDGER_NOTHING;
 	}
-	window = xcalloc(1, sizeof(*window));
-	window->window = total->window;
-	window->total = *total;
-	list_append(&ledger->windows, &window->node);
+	counted = window_find(&ledger->waiting, total->window);
+	if (counted)
+		window_free(counted);
+	window_add(&ledger->windows, total);
 	ledger->applied_window = total->window;
 	if (total->window > ledger->last_window)
 		ledger->last_window = total->window;
@@ -165,10 +235,11 @@
 		return take_document(ledger, items);
 	if (kind == ENTRY_PACKED_DOCUMENT)
 		return take_packed(ledger, items);
-	if (kind != ENTRY_WINDOW)
+	if (kind != ENTRY_WINDOW && kind != ENTRY_COUNTED)
 		return LEDGER_NOTHING;
 	if (feed_unpack_begun(items, &total))
-		return take_window(ledger, &total);
+		return kind == ENTRY_WINDOW ? take_window(ledger, &total)
+					    : take_counted(ledger, &total);
 	free(total.counts);
 	return LEDGER_NOTHING;
 }
@@ -213,6 +284,10 @@
 		ledger_write_window(&entry, &window->total);
 		save_entry(out, &entry);
 	}
+	list_foreach(window, &ledger->waiting, node) {
+		ledger_write_counted(&entry, &window->total);
+		save_entry(out, &entry);
+	}
 }
 
 bool ledger_load(struct ledger *ledger, const char *data, size_t len)
--- a/libfilberthall/control/ledger.h
+++ b/libfilberthall/control/ledger.h
@@ -16,7 +16,8 @@
  * Failures answered: operators race, and send again what was accepted long
  * ago; only a higher version takes effect. Two leaders in turn add up a
  * window at different moments; the first figure in the log is the window's
- * figure for ever, so it can't be reported in two ways.
+ * figure for ever, so it can't be reported in two ways. All VMs lose power
+ * while a window waits for counts: what was counted by then is in the log.
  */
 
 /** Figures are kept for so many windows, far longer than reports take. */
@@ -33,11 +34,17 @@
 	struct bytes document;
 	struct list windows;
 	int n_windows;
+	struct list waiting; /**< counted so far, without a figure yet */
 	int64_t last_window; /**< highest one that has a figure, 0 for none */
 	int64_t applied_window; /**< the one that got its figure last */
 };
 
-enum ledger_change { LEDGER_NOTHING, LEDGER_DOCUMENT, LEDGER_WINDOW };
+enum ledger_change {
+	LEDGER_NOTHING,
+	LEDGER_DOCUMENT,
+	LEDGER_WINDOW,
+	LEDGER_COUNTED
+};
 
 void ledger_init(struct ledger *ledger);
 void ledger_clear(struct ledger *ledger);
@@ -46,6 +53,7 @@
 void ledger_write_document(struct bytes *out, int64_t version,
 			   const struct bytes *text);
 void ledger_write_window(struct bytes *out, const struct feed_begun *total);
+void ledger_write_counted(struct bytes *out, const struct feed_begun *total);
 
 /** Apply one entry; what it changed. A malformed entry changes nothing. */
 enum ledger_change ledger_apply(struct ledger *ledger, const char *data,
@@ -55,6 +63,13 @@
 const struct feed_begun *ledger_window(const struct ledger *ledger,
 				       int64_t window);
 
+/** What was counted of a window that has no figure yet, or NULL. */
+const struct feed_begun *ledger_counted(const struct ledger *ledger,
+					int64_t window);
+
+/** The first such window behind `after`, 0 for none. */
+int64_t ledger_next_counted(const struct ledger *ledger, int64_t after);
+
 /** The whole state as bytes, and back; false if malformed. */
 void ledger_save(const struct ledger *ledger, struct bytes *out);
 bool ledger_load(struct ledger *ledger, const char *data, size_t len);
--- a/libfilberthall/usage/begun.c
+++ b/libfilberthall/usage/begun.c
@@ -178,6 +178,25 @@
 	total->n_counts = n ? last + 1 : 0;
 }
 
+/* Of equal neighbours. */
+static void keep_largest(struct feed_begun *total)
+{
+	size_t last = 0;
+	size_t i;
+
+	for (i = 1; i < total->n_counts; i++) {
+		struct feed_count *kept = &total->counts[last];
+		const struct feed_count *count = &total->counts[i];
+
+		if (compare_organisation(kept, count))
+			total->counts[++last] = *count;
+		else if (count->requests > kept->requests)
+			kept->requests = count->requests;
+	}
+	if (total->n_counts)
+		total->n_counts = last + 1;
+}
+
 static struct feed_begun window_total(const struct begun_window *window)
 {
 	struct feed_begun total = { .window = window->window };
@@ -258,3 +277,18 @@
 
 	return window ? window_total(window) : none;
 }
+
+void begun_raise(struct feed_begun *total, const struct feed_begun *known)
+{
+	size_t n = known ? known->n_counts : 0;
+	size_t i;
+
+	total->counts = xrealloc(total->counts, (total->n_counts + n + 1) *
+							sizeof(*total->counts));
+	for (i = 0; i < n; i++)
+		total->counts[total->n_counts + i] = known->counts[i];
+	total->n_counts += n;
+	qsort(total->counts, total->n_counts, sizeof(*total->counts),
+	      compare_organisation);
+	keep_largest(total);
+}
--- a/libfilberthall/usage/begun.h
+++ b/libfilberthall/usage/begun.h
@@ -54,4 +54,7 @@
 /** Control VM: totals of a window over all entry VMs; to be freed. */
 struct feed_begun begun_total(const struct begun *begun, int64_t window);
 
+/** Raise totals to those that were known before; `known` may be NULL. */
+void begun_raise(struct feed_begun *total, const struct feed_begun *known);
+
 #endif
--- a/tests/agreed/t-begun.c
+++ b/tests/agreed/t-begun.c
@@ -138,6 +138,33 @@
 	g_assert_cmpint(wall_time_us(&wall, 100 * SECOND), ==, 1099 * SECOND);
 }
 
+/* Counts in the log and those told again are billed twice, or one is lost. */
+static void test_raise(void)
+{
+	struct feed_count counts[] = { { "reds", 4 }, { "yards", 9 } };
+	struct feed_begun known = { 7, counts, 2 };
+	struct feed_begun total;
+	struct begun begun;
+	int i;
+
+	begun_init(&begun);
+	for (i = 0; i < 5; i++)
+		begun_add(&begun, 7, "yards");
+	for (i = 0; i < 6; i++)
+		begun_add(&begun, 7, "blues");
+	total = begun_total(&begun, 7);
+	begun_raise(&total, &known);
+	g_assert_cmpuint(total.n_counts, ==, 3);
+	g_assert_cmpstr(total.counts[0].organisation, ==, "blues");
+	g_assert_cmpint(total.counts[0].requests, ==, 6);
+	g_assert_cmpint(total.counts[1].requests, ==, 4);
+	g_assert_cmpint(total.counts[2].requests, ==, 9);
+	begun_raise(&total, NULL);
+	g_assert_cmpuint(total.n_counts, ==, 3);
+	free(total.counts);
+	begun_clear(&begun);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -145,5 +172,6 @@
 	g_test_add_func("/begun/windows-bounded", test_windows_bounded);
 	g_test_add_func("/begun/many-sources", test_many_sources);
 	g_test_add_func("/wall/median", test_wall);
+	g_test_add_func("/begun/raise", test_raise);
 	return g_test_run();
 }
--- a/tests/control/t-ledger.c
+++ b/tests/control/t-ledger.c
@@ -18,8 +18,10 @@
 	return change;
 }
 
-static enum ledger_change close_window(struct ledger *ledger, int64_t window,
-				       int64_t requests)
+typedef void write_entry(struct bytes *out, const struct feed_begun *total);
+
+static enum ledger_change put_counts(struct ledger *ledger, write_entry *write,
+				     int64_t window, int64_t requests)
 {
 	struct feed_count count = { .organisation = "yards",
 				    .requests = requests };
@@ -27,12 +29,18 @@
 	struct bytes entry = { 0 };
 	enum ledger_change change;
 
-	ledger_write_window(&entry, &total);
+	write(&entry, &total);
 	change = ledger_apply(ledger, entry.data, entry.len);
 	bytes_clear(&entry);
 	return change;
 }
 
+static enum ledger_change close_window(struct ledger *ledger, int64_t window,
+				       int64_t requests)
+{
+	return put_counts(ledger, ledger_write_window, window, requests);
+}
+
 /*
  * Two operators race, and one sends again what was accepted long ago: the
  * highest version holds, and other content under its number is never obeyed.
@@ -65,6 +73,31 @@
 	ledger_clear(&ledger);
 }
 
+/* What was counted of a window that waits is lost, or outlives its figure. */
+static void test_counted(void)
+{
+	struct bytes saved = { 0 };
+	struct ledger ledger;
+
+	ledger_init(&ledger);
+	g_assert_cmpint(put_counts(&ledger, ledger_write_counted, 100, 41), ==,
+			LEDGER_COUNTED);
+	g_assert_cmpint(put_counts(&ledger, ledger_write_counted, 100, 42), ==,
+			LEDGER_NOTHING);
+	g_assert_null(ledger_window(&ledger, 100));
+	ledger_save(&ledger, &saved);
+	g_assert_true(ledger_load(&ledger, saved.data, saved.len));
+	bytes_clear(&saved);
+	g_assert_cmpint(ledger_next_counted(&ledger, 99), ==, 100);
+	g_assert_cmpint(ledger_counted(&ledger, 100)->counts[0].requests, ==,
+			41);
+	g_assert_cmpint(close_window(&ledger, 100, 50), ==, LEDGER_WINDOW);
+	g_assert_cmpint(ledger_next_counted(&ledger, 0), ==, 0);
+	g_assert_cmpint(put_counts(&ledger, ledger_write_counted, 100, 60), ==,
+			LEDGER_NOTHING);
+	ledger_clear(&ledger);
+}
+
 static void test_windows_bounded(void)
 {
 	struct ledger ledger;
@@ -117,6 +150,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/ledger/versions", test_versions);
 	g_test_add_func("/ledger/windows", test_windows);
+	g_test_add_func("/ledger/counted", test_counted);
 	g_test_add_func("/ledger/windows-bounded", test_windows_bounded);
 	g_test_add_func("/ledger/save", test_save);
 	g_test_add_func("/ledger/malformed", test_malformed);
--- a/tests/control/t-usage-windows.c
+++ b/tests/control/t-usage-windows.c
@@ -184,6 +184,30 @@
 	group_free(group);
 }
 
+/* All VMs lose power while a window waits for an entry VM. */
+static void test_power_lost(void)
+{
+	struct group *group = founded();
+	int64_t window = window_now(group) + 1;
+	const struct group_call *report;
+	int i;
+
+	group_begun(group, window, 30);
+	group_run(group, window_end_us(window) - group_now(group) - SECOND);
+	group_entry_down(group);
+	group_run(group, 4 * SECOND);
+	for (i = 0; i < 5; i++)
+		group_kill(group, i);
+	for (i = 0; i < 5; i++)
+		group_start(group, i);
+	group_run(group, window_end_us(window) - group_now(group) + DUE_US);
+	group_answer_calls(group, RESULT_OK);
+	report = report_of(group, window);
+	g_assert_nonnull(report);
+	g_assert_nonnull(strstr(report->body, "\"yards\":30"));
+	group_free(group);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -193,5 +217,6 @@
 	g_test_add_func("/usage-windows/cut-off", test_cut_off);
 	g_test_add_func("/usage-windows/stays-away", test_stays_away);
 	g_test_add_func("/usage-windows/restarted", test_restarted);
+	g_test_add_func("/usage-windows/power-lost", test_power_lost);
 	return g_test_run();
 }
