control: a VM that isn't the leader hands an operator's change on

Cause: an operator's call at a VM that didn't lead was answered with a redirect, so each change took two calls, and each may meet a VM that stands still or lose its answer.

The VM now sends the change to the leader by link and answers with what becomes of it: committed, no quorum, or a redirect if the other one leads no more. If the link goes down the answer is 503 at once. Documents over 1,000 kB are redirected as before, since packing them takes the loop longer than a leader may be silent; so is all to leaders of earlier releases, which don't say that they take changes.

--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -24,6 +24,12 @@
 /* Segments of the log: small, as the disks are. */
 #define SEGMENT_BYTES (INT64_C(4) * 1024 * 1024)
 
+/*
+ * Longer documents are compressed to be sent, which takes the loop longer than
+ * a leader may be silent.
+ */
+#define HAND_ON_BYTES (1000 * 1024)
+
 /* On the disk thread. */
 static void on_synced(void *data, int64_t ticket)
 {
@@ -70,6 +76,7 @@
 		.due_us = boot->due_s * 1000000,
 		.beat_us = boot->beat_ms * 1000,
 		.report = boot->platform != NULL,
+		.hand_on_bytes = HAND_ON_BYTES,
 	};
 
 	if (getrandom(&options.seed, sizeof(options.seed), 0) < 0)
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -90,6 +90,7 @@
 	roster_init(&control->roster);
 	map_init(&control->peers);
 	list_init(&control->proposals);
+	list_init(&control->handed);
 	list_init(&control->reports);
 	list_init(&control->sizes);
 	raft = raft_options_of(control);
@@ -121,6 +122,7 @@
 		return;
 	list_foreach_safe(proposal, next_proposal, &control->proposals, node)
 		control_free_proposal(proposal);
+	control_drop_handed(control);
 	feed_peers_clear(&control->peers);
 	control_drop_reports(control);
 	control_drop_sizes(control);
@@ -279,6 +281,7 @@
 	raft_tick(control->raft, now_us, effects);
 	control_drain(control, now_us, effects);
 	control_expire_proposals(control, now_us, effects);
+	control_expire_handed(control, now_us, effects);
 	control_feed_tick(control, wall_us, now_us, effects);
 	control_servers_tick(control, now_us, effects);
 	control_duty_tick(control, now_us, effects);
@@ -333,6 +336,7 @@
 		    peer->observer ? "entry" : "control");
 	if (!peer->observer) {
 		raft_peer_down(control->raft, id, now_us, effects);
+		control_lose_handed(control, id, effects);
 		control_drain(control, now_us, effects);
 	} else {
 		roster_down(&control->roster, id, now_us);
--- a/libfilberthall/control/control_document.c
+++ b/libfilberthall/control/control_document.c
@@ -14,8 +14,8 @@
  */
 #define PROPOSAL_US INT64_C(3000000)
 
-static void answer(struct effects *effects, uint64_t call, enum result code,
-		   const struct bytes *body)
+void control_answer(struct effects *effects, uint64_t call, enum result code,
+		    const struct bytes *body)
 {
 	struct effect *effect = effects_add(effects, EFFECT_ADMIN_ANSWER);
 
@@ -26,9 +26,9 @@
 }
 
 /* Name the leader, if another VM is known to be it. */
-static void answer_elsewhere(const struct control *control, uint64_t call,
-			     const char *what, int64_t version,
-			     struct effects *effects)
+void control_answer_elsewhere(const struct control *control, uint64_t call,
+			      const char *what, int64_t version,
+			      struct effects *effects)
 {
 	uint64_t leader = raft_leader(control->raft);
 	const struct member *member = NULL;
@@ -45,7 +45,7 @@
 		    (long long)control->ledger.version,
 		    member ? member->vm : "",
 		    (long long)raft_term(control->raft));
-	answer(effects, call, RESULT_NOT_LEADER, &address);
+	control_answer(effects, call, RESULT_NOT_LEADER, &address);
 	bytes_clear(&address);
 }
 
@@ -135,9 +135,27 @@
 		control_answer_fetches(control, effects);
 }
 
-static void propose(struct control *control, uint64_t call,
-		    struct document *document, const struct bytes *text,
-		    int64_t now_us, struct effects *effects)
+/* To an operator here, or to the VM that has its call. */
+static void answer_change(const struct control_caller *caller, enum result code,
+			  struct effects *effects)
+{
+	struct feed_changed changed = { caller->call, code };
+	struct bytes body = { 0 };
+
+	if (!caller->peer) {
+		control_answer(effects, caller->call, code, NULL);
+		return;
+	}
+	feed_write_changed(&body, &changed);
+	feed_send(effects, caller->peer, &body);
+	bytes_clear(&body);
+}
+
+/* `document` is taken over; NULL if it hasn't been read here. */
+static void propose(struct control *control, struct control_caller caller,
+		    int64_t version, struct document *document,
+		    const struct bytes *text, int64_t now_us,
+		    struct effects *effects)
 {
 	struct control_proposal *proposal = xcalloc(1, sizeof(*proposal));
 	struct bytes entry = { 0 };
@@ -145,65 +163,109 @@
 
 	list_init(&proposal->node);
 	proposal->document = document;
-	ledger_write_document(&entry, document->version, text);
+	ledger_write_document(&entry, version, text);
 	code = raft_propose(control->raft, entry.data, entry.len, now_us,
 			    effects, &proposal->index, &proposal->term);
 	bytes_clear(&entry);
 	if (code) {
-		answer(effects, call, code, NULL);
+		answer_change(&caller, code, effects);
 		control_free_proposal(proposal);
 		return;
 	}
-	proposal->call = call;
+	proposal->caller = caller;
 	proposal->give_up_us = now_us + PROPOSAL_US;
 	list_append(&control->proposals, &proposal->node);
 	control_log(effects, LOG_INFO, "document",
 		    "event=proposed call=%llu version=%lld held=%lld "
 		    "index=%lld term=%lld",
-		    (unsigned long long)call, (long long)document->version,
+		    (unsigned long long)caller.call, (long long)version,
 		    (long long)control->ledger.version,
 		    (long long)proposal->index, (long long)proposal->term);
 }
 
-/* Whether the change is to go into the log; else its call is answered. */
-static bool takes_change(const struct control *control, uint64_t call,
-			 int64_t version, struct effects *effects)
+/* Overtaken or sent again: true wherever it is said. */
+static bool is_held(const struct control *control,
+		    const struct control_caller *caller, int64_t version,
+		    struct effects *effects)
 {
-	/* Overtaken or sent again: true wherever it is said. */
-	if (version <= control->ledger.version) {
-		control_log(effects, LOG_INFO, "document",
-			    "event=held call=%llu version=%lld held=%lld",
-			    (unsigned long long)call, (long long)version,
-			    (long long)control->ledger.version);
-		answer(effects, call, RESULT_OK, NULL);
-		return false;
-	}
-	if (!raft_is_leader(control->raft)) {
-		answer_elsewhere(control, call, "change", version, effects);
+	if (version > control->ledger.version)
 		return false;
-	}
-	if (!enough_disks(control)) {
-		control_log(effects, LOG_WARN, "document",
-			    "event=refused call=%llu version=%lld reason="
-			    "too-few-disks voters=%d tolerate=%d",
-			    (unsigned long long)call, (long long)version,
-			    members_voters(raft_members(control->raft)),
-			    control->options.tolerate);
-		answer(effects, call, RESULT_NO_QUORUM, NULL);
-		return false;
-	}
+	control_log(effects, LOG_INFO, "document",
+		    "event=held call=%llu version=%lld held=%lld",
+		    (unsigned long long)caller->call, (long long)version,
+		    (long long)control->ledger.version);
+	answer_change(caller, RESULT_OK, effects);
 	return true;
 }
 
+static bool has_disks(const struct control *control,
+		      const struct control_caller *caller, int64_t version,
+		      struct effects *effects)
+{
+	if (enough_disks(control))
+		return true;
+	control_log(effects, LOG_WARN, "document",
+		    "event=refused call=%llu version=%lld reason="
+		    "too-few-disks voters=%d tolerate=%d",
+		    (unsigned long long)caller->call, (long long)version,
+		    members_voters(raft_members(control->raft)),
+		    control->options.tolerate);
+	answer_change(caller, RESULT_NO_QUORUM, effects);
+	return false;
+}
+
+/* Whether the change is to go into the log here; else it is seen to. */
+static bool takes_change(struct control *control,
+			 const struct control_caller *caller, int64_t version,
+			 const struct bytes *text, int64_t now_us,
+			 struct effects *effects)
+{
+	if (is_held(control, caller, version, effects))
+		return false;
+	if (raft_is_leader(control->raft))
+		return has_disks(control, caller, version, effects);
+	if (!control_hand_on(control, caller->call, version, text, now_us,
+			     effects))
+		control_answer_elsewhere(control, caller->call, "change",
+					 version, effects);
+	return false;
+}
+
 void control_put_document(struct control *control, uint64_t call,
 			  struct document *document, const struct bytes *text,
 			  int64_t now_us, struct effects *effects)
 {
-	if (!takes_change(control, call, document->version, effects)) {
+	struct control_caller caller = { 0, call };
+
+	if (!takes_change(control, &caller, document->version, text, now_us,
+			  effects)) {
 		document_free(document);
 		return;
 	}
-	propose(control, call, document, text, now_us, effects);
+	propose(control, caller, document->version, document, text, now_us,
+		effects);
+	control_drain(control, now_us, effects);
+}
+
+/** A change that was handed on to us. It isn't handed on again. */
+void control_take_change(struct control *control, uint64_t peer,
+			 const struct feed_change *change, int64_t now_us,
+			 struct effects *effects)
+{
+	struct control_caller caller = { peer, change->call };
+	struct bytes text = { 0 };
+
+	if (is_held(control, &caller, change->version, effects))
+		return;
+	if (!raft_is_leader(control->raft)) {
+		answer_change(&caller, RESULT_NOT_LEADER, effects);
+		return;
+	}
+	if (!has_disks(control, &caller, change->version, effects))
+		return;
+	bytes_append(&text, change->text, change->len);
+	propose(control, caller, change->version, NULL, &text, now_us, effects);
+	bytes_clear(&text);
 	control_drain(control, now_us, effects);
 }
 
@@ -213,7 +275,7 @@
 	enum result code = RESULT_OK;
 
 	if (!raft_is_leader(control->raft)) {
-		answer_elsewhere(control, call, "read", 0, effects);
+		control_answer_elsewhere(control, call, "read", 0, effects);
 		return;
 	}
 	if (!raft_may_read(control->raft, now_us) || !control->ledger.version)
@@ -222,7 +284,8 @@
 		    "event=read call=%llu version=%lld code=%s",
 		    (unsigned long long)call,
 		    (long long)control->ledger.version, result_name(code));
-	answer(effects, call, code, code ? NULL : &control->ledger.document);
+	control_answer(effects, call, code,
+		       code ? NULL : &control->ledger.document);
 }
 
 static void end_proposal(struct control_proposal *proposal, enum result code,
@@ -230,10 +293,10 @@
 {
 	control_log(effects, LOG_INFO, "document",
 		    "event=answered call=%llu index=%lld term=%lld code=%s",
-		    (unsigned long long)proposal->call,
+		    (unsigned long long)proposal->caller.call,
 		    (long long)proposal->index, (long long)proposal->term,
 		    result_name(code));
-	answer(effects, proposal->call, code, NULL);
+	answer_change(&proposal->caller, code, effects);
 	control_free_proposal(proposal);
 }
 
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -258,6 +258,16 @@
 	}
 }
 
+static void note_clock(struct control *control, uint64_t id,
+		       const struct feed_clock *clock, int64_t now_us)
+{
+	struct feed_peer *peer = feed_peer_find(&control->peers, id);
+
+	wall_note(&control->wall, id, clock->wall_us, now_us);
+	if (peer)
+		peer->changes = clock->changes;
+}
+
 void control_feed_message(struct control *control, uint64_t peer,
 			  const struct bytes *body, int64_t now_us,
 			  struct effects *effects)
@@ -288,7 +298,15 @@
 		begun_take(&control->begun, peer, &message.u.begun);
 		break;
 	case FEED_CLOCK:
-		wall_note(&control->wall, peer, message.u.clock_us, now_us);
+		note_clock(control, peer, &message.u.clock, now_us);
+		break;
+	case FEED_CHANGE:
+		control_take_change(control, peer, &message.u.change, now_us,
+				    effects);
+		break;
+	case FEED_CHANGED:
+		control_take_changed(control, peer, &message.u.changed,
+				     effects);
 		break;
 	case FEED_BUNDLE:
 	case FEED_MARKS:
@@ -303,9 +321,10 @@
 static void tell_clock(struct control *control, int64_t wall_us,
 		       struct effects *effects)
 {
+	struct feed_clock clock = { wall_us, true };
 	struct bytes body = { 0 };
 
-	feed_write_clock(&body, wall_us);
+	feed_write_clock(&body, &clock);
 	send_to(control, TO_CONTROL, &body, effects);
 }
 
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -13,16 +13,31 @@
 
 /** What the files control*.c share; nobody else includes this. */
 
+/** Who waits for a change: an operator here, or at the VM that has its call. */
+struct control_caller {
+	uint64_t peer; /**< 0: here */
+	uint64_t call;
+};
+
 /** An operator's change on its way through the log. */
 struct control_proposal {
 	struct list node;
-	uint64_t call;
+	struct control_caller caller;
 	int64_t index;
 	int64_t term;
 	int64_t give_up_us;
 	struct document *document; /**< NULL once it is in force */
 };
 
+/** An operator's change that was handed on to the leader. */
+struct control_handed {
+	struct list node;
+	uint64_t call;
+	uint64_t leader;
+	int64_t version;
+	int64_t give_up_us;
+};
+
 /** A window's figure on its way to the platform. */
 struct control_report {
 	struct list node;
@@ -46,6 +61,7 @@
 	struct wall wall;
 	struct map peers; /**< struct feed_peer */
 	struct list proposals;
+	struct list handed; /**< struct control_handed */
 	struct list reports;
 	struct members told; /**< members that entry VMs were told of */
 	int64_t told_index;  /**< configuration that they come from */
@@ -92,6 +108,32 @@
 void control_expire_proposals(struct control *control, int64_t now_us,
 			      struct effects *effects);
 
+void control_answer_elsewhere(const struct control *control, uint64_t call,
+			      const char *what, int64_t version,
+			      struct effects *effects);
+void control_answer(struct effects *effects, uint64_t call, enum result code,
+		    const struct bytes *body);
+void control_take_change(struct control *control, uint64_t peer,
+			 const struct feed_change *change, int64_t now_us,
+			 struct effects *effects);
+
+/* control_hand_on.c */
+
+/** Hand a change on to the leader; false if that can't be done. */
+bool control_hand_on(struct control *control, uint64_t call, int64_t version,
+		     const struct bytes *text, int64_t now_us,
+		     struct effects *effects);
+void control_take_changed(struct control *control, uint64_t peer,
+			  const struct feed_changed *changed,
+			  struct effects *effects);
+
+/** The link to a VM is down: what was handed on to it is unclear. */
+void control_lose_handed(struct control *control, uint64_t peer,
+			 struct effects *effects);
+void control_expire_handed(struct control *control, int64_t now_us,
+			   struct effects *effects);
+void control_drop_handed(struct control *control);
+
 /* control_feed.c */
 int control_entry_vms(const struct control *control);
 void control_welcome(struct control *control, const struct feed_peer *peer,
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -372,6 +372,8 @@
 	case FEED_FETCH:
 	case FEED_BEGUN:
 	case FEED_CLOCK:
+	case FEED_CHANGE:
+	case FEED_CHANGED:
 		break;
 	}
 	feed_clear(&message);
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -204,12 +204,32 @@
 	feed_pack_begun(out, FEED_BEGUN, begun);
 }
 
-void feed_write_clock(struct bytes *out, int64_t wall_us)
+void feed_write_clock(struct bytes *out, const struct feed_clock *clock)
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 1, FEED_CLOCK);
-	msgpack_pack_int64(&packer, wall_us);
+	begin(&packer, out, 2, FEED_CLOCK);
+	msgpack_pack_int64(&packer, clock->wall_us);
+	msgpack_pack_int64(&packer, clock->changes);
+}
+
+void feed_write_change(struct bytes *out, const struct feed_change *change)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 3, FEED_CHANGE);
+	msgpack_pack_uint64(&packer, change->call);
+	msgpack_pack_int64(&packer, change->version);
+	pack_bytes(&packer, change->text, change->len);
+}
+
+void feed_write_changed(struct bytes *out, const struct feed_changed *changed)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 2, FEED_CHANGED);
+	msgpack_pack_uint64(&packer, changed->call);
+	msgpack_pack_int64(&packer, changed->code);
 }
 
 static bool read_name(const struct unpacked *items, size_t i,
@@ -295,6 +315,29 @@
 	       unpack_bytes(items, 2, &document->text, &document->len);
 }
 
+/* Releases before this item redirect operators to the leader. */
+static bool read_clock(const struct unpacked *items, struct feed_clock *clock)
+{
+	if (!read_flag(items, 2, &clock->changes))
+		clock->changes = false;
+	return unpack_int(items, 1, &clock->wall_us);
+}
+
+static bool read_change(const struct unpacked *items,
+			struct feed_change *change)
+{
+	return unpack_uint(items, 1, &change->call) &&
+	       unpack_int(items, 2, &change->version) &&
+	       unpack_bytes(items, 3, &change->text, &change->len);
+}
+
+static bool read_changed(const struct unpacked *items,
+			 struct feed_changed *changed)
+{
+	return unpack_uint(items, 1, &changed->call) &&
+	       unpack_int(items, 2, &changed->code);
+}
+
 static bool read_member(const struct unpacked *items,
 			struct feed_member *member)
 {
@@ -390,7 +433,11 @@
 	case FEED_BEGUN:
 		return feed_unpack_begun(items, &message->u.begun);
 	case FEED_CLOCK:
-		return unpack_int(items, 1, &message->u.clock_us);
+		return read_clock(items, &message->u.clock);
+	case FEED_CHANGE:
+		return read_change(items, &message->u.change);
+	case FEED_CHANGED:
+		return read_changed(items, &message->u.changed);
 	case FEED_MARKS:
 		return read_marks(items, &message->u.marks);
 	case FEED_BUNDLE:
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -26,7 +26,9 @@
 	FEED_BEGUN,	   /**< entry to control: requests begun in a window */
 	FEED_CLOCK,	   /**< control to control: its wall clock */
 	FEED_MARKS,	   /**< control to entry: FEED_ALIVE in few bytes */
-	FEED_BUNDLE	   /**< control to entry: FEED_REGISTRATIONs */
+	FEED_BUNDLE,	   /**< control to entry: FEED_REGISTRATIONs */
+	FEED_CHANGE,	   /**< control to leader: an operator's change */
+	FEED_CHANGED	   /**< leader to control: what became of it */
 };
 
 struct feed_poll {
@@ -98,6 +100,25 @@
 	size_t n_counts;
 };
 
+/** A control VM's wall clock, and what it understands. */
+struct feed_clock {
+	int64_t wall_us;
+	bool changes; /**< FEED_CHANGE */
+};
+
+/** A change that an operator has sent to a VM that doesn't lead. */
+struct feed_change {
+	uint64_t call; /**< the operator's, on that VM */
+	int64_t version;
+	const char *text; /**< inside the message that was read */
+	size_t len;
+};
+
+struct feed_changed {
+	uint64_t call;
+	int64_t code; /**< enum result */
+};
+
 /** One message as it was read. */
 struct feed_message {
 	enum feed_kind kind;
@@ -111,7 +132,9 @@
 		struct feed_begun begun;
 		struct feed_marks marks;
 		struct feed_bundle bundle;
-		int64_t clock_us;
+		struct feed_clock clock;
+		struct feed_change change;
+		struct feed_changed changed;
 	} u;
 	int64_t age_us; /**< of a registration, since the server was heard */
 	struct feed_alive *alive;
@@ -155,7 +178,9 @@
 /** Read such an array; `begun->counts` is to be freed in any case. */
 bool feed_unpack_begun(const struct unpacked *items, struct feed_begun *begun);
 
-void feed_write_clock(struct bytes *out, int64_t wall_us);
+void feed_write_clock(struct bytes *out, const struct feed_clock *clock);
+void feed_write_change(struct bytes *out, const struct feed_change *change);
+void feed_write_changed(struct bytes *out, const struct feed_changed *changed);
 
 /**
  * Read a message. What it points to stays valid as long as `data`, and until
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -18,6 +18,7 @@
 	bool marks;	 /**< understands FEED_MARKS and what came with it */
 	bool welcomed;	 /**< was told of all servers, or is a newcomer */
 	bool newcomer;	 /**< waits for the list of all servers */
+	bool changes;	 /**< understands FEED_CHANGE */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -318,6 +318,7 @@
 		.window_us = 5000000,
 		.due_us = 10000000,
 		.report = true,
+		.hand_on_bytes = group->hand_on_bytes,
 	};
 	struct effects effects;
 
@@ -382,6 +383,11 @@
 	group->lease_us = lease_us;
 }
 
+void group_set_hand_on(struct group *group, int64_t bytes)
+{
+	group->hand_on_bytes = bytes;
+}
+
 void group_mute(struct group *group, int from, int to, bool mute)
 {
 	group->mute[from][to] = mute;
