--- a/tests/agree/t-raft-sim.c
+++ b/tests/agree/t-raft-sim.c
@@ -79,7 +79,8 @@
 /* A silent voter removed by repair just as another one is lost for good. */
 static void silent_voter_stays_until_it_is_replaced(void)
 {
-	static const uint64_t failed_once[] = { 6672, 8863, 34920 };
+	static const uint64_t failed_once[] = { 6672,  8863,  34920, 33345,
+						51567, 53485, 54321 };
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(failed_once); i++)
