control: changes are handed on by control VMs alone; names that say what is done

Read once more: FEED_CHANGE was taken from any daemon with a link, so an entry VM could have proposed a change. No entry VM sends one; now none is heard. is_held() and has_disks() answered calls beside what their names say.

--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -25,8 +25,9 @@
 #define SEGMENT_BYTES (INT64_C(4) * 1024 * 1024)
 
 /*
- * Longer documents are compressed to be sent, which takes the loop longer than
- * a leader may be silent.
+ * Longer documents are redirected to the leader: taking one from a link and
+ * compressing it for the log takes the loop about as long as a leader may be
+ * silent.
  */
 #define HAND_ON_BYTES (1000 * 1024)
 
--- a/libfilberthall/control/control_document.c
+++ b/libfilberthall/control/control_document.c
@@ -183,10 +183,10 @@
 		    (long long)proposal->index, (long long)proposal->term);
 }
 
-/* Overtaken or sent again: true wherever it is said. */
-static bool is_held(const struct control *control,
-		    const struct control_caller *caller, int64_t version,
-		    struct effects *effects)
+/* Overtaken or sent again: true wherever it is said. False if it is neither. */
+static bool answer_held(const struct control *control,
+			const struct control_caller *caller, int64_t version,
+			struct effects *effects)
 {
 	if (version > control->ledger.version)
 		return false;
@@ -198,12 +198,13 @@
 	return true;
 }
 
-static bool has_disks(const struct control *control,
-		      const struct control_caller *caller, int64_t version,
-		      struct effects *effects)
+/* False if there are enough disks. */
+static bool refuse_few_disks(const struct control *control,
+			     const struct control_caller *caller,
+			     int64_t version, struct effects *effects)
 {
 	if (enough_disks(control))
-		return true;
+		return false;
 	control_log(effects, LOG_WARN, "document",
 		    "event=refused call=%llu version=%lld reason="
 		    "too-few-disks voters=%d tolerate=%d",
@@ -211,7 +212,7 @@
 		    members_voters(raft_members(control->raft)),
 		    control->options.tolerate);
 	answer_change(caller, RESULT_NO_QUORUM, effects);
-	return false;
+	return true;
 }
 
 /* Whether the change is to go into the log here; else it is seen to. */
@@ -220,10 +221,10 @@
 			 const struct bytes *text, int64_t now_us,
 			 struct effects *effects)
 {
-	if (is_held(control, caller, version, effects))
+	if (answer_held(control, caller, version, effects))
 		return false;
 	if (raft_is_leader(control->raft))
-		return has_disks(control, caller, version, effects);
+		return !refuse_few_disks(control, caller, version, effects);
 	if (!control_hand_on(control, caller->call, version, text, now_us,
 			     effects))
 		control_answer_elsewhere(control, caller->call, "change",
@@ -247,21 +248,24 @@
 	control_drain(control, now_us, effects);
 }
 
-/** A change that was handed on to us. It isn't handed on again. */
-void control_take_change(struct control *control, uint64_t peer,
+/** A change that another control VM handed on. It isn't handed on again. */
+void control_take_change(struct control *control, uint64_t id,
 			 const struct feed_change *change, int64_t now_us,
 			 struct effects *effects)
 {
-	struct control_caller caller = { peer, change->call };
+	const struct feed_peer *peer = feed_peer_find(&control->peers, id);
+	struct control_caller caller = { id, change->call };
 	struct bytes text = { 0 };
 
-	if (is_held(control, &caller, change->version, effects))
+	if (!peer || peer->observer)
+		return;
+	if (answer_held(control, &caller, change->version, effects))
 		return;
 	if (!raft_is_leader(control->raft)) {
 		answer_change(&caller, RESULT_NOT_LEADER, effects);
 		return;
 	}
-	if (!has_disks(control, &caller, change->version, effects))
+	if (refuse_few_disks(control, &caller, change->version, effects))
 		return;
 	bytes_append(&text, change->text, change->len);
 	propose(control, caller, change->version, NULL, &text, now_us, effects);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -113,7 +113,7 @@
 			      struct effects *effects);
 void control_answer(struct effects *effects, uint64_t call, enum result code,
 		    const struct bytes *body);
-void control_take_change(struct control *control, uint64_t peer,
+void control_take_change(struct control *control, uint64_t id,
 			 const struct feed_change *change, int64_t now_us,
 			 struct effects *effects);
 
