fleet: a pool's list doesn't outlive what its servers serve

Pools of more than 256 members are listed anew only every 100 us for each member, 26 ms and more; the list holds addresses, and who left is passed over by looking at the server, which says that it is usable: for another service.

A server that changes its service or model now counts like one that was freed: lists that hold it are made anew before the next choice. That also covers an engine of the all-in-one daemon that loads another model under the same start, which no list noticed (by reading; no test plays it).

/large-pool/reused failed before: the request went to the other service.

--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -136,6 +136,17 @@
 	return announce->sequence <= known->sequence;
 }
 
+/** Another service has the address, or it serves another model. */
+static bool backend_changes_work(const struct backend *backend,
+				 const struct event_announce *announce)
+{
+	const char *service = announce->service ? announce->service : "";
+	const char *model = announce->model ? announce->model : "";
+
+	return strcmp(backend->service, service) ||
+	       strcmp(backend->model, model);
+}
+
 static void backend_take_names(struct backend *backend,
 			       const struct event_announce *announce)
 {
@@ -210,6 +221,10 @@
 		backend->drained = false;
 		backend->leaving = false;
 	}
+	if (backend_changes_work(backend, announce)) {
+		fleet->version++;
+		fleet->removals++;
+	}
 	copy_name(backend->boot_id, sizeof(backend->boot_id), boot_id);
 	left = announce->leaving && !backend->leaving;
 	backend->leaving = announce->leaving;
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -86,7 +86,7 @@
 	struct map backends;
 	struct map tombstones;
 	uint64_t version;  /**< grows when who may get work changes */
-	uint64_t removals; /**< grows when a backend is freed */
+	uint64_t removals; /**< grows when one is freed or changes its work */
 };
 
 /** What an announcement did. */
--- a/tests/load/t-large-pool.c
+++ b/tests/load/t-large-pool.c
@@ -78,6 +78,33 @@
 	bed_close(&bed);
 }
 
+/* Another service's server at the address of one that left gets its requests. */
+static void test_reused(void)
+{
+	struct event_announce announce = { .boot_id = (char *)"other",
+					   .sequence = 1,
+					   .zone = (char *)"z",
+					   .service = (char *)"desk",
+					   .lease_ms = 5000,
+					   .slots = 4 };
+	char address[32];
+	struct bed bed;
+	int i;
+
+	open_large(&bed);
+	announce.address = address;
+	for (i = 0; i < SERVERS - 1; i++) {
+		name_server(address, i);
+		fleet_drain(&bed.fleet, address, true);
+	}
+	send_one(&bed, address);
+	name_server(address, SERVERS - 1);
+	fleet_announce(&bed.fleet, &announce, bed.now_us);
+	send_one(&bed, address);
+	g_assert_cmpstr(address, ==, "");
+	bed_close(&bed);
+}
+
 /* A new server gets work though the list is made anew seldom. */
 static void test_new(void)
 {
@@ -103,5 +130,6 @@
 	g_test_add_func("/large-pool/leaving", test_leaving);
 	g_test_add_func("/large-pool/freed", test_freed);
 	g_test_add_func("/large-pool/new", test_new);
+	g_test_add_func("/large-pool/reused", test_reused);
 	return g_test_run();
 }
