--- a/daemon/role/control_calls.c
+++ b/daemon/role/control_calls.c
@@ -189,6 +189,15 @@
 			     &daemon->effects);
 }
 
+static void evacuate_zone(struct control_daemon *daemon, const char *zone,
+			  bool evacuate, struct http_exchange *exchange)
+{
+	struct open_call *call = call_new(daemon, exchange);
+
+	control_evacuate(daemon->control, call->id, zone, evacuate,
+			 edge_now_us(), &daemon->effects);
+}
+
 static void register_server(struct control_daemon *daemon, const char *server,
 			    struct http_exchange *exchange)
 {
@@ -220,10 +229,17 @@
 				struct http_exchange *exchange,
 				enum dialect_call_kind kind)
 {
-	if (kind == CALL_PUT_DOCUMENT || kind == CALL_GET_DOCUMENT)
-		log_line(daemon->role.log, LOG_WARN, "document",
+	static const char *const operators[] = {
+		[CALL_PUT_DOCUMENT] = "change",
+		[CALL_GET_DOCUMENT] = "read",
+		[CALL_EVACUATE] = "evacuation",
+		[CALL_RETURN_ZONE] = "return",
+	};
+
+	if (operators[kind])
+		log_line(daemon->role.log, LOG_WARN, "operator",
 			 "event=refused what=%s reason=disk-failed",
-			 kind == CALL_PUT_DOCUMENT ? "change" : "read");
+			 operators[kind]);
 	answer(exchange, RESULT_NO_QUORUM, NULL, NULL);
 }
 
@@ -253,6 +269,11 @@
 		control_daemon_carry_out(daemon);
 		answer(exchange, RESULT_OK, NULL, NULL);
 		break;
+	case CALL_EVACUATE:
+	case CALL_RETURN_ZONE:
+		evacuate_zone(daemon, call.zone, call.kind == CALL_EVACUATE,
+			      exchange);
+		break;
 	case CALL_UNKNOWN:
 		answer(exchange, RESULT_NO_ROUTE, NULL, NULL);
 		break;
--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -315,11 +315,14 @@
 			    "filberthall_entry_vms %d\nfilberthall_servers %d\n"
 			    "filberthall_windows_reported_total %" PRId64
 			    "\nfilberthall_server_lists_total %" PRId64
+			    "\nfilberthall_zones_evacuated %d\n"
+			    "filberthall_evacuation_changes_total %" PRId64
 			    "\nfilberthall_disk_failed %d\n",
 			    view.leader, view.in_charge, view.term, view.commit,
 			    view.version, view.voters, view.members,
 			    view.entry_vms, view.servers, view.reported,
-			    view.lists, daemon->disk_failed);
+			    view.lists, view.evacuated, view.evacuation_changes,
+			    daemon->disk_failed);
 }
 
 static enum result open_all(struct control_daemon *daemon)
--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -57,12 +57,15 @@
 	CALL_PUT_DOCUMENT,
 	CALL_GET_DOCUMENT,
 	CALL_REGISTER,
-	CALL_UNREGISTER
+	CALL_UNREGISTER,
+	CALL_EVACUATE,
+	CALL_RETURN_ZONE
 };
 
 struct dialect_call {
 	enum dialect_call_kind kind;
-	char server[BACKEND_NAME_SIZE]; /**< of the latter two */
+	char server[BACKEND_NAME_SIZE]; /**< to register or unregister */
+	char zone[BACKEND_NAME_SIZE];	/**< to evacuate or return */
 };
 
 struct dialect {
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -141,9 +141,10 @@
 	free(control);
 }
 
-static void apply_command(struct control *control,
-			  const struct raft_committed *committed,
-			  int64_t now_us, struct effects *effects)
+/* What the callers of the entry are told. */
+static enum result apply_command(struct control *control,
+				 const struct raft_committed *committed,
+				 int64_t now_us, struct effects *effects)
 {
 	enum ledger_change change =
 		ledger_apply(&control->ledger, committed->data, committed->len);
@@ -165,6 +166,9 @@
 		control_window_applied(control);
 	if (change == LEDGER_COUNTED)
 		control->window_pending = 0;
+	if (change == LEDGER_EVACUATION)
+		control_evacuations_changed(control, effects);
+	return change == LEDGER_REFUSED ? RESULT_NO_QUORUM : RESULT_OK;
 }
 
 static void apply_snapshot(struct control *control,
@@ -181,6 +185,7 @@
 		    (long long)committed->index);
 	control_new_document(control, NULL, effects);
 	control_tell_version(control, now_us, effects);
+	control_evacuations_changed(control, effects);
 }
 
 static void take_snapshot(struct control *control, int64_t now_us,
@@ -228,14 +233,17 @@
 		   struct effects *effects)
 {
 	struct raft_committed committed;
+	enum result outcome;
 
 	while (raft_next_committed(control->raft, &committed)) {
+		outcome = RESULT_OK;
 		if (committed.kind == RAFT_COMMITTED_COMMAND)
-			apply_command(control, &committed, now_us, effects);
+			outcome = apply_command(control, &committed, now_us,
+						effects);
 		else if (committed.kind == RAFT_COMMITTED_SNAPSHOT)
 			apply_snapshot(control, &committed, now_us, effects);
-		control_document_applied(control, committed.index,
-					 committed.term, effects);
+		control_proposals_applied(control, committed.index,
+					  committed.term, outcome, effects);
 	}
 	if (raft_needs_snapshot(control->raft))
 		take_snapshot(control, now_us, effects);
@@ -405,6 +413,9 @@
 		.servers = registry_count_usable(&control->registry),
 		.reported = control->reported,
 		.lists = control->lists,
+		.evacuated =
+			(int)evacuations_count(&control->ledger.evacuations),
+		.evacuation_changes = control->ledger.evacuations.revision,
 	};
 
 	return view;
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -96,6 +96,15 @@
 void control_get_document(struct control *control, uint64_t call,
 			  int64_t now_us, struct effects *effects);
 
+/**
+ * An operator orders that nothing more is sent to a zone's backend servers, or
+ * withdraws that. Acknowledged once no loss that is to be borne can undo it.
+ *
+ * @param zone	shorter than BACKEND_NAME_SIZE
+ */
+void control_evacuate(struct control *control, uint64_t call, const char *zone,
+		      bool evacuate, int64_t now_us, struct effects *effects);
+
 /** A backend server says what it is; the entry VMs hear of it at once. */
 void control_register(struct control *control, const struct registration *told,
 		      int64_t now_us, struct effects *effects);
@@ -126,6 +135,8 @@
 	int servers;
 	int64_t reported; /**< usage windows that the platform has taken */
 	int64_t lists;	  /**< of all servers, made for entry VMs that came */
+	int evacuated;	  /**< zones */
+	int64_t evacuation_changes; /**< in all */
 };
 struct control_view control_view(const struct control *control, int64_t now_us);
 
--- a/libfilberthall/control/control_document.c
+++ b/libfilberthall/control/control_document.c
@@ -8,12 +8,6 @@
 #include "base/alloc.h"
 #include "control/control_state.h"
 
-/*
- * A change that isn't committed by then is left unclear: the operator's
- * patience is a second or more, and the change may still come into force.
- */
-#define PROPOSAL_US INT64_C(3000000)
-
 void control_answer(struct effects *effects, uint64_t call, enum result code,
 		    const struct bytes *body)
 {
@@ -49,42 +43,6 @@
 	bytes_clear(&address);
 }
 
-/*
- * With fewer voters a commit rests on fewer disks than may be lost at once:
- * what was acknowledged while the group was being founded or mended would go
- * with them.
- */
-static bool enough_disks(const struct control *control)
-{
-	int voters = members_voters(raft_members(control->raft));
-
-	return members_quorum(voters) > control->options.tolerate;
-}
-
-void control_free_proposal(struct control_proposal *proposal)
-{
-	list_remove(&proposal->node);
-	document_free(proposal->document);
-	free(proposal);
-}
-
-/* What was proposed at that place, so that it isn't read a second time. */
-struct document *control_proposed_document(struct control *control,
-					   int64_t index, int64_t term)
-{
-	struct control_proposal *proposal;
-	struct document *document;
-
-	list_foreach(proposal, &control->proposals, node) {
-		if (proposal->index != index || proposal->term != term)
-			continue;
-		document = proposal->document;
-		proposal->document = NULL;
-		return document;
-	}
-	return NULL;
-}
-
 static void take_document(struct control *control, struct document *document)
 {
 	document_free(control->document);
@@ -135,46 +93,21 @@
 		control_answer_fetches(control, effects);
 }
 
-/* To an operator here, or to the VM that has its call. */
-static void answer_change(const struct control_caller *caller, enum result code,
-			  struct effects *effects)
-{
-	struct feed_changed changed = { caller->call, code };
-	struct bytes body = { 0 };
-
-	if (!caller->peer) {
-		control_answer(effects, caller->call, code, NULL);
-		return;
-	}
-	feed_write_changed(&body, &changed);
-	feed_send(effects, caller->peer, &body);
-	bytes_clear(&body);
-}
-
 /* `document` is taken over; NULL if it hasn't been read here. */
 static void propose(struct control *control, struct control_caller caller,
 		    int64_t version, struct document *document,
 		    const struct bytes *text, int64_t now_us,
 		    struct effects *effects)
 {
-	struct control_proposal *proposal = xcalloc(1, sizeof(*proposal));
+	const struct control_proposal *proposal;
 	struct bytes entry = { 0 };
-	enum result code;
 
-	list_init(&proposal->node);
-	proposal->document = document;
 	ledger_write_document(&entry, version, text);
-	code = raft_propose(control->raft, entry.data, entry.len, now_us,
-			    effects, &proposal->index, &proposal->term);
+	proposal = control_propose(control, caller, document, &entry, now_us,
+				   effects);
 	bytes_clear(&entry);
-	if (code) {
-		answer_change(&caller, code, effects);
-		control_free_proposal(proposal);
+	if (!proposal)
 		return;
-	}
-	proposal->caller = caller;
-	proposal->give_up_us = now_us + PROPOSAL_US;
-	list_append(&control->proposals, &proposal->node);
 	control_log(effects, LOG_INFO, "document",
 		    "event=proposed call=%llu version=%lld held=%lld "
 		    "index=%lld term=%lld",
@@ -194,24 +127,7 @@
 		    "event=held call=%llu version=%lld held=%lld",
 		    (unsigned long long)caller->call, (long long)version,
 		    (long long)control->ledger.version);
-	answer_change(caller, RESULT_OK, effects);
-	return true;
-}
-
-/* False if there are enough disks. */
-static bool refuse_few_disks(const struct control *control,
-			     const struct control_caller *caller,
-			     int64_t version, struct effects *effects)
-{
-	if (enough_disks(control))
-		return false;
-	control_log(effects, LOG_WARN, "document",
-		    "event=refused call=%llu version=%lld reason="
-		    "too-few-disks voters=%d tolerate=%d",
-		    (unsigned long long)caller->call, (long long)version,
-		    members_voters(raft_members(control->raft)),
-		    control->options.tolerate);
-	answer_change(caller, RESULT_NO_QUORUM, effects);
+	control_answer_change(caller, RESULT_OK, effects);
 	return true;
 }
 
@@ -224,7 +140,8 @@
 	if (answer_held(control, caller, version, effects))
 		return false;
 	if (raft_is_leader(control->raft))
-		return !refuse_few_disks(control, caller, version, effects);
+		return !control_refuse_few_disks(control, caller, "document",
+						 effects);
 	if (!control_hand_on(control, caller->call, version, text, now_us,
 			     effects))
 		control_answer_elsewhere(control, caller->call, "change",
@@ -262,10 +179,10 @@
 	if (answer_held(control, &caller, change->version, effects))
 		return;
 	if (!raft_is_leader(control->raft)) {
-		answer_change(&caller, RESULT_NOT_LEADER, effects);
+		control_answer_change(&caller, RESULT_NOT_LEADER, effects);
 		return;
 	}
-	if (refuse_few_disks(control, &caller, change->version, effects))
+	if (control_refuse_few_disks(control, &caller, "document", effects))
 		return;
 	bytes_append(&text, change->text, change->len);
 	propose(control, caller, change->version, NULL, &text, now_us, effects);
@@ -291,47 +208,3 @@
 	control_answer(effects, call, code,
 		       code ? NULL : &control->ledger.document);
 }
-
-static void end_proposal(struct control_proposal *proposal, enum result code,
-			 struct effects *effects)
-{
-	control_log(effects, LOG_INFO, "document",
-		    "event=answered call=%llu index=%lld term=%lld code=%s",
-		    (unsigned long long)proposal->caller.call,
-		    (long long)proposal->index, (long long)proposal->term,
-		    result_name(code));
-	answer_change(&proposal->caller, code, effects);
-	control_free_proposal(proposal);
-}
-
-/** The entry at `index` was applied: the calls that waited for it are over. */
-void control_document_applied(struct control *control, int64_t index,
-			      int64_t term, struct effects *effects)
-{
-	struct control_proposal *proposal;
-	struct control_proposal *next;
-
-	list_foreach_safe(proposal, next, &control->proposals, node) {
-		if (proposal->index > index)
-			continue;
-		/* Another term's entry in its place: it is lost, or unclear. */
-		end_proposal(proposal,
-			     proposal->index == index && proposal->term == term
-				     ? RESULT_OK
-				     : RESULT_NO_QUORUM,
-			     effects);
-	}
-}
-
-void control_expire_proposals(struct control *control, int64_t now_us,
-			      struct effects *effects)
-{
-	struct control_proposal *proposal;
-	struct control_proposal *next;
-
-	list_foreach_safe(proposal, next, &control->proposals, node) {
-		if (now_us < proposal->give_up_us)
-			continue;
-		end_proposal(proposal, RESULT_NO_QUORUM, effects);
-	}
-}
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -66,6 +66,17 @@
 	send_to(control, TO_ENTRY, &body, effects);
 }
 
+/* Entry VMs of releases before these don't understand the message. */
+void control_tell_evacuations(struct control *control, struct effects *effects)
+{
+	struct bytes body = { 0 };
+
+	if (!control->ledger.evacuations.revision)
+		return;
+	feed_write_evacuations(&body, &control->ledger.evacuations);
+	send_to(control, TO_ENTRY, &body, effects);
+}
+
 static void write_member(struct bytes *body, const struct member *member,
 			 bool removed)
 {
@@ -171,6 +182,23 @@
 	control_welcome_entry(control, peer, now_us, effects);
 }
 
+/*
+ * Told before the state that makes the entry VM fresh, so that it sends no
+ * request by older orders.
+ */
+static void tell_evacuations_to(const struct control *control, uint64_t peer,
+				const struct feed_poll *poll,
+				struct effects *effects)
+{
+	struct bytes body = { 0 };
+
+	if (poll->evacuations >= control->ledger.evacuations.revision)
+		return;
+	feed_write_evacuations(&body, &control->ledger.evacuations);
+	feed_send(effects, peer, &body);
+	bytes_clear(&body);
+}
+
 static void answer_poll(struct control *control, uint64_t peer,
 			const struct feed_poll *poll, int64_t now_us,
 			struct effects *effects)
@@ -266,6 +294,8 @@
 	wall_note(&control->wall, id, clock->wall_us, now_us);
 	if (peer)
 		peer->changes = clock->changes;
+	if (peer)
+		peer->evacuations = clock->evacuations;
 }
 
 void control_feed_message(struct control *control, uint64_t peer,
@@ -283,6 +313,7 @@
 	switch (message.kind) {
 	case FEED_POLL:
 		note_poll(control, peer, &message.u.poll, now_us, effects);
+		tell_evacuations_to(control, peer, &message.u.poll, effects);
 		answer_poll(control, peer, &message.u.poll, now_us, effects);
 		break;
 	case FEED_FETCH:
@@ -308,6 +339,11 @@
 		control_take_changed(control, peer, &message.u.changed,
 				     effects);
 		break;
+	case FEED_EVACUATE:
+		control_take_evacuation(control, peer, &message.u.evacuate,
+					now_us, effects);
+		break;
+	case FEED_EVACUATIONS:
 	case FEED_BUNDLE:
 	case FEED_MARKS:
 	case FEED_STATE:
@@ -321,7 +357,7 @@
 static void tell_clock(struct control *control, int64_t wall_us,
 		       struct effects *effects)
 {
-	struct feed_clock clock = { wall_us, true };
+	struct feed_clock clock = { wall_us, true, true };
 	struct bytes body = { 0 };
 
 	feed_write_clock(&body, &clock);
--- a/libfilberthall/control/control_hand_on.c
+++ b/libfilberthall/control/control_hand_on.c
@@ -30,6 +30,42 @@
 		free_handed(handed);
 }
 
+static void add_handed(struct control *control, uint64_t call, uint64_t leader,
+		       int64_t version, int64_t now_us)
+{
+	struct control_handed *handed = xcalloc(1, sizeof(*handed));
+
+	handed->call = call;
+	handed->leader = leader;
+	handed->version = version;
+	handed->give_up_us = now_us + HANDED_US;
+	list_append(&control->handed, &handed->node);
+}
+
+bool control_forward_evacuation(struct control *control, uint64_t call,
+				const struct evacuation_order *order,
+				int64_t now_us, struct effects *effects)
+{
+	uint64_t leader = raft_leader(control->raft);
+	struct feed_peer *peer = feed_peer_find(&control->peers, leader);
+	struct feed_evacuate evacuate = { call, *order };
+	struct bytes body = { 0 };
+
+	if (!peer || !peer->evacuations)
+		return false;
+	feed_write_evacuate(&body, &evacuate);
+	feed_send(effects, leader, &body);
+	bytes_clear(&body);
+	add_handed(control, call, leader, 0, now_us);
+	control_log(effects, LOG_INFO, "evacuation",
+		    "event=forwarded call=%llu zone=%s evacuate=%d "
+		    "leader=%llx term=%lld",
+		    (unsigned long long)call, order->zone, order->evacuate,
+		    (unsigned long long)leader,
+		    (long long)raft_term(control->raft));
+	return true;
+}
+
 bool control_hand_on(struct control *control, uint64_t call, int64_t version,
 		     const struct bytes *text, int64_t now_us,
 		     struct effects *effects)
@@ -37,7 +73,6 @@
 	uint64_t leader = raft_leader(control->raft);
 	struct feed_peer *peer = feed_peer_find(&control->peers, leader);
 	struct feed_change change = { call, version, text->data, text->len };
-	struct control_handed *handed;
 	struct bytes body = { 0 };
 
 	if (!peer || !peer->changes ||
@@ -46,12 +81,7 @@
 	feed_write_change(&body, &change);
 	feed_send(effects, leader, &body);
 	bytes_clear(&body);
-	handed = xcalloc(1, sizeof(*handed));
-	handed->call = call;
-	handed->leader = leader;
-	handed->version = version;
-	handed->give_up_us = now_us + HANDED_US;
-	list_append(&control->handed, &handed->node);
+	add_handed(control, call, leader, version, now_us);
 	control_log(effects, LOG_INFO, "document",
 		    "event=handed-on call=%llu version=%lld held=%lld "
 		    "leader=%llx term=%lld",
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -100,14 +100,6 @@
 /* control_document.c */
 void control_new_document(struct control *control, struct document *document,
 			  struct effects *effects);
-struct document *control_proposed_document(struct control *control,
-					   int64_t index, int64_t term);
-void control_free_proposal(struct control_proposal *proposal);
-void control_document_applied(struct control *control, int64_t index,
-			      int64_t term, struct effects *effects);
-void control_expire_proposals(struct control *control, int64_t now_us,
-			      struct effects *effects);
-
 void control_answer_elsewhere(const struct control *control, uint64_t call,
 			      const char *what, int64_t version,
 			      struct effects *effects);
@@ -117,8 +109,49 @@
 			 const struct feed_change *change, int64_t now_us,
 			 struct effects *effects);
 
+/* control_proposal.c */
+
+/**
+ * Put an entry into the log; the caller is answered once that is over, at once
+ * if it can't be done.
+ *
+ * @param document	what the entry says, taken over; NULL if unread
+ * @return NULL if it can't be done
+ */
+const struct control_proposal *
+control_propose(struct control *control, struct control_caller caller,
+		struct document *document, const struct bytes *entry,
+		int64_t now_us, struct effects *effects);
+
+/** The entry at `index` was applied with that outcome: answer its caller. */
+void control_proposals_applied(struct control *control, int64_t index,
+			       int64_t term, enum result outcome,
+			       struct effects *effects);
+void control_answer_change(const struct control_caller *caller,
+			   enum result code, struct effects *effects);
+bool control_refuse_few_disks(const struct control *control,
+			      const struct control_caller *caller,
+			      const char *what, struct effects *effects);
+struct document *control_proposed_document(struct control *control,
+					   int64_t index, int64_t term);
+void control_free_proposal(struct control_proposal *proposal);
+void control_expire_proposals(struct control *control, int64_t now_us,
+			      struct effects *effects);
+
+/* control_evacuation.c */
+void control_take_evacuation(struct control *control, uint64_t id,
+			     const struct feed_evacuate *evacuate,
+			     int64_t now_us, struct effects *effects);
+void control_evacuations_changed(struct control *control,
+				 struct effects *effects);
+
 /* control_hand_on.c */
 
+/** Forward an order to the leader; false if that can't be done. */
+bool control_forward_evacuation(struct control *control, uint64_t call,
+				const struct evacuation_order *order,
+				int64_t now_us, struct effects *effects);
+
 /** Hand a change on to the leader; false if that can't be done. */
 bool control_hand_on(struct control *control, uint64_t call, int64_t version,
 		     const struct bytes *text, int64_t now_us,
@@ -145,6 +178,7 @@
 void control_tell_version(struct control *control, int64_t now_us,
 			  struct effects *effects);
 void control_tell_members(struct control *control, struct effects *effects);
+void control_tell_evacuations(struct control *control, struct effects *effects);
 void control_feed_tick(struct control *control, int64_t wall_us, int64_t now_us,
 		       struct effects *effects);
 
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -11,7 +11,9 @@
 	ENTRY_DOCUMENT = 1,
 	ENTRY_WINDOW,
 	ENTRY_PACKED_DOCUMENT,
-	ENTRY_COUNTED
+	ENTRY_COUNTED,
+	ENTRY_EVACUATION,
+	ENTRY_EVACUATIONS /* in snapshots: all zones */
 };
 
 /*
@@ -28,6 +30,7 @@
 	memset(ledger, 0, sizeof(*ledger));
 	list_init(&ledger->windows);
 	list_init(&ledger->waiting);
+	evacuations_init(&ledger->evacuations);
 }
 
 static void window_free(struct ledger_window *window)
@@ -47,6 +50,7 @@
 	list_foreach_safe(window, next, &ledger->waiting, node)
 		window_free(window);
 	bytes_clear(&ledger->document);
+	evacuations_clear(&ledger->evacuations);
 	ledger_init(ledger);
 }
 
@@ -92,6 +96,25 @@
 	feed_pack_begun(out, ENTRY_COUNTED, total);
 }
 
+void ledger_write_evacuation(struct bytes *out,
+			     const struct evacuation_order *order)
+{
+	msgpack_packer packer;
+
+	pack_init(&packer, out);
+	msgpack_pack_array(&packer, 4);
+	msgpack_pack_int64(&packer, ENTRY_EVACUATION);
+	pack_text(&packer, order->zone);
+	msgpack_pack_int64(&packer, order->evacuate);
+	msgpack_pack_int64(&packer, order->revision);
+}
+
+static void write_evacuations(struct bytes *out,
+			      const struct evacuations *evacuations)
+{
+	feed_pack_evacuations(out, ENTRY_EVACUATIONS, evacuations);
+}
+
 static struct ledger_window *window_find(const struct list *windows,
 					 int64_t number)
 {
@@ -168,6 +191,42 @@
 	return LEDGER_DOCUMENT;
 }
 
+static enum ledger_change take_evacuation(struct ledger *ledger,
+					  const struct unpacked *items)
+{
+	struct evacuation_order order;
+	int64_t evacuate;
+	char *zone = unpack_text(items, 1, sizeof(order.zone) - 1);
+
+	if (!zone || !unpack_int(items, 2, &evacuate) ||
+	    !unpack_int(items, 3, &order.revision)) {
+		free(zone);
+		return LEDGER_NOTHING;
+	}
+	memcpy(order.zone, zone, strlen(zone) + 1);
+	free(zone);
+	order.evacuate = evacuate != 0;
+	switch (evacuations_apply(&ledger->evacuations, &order)) {
+	case EVACUATION_CHANGED:
+		return LEDGER_EVACUATION;
+	case EVACUATION_OVERTAKEN:
+	case EVACUATION_NO_ROOM:
+		return LEDGER_REFUSED;
+	case EVACUATION_UNCHANGED:
+		break;
+	}
+	return LEDGER_NOTHING;
+}
+
+static enum ledger_change take_evacuations(struct ledger *ledger,
+					   const struct unpacked *items)
+{
+	evacuations_clear(&ledger->evacuations);
+	if (!feed_unpack_evacuations(items, &ledger->evacuations))
+		return LEDGER_NOTHING;
+	return LEDGER_EVACUATION;
+}
+
 /* Takes `total` over. */
 static void window_add(struct list *windows, struct feed_begun *total)
 {
@@ -235,6 +294,10 @@
 		return take_document(ledger, items);
 	if (kind == ENTRY_PACKED_DOCUMENT)
 		return take_packed(ledger, items);
+	if (kind == ENTRY_EVACUATION)
+		return take_evacuation(ledger, items);
+	if (kind == ENTRY_EVACUATIONS)
+		return take_evacuations(ledger, items);
 	if (kind != ENTRY_WINDOW && kind != ENTRY_COUNTED)
 		return LEDGER_NOTHING;
 	if (feed_unpack_begun(items, &total))
@@ -280,6 +343,10 @@
 				      &ledger->document);
 		save_entry(out, &entry);
 	}
+	if (ledger->evacuations.revision) {
+		write_evacuations(&entry, &ledger->evacuations);
+		save_entry(out, &entry);
+	}
 	list_foreach(window, &ledger->windows, node) {
 		ledger_write_window(&entry, &window->total);
 		save_entry(out, &entry);
--- a/libfilberthall/control/ledger.h
+++ b/libfilberthall/control/ledger.h
@@ -7,11 +7,13 @@
 #include "base/bytes.h"
 #include "base/list.h"
 #include "feed/feed.h"
+#include "fleet/evacuation.h"
 
 /**
  * What the control VMs agree on: the document in force, as the bytes that it
- * came in, and the figure of each usage window. The log's entries are applied
- * in order on each of them; the same entries give the same state.
+ * came in, which zones are evacuated, and the figure of each usage window. The
+ * log's entries are applied in order on each of them; the same entries give the
+ * same state.
  *
  * Failures answered: operators race, and send again what was accepted long
  * ago; only a higher version takes effect. Two leaders in turn add up a
@@ -32,6 +34,7 @@
 struct ledger {
 	int64_t version; /**< of the document, 0 for none */
 	struct bytes document;
+	struct evacuations evacuations;
 	struct list windows;
 	int n_windows;
 	struct list waiting; /**< counted so far, without a figure yet */
@@ -43,7 +46,9 @@
 	LEDGER_NOTHING,
 	LEDGER_DOCUMENT,
 	LEDGER_WINDOW,
-	LEDGER_COUNTED
+	LEDGER_COUNTED,
+	LEDGER_EVACUATION,
+	LEDGER_REFUSED /**< an order that can't be applied any more */
 };
 
 void ledger_init(struct ledger *ledger);
@@ -54,6 +59,8 @@
 			   const struct bytes *text);
 void ledger_write_window(struct bytes *out, const struct feed_begun *total);
 void ledger_write_counted(struct bytes *out, const struct feed_begun *total);
+void ledger_write_evacuation(struct bytes *out,
+			     const struct evacuation_order *order);
 
 /** Apply one entry; what it changed. A malformed entry changes nothing. */
 enum ledger_change ledger_apply(struct ledger *ledger, const char *data,
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -65,6 +65,7 @@
 	fetch_init(&entry->fetch);
 	fleet_init(&entry->fleet);
 	registry_init(&entry->registry, options->announce_interval_us);
+	evacuations_init(&entry->evacuations);
 	begun_init(&entry->begun);
 	presumed_init(&entry->presumed);
 	map_init(&entry->peers);
@@ -99,6 +100,7 @@
 	feed_peers_clear(&entry->peers);
 	fleet_clear(&entry->fleet);
 	registry_clear(&entry->registry);
+	evacuations_clear(&entry->evacuations);
 	begun_clear(&entry->begun);
 	presumed_clear(&entry->presumed);
 	document_free(entry->document);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -48,7 +48,8 @@
 
 void entry_poll(struct entry *entry)
 {
-	struct feed_poll poll = { entry->now_us, true };
+	struct feed_poll poll = { entry->now_us, true,
+				  entry->evacuations.revision };
 	struct bytes body = { 0 };
 
 	feed_write_poll(&body, &poll);
@@ -228,7 +229,8 @@
 	snprintf(boot_id, sizeof(boot_id), "%.40s@%lld", told->id,
 		 (long long)told->started_ms);
 	fleet_announce(&entry->fleet, &announce, entry->now_us);
-	fleet_drain(&entry->fleet, told->address, false);
+	fleet_drain(&entry->fleet, told->address,
+		    evacuations_include(&entry->evacuations, told->zone));
 }
 
 /* Updates the router's fleet from one registration. */
@@ -272,6 +274,42 @@
 		update_fleet(entry, registry_find(&entry->registry, told->id));
 }
 
+static void apply_evacuations(struct entry *entry)
+{
+	struct registry_entry *registered;
+	struct registry_entry *next;
+
+	map_foreach(registered, next, &entry->registry.by_id, node) {
+		const struct registration *told = &registered->registration;
+
+		if (registry_entry_usable(registered))
+			fleet_drain(&entry->fleet, told->address,
+				    evacuations_include(&entry->evacuations,
+							told->zone));
+	}
+}
+
+/* A VM that lags, or whose message was delayed, has an older revision. */
+static void handle_evacuations(struct entry *entry,
+			       struct evacuations *evacuations)
+{
+	const struct evacuation *zone;
+
+	if (evacuations->revision <= entry->evacuations.revision)
+		return;
+	evacuations_clear(&entry->evacuations);
+	list_foreach(zone, &evacuations->zones, node) {
+		evacuations_set(&entry->evacuations, zone->zone,
+				zone->evacuated, zone->revision);
+		entry_log(entry, LOG_INFO, "evacuation",
+			  "event=in-force zone=%s evacuated=%d revision=%lld",
+			  zone->zone, zone->evacuated,
+			  (long long)evacuations->revision);
+	}
+	entry->evacuations.revision = evacuations->revision;
+	apply_evacuations(entry);
+}
+
 static void mark_alive(struct entry *entry, const char *id, int64_t born_ms,
 		       int64_t heard_us)
 {
@@ -372,12 +410,16 @@
 	case FEED_BUNDLE:
 		handle_bundle(entry, &message.u.bundle);
 		break;
+	case FEED_EVACUATIONS:
+		handle_evacuations(entry, &message.u.evacuations);
+		break;
 	case FEED_POLL:
 	case FEED_FETCH:
 	case FEED_BEGUN:
 	case FEED_CLOCK:
 	case FEED_CHANGE:
 	case FEED_CHANGED:
+	case FEED_EVACUATE:
 		break;
 	}
 	feed_clear(&message);
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -6,6 +6,7 @@
 #include "entry/entry.h"
 #include "entry/fetch.h"
 #include "feed/peers.h"
+#include "fleet/evacuation.h"
 #include "fleet/registry.h"
 #include "load/router.h"
 #include "usage/begun.h"
@@ -56,6 +57,7 @@
 	struct router *router;
 	struct fleet fleet;
 	struct registry registry;
+	struct evacuations evacuations;
 	struct document *document;
 	struct begun begun;
 	struct presumed presumed;
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -6,6 +6,7 @@
 
 #include "base/bytes.h"
 #include "core/pack.h"
+#include "fleet/evacuation.h"
 #include "fleet/registry.h"
 
 /**
@@ -28,12 +29,15 @@
 	FEED_MARKS,	   /**< control to entry: FEED_ALIVE in few bytes */
 	FEED_BUNDLE,	   /**< control to entry: FEED_REGISTRATIONs */
 	FEED_CHANGE,	   /**< control to leader: an operator's change */
-	FEED_CHANGED	   /**< leader to control: what became of it */
+	FEED_CHANGED,	   /**< leader to control: what became of it */
+	FEED_EVACUATE,	   /**< control to leader: an order for a zone */
+	FEED_EVACUATIONS   /**< control to entry: zones without new requests */
 };
 
 struct feed_poll {
-	int64_t sent_us; /**< entry VM's clock */
-	bool marks;	 /**< FEED_MARKS and FEED_BUNDLE are understood */
+	int64_t sent_us;     /**< entry VM's clock */
+	bool marks;	     /**< FEED_MARKS and FEED_BUNDLE are understood */
+	int64_t evacuations; /**< revision of the known FEED_EVACUATIONS */
 };
 
 struct feed_state {
@@ -103,7 +107,8 @@
 /** A control VM's wall clock, and what it understands. */
 struct feed_clock {
 	int64_t wall_us;
-	bool changes; /**< FEED_CHANGE */
+	bool changes;	  /**< FEED_CHANGE */
+	bool evacuations; /**< FEED_EVACUATE */
 };
 
 /** A change that an operator has sent to a VM that doesn't lead. */
@@ -119,6 +124,12 @@
 	int64_t code; /**< enum result */
 };
 
+/** An operator's order for a zone that has come to a VM that doesn't lead. */
+struct feed_evacuate {
+	uint64_t call; /**< the operator's, on that VM */
+	struct evacuation_order order;
+};
+
 /** One message as it was read. */
 struct feed_message {
 	enum feed_kind kind;
@@ -135,6 +146,8 @@
 		struct feed_clock clock;
 		struct feed_change change;
 		struct feed_changed changed;
+		struct feed_evacuate evacuate;
+		struct evacuations evacuations;
 	} u;
 	int64_t age_us; /**< of a registration, since the server was heard */
 	struct feed_alive *alive;
@@ -181,6 +194,18 @@
 void feed_write_clock(struct bytes *out, const struct feed_clock *clock);
 void feed_write_change(struct bytes *out, const struct feed_change *change);
 void feed_write_changed(struct bytes *out, const struct feed_changed *changed);
+void feed_write_evacuate(struct bytes *out,
+			 const struct feed_evacuate *evacuate);
+void feed_write_evacuations(struct bytes *out,
+			    const struct evacuations *evacuations);
+
+/** The array of all zones behind any kind; the log's snapshots have it too. */
+void feed_pack_evacuations(struct bytes *out, int64_t kind,
+			   const struct evacuations *evacuations);
+
+/** Read such an array into an empty set, to be cleared in any case. */
+bool feed_unpack_evacuations(const struct unpacked *items,
+			     struct evacuations *evacuations);
 
 /**
  * Read a message. What it points to stays valid as long as `data`, and until
--- /dev/null
+++ b/libfilberthall/feed/feed_read.c
@@ -0,0 +1,294 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+#include "core/pack.h"
+#include "feed/feed.h"
+
+/* What is packed and claims to be longer is malformed. */
+#define FEED_DOCUMENT_MOST (64 * 1024 * 1024)
+
+/* Items in a list of one message; a larger one is malformed. */
+#define FEED_LIST_MOST 16384
+
+static bool read_name(const struct unpacked *items, size_t i,
+		      char name[BACKEND_NAME_SIZE])
+{
+	char *text = unpack_text(items, i, BACKEND_NAME_SIZE - 1);
+
+	if (!text)
+		return false;
+	memcpy(name, text, strlen(text) + 1);
+	free(text);
+	return true;
+}
+
+static bool read_flag(const struct unpacked *items, size_t i, bool *flag)
+{
+	int64_t value;
+
+	if (!unpack_int(items, i, &value))
+		return false;
+	*flag = value != 0;
+	return true;
+}
+
+/* Releases before these items know neither FEED_MARKS nor evacuations. */
+static bool read_poll(const struct unpacked *items, struct feed_poll *poll)
+{
+	if (!read_flag(items, 2, &poll->marks))
+		poll->marks = false;
+	if (!unpack_int(items, 3, &poll->evacuations))
+		poll->evacuations = 0;
+	return unpack_int(items, 1, &poll->sent_us);
+}
+
+static bool read_marks(const struct unpacked *items, struct feed_marks *marks)
+{
+	return unpack_int(items, 1, &marks->age_us) &&
+	       unpack_bytes(items, 2, &marks->bytes, &marks->len) &&
+	       marks->len % REGISTRATION_SHORT_ID_BYTES == 0;
+}
+
+static bool read_bundle(const struct unpacked *items,
+			struct feed_bundle *bundle)
+{
+	int64_t unpacked;
+
+	if (!unpack_int(items, 1, &bundle->age_us) ||
+	    !unpack_int(items, 2, &unpacked) || unpacked < 0 ||
+	    unpacked > FEED_DOCUMENT_MOST)
+		return false;
+	bundle->unpacked = (size_t)unpacked;
+	return unpack_bytes(items, 3, &bundle->bytes, &bundle->len);
+}
+
+static bool read_state(const struct unpacked *items, struct feed_state *state)
+{
+	/* Releases before this item said nothing of the others. */
+	if (!unpack_int(items, 5, &state->entry_vms))
+		state->entry_vms = 0;
+	return unpack_int(items, 1, &state->echo_us) &&
+	       unpack_int(items, 2, &state->age_us) &&
+	       unpack_int(items, 3, &state->version) &&
+	       unpack_int(items, 4, &state->wall_us);
+}
+
+/* Releases before this item take and send documents as they are. */
+static bool read_fetch(const struct unpacked *items, struct feed_fetch *fetch)
+{
+	if (!read_flag(items, 1, &fetch->packed))
+		fetch->packed = false;
+	return true;
+}
+
+static bool read_document(const struct unpacked *items,
+			  struct feed_document *document)
+{
+	int64_t unpacked;
+
+	if (!unpack_int(items, 3, &unpacked))
+		unpacked = 0;
+	if (unpacked < 0 || unpacked > FEED_DOCUMENT_MOST)
+		return false;
+	document->unpacked = (size_t)unpacked;
+	return unpack_int(items, 1, &document->version) &&
+	       unpack_bytes(items, 2, &document->text, &document->len);
+}
+
+/* Releases before this item redirect operators to the leader. */
+static bool read_clock(const struct unpacked *items, struct feed_clock *clock)
+{
+	if (!read_flag(items, 2, &clock->changes))
+		clock->changes = false;
+	if (!read_flag(items, 3, &clock->evacuations))
+		clock->evacuations = false;
+	return unpack_int(items, 1, &clock->wall_us);
+}
+
+static bool read_change(const struct unpacked *items,
+			struct feed_change *change)
+{
+	return unpack_uint(items, 1, &change->call) &&
+	       unpack_int(items, 2, &change->version) &&
+	       unpack_bytes(items, 3, &change->text, &change->len);
+}
+
+static bool read_changed(const struct unpacked *items,
+			 struct feed_changed *changed)
+{
+	return unpack_uint(items, 1, &changed->call) &&
+	       unpack_int(items, 2, &changed->code);
+}
+
+static bool read_evacuate(const struct unpacked *items,
+			  struct feed_evacuate *evacuate)
+{
+	return unpack_uint(items, 1, &evacuate->call) &&
+	       read_name(items, 2, evacuate->order.zone) &&
+	       read_flag(items, 3, &evacuate->order.evacuate) &&
+	       unpack_int(items, 4, &evacuate->order.revision);
+}
+
+bool feed_unpack_evacuations(const struct unpacked *items,
+			     struct evacuations *evacuations)
+{
+	char zone[BACKEND_NAME_SIZE];
+	int64_t revision;
+	bool evacuated;
+	size_t i;
+
+	if (!unpack_int(items, 1, &evacuations->revision) ||
+	    (items->n - 2) % 3)
+		return false;
+	for (i = 2; i < items->n; i += 3)
+		if (!read_name(items, i, zone) ||
+		    !read_flag(items, i + 1, &evacuated) ||
+		    !unpack_int(items, i + 2, &revision) ||
+		    !evacuations_set(evacuations, zone, evacuated, revision))
+			return false;
+	return true;
+}
+
+static bool read_member(const struct unpacked *items,
+			struct feed_member *member)
+{
+	if (!unpack_uint(items, 1, &member->id) ||
+	    !read_flag(items, 3, &member->removed))
+		return false;
+	member->address = unpack_text(items, 2, BACKEND_NAME_SIZE);
+	return member->address != NULL;
+}
+
+static bool read_registration(const struct unpacked *items,
+			      struct registration *told, int64_t *age_us)
+{
+	return read_name(items, 1, told->id) &&
+	       read_name(items, 2, told->address) &&
+	       read_name(items, 3, told->service) &&
+	       read_name(items, 4, told->zone) &&
+	       unpack_int(items, 5, &told->started_ms) &&
+	       unpack_int(items, 6, &told->sequence) &&
+	       unpack_int(items, 7, &told->slots) &&
+	       unpack_int(items, 8, &told->leaves_ms) &&
+	       read_flag(items, 9, &told->cheap) &&
+	       read_flag(items, 10, &told->leaving) &&
+	       read_flag(items, 11, &told->gone) &&
+	       unpack_int(items, 12, age_us);
+}
+
+static bool read_alive(const struct unpacked *items,
+		       struct feed_message *message)
+{
+	size_t n = (items->n - 1) / 3;
+	size_t i;
+
+	if (n > FEED_LIST_MOST || items->n != 3 * n + 1)
+		return false;
+	message->alive = xcalloc(n + 1, sizeof(*message->alive));
+	message->n_alive = n;
+	for (i = 0; i < n; i++) {
+		struct feed_alive *alive = &message->alive[i];
+
+		if (!read_name(items, 3 * i + 1, alive->id) ||
+		    !unpack_int(items, 3 * i + 2, &alive->started_ms) ||
+		    !unpack_int(items, 3 * i + 3, &alive->age_us))
+			return false;
+	}
+	return true;
+}
+
+bool feed_unpack_begun(const struct unpacked *items, struct feed_begun *begun)
+{
+	size_t n = items->n / 2 - 1;
+	size_t i;
+
+	if (items->n < 2 || items->n % 2 || n > FEED_LIST_MOST ||
+	    !unpack_int(items, 1, &begun->window))
+		return false;
+	begun->counts = xcalloc(n + 1, sizeof(*begun->counts));
+	begun->n_counts = n;
+	for (i = 0; i < n; i++) {
+		struct feed_count *count = &begun->counts[i];
+
+		if (!read_name(items, 2 * i + 2, count->organisation) ||
+		    !unpack_int(items, 2 * i + 3, &count->requests))
+			return false;
+	}
+	return true;
+}
+
+static bool read_items(struct feed_message *message,
+		       const struct unpacked *items)
+{
+	int64_t kind;
+
+	if (!unpack_int(items, 0, &kind))
+		return false;
+	message->kind = (enum feed_kind)kind;
+	switch (kind) {
+	case FEED_POLL:
+		return read_poll(items, &message->u.poll);
+	case FEED_STATE:
+		return read_state(items, &message->u.state);
+	case FEED_FETCH:
+		return read_fetch(items, &message->u.fetch);
+	case FEED_DOCUMENT:
+		return read_document(items, &message->u.document);
+	case FEED_MEMBER:
+		return read_member(items, &message->u.member);
+	case FEED_REGISTRATION:
+		return read_registration(items, &message->u.registration,
+					 &message->age_us);
+	case FEED_ALIVE:
+		return read_alive(items, message);
+	case FEED_BEGUN:
+		return feed_unpack_begun(items, &message->u.begun);
+	case FEED_CLOCK:
+		return read_clock(items, &message->u.clock);
+	case FEED_CHANGE:
+		return read_change(items, &message->u.change);
+	case FEED_CHANGED:
+		return read_changed(items, &message->u.changed);
+	case FEED_EVACUATE:
+		return read_evacuate(items, &message->u.evacuate);
+	case FEED_EVACUATIONS:
+		evacuations_init(&message->u.evacuations);
+		return feed_unpack_evacuations(items,
+					       &message->u.evacuations);
+	case FEED_MARKS:
+		return read_marks(items, &message->u.marks);
+	case FEED_BUNDLE:
+		return read_bundle(items, &message->u.bundle);
+	default:
+		return false;
+	}
+}
+
+bool feed_read(struct feed_message *message, const char *data, size_t len)
+{
+	struct unpacked items;
+	bool read;
+
+	memset(message, 0, sizeof(*message));
+	if (!unpack_array(&items, data, len))
+		return false;
+	read = read_items(message, &items);
+	unpack_clear(&items);
+	if (!read)
+		feed_clear(message);
+	return read;
+}
+
+void feed_clear(struct feed_message *message)
+{
+	free(message->alive);
+	message->alive = NULL;
+	if (message->kind == FEED_MEMBER)
+		free(message->u.member.address);
+	if (message->kind == FEED_BEGUN)
+		free(message->u.begun.counts);
+	if (message->kind == FEED_EVACUATIONS)
+		evacuations_clear(&message->u.evacuations);
+	memset(&message->u, 0, sizeof(message->u));
+}
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -19,6 +19,7 @@
 	bool welcomed;	   /**< was told of all servers, or is a newcomer */
 	bool newcomer;	   /**< waits for the list of all servers */
 	bool changes;	   /**< understands FEED_CHANGE */
+	bool evacuations;  /**< understands FEED_EVACUATE */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -79,6 +79,13 @@
 uint64_t group_put_text(struct group *group, int vm, int64_t version,
 			const struct bytes *text);
 
+/** Evacuate a zone, or withdraw that; the call's number. */
+uint64_t group_evacuate(struct group *group, int vm, const char *zone,
+			bool evacuate);
+
+/** Revision of the evacuations that a VM has told the entry VM of last. */
+int64_t group_told_evacuations(const struct group *group, int vm);
+
 /** What an entry VM that asks for the document gets, empty for nothing. */
 struct bytes group_fetch(struct group *group, int vm, bool packed);
 
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -73,6 +73,18 @@
 	return call;
 }
 
+uint64_t group_evacuate(struct group *group, int at, const char *zone,
+			bool evacuate)
+{
+	struct effects effects;
+
+	effects_init(&effects);
+	control_evacuate(group->vms[at].control, ++group->next_call, zone,
+			 evacuate, group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+	return group->next_call;
+}
+
 uint64_t group_get(struct group *group, int at)
 {
 	struct effects effects;
--- a/tests/control/group_entry.c
+++ b/tests/control/group_entry.c
@@ -42,6 +42,8 @@
 		bytes_clear(&vm->fetched);
 		vm->fetched = bytes_copy(&send->body);
 	}
+	if (message.kind == FEED_EVACUATIONS)
+		vm->told_evacuations = message.u.evacuations.revision;
 	vm->entry_names += (int)message.n_alive;
 	vm->entry_messages++;
 	vm->entry_servers += message.kind == FEED_REGISTRATION;
@@ -83,7 +85,7 @@
 	struct event_link_up up = { id, (char *)"entry", (char *)"z1", NULL,
 				    true };
 	struct event_link_message message = { id, LINK_FEED, { 0 } };
-	struct feed_poll poll = { group->now_us, marks };
+	struct feed_poll poll = { group->now_us, marks, 0 };
 	struct control *control = group->vms[at].control;
 	struct effects effects;
 
@@ -105,6 +107,11 @@
 	poll_as(group, at, GROUP_ENTRY_ID + (uint64_t)nth, true);
 }
 
+int64_t group_told_evacuations(const struct group *group, int at)
+{
+	return group->vms[at].told_evacuations;
+}
+
 int64_t group_entry_bytes(const struct group *group, int at)
 {
 	return group->vms[at].entry_bytes;
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -30,6 +30,7 @@
 	int entry_messages;
 	int entry_servers; /* registrations, each or in bundles */
 	bool frozen;
+	int64_t told_evacuations; /* revision that the entry VM was told */
 };
 
 /* A message or a synced write on its way. */
--- a/tests/control/t-hand-on.c
+++ b/tests/control/t-hand-on.c
@@ -112,17 +112,19 @@
 static void test_earlier_release(void)
 {
 	static const char plain[] = "\x92\x09\x05";
-	struct feed_clock clock = { 5, true };
+	struct feed_clock clock = { 5, true, true };
 	struct feed_message message;
 	struct bytes body = { 0 };
 
 	g_assert_true(feed_read(&message, plain, sizeof(plain) - 1));
 	g_assert_cmpint(message.u.clock.wall_us, ==, 5);
 	g_assert_false(message.u.clock.changes);
+	g_assert_false(message.u.clock.evacuations);
 	feed_clear(&message);
 	feed_write_clock(&body, &clock);
 	g_assert_true(feed_read(&message, body.data, body.len));
 	g_assert_true(message.u.clock.changes);
+	g_assert_true(message.u.clock.evacuations);
 	feed_clear(&message);
 	bytes_clear(&body);
 }
--- a/tests/control/t-ledger.c
+++ b/tests/control/t-ledger.c
@@ -145,6 +145,86 @@
 	ledger_clear(&ledger);
 }
 
+static enum ledger_change order_zone(struct ledger *ledger, const char *zone,
+				     bool evacuate, int64_t revision)
+{
+	struct evacuation_order order = { .evacuate = evacuate,
+					  .revision = revision };
+	struct bytes entry = { 0 };
+	enum ledger_change change;
+
+	g_strlcpy(order.zone, zone, sizeof(order.zone));
+	ledger_write_evacuation(&entry, &order);
+	change = ledger_apply(ledger, entry.data, entry.len);
+	bytes_clear(&entry);
+	return change;
+}
+
+/* A delayed copy of an order undoes a later one that was acknowledged. */
+static void test_evacuation_overtaken(void)
+{
+	struct ledger ledger;
+
+	ledger_init(&ledger);
+	g_assert_cmpint(order_zone(&ledger, "a", true, 0), ==,
+			LEDGER_EVACUATION);
+	g_assert_cmpint(order_zone(&ledger, "a", true, 0), ==, LEDGER_NOTHING);
+	g_assert_cmpint(order_zone(&ledger, "b", true, 0), ==,
+			LEDGER_EVACUATION);
+	g_assert_cmpint(order_zone(&ledger, "a", false, 2), ==,
+			LEDGER_EVACUATION);
+	g_assert_cmpint(order_zone(&ledger, "a", true, 0), ==, LEDGER_REFUSED);
+	g_assert_false(evacuations_include(&ledger.evacuations, "a"));
+	g_assert_true(evacuations_include(&ledger.evacuations, "b"));
+	g_assert_cmpint(order_zone(&ledger, "a", true, 3), ==,
+			LEDGER_EVACUATION);
+	g_assert_cmpuint(evacuations_count(&ledger.evacuations), ==, 2);
+	ledger_clear(&ledger);
+}
+
+/* An operator who names ever new zones fills the memory of all VMs. */
+static void test_evacuation_bound(void)
+{
+	struct ledger ledger;
+	char zone[16];
+	int i;
+
+	ledger_init(&ledger);
+	for (i = 0; i < EVACUATION_ZONES_MAX; i++) {
+		g_snprintf(zone, sizeof(zone), "z%d", i);
+		g_assert_cmpint(order_zone(&ledger, zone, true, i), ==,
+				LEDGER_EVACUATION);
+	}
+	g_assert_cmpint(order_zone(&ledger, "one-more", true, i), ==,
+			LEDGER_REFUSED);
+	g_assert_cmpint(order_zone(&ledger, "z0", false, i), ==,
+			LEDGER_EVACUATION);
+	ledger_clear(&ledger);
+}
+
+/* A VM that joins late, or starts anew, has forgotten an evacuation. */
+static void test_evacuation_saved(void)
+{
+	struct ledger ledger;
+	struct ledger copy;
+	struct bytes saved = { 0 };
+
+	ledger_init(&ledger);
+	ledger_init(&copy);
+	order_zone(&ledger, "a", true, 0);
+	order_zone(&ledger, "b", true, 1);
+	order_zone(&ledger, "a", false, 2);
+	ledger_save(&ledger, &saved);
+	g_assert_true(ledger_load(&copy, saved.data, saved.len));
+	g_assert_cmpint(copy.evacuations.revision, ==, 3);
+	g_assert_false(evacuations_include(&copy.evacuations, "a"));
+	g_assert_true(evacuations_include(&copy.evacuations, "b"));
+	g_assert_cmpint(order_zone(&copy, "a", true, 2), ==, LEDGER_REFUSED);
+	bytes_clear(&saved);
+	ledger_clear(&ledger);
+	ledger_clear(&copy);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -154,5 +234,9 @@
 	g_test_add_func("/ledger/windows-bounded", test_windows_bounded);
 	g_test_add_func("/ledger/save", test_save);
 	g_test_add_func("/ledger/malformed", test_malformed);
+	g_test_add_func("/ledger/evacuation-overtaken",
+			test_evacuation_overtaken);
+	g_test_add_func("/ledger/evacuation-bound", test_evacuation_bound);
+	g_test_add_func("/ledger/evacuation-saved", test_evacuation_saved);
 	return g_test_run();
 }
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -89,6 +89,8 @@
 			bed->retry_ms = effect->u.answer.retry_after_ms;
 		} else if (effect->kind == EFFECT_START_ATTEMPT) {
 			bed->started = effect->u.start.id;
+			g_strlcpy(bed->started_at, effect->u.start.address,
+				  sizeof(bed->started_at));
 			bed->at_steady +=
 				!strcmp(effect->u.start.address, STEADY);
 		} else if (effect->kind == EFFECT_EXIT) {
@@ -176,21 +178,43 @@
 	deliver(bed, &body);
 }
 
+void bed_deliver_registration(struct bed *bed, const char *address,
+			      struct registration told)
+{
+	struct bytes body = { 0 };
+
+	g_strlcpy(told.id, address, sizeof(told.id));
+	g_strlcpy(told.address, address, sizeof(told.address));
+	g_strlcpy(told.service, "desk", sizeof(told.service));
+	if (!told.started_ms)
+		told.started_ms = BORN_MS;
+	feed_write_registration(&body, &told, 0);
+	deliver(bed, &body);
+}
+
 void bed_deliver_server(struct bed *bed, const char *address, int64_t sequence,
 			bool cheap, bool leaving)
 {
-	struct registration told = { .service = "desk",
-				     .zone = "z1",
-				     .started_ms = BORN_MS,
+	struct registration told = { .zone = "z1",
 				     .sequence = sequence,
 				     .slots = 8,
 				     .cheap = cheap,
 				     .leaving = leaving };
+
+	bed_deliver_registration(bed, address, told);
+}
+
+void bed_deliver_evacuation(struct bed *bed, const char *zone, bool evacuated,
+			    int64_t revision)
+{
+	struct evacuations evacuations;
 	struct bytes body = { 0 };
 
-	g_strlcpy(told.id, address, sizeof(told.id));
-	g_strlcpy(told.address, address, sizeof(told.address));
-	feed_write_registration(&body, &told, 0);
+	evacuations_init(&evacuations);
+	evacuations_set(&evacuations, zone, evacuated, revision);
+	evacuations.revision = revision;
+	feed_write_evacuations(&body, &evacuations);
+	evacuations_clear(&evacuations);
 	deliver(bed, &body);
 }
 
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -2,6 +2,7 @@
 #define TESTS_ENTRY_BED_H
 
 #include "entry/entry.h"
+#include "fleet/registry.h"
 
 #define SECOND INT64_C(1000000)
 #define ROUTES 150 /* each with its own latency target */
@@ -28,7 +29,8 @@
 	bool exited;
 	int usage_reports;	   /* usage reports sent */
 	int64_t reported_requests; /* count of one organisation in the last report */
-	int at_steady;		   /* attempts at STEADY */
+	char started_at[BACKEND_NAME_SIZE]; /* server of that request */
+	int at_steady;			    /* attempts at STEADY */
 	int64_t entry_vms; /* number of entry VMs that the control VM reports */
 };
 
@@ -46,6 +48,12 @@
 			bool cheap, bool leaving);
 /** Delivers the registration of the server at ENGINE. */
 void bed_deliver_engine(struct bed *bed, int64_t sequence, bool leaving);
+/** Delivers the state of one zone's evacuation. */
+void bed_deliver_evacuation(struct bed *bed, const char *zone, bool evacuated,
+			    int64_t revision);
+/** Delivers a registration of service "desk"; its address is its id. */
+void bed_deliver_registration(struct bed *bed, const char *address,
+			      struct registration told);
 /** Delivers marks for that server, and for ENGINE too if `engine`. */
 void bed_deliver_marks(struct bed *bed, const char *address, bool engine);
 /** Delivers two more registrations in a bundle, complete or truncated. */
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -367,6 +367,40 @@
 	check_call("GET /", CALL_UNKNOWN, NULL);
 }
 
+static struct dialect_call call_of(const char *text)
+{
+	struct dialect_call call = { 0 };
+	struct http_parse parse;
+
+	platform_dialect()->read_call(head_of(&parse, HTTP_REQUEST, text),
+				      &call);
+	http_parse_clear(&parse);
+	return call;
+}
+
+/* An evacuation is answered as an unknown path, or names another zone. */
+static void test_evacuation_calls(void)
+{
+	struct dialect_call call;
+
+	call = call_of("POST /filberthall/evacuations/hobart-a HTTP/1.1\r\n"
+		       "Host: c\r\nContent-Length: 0\r\n\r\n");
+	g_assert_cmpint(call.kind, ==, CALL_EVACUATE);
+	g_assert_cmpstr(call.zone, ==, "hobart-a");
+	call = call_of("DELETE /filberthall/evacuations/hobart-a HTTP/1.1\r\n"
+		       "Host: c\r\n\r\n");
+	g_assert_cmpint(call.kind, ==, CALL_RETURN_ZONE);
+	call = call_of("POST /filberthall/evacuations/ HTTP/1.1\r\n"
+		       "Host: c\r\nContent-Length: 0\r\n\r\n");
+	g_assert_cmpint(call.kind, ==, CALL_UNKNOWN);
+	call = call_of("POST /filberthall/evacuations/a/b HTTP/1.1\r\n"
+		       "Host: c\r\nContent-Length: 0\r\n\r\n");
+	g_assert_cmpint(call.kind, ==, CALL_UNKNOWN);
+	call = call_of("PUT /filberthall/evacuations/a HTTP/1.1\r\n"
+		       "Host: c\r\nContent-Length: 0\r\n\r\n");
+	g_assert_cmpint(call.kind, ==, CALL_UNKNOWN);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -383,5 +417,6 @@
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/calls", test_calls);
 	g_test_add_func("/platform/huge-numbers", test_huge_numbers);
+	g_test_add_func("/platform/evacuation-calls", test_evacuation_calls);
 	return g_test_run();
 }
