load, fleet, platform: a cold backend server gets few requests

What callers saw: a server that has just started, or whose zone has just come back, bears some requests a second and crashes at more. It is idle, so all VMs find it the best at once, and it becomes the home of shared prefixes at once.

The rest of its cold time comes with a server's announcement, is kept in the registry, goes on to entry VMs (also if a server becomes cold again) and to those that come late. The bound comes with the document. While a server is cold it is no prefix's home and gets nothing as long as a warm server has room; else each VM may send it, in each second of its clock, a part that a hash of VM, server and second draws: a quarter of the bound over all VMs. Nobody hands parts out, so a VM that is cut off keeps within its own. Servers of a zone that is used again count as cold until they have had the time to say what they are. Services without a bound are served as before.

The ways: nothing to cold servers at all (the same with a part of 0) refuses all when a pool restarts; parts handed out by control VMs need news within the second in which a server becomes cold, and lapse late at a VM that is cut off.

Other deployments have no bound; their code path is the same.

--- a/libfilberthall/control/control_evacuation.c
+++ b/libfilberthall/control/control_evacuation.c
@@ -16,8 +16,8 @@
 	struct bytes entry = { 0 };
 
 	ledger_write_evacuation(&entry, order);
-	proposal = control_propose(control, caller, NULL, &entry, now_us,
-				   effects);
+	proposal =
+		control_propose(control, caller, NULL, &entry, now_us, effects);
 	bytes_clear(&entry);
 	if (!proposal)
 		return;
--- a/libfilberthall/control/control_proposal.c
+++ b/libfilberthall/control/control_proposal.c
@@ -65,12 +65,10 @@
 	free(proposal);
 }
 
-const struct control_proposal *control_propose(struct control *control,
-					       struct control_caller caller,
-					       struct document *document,
-					       const struct bytes *entry,
-					       int64_t now_us,
-					       struct effects *effects)
+const struct control_proposal *
+control_propose(struct control *control, struct control_caller caller,
+		struct document *document, const struct bytes *entry,
+		int64_t now_us, struct effects *effects)
 {
 	struct control_proposal *proposal = xcalloc(1, sizeof(*proposal));
 	enum result code;
--- a/libfilberthall/document/document.h
+++ b/libfilberthall/document/document.h
@@ -69,6 +69,8 @@
 	int64_t connections; /**< from all VMs together, to one server */
 	int64_t slots;	     /**< of a model engine, 0 for a plain service */
 	int64_t kv_tokens;   /**< memory of a model engine */
+	int64_t cold_ms;     /**< a server that starts is cold for so long */
+	double cold_per_s;   /**< requests that a cold one bears, 0: no bound */
 	struct service_scaling scaling;
 };
 
--- a/libfilberthall/document/encoding.c
+++ b/libfilberthall/document/encoding.c
@@ -39,6 +39,8 @@
 	SERVICE_BOOT,
 	SERVICE_CHEAP,
 	SERVICE_ZONES, /* name and price by turns */
+	SERVICE_COLD,
+	SERVICE_COLD_RATE,
 	SERVICE_ITEMS
 };
 
@@ -75,6 +77,8 @@
 		pack_text(packer, scaling->zones[i].name);
 		msgpack_pack_double(packer, scaling->zones[i].price);
 	}
+	msgpack_pack_int64(packer, service->cold_ms);
+	msgpack_pack_double(packer, service->cold_per_s);
 }
 
 static void write_route(msgpack_packer *packer, const struct document *document,
@@ -222,6 +226,10 @@
 	struct service_scaling *scaling = &service->scaling;
 	struct unpacked zones;
 
+	/* Releases before these items know of no cold servers. */
+	if (!unpack_int(items, SERVICE_COLD, &service->cold_ms) ||
+	    !read_number(items, SERVICE_COLD_RATE, &service->cold_per_s))
+		service->cold_per_s = 0;
 	return read_text(items, SERVICE_NAME, &service->name) &&
 	       read_text(items, SERVICE_HEALTH, &service->health_path) &&
 	       unpack_int(items, SERVICE_CONNECTIONS, &service->connections) &&
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -170,6 +170,37 @@
 	return document;
 }
 
+/* The service of a server, or NULL if the document names none. */
+static const struct service *service_of(const struct entry *entry,
+					const struct registration *told)
+{
+	if (!entry->document)
+		return NULL;
+	return document_service(entry->document, told->service);
+}
+
+/* What the document says of the service's cold servers. */
+static void set_cold(struct entry *entry,
+		     const struct registry_entry *registered, int64_t until_us)
+{
+	const struct registration *told = &registered->registration;
+	const struct service *service = service_of(entry, told);
+
+	fleet_set_cold(&entry->fleet, told->address, until_us,
+		       service ? service->cold_per_s : 0);
+}
+
+/* After a change of the document. */
+static void update_cold(struct entry *entry)
+{
+	struct registry_entry *registered;
+	struct registry_entry *next;
+
+	map_foreach(registered, next, &entry->registry.by_id, node)
+		if (!registered->registration.gone)
+			set_cold(entry, registered, registered->cold_until_us);
+}
+
 static void handle_document(struct entry *entry, uint64_t peer,
 			    const struct feed_document *told)
 {
@@ -191,6 +222,7 @@
 	document_free(entry->document);
 	entry->document = document;
 	fetch_completed(&entry->fetch);
+	update_cold(entry);
 	entry_log(entry, LOG_INFO, "document",
 		  "event=in-force version=%lld before=%lld routes=%zu "
 		  "organisations=%zu",
@@ -241,11 +273,13 @@
 	const struct registry_entry *holder =
 		registry_find_address(&entry->registry, told->address);
 
-	if (registry_entry_usable(registered))
+	if (registry_entry_usable(registered)) {
 		announce(entry, told);
-	else if (!holder || holder == registered)
+		set_cold(entry, registered, registered->cold_until_us);
+	} else if (!holder || holder == registered) {
 		fleet_retire(&entry->fleet, told->address,
 			     entry->now_us + REGISTRY_TOMBSTONE_US);
+	}
 	entry_log(entry, LOG_INFO, "server",
 		  "event=%s server=%s address=%s service=%s zone=%s cheap=%d "
 		  "heard_ms=%lld",
@@ -274,29 +308,50 @@
 		update_fleet(entry, registry_find(&entry->registry, told->id));
 }
 
-static void apply_evacuations(struct entry *entry)
+/*
+ * The servers of a zone that is used again may have become cold shortly before,
+ * and what they say of it may still be on its way.
+ */
+static void assume_cold(struct entry *entry, struct registry_entry *registered)
+{
+	const struct service *service =
+		service_of(entry, &registered->registration);
+	int64_t until_us =
+		service ? entry->now_us + service->cold_ms * 1000 : 0;
+
+	if (until_us > registered->cold_until_us)
+		registered->cold_until_us = until_us;
+	set_cold(entry, registered, registered->cold_until_us);
+}
+
+static void apply_evacuations(struct entry *entry,
+			      const struct evacuations *evacuations)
 {
 	struct registry_entry *registered;
 	struct registry_entry *next;
 
 	map_foreach(registered, next, &entry->registry.by_id, node) {
 		const struct registration *told = &registered->registration;
-
-		if (registry_entry_usable(registered))
-			fleet_drain(&entry->fleet, told->address,
-				    evacuations_include(&entry->evacuations,
-							told->zone));
+		bool evacuated = evacuations_include(evacuations, told->zone);
+
+		if (!registry_entry_usable(registered))
+			continue;
+		fleet_drain(&entry->fleet, told->address, evacuated);
+		if (!evacuated &&
+		    evacuations_include(&entry->evacuations, told->zone))
+			assume_cold(entry, registered);
 	}
 }
 
 /* A VM that lags, or whose message was delayed, has an older revision. */
 static void handle_evacuations(struct entry *entry,
-			       struct evacuations *evacuations)
+			       const struct evacuations *evacuations)
 {
 	const struct evacuation *zone;
 
 	if (evacuations->revision <= entry->evacuations.revision)
 		return;
+	apply_evacuations(entry, evacuations);
 	evacuations_clear(&entry->evacuations);
 	list_foreach(zone, &evacuations->zones, node) {
 		evacuations_set(&entry->evacuations, zone->zone,
@@ -307,7 +362,6 @@
 			  (long long)evacuations->revision);
 	}
 	entry->evacuations.revision = evacuations->revision;
-	apply_evacuations(entry);
 }
 
 static void mark_alive(struct entry *entry, const char *id, int64_t born_ms,
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -138,8 +138,7 @@
 	bool evacuated;
 	size_t i;
 
-	if (!unpack_int(items, 1, &evacuations->revision) ||
-	    (items->n - 2) % 3)
+	if (!unpack_int(items, 1, &evacuations->revision) || (items->n - 2) % 3)
 		return false;
 	for (i = 2; i < items->n; i += 3)
 		if (!read_name(items, i, zone) ||
@@ -163,6 +162,9 @@
 static bool read_registration(const struct unpacked *items,
 			      struct registration *told, int64_t *age_us)
 {
+	/* Releases before this item know of no cold servers. */
+	if (!unpack_int(items, 13, &told->cold_ms))
+		told->cold_ms = 0;
 	return read_name(items, 1, told->id) &&
 	       read_name(items, 2, told->address) &&
 	       read_name(items, 3, told->service) &&
@@ -254,8 +256,7 @@
 		return read_evacuate(items, &message->u.evacuate);
 	case FEED_EVACUATIONS:
 		evacuations_init(&message->u.evacuations);
-		return feed_unpack_evacuations(items,
-					       &message->u.evacuations);
+		return feed_unpack_evacuations(items, &message->u.evacuations);
 	case FEED_MARKS:
 		return read_marks(items, &message->u.marks);
 	case FEED_BUNDLE:
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -302,6 +302,17 @@
 	backend->lease_end_us = until_us;
 }
 
+void fleet_set_cold(struct fleet *fleet, const char *address, int64_t until_us,
+		    double per_s)
+{
+	struct backend *backend = fleet_find(fleet, address);
+
+	if (!backend)
+		return;
+	backend->cold_until_us = until_us;
+	backend->cold_per_s = per_s;
+}
+
 bool backend_usable(const struct backend *backend, int64_t now_us)
 {
 	return !backend->leaving && !backend->drained &&
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -79,7 +79,12 @@
 	int64_t kv_used;
 	double prefill_rate;
 	double decode_rate;
-	int64_t report_us; /**< when the load figures were measured */
+	int64_t report_us;     /**< when the load figures were measured */
+	double cold_per_s;     /**< requests/s that it bears while cold, of all
+				    VMs together; 0 for no bound */
+	int64_t cold_until_us; /**< cold before this time */
+	int64_t cold_second;   /**< load/warmup.h: when it was last sent one */
+	int64_t cold_sent;     /**< and how many in that second */
 	struct backend_own own;
 	struct health health;
 };
@@ -148,6 +153,10 @@
  */
 void fleet_decay_load(struct fleet *fleet, int64_t step_us, int64_t now_us);
 
+/** Set until when a server is cold and the bound that holds so long. */
+void fleet_set_cold(struct fleet *fleet, const char *address, int64_t until_us,
+		    double per_s);
+
 /** Count an attempt that was started on the server. */
 void backend_started(struct backend *backend, int64_t prompt_tokens,
 		     double work, bool is_long, int64_t now_us);
--- a/libfilberthall/fleet/evacuation.c
+++ b/libfilberthall/fleet/evacuation.c
@@ -47,9 +47,8 @@
 	return zone;
 }
 
-enum evacuation_outcome
-evacuations_apply(struct evacuations *evacuations,
-		  const struct evacuation_order *order)
+enum evacuation_outcome evacuations_apply(struct evacuations *evacuations,
+					  const struct evacuation_order *order)
 {
 	struct evacuation *zone = zone_find(evacuations, order->zone);
 
--- a/libfilberthall/fleet/evacuation.h
+++ b/libfilberthall/fleet/evacuation.h
@@ -54,9 +54,8 @@
 void evacuations_clear(struct evacuations *evacuations);
 
 /** Apply an order; the same orders give the same state on each VM. */
-enum evacuation_outcome
-evacuations_apply(struct evacuations *evacuations,
-		  const struct evacuation_order *order);
+enum evacuation_outcome evacuations_apply(struct evacuations *evacuations,
+					  const struct evacuation_order *order);
 
 /** Whether the zone's servers get no new requests. */
 bool evacuations_include(const struct evacuations *evacuations,
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -125,6 +125,31 @@
 		registry->last_contact_us = contact_us;
 }
 
+static int64_t cold_until_us(const struct registration *update,
+			     int64_t contact_us)
+{
+	return update->cold_ms ? contact_us + update->cold_ms * 1000 : 0;
+}
+
+/* A start isn't taken to be warm earlier than was known of it. */
+static void set_cold(struct registry_entry *entry,
+		     const struct registration *update, int64_t contact_us)
+{
+	int64_t until_us = cold_until_us(update, contact_us);
+
+	if (entry->registration.started_ms != update->started_ms ||
+	    until_us > entry->cold_until_us)
+		entry->cold_until_us = until_us;
+}
+
+/* A server may become cold again at any moment. */
+static bool is_colder(const struct registry_entry *known,
+		      const struct registration *update, int64_t contact_us)
+{
+	return cold_until_us(update, contact_us) >
+	       known->cold_until_us + REGISTRY_COLD_CHANGE_US;
+}
+
 enum registry_outcome registry_update(struct registry *registry,
 				      const struct registration *update,
 				      int64_t contact_us,
@@ -145,7 +170,8 @@
 	    update->started_ms < holder->registration.started_ms)
 		return REGISTRY_STALE;
 	news = !known || known->timed_out ||
-	       is_news(&known->registration, update);
+	       is_news(&known->registration, update) ||
+	       is_colder(known, update, contact_us);
 	if (!known) {
 		known = xcalloc(1, sizeof(*known));
 		memcpy(known->registration.id, update->id, sizeof(update->id));
@@ -158,6 +184,7 @@
 		*replaced = holder;
 	}
 	unindex(registry, known);
+	set_cold(known, update, contact_us);
 	known->registration = *update;
 	if (!update->gone)
 		place(registry, known);
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -33,6 +33,7 @@
 	int64_t sequence;   /**< incremented with each message of this start */
 	int64_t slots;	    /**< concurrent requests */
 	int64_t leaves_ms;  /**< wall clock at its planned end, 0 if unknown */
+	int64_t cold_ms;    /**< it bears few requests for so long from now */
 	bool cheap;	    /**< may be reclaimed, together with its zone */
 	bool leaving;	    /**< gets no new requests */
 	bool gone;	    /**< this start has ended for good */
@@ -48,6 +49,7 @@
 	struct registration registration;
 	int64_t last_contact_us; /**< of any VM with the server, own clock */
 	int64_t last_direct_contact_us; /**< of this VM with the server */
+	int64_t cold_until_us;		/**< end of cold_ms, own clock */
 	bool timed_out; /**< no contact, while others had some */
 };
 
@@ -59,6 +61,9 @@
 	int64_t timeout_us;	 /**< see REGISTRY_TIMEOUT_MIN_US */
 };
 
+/** A cold time that ends later than known by more than this is a change. */
+#define REGISTRY_COLD_CHANGE_US INT64_C(500000)
+
 /** Result of a registration. */
 enum registry_outcome {
 	REGISTRY_STALE,	    /**< older than the known one, ignored */
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "load/warmup.h"
+
 /* Assumed prefill rate of servers that report none, tokens per second. */
 #define PICK_PREFILL_RATE 10000.0
 
@@ -32,6 +34,9 @@
 		return false;
 	if (backend->cheap != query->cheap)
 		return false;
+	if (warmup_is_cold(backend, now_us) != query->cold ||
+	    (query->cold && !warmup_allows(backend, &query->vm, now_us)))
+		return false;
 	if (query->avoid && !strcmp(query->avoid, backend->address))
 		return false;
 	if (query->adapter && *query->adapter &&
@@ -205,6 +210,9 @@
 
 	if (!n)
 		return NULL;
+	if (query->cold)
+		return pick_random(options, query, members, n, rng, NULL,
+				   now_us);
 	if (options->homes)
 		return place_choose(&query->place, members, n, case_fits, &pick,
 				    now_us);
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -8,6 +8,7 @@
 #include "fleet/backend.h"
 #include "load/place.h"
 #include "load/prefix.h"
+#include "load/warmup.h"
 
 /**
  * Choice of a backend server for one request.
@@ -63,6 +64,8 @@
 	double share_begin;
 	double share_end;
 	struct place_query place; /**< with `homes` */
+	bool cold;	     /**< among the cold servers; else the warm ones */
+	struct warmup_vm vm; /**< for those */
 };
 
 /**
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "load/warmup.h"
+
 uint64_t place_score(uint64_t prefix_hash, const struct backend *backend)
 {
 	uint64_t key[2] = { prefix_hash, backend->node.hash };
@@ -62,6 +64,7 @@
 
 		if (members[i]->for_paced != query->paced ||
 		    !backend_usable(members[i], now_us) ||
+		    warmup_is_cold(members[i], now_us) ||
 		    (home && score <= home_score))
 			continue;
 		home = members[i];
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -210,6 +210,12 @@
 		query.share_begin = pool->share_begin;
 		query.share_end = pool->share_end;
 	}
+	backend = pick_avoiding(router, pool, &query, now_us);
+	if (backend || !pool->n_cold)
+		return backend;
+	query.cold = true;
+	query.vm = (struct warmup_vm){ router->options.self,
+				       router->retry_limit.vms };
 	return pick_avoiding(router, pool, &query, now_us);
 }
 
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -181,12 +181,14 @@
 	pool->cheap_slots = 0;
 	pool->load = 0;
 	pool->n_usable = 0;
+	pool->n_cold = 0;
 	for (i = 0; i < pool->n_members; i++) {
 		const struct backend *member = pool->members[i];
 
 		if (!backend_usable(member, now_us))
 			continue;
 		pool->n_usable++;
+		pool->n_cold += warmup_is_cold(member, now_us);
 		weight = router->pick.stragglers
 				 ? health_weight(&member->health, now_us)
 				 : 1;
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -17,6 +17,7 @@
 #include "load/retry.h"
 #include "load/router.h"
 #include "load/sched.h"
+#include "load/warmup.h"
 
 /**
  * Private declarations shared by the router*.c files: the state of a router and
@@ -90,6 +91,7 @@
 	struct backend **members;
 	int n_members;
 	int n_usable; /**< members that accept new requests */
+	int n_cold;   /**< of them, cold ones (load/warmup.h) */
 	uint64_t
 		fleet_version; /**< fleet version at which members was listed */
 	uint64_t fleet_removals;
--- a/tests/document/t-encoding.c
+++ b/tests/document/t-encoding.c
@@ -13,6 +13,8 @@
 	service->connections = 360;
 	service->slots = 64;
 	service->kv_tokens = 362531;
+	service->cold_ms = 3000;
+	service->cold_per_s = 9.5;
 	service->scaling.allowed = true;
 	service->scaling.least = 1;
 	service->scaling.most = 8;
@@ -82,6 +84,8 @@
 	g_assert_cmpint(a->connections, ==, b->connections);
 	g_assert_cmpint(a->slots, ==, b->slots);
 	g_assert_cmpint(a->kv_tokens, ==, b->kv_tokens);
+	g_assert_cmpint(a->cold_ms, ==, b->cold_ms);
+	g_assert_cmpfloat(a->cold_per_s, ==, b->cold_per_s);
 	g_assert_cmpint(a->scaling.allowed, ==, b->scaling.allowed);
 	g_assert_cmpint(a->scaling.least, ==, b->scaling.least);
 	g_assert_cmpint(a->scaling.most, ==, b->scaling.most);
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -27,6 +27,8 @@
 
 	document->version = strtoll(copy, NULL, 10);
 	document_add_service(document)->name = xstrdup("desk");
+	document->services[0].cold_ms = COLD_MS;
+	document->services[0].cold_per_s = 9.5;
 	route = document_add_route(document);
 	route->name = xstrdup("lodge");
 	route->host = xstrdup("a.example");
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -10,6 +10,7 @@
 #define ENGINE "10.0.0.1:80"
 #define CHEAP "10.0.0.2:80"
 #define STEADY "10.0.0.3:80"
+#define COLD_MS 3000   /* a server of "desk" that starts */
 #define BOARD_KEY "kb" /* key of the organisation with the highest rank */
 
 /* One entry VM and one control VM, whose messages the test sends. */
--- a/tests/entry/t-evacuation.c
+++ b/tests/entry/t-evacuation.c
@@ -31,7 +31,10 @@
 	return bed->started_at;
 }
 
-/* Requests go on to a zone whose power is about to be cut. */
+/*
+ * Requests go on to a zone whose power is about to be cut. Servers of a zone
+ * that returns are cold, and what they say of it comes later.
+ */
 static void test_unused(void)
 {
 	struct bed bed;
@@ -41,10 +44,35 @@
 	bed_deliver_evacuation(&bed, "z1", true, 1);
 	g_assert_cmpstr(all_at(&bed), ==, STEADY);
 	bed_deliver_evacuation(&bed, "z1", false, 2);
+	g_assert_cmpstr(all_at(&bed), ==, STEADY);
+	bed_advance(&bed, COLD_MS * 1000);
+	bed_deliver_state(&bed, bed.polled_us, 0, 1);
 	g_assert_cmpstr(all_at(&bed), !=, STEADY);
 	bed_end(&bed);
 }
 
+/*
+ * A server that serves becomes cold and crashes under its usual requests: it
+ * says so in an announcement like any other.
+ */
+static void test_cold(void)
+{
+	struct registration told = {
+		.zone = "z1", .sequence = 2, .slots = 8, .cold_ms = COLD_MS
+	};
+	struct bed bed;
+
+	bed_start(&bed);
+	bed_deliver_registration(&bed, STEADY, told);
+	g_assert_cmpstr(all_at(&bed), ==, ENGINE);
+	bed_deliver_document(&bed, 2, "k1");
+	g_assert_cmpstr(all_at(&bed), ==, ENGINE);
+	bed_advance(&bed, COLD_MS * 1000);
+	bed_deliver_state(&bed, bed.polled_us, 0, 2);
+	g_assert_cmpstr(all_at(&bed), !=, ENGINE);
+	bed_end(&bed);
+}
+
 /* A control VM that lags brings back what was withdrawn. */
 static void test_older_revision(void)
 {
@@ -96,5 +124,6 @@
 			test_older_revision);
 	g_test_add_func("/entry-evacuation/new-server", test_new_server);
 	g_test_add_func("/entry-evacuation/last-zone", test_last_zone);
+	g_test_add_func("/entry-evacuation/cold", test_cold);
 	return g_test_run();
 }
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -254,6 +254,42 @@
 	registry_clear(&registry);
 }
 
+/*
+ * A server that serves becomes cold again, and entry VMs aren't told: its
+ * requests crash it.
+ */
+static void test_cold_again(void)
+{
+	struct registration told = make_registration("s1", "a:1", 100, 1);
+	struct registry registry;
+	struct registry_entry *entry;
+
+	registry_init(&registry, SECOND);
+	told.cold_ms = 3000;
+	take(&registry, told, 0);
+	entry = registry_find(&registry, "s1");
+	g_assert_cmpint(entry->cold_until_us, ==, 3 * SECOND);
+	told.sequence = 2;
+	told.cold_ms = 1900;
+	g_assert_cmpint(take(&registry, told, SECOND), ==, REGISTRY_REFRESHED);
+	g_assert_cmpint(entry->cold_until_us, ==, 3 * SECOND);
+	told.sequence = 3;
+	told.cold_ms = 0;
+	g_assert_cmpint(take(&registry, told, 4 * SECOND), ==,
+			REGISTRY_REFRESHED);
+	told.sequence = 4;
+	told.cold_ms = 3000;
+	g_assert_cmpint(take(&registry, told, 5 * SECOND), ==,
+			REGISTRY_CHANGED);
+	g_assert_cmpint(entry->cold_until_us, ==, 8 * SECOND);
+	told.started_ms = 200;
+	told.sequence = 1;
+	told.cold_ms = 0;
+	take(&registry, told, 6 * SECOND);
+	g_assert_cmpint(entry->cold_until_us, ==, 0);
+	registry_clear(&registry);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -266,5 +302,6 @@
 	g_test_add_func("/registry/silence", test_silence);
 	g_test_add_func("/registry/slow-beats", test_slow_beats);
 	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
+	g_test_add_func("/registry/cold-again", test_cold_again);
 	return g_test_run();
 }
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -154,6 +154,7 @@
 	"\"split\":[{\"service\":\"s1\",\"weight\":90},"
 	"{\"service\":\"s2\",\"weight\":10}]}],"
 	"\"services\":[{\"name\":\"s1\",\"max_conns\":360,"
+	"\"cold_start_s\":2.5,\"cold_per_s\":9.5,"
 	"\"backend\":{\"slots\":64,\"kv_capacity\":362531},"
 	"\"scaling\":{\"min\":1,\"max\":8,\"boot_time_s\":4.0,"
 	"\"spot_price\":0.15,\"zone_prices\":{\"a\":1.0,\"b\":0.8}}},"
@@ -182,6 +183,9 @@
 	g_assert_true(route->open);
 	g_assert_cmpuint(route->n_splits, ==, 2);
 	service = document_service(document, "s1");
+	g_assert_cmpint(service->cold_ms, ==, 2500);
+	g_assert_cmpfloat(service->cold_per_s, ==, 9.5);
+	g_assert_cmpfloat(document_service(document, "s2")->cold_per_s, ==, 0);
 	g_assert_cmpint(service->scaling.most, ==, 8);
 	g_assert_cmpint(service->scaling.boot_ms, ==, 4000);
 	g_assert_cmpuint(service->scaling.n_zones, ==, 2);
@@ -238,7 +242,7 @@
 		take("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 		     "\"zone\":\"a\",\"slots\":64,\"state\":\"draining\","
 		     "\"sequence\":4,\"born\":17,\"spot_enabled\":true,"
-		     "\"leaves_ms\":2300.5}",
+		     "\"leaves_ms\":2300.5,\"cold_remaining_ms\":1200}",
 		     &told),
 		==, RESULT_OK);
 	g_assert_cmpstr(told.id, ==, "i-7f");
@@ -246,6 +250,7 @@
 	g_assert_true(told.cheap);
 	g_assert_cmpint(told.started_ms, ==, 17);
 	g_assert_cmpint(told.leaves_ms, ==, 2300);
+	g_assert_cmpint(told.cold_ms, ==, 1200);
 }
 
 /* Others write there as well; what isn't whole names no server to use. */
