entry, load, document, platform: requests stay in the regions named for them

What callers would see: a route or an organisation that names the regions in which its requests may run had them run in any region, as the document's list was not read.

The boot settings of an entry VM say which region each zone is in, and are read again when they change. Regions of a route and of an organisation are checked, kept and encoded with the document. Placement, overflow from a busy home, retries and the last server left all go by one set, in which a zone whose region isn't known has no part. Where route and organisation name none in common, or no server there is usable, the request is refused as not run. Entry VMs pass no request to each other, so nothing else has to obey.

--- a/daemon/boot.c
+++ b/daemon/boot.c
@@ -219,7 +219,7 @@
 		bytes_append_text(
 			&allowed,
 			" backends cluster keys listen limits log peers "
-			"reach retries seeds tls usage");
+			"reach regions retries seeds tls usage");
 	code = error_report(reader->handler, RESULT_SETTING_UNKNOWN,
 			    "%s:%d: %s: no such key; allowed are:%s",
 			    reader->name, at->line, at->key,
@@ -251,6 +251,29 @@
 	return RESULT_OK;
 }
 
+/* Zones with the region of each; nothing where there are none. */
+static enum result boot_read_regions(struct boot_reader *reader,
+				     const struct yaml *map)
+{
+	const struct yaml *at;
+
+	if (map->kind == YAML_SCALAR && !map->text[0])
+		return RESULT_OK;
+	if (map->kind != YAML_MAP)
+		return boot_refuse(reader, map,
+				   "zones with their regions are needed");
+	yaml_foreach(at, map) {
+		if (at->kind != YAML_SCALAR || !boot_is_name(at->text) ||
+		    !boot_is_name(at->key))
+			return boot_refuse(reader, at,
+					   "zone: region is needed");
+		if (!regions_set(&reader->boot->regions, at->key, at->text))
+			return boot_refuse(reader, at,
+					   "63 zones are allowed at most");
+	}
+	return RESULT_OK;
+}
+
 static enum result boot_read_section(struct boot_reader *reader,
 				     const char *section,
 				     const struct yaml *map)
@@ -271,6 +294,8 @@
 		else if (!section && !strcmp(at->key, "seeds"))
 			code = boot_read_list(reader, at, reader->boot->seeds,
 					      &reader->boot->n_seeds);
+		else if (!section && !strcmp(at->key, "regions"))
+			code = boot_read_regions(reader, at);
 		else if (!section && boot_is_section(at->key))
 			code = boot_read_section(reader, at->key, at);
 		else
--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/result.h"
 #include "core/effect.h"
+#include "fleet/region.h"
 
 #define BOOT_MAX_PEERS 16
 
@@ -53,6 +54,7 @@
 	char *seeds[BOOT_MAX_PEERS]; /**< operators' addresses of control VMs;
 					  their links have our links' port */
 	int n_seeds;
+	struct regions regions; /**< of the zones of backend servers */
 	int64_t voters;		/**< wanted in the group, odd */
 	int64_t tolerate;	/**< disks that may be lost at once */
 	int64_t lease_ms;	/**< of the one in charge */
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -401,6 +401,13 @@
 	return daemon->callers ? RESULT_OK : RESULT_SETTING_VALUE;
 }
 
+static void on_reloaded(void *data, const struct boot *boot)
+{
+	struct entry_daemon *daemon = data;
+
+	entry_set_regions(daemon->entry, &boot->regions);
+}
+
 static enum result open_all(struct entry_daemon *daemon)
 {
 	const struct boot *boot = daemon->role.boot;
@@ -419,6 +426,7 @@
 	options.self |= 1;
 	options.vm = boot->vm;
 	options.zone = boot->zone;
+	options.regions = &boot->regions;
 	options.max_staleness_us = boot->fresh_ms * 1000;
 	options.window_us = boot->window_s * 1000000;
 	options.retry_share = boot->retry_share;
@@ -476,6 +484,7 @@
 	daemon.role.handler = handler;
 	daemon.role.take = on_event;
 	daemon.role.stop = on_stop;
+	daemon.role.reloaded = on_reloaded;
 	daemon.role.write_metrics = write_metrics;
 	daemon.role.data = &daemon;
 	map_init(&daemon.relays);
--- a/daemon/role/role.c
+++ b/daemon/role/role.c
@@ -55,7 +55,7 @@
 	       stat_buffer.st_mtim.tv_nsec / 1000 + stat_buffer.st_size;
 }
 
-/* Only seeds change while a daemon runs; all else holds from its start. */
+/* Seeds and regions may change while a daemon runs; all else holds. */
 static void reload(struct role *role)
 {
 	struct boot boot;
@@ -69,6 +69,8 @@
 		return;
 	if (role->links)
 		add_seeds(role, &boot);
+	if (role->reloaded)
+		role->reloaded(role->data, &boot);
 	boot_clear(&boot);
 }
 
--- a/daemon/role/role.h
+++ b/daemon/role/role.h
@@ -36,6 +36,8 @@
 	int link_port;
 	void (*take)(void *data, struct event *event);
 	void (*stop)(void *data);
+	/** The settings file was read again; NULL: nothing of it matters. */
+	void (*reloaded)(void *data, const struct boot *boot);
 	void (*write_metrics)(void *data, struct bytes *out);
 	void *data;
 };
--- a/libfilberthall/document/document.c
+++ b/libfilberthall/document/document.c
@@ -36,6 +36,15 @@
 	return document;
 }
 
+static void names_clear(char **names, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		free(names[i]);
+	free(names);
+}
+
 static void route_clear(struct route *route)
 {
 	size_t i;
@@ -46,6 +55,7 @@
 	free(route->name);
 	free(route->host);
 	free(route->prefix);
+	names_clear(route->regions, route->n_regions);
 }
 
 static void service_clear(struct service *service)
@@ -68,6 +78,7 @@
 		free(organisation->keys[i]);
 	}
 	free(organisation->keys);
+	names_clear(organisation->regions, organisation->n_regions);
 	free(organisation->name);
 }
 
@@ -148,6 +159,24 @@
 	split->weight = weight;
 }
 
+void route_add_region(struct route *route, const char *region)
+{
+	char **slot = add_item((void **)&route->regions, &route->n_regions,
+			       sizeof(*route->regions));
+
+	*slot = xstrdup(region);
+}
+
+void organisation_add_region(struct document_organisation *organisation,
+			     const char *region)
+{
+	char **slot = add_item((void **)&organisation->regions,
+			       &organisation->n_regions,
+			       sizeof(*organisation->regions));
+
+	*slot = xstrdup(region);
+}
+
 void document_add_key(struct document *document, size_t organisation,
 		      const char *text)
 {
--- a/libfilberthall/document/document.h
+++ b/libfilberthall/document/document.h
@@ -44,6 +44,8 @@
 	int attempts;	    /**< backend servers that may run one request */
 	struct route_split *splits;
 	size_t n_splits;
+	char **regions;	  /**< whose servers may run its requests */
+	size_t n_regions; /**< 0: those of all regions */
 };
 
 /** A zone in which a service's servers may be ordered. */
@@ -85,6 +87,8 @@
 	int tier; /**< goes before the route's; -1 for none of its own */
 	struct document_key **keys;
 	size_t n_keys;
+	char **regions; /**< as of a route; both bind */
+	size_t n_regions;
 };
 
 /** Bounds of what a caller may send and how long it may take. */
@@ -123,13 +127,16 @@
 
 void service_add_zone(struct service *service, const char *name, double price);
 void route_add_split(struct route *route, const char *service, int64_t weight);
+void route_add_region(struct route *route, const char *region);
+void organisation_add_region(struct document_organisation *organisation,
+			     const char *region);
 void document_add_key(struct document *document, size_t organisation,
 		      const char *text);
 
 /**
  * Whether the document can be obeyed: each route's service is known, no two
  * routes have the same place, weights add up to more than 0, time-outs are
- * above 0, no two organisations share a key. Also makes it ready for look-ups.
+ * above 0, no two organisations share a key, regions have names. Also makes it ready for look-ups.
  *
  * Returns RESULT_OK or RESULT_SETTING_VALUE, reported to `handler`.
  */
--- a/libfilberthall/document/encoding.c
+++ b/libfilberthall/document/encoding.c
@@ -8,8 +8,15 @@
 #define TEXT_MOST (4 * 1024 * 1024)
 
 /* Where the items of an array stand. */
-enum { ROOT_VERSION, ROOT_LIMITS, ROOT_SERVICES, ROOT_ROUTES, ROOT_HOLDERS };
-enum { ROOT_ITEMS = ROOT_HOLDERS + 1 };
+enum {
+	ROOT_VERSION,
+	ROOT_LIMITS,
+	ROOT_SERVICES,
+	ROOT_ROUTES,
+	ROOT_HOLDERS,
+	ROOT_HOLDER_REGIONS, /* a list for each organisation */
+	ROOT_ITEMS
+};
 
 enum {
 	ROUTE_NAME,
@@ -24,6 +31,7 @@
 	ROUTE_TIER,
 	ROUTE_ATTEMPTS,
 	ROUTE_SPLITS, /* service's index and weight by turns */
+	ROUTE_REGIONS,
 	ROUTE_ITEMS
 };
 
@@ -81,6 +89,15 @@
 	msgpack_pack_double(packer, service->cold_per_s);
 }
 
+static void write_names(msgpack_packer *packer, char *const *names, size_t n)
+{
+	size_t i;
+
+	msgpack_pack_array(packer, n);
+	for (i = 0; i < n; i++)
+		pack_text(packer, names[i]);
+}
+
 static void write_route(msgpack_packer *packer, const struct document *document,
 			const struct route *route)
 {
@@ -107,6 +124,7 @@
 					   document->services);
 		msgpack_pack_int64(packer, split->weight);
 	}
+	write_names(packer, route->regions, route->n_regions);
 }
 
 static void write_organisation(msgpack_packer *packer,
@@ -139,6 +157,10 @@
 	msgpack_pack_array(&packer, document->n_organisations);
 	for (i = 0; i < document->n_organisations; i++)
 		write_organisation(&packer, &document->organisations[i]);
+	msgpack_pack_array(&packer, document->n_organisations);
+	for (i = 0; i < document->n_organisations; i++)
+		write_names(&packer, document->organisations[i].regions,
+			    document->organisations[i].n_regions);
 }
 
 /* The array that stands at `i`. */
@@ -274,6 +296,27 @@
 	return true;
 }
 
+/* Releases before this item know of no regions. */
+static bool read_route_regions(const struct unpacked *items,
+			       struct route *route)
+{
+	struct unpacked names;
+	char *name;
+	size_t i;
+
+	if (items->n <= ROUTE_REGIONS)
+		return true;
+	if (!read_array(items, ROUTE_REGIONS, &names))
+		return false;
+	for (i = 0; i < names.n; i++) {
+		if (!read_text(&names, i, &name))
+			return false;
+		route_add_region(route, name);
+		free(name);
+	}
+	return true;
+}
+
 static bool read_route(const struct unpacked *items,
 		       const struct document *document, struct route *route)
 {
@@ -291,7 +334,8 @@
 	       read_int(items, ROUTE_TIER, &route->tier) &&
 	       read_int(items, ROUTE_ATTEMPTS, &route->attempts) &&
 	       read_array(items, ROUTE_SPLITS, &splits) &&
-	       read_splits(&splits, document, route);
+	       read_splits(&splits, document, route) &&
+	       read_route_regions(items, route);
 }
 
 static bool read_organisation(const struct unpacked *items,
@@ -353,6 +397,41 @@
 	return true;
 }
 
+static bool read_holder_regions(const struct unpacked *names,
+				struct document_organisation *organisation)
+{
+	char *name;
+	size_t i;
+
+	for (i = 0; i < names->n; i++) {
+		if (!read_text(names, i, &name))
+			return false;
+		organisation_add_region(organisation, name);
+		free(name);
+	}
+	return true;
+}
+
+/* Releases before this item know of no regions. */
+static bool read_all_holder_regions(const struct unpacked *root,
+				    struct document *document)
+{
+	struct unpacked list;
+	struct unpacked names;
+	size_t i;
+
+	if (root->n <= ROOT_HOLDER_REGIONS)
+		return true;
+	if (!read_array(root, ROOT_HOLDER_REGIONS, &list) ||
+	    list.n != document->n_organisations)
+		return false;
+	for (i = 0; i < list.n; i++)
+		if (!read_array(&list, i, &names) ||
+		    !read_holder_regions(&names, &document->organisations[i]))
+			return false;
+	return true;
+}
+
 static bool read_root(const struct unpacked *root, struct document *document)
 {
 	struct unpacked limits;
@@ -368,7 +447,8 @@
 	       read_limits(&limits, &document->limits) &&
 	       read_services(&services, document) &&
 	       read_routes(&routes, document) &&
-	       read_organisations(&organisations, document);
+	       read_organisations(&organisations, document) &&
+	       read_all_holder_regions(root, document);
 }
 
 struct document *document_decode(const char *data, size_t len)
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -66,6 +66,8 @@
 	fleet_init(&entry->fleet);
 	registry_init(&entry->registry, options->announce_interval_us);
 	evacuations_init(&entry->evacuations);
+	if (options->regions)
+		entry->regions = *options->regions;
 	begun_init(&entry->begun);
 	presumed_init(&entry->presumed);
 	map_init(&entry->peers);
@@ -226,6 +228,16 @@
 	return entry->stop_requested_us != 0;
 }
 
+void entry_set_regions(struct entry *entry, const struct regions *regions)
+{
+	struct backend *backend;
+	struct backend *next;
+
+	entry->regions = *regions;
+	map_foreach(backend, next, &entry->fleet.backends, node)
+		backend->regions = regions_of_zone(regions, backend->zone);
+}
+
 bool entry_ready(const struct entry *entry, int64_t now_us)
 {
 	return !entry->stop_requested_us && entry->document &&
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -7,6 +7,7 @@
 #include "core/effect.h"
 #include "core/event.h"
 #include "document/document.h"
+#include "fleet/region.h"
 
 /**
  * State machine of an entry VM. It decides which requests may run, for which
@@ -25,6 +26,7 @@
 	uint64_t seed;
 	const char *vm;
 	const char *zone;
+	const struct regions *regions; /**< copied; NULL: none known */
 	int64_t max_staleness_us; /**< requests aren't decided on older state */
 	int64_t window_us;	  /**< length of a usage window */
 	double retry_share;	  /**< retries per request, over all VMs */
@@ -80,6 +82,9 @@
 			const struct event_link_message *message,
 			int64_t now_us, struct effects *effects);
 
+/** Zones and their regions as known from now on. */
+void entry_set_regions(struct entry *entry, const struct regions *regions);
+
 /** Decides on a request: starts it, defers it, or refuses it with an ANSWER. */
 void entry_submit(struct entry *entry, const struct entry_request *request,
 		  int64_t now_us, struct effects *effects);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -248,6 +248,7 @@
 static void announce(struct entry *entry, const struct registration *told)
 {
 	char boot_id[BACKEND_NAME_SIZE];
+	struct backend *backend;
 	struct event_announce announce = {
 		.address = (char *)told->address,
 		.boot_id = boot_id,
@@ -263,6 +264,9 @@
 	fleet_announce(&entry->fleet, &announce, entry->now_us);
 	fleet_drain(&entry->fleet, told->address,
 		    evacuations_include(&entry->evacuations, told->zone));
+	backend = fleet_find(&entry->fleet, told->address);
+	if (backend)
+		backend->regions = regions_of_zone(&entry->regions, told->zone);
 }
 
 /* Updates the router's fleet from one registration. */
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -235,6 +235,20 @@
 	return call;
 }
 
+/* Where both name regions, both bind. */
+static uint64_t allowed_regions(const struct entry *entry,
+				const struct route *route,
+				const struct document_organisation *holder)
+{
+	uint64_t regions = regions_named(&entry->regions, route->regions,
+					 route->n_regions);
+
+	if (holder)
+		regions &= regions_named(&entry->regions, holder->regions,
+					 holder->n_regions);
+	return regions;
+}
+
 static void route_request(struct entry *entry,
 			  const struct entry_request *request,
 			  const struct route *route,
@@ -261,6 +275,7 @@
 			route->kind == ROUTE_IDEMPOTENT || call->resumable,
 		.stream = call->stream,
 		.max_attempts = route->attempts,
+		.regions = allowed_regions(entry, route, holder),
 	};
 
 	call->class_name = xstrdup(rule->name);
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -58,6 +58,7 @@
 	struct fleet fleet;
 	struct registry registry;
 	struct evacuations evacuations;
+	struct regions regions;
 	struct document *document;
 	struct begun begun;
 	struct presumed presumed;
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "fleet/region.h"
 
 struct tombstone {
 	struct map_node node; /* by address and boot id */
@@ -319,6 +320,12 @@
 	       now_us < backend->lease_end_us;
 }
 
+bool backend_in_regions(const struct backend *backend, uint64_t regions)
+{
+	return !regions || regions == REGION_ANY ||
+	       (backend->regions & regions);
+}
+
 static bool adapters_have(const char *adapters, const char *adapter)
 {
 	size_t len = strlen(adapter);
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -67,6 +67,7 @@
 	bool leaving;
 	bool drained; /**< set by an operator or by this software */
 	bool fences;
+	uint64_t regions;     /**< set of its own one (fleet/region.h) */
 	bool for_paced;	      /**< reserved for paced streams (load/divide.h) */
 	bool forward_pending; /**< announced to this VM, load not yet forwarded */
 	int64_t sequence;
@@ -138,6 +139,9 @@
 /** Whether the server may get new requests: alive, not leaving, not drained. */
 bool backend_usable(const struct backend *backend, int64_t now_us);
 
+/** Whether the server is in one of the regions; 0 stands for all. */
+bool backend_in_regions(const struct backend *backend, uint64_t regions);
+
 /** Whether the server serves this model and adapter (or NULL), or service. */
 bool backend_serves(const struct backend *backend, const char *model,
 		    const char *adapter, const char *service);
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -32,7 +32,8 @@
 {
 	if (!backend_usable(backend, now_us) || !role_serves(backend))
 		return false;
-	if (backend->cheap != query->cheap)
+	if (backend->cheap != query->cheap ||
+	    !backend_in_regions(backend, query->regions))
 		return false;
 	if (warmup_is_cold(backend, now_us) != query->cold ||
 	    (query->cold && !warmup_allows(backend, &query->vm, now_us)))
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -65,6 +65,7 @@
 	double share_end;
 	struct place_query place; /**< with `homes` */
 	bool cold;	     /**< among the cold servers; else the warm ones */
+	uint64_t regions;    /**< of servers that may run it; 0: all */
 	struct warmup_vm vm; /**< for those */
 };
 
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -59,6 +59,7 @@
 	bool paced;	       /**< is a paced stream */
 	double prefill_rate;   /**< prompt tokens per second and engine */
 	const char *zone;      /**< own availability zone */
+	uint64_t regions;      /**< of servers that may run it; 0: all */
 	uint64_t tie_seed;     /**< seed of the draw among equal servers */
 	const struct prefix_entry *prefix; /**< known holders, or NULL */
 };
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -109,6 +109,8 @@
 	bool keep_answer;   /**< a claimed request needs the whole answer */
 	int64_t send_by_us; /**< never sent later than this; 0 for none */
 	int max_attempts;   /**< servers that may run it; 0 for the default */
+	uint64_t regions;   /**< whose servers may run it (fleet/region.h);
+				 0 counts as REGION_ANY */
 };
 
 /** All mechanisms except `homes` are on. */
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -99,14 +99,15 @@
  * requests; when they were counted, a request avoided the only remaining
  * server until it expired.
  */
-static bool has_other(const struct pool *pool, const char *address,
+static bool has_other(const struct pool *pool, const struct pick_query *query,
 		      int64_t now_us)
 {
 	int i;
 
 	for (i = 0; i < pool->n_members; i++)
 		if (backend_usable(pool->members[i], now_us) &&
-		    strcmp(pool->members[i]->address, address) != 0)
+		    backend_in_regions(pool->members[i], query->regions) &&
+		    strcmp(pool->members[i]->address, query->avoid) != 0)
 			return true;
 	return false;
 }
@@ -120,7 +121,7 @@
 
 	backend = pick_backend(&router->pick, query, pool->members,
 			       pool->n_members, &router->rng, now_us);
-	if (backend || !query->avoid || has_other(pool, query->avoid, now_us))
+	if (backend || !query->avoid || has_other(pool, query, now_us))
 		return backend;
 	query->avoid = NULL;
 	return pick_backend(&router->pick, query, pool->members,
@@ -154,6 +155,7 @@
 		.paced = divide_is_paced(&pool->divide, &side),
 		.prefill_rate = pool->prefill_rate,
 		.zone = router->zone,
+		.regions = request->spec.regions,
 		.prefix =
 			prefix_find(&router->prefix, request->spec.prefix_hash),
 	};
@@ -174,6 +176,7 @@
 		.adapter = request->spec.adapter,
 		.zone = router->zone,
 		.avoid = request->avoid[0] ? request->avoid : NULL,
+		.regions = request->spec.regions,
 		.prompt_tokens = request->spec.prompt_tokens,
 		.hold_us = pool->us_per_token * pool->mean_cost,
 	};
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "fleet/region.h"
 #include "load/router_state.h"
 
 /* Cost of a prompt token relative to an output token. */
@@ -384,6 +385,22 @@
 	return RESULT_OK;
 }
 
+/* Whether a server in the request's regions is usable. */
+static bool region_serves(const struct pool *pool,
+			  const struct request *request, int64_t now_us)
+{
+	uint64_t regions = request->spec.regions;
+	int i;
+
+	if (!regions || regions == REGION_ANY)
+		return true;
+	for (i = 0; i < pool->n_members; i++)
+		if (backend_usable(pool->members[i], now_us) &&
+		    backend_in_regions(pool->members[i], regions))
+			return true;
+	return false;
+}
+
 static enum result request_admit(struct router *router, struct request *request,
 				 int64_t now_us, int64_t *retry_after_ms,
 				 struct effects *effects)
@@ -398,6 +415,8 @@
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
 	code = pool_missing(router, pool, request->queue->reclaimable, now_us);
+	if (!code && !region_serves(pool, request, now_us))
+		code = RESULT_NO_CAPACITY;
 	if (code) {
 		*retry_after_ms = code == RESULT_NO_CAPACITY ? 5000 : 0;
 		return code;
--- a/tests/daemon/t-boot.c
+++ b/tests/daemon/t-boot.c
@@ -37,6 +37,26 @@
 	g_assert_cmpint(boot.log_level, ==, LOG_INFO);
 	g_assert_cmpint(boot.fresh_ms, ==, 4500);
 	g_assert_cmpint(boot.election_ms, ==, 300);
+	g_assert_cmpuint(boot.regions.n_zones, ==, 0);
+	boot_clear(&boot);
+}
+
+static void regions_are_read_by_zone(void)
+{
+	char message[512] = "";
+	struct boot boot;
+
+	g_assert_cmpint(test_parse(&boot,
+				   GOOD "regions:\n  \"a-1\": \"north\"\n"
+					"  b-1: south\n  a-2: north\n",
+				   message),
+			==, RESULT_OK);
+	g_assert_cmpuint(boot.regions.n_zones, ==, 3);
+	g_assert_cmpuint(regions_of_zone(&boot.regions, "a-1"), ==,
+			 regions_of_zone(&boot.regions, "a-2"));
+	g_assert_cmpuint(regions_of_zone(&boot.regions, "a-1"), !=,
+			 regions_of_zone(&boot.regions, "b-1"));
+	g_assert_cmpuint(regions_of_zone(&boot.regions, "c-1"), ==, 0);
 	boot_clear(&boot);
 }
 
@@ -66,6 +86,10 @@
 		  "body_bytes connections idle_s stop_grace_s" },
 		{ "log:\n  level: loud\n",
 		  "b.yaml:10: level: debug, info, warn or error is needed" },
+		{ "regions: [north]\n",
+		  "b.yaml:9: regions: zones with their regions are needed" },
+		{ "regions: {a-1: [north]}\n",
+		  "b.yaml:9: a-1: zone: region is needed" },
 		{ "peers: [127.0.0.1:7001, x]\n",
 		  "b.yaml:9: entry: each peer is IP:port" },
 		{ "tls: {key: /x}\n",
@@ -98,6 +122,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/boot/good", good_settings_fill_in_the_rest);
+	g_test_add_func("/boot/regions", regions_are_read_by_zone);
 	g_test_add_func("/boot/refused",
 			each_refusal_names_line_key_and_what_is_allowed);
 	g_test_add_func("/boot/missing", a_missing_key_is_named);
--- a/tests/document/t-encoding.c
+++ b/tests/document/t-encoding.c
@@ -47,11 +47,14 @@
 	route->attempts = 3;
 	route_add_split(route, "scribe", 90);
 	route_add_split(route, "desk", 10);
+	route_add_region(route, "north");
+	route_add_region(route, "south");
 	document_add_organisation(document)->name = xstrdup("yards");
 	document->organisations[0].tier = 1;
 	document_add_key(document, 0, "k1");
 	document_add_key(document, 0, "k2");
 	document_add_organisation(document)->name = xstrdup("board");
+	organisation_add_region(&document->organisations[1], "north");
 	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
 }
@@ -119,6 +122,11 @@
 			"yards");
 	g_assert_cmpint(document_organisation_by_key(back, "k2")->tier, ==, 1);
 	g_assert_cmpint(back->organisations[1].tier, ==, -1);
+	g_assert_cmpuint(back->routes[0].n_regions, ==, 2);
+	g_assert_cmpstr(back->routes[0].regions[1], ==, "south");
+	g_assert_cmpuint(back->organisations[0].n_regions, ==, 0);
+	g_assert_cmpuint(back->organisations[1].n_regions, ==, 1);
+	g_assert_cmpstr(back->organisations[1].regions[0], ==, "north");
 	bytes_clear(&encoded);
 	document_free(document);
 	document_free(back);
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -11,6 +11,22 @@
 
 #define BORN_MS 7
 
+/* A route whose requests run in one region, repeatable. */
+static void add_region_route(struct document *document, const char *region)
+{
+	struct route *route = document_add_route(document);
+
+	route->name = xstrdup(region);
+	route->host = xstrdup("a.example");
+	route->prefix = g_strdup_printf("/%s/", region);
+	route->kind = ROUTE_IDEMPOTENT;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->attempts = 2;
+	route_add_split(route, "desk", 1);
+	route_add_region(route, region);
+}
+
 /*
  * Parses "VERSION KEY": one service and one organisation with that key. Of the
  * routes "lodge" is more urgent than "shed". The organisation has a rank of its
@@ -55,6 +71,8 @@
 	route->goal_ms = 300;
 	route->attempts = 2;
 	route_add_split(route, "desk", 1);
+	add_region_route(document, "north");
+	add_region_route(document, "south");
 	for (i = 0; i < ROUTES; i++) {
 		route = document_add_route(document);
 		route->name = g_strdup_printf("r%d", i);
@@ -73,6 +91,7 @@
 	holder->name = xstrdup("board");
 	holder->tier = 0;
 	document_add_key(document, 1, BOARD_KEY);
+	organisation_add_region(&document->organisations[1], "north");
 	free(copy);
 	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
@@ -312,12 +331,16 @@
 					 .retry_headroom = 54,
 					 .retry_window_us = 10 * SECOND,
 					 .read_document = read_document };
+	struct regions regions = { 0 };
 	struct event_link_up up = { CONTROL, (char *)"control-1", (char *)"z1",
 				    NULL, false };
 
 	memset(bed, 0, sizeof(*bed));
 	effects_init(&bed->effects);
 	bed->now_us = 100 * SECOND;
+	regions_set(&regions, "z1", "north");
+	regions_set(&regions, "z2", "south");
+	options.regions = &regions;
 	bed->entry = entry_new(&options, bed->now_us);
 	entry_link_up(bed->entry, &up, bed->now_us, &bed->effects);
 	process_effects(bed);
--- a/tests/load/t-warmup.c
+++ b/tests/load/t-warmup.c
@@ -23,7 +23,7 @@
 
 struct vm {
 	struct bed bed;
-	GArray *running; /* struct running */
+	GArray *running;   /* struct running */
 	int64_t offset_us; /* its clock differs from the others' */
 };
 
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -148,7 +148,8 @@
 	"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"f.example\","
 	"\"path_prefix\":\"/pufi/\",\"type\":\"streaming\",\"timeout_ms\":6000,"
 	"\"latency_goal_ms\":1000,\"priority\":1,\"service\":\"s1\","
-	"\"max_attempts\":2,\"resumable\":true,\"target_itl_ms\":800},"
+	"\"max_attempts\":2,\"resumable\":true,\"target_itl_ms\":800,"
+	"\"allowed_regions\":[\"north\",\"south\"]},"
 	"{\"name\":\"r2\",\"host\":\"f.example\",\"path_prefix\":\"/lohu/\","
 	"\"type\":\"non_idempotent\",\"timeout_ms\":900,\"public\":true,"
 	"\"split\":[{\"service\":\"s1\",\"weight\":90},"
@@ -160,6 +161,7 @@
 	"\"spot_price\":0.15,\"zone_prices\":{\"a\":1.0,\"b\":0.8}}},"
 	"{\"name\":\"s2\"}],\"limits\":{\"max_body_bytes\":1000},"
 	"\"tenants\":[{\"name\":\"hule\",\"api_keys\":[\"k1\",\"k2\"],"
+	"\"allowed_regions\":[\"south\"],"
 	"\"priority\":2}]}";
 
 static void test_document(void)
@@ -178,6 +180,9 @@
 	g_assert_true(route->resumable);
 	g_assert_cmpint(route->pause_ms, ==, 800);
 	g_assert_cmpint(route->attempts, ==, 2);
+	g_assert_cmpuint(route->n_regions, ==, 2);
+	g_assert_cmpstr(route->regions[0], ==, "north");
+	g_assert_cmpuint(document->organisations[0].n_regions, ==, 1);
 	route = document_route(document, "f.example", "/lohu/");
 	g_assert_cmpint(route->kind, ==, ROUTE_ONCE);
 	g_assert_true(route->open);
@@ -219,6 +224,12 @@
 		"\"path_prefix\":\"/\",\"type\":\"idempotent\","
 		"\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}",
 		"{\"version\":7,\"routes\":[],\"services\":[],"
+		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[],"
+		"\"allowed_regions\":[1]}]}",
+		"{\"version\":7,\"routes\":[],\"services\":[],"
+		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[],"
+		"\"allowed_regions\":\"north\"}]}",
+		"{\"version\":7,\"routes\":[],\"services\":[],"
 		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[1]}]}",
 	};
 	size_t i;
