load: a repeatable stream whose answer is overdue is sent again

Nothing closes the connection, and the server serves all others, so neither its health nor a hedge by suspicion tells. The attempt is given up without a first event after eight times the mean time to one, 1 s at least, if the route's attempts and the retry limit allow another one and there is time; it is looked at once. The mean rises with a busy pool, which keeps a slow pool from getting its load twice. Streams that may not be repeated wait as before.

Plain calls were left out: their time limit is 1.2 s, and a cancelled run is work thrown away.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -45,6 +45,7 @@
 	struct router_features features = router_features_all();
 
 	features.homes = true;
+	features.lost_answers = true;
 	features.shares = false;
 	features.hedging = false;
 	features.preemption = false;
--- a/libfilberthall/fleet/region.c
+++ b/libfilberthall/fleet/region.c
@@ -43,7 +43,7 @@
 }
 
 uint64_t regions_named(const struct regions *regions, char *const *names,
-			 size_t n)
+		       size_t n)
 {
 	uint64_t set = REGION_NONE;
 	size_t i;
--- a/libfilberthall/fleet/region.h
+++ b/libfilberthall/fleet/region.h
@@ -50,6 +50,6 @@
  * @return REGION_NONE if none is known
  */
 uint64_t regions_named(const struct regions *regions, char *const *names,
-			 size_t n);
+		       size_t n);
 
 #endif
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -45,6 +45,7 @@
 		.preemption = true,
 		.shares = true,
 		.homes = false,
+		.lost_answers = false,
 	};
 }
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -38,6 +38,7 @@
 	bool hedging;
 	bool poison;
 	bool preemption;
+	bool lost_answers; /**< overdue streams are sent again; load/overdue.h */
 	bool homes;  /**< shared prompt parts have home servers; load/place.h */
 	bool shares; /**< capacity and limits shared with the other daemons */
 };
@@ -113,7 +114,7 @@
 				 0 counts as REGION_ANY */
 };
 
-/** All mechanisms except `homes` are on. */
+/** All mechanisms except `homes` and `lost_answers` are on. */
 struct router_features router_features_all(void);
 
 struct router *router_new(const struct router_options *options);
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -184,6 +184,7 @@
 	bool may_have_run;   /**< a byte may have been sent */
 	bool reached_server; /**< an attempt reached a server */
 	int64_t hedge_us;    /**< no check for a hedge before this time */
+	int64_t overdue_us;  /**< when it was last checked for a lost answer */
 	char avoid[BACKEND_NAME_SIZE]; /**< server of the last failed attempt */
 	struct list attempts;
 	int n_attempts;
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "load/overdue.h"
 #include "load/router_state.h"
 
 /* Interval of the search for stragglers and the removal of unused keys. */
@@ -49,6 +50,26 @@
 						 : request->hedge_us;
 }
 
+static int64_t min_us(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t request_overdue_us(const struct router *router,
+				  const struct request *request)
+{
+	const struct attempt *attempt = request_attempt(request);
+	int64_t at_us;
+
+	if (!router->options.features.lost_answers || !attempt ||
+	    attempt->first_us || attempt->cancelled ||
+	    !request->spec.idempotent || !request->spec.stream)
+		return INT64_MAX;
+	at_us = overdue_at_us(attempt->started_us,
+			      request->queue->pool->first_token_us);
+	return at_us > request->overdue_us ? at_us : INT64_MAX;
+}
+
 /** Set the request's timer to its next possible event. */
 void request_update_timer(struct router *router, struct request *request,
 			  int64_t now_us)
@@ -57,7 +78,8 @@
 	int64_t other_us = INT64_MAX;
 
 	if (request->state == REQUEST_RUNNING)
-		other_us = request_hedge_us(router, request);
+		other_us = min_us(request_hedge_us(router, request),
+				  request_overdue_us(router, request));
 	else if (request->target_us > now_us)
 		other_us = request->target_us;
 	else if (request->target_us)
@@ -125,6 +147,38 @@
 	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
 
+/* Whether another attempt is allowed and has time to end. */
+static bool may_send_again(struct router *router, const struct request *request,
+			   int64_t now_us)
+{
+	struct retry_case why = {
+		.code = RESULT_BACKEND_TIMEOUT,
+		.sent = true,
+		.reached_server = true,
+		.idempotent = request->spec.idempotent,
+		.attempts = request->n_attempts - request->n_rejected,
+		.max_attempts = request->spec.max_attempts,
+		.sends = request->n_attempts,
+		.tier = request->tier < RULE_TIERS ? request->tier
+						   : RULE_TIERS - 1,
+		.deadline_us = request->deadline_us,
+		.needs_us = request_needs_us(router, request, now_us),
+	};
+
+	return !retry_check(&request->queue->pool->retry, &why, now_us);
+}
+
+/* It is looked at once for each attempt. */
+static void request_check_overdue(struct router *router,
+				  struct request *request, int64_t now_us,
+				  struct effects *effects)
+{
+	request->overdue_us = now_us;
+	if (may_send_again(router, request, now_us))
+		attempt_cancel(request_attempt(request), RESULT_BACKEND_TIMEOUT,
+			       effects);
+}
+
 static void request_check_waiting(struct router *router,
 				  struct request *request, int64_t now_us,
 				  struct effects *effects)
@@ -164,6 +218,8 @@
 	}
 	if (now_us >= request_hedge_us(router, request))
 		request_hedge(router, request, now_us, effects);
+	if (now_us >= request_overdue_us(router, request))
+		request_check_overdue(router, request, now_us, effects);
 	request_update_timer(router, request, now_us);
 }
 
--- a/tests/load/bed.c
+++ b/tests/load/bed.c
@@ -44,14 +44,15 @@
 	router_fleet_changed(bed->router, bed->now_us, &bed->effects);
 }
 
-void bed_open_as(struct bed *bed, uint64_t self)
+static void open_router(struct bed *bed, uint64_t self,
+			struct router_features features)
 {
 	struct router_options options = {
 		.seed = 1,
 		.self = self,
 		.zone = "z",
 		.fleet = &bed->fleet,
-		.features = router_features_all(),
+		.features = features,
 		.hooks = { note_finished, bed },
 	};
 
@@ -64,6 +65,21 @@
 	bed_class(bed, "low", 2);
 }
 
+void bed_open_as(struct bed *bed, uint64_t self)
+{
+	open_router(bed, self, router_features_all());
+}
+
+/* As an entry VM, which doesn't hedge. */
+void bed_open_with(struct bed *bed, bool lost_answers)
+{
+	struct router_features features = router_features_all();
+
+	features.hedging = false;
+	features.lost_answers = lost_answers;
+	open_router(bed, 1, features);
+}
+
 void bed_open(struct bed *bed)
 {
 	bed_open_as(bed, 1);
--- a/tests/load/bed.h
+++ b/tests/load/bed.h
@@ -26,6 +26,7 @@
 void bed_engine(struct bed *bed, char *address, int64_t slots,
 		int64_t sequence);
 void bed_open_as(struct bed *bed, uint64_t self);
+void bed_open_with(struct bed *bed, bool lost_answers);
 void bed_open(struct bed *bed);
 void bed_close(struct bed *bed);
 uint64_t bed_submit(struct bed *bed, const char *class_name, bool idempotent);
