--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -12,6 +12,7 @@
 #include "platform/names.h"
 #include "proxy.h"
 #include "vm.h"
+#include "zones.h"
 
 #define EVENTS 5
 #define EVENT_MS 30
@@ -165,6 +166,8 @@
 	cleanup(free_ptr) char *path =
 		ledger_path(server->soak->ledger, number);
 	int64_t heard_us = server->leave_heard_us;
+	int64_t evacuated_us =
+		zones_evacuated_us(server->soak->zones, server->index % 3);
 
 	if (strcmp(path, head->target) != 0)
 		soak_violation(server->soak, "unasked",
@@ -183,6 +186,13 @@
 			       "request %d came %" PRId64
 			       " ms after the leave was acknowledged",
 			       number, (edge_now_us() - heard_us) / 1000);
+	if (evacuated_us && edge_now_us() > evacuated_us + SOAK_EVACUATE_US &&
+	    soak_calm_since(server->soak, evacuated_us))
+		soak_violation(server->soak, "evacuation",
+			       "request %d came %" PRId64
+			       " ms after z%d was evacuated",
+			       number, (edge_now_us() - evacuated_us) / 1000,
+			       server->index % 3);
 }
 
 static bool is_meant(const struct server *server, const struct http_head *head)
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -20,6 +20,7 @@
 #include "platform.h"
 #include "server.h"
 #include "vm.h"
+#include "zones.h"
 
 /* After the last fault: of the requests of these seconds most are served. */
 #define CHECK_US (3 * SOAK_SECOND)
@@ -169,6 +170,9 @@
 	int asked = now.asked - run->before.asked;
 	int served = now.served - run->before.served;
 
+	if (!zones_settled(soak->zones))
+		soak_violation(soak, "recover",
+			       "the last evacuation isn't taken back");
 	if (!operator_settled(soak->operator))
 		soak_violation(soak, "recover",
 			       "the last change isn't acknowledged");
@@ -208,6 +212,7 @@
 		enter(run, RECOVERING);
 	} else if (run->state == RECOVERING && in_state_us > SOAK_RECOVERY_US) {
 		operator_rest(run->soak.operator);
+		zones_rest(run->soak.zones);
 		run->before = callers_tally(run->soak.callers);
 		enter(run, CHECKING);
 	} else if (run->state == CHECKING && in_state_us > CHECK_US) {
@@ -273,6 +278,7 @@
 	for (i = 0; i < SOAK_SERVERS; i++)
 		soak->servers[i] = server_new(soak, i);
 	soak->operator= operator_new(soak);
+	soak->zones = zones_new(soak);
 	soak->callers = callers_new(soak);
 	soak->rough_us = edge_now_us();
 	run->faults = faults_new(soak, run->storms);
@@ -286,6 +292,7 @@
 	faults_free(run->faults);
 	callers_free(soak->callers);
 	operator_free(soak->operator);
+	zones_free(soak->zones);
 	for (i = 0; i < SOAK_SERVERS; i++)
 		server_free(soak->servers[i]);
 	for (i = 0; i < SOAK_VMS; i++)
@@ -305,11 +312,13 @@
 	operator_tally(soak->operator, & changes, &reads);
 	faults_print(run->faults);
 	printf("# seed %llu: %d requests, %d served, %d refused, %d failed; "
-	       "%d changes, %d reads, %d windows; late %d times; %d "
+	       "%d changes, %d reads, %d evacuations and returns, %d "
+	       "windows; late %d times; %d "
 	       "violations\n",
 	       (unsigned long long)soak->seed, tally.asked, tally.served,
 	       tally.refused, tally.failed, changes, reads,
-	       platform_windows(soak->platform), run->late, soak->violations);
+	       zones_orders(soak->zones), platform_windows(soak->platform),
+	       run->late, soak->violations);
 }
 
 int main(int argc, char **argv)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,6 +34,7 @@
 #define SOAK_WITHDRAWN_US (5 * SOAK_SECOND)
 #define SOAK_APPLY_US (2 * SOAK_SECOND)
 #define SOAK_DRAIN_US (2 * SOAK_SECOND)
+#define SOAK_EVACUATE_US (5 * SOAK_SECOND)
 #define SOAK_LEASE_US (3 * SOAK_SECOND)
 #define SOAK_GRACE_S 8
 #define SOAK_RECOVERY_US (12 * SOAK_SECOND)
@@ -48,6 +49,7 @@
 struct ledger;
 struct callers;
 struct operator;
+struct zones;
 struct platform;
 
 struct soak {
@@ -72,6 +74,7 @@
 	struct ledger *ledger;
 	struct callers *callers;
 	struct operator* operator;
+	struct zones *zones;
 	struct platform *platform;
 };
 
