control: the forwarding of changes and what is sent are named as such

Nothing that runs changes. Names that leave the process, log texts among them, stay: event=handed-on is still written.

Comments of the folder that needed a second reading are worded anew.

--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -25,11 +25,10 @@
 #define SEGMENT_BYTES (INT64_C(4) * 1024 * 1024)
 
 /*
- * Longer documents are redirected to the leader: taking one from a link and
- * compressing it for the log takes the loop about as long as a leader may be
- * silent.
+ * Longer documents are redirected to the leader: reading one from a link and
+ * compressing it for the log blocks the loop for about an election timeout.
  */
-#define HAND_ON_BYTES (1000 * 1024)
+#define FORWARD_BYTES_MAX (1000 * 1024)
 
 /* On the disk thread. */
 static void on_synced(void *data, int64_t ticket)
@@ -77,7 +76,7 @@
 		.due_us = boot->due_s * 1000000,
 		.beat_us = boot->beat_ms * 1000,
 		.report = boot->platform != NULL,
-		.hand_on_bytes = HAND_ON_BYTES,
+		.forward_bytes_max = FORWARD_BYTES_MAX,
 	};
 
 	if (getrandom(&options.seed, sizeof(options.seed), 0) < 0)
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -15,10 +15,10 @@
 #define SNAPSHOT_BYTES (INT64_C(2) * 1024 * 1024)
 #define SNAPSHOT_KEPT 16
 
-/* So many heartbeats may be lost before a silence is long enough to elect. */
+/* Heartbeats in an election timeout: so many less one may be lost. */
 #define HEARTBEATS 6
 
-/* Heartbeats, polls and duties are looked at so often. */
+/* Interval of the checks for heartbeats, polls and duties. */
 #define TICK_US INT64_C(50000)
 
 /*
@@ -30,7 +30,7 @@
 /* Silence after which a VM that doesn't vote is forgotten. */
 #define DROP_US INT64_C(30000000)
 
-/* How long a planned stop waits until leadership is handed over. */
+/* Longest wait of a planned stop for the transfer of leadership. */
 #define STOP_US INT64_C(1500000)
 
 void control_log(struct effects *effects, enum log_level level,
@@ -90,12 +90,12 @@
 	roster_init(&control->roster);
 	map_init(&control->peers);
 	list_init(&control->proposals);
-	list_init(&control->handed);
+	list_init(&control->forwarded);
 	list_init(&control->reports);
 	list_init(&control->sizes);
 	raft = raft_options_of(control);
 	control->raft = raft_new(&raft, now_us);
-	control->told_index = -1;
+	control->announced_index = -1;
 	code = raft_restore(control->raft, saved);
 	if (code) {
 		control_free(control);
@@ -122,7 +122,7 @@
 		return;
 	list_foreach_safe(proposal, next_proposal, &control->proposals, node)
 		control_free_proposal(proposal);
-	control_drop_handed(control);
+	control_clear_forwarded(control);
 	feed_peers_clear(&control->peers);
 	control_drop_reports(control);
 	control_drop_sizes(control);
@@ -134,14 +134,14 @@
 	registry_clear(&control->registry);
 	begun_clear(&control->begun);
 	roster_clear(&control->roster);
-	members_clear(&control->told);
+	members_clear(&control->announced);
 	free(control->vm);
 	free(control->zone);
 	free(control->address);
 	free(control);
 }
 
-/* What the callers of the entry are told. */
+/* Returns the outcome for the callers of the entry. */
 static enum result apply_command(struct control *control,
 				 const struct raft_committed *committed,
 				 int64_t now_us, struct effects *effects)
@@ -160,7 +160,7 @@
 							       committed->index,
 							       committed->term),
 				     effects);
-		control_tell_version(control, now_us, effects);
+		control_send_version(control, now_us, effects);
 	}
 	if (change == LEDGER_WINDOW)
 		control_window_applied(control);
@@ -184,7 +184,7 @@
 		    (long long)control->ledger.version,
 		    (long long)committed->index);
 	control_new_document(control, NULL, effects);
-	control_tell_version(control, now_us, effects);
+	control_send_version(control, now_us, effects);
 	control_evacuations_changed(control, effects);
 }
 
@@ -247,8 +247,8 @@
 	}
 	if (raft_needs_snapshot(control->raft))
 		take_snapshot(control, now_us, effects);
-	if (control->told_index != raft_members_index(control->raft))
-		control_tell_members(control, effects);
+	if (control->announced_index != raft_members_index(control->raft))
+		control_send_members(control, effects);
 	note_roles(control, now_us, effects);
 }
 
@@ -263,7 +263,7 @@
 	effects_add(effects, EFFECT_EXIT);
 }
 
-/* The wall clock that this VM believes and tells the others. */
+/* This VM's estimate of the wall clock, which it also sends the others. */
 static int64_t own_wall_us(struct control *control, int64_t wall_us,
 			   int64_t now_us, struct effects *effects)
 {
@@ -289,7 +289,7 @@
 	raft_tick(control->raft, now_us, effects);
 	control_drain(control, now_us, effects);
 	control_expire_proposals(control, now_us, effects);
-	control_expire_handed(control, now_us, effects);
+	control_expire_forwarded(control, now_us, effects);
 	control_feed_tick(control, wall_us, now_us, effects);
 	control_servers_tick(control, now_us, effects);
 	control_duty_tick(control, now_us, effects);
@@ -344,7 +344,7 @@
 		    peer->observer ? "entry" : "control");
 	if (!peer->observer) {
 		raft_peer_down(control->raft, id, now_us, effects);
-		control_lose_handed(control, id, effects);
+		control_forwarded_lost(control, id, effects);
 		control_drain(control, now_us, effects);
 	} else {
 		roster_down(&control->roster, id, now_us);
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -13,7 +13,7 @@
 
 /**
  * The reducer of a control VM: agrees with the others on the document in
- * force and on usage windows, hears backend servers, feeds the entry VMs, and
+ * force and on usage windows, receives registrations of backend servers, informs the entry VMs, and
  * while it is in charge reports usage.
  *
  * It reads no clock and no socket. What is to be done is appended to
@@ -33,19 +33,19 @@
 	uint64_t seed;
 	const char *vm;
 	const char *zone;
-	const char *address;   /**< IP:port of its links */
-	bool found;	       /**< found the group if the folder is empty */
-	int voters;	       /**< wanted, odd */
-	int tolerate;	       /**< disks that may be lost at once */
-	int64_t lease_us;      /**< length of the lease to give orders */
-	int64_t election_us;   /**< silence of a leader before another one is
+	const char *address; /**< IP:port of its links */
+	bool found;	     /**< found the group if the folder is empty */
+	int voters;	     /**< wanted, odd */
+	int tolerate;	     /**< disks that may be lost at once */
+	int64_t lease_us;    /**< length of the lease to give orders */
+	int64_t election_us; /**< silence of a leader before another one is
 				  elected, also after a start */
-	int64_t window_us;     /**< length of a usage window */
-	int64_t due_us;	       /**< its report is due so long after its end */
-	int64_t beat_us;       /**< servers announce themselves so often */
-	bool report;	       /**< there is a platform that takes reports */
-	int64_t hand_on_bytes; /**< longer documents are redirected to the
-				    leader, shorter ones handed on */
+	int64_t window_us;   /**< length of a usage window */
+	int64_t due_us;	     /**< its report is due so long after its end */
+	int64_t beat_us;     /**< servers announce themselves so often */
+	bool report;	     /**< there is a platform that takes reports */
+	int64_t forward_bytes_max; /**< longer documents are redirected to the
+				    leader, shorter ones forwarded */
 };
 
 /**
@@ -105,11 +105,11 @@
 void control_evacuate(struct control *control, uint64_t call, const char *zone,
 		      bool evacuate, int64_t now_us, struct effects *effects);
 
-/** A backend server says what it is; the entry VMs hear of it at once. */
+/** A backend server registers; changes are sent to the entry VMs at once. */
 void control_register(struct control *control, const struct registration *told,
 		      int64_t now_us, struct effects *effects);
 
-/** A backend server says goodbye. */
+/** A backend server unregisters. */
 void control_unregister(struct control *control, const char *id, int64_t now_us,
 			struct effects *effects);
 
--- a/libfilberthall/control/control_document.c
+++ b/libfilberthall/control/control_document.c
@@ -131,7 +131,7 @@
 	return true;
 }
 
-/* Whether the change is to go into the log here; else it is seen to. */
+/* Whether to propose the change here; else it was answered or forwarded. */
 static bool takes_change(struct control *control,
 			 const struct control_caller *caller, int64_t version,
 			 const struct bytes *text, int64_t now_us,
@@ -142,8 +142,8 @@
 	if (raft_is_leader(control->raft))
 		return !control_refuse_few_disks(control, caller, "document",
 						 effects);
-	if (!control_hand_on(control, caller->call, version, text, now_us,
-			     effects))
+	if (!control_forward_document(control, caller->call, version, text,
+				      now_us, effects))
 		control_answer_elsewhere(control, caller->call, "change",
 					 version, effects);
 	return false;
@@ -165,10 +165,10 @@
 	control_drain(control, now_us, effects);
 }
 
-/** A change that another control VM handed on. It isn't handed on again. */
-void control_take_change(struct control *control, uint64_t id,
-			 const struct feed_change *change, int64_t now_us,
-			 struct effects *effects)
+/** A change that another control VM forwarded. It isn't forwarded again. */
+void control_receive_change(struct control *control, uint64_t id,
+			    const struct feed_change *change, int64_t now_us,
+			    struct effects *effects)
 {
 	const struct feed_peer *peer = feed_peer_find(&control->peers, id);
 	struct control_caller caller = { id, change->call };
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -11,7 +11,7 @@
 #include "control/control_state.h"
 
 /*
- * How long after its end a window is added up. Entry VMs tell their counts
+ * How long after its end a window is added up. Entry VMs send their counts
  * every tenth of a second; two seconds cover a link that has to be set up
  * again.
  */
@@ -104,8 +104,8 @@
 
 /*
  * The first window that ended `settled_us` ago and that the log has nothing of
- * yet, 0 if there is none. One without counts is looked at again: entry VMs
- * may tell of it late, and those whose clock was wrong have counted in another
+ * yet, 0 if there is none. One without counts is checked again: entry VMs
+ * may report it late, and those whose clock was wrong have counted in another
  * one.
  */
 static int64_t next_window(const struct control *control, window_lookup *has,
--- a/libfilberthall/control/control_evacuation.c
+++ b/libfilberthall/control/control_evacuation.c
@@ -52,9 +52,9 @@
 }
 
 /** An order that another control VM forwarded. It isn't forwarded again. */
-void control_take_evacuation(struct control *control, uint64_t id,
-			     const struct feed_evacuate *evacuate,
-			     int64_t now_us, struct effects *effects)
+void control_receive_evacuation(struct control *control, uint64_t id,
+				const struct feed_evacuate *evacuate,
+				int64_t now_us, struct effects *effects)
 {
 	const struct feed_peer *peer = feed_peer_find(&control->peers, id);
 	struct control_caller caller = { id, evacuate->call };
@@ -81,5 +81,5 @@
 			    zone->zone, zone->evacuated,
 			    (long long)zone->revision,
 			    (long long)control->ledger.evacuations.revision);
-	control_tell_evacuations(control, effects);
+	control_send_evacuations(control, effects);
 }
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -1,6 +1,6 @@
 /*
- * What entry VMs and other control VMs are told of the group: the newest
- * version and how fresh that is, the document, where control VMs are.
+ * Messages about the group for entry VMs and other control VMs: the newest
+ * version and how fresh it is, the document, the addresses of control VMs.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -10,10 +10,10 @@
 #include "control/control_state.h"
 #include "document/encoding.h"
 
-/* How often the other control VMs hear this one's wall clock. */
+/* Interval at which this VM's wall clock is sent to the other control VMs. */
 #define CLOCK_US INT64_C(1000000)
 
-/* Which of the daemons that have a link to us. */
+/* Recipients among the connected daemons. */
 enum audience { TO_ENTRY, TO_CONTROL, TO_ALL };
 
 /* Frees the body. */
@@ -56,7 +56,7 @@
 	return state;
 }
 
-void control_tell_version(struct control *control, int64_t now_us,
+void control_send_version(struct control *control, int64_t now_us,
 			  struct effects *effects)
 {
 	struct feed_state state = state_now(control, 0, now_us);
@@ -67,7 +67,7 @@
 }
 
 /* Entry VMs of releases before these don't understand the message. */
-void control_tell_evacuations(struct control *control, struct effects *effects)
+void control_send_evacuations(struct control *control, struct effects *effects)
 {
 	struct bytes body = { 0 };
 
@@ -80,13 +80,13 @@
 static void write_member(struct bytes *body, const struct member *member,
 			 bool removed)
 {
-	struct feed_member told = {
+	struct feed_member message = {
 		.id = member->id,
 		.address = (char *)member->address,
 		.removed = removed,
 	};
 
-	feed_write_member(body, &told);
+	feed_write_member(body, &message);
 }
 
 static void open_link(const struct control *control,
@@ -116,14 +116,14 @@
  * their disks, never met, and as the third's log was behind, none of them
  * could be elected.
  */
-void control_tell_members(struct control *control, struct effects *effects)
+void control_send_members(struct control *control, struct effects *effects)
 {
 	const struct members *members = raft_members(control->raft);
 	struct bytes body = { 0 };
 	size_t i;
 
-	for (i = 0; i < control->told.count; i++) {
-		const struct member *old = &control->told.items[i];
+	for (i = 0; i < control->announced.count; i++) {
+		const struct member *old = &control->announced.items[i];
 
 		if (members_find(members, old->id))
 			continue;
@@ -134,7 +134,7 @@
 	for (i = 0; i < members->count; i++) {
 		const struct member *now = &members->items[i];
 		const struct member *old =
-			members_find(&control->told, now->id);
+			members_find(&control->announced, now->id);
 
 		if (old && !strcmp(old->address, now->address))
 			continue;
@@ -142,12 +142,12 @@
 		write_member(&body, now, false);
 		send_to(control, TO_ENTRY, &body, effects);
 	}
-	members_clear(&control->told);
-	control->told = members_copy(members);
-	control->told_index = raft_members_index(control->raft);
+	members_clear(&control->announced);
+	control->announced = members_copy(members);
+	control->announced_index = raft_members_index(control->raft);
 }
 
-/** A link came up: tell what the daemon at its other end may have missed. */
+/** A link came up: send what the daemon at its other end may have missed. */
 void control_welcome(struct control *control, const struct feed_peer *peer,
 		     int64_t now_us, struct effects *effects)
 {
@@ -157,7 +157,7 @@
 	size_t i;
 
 	if (!peer->observer) {
-		control_tell_fleet(control, peer, now_us, effects);
+		control_send_fleet(control, peer, now_us, effects);
 		return;
 	}
 	for (i = 0; i < members->count; i++) {
@@ -183,10 +183,10 @@
 }
 
 /*
- * Told before the state that makes the entry VM fresh, so that it sends no
- * request by older orders.
+ * Sent before the state that makes the entry VM fresh, so that it decides on
+ * no request by older orders.
  */
-static void tell_evacuations_to(const struct control *control, uint64_t peer,
+static void send_evacuations_to(const struct control *control, uint64_t peer,
 				const struct feed_poll *poll,
 				struct effects *effects)
 {
@@ -211,7 +211,7 @@
 	bytes_clear(&body);
 }
 
-/* Packed once for all that ask; false if this release can't read it. */
+/* Packs it once for all requests; false if this release can't read it. */
 static bool pack_document(struct control *control)
 {
 	const struct document *document = control->document;
@@ -230,35 +230,35 @@
 	return true;
 }
 
-static struct feed_document document_to_tell(struct control *control,
+static struct feed_document document_message(struct control *control,
 					     const struct feed_fetch *fetch)
 {
 	const struct ledger *ledger = &control->ledger;
-	struct feed_document told = { .version = ledger->version,
-				      .text = ledger->document.data,
-				      .len = ledger->document.len };
+	struct feed_document message = { .version = ledger->version,
+					 .text = ledger->document.data,
+					 .len = ledger->document.len };
 
 	if (!fetch->packed || !pack_document(control))
-		return told;
-	told.text = control->packed.data;
-	told.len = control->packed.len;
-	told.unpacked = control->packed_from;
-	return told;
+		return message;
+	message.text = control->packed.data;
+	message.len = control->packed.len;
+	message.unpacked = control->packed_from;
+	return message;
 }
 
 static void send_document(struct control *control, uint64_t peer,
 			  const struct feed_fetch *fetch,
 			  struct effects *effects)
 {
-	struct feed_document told = document_to_tell(control, fetch);
+	struct feed_document message = document_message(control, fetch);
 	struct bytes body = { 0 };
 
-	feed_write_document(&body, &told);
+	feed_write_document(&body, &message);
 	feed_send(effects, peer, &body);
 	bytes_clear(&body);
 }
 
-/* While the document is being read it can't be packed: that is waited for. */
+/* The document can't be packed while it is being read; answer after that. */
 static void answer_fetch(struct control *control, uint64_t id,
 			 const struct feed_fetch *fetch,
 			 struct effects *effects)
@@ -313,17 +313,17 @@
 	switch (message.kind) {
 	case FEED_POLL:
 		note_poll(control, peer, &message.u.poll, now_us, effects);
-		tell_evacuations_to(control, peer, &message.u.poll, effects);
+		send_evacuations_to(control, peer, &message.u.poll, effects);
 		answer_poll(control, peer, &message.u.poll, now_us, effects);
 		break;
 	case FEED_FETCH:
 		answer_fetch(control, peer, &message.u.fetch, effects);
 		break;
 	case FEED_REGISTRATION:
-		control_take_registration(control, &message, now_us);
+		control_receive_registration(control, &message, now_us);
 		break;
 	case FEED_ALIVE:
-		control_take_alive(control, &message, now_us);
+		control_receive_alive(control, &message, now_us);
 		break;
 	case FEED_BEGUN:
 		begun_take(&control->begun, peer, &message.u.begun);
@@ -332,16 +332,16 @@
 		note_clock(control, peer, &message.u.clock, now_us);
 		break;
 	case FEED_CHANGE:
-		control_take_change(control, peer, &message.u.change, now_us,
-				    effects);
+		control_receive_change(control, peer, &message.u.change, now_us,
+				       effects);
 		break;
 	case FEED_CHANGED:
-		control_take_changed(control, peer, &message.u.changed,
-				     effects);
+		control_receive_change_result(control, peer, &message.u.changed,
+					      effects);
 		break;
 	case FEED_EVACUATE:
-		control_take_evacuation(control, peer, &message.u.evacuate,
-					now_us, effects);
+		control_receive_evacuation(control, peer, &message.u.evacuate,
+					   now_us, effects);
 		break;
 	case FEED_EVACUATIONS:
 	case FEED_BUNDLE:
@@ -354,7 +354,7 @@
 	feed_clear(&message);
 }
 
-static void tell_clock(struct control *control, int64_t wall_us,
+static void send_clock(struct control *control, int64_t wall_us,
 		       struct effects *effects)
 {
 	struct feed_clock clock = { wall_us, true, true };
@@ -369,6 +369,6 @@
 {
 	if (now_us - control->clock_us < CLOCK_US)
 		return;
-	tell_clock(control, wall_us, effects);
+	send_clock(control, wall_us, effects);
 	control->clock_us = now_us;
 }
--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -11,27 +11,27 @@
 #include "control/control_state.h"
 #include "fleet/sizing.h"
 
-/* How often the plan is made anew. */
+/* Interval of planning. */
 #define PLAN_US INT64_C(500000)
 
-/* A place that had no server to give is asked again after so long. */
+/* After a refused order, a zone is asked again after this time. */
 #define DRY_US INT64_C(3000000)
 
-/* Beyond the boot time, before an order is given again. */
+/* Time beyond the boot time after which an order is repeated. */
 #define AGAIN_US INT64_C(1500000)
 
-/* An order for one place and kind. */
+/* The order for one zone and kind of server. */
 struct size_order {
 	struct list node;
 	char service[BACKEND_NAME_SIZE];
 	char zone[BACKEND_NAME_SIZE];
 	bool cheap;
-	int64_t ordered; /* accepted last; -1 for none of ours */
-	int64_t asked;	 /* of the call under way */
+	int64_t ordered; /* accepted last; -1 if none was */
+	int64_t asked;	 /* by the call in progress */
 	bool under_way;
 	int64_t next_us; /* not ordered again before then */
-	int64_t dry_us;	 /* no server to be had until then */
-	bool dry;	 /* none was to be had when last asked */
+	int64_t dry_us;	 /* not ordered again before then, after a refusal */
+	bool dry;	 /* the last order was refused */
 };
 
 void control_drop_sizes(struct control *control)
@@ -70,13 +70,14 @@
 	struct registry_entry *next;
 
 	map_foreach(registered, next, &control->registry.by_id, node) {
-		const struct registration *told = &registered->registration;
+		const struct registration *registration =
+			&registered->registration;
 
 		if (!registry_entry_usable(registered) ||
-		    strcmp(told->service, service) != 0 ||
-		    strcmp(told->zone, zone) != 0)
+		    strcmp(registration->service, service) != 0 ||
+		    strcmp(registration->zone, zone) != 0)
 			continue;
-		if (told->cheap)
+		if (registration->cheap)
 			out->cheap++;
 		else
 			out->steady++;
@@ -115,9 +116,9 @@
 }
 
 /*
- * Order what differs. An order is given again while the servers aren't there
- * some time after they should be: a place may have had room for a part only,
- * beside servers that had still to leave.
+ * Order what differs. The order is repeated while servers are still missing
+ * some time after they should serve: a zone may have had room for only a part
+ * of them, beside servers that hadn't left yet.
  */
 static void follow(struct control *control, struct size_order *order,
 		   int64_t have, int64_t want, int64_t boot_ms, int64_t now_us,
--- a/libfilberthall/control/control_proposal.c
+++ b/libfilberthall/control/control_proposal.c
@@ -1,6 +1,6 @@
 /*
- * Operators' changes on their way through the log, and who is to be told what
- * becomes of each.
+ * Operators' changes that were proposed to the log, and the answers to their
+ * callers.
  */
 #include <stdlib.h>
 
@@ -8,10 +8,10 @@
 #include "control/control_state.h"
 
 /*
- * A change that isn't committed by then is left unclear: the operator's
- * patience is a second or more, and the change may still come into force.
+ * A change that isn't committed by then gets no clear answer: the operator's
+ * timeout is a second or more, and the change may still come into force.
  */
-#define PROPOSAL_US INT64_C(3000000)
+#define PROPOSAL_TIMEOUT_US INT64_C(3000000)
 
 /*
  * With fewer voters a commit rests on fewer disks than may be lost at once:
@@ -25,7 +25,7 @@
 	return members_quorum(voters) > control->options.tolerate;
 }
 
-/* To an operator here, or to the VM that has its call. */
+/* Answers an operator here, or the VM that forwarded the change. */
 void control_answer_change(const struct control_caller *caller,
 			   enum result code, struct effects *effects)
 {
@@ -76,7 +76,7 @@
 	list_init(&proposal->node);
 	proposal->document = document;
 	proposal->caller = caller;
-	proposal->give_up_us = now_us + PROPOSAL_US;
+	proposal->expires_us = now_us + PROPOSAL_TIMEOUT_US;
 	code = raft_propose(control->raft, entry->data, entry->len, now_us,
 			    effects, &proposal->index, &proposal->term);
 	if (code) {
@@ -88,7 +88,7 @@
 	return proposal;
 }
 
-/* What was proposed at that place, so that it isn't read a second time. */
+/* The document proposed at that index, which needn't be parsed again. */
 struct document *control_proposed_document(struct control *control,
 					   int64_t index, int64_t term)
 {
@@ -127,7 +127,7 @@
 	list_foreach_safe(proposal, next, &control->proposals, node) {
 		if (proposal->index > index)
 			continue;
-		/* Another term's entry in its place: it is lost, or unclear. */
+		/* If another term's entry is there, the outcome is unknown. */
 		end_proposal(proposal,
 			     proposal->index == index && proposal->term == term
 				     ? outcome
@@ -143,7 +143,7 @@
 	struct control_proposal *next;
 
 	list_foreach_safe(proposal, next, &control->proposals, node) {
-		if (now_us < proposal->give_up_us)
+		if (now_us < proposal->expires_us)
 			continue;
 		end_proposal(proposal, RESULT_NO_QUORUM, effects);
 	}
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -1,6 +1,6 @@
 /*
- * What entry VMs and other control VMs are told of backend servers: which there
- * are and who is alive.
+ * Messages about backend servers for entry VMs and other control VMs: which
+ * servers exist and which are alive.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -10,8 +10,8 @@
 #include "control/control_state.h"
 
 /*
- * How often the others hear which servers are alive. Servers beat about once
- * a second and are missed after eight, so once a second loses nothing.
+ * Interval at which the live servers are announced. Servers announce themselves
+ * about once a second and time out after eight seconds.
  */
 #define ALIVE_US INT64_C(1000000)
 
@@ -34,8 +34,8 @@
 	return peer->observer && peer->marks;
 }
 
-/* One registration a message. */
-void control_tell_fleet(struct control *control, const struct feed_peer *peer,
+/* For daemons that read no bundles: one registration a message. */
+void control_send_fleet(struct control *control, const struct feed_peer *peer,
 			int64_t now_us, struct effects *effects)
 {
 	struct registry_entry *registered;
@@ -59,7 +59,7 @@
 	feed_write_bundle(out, &bundle);
 }
 
-/* The list of all servers, as entry VMs take it. */
+/* The list of all servers as a bundle. */
 static struct bytes pack_fleet(const struct control *control, int64_t now_us)
 {
 	struct registry_entry *registered;
@@ -82,8 +82,8 @@
 }
 
 /* One list for all entry VMs that have come since the last one. */
-static void tell_newcomers(struct control *control, int64_t now_us,
-			   struct effects *effects)
+static void send_fleet_to_newcomers(struct control *control, int64_t now_us,
+				    struct effects *effects)
 {
 	int64_t pause_us =
 		FLEET_PAUSE_US * (int64_t)control->registry.by_id.count;
@@ -105,7 +105,7 @@
 	control->lists++;
 }
 
-/* An entry VM's first poll says in which form it is to be told. */
+/* An entry VM's first poll says which messages it understands. */
 void control_welcome_entry(struct control *control, struct feed_peer *peer,
 			   int64_t now_us, struct effects *effects)
 {
@@ -113,17 +113,17 @@
 		return;
 	peer->welcomed = true;
 	if (!peer->marks) {
-		control_tell_fleet(control, peer, now_us, effects);
+		control_send_fleet(control, peer, now_us, effects);
 		return;
 	}
 	peer->newcomer = true;
 	control->newcomers = true;
-	tell_newcomers(control, now_us, effects);
+	send_fleet_to_newcomers(control, now_us, effects);
 }
 
-void control_take_registration(struct control *control,
-			       const struct feed_message *message,
-			       int64_t now_us)
+void control_receive_registration(struct control *control,
+				  const struct feed_message *message,
+				  int64_t now_us)
 {
 	struct registry_entry *replaced;
 
@@ -131,8 +131,8 @@
 			now_us - message->age_us, &replaced);
 }
 
-void control_take_alive(struct control *control,
-			const struct feed_message *message, int64_t now_us)
+void control_receive_alive(struct control *control,
+			   const struct feed_message *message, int64_t now_us)
 {
 	size_t i;
 
@@ -142,7 +142,7 @@
 				   now_us - message->alive[i].age_us);
 }
 
-/* When what is urgent may be told, as far as pauses go. */
+/* The earliest time at which urgent registrations may be sent. */
 int64_t control_news_us(const struct control *control)
 {
 	if (!control->urgent)
@@ -150,8 +150,8 @@
 	return control->news_us + NEWS_PAUSE_US * (int64_t)control->peers.count;
 }
 
-static void tell_news(struct control *control, int64_t now_us,
-		      struct effects *effects)
+static void flush_news(struct control *control, int64_t now_us,
+		       struct effects *effects)
 {
 	struct bytes packed = { 0 };
 	struct bytes body = { 0 };
@@ -173,9 +173,9 @@
 }
 
 /*
- * Entry VMs are told in bundles: thousands of servers that start or leave
- * together would be as many messages to each. That a server may not be used
- * waits for no tick. Frees the body.
+ * Entry VMs get registrations in bundles: thousands of servers that start or
+ * leave together would be as many messages to each. The end of a server's use
+ * isn't delayed until a tick. Frees the body.
  */
 static void send_news(struct control *control, struct bytes *body, bool urgent,
 		      int64_t now_us, struct effects *effects)
@@ -190,46 +190,51 @@
 	bytes_clear(body);
 	control->urgent |= urgent;
 	if (now_us >= control_news_us(control))
-		tell_news(control, now_us, effects);
+		flush_news(control, now_us, effects);
 }
 
-static void tell_registered(struct control *control,
-			    const struct registry_entry *registered,
-			    int64_t now_us, struct effects *effects)
+static void forward_registration(struct control *control,
+				 const struct registry_entry *registered,
+				 int64_t now_us, struct effects *effects)
 {
-	const struct registration *told = &registered->registration;
+	const struct registration *registration = &registered->registration;
 	struct bytes body = { 0 };
 
 	control_log(effects, LOG_INFO, "server",
 		    "event=%s server=%s address=%s service=%s zone=%s "
 		    "born_ms=%lld sequence=%lld slots=%lld cheap=%d",
-		    told->gone	    ? "gone"
-		    : told->leaving ? "leaving"
-				    : "ready",
-		    told->id, told->address, told->service, told->zone,
-		    (long long)told->started_ms, (long long)told->sequence,
-		    (long long)told->slots, told->cheap);
-	feed_write_registration(&body, told,
+		    registration->gone	    ? "gone"
+		    : registration->leaving ? "leaving"
+					    : "ready",
+		    registration->id, registration->address,
+		    registration->service, registration->zone,
+		    (long long)registration->started_ms,
+		    (long long)registration->sequence,
+		    (long long)registration->slots, registration->cheap);
+	feed_write_registration(&body, registration,
 				now_us - registered->last_contact_us);
-	send_news(control, &body, told->gone || told->leaving, now_us, effects);
+	send_news(control, &body, registration->gone || registration->leaving,
+		  now_us, effects);
 }
 
-void control_register(struct control *control, const struct registration *told,
-		      int64_t now_us, struct effects *effects)
+void control_register(struct control *control,
+		      const struct registration *registration, int64_t now_us,
+		      struct effects *effects)
 {
 	struct registry_entry *registered;
 	struct registry_entry *replaced;
 	enum registry_outcome outcome;
 
-	outcome = registry_update(&control->registry, told, now_us, &replaced);
+	outcome = registry_update(&control->registry, registration, now_us,
+				  &replaced);
 	if (outcome == REGISTRY_STALE)
 		return;
-	registered = registry_find(&control->registry, told->id);
+	registered = registry_find(&control->registry, registration->id);
 	registered->last_direct_contact_us = now_us;
 	if (replaced)
-		tell_registered(control, replaced, now_us, effects);
+		forward_registration(control, replaced, now_us, effects);
 	if (outcome == REGISTRY_CHANGED)
-		tell_registered(control, registered, now_us, effects);
+		forward_registration(control, registered, now_us, effects);
 }
 
 void control_unregister(struct control *control, const char *id, int64_t now_us,
@@ -239,7 +244,7 @@
 		registry_mark_gone(&control->registry, id);
 
 	if (registered)
-		tell_registered(control, registered, now_us, effects);
+		forward_registration(control, registered, now_us, effects);
 }
 
 /* Frees both bodies. */
@@ -275,8 +280,8 @@
 	bytes_clear(&bytes);
 }
 
-static void tell_alive(struct control *control, int64_t now_us,
-		       struct effects *effects)
+static void announce_alive(struct control *control, int64_t now_us,
+			   struct effects *effects)
 {
 	struct bytes marks = { 0 };
 	size_t most = control->registry.by_id.count;
@@ -306,11 +311,11 @@
 void control_servers_tick(struct control *control, int64_t now_us,
 			  struct effects *effects)
 {
-	tell_news(control, now_us, effects);
-	tell_newcomers(control, now_us, effects);
+	flush_news(control, now_us, effects);
+	send_fleet_to_newcomers(control, now_us, effects);
 	if (now_us - control->alive_us < ALIVE_US)
 		return;
-	tell_alive(control, now_us, effects);
+	announce_alive(control, now_us, effects);
 	registry_expire(&control->registry, now_us, NULL, NULL);
 	control->alive_us = now_us;
 }
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -13,32 +13,32 @@
 
 /** What the files control*.c share; nobody else includes this. */
 
-/** Who waits for a change: an operator here, or at the VM that has its call. */
+/** The caller of a change: an operator here, or the VM that forwarded it. */
 struct control_caller {
 	uint64_t peer; /**< 0: here */
 	uint64_t call;
 };
 
-/** An operator's change on its way through the log. */
+/** An operator's change in the log that isn't applied yet. */
 struct control_proposal {
 	struct list node;
 	struct control_caller caller;
 	int64_t index;
 	int64_t term;
-	int64_t give_up_us;
+	int64_t expires_us;
 	struct document *document; /**< NULL once it is in force */
 };
 
-/** An operator's change that was handed on to the leader. */
-struct control_handed {
+/** An operator's change that was forwarded to the leader. */
+struct control_forwarded {
 	struct list node;
 	uint64_t call;
 	uint64_t leader;
 	int64_t version;
-	int64_t give_up_us;
+	int64_t expires_us;
 };
 
-/** A window's figure on its way to the platform. */
+/** A usage window to be reported to the platform. */
 struct control_report {
 	struct list node;
 	int64_t window;
@@ -61,32 +61,32 @@
 	struct wall wall;
 	struct map peers; /**< struct feed_peer */
 	struct list proposals;
-	struct list handed; /**< struct control_handed */
+	struct list forwarded; /**< struct control_forwarded */
 	struct list reports;
-	struct members told; /**< members that entry VMs were told of */
-	int64_t told_index;  /**< configuration that they come from */
-	int64_t clock_us;    /**< when FEED_CLOCK was last sent */
-	int64_t alive_us;    /**< when FEED_ALIVE was last sent */
-	struct bytes news;   /**< registrations that wait for a bundle */
-	bool urgent;	     /**< one of them says that a server goes */
-	int64_t news_us;     /**< when a bundle was last sent */
-	bool newcomers;	     /**< entry VMs wait for the list of all servers */
-	int64_t fleet_us;    /**< when that was last told */
-	int64_t lists;	     /**< how often */
-	int64_t window_pending; /**< proposed and not applied, 0 for none */
-	int64_t window_us;	/**< when it was proposed */
-	bool repeated;		/**< what was agreed before we took over */
+	struct members announced; /**< members that entry VMs know of */
+	int64_t announced_index;  /**< index of that membership in the log */
+	int64_t clock_us;	  /**< when FEED_CLOCK was last sent */
+	int64_t alive_us;	  /**< when FEED_ALIVE was last sent */
+	struct bytes news;	  /**< registrations to be sent in a bundle */
+	bool urgent;		  /**< one of them ends the use of a server */
+	int64_t news_us;	  /**< when a bundle was last sent */
+	bool newcomers;		  /**< entry VMs need the list of all servers */
+	int64_t fleet_us;	  /**< when that list was last sent */
+	int64_t lists;		  /**< number of lists sent */
+	int64_t window_pending;	  /**< proposed and not applied, 0 for none */
+	int64_t window_us;	  /**< when it was proposed */
+	bool repeated;		  /**< older windows are queued for a report */
 	int64_t reported;
 	struct document *document; /**< as the ledger's bytes say */
-	bool reading;		   /**< READ_DOCUMENT isn't over */
+	bool reading;		   /**< READ_DOCUMENT is in progress */
 	struct bytes packed;	   /**< the document for entry VMs */
 	size_t packed_from;	   /**< length before it was packed */
 	int64_t packed_version;	   /**< version of `packed`, 0 for none */
 	struct list sizes;	   /**< orders of servers, by place and kind */
 	int64_t sized_us;	   /**< when the plan was last made */
 	int64_t stop_by_us;	   /**< 0 unless stopping */
-	bool leader;		   /**< at the last look */
-	bool in_charge;		   /**< at the last look */
+	bool leader;		   /**< when last checked */
+	bool in_charge;		   /**< when last checked */
 	bool exited;
 };
 
@@ -105,9 +105,9 @@
 			      struct effects *effects);
 void control_answer(struct effects *effects, uint64_t call, enum result code,
 		    const struct bytes *body);
-void control_take_change(struct control *control, uint64_t id,
-			 const struct feed_change *change, int64_t now_us,
-			 struct effects *effects);
+void control_receive_change(struct control *control, uint64_t id,
+			    const struct feed_change *change, int64_t now_us,
+			    struct effects *effects);
 
 /* control_proposal.c */
 
@@ -139,13 +139,13 @@
 			      struct effects *effects);
 
 /* control_evacuation.c */
-void control_take_evacuation(struct control *control, uint64_t id,
-			     const struct feed_evacuate *evacuate,
-			     int64_t now_us, struct effects *effects);
+void control_receive_evacuation(struct control *control, uint64_t id,
+				const struct feed_evacuate *evacuate,
+				int64_t now_us, struct effects *effects);
 void control_evacuations_changed(struct control *control,
 				 struct effects *effects);
 
-/* control_hand_on.c */
+/* control_forward_document.c */
 
 /** Forward an order to the leader; false if that can't be done. */
 bool control_forward_evacuation(struct control *control, uint64_t call,
@@ -153,19 +153,19 @@
 				int64_t now_us, struct effects *effects);
 
 /** Hand a change on to the leader; false if that can't be done. */
-bool control_hand_on(struct control *control, uint64_t call, int64_t version,
-		     const struct bytes *text, int64_t now_us,
-		     struct effects *effects);
-void control_take_changed(struct control *control, uint64_t peer,
-			  const struct feed_changed *changed,
-			  struct effects *effects);
-
-/** The link to a VM is down: what was handed on to it is unclear. */
-void control_lose_handed(struct control *control, uint64_t peer,
-			 struct effects *effects);
-void control_expire_handed(struct control *control, int64_t now_us,
-			   struct effects *effects);
-void control_drop_handed(struct control *control);
+bool control_forward_document(struct control *control, uint64_t call,
+			      int64_t version, const struct bytes *text,
+			      int64_t now_us, struct effects *effects);
+void control_receive_change_result(struct control *control, uint64_t peer,
+				   const struct feed_changed *changed,
+				   struct effects *effects);
+
+/** The link to a VM is down: what was forwarded to it has no outcome. */
+void control_forwarded_lost(struct control *control, uint64_t peer,
+			    struct effects *effects);
+void control_expire_forwarded(struct control *control, int64_t now_us,
+			      struct effects *effects);
+void control_clear_forwarded(struct control *control);
 
 /* control_feed.c */
 int control_entry_vms(const struct control *control);
@@ -175,23 +175,23 @@
 			  const struct bytes *body, int64_t now_us,
 			  struct effects *effects);
 void control_answer_fetches(struct control *control, struct effects *effects);
-void control_tell_version(struct control *control, int64_t now_us,
+void control_send_version(struct control *control, int64_t now_us,
 			  struct effects *effects);
-void control_tell_members(struct control *control, struct effects *effects);
-void control_tell_evacuations(struct control *control, struct effects *effects);
+void control_send_members(struct control *control, struct effects *effects);
+void control_send_evacuations(struct control *control, struct effects *effects);
 void control_feed_tick(struct control *control, int64_t wall_us, int64_t now_us,
 		       struct effects *effects);
 
 /* control_servers.c */
-void control_tell_fleet(struct control *control, const struct feed_peer *peer,
+void control_send_fleet(struct control *control, const struct feed_peer *peer,
 			int64_t now_us, struct effects *effects);
 void control_welcome_entry(struct control *control, struct feed_peer *peer,
 			   int64_t now_us, struct effects *effects);
-void control_take_registration(struct control *control,
-			       const struct feed_message *message,
-			       int64_t now_us);
-void control_take_alive(struct control *control,
-			const struct feed_message *message, int64_t now_us);
+void control_receive_registration(struct control *control,
+				  const struct feed_message *message,
+				  int64_t now_us);
+void control_receive_alive(struct control *control,
+			   const struct feed_message *message, int64_t now_us);
 int64_t control_news_us(const struct control *control);
 void control_servers_tick(struct control *control, int64_t now_us,
 			  struct effects *effects);
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -20,10 +20,10 @@
  * Longer documents are written compressed, as the log takes no entry of more
  * than a megabyte. Shorter ones stay as earlier releases read them.
  */
-#define PLAIN_MOST (1000 * 1024)
+#define UNCOMPRESSED_MAX (1000 * 1024)
 
-/* An entry that claims to unpack to more is malformed. */
-#define DOCUMENT_MOST (64 * 1024 * 1024)
+/* Entries with longer documents are malformed. */
+#define DOCUMENT_MAX (64 * 1024 * 1024)
 
 void ledger_init(struct ledger *ledger)
 {
@@ -75,7 +75,7 @@
 {
 	msgpack_packer packer;
 
-	if (text->len > PLAIN_MOST) {
+	if (text->len > UNCOMPRESSED_MAX) {
 		write_packed(out, version, text);
 		return;
 	}
@@ -182,7 +182,7 @@
 	if (!unpack_int(items, 1, &version) ||
 	    !unpack_bytes(items, 2, &data, &len) ||
 	    !unpack_int(items, 3, &unpacked) || unpacked < 0 ||
-	    unpacked > DOCUMENT_MOST || version <= ledger->version ||
+	    unpacked > DOCUMENT_MAX || version <= ledger->version ||
 	    !compression_unpack(&text, data, len, (size_t)unpacked))
 		return LEDGER_NOTHING;
 	ledger->version = version;
--- a/libfilberthall/control/ledger.h
+++ b/libfilberthall/control/ledger.h
@@ -15,7 +15,7 @@
  * log's entries are applied in order on each of them; the same entries give the
  * same state.
  *
- * Failures answered: operators race, and send again what was accepted long
+ * Failures handled: operators race, and send again what was accepted long
  * ago; only a higher version takes effect. Two leaders in turn add up a
  * window at different moments; the first figure in the log is the window's
  * figure for ever, so it can't be reported in two ways. All VMs lose power
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -319,7 +319,7 @@
 		.window_us = 5000000,
 		.due_us = 10000000,
 		.report = true,
-		.hand_on_bytes = group->hand_on_bytes,
+		.forward_bytes_max = group->forward_bytes_max,
 	};
 	struct effects effects;
 
@@ -384,9 +384,9 @@
 	group->lease_us = lease_us;
 }
 
-void group_set_hand_on(struct group *group, int64_t bytes)
+void group_set_forward(struct group *group, int64_t bytes)
 {
-	group->hand_on_bytes = bytes;
+	group->forward_bytes_max = bytes;
 }
 
 void group_mute(struct group *group, int from, int to, bool mute)
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -49,8 +49,8 @@
 /** For VMs that are started after this; 3 s before. */
 void group_set_lease(struct group *group, int64_t lease_us);
 
-/** The same: longer documents are redirected to the leader; all, before. */
-void group_set_hand_on(struct group *group, int64_t bytes);
+/** The same: longer documents are redirected to the leader; all by default. */
+void group_set_forward(struct group *group, int64_t bytes);
 
 /** What one VM sends another one is lost, and neither sees why. */
 void group_mute(struct group *group, int from, int to, bool mute);
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -66,7 +66,7 @@
 	GArray *calls;
 	enum result call_code;
 	int64_t lease_us;
-	int64_t hand_on_bytes;
+	int64_t forward_bytes_max;
 	group_reader *read_document;
 	int64_t reading_us;
 };
--- a/tests/control/t-hand-on.c
+++ b/tests/control/t-forward.c
@@ -5,7 +5,7 @@
 #include "group.h"
 
 #define SECOND INT64_C(1000000)
-#define HAND_ON_BYTES 100
+#define FORWARD_BYTES_MAX 100
 
 static const int seeds[] = { 0, 1, 2 };
 
@@ -15,7 +15,7 @@
 	struct group *group = group_new(5, seeds, 3, 1);
 	int i;
 
-	group_set_hand_on(group, HAND_ON_BYTES);
+	group_set_forward(group, FORWARD_BYTES_MAX);
 	for (i = 0; i < 5; i++)
 		group_start(group, i);
 	group_run(group, 4 * SECOND);
@@ -99,7 +99,7 @@
 	uint64_t call;
 	int i;
 
-	for (i = 0; i <= HAND_ON_BYTES; i++)
+	for (i = 0; i <= FORWARD_BYTES_MAX; i++)
 		bytes_append_text(&text, " ");
 	call = group_put_text(group, any_follower(group), 2, &text);
 	g_assert_cmpint(group_code(group, call), ==, RESULT_NOT_LEADER);
@@ -132,11 +132,11 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	g_test_add_func("/hand-on/acknowledged", test_acknowledged);
-	g_test_add_func("/hand-on/no-quorum", test_no_quorum);
-	g_test_add_func("/hand-on/link-down", test_link_down);
-	g_test_add_func("/hand-on/frozen", test_frozen);
-	g_test_add_func("/hand-on/too-long", test_too_long);
-	g_test_add_func("/hand-on/earlier-release", test_earlier_release);
+	g_test_add_func("/forward/acknowledged", test_acknowledged);
+	g_test_add_func("/forward/no-quorum", test_no_quorum);
+	g_test_add_func("/forward/link-down", test_link_down);
+	g_test_add_func("/forward/frozen", test_frozen);
+	g_test_add_func("/forward/too-long", test_too_long);
+	g_test_add_func("/forward/earlier-release", test_earlier_release);
 	return g_test_run();
 }
--- a/tests/soak/zones.c
+++ b/tests/soak/zones.c
@@ -59,8 +59,7 @@
 static void send(struct zones *zones)
 {
 	struct soak *soak = zones->soak;
-	const struct vm *vm =
-		soak->vms[rng_below(&zones->rng, SOAK_CONTROLS)];
+	const struct vm *vm = soak->vms[rng_below(&zones->rng, SOAK_CONTROLS)];
 	struct http_call_request request = { .timeout_ms = CALL_MS };
 	struct bytes head = { 0 };
 	struct bytes body = { 0 };
