fleet, core, cli: filberthall zone evacuate, return and list

The all-in-one daemon had no way to take a whole zone out of use: an operator would have drained its servers one by one, and one that started later got requests.

site/fleet/zone/NAME has a field `evacuated`, so an order is durable, agreed, versioned and in force everywhere as all settings are, and `--wait` says where. `zone evacuate` and `zone return` set it, `zone list` shows zones with their servers; the planner orders none in an evacuated zone, those of other zones start first as its plan does for any shortage.

The zones stand in the fleet, beside `drained` of single servers: undoing a drain doesn't end an evacuation. Entry VMs use the same flag in place of draining server by server; what they do is unchanged (t-evacuation, t-regions).

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -42,6 +42,7 @@
 int cli_member(struct cli *cli, int argc, char **argv);
 int cli_backend(struct cli *cli, int argc, char **argv);
 int cli_drain(struct cli *cli, int argc, char **argv);
+int cli_zone(struct cli *cli, int argc, char **argv);
 int cli_usage(struct cli *cli, int argc, char **argv);
 int cli_spend(struct cli *cli, int argc, char **argv);
 int cli_status(struct cli *cli, int argc, char **argv);
--- a/cli/main.c
+++ b/cli/main.c
@@ -16,6 +16,8 @@
 	{ "member", "list and change the group's members", cli_member },
 	{ "backend", "list backend servers", cli_backend },
 	{ "drain", "give a backend server no new work", cli_drain },
+	{ "zone", "evacuate a zone's backend servers, and list zones",
+	  cli_zone },
 	{ "usage", "show usage windows", cli_usage },
 	{ "spend", "show what service costs", cli_spend },
 	{ "status", "show classes and this VM", cli_status },
--- a/cli/settings.c
+++ b/cli/settings.c
@@ -4,9 +4,10 @@
 
 #include "agree/yaml.h"
 #include "base/cleanup.h"
+#include "cli/settings.h"
 #include "cli/verb.h"
 
-static const struct option_row settings_change_rows[] = {
+const struct option_row cli_settings_change_rows[] = {
 	{ "version", "version", OPTION_NUMBER, "N",
 	  "only if the path still has this version" },
 	{ "change-id", "change_id", OPTION_TEXT, "ID",
@@ -78,7 +79,7 @@
 }
 
 /* Send a change, and wait for it where that was asked for. */
-static int settings_send(struct cli *cli, const char *command, json_t *args)
+int cli_settings_send(struct cli *cli, const char *command, json_t *args)
 {
 	bool wait = options_take_flag(args, "wait");
 	json_t *answer;
@@ -116,12 +117,12 @@
 		return cli_exit_status(code);
 	}
 	json_object_set_new(args, "value", value);
-	return settings_send(cli, "settings-set", args);
+	return cli_settings_send(cli, "settings-set", args);
 }
 
 static int settings_delete(struct cli *cli, json_t *args)
 {
-	return settings_send(cli, "settings-delete", args);
+	return cli_settings_send(cli, "settings-delete", args);
 }
 
 /* Put a file's values into the arguments; they are checked here already. */
@@ -152,7 +153,7 @@
 		json_decref(args);
 		return status;
 	}
-	return settings_send(cli, "settings-apply", args);
+	return cli_settings_send(cli, "settings-apply", args);
 }
 
 static int settings_diff(struct cli *cli, json_t *args)
@@ -184,7 +185,7 @@
 				"shows it is needed");
 	}
 	json_object_set_new(args, "version", json_integer(version));
-	return settings_send(cli, "settings-revert", args);
+	return cli_settings_send(cli, "settings-revert", args);
 }
 
 static const struct verb settings_verbs[] = {
@@ -192,16 +193,16 @@
 	    0 },
 	  "get",
 	  settings_get },
-	{ { "PATH VALUE", "set a path to a YAML value", settings_change_rows,
-	    settings_value_names, 2 },
+	{ { "PATH VALUE", "set a path to a YAML value",
+	    cli_settings_change_rows, settings_value_names, 2 },
 	  "set",
 	  settings_set },
-	{ { "PATH", "delete a path", settings_change_rows, settings_path_names,
-	    1 },
+	{ { "PATH", "delete a path", cli_settings_change_rows,
+	    settings_path_names, 1 },
 	  "delete",
 	  settings_delete },
 	{ { "FILE", "apply a YAML file, all of it or nothing",
-	    settings_change_rows, settings_file_names, 1 },
+	    cli_settings_change_rows, settings_file_names, 1 },
 	  "apply",
 	  settings_apply },
 	{ { "FILE", "show what applying a file would change", NULL,
@@ -212,7 +213,7 @@
 	    settings_path_names, 0 },
 	  "history",
 	  settings_history },
-	{ { "VERSION", "undo one change", settings_change_rows + 1,
+	{ { "VERSION", "undo one change", cli_settings_change_rows + 1,
 	    settings_version_names, 1 },
 	  "revert",
 	  settings_revert },
--- a/libfilberthall/agree/schema_table.c
+++ b/libfilberthall/agree/schema_table.c
@@ -150,6 +150,7 @@
 static const struct schema_field zone_fields[] = {
 	INT_FIELD("max", 0, 100000, 1000, "backend servers at most"),
 	INT_FIELD("cheap_max", 0, 100000, 1000, "of them cheap ones"),
+	BOOL_FIELD("evacuated", 0, "its backend servers get no new requests"),
 	END_FIELD,
 };
 
--- a/libfilberthall/core/autoscaler_settings.c
+++ b/libfilberthall/core/autoscaler_settings.c
@@ -43,10 +43,12 @@
 				 const char *name)
 {
 	const struct settings *settings = agreed_settings(core->agreed);
+	bool evacuated = rules_number(settings, path, "evacuated") != 0;
+	double max = rules_number(settings, path, "max");
+	double cheap_max = rules_number(settings, path, "cheap_max");
 
-	target_set_zone(core->target, name,
-			(int64_t)rules_number(settings, path, "max"),
-			(int64_t)rules_number(settings, path, "cheap_max"));
+	target_set_zone(core->target, name, evacuated ? 0 : (int64_t)max,
+			evacuated ? 0 : (int64_t)cheap_max);
 }
 
 /* "team/NAME/budget" */
--- a/libfilberthall/core/consensus.c
+++ b/libfilberthall/core/consensus.c
@@ -77,9 +77,11 @@
 	case CHANGE_CLAIM:
 		request_claim_changed(core, change->name);
 		break;
+	case CHANGE_SITE:
+		evacuate_read_settings(core);
+		break;
 	case CHANGE_SERVICE:
 	case CHANGE_BUDGET:
-	case CHANGE_SITE:
 	case CHANGE_WINDOW:
 	case CHANGE_ORDER:
 		break;
@@ -244,6 +246,7 @@
 		rules_visit_organisations(settings, consensus_set_organisation,
 					  core);
 		consensus_remove_missing(core, &classes, &organisations, &keys);
+		evacuate_read_settings(core);
 	}
 	request_claim_changed(core, NULL);
 	consensus_names_clear(&classes);
--- a/libfilberthall/core/core_state.h
+++ b/libfilberthall/core/core_state.h
@@ -212,6 +212,7 @@
 /* status.c: status for operators and monitoring */
 json_t *status_describe(struct core *core);
 json_t *status_backends(struct core *core);
+json_t *status_zones(struct core *core);
 json_t *status_members(struct core *core);
 json_t *status_usage(struct core *core);
 void status_publish(struct core *core);
@@ -265,6 +266,9 @@
 /* autoscaler_settings.c: the fleet's settings */
 void autoscaler_read_settings(struct core *core);
 
+/* evacuate.c: zones that the settings evacuate */
+void evacuate_read_settings(struct core *core);
+
 /** Describe this daemon as a member. */
 void core_fill_member(const struct core *core, struct member *member);
 
--- a/libfilberthall/core/operator.c
+++ b/libfilberthall/core/operator.c
@@ -269,6 +269,12 @@
 			status_backends(core));
 }
 
+static void operator_zones(struct core *core, const struct operator_call *call)
+{
+	operator_answer(core, call->peer, call->id, RESULT_OK,
+			status_zones(core));
+}
+
 static void operator_members(struct core *core,
 			     const struct operator_call *call)
 {
@@ -292,6 +298,7 @@
 static const struct operator_command operator_commands[] = {
 	{ "status", false, false, operator_status },
 	{ "backend-list", false, false, operator_backends },
+	{ "zone-list", false, false, operator_zones },
 	{ "backend-drain", false, true, operator_drain },
 	{ "backend-stop", true, true, operator_stop },
 	{ "spend", true, false, operator_spend },
--- a/libfilberthall/core/status.c
+++ b/libfilberthall/core/status.c
@@ -167,6 +167,52 @@
 	return json_pack("{s:o}", "backend_servers", list);
 }
 
+/* The row of a zone, added if it is new. */
+static json_t *status_zone(json_t *list, const char *zone, bool evacuated)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+		if (!strcmp(json_string_value(json_object_get(row, "zone")),
+			    zone))
+			return row;
+	row = json_pack("{s:s, s:b, s:i, s:i, s:i}", "zone", zone, "evacuated",
+			(int)evacuated, "servers", 0, "usable", 0, "running",
+			0);
+	json_array_append_new(list, row);
+	return row;
+}
+
+static void status_count(json_t *row, const char *key, int64_t n)
+{
+	json_t *value = json_object_get(row, key);
+
+	json_integer_set(value, json_integer_value(value) + n);
+}
+
+json_t *status_zones(struct core *core)
+{
+	const struct evacuations *evacuations = &core->fleet.evacuations;
+	const struct evacuation *zone;
+	json_t *list = json_array();
+	struct backend *backend;
+	struct backend *next;
+	json_t *row;
+
+	list_foreach(zone, &evacuations->zones, node)
+		if (zone->evacuated)
+			status_zone(list, zone->zone, true);
+	map_foreach(backend, next, &core->fleet.backends, node) {
+		row = status_zone(list, backend->zone, false);
+		status_count(row, "servers", 1);
+		status_count(row, "usable",
+			     backend_usable(backend, core->now_us));
+		status_count(row, "running", backend->running);
+	}
+	return json_pack("{s:o}", "zones", list);
+}
+
 static void status_add_usage(void *data, const char *organisation,
 			     const char *class_name,
 			     const struct usage_counters *sum)
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -262,8 +262,7 @@
 	snprintf(boot_id, sizeof(boot_id), "%.40s@%lld", told->id,
 		 (long long)told->started_ms);
 	fleet_announce(&entry->fleet, &announce, entry->now_us);
-	fleet_drain(&entry->fleet, told->address,
-		    evacuations_include(&entry->evacuations, told->zone));
+	fleet_drain(&entry->fleet, told->address, false);
 	backend = fleet_find(&entry->fleet, told->address);
 	if (backend)
 		backend->regions = regions_of_zone(&entry->regions, told->zone);
@@ -328,23 +327,15 @@
 	set_cold(entry, registered, registered->cold_until_us);
 }
 
-static void apply_evacuations(struct entry *entry,
-			      const struct evacuations *evacuations)
+static void assume_zone_cold(struct entry *entry, const char *zone)
 {
 	struct registry_entry *registered;
 	struct registry_entry *next;
 
-	map_foreach(registered, next, &entry->registry.by_id, node) {
-		const struct registration *told = &registered->registration;
-		bool evacuated = evacuations_include(evacuations, told->zone);
-
-		if (!registry_entry_usable(registered))
-			continue;
-		fleet_drain(&entry->fleet, told->address, evacuated);
-		if (!evacuated &&
-		    evacuations_include(&entry->evacuations, told->zone))
+	map_foreach(registered, next, &entry->registry.by_id, node)
+		if (registry_entry_usable(registered) &&
+		    !strcmp(registered->registration.zone, zone))
 			assume_cold(entry, registered);
-	}
 }
 
 /* A VM that lags, or whose message was delayed, has an older revision. */
@@ -355,9 +346,11 @@
 
 	if (evacuations->revision <= entry->evacuations.revision)
 		return;
-	apply_evacuations(entry, evacuations);
-	evacuations_clear(&entry->evacuations);
 	list_foreach(zone, &evacuations->zones, node) {
+		if (!zone->evacuated &&
+		    evacuations_include(&entry->evacuations, zone->zone))
+			assume_zone_cold(entry, zone->zone);
+		fleet_evacuate(&entry->fleet, zone->zone, zone->evacuated);
 		evacuations_set(&entry->evacuations, zone->zone,
 				zone->evacuated, zone->revision);
 		entry_log(entry, LOG_INFO, "evacuation",
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -50,6 +50,7 @@
 {
 	map_init(&fleet->backends);
 	map_init(&fleet->tombstones);
+	evacuations_init(&fleet->evacuations);
 	fleet->version = 1;
 }
 
@@ -66,6 +67,7 @@
 		free(stone);
 	map_clear(&fleet->backends);
 	map_clear(&fleet->tombstones);
+	evacuations_clear(&fleet->evacuations);
 }
 
 struct backend *fleet_find(const struct fleet *fleet, const char *address)
@@ -230,6 +232,8 @@
 	left = announce->leaving && !backend->leaving;
 	backend->leaving = announce->leaving;
 	backend_set_names(backend, announce);
+	backend->evacuated =
+		evacuations_include(&fleet->evacuations, backend->zone);
 	backend_set_load(backend, announce, now_us);
 	if (is_new || was_usable != backend_usable(backend, now_us))
 		fleet->version++;
@@ -293,6 +297,20 @@
 	return true;
 }
 
+void fleet_evacuate(struct fleet *fleet, const char *zone, bool evacuated)
+{
+	struct backend *backend;
+	struct backend *next;
+
+	if (evacuations_include(&fleet->evacuations, zone) == evacuated ||
+	    !evacuations_set(&fleet->evacuations, zone, evacuated, 0))
+		return;
+	map_foreach(backend, next, &fleet->backends, node)
+		if (!strcmp(backend->zone, zone))
+			backend->evacuated = evacuated;
+	fleet->version++;
+}
+
 void fleet_retire(struct fleet *fleet, const char *address, int64_t until_us)
 {
 	struct backend *backend = fleet_find(fleet, address);
@@ -316,7 +334,7 @@
 
 bool backend_usable(const struct backend *backend, int64_t now_us)
 {
-	return !backend->leaving && !backend->drained &&
+	return !backend->leaving && !backend->drained && !backend->evacuated &&
 	       now_us < backend->lease_end_us;
 }
 
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -8,6 +8,7 @@
 #include "base/map.h"
 #include "base/result.h"
 #include "core/event.h"
+#include "fleet/evacuation.h"
 #include "fleet/health.h"
 
 /**
@@ -65,7 +66,8 @@
 	char adapters[BACKEND_ADAPTERS_SIZE];
 	bool cheap;
 	bool leaving;
-	bool drained; /**< set by an operator or by this software */
+	bool drained;	/**< set by an operator or by this software */
+	bool evacuated; /**< its zone is (fleet/evacuation.h) */
 	bool fences;
 	uint64_t regions;     /**< set of its own one (fleet/region.h) */
 	bool for_paced;	      /**< reserved for paced streams (load/divide.h) */
@@ -93,6 +95,7 @@
 struct fleet {
 	struct map backends;
 	struct map tombstones;
+	struct evacuations evacuations; /**< of zones, also without servers */
 	uint64_t version; /**< incremented when the usable servers change */
 	uint64_t
 		removals; /**< incremented when one is freed or changes service */
@@ -129,6 +132,9 @@
 /** Stop or resume sending new requests to a server; false if it is unknown. */
 bool fleet_drain(struct fleet *fleet, const char *address, bool drained);
 
+/** Stop or resume sending new requests to a zone's servers, new ones too. */
+void fleet_evacuate(struct fleet *fleet, const char *zone, bool evacuated);
+
 /**
  * A server process that won't serve again: it gets no new requests and is
  * removed by the first fleet_expire() after `until_us`, unless it is announced
@@ -136,7 +142,10 @@
  */
 void fleet_retire(struct fleet *fleet, const char *address, int64_t until_us);
 
-/** Whether the server may get new requests: alive, not leaving, not drained. */
+/**
+ * Whether the server may get new requests: alive, not leaving, neither drained
+ * nor in an evacuated zone.
+ */
 bool backend_usable(const struct backend *backend, int64_t now_us);
 
 /** Whether the server is in one of the regions; 0 stands for all. */
--- a/libfilberthall/fleet/evacuation.h
+++ b/libfilberthall/fleet/evacuation.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #include "base/list.h"
-#include "fleet/backend.h"
+#include "core/rule.h"
 
 /**
  * The availability zones whose backend servers get no new requests because an
@@ -25,7 +25,7 @@
 
 struct evacuation {
 	struct list node;
-	char zone[BACKEND_NAME_SIZE];
+	char zone[RULE_NAME_SIZE];
 	bool evacuated;
 	int64_t revision; /**< at the zone's last change */
 };
@@ -38,7 +38,7 @@
 
 /** An operator's order. */
 struct evacuation_order {
-	char zone[BACKEND_NAME_SIZE];
+	char zone[RULE_NAME_SIZE];
 	bool evacuate;	  /**< false: the zone's servers are used again */
 	int64_t revision; /**< known to the VM that the order came to */
 };
--- a/tests/load/t-backend.c
+++ b/tests/load/t-backend.c
@@ -173,6 +173,33 @@
 	fleet_clear(&fleet);
 }
 
+/* A server that starts in an evacuated zone gets requests. */
+static void test_evacuated(void)
+{
+	struct event_announce announce = { .address = (char *)"10.0.0.1:1",
+					   .boot_id = (char *)"b1",
+					   .sequence = 1,
+					   .zone = (char *)"z1",
+					   .lease_ms = 5000,
+					   .slots = 4 };
+	struct fleet fleet;
+	uint64_t version;
+
+	fleet_init(&fleet);
+	fleet_evacuate(&fleet, "z1", true);
+	fleet_announce(&fleet, &announce, 0);
+	g_assert_false(backend_usable(fleet_find(&fleet, "10.0.0.1:1"), 1));
+	/* A drain that is undone doesn't end the evacuation. */
+	fleet_drain(&fleet, "10.0.0.1:1", true);
+	fleet_drain(&fleet, "10.0.0.1:1", false);
+	g_assert_false(backend_usable(fleet_find(&fleet, "10.0.0.1:1"), 1));
+	version = fleet.version;
+	fleet_evacuate(&fleet, "z1", false);
+	g_assert_cmpuint(fleet.version, >, version);
+	g_assert_true(backend_usable(fleet_find(&fleet, "10.0.0.1:1"), 1));
+	fleet_clear(&fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -187,5 +214,6 @@
 			a_straggler_is_found_among_its_peers);
 	g_test_add_func("/backend/adapters",
 			adapters_are_matched_by_whole_names);
+	g_test_add_func("/backend/evacuated", test_evacuated);
 	return g_test_run();
 }
