fleet, control: an evacuated zone's servers don't count as capacity

An operator who evacuates a zone would have found too few servers if another zone was reclaimed meanwhile: the plan counted those that got no requests, and so ordered no steady ones. It also went on paying for them, and ordered new ones there when some ended.

They count for nothing now. Once the other zones serve half of the pool's maximum they are given up to the zone's minimum; until then they are kept, as the zone may be used again before others could start.

t-sizing /evacuated and /all-evacuated; without the change the first one gets no steady servers.

--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -152,6 +152,8 @@
 
 		sizing.zones[i].cheap_unavailable =
 			order_of(control, service->name, zone, true)->dry;
+		sizing.zones[i].evacuated =
+			evacuations_include(&control->ledger.evacuations, zone);
 		count_servers(control, service->name, zone, &sizing.zones[i]);
 	}
 	sizing_plan(&sizing);
--- a/libfilberthall/fleet/sizing.c
+++ b/libfilberthall/fleet/sizing.c
@@ -8,7 +8,29 @@
 	size_t i;
 
 	for (i = 0; i < sizing->n_zones; i++)
-		n += sizing->zones[i].cheap;
+		if (!sizing->zones[i].evacuated)
+			n += sizing->zones[i].cheap;
+	return n;
+}
+
+static int64_t steady_serving(const struct sizing *sizing)
+{
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < sizing->n_zones; i++)
+		if (!sizing->zones[i].evacuated)
+			n += sizing->zones[i].steady;
+	return n;
+}
+
+static int64_t zones_used(const struct sizing *sizing)
+{
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < sizing->n_zones; i++)
+		n += !sizing->zones[i].evacuated;
 	return n;
 }
 
@@ -43,15 +65,16 @@
 {
 	int64_t missing =
 		part(sizing, SIZING_MIN_CHEAP) - cheap_serving(sizing);
-	int64_t zones = (int64_t)sizing->n_zones;
-	int64_t each = (missing + zones - 1) / zones;
+	int64_t zones = zones_used(sizing);
+	int64_t each = zones ? (missing + zones - 1) / zones : 0;
 	size_t i;
 
 	for (i = 0; i < sizing->n_zones; i++) {
 		struct sizing_zone *zone = &sizing->zones[i];
 
-		want_steady(sizing, zone,
-			    zone->steady > each ? zone->steady : each);
+		if (!zone->evacuated)
+			want_steady(sizing, zone,
+				    zone->steady > each ? zone->steady : each);
 	}
 }
 
@@ -70,7 +93,8 @@
 	size_t i;
 
 	for (i = 0; i < sizing->n_zones; i++)
-		n_dry += sizing->zones[i].cheap_unavailable;
+		n_dry += sizing->zones[i].cheap_unavailable &&
+			 !sizing->zones[i].evacuated;
 	if (!n_dry || missing <= 0)
 		return;
 	each = (missing + n_dry - 1) / n_dry;
@@ -78,11 +102,35 @@
 		struct sizing_zone *zone = &sizing->zones[i];
 		int64_t want = each > zone->steady ? each : zone->steady;
 
-		if (zone->cheap_unavailable && want > zone->want_steady)
+		if (zone->cheap_unavailable && !zone->evacuated &&
+		    want > zone->want_steady)
 			want_steady(sizing, zone, want);
 	}
 }
 
+/* The platform keeps a minimum in each zone; cheap ones if there are any. */
+static void plan_evacuated(struct sizing *sizing)
+{
+	bool enough = cheap_serving(sizing) + steady_serving(sizing) >=
+		      part(sizing, SIZING_MIN_WITHOUT_CHEAP);
+	size_t i;
+
+	for (i = 0; i < sizing->n_zones; i++) {
+		struct sizing_zone *zone = &sizing->zones[i];
+
+		if (!zone->evacuated)
+			continue;
+		zone->want_steady = enough ? 0 : zone->steady;
+		zone->want_cheap = enough ? 0 : zone->cheap;
+		if (!enough)
+			continue;
+		if (sizing->has_cheap)
+			zone->want_cheap = sizing->min_servers;
+		else
+			zone->want_steady = sizing->min_servers;
+	}
+}
+
 void sizing_plan(struct sizing *sizing)
 {
 	size_t i;
@@ -106,4 +154,5 @@
 		plan_steady(sizing);
 	if (sizing->has_cheap)
 		plan_unavailable(sizing);
+	plan_evacuated(sizing);
 }
--- a/libfilberthall/fleet/sizing.h
+++ b/libfilberthall/fleet/sizing.h
@@ -21,6 +21,10 @@
  * enough cheap ones serve, and again when too few are left. If zones have no
  * cheap servers on offer, steady ones are ordered at once up to half of the
  * pool, since a burst at that time would find too little capacity.
+ *
+ * Servers of an evacuated zone count for nothing. They are given up once the
+ * other zones serve half of the pool, and kept as they are until then, as the
+ * zone may be used again first.
  */
 
 #define SIZING_ZONES 16
@@ -41,6 +45,7 @@
 	int64_t steady;		/**< steady servers that serve now */
 	int64_t cheap;		/**< cheap servers that serve now */
 	bool cheap_unavailable; /**< the last order of a cheap one was refused */
+	bool evacuated;		/**< its servers get no new requests */
 	int64_t want_steady;	/**< out */
 	int64_t want_cheap;	/**< out */
 };
--- a/tests/fleet/t-sizing.c
+++ b/tests/fleet/t-sizing.c
@@ -118,6 +118,44 @@
 	}
 }
 
+/*
+ * A zone is evacuated while another one offers no cheap servers: the servers
+ * that get no requests hide that too few are left.
+ */
+static void test_evacuated(void)
+{
+	struct sizing sizing = pool(0, 6);
+
+	sizing.zones[0].evacuated = true;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 1);
+	g_assert_cmpint(sizing.zones[1].want_cheap, ==, 6);
+	sizing.zones[1].cheap = 0;
+	sizing.zones[1].cheap_unavailable = true;
+	sizing.zones[2].cheap = 3;
+	sizing.zones[3].cheap = 3;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 6);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 0);
+	g_assert_cmpint(sizing.zones[1].want_steady, ==, 6);
+	sizing.zones[1].steady = 6;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 1);
+}
+
+/* All zones are evacuated: nothing is divided by the zones that are left. */
+static void test_all_evacuated(void)
+{
+	struct sizing sizing = pool(0, 2);
+	int i;
+
+	for (i = 0; i < ZONES; i++)
+		sizing.zones[i].evacuated = true;
+	sizing_plan(&sizing);
+	g_assert_cmpint(sizing.zones[0].want_cheap, ==, 2);
+	g_assert_cmpint(sizing.zones[0].want_steady, ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -127,5 +165,7 @@
 	g_test_add_func("/sizing/dry", test_dry);
 	g_test_add_func("/sizing/no-cheap", test_no_cheap);
 	g_test_add_func("/sizing/bounds", test_bounds);
+	g_test_add_func("/sizing/evacuated", test_evacuated);
+	g_test_add_func("/sizing/all-evacuated", test_all_evacuated);
 	return g_test_run();
 }
