load: requests of other regions don't wait behind a full one

What callers would see: where a region's servers have no room, a request that waits for them would hold up all that wait behind it, also those that may run elsewhere: a queue stops at the first that finds no server. Found by reading, before any deployment names regions.

Requests that different regions may run wait in queues of their own; which of the queues' heads goes first is decided as before. Without regions there is one queue as before.

A refused order for a zone is logged, and one comment is right about earlier releases.

t-regions /region-full fails without it: the request for the other region isn't started.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -168,6 +168,11 @@
 		control->window_pending = 0;
 	if (change == LEDGER_EVACUATION)
 		control_evacuations_changed(control, effects);
+	if (change == LEDGER_REFUSED)
+		control_log(effects, LOG_WARN, "evacuation",
+			    "event=refused index=%lld reason=overtaken-or-"
+			    "too-many-zones",
+			    (long long)committed->index);
 	return change == LEDGER_REFUSED ? RESULT_NO_QUORUM : RESULT_OK;
 }
 
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -66,7 +66,7 @@
 	send_to(control, TO_ENTRY, &body, effects);
 }
 
-/* Entry VMs of releases before these don't understand the message. */
+/* Entry VMs of earlier releases ignore the message. */
 void control_send_evacuations(struct control *control, struct effects *effects)
 {
 	struct bytes body = { 0 };
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "fleet/region.h"
 #include "load/router_state.h"
 
 /* Part of the target after which a waiting request causes pressure. */
@@ -110,20 +111,27 @@
 	return !strcmp(a ? a : "", b ? b : "");
 }
 
+/*
+ * Requests that different servers may run wait apart: the first of a queue that
+ * finds no room holds up those behind it.
+ */
 struct queue *pool_queue(struct router *router, struct pool *pool,
-			 const char *adapter, bool reclaimable)
+			 const struct router_request *spec, bool reclaimable)
 {
+	uint64_t regions = spec->regions ? spec->regions : REGION_ANY;
 	struct router_class *class;
 	struct router_class *next;
 	struct queue *queue;
 
 	list_foreach(queue, &pool->queues, in_pool)
 		if (queue->reclaimable == reclaimable &&
-		    same_text(queue->adapter, adapter))
+		    queue->regions == regions &&
+		    same_text(queue->adapter, spec->adapter))
 			return queue;
 	queue = xcalloc(1, sizeof(*queue));
 	queue->pool = pool;
-	queue->adapter = xstrdup(adapter);
+	queue->adapter = xstrdup(spec->adapter);
+	queue->regions = regions;
 	queue->reclaimable = reclaimable;
 	sched_init(&queue->sched);
 	map_foreach(class, next, &router->classes, node)
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -61,7 +61,8 @@
 struct queue {
 	struct list in_pool;
 	struct pool *pool;
-	char *adapter; /**< or NULL */
+	char *adapter;	  /**< or NULL */
+	uint64_t regions; /**< of the servers that may run them */
 	bool reclaimable;
 	bool blocked; /**< no server had room in this dispatch pass */
 	struct sched sched;
@@ -229,7 +230,7 @@
 struct pool *pool_get(struct router *router, const char *model,
 		      const char *service, int64_t now_us);
 struct queue *pool_queue(struct router *router, struct pool *pool,
-			 const char *adapter, bool reclaimable);
+			 const struct router_request *spec, bool reclaimable);
 void pool_refresh(struct router *router, struct pool *pool, int64_t now_us);
 void pool_free(struct router *router, struct pool *pool);
 bool request_in_standing_queue(const struct request *request, int64_t now_us);
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -121,7 +121,7 @@
 	request->tier = router->options.features.tiers ? rule->tier : 0;
 	request_set_times(request);
 	request->queue = pool_queue(router, request->queue->pool,
-				    request->spec.adapter, rule->reclaimable);
+				    &request->spec, rule->reclaimable);
 }
 
 static struct request *request_new(struct router *router,
@@ -477,8 +477,7 @@
 	request = request_new(router, ask, class, now_us);
 	router->open++;
 	pool = pool_get(router, ask->model, ask->service, now_us);
-	request->queue =
-		pool_queue(router, pool, ask->adapter, class->rule.reclaimable);
+	request->queue = pool_queue(router, pool, ask, class->rule.reclaimable);
 	request_estimate(router, request);
 	if (ask->prompt_tokens)
 		pool_record_prompt(pool, ask->prompt_tokens);
--- a/tests/entry/t-regions.c
+++ b/tests/entry/t-regions.c
@@ -53,6 +53,24 @@
 	bed_end(&bed);
 }
 
+/* A region's servers are full: requests for other regions wait behind it. */
+static void test_region_full(void)
+{
+	struct bed bed;
+	uint64_t id;
+	int i;
+
+	start(&bed);
+	for (i = 0; i < 8; i++)
+		bed_ask(&bed, "/south/7", "k1");
+	id = bed_ask(&bed, "/south/7", "k1");
+	g_assert_cmpuint(bed.started, !=, id);
+	id = bed_ask(&bed, "/north/7", "k1");
+	g_assert_cmpuint(bed.started, ==, id);
+	g_assert_cmpstr(bed.started_at, ==, ENGINE);
+	bed_end(&bed);
+}
+
 /* A second try is sent to another region, as no other server has failed it. */
 static void test_retry(void)
 {
@@ -107,6 +125,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/regions/route", test_route);
 	g_test_add_func("/regions/region-lost", test_region_lost);
+	g_test_add_func("/regions/region-full", test_region_full);
 	g_test_add_func("/regions/retry", test_retry);
 	g_test_add_func("/regions/both-bind", test_both_bind);
 	g_test_add_func("/regions/new-zone", test_new_zone);
