entry, daemon: servers, usage and metrics in files of their own

What control VMs report of backend servers is in entry_servers.c, what counts as started in entry_usage.c, the text of metrics in daemon/role/entry_metrics.c. Moves alone; functions that are called across files got the prefix of their module: handle_registration -> entry_handle_registration, handle_alive, handle_marks, handle_bundle, handle_evacuations, update_cold likewise; call_find -> entry_open_call, count_started -> entry_count_started, add_presumed -> entry_add_presumed, write_histogram -> entry_metrics_histogram, write_documents -> entry_metrics_documents.

--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -8,6 +8,7 @@
 #include <sys/random.h>
 
 #include "base/alloc.h"
+#include "daemon/role/entry_metrics.h"
 #include "daemon/role/relay.h"
 #include "daemon/role/role.h"
 
@@ -300,39 +301,6 @@
 	carry_out_all(daemon);
 }
 
-static void write_histogram(struct bytes *out, const char *name,
-			    const struct entry_histogram *histogram)
-{
-	int64_t bound = ENTRY_FIRST_BUCKET_MS;
-	int64_t below = 0;
-	int i;
-
-	for (i = 0; i < ENTRY_BUCKETS - 1; i++, bound *= 2) {
-		below += histogram->buckets[i];
-		bytes_append_format(out,
-				    "%s_bucket{le=\"%" PRId64 "\"} %" PRId64
-				    "\n",
-				    name, bound, below);
-	}
-	bytes_append_format(out,
-			    "%s_bucket{le=\"+Inf\"} %" PRId64
-			    "\n%s_count %" PRId64 "\n%s_sum %" PRId64 "\n",
-			    name, histogram->count, name, histogram->count,
-			    name, histogram->sum_ms);
-}
-
-static void write_documents(struct bytes *out,
-			    const struct entry_documents *documents)
-{
-	bytes_append_format(out,
-			    "filberthall_document_fetches_total %" PRId64
-			    "\nfilberthall_documents_received_total %" PRId64
-			    "\nfilberthall_documents_unused_total %" PRId64
-			    "\nfilberthall_document_bytes_total %" PRId64 "\n",
-			    documents->requested, documents->received,
-			    documents->unused, documents->bytes);
-}
-
 static void write_metrics(void *data, struct bytes *out)
 {
 	struct entry_daemon *daemon = data;
@@ -354,9 +322,10 @@
 		view.staleness_us, view.control_vms, view.servers, view.open,
 		view.submitted, view.refused, view.served, view.failed,
 		view.attempts, http_client_opened(daemon->client));
-	write_documents(out, &view.documents);
-	write_histogram(out, "filberthall_first_ms", &view.time_to_first);
-	write_histogram(out, "filberthall_whole_ms", &view.total_time);
+	entry_metrics_documents(out, &view.documents);
+	entry_metrics_histogram(out, "filberthall_first_ms",
+				&view.time_to_first);
+	entry_metrics_histogram(out, "filberthall_whole_ms", &view.total_time);
 }
 
 static void make_client(struct entry_daemon *daemon)
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -42,7 +42,7 @@
 	       *(const uint64_t *)key;
 }
 
-static struct open_call *call_find(const struct entry *entry, uint64_t id)
+struct open_call *entry_open_call(const struct entry *entry, uint64_t id)
 {
 	struct map_node *node =
 		map_find(&entry->calls, map_hash(&id, sizeof(id)), call_match,
@@ -74,7 +74,7 @@
 bool entry_find_call(const struct entry *entry, uint64_t id,
 		     struct entry_call *out)
 {
-	const struct open_call *call = call_find(entry, id);
+	const struct open_call *call = entry_open_call(entry, id);
 
 	if (!call)
 		return false;
@@ -376,7 +376,7 @@
 void entry_request_finished(void *data, const struct router_outcome *outcome)
 {
 	struct entry *entry = data;
-	struct open_call *call = call_find(entry, outcome->id);
+	struct open_call *call = entry_open_call(entry, outcome->id);
 
 	if (!call)
 		return;
@@ -407,66 +407,6 @@
 	call_free(entry, call);
 }
 
-/* Counts a request once, in the usage window in which it started. */
-static void count_started(struct entry *entry, uint64_t id)
-{
-	struct open_call *call = call_find(entry, id);
-	int64_t wall_us = wall_time_us(&entry->wall, entry->now_us);
-
-	if (!call || call->usage_counted || !call->organisation[0] || !wall_us)
-		return;
-	call->usage_counted = true;
-	presumed_drop(&entry->presumed, id);
-	begun_add(&entry->begun, wall_us / entry->options.window_us,
-		  call->organisation);
-}
-
-/*
- * The server closed the connection without an answer: whether the request ran
- * is decided later, by whether the server is still alive.
- */
-static void add_presumed(struct entry *entry,
-			 const struct event_attempt_ended *ended)
-{
-	const struct open_call *call = call_find(entry, ended->id);
-	int64_t wall_us = wall_time_us(&entry->wall, entry->now_us);
-	struct presumed_break what = { .request = ended->id };
-	const struct registry_entry *server = NULL;
-	struct router_attempt_view attempt;
-
-	if (!call || call->usage_counted || !call->organisation[0] ||
-	    !wall_us ||
-	    !router_attempt(entry->router, ended->id, ended->attempt,
-			    entry->now_us, &attempt) ||
-	    !presumed_possible((enum result)ended->code, ended->sent,
-			       attempt.us))
-		return;
-	server = registry_find_address(&entry->registry, attempt.address);
-	if (!server)
-		return;
-	what.server = &server->registration;
-	what.organisation = call->organisation;
-	what.window = wall_us / entry->options.window_us;
-	presumed_add(&entry->presumed, &what, entry->now_us);
-}
-
-static void count_presumed(void *data, uint64_t request,
-			   const char *organisation, int64_t window)
-{
-	struct entry *entry = data;
-	struct open_call *call = call_find(entry, request);
-
-	if (call)
-		call->usage_counted = true;
-	begun_add(&entry->begun, window, organisation);
-}
-
-void entry_resolve_presumed(struct entry *entry)
-{
-	presumed_tick(&entry->presumed, &entry->registry, entry->now_us,
-		      count_presumed, entry);
-}
-
 void entry_attempt_tokens(struct entry *entry,
 			  const struct event_attempt_tokens *tokens,
 			  int64_t now_us, struct effects *effects)
@@ -474,7 +414,7 @@
 	entry->now_us = now_us;
 	entry->effects = effects;
 	if (tokens->first)
-		count_started(entry, tokens->id);
+		entry_count_started(entry, tokens->id);
 	router_tokens(entry->router, tokens, now_us, effects);
 }
 
@@ -482,15 +422,15 @@
 			 const struct event_attempt_ended *ended,
 			 int64_t now_us, struct effects *effects)
 {
-	const struct open_call *call = call_find(entry, ended->id);
+	const struct open_call *call = entry_open_call(entry, ended->id);
 
 	entry->now_us = now_us;
 	entry->effects = effects;
 	entry->totals.attempts++;
 	if (ended->http_status && ended->sent)
-		count_started(entry, ended->id);
+		entry_count_started(entry, ended->id);
 	else
-		add_presumed(entry, ended);
+		entry_add_presumed(entry, ended);
 	if (call && ended->code)
 		entry_log(entry, LOG_INFO, "attempt",
 			  "event=failed request=%s attempt=%lld code=%s "
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -97,9 +97,28 @@
 void entry_feed_tick(struct entry *entry);
 void entry_poll(struct entry *entry);
 void entry_send_usage(struct entry *entry);
+
+/* entry_servers.c */
+void entry_update_cold(struct entry *entry);
+void entry_handle_registration(struct entry *entry,
+			       const struct feed_message *message);
+void entry_handle_alive(struct entry *entry,
+			const struct feed_message *message);
+void entry_handle_marks(struct entry *entry, const struct feed_marks *marks);
+void entry_handle_bundle(struct entry *entry, const struct feed_bundle *bundle);
+void entry_handle_evacuations(struct entry *entry,
+			      const struct evacuations *evacuations);
+void entry_expire_servers(struct entry *entry);
+
+/* entry_usage.c */
+void entry_count_started(struct entry *entry, uint64_t id);
+void entry_add_presumed(struct entry *entry,
+			const struct event_attempt_ended *ended);
 void entry_resolve_presumed(struct entry *entry);
 
 /* entry_request.c */
+/** The request with that id, or NULL if it isn't open. */
+struct open_call *entry_open_call(const struct entry *entry, uint64_t id);
 void entry_request_finished(void *data, const struct router_outcome *outcome);
 void entry_resume_deferred(struct entry *entry);
 bool entry_drop_deferred(struct entry *entry, uint64_t id);
