--- a/daemon/role/entry_metrics.c
+++ b/daemon/role/entry_metrics.c
@@ -3,7 +3,7 @@
 #include <inttypes.h>
 
 void entry_metrics_histogram(struct bytes *out, const char *name,
-			    const struct entry_histogram *histogram)
+			     const struct entry_histogram *histogram)
 {
 	int64_t bound = ENTRY_FIRST_BUCKET_MS;
 	int64_t below = 0;
@@ -24,7 +24,7 @@
 }
 
 void entry_metrics_documents(struct bytes *out,
-			    const struct entry_documents *documents)
+			     const struct entry_documents *documents)
 {
 	bytes_append_format(out,
 			    "filberthall_document_fetches_total %" PRId64
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -103,7 +103,7 @@
 }
 
 void entry_handle_registration(struct entry *entry,
-				const struct feed_message *message)
+			       const struct feed_message *message)
 {
 	const struct registration *told = &message->u.registration;
 	struct registry_entry *replaced;
@@ -146,7 +146,7 @@
 
 /* A VM that lags, or whose message was delayed, has an older revision. */
 void entry_handle_evacuations(struct entry *entry,
-			       const struct evacuations *evacuations)
+			      const struct evacuations *evacuations)
 {
 	const struct evacuation *zone;
 
@@ -178,8 +178,7 @@
 		update_fleet(entry, known);
 }
 
-void entry_handle_alive(struct entry *entry,
-			 const struct feed_message *message)
+void entry_handle_alive(struct entry *entry, const struct feed_message *message)
 {
 	size_t i;
 
--- a/libfilberthall/entry/entry_usage.c
+++ b/libfilberthall/entry/entry_usage.c
@@ -22,7 +22,7 @@
  * is decided later, by whether the server is still alive.
  */
 void entry_add_presumed(struct entry *entry,
-			 const struct event_attempt_ended *ended)
+			const struct event_attempt_ended *ended)
 {
 	const struct open_call *call = entry_open_call(entry, ended->id);
 	int64_t wall_us = wall_time_us(&entry->wall, entry->now_us);
