--- a/libfilberthall/document/document.c
+++ b/libfilberthall/document/document.c
@@ -159,20 +159,9 @@
 	split->weight = weight;
 }
 
-void route_add_region(struct route *route, const char *region)
+void document_add_region(char ***regions, size_t *n_regions, const char *region)
 {
-	char **slot = add_item((void **)&route->regions, &route->n_regions,
-			       sizeof(*route->regions));
-
-	*slot = xstrdup(region);
-}
-
-void organisation_add_region(struct document_organisation *organisation,
-			     const char *region)
-{
-	char **slot = add_item((void **)&organisation->regions,
-			       &organisation->n_regions,
-			       sizeof(*organisation->regions));
+	char **slot = add_item((void **)regions, n_regions, sizeof(*slot));
 
 	*slot = xstrdup(region);
 }
--- a/libfilberthall/document/document.h
+++ b/libfilberthall/document/document.h
@@ -127,16 +127,16 @@
 
 void service_add_zone(struct service *service, const char *name, double price);
 void route_add_split(struct route *route, const char *service, int64_t weight);
-void route_add_region(struct route *route, const char *region);
-void organisation_add_region(struct document_organisation *organisation,
-			     const char *region);
+/** Add a name to the regions of a route or an organisation. */
+void document_add_region(char ***regions, size_t *n_regions,
+			 const char *region);
 void document_add_key(struct document *document, size_t organisation,
 		      const char *text);
 
 /**
  * Whether the document can be obeyed: each route's service is known, no two
  * routes have the same place, weights add up to more than 0, time-outs are
- * above 0, no two organisations share a key, regions have names. Also makes it ready for look-ups.
+ * above 0, no two organisations share a key. Also makes it ready for look-ups.
  *
  * Returns RESULT_OK or RESULT_SETTING_VALUE, reported to `handler`.
  */
--- a/libfilberthall/document/encoding.c
+++ b/libfilberthall/document/encoding.c
@@ -296,27 +296,34 @@
 	return true;
 }
 
-/* Releases before this item know of no regions. */
-static bool read_route_regions(const struct unpacked *items,
-			       struct route *route)
+/* The list of names that stands at `i`. */
+static bool read_regions(const struct unpacked *items, size_t i,
+			 char ***regions, size_t *n_regions)
 {
 	struct unpacked names;
 	char *name;
-	size_t i;
+	size_t at;
 
-	if (items->n <= ROUTE_REGIONS)
-		return true;
-	if (!read_array(items, ROUTE_REGIONS, &names))
+	if (!read_array(items, i, &names))
 		return false;
-	for (i = 0; i < names.n; i++) {
-		if (!read_text(&names, i, &name))
+	for (at = 0; at < names.n; at++) {
+		if (!read_text(&names, at, &name))
 			return false;
-		route_add_region(route, name);
+		document_add_region(regions, n_regions, name);
 		free(name);
 	}
 	return true;
 }
 
+/* Releases before this item know of no regions. */
+static bool read_route_regions(const struct unpacked *items,
+			       struct route *route)
+{
+	return items->n <= ROUTE_REGIONS ||
+	       read_regions(items, ROUTE_REGIONS, &route->regions,
+			    &route->n_regions);
+}
+
 static bool read_route(const struct unpacked *items,
 		       const struct document *document, struct route *route)
 {
@@ -397,27 +404,12 @@
 	return true;
 }
 
-static bool read_holder_regions(const struct unpacked *names,
-				struct document_organisation *organisation)
-{
-	char *name;
-	size_t i;
-
-	for (i = 0; i < names->n; i++) {
-		if (!read_text(names, i, &name))
-			return false;
-		organisation_add_region(organisation, name);
-		free(name);
-	}
-	return true;
-}
-
 /* Releases before this item know of no regions. */
 static bool read_all_holder_regions(const struct unpacked *root,
 				    struct document *document)
 {
+	struct document_organisation *holders = document->organisations;
 	struct unpacked list;
-	struct unpacked names;
 	size_t i;
 
 	if (root->n <= ROOT_HOLDER_REGIONS)
@@ -426,8 +418,8 @@
 	    list.n != document->n_organisations)
 		return false;
 	for (i = 0; i < list.n; i++)
-		if (!read_array(&list, i, &names) ||
-		    !read_holder_regions(&names, &document->organisations[i]))
+		if (!read_regions(&list, i, &holders[i].regions,
+				  &holders[i].n_regions))
 			return false;
 	return true;
 }
--- a/tests/document/t-encoding.c
+++ b/tests/document/t-encoding.c
@@ -47,14 +47,15 @@
 	route->attempts = 3;
 	route_add_split(route, "scribe", 90);
 	route_add_split(route, "desk", 10);
-	route_add_region(route, "north");
-	route_add_region(route, "south");
+	document_add_region(&route->regions, &route->n_regions, "north");
+	document_add_region(&route->regions, &route->n_regions, "south");
 	document_add_organisation(document)->name = xstrdup("yards");
 	document->organisations[0].tier = 1;
 	document_add_key(document, 0, "k1");
 	document_add_key(document, 0, "k2");
 	document_add_organisation(document)->name = xstrdup("board");
-	organisation_add_region(&document->organisations[1], "north");
+	document_add_region(&document->organisations[1].regions,
+			    &document->organisations[1].n_regions, "north");
 	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
 }
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -24,7 +24,7 @@
 	route->goal_ms = 300;
 	route->attempts = 2;
 	route_add_split(route, "desk", 1);
-	route_add_region(route, region);
+	document_add_region(&route->regions, &route->n_regions, region);
 }
 
 /*
@@ -91,7 +91,8 @@
 	holder->name = xstrdup("board");
 	holder->tier = 0;
 	document_add_key(document, 1, BOARD_KEY);
-	organisation_add_region(&document->organisations[1], "north");
+	document_add_region(&document->organisations[1].regions,
+			    &document->organisations[1].n_regions, "north");
 	free(copy);
 	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
