load: a crash that is counted against a request is logged

Each counted crash now leaves a line with the request's fingerprint, the server and whether the request is held.

--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -336,13 +336,20 @@
 	struct request *request = attempt->request;
 	uint64_t server = map_hash_text(attempt->address);
 	int64_t ran_us = now_us - attempt->started_us;
+	enum poison_verdict verdict;
 
 	if (!request->fingerprint)
 		return false;
 	router_share_crash(router, request->fingerprint, server, ran_us,
 			   effects);
-	if (poison_crashed(&router->poison, request->fingerprint, server,
-			   ran_us, now_us) != POISON_HELD)
+	verdict = poison_crashed(&router->poison, request->fingerprint, server,
+				 ran_us, now_us);
+	router_log(request, LOG_INFO, effects,
+		   "event=crash fingerprint=%016llx server=%s ran_ms=%lld "
+		   "held=%d",
+		   (unsigned long long)request->fingerprint, attempt->address,
+		   (long long)(ran_us / 1000), verdict == POISON_HELD);
+	if (verdict != POISON_HELD)
 		return false;
 	router_log(request, LOG_WARN, effects,
 		   "request held: it was running when a second server crashed");
