tests: entry VMs crash server after server with one request (fails)

Real reducers of entry VMs, linked to a group of control VMs, with stand-ins for the backend servers that crash, start again and announce themselves.

--- /dev/null
+++ b/tests/control/entries.c
@@ -0,0 +1,453 @@
+#include "entries.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/alloc.h"
+
+#define SECOND INT64_C(1000000)
+#define CONTROL_VMS 5
+#define WORK_US INT64_C(60000)
+#define SLOTS 16
+
+struct entries_vm {
+	struct entry *entry;
+	uint64_t id;
+	uint64_t linked[CONTROL_VMS]; /* start number of the VM, 0: none */
+	bool cut;
+	int64_t slow_us;
+};
+
+/* A request at a server. */
+struct run {
+	int vm;
+	uint64_t entry; /* id of the VM's process */
+	int server;
+	uint64_t id;
+	int64_t attempt;
+	int64_t ends_us;
+	enum result code;
+	bool crashes;
+};
+
+/* A message from a control VM. */
+struct letter {
+	int vm;
+	uint64_t entry;
+	int from;
+	int64_t at_us;
+	struct bytes body;
+};
+
+static void carry_out(struct entries *entries, int vm, struct effects *effects);
+
+static struct document *read_document(void *data, const char *text, size_t len)
+{
+	struct document *document = document_new();
+	struct route *route = document_add_route(document);
+
+	(void)data;
+	(void)text;
+	(void)len;
+	document->version = 1;
+	document_add_service(document)->name = xstrdup("desk");
+	route->name = xstrdup("read");
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup("/");
+	route->kind = ROUTE_IDEMPOTENT;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->attempts = 1;
+	route_add_split(route, "desk", 1);
+	return document;
+}
+
+static void start_entry(struct entries *entries, int at)
+{
+	struct entries_vm *vm = &entries->vms[at];
+	char name[32];
+	struct entry_options options = { .seed = (uint64_t)at + 1,
+					 .vm = name,
+					 .zone = "z1",
+					 .max_staleness_us = 4500000,
+					 .window_us = 5 * SECOND,
+					 .retry_share = 0.2,
+					 .retry_headroom = 54,
+					 .retry_window_us = 10 * SECOND,
+					 .announce_interval_us = SECOND,
+					 .read_document = read_document };
+
+	g_snprintf(name, sizeof(name), "entry-%d", at);
+	vm->id = ++entries->next_entry;
+	options.self = vm->id;
+	memset(vm->linked, 0, sizeof(vm->linked));
+	vm->entry = entry_new(&options, group_now(entries->group));
+}
+
+static void take_letter(void *data, int from, const struct effect_send *send)
+{
+	struct entries *entries = data;
+	int i;
+
+	for (i = 0; i < entries->n_vms; i++) {
+		const struct entries_vm *vm = &entries->vms[i];
+		struct letter letter = { i, vm->id, from, 0, { 0 } };
+
+		if (vm->id != send->peer || !vm->linked[from])
+			continue;
+		letter.at_us =
+			group_now(entries->group) + GROUP_STEP_US + vm->slow_us;
+		letter.body = bytes_copy(&send->body);
+		g_array_append_val(entries->posts, letter);
+	}
+}
+
+static void deliver(struct entries *entries, const struct letter *letter)
+{
+	struct entries_vm *vm = &entries->vms[letter->vm];
+	struct event_link_message message = { (uint64_t)letter->from + 1,
+					      LINK_FEED, letter->body };
+	struct effects effects;
+
+	if (vm->id != letter->entry || !vm->linked[letter->from])
+		return;
+	effects_init(&effects);
+	entry_link_message(vm->entry, &message, group_now(entries->group),
+			   &effects);
+	carry_out(entries, letter->vm, &effects);
+}
+
+static void deliver_all(struct entries *entries)
+{
+	guint i = 0;
+
+	while (i < entries->posts->len) {
+		struct letter letter =
+			g_array_index(entries->posts, struct letter, i);
+
+		if (letter.at_us > group_now(entries->group)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(entries->posts, i);
+		deliver(entries, &letter);
+		bytes_clear(&letter.body);
+	}
+}
+
+static int server_at(const struct entries *entries, const char *address)
+{
+	int i;
+
+	for (i = 0; i < entries->n_servers; i++)
+		if (!strcmp(entries->servers[i].address, address))
+			return i;
+	g_assert_not_reached();
+}
+
+/* A request's number is the VM's own; its body is part of it. */
+static bool is_crashing(uint64_t request)
+{
+	return request & 1;
+}
+
+static void start_run(struct entries *entries, int vm,
+		      const struct effect_start_attempt *start)
+{
+	int64_t now_us = group_now(entries->group);
+	int at = server_at(entries, start->address);
+	struct entries_server *server = &entries->servers[at];
+	struct run run = { .vm = vm,
+			   .entry = entries->vms[vm].id,
+			   .server = at,
+			   .id = start->id,
+			   .attempt = start->attempt,
+			   .ends_us = now_us + server->work_us,
+			   .code = RESULT_OK };
+
+	if (now_us < server->up_us) {
+		run.code = RESULT_BACKEND_CONNECT;
+		run.ends_us = now_us;
+	} else {
+		run.crashes = is_crashing(start->id);
+		g_array_append_val(server->arrivals, now_us);
+	}
+	g_array_append_val(entries->runs, run);
+}
+
+static void end_run(struct entries *entries, const struct run *run)
+{
+	struct entries_vm *vm = &entries->vms[run->vm];
+	struct event_attempt_ended ended = {
+		.id = run->id,
+		.attempt = run->attempt,
+		.code = run->code,
+		.http_status = run->code == RESULT_OK ? 200 : 0,
+		.sent = run->code != RESULT_BACKEND_CONNECT,
+	};
+	struct effects effects;
+
+	if (vm->id != run->entry)
+		return;
+	effects_init(&effects);
+	entry_attempt_ended(vm->entry, &ended, group_now(entries->group),
+			    &effects);
+	carry_out(entries, run->vm, &effects);
+}
+
+/* All that it runs breaks off; it starts again at its address. */
+static void crash(struct entries *entries, int at)
+{
+	struct entries_server *server = &entries->servers[at];
+	int64_t now_us = group_now(entries->group);
+	guint i;
+
+	server->crashes++;
+	server->started_ms = now_us / 1000;
+	server->sequence = 0;
+	server->up_us = now_us + ENTRIES_RESTART_US;
+	for (i = 0; i < entries->runs->len; i++) {
+		struct run *run = &g_array_index(entries->runs, struct run, i);
+
+		if (run->server != at || run->code)
+			continue;
+		run->code = RESULT_BACKEND_BROKE;
+		run->crashes = false;
+		run->ends_us = now_us;
+	}
+}
+
+static void end_runs(struct entries *entries)
+{
+	int64_t now_us = group_now(entries->group);
+	guint i = 0;
+
+	while (i < entries->runs->len) {
+		struct run run = g_array_index(entries->runs, struct run, i);
+
+		if (run.ends_us > now_us) {
+			i++;
+			continue;
+		}
+		if (run.crashes) {
+			crash(entries, run.server);
+			i = 0;
+			continue;
+		}
+		g_array_remove_index(entries->runs, i);
+		end_run(entries, &run);
+	}
+}
+
+static void take_answer(struct entries *entries,
+			const struct effect_answer *answer)
+{
+	if (answer->code == RESULT_OK)
+		entries->served++;
+	else if (answer->run == RUN_NOT)
+		entries->refused++;
+	else
+		entries->failed++;
+}
+
+static void carry_out(struct entries *entries, int at, struct effects *effects)
+{
+	const struct entries_vm *vm = &entries->vms[at];
+	struct effect *effect;
+
+	while ((effect = effects_take(effects))) {
+		if (effect->kind == EFFECT_START_ATTEMPT)
+			start_run(entries, at, &effect->u.start);
+		else if (effect->kind == EFFECT_ANSWER)
+			take_answer(entries, &effect->u.answer);
+		else if (effect->kind == EFFECT_SEND &&
+			 vm->linked[effect->u.send.peer - 1])
+			group_entry_message(entries->group,
+					    (int)effect->u.send.peer - 1,
+					    vm->id, &effect->u.send.body);
+		effect_free(effect);
+	}
+}
+
+static void set_link(struct entries *entries, int at, int control,
+		     uint64_t start)
+{
+	struct entries_vm *vm = &entries->vms[at];
+	int64_t now_us = group_now(entries->group);
+	struct event_link_up up = { (uint64_t)control + 1, (char *)"vm",
+				    (char *)"z1", NULL, false };
+	struct effects effects;
+
+	effects_init(&effects);
+	if (vm->linked[control]) {
+		vm->linked[control] = 0;
+		group_entry_link(entries->group, control, vm->id, false);
+		entry_link_down(vm->entry, up.peer, now_us, &effects);
+	}
+	vm->linked[control] = start;
+	if (start) {
+		group_entry_link(entries->group, control, vm->id, true);
+		entry_link_up(vm->entry, &up, now_us, &effects);
+	}
+	carry_out(entries, at, &effects);
+}
+
+static void update_links(struct entries *entries, int at)
+{
+	const struct entries_vm *vm = &entries->vms[at];
+	uint64_t start;
+	int control;
+
+	for (control = 0; control < CONTROL_VMS; control++) {
+		start = group_start_number(entries->group, control);
+		if (vm->cut)
+			start = 0;
+		if (start != vm->linked[control])
+			set_link(entries, at, control, start);
+	}
+}
+
+static void announce(struct entries *entries, int at)
+{
+	struct entries_server *server = &entries->servers[at];
+	int64_t now_us = group_now(entries->group);
+	struct registration told = { .service = "desk",
+				     .zone = "z1",
+				     .started_ms = server->started_ms,
+				     .slots = SLOTS };
+	int control = at % CONTROL_VMS;
+
+	if (now_us < server->up_us || now_us - server->announced_us < SECOND)
+		return;
+	while (!group_start_number(entries->group, control))
+		control = (control + 1) % CONTROL_VMS;
+	server->announced_us = now_us;
+	told.sequence = ++server->sequence;
+	g_strlcpy(told.id, server->id, sizeof(told.id));
+	g_strlcpy(told.address, server->address, sizeof(told.address));
+	group_announce(entries->group, control, &told);
+}
+
+void entries_run(struct entries *entries, int64_t us)
+{
+	int64_t until_us = group_now(entries->group) + us;
+	struct effects effects;
+	int i;
+
+	effects_init(&effects);
+	while (group_now(entries->group) < until_us) {
+		group_run(entries->group, GROUP_STEP_US);
+		deliver_all(entries);
+		end_runs(entries);
+		for (i = 0; i < entries->n_servers; i++)
+			announce(entries, i);
+		for (i = 0; i < entries->n_vms; i++) {
+			update_links(entries, i);
+			entry_tick(entries->vms[i].entry,
+				   group_now(entries->group), &effects);
+			carry_out(entries, i, &effects);
+		}
+	}
+}
+
+struct entries *entries_new(int n_vms, int n_servers)
+{
+	struct entries *entries = xcalloc(1, sizeof(*entries));
+	int i;
+
+	entries->group = group_founded(read_document);
+	group_put(entries->group, group_leader(entries->group), 1);
+	entries->n_vms = n_vms;
+	entries->n_servers = n_servers;
+	entries->next_entry = 10000;
+	entries->vms = xcalloc((size_t)n_vms, sizeof(*entries->vms));
+	entries->runs = g_array_new(false, false, sizeof(struct run));
+	entries->posts = g_array_new(false, false, sizeof(struct letter));
+	group_set_sink(entries->group, take_letter, entries);
+	for (i = 0; i < n_servers; i++) {
+		struct entries_server *server = &entries->servers[i];
+
+		g_snprintf(server->address, sizeof(server->address),
+			   "10.1.0.%d:80", i + 1);
+		g_snprintf(server->id, sizeof(server->id), "s%d", i);
+		server->started_ms = 1;
+		server->announced_us = -SECOND;
+		server->work_us = WORK_US;
+		server->arrivals = g_array_new(false, false, sizeof(int64_t));
+	}
+	for (i = 0; i < n_vms; i++)
+		start_entry(entries, i);
+	entries_run(entries, 3 * SECOND);
+	return entries;
+}
+
+void entries_free(struct entries *entries)
+{
+	guint i;
+	int at;
+
+	for (at = 0; at < entries->n_vms; at++)
+		entry_free(entries->vms[at].entry);
+	for (at = 0; at < entries->n_servers; at++)
+		g_array_free(entries->servers[at].arrivals, true);
+	for (i = 0; i < entries->posts->len; i++)
+		bytes_clear(
+			&g_array_index(entries->posts, struct letter, i).body);
+	g_array_free(entries->posts, true);
+	g_array_free(entries->runs, true);
+	group_free(entries->group);
+	free(entries->vms);
+	free(entries);
+}
+
+void entries_ask(struct entries *entries, int vm, const char *body)
+{
+	bool crashing = !strcmp(body, ENTRIES_CRASHING);
+	struct entry_request request = {
+		.name = "r",
+		.host = "a.example",
+		.path = "/1",
+		.body_hash = body,
+	};
+	struct effects effects;
+
+	entries->next_request += 2;
+	request.id = entries->next_request + crashing;
+	effects_init(&effects);
+	entry_submit(entries->vms[vm].entry, &request,
+		     group_now(entries->group), &effects);
+	carry_out(entries, vm, &effects);
+}
+
+void entries_cut(struct entries *entries, int vm, bool cut)
+{
+	entries->vms[vm].cut = cut;
+}
+
+void entries_slow(struct entries *entries, int vm, int64_t us)
+{
+	entries->vms[vm].slow_us = us;
+}
+
+void entries_restart(struct entries *entries, int vm)
+{
+	int control;
+
+	for (control = 0; control < CONTROL_VMS; control++)
+		if (entries->vms[vm].linked[control])
+			group_entry_link(entries->group, control,
+					 entries->vms[vm].id, false);
+	entry_free(entries->vms[vm].entry);
+	start_entry(entries, vm);
+}
+
+int entries_crashes(const struct entries *entries)
+{
+	int crashes = 0;
+	int i;
+
+	for (i = 0; i < entries->n_servers; i++)
+		crashes += entries->servers[i].crashes;
+	return crashes;
+}
--- /dev/null
+++ b/tests/control/entries.h
@@ -0,0 +1,72 @@
+#ifndef TESTS_CONTROL_ENTRIES_H
+#define TESTS_CONTROL_ENTRIES_H
+
+#include <glib.h>
+
+#include "entry/entry.h"
+#include "group.h"
+
+/**
+ * Entry VMs with their links to a group of control VMs, and stand-ins for the
+ * backend servers of one service. Each server announces itself to the control
+ * VMs once a second. Time goes by in the group's steps; a message takes one.
+ */
+
+#define ENTRIES_VMS 128
+#define ENTRIES_SERVERS 16
+
+/** A server's start again after a crash. */
+#define ENTRIES_RESTART_US INT64_C(2000000)
+
+/** The body of requests that crash the server that runs them. */
+#define ENTRIES_CRASHING "crash"
+
+struct entries_server {
+	char address[32];
+	char id[32];
+	int64_t started_ms;
+	int64_t sequence;
+	int64_t announced_us;
+	int64_t up_us;	  /**< it is down before then */
+	int64_t work_us;  /**< how long it takes to run a request */
+	int crashes;	  /**< so far */
+	GArray *arrivals; /**< int64_t, times of requests */
+};
+
+struct entries {
+	struct group *group;
+	int n_vms;
+	int n_servers;
+	struct entries_server servers[ENTRIES_SERVERS];
+	struct entries_vm *vms; /**< n_vms of them */
+	GArray *runs;		/**< requests at servers */
+	GArray *posts;		/**< messages on their way to entry VMs */
+	uint64_t next_entry;
+	uint64_t next_request;
+	int served;
+	int failed;
+	int refused; /**< as not run */
+};
+
+/** The VMs know the document and all servers when this returns. */
+struct entries *entries_new(int n_vms, int n_servers);
+void entries_free(struct entries *entries);
+
+void entries_run(struct entries *entries, int64_t us);
+
+/** A caller sends a request that may be repeated; `body` is its hash. */
+void entries_ask(struct entries *entries, int vm, const char *body);
+
+/** Cut a VM off from all control VMs, or join it again. */
+void entries_cut(struct entries *entries, int vm, bool cut);
+
+/** What control VMs send the VM takes so much longer. */
+void entries_slow(struct entries *entries, int vm, int64_t us);
+
+/** The VM's process ends with all its requests and starts again. */
+void entries_restart(struct entries *entries, int vm);
+
+/** Crashes of all servers so far. */
+int entries_crashes(const struct entries *entries);
+
+#endif
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -74,7 +74,9 @@
 	int to = vm_by_id(group, send->peer);
 	struct event *event;
 
-	if (send->peer >= GROUP_ENTRY_ID)
+	if (send->peer >= GROUP_ENTRY_ID && group->sink)
+		group->sink(group->sink_data, from, send);
+	else if (send->peer >= GROUP_ENTRY_ID)
 		group_note_to_entry(&group->vms[from], send);
 	if (to < 0 || !group->vms[from].linked[to] || group->mute[from][to])
 		return;
@@ -294,6 +296,13 @@
 	}
 }
 
+uint64_t group_start_number(const struct group *group, int at)
+{
+	const struct vm *vm = &group->vms[at];
+
+	return vm->control ? life_of(vm) : 0;
+}
+
 int64_t group_now(const struct group *group)
 {
 	return group->now_us;
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -110,6 +110,10 @@
 void group_register(struct group *group, int vm, const char *id,
 		    int64_t sequence);
 
+/** The same with all that the server says. */
+void group_announce(struct group *group, int vm,
+		    const struct registration *told);
+
 /** A server says goodbye at a VM. */
 void group_unregister(struct group *group, int vm, const char *id);
 
@@ -137,6 +141,20 @@
 /** It was started anew, and has links to all VMs. */
 void group_entry_restart(struct group *group);
 
+/** What VMs send to entry VMs goes to `sink` instead. */
+typedef void group_sink(void *data, int vm, const struct effect_send *send);
+void group_set_sink(struct group *group, group_sink *sink, void *data);
+
+/** An entry VM's link to a VM comes up or goes down. */
+void group_entry_link(struct group *group, int vm, uint64_t entry, bool up);
+
+/** A message of an entry VM to a VM, on LINK_FEED. */
+void group_entry_message(struct group *group, int vm, uint64_t entry,
+			 const struct bytes *body);
+
+/** A number for each start of a VM, 0 while it doesn't run. */
+uint64_t group_start_number(const struct group *group, int vm);
+
 /** Calls to the platform so far. All are answered with `code`. */
 const struct group_call *group_calls(const struct group *group, int *n);
 void group_answer_calls(struct group *group, enum result code);
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -191,22 +191,28 @@
 	group_carry_out(group, at, &effects);
 }
 
+void group_announce(struct group *group, int at,
+		    const struct registration *told)
+{
+	struct effects effects;
+
+	effects_init(&effects);
+	control_register(group->vms[at].control, told, group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+}
+
 void group_register(struct group *group, int at, const char *id,
 		    int64_t sequence)
 {
 	struct registration told = { .started_ms = 100,
 				     .sequence = sequence,
 				     .slots = 4 };
-	struct effects effects;
 
 	g_strlcpy(told.id, id, sizeof(told.id));
 	g_strlcpy(told.address, id, sizeof(told.address));
 	g_strlcpy(told.service, "desk", sizeof(told.service));
 	g_strlcpy(told.zone, "z1", sizeof(told.zone));
-	effects_init(&effects);
-	control_register(group->vms[at].control, &told, group->now_us,
-			 &effects);
-	group_carry_out(group, at, &effects);
+	group_announce(group, at, &told);
 }
 
 const struct group_call *group_calls(const struct group *group, int *n)
--- a/tests/control/group_entry.c
+++ b/tests/control/group_entry.c
@@ -1,5 +1,6 @@
 /*
- * The one entry VM that there is: what it asks and tells, and what it is sent.
+ * The one entry VM that most tests have: what it asks and tells, and what it is
+ * sent. Others have a sink for what is sent to entry VMs.
  */
 #include <stdlib.h>
 
@@ -136,3 +137,40 @@
 {
 	return bytes_copy(&group->vms[at].fetched);
 }
+
+void group_set_sink(struct group *group, group_sink *sink, void *data)
+{
+	group->sink = sink;
+	group->sink_data = data;
+}
+
+void group_entry_link(struct group *group, int at, uint64_t entry, bool up)
+{
+	struct event_link_up told = { entry, (char *)"entry", (char *)"z1",
+				      NULL, true };
+	struct control *control = group->vms[at].control;
+	struct effects effects;
+
+	if (!control)
+		return;
+	effects_init(&effects);
+	if (up)
+		control_link_up(control, &told, group->now_us, &effects);
+	else
+		control_link_down(control, entry, group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+}
+
+void group_entry_message(struct group *group, int at, uint64_t entry,
+			 const struct bytes *body)
+{
+	struct event_link_message message = { entry, LINK_FEED, *body };
+	struct control *control = group->vms[at].control;
+	struct effects effects;
+
+	if (!control)
+		return;
+	effects_init(&effects);
+	control_link_message(control, &message, group->now_us, &effects);
+	group_carry_out(group, at, &effects);
+}
--- a/tests/control/group_state.h
+++ b/tests/control/group_state.h
@@ -69,6 +69,8 @@
 	int64_t forward_bytes_max;
 	group_reader *read_document;
 	int64_t reading_us;
+	group_sink *sink;
+	void *sink_data;
 };
 
 /** The entry VM; further ones have the ids behind. */
