load: a server that starts again counts as another one in the quarantine

What callers saw: a request that crashes its server is sent on to a server that it has crashed before and that has started again at its address, as often as the caller sends it.

Cause: a crash was counted by the server's address, and crashes of one server count once, as one crash ends several requests and reaches a VM more than once.

--- a/libfilberthall/load/poison.h
+++ b/libfilberthall/load/poison.h
@@ -51,7 +51,8 @@
 
 /**
  * Records that a server crashed while it ran the request, `ran_us` after the
- * request's start. Crashes of the same server count once.
+ * request's start. `server` stands for one start of a server, whose crash
+ * counts once.
  */
 enum poison_verdict poison_crashed(struct poison *poison, uint64_t fingerprint,
 				   uint64_t server, int64_t ran_us,
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -103,6 +103,8 @@
 		request->class->running++;
 	memcpy(attempt->address, backend->address, sizeof(attempt->address));
 	memcpy(request->address, backend->address, sizeof(request->address));
+	attempt->server = map_hash_text(backend->address) * 31 +
+			  map_hash_text(backend->boot_id);
 	attempt->started_us = now_us;
 	attempt->base = request->spec.stream ? request->delivered : 0;
 	attempt->work = request->entry.cost;
@@ -334,7 +336,7 @@
 				 struct effects *effects)
 {
 	struct request *request = attempt->request;
-	uint64_t server = map_hash_text(attempt->address);
+	uint64_t server = attempt->server;
 	int64_t ran_us = now_us - attempt->started_us;
 	enum poison_verdict verdict;
 
--- a/libfilberthall/load/share_message.h
+++ b/libfilberthall/load/share_message.h
@@ -20,7 +20,7 @@
 
 struct share_crash {
 	uint64_t fingerprint;
-	uint64_t server;
+	uint64_t server; /**< hash of its address and start */
 	int64_t ran_us;
 };
 
