load: a request that was held for a short time is held for good after a third crash

A request that crashes its servers at different points of its run is held for half a minute only, as two crashes may be a coincidence. When that was over both crashes were forgotten: a request that waits before it runs could crash two more servers each half minute.

The crashes are now kept for the length of the quarantine, up to three of them; the third one quarantines the request.

--- a/libfilberthall/load/poison.c
+++ b/libfilberthall/load/poison.c
@@ -8,10 +8,10 @@
 struct poison_entry {
 	struct map_node node;
 	uint64_t fingerprint;
-	uint64_t server; /* of the first crash */
-	int64_t ran_us;	 /* until the first crash */
-	int64_t state_expires_us;
-	bool held;
+	struct poison_crash crashes[POISON_CRASHES]; /* earliest first */
+	int n;
+	int64_t held_until_us;
+	int64_t expires_us; /* all of it is forgotten then */
 };
 
 static bool poison_match(const struct map_node *node, const void *key)
@@ -59,14 +59,14 @@
 	if (!node)
 		return NULL;
 	entry = container_of(node, struct poison_entry, node);
-	if (now_us < entry->state_expires_us)
+	if (now_us < entry->expires_us)
 		return entry;
 	poison_drop(poison, entry);
 	return NULL;
 }
 
-static void poison_add(struct poison *poison, uint64_t fingerprint,
-		       uint64_t server, int64_t ran_us, int64_t now_us)
+static struct poison_entry *poison_add(struct poison *poison,
+				       uint64_t fingerprint)
 {
 	struct poison_entry *entry;
 
@@ -77,36 +77,73 @@
 	}
 	entry = xcalloc(1, sizeof(*entry));
 	entry->fingerprint = fingerprint;
-	entry->server = server;
-	entry->ran_us = ran_us;
-	entry->state_expires_us = now_us + POISON_SUSPECT_US;
 	map_insert(&poison->entries, &entry->node, fingerprint);
+	return entry;
+}
+
+static bool entry_has(const struct poison_entry *entry, uint64_t server)
+{
+	int i;
+
+	for (i = 0; i < entry->n; i++)
+		if (entry->crashes[i].server == server)
+			return true;
+	return false;
+}
+
+/* Reports of crashes may arrive in another order than the crashes. */
+static void entry_insert(struct poison_entry *entry,
+			 const struct poison_crash *crash)
+{
+	int i = entry->n++;
+
+	for (; i > 0 && entry->crashes[i - 1].at_us > crash->at_us; i--)
+		entry->crashes[i] = entry->crashes[i - 1];
+	entry->crashes[i] = *crash;
+}
+
+static bool entry_same_point(const struct poison_entry *entry)
+{
+	return (double)entry->crashes[1].ran_us >=
+	       (double)entry->crashes[0].ran_us * POISON_SAME_POINT;
+}
+
+static void entry_decide(struct poison_entry *entry)
+{
+	int64_t at_us = entry->crashes[entry->n - 1].at_us;
+
+	entry->expires_us = at_us + (entry->n < 2 ? POISON_SUSPECT_US
+						  : POISON_QUARANTINE_US);
+	if (entry->n == POISON_CRASHES)
+		entry->held_until_us = entry->expires_us;
+	else if (entry->n == 2)
+		entry->held_until_us =
+			at_us + (entry_same_point(entry) ? POISON_QUARANTINE_US
+							 : POISON_HOLD_US);
+}
+
+static enum poison_verdict entry_verdict(const struct poison_entry *entry,
+					 int64_t now_us)
+{
+	return now_us < entry->held_until_us ? POISON_HELD : POISON_SUSPECT;
 }
 
 enum poison_verdict poison_crashed(struct poison *poison, uint64_t fingerprint,
-				   uint64_t server, int64_t ran_us,
+				   const struct poison_crash *crash,
 				   int64_t now_us)
 {
 	struct poison_entry *entry;
-	bool same_point;
 
 	if (!fingerprint)
 		return POISON_CLEAR;
 	entry = poison_find(poison, fingerprint, now_us);
-	if (!entry) {
-		poison_add(poison, fingerprint, server, ran_us, now_us);
-		return POISON_SUSPECT;
+	if (!entry)
+		entry = poison_add(poison, fingerprint);
+	if (entry->n < POISON_CRASHES && !entry_has(entry, crash->server)) {
+		entry_insert(entry, crash);
+		entry_decide(entry);
 	}
-	if (entry->server == server)
-		return entry->held ? POISON_HELD : POISON_SUSPECT;
-	same_point =
-		(double)ran_us >= (double)entry->ran_us * POISON_SAME_POINT;
-	if (same_point || !entry->held)
-		entry->state_expires_us =
-			now_us +
-			(same_point ? POISON_QUARANTINE_US : POISON_HOLD_US);
-	entry->held = true;
-	return POISON_HELD;
+	return entry_verdict(entry, now_us);
 }
 
 enum poison_verdict poison_check(struct poison *poison, uint64_t fingerprint,
@@ -117,9 +154,7 @@
 	if (!fingerprint)
 		return POISON_CLEAR;
 	entry = poison_find(poison, fingerprint, now_us);
-	if (!entry)
-		return POISON_CLEAR;
-	return entry->held ? POISON_HELD : POISON_SUSPECT;
+	return entry ? entry_verdict(entry, now_us) : POISON_CLEAR;
 }
 
 void poison_forget(struct poison *poison, uint64_t fingerprint)
--- a/libfilberthall/load/poison.h
+++ b/libfilberthall/load/poison.h
@@ -24,6 +24,8 @@
  * each time. A request that ran long on its first server and had just started
  * on the second is held for only half a minute, so that a resend soon succeeds.
  *
+ * After that the first crash of a third server quarantines it.
+ *
  * The quarantine lasts longer than callers' retries, and an operator has time
  * to see it.
  */
@@ -33,10 +35,20 @@
 #define POISON_HOLD_US INT64_C(30000000)
 #define POISON_SAME_POINT 0.5
 
+/** Crashes that are kept of a request; with so many it is quarantined. */
+#define POISON_CRASHES 3
+
 enum poison_verdict {
 	POISON_CLEAR,	/**< nothing known */
-	POISON_SUSPECT, /**< in one crash: may run, isolated from others */
-	POISON_HELD	/**< in two crashes: must not run now */
+	POISON_SUSPECT, /**< in a crash, not held: may run */
+	POISON_HELD	/**< in two crashes or more: must not run now */
+};
+
+/** A crash of a server while it ran a request. */
+struct poison_crash {
+	uint64_t server; /**< hash of one start of a server */
+	int64_t ran_us;	 /**< from the request's start to the crash */
+	int64_t at_us;	 /**< when it was, by this VM's monotonic clock */
 };
 
 struct poison {
@@ -50,12 +62,11 @@
 uint64_t poison_fingerprint(const char *organisation, const char *body_hash);
 
 /**
- * Records that a server crashed while it ran the request, `ran_us` after the
- * request's start. `server` stands for one start of a server, whose crash
- * counts once.
+ * Records a crash. It counts once, however often it is recorded. Returns the
+ * verdict on the request as of now.
  */
 enum poison_verdict poison_crashed(struct poison *poison, uint64_t fingerprint,
-				   uint64_t server, int64_t ran_us,
+				   const struct poison_crash *crash,
 				   int64_t now_us);
 
 enum poison_verdict poison_check(struct poison *poison, uint64_t fingerprint,
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -336,21 +336,21 @@
 				 struct effects *effects)
 {
 	struct request *request = attempt->request;
-	uint64_t server = attempt->server;
-	int64_t ran_us = now_us - attempt->started_us;
+	struct poison_crash crash = { attempt->server,
+				      now_us - attempt->started_us, now_us };
 	enum poison_verdict verdict;
 
 	if (!request->fingerprint)
 		return false;
-	router_share_crash(router, request->fingerprint, server, ran_us,
-			   effects);
-	verdict = poison_crashed(&router->poison, request->fingerprint, server,
-				 ran_us, now_us);
+	router_share_crash(router, request->fingerprint, crash.server,
+			   crash.ran_us, effects);
+	verdict = poison_crashed(&router->poison, request->fingerprint, &crash,
+				 now_us);
 	router_log(request, LOG_INFO, effects,
 		   "event=crash fingerprint=%016llx server=%s ran_ms=%lld "
 		   "held=%d",
 		   (unsigned long long)request->fingerprint, attempt->address,
-		   (long long)(ran_us / 1000), verdict == POISON_HELD);
+		   (long long)(crash.ran_us / 1000), verdict == POISON_HELD);
 	if (verdict != POISON_HELD)
 		return false;
 	router_log(request, LOG_WARN, effects,
--- a/libfilberthall/load/router_share.c
+++ b/libfilberthall/load/router_share.c
@@ -286,10 +286,12 @@
 {
 	const struct message *message = data;
 	struct router *router = message->router;
+	struct poison_crash told = { crash->server, crash->ran_us,
+				     message->now_us };
 
 	if (router->options.features.poison)
-		poison_crashed(&router->poison, crash->fingerprint,
-			       crash->server, crash->ran_us, message->now_us);
+		poison_crashed(&router->poison, crash->fingerprint, &told,
+			       message->now_us);
 }
 
 enum result router_message(struct router *router, uint64_t peer,
--- /dev/null
+++ b/tests/load/t-poison.c
@@ -0,0 +1,59 @@
+#include <glib.h>
+
+#include "load/poison.h"
+
+#define SECOND INT64_C(1000000)
+#define REQUEST 42
+
+static enum poison_verdict crash(struct poison *poison, uint64_t server,
+				 int64_t ran_us, int64_t now_us)
+{
+	struct poison_crash crash = { server, ran_us, now_us };
+
+	return poison_crashed(poison, REQUEST, &crash, now_us);
+}
+
+/* One crash that is told twice counts as two. */
+static void test_told_twice(void)
+{
+	struct poison poison;
+
+	poison_init(&poison);
+	g_assert_cmpint(crash(&poison, 1, 1000, SECOND), ==, POISON_SUSPECT);
+	g_assert_cmpint(crash(&poison, 1, 1000, 2 * SECOND), ==,
+			POISON_SUSPECT);
+	g_assert_cmpint(crash(&poison, 2, 1000, 3 * SECOND), ==, POISON_HELD);
+	poison_clear(&poison);
+}
+
+/* Each time a short hold ends, the request crashes two more servers. */
+static void test_after_hold(void)
+{
+	struct poison poison;
+	int64_t now_us = SECOND;
+
+	poison_init(&poison);
+	crash(&poison, 1, SECOND, now_us);
+	g_assert_cmpint(crash(&poison, 2, SECOND / 10, now_us), ==,
+			POISON_HELD);
+	now_us += POISON_HOLD_US;
+	g_assert_cmpint(poison_check(&poison, REQUEST, now_us), ==,
+			POISON_SUSPECT);
+	g_assert_cmpint(crash(&poison, 3, SECOND / 10, now_us), ==,
+			POISON_HELD);
+	now_us += POISON_HOLD_US;
+	g_assert_cmpint(poison_check(&poison, REQUEST, now_us), ==,
+			POISON_HELD);
+	now_us += POISON_QUARANTINE_US;
+	g_assert_cmpint(poison_check(&poison, REQUEST, now_us), ==,
+			POISON_CLEAR);
+	poison_clear(&poison);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/poison/told-twice", test_told_twice);
+	g_test_add_func("/poison/after-hold", test_after_hold);
+	return g_test_run();
+}
