load: suspects don't push requests that are held out of the quarantine

A few dozen crashes within five minutes pushed out the oldest entries, also those of requests that had crashed two servers. Now the oldest suspect goes first. t-poison/many-suspects fails before.

--- a/libfilberthall/load/poison.c
+++ b/libfilberthall/load/poison.c
@@ -65,16 +65,32 @@
 	return NULL;
 }
 
+/* Make room: the oldest suspect goes, or the oldest if all are held. */
+static void poison_evict(struct poison *poison)
+{
+	struct poison_entry *oldest = NULL;
+	struct poison_entry *entry;
+	struct poison_entry *next;
+
+	map_foreach(entry, next, &poison->entries, node) {
+		if (!oldest)
+			oldest = entry;
+		if (entry->n > 1)
+			continue;
+		oldest = entry;
+		break;
+	}
+	if (oldest)
+		poison_drop(poison, oldest);
+}
+
 static struct poison_entry *poison_add(struct poison *poison,
 				       uint64_t fingerprint)
 {
 	struct poison_entry *entry;
 
-	if (poison->entries.count >= POISON_ENTRIES) {
-		entry = container_of(poison->entries.order.next,
-				     struct poison_entry, node.order);
-		poison_drop(poison, entry);
-	}
+	if (poison->entries.count >= POISON_ENTRIES)
+		poison_evict(poison);
 	entry = xcalloc(1, sizeof(*entry));
 	entry->fingerprint = fingerprint;
 	map_insert(&poison->entries, &entry->node, fingerprint);
--- a/tests/load/t-poison.c
+++ b/tests/load/t-poison.c
@@ -50,10 +50,29 @@
 	poison_clear(&poison);
 }
 
+/* Suspects of a large outage push a request that is held out of the table. */
+static void test_many_suspects(void)
+{
+	struct poison_crash one = { 7, 1000, SECOND };
+	struct poison poison;
+	uint64_t i;
+
+	poison_init(&poison);
+	crash(&poison, 1, 1000, SECOND);
+	crash(&poison, 2, 1000, SECOND);
+	for (i = 0; i < 2 * POISON_ENTRIES; i++)
+		poison_crashed(&poison, 1000 + i, &one, SECOND);
+	g_assert_cmpint(poison_check(&poison, REQUEST, SECOND), ==,
+			POISON_HELD);
+	g_assert_cmpuint(poison.entries.count, <=, POISON_ENTRIES);
+	poison_clear(&poison);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/poison/told-twice", test_told_twice);
 	g_test_add_func("/poison/after-hold", test_after_hold);
+	g_test_add_func("/poison/many-suspects", test_many_suspects);
 	return g_test_run();
 }
