load: a request that lately ran well isn't held for the crash of a server

Requests are recognised by organisation, path and body, and many callers may send the same one. On one VM that was rare; counted over all VMs it would be common.

A success now excuses the request from the crash of one server, however many runs that ended. A request that crashes its servers never succeeds, so nothing changes for it. t-poison/ran-well guards against it.

--- a/libfilberthall/load/poison.c
+++ b/libfilberthall/load/poison.c
@@ -22,6 +22,7 @@
 
 void poison_init(struct poison *poison)
 {
+	*poison = (struct poison){ 0 };
 	map_init(&poison->entries);
 }
 
@@ -173,12 +174,35 @@
 	return entry ? entry_verdict(entry, now_us) : POISON_CLEAR;
 }
 
-void poison_forget(struct poison *poison, uint64_t fingerprint)
+static struct poison_success *success_slot(struct poison *poison,
+					   uint64_t fingerprint)
+{
+	return &poison->successes[map_hash(&fingerprint, sizeof(fingerprint)) %
+				  POISON_SUCCESSES];
+}
+
+bool poison_excused(struct poison *poison, uint64_t fingerprint,
+		    uint64_t server, int64_t now_us)
+{
+	struct poison_success *slot = success_slot(poison, fingerprint);
+
+	if (!fingerprint || slot->fingerprint != fingerprint ||
+	    now_us - slot->at_us >= POISON_SUSPECT_US)
+		return false;
+	if (!slot->excused)
+		slot->excused = server;
+	return slot->excused == server;
+}
+
+void poison_succeeded(struct poison *poison, uint64_t fingerprint,
+		      int64_t now_us)
 {
 	struct map_node *node;
 
 	if (!fingerprint)
 		return;
+	*success_slot(poison, fingerprint) =
+		(struct poison_success){ fingerprint, now_us, 0 };
 	node = map_find(&poison->entries, fingerprint, poison_match,
 			&fingerprint);
 	if (node)
--- a/libfilberthall/load/poison.h
+++ b/libfilberthall/load/poison.h
@@ -35,6 +35,9 @@
 #define POISON_HOLD_US INT64_C(30000000)
 #define POISON_SAME_POINT 0.5
 
+/** Requests whose last success is known; a new one replaces another. */
+#define POISON_SUCCESSES 1024
+
 /** Crashes that are kept of a request; with so many it is quarantined. */
 #define POISON_CRASHES 3
 
@@ -51,8 +54,15 @@
 	int64_t at_us;	 /**< when it was, by this VM's monotonic clock */
 };
 
+struct poison_success {
+	uint64_t fingerprint;
+	int64_t at_us;
+	uint64_t excused; /**< server whose crash doesn't count, 0 for none */
+};
+
 struct poison {
 	struct map entries;
+	struct poison_success successes[POISON_SUCCESSES];
 };
 
 void poison_init(struct poison *poison);
@@ -72,7 +82,17 @@
 enum poison_verdict poison_check(struct poison *poison, uint64_t fingerprint,
 				 int64_t now_us);
 
-/** Clears a request that ran to its end without a crash. */
-void poison_forget(struct poison *poison, uint64_t fingerprint);
+/**
+ * Whether a crash doesn't count against the request, which lately ran to its
+ * end: many callers may send the same harmless request, and some of them run on
+ * each server that crashes. True for the crash of one server after each
+ * success.
+ */
+bool poison_excused(struct poison *poison, uint64_t fingerprint,
+		    uint64_t server, int64_t now_us);
+
+/** A request ran to its end without a crash. */
+void poison_succeeded(struct poison *poison, uint64_t fingerprint,
+		      int64_t now_us);
 
 #endif
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -340,7 +340,9 @@
 				      now_us - attempt->started_us, now_us };
 	enum poison_verdict verdict;
 
-	if (!request->fingerprint)
+	if (!request->fingerprint ||
+	    poison_excused(&router->poison, request->fingerprint, crash.server,
+			   now_us))
 		return false;
 	router_share_crash(router, request->fingerprint, crash.server,
 			   crash.ran_us, effects);
@@ -378,7 +380,7 @@
 				     true_cost - request->entry.cost);
 	}
 	preempt_earn(&router->preempt, tokens, now_us);
-	poison_forget(&router->poison, request->fingerprint);
+	poison_succeeded(&router->poison, request->fingerprint, now_us);
 	request_end(router, request, RESULT_OK, ended, now_us, effects);
 }
 
--- a/tests/load/t-poison.c
+++ b/tests/load/t-poison.c
@@ -68,11 +68,36 @@
 	poison_clear(&poison);
 }
 
+/* A harmless request that many callers send is held after two crashes. */
+static void test_ran_well(void)
+{
+	struct poison poison;
+
+	poison_init(&poison);
+	poison_succeeded(&poison, REQUEST, SECOND);
+	g_assert_true(poison_excused(&poison, REQUEST, 1, 2 * SECOND));
+	g_assert_true(poison_excused(&poison, REQUEST, 1, 2 * SECOND));
+	g_assert_false(poison_excused(&poison, REQUEST, 2, 2 * SECOND));
+	poison_succeeded(&poison, REQUEST, SECOND);
+	g_assert_true(poison_excused(&poison, REQUEST, 2, SECOND));
+	poison_succeeded(&poison, REQUEST, SECOND);
+	g_assert_false(poison_excused(&poison, REQUEST, 3,
+				      SECOND + POISON_SUSPECT_US));
+	g_assert_false(poison_excused(&poison, 0, 1, SECOND));
+	crash(&poison, 1, 1000, SECOND);
+	crash(&poison, 2, 1000, SECOND);
+	poison_succeeded(&poison, REQUEST, 2 * SECOND);
+	g_assert_cmpint(poison_check(&poison, REQUEST, 2 * SECOND), ==,
+			POISON_CLEAR);
+	poison_clear(&poison);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/poison/told-twice", test_told_twice);
 	g_test_add_func("/poison/after-hold", test_after_hold);
 	g_test_add_func("/poison/many-suspects", test_many_suspects);
+	g_test_add_func("/poison/ran-well", test_ran_well);
 	return g_test_run();
 }
