core, load: a VM whose link comes up is told of the crashes so far

Where daemons have links to each other, a crash under a request is told once, when it happens. A VM that starts again, or was cut off at that moment, never hears of it and sends the request to two more servers.

When a link comes up each side now tells all it knows, with the age of each crash, so that repeating it doesn't make a quarantine longer. The age is a new item at the end of the message; releases before read over it. t-site/crashes-told fails before: the VM that was cut off sends the request.

--- a/libfilberthall/core/peers.c
+++ b/libfilberthall/core/peers.c
@@ -69,6 +69,8 @@
 		 up->name ? up->name : "?");
 	raft_peer_up(core->raft, up->peer, core->now_us, core->effects);
 	gossip_send_all_backends(core, up->peer);
+	router_tell_crashes(core->router, up->peer, core->now_us,
+			    core->effects);
 	peers_update_router(core);
 }
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -222,6 +222,10 @@
 bool router_merge_crashes(struct router *router,
 			  const struct poison_report *report, int64_t now_us);
 
+/** Tells a daemon whose link came up of all crashes, on LINK_SHARE. */
+void router_tell_crashes(const struct router *router, uint64_t peer,
+			 int64_t now_us, struct effects *effects);
+
 /** Calls `visit` for each request under which a server crashed. */
 void router_visit_crashes(const struct router *router, int64_t now_us,
 			  void (*visit)(void *data,
--- a/libfilberthall/load/share_message.c
+++ b/libfilberthall/load/share_message.c
@@ -89,11 +89,12 @@
 	msgpack_packer packer;
 
 	pack_init(&packer, &out);
-	msgpack_pack_array(&packer, 4);
+	msgpack_pack_array(&packer, 5);
 	msgpack_pack_int(&packer, SHARE_CRASH);
 	msgpack_pack_uint64(&packer, crash->fingerprint);
 	msgpack_pack_uint64(&packer, crash->server);
 	msgpack_pack_int64(&packer, crash->ran_us);
+	msgpack_pack_int64(&packer, crash->age_us);
 	return out;
 }
 
@@ -219,6 +220,9 @@
 	crash.fingerprint = row_uint(row);
 	crash.server = row_uint(row);
 	crash.ran_us = row_int(row);
+	/* Releases before this item tell of a crash only when it happens. */
+	if (row->at < row->array->size)
+		crash.age_us = row_int(row);
 	if (!row->bad && reader->crash)
 		reader->crash(reader->data, &crash);
 	return !row->bad;
--- a/libfilberthall/load/share_message.h
+++ b/libfilberthall/load/share_message.h
@@ -14,7 +14,7 @@
  *	     concurrent, requests, limit]...]]		demand
  *	[2, [[pool, slots, offset, total, pressured_tier]...], [[organisation,
  *	     rate_fraction, concurrent]...]]		grants
- *	[3, fingerprint, server, ran_us]		a crash
+ *	[3, fingerprint, server, ran_us, age_us]	a crash
  */
 enum share_kind { SHARE_DEMAND = 1, SHARE_GRANT = 2, SHARE_CRASH = 3 };
 
@@ -22,6 +22,7 @@
 	uint64_t fingerprint;
 	uint64_t server; /**< hash of its address and start */
 	int64_t ran_us;
+	int64_t age_us; /**< since the crash */
 };
 
 /** A message under construction: two lists of rows. */
--- a/tests/core/site.c
+++ b/tests/core/site.c
@@ -52,7 +52,7 @@
 	site_give(site, to, event);
 }
 
-static void site_link(struct site *site, int a, int b)
+void site_link(struct site *site, int a, int b)
 {
 	struct event *event = event_new(EVENT_LINK_UP);
 	char name[16];
--- a/tests/core/site.h
+++ b/tests/core/site.h
@@ -54,6 +54,9 @@
 /** Cut one daemon off from all others, or reconnect it. */
 void site_cut(struct site *site, int daemon, bool cut);
 
+/** The link from one daemon to another comes up, at the first one's end. */
+void site_link(struct site *site, int a, int b);
+
 /** Announce an engine or service (model NULL) to one daemon. */
 void site_announce(struct site *site, int daemon, const char *address,
 		   const char *model, const char *service);
--- a/tests/core/t-site.c
+++ b/tests/core/t-site.c
@@ -441,6 +441,33 @@
 	site_free(&site);
 }
 
+/* A VM that was cut off while two servers crashed sends the request on. */
+static void crashes_are_told_when_a_link_comes_up(void)
+{
+	struct site site;
+	uint64_t id;
+
+	test_start(&site, 3);
+	site_announce(&site, 0, "127.0.0.1:9002", "base", NULL);
+	site_announce(&site, 2, "127.0.0.1:9003", "base", NULL);
+	site_run(&site, 100);
+	site_cut(&site, 2, true);
+	id = site_chat(&site, 0, NULL);
+	site_await(&site, 0, EFFECT_START_ATTEMPT, id);
+	site_end_attempt(&site, 0, id, 1, RESULT_BACKEND_BROKE, NULL);
+	site_run(&site, 1000);
+	site_end_attempt(&site, 0, id, 2, RESULT_BACKEND_BROKE, NULL);
+	g_assert_cmpint(site_await(&site, 0, EFFECT_ANSWER, id)->u.answer.code,
+			==, RESULT_POISON);
+	site_cut(&site, 2, false);
+	site_run(&site, 1000);
+	site_link(&site, 0, 2);
+	id = site_chat(&site, 2, NULL);
+	g_assert_cmpint(site_await(&site, 2, EFFECT_ANSWER, id)->u.answer.code,
+			==, RESULT_POISON);
+	site_free(&site);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -464,5 +491,7 @@
 	g_test_add_func("/site/second-stop", a_second_request_to_stop_is_final);
 	g_test_add_func("/site/stopped-leader",
 			a_call_to_a_stopped_leader_ends);
+	g_test_add_func("/site/crashes-told",
+			crashes_are_told_when_a_link_comes_up);
 	return g_test_run();
 }
--- a/tests/load/t-share.c
+++ b/tests/load/t-share.c
@@ -142,7 +142,7 @@
 				       .slots = 12,
 				       .demand = { 1, 2, 3, 4 },
 				       .pressured_tier = 2 };
-	struct share_crash crash = { UINT64_MAX, 7, 99 };
+	struct share_crash crash = { UINT64_MAX, 7, 99, 12 };
 	struct heard heard = { 0 };
 	struct share_reader reader = { .demand = take_demand,
 				       .crash = take_crash,
@@ -165,6 +165,7 @@
 	g_assert_cmpint(share_read(&body, &reader), ==, RESULT_OK);
 	g_assert_cmpuint(heard.crash.fingerprint, ==, UINT64_MAX);
 	g_assert_cmpint(heard.crash.ran_us, ==, 99);
+	g_assert_cmpint(heard.crash.age_us, ==, 12);
 	bytes_clear(&body);
 }
 
