platform, entry: a limit that a backend server names is read and logged

The platform's header becomes a field of a server's answer, requests a second from all VMs together; an entry VM keeps it with the server's registration and logs each change. An answer from another server at that address (421) says nothing of it, and one that isn't signed doesn't end it. No decision depends on it yet.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -44,11 +44,14 @@
 struct dialect_answer {
 	bool signed_off; /**< it says that the server ran the request */
 	bool not_run;	 /**< it says that the server didn't, and won't */
+	bool elsewhere;	 /**< not by the server that was meant */
 	bool encoded;	 /**< the body isn't the server's own bytes */
 	bool has_load;	 /**< the three below are set */
 	int64_t running;
 	int64_t waiting;
 	int64_t slots;
+	bool has_limit;	    /**< the next one is set */
+	double limit_per_s; /**< requests that it takes from all VMs together */
 };
 
 /** A call to a control VM. */
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -171,13 +171,22 @@
 		relay_drop(daemon, node);
 }
 
-static void on_load(void *data, const char *address,
-		    const struct dialect_answer *answer)
+/* An answer that neither vouches nor rejects says nothing of a limit's end. */
+static void on_state(void *data, const char *address,
+		     const struct dialect_answer *answer)
 {
 	struct entry_daemon *daemon = data;
+	int64_t now_us = edge_now_us();
 
-	entry_report_load(daemon->entry, address, answer->running,
-			  answer->waiting, answer->slots, edge_now_us());
+	if (answer->has_load)
+		entry_report_load(daemon->entry, address, answer->running,
+				  answer->waiting, answer->slots, now_us);
+	if (answer->has_limit || answer->signed_off)
+		entry_report_limit(daemon->entry, address,
+				   answer->has_limit ? answer->limit_per_s
+						     : SERVER_LIMIT_NONE,
+				   now_us, &daemon->effects);
+	carry_out_all(daemon);
 }
 
 static void on_request(void *data, struct http_exchange *exchange)
@@ -343,7 +352,7 @@
 	daemon->host.entry = daemon->entry;
 	daemon->host.tokens = on_tokens;
 	daemon->host.ended = on_ended;
-	daemon->host.load = on_load;
+	daemon->host.state = on_state;
 	daemon->host.data = daemon;
 }
 
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -143,8 +143,8 @@
 	bool success = head->status >= 200 && head->status < 300;
 
 	host->dialect->read_answer(head, &answer);
-	if (answer.has_load)
-		host->load(host->data, relay->address, &answer);
+	if (!answer.elsewhere)
+		host->state(host->data, relay->address, &answer);
 	relay->status = head->status;
 	if (answer.not_run)
 		relay->kind = ANSWER_REJECTED;
--- a/daemon/role/relay.h
+++ b/daemon/role/relay.h
@@ -28,8 +28,9 @@
 	struct entry *entry;
 	void (*tokens)(void *data, const struct event_attempt_tokens *tokens);
 	void (*ended)(void *data, const struct event_attempt_ended *ended);
-	void (*load)(void *data, const char *address,
-		     const struct dialect_answer *answer);
+	/** What the server at that address says of itself. */
+	void (*state)(void *data, const char *address,
+		      const struct dialect_answer *answer);
 	void *data;
 };
 
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -8,6 +8,7 @@
 #include "core/event.h"
 #include "document/document.h"
 #include "fleet/region.h"
+#include "fleet/registry.h"
 
 /**
  * State machine of an entry VM. It decides which requests may run, for which
@@ -113,6 +114,13 @@
 		       int64_t running, int64_t waiting, int64_t slots,
 		       int64_t now_us);
 
+/**
+ * The limit that a backend server named with an answer, in requests a second
+ * from all VMs together; SERVER_LIMIT_NONE if it named none.
+ */
+void entry_report_limit(struct entry *entry, const char *address, double per_s,
+			int64_t now_us, struct effects *effects);
+
 /**
  * How long a stopping VM still accepts every new request: the balancer probes
  * once a second and removes a VM after two failed probes. Later requests are
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -150,6 +150,12 @@
 	       known->cold_until_us + REGISTRY_COLD_CHANGE_US;
 }
 
+static void clear_limit(struct registry_entry *entry)
+{
+	entry->limit =
+		(struct server_limit){ SERVER_LIMIT_NONE, INT64_MIN / 2 };
+}
+
 enum registry_outcome registry_update(struct registry *registry,
 				      const struct registration *update,
 				      int64_t contact_us,
@@ -174,6 +180,7 @@
 	       is_colder(known, update, contact_us);
 	if (!known) {
 		known = xcalloc(1, sizeof(*known));
+		clear_limit(known);
 		memcpy(known->registration.id, update->id, sizeof(update->id));
 		known->last_contact_us = contact_us;
 		map_insert(&registry->by_id, &known->node,
@@ -183,6 +190,8 @@
 		set_gone(registry, holder);
 		*replaced = holder;
 	}
+	if (known->registration.started_ms != update->started_ms)
+		clear_limit(known);
 	unindex(registry, known);
 	set_cold(known, update, contact_us);
 	known->registration = *update;
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -39,6 +39,14 @@
 	bool gone;	    /**< this start has ended for good */
 };
 
+/** What a server in need says of the requests that it takes. */
+struct server_limit {
+	double per_s;	  /**< from all VMs together; or SERVER_LIMIT_NONE */
+	int64_t heard_us; /**< when the server said so, own clock */
+};
+
+#define SERVER_LIMIT_NONE (-1.0)
+
 /** The latest registration of a server, and its state here. */
 struct registry_entry {
 	struct map_node node;	      /**< by id */
@@ -51,6 +59,7 @@
 	int64_t last_direct_contact_us; /**< of this VM with the server */
 	int64_t cold_until_us;		/**< end of cold_ms, own clock */
 	bool timed_out; /**< no contact, while others had some */
+	struct server_limit limit;
 };
 
 struct registry {
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -95,12 +95,27 @@
 	g_assert_false(answer.not_run);
 	g_assert_true(answer.has_load);
 	g_assert_cmpint(answer.waiting, ==, 1);
+	g_assert_false(answer.has_limit);
+	http_parse_clear(&parse);
+	platform_read_answer(head_of(&parse, HTTP_RESPONSE,
+				     "HTTP/1.1 503 X\r\nServer-Limit: 1.5\r\n"
+				     "Filberthall-Not-Executed: 1\r\n\r\n"),
+			     &answer);
+	g_assert_true(answer.has_limit);
+	g_assert_cmpfloat(answer.limit_per_s, ==, 1.5);
+	http_parse_clear(&parse);
+	platform_read_answer(head_of(&parse, HTTP_RESPONSE,
+				     "HTTP/1.1 200 X\r\nServer-Limit: -2\r\n"
+				     "\r\n"),
+			     &answer);
+	g_assert_false(answer.has_limit);
 	http_parse_clear(&parse);
 	platform_read_answer(
 		head_of(&parse, HTTP_RESPONSE,
 			"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"),
 		&answer);
 	g_assert_true(answer.not_run);
+	g_assert_true(answer.elsewhere);
 	http_parse_clear(&parse);
 	platform_read_answer(
 		head_of(&parse, HTTP_RESPONSE,
