--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -10,6 +10,7 @@
 #define CONTROL_VMS 5
 #define WORK_US INT64_C(60000)
 #define SLOTS 16
+#define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
 
 struct entries_vm {
 	struct entry *entry;
@@ -17,6 +18,7 @@
 	uint64_t linked[CONTROL_VMS]; /* start number of the VM, 0: none */
 	bool cut[CONTROL_VMS];
 	int64_t slow_us;
+	int64_t offset_us; /* of its clock from the group's */
 };
 
 /* A request at a server. */
@@ -63,6 +65,11 @@
 	return document;
 }
 
+static int64_t vm_now(const struct entries *entries, int at)
+{
+	return group_now(entries->group) + entries->vms[at].offset_us;
+}
+
 static void start_entry(struct entries *entries, int at)
 {
 	struct entries_vm *vm = &entries->vms[at];
@@ -82,7 +89,7 @@
 	vm->id = ++entries->next_entry;
 	options.self = vm->id;
 	memset(vm->linked, 0, sizeof(vm->linked));
-	vm->entry = entry_new(&options, group_now(entries->group));
+	vm->entry = entry_new(&options, vm_now(entries, at));
 }
 
 static void take_letter(void *data, int from, const struct effect_send *send)
@@ -113,7 +120,7 @@
 	if (vm->id != letter->entry || !vm->linked[letter->from])
 		return;
 	effects_init(&effects);
-	entry_link_message(vm->entry, &message, group_now(entries->group),
+	entry_link_message(vm->entry, &message, vm_now(entries, letter->vm),
 			   &effects);
 	carry_out(entries, letter->vm, &effects);
 }
@@ -178,7 +185,9 @@
 
 static void end_run(struct entries *entries, const struct run *run)
 {
+	const struct entries_server *server = &entries->servers[run->server];
 	struct entries_vm *vm = &entries->vms[run->vm];
+	int64_t now_us = vm_now(entries, run->vm);
 	struct event_attempt_ended ended = {
 		.id = run->id,
 		.attempt = run->attempt,
@@ -191,8 +200,10 @@
 	if (vm->id != run->entry)
 		return;
 	effects_init(&effects);
-	entry_attempt_ended(vm->entry, &ended, group_now(entries->group),
-			    &effects);
+	if (run->code == RESULT_OK)
+		entry_report_limit(vm->entry, server->address,
+				   server->limit_per_s, now_us, &effects);
+	entry_attempt_ended(vm->entry, &ended, now_us, &effects);
 	carry_out(entries, run->vm, &effects);
 }
 
@@ -276,7 +287,7 @@
 		     uint64_t start)
 {
 	struct entries_vm *vm = &entries->vms[at];
-	int64_t now_us = group_now(entries->group);
+	int64_t now_us = vm_now(entries, at);
 	struct event_link_up up = { (uint64_t)control + 1, (char *)"vm",
 				    (char *)"z1", NULL, false };
 	struct effects effects;
@@ -346,8 +357,8 @@
 			announce(entries, i);
 		for (i = 0; i < entries->n_vms; i++) {
 			update_links(entries, i);
-			entry_tick(entries->vms[i].entry,
-				   group_now(entries->group), &effects);
+			entry_tick(entries->vms[i].entry, vm_now(entries, i),
+				   &effects);
 			carry_out(entries, i, &effects);
 		}
 	}
@@ -376,10 +387,13 @@
 		server->started_ms = 1;
 		server->announced_us = -SECOND;
 		server->work_us = WORK_US;
+		server->limit_per_s = SERVER_LIMIT_NONE;
 		server->arrivals = g_array_new(false, false, sizeof(int64_t));
 	}
-	for (i = 0; i < n_vms; i++)
+	for (i = 0; i < n_vms; i++) {
+		entries->vms[i].offset_us = CLOCK_STEP_US * i;
 		start_entry(entries, i);
+	}
 	entries_run(entries, 3 * SECOND);
 	return entries;
 }
@@ -417,8 +431,8 @@
 	entries->next_request += 2;
 	request.id = entries->next_request + crashing;
 	effects_init(&effects);
-	entry_submit(entries->vms[vm].entry, &request,
-		     group_now(entries->group), &effects);
+	entry_submit(entries->vms[vm].entry, &request, vm_now(entries, vm),
+		     &effects);
 	carry_out(entries, vm, &effects);
 }
 
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -27,10 +27,11 @@
 	int64_t started_ms;
 	int64_t sequence;
 	int64_t announced_us;
-	int64_t up_us;	  /**< it is down before then */
-	int64_t work_us;  /**< how long it takes to run a request */
-	int crashes;	  /**< so far */
-	GArray *arrivals; /**< int64_t, times of requests */
+	int64_t up_us;	    /**< it is down before then */
+	int64_t work_us;    /**< how long it takes to run a request */
+	int crashes;	    /**< so far */
+	double limit_per_s; /**< that it names, or SERVER_LIMIT_NONE */
+	GArray *arrivals;   /**< int64_t, times of requests */
 };
 
 struct entries {
