load, entry, control: backend servers get no more than the limit that they name

What callers saw: nothing. It was in need, and all that it ran was at risk.

Ruled out: that each VM kept to it by itself, since the server got what it got before, and repeats and probes.

Now the requests of each second of the shared clock are dealt out by a function of the server, the second and a VM's number among the entry VMs, so the parts of all VMs add up to the limit without a message (load/server_limit.h). Control VMs tell each entry VM its number with the answer to its poll. A VM that hears a limit tells the control VMs, which tell the others; when a link comes up either side repeats what it knows, with its age. News from other VMs may make a limit tighter at once, and end it only if this VM wasn't told otherwise in the last 2 s, as a message may be late.

A server without room under its limit is passed over like a full one, so its requests go to other servers; a shared prefix then has its home at the next one in order, on all VMs alike. Where all servers are in need, the slots that the limits leave unused don't count as room, so requests that can't be served in time are refused early.

t-server-limit: at most 11 in any 4 s where 47 came from 7 VMs and 85 from 100, also with a VM cut off or late, VMs and control VMs started again, and all traffic at one VM; no request is refused in place.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -336,6 +336,7 @@
 	} else {
 		roster_up(&control->roster, up->name, up->peer, now_us);
 	}
+	control_number_entry_vms(control);
 	control_welcome(control, peer, now_us, effects);
 }
 
@@ -357,6 +358,7 @@
 		roster_down(&control->roster, id, now_us);
 	}
 	feed_peer_down(&control->peers, peer);
+	control_number_entry_vms(control);
 }
 
 void control_link_message(struct control *control,
@@ -416,7 +418,7 @@
 		.version = control->ledger.version,
 		.voters = members_voters(members),
 		.members = (int)members->count,
-		.entry_vms = control_entry_vms(control),
+		.entry_vms = control->entry_vms,
 		.servers = registry_count_usable(&control->registry),
 		.reported = control->reported,
 		.lists = control->lists,
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -25,15 +25,32 @@
 	bytes_clear(body);
 }
 
-int control_entry_vms(const struct control *control)
+static int compare_id(const void *a, const void *b)
 {
+	uint64_t x = (*(struct feed_peer *const *)a)->id;
+	uint64_t y = (*(struct feed_peer *const *)b)->id;
+
+	return (x > y) - (x < y);
+}
+
+/** Entry VMs are numbered in the order of their ids, alike on control VMs. */
+void control_number_entry_vms(struct control *control)
+{
+	struct feed_peer **entries =
+		xcalloc(control->peers.count + 1, sizeof(*entries));
 	struct feed_peer *peer;
 	struct feed_peer *next;
-	int n = 0;
+	int i;
 
+	control->entry_vms = 0;
 	map_foreach(peer, next, &control->peers, node)
-		n += peer->observer;
-	return n;
+		if (peer->observer)
+			entries[control->entry_vms++] = peer;
+	qsort(entries, (size_t)control->entry_vms, sizeof(struct feed_peer *),
+	      compare_id);
+	for (i = 0; i < control->entry_vms; i++)
+		entries[i]->number = i;
+	free(entries);
 }
 
 static struct feed_state state_now(const struct control *control,
@@ -45,7 +62,8 @@
 		.age_us = fresh_us > INT64_MIN / 8 ? now_us - fresh_us : -1,
 		.version = control->ledger.version,
 		.wall_us = wall_time_us(&control->wall, now_us),
-		.entry_vms = control_entry_vms(control),
+		.entry_vms = control->entry_vms,
+		.number = -1,
 	};
 
 	return state;
@@ -200,8 +218,11 @@
 			struct effects *effects)
 {
 	struct feed_state state = state_now(control, poll->sent_us, now_us);
+	const struct feed_peer *from = feed_peer_find(&control->peers, peer);
 	struct bytes body = { 0 };
 
+	if (from && from->observer)
+		state.number = from->number;
 	feed_write_state(&body, &state);
 	feed_send(effects, peer, &body);
 	bytes_clear(&body);
@@ -339,6 +360,10 @@
 		control_receive_evacuation(control, peer, &message.u.evacuate,
 					   now_us, effects);
 		break;
+	case FEED_LIMIT:
+		control_receive_limit(control, peer, &message.u.limit, now_us,
+				      effects);
+		break;
 	case FEED_CRASHES:
 		control_receive_crashes(control, peer, &message.u.crashes,
 					now_us, effects);
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -48,6 +48,7 @@
 		feed_send(effects, peer->id, &body);
 		bytes_clear(&body);
 	}
+	control_tell_limits_to(control, peer, now_us, effects);
 }
 
 static void write_bundle(struct bytes *out, const struct bytes *packed,
@@ -95,8 +96,10 @@
 		return;
 	body = pack_fleet(control, now_us);
 	map_foreach(peer, next, &control->peers, node) {
-		if (peer->newcomer)
-			feed_send(effects, peer->id, &body);
+		if (!peer->newcomer)
+			continue;
+		feed_send(effects, peer->id, &body);
+		control_tell_limits_to(control, peer, now_us, effects);
 		peer->newcomer = false;
 	}
 	bytes_clear(&body);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -5,6 +5,7 @@
 #include "base/map.h"
 #include "control/control.h"
 #include "control/ledger.h"
+#include "feed/feed.h"
 #include "feed/peers.h"
 #include "load/poison.h"
 #include "usage/begun.h"
@@ -62,6 +63,7 @@
 	struct wall wall;
 	struct poison poison; /**< requests under which servers crashed */
 	struct map peers;     /**< struct feed_peer */
+	int entry_vms;	      /**< of them */
 	struct list proposals;
 	struct list forwarded; /**< struct control_forwarded */
 	struct list reports;
@@ -177,6 +179,14 @@
 			     const struct feed_peer *peer, int64_t now_us,
 			     struct effects *effects);
 
+/* control_limit.c */
+void control_receive_limit(struct control *control, uint64_t id,
+			   const struct feed_limit *told, int64_t now_us,
+			   struct effects *effects);
+void control_tell_limits_to(const struct control *control,
+			    const struct feed_peer *peer, int64_t now_us,
+			    struct effects *effects);
+
 /* control_feed.c */
 
 /** Recipients among the connected daemons. */
@@ -185,7 +195,7 @@
 /** Sends a message to them and frees it. */
 void control_send(struct control *control, enum audience audience,
 		  struct bytes *body, struct effects *effects);
-int control_entry_vms(const struct control *control);
+void control_number_entry_vms(struct control *control);
 void control_welcome(struct control *control, const struct feed_peer *peer,
 		     int64_t now_us, struct effects *effects);
 void control_feed_message(struct control *control, uint64_t peer,
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -62,6 +62,7 @@
 	entry->zone = xstrdup(options->zone);
 	entry->rng.state = options->seed;
 	entry->fresh_as_of_us = INT64_MIN / 2;
+	entry->number = -1;
 	entry->polled_us = INT64_MIN / 2;
 	fetch_init(&entry->fetch);
 	fleet_init(&entry->fleet);
@@ -183,6 +184,7 @@
 		  up->zone);
 	begun_tell_again(&entry->begun);
 	entry_tell_crashes_to(entry, up->peer);
+	entry_tell_limits_to(entry, up->peer);
 	entry_poll(entry);
 }
 
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -104,6 +104,25 @@
 	router_limit_retries(entry->router, &limit);
 }
 
+/*
+ * This VM's part of the limits that servers name goes by its number among the
+ * entry VMs, as the control VM tells that has a link to most of them. One of an
+ * earlier release tells none.
+ */
+static void update_number(struct entry *entry, const struct feed_state *state)
+{
+	struct server_limit_vm vm = { .vms = (int)entry->entry_vms };
+	int64_t wall_us = wall_time_us(&entry->wall, entry->now_us);
+
+	if (state->number >= 0 && state->entry_vms >= entry->entry_vms)
+		entry->number = state->number;
+	vm.number = entry->number < 0
+			    ? (int)(entry->options.self % (uint64_t)vm.vms)
+			    : (int)entry->number;
+	vm.clock_offset_us = wall_us - entry->now_us;
+	router_set_vm(entry->router, &vm);
+}
+
 static void handle_state(struct entry *entry, uint64_t peer,
 			 const struct feed_state *state)
 {
@@ -114,6 +133,8 @@
 	if (state->wall_us)
 		wall_note(&entry->wall, peer, state->wall_us, entry->now_us);
 	update_retry_limit(entry, peer, state->entry_vms);
+	if (entry->entry_vms)
+		update_number(entry, state);
 	fetch_document(entry, &offer);
 	/*
 	 * Counted from when the poll was sent: a withdrawal before the answer
@@ -239,6 +260,9 @@
 	case FEED_EVACUATIONS:
 		entry_handle_evacuations(entry, &message.u.evacuations);
 		break;
+	case FEED_LIMIT:
+		entry_handle_limit(entry, &message.u.limit);
+		break;
 	case FEED_CRASHES:
 		entry_handle_crashes(entry, &message.u.crashes);
 		break;
--- a/libfilberthall/entry/entry_limit.c
+++ b/libfilberthall/entry/entry_limit.c
@@ -1,9 +1,58 @@
 /*
  * Limits that backend servers in need name in their answers: requests a second
- * from all VMs together.
+ * from all VMs together. Control VMs tell them to the other entry VMs.
  */
+#include <math.h>
+
 #include "entry/entry_state.h"
 
+/* A limit that differs by less than this part isn't told to other VMs. */
+#define CHANGE_TOLD 0.1
+
+/* Nor are changes of one server's limit told more often than this. */
+#define TELL_US INT64_C(1000000)
+
+static void apply(struct entry *entry, const struct registry_entry *server)
+{
+	fleet_set_limit(&entry->fleet, server->registration.address,
+			server->limit.per_s);
+	entry_log(entry, LOG_INFO, "server",
+		  "event=limit server=%s address=%s per_s=%.3f heard_ms=%lld",
+		  server->registration.id, server->registration.address,
+		  server->limit.per_s,
+		  (long long)((entry->now_us - server->limit.heard_us) / 1000));
+}
+
+static bool must_tell(const struct entry *entry,
+		      const struct registry_entry *server)
+{
+	double per_s = server->limit.per_s;
+	double told = server->limit_told;
+
+	if ((per_s < 0) != (told < 0))
+		return true;
+	return per_s >= 0 && fabs(per_s - told) > CHANGE_TOLD * told &&
+	       entry->now_us - server->limit_told_us >= TELL_US;
+}
+
+static void write_limit(const struct entry *entry, struct bytes *body,
+			const struct registry_entry *server)
+{
+	struct feed_limit limit = feed_limit_of(server, entry->now_us);
+
+	feed_write_limit(body, &limit);
+}
+
+static void tell(struct entry *entry, struct registry_entry *server)
+{
+	struct bytes body = { 0 };
+
+	write_limit(entry, &body, server);
+	entry_send_all(entry, &body);
+	server->limit_told = server->limit.per_s;
+	server->limit_told_us = entry->now_us;
+}
+
 void entry_report_limit(struct entry *entry, const char *address, double per_s,
 			int64_t now_us, struct effects *effects)
 {
@@ -14,11 +63,39 @@
 	entry->effects = effects;
 	if (!server)
 		return;
-	server->limit.heard_us = now_us;
-	if (server->limit.per_s == per_s)
+	if (registry_hear_limit(server, per_s, now_us))
+		apply(entry, server);
+	if (must_tell(entry, server))
+		tell(entry, server);
+}
+
+void entry_handle_limit(struct entry *entry, const struct feed_limit *told)
+{
+	struct registry_entry *server =
+		registry_find(&entry->registry, told->id);
+
+	if (!server || server->registration.gone ||
+	    server->registration.started_ms != told->started_ms ||
+	    !registry_merge_limit(server, told->per_s,
+				  entry->now_us - told->age_us))
 		return;
-	entry_log(entry, LOG_INFO, "server",
-		  "event=limit server=%s address=%s per_s=%.3f before=%.3f",
-		  server->registration.id, address, per_s, server->limit.per_s);
-	server->limit.per_s = per_s;
+	apply(entry, server);
+	/* It comes from those whom this VM would tell. */
+	server->limit_told = told->per_s;
+}
+
+/** A control VM may have started again and know of none. */
+void entry_tell_limits_to(struct entry *entry, uint64_t peer)
+{
+	struct registry_entry *server;
+	struct registry_entry *next;
+	struct bytes body = { 0 };
+
+	map_foreach(server, next, &entry->registry.by_id, node) {
+		if (server->limit.per_s < 0 || server->registration.gone)
+			continue;
+		write_limit(entry, &body, server);
+		feed_send(entry->effects, peer, &body);
+		bytes_clear(&body);
+	}
 }
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -85,6 +85,8 @@
 	if (registry_entry_usable(registered)) {
 		announce(entry, told);
 		set_cold(entry, registered, registered->cold_until_us);
+		fleet_set_limit(&entry->fleet, told->address,
+				registered->limit.per_s);
 	} else if (!holder || holder == registered) {
 		fleet_retire(&entry->fleet, told->address,
 			     entry->now_us + REGISTRY_TOMBSTONE_US);
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -69,6 +69,7 @@
 	struct list classes;
 	int n_classes;
 	int64_t entry_vms;	   /**< entry VMs that share the retry limit */
+	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
 	bool was_fresh;
@@ -99,6 +100,10 @@
 void entry_send_usage(struct entry *entry);
 void entry_send_all(struct entry *entry, struct bytes *body);
 
+/* entry_limit.c */
+void entry_handle_limit(struct entry *entry, const struct feed_limit *told);
+void entry_tell_limits_to(struct entry *entry, uint64_t peer);
+
 /* entry_crash.c */
 void entry_tell_crash(void *data, const struct poison_report *report);
 void entry_tell_crashes_to(struct entry *entry, uint64_t peer);
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <string.h>
 
 #include "base/alloc.h"
 #include "core/pack.h"
@@ -28,12 +29,13 @@
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 5, FEED_STATE);
+	begin(&packer, out, 6, FEED_STATE);
 	msgpack_pack_int64(&packer, state->echo_us);
 	msgpack_pack_int64(&packer, state->age_us);
 	msgpack_pack_int64(&packer, state->version);
 	msgpack_pack_int64(&packer, state->wall_us);
 	msgpack_pack_int64(&packer, state->entry_vms);
+	msgpack_pack_int64(&packer, state->number);
 }
 
 void feed_write_fetch(struct bytes *out, const struct feed_fetch *fetch)
@@ -280,3 +282,31 @@
 		msgpack_pack_int64(&packer, now_us - crash->at_us);
 	}
 }
+
+/* Thousandths of a request a second. */
+void feed_write_limit(struct bytes *out, const struct feed_limit *limit)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 4, FEED_LIMIT);
+	pack_text(&packer, limit->id);
+	msgpack_pack_int64(&packer, limit->started_ms);
+	msgpack_pack_int64(&packer, limit->per_s < 0
+					    ? -1
+					    : (int64_t)(limit->per_s * 1000));
+	msgpack_pack_int64(&packer, limit->age_us);
+}
+
+struct feed_limit feed_limit_of(const struct registry_entry *registered,
+				int64_t now_us)
+{
+	const struct registration *told = &registered->registration;
+	struct feed_limit limit = {
+		.started_ms = told->started_ms,
+		.per_s = registered->limit.per_s,
+		.age_us = now_us - registered->limit.heard_us,
+	};
+
+	memcpy(limit.id, told->id, sizeof(limit.id));
+	return limit;
+}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -33,7 +33,8 @@
 	FEED_CHANGED,	   /**< leader to control: what became of it */
 	FEED_EVACUATE,	   /**< control to leader: an order for a zone */
 	FEED_EVACUATIONS,  /**< control to entry: zones without new requests */
-	FEED_CRASHES	   /**< to all: servers that ended under a request */
+	FEED_CRASHES,	   /**< to all: servers that ended under a request */
+	FEED_LIMIT	   /**< to all: what a server in need takes */
 };
 
 struct feed_poll {
@@ -48,6 +49,7 @@
 	int64_t version;   /**< of the newest document applied, 0 for none */
 	int64_t wall_us;   /**< wall clock when it was sent */
 	int64_t entry_vms; /**< entry VMs that have a link to it; 0 unknown */
+	int64_t number;	   /**< of the receiver among them; -1 unknown */
 };
 
 struct feed_fetch {
@@ -121,6 +123,14 @@
 	size_t len;
 };
 
+/** What a backend server in need takes, as it told some VM. */
+struct feed_limit {
+	char id[BACKEND_NAME_SIZE];
+	int64_t started_ms;
+	double per_s;	/**< from all VMs together; or SERVER_LIMIT_NONE */
+	int64_t age_us; /**< since the server said so */
+};
+
 struct feed_changed {
 	uint64_t call;
 	int64_t code; /**< enum result */
@@ -150,6 +160,7 @@
 		struct feed_changed changed;
 		struct feed_evacuate evacuate;
 		struct evacuations evacuations;
+		struct feed_limit limit;
 		struct poison_report
 			crashes; /**< times count from its sending */
 	} u;
@@ -203,6 +214,11 @@
 void feed_write_evacuations(struct bytes *out,
 			    const struct evacuations *evacuations);
 
+void feed_write_limit(struct bytes *out, const struct feed_limit *limit);
+
+/** What is known of the registered server's limit. */
+struct feed_limit feed_limit_of(const struct registry_entry *registered,
+				int64_t now_us);
 void feed_write_crashes(struct bytes *out, const struct poison_report *report,
 			int64_t now_us);
 
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -65,9 +65,11 @@
 
 static bool read_state(const struct unpacked *items, struct feed_state *state)
 {
-	/* Releases before this item said nothing of the others. */
+	/* Releases before these items said nothing of the others. */
 	if (!unpack_int(items, 5, &state->entry_vms))
 		state->entry_vms = 0;
+	if (!unpack_int(items, 6, &state->number))
+		state->number = -1;
 	return unpack_int(items, 1, &state->echo_us) &&
 	       unpack_int(items, 2, &state->age_us) &&
 	       unpack_int(items, 3, &state->version) &&
@@ -220,6 +222,20 @@
 	return true;
 }
 
+static bool read_limit(const struct unpacked *items, struct feed_limit *limit)
+{
+	int64_t thousandths;
+
+	if (!read_name(items, 1, limit->id) ||
+	    !unpack_int(items, 2, &limit->started_ms) ||
+	    !unpack_int(items, 3, &thousandths) ||
+	    !unpack_int(items, 4, &limit->age_us) || limit->age_us < 0)
+		return false;
+	limit->per_s = thousandths < 0 ? SERVER_LIMIT_NONE
+				       : (double)thousandths / 1000;
+	return true;
+}
+
 static bool read_crashes(const struct unpacked *items,
 			 struct poison_report *report)
 {
@@ -284,6 +300,8 @@
 		return read_marks(items, &message->u.marks);
 	case FEED_BUNDLE:
 		return read_bundle(items, &message->u.bundle);
+	case FEED_LIMIT:
+		return read_limit(items, &message->u.limit);
 	case FEED_CRASHES:
 		return read_crashes(items, &message->u.crashes);
 	default:
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -14,6 +14,7 @@
 	uint64_t id;
 	bool observer;	   /**< an entry VM */
 	int64_t entry_vms; /**< entry VMs that it has told of */
+	int64_t number;	   /**< an entry VM's among those here */
 	bool fetches;	   /**< waits for the document in force */
 	bool marks;	   /**< understands FEED_MARKS and what came with it */
 	bool welcomed;	   /**< was told of all servers, or is a newcomer */
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -223,6 +223,7 @@
 		health_reset(&backend->health, now_us);
 		backend->drained = false;
 		backend->leaving = false;
+		backend->limited = false;
 	}
 	if (backend_changes_service(backend, announce)) {
 		fleet->version++;
@@ -332,6 +333,16 @@
 	backend->cold_per_s = per_s;
 }
 
+void fleet_set_limit(struct fleet *fleet, const char *address, double per_s)
+{
+	struct backend *backend = fleet_find(fleet, address);
+
+	if (!backend)
+		return;
+	backend->limited = per_s >= 0;
+	backend->limit_per_s = per_s;
+}
+
 bool backend_usable(const struct backend *backend, int64_t now_us)
 {
 	return !backend->leaving && !backend->drained && !backend->evacuated &&
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -88,6 +88,10 @@
 	int64_t cold_until_us; /**< cold before this time */
 	int64_t cold_second;   /**< load/warmup.h: when it was last sent one */
 	int64_t cold_sent;     /**< and how many in that second */
+	bool limited;	       /**< it names a limit (load/server_limit.h) */
+	double limit_per_s;    /**< requests/s from all VMs together */
+	int64_t limit_second;  /**< when it was last sent one */
+	int64_t limit_sent;    /**< and how many in that second */
 	struct backend_own own;
 	struct health health;
 };
@@ -170,6 +174,9 @@
 void fleet_set_cold(struct fleet *fleet, const char *address, int64_t until_us,
 		    double per_s);
 
+/** Set the limit that a server names, in requests/s; negative for none. */
+void fleet_set_limit(struct fleet *fleet, const char *address, double per_s);
+
 /** Count an attempt that was started on the server. */
 void backend_started(struct backend *backend, int64_t prompt_tokens,
 		     double work, bool is_long, int64_t now_us);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -152,8 +152,10 @@
 
 static void clear_limit(struct registry_entry *entry)
 {
-	entry->limit =
-		(struct server_limit){ SERVER_LIMIT_NONE, INT64_MIN / 2 };
+	entry->limit = (struct server_limit){ SERVER_LIMIT_NONE, INT64_MIN / 2,
+					      INT64_MIN / 2 };
+	entry->limit_told = SERVER_LIMIT_NONE;
+	entry->limit_told_us = INT64_MIN / 2;
 }
 
 enum registry_outcome registry_update(struct registry *registry,
@@ -254,6 +256,37 @@
 		    : NULL;
 }
 
+bool registry_hear_limit(struct registry_entry *entry, double per_s,
+			 int64_t now_us)
+{
+	bool changed = entry->limit.per_s != per_s;
+
+	entry->limit = (struct server_limit){ per_s, now_us, now_us };
+	return changed;
+}
+
+/* Whether a VM may send more than before. */
+static bool is_looser(double per_s, double before)
+{
+	return before >= 0 && (per_s < 0 || per_s > before);
+}
+
+bool registry_merge_limit(struct registry_entry *entry, double per_s,
+			  int64_t heard_us)
+{
+	struct server_limit *limit = &entry->limit;
+	bool changed = limit->per_s != per_s;
+
+	if (heard_us <= limit->heard_us)
+		return false;
+	if (is_looser(per_s, limit->per_s) &&
+	    heard_us <= limit->direct_us + SERVER_LIMIT_NEWS_US)
+		return false;
+	limit->per_s = per_s;
+	limit->heard_us = heard_us;
+	return changed;
+}
+
 bool registry_entry_usable(const struct registry_entry *entry)
 {
 	return !entry->registration.gone && !entry->registration.leaving &&
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -41,8 +41,9 @@
 
 /** What a server in need says of the requests that it takes. */
 struct server_limit {
-	double per_s;	  /**< from all VMs together; or SERVER_LIMIT_NONE */
-	int64_t heard_us; /**< when the server said so, own clock */
+	double per_s;	   /**< from all VMs together; or SERVER_LIMIT_NONE */
+	int64_t heard_us;  /**< when the server said so, own clock */
+	int64_t direct_us; /**< when it last said anything to this VM */
 };
 
 #define SERVER_LIMIT_NONE (-1.0)
@@ -60,6 +61,8 @@
 	int64_t cold_until_us;		/**< end of cold_ms, own clock */
 	bool timed_out; /**< no contact, while others had some */
 	struct server_limit limit;
+	double limit_told; /**< what the other VMs know of it */
+	int64_t limit_told_us;
 };
 
 struct registry {
@@ -133,6 +136,21 @@
 /** Whether the server may get new requests. */
 bool registry_entry_usable(const struct registry_entry *entry);
 
+/**
+ * What another VM was told counts against what this VM was told itself only if
+ * that is older by this: messages between VMs may be late, and a limit must
+ * not end by an old one.
+ */
+#define SERVER_LIMIT_NEWS_US INT64_C(2000000)
+
+/** Record the limit that a server named to this VM; true if it is another. */
+bool registry_hear_limit(struct registry_entry *entry, double per_s,
+			 int64_t now_us);
+
+/** The same for what it named to another VM, at `heard_us` by this clock. */
+bool registry_merge_limit(struct registry_entry *entry, double per_s,
+			  int64_t heard_us);
+
 /** Number of servers that may get new requests. */
 int registry_count_usable(const struct registry *registry);
 
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -38,6 +38,8 @@
 	if (warmup_is_cold(backend, now_us) != query->cold ||
 	    (query->cold && !warmup_allows(backend, &query->vm, now_us)))
 		return false;
+	if (!server_limit_allows(backend, &query->place.vm, now_us))
+		return false;
 	if (query->avoid && !strcmp(query->avoid, backend->address))
 		return false;
 	if (query->adapter && *query->adapter &&
--- a/libfilberthall/load/place.c
+++ b/libfilberthall/load/place.c
@@ -65,6 +65,7 @@
 		if (members[i]->for_paced != query->paced ||
 		    !backend_usable(members[i], now_us) ||
 		    warmup_is_cold(members[i], now_us) ||
+		    !server_limit_allows(members[i], &query->vm, now_us) ||
 		    !backend_in_regions(members[i], query->regions) ||
 		    (home && score <= home_score))
 			continue;
--- a/libfilberthall/load/place.h
+++ b/libfilberthall/load/place.h
@@ -6,6 +6,7 @@
 
 #include "fleet/backend.h"
 #include "load/prefix.h"
+#include "load/server_limit.h"
 
 /**
  * Placement of a model's requests when many VMs choose independently.
@@ -62,6 +63,7 @@
 	uint64_t regions;      /**< of servers that may run it; 0: all */
 	uint64_t tie_seed;     /**< seed of the draw among equal servers */
 	const struct prefix_entry *prefix; /**< known holders, or NULL */
+	struct server_limit_vm vm;	   /**< this VM */
 };
 
 /** Rendezvous hash: the server with the highest is the prefix's home. */
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -213,6 +213,11 @@
 		retry_limit(&pool->retry, limit);
 }
 
+void router_set_vm(struct router *router, const struct server_limit_vm *vm)
+{
+	router->vm = *vm;
+}
+
 void router_set_class(struct router *router, const struct class_rule *rule,
 		      int64_t now_us, struct effects *effects)
 {
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -10,6 +10,7 @@
 #include "core/rule.h"
 #include "load/poison.h"
 #include "load/retry.h"
+#include "load/server_limit.h"
 
 /**
  * One daemon's request router: decides which requests are served, queued or
@@ -218,6 +219,9 @@
 	int64_t oldest_us; /**< wait time of the oldest waiting request */
 };
 
+/** This VM's number among those that send to the backend servers. */
+void router_set_vm(struct router *router, const struct server_limit_vm *vm);
+
 /** Crashes that another VM told of; false if all were known. */
 bool router_merge_crashes(struct router *router,
 			  const struct poison_report *report, int64_t now_us);
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -133,6 +133,7 @@
 	backend_started(backend, attempt->prompt_tokens, attempt->work,
 			attempt->is_long, now_us);
 	warmup_record(backend, now_us);
+	server_limit_record(backend, &router->vm, now_us);
 	prefix_record(&router->prefix, request->spec.prefix_hash,
 		      backend->address, true);
 	list_append(&request->attempts, &attempt->in_request);
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -158,6 +158,7 @@
 		.regions = request->spec.regions,
 		.prefix =
 			prefix_find(&router->prefix, request->spec.prefix_hash),
+		.vm = router->vm,
 	};
 
 	return query;
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -182,6 +182,7 @@
 static void pool_count_members(const struct router *router, struct pool *pool,
 			       int64_t now_us)
 {
+	double hold_us = pool->us_per_token * pool->mean_cost;
 	double weight;
 	int i;
 
@@ -201,7 +202,7 @@
 				 ? health_weight(&member->health, now_us)
 				 : 1;
 		*(member->cheap ? &pool->cheap_slots : &pool->slots) +=
-			(double)member->slots * weight;
+			server_limit_slots(member, hold_us) * weight;
 		pool->load += backend_load(member);
 	}
 	if (pool->slots + pool->cheap_slots > 0)
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -17,6 +17,7 @@
 #include "load/retry.h"
 #include "load/router.h"
 #include "load/sched.h"
+#include "load/server_limit.h"
 #include "load/warmup.h"
 
 /**
@@ -216,6 +217,7 @@
 	struct prefix prefix;
 	struct poison poison;
 	struct retry_limit retry_limit;
+	struct server_limit_vm vm;
 	struct preempt_budget preempt;
 	struct pick_options pick;
 	uint64_t sequence;
--- /dev/null
+++ b/libfilberthall/load/server_limit.h
@@ -0,0 +1,56 @@
+#ifndef FILBERTHALL_LOAD_SERVER_LIMIT_H
+#define FILBERTHALL_LOAD_SERVER_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleet/backend.h"
+
+/**
+ * Which requests a backend server gets that named a limit: requests a second
+ * that it takes from all VMs together.
+ *
+ * Load pattern: a server in need is still a good choice by its load, so each of
+ * many VMs goes on sending to it. If each VM kept to the limit by itself, a
+ * hundred VMs would send a hundred times as much; if they had to agree first, a
+ * VM that is cut off or hears late could not send at all, or would exceed it.
+ *
+ * So the requests of each second of the clock that the VMs share are dealt out
+ * by a function of the server, the second and a VM's number among the VMs. The
+ * parts of all VMs add up to the limit, and which VMs have one changes from
+ * second to second. What isn't used is lost. A VM with an old number or clock
+ * has no larger part than any other.
+ *
+ * A request for which the server has no room goes to another server, as if this
+ * one were full; requests wait only if that holds for all.
+ */
+
+/** A lower limit counts as this: someone must hear that it has ended. */
+#define SERVER_LIMIT_LEAST_PER_S 0.1
+
+/** This VM among those that send, and the clock that they share. */
+struct server_limit_vm {
+	int number;		 /**< from 0 */
+	int vms;		 /**< 0 if unknown, which gives no part */
+	int64_t clock_offset_us; /**< shared clock less this VM's */
+};
+
+/** Requests that the VM may send the server in the present second. */
+int64_t server_limit_part(const struct backend *backend,
+			  const struct server_limit_vm *vm, int64_t now_us);
+
+/** Whether one more is within that; true for a server without a limit. */
+bool server_limit_allows(const struct backend *backend,
+			 const struct server_limit_vm *vm, int64_t now_us);
+
+/** A request is sent to the server. */
+void server_limit_record(struct backend *backend,
+			 const struct server_limit_vm *vm, int64_t now_us);
+
+/**
+ * Slots of the server that can be in use at that rate if a request holds one
+ * for `hold_us`; all of them without a limit.
+ */
+double server_limit_slots(const struct backend *backend, double hold_us);
+
+#endif
--- a/tests/control/t-server-limit.c
+++ b/tests/control/t-server-limit.c
@@ -195,6 +195,23 @@
 	entries_free(entries);
 }
 
+/* Many VMs start again at once and know of no limit. */
+static void test_all_restarted(void)
+{
+	struct traffic traffic = start(MANY_VMS, 16, 600);
+	struct entries *entries = traffic.entries;
+	int64_t named_us = group_now(entries->group);
+	int vm;
+
+	name_limits(entries, 4, 1);
+	play(&traffic, 6 * SECOND);
+	for (vm = 0; vm < MANY_VMS; vm++)
+		entries_restart(entries, vm);
+	play(&traffic, 6 * SECOND);
+	check_limits(entries, 4, 1, named_us + BINDS_US);
+	entries_free(entries);
+}
+
 /* What half of the VMs are told comes a second late. */
 static void test_late(void)
 {
@@ -278,6 +295,7 @@
 	g_test_add_func("/server-limit/cut-off-and-restarted",
 			test_cut_off_and_restarted);
 	g_test_add_func("/server-limit/restarted-group", test_restarted_group);
+	g_test_add_func("/server-limit/all-restarted", test_all_restarted);
 	g_test_add_func("/server-limit/late", test_late);
 	g_test_add_func("/server-limit/nothing", test_nothing);
 	g_test_add_func("/server-limit/lifted", test_lifted);
