tests, fakes: a named limit is heard and told between real entry VMs

The reducers' tests begin behind the HTTP layer. The stand-in server of the platform can name a limit; roles.t checks that the entry VM that it answers takes it and that the other one is told by the control VMs.

--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -49,6 +49,7 @@
 	double gap_s; /* between them */
 	int cut_at;   /* break a stream off in this event, 0 for never */
 	bool unsigned_answers;
+	const char *limit; /* requests a second that it takes, or NULL */
 	struct ev_loop *ev;
 	struct stream_loop loop;
 	struct http_server *http;
@@ -75,6 +76,7 @@
 	{ "gap-ms", 'g', "MS", 0, "between two events", 0 },
 	{ "cut-at", 'x', "N", 0, "break each stream off in this event", 0 },
 	{ "unsigned", 'u', NULL, 0, "answers without a signature", 0 },
+	{ "limit", 'm', "PER_S", 0, "names that limit in its answers", 0 },
 	{ 0 }
 };
 
@@ -118,6 +120,9 @@
 	case 'u':
 		server->unsigned_answers = true;
 		return 0;
+	case 'm':
+		server->limit = arg;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -139,12 +144,15 @@
 	const char *key = http_head_get(head, "Authorization");
 	const char *organisation = http_head_get(head, HEADER_ORGANISATION);
 
-	return xstrfmt("%s: %s\r\n%s%s%s: 0,0,8\r\nX-Organisation: %s\r\n"
+	return xstrfmt("%s: %s\r\n%s%s%s: 0,0,8\r\n%s%s%sX-Organisation: %s\r\n"
 		       "X-Key-Seen: %s\r\n",
 		       HEADER_REQUEST_ID, id ? id : "",
 		       server->unsigned_answers ? "" : HEADER_SIGNATURE,
 		       server->unsigned_answers ? "" : ": signed\r\n",
-		       HEADER_LOAD, organisation ? organisation : "none",
+		       HEADER_LOAD, server->limit ? HEADER_LIMIT ": " : "",
+		       server->limit ? server->limit : "",
+		       server->limit ? "\r\n" : "",
+		       organisation ? organisation : "none",
 		       key ? "yes" : "no");
 }
 
--- a/tests/e2e/roles.t
+++ b/tests/e2e/roles.t
@@ -87,6 +87,23 @@
 check "an unsigned answer isn't passed on as success" \
 	test "$(ask_status 2 /stream/r/9 k1 -X POST -d x)" = 502
 
+# A server in need names a limit, to whichever VM it answers.
+start limited fake-native --id l1 --service desk --limit 0.5 $controls
+check "a server in need is known" \
+	wait_for 10 grep -q 'event=ready server=l1 ' "$WORK/entry-1.log"
+limited() {
+	grep -q 'event=limit server=l1 .*per_s=0.500' "$WORK/entry-$1.log"
+}
+asked_and_limited() {
+	ask_status 1 /once/5 k1 -X POST -d x >"$WORK/status"
+	limited 1
+}
+check "an entry VM hears its limit" wait_for 20 asked_and_limited
+check "the other one is told" wait_for 10 limited 2
+signal limited TERM
+check "the server in need leaves" \
+	wait_for 10 grep -q 'event=leaving server=l1 ' "$WORK/entry-2.log"
+
 # The key is withdrawn: dead at both entry VMs, the new one works.
 check "a new document" accepted 1 7 k9
 dead() {
