soak: two backend servers name limits now and then

In the calm it checks the promise to servers; planned stops and starts of VMs go on, as no such thing excuses the site.

--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -9,6 +9,7 @@
 #include "base/cleanup.h"
 #include "daemon/http/http_server.h"
 #include "ledger.h"
+#include "need.h"
 #include "platform/names.h"
 #include "proxy.h"
 #include "vm.h"
@@ -21,6 +22,8 @@
 #define BEAT_MS 400
 #define HOST 20
 #define PROXY_HOST 120
+/* The first ones name limits, one of each service. */
+#define NEEDY 2
 /* After the leave was acknowledged: the site's time, and a little. */
 #define LEAVE_MS (SOAK_DRAIN_US / 1000 + 1500)
 #define LEAVE_UNHEARD_MS 6000
@@ -57,6 +60,7 @@
 	int64_t leave_heard_us; /* when that was acknowledged, 0 if not */
 	enum server_fault fault;
 	double share;
+	struct need *need; /* or NULL */
 };
 
 static void run_free(struct run *run)
@@ -69,12 +73,18 @@
 static char *headers_of(const struct server *server, const struct run *run,
 			bool ran)
 {
+	double per_s = server->need ? need_per_s(server->need) : 0;
+	char limit[64] = "";
 	char id[24];
 
 	ledger_id(run->number, id);
-	return xstrfmt("%s: %s\r\n%s: 1\r\n%s: %d,0,%d\r\n", HEADER_REQUEST_ID,
-		       id, ran ? HEADER_SIGNATURE : HEADER_NOT_RUN, HEADER_LOAD,
-		       0, SLOTS);
+	if (per_s > 0)
+		snprintf(limit, sizeof(limit), "%s: %.1f\r\n", HEADER_LIMIT,
+			 per_s);
+	return xstrfmt("%s: %s\r\n%s: 1\r\n%s: %d,0,%d\r\n%s",
+		       HEADER_REQUEST_ID, id,
+		       ran ? HEADER_SIGNATURE : HEADER_NOT_RUN, HEADER_LOAD, 0,
+		       SLOTS, limit);
 }
 
 static void answer(struct run *run, int status, const struct bytes *body)
@@ -226,6 +236,8 @@
 	ev_timer_init(&run->timer, on_worked, 0, 0);
 	run->timer.data = run;
 	http_exchange_set_user(exchange, run);
+	if (server->need)
+		need_arrival(server->need, number);
 	if (rng_unit(&server->soak->rng) < server->share)
 		run->fault = server->fault;
 	if (!is_meant(server, head) || run->fault == SERVER_FULL) {
@@ -370,6 +382,12 @@
 	server->share = fault == SERVER_WELL ? 0 : share;
 }
 
+void server_rest(struct server *server)
+{
+	if (server->need)
+		need_rest(server->need);
+}
+
 struct proxy *server_proxy(struct server *server)
 {
 	return server->proxy;
@@ -390,6 +408,8 @@
 	server->proxy = proxy_new(soak, server->reached_at, server->listen_at);
 	server->client = http_client_new(&soak->loop, &client);
 	list_init(&server->runs);
+	if (index < NEEDY)
+		server->need = need_new(soak, index);
 	soak_timer(soak, &server->start, on_start, 0, server);
 	return server;
 }
@@ -399,6 +419,8 @@
 	end(server);
 	ev_timer_stop(server->soak->ev, &server->start);
 	http_client_free(server->client);
+	if (server->need)
+		need_free(server->need);
 	proxy_free(server->proxy);
 	free(server->listen_at);
 	free(server->reached_at);
--- a/tests/soak/server.h
+++ b/tests/soak/server.h
@@ -30,6 +30,9 @@
 void server_misbehave(struct server *server, enum server_fault fault,
 		      double share);
 
+/** Names no limit from now on. */
+void server_rest(struct server *server);
+
 struct proxy *server_proxy(struct server *server);
 
 #endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -205,6 +205,7 @@
 {
 	struct run *run = timer->data;
 	int64_t in_state_us = edge_now_us() - run->state_us;
+	int i;
 
 	note_lateness(run);
 
@@ -213,6 +214,8 @@
 	} else if (run->state == RECOVERING && in_state_us > SOAK_RECOVERY_US) {
 		operator_rest(run->soak.operator);
 		zones_rest(run->soak.zones);
+		for (i = 0; i < SOAK_SERVERS; i++)
+			server_rest(run->soak.servers[i]);
 		run->before = callers_tally(run->soak.callers);
 		enter(run, CHECKING);
 	} else if (run->state == CHECKING && in_state_us > CHECK_US) {
