load, feed, tests: crashes in a file of their own; one way to send them

What counts and tells crashes is router_crash.c now, and feed_send_crashes() serves both. t-server-limit counts its requests without a loop over a real number, which the linter refuses.

--- a/libfilberthall/control/control_crash.c
+++ b/libfilberthall/control/control_crash.c
@@ -34,28 +34,12 @@
 	control_send(control, TO_ENTRY, &body, effects);
 }
 
-struct crash_audience {
-	uint64_t peer;
-	int64_t now_us;
-	struct effects *effects;
-};
-
-static void tell_peer(void *data, const struct poison_report *report)
-{
-	const struct crash_audience *audience = data;
-	struct bytes body = { 0 };
-
-	feed_write_crashes(&body, report, audience->now_us);
-	feed_send(audience->effects, audience->peer, &body);
-	bytes_clear(&body);
-}
-
 void control_tell_crashes_to(const struct control *control,
 			     const struct feed_peer *peer, int64_t now_us,
 			     struct effects *effects)
 {
-	struct crash_audience audience = { peer->id, now_us, effects };
+	struct feed_audience audience = { peer->id, now_us, effects };
 
 	poison_visit(&control->poison, peer->observer ? 2 : 1, now_us,
-		     tell_peer, &audience);
+		     feed_send_crashes, &audience);
 }
--- a/libfilberthall/entry/entry_crash.c
+++ b/libfilberthall/entry/entry_crash.c
@@ -14,27 +14,12 @@
 	entry_send_all(entry, &body);
 }
 
-struct crash_audience {
-	struct entry *entry;
-	uint64_t peer;
-};
-
-static void tell_peer(void *data, const struct poison_report *report)
-{
-	const struct crash_audience *audience = data;
-	struct bytes body = { 0 };
-
-	feed_write_crashes(&body, report, audience->entry->now_us);
-	feed_send(audience->entry->effects, audience->peer, &body);
-	bytes_clear(&body);
-}
-
 /** A control VM may have started again and know of none. */
 void entry_tell_crashes_to(struct entry *entry, uint64_t peer)
 {
-	struct crash_audience audience = { entry, peer };
+	struct feed_audience audience = { peer, entry->now_us, entry->effects };
 
-	router_visit_crashes(entry->router, entry->now_us, tell_peer,
+	router_visit_crashes(entry->router, entry->now_us, feed_send_crashes,
 			     &audience);
 }
 
--- a/libfilberthall/feed/peers.c
+++ b/libfilberthall/feed/peers.c
@@ -4,6 +4,7 @@
 
 #include "base/alloc.h"
 #include "core/event.h"
+#include "feed/feed.h"
 
 static bool peer_match(const struct map_node *node, const void *key)
 {
@@ -56,3 +57,13 @@
 	effect->u.send.channel = LINK_FEED;
 	effect->u.send.body = bytes_copy(body);
 }
+
+void feed_send_crashes(void *data, const struct poison_report *report)
+{
+	const struct feed_audience *audience = data;
+	struct bytes body = { 0 };
+
+	feed_write_crashes(&body, report, audience->now_us);
+	feed_send(audience->effects, audience->peer, &body);
+	bytes_clear(&body);
+}
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -7,6 +7,7 @@
 #include "base/bytes.h"
 #include "base/map.h"
 #include "core/effect.h"
+#include "load/poison.h"
 
 /** The daemons that have a link to us, and what goes to them on LINK_FEED. */
 struct feed_peer {
@@ -37,4 +38,14 @@
 void feed_send(struct effects *effects, uint64_t peer,
 	       const struct bytes *body);
 
+/** Whom feed_send_crashes() tells. */
+struct feed_audience {
+	uint64_t peer;
+	int64_t now_us;
+	struct effects *effects;
+};
+
+/** Send FEED_CRASHES of one request; `data` is a struct feed_audience. */
+void feed_send_crashes(void *data, const struct poison_report *report);
+
 #endif
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -331,40 +331,6 @@
 			xstrdup(attempt->address);
 }
 
-/* Count a crash against the request, on this VM and all others. */
-static bool attempt_record_crash(struct router *router,
-				 const struct attempt *attempt, int64_t now_us,
-				 struct effects *effects)
-{
-	struct request *request = attempt->request;
-	struct poison_crash crash = { attempt->server,
-				      now_us - attempt->started_us, now_us };
-	struct poison_report report = { request->fingerprint, { crash }, 1 };
-	const struct router_hooks *hooks = &router->options.hooks;
-	enum poison_verdict verdict;
-
-	if (!request->fingerprint ||
-	    poison_excused(&router->poison, request->fingerprint, crash.server,
-			   now_us))
-		return false;
-	router_share_crash(router, request->fingerprint, crash.server,
-			   crash.ran_us, effects);
-	if (hooks->crashed)
-		hooks->crashed(hooks->data, &report);
-	verdict = poison_crashed(&router->poison, request->fingerprint, &crash,
-				 now_us);
-	router_log(request, LOG_INFO, effects,
-		   "event=crash fingerprint=%016llx server=%s ran_ms=%lld "
-		   "held=%d",
-		   (unsigned long long)request->fingerprint, attempt->address,
-		   (long long)(crash.ran_us / 1000), verdict == POISON_HELD);
-	if (verdict != POISON_HELD)
-		return false;
-	router_log(request, LOG_WARN, effects,
-		   "request held: it was running when a second server crashed");
-	return true;
-}
-
 static void request_succeed(struct router *router, struct request *request,
 			    const struct attempt *attempt,
 			    const struct event_attempt_ended *ended,
@@ -424,7 +390,7 @@
 	why.attempts = request->n_attempts - request->n_rejected;
 
 	if (ended->code == RESULT_BACKEND_BROKE && request->may_have_run &&
-	    attempt_record_crash(router, attempt, now_us, effects)) {
+	    attempt_crashed(router, attempt, now_us, effects)) {
 		request_end(router, request, RESULT_POISON, ended, now_us,
 			    effects);
 		return;
--- a/libfilberthall/load/router_share.c
+++ b/libfilberthall/load/router_share.c
@@ -282,21 +282,6 @@
 		       part->concurrent, message->now_us);
 }
 
-bool router_merge_crashes(struct router *router,
-			  const struct poison_report *report, int64_t now_us)
-{
-	return router->options.features.poison &&
-	       poison_merge(&router->poison, report, now_us);
-}
-
-void router_visit_crashes(const struct router *router, int64_t now_us,
-			  void (*visit)(void *data,
-					const struct poison_report *report),
-			  void *data)
-{
-	poison_visit(&router->poison, 1, now_us, visit, data);
-}
-
 static void take_crash(void *data, const struct share_crash *crash)
 {
 	const struct message *message = data;
@@ -333,8 +318,7 @@
 	return code;
 }
 
-static void router_send(struct effects *effects, uint64_t peer,
-			struct bytes body)
+void router_send(struct effects *effects, uint64_t peer, struct bytes body)
 {
 	struct effect_send *send = &effects_add(effects, EFFECT_SEND)->u.send;
 
@@ -418,33 +402,3 @@
 			router_send(effects, peers->members[i],
 				    share_write_crash(&crash));
 }
-
-struct crash_audience {
-	uint64_t peer;
-	int64_t now_us;
-	struct effects *effects;
-};
-
-static void tell_peer(void *data, const struct poison_report *report)
-{
-	const struct crash_audience *audience = data;
-	int i;
-
-	for (i = 0; i < report->n; i++) {
-		const struct poison_crash *crash = &report->crashes[i];
-		struct share_crash told = { report->fingerprint, crash->server,
-					    crash->ran_us,
-					    audience->now_us - crash->at_us };
-
-		router_send(audience->effects, audience->peer,
-			    share_write_crash(&told));
-	}
-}
-
-void router_tell_crashes(const struct router *router, uint64_t peer,
-			 int64_t now_us, struct effects *effects)
-{
-	struct crash_audience audience = { peer, now_us, effects };
-
-	router_visit_crashes(router, now_us, tell_peer, &audience);
-}
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -280,6 +280,7 @@
 void router_share_crash(struct router *router, uint64_t fingerprint,
 			uint64_t server, int64_t ran_us,
 			struct effects *effects);
+void router_send(struct effects *effects, uint64_t peer, struct bytes body);
 bool router_shares(const struct router *router);
 bool router_limits_pool(const struct router *router);
 double router_equal_share(const struct router *router);
@@ -296,6 +297,10 @@
 void attempt_cancel(struct attempt *attempt, enum result why,
 		    struct effects *effects);
 
+/* router_crash.c */
+bool attempt_crashed(struct router *router, const struct attempt *attempt,
+		     int64_t now_us, struct effects *effects);
+
 /* router_end.c */
 struct request *request_find(const struct router *router, uint64_t id);
 struct attempt *request_attempt(const struct request *request);
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -388,16 +388,6 @@
 	return n;
 }
 
-void group_set_lease(struct group *group, int64_t lease_us)
-{
-	group->lease_us = lease_us;
-}
-
-void group_set_forward(struct group *group, int64_t bytes)
-{
-	group->forward_bytes_max = bytes;
-}
-
 void group_mute(struct group *group, int from, int to, bool mute)
 {
 	group->mute[from][to] = mute;
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -23,6 +23,16 @@
 	return group;
 }
 
+void group_set_lease(struct group *group, int64_t lease_us)
+{
+	group->lease_us = lease_us;
+}
+
+void group_set_forward(struct group *group, int64_t bytes)
+{
+	group->forward_bytes_max = bytes;
+}
+
 void group_note_answer(struct group *group,
 		       const struct effect_admin_answer *told)
 {
--- a/tests/control/t-server-limit.c
+++ b/tests/control/t-server-limit.c
@@ -30,16 +30,18 @@
 {
 	int64_t until_us = group_now(traffic->entries->group) + us;
 	double due = 0;
+	int i;
 
 	while (group_now(traffic->entries->group) < until_us) {
 		due += traffic->per_s * GROUP_STEP_US / 1e6;
-		for (; due >= 1; due--)
+		for (i = 0; i < (int)due; i++)
 			entries_ask(traffic->entries,
 				    traffic->first +
 					    (int)rng_below(
 						    &traffic->rng,
 						    (uint64_t)traffic->n_vms),
 				    "harmless");
+		due -= i;
 		entries_run(traffic->entries, GROUP_STEP_US);
 	}
 }
