load: a held request's caller is told when it may come back

What callers saw: a request in quarantine is refused as not run with the Retry-After of an empty service, one second, and refused again each time it comes, for ten minutes.

Retry-After is now what is left of the hold, on arrival and where a request that waits is refused. t-router/poison fails before (0 ms).

--- a/libfilberthall/load/poison.c
+++ b/libfilberthall/load/poison.c
@@ -177,6 +177,17 @@
 	return poison_check(poison, fingerprint, now_us);
 }
 
+int64_t poison_held_us(struct poison *poison, uint64_t fingerprint,
+		       int64_t now_us)
+{
+	const struct poison_entry *entry =
+		fingerprint ? poison_find(poison, fingerprint, now_us) : NULL;
+
+	if (!entry || entry_verdict(entry, now_us) != POISON_HELD)
+		return 0;
+	return entry->held_until_us - now_us;
+}
+
 bool poison_report(struct poison *poison, uint64_t fingerprint, int64_t now_us,
 		   struct poison_report *report)
 {
--- a/libfilberthall/load/poison.h
+++ b/libfilberthall/load/poison.h
@@ -89,6 +89,10 @@
 enum poison_verdict poison_check(struct poison *poison, uint64_t fingerprint,
 				 int64_t now_us);
 
+/** Microseconds until the request isn't held any more; 0 if it isn't. */
+int64_t poison_held_us(struct poison *poison, uint64_t fingerprint,
+		       int64_t now_us);
+
 /** Records the crashes of a report; false if all were known. */
 bool poison_merge(struct poison *poison, const struct poison_report *report,
 		  int64_t now_us);
--- a/libfilberthall/load/router_crash.c
+++ b/libfilberthall/load/router_crash.c
@@ -40,6 +40,15 @@
 	return true;
 }
 
+/** Milliseconds until a held request may run, rounded up; 0 if it may now. */
+int64_t request_held_ms(struct router *router, const struct request *request,
+			int64_t now_us)
+{
+	return (poison_held_us(&router->poison, request->fingerprint, now_us) +
+		999) /
+	       1000;
+}
+
 bool router_merge_crashes(struct router *router,
 			  const struct poison_report *report, int64_t now_us)
 {
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -237,8 +237,7 @@
 	if (now_us >= request->deadline_us ||
 	    (request->spec.send_by_us && now_us > request->spec.send_by_us))
 		return RESULT_EXPIRED;
-	if (poison_check(&router->poison, request->fingerprint, now_us) ==
-	    POISON_HELD)
+	if (request_held_ms(router, request, now_us))
 		return RESULT_POISON;
 	if (router->options.features.early_refusal && !request->n_attempts &&
 	    request->target_us && now_us > request->target_us &&
@@ -248,6 +247,17 @@
 	return RESULT_OK;
 }
 
+static void refuse_waiting(struct router *router, struct request *request,
+			   enum result code, int64_t now_us,
+			   struct effects *effects)
+{
+	int64_t retry_after_ms = request_held_ms(router, request, now_us);
+
+	if (code != RESULT_POISON)
+		retry_after_ms = request_retry_after_ms(router, request);
+	request_refuse(router, request, code, retry_after_ms, now_us, effects);
+}
+
 static void request_serve(struct router *router, struct request *request,
 			  struct backend *backend, bool by_floor,
 			  int64_t now_us, struct effects *effects)
@@ -291,9 +301,7 @@
 			break;
 		code = request_obstacle(router, request, now_us);
 		if (code) {
-			request_refuse(router, request, code,
-				       request_retry_after_ms(router, request),
-				       now_us, effects);
+			refuse_waiting(router, request, code, now_us, effects);
 			continue;
 		}
 		backend = request_pick(router, request, by_floor, now_us);
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -298,6 +298,8 @@
 		    struct effects *effects);
 
 /* router_crash.c */
+int64_t request_held_ms(struct router *router, const struct request *request,
+			int64_t now_us);
 bool attempt_crashed(struct router *router, const struct attempt *attempt,
 		     int64_t now_us, struct effects *effects);
 
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -410,8 +410,8 @@
 
 	if (router->draining)
 		return RESULT_STOPPING;
-	if (poison_check(&router->poison, request->fingerprint, now_us) ==
-	    POISON_HELD)
+	*retry_after_ms = request_held_ms(router, request, now_us);
+	if (*retry_after_ms)
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
 	code = pool_missing(router, pool, request->queue->reclaimable, now_us);
--- a/tests/load/t-router.c
+++ b/tests/load/t-router.c
@@ -203,6 +203,7 @@
 	g_assert_nonnull(effect);
 	g_assert_cmpint(effect->u.answer.code, ==, RESULT_POISON);
 	g_assert_cmpint(effect->u.answer.run, ==, RUN_NOT);
+	g_assert_cmpint(effect->u.answer.retry_after_ms, >, 500000);
 	effect_free(effect);
 	bed_submit_body(&other, "q");
 	effect = bed_effect(&other, EFFECT_START_ATTEMPT);
