--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -171,7 +171,7 @@
 		relay_drop(daemon, node);
 }
 
-/* An answer that neither vouches nor rejects says nothing of a limit's end. */
+/* Only an answer that the server vouches for can end its limit. */
 static void on_state(void *data, const char *address,
 		     const struct dialect_answer *answer)
 {
