soak: a backend server that starts again hasn't named its limit yet

At 13:47.98 of the daemons' clock s0-1 was gone and s0-2 ready at its address, and 77 ms later all VMs had the limit of s0-2, by its first answers (heard_ms=0). Each start is another server, which is idle and is asked at once, and a limit binds as of 3 s after it was first named. The check had counted from the naming by the start before; it counts from the start now and is as strict otherwise.

--- a/tests/soak/need.c
+++ b/tests/soak/need.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/alloc.h"
 
@@ -80,6 +81,12 @@
 	soak_timer(need->soak, &need->timer, on_change, ms, need);
 }
 
+void need_started(struct need *need)
+{
+	need->since_us = edge_now_us();
+	memset(need->arrivals, 0, sizeof(need->arrivals));
+}
+
 void need_rest(struct need *need)
 {
 	ev_timer_stop(need->soak->ev, &need->timer);
--- a/tests/soak/need.h
+++ b/tests/soak/need.h
@@ -15,6 +15,9 @@
 /** A request has come; checks what the site is promised in the calm. */
 void need_arrival(struct need *need, int number);
 
+/** The server has started again: to VMs it is another one. */
+void need_started(struct need *need);
+
 /** Ends and doesn't return. */
 void need_rest(struct need *need);
 
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -326,6 +326,8 @@
 	server->sequence = 0;
 	server->leaving = false;
 	server->leave_heard_us = 0;
+	if (server->need)
+		need_started(server->need);
 	soak_timer(server->soak, &server->beat, on_beat, 0, server);
 }
 
