--- a/tests/control/t-server-limit.c
+++ b/tests/control/t-server-limit.c
@@ -269,10 +269,7 @@
 	entries_free(entries);
 }
 
-/*
- * All servers name a limit, and twice as many requests come as they take: what
- * they take is used, and callers aren't kept waiting for the rest.
- */
+/* All servers are in need, and what they take isn't used. */
 static void test_all_servers(void)
 {
 	struct traffic traffic = start(VMS, SERVERS, 32);
