feed, entry, control, load: one way to send what is known of limits

Entry and control VMs had the same loop that sends a peer the limits of all registered servers, and each wrote a limit through a struct that it had just filled from the registration: feed_send_limits() and feed_write_limit() do both. A waiting request's hold is looked up only if that is why it is refused, and feed.c included one header twice. The messages are the same bytes.

--- a/libfilberthall/control/control_limit.c
+++ b/libfilberthall/control/control_limit.c
@@ -9,10 +9,9 @@
 		 const struct registry_entry *server, int64_t now_us,
 		 struct effects *effects)
 {
-	struct feed_limit limit = feed_limit_of(server, now_us);
 	struct bytes body = { 0 };
 
-	feed_write_limit(&body, &limit);
+	feed_write_limit(&body, server, now_us);
 	control_send(control, audience, &body, effects);
 }
 
@@ -40,17 +39,7 @@
 			    const struct feed_peer *peer, int64_t now_us,
 			    struct effects *effects)
 {
-	struct registry_entry *server;
-	struct registry_entry *next;
-	struct feed_limit limit;
-	struct bytes body = { 0 };
+	struct feed_audience audience = { peer->id, now_us, effects };
 
-	map_foreach(server, next, &control->registry.by_id, node) {
-		if (server->limit.per_s < 0 || server->registration.gone)
-			continue;
-		limit = feed_limit_of(server, now_us);
-		feed_write_limit(&body, &limit);
-		feed_send(effects, peer->id, &body);
-		bytes_clear(&body);
-	}
+	feed_send_limits(&audience, &control->registry);
 }
--- a/libfilberthall/entry/entry_limit.c
+++ b/libfilberthall/entry/entry_limit.c
@@ -35,19 +35,11 @@
 	       entry->now_us - server->limit_told_us >= TELL_US;
 }
 
-static void write_limit(const struct entry *entry, struct bytes *body,
-			const struct registry_entry *server)
-{
-	struct feed_limit limit = feed_limit_of(server, entry->now_us);
-
-	feed_write_limit(body, &limit);
-}
-
 static void tell(struct entry *entry, struct registry_entry *server)
 {
 	struct bytes body = { 0 };
 
-	write_limit(entry, &body, server);
+	feed_write_limit(&body, server, entry->now_us);
 	entry_send_all(entry, &body);
 	server->limit_told = server->limit.per_s;
 	server->limit_told_us = entry->now_us;
@@ -87,15 +79,7 @@
 /** A control VM may have started again and know of none. */
 void entry_tell_limits_to(struct entry *entry, uint64_t peer)
 {
-	struct registry_entry *server;
-	struct registry_entry *next;
-	struct bytes body = { 0 };
+	struct feed_audience audience = { peer, entry->now_us, entry->effects };
 
-	map_foreach(server, next, &entry->registry.by_id, node) {
-		if (server->limit.per_s < 0 || server->registration.gone)
-			continue;
-		write_limit(entry, &body, server);
-		feed_send(entry->effects, peer, &body);
-		bytes_clear(&body);
-	}
+	feed_send_limits(&audience, &entry->registry);
 }
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -2,7 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <string.h>
 
 #include "base/alloc.h"
 #include "core/pack.h"
@@ -284,29 +283,20 @@
 }
 
 /* Thousandths of a request a second. */
-void feed_write_limit(struct bytes *out, const struct feed_limit *limit)
+static int64_t limit_thousandths(double per_s)
 {
-	msgpack_packer packer;
-
-	begin(&packer, out, 4, FEED_LIMIT);
-	pack_text(&packer, limit->id);
-	msgpack_pack_int64(&packer, limit->started_ms);
-	msgpack_pack_int64(&packer, limit->per_s < 0
-					    ? -1
-					    : (int64_t)(limit->per_s * 1000));
-	msgpack_pack_int64(&packer, limit->age_us);
+	return per_s < 0 ? -1 : (int64_t)(per_s * 1000);
 }
 
-struct feed_limit feed_limit_of(const struct registry_entry *registered,
-				int64_t now_us)
+void feed_write_limit(struct bytes *out, const struct registry_entry *server,
+		      int64_t now_us)
 {
-	const struct registration *told = &registered->registration;
-	struct feed_limit limit = {
-		.started_ms = told->started_ms,
-		.per_s = registered->limit.per_s,
-		.age_us = now_us - registered->limit.heard_us,
-	};
-
-	memcpy(limit.id, told->id, sizeof(limit.id));
-	return limit;
+	const struct registration *told = &server->registration;
+	msgpack_packer packer;
+
+	begin(&packer, out, 4, FEED_LIMIT);
+	pack_text(&packer, told->id);
+	msgpack_pack_int64(&packer, told->started_ms);
+	msgpack_pack_int64(&packer, limit_thousandths(server->limit.per_s));
+	msgpack_pack_int64(&packer, now_us - server->limit.heard_us);
 }
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -214,11 +214,9 @@
 void feed_write_evacuations(struct bytes *out,
 			    const struct evacuations *evacuations);
 
-void feed_write_limit(struct bytes *out, const struct feed_limit *limit);
-
 /** What is known of the registered server's limit. */
-struct feed_limit feed_limit_of(const struct registry_entry *registered,
-				int64_t now_us);
+void feed_write_limit(struct bytes *out, const struct registry_entry *server,
+		      int64_t now_us);
 void feed_write_crashes(struct bytes *out, const struct poison_report *report,
 			int64_t now_us);
 
--- a/libfilberthall/feed/peers.c
+++ b/libfilberthall/feed/peers.c
@@ -67,3 +67,19 @@
 	feed_send(audience->effects, audience->peer, &body);
 	bytes_clear(&body);
 }
+
+void feed_send_limits(const struct feed_audience *audience,
+		      const struct registry *registry)
+{
+	struct registry_entry *server;
+	struct registry_entry *next;
+	struct bytes body = { 0 };
+
+	map_foreach(server, next, &registry->by_id, node) {
+		if (server->limit.per_s < 0 || server->registration.gone)
+			continue;
+		feed_write_limit(&body, server, audience->now_us);
+		feed_send(audience->effects, audience->peer, &body);
+		bytes_clear(&body);
+	}
+}
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -7,6 +7,7 @@
 #include "base/bytes.h"
 #include "base/map.h"
 #include "core/effect.h"
+#include "fleet/registry.h"
 #include "load/poison.h"
 
 /** The daemons that have a link to us, and what goes to them on LINK_FEED. */
@@ -38,7 +39,7 @@
 void feed_send(struct effects *effects, uint64_t peer,
 	       const struct bytes *body);
 
-/** Whom feed_send_crashes() tells. */
+/** Whom feed_send_crashes() and feed_send_limits() tell. */
 struct feed_audience {
 	uint64_t peer;
 	int64_t now_us;
@@ -48,4 +49,8 @@
 /** Send FEED_CRASHES of one request; `data` is a struct feed_audience. */
 void feed_send_crashes(void *data, const struct poison_report *report);
 
+/** Send FEED_LIMIT of each server that names one. */
+void feed_send_limits(const struct feed_audience *audience,
+		      const struct registry *registry);
+
 #endif
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -251,10 +251,10 @@
 			   enum result code, int64_t now_us,
 			   struct effects *effects)
 {
-	int64_t retry_after_ms = request_held_ms(router, request, now_us);
+	int64_t retry_after_ms =
+		code == RESULT_POISON ? request_held_ms(router, request, now_us)
+				      : request_retry_after_ms(router, request);
 
-	if (code != RESULT_POISON)
-		retry_after_ms = request_retry_after_ms(router, request);
 	request_refuse(router, request, code, retry_after_ms, now_us, effects);
 }
 
