load: a pool that has spent its retries says so in the log

Requests that end with RETRY_BUDGET showed that some part of the limit was spent, but not what part, nor by how many VMs it was divided. Each pool now logs retries, what is allowed and the number of VMs, once a second.

--- a/libfilberthall/load/retry.c
+++ b/libfilberthall/load/retry.c
@@ -42,25 +42,40 @@
 }
 
 /*
- * Whether the limit allows another retry in the window that ends now. The
- * window may begin anywhere in the oldest step, so the retries of that step
- * are counted and its new requests aren't.
+ * The window that ends now may begin anywhere in the oldest step, so the
+ * retries of that step are counted and its new requests aren't.
  */
-static bool retry_window_allows(const struct retry *retry, int tier)
+static struct retry_view retry_window_view(const struct retry *retry)
 {
 	const struct retry_limit *limit = &retry->limit;
-	double allowed = limit->headroom / limit->vms;
+	struct retry_view view = { 0, limit->headroom / limit->vms,
+				   limit->vms };
 	int oldest = (int)((retry->step + 1) % (RETRY_STEPS + 1));
-	int again = 0;
 	int i;
 
 	for (i = 0; i <= RETRY_STEPS; i++) {
-		again += retry->retries[i];
+		view.retries += retry->retries[i];
 		if (i != oldest)
-			allowed += limit->share * retry->fresh[i];
+			view.allowed += limit->share * retry->fresh[i];
 	}
-	allowed *= RETRY_LIMIT_PART * (8 - tier) / 8;
-	return again < (allowed > 1 ? allowed : 1);
+	view.allowed *= RETRY_LIMIT_PART;
+	return view;
+}
+
+struct retry_view retry_view(const struct retry *retry)
+{
+	struct retry_view unshared = { 0 };
+
+	return retry->limit.vms ? retry_window_view(retry) : unshared;
+}
+
+/* Whether the limit allows another retry in the window that ends now. */
+static bool retry_window_allows(const struct retry *retry, int tier)
+{
+	struct retry_view view = retry_window_view(retry);
+	double allowed = view.allowed * (8 - tier) / 8;
+
+	return view.retries < (allowed > 1 ? allowed : 1);
 }
 
 void retry_record_request(struct retry *retry, int64_t now_us)
--- a/libfilberthall/load/retry.h
+++ b/libfilberthall/load/retry.h
@@ -103,6 +103,15 @@
  */
 void retry_limit(struct retry *retry, const struct retry_limit *limit);
 
+/** The window of the last retry_check(), for logs. */
+struct retry_view {
+	int retries;
+	double allowed; /**< for the highest tier */
+	int vms;	/**< 0 if there is no limit over all VMs */
+};
+
+struct retry_view retry_view(const struct retry *retry);
+
 /** Count a new request. */
 void retry_record_request(struct retry *retry, int64_t now_us);
 
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -105,6 +105,7 @@
 	int64_t usable_us;  /**< when a member was last usable */
 	struct list queues;
 	struct retry retry;
+	int64_t spent_logged_us; /**< last log line of spent retries */
 	struct floor floor;
 	int64_t waiting_by_class[SCHED_CLASSES];
 	int64_t running_by_class[SCHED_CLASSES];
@@ -320,6 +321,13 @@
 void request_update_timer(struct router *router, struct request *request,
 			  int64_t now_us);
 
+/* router_retry.c */
+
+/** retry_check() of the request's pool. */
+enum result request_check_retry(const struct request *request,
+				const struct retry_case *why, int64_t now_us,
+				struct effects *effects);
+
 /* router_log.c */
 void router_span(struct router *router, const struct request *request,
 		 const char *name, int64_t start_us, int64_t end_us,
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -142,14 +142,14 @@
 	if (backend)
 		health_overdue(&backend->health, now_us);
 	if (!hedge_has_room(router, request) ||
-	    retry_check(&request->queue->pool->retry, &why, now_us))
+	    request_check_retry(request, &why, now_us, effects))
 		return;
 	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
 
 /* Whether another attempt is allowed and has time to end. */
 static bool may_send_again(struct router *router, const struct request *request,
-			   int64_t now_us)
+			   int64_t now_us, struct effects *effects)
 {
 	struct retry_case why = {
 		.code = RESULT_BACKEND_TIMEOUT,
@@ -165,7 +165,7 @@
 		.needs_us = request_needs_us(router, request, now_us),
 	};
 
-	return !retry_check(&request->queue->pool->retry, &why, now_us);
+	return !request_check_retry(request, &why, now_us, effects);
 }
 
 /* It is looked at once for each attempt. */
@@ -174,7 +174,7 @@
 				  struct effects *effects)
 {
 	request->overdue_us = now_us;
-	if (may_send_again(router, request, now_us))
+	if (may_send_again(router, request, now_us, effects))
 		attempt_cancel(request_attempt(request), RESULT_BACKEND_TIMEOUT,
 			       effects);
 }
