--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -9,11 +9,13 @@
 #define SECOND INT64_C(1000000)
 #define CONTROL_VMS 5
 #define WORK_US INT64_C(60000)
+#define REJECT_US INT64_C(5000)
 #define SLOTS 16
 #define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
 
 struct entries_vm {
 	struct entry *entry;
+	char name[32];
 	uint64_t id;
 	uint64_t linked[CONTROL_VMS]; /* start number of the VM, 0: none */
 	bool cut[CONTROL_VMS];
@@ -44,24 +46,32 @@
 
 static void carry_out(struct entries *entries, int vm, struct effects *effects);
 
+static void add_route(struct document *document, const char *name,
+		      const char *prefix, int attempts)
+{
+	struct route *route = document_add_route(document);
+
+	route->name = xstrdup(name);
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup(prefix);
+	route->kind = ROUTE_IDEMPOTENT;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->attempts = attempts;
+	route_add_split(route, "desk", 1);
+}
+
 static struct document *read_document(void *data, const char *text, size_t len)
 {
 	struct document *document = document_new();
-	struct route *route = document_add_route(document);
 
 	(void)data;
 	(void)text;
 	(void)len;
 	document->version = 1;
 	document_add_service(document)->name = xstrdup("desk");
-	route->name = xstrdup("read");
-	route->host = xstrdup("a.example");
-	route->prefix = xstrdup("/");
-	route->kind = ROUTE_IDEMPOTENT;
-	route->timeout_ms = 4000;
-	route->goal_ms = 300;
-	route->attempts = 1;
-	route_add_split(route, "desk", 1);
+	add_route(document, "read", "/", 1);
+	add_route(document, "read-again", "/again/", 3);
 	return document;
 }
 
@@ -73,19 +83,20 @@
 static void start_entry(struct entries *entries, int at)
 {
 	struct entries_vm *vm = &entries->vms[at];
-	char name[32];
 	struct entry_options options = { .seed = (uint64_t)at + 1,
-					 .vm = name,
+					 .vm = vm->name,
 					 .zone = "z1",
 					 .max_staleness_us = 4500000,
 					 .window_us = 5 * SECOND,
-					 .retry_share = 0.2,
-					 .retry_headroom = 54,
-					 .retry_window_us = 10 * SECOND,
+					 .retry_share = ENTRIES_RETRY_SHARE,
+					 .retry_headroom =
+						 ENTRIES_RETRY_HEADROOM,
+					 .retry_window_us =
+						 ENTRIES_RETRY_WINDOW_US,
 					 .announce_interval_us = SECOND,
 					 .read_document = read_document };
 
-	g_snprintf(name, sizeof(name), "entry-%d", at);
+	g_snprintf(vm->name, sizeof(vm->name), "entry-%d", at);
 	vm->id = ++entries->next_entry;
 	options.self = vm->id;
 	memset(vm->linked, 0, sizeof(vm->linked));
@@ -179,6 +190,12 @@
 	} else {
 		run.crashes = is_crashing(start->id);
 		g_array_append_val(server->arrivals, now_us);
+		if (start->attempt > 1)
+			g_array_append_val(entries->repeats, now_us);
+	}
+	if (server->rejects && !run.code) {
+		run.code = RESULT_BACKEND_ERROR;
+		run.ends_us = now_us + REJECT_US;
 	}
 	g_array_append_val(entries->runs, run);
 }
@@ -192,13 +209,18 @@
 		.id = run->id,
 		.attempt = run->attempt,
 		.code = run->code,
-		.http_status = run->code == RESULT_OK ? 200 : 0,
 		.sent = run->code != RESULT_BACKEND_CONNECT,
 	};
 	struct effects effects;
 
 	if (vm->id != run->entry)
 		return;
+	if (run->code == RESULT_BACKEND_ERROR) {
+		ended.http_status = 503;
+		ended.sent = false; /* it says that it hasn't run it */
+	} else if (run->code == RESULT_OK) {
+		ended.http_status = 200;
+	}
 	effects_init(&effects);
 	if (run->code == RESULT_OK)
 		entry_report_limit(vm->entry, server->address,
@@ -295,12 +317,14 @@
 	effects_init(&effects);
 	if (vm->linked[control]) {
 		vm->linked[control] = 0;
-		group_entry_link(entries->group, control, vm->id, false);
+		group_entry_link(entries->group, control, vm->id, vm->name,
+				 false);
 		entry_link_down(vm->entry, up.peer, now_us, &effects);
 	}
 	vm->linked[control] = start;
 	if (start) {
-		group_entry_link(entries->group, control, vm->id, true);
+		group_entry_link(entries->group, control, vm->id, vm->name,
+				 true);
 		entry_link_up(vm->entry, &up, now_us, &effects);
 	}
 	carry_out(entries, at, &effects);
@@ -374,6 +398,9 @@
 	entries->n_vms = n_vms;
 	entries->n_servers = n_servers;
 	entries->next_entry = 10000;
+	entries->path = ENTRIES_ONCE;
+	entries->asked = g_array_new(false, false, sizeof(int64_t));
+	entries->repeats = g_array_new(false, false, sizeof(int64_t));
 	entries->vms = xcalloc((size_t)n_vms, sizeof(*entries->vms));
 	entries->runs = g_array_new(false, false, sizeof(struct run));
 	entries->posts = g_array_new(false, false, sizeof(struct letter));
@@ -412,6 +439,8 @@
 			&g_array_index(entries->posts, struct letter, i).body);
 	g_array_free(entries->posts, true);
 	g_array_free(entries->runs, true);
+	g_array_free(entries->asked, true);
+	g_array_free(entries->repeats, true);
 	group_free(entries->group);
 	free(entries->vms);
 	free(entries);
@@ -423,11 +452,13 @@
 	struct entry_request request = {
 		.name = "r",
 		.host = "a.example",
-		.path = "/1",
+		.path = entries->path,
 		.body_hash = body,
 	};
 	struct effects effects;
+	int64_t now_us = group_now(entries->group);
 
+	g_array_append_val(entries->asked, now_us);
 	entries->next_request += 2;
 	request.id = entries->next_request + crashing;
 	effects_init(&effects);
@@ -461,7 +492,8 @@
 	for (control = 0; control < CONTROL_VMS; control++)
 		if (entries->vms[vm].linked[control])
 			group_entry_link(entries->group, control,
-					 entries->vms[vm].id, false);
+					 entries->vms[vm].id,
+					 entries->vms[vm].name, false);
 	entry_free(entries->vms[vm].entry);
 	start_entry(entries, vm);
 }
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -21,6 +21,15 @@
 /** The body of requests that crash the server that runs them. */
 #define ENTRIES_CRASHING "crash"
 
+/** Paths of requests that one server may run, or several one by one. */
+#define ENTRIES_ONCE "/1"
+#define ENTRIES_AGAIN "/again/1"
+
+/** Of all VMs' retries in any window. */
+#define ENTRIES_RETRY_SHARE 0.2
+#define ENTRIES_RETRY_HEADROOM 54
+#define ENTRIES_RETRY_WINDOW_US INT64_C(10000000)
+
 struct entries_server {
 	char address[32];
 	char id[32];
@@ -30,6 +39,7 @@
 	int64_t up_us;	    /**< it is down before then */
 	int64_t work_us;    /**< how long it takes to run a request */
 	int crashes;	    /**< so far */
+	bool rejects;	    /**< it answers that it runs nothing */
 	double limit_per_s; /**< that it names, or SERVER_LIMIT_NONE */
 	GArray *arrivals;   /**< int64_t, times of requests */
 };
@@ -42,6 +52,9 @@
 	struct entries_vm *vms; /**< n_vms of them */
 	GArray *runs;		/**< requests at servers */
 	GArray *posts;		/**< messages on their way to entry VMs */
+	const char *path;	/**< of requests from now on */
+	GArray *asked;		/**< int64_t, times of requests */
+	GArray *repeats;	/**< and of those that reached another server */
 	uint64_t next_entry;
 	uint64_t next_request;
 	int served;
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -146,7 +146,8 @@
 void group_set_sink(struct group *group, group_sink *sink, void *data);
 
 /** An entry VM's link to a VM comes up or goes down. */
-void group_entry_link(struct group *group, int vm, uint64_t entry, bool up);
+void group_entry_link(struct group *group, int vm, uint64_t entry,
+		      const char *name, bool up);
 
 /** A message of an entry VM to a VM, on LINK_FEED. */
 void group_entry_message(struct group *group, int vm, uint64_t entry,
--- a/tests/control/group_entry.c
+++ b/tests/control/group_entry.c
@@ -144,10 +144,11 @@
 	group->sink_data = data;
 }
 
-void group_entry_link(struct group *group, int at, uint64_t entry, bool up)
+void group_entry_link(struct group *group, int at, uint64_t entry,
+		      const char *name, bool up)
 {
-	struct event_link_up told = { entry, (char *)"entry", (char *)"z1",
-				      NULL, true };
+	struct event_link_up told = { entry, (char *)name, (char *)"z1", NULL,
+				      true };
 	struct control *control = group->vms[at].control;
 	struct effects effects;
 
