control, entry: VMs that start again don't lower the number that shares the retry limit

Callers' requests were retried beyond the limit on retries over all VMs: after a restart of all entry VMs the first to return was told that one VM shares the limit, and took the headroom of all until the next poll. The same after a restart of all control VMs.

Cause: a control VM counted the links that it had just then. It now counts VMs by name, also those that had a link within the window, since what they spent is still part of it. An entry VM that is told fewer takes that for true after a window. Parts of limits that servers name go by the same number: parts of a VM that has gone stay unused for a window.

--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -75,6 +75,7 @@
 		.window_us = boot->window_s * 1000000,
 		.due_us = boot->due_s * 1000000,
 		.beat_us = boot->beat_ms * 1000,
+		.retry_window_us = boot->retry_window_s * 1000000,
 		.report = boot->platform != NULL,
 		.forward_bytes_max = FORWARD_BYTES_MAX,
 	};
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -33,17 +33,18 @@
 	uint64_t seed;
 	const char *vm;
 	const char *zone;
-	const char *address; /**< IP:port of its links */
-	bool found;	     /**< found the group if the folder is empty */
-	int voters;	     /**< wanted, odd */
-	int tolerate;	     /**< disks that may be lost at once */
-	int64_t lease_us;    /**< length of the lease to give orders */
-	int64_t election_us; /**< silence of a leader before another one is
+	const char *address;	 /**< IP:port of its links */
+	bool found;		 /**< found the group if the folder is empty */
+	int voters;		 /**< wanted, odd */
+	int tolerate;		 /**< disks that may be lost at once */
+	int64_t lease_us;	 /**< length of the lease to give orders */
+	int64_t election_us;	 /**< silence of a leader before another one is
 				  elected, also after a start */
-	int64_t window_us;   /**< length of a usage window */
-	int64_t due_us;	     /**< its report is due so long after its end */
-	int64_t beat_us;     /**< servers announce themselves so often */
-	bool report;	     /**< there is a platform that takes reports */
+	int64_t window_us;	 /**< length of a usage window */
+	int64_t due_us;		 /**< its report is due so long after its end */
+	int64_t beat_us;	 /**< servers announce themselves so often */
+	int64_t retry_window_us; /**< of the limit on entry VMs' retries */
+	bool report;		 /**< there is a platform that takes reports */
 	int64_t forward_bytes_max; /**< longer documents are redirected to the
 				    leader, shorter ones forwarded */
 };
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -62,7 +62,9 @@
 		.age_us = fresh_us > INT64_MIN / 8 ? now_us - fresh_us : -1,
 		.version = control->ledger.version,
 		.wall_us = wall_time_us(&control->wall, now_us),
-		.entry_vms = control->entry_vms,
+		.entry_vms =
+			roster_seen(&control->roster,
+				    control->options.retry_window_us, now_us),
 		.number = -1,
 	};
 
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -75,35 +75,6 @@
 	bytes_clear(&body);
 }
 
-/*
- * The retry limit holds for all entry VMs together, and each uses an equal
- * part. A control VM without a link to some of them reports too low a number,
- * so the largest one counts; without any report the last one is kept.
- */
-static void update_retry_limit(struct entry *entry, uint64_t id, int64_t told)
-{
-	struct feed_peer *peer = feed_peer_find(&entry->peers, id);
-	struct retry_limit limit = { entry->options.retry_share,
-				     entry->options.retry_headroom,
-				     entry->options.retry_window_us, 0 };
-	struct feed_peer *next;
-	int64_t most = 0;
-
-	if (peer)
-		peer->entry_vms = told;
-	map_foreach(peer, next, &entry->peers, node)
-		if (peer->entry_vms > most)
-			most = peer->entry_vms;
-	if (most == entry->entry_vms || !most)
-		return;
-	entry_log(entry, LOG_INFO, "retry",
-		  "event=shared entry_vms=%lld before=%lld", (long long)most,
-		  (long long)entry->entry_vms);
-	entry->entry_vms = most;
-	limit.vms = (int)most;
-	router_limit_retries(entry->router, &limit);
-}
-
 /*
  * This VM's part of the limits that servers name goes by its number among the
  * entry VMs, as the control VM tells that has a link to most of them. One of an
@@ -132,7 +103,7 @@
 
 	if (state->wall_us)
 		wall_note(&entry->wall, peer, state->wall_us, entry->now_us);
-	update_retry_limit(entry, peer, state->entry_vms);
+	entry_share_retries(entry, peer, state);
 	if (entry->entry_vms)
 		update_number(entry, state);
 	fetch_document(entry, &offer);
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -68,7 +68,9 @@
 	struct list deferred; /**< struct deferred_request, oldest first */
 	struct list classes;
 	int n_classes;
-	int64_t entry_vms;	   /**< entry VMs that share the retry limit */
+	int64_t entry_vms;	   /**< entry VMs as told, 0 unknown */
+	int64_t retry_vms;	   /**< of these, that share the retry limit */
+	int64_t retry_vms_us;	   /**< when so many were last told */
 	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
@@ -104,6 +106,10 @@
 void entry_handle_limit(struct entry *entry, const struct feed_limit *told);
 void entry_tell_limits_to(struct entry *entry, uint64_t peer);
 
+/* entry_retry.c */
+void entry_share_retries(struct entry *entry, uint64_t peer,
+			 const struct feed_state *state);
+
 /* entry_crash.c */
 void entry_tell_crash(void *data, const struct poison_report *report);
 void entry_tell_crashes_to(struct entry *entry, uint64_t peer);
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -44,12 +44,16 @@
 };
 
 struct feed_state {
-	int64_t echo_us;   /**< of the poll; 0 for a push */
-	int64_t age_us;	   /**< since a quorum stood behind it; -1 unknown */
-	int64_t version;   /**< of the newest document applied, 0 for none */
-	int64_t wall_us;   /**< wall clock when it was sent */
-	int64_t entry_vms; /**< entry VMs that have a link to it; 0 unknown */
-	int64_t number;	   /**< of the receiver among them; -1 unknown */
+	int64_t echo_us; /**< of the poll; 0 for a push */
+	int64_t age_us;	 /**< since a quorum stood behind it; -1 unknown */
+	int64_t version; /**< of the newest document applied, 0 for none */
+	int64_t wall_us; /**< wall clock when it was sent */
+	/**
+	 * Entry VMs that have a link to it or had one lately: what one that has
+	 * gone spent of a limit over all VMs is still part of it. 0: unknown.
+	 */
+	int64_t entry_vms;
+	int64_t number; /**< of the receiver among them; -1 unknown */
 };
 
 struct feed_fetch {
--- a/libfilberthall/usage/roster.c
+++ b/libfilberthall/usage/roster.c
@@ -71,6 +71,16 @@
 	}
 }
 
+int roster_seen(const struct roster *roster, int64_t within_us, int64_t now_us)
+{
+	struct roster_vm *vm;
+	int seen = 0;
+
+	list_foreach(vm, &roster->vms, node)
+		seen += vm->linked || now_us - vm->since_us < within_us;
+	return seen;
+}
+
 int roster_awaited(struct roster *roster, int64_t now_us)
 {
 	struct roster_vm *vm;
--- a/libfilberthall/usage/roster.h
+++ b/libfilberthall/usage/roster.h
@@ -36,6 +36,12 @@
 /** The link to an entry VM is down. */
 void roster_down(struct roster *roster, uint64_t id, int64_t now_us);
 
+/**
+ * Number of entry VMs that are connected or were so within that time, of at
+ * most ROSTER_KEPT_US.
+ */
+int roster_seen(const struct roster *roster, int64_t within_us, int64_t now_us);
+
 /** Number of entry VMs that may have counts they haven't sent yet. */
 int roster_awaited(struct roster *roster, int64_t now_us);
 
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -318,6 +318,7 @@
 	struct vm *vm = &group->vms[at];
 	struct raft_persistent_state saved = disk_copy(&vm->disk);
 	struct control_options options = {
+		.retry_window_us = 10000000,
 		.vm = vm->name,
 		.zone = "z1",
 		.address = vm->address,
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -369,6 +369,24 @@
 	bed_end(&bed);
 }
 
+/* A control VM that has just started counts too few entry VMs for a moment. */
+static void test_shares_retries_after_restart(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	bed_deliver_server(&bed, STEADY, 1, false, false);
+	bed.entry_vms = 66;
+	bed_deliver_state(&bed, bed.polled_us, 0, 1);
+	bed.entry_vms = 1;
+	bed_deliver_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpint(repeated(&bed, 20), <=, 4);
+	bed_advance(&bed, 11 * SECOND);
+	bed_deliver_state(&bed, bed.polled_us, 0, 1);
+	g_assert_cmpint(repeated(&bed, 20), ==, 20);
+	bed_end(&bed);
+}
+
 /*
  * A rejected request hasn't run, so another server may get it, even on a route
  * whose requests may run only once.
@@ -489,6 +507,8 @@
 	g_test_add_func("/entry/many-goals", test_many_goals);
 	g_test_add_func("/entry/only-server-left", test_only_server_left);
 	g_test_add_func("/entry/shares-retries", test_shares_retries);
+	g_test_add_func("/entry/shares-retries-after-restart",
+			test_shares_retries_after_restart);
 	g_test_add_func("/entry/rejected", test_rejected);
 	g_test_add_func("/entry/answer-lost", test_answer_lost);
 	g_test_add_func("/entry/urgency", test_urgency);
