entry, control, load: a process knows what earlier ones of its VM have retried

Cause: the window is counted in memory. A new process had its VM's whole part of the headroom anew, and each restart within a window added one.

Each process reports what it is about to spend, somewhat ahead, so that neither each retry needs a message nor an end loses some. Control VMs keep that for a window and tell the next process of the VM, which counts it as its own; when a process has ended they tell each other, and when links come up both sides repeat what they know. They also say how long they have been up: a process for which none knows the whole window makes no retries until one has passed.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -89,6 +89,8 @@
 	begun_init(&control->begun);
 	roster_init(&control->roster);
 	poison_init(&control->poison);
+	retry_history_init(&control->retries);
+	control->started_us = now_us;
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->forwarded);
@@ -136,6 +138,7 @@
 	begun_clear(&control->begun);
 	roster_clear(&control->roster);
 	poison_clear(&control->poison);
+	retry_history_clear(&control->retries);
 	members_clear(&control->announced);
 	free(control->vm);
 	free(control->zone);
@@ -328,6 +331,7 @@
 	struct feed_peer *peer =
 		feed_peer_up(&control->peers, up->peer, up->observer);
 
+	snprintf(peer->vm, sizeof(peer->vm), "%s", up->name);
 	control_log(effects, LOG_INFO, "link", "event=up vm=%s zone=%s role=%s",
 		    up->name, up->zone, up->observer ? "entry" : "control");
 	if (!peer->observer) {
@@ -356,6 +360,7 @@
 		control_drain(control, now_us, effects);
 	} else {
 		roster_down(&control->roster, id, now_us);
+		control_process_ended(control, id, now_us, effects);
 	}
 	feed_peer_down(&control->peers, peer);
 	control_number_entry_vms(control);
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -66,6 +66,7 @@
 			roster_seen(&control->roster,
 				    control->options.retry_window_us, now_us),
 		.number = -1,
+		.up_us = now_us - control->started_us,
 	};
 
 	return state;
@@ -172,6 +173,7 @@
 	size_t i;
 
 	control_tell_crashes_to(control, peer, now_us, effects);
+	control_tell_retries_to(control, peer, now_us, effects);
 	if (!peer->observer) {
 		control_send_fleet(control, peer, now_us, effects);
 		return;
@@ -370,6 +372,10 @@
 		control_receive_crashes(control, peer, &message.u.crashes,
 					now_us, effects);
 		break;
+	case FEED_RETRIES:
+		control_receive_retries(control, peer, &message.u.retries,
+					now_us, effects);
+		break;
 	case FEED_EVACUATIONS:
 	case FEED_BUNDLE:
 	case FEED_MARKS:
@@ -397,5 +403,6 @@
 	if (now_us - control->clock_us < CLOCK_US)
 		return;
 	send_clock(control, wall_us, effects);
+	retry_history_expire(&control->retries, now_us);
 	control->clock_us = now_us;
 }
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -8,6 +8,7 @@
 #include "feed/feed.h"
 #include "feed/peers.h"
 #include "load/poison.h"
+#include "load/retry_history.h"
 #include "usage/begun.h"
 #include "usage/roster.h"
 #include "usage/stepout.h"
@@ -62,8 +63,10 @@
 	struct stepout own_wall; /**< this VM's wall clock */
 	struct wall wall;
 	struct poison poison; /**< requests under which servers crashed */
-	struct map peers;     /**< struct feed_peer */
-	int entry_vms;	      /**< of them */
+	struct retry_history retries;
+	int64_t started_us;
+	struct map peers; /**< struct feed_peer */
+	int entry_vms;	  /**< of them */
 	struct list proposals;
 	struct list forwarded; /**< struct control_forwarded */
 	struct list reports;
@@ -179,6 +182,18 @@
 			     const struct feed_peer *peer, int64_t now_us,
 			     struct effects *effects);
 
+/* control_retry.c */
+void control_receive_retries(struct control *control, uint64_t id,
+			     const struct retry_report *report, int64_t now_us,
+			     struct effects *effects);
+void control_tell_retries_to(const struct control *control,
+			     const struct feed_peer *peer, int64_t now_us,
+			     struct effects *effects);
+
+/** The link to a process of an entry VM is down. */
+void control_process_ended(struct control *control, uint64_t id, int64_t now_us,
+			   struct effects *effects);
+
 /* control_limit.c */
 void control_receive_limit(struct control *control, uint64_t id,
 			   const struct feed_limit *told, int64_t now_us,
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -72,6 +72,8 @@
 		entry->regions = *options->regions;
 	begun_init(&entry->begun);
 	presumed_init(&entry->presumed);
+	retry_history_init(&entry->past_retries);
+	entry->started_us = now_us;
 	map_init(&entry->peers);
 	map_init(&entry->calls);
 	list_init(&entry->deferred);
@@ -84,6 +86,7 @@
 	router.features = features();
 	router.hooks.finished = entry_request_finished;
 	router.hooks.crashed = entry_tell_crash;
+	router.hooks.retried = entry_tell_retries;
 	router.hooks.data = entry;
 	entry->router = router_new(&router);
 	entry->now_us = now_us;
@@ -108,6 +111,7 @@
 	evacuations_clear(&entry->evacuations);
 	begun_clear(&entry->begun);
 	presumed_clear(&entry->presumed);
+	retry_history_clear(&entry->past_retries);
 	document_free(entry->document);
 	free(entry->vm);
 	free(entry->zone);
@@ -185,6 +189,7 @@
 	begun_tell_again(&entry->begun);
 	entry_tell_crashes_to(entry, up->peer);
 	entry_tell_limits_to(entry, up->peer);
+	entry_tell_retries_to(entry, up->peer);
 	entry_poll(entry);
 }
 
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -237,6 +237,9 @@
 	case FEED_CRASHES:
 		entry_handle_crashes(entry, &message.u.crashes);
 		break;
+	case FEED_RETRIES:
+		entry_handle_retries(entry, &message.u.retries);
+		break;
 	case FEED_POLL:
 	case FEED_FETCH:
 	case FEED_BEGUN:
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -68,9 +68,12 @@
 	struct list deferred; /**< struct deferred_request, oldest first */
 	struct list classes;
 	int n_classes;
-	int64_t entry_vms;	   /**< entry VMs as told, 0 unknown */
-	int64_t retry_vms;	   /**< of these, that share the retry limit */
-	int64_t retry_vms_us;	   /**< when so many were last told */
+	int64_t entry_vms;    /**< entry VMs as told, 0 unknown */
+	int64_t retry_vms;    /**< of these, that share the retry limit */
+	int64_t retry_vms_us; /**< when so many were last told */
+	bool past_known;      /**< what this VM spent in the window */
+	int64_t started_us;
+	struct retry_history past_retries; /**< of this VM's processes */
 	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
@@ -109,6 +112,10 @@
 /* entry_retry.c */
 void entry_share_retries(struct entry *entry, uint64_t peer,
 			 const struct feed_state *state);
+void entry_tell_retries(void *data, const struct retry_report *report);
+void entry_tell_retries_to(struct entry *entry, uint64_t peer);
+void entry_handle_retries(struct entry *entry,
+			  const struct retry_report *report);
 
 /* entry_crash.c */
 void entry_tell_crash(void *data, const struct poison_report *report);
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -28,13 +28,14 @@
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 6, FEED_STATE);
+	begin(&packer, out, 7, FEED_STATE);
 	msgpack_pack_int64(&packer, state->echo_us);
 	msgpack_pack_int64(&packer, state->age_us);
 	msgpack_pack_int64(&packer, state->version);
 	msgpack_pack_int64(&packer, state->wall_us);
 	msgpack_pack_int64(&packer, state->entry_vms);
 	msgpack_pack_int64(&packer, state->number);
+	msgpack_pack_int64(&packer, state->up_us);
 }
 
 void feed_write_fetch(struct bytes *out, const struct feed_fetch *fetch)
@@ -300,3 +301,23 @@
 	msgpack_pack_int64(&packer, limit_thousandths(server->limit.per_s));
 	msgpack_pack_int64(&packer, now_us - server->limit.heard_us);
 }
+
+void feed_write_retries(struct bytes *out, const struct retry_report *report)
+{
+	const struct retry_window *window = &report->window;
+	msgpack_packer packer;
+	int i;
+
+	begin(&packer, out, 7 + 2 * (RETRY_STEPS + 1), FEED_RETRIES);
+	pack_text(&packer, report->vm);
+	msgpack_pack_uint64(&packer, report->process);
+	pack_text(&packer, report->pool);
+	msgpack_pack_int64(&packer, report->made_us);
+	msgpack_pack_int64(&packer, report->age_us);
+	msgpack_pack_int64(&packer, report->step_us);
+	msgpack_pack_int64(&packer, window->step);
+	for (i = 0; i <= RETRY_STEPS; i++) {
+		msgpack_pack_int64(&packer, window->steps[i].fresh);
+		msgpack_pack_int64(&packer, window->steps[i].retries);
+	}
+}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -9,6 +9,7 @@
 #include "fleet/evacuation.h"
 #include "fleet/registry.h"
 #include "load/poison.h"
+#include "load/retry_history.h"
 
 /**
  * What control VMs and entry VMs tell each other on LINK_FEED, and control
@@ -34,7 +35,8 @@
 	FEED_EVACUATE,	   /**< control to leader: an order for a zone */
 	FEED_EVACUATIONS,  /**< control to entry: zones without new requests */
 	FEED_CRASHES,	   /**< to all: servers that ended under a request */
-	FEED_LIMIT	   /**< to all: what a server in need takes */
+	FEED_LIMIT,	   /**< to all: what a server in need takes */
+	FEED_RETRIES	   /**< to all: what a process of an entry VM spent */
 };
 
 struct feed_poll {
@@ -54,6 +56,7 @@
 	 */
 	int64_t entry_vms;
 	int64_t number; /**< of the receiver among them; -1 unknown */
+	int64_t up_us;	/**< since the control VM started; 0 unknown */
 };
 
 struct feed_fetch {
@@ -165,6 +168,7 @@
 		struct feed_evacuate evacuate;
 		struct evacuations evacuations;
 		struct feed_limit limit;
+		struct retry_report retries;
 		struct poison_report
 			crashes; /**< times count from its sending */
 	} u;
@@ -224,6 +228,8 @@
 void feed_write_crashes(struct bytes *out, const struct poison_report *report,
 			int64_t now_us);
 
+void feed_write_retries(struct bytes *out, const struct retry_report *report);
+
 /** The array of all zones behind any kind; the log's snapshots have it too. */
 void feed_pack_evacuations(struct bytes *out, int64_t kind,
 			   const struct evacuations *evacuations);
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,18 +12,24 @@
 /* Items in a list of one message; a larger one is malformed. */
 #define FEED_LIST_MOST 16384
 
-static bool read_name(const struct unpacked *items, size_t i,
-		      char name[BACKEND_NAME_SIZE])
+static bool read_text(const struct unpacked *items, size_t i, char *out,
+		      size_t size)
 {
-	char *text = unpack_text(items, i, BACKEND_NAME_SIZE - 1);
+	char *text = unpack_text(items, i, size - 1);
 
 	if (!text)
 		return false;
-	memcpy(name, text, strlen(text) + 1);
+	memcpy(out, text, strlen(text) + 1);
 	free(text);
 	return true;
 }
 
+static bool read_name(const struct unpacked *items, size_t i,
+		      char name[BACKEND_NAME_SIZE])
+{
+	return read_text(items, i, name, BACKEND_NAME_SIZE);
+}
+
 static bool read_flag(const struct unpacked *items, size_t i, bool *flag)
 {
 	int64_t value;
@@ -70,6 +77,8 @@
 		state->entry_vms = 0;
 	if (!unpack_int(items, 6, &state->number))
 		state->number = -1;
+	if (!unpack_int(items, 7, &state->up_us))
+		state->up_us = 0;
 	return unpack_int(items, 1, &state->echo_us) &&
 	       unpack_int(items, 2, &state->age_us) &&
 	       unpack_int(items, 3, &state->version) &&
@@ -259,6 +268,47 @@
 	return true;
 }
 
+static bool read_count(const struct unpacked *items, size_t i, int *count)
+{
+	int64_t value;
+
+	if (!unpack_int(items, i, &value) || value < 0 || value > INT_MAX / 64)
+		return false;
+	*count = (int)value;
+	return true;
+}
+
+static bool read_retry_window(const struct unpacked *items, size_t at,
+			      struct retry_window *window)
+{
+	size_t i;
+
+	if (items->n != at + 1 + 2 * (RETRY_STEPS + 1) ||
+	    !unpack_int(items, at, &window->step) || window->step < 0)
+		return false;
+	for (i = 0; i <= RETRY_STEPS; i++) {
+		struct retry_counts *counts = &window->steps[i];
+
+		if (!read_count(items, at + 2 * i + 1, &counts->fresh) ||
+		    !read_count(items, at + 2 * i + 2, &counts->retries))
+			return false;
+	}
+	return true;
+}
+
+static bool read_retries(const struct unpacked *items,
+			 struct retry_report *report)
+{
+	return read_text(items, 1, report->vm, sizeof(report->vm)) &&
+	       unpack_uint(items, 2, &report->process) &&
+	       read_text(items, 3, report->pool, sizeof(report->pool)) &&
+	       unpack_int(items, 4, &report->made_us) &&
+	       unpack_int(items, 5, &report->age_us) && report->age_us >= 0 &&
+	       unpack_int(items, 6, &report->step_us) && report->step_us > 0 &&
+	       read_retry_window(items, 7, &report->window) &&
+	       report->window.step < INT64_MAX / 4 / report->step_us;
+}
+
 static bool read_items(struct feed_message *message,
 		       const struct unpacked *items)
 {
@@ -304,6 +354,8 @@
 		return read_limit(items, &message->u.limit);
 	case FEED_CRASHES:
 		return read_crashes(items, &message->u.crashes);
+	case FEED_RETRIES:
+		return read_retries(items, &message->u.retries);
 	default:
 		return false;
 	}
--- a/libfilberthall/feed/peers.c
+++ b/libfilberthall/feed/peers.c
@@ -68,6 +68,16 @@
 	bytes_clear(&body);
 }
 
+void feed_send_retries(const struct feed_audience *audience,
+		       const struct retry_report *report)
+{
+	struct bytes body = { 0 };
+
+	feed_write_retries(&body, report);
+	feed_send(audience->effects, audience->peer, &body);
+	bytes_clear(&body);
+}
+
 void feed_send_limits(const struct feed_audience *audience,
 		      const struct registry *registry)
 {
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -9,20 +9,22 @@
 #include "core/effect.h"
 #include "fleet/registry.h"
 #include "load/poison.h"
+#include "load/retry_history.h"
 
 /** The daemons that have a link to us, and what goes to them on LINK_FEED. */
 struct feed_peer {
 	struct map_node node; /**< by id */
 	uint64_t id;
-	bool observer;	   /**< an entry VM */
-	int64_t entry_vms; /**< entry VMs that it has told of */
-	int64_t number;	   /**< an entry VM's among those here */
-	bool fetches;	   /**< waits for the document in force */
-	bool marks;	   /**< understands FEED_MARKS and what came with it */
-	bool welcomed;	   /**< was told of all servers, or is a newcomer */
-	bool newcomer;	   /**< waits for the list of all servers */
-	bool changes;	   /**< understands FEED_CHANGE */
-	bool evacuations;  /**< understands FEED_EVACUATE */
+	bool observer;		  /**< an entry VM */
+	char vm[RETRY_NAME_SIZE]; /**< its name, if it said so */
+	int64_t entry_vms;	  /**< entry VMs that it has told of */
+	int64_t number;		  /**< an entry VM's among those here */
+	bool fetches;		  /**< waits for the document in force */
+	bool marks;	  /**< understands FEED_MARKS and what came with it */
+	bool welcomed;	  /**< was told of all servers, or is a newcomer */
+	bool newcomer;	  /**< waits for the list of all servers */
+	bool changes;	  /**< understands FEED_CHANGE */
+	bool evacuations; /**< understands FEED_EVACUATE */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
@@ -39,7 +41,7 @@
 void feed_send(struct effects *effects, uint64_t peer,
 	       const struct bytes *body);
 
-/** Whom feed_send_crashes() and feed_send_limits() tell. */
+/** Whom the functions below tell. */
 struct feed_audience {
 	uint64_t peer;
 	int64_t now_us;
@@ -49,6 +51,10 @@
 /** Send FEED_CRASHES of one request; `data` is a struct feed_audience. */
 void feed_send_crashes(void *data, const struct poison_report *report);
 
+/** Send FEED_RETRIES of one process. */
+void feed_send_retries(const struct feed_audience *audience,
+		       const struct retry_report *report);
+
 /** Send FEED_LIMIT of each server that names one. */
 void feed_send_limits(const struct feed_audience *audience,
 		      const struct registry *registry);
--- a/libfilberthall/load/retry.c
+++ b/libfilberthall/load/retry.c
@@ -5,6 +5,9 @@
 /* Time constant of the average rate of first attempts. */
 #define RETRY_RATE_US 10e6
 
+/* Part of a window's retries that is reported before it is spent, as 1 / it. */
+#define RETRY_AHEAD 8
+
 void retry_init(struct retry *retry, bool limited, int64_t now_us)
 {
 	*retry = (struct retry){
@@ -20,48 +23,114 @@
 	retry->limit = *limit;
 }
 
-/* Clear the counters of the steps that began since the last call. */
-static void retry_advance(struct retry *retry, int64_t now_us)
+static int64_t retry_step(const struct retry *retry, int64_t now_us)
 {
-	int64_t step = now_us / (retry->limit.window_us / RETRY_STEPS);
-	int64_t from = retry->step + 1;
+	return now_us / (retry->limit.window_us / RETRY_STEPS);
+}
+
+/* Make `step` the latest one; those that began since are empty. */
+static void retry_window_advance(struct retry_window *window, int64_t step)
+{
+	int64_t from = window->step + 1;
 
 	if (step - from > RETRY_STEPS)
 		from = step - RETRY_STEPS;
-	for (; from <= step; from++) {
-		retry->fresh[from % (RETRY_STEPS + 1)] = 0;
-		retry->retries[from % (RETRY_STEPS + 1)] = 0;
-	}
-	if (step > retry->step)
-		retry->step = step;
+	for (; from <= step; from++)
+		window->steps[from % (RETRY_STEPS + 1)] =
+			(struct retry_counts){ 0 };
+	if (step > window->step)
+		window->step = step;
+}
+
+void retry_window_add(struct retry_window *window, int64_t step,
+		      struct retry_counts counts)
+{
+	struct retry_counts *at;
+
+	if (step < 0 || step < window->step - RETRY_STEPS)
+		return;
+	retry_window_advance(window, step);
+	at = &window->steps[step % (RETRY_STEPS + 1)];
+	at->fresh += counts.fresh;
+	at->retries += counts.retries;
+}
+
+struct retry_counts retry_window_at(const struct retry_window *window,
+				    int64_t step)
+{
+	struct retry_counts none = { 0 };
+
+	if (step < 0 || step > window->step ||
+	    step < window->step - RETRY_STEPS)
+		return none;
+	return window->steps[step % (RETRY_STEPS + 1)];
 }
 
-static int *retry_step(struct retry *retry, int *steps)
+void retry_set_past(struct retry *retry, const struct retry_window *past)
 {
-	return &steps[retry->step % (RETRY_STEPS + 1)];
+	retry->past = *past;
 }
 
 /*
  * The window that ends now may begin anywhere in the oldest step, so the
- * retries of that step are counted and its new requests aren't.
+ * retries of that step are counted and its new requests aren't. By clocks that
+ * differ a little, what is past may lie in a step to come.
  */
+static void add_window(struct retry_view *view, const struct retry *retry,
+		       const struct retry_window *window)
+{
+	int64_t oldest = retry->own.step - RETRY_STEPS;
+	int64_t step;
+
+	for (step = oldest; step <= window->step; step++) {
+		struct retry_counts counts = retry_window_at(window, step);
+
+		view->retries += counts.retries;
+		if (step != oldest)
+			view->allowed += retry->limit.share * counts.fresh;
+	}
+}
+
 static struct retry_view retry_window_view(const struct retry *retry)
 {
 	const struct retry_limit *limit = &retry->limit;
 	struct retry_view view = { 0, limit->headroom / limit->vms,
 				   limit->vms };
-	int oldest = (int)((retry->step + 1) % (RETRY_STEPS + 1));
-	int i;
 
-	for (i = 0; i <= RETRY_STEPS; i++) {
-		view.retries += retry->retries[i];
-		if (i != oldest)
-			view.allowed += limit->share * retry->fresh[i];
-	}
+	add_window(&view, retry, &retry->own);
+	add_window(&view, retry, &retry->past);
 	view.allowed *= RETRY_LIMIT_PART;
 	return view;
 }
 
+bool retry_report_again(struct retry *retry, struct retry_window *report)
+{
+	struct retry_counts *now =
+		&report->steps[retry->own.step % (RETRY_STEPS + 1)];
+	int spent = 0;
+	int i;
+
+	*report = retry->own;
+	for (i = 0; i <= RETRY_STEPS; i++)
+		spent += report->steps[i].retries;
+	if (!retry->limit.vms || !spent)
+		return false;
+	now->retries += spent / RETRY_AHEAD;
+	retry->reported = now->retries;
+	retry->reported_step = retry->own.step;
+	return true;
+}
+
+bool retry_report(struct retry *retry, struct retry_window *report)
+{
+	struct retry_counts now = retry_window_at(&retry->own, retry->own.step);
+
+	if (retry->reported_step == retry->own.step &&
+	    now.retries <= retry->reported)
+		return false;
+	return retry_report_again(retry, report);
+}
+
 struct retry_view retry_view(const struct retry *retry)
 {
 	struct retry_view unshared = { 0 };
@@ -75,6 +144,8 @@
 	struct retry_view view = retry_window_view(retry);
 	double allowed = view.allowed * (8 - tier) / 8;
 
+	if (retry->limit.past_unknown)
+		return false;
 	return view.retries < (allowed > 1 ? allowed : 1);
 }
 
@@ -92,10 +163,9 @@
 	retry->budget += RETRY_SHARE;
 	if (retry->budget > retry->max_budget)
 		retry->budget = retry->max_budget;
-	if (retry->limit.vms) {
-		retry_advance(retry, now_us);
-		++*retry_step(retry, retry->fresh);
-	}
+	if (retry->limit.vms)
+		retry_window_add(&retry->own, retry_step(retry, now_us),
+				 (struct retry_counts){ .fresh = 1 });
 }
 
 /* Whether an attempt on another server may succeed. */
@@ -119,10 +189,13 @@
 static bool retry_take(struct retry *retry, int tier, int64_t now_us)
 {
 	if (retry->limit.vms) {
-		retry_advance(retry, now_us);
+		int64_t step = retry_step(retry, now_us);
+
+		retry_window_advance(&retry->own, step);
 		if (!retry_window_allows(retry, tier))
 			return false;
-		++*retry_step(retry, retry->retries);
+		retry_window_add(&retry->own, step,
+				 (struct retry_counts){ .retries = 1 });
 		return true;
 	}
 	if (retry->budget < 1 + retry->max_budget * tier / 8)
--- a/libfilberthall/load/retry.h
+++ b/libfilberthall/load/retry.h
@@ -54,11 +54,24 @@
 	double headroom;   /**< further retries allowed in any window */
 	int64_t window_us; /**< length of the sliding window */
 	int vms;	   /**< VMs that share the limit; 0 if there is none */
+	/** Earlier processes of this VM may have spent its part. */
+	bool past_unknown;
 };
 
 /** Full steps of a window; the current, partial step is counted besides. */
 #define RETRY_STEPS 20
 
+struct retry_counts {
+	int fresh; /**< new requests */
+	int retries;
+};
+
+/** Counts by step of the last window, a ring buffer. */
+struct retry_window {
+	struct retry_counts steps[RETRY_STEPS + 1];
+	int64_t step; /**< number of the latest */
+};
+
 struct retry {
 	bool unlimited; /**< no budget, for ablation runs */
 	double budget;
@@ -66,9 +79,10 @@
 	double rate;	   /**< new requests per second, running average */
 	int64_t updated_us;
 	struct retry_limit limit;
-	int fresh[RETRY_STEPS + 1]; /**< new requests by step, a ring buffer */
-	int retries[RETRY_STEPS + 1];
-	int64_t step; /**< number of the current step */
+	struct retry_window own;
+	struct retry_window past; /**< of earlier processes of this VM */
+	int reported;		  /**< retries of the step reported last */
+	int64_t reported_step;
 };
 
 /** The facts by which retry_check() decides. */
@@ -97,12 +111,36 @@
  * crash of a quarter of the servers needs at once as many retries as ten
  * seconds of traffic allow.
  *
+ * Earlier processes of the VM count as this one; see load/retry_history.h.
+ * While it isn't known what they spent, there are no retries.
+ *
  * One retry per window is always allowed; otherwise a VM among many could
  * never retry. With more VMs than headroom, the total may therefore exceed the
  * limit by one retry per VM.
  */
 void retry_limit(struct retry *retry, const struct retry_limit *limit);
 
+/**
+ * What was spent is to be reported to the other VMs: it exceeds the last
+ * report. The new one contains some retries that aren't made yet, so that not
+ * each retry needs a message and an end of the process loses none.
+ */
+bool retry_report(struct retry *retry, struct retry_window *report);
+
+/** The same whether or not it is due; false if nothing was spent. */
+bool retry_report_again(struct retry *retry, struct retry_window *report);
+
+/** Set what earlier processes of this VM have spent, by this one's clock. */
+void retry_set_past(struct retry *retry, const struct retry_window *past);
+
+/** Add counts to a step, unless it is before the window. */
+void retry_window_add(struct retry_window *window, int64_t step,
+		      struct retry_counts counts);
+
+/** Counts of a step; none outside the window. */
+struct retry_counts retry_window_at(const struct retry_window *window,
+				    int64_t step);
+
 /** The window of the last retry_check(), for logs. */
 struct retry_view {
 	int retries;
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -202,17 +202,6 @@
 	}
 }
 
-void router_limit_retries(struct router *router,
-			  const struct retry_limit *limit)
-{
-	struct pool *pool;
-	struct pool *next;
-
-	router->retry_limit = *limit;
-	map_foreach(pool, next, &router->pools, node)
-		retry_limit(&pool->retry, limit);
-}
-
 void router_set_vm(struct router *router, const struct server_limit_vm *vm)
 {
 	router->vm = *vm;
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -9,7 +9,7 @@
 #include "core/event.h"
 #include "core/rule.h"
 #include "load/poison.h"
-#include "load/retry.h"
+#include "load/retry_history.h"
 #include "load/server_limit.h"
 
 /**
@@ -74,6 +74,8 @@
 	void *data;
 	/** A server crashed under a request: to be told to all other VMs. */
 	void (*crashed)(void *data, const struct poison_report *report);
+	/** Retries were spent: to be reported before they are made. */
+	retry_history_visitor *retried;
 };
 
 struct router_options {
@@ -128,6 +130,14 @@
 void router_limit_retries(struct router *router,
 			  const struct retry_limit *limit);
 
+/** Calls `visit` for each pool that has spent retries. */
+void router_visit_retries(struct router *router, int64_t now_us,
+			  retry_history_visitor *visit, void *data);
+
+/** What earlier processes of this VM have spent. */
+void router_set_past_retries(struct router *router, const char *pool,
+			     const struct retry_window *past, int64_t now_us);
+
 /** Add or change a class; also applies to requests already waiting. */
 void router_set_class(struct router *router, const struct class_rule *rule,
 		      int64_t now_us, struct effects *effects);
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -395,7 +395,7 @@
 			    effects);
 		return;
 	}
-	code = request_check_retry(request, &why, now_us, effects);
+	code = request_check_retry(router, request, &why, now_us, effects);
 	if (code) {
 		if (!request->spec.stream)
 			request->wasted += attempt->tokens;
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -92,18 +92,25 @@
 	return pool;
 }
 
+struct pool *pool_named(struct router *router, const char *name, int64_t now_us)
+{
+	struct map_node *node =
+		map_find(&router->pools, map_hash_text(name), pool_match, name);
+
+	if (!node)
+		return pool_new(router, xstrdup(name), now_us);
+	return container_of(node, struct pool, node);
+}
+
 struct pool *pool_get(struct router *router, const char *model,
 		      const char *service, int64_t now_us)
 {
 	char *name = xstrfmt("%c:%s", service ? 's' : 'm',
 			     service ? service : (model ? model : ""));
-	struct map_node *node;
+	struct pool *pool = pool_named(router, name, now_us);
 
-	node = map_find(&router->pools, map_hash_text(name), pool_match, name);
-	if (!node)
-		return pool_new(router, name, now_us);
 	free(name);
-	return container_of(node, struct pool, node);
+	return pool;
 }
 
 static bool same_text(const char *a, const char *b)
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -231,6 +231,8 @@
 };
 
 /* router_pool.c */
+struct pool *pool_named(struct router *router, const char *name,
+			int64_t now_us);
 struct pool *pool_get(struct router *router, const char *model,
 		      const char *service, int64_t now_us);
 struct queue *pool_queue(struct router *router, struct pool *pool,
@@ -323,8 +325,9 @@
 
 /* router_retry.c */
 
-/** retry_check() of the request's pool. */
-enum result request_check_retry(const struct request *request,
+/** retry_check() of the request's pool; reports what was spent. */
+enum result request_check_retry(struct router *router,
+				const struct request *request,
 				const struct retry_case *why, int64_t now_us,
 				struct effects *effects);
 
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -142,7 +142,7 @@
 	if (backend)
 		health_overdue(&backend->health, now_us);
 	if (!hedge_has_room(router, request) ||
-	    request_check_retry(request, &why, now_us, effects))
+	    request_check_retry(router, request, &why, now_us, effects))
 		return;
 	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
@@ -165,7 +165,7 @@
 		.needs_us = request_needs_us(router, request, now_us),
 	};
 
-	return !request_check_retry(request, &why, now_us, effects);
+	return !request_check_retry(router, request, &why, now_us, effects);
 }
 
 /* It is looked at once for each attempt. */
--- a/tests/control/t-retry-limit.c
+++ b/tests/control/t-retry-limit.c
@@ -75,22 +75,30 @@
 	return n;
 }
 
-/* Retries that the limit leaves unused in the window where it leaves least. */
+/* Retries that the limit leaves unused in the window that ends then. */
+static double left_until(const struct entries *entries, int64_t until_us)
+{
+	int64_t from_us = until_us - ENTRIES_RETRY_WINDOW_US;
+
+	return ENTRIES_RETRY_HEADROOM +
+	       ENTRIES_RETRY_SHARE * count(entries->asked, from_us, until_us) -
+	       count(entries->repeats, from_us, until_us);
+}
+
+/* The same where it is least; a window begins or ends with a retry there. */
 static double least_left(const struct entries *entries)
 {
-	const GArray *repeats = entries->repeats;
+	int64_t now_us = group_now(entries->group);
 	double least = ENTRIES_RETRY_HEADROOM;
 	guint i;
 
-	for (i = 0; i < repeats->len; i++) {
-		int64_t from_us = g_array_index(repeats, int64_t, i);
-		int64_t until_us = from_us + ENTRIES_RETRY_WINDOW_US;
-		double left = ENTRIES_RETRY_HEADROOM +
-			      ENTRIES_RETRY_SHARE *
-				      count(entries->asked, from_us, until_us) -
-			      count(repeats, from_us, until_us);
+	for (i = 0; i < entries->repeats->len; i++) {
+		int64_t at_us = g_array_index(entries->repeats, int64_t, i);
+		int64_t until_us = at_us + ENTRIES_RETRY_WINDOW_US;
 
-		least = MIN(least, left);
+		least = MIN(least, left_until(entries, at_us + 1));
+		if (until_us <= now_us)
+			least = MIN(least, left_until(entries, until_us));
 	}
 	return least;
 }
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -149,9 +149,10 @@
 void bed_deliver_state(struct bed *bed, int64_t echo_us, int64_t age_us,
 		       int64_t version)
 {
-	struct feed_state state = { echo_us,	    age_us,
-				    version,	    1000 * SECOND + bed->now_us,
-				    bed->entry_vms, 0 };
+	struct feed_state state = {
+		echo_us,	age_us, version, 1000 * SECOND + bed->now_us,
+		bed->entry_vms, 0,	0
+	};
 	struct bytes body = { 0 };
 
 	feed_write_state(&body, &state);
--- a/tests/load/t-overdue.c
+++ b/tests/load/t-overdue.c
@@ -33,7 +33,7 @@
 	static const char *const addresses[SERVERS] = {
 		"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"
 	};
-	struct retry_limit limit = { 0.2, 50, 10 * SECOND, 1 };
+	struct retry_limit limit = { 0.2, 50, 10 * SECOND, 1, false };
 	int i;
 
 	memset(play, 0, sizeof(*play));
--- a/tests/load/t-retry.c
+++ b/tests/load/t-retry.c
@@ -21,7 +21,7 @@
 static void play_open(struct play *play, int vms_known)
 {
 	struct retry_limit limit = { SITE_SHARE, SITE_HEADROOM,
-				     WINDOW_S * SECOND, vms_known };
+				     WINDOW_S * SECOND, vms_known, false };
 	int i;
 
 	*play = (struct play){ 0 };
@@ -136,7 +136,7 @@
 static void many_vms_still_repeat(void)
 {
 	struct retry_limit limit = { SITE_SHARE, SITE_HEADROOM,
-				     WINDOW_S * SECOND, 330 };
+				     WINDOW_S * SECOND, 330, false };
 	struct play play;
 	int i;
 
--- a/tests/load/t-warmup.c
+++ b/tests/load/t-warmup.c
@@ -59,7 +59,7 @@
 
 static void open_site(struct site *site, int n_cold, int n_warm)
 {
-	struct retry_limit limit = { 0.2, 194, 10 * SECOND, VMS };
+	struct retry_limit limit = { 0.2, 194, 10 * SECOND, VMS, false };
 	int i;
 
 	memset(site, 0, sizeof(*site));
@@ -260,7 +260,7 @@
  */
 static void test_late_and_cut_off(void)
 {
-	struct retry_limit before = { 0.2, 194, 10 * SECOND, VMS / 4 };
+	struct retry_limit before = { 0.2, 194, 10 * SECOND, VMS / 4, false };
 	struct site site;
 	int i;
 
