entry, fleet: a VM logs whether connections to a service's servers succeed

The logs of second1 have attempts, some of them on kept connections. They can't tell a VM that reaches no server from servers that fail, nor kept connections that live on from new ones that are refused.

Nothing depends on it yet.

--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -64,6 +64,8 @@
 	struct http_client_options options;
 	struct map origins;
 	struct list calls;
+	http_client_watcher *watcher;
+	void *watcher_data;
 	int64_t opened;
 };
 
@@ -128,9 +130,20 @@
 		call_end(call, code);
 }
 
+static void tell_connected(const struct wire_conn *conn)
+{
+	const struct http_client *client = conn->client;
+
+	if (client->watcher)
+		client->watcher(client->watcher_data, conn->origin->address,
+				conn->connected);
+}
+
 /* Whatever ended it, a request may have arrived once it was connected. */
 static void wire_lost(struct wire_conn *conn)
 {
+	if (!conn->connected)
+		tell_connected(conn);
 	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
 					: RESULT_BACKEND_CONNECT);
 }
@@ -275,6 +288,7 @@
 	ev_timer_stop(conn->client->loop->ev, &conn->timer);
 	if (conn->call)
 		conn->call->sent = true;
+	tell_connected(conn);
 }
 
 /* A closed connection ends an answer without a length; a reset one doesn't. */
@@ -431,6 +445,13 @@
 	return client;
 }
 
+void http_client_watch(struct http_client *client, http_client_watcher *watcher,
+		       void *data)
+{
+	client->watcher = watcher;
+	client->watcher_data = data;
+}
+
 void http_client_free(struct http_client *client)
 {
 	struct http_call *call;
--- a/daemon/http/http_client.h
+++ b/daemon/http/http_client.h
@@ -61,6 +61,14 @@
 struct http_client *http_client_new(struct stream_loop *loop,
 				    const struct http_client_options *options);
 
+/**
+ * A new connection stands, or can't be made. Nothing of the client may be
+ * called from there.
+ */
+typedef void http_client_watcher(void *data, const char *address, bool stands);
+void http_client_watch(struct http_client *client, http_client_watcher *watcher,
+		       void *data);
+
 /** Ends all calls without telling. */
 void http_client_free(struct http_client *client);
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -337,6 +337,19 @@
 	entry_metrics_histogram(out, "filberthall_whole_ms", &view.total_time);
 }
 
+/*
+ * What follows from it is carried out with the next tick: the client is in the
+ * middle of a call.
+ */
+static void on_connection(void *data, const char *address, bool stands)
+{
+	struct entry_daemon *daemon = data;
+
+	entry_report_connection(daemon->entry, address, stands, edge_now_us(),
+				&daemon->effects);
+	ev_feed_event(daemon->role.ev, &daemon->tick, EV_TIMER);
+}
+
 static void make_client(struct entry_daemon *daemon)
 {
 	struct http_client_options options = {
@@ -347,6 +360,7 @@
 	};
 
 	daemon->client = http_client_new(&daemon->role.streams, &options);
+	http_client_watch(daemon->client, on_connection, daemon);
 	daemon->host.dialect = daemon->role.dialect;
 	daemon->host.client = daemon->client;
 	daemon->host.entry = daemon->entry;
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -78,6 +78,7 @@
 	map_init(&entry->calls);
 	list_init(&entry->deferred);
 	list_init(&entry->classes);
+	list_init(&entry->services);
 	router.seed = rng_next(&entry->rng);
 	router.self = options->self;
 	router.zone = entry->zone;
@@ -105,6 +106,7 @@
 	entry_free_deferred(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
+	entry_free_services(entry);
 	feed_peers_clear(&entry->peers);
 	fleet_clear(&entry->fleet);
 	registry_clear(&entry->registry);
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -121,6 +121,11 @@
 void entry_report_limit(struct entry *entry, const char *address, double per_s,
 			int64_t now_us, struct effects *effects);
 
+/** A new connection to a backend server stands, or can't be made. */
+void entry_report_connection(struct entry *entry, const char *address,
+			     bool stands, int64_t now_us,
+			     struct effects *effects);
+
 /**
  * How long a stopping VM still accepts every new request: the balancer probes
  * once a second and removes a VM after two failed probes. Later requests are
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -7,6 +7,7 @@
 #include "entry/fetch.h"
 #include "feed/peers.h"
 #include "fleet/evacuation.h"
+#include "fleet/reach.h"
 #include "fleet/registry.h"
 #include "load/router.h"
 #include "usage/begun.h"
@@ -43,6 +44,13 @@
 	int64_t expires_us; /**< refused at this time */
 };
 
+/** Whether this VM reaches the backend servers of a service. */
+struct service_reach {
+	struct list node;
+	char service[BACKEND_NAME_SIZE];
+	struct reach reach;
+};
+
 /** A class that has been added to the router. */
 struct entry_class {
 	struct list node; /**< sorted by last use, the latest last */
@@ -74,6 +82,7 @@
 	bool past_known;      /**< what this VM spent in the window */
 	int64_t started_us;
 	struct retry_history past_retries; /**< of this VM's processes */
+	struct list services;		   /**< struct service_reach */
 	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
@@ -117,6 +126,9 @@
 void entry_handle_retries(struct entry *entry,
 			  const struct retry_report *report);
 
+/* entry_reach.c */
+void entry_free_services(struct entry *entry);
+
 /* entry_crash.c */
 void entry_tell_crash(void *data, const struct poison_report *report);
 void entry_tell_crashes_to(struct entry *entry, uint64_t peer);
