tests: VMs that reach no server fail all their callers (fails)

t-no-servers plays entry and control VMs' reducers; some VMs can't connect to any server, by refusals or by silence.

--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -10,6 +10,7 @@
 #define CONTROL_VMS 5
 #define WORK_US INT64_C(60000)
 #define REJECT_US INT64_C(5000)
+#define CONNECT_US INT64_C(500000)
 #define SLOTS 16
 #define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
 
@@ -19,6 +20,9 @@
 	uint64_t id;
 	uint64_t linked[CONTROL_VMS]; /* start number of the VM, 0: none */
 	bool cut[CONTROL_VMS];
+	enum entries_path path; /* to all servers */
+	int asked;
+	int served;
 	int64_t slow_us;
 	int64_t offset_us; /* of its clock from the group's */
 };
@@ -33,6 +37,7 @@
 	int64_t ends_us;
 	enum result code;
 	bool crashes;
+	bool connects; /* the connection is to be told of */
 };
 
 /* A message from a control VM. */
@@ -184,9 +189,13 @@
 			   .ends_us = now_us + server->work_us,
 			   .code = RESULT_OK };
 
-	if (now_us < server->up_us) {
+	run.connects = true;
+	if (now_us < server->up_us ||
+	    entries->vms[vm].path != ENTRIES_PATH_GOOD) {
 		run.code = RESULT_BACKEND_CONNECT;
 		run.ends_us = now_us;
+		if (entries->vms[vm].path == ENTRIES_PATH_SILENT)
+			run.ends_us += CONNECT_US;
 	} else {
 		run.crashes = is_crashing(start->id);
 		g_array_append_val(server->arrivals, now_us);
@@ -222,6 +231,10 @@
 		ended.http_status = 200;
 	}
 	effects_init(&effects);
+	if (run->connects)
+		entry_report_connection(vm->entry, server->address,
+					run->code != RESULT_BACKEND_CONNECT,
+					now_us, &effects);
 	if (run->code == RESULT_OK)
 		entry_report_limit(vm->entry, server->address,
 				   server->limit_per_s, now_us, &effects);
@@ -273,9 +286,10 @@
 	}
 }
 
-static void take_answer(struct entries *entries,
+static void take_answer(struct entries *entries, int at,
 			const struct effect_answer *answer)
 {
+	entries->vms[at].served += answer->code == RESULT_OK;
 	entries->held +=
 		answer->code == RESULT_POISON && answer->run == RUN_NOT;
 	if (answer->code == RESULT_OK)
@@ -295,7 +309,7 @@
 		if (effect->kind == EFFECT_START_ATTEMPT)
 			start_run(entries, at, &effect->u.start);
 		else if (effect->kind == EFFECT_ANSWER)
-			take_answer(entries, &effect->u.answer);
+			take_answer(entries, at, &effect->u.answer);
 		else if (effect->kind == EFFECT_SEND &&
 			 vm->linked[effect->u.send.peer - 1])
 			group_entry_message(entries->group,
@@ -459,6 +473,7 @@
 	int64_t now_us = group_now(entries->group);
 
 	g_array_append_val(entries->asked, now_us);
+	entries->vms[vm].asked++;
 	entries->next_request += 2;
 	request.id = entries->next_request + crashing;
 	effects_init(&effects);
@@ -485,6 +500,31 @@
 	entries->vms[vm].slow_us = us;
 }
 
+void entries_set_path(struct entries *entries, int vm, enum entries_path path)
+{
+	entries->vms[vm].path = path;
+}
+
+int entries_asked(const struct entries *entries, int vm)
+{
+	return entries->vms[vm].asked;
+}
+
+int entries_served(const struct entries *entries, int vm)
+{
+	return entries->vms[vm].served;
+}
+
+void entries_count_anew(struct entries *entries)
+{
+	int i;
+
+	for (i = 0; i < entries->n_vms; i++) {
+		entries->vms[i].asked = 0;
+		entries->vms[i].served = 0;
+	}
+}
+
 void entries_restart(struct entries *entries, int vm)
 {
 	int control;
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -30,6 +30,13 @@
 #define ENTRIES_RETRY_HEADROOM 54
 #define ENTRIES_RETRY_WINDOW_US INT64_C(10000000)
 
+/** How a VM is cut off from all servers. */
+enum entries_path {
+	ENTRIES_PATH_GOOD,
+	ENTRIES_PATH_REFUSED, /**< connections fail at once */
+	ENTRIES_PATH_SILENT   /**< they fail after a while */
+};
+
 struct entries_server {
 	char address[32];
 	char id[32];
@@ -81,6 +88,14 @@
 /** What control VMs send the VM takes so much longer. */
 void entries_slow(struct entries *entries, int vm, int64_t us);
 
+/** Cut a VM off from all servers, or join it again. */
+void entries_set_path(struct entries *entries, int vm, enum entries_path path);
+
+/** Requests that the VM was asked, and served, since entries_count_anew(). */
+int entries_asked(const struct entries *entries, int vm);
+int entries_served(const struct entries *entries, int vm);
+void entries_count_anew(struct entries *entries);
+
 /** The VM's process ends with all its requests and starts again. */
 void entries_restart(struct entries *entries, int vm);
 
--- /dev/null
+++ b/tests/control/t-no-servers.c
@@ -0,0 +1,203 @@
+#include <glib.h>
+
+#include "base/rng.h"
+#include "entries.h"
+
+#define SECOND INT64_C(1000000)
+#define VMS 7
+#define SERVERS 8
+#define MANY_VMS 60
+#define PER_S 100
+
+/* From when a cut counts, as in the rules of the users. */
+#define BINDS_US (3 * SECOND)
+
+struct traffic {
+	struct entries *entries;
+	struct rng rng;
+	double per_s; /* over all VMs */
+};
+
+static void play(struct traffic *traffic, int64_t us)
+{
+	struct entries *entries = traffic->entries;
+	int64_t until_us = group_now(entries->group) + us;
+	double due = 0;
+	int i;
+
+	while (group_now(entries->group) < until_us) {
+		due += traffic->per_s * GROUP_STEP_US / 1e6;
+		for (i = 0; i < (int)due; i++)
+			entries_ask(entries,
+				    (int)rng_below(&traffic->rng,
+						   (uint64_t)entries->n_vms),
+				    "harmless");
+		due -= i;
+		entries_run(entries, GROUP_STEP_US);
+	}
+}
+
+static struct traffic start(int n_vms, double per_s)
+{
+	struct traffic traffic = { entries_new(n_vms, SERVERS), { 7 }, per_s };
+
+	play(&traffic, 5 * SECOND);
+	return traffic;
+}
+
+/* The first `n` VMs lose their way to all servers, or get it back. */
+static void cut(struct entries *entries, int n, enum entries_path path)
+{
+	int vm;
+
+	for (vm = 0; vm < n; vm++)
+		entries_set_path(entries, vm, path);
+}
+
+static double served_share(const struct entries *entries, int from, int until)
+{
+	int asked = 0;
+	int served = 0;
+	int vm;
+
+	for (vm = from; vm < until; vm++) {
+		asked += entries_asked(entries, vm);
+		served += entries_served(entries, vm);
+	}
+	return asked ? (double)served / asked : 1;
+}
+
+static void play_cut(struct traffic *traffic, int n, enum entries_path path)
+{
+	cut(traffic->entries, n, path);
+	play(traffic, BINDS_US);
+	entries_count_anew(traffic->entries);
+	play(traffic, 10 * SECOND);
+}
+
+/* Those that are cut off serve their callers two thirds as often as others. */
+static void check_served(const struct entries *entries, int n)
+{
+	double others = served_share(entries, n, entries->n_vms);
+
+	g_assert_cmpfloat(others, >=, 0.95);
+	g_assert_cmpfloat(served_share(entries, 0, n), >=, others * 2 / 3);
+}
+
+/* Three of seven VMs refuse all their callers. */
+static void test_refused(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+
+	play_cut(&traffic, 3, ENTRIES_PATH_REFUSED);
+	check_served(traffic.entries, 3);
+	entries_free(traffic.entries);
+}
+
+/* The same where connections hang. */
+static void test_silent(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+
+	play_cut(&traffic, 3, ENTRIES_PATH_SILENT);
+	check_served(traffic.entries, 3);
+	entries_free(traffic.entries);
+}
+
+/* All VMs but one are cut off. */
+static void test_one_left(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+
+	play_cut(&traffic, VMS - 1, ENTRIES_PATH_SILENT);
+	check_served(traffic.entries, VMS - 1);
+	entries_free(traffic.entries);
+}
+
+/* Many VMs, half of them cut off with few requests each. */
+static void test_many_vms(void)
+{
+	struct traffic traffic = start(MANY_VMS, 120);
+
+	play_cut(&traffic, MANY_VMS / 2, ENTRIES_PATH_SILENT);
+	check_served(traffic.entries, MANY_VMS / 2);
+	entries_free(traffic.entries);
+}
+
+/* What VMs that are cut off are told comes half a second late. */
+static void test_late(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+	int vm;
+
+	for (vm = 0; vm < 3; vm++)
+		entries_slow(traffic.entries, vm, SECOND / 2);
+	play_cut(&traffic, 3, ENTRIES_PATH_SILENT);
+	check_served(traffic.entries, 3);
+	entries_free(traffic.entries);
+}
+
+/* VMs start again while they are cut off, one that serves the others too. */
+static void test_restarted(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+
+	cut(traffic.entries, 3, ENTRIES_PATH_REFUSED);
+	play(&traffic, 2 * SECOND);
+	entries_restart(traffic.entries, 0);
+	entries_restart(traffic.entries, VMS - 1);
+	play(&traffic, BINDS_US);
+	entries_count_anew(traffic.entries);
+	play(&traffic, 10 * SECOND);
+	check_served(traffic.entries, 3);
+	entries_free(traffic.entries);
+}
+
+/* VMs that are cut off by turns send each other's requests round. */
+static void test_by_turns(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+	int turn;
+	int vm;
+
+	entries_count_anew(traffic.entries);
+	for (turn = 0; turn < 6; turn++) {
+		for (vm = 0; vm < VMS; vm++)
+			entries_set_path(traffic.entries, vm,
+					 vm % 2 == turn % 2
+						 ? ENTRIES_PATH_REFUSED
+						 : ENTRIES_PATH_GOOD);
+		play(&traffic, 6 * SECOND);
+	}
+	g_assert_cmpfloat(served_share(traffic.entries, 0, VMS), >=, 2.0 / 3);
+	entries_free(traffic.entries);
+}
+
+/* No VM reaches a server: callers are refused at once, and told so. */
+static void test_nobody_left(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+
+	play_cut(&traffic, VMS, ENTRIES_PATH_REFUSED);
+	g_assert_cmpfloat(served_share(traffic.entries, 0, VMS), ==, 0);
+	cut(traffic.entries, VMS, ENTRIES_PATH_GOOD);
+	play(&traffic, 2 * SECOND);
+	entries_count_anew(traffic.entries);
+	play(&traffic, 5 * SECOND);
+	g_assert_cmpfloat(served_share(traffic.entries, 0, VMS), >=, 0.95);
+	entries_free(traffic.entries);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/no-servers/refused", test_refused);
+	g_test_add_func("/no-servers/silent", test_silent);
+	g_test_add_func("/no-servers/one-left", test_one_left);
+	g_test_add_func("/no-servers/many-vms", test_many_vms);
+	g_test_add_func("/no-servers/late", test_late);
+	g_test_add_func("/no-servers/restarted", test_restarted);
+	g_test_add_func("/no-servers/by-turns", test_by_turns);
+	g_test_add_func("/no-servers/nobody-left", test_nobody_left);
+	return g_test_run();
+}
