entry, control, daemon: a VM that reaches no server passes requests on to one that does

Cause: a VM took each failed connection for a fault of that server, tried three more and refused the request; it had no other way, and callers and balancer went on to use it. Its class: a VM that takes its own fault for that of others, with nobody who compares.

A VM that can't connect to two servers of a service in a row probes others while requests wait; if eight fail, or all there are, it is cut off. It says so with its polls, control VMs name entry VMs that reach the service, and it passes requests on to these as they came, once. The other VM decides, retries and counts; so no bound over all VMs sees a request twice. What waits when the cut is seen is passed on too. Kept connections count for nothing, as they may live on while new ones are refused.

Ruled out: servers that refuse these VMs (all servers of both services, from one moment on). Saying "not ready" alone was weighed: the balancer uses all VMs of a zone when fewer than half of them are ready, and kept connections of callers stay.

--- a/daemon/address.c
+++ b/daemon/address.c
@@ -86,6 +86,22 @@
 	return ntohs(((const struct sockaddr_in6 *)storage)->sin6_port);
 }
 
+char *address_reached(const char *listen, int port)
+{
+	struct address address;
+	char *host;
+	char *text = NULL;
+
+	if (!address_parse(&address, listen))
+		return NULL;
+	host = address_host(&address);
+	if (strcmp(host, "0.0.0.0") != 0 && strcmp(host, "::") != 0)
+		text = xstrfmt(strchr(host, ':') ? "[%s]:%d" : "%s:%d", host,
+			       port);
+	free(host);
+	return text;
+}
+
 int address_listen(const struct address *address, int backlog, int *port)
 {
 	struct address bound = { .len = sizeof(bound.storage) };
--- a/daemon/address.h
+++ b/daemon/address.h
@@ -13,6 +13,12 @@
 /** Read an address; false if the text isn't one. Port 0 is allowed. */
 bool address_parse(struct address *address, const char *text);
 
+/**
+ * Where others reach a listener at that address and port, as text to be freed;
+ * NULL if the address doesn't say, as it is a wildcard.
+ */
+char *address_reached(const char *listen, int port);
+
 /** The IP without brackets, as text to be freed. */
 char *address_host(const struct address *address);
 
--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -42,6 +42,7 @@
 	char *listen_metrics;  /**< NULL: none */
 	char *reach_operators; /**< told to others, NULL: as listened on */
 	char *reach_links;
+	char *reach_callers;
 	char *publish;
 	char *platform; /**< IP:port, or NULL */
 	char *tls_certificate;
--- a/daemon/boot_key.c
+++ b/daemon/boot_key.c
@@ -41,6 +41,8 @@
 	{ "reach", "operators", BOOT_ADDRESS, BOOT_AT(reach_operators), 0, 0, 0,
 	  0 },
 	{ "reach", "links", BOOT_ADDRESS, BOOT_AT(reach_links), 0, 0, 0, 0 },
+	{ "reach", "callers", BOOT_ADDRESS, BOOT_AT(reach_callers), 0, 0, 0,
+	  0 },
 	{ NULL, "publish", BOOT_PATH, BOOT_AT(publish), 0, 0, 0, 0 },
 	{ NULL, "platform", BOOT_ADDRESS, BOOT_AT(platform), 0, 0, 0, 0 },
 	{ "tls", "certificate", BOOT_PATH, BOOT_AT(tls_certificate), 0, 0, 0,
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -235,8 +235,9 @@
 	case EFFECT_ADMIN_ANSWER:
 		http_in_admin_answer(daemon->in, &effect->u.admin_answer);
 		break;
-	case EFFECT_READ_DOCUMENT:
-		break; /* of control VMs alone */
+	case EFFECT_READ_DOCUMENT: /* of control VMs alone */
+	case EFFECT_PROBE:	   /* of entry VMs alone */
+		break;
 	case EFFECT_PLATFORM_CALL:
 		http_out_platform_call(daemon->out, &effect->u.platform_call);
 		break;
--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -34,7 +34,7 @@
 };
 
 struct wire_conn {
-	struct list node; /* among the idle ones of its origin */
+	struct list node; /* among the idle ones of its origin, or probes */
 	struct http_client *client;
 	struct origin *origin;
 	struct stream *stream;
@@ -42,6 +42,7 @@
 	struct http_parse parse;
 	struct http_call *call;
 	bool connected;
+	bool probe; /* nothing is sent on it */
 	bool spoiled;
 	bool skipping; /* an answer of another request */
 	bool reading;  /* its bytes are being parsed: not to be freed now */
@@ -64,6 +65,7 @@
 	struct http_client_options options;
 	struct map origins;
 	struct list calls;
+	struct list probes;
 	http_client_watcher *watcher;
 	void *watcher_data;
 	int64_t opened;
@@ -94,7 +96,8 @@
 {
 	if (!list_empty(&conn->node)) {
 		list_remove(&conn->node);
-		conn->origin->n_idle--;
+		if (!conn->probe)
+			conn->origin->n_idle--;
 	}
 	http_parse_clear(&conn->parse);
 	ev_timer_stop(conn->client->loop->ev, &conn->timer);
@@ -289,6 +292,8 @@
 	if (conn->call)
 		conn->call->sent = true;
 	tell_connected(conn);
+	if (conn->probe)
+		wire_free(conn);
 }
 
 /* A closed connection ends an answer without a length; a reset one doesn't. */
@@ -403,6 +408,14 @@
 	return call;
 }
 
+void http_client_probe(struct http_client *client, const char *address)
+{
+	struct wire_conn *conn = wire_new(client, origin_of(client, address));
+
+	conn->probe = true;
+	list_append(&client->probes, &conn->node);
+}
+
 void http_call_cancel(struct http_call *call)
 {
 	struct wire_conn *conn = call->conn;
@@ -442,6 +455,7 @@
 	client->options = *options;
 	map_init(&client->origins);
 	list_init(&client->calls);
+	list_init(&client->probes);
 	return client;
 }
 
@@ -456,11 +470,15 @@
 {
 	struct http_call *call;
 	struct http_call *next_call;
+	struct wire_conn *probe;
+	struct wire_conn *next_probe;
 	struct origin *origin;
 	struct origin *next;
 
 	if (!client)
 		return;
+	list_foreach_safe(probe, next_probe, &client->probes, node)
+		wire_free(probe);
 	list_foreach_safe(call, next_call, &client->calls, node)
 		http_call_cancel(call);
 	map_foreach(origin, next, &client->origins, node) {
--- a/daemon/http/http_client.h
+++ b/daemon/http/http_client.h
@@ -80,6 +80,9 @@
 /** Give a call up: its connection is closed at once. No hook is called. */
 void http_call_cancel(struct http_call *call);
 
+/** Connect and close again, for the watcher to be told. */
+void http_client_probe(struct http_client *client, const char *address);
+
 /** Whether a byte of the request may have left. */
 bool http_call_sent(const struct http_call *call);
 
--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -28,6 +28,7 @@
 	int64_t shared_tokens; /**< of the prompt, in parts that others share */
 	int64_t output_tokens;
 	int64_t deadline_ms; /**< 0 if it doesn't say */
+	bool passed_on;	     /**< by another entry VM */
 };
 
 /** What this program adds to a request for a backend server. */
@@ -81,6 +82,10 @@
 	void (*write_request)(const struct http_head *head,
 			      const struct dialect_forward *forward,
 			      struct bytes *out);
+	/** The head to send to another entry VM, with the caller's key. */
+	void (*write_passed)(const struct http_head *head,
+			     const struct dialect_forward *forward,
+			     struct bytes *out);
 	void (*read_answer)(const struct http_head *head,
 			    struct dialect_answer *answer);
 	/** Header lines of a server's answer for the caller. */
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -8,6 +8,7 @@
 #include <sys/random.h>
 
 #include "base/alloc.h"
+#include "daemon/address.h"
 #include "daemon/role/entry_metrics.h"
 #include "daemon/role/relay.h"
 #include "daemon/role/role.h"
@@ -124,6 +125,9 @@
 		http_client_distrust(daemon->client,
 				     effect->u.distrust.address);
 		break;
+	case EFFECT_PROBE:
+		http_client_probe(daemon->client, effect->u.probe.address);
+		break;
 	case EFFECT_EXIT:
 		role_exit(&daemon->role);
 		break;
@@ -400,6 +404,21 @@
 	entry_set_regions(daemon->entry, &boot->regions);
 }
 
+/* Where other VMs can pass requests on to. */
+static void tell_callers(struct entry_daemon *daemon)
+{
+	const struct boot *boot = daemon->role.boot;
+	char *address =
+		boot->reach_callers
+			? xstrdup(boot->reach_callers)
+			: address_reached(boot->listen_callers,
+					  http_server_port(daemon->callers));
+
+	if (address)
+		entry_set_callers(daemon->entry, address);
+	free(address);
+}
+
 static enum result open_all(struct entry_daemon *daemon)
 {
 	const struct boot *boot = daemon->role.boot;
@@ -430,7 +449,11 @@
 	daemon->entry = entry_new(&options, edge_now_us());
 	make_client(daemon);
 	code = role_open_links(&daemon->role, options.self, 1, true);
-	return code ? code : open_listeners(daemon);
+	if (!code)
+		code = open_listeners(daemon);
+	if (!code)
+		tell_callers(daemon);
+	return code;
 }
 
 static enum result publish(struct entry_daemon *daemon)
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -98,6 +98,7 @@
 		.shared_tokens = asked->shared_tokens,
 		.output_tokens = asked->output_tokens,
 		.deadline_ms = asked->deadline_ms,
+		.passed_on = asked->passed_on,
 	};
 
 	return request;
@@ -283,8 +284,13 @@
 	forward.urgency = call.urgency;
 	forward.wait_ms = (call.deadline_us - now_us) / 1000;
 	forward.body_len = http_exchange_body(relay->exchange)->len;
-	host->dialect->write_request(http_exchange_head(relay->exchange),
-				     &forward, &head);
+	if (start->to_vm)
+		host->dialect->write_passed(http_exchange_head(relay->exchange),
+					    &forward, &head);
+	else
+		host->dialect->write_request(http_exchange_head(
+						     relay->exchange),
+					     &forward, &head);
 	request.address = relay->address;
 	request.head = &head;
 	request.body = http_exchange_body(relay->exchange);
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -197,6 +197,8 @@
 	if (!peer)
 		return;
 	peer->marks = poll->marks;
+	if (peer->observer)
+		control_note_reach(control, peer, &poll->reach, effects);
 	control_welcome_entry(control, peer, now_us, effects);
 }
 
@@ -376,6 +378,7 @@
 		control_receive_retries(control, peer, &message.u.retries,
 					now_us, effects);
 		break;
+	case FEED_WAYS:
 	case FEED_EVACUATIONS:
 	case FEED_BUNDLE:
 	case FEED_MARKS:
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -194,6 +194,11 @@
 void control_process_ended(struct control *control, uint64_t id, int64_t now_us,
 			   struct effects *effects);
 
+/* control_ways.c */
+void control_note_reach(struct control *control, struct feed_peer *from,
+			const struct feed_reach *reach,
+			struct effects *effects);
+
 /* control_limit.c */
 void control_receive_limit(struct control *control, uint64_t id,
 			   const struct feed_limit *told, int64_t now_us,
--- a/libfilberthall/core/effect.c
+++ b/libfilberthall/core/effect.c
@@ -32,6 +32,7 @@
 	EFFECT_FIELD(start, idle_ms, INT),
 	EFFECT_FIELD(start, resume_tokens, INT),
 	EFFECT_FIELD(start, proven, BOOL),
+	EFFECT_FIELD(start, to_vm, BOOL),
 	EFFECT_FIELD(start, keep_answer, BOOL),
 	EFFECT_FIELD(start, keep_limit, INT),
 };
@@ -45,6 +46,10 @@
 	EFFECT_FIELD(distrust, address, TEXT),
 };
 
+static const struct field effect_probe_fields[] = {
+	EFFECT_FIELD(probe, address, TEXT),
+};
+
 static const struct field effect_send_fields[] = {
 	EFFECT_FIELD(send, peer, UINT),
 	EFFECT_FIELD(send, channel, INT),
--- a/libfilberthall/core/effect.h
+++ b/libfilberthall/core/effect.h
@@ -19,6 +19,7 @@
 	X(START_ATTEMPT, start, "start-attempt")      \
 	X(CANCEL_ATTEMPT, cancel, "cancel-attempt")   \
 	X(DISTRUST, distrust, "distrust")             \
+	X(PROBE, probe, "probe")                      \
 	X(SEND, send, "send")                         \
 	X(LINK_OPEN, link_open, "link-open")          \
 	X(LINK_CLOSE, link_close, "link-close")       \
@@ -67,6 +68,7 @@
 	int64_t idle_ms;       /**< longest pause between two reads */
 	int64_t resume_tokens; /**< tokens already delivered to the caller */
 	bool proven;	       /**< open a new connection, reuse none */
+	bool to_vm;	       /**< the address is another entry VM's */
 	bool keep_answer;      /**< return the complete answer to the core */
 	int64_t keep_limit;    /**< largest answer to return, bytes */
 };
@@ -85,6 +87,11 @@
 	char *address;
 };
 
+/** Connect to a backend server, to see whether that succeeds. */
+struct effect_probe {
+	char *address;
+};
+
 struct effect_send {
 	uint64_t peer;
 	int64_t channel; /**< enum link_channel */
@@ -208,6 +215,7 @@
 		struct effect_start_attempt start;
 		struct effect_cancel_attempt cancel;
 		struct effect_distrust distrust;
+		struct effect_probe probe;
 		struct effect_send send;
 		struct effect_link_open link_open;
 		struct effect_link_close link_close;
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -94,6 +94,11 @@
 	return entry;
 }
 
+void entry_set_callers(struct entry *entry, const char *address)
+{
+	snprintf(entry->callers, sizeof(entry->callers), "%s", address);
+}
+
 void entry_free(struct entry *entry)
 {
 	struct entry_class *class;
@@ -166,6 +171,7 @@
 		entry->load_decayed_us = now_us;
 		fleet_decay_load(&entry->fleet, LOAD_DECAY_US, now_us);
 	}
+	entry_reach_tick(entry);
 	router_tick(entry->router, now_us, effects);
 	log_freshness_change(entry);
 	entry_resume_deferred(entry);
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -17,8 +17,8 @@
  * load/router.
  *
  * It reads neither a clock nor a socket. Its actions are appended to `effects`:
- * ANSWER, START_ATTEMPT, CANCEL_ATTEMPT and DISTRUST from the router, SEND,
- * LINK_OPEN, LINK_CLOSE, LOG, EXIT.
+ * ANSWER, START_ATTEMPT, CANCEL_ATTEMPT and DISTRUST from the router, PROBE,
+ * SEND, LINK_OPEN, LINK_CLOSE, LOG, EXIT.
  */
 struct entry;
 
@@ -57,6 +57,7 @@
 	int64_t shared_tokens; /**< in parts shared with other requests */
 	int64_t output_tokens; /**< limit or estimate; 0: unknown */
 	int64_t deadline_ms;   /**< how long the caller waits; 0: unknown */
+	bool passed_on;	       /**< by another entry VM */
 };
 
 /** The properties of a request that the HTTP layer needs to forward it. */
@@ -68,6 +69,9 @@
 	int64_t deadline_us;
 };
 
+/** Where this VM's callers come in, as other VMs reach it. */
+void entry_set_callers(struct entry *entry, const char *address);
+
 struct entry *entry_new(const struct entry_options *options, int64_t now_us);
 void entry_free(struct entry *entry);
 
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -37,10 +37,12 @@
 
 void entry_poll(struct entry *entry)
 {
-	struct feed_poll poll = { entry->now_us, true,
-				  entry->evacuations.revision };
+	struct feed_poll poll = { .sent_us = entry->now_us,
+				  .marks = true,
+				  .evacuations = entry->evacuations.revision };
 	struct bytes body = { 0 };
 
+	entry_write_reach(entry, &poll.reach);
 	feed_write_poll(&body, &poll);
 	entry_send_all(entry, &body);
 	entry->polled_us = entry->now_us;
@@ -237,6 +239,9 @@
 	case FEED_CRASHES:
 		entry_handle_crashes(entry, &message.u.crashes);
 		break;
+	case FEED_WAYS:
+		entry_handle_ways(entry, &message.u.ways);
+		break;
 	case FEED_RETRIES:
 		entry_handle_retries(entry, &message.u.retries);
 		break;
--- a/libfilberthall/entry/entry_reach.c
+++ b/libfilberthall/entry/entry_reach.c
@@ -1,5 +1,7 @@
 /*
- * Whether this VM reaches the backend servers of a service.
+ * Whether this VM reaches the backend servers of a service. While it is in
+ * doubt, requests for the service wait; once it is cut off they are passed on
+ * to a VM that isn't.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,7 +10,18 @@
 #include "base/alloc.h"
 #include "entry/entry_state.h"
 
-static struct service_reach *service_of(struct entry *entry, const char *name)
+/* Longer than a connection takes to fail: each server is tried once. */
+#define DOUBT_PROBE_US INT64_C(600000)
+
+/* Of a service that is cut off: how soon its return is seen. */
+#define LOST_PROBE_US INT64_C(250000)
+#define LOST_PROBES 2
+
+/* Time for a doubt to be settled, and then for the control VMs to answer. */
+#define DOUBT_WAIT_US INT64_C(1000000)
+#define WAY_WAIT_US INT64_C(500000)
+
+struct service_reach *entry_service(struct entry *entry, const char *name)
 {
 	struct service_reach *service;
 
@@ -32,6 +45,18 @@
 	}
 }
 
+void entry_write_reach(const struct entry *entry, struct feed_reach *reach)
+{
+	struct service_reach *service;
+
+	memcpy(reach->callers, entry->callers, sizeof(reach->callers));
+	list_foreach(service, &entry->services, node)
+		if (service->reach.state == REACH_LOST &&
+		    reach->n_lost < FEED_LOST_MOST)
+			reach->lost[reach->n_lost++] =
+				map_hash_text(service->service);
+}
+
 static int count_servers(const struct entry *entry, const char *service)
 {
 	struct backend *backend;
@@ -43,8 +68,79 @@
 	return n;
 }
 
-static void log_state(struct entry *entry, const struct service_reach *service,
-		      const char *address)
+/* A server that is still to be tried: in doubt, not those that have failed. */
+static bool is_candidate(const struct service_reach *service,
+			 const struct backend *backend)
+{
+	const struct reach *reach = &service->reach;
+
+	return !strcmp(backend->service, service->service) &&
+	       (reach->state == REACH_LOST ||
+		!reach_has_failed(reach, map_hash_text(backend->address)));
+}
+
+static void send_probe(struct entry *entry, const struct backend *backend)
+{
+	struct effect *effect = effects_add(entry->effects, EFFECT_PROBE);
+
+	effect->u.probe.address = xstrdup(backend->address);
+}
+
+/* Connect to some servers, each as likely as any other. */
+static void probe(struct entry *entry, struct service_reach *service, int n)
+{
+	struct backend *backend;
+	struct backend *next;
+	int left = 0;
+
+	service->probed_us = entry->now_us;
+	map_foreach(backend, next, &entry->fleet.backends, node)
+		left += is_candidate(service, backend);
+	map_foreach(backend, next, &entry->fleet.backends, node) {
+		if (!is_candidate(service, backend))
+			continue;
+		if ((int)rng_below(&entry->rng, (uint64_t)left--) >= n)
+			continue;
+		send_probe(entry, backend);
+		n--;
+	}
+}
+
+static bool must_wait(const struct entry *entry,
+		      const struct service_reach *service)
+{
+	int64_t for_us = entry->now_us - service->reach.since_us;
+
+	if (service->reach.state == REACH_DOUBTED)
+		return for_us < DOUBT_WAIT_US;
+	return service->reach.state == REACH_LOST &&
+	       (entry_has_way(entry, service) || for_us < WAY_WAIT_US);
+}
+
+static void update(struct entry *entry, struct service_reach *service)
+{
+	int64_t since_us = entry->now_us - service->probed_us;
+
+	if (service->reach.state == REACH_DOUBTED && since_us >= DOUBT_PROBE_US)
+		probe(entry, service, REACH_ENOUGH);
+	if (service->reach.state == REACH_LOST && since_us >= LOST_PROBE_US)
+		probe(entry, service, LOST_PROBES);
+	if (entry_has_way(entry, service))
+		entry_pass_waiting(entry, service);
+	router_pause(entry->router, service->service, must_wait(entry, service),
+		     entry->now_us, entry->effects);
+}
+
+void entry_reach_tick(struct entry *entry)
+{
+	struct service_reach *service;
+
+	list_foreach(service, &entry->services, node)
+		update(entry, service);
+}
+
+static void state_changed(struct entry *entry, struct service_reach *service,
+			  enum reach_state before, const char *address)
 {
 	const struct reach *reach = &service->reach;
 
@@ -52,6 +148,10 @@
 		  "reach", "event=%s service=%s failed=%d server=%s",
 		  reach_name(reach->state), service->service, reach->n_failed,
 		  address);
+	service->probed_us = 0;
+	if (reach->state == REACH_LOST || before == REACH_LOST)
+		entry_poll(entry);
+	update(entry, service);
 }
 
 void entry_report_connection(struct entry *entry, const char *address,
@@ -60,13 +160,15 @@
 {
 	const struct backend *backend = fleet_find(&entry->fleet, address);
 	struct service_reach *service;
+	enum reach_state before;
 	bool changed;
 
 	entry->now_us = now_us;
 	entry->effects = effects;
 	if (!backend)
 		return;
-	service = service_of(entry, backend->service);
+	service = entry_service(entry, backend->service);
+	before = service->reach.state;
 	if (stands)
 		changed = reach_connected(&service->reach, now_us);
 	else
@@ -74,5 +176,5 @@
 				       count_servers(entry, service->service),
 				       now_us);
 	if (changed)
-		log_state(entry, service, address);
+		state_changed(entry, service, before, address);
 }
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -19,6 +19,9 @@
  */
 #define STOPPING_RETRY_AFTER_MS 50
 
+/* A VM that can't serve a request that was passed on to it. */
+#define LOST_RETRY_AFTER_MS 250
+
 /* Margin between the last deadline and the end of a stopping process. */
 #define STOP_MARGIN_US INT64_C(500000)
 
@@ -249,6 +252,12 @@
 	return regions;
 }
 
+/* Another VM passed it on and took this one for one that reaches servers. */
+static bool is_lost(struct entry *entry, const char *service)
+{
+	return entry_service(entry, service)->reach.state == REACH_LOST;
+}
+
 static void route_request(struct entry *entry,
 			  const struct entry_request *request,
 			  const struct route *route,
@@ -280,6 +289,8 @@
 
 	call->class_name = xstrdup(rule->name);
 	call->service = xstrdup(service);
+	call->repeatable = ask.idempotent;
+	call->passed_on = request->passed_on;
 	entry->totals.submitted++;
 	entry_log(entry, LOG_INFO, "request",
 		  "event=taken request=%s route=%s service=%s organisation=%s "
@@ -291,6 +302,14 @@
 		  (long long)request->prompt_tokens,
 		  (long long)request->output_tokens,
 		  (long long)((call->deadline_us - entry->now_us) / 1000));
+	if (entry_pass(entry, call))
+		return;
+	if (request->passed_on && is_lost(entry, service)) {
+		entry_refuse(entry, request, RESULT_BACKEND_CONNECT,
+			     LOST_RETRY_AFTER_MS);
+		call_free(entry, call);
+		return;
+	}
 	router_submit(entry->router, &ask, entry->now_us, entry->effects);
 }
 
@@ -373,6 +392,18 @@
 		      (outcome->ended_us - outcome->arrived_us) / 1000);
 }
 
+void entry_end_call(struct entry *entry, struct open_call *call,
+		    enum result code, enum run_state run)
+{
+	if (code == RESULT_OK)
+		entry->totals.served++;
+	else if (run == RUN_NOT)
+		entry->totals.refused++;
+	else
+		entry->totals.failed++;
+	call_free(entry, call);
+}
+
 void entry_request_finished(void *data, const struct router_outcome *outcome)
 {
 	struct entry *entry = data;
@@ -381,12 +412,6 @@
 	if (!call)
 		return;
 	record_latency(entry, outcome);
-	if (outcome->code == RESULT_OK)
-		entry->totals.served++;
-	else if (outcome->run == RUN_NOT)
-		entry->totals.refused++;
-	else
-		entry->totals.failed++;
 	entry_log(entry, LOG_INFO, "request",
 		  "event=ended request=%s code=%s run=%s organisation=%s "
 		  "class=%s server=%s attempts=%d first_ms=%lld took_ms=%lld "
@@ -404,15 +429,21 @@
 		  (long long)((outcome->ended_us - outcome->arrived_us) / 1000),
 		  (long long)outcome->output_tokens,
 		  (long long)(outcome->pause_us / 1000), outcome->attained);
-	call_free(entry, call);
+	entry_end_call(entry, call, outcome->code, outcome->run);
 }
 
 void entry_attempt_tokens(struct entry *entry,
 			  const struct event_attempt_tokens *tokens,
 			  int64_t now_us, struct effects *effects)
 {
+	struct open_call *call = entry_open_call(entry, tokens->id);
+
 	entry->now_us = now_us;
 	entry->effects = effects;
+	if (call && call->pass) {
+		entry_pass_tokens(entry, call, tokens);
+		return;
+	}
 	if (tokens->first)
 		entry_count_started(entry, tokens->id);
 	router_tokens(entry->router, tokens, now_us, effects);
@@ -422,10 +453,14 @@
 			 const struct event_attempt_ended *ended,
 			 int64_t now_us, struct effects *effects)
 {
-	const struct open_call *call = entry_open_call(entry, ended->id);
+	struct open_call *call = entry_open_call(entry, ended->id);
 
 	entry->now_us = now_us;
 	entry->effects = effects;
+	if (call && call->pass) {
+		entry_pass_ended(entry, call, ended);
+		return;
+	}
 	entry->totals.attempts++;
 	if (ended->http_status && ended->sent)
 		entry_count_started(entry, ended->id);
@@ -440,14 +475,19 @@
 			  (long long)ended->http_status, ended->sent,
 			  (long long)ended->tokens);
 	router_ended(entry->router, ended, now_us, effects);
+	entry_reach_tick(entry);
 }
 
 void entry_caller_left(struct entry *entry, uint64_t id, int64_t now_us,
 		       struct effects *effects)
 {
+	struct open_call *call = entry_open_call(entry, id);
+
 	entry->now_us = now_us;
 	entry->effects = effects;
-	if (!entry_drop_deferred(entry, id))
+	if (call && call->pass)
+		entry_pass_caller_left(entry, call);
+	else if (!entry_drop_deferred(entry, id))
 		router_caller_left(entry->router, id, now_us, effects);
 }
 
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -5,6 +5,7 @@
 #include "base/rng.h"
 #include "entry/entry.h"
 #include "entry/fetch.h"
+#include "feed/feed.h"
 #include "feed/peers.h"
 #include "fleet/evacuation.h"
 #include "fleet/reach.h"
@@ -34,6 +35,12 @@
 	int urgency; /**< priority at the server; 0 is the most urgent */
 	int64_t arrived_us;
 	int64_t deadline_us;
+	bool repeatable;   /**< may run more than once */
+	bool passed_on;	   /**< by another entry VM to this one */
+	bool may_have_run; /**< before it was passed on */
+	int pass;	   /**< number of the attempt to pass it on, or 0 */
+	char way[BACKEND_NAME_SIZE]; /**< VM that it is passed on to */
+	int64_t first_us;	     /**< of a request that is passed on */
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -44,11 +51,15 @@
 	int64_t expires_us; /**< refused at this time */
 };
 
-/** Whether this VM reaches the backend servers of a service. */
+/** Whether this VM reaches the backend servers of a service, and who does. */
 struct service_reach {
 	struct list node;
 	char service[BACKEND_NAME_SIZE];
 	struct reach reach;
+	int64_t probed_us;
+	struct feed_ways ways;
+	int64_t told_us; /**< when `ways` was received */
+	int turn;	 /**< which of them is next */
 };
 
 /** A class that has been added to the router. */
@@ -83,6 +94,7 @@
 	int64_t started_us;
 	struct retry_history past_retries; /**< of this VM's processes */
 	struct list services;		   /**< struct service_reach */
+	char callers[BACKEND_NAME_SIZE];   /**< where they come in, or empty */
 	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
@@ -127,7 +139,26 @@
 			  const struct retry_report *report);
 
 /* entry_reach.c */
+struct service_reach *entry_service(struct entry *entry, const char *name);
 void entry_free_services(struct entry *entry);
+void entry_reach_tick(struct entry *entry);
+void entry_write_reach(const struct entry *entry, struct feed_reach *reach);
+
+/* entry_pass.c */
+
+/** Pass a request on to a VM that reaches its service; false if none does. */
+bool entry_pass(struct entry *entry, struct open_call *call);
+
+/** Pass on all requests that wait for it. */
+void entry_pass_waiting(struct entry *entry, struct service_reach *service);
+bool entry_has_way(const struct entry *entry,
+		   const struct service_reach *service);
+void entry_handle_ways(struct entry *entry, const struct feed_ways *ways);
+void entry_pass_tokens(struct entry *entry, struct open_call *call,
+		       const struct event_attempt_tokens *tokens);
+void entry_pass_ended(struct entry *entry, struct open_call *call,
+		      const struct event_attempt_ended *ended);
+void entry_pass_caller_left(struct entry *entry, struct open_call *call);
 
 /* entry_crash.c */
 void entry_tell_crash(void *data, const struct poison_report *report);
@@ -156,6 +187,10 @@
 /* entry_request.c */
 /** The request with that id, or NULL if it isn't open. */
 struct open_call *entry_open_call(const struct entry *entry, uint64_t id);
+
+/** Count how a request ended, and forget it. */
+void entry_end_call(struct entry *entry, struct open_call *call,
+		    enum result code, enum run_state run);
 void entry_request_finished(void *data, const struct router_outcome *outcome);
 void entry_resume_deferred(struct entry *entry);
 bool entry_drop_deferred(struct entry *entry, uint64_t id);
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -16,12 +16,17 @@
 
 void feed_write_poll(struct bytes *out, const struct feed_poll *poll)
 {
+	const struct feed_reach *reach = &poll->reach;
 	msgpack_packer packer;
+	int i;
 
-	begin(&packer, out, 3, FEED_POLL);
+	begin(&packer, out, 4 + (size_t)reach->n_lost, FEED_POLL);
 	msgpack_pack_int64(&packer, poll->sent_us);
 	msgpack_pack_int64(&packer, poll->marks);
 	msgpack_pack_int64(&packer, poll->evacuations);
+	pack_text(&packer, reach->callers);
+	for (i = 0; i < reach->n_lost; i++)
+		msgpack_pack_uint64(&packer, reach->lost[i]);
 }
 
 void feed_write_state(struct bytes *out, const struct feed_state *state)
@@ -321,3 +326,14 @@
 		msgpack_pack_int64(&packer, window->steps[i].retries);
 	}
 }
+
+void feed_write_ways(struct bytes *out, const struct feed_ways *ways)
+{
+	msgpack_packer packer;
+	int i;
+
+	begin(&packer, out, 1 + (size_t)ways->n, FEED_WAYS);
+	msgpack_pack_uint64(&packer, ways->service);
+	for (i = 0; i < ways->n; i++)
+		pack_text(&packer, ways->callers[i]);
+}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -6,6 +6,7 @@
 
 #include "base/bytes.h"
 #include "core/pack.h"
+#include "feed/peers.h"
 #include "fleet/evacuation.h"
 #include "fleet/registry.h"
 #include "load/poison.h"
@@ -36,13 +37,18 @@
 	FEED_EVACUATIONS,  /**< control to entry: zones without new requests */
 	FEED_CRASHES,	   /**< to all: servers that ended under a request */
 	FEED_LIMIT,	   /**< to all: what a server in need takes */
-	FEED_RETRIES	   /**< to all: what a process of an entry VM spent */
+	FEED_RETRIES,	   /**< to all: what a process of an entry VM spent */
+	FEED_WAYS	   /**< control to entry: VMs that reach a service */
 };
 
+/** VMs that are named for one service. */
+#define FEED_WAYS_MOST 8
+
 struct feed_poll {
 	int64_t sent_us;     /**< entry VM's clock */
 	bool marks;	     /**< FEED_MARKS and FEED_BUNDLE are understood */
 	int64_t evacuations; /**< revision of the known FEED_EVACUATIONS */
+	struct feed_reach reach;
 };
 
 struct feed_state {
@@ -138,6 +144,13 @@
 	int64_t age_us; /**< since the server said so */
 };
 
+/** Entry VMs that reach the backend servers of a service. */
+struct feed_ways {
+	uint64_t service; /**< hash of its name */
+	char callers[FEED_WAYS_MOST][BACKEND_NAME_SIZE];
+	int n;
+};
+
 struct feed_changed {
 	uint64_t call;
 	int64_t code; /**< enum result */
@@ -169,6 +182,7 @@
 		struct evacuations evacuations;
 		struct feed_limit limit;
 		struct retry_report retries;
+		struct feed_ways ways;
 		struct poison_report
 			crashes; /**< times count from its sending */
 	} u;
@@ -228,6 +242,7 @@
 void feed_write_crashes(struct bytes *out, const struct poison_report *report,
 			int64_t now_us);
 
+void feed_write_ways(struct bytes *out, const struct feed_ways *ways);
 void feed_write_retries(struct bytes *out, const struct retry_report *report);
 
 /** The array of all zones behind any kind; the log's snapshots have it too. */
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -40,9 +40,21 @@
 	return true;
 }
 
+static void read_reach(const struct unpacked *items, struct feed_reach *reach)
+{
+	size_t i;
+
+	if (!read_name(items, 4, reach->callers))
+		reach->callers[0] = '\0';
+	for (i = 5; i < items->n && reach->n_lost < FEED_LOST_MOST; i++)
+		if (unpack_uint(items, i, &reach->lost[reach->n_lost]))
+			reach->n_lost++;
+}
+
 /* Releases before these items know neither FEED_MARKS nor evacuations. */
 static bool read_poll(const struct unpacked *items, struct feed_poll *poll)
 {
+	read_reach(items, &poll->reach);
 	if (!read_flag(items, 2, &poll->marks))
 		poll->marks = false;
 	if (!unpack_int(items, 3, &poll->evacuations))
@@ -309,6 +321,19 @@
 	       report->window.step < INT64_MAX / 4 / report->step_us;
 }
 
+static bool read_ways(const struct unpacked *items, struct feed_ways *ways)
+{
+	size_t i;
+
+	if (!unpack_uint(items, 1, &ways->service) ||
+	    items->n > FEED_WAYS_MOST + 2)
+		return false;
+	for (i = 2; i < items->n; i++)
+		if (!read_name(items, i, ways->callers[ways->n++]))
+			return false;
+	return true;
+}
+
 static bool read_items(struct feed_message *message,
 		       const struct unpacked *items)
 {
@@ -354,6 +379,8 @@
 		return read_limit(items, &message->u.limit);
 	case FEED_CRASHES:
 		return read_crashes(items, &message->u.crashes);
+	case FEED_WAYS:
+		return read_ways(items, &message->u.ways);
 	case FEED_RETRIES:
 		return read_retries(items, &message->u.retries);
 	default:
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -11,6 +11,16 @@
 #include "load/poison.h"
 #include "load/retry_history.h"
 
+/** Services that a VM can say it doesn't reach. */
+#define FEED_LOST_MOST 16
+
+/** Where an entry VM's callers come in, and the services it doesn't reach. */
+struct feed_reach {
+	char callers[BACKEND_NAME_SIZE]; /**< IP:port, empty if unknown */
+	uint64_t lost[FEED_LOST_MOST];	 /**< hashes of names */
+	int n_lost;
+};
+
 /** The daemons that have a link to us, and what goes to them on LINK_FEED. */
 struct feed_peer {
 	struct map_node node; /**< by id */
@@ -25,6 +35,7 @@
 	bool newcomer;	  /**< waits for the list of all servers */
 	bool changes;	  /**< understands FEED_CHANGE */
 	bool evacuations; /**< understands FEED_EVACUATE */
+	struct feed_reach reach; /**< of an entry VM */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -195,6 +195,21 @@
 void router_backend_lost(struct router *router, const char *address,
 			 int64_t now_us, struct effects *effects);
 
+/**
+ * Send no requests to a service's backend servers, or go on with that. Requests
+ * wait meanwhile.
+ */
+void router_pause(struct router *router, const char *service, bool paused,
+		  int64_t now_us, struct effects *effects);
+
+/**
+ * Take back all requests that wait for a service, without an answer. None of
+ * them is being sent.
+ */
+void router_withdraw(struct router *router, const char *service,
+		     void (*taken)(void *data, uint64_t id, bool may_have_run),
+		     void *data, int64_t now_us);
+
 /**
  * Set the daemon that assigns shares and the live daemons, including this
  * one. Called whenever either changes. `allocator` is 0 if there is none.
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -288,6 +288,8 @@
 	bool by_floor;
 	enum result code;
 
+	if (pool->paused)
+		return;
 	pool_refresh(router, pool, now_us);
 	pool_update_pressure(router, pool, now_us);
 	list_foreach(queue, &pool->queues, in_pool)
@@ -317,3 +319,14 @@
 	    pool->pressure[2].waiting)
 		router_preempt(router, pool, now_us, effects);
 }
+
+void router_pause(struct router *router, const char *service, bool paused,
+		  int64_t now_us, struct effects *effects)
+{
+	struct pool *pool = pool_get(router, NULL, service, now_us);
+
+	if (pool->paused == paused)
+		return;
+	pool->paused = paused;
+	router_dispatch(router, pool, now_us, effects);
+}
--- a/libfilberthall/load/router_end.c
+++ b/libfilberthall/load/router_end.c
@@ -242,3 +242,38 @@
 {
 	request_finish(router, request, code, 0, ended, now_us, effects);
 }
+
+static void request_withdraw(struct router *router, struct request *request,
+			     int64_t now_us)
+{
+	request_dequeue(router, request);
+	request->state = REQUEST_ENDED;
+	router->open--;
+	request_settle(router, request, RESULT_CALLER_LEFT, now_us);
+	request->class->running -= request->n_attempts > 0;
+	request_free(router, request);
+}
+
+void router_withdraw(struct router *router, const char *service,
+		     void (*taken)(void *data, uint64_t id, bool may_have_run),
+		     void *data, int64_t now_us)
+{
+	struct pool *pool = pool_get(router, NULL, service, now_us);
+	struct request *request;
+	struct request *next;
+	bool may_have_run;
+	uint64_t id;
+	int tier;
+
+	for (tier = 0; tier < SCHED_TIERS; tier++) {
+		list_foreach_safe(request, next, &pool->pressure[tier].order,
+				  in_tier) {
+			if (!list_empty(&request->attempts))
+				continue;
+			id = request->spec.id;
+			may_have_run = request->may_have_run;
+			request_withdraw(router, request, now_us);
+			taken(data, id, may_have_run);
+		}
+	}
+}
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -106,6 +106,7 @@
 	struct list queues;
 	struct retry retry;
 	int64_t spent_logged_us; /**< last log line of spent retries */
+	bool paused;		 /**< nothing is sent */
 	struct floor floor;
 	int64_t waiting_by_class[SCHED_CLASSES];
 	int64_t running_by_class[SCHED_CLASSES];
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -1,6 +1,7 @@
 #include "entries.h"
 
 #include <glib.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -38,6 +39,21 @@
 	enum result code;
 	bool crashes;
 	bool connects; /* the connection is to be told of */
+	bool probes;   /* and is all that there is */
+};
+
+/* A request that one VM passes on to another one. */
+struct pass {
+	int from;
+	uint64_t from_entry; /* ids of the VMs' processes */
+	uint64_t id;
+	int64_t attempt;
+	int to;
+	uint64_t to_entry;
+	uint64_t to_id; /* 0: on its way */
+	bool ended;
+	enum result code;
+	bool sent;
 };
 
 /* A message from a control VM. */
@@ -88,6 +104,7 @@
 static void start_entry(struct entries *entries, int at)
 {
 	struct entries_vm *vm = &entries->vms[at];
+	char callers[32];
 	struct entry_options options = { .seed = (uint64_t)at + 1,
 					 .vm = vm->name,
 					 .zone = "z1",
@@ -106,6 +123,8 @@
 	options.self = vm->id;
 	memset(vm->linked, 0, sizeof(vm->linked));
 	vm->entry = entry_new(&options, vm_now(entries, at));
+	g_snprintf(callers, sizeof(callers), "10.9.0.%d:80", at + 1);
+	entry_set_callers(vm->entry, callers);
 }
 
 static void take_letter(void *data, int from, const struct effect_send *send)
@@ -175,6 +194,40 @@
 	return request & 1;
 }
 
+/* A connection without a request. */
+static void start_probe(struct entries *entries, int vm, const char *address)
+{
+	int at = server_at(entries, address);
+	enum entries_path path = entries->vms[vm].path;
+	struct run run = { .vm = vm,
+			   .entry = entries->vms[vm].id,
+			   .server = at,
+			   .ends_us = group_now(entries->group),
+			   .connects = true,
+			   .probes = true };
+
+	if (path != ENTRIES_PATH_GOOD ||
+	    run.ends_us < entries->servers[at].up_us)
+		run.code = RESULT_BACKEND_CONNECT;
+	if (path == ENTRIES_PATH_SILENT)
+		run.ends_us += CONNECT_US;
+	g_array_append_val(entries->runs, run);
+}
+
+static void start_pass(struct entries *entries, int from,
+		       const struct effect_start_attempt *start)
+{
+	struct pass pass = { .from = from,
+			     .from_entry = entries->vms[from].id,
+			     .id = start->id,
+			     .attempt = start->attempt };
+
+	g_assert_cmpint(sscanf(start->address, "10.9.0.%d:", &pass.to), ==, 1);
+	pass.to--;
+	pass.to_entry = entries->vms[pass.to].id;
+	g_array_append_val(entries->passes, pass);
+}
+
 static void start_run(struct entries *entries, int vm,
 		      const struct effect_start_attempt *start)
 {
@@ -235,10 +288,11 @@
 		entry_report_connection(vm->entry, server->address,
 					run->code != RESULT_BACKEND_CONNECT,
 					now_us, &effects);
-	if (run->code == RESULT_OK)
+	if (run->code == RESULT_OK && !run->probes)
 		entry_report_limit(vm->entry, server->address,
 				   server->limit_per_s, now_us, &effects);
-	entry_attempt_ended(vm->entry, &ended, now_us, &effects);
+	if (!run->probes)
+		entry_attempt_ended(vm->entry, &ended, now_us, &effects);
 	carry_out(entries, run->vm, &effects);
 }
 
@@ -286,9 +340,31 @@
 	}
 }
 
+/* Whether the request came from another VM, which gets the answer. */
+static bool take_pass_answer(struct entries *entries, int at,
+			     const struct effect_answer *answer)
+{
+	guint i;
+
+	for (i = 0; i < entries->passes->len; i++) {
+		struct pass *pass =
+			&g_array_index(entries->passes, struct pass, i);
+
+		if (pass->to != at || pass->to_id != answer->id)
+			continue;
+		pass->ended = true;
+		pass->sent = true;
+		pass->code = answer->code ? RESULT_BACKEND_ERROR : RESULT_OK;
+		return true;
+	}
+	return false;
+}
+
 static void take_answer(struct entries *entries, int at,
 			const struct effect_answer *answer)
 {
+	if (take_pass_answer(entries, at, answer))
+		return;
 	entries->vms[at].served += answer->code == RESULT_OK;
 	entries->held +=
 		answer->code == RESULT_POISON && answer->run == RUN_NOT;
@@ -306,8 +382,13 @@
 	struct effect *effect;
 
 	while ((effect = effects_take(effects))) {
-		if (effect->kind == EFFECT_START_ATTEMPT)
+		if (effect->kind == EFFECT_START_ATTEMPT &&
+		    effect->u.start.to_vm)
+			start_pass(entries, at, &effect->u.start);
+		else if (effect->kind == EFFECT_START_ATTEMPT)
 			start_run(entries, at, &effect->u.start);
+		else if (effect->kind == EFFECT_PROBE)
+			start_probe(entries, at, effect->u.probe.address);
 		else if (effect->kind == EFFECT_ANSWER)
 			take_answer(entries, at, &effect->u.answer);
 		else if (effect->kind == EFFECT_SEND &&
@@ -380,6 +461,92 @@
 	group_announce(entries->group, control, &told);
 }
 
+static uint64_t next_id(struct entries *entries, bool crashing)
+{
+	entries->next_request += 2;
+	return entries->next_request + crashing;
+}
+
+static void submit(struct entries *entries, int vm, uint64_t id,
+		   const char *body, bool passed_on)
+{
+	struct entry_request request = {
+		.id = id,
+		.name = "r",
+		.host = "a.example",
+		.path = entries->path,
+		.body_hash = body,
+		.passed_on = passed_on,
+	};
+	struct effects effects;
+
+	effects_init(&effects);
+	entry_submit(entries->vms[vm].entry, &request, vm_now(entries, vm),
+		     &effects);
+	carry_out(entries, vm, &effects);
+}
+
+static void end_pass(struct entries *entries, const struct pass *pass)
+{
+	struct entries_vm *vm = &entries->vms[pass->from];
+	struct event_attempt_ended ended = {
+		.id = pass->id,
+		.attempt = pass->attempt,
+		.code = pass->code,
+		.http_status = pass->code == RESULT_OK		    ? 200
+			       : pass->code == RESULT_BACKEND_ERROR ? 503
+								    : 0,
+		.sent = pass->sent,
+	};
+	struct effects effects;
+
+	if (vm->id != pass->from_entry)
+		return;
+	effects_init(&effects);
+	entry_attempt_ended(vm->entry, &ended, vm_now(entries, pass->from),
+			    &effects);
+	carry_out(entries, pass->from, &effects);
+}
+
+/* False once it is over. */
+static bool carry_pass(struct entries *entries, guint i)
+{
+	struct pass *pass = &g_array_index(entries->passes, struct pass, i);
+
+	if (!pass->ended && entries->vms[pass->to].id != pass->to_entry) {
+		pass->ended = true;
+		pass->code = pass->to_id ? RESULT_BACKEND_BROKE
+					 : RESULT_BACKEND_CONNECT;
+	}
+	if (pass->ended)
+		return false;
+	if (!pass->to_id) {
+		pass->sent = true;
+		pass->to_id = next_id(entries, is_crashing(pass->id));
+		submit(entries, pass->to, pass->to_id,
+		       is_crashing(pass->id) ? ENTRIES_CRASHING : "harmless",
+		       true);
+	}
+	return true;
+}
+
+static void carry_passes(struct entries *entries)
+{
+	guint i = 0;
+
+	while (i < entries->passes->len) {
+		struct pass pass;
+
+		if (carry_pass(entries, i)) {
+			i++;
+			continue;
+		}
+		pass = g_array_index(entries->passes, struct pass, i);
+		g_array_remove_index(entries->passes, i);
+		end_pass(entries, &pass);
+	}
+}
+
 void entries_run(struct entries *entries, int64_t us)
 {
 	int64_t until_us = group_now(entries->group) + us;
@@ -391,6 +558,7 @@
 		group_run(entries->group, GROUP_STEP_US);
 		deliver_all(entries);
 		end_runs(entries);
+		carry_passes(entries);
 		for (i = 0; i < entries->n_servers; i++)
 			announce(entries, i);
 		for (i = 0; i < entries->n_vms; i++) {
@@ -418,6 +586,7 @@
 	entries->vms = xcalloc((size_t)n_vms, sizeof(*entries->vms));
 	entries->runs = g_array_new(false, false, sizeof(struct run));
 	entries->posts = g_array_new(false, false, sizeof(struct letter));
+	entries->passes = g_array_new(false, false, sizeof(struct pass));
 	group_set_sink(entries->group, take_letter, entries);
 	for (i = 0; i < n_servers; i++) {
 		struct entries_server *server = &entries->servers[i];
@@ -452,6 +621,7 @@
 		bytes_clear(
 			&g_array_index(entries->posts, struct letter, i).body);
 	g_array_free(entries->posts, true);
+	g_array_free(entries->passes, true);
 	g_array_free(entries->runs, true);
 	g_array_free(entries->asked, true);
 	g_array_free(entries->repeats, true);
@@ -462,24 +632,12 @@
 
 void entries_ask(struct entries *entries, int vm, const char *body)
 {
-	bool crashing = !strcmp(body, ENTRIES_CRASHING);
-	struct entry_request request = {
-		.name = "r",
-		.host = "a.example",
-		.path = entries->path,
-		.body_hash = body,
-	};
-	struct effects effects;
+	uint64_t id = next_id(entries, !strcmp(body, ENTRIES_CRASHING));
 	int64_t now_us = group_now(entries->group);
 
 	g_array_append_val(entries->asked, now_us);
 	entries->vms[vm].asked++;
-	entries->next_request += 2;
-	request.id = entries->next_request + crashing;
-	effects_init(&effects);
-	entry_submit(entries->vms[vm].entry, &request, vm_now(entries, vm),
-		     &effects);
-	carry_out(entries, vm, &effects);
+	submit(entries, vm, id, body, false);
 }
 
 void entries_cut_from(struct entries *entries, int vm, int control, bool cut)
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -59,6 +59,7 @@
 	struct entries_vm *vms; /**< n_vms of them */
 	GArray *runs;		/**< requests at servers */
 	GArray *posts;		/**< messages on their way to entry VMs */
+	GArray *passes;		/**< requests from VM to VM */
 	const char *path;	/**< of requests from now on */
 	GArray *asked;		/**< int64_t, times of requests */
 	GArray *repeats;	/**< and of those that reached another server */
--- a/tests/control/group_entry.c
+++ b/tests/control/group_entry.c
@@ -86,7 +86,7 @@
 	struct event_link_up up = { id, (char *)"entry", (char *)"z1", NULL,
 				    true };
 	struct event_link_message message = { id, LINK_FEED, { 0 } };
-	struct feed_poll poll = { group->now_us, marks, 0 };
+	struct feed_poll poll = { .sent_us = group->now_us, .marks = marks };
 	struct control *control = group->vms[at].control;
 	struct effects effects;
 
--- a/tests/control/t-no-servers.c
+++ b/tests/control/t-no-servers.c
@@ -75,6 +75,16 @@
 	play(traffic, 10 * SECOND);
 }
 
+static guint count_arrivals(const struct entries *entries)
+{
+	guint n = 0;
+	int i;
+
+	for (i = 0; i < entries->n_servers; i++)
+		n += entries->servers[i].arrivals->len;
+	return n;
+}
+
 /* Those that are cut off serve their callers two thirds as often as others. */
 static void check_served(const struct entries *entries, int n)
 {
@@ -82,6 +92,7 @@
 
 	g_assert_cmpfloat(others, >=, 0.95);
 	g_assert_cmpfloat(served_share(entries, 0, n), >=, others * 2 / 3);
+	g_assert_cmpuint(count_arrivals(entries), <=, entries->asked->len);
 }
 
 /* Three of seven VMs refuse all their callers. */
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -241,6 +241,50 @@
 	bed_end(&bed);
 }
 
+struct outcome {
+	bool told;
+	bool stands;
+};
+
+static void on_connection(void *data, const char *address, bool stands)
+{
+	struct outcome *outcome = data;
+
+	outcome->told = true;
+	outcome->stands = stands;
+}
+
+/* A probe that isn't told of, or whose connection stays open. */
+static void test_probe(void)
+{
+	struct outcome outcome = { false, false };
+	struct peer refusing;
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	peer_bind(&refusing);
+	http_client_watch(bed.client, on_connection, &outcome);
+	http_client_probe(bed.client, peer.address);
+	bed_run(&bed, &outcome.told);
+	g_assert_true(outcome.stands);
+	fd = accept(peer.listener, NULL, NULL);
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpstr(bed_hear(fd), ==, "EOF");
+	outcome.told = false;
+	http_client_probe(bed.client, refusing.address);
+	bed_run(&bed, &outcome.told);
+	g_assert_true(outcome.told);
+	g_assert_false(outcome.stands);
+	http_client_probe(bed.client, peer.address);
+	close(fd);
+	close(peer.listener);
+	close(refusing.listener);
+	bed_end(&bed);
+}
+
 /* A caller left: the server sees its connection end at once. */
 static void test_cancel(void)
 {
@@ -274,5 +318,6 @@
 	g_test_add_func("/http-client/no-length", test_no_length);
 	g_test_add_func("/http-client/silent", test_silent);
 	g_test_add_func("/http-client/cancel", test_cancel);
+	g_test_add_func("/http-client/probe", test_probe);
 	return g_test_run();
 }
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -81,6 +81,43 @@
 	http_parse_clear(&parse);
 }
 
+/* A request that is passed on loses its key, or is passed on for ever. */
+static void test_pass_request(void)
+{
+	struct dialect_forward forward = { .resume_after = "7",
+					   .wait_ms = 900 };
+	struct dialect_request request = { 0 };
+	struct bytes passed = { 0 };
+	struct bytes out = { 0 };
+	struct http_parse parse;
+	struct http_head *head;
+
+	head = head_of(&parse, HTTP_REQUEST, request_text);
+	platform_read_request(head, &request);
+	g_assert_false(request.passed_on);
+	free(request.key);
+	platform_write_passed(head, &forward, &passed);
+	http_parse_clear(&parse);
+	head = head_of(&parse, HTTP_REQUEST, bytes_text(&passed));
+	memset(&request, 0, sizeof(request));
+	platform_read_request(head, &request);
+	g_assert_true(request.passed_on);
+	g_assert_cmpstr(request.key, ==, "secret");
+	g_assert_cmpint(request.deadline_ms, ==, 900);
+	g_assert_cmpstr(http_head_get(head, "Last-Event-Id"), ==, "7");
+	g_assert_null(strstr(bytes_text(&passed), "X-Hop"));
+	forward.organisation = "hule";
+	forward.resume_after = NULL;
+	platform_write_request(head, &forward, &out);
+	g_assert_null(strstr(bytes_text(&out), "Via"));
+	g_assert_null(strstr(bytes_text(&out), "secret"));
+	g_assert_null(strstr(bytes_text(&out), "forged"));
+	free(request.key);
+	bytes_clear(&passed);
+	bytes_clear(&out);
+	http_parse_clear(&parse);
+}
+
 static void test_read_answer(void)
 {
 	struct dialect_answer answer;
@@ -437,6 +474,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/read-request", test_read_request);
 	g_test_add_func("/platform/write-request", test_write_request);
+	g_test_add_func("/platform/pass-request", test_pass_request);
 	g_test_add_func("/platform/read-answer", test_read_answer);
 	g_test_add_func("/platform/refusals", test_refusals);
 	g_test_add_func("/platform/document", test_document);
