fleet: a connection that stood a moment ago leaves no doubt

Where half of the servers of a service fail, each few connections raised a doubt and with it eight probes, whose own failures raised the next one, as fast as connections fail. Seen in a play of entry and control VMs whose servers fail one after the other: it did not end within 20 s of processor, all at one point of its time. Callers would have paid for connections without number.

For half a second after a connection that stood there is no new doubt. A VM that is cut off is still seen by eight servers in a row that can't be connected to.

--- a/libfilberthall/fleet/reach.c
+++ b/libfilberthall/fleet/reach.c
@@ -3,6 +3,9 @@
 /* Failures further apart have nothing to do with each other. */
 #define RECENT_US INT64_C(3000000)
 
+/* For so long a connection that stood leaves no doubt. */
+#define CERTAIN_US INT64_C(500000)
+
 const char *reach_name(enum reach_state state)
 {
 	static const char *const names[] = { "good", "doubted", "lost" };
@@ -23,6 +26,7 @@
 bool reach_connected(struct reach *reach, int64_t now_us)
 {
 	reach->n_failed = 0;
+	reach->connected_us = now_us;
 	return set_state(reach, REACH_GOOD, now_us);
 }
 
@@ -48,7 +52,8 @@
 		reach->failed[reach->n_failed++] = server;
 	if (reach->n_failed >= enough)
 		return set_state(reach, REACH_LOST, now_us);
-	if (reach->state == REACH_GOOD && reach->n_failed >= REACH_DOUBTS)
+	if (reach->state == REACH_GOOD && reach->n_failed >= REACH_DOUBTS &&
+	    now_us - reach->connected_us >= CERTAIN_US)
 		return set_state(reach, REACH_DOUBTED, now_us);
 	return false;
 }
--- a/libfilberthall/fleet/reach.h
+++ b/libfilberthall/fleet/reach.h
@@ -11,6 +11,9 @@
  * takes each failed connection for a fault of that server and fails request
  * after request.
  *
+ * A connection that stood a moment ago leaves no doubt: where half of the
+ * servers are down, each few connections would raise one again.
+ *
  * Only new connections count: kept ones may live on while new ones are refused.
  * A few servers that crash together look the same at first, so a VM that is in
  * doubt tries several others before it takes the fault for its own.
@@ -28,8 +31,9 @@
 	enum reach_state state;
 	uint64_t failed[REACH_ENOUGH]; /**< since a connection last stood */
 	int n_failed;
-	int64_t failed_us; /**< last failure */
-	int64_t since_us;  /**< of the state */
+	int64_t failed_us;    /**< last failure */
+	int64_t connected_us; /**< last connection that stood */
+	int64_t since_us;     /**< of the state */
 };
 
 /** The state's name in logs. */
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -194,6 +194,48 @@
 	return request & 1;
 }
 
+/* All that it runs breaks off; it starts again at its address. */
+static void crash(struct entries *entries, int at)
+{
+	struct entries_server *server = &entries->servers[at];
+	int64_t now_us = group_now(entries->group);
+	guint i;
+
+	server->crashes++;
+	server->started_ms = now_us / 1000;
+	server->sequence = 0;
+	server->up_us = now_us + ENTRIES_RESTART_US;
+	server->running = 0;
+	g_array_set_size(server->rejected, 0);
+	for (i = 0; i < entries->runs->len; i++) {
+		struct run *run = &g_array_index(entries->runs, struct run, i);
+
+		if (run->server != at || run->code)
+			continue;
+		run->code = RESULT_BACKEND_BROKE;
+		run->crashes = false;
+		run->ends_us = now_us;
+	}
+}
+
+static bool must_reject(const struct entries_server *server)
+{
+	return server->rejects ||
+	       (server->slots && server->running >= server->slots);
+}
+
+static bool has_rejected_most(const struct entries_server *server,
+			      int64_t now_us)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < server->rejected->len; i++)
+		n += g_array_index(server->rejected, int64_t, i) >
+		     now_us - SECOND;
+	return server->rejects_most && n > server->rejects_most;
+}
+
 /* A connection without a request. */
 static void start_probe(struct entries *entries, int vm, const char *address)
 {
@@ -211,6 +253,7 @@
 		run.code = RESULT_BACKEND_CONNECT;
 	if (path == ENTRIES_PATH_SILENT)
 		run.ends_us += CONNECT_US;
+	entries->probes++;
 	g_array_append_val(entries->runs, run);
 }
 
@@ -255,11 +298,17 @@
 		if (start->attempt > 1)
 			g_array_append_val(entries->repeats, now_us);
 	}
-	if (server->rejects && !run.code) {
+	if (!run.code && must_reject(server)) {
 		run.code = RESULT_BACKEND_ERROR;
 		run.ends_us = now_us + REJECT_US;
+		g_array_append_val(server->rejected, now_us);
 	}
+	server->running += !run.code;
 	g_array_append_val(entries->runs, run);
+	if (has_rejected_most(server, now_us)) {
+		server->failures++;
+		crash(entries, at);
+	}
 }
 
 static void end_run(struct entries *entries, const struct run *run)
@@ -288,6 +337,9 @@
 		entry_report_connection(vm->entry, server->address,
 					run->code != RESULT_BACKEND_CONNECT,
 					now_us, &effects);
+	if (server->slots && run->code != RESULT_BACKEND_CONNECT)
+		entry_report_load(vm->entry, server->address, server->running,
+				  0, server->slots, now_us);
 	if (run->code == RESULT_OK && !run->probes)
 		entry_report_limit(vm->entry, server->address,
 				   server->limit_per_s, now_us, &effects);
@@ -296,28 +348,6 @@
 	carry_out(entries, run->vm, &effects);
 }
 
-/* All that it runs breaks off; it starts again at its address. */
-static void crash(struct entries *entries, int at)
-{
-	struct entries_server *server = &entries->servers[at];
-	int64_t now_us = group_now(entries->group);
-	guint i;
-
-	server->crashes++;
-	server->started_ms = now_us / 1000;
-	server->sequence = 0;
-	server->up_us = now_us + ENTRIES_RESTART_US;
-	for (i = 0; i < entries->runs->len; i++) {
-		struct run *run = &g_array_index(entries->runs, struct run, i);
-
-		if (run->server != at || run->code)
-			continue;
-		run->code = RESULT_BACKEND_BROKE;
-		run->crashes = false;
-		run->ends_us = now_us;
-	}
-}
-
 static void end_runs(struct entries *entries)
 {
 	int64_t now_us = group_now(entries->group);
@@ -336,6 +366,8 @@
 			continue;
 		}
 		g_array_remove_index(entries->runs, i);
+		if (!run.code && !run.probes)
+			entries->servers[run.server].running--;
 		end_run(entries, &run);
 	}
 }
@@ -447,7 +479,8 @@
 	struct registration told = { .service = "desk",
 				     .zone = "z1",
 				     .started_ms = server->started_ms,
-				     .slots = SLOTS };
+				     .slots = server->slots ? server->slots
+							    : SLOTS };
 	int control = at % CONTROL_VMS;
 
 	if (now_us < server->up_us || now_us - server->announced_us < SECOND)
@@ -599,6 +632,7 @@
 		server->work_us = WORK_US;
 		server->limit_per_s = SERVER_LIMIT_NONE;
 		server->arrivals = g_array_new(false, false, sizeof(int64_t));
+		server->rejected = g_array_new(false, false, sizeof(int64_t));
 	}
 	for (i = 0; i < n_vms; i++) {
 		entries->vms[i].offset_us = CLOCK_STEP_US * i;
@@ -615,8 +649,10 @@
 
 	for (at = 0; at < entries->n_vms; at++)
 		entry_free(entries->vms[at].entry);
-	for (at = 0; at < entries->n_servers; at++)
+	for (at = 0; at < entries->n_servers; at++) {
 		g_array_free(entries->servers[at].arrivals, true);
+		g_array_free(entries->servers[at].rejected, true);
+	}
 	for (i = 0; i < entries->posts->len; i++)
 		bytes_clear(
 			&g_array_index(entries->posts, struct letter, i).body);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -43,10 +43,15 @@
 	int64_t started_ms;
 	int64_t sequence;
 	int64_t announced_us;
-	int64_t up_us;	    /**< it is down before then */
-	int64_t work_us;    /**< how long it takes to run a request */
-	int crashes;	    /**< so far */
-	bool rejects;	    /**< it answers that it runs nothing */
+	int64_t up_us;	 /**< it is down before then */
+	int64_t work_us; /**< how long it takes to run a request */
+	int crashes;	 /**< so far */
+	bool rejects;	 /**< it answers that it runs nothing */
+	int slots;	 /**< it rejects what finds none free; 0: any */
+	int running;
+	int rejects_most;   /**< in a second, or it fails; 0: any number */
+	int failures;	    /**< for that reason, so far */
+	GArray *rejected;   /**< int64_t, times */
 	double limit_per_s; /**< that it names, or SERVER_LIMIT_NONE */
 	GArray *arrivals;   /**< int64_t, times of requests */
 };
@@ -63,6 +68,7 @@
 	const char *path;	/**< of requests from now on */
 	GArray *asked;		/**< int64_t, times of requests */
 	GArray *repeats;	/**< and of those that reached another server */
+	int probes;		/**< connections without a request */
 	uint64_t next_entry;
 	uint64_t next_request;
 	int served;
--- a/tests/control/t-no-servers.c
+++ b/tests/control/t-no-servers.c
@@ -184,6 +184,23 @@
 	entries_free(traffic.entries);
 }
 
+/* Half of the servers are down, and VMs probe without end. */
+static void test_half_down(void)
+{
+	struct traffic traffic = start(VMS, PER_S);
+	struct entries *entries = traffic.entries;
+	int i;
+
+	for (i = 0; i < SERVERS / 2; i++)
+		entries->servers[i].up_us =
+			group_now(entries->group) + 100 * SECOND;
+	entries_count_anew(entries);
+	play(&traffic, 10 * SECOND);
+	g_assert_cmpfloat(served_share(entries, 0, VMS), >=, 0.95);
+	g_assert_cmpint(entries->probes, <=, VMS * 10 * 2 * 8);
+	entries_free(entries);
+}
+
 /* No VM reaches a server: callers are refused at once, and told so. */
 static void test_nobody_left(void)
 {
@@ -209,6 +226,7 @@
 	g_test_add_func("/no-servers/late", test_late);
 	g_test_add_func("/no-servers/restarted", test_restarted);
 	g_test_add_func("/no-servers/by-turns", test_by_turns);
+	g_test_add_func("/no-servers/half-down", test_half_down);
 	g_test_add_func("/no-servers/nobody-left", test_nobody_left);
 	return g_test_run();
 }
