platform, entry: how many requests a server can reject is read and logged

The users' pages say that servers may be brittle: `Server-Brittle` names the requests that a server can reject in a second before it fails. No code knew it, and no log said so. The platform's folder translates it, and a VM logs it by service.

Nothing depends on it yet. What a VM may use must also be what it takes for the capacity when it refuses early; that is open. The test names the limit 3 s before it binds now, as the pages do, and its requests are shorter than their goal.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -51,7 +51,9 @@
 	int64_t running;
 	int64_t waiting;
 	int64_t slots;
-	bool has_limit;	    /**< the next one is set */
+	bool has_reject_limit; /**< the next one is set */
+	double rejects_per_s;  /**< it fails if it rejects more, of all VMs */
+	bool has_limit;	       /**< the next one is set */
 	double limit_per_s; /**< requests that it takes from all VMs together */
 };
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -190,6 +190,12 @@
 				   answer->has_limit ? answer->limit_per_s
 						     : SERVER_LIMIT_NONE,
 				   now_us, &daemon->effects);
+	if (answer->has_reject_limit || answer->signed_off)
+		entry_report_reject_limit(daemon->entry, address,
+					  answer->has_reject_limit
+						  ? answer->rejects_per_s
+						  : REJECT_LIMIT_NONE,
+					  now_us, &daemon->effects);
 	carry_out_all(daemon);
 }
 
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -125,6 +125,16 @@
 void entry_report_limit(struct entry *entry, const char *address, double per_s,
 			int64_t now_us, struct effects *effects);
 
+#define REJECT_LIMIT_NONE (-1.0)
+
+/**
+ * The requests a second that a backend server can reject before it fails, as it
+ * named them with an answer; REJECT_LIMIT_NONE if it named none.
+ */
+void entry_report_reject_limit(struct entry *entry, const char *address,
+			       double per_s, int64_t now_us,
+			       struct effects *effects);
+
 /** A new connection to a backend server stands, or can't be made. */
 void entry_report_connection(struct entry *entry, const char *address,
 			     bool stands, int64_t now_us,
--- a/libfilberthall/entry/entry_limit.c
+++ b/libfilberthall/entry/entry_limit.c
@@ -9,6 +9,12 @@
 /* A limit that differs by less than this part isn't told to other VMs. */
 #define CHANGE_TOLD 0.1
 
+/*
+ * Servers of a service name how many requests they can reject all at the same
+ * time, in all their answers. An answer from before may come a little later.
+ */
+#define REJECTS_OVERTAKEN_US INT64_C(1000000)
+
 /* Nor are changes of one server's limit told more often than this. */
 #define TELL_US INT64_C(1000000)
 
@@ -83,3 +89,27 @@
 
 	feed_send_limits(&audience, &entry->registry);
 }
+
+void entry_report_reject_limit(struct entry *entry, const char *address,
+			       double per_s, int64_t now_us,
+			       struct effects *effects)
+{
+	const struct backend *backend = fleet_find(&entry->fleet, address);
+	struct service_state *service;
+
+	entry->now_us = now_us;
+	entry->effects = effects;
+	if (!backend)
+		return;
+	service = entry_service(entry, backend->service);
+	if (per_s >= 0)
+		service->rejects_heard_us = now_us;
+	else if (now_us - service->rejects_heard_us < REJECTS_OVERTAKEN_US)
+		return;
+	if (per_s == service->rejects_per_s)
+		return;
+	service->rejects_per_s = per_s;
+	entry_log(entry, LOG_INFO, "server",
+		  "event=reject-limit service=%s per_s=%.3f", service->service,
+		  per_s);
+}
--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -19,7 +19,7 @@
 #define PASS_RETRY_AFTER_MS 250
 
 bool entry_has_way(const struct entry *entry,
-		   const struct service_reach *service)
+		   const struct service_state *service)
 {
 	return service->reach.state == REACH_LOST && service->ways.n > 0 &&
 	       entry->now_us - service->told_us < WAYS_STALE_US;
@@ -27,7 +27,7 @@
 
 bool entry_pass(struct entry *entry, struct open_call *call)
 {
-	struct service_reach *service = entry_service(entry, call->service);
+	struct service_state *service = entry_service(entry, call->service);
 	struct effect *effect;
 	const char *address;
 
@@ -86,7 +86,7 @@
 		finish(entry, call, RESULT_BACKEND_CONNECT, may_have_run);
 }
 
-void entry_pass_waiting(struct entry *entry, struct service_reach *service)
+void entry_pass_waiting(struct entry *entry, struct service_state *service)
 {
 	router_withdraw(entry->router, service->service, pass_taken, entry,
 			entry->now_us);
@@ -94,7 +94,7 @@
 
 void entry_handle_ways(struct entry *entry, const struct feed_ways *ways)
 {
-	struct service_reach *service;
+	struct service_state *service;
 
 	list_foreach(service, &entry->services, node) {
 		if (map_hash_text(service->service) != ways->service)
--- a/libfilberthall/entry/entry_reach.c
+++ b/libfilberthall/entry/entry_reach.c
@@ -21,23 +21,24 @@
 #define DOUBT_WAIT_US INT64_C(1000000)
 #define WAY_WAIT_US INT64_C(500000)
 
-struct service_reach *entry_service(struct entry *entry, const char *name)
+struct service_state *entry_service(struct entry *entry, const char *name)
 {
-	struct service_reach *service;
+	struct service_state *service;
 
 	list_foreach(service, &entry->services, node)
 		if (!strcmp(service->service, name))
 			return service;
 	service = xcalloc(1, sizeof(*service));
 	snprintf(service->service, sizeof(service->service), "%s", name);
+	service->rejects_per_s = REJECT_LIMIT_NONE;
 	list_append(&entry->services, &service->node);
 	return service;
 }
 
 void entry_free_services(struct entry *entry)
 {
-	struct service_reach *service;
-	struct service_reach *next;
+	struct service_state *service;
+	struct service_state *next;
 
 	list_foreach_safe(service, next, &entry->services, node) {
 		list_remove(&service->node);
@@ -47,7 +48,7 @@
 
 void entry_write_reach(const struct entry *entry, struct feed_reach *reach)
 {
-	struct service_reach *service;
+	struct service_state *service;
 
 	memcpy(reach->callers, entry->callers, sizeof(reach->callers));
 	list_foreach(service, &entry->services, node)
@@ -69,7 +70,7 @@
 }
 
 /* A server that is still to be tried: in doubt, not those that have failed. */
-static bool is_candidate(const struct service_reach *service,
+static bool is_candidate(const struct service_state *service,
 			 const struct backend *backend)
 {
 	const struct reach *reach = &service->reach;
@@ -87,7 +88,7 @@
 }
 
 /* Connect to some servers, each as likely as any other. */
-static void probe(struct entry *entry, struct service_reach *service, int n)
+static void probe(struct entry *entry, struct service_state *service, int n)
 {
 	struct backend *backend;
 	struct backend *next;
@@ -107,7 +108,7 @@
 }
 
 static bool must_wait(const struct entry *entry,
-		      const struct service_reach *service)
+		      const struct service_state *service)
 {
 	int64_t for_us = entry->now_us - service->reach.since_us;
 
@@ -117,7 +118,7 @@
 	       (entry_has_way(entry, service) || for_us < WAY_WAIT_US);
 }
 
-static void update(struct entry *entry, struct service_reach *service)
+static void update(struct entry *entry, struct service_state *service)
 {
 	int64_t since_us = entry->now_us - service->probed_us;
 
@@ -133,13 +134,13 @@
 
 void entry_reach_tick(struct entry *entry)
 {
-	struct service_reach *service;
+	struct service_state *service;
 
 	list_foreach(service, &entry->services, node)
 		update(entry, service);
 }
 
-static void state_changed(struct entry *entry, struct service_reach *service,
+static void state_changed(struct entry *entry, struct service_state *service,
 			  enum reach_state before, const char *address)
 {
 	const struct reach *reach = &service->reach;
@@ -159,7 +160,7 @@
 			     struct effects *effects)
 {
 	const struct backend *backend = fleet_find(&entry->fleet, address);
-	struct service_reach *service;
+	struct service_state *service;
 	enum reach_state before;
 	bool changed;
 
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -51,15 +51,17 @@
 	int64_t expires_us; /**< refused at this time */
 };
 
-/** Whether this VM reaches the backend servers of a service, and who does. */
-struct service_reach {
+/** What this VM knows of a service's backend servers as a whole. */
+struct service_state {
 	struct list node;
 	char service[BACKEND_NAME_SIZE];
 	struct reach reach;
 	int64_t probed_us;
 	struct feed_ways ways;
-	int64_t told_us; /**< when `ways` was received */
-	int turn;	 /**< which of them is next */
+	int64_t told_us;	  /**< when `ways` was received */
+	int turn;		  /**< which of them is next */
+	double rejects_per_s;	  /**< as named; REJECT_LIMIT_NONE for none */
+	int64_t rejects_heard_us; /**< when a server last named it */
 };
 
 /** A class that has been added to the router. */
@@ -93,7 +95,7 @@
 	bool past_known;      /**< what this VM spent in the window */
 	int64_t started_us;
 	struct retry_history past_retries; /**< of this VM's processes */
-	struct list services;		   /**< struct service_reach */
+	struct list services;		   /**< struct service_state */
 	char callers[BACKEND_NAME_SIZE];   /**< where they come in, or empty */
 	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
@@ -139,7 +141,7 @@
 			  const struct retry_report *report);
 
 /* entry_reach.c */
-struct service_reach *entry_service(struct entry *entry, const char *name);
+struct service_state *entry_service(struct entry *entry, const char *name);
 void entry_free_services(struct entry *entry);
 void entry_reach_tick(struct entry *entry);
 void entry_write_reach(const struct entry *entry, struct feed_reach *reach);
@@ -150,9 +152,9 @@
 bool entry_pass(struct entry *entry, struct open_call *call);
 
 /** Pass on all requests that wait for it. */
-void entry_pass_waiting(struct entry *entry, struct service_reach *service);
+void entry_pass_waiting(struct entry *entry, struct service_state *service);
 bool entry_has_way(const struct entry *entry,
-		   const struct service_reach *service);
+		   const struct service_state *service);
 void entry_handle_ways(struct entry *entry, const struct feed_ways *ways);
 void entry_pass_tokens(struct entry *entry, struct open_call *call,
 		       const struct event_attempt_tokens *tokens);
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -340,6 +340,10 @@
 	if (server->slots && run->code != RESULT_BACKEND_CONNECT)
 		entry_report_load(vm->entry, server->address, server->running,
 				  0, server->slots, now_us);
+	if (run->code != RESULT_BACKEND_CONNECT && !run->probes)
+		entry_report_reject_limit(vm->entry, server->address,
+					  server->rejects_named, now_us,
+					  &effects);
 	if (run->code == RESULT_OK && !run->probes)
 		entry_report_limit(vm->entry, server->address,
 				   server->limit_per_s, now_us, &effects);
@@ -631,6 +635,7 @@
 		server->announced_us = -SECOND;
 		server->work_us = WORK_US;
 		server->limit_per_s = SERVER_LIMIT_NONE;
+		server->rejects_named = REJECT_LIMIT_NONE;
 		server->arrivals = g_array_new(false, false, sizeof(int64_t));
 		server->rejected = g_array_new(false, false, sizeof(int64_t));
 	}
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -49,11 +49,12 @@
 	bool rejects;	 /**< it answers that it runs nothing */
 	int slots;	 /**< it rejects what finds none free; 0: any */
 	int running;
-	int rejects_most;   /**< in a second, or it fails; 0: any number */
-	int failures;	    /**< for that reason, so far */
-	GArray *rejected;   /**< int64_t, times */
-	double limit_per_s; /**< that it names, or SERVER_LIMIT_NONE */
-	GArray *arrivals;   /**< int64_t, times of requests */
+	double rejects_named; /**< that it says it bears in a second */
+	int rejects_most;     /**< in a second, or it fails; 0: any number */
+	int failures;	      /**< for that reason, so far */
+	GArray *rejected;     /**< int64_t, times */
+	double limit_per_s;   /**< that it names, or SERVER_LIMIT_NONE */
+	GArray *arrivals;     /**< int64_t, times of requests */
 };
 
 struct entries {
--- a/tests/control/t-reject-limit.c
+++ b/tests/control/t-reject-limit.c
@@ -8,7 +8,10 @@
 #define SERVERS 8
 #define MANY_VMS 60
 #define SLOTS 32
-#define WORK_US INT64_C(600000)
+#define WORK_US INT64_C(200000)
+
+/* From when the limit binds after servers first named it. */
+#define BINDS_US (3 * SECOND)
 
 /* What all servers can run in a second. */
 #define CAPACITY_PER_S (SERVERS * SLOTS * 1e6 / WORK_US)
@@ -61,6 +64,9 @@
 		traffic.entries->servers[i].work_us = WORK_US;
 	}
 	play(&traffic, 5 * SECOND);
+	for (i = 0; i < SERVERS; i++)
+		traffic.entries->servers[i].rejects_named = most;
+	play(&traffic, BINDS_US);
 	for (i = 0; i < SERVERS; i++)
 		traffic.entries->servers[i].rejects_most = most;
 	return traffic;
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -136,10 +136,13 @@
 	http_parse_clear(&parse);
 	platform_read_answer(head_of(&parse, HTTP_RESPONSE,
 				     "HTTP/1.1 503 X\r\nServer-Limit: 1.5\r\n"
+				     "Server-Brittle: 6\r\n"
 				     "Filberthall-Not-Executed: 1\r\n\r\n"),
 			     &answer);
 	g_assert_true(answer.has_limit);
 	g_assert_cmpfloat(answer.limit_per_s, ==, 1.5);
+	g_assert_true(answer.has_reject_limit);
+	g_assert_cmpfloat(answer.rejects_per_s, ==, 6);
 	http_parse_clear(&parse);
 	platform_read_answer(head_of(&parse, HTTP_RESPONSE,
 				     "HTTP/1.1 200 X\r\nServer-Limit: -2\r\n"
