--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -197,6 +197,7 @@
 	int64_t refused; /**< refused without having run */
 	int64_t served;
 	int64_t failed;
+	int64_t passed; /**< attempts to pass a request on to another VM */
 	int64_t attempts;
 	struct entry_documents documents;
 };
--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -37,6 +37,7 @@
 	address = service->ways.callers[service->turn++ % service->ways.n];
 	snprintf(call->way, sizeof(call->way), "%s", address);
 	call->pass++;
+	entry->totals.passed++;
 	effect = effects_add(entry->effects, EFFECT_START_ATTEMPT);
 	effect->u.start.id = call->id;
 	effect->u.start.attempt = call->pass;
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -681,6 +681,43 @@
 	submit(entries, vm, id, body, false);
 }
 
+struct entries_traffic entries_traffic(struct entries *entries, double per_s)
+{
+	struct entries_traffic traffic = { .entries = entries,
+					   .rng = { 7 },
+					   .per_s = per_s,
+					   .n_vms = entries->n_vms };
+
+	return traffic;
+}
+
+static void ask_any(struct entries_traffic *traffic)
+{
+	struct entries *entries = traffic->entries;
+	uint64_t vm = rng_below(&traffic->rng, (uint64_t)traffic->n_vms);
+	char body[32] = "harmless";
+
+	if (traffic->distinct)
+		g_snprintf(body, sizeof(body), "body-%u", entries->asked->len);
+	entries_ask(entries, traffic->first + (int)vm, body);
+}
+
+void entries_play(struct entries_traffic *traffic, int64_t us)
+{
+	struct entries *entries = traffic->entries;
+	int64_t until_us = group_now(entries->group) + us;
+	double due = 0;
+	int i;
+
+	while (group_now(entries->group) < until_us) {
+		due += traffic->per_s * GROUP_STEP_US / 1e6;
+		for (i = 0; i < (int)due; i++)
+			ask_any(traffic);
+		due -= i;
+		entries_run(entries, GROUP_STEP_US);
+	}
+}
+
 void entries_cut_from(struct entries *entries, int vm, int control, bool cut)
 {
 	entries->vms[vm].cut[control] = cut;
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "base/rng.h"
 #include "entry/entry.h"
 #include "group.h"
 
@@ -87,6 +88,21 @@
 /** A caller sends a request that may be repeated; `body` is its hash. */
 void entries_ask(struct entries *entries, int vm, const char *body);
 
+/** Callers' requests, evenly in time, at VMs drawn at random. */
+struct entries_traffic {
+	struct entries *entries;
+	struct rng rng;
+	double per_s;  /**< over all VMs */
+	int first;     /**< VM that gets requests */
+	int n_vms;     /**< and how many behind it */
+	bool distinct; /**< each request has another body */
+};
+
+/** Traffic to all VMs. */
+struct entries_traffic entries_traffic(struct entries *entries, double per_s);
+
+void entries_play(struct entries_traffic *traffic, int64_t us);
+
 /** Cut a VM off from all control VMs, or join it again. */
 void entries_cut(struct entries *entries, int vm, bool cut);
 
--- a/tests/control/t-no-servers.c
+++ b/tests/control/t-no-servers.c
@@ -1,6 +1,5 @@
 #include <glib.h>
 
-#include "base/rng.h"
 #include "entries.h"
 
 #define SECOND INT64_C(1000000)
@@ -12,36 +11,12 @@
 /* From when a cut counts, as in the rules of the users. */
 #define BINDS_US (3 * SECOND)
 
-struct traffic {
-	struct entries *entries;
-	struct rng rng;
-	double per_s; /* over all VMs */
-};
-
-static void play(struct traffic *traffic, int64_t us)
-{
-	struct entries *entries = traffic->entries;
-	int64_t until_us = group_now(entries->group) + us;
-	double due = 0;
-	int i;
-
-	while (group_now(entries->group) < until_us) {
-		due += traffic->per_s * GROUP_STEP_US / 1e6;
-		for (i = 0; i < (int)due; i++)
-			entries_ask(entries,
-				    (int)rng_below(&traffic->rng,
-						   (uint64_t)entries->n_vms),
-				    "harmless");
-		due -= i;
-		entries_run(entries, GROUP_STEP_US);
-	}
-}
-
-static struct traffic start(int n_vms, double per_s)
+static struct entries_traffic start(int n_vms, double per_s)
 {
-	struct traffic traffic = { entries_new(n_vms, SERVERS), { 7 }, per_s };
+	struct entries_traffic traffic =
+		entries_traffic(entries_new(n_vms, SERVERS), per_s);
 
-	play(&traffic, 5 * SECOND);
+	entries_play(&traffic, 5 * SECOND);
 	return traffic;
 }
 
@@ -67,12 +42,13 @@
 	return asked ? (double)served / asked : 1;
 }
 
-static void play_cut(struct traffic *traffic, int n, enum entries_path path)
+static void play_cut(struct entries_traffic *traffic, int n,
+		     enum entries_path path)
 {
 	cut(traffic->entries, n, path);
-	play(traffic, BINDS_US);
+	entries_play(traffic, BINDS_US);
 	entries_count_anew(traffic->entries);
-	play(traffic, 10 * SECOND);
+	entries_play(traffic, 10 * SECOND);
 }
 
 static guint count_arrivals(const struct entries *entries)
@@ -98,7 +74,7 @@
 /* Three of seven VMs refuse all their callers. */
 static void test_refused(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 
 	play_cut(&traffic, 3, ENTRIES_PATH_REFUSED);
 	check_served(traffic.entries, 3);
@@ -108,7 +84,7 @@
 /* The same where connections hang. */
 static void test_silent(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 
 	play_cut(&traffic, 3, ENTRIES_PATH_SILENT);
 	check_served(traffic.entries, 3);
@@ -118,7 +94,7 @@
 /* All VMs but one are cut off. */
 static void test_one_left(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 
 	play_cut(&traffic, VMS - 1, ENTRIES_PATH_SILENT);
 	check_served(traffic.entries, VMS - 1);
@@ -128,7 +104,7 @@
 /* Many VMs, half of them cut off with few requests each. */
 static void test_many_vms(void)
 {
-	struct traffic traffic = start(MANY_VMS, 120);
+	struct entries_traffic traffic = start(MANY_VMS, 120);
 
 	play_cut(&traffic, MANY_VMS / 2, ENTRIES_PATH_SILENT);
 	check_served(traffic.entries, MANY_VMS / 2);
@@ -138,7 +114,7 @@
 /* What VMs that are cut off are told comes half a second late. */
 static void test_late(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 	int vm;
 
 	for (vm = 0; vm < 3; vm++)
@@ -151,15 +127,15 @@
 /* VMs start again while they are cut off, one that serves the others too. */
 static void test_restarted(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 
 	cut(traffic.entries, 3, ENTRIES_PATH_REFUSED);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	entries_restart(traffic.entries, 0);
 	entries_restart(traffic.entries, VMS - 1);
-	play(&traffic, BINDS_US);
+	entries_play(&traffic, BINDS_US);
 	entries_count_anew(traffic.entries);
-	play(&traffic, 10 * SECOND);
+	entries_play(&traffic, 10 * SECOND);
 	check_served(traffic.entries, 3);
 	entries_free(traffic.entries);
 }
@@ -167,7 +143,7 @@
 /* VMs that are cut off by turns send each other's requests round. */
 static void test_by_turns(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 	int turn;
 	int vm;
 
@@ -178,7 +154,7 @@
 					 vm % 2 == turn % 2
 						 ? ENTRIES_PATH_REFUSED
 						 : ENTRIES_PATH_GOOD);
-		play(&traffic, 6 * SECOND);
+		entries_play(&traffic, 6 * SECOND);
 	}
 	g_assert_cmpfloat(served_share(traffic.entries, 0, VMS), >=, 2.0 / 3);
 	entries_free(traffic.entries);
@@ -187,7 +163,7 @@
 /* Half of the servers are down, and VMs probe without end. */
 static void test_half_down(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 	struct entries *entries = traffic.entries;
 	int i;
 
@@ -195,7 +171,7 @@
 		entries->servers[i].up_us =
 			group_now(entries->group) + 100 * SECOND;
 	entries_count_anew(entries);
-	play(&traffic, 10 * SECOND);
+	entries_play(&traffic, 10 * SECOND);
 	g_assert_cmpfloat(served_share(entries, 0, VMS), >=, 0.95);
 	g_assert_cmpint(entries->probes, <=, VMS * 10 * 2 * 8);
 	entries_free(entries);
@@ -204,14 +180,14 @@
 /* No VM reaches a server: callers are refused at once, and told so. */
 static void test_nobody_left(void)
 {
-	struct traffic traffic = start(VMS, PER_S);
+	struct entries_traffic traffic = start(VMS, PER_S);
 
 	play_cut(&traffic, VMS, ENTRIES_PATH_REFUSED);
 	g_assert_cmpfloat(served_share(traffic.entries, 0, VMS), ==, 0);
 	cut(traffic.entries, VMS, ENTRIES_PATH_GOOD);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	entries_count_anew(traffic.entries);
-	play(&traffic, 5 * SECOND);
+	entries_play(&traffic, 5 * SECOND);
 	g_assert_cmpfloat(served_share(traffic.entries, 0, VMS), >=, 0.95);
 	entries_free(traffic.entries);
 }
--- a/tests/control/t-retry-limit.c
+++ b/tests/control/t-retry-limit.c
@@ -1,6 +1,5 @@
 #include <glib.h>
 
-#include "base/rng.h"
 #include "entries.h"
 
 #define SECOND INT64_C(1000000)
@@ -9,40 +8,14 @@
 #define MANY_VMS 40
 #define CONTROL_VMS 5
 
-struct traffic {
-	struct entries *entries;
-	struct rng rng;
-	double per_s; /* over all VMs */
-	int n_vms;    /* that get requests */
-};
-
-static void play(struct traffic *traffic, int64_t us)
-{
-	int64_t until_us = group_now(traffic->entries->group) + us;
-	double due = 0;
-	int i;
-
-	while (group_now(traffic->entries->group) < until_us) {
-		due += traffic->per_s * GROUP_STEP_US / 1e6;
-		for (i = 0; i < (int)due; i++)
-			entries_ask(traffic->entries,
-				    (int)rng_below(&traffic->rng,
-						   (uint64_t)traffic->n_vms),
-				    "harmless");
-		due -= i;
-		entries_run(traffic->entries, GROUP_STEP_US);
-	}
-}
-
 /* The VMs have run for longer than a window. */
-static struct traffic start(int n_vms, double per_s)
+static struct entries_traffic start(int n_vms, double per_s)
 {
-	struct traffic traffic = {
-		entries_new(n_vms, SERVERS), { 7 }, per_s, n_vms
-	};
+	struct entries_traffic traffic =
+		entries_traffic(entries_new(n_vms, SERVERS), per_s);
 
 	traffic.entries->path = ENTRIES_AGAIN;
-	play(&traffic, ENTRIES_RETRY_WINDOW_US);
+	entries_play(&traffic, ENTRIES_RETRY_WINDOW_US);
 	return traffic;
 }
 
@@ -54,7 +27,7 @@
 		entries->servers[i].rejects = rejects;
 }
 
-static void restart_all(struct traffic *traffic)
+static void restart_all(struct entries_traffic *traffic)
 {
 	int vm;
 
@@ -62,6 +35,17 @@
 		entries_restart(traffic->entries, vm);
 }
 
+/* All processes end `n` times, two seconds after one another. */
+static void restart_all_again(struct entries_traffic *traffic, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++) {
+		entries_play(traffic, 2 * SECOND);
+		restart_all(traffic);
+	}
+}
+
 static int count(const GArray *times, int64_t from_us, int64_t until_us)
 {
 	int n = 0;
@@ -106,10 +90,10 @@
 /* Nothing ends; the limit is used and kept. */
 static void test_steady(void)
 {
-	struct traffic traffic = start(VMS, 70);
+	struct entries_traffic traffic = start(VMS, 70);
 
 	reject(traffic.entries, true);
-	play(&traffic, 20 * SECOND);
+	entries_play(&traffic, 20 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	g_assert_cmpint(traffic.entries->repeats->len, >=,
 			2 * ENTRIES_RETRY_HEADROOM);
@@ -119,15 +103,11 @@
 /* All processes end three times while servers reject; each forgets. */
 static void test_all_restarted(void)
 {
-	struct traffic traffic = start(VMS, 70);
-	int i;
+	struct entries_traffic traffic = start(VMS, 70);
 
 	reject(traffic.entries, true);
-	for (i = 0; i < 3; i++) {
-		play(&traffic, 2 * SECOND);
-		restart_all(&traffic);
-	}
-	play(&traffic, 12 * SECOND);
+	restart_all_again(&traffic, 3);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -135,17 +115,17 @@
 /* The same for half of the VMs each time. */
 static void test_half_restarted(void)
 {
-	struct traffic traffic = start(VMS, 70);
+	struct entries_traffic traffic = start(VMS, 70);
 	int vm;
 	int i;
 
 	reject(traffic.entries, true);
 	for (i = 0; i < 6; i++) {
-		play(&traffic, SECOND);
+		entries_play(&traffic, SECOND);
 		for (vm = i % 2; vm < VMS; vm += 2)
 			entries_restart(traffic.entries, vm);
 	}
-	play(&traffic, 12 * SECOND);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -153,15 +133,15 @@
 /* One VM after the other ends, again and again. */
 static void test_many_vms(void)
 {
-	struct traffic traffic = start(MANY_VMS, 300);
+	struct entries_traffic traffic = start(MANY_VMS, 300);
 	int i;
 
 	reject(traffic.entries, true);
 	for (i = 0; i < 3 * MANY_VMS; i++) {
-		play(&traffic, SECOND / 20);
+		entries_play(&traffic, SECOND / 20);
 		entries_restart(traffic.entries, i % MANY_VMS);
 	}
-	play(&traffic, 12 * SECOND);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -169,7 +149,7 @@
 /* A VM has a link to one control VM, which others return to later. */
 static void test_cut_off(void)
 {
-	struct traffic traffic = start(VMS, 70);
+	struct entries_traffic traffic = start(VMS, 70);
 	int control;
 	int vm;
 
@@ -178,18 +158,18 @@
 			entries_cut_from(traffic.entries, vm, control,
 					 control != vm % CONTROL_VMS);
 	reject(traffic.entries, true);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	for (vm = 0; vm < VMS; vm++)
 		for (control = 0; control < CONTROL_VMS; control++)
 			entries_cut_from(traffic.entries, vm, control,
 					 control != (vm + 1) % CONTROL_VMS);
 	restart_all(&traffic);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	entries_cut(traffic.entries, 0, true);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	restart_all(&traffic);
 	entries_cut(traffic.entries, 0, false);
-	play(&traffic, 12 * SECOND);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -197,18 +177,14 @@
 /* What half of the VMs are told comes half a second late. */
 static void test_late(void)
 {
-	struct traffic traffic = start(VMS, 70);
+	struct entries_traffic traffic = start(VMS, 70);
 	int vm;
-	int i;
 
 	for (vm = 0; vm < VMS / 2; vm++)
 		entries_slow(traffic.entries, vm, SECOND / 2);
 	reject(traffic.entries, true);
-	for (i = 0; i < 3; i++) {
-		play(&traffic, 2 * SECOND);
-		restart_all(&traffic);
-	}
-	play(&traffic, 12 * SECOND);
+	restart_all_again(&traffic, 3);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -216,16 +192,12 @@
 /* Two of seven VMs get all requests. */
 static void test_uneven(void)
 {
-	struct traffic traffic = start(VMS, 70);
-	int i;
+	struct entries_traffic traffic = start(VMS, 70);
 
 	traffic.n_vms = 2;
 	reject(traffic.entries, true);
-	for (i = 0; i < 4; i++) {
-		play(&traffic, 2 * SECOND);
-		restart_all(&traffic);
-	}
-	play(&traffic, 12 * SECOND);
+	restart_all_again(&traffic, 4);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -243,17 +215,17 @@
 /* Control VMs start again, and know too few entry VMs and no past retries. */
 static void test_group_restarted(void)
 {
-	struct traffic traffic = start(VMS, 70);
+	struct entries_traffic traffic = start(VMS, 70);
 
 	reject(traffic.entries, true);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	restart_group(traffic.entries->group);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	restart_all(&traffic);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	restart_group(traffic.entries->group);
 	restart_all(&traffic);
-	play(&traffic, 12 * SECOND);
+	entries_play(&traffic, 12 * SECOND);
 	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
 	entries_free(traffic.entries);
 }
@@ -261,14 +233,14 @@
 /* A VM that starts again and had repeated nothing may repeat nothing. */
 static void test_unspent(void)
 {
-	struct traffic traffic = start(VMS, 70);
+	struct entries_traffic traffic = start(VMS, 70);
 	int64_t from_us;
 
 	restart_all(&traffic);
-	play(&traffic, SECOND);
+	entries_play(&traffic, SECOND);
 	from_us = group_now(traffic.entries->group);
 	reject(traffic.entries, true);
-	play(&traffic, 2 * SECOND);
+	entries_play(&traffic, 2 * SECOND);
 	g_assert_cmpint(count(traffic.entries->repeats, from_us,
 			      group_now(traffic.entries->group)),
 			>=, ENTRIES_RETRY_HEADROOM / 2);
--- a/tests/control/t-server-limit.c
+++ b/tests/control/t-server-limit.c
@@ -1,6 +1,5 @@
 #include <glib.h>
 
-#include "base/rng.h"
 #include "entries.h"
 
 #define SECOND INT64_C(1000000)
@@ -18,41 +17,12 @@
 	return (int)(1.5 * per_s * (double)SPAN_US / 1e6 + 5);
 }
 
-struct traffic {
-	struct entries *entries;
-	struct rng rng;
-	double per_s; /* over all VMs */
-	int first;    /* VM that gets requests */
-	int n_vms;    /* and how many behind it */
-};
-
-static void play(struct traffic *traffic, int64_t us)
-{
-	int64_t until_us = group_now(traffic->entries->group) + us;
-	double due = 0;
-	int i;
-
-	while (group_now(traffic->entries->group) < until_us) {
-		due += traffic->per_s * GROUP_STEP_US / 1e6;
-		for (i = 0; i < (int)due; i++)
-			entries_ask(traffic->entries,
-				    traffic->first +
-					    (int)rng_below(
-						    &traffic->rng,
-						    (uint64_t)traffic->n_vms),
-				    "harmless");
-		due -= i;
-		entries_run(traffic->entries, GROUP_STEP_US);
-	}
-}
-
-static struct traffic start(int n_vms, int n_servers, double per_s)
+static struct entries_traffic start(int n_vms, int n_servers, double per_s)
 {
-	struct traffic traffic = {
-		entries_new(n_vms, n_servers), { 7 }, per_s, 0, n_vms
-	};
+	struct entries_traffic traffic =
+		entries_traffic(entries_new(n_vms, n_servers), per_s);
 
-	play(&traffic, 5 * SECOND);
+	entries_play(&traffic, 5 * SECOND);
 	return traffic;
 }
 
@@ -112,13 +82,13 @@
 /* Seven VMs send a server in need what they sent before. */
 static void test_all_vms(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 	int served = entries->served;
 
 	name_limits(entries, 2, 1);
-	play(&traffic, 20 * SECOND);
+	entries_play(&traffic, 20 * SECOND);
 	check_limits(entries, 2, 1, named_us + BINDS_US);
 	g_assert_cmpint(entries->refused + entries->failed, ==, 0);
 	g_assert_cmpint(entries->served - served, >=, 1590);
@@ -130,12 +100,12 @@
 /* Each of many VMs hears of the limit only with its own next answer. */
 static void test_many_vms(void)
 {
-	struct traffic traffic = start(MANY_VMS, 16, 300);
+	struct entries_traffic traffic = start(MANY_VMS, 16, 300);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 
 	name_limits(entries, 4, 1);
-	play(&traffic, 15 * SECOND);
+	entries_play(&traffic, 15 * SECOND);
 	check_limits(entries, 4, 1, named_us + BINDS_US);
 	g_assert_cmpint(entries->refused + entries->failed, ==, 0);
 	entries_free(entries);
@@ -144,13 +114,13 @@
 /* One VM gets all the requests. */
 static void test_uneven(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 
 	name_limits(entries, 2, 3);
 	traffic.n_vms = 1;
-	play(&traffic, 20 * SECOND);
+	entries_play(&traffic, 20 * SECOND);
 	check_limits(entries, 2, 3, named_us + BINDS_US);
 	g_assert_cmpint(entries->refused + entries->failed, ==, 0);
 	entries_free(entries);
@@ -159,17 +129,17 @@
 /* A VM that was cut off when the limit was named, and one that starts again. */
 static void test_cut_off_and_restarted(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 
 	entries_cut(entries, 0, true);
 	name_limits(entries, 2, 1);
-	play(&traffic, 4 * SECOND);
+	entries_play(&traffic, 4 * SECOND);
 	entries_restart(entries, 1);
-	play(&traffic, 4 * SECOND);
+	entries_play(&traffic, 4 * SECOND);
 	entries_cut(entries, 0, false);
-	play(&traffic, 8 * SECOND);
+	entries_play(&traffic, 8 * SECOND);
 	check_limits(entries, 2, 1, named_us + BINDS_US);
 	entries_free(entries);
 }
@@ -177,21 +147,21 @@
 /* All control VMs start again, and then all entry VMs, one by one. */
 static void test_restarted_group(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 	int vm;
 
 	name_limits(entries, 2, 1);
-	play(&traffic, 4 * SECOND);
+	entries_play(&traffic, 4 * SECOND);
 	for (vm = 0; vm < 5; vm++)
 		group_kill(entries->group, vm);
 	for (vm = 0; vm < 5; vm++)
 		group_start(entries->group, vm);
-	play(&traffic, 5 * SECOND);
+	entries_play(&traffic, 5 * SECOND);
 	for (vm = 0; vm < VMS; vm++) {
 		entries_restart(entries, vm);
-		play(&traffic, SECOND);
+		entries_play(&traffic, SECOND);
 	}
 	check_limits(entries, 2, 1, named_us + BINDS_US);
 	entries_free(entries);
@@ -200,16 +170,16 @@
 /* Many VMs start again at once and know of no limit. */
 static void test_all_restarted(void)
 {
-	struct traffic traffic = start(MANY_VMS, 16, 600);
+	struct entries_traffic traffic = start(MANY_VMS, 16, 600);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 	int vm;
 
 	name_limits(entries, 4, 1);
-	play(&traffic, 6 * SECOND);
+	entries_play(&traffic, 6 * SECOND);
 	for (vm = 0; vm < MANY_VMS; vm++)
 		entries_restart(entries, vm);
-	play(&traffic, 6 * SECOND);
+	entries_play(&traffic, 6 * SECOND);
 	check_limits(entries, 4, 1, named_us + BINDS_US);
 	entries_free(entries);
 }
@@ -217,7 +187,7 @@
 /* What half of the VMs are told comes a second late. */
 static void test_late(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 	int vm;
@@ -225,7 +195,7 @@
 	for (vm = 0; vm < VMS / 2; vm++)
 		entries_slow(entries, vm, SECOND);
 	name_limits(entries, 2, 1);
-	play(&traffic, 20 * SECOND);
+	entries_play(&traffic, 20 * SECOND);
 	check_limits(entries, 2, 1, named_us + BINDS_US);
 	g_assert_cmpint(entries->refused + entries->failed, ==, 0);
 	entries_free(entries);
@@ -234,17 +204,17 @@
 /* A server that takes nothing is sent requests, or never asked again. */
 static void test_nothing(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 
 	name_limits(entries, 1, 0);
-	play(&traffic, 20 * SECOND);
+	entries_play(&traffic, 20 * SECOND);
 	check_limits(entries, 1, 0, named_us + BINDS_US);
 	g_assert_cmpint(count_since(&entries->servers[0], named_us + SECOND),
 			<=, 4);
 	name_limits(entries, 1, SERVER_LIMIT_NONE);
-	play(&traffic, 30 * SECOND);
+	entries_play(&traffic, 30 * SECOND);
 	g_assert_cmpint(count_since(&entries->servers[0],
 				    group_now(entries->group) - 5 * SECOND),
 			>=, 25);
@@ -254,16 +224,16 @@
 /* A limit that ended goes on to keep requests from the server. */
 static void test_lifted(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 80);
+	struct entries_traffic traffic = start(VMS, SERVERS, 80);
 	struct entries *entries = traffic.entries;
 	int64_t lifted_us;
 
 	name_limits(entries, 2, 1);
-	play(&traffic, 6 * SECOND);
+	entries_play(&traffic, 6 * SECOND);
 	name_limits(entries, 2, SERVER_LIMIT_NONE);
-	play(&traffic, 3 * SECOND);
+	entries_play(&traffic, 3 * SECOND);
 	lifted_us = group_now(entries->group);
-	play(&traffic, 10 * SECOND);
+	entries_play(&traffic, 10 * SECOND);
 	g_assert_cmpint(count_since(&entries->servers[0], lifted_us), >=, 50);
 	g_assert_cmpint(count_since(&entries->servers[1], lifted_us), >=, 50);
 	entries_free(entries);
@@ -272,13 +242,13 @@
 /* All servers are in need, and what they take isn't used. */
 static void test_all_servers(void)
 {
-	struct traffic traffic = start(VMS, SERVERS, 32);
+	struct entries_traffic traffic = start(VMS, SERVERS, 32);
 	struct entries *entries = traffic.entries;
 	int64_t named_us = group_now(entries->group);
 	int served = entries->served;
 
 	name_limits(entries, SERVERS, 2);
-	play(&traffic, 20 * SECOND);
+	entries_play(&traffic, 20 * SECOND);
 	check_limits(entries, SERVERS, 2, named_us + BINDS_US);
 	g_assert_cmpint(entries->served - served, >=,
 			20 * 2 * SERVERS * 8 / 10);
