--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -90,7 +90,7 @@
 	roster_init(&control->roster);
 	poison_init(&control->poison);
 	retry_history_init(&control->retries);
-	control->started_us = now_us;
+	control->retries_since_us = now_us;
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->forwarded);
@@ -110,6 +110,8 @@
 			    "event=found vm=%s address=%s", control->vm,
 			    control->address);
 		raft_bootstrap(control->raft, now_us, effects);
+		/* Nobody has served a request before. */
+		control->retries_since_us = INT64_MIN / 2;
 	}
 	*out = control;
 	control_drain(control, now_us, effects);
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -66,7 +66,7 @@
 			roster_seen(&control->roster,
 				    control->options.retry_window_us, now_us),
 		.number = -1,
-		.up_us = now_us - control->started_us,
+		.known_us = now_us - control->retries_since_us,
 	};
 
 	return state;
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -64,9 +64,9 @@
 	struct wall wall;
 	struct poison poison; /**< requests under which servers crashed */
 	struct retry_history retries;
-	int64_t started_us;
-	struct map peers; /**< struct feed_peer */
-	int entry_vms;	  /**< of them */
+	int64_t retries_since_us; /**< from when these are complete */
+	struct map peers;	  /**< struct feed_peer */
+	int entry_vms;		  /**< of them */
 	struct list proposals;
 	struct list forwarded; /**< struct control_forwarded */
 	struct list reports;
--- a/libfilberthall/entry/entry_retry.c
+++ b/libfilberthall/entry/entry_retry.c
@@ -54,7 +54,7 @@
 	int64_t window_us = entry->options.retry_window_us;
 
 	if (entry->past_known ||
-	    (age_us < window_us && state->up_us < age_us + window_us))
+	    (age_us < window_us && state->known_us < age_us + window_us))
 		return false;
 	entry->past_known = true;
 	return true;
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -40,7 +40,7 @@
 	msgpack_pack_int64(&packer, state->wall_us);
 	msgpack_pack_int64(&packer, state->entry_vms);
 	msgpack_pack_int64(&packer, state->number);
-	msgpack_pack_int64(&packer, state->up_us);
+	msgpack_pack_int64(&packer, state->known_us);
 }
 
 void feed_write_fetch(struct bytes *out, const struct feed_fetch *fetch)
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -61,8 +61,8 @@
 	 * gone spent of a limit over all VMs is still part of it. 0: unknown.
 	 */
 	int64_t entry_vms;
-	int64_t number; /**< of the receiver among them; -1 unknown */
-	int64_t up_us;	/**< since the control VM started; 0 unknown */
+	int64_t number;	  /**< of the receiver among them; -1 unknown */
+	int64_t known_us; /**< how far back it knows FEED_RETRIES; 0 unknown */
 };
 
 struct feed_fetch {
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -89,8 +89,8 @@
 		state->entry_vms = 0;
 	if (!unpack_int(items, 6, &state->number))
 		state->number = -1;
-	if (!unpack_int(items, 7, &state->up_us))
-		state->up_us = 0;
+	if (!unpack_int(items, 7, &state->known_us))
+		state->known_us = 0;
 	return unpack_int(items, 1, &state->echo_us) &&
 	       unpack_int(items, 2, &state->age_us) &&
 	       unpack_int(items, 3, &state->version) &&
--- a/tests/control/t-retry-limit.c
+++ b/tests/control/t-retry-limit.c
@@ -247,6 +247,21 @@
 	entries_free(traffic.entries);
 }
 
+/* VMs of a site that has just been founded may repeat nothing. */
+static void test_new_site(void)
+{
+	struct entries_traffic traffic =
+		entries_traffic(entries_new(VMS, SERVERS), 70);
+
+	traffic.entries->path = ENTRIES_AGAIN;
+	reject(traffic.entries, true);
+	entries_play(&traffic, 2 * SECOND);
+	g_assert_cmpuint(traffic.entries->repeats->len, >=,
+			 ENTRIES_RETRY_HEADROOM / 2);
+	g_assert_cmpfloat(least_left(traffic.entries), >=, 0);
+	entries_free(traffic.entries);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -259,5 +274,6 @@
 	g_test_add_func("/retry-limit/uneven", test_uneven);
 	g_test_add_func("/retry-limit/group-restarted", test_group_restarted);
 	g_test_add_func("/retry-limit/unspent", test_unspent);
+	g_test_add_func("/retry-limit/new-site", test_new_site);
 	return g_test_run();
 }
