entry: "not run" by another VM isn't passed back for a request that may have run here

A request that broke off at a server, may be repeated and waits when its VM is seen to be cut off is passed on to another VM. That one's 503 went back to the caller, though 503 promises that the request has not run. Such an answer becomes 502.

t-pass: before, code BACKEND_ERROR with the other VM's 503 was answered. The test also has a VM that can't be connected to, a request that is sent once only, and the end of a cut; these passed before.

--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -18,6 +18,9 @@
 /* Another VM takes the request at once, or this one when the cut has ended. */
 #define PASS_RETRY_AFTER_MS 250
 
+/* Of a VM's answer that the request hasn't run. */
+#define NOT_RUN_STATUS 503
+
 bool entry_has_way(const struct entry *entry,
 		   const struct service_state *service)
 {
@@ -133,6 +136,15 @@
 		call->first_us = entry->now_us;
 }
 
+/* The other VM's "not run" says nothing of servers that this one has tried. */
+static enum result code_of(const struct open_call *call,
+			   const struct event_attempt_ended *ended)
+{
+	if (call->may_have_run && ended->http_status == NOT_RUN_STATUS)
+		return RESULT_BACKEND_BROKE;
+	return (enum result)ended->code;
+}
+
 void entry_pass_ended(struct entry *entry, struct open_call *call,
 		      const struct event_attempt_ended *ended)
 {
@@ -145,8 +157,7 @@
 		if (entry_pass(entry, call))
 			return;
 	}
-	finish(entry, call, (enum result)ended->code,
-	       call->may_have_run || sent);
+	finish(entry, call, code_of(call, ended), call->may_have_run || sent);
 }
 
 void entry_pass_caller_left(struct entry *entry, struct open_call *call)
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -159,6 +159,25 @@
 	deliver(bed, &body);
 }
 
+void bed_deliver_ways(struct bed *bed, int n, const char *const *callers)
+{
+	struct feed_ways ways = { .service = map_hash_text("desk"), .n = n };
+	struct bytes body = { 0 };
+	int i;
+
+	for (i = 0; i < n; i++)
+		g_strlcpy(ways.callers[i], callers[i], sizeof(ways.callers[i]));
+	feed_write_ways(&body, &ways);
+	deliver(bed, &body);
+}
+
+void bed_connect(struct bed *bed, const char *address, bool stands)
+{
+	entry_report_connection(bed->entry, address, stands, bed->now_us,
+				&bed->effects);
+	process_effects(bed);
+}
+
 void bed_deliver_document(struct bed *bed, int64_t version, const char *key)
 {
 	char *text = g_strdup_printf("%d %s", (int)version, key);
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -59,6 +59,10 @@
 void bed_deliver_marks(struct bed *bed, const char *address, bool engine);
 /** Delivers two more registrations in a bundle, complete or truncated. */
 void bed_deliver_bundle(struct bed *bed, bool whole);
+/** Delivers the VMs that reach the servers of "desk". */
+void bed_deliver_ways(struct bed *bed, int n, const char *const *callers);
+/** A new connection to a server stands, or fails. */
+void bed_connect(struct bed *bed, const char *address, bool stands);
 /** Advances the clock, with ticks. */
 void bed_advance(struct bed *bed, int64_t us);
 /** Starts a fresh entry VM with version 1, key "k1" and ENGINE. */
