fakes: a closed connection isn't watched on

Its log, from a repetition, has a read of a freed connection in loop_wait().

Cause: a connection's descriptor was closed without being taken out of epoll. While the stand-in starts an engine the child has a copy of it until it executes, so the closed one is still told of, with a watch that has been freed. Ruled out: a source freed by another one of the same turn (connections are freed between turns).

--- a/fakes/loop.c
+++ b/fakes/loop.c
@@ -104,6 +104,11 @@
 	epoll_ctl(loop->epoll_fd, EPOLL_CTL_MOD, fd, &event);
 }
 
+void loop_unwatch(struct loop *loop, int fd)
+{
+	epoll_ctl(loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+}
+
 void loop_timer_init(struct loop_timer *timer, void (*fire)(void *data),
 		     void *data)
 {
--- a/fakes/loop.h
+++ b/fakes/loop.h
@@ -64,6 +64,12 @@
 void loop_rewatch(struct loop *loop, int fd, uint32_t events,
 		  struct loop_watch *watch);
 
+/**
+ * Stop watching, before `fd` is closed: a process that is being started has a
+ * copy for a moment, and the closed one would go on to be watched.
+ */
+void loop_unwatch(struct loop *loop, int fd);
+
 void loop_timer_init(struct loop_timer *timer, void (*fire)(void *data),
 		     void *data);
 
--- a/fakes/server.c
+++ b/fakes/server.c
@@ -88,6 +88,7 @@
 		MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 
 	connection->server = server;
+	connection->fd = info->connect_fd;
 	connection->watch.ready = server_hung_up;
 	connection->watch.data = connection;
 	list_append(&server->connections, &connection->node);
@@ -98,6 +99,7 @@
 
 static void server_connection_free(struct server_connection *connection)
 {
+	loop_unwatch(connection->server->loop, connection->fd);
 	if (connection->exchange)
 		connection->exchange->connection = NULL;
 	list_remove(&connection->node);
--- a/fakes/server.h
+++ b/fakes/server.h
@@ -34,6 +34,7 @@
 	struct list node;
 	struct server *server;
 	struct loop_watch watch;
+	int fd;
 	struct exchange *exchange;
 	bool silent;
 	bool hung_up;
