entry: a service that is reached isn't looked at with each attempt

entry_reach_tick() runs after each attempt and with each tick, and for each service it built a pool's name and looked the pool up only to find that it isn't paused. A service that is reached and whose requests don't wait needs none of that; whether they wait is kept beside its state. What is decided is the same.

Found when the change was read again. t-no-servers, t-retry-limit, t-server-limit, t-quarantine, t-reach and the programs of tests/entry pass; clang-tidy on the file.

--- a/libfilberthall/entry/entry_reach.c
+++ b/libfilberthall/entry/entry_reach.c
@@ -122,13 +122,16 @@
 {
 	int64_t since_us = entry->now_us - service->probed_us;
 
+	if (service->reach.state == REACH_GOOD && !service->paused)
+		return;
 	if (service->reach.state == REACH_DOUBTED && since_us >= DOUBT_PROBE_US)
 		probe(entry, service, REACH_ENOUGH);
 	if (service->reach.state == REACH_LOST && since_us >= LOST_PROBE_US)
 		probe(entry, service, LOST_PROBES);
 	if (entry_has_way(entry, service))
 		entry_pass_waiting(entry, service);
-	router_pause(entry->router, service->service, must_wait(entry, service),
+	service->paused = must_wait(entry, service);
+	router_pause(entry->router, service->service, service->paused,
 		     entry->now_us, entry->effects);
 }
 
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -56,6 +56,7 @@
 	struct list node;
 	char service[BACKEND_NAME_SIZE];
 	struct reach reach;
+	bool paused; /**< its requests wait in the router */
 	int64_t probed_us;
 	struct feed_ways ways;
 	int64_t told_us;	  /**< when `ways` was received */
