--- a/libfilberthall/entry/entry_limit.c
+++ b/libfilberthall/entry/entry_limit.c
@@ -1,6 +1,7 @@
 /*
- * Limits that backend servers in need name in their answers: requests a second
- * from all VMs together. Control VMs tell them to the other entry VMs.
+ * What backend servers say of themselves in their answers: load, and limits.
+ * Those in need name requests a second from all VMs together, which control VMs
+ * tell to the other entry VMs.
  */
 #include <math.h>
 
@@ -113,3 +114,18 @@
 		  "event=reject-limit service=%s per_s=%.3f", service->service,
 		  per_s);
 }
+
+void entry_report_load(struct entry *entry, const char *address,
+		       int64_t running, int64_t waiting, int64_t slots,
+		       int64_t now_us)
+{
+	struct backend *backend = fleet_find(&entry->fleet, address);
+
+	if (!backend)
+		return;
+	backend->running = running;
+	backend->queued = waiting;
+	if (slots > 0)
+		backend->slots = slots;
+	backend->report_us = now_us;
+}
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -490,18 +490,3 @@
 	else if (!entry_drop_deferred(entry, id))
 		router_caller_left(entry->router, id, now_us, effects);
 }
-
-void entry_report_load(struct entry *entry, const char *address,
-		       int64_t running, int64_t waiting, int64_t slots,
-		       int64_t now_us)
-{
-	struct backend *backend = fleet_find(&entry->fleet, address);
-
-	if (!backend)
-		return;
-	backend->running = running;
-	backend->queued = waiting;
-	if (slots > 0)
-		backend->slots = slots;
-	backend->report_us = now_us;
-}
