platform, feed, entry: the software version of servers, and what a request takes up, are logged

Logs couldn't tell a stream that an entry VM goes on with from one that its caller takes up, nor the versions of the servers: registrations lost their `version` in the adapter. It is read, told to all VMs, and logged with each server and attempt; requests log `resumes` and `last_event`. Nothing is decided by them yet.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -27,8 +27,10 @@
 	int64_t prompt_tokens;
 	int64_t shared_tokens; /**< of the prompt, in parts that others share */
 	int64_t output_tokens;
-	int64_t deadline_ms; /**< 0 if it doesn't say */
-	bool passed_on;	     /**< by another entry VM */
+	int64_t deadline_ms;	/**< 0 if it doesn't say */
+	bool passed_on;		/**< by another entry VM */
+	const char *last_event; /**< that the caller has, or NULL */
+	const char *resumes;	/**< request that brought the first, or NULL */
 };
 
 /** What this program adds to a request for a backend server. */
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -81,13 +81,15 @@
 static void log_attempt(struct entry_daemon *daemon, const struct relay *relay,
 			const struct effect_start_attempt *start)
 {
-	const char *server = entry_server_id_at(daemon->entry, start->address);
+	const struct registration *server =
+		entry_server_at(daemon->entry, start->address);
 
 	log_line(daemon->role.log, LOG_INFO, "attempt",
 		 "event=sent request=%s attempt=%" PRId64
-		 " server=%s start=%s new_connection=%d",
+		 " server=%s start=%s version=%s new_connection=%d",
 		 relay_name(relay), start->attempt, start->address,
-		 server ? server : "unknown", start->proven);
+		 server ? server->id : "unknown",
+		 server ? server->version : "unknown", start->proven);
 }
 
 static void carry_out_relay(struct entry_daemon *daemon, uint64_t id,
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -99,6 +99,8 @@
 		.output_tokens = asked->output_tokens,
 		.deadline_ms = asked->deadline_ms,
 		.passed_on = asked->passed_on,
+		.last_event = asked->last_event,
+		.resumes = asked->resumes,
 	};
 
 	return request;
@@ -266,6 +268,7 @@
 	const struct relay_host *host = relay->host;
 	struct dialect_forward forward = { 0 };
 	struct http_call_request request = { 0 };
+	const struct registration *server;
 	struct entry_call call;
 	struct bytes head = { 0 };
 
@@ -279,7 +282,8 @@
 	}
 	relay->stream = call.stream;
 	forward.organisation = call.organisation;
-	forward.server = entry_server_id_at(host->entry, start->address);
+	server = entry_server_at(host->entry, start->address);
+	forward.server = server ? server->id : NULL;
 	forward.resume_after = relay->has_event_id ? relay->event_id : NULL;
 	forward.urgency = call.urgency;
 	forward.wait_ms = (call.deadline_us - now_us) / 1000;
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -205,13 +205,13 @@
 
 	control_log(effects, LOG_INFO, "server",
 		    "event=%s server=%s address=%s service=%s zone=%s "
-		    "born_ms=%lld sequence=%lld slots=%lld cheap=%d",
+		    "version=%s born_ms=%lld sequence=%lld slots=%lld cheap=%d",
 		    registration->gone	    ? "gone"
 		    : registration->leaving ? "leaving"
 					    : "ready",
 		    registration->id, registration->address,
 		    registration->service, registration->zone,
-		    (long long)registration->started_ms,
+		    registration->version, (long long)registration->started_ms,
 		    (long long)registration->sequence,
 		    (long long)registration->slots, registration->cheap);
 	feed_write_registration(&body, registration,
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -58,6 +58,13 @@
 	int64_t output_tokens; /**< limit or estimate; 0: unknown */
 	int64_t deadline_ms;   /**< how long the caller waits; 0: unknown */
 	bool passed_on;	       /**< by another entry VM */
+	/**
+	 * Of a caller that takes a stream up: the id of the last event that it
+	 * has, and the name of the request that brought the first one. NULL if
+	 * it doesn't say.
+	 */
+	const char *last_event;
+	const char *resumes;
 };
 
 /** The properties of a request that the HTTP layer needs to forward it. */
@@ -100,8 +107,9 @@
 bool entry_find_call(const struct entry *entry, uint64_t id,
 		     struct entry_call *out);
 
-/** The id of the backend server known at that address, or NULL. */
-const char *entry_server_id_at(const struct entry *entry, const char *address);
+/** The backend server known at that address, or NULL. */
+const struct registration *entry_server_at(const struct entry *entry,
+					   const char *address);
 
 /** Progress and results of attempts, as in the events of core/event.h. */
 void entry_attempt_tokens(struct entry *entry,
--- a/libfilberthall/entry/entry_defer.c
+++ b/libfilberthall/entry/entry_defer.c
@@ -33,6 +33,8 @@
 	free((char *)parked->request.key);
 	free((char *)parked->request.model);
 	free((char *)parked->request.body_hash);
+	free((char *)parked->request.last_event);
+	free((char *)parked->request.resumes);
 	free(parked);
 }
 
@@ -73,6 +75,8 @@
 	parked->request.key = xstrdup(request->key);
 	parked->request.model = xstrdup(request->model);
 	parked->request.body_hash = xstrdup(request->body_hash);
+	parked->request.last_event = xstrdup(request->last_event);
+	parked->request.resumes = xstrdup(request->resumes);
 	parked->deferred_us = entry->now_us;
 	parked->expires_us = entry->now_us + wait_us;
 	list_append(&entry->deferred, &parked->node);
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -295,13 +295,15 @@
 	entry_log(entry, LOG_INFO, "request",
 		  "event=taken request=%s route=%s service=%s organisation=%s "
 		  "tier=%d version=%lld fresh_ms=%lld prompt=%lld output=%lld "
-		  "wait_ms=%lld",
+		  "wait_ms=%lld resumes=%s last_event=%s",
 		  request->name, route->name, service, call->organisation,
 		  call->tier, (long long)entry->document->version,
 		  (long long)((entry->now_us - entry->fresh_as_of_us) / 1000),
 		  (long long)request->prompt_tokens,
 		  (long long)request->output_tokens,
-		  (long long)((call->deadline_us - entry->now_us) / 1000));
+		  (long long)((call->deadline_us - entry->now_us) / 1000),
+		  request->resumes ? request->resumes : "none",
+		  request->last_event ? request->last_event : "none");
 	if (entry_pass(entry, call))
 		return;
 	if (request->passed_on && is_lost(entry, service)) {
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -92,14 +92,14 @@
 			     entry->now_us + REGISTRY_TOMBSTONE_US);
 	}
 	entry_log(entry, LOG_INFO, "server",
-		  "event=%s server=%s address=%s service=%s zone=%s cheap=%d "
-		  "heard_ms=%lld",
+		  "event=%s server=%s address=%s service=%s zone=%s version=%s "
+		  "cheap=%d heard_ms=%lld",
 		  told->gone		  ? "gone"
 		  : told->leaving	  ? "leaving"
 		  : registered->timed_out ? "silent"
 					  : "ready",
 		  told->id, told->address, told->service, told->zone,
-		  told->cheap,
+		  told->version, told->cheap,
 		  (long long)((entry->now_us - registered->last_contact_us) /
 			      1000));
 }
@@ -258,10 +258,11 @@
 	entry->fleet_expired_us = entry->now_us;
 }
 
-const char *entry_server_id_at(const struct entry *entry, const char *address)
+const struct registration *entry_server_at(const struct entry *entry,
+					   const char *address)
 {
 	const struct registry_entry *registered =
 		registry_find_address(&entry->registry, address);
 
-	return registered ? registered->registration.id : NULL;
+	return registered ? &registered->registration : NULL;
 }
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -77,7 +77,7 @@
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 13, FEED_REGISTRATION);
+	begin(&packer, out, 14, FEED_REGISTRATION);
 	pack_text(&packer, told->id);
 	pack_text(&packer, told->address);
 	pack_text(&packer, told->service);
@@ -91,6 +91,7 @@
 	msgpack_pack_int64(&packer, told->gone);
 	msgpack_pack_int64(&packer, age_us);
 	msgpack_pack_int64(&packer, told->cold_ms);
+	pack_text(&packer, told->version);
 }
 
 void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -185,9 +185,11 @@
 static bool read_registration(const struct unpacked *items,
 			      struct registration *told, int64_t *age_us)
 {
-	/* Releases before this item know of no cold servers. */
+	/* Releases before these items know of no cold servers, no versions. */
 	if (!unpack_int(items, 13, &told->cold_ms))
 		told->cold_ms = 0;
+	if (!read_name(items, 14, told->version))
+		told->version[0] = '\0';
 	return read_name(items, 1, told->id) &&
 	       read_name(items, 2, told->address) &&
 	       read_name(items, 3, told->service) &&
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -110,7 +110,8 @@
 	       before->slots != update->slots ||
 	       strcmp(before->address, update->address) ||
 	       strcmp(before->service, update->service) ||
-	       strcmp(before->zone, update->zone);
+	       strcmp(before->zone, update->zone) ||
+	       strcmp(before->version, update->version);
 }
 
 static void note_entry_contact(struct registry *registry,
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -29,6 +29,7 @@
 	char address[BACKEND_NAME_SIZE]; /**< IP:port */
 	char service[BACKEND_NAME_SIZE];
 	char zone[BACKEND_NAME_SIZE];
+	char version[BACKEND_NAME_SIZE]; /**< of its software; may be empty */
 	int64_t started_ms; /**< wall clock at its start; 0 if not given */
 	int64_t sequence;   /**< incremented with each message of this start */
 	int64_t slots;	    /**< concurrent requests */
