--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -49,7 +49,8 @@
 	double gap_s; /* between them */
 	int cut_at;   /* break a stream off in this event, 0 for never */
 	bool unsigned_answers;
-	const char *limit; /* requests a second that it takes, or NULL */
+	const char *limit;   /* requests a second that it takes, or NULL */
+	const char *version; /* of its software, named in events; or NULL */
 	struct ev_loop *ev;
 	struct stream_loop loop;
 	struct http_server *http;
@@ -76,6 +77,8 @@
 	{ "gap-ms", 'g', "MS", 0, "between two events", 0 },
 	{ "cut-at", 'x', "N", 0, "break each stream off in this event", 0 },
 	{ "unsigned", 'u', NULL, 0, "answers without a signature", 0 },
+	{ "software", 'v', "VERSION", 0, "its version, named in each event",
+	  0 },
 	{ "limit", 'm', "PER_S", 0, "names that limit in its answers", 0 },
 	{ 0 }
 };
@@ -123,6 +126,9 @@
 	case 'm':
 		server->limit = arg;
 		return 0;
+	case 'v':
+		server->version = arg;
+		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
 	}
@@ -175,8 +181,10 @@
 		stream_end(stream);
 		return;
 	}
-	len = snprintf(text, sizeof(text), "id: %d\ndata: piece %d\n\n",
-		       stream->next, stream->next);
+	len = snprintf(text, sizeof(text), "id: %d\ndata: piece %d%s%s\n\n",
+		       stream->next, stream->next,
+		       server->version ? " of " : "",
+		       server->version ? server->version : "");
 	if (stream->next == server->cut_at) {
 		http_exchange_piece(stream->exchange, text, (size_t)len / 2);
 		http_exchange_cut(stream->exchange);
@@ -302,9 +310,10 @@
 	server->sequence++;
 	len = snprintf(body, sizeof(body),
 		       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-		       "\"slots\":8,\"state\":\"%s\",\"sequence\":%" PRId64
-		       ",\"born\":%" PRId64 "}",
+		       "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
+		       "\"sequence\":%" PRId64 ",\"born\":%" PRId64 "}",
 		       server->service, server->address, server->zone,
+		       server->version ? server->version : "v1",
 		       server->leaving ? "draining" : "ready", server->sequence,
 		       server->born_ms);
 	bytes_append_format(&text,
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "streams.h"
 
 #define SECOND INT64_C(1000000)
 #define CONTROL_VMS 5
@@ -38,8 +39,13 @@
 	int64_t ends_us;
 	enum result code;
 	bool crashes;
-	bool connects; /* the connection is to be told of */
-	bool probes;   /* and is all that there is */
+	bool connects;		       /* the connection is to be told of */
+	bool probes;		       /* and is all that there is */
+	struct entries_stream *stream; /* or NULL */
+	int next;		       /* event of it */
+	int sent;		       /* events of this run */
+	char version[16];	       /* that runs it */
+	bool cancelled;
 };
 
 /* A request that one VM passes on to another one. */
@@ -67,8 +73,8 @@
 
 static void carry_out(struct entries *entries, int vm, struct effects *effects);
 
-static void add_route(struct document *document, const char *name,
-		      const char *prefix, int attempts)
+static struct route *add_route(struct document *document, const char *name,
+			       const char *prefix, int attempts)
 {
 	struct route *route = document_add_route(document);
 
@@ -80,11 +86,13 @@
 	route->goal_ms = 300;
 	route->attempts = attempts;
 	route_add_split(route, "desk", 1);
+	return route;
 }
 
 static struct document *read_document(void *data, const char *text, size_t len)
 {
 	struct document *document = document_new();
+	struct route *route;
 
 	(void)data;
 	(void)text;
@@ -93,6 +101,9 @@
 	document_add_service(document)->name = xstrdup("desk");
 	add_route(document, "read", "/", 1);
 	add_route(document, "read-again", "/again/", 3);
+	route = add_route(document, "stream", "/stream/", 3);
+	route->kind = ROUTE_STREAM;
+	route->resumable = true;
 	return document;
 }
 
@@ -303,6 +314,12 @@
 		run.ends_us = now_us + REJECT_US;
 		g_array_append_val(server->rejected, now_us);
 	}
+	run.stream = streams_find(entries, start->id);
+	if (run.stream && !run.code) {
+		run.next = run.stream->events + 1;
+		run.ends_us = now_us + STREAMS_FIRST_US;
+		g_strlcpy(run.version, server->version, sizeof(run.version));
+	}
 	server->running += !run.code;
 	g_array_append_val(entries->runs, run);
 	if (has_rejected_most(server, now_us)) {
@@ -311,6 +328,37 @@
 	}
 }
 
+/* The run's next event; false once it is over. */
+static bool send_event(struct entries *entries, struct run *run)
+{
+	const struct entries_server *server = &entries->servers[run->server];
+	struct entries_vm *vm = &entries->vms[run->vm];
+	struct event_attempt_tokens tokens = {
+		.id = run->id,
+		.attempt = run->attempt,
+		.tokens = run->sent + 1,
+		.first = !run->sent,
+	};
+	struct effects effects;
+
+	if (run->next > STREAMS_EVENTS || vm->id != run->entry ||
+	    (run->id != run->stream->id && run->id != run->stream->pass_id))
+		return false;
+	if (run->next == server->break_at) {
+		run->code = RESULT_BACKEND_BROKE;
+		return false;
+	}
+	run->sent++;
+	run->next++;
+	run->ends_us += STREAMS_EVENT_US;
+	streams_event(run->stream, run->version);
+	effects_init(&effects);
+	entry_attempt_tokens(vm->entry, &tokens, vm_now(entries, run->vm),
+			     &effects);
+	carry_out(entries, run->vm, &effects);
+	return true;
+}
+
 static void end_run(struct entries *entries, const struct run *run)
 {
 	const struct entries_server *server = &entries->servers[run->server];
@@ -320,6 +368,7 @@
 		.id = run->id,
 		.attempt = run->attempt,
 		.code = run->code,
+		.tokens = run->sent,
 		.sent = run->code != RESULT_BACKEND_CONNECT,
 	};
 	struct effects effects;
@@ -352,6 +401,28 @@
 	carry_out(entries, run->vm, &effects);
 }
 
+/* Carrying out what an event brings about may move the runs. */
+static bool send_event_at(struct entries *entries, guint i)
+{
+	struct run run = g_array_index(entries->runs, struct run, i);
+	bool sent;
+	guint at;
+
+	run.ends_us = group_now(entries->group);
+	g_array_index(entries->runs, struct run, i).ends_us = INT64_MAX;
+	sent = send_event(entries, &run);
+	for (at = 0; at < entries->runs->len; at++) {
+		struct run *now = &g_array_index(entries->runs, struct run, at);
+
+		if (now->id != run.id || now->attempt != run.attempt)
+			continue;
+		if (!now->cancelled)
+			*now = run;
+		return sent || now->cancelled;
+	}
+	g_assert_not_reached();
+}
+
 static void end_runs(struct entries *entries)
 {
 	int64_t now_us = group_now(entries->group);
@@ -369,8 +440,15 @@
 			i = 0;
 			continue;
 		}
+		if (run.stream && !run.code && !run.probes &&
+		    send_event_at(entries, i)) {
+			i = 0;
+			continue;
+		}
+		run = g_array_index(entries->runs, struct run, i);
 		g_array_remove_index(entries->runs, i);
-		if (!run.code && !run.probes)
+		if ((!run.code || run.cancelled) && !run.probes &&
+		    entries->servers[run.server].running)
 			entries->servers[run.server].running--;
 		end_run(entries, &run);
 	}
@@ -399,8 +477,13 @@
 static void take_answer(struct entries *entries, int at,
 			const struct effect_answer *answer)
 {
+	struct entries_stream *stream;
+
 	if (take_pass_answer(entries, at, answer))
 		return;
+	stream = streams_find(entries, answer->id);
+	if (stream)
+		streams_answered(stream, answer, group_now(entries->group));
 	entries->vms[at].served += answer->code == RESULT_OK;
 	entries->held +=
 		answer->code == RESULT_POISON && answer->run == RUN_NOT;
@@ -412,6 +495,25 @@
 		entries->failed++;
 }
 
+/* The server goes on until the end of the connection reaches it. */
+static void cancel_run(struct entries *entries, int vm,
+		       const struct effect_cancel_attempt *cancel)
+{
+	guint i;
+
+	for (i = 0; i < entries->runs->len; i++) {
+		struct run *run = &g_array_index(entries->runs, struct run, i);
+
+		if (run->vm != vm || run->id != cancel->id ||
+		    run->attempt != cancel->attempt || run->probes)
+			continue;
+		run->code = RESULT_CALLER_LEFT;
+		run->crashes = false;
+		run->cancelled = true;
+		run->ends_us = group_now(entries->group);
+	}
+}
+
 static void carry_out(struct entries *entries, int at, struct effects *effects)
 {
 	const struct entries_vm *vm = &entries->vms[at];
@@ -425,6 +527,8 @@
 			start_run(entries, at, &effect->u.start);
 		else if (effect->kind == EFFECT_PROBE)
 			start_probe(entries, at, effect->u.probe.address);
+		else if (effect->kind == EFFECT_CANCEL_ATTEMPT)
+			cancel_run(entries, at, &effect->u.cancel);
 		else if (effect->kind == EFFECT_ANSWER)
 			take_answer(entries, at, &effect->u.answer);
 		else if (effect->kind == EFFECT_SEND &&
@@ -493,6 +597,7 @@
 		control = (control + 1) % CONTROL_VMS;
 	server->announced_us = now_us;
 	told.sequence = ++server->sequence;
+	g_strlcpy(told.version, server->version, sizeof(told.version));
 	g_strlcpy(told.id, server->id, sizeof(told.id));
 	g_strlcpy(told.address, server->address, sizeof(told.address));
 	group_announce(entries->group, control, &told);
@@ -504,23 +609,70 @@
 	return entries->next_request + crashing;
 }
 
+uint64_t entries_next_id(struct entries *entries)
+{
+	return next_id(entries, false);
+}
+
+uint64_t entries_process(const struct entries *entries, int vm)
+{
+	return entries->vms[vm].id;
+}
+
+void entries_submit(struct entries *entries, int vm,
+		    struct entry_request *request)
+{
+	struct effects effects;
+
+	request->host = "a.example";
+	effects_init(&effects);
+	entry_submit(entries->vms[vm].entry, request, vm_now(entries, vm),
+		     &effects);
+	carry_out(entries, vm, &effects);
+}
+
+void entries_leave(struct entries *entries, int vm, uint64_t id)
+{
+	struct effects effects;
+
+	effects_init(&effects);
+	entry_caller_left(entries->vms[vm].entry, id, vm_now(entries, vm),
+			  &effects);
+	carry_out(entries, vm, &effects);
+}
+
 static void submit(struct entries *entries, int vm, uint64_t id,
 		   const char *body, bool passed_on)
 {
 	struct entry_request request = {
 		.id = id,
 		.name = "r",
-		.host = "a.example",
 		.path = entries->path,
 		.body_hash = body,
 		.passed_on = passed_on,
 	};
-	struct effects effects;
 
-	effects_init(&effects);
-	entry_submit(entries->vms[vm].entry, &request, vm_now(entries, vm),
-		     &effects);
-	carry_out(entries, vm, &effects);
+	entries_submit(entries, vm, &request);
+}
+
+/* As the caller sent it, with the last event that has come. */
+static void submit_passed_stream(struct entries *entries, int vm, uint64_t id,
+				 struct entries_stream *stream)
+{
+	char last[16];
+	struct entry_request request = {
+		.id = id,
+		.name = stream->name,
+		.path = STREAMS_PATH,
+		.body_hash = "harmless",
+		.passed_on = true,
+		.resumes = stream->events ? stream->first : NULL,
+		.last_event = stream->events ? last : NULL,
+	};
+
+	g_snprintf(last, sizeof(last), "%d", stream->events);
+	stream->pass_id = id;
+	entries_submit(entries, vm, &request);
 }
 
 static void end_pass(struct entries *entries, const struct pass *pass)
@@ -558,11 +710,18 @@
 	if (pass->ended)
 		return false;
 	if (!pass->to_id) {
+		struct entries_stream *stream = streams_find(entries, pass->id);
+
 		pass->sent = true;
 		pass->to_id = next_id(entries, is_crashing(pass->id));
-		submit(entries, pass->to, pass->to_id,
-		       is_crashing(pass->id) ? ENTRIES_CRASHING : "harmless",
-		       true);
+		if (stream)
+			submit_passed_stream(entries, pass->to, pass->to_id,
+					     stream);
+		else
+			submit(entries, pass->to, pass->to_id,
+			       is_crashing(pass->id) ? ENTRIES_CRASHING
+						     : "harmless",
+			       true);
 	}
 	return true;
 }
@@ -624,6 +783,7 @@
 	entries->runs = g_array_new(false, false, sizeof(struct run));
 	entries->posts = g_array_new(false, false, sizeof(struct letter));
 	entries->passes = g_array_new(false, false, sizeof(struct pass));
+	entries->streams = g_ptr_array_new_with_free_func(free);
 	group_set_sink(entries->group, take_letter, entries);
 	for (i = 0; i < n_servers; i++) {
 		struct entries_server *server = &entries->servers[i];
@@ -631,6 +791,7 @@
 		g_snprintf(server->address, sizeof(server->address),
 			   "10.1.0.%d:80", i + 1);
 		g_snprintf(server->id, sizeof(server->id), "s%d", i);
+		server->version = "v1";
 		server->started_ms = 1;
 		server->announced_us = -SECOND;
 		server->work_us = WORK_US;
@@ -663,6 +824,7 @@
 			&g_array_index(entries->posts, struct letter, i).body);
 	g_array_free(entries->posts, true);
 	g_array_free(entries->passes, true);
+	g_ptr_array_free(entries->streams, true);
 	g_array_free(entries->runs, true);
 	g_array_free(entries->asked, true);
 	g_array_free(entries->repeats, true);
@@ -771,9 +933,17 @@
 					 entries->vms[vm].id,
 					 entries->vms[vm].name, false);
 	entry_free(entries->vms[vm].entry);
+	streams_lost(entries, vm);
 	start_entry(entries, vm);
 }
 
+void entries_restart_server(struct entries *entries, int server,
+			    const char *version)
+{
+	crash(entries, server);
+	entries->servers[server].version = version;
+}
+
 int entries_crashes(const struct entries *entries)
 {
 	int crashes = 0;
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -41,6 +41,8 @@
 struct entries_server {
 	char address[32];
 	char id[32];
+	const char *version; /**< of its software */
+	int break_at; /**< it breaks streams off at this event; 0: never */
 	int64_t started_ms;
 	int64_t sequence;
 	int64_t announced_us;
@@ -67,6 +69,7 @@
 	GArray *runs;		/**< requests at servers */
 	GArray *posts;		/**< messages on their way to entry VMs */
 	GArray *passes;		/**< requests from VM to VM */
+	GPtrArray *streams;	/**< struct entries_stream */
 	const char *path;	/**< of requests from now on */
 	GArray *asked;		/**< int64_t, times of requests */
 	GArray *repeats;	/**< and of those that reached another server */
@@ -123,6 +126,17 @@
 /** The VM's process ends with all its requests and starts again. */
 void entries_restart(struct entries *entries, int vm);
 
+/** The server's process ends with all that it runs and starts again. */
+void entries_restart_server(struct entries *entries, int server,
+			    const char *version);
+
+/** Callers' requests as streams.c makes them. */
+uint64_t entries_next_id(struct entries *entries);
+uint64_t entries_process(const struct entries *entries, int vm);
+void entries_submit(struct entries *entries, int vm,
+		    struct entry_request *request);
+void entries_leave(struct entries *entries, int vm, uint64_t id);
+
 /** Crashes of all servers so far. */
 int entries_crashes(const struct entries *entries);
 
--- /dev/null
+++ b/tests/e2e/versions.t
@@ -0,0 +1,86 @@
+#!/bin/sh
+# Servers of two software versions serve side by side. A stream that goes on at
+# the other version holds what doesn't fit together.
+set -eu
+. "$SOURCE_ROOT/tests/lib.sh"
+. "$SOURCE_ROOT/tests/roles.sh"
+
+for n in 5 4 2 3 1
+do
+	start_control $n
+done
+controls=
+for n in 1 2 3 4 5
+do
+	controls="$controls --control $(roles_operators $n)"
+done
+for n in 1 2 3
+do
+	start_entry $n
+done
+accepted() {
+	test "$(put_document "$1" "$2" "$3")" = 200
+}
+check "a document is accepted" wait_for 20 accepted 1 1 k1
+for n in 1 2 3
+do
+	start old-$n fake-native --id old-$n --service scribe --events 24 \
+		--software v1 $controls
+	start new-$n fake-native --id new-$n --service scribe --events 24 \
+		--software v2 $controls
+done
+start desk fake-native --id desk --service desk $controls
+known() {
+	test "$(grep -c 'event=ready .*service=scribe' \
+		"$WORK/entry-$1.log")" -ge 6
+}
+for n in 1 2 3
+do
+	check "entry VM $n knows all servers" wait_for 20 known $n
+	check "entry VM $n gets ready" wait_for 20 is_ready $n
+done
+
+# stream N ID PATH [CURL ARGS...]: of entry VM N, as it comes.
+stream() {
+	stream_to=http://$(address "entry-$1" callers)/stream/r/$3
+	stream_id=$2
+	shift 3
+	curl -sN --max-time 10 -H 'Host: a.example' \
+		-H 'Authorization: Bearer k1' \
+		-H "Filberthall-Attempt-Id: $stream_id" \
+		-H 'Filberthall-Deadline-Ms: 6000' \
+		-X POST -d body "$@" "$stream_to" || :
+}
+
+# begin N ID PATH: to be left after three events; sets LAST.
+begin() {
+	stream "$1" "$2" "$3" | head -n 9 >"$WORK/begun"
+	LAST=$(sed -n 's/^id: //p' "$WORK/begun" | tail -n 1)
+}
+
+# go_on N ID PATH FIRST: takes it up; FIRST brought its first event.
+go_on() {
+	stream "$1" "$2" "$3" -H "Last-Event-Id: $LAST" -H "Resumes: $4" \
+		>"$WORK/gone-on"
+}
+
+# tally: whether it was joined from two versions, and whole.
+tally() {
+	cat "$WORK/begun" "$WORK/gone-on" >"$WORK/stream"
+	test "$(sed -n 's/^data: .* of //p' "$WORK/stream" | sort -u |
+		wc -l)" -le 1 || joined=$((joined + 1))
+	sed -n 's/^id: //p' "$WORK/stream" >"$WORK/ids"
+	seq 24 | cmp -s - "$WORK/ids" && whole=$((whole + 1)) || :
+}
+
+joined=0
+whole=0
+for i in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20
+do
+	begin $((i % 3 + 1)) "a$i" $i
+	go_on $(((i + 1) % 3 + 1)) "b$i" $i "a$i"
+	tally
+done
+is "none that is taken up at another VM is joined" $joined 0
+is "all of them go on" $whole 20
+finish
