load, entry: a stream that breaks off goes on at its own software version

Callers got events of two software versions in one answer: an entry VM went on with a stream that broke off at whichever server was free.

Ruled out: servers that start again with another version, as these have new ids there.

A request's first event fixes the version: it waits in a queue of that version's servers, and is ended at once if none of them is left (VERSION_GONE).

--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -61,6 +61,7 @@
 		.sequence = ++entry->announce_sequence,
 		.zone = (char *)told->zone,
 		.service = (char *)told->service,
+		.version = (char *)told->version,
 		.lease_ms = FLEET_LEASE_MS,
 		.slots = told->slots,
 	};
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -159,6 +159,7 @@
 	copy_name(backend->model, sizeof(backend->model), announce->model);
 	copy_name(backend->version, sizeof(backend->version),
 		  announce->version);
+	backend->version_hash = map_hash_text(backend->version);
 	copy_name(backend->role, sizeof(backend->role), announce->role);
 	copy_name(backend->adapters, sizeof(backend->adapters),
 		  announce->adapters);
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -61,7 +61,9 @@
 	char zone[BACKEND_NAME_SIZE];
 	char service[BACKEND_NAME_SIZE]; /**< empty for an engine */
 	char model[BACKEND_NAME_SIZE];
+	/** Of its software, or of its weights if it announces those. */
 	char version[BACKEND_NAME_SIZE];
+	uint64_t version_hash; /**< map_hash_text(); a stream stays at one */
 	char role[BACKEND_NAME_SIZE];
 	char adapters[BACKEND_ADAPTERS_SIZE];
 	bool cheap;
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -27,13 +27,28 @@
 	return !backend->role[0] || !strcmp(backend->role, "serve");
 }
 
+static bool version_serves(const struct backend *backend,
+			   const struct pick_query *query)
+{
+	int i;
+
+	if (query->version)
+		return query->version == backend->version_hash;
+	for (i = 0; i < query->n_kept; i++)
+		if (query->kept[i].version == backend->version_hash &&
+		    backend_in_regions(backend, query->kept[i].regions))
+			return false;
+	return true;
+}
+
 bool pick_fits(const struct backend *backend, const struct pick_query *query,
 	       const struct pick_options *options, int64_t now_us)
 {
 	if (!backend_usable(backend, now_us) || !role_serves(backend))
 		return false;
 	if (backend->cheap != query->cheap ||
-	    !backend_in_regions(backend, query->regions))
+	    !backend_in_regions(backend, query->regions) ||
+	    !version_serves(backend, query))
 		return false;
 	if (warmup_is_cold(backend, now_us) != query->cold ||
 	    (query->cold && !warmup_allows(backend, &query->vm, now_us)))
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -38,6 +38,9 @@
 #define PICK_AFFINITY_BOUND 1.25
 #define PICK_LONG_SHARE 0.75
 
+/** Versions with streams that wait to go on, of one service at a time. */
+#define PICK_KEPT_MOST 8
+
 struct pick_options {
 	bool homes; /**< use load/place.h instead of the other options */
 	bool two_choices;
@@ -45,6 +48,12 @@
 	bool stragglers;
 };
 
+/** Servers whose room is left to streams that can go on nowhere else. */
+struct pick_kept {
+	uint64_t version;
+	uint64_t regions;
+};
+
 /** The request that a server is chosen for. */
 struct pick_query {
 	const char *adapter; /**< or NULL */
@@ -64,8 +73,11 @@
 	double share_begin;
 	double share_end;
 	struct place_query place; /**< with `homes` */
-	bool cold;	     /**< among the cold servers; else the warm ones */
-	uint64_t regions;    /**< of servers that may run it; 0: all */
+	bool cold;	  /**< among the cold servers; else the warm ones */
+	uint64_t regions; /**< of servers that may run it; 0: all */
+	uint64_t version; /**< that began the stream; 0: any may run it */
+	struct pick_kept kept[PICK_KEPT_MOST];
+	int n_kept;
 	struct warmup_vm vm; /**< for those */
 };
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -118,6 +118,8 @@
 	int max_attempts;   /**< servers that may run it; 0 for the default */
 	uint64_t regions;   /**< whose servers may run it (fleet/region.h);
 				 0 counts as REGION_ANY */
+	uint64_t version;   /**< hash of the version that began the stream, at
+				 which alone it goes on; 0: not begun */
 };
 
 /** All mechanisms except `homes` and `lost_answers` are on. */
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -105,6 +105,7 @@
 	memcpy(request->address, backend->address, sizeof(request->address));
 	attempt->server = map_hash_text(backend->address) * 31 +
 			  map_hash_text(backend->boot_id);
+	attempt->version = backend->version_hash;
 	attempt->started_us = now_us;
 	attempt->base = request->spec.stream ? request->delivered : 0;
 	attempt->work = request->entry.cost;
@@ -211,6 +212,8 @@
 	attempt->first_us = now_us;
 	if (!request->first_token_us)
 		request->first_token_us = now_us;
+	if (request->spec.stream)
+		request->spec.version = attempt->version;
 	if (pool->first_token_us <= 0)
 		pool->first_token_us = took_us;
 	pool->first_token_us += (took_us - pool->first_token_us) / 32;
@@ -362,6 +365,9 @@
 	memcpy(request->avoid, attempt->address, sizeof(request->avoid));
 	if (!request->spec.stream)
 		request->wasted += attempt->tokens;
+	/* A stream that has begun waits for servers of its version alone. */
+	request_set_queue(router, request, request->queue->pool,
+			  request->queue->reclaimable);
 	request_enqueue(router, request, now_us);
 }
 
@@ -395,7 +401,10 @@
 			    effects);
 		return;
 	}
-	code = request_check_retry(router, request, &why, now_us, effects);
+	code = request->spec.version && !request_has_server(request, now_us)
+		       ? RESULT_VERSION_GONE
+		       : request_check_retry(router, request, &why, now_us,
+					     effects);
 	if (code) {
 		if (!request->spec.stream)
 			request->wasted += attempt->tokens;
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -107,6 +107,8 @@
 	for (i = 0; i < pool->n_members; i++)
 		if (backend_usable(pool->members[i], now_us) &&
 		    backend_in_regions(pool->members[i], query->regions) &&
+		    (!query->version ||
+		     query->version == pool->members[i]->version_hash) &&
 		    strcmp(pool->members[i]->address, query->avoid) != 0)
 			return true;
 	return false;
@@ -164,6 +166,35 @@
 	return query;
 }
 
+/* Whether the queue's next request may go before this one. */
+static bool goes_first(const struct queue *queue, const struct request *request)
+{
+	struct sched_entry *next = sched_next(&queue->sched, request->tier);
+
+	return next && (!entry_request(next)->is_long || request->is_long);
+}
+
+/*
+ * Streams that wait to go on have the servers of one version alone. Without
+ * this a burst of other requests, which wait for longer, takes each slot that
+ * these servers free.
+ */
+static void keep_versions(const struct pool *pool,
+			  const struct request *request,
+			  struct pick_query *query)
+{
+	const struct queue *queue;
+
+	if (request->spec.version || !pool->versions_differ)
+		return;
+	list_foreach(queue, &pool->queues, in_pool)
+		if (queue->version && query->n_kept < PICK_KEPT_MOST &&
+		    goes_first(queue, request))
+			query->kept[query->n_kept++] =
+				(struct pick_kept){ queue->version,
+						    queue->regions };
+}
+
 /*
  * Reclaimable requests are sent to cheap servers first: these cost less, and
  * no other requests may use them. The VMs have equal parts of them.
@@ -178,6 +209,7 @@
 		.zone = router->zone,
 		.avoid = request->avoid[0] ? request->avoid : NULL,
 		.regions = request->spec.regions,
+		.version = request->spec.version,
 		.prompt_tokens = request->spec.prompt_tokens,
 		.hold_us = pool->us_per_token * pool->mean_cost,
 	};
@@ -186,6 +218,8 @@
 	int tier;
 
 	query.mean_load = slots > 0 ? pool->load / slots : 0;
+	if (!by_floor)
+		keep_versions(pool, request, &query);
 
 	if (request->spec.prefix_hash)
 		query.prefix =
@@ -239,6 +273,8 @@
 		return RESULT_EXPIRED;
 	if (request_held_ms(router, request, now_us))
 		return RESULT_POISON;
+	if (request->spec.version && !request_has_server(request, now_us))
+		return RESULT_VERSION_GONE;
 	if (router->options.features.early_refusal && !request->n_attempts &&
 	    request->target_us && now_us > request->target_us &&
 	    request_in_standing_queue(request, now_us) &&
--- a/libfilberthall/load/router_end.c
+++ b/libfilberthall/load/router_end.c
@@ -75,6 +75,7 @@
 {
 	heap_remove(&router->timers, &request->timer);
 	map_remove(&router->requests, &request->node);
+	request_unset_queue(request);
 	class_unref(request->class);
 	organisation_unref(request->organisation);
 	if (request->key)
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -122,8 +122,9 @@
  * Requests that different servers may run wait apart: the first of a queue that
  * finds no room holds up those behind it.
  */
-struct queue *pool_queue(struct router *router, struct pool *pool,
-			 const struct router_request *spec, bool reclaimable)
+static struct queue *pool_queue(struct router *router, struct pool *pool,
+				const struct router_request *spec,
+				bool reclaimable)
 {
 	uint64_t regions = spec->regions ? spec->regions : REGION_ANY;
 	struct router_class *class;
@@ -133,12 +134,14 @@
 	list_foreach(queue, &pool->queues, in_pool)
 		if (queue->reclaimable == reclaimable &&
 		    queue->regions == regions &&
+		    queue->version == spec->version &&
 		    same_text(queue->adapter, spec->adapter))
 			return queue;
 	queue = xcalloc(1, sizeof(*queue));
 	queue->pool = pool;
 	queue->adapter = xstrdup(spec->adapter);
 	queue->regions = regions;
+	queue->version = spec->version;
 	queue->reclaimable = reclaimable;
 	sched_init(&queue->sched);
 	map_foreach(class, next, &router->classes, node)
@@ -149,16 +152,42 @@
 	return queue;
 }
 
+static void queue_free(struct queue *queue)
+{
+	list_remove(&queue->in_pool);
+	sched_clear(&queue->sched);
+	free(queue->adapter);
+	free(queue);
+}
+
+/* Versions come and go; the other queues are as many as classes have kinds. */
+void request_unset_queue(struct request *request)
+{
+	struct queue *queue = request->queue;
+
+	request->queue = NULL;
+	if (queue && !--queue->n_requests && queue->version)
+		queue_free(queue);
+}
+
+void request_set_queue(struct router *router, struct request *request,
+		       struct pool *pool, bool reclaimable)
+{
+	struct queue *queue =
+		pool_queue(router, pool, &request->spec, reclaimable);
+
+	queue->n_requests++;
+	request_unset_queue(request);
+	request->queue = queue;
+}
+
 void pool_free(struct router *router, struct pool *pool)
 {
 	struct queue *queue;
 	struct queue *next;
 
-	list_foreach_safe(queue, next, &pool->queues, in_pool) {
-		sched_clear(&queue->sched);
-		free(queue->adapter);
-		free(queue);
-	}
+	list_foreach_safe(queue, next, &pool->queues, in_pool)
+		queue_free(queue);
 	map_remove(&router->pools, &pool->node);
 	free(pool->members);
 	free(pool->name);
@@ -190,6 +219,7 @@
 			       int64_t now_us)
 {
 	double hold_us = pool->us_per_token * pool->mean_cost;
+	uint64_t version = 0;
 	double weight;
 	int i;
 
@@ -198,12 +228,16 @@
 	pool->load = 0;
 	pool->n_usable = 0;
 	pool->n_cold = 0;
+	pool->versions_differ = false;
 	for (i = 0; i < pool->n_members; i++) {
 		const struct backend *member = pool->members[i];
 
 		if (!backend_usable(member, now_us))
 			continue;
 		pool->n_usable++;
+		if (!version)
+			version = member->version_hash;
+		pool->versions_differ |= version != member->version_hash;
 		pool->n_cold += warmup_is_cold(member, now_us);
 		weight = router->pick.stragglers
 				 ? health_weight(&member->health, now_us)
@@ -256,6 +290,24 @@
 			    now_us);
 }
 
+/** Whether a usable server is in its regions and of the version it needs. */
+bool request_has_server(const struct request *request, int64_t now_us)
+{
+	const struct pool *pool = request->queue->pool;
+	uint64_t version = request->spec.version;
+	int i;
+
+	for (i = 0; i < pool->n_members; i++) {
+		const struct backend *member = pool->members[i];
+
+		if (backend_usable(member, now_us) &&
+		    backend_in_regions(member, request->spec.regions) &&
+		    (!version || version == member->version_hash))
+			return true;
+	}
+	return false;
+}
+
 /*
  * A queue that hasn't been empty for twice a request's target is no burst but
  * a standing queue, which only adds delay (compare CoDel).
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -64,8 +64,10 @@
 	struct pool *pool;
 	char *adapter;	  /**< or NULL */
 	uint64_t regions; /**< of the servers that may run them */
+	uint64_t version; /**< that may run them; 0: any */
 	bool reclaimable;
 	bool blocked; /**< no server had room in this dispatch pass */
+	int n_requests;
 	struct sched sched;
 };
 
@@ -92,8 +94,9 @@
 	const char *service;  /**< part of name, or NULL */
 	struct backend **members;
 	int n_members;
-	int n_usable; /**< members that accept new requests */
-	int n_cold;   /**< of them, cold ones (load/warmup.h) */
+	int n_usable;	      /**< members that accept new requests */
+	int n_cold;	      /**< of them, cold ones (load/warmup.h) */
+	bool versions_differ; /**< of the usable members */
 	uint64_t
 		fleet_version; /**< fleet version at which members was listed */
 	uint64_t fleet_removals;
@@ -156,10 +159,11 @@
 	int64_t prompt_tokens; /**< counted on the server until prefill */
 	double work;
 	bool is_long;
-	bool paced;    /**< paced by load/divide.h */
-	int64_t slots; /**< slots of its server */
-	bool on_cheap; /**< on a server that may be reclaimed */
-	bool by_floor; /**< started by its class's minimum share */
+	bool paced;	  /**< paced by load/divide.h */
+	uint64_t version; /**< of its server, by hash */
+	int64_t slots;	  /**< slots of its server */
+	bool on_cheap;	  /**< on a server that may be reclaimed */
+	bool by_floor;	  /**< started by its class's minimum share */
 	bool sent;
 	bool cancelled;
 	enum result cancel_code; /**< why it was cancelled */
@@ -236,11 +240,17 @@
 			int64_t now_us);
 struct pool *pool_get(struct router *router, const char *model,
 		      const char *service, int64_t now_us);
-struct queue *pool_queue(struct router *router, struct pool *pool,
-			 const struct router_request *spec, bool reclaimable);
 void pool_refresh(struct router *router, struct pool *pool, int64_t now_us);
 void pool_free(struct router *router, struct pool *pool);
 bool request_in_standing_queue(const struct request *request, int64_t now_us);
+
+/** The queue of the request's class and of the servers that may run it. */
+void request_set_queue(struct router *router, struct request *request,
+		       struct pool *pool, bool reclaimable);
+
+/** The request leaves its queue for good; one of a version may be freed. */
+void request_unset_queue(struct request *request);
+bool request_has_server(const struct request *request, int64_t now_us);
 double pool_wait_us(const struct router *router, const struct pool *pool,
 		    const struct request *request);
 double pool_own_slots(const struct router *router, const struct pool *pool);
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -120,8 +120,8 @@
 
 	request->tier = router->options.features.tiers ? rule->tier : 0;
 	request_set_times(request);
-	request->queue = pool_queue(router, request->queue->pool,
-				    &request->spec, rule->reclaimable);
+	request_set_queue(router, request, request->queue->pool,
+			  rule->reclaimable);
 }
 
 static struct request *request_new(struct router *router,
@@ -385,20 +385,16 @@
 	return RESULT_OK;
 }
 
-/* Whether a server in the request's regions is usable. */
-static bool region_serves(const struct pool *pool,
-			  const struct request *request, int64_t now_us)
+/* Whether the request's regions, and its version, have a usable server. */
+static enum result find_server(const struct request *request, int64_t now_us)
 {
 	uint64_t regions = request->spec.regions;
-	int i;
+	bool any = !regions || regions == REGION_ANY;
 
-	if (!regions || regions == REGION_ANY)
-		return true;
-	for (i = 0; i < pool->n_members; i++)
-		if (backend_usable(pool->members[i], now_us) &&
-		    backend_in_regions(pool->members[i], regions))
-			return true;
-	return false;
+	if ((any && !request->spec.version) ||
+	    request_has_server(request, now_us))
+		return RESULT_OK;
+	return request->spec.version ? RESULT_VERSION_GONE : RESULT_NO_CAPACITY;
 }
 
 static enum result request_admit(struct router *router, struct request *request,
@@ -415,8 +411,8 @@
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
 	code = pool_missing(router, pool, request->queue->reclaimable, now_us);
-	if (!code && !region_serves(pool, request, now_us))
-		code = RESULT_NO_CAPACITY;
+	if (!code)
+		code = find_server(request, now_us);
 	if (code) {
 		*retry_after_ms = code == RESULT_NO_CAPACITY ? 5000 : 0;
 		return code;
@@ -477,7 +473,7 @@
 	request = request_new(router, ask, class, now_us);
 	router->open++;
 	pool = pool_get(router, ask->model, ask->service, now_us);
-	request->queue = pool_queue(router, pool, ask, class->rule.reclaimable);
+	request_set_queue(router, request, pool, class->rule.reclaimable);
 	request_estimate(router, request);
 	if (ask->prompt_tokens)
 		pool_record_prompt(pool, ask->prompt_tokens);
