entry, control, load: a stream that is taken up goes on at the version that began it

Callers who came back to take a stream up got events of another software version, in most ways in which they could come back: the request was placed like a new one, even at another service of a split route.

An entry VM records service and version with a stream's first event, by organisation and the name of the request, before the event is passed on, and tells all control VMs: at once while the service has had several versions, else within 250 ms. A request that takes a stream up goes by this VM's record, or the control VMs are asked; one that doesn't know asks the others, where links are cut. The news may be later than the caller, so they are asked again for 250 ms. Whatever remains unknown is refused as not run (STREAM_UNKNOWN), unless all control VMs to which there is a link agree that the service has had one version only. Records are written once, so a copy is right or missing; a name that was used for two versions is unclear for all. What a server that started again under its address with another version writes isn't passed on.

Weighed and left: choosing the version by a hash of the request's name needs no messages, but VMs that know other servers choose differently; waiting for a quorum of control VMs before the first event delays each stream by a round trip.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -31,6 +31,7 @@
 	bool passed_on;		/**< by another entry VM */
 	const char *last_event; /**< that the caller has, or NULL */
 	const char *resumes;	/**< request that brought the first, or NULL */
+	bool unreadable;	/**< one of these two can\'t be read */
 };
 
 /** What this program adds to a request for a backend server. */
@@ -38,6 +39,7 @@
 	const char *organisation; /**< empty for none */
 	const char *server;	  /**< the start that is meant, or NULL */
 	const char *resume_after; /**< id of the last event passed, or NULL */
+	const char *resumes;	  /**< request that began the stream, or NULL */
 	int urgency;		  /**< 0 is the most urgent */
 	int64_t wait_ms;	  /**< the server may take so long */
 	size_t body_len;
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -153,6 +153,16 @@
 	daemon->carrying_out = false;
 }
 
+static bool on_begins(void *data, uint64_t id, int64_t attempt)
+{
+	struct entry_daemon *daemon = data;
+	bool begins = entry_attempt_begins(daemon->entry, id, attempt,
+					   edge_now_us(), &daemon->effects);
+
+	carry_out_all(daemon);
+	return begins;
+}
+
 static void on_tokens(void *data, const struct event_attempt_tokens *tokens)
 {
 	struct entry_daemon *daemon = data;
@@ -377,6 +387,7 @@
 	daemon->host.dialect = daemon->role.dialect;
 	daemon->host.client = daemon->client;
 	daemon->host.entry = daemon->entry;
+	daemon->host.begins = on_begins;
 	daemon->host.tokens = on_tokens;
 	daemon->host.ended = on_ended;
 	daemon->host.state = on_state;
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -101,6 +101,7 @@
 		.passed_on = asked->passed_on,
 		.last_event = asked->last_event,
 		.resumes = asked->resumes,
+		.unreadable = asked->unreadable,
 	};
 
 	return request;
@@ -204,6 +205,9 @@
 	(void)payload_len;
 	if (!relay->exchange)
 		return RESULT_CALLER_LEFT;
+	if (tokens.first &&
+	    !relay->host->begins(relay->host->data, relay->id, relay->attempt))
+		return RESULT_BACKEND_CROSSED;
 	if (!relay->begun) {
 		relay->begun = true;
 		http_exchange_begin(relay->exchange, relay->status,
@@ -215,14 +219,31 @@
 	return RESULT_OK;
 }
 
+/* The answer is another version's; another server may be asked at once. */
+static void drop_answer(struct relay *relay)
+{
+	http_call_cancel(relay->call);
+	relay->call = NULL;
+	relay->events = 0;
+	tell_ended(relay, RESULT_BACKEND_CROSSED, true);
+}
+
+static void on_events(struct relay *relay, const char *piece, size_t len)
+{
+	enum result code = sse_feed(&relay->sse, piece, len, pass_event, relay);
+
+	if (code == RESULT_BACKEND_BROKE)
+		relay->kind = ANSWER_WRONG;
+	else if (code == RESULT_BACKEND_CROSSED)
+		drop_answer(relay);
+}
+
 static void on_body(void *data, const char *piece, size_t len)
 {
 	struct relay *relay = data;
 
 	if (relay->kind == ANSWER_STREAM) {
-		if (sse_feed(&relay->sse, piece, len, pass_event, relay) ==
-		    RESULT_BACKEND_BROKE)
-			relay->kind = ANSWER_WRONG;
+		on_events(relay, piece, len);
 	} else if (relay->kind == ANSWER_WHOLE) {
 		bytes_append(&relay->whole, piece, len);
 		if (relay->whole.len > WHOLE_BYTES)
@@ -284,7 +305,11 @@
 	forward.organisation = call.organisation;
 	server = entry_server_at(host->entry, start->address);
 	forward.server = server ? server->id : NULL;
-	forward.resume_after = relay->has_event_id ? relay->event_id : NULL;
+	if (relay->has_event_id) {
+		forward.resume_after = relay->event_id;
+		forward.resumes = relay->asked.resumes ? relay->asked.resumes
+						       : relay->asked.id;
+	}
 	forward.urgency = call.urgency;
 	forward.wait_ms = (call.deadline_us - now_us) / 1000;
 	forward.body_len = http_exchange_body(relay->exchange)->len;
--- a/daemon/role/relay.h
+++ b/daemon/role/relay.h
@@ -26,6 +26,8 @@
 	const struct dialect *dialect;
 	struct http_client *client;
 	struct entry *entry;
+	/** An attempt's first event; false: it isn't to be passed on. */
+	bool (*begins)(void *data, uint64_t id, int64_t attempt);
 	void (*tokens)(void *data, const struct event_attempt_tokens *tokens);
 	void (*ended)(void *data, const struct event_attempt_ended *ended);
 	/** What the server at that address says of itself. */
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -90,6 +90,7 @@
 	roster_init(&control->roster);
 	poison_init(&control->poison);
 	retry_history_init(&control->retries);
+	affinities_init(&control->affinities, CONTROL_AFFINITIES_MOST);
 	control->retries_since_us = now_us;
 	map_init(&control->peers);
 	list_init(&control->proposals);
@@ -141,6 +142,7 @@
 	roster_clear(&control->roster);
 	poison_clear(&control->poison);
 	retry_history_clear(&control->retries);
+	affinities_clear(&control->affinities);
 	members_clear(&control->announced);
 	free(control->vm);
 	free(control->zone);
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -378,6 +378,14 @@
 		control_receive_retries(control, peer, &message.u.retries,
 					now_us, effects);
 		break;
+	case FEED_AFFINITIES:
+		control_receive_affinities(control, &message, now_us);
+		break;
+	case FEED_AFFINITY_ASK:
+		control_answer_affinity(control, peer, &message.u.affinity_ask,
+					now_us, effects);
+		break;
+	case FEED_AFFINITY_NONE:
 	case FEED_WAYS:
 	case FEED_EVACUATIONS:
 	case FEED_BUNDLE:
@@ -407,5 +415,6 @@
 		return;
 	send_clock(control, wall_us, effects);
 	retry_history_expire(&control->retries, now_us);
+	affinities_expire(&control->affinities, now_us);
 	control->clock_us = now_us;
 }
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -7,6 +7,7 @@
 #include "control/ledger.h"
 #include "feed/feed.h"
 #include "feed/peers.h"
+#include "load/affinity.h"
 #include "load/poison.h"
 #include "load/retry_history.h"
 #include "usage/begun.h"
@@ -14,6 +15,9 @@
 #include "usage/stepout.h"
 #include "usage/wall.h"
 
+/** Records of streams: half a minute's of 5,000 requests a second, or 30 MB. */
+#define CONTROL_AFFINITIES_MOST 262144
+
 /** What the files control*.c share; nobody else includes this. */
 
 /** The caller of a change: an operator here, or the VM that forwarded it. */
@@ -64,9 +68,10 @@
 	struct wall wall;
 	struct poison poison; /**< requests under which servers crashed */
 	struct retry_history retries;
-	int64_t retries_since_us; /**< from when these are complete */
-	struct map peers;	  /**< struct feed_peer */
-	int entry_vms;		  /**< of them */
+	int64_t retries_since_us;     /**< from when these are complete */
+	struct affinities affinities; /**< where streams were begun */
+	struct map peers;	      /**< struct feed_peer */
+	int entry_vms;		      /**< of them */
 	struct list proposals;
 	struct list forwarded; /**< struct control_forwarded */
 	struct list reports;
@@ -182,6 +187,14 @@
 			     const struct feed_peer *peer, int64_t now_us,
 			     struct effects *effects);
 
+/* control_affinity.c */
+void control_receive_affinities(struct control *control,
+				const struct feed_message *message,
+				int64_t now_us);
+void control_answer_affinity(struct control *control, uint64_t id,
+			     const struct feed_affinity_ask *ask,
+			     int64_t now_us, struct effects *effects);
+
 /* control_retry.c */
 void control_receive_retries(struct control *control, uint64_t id,
 			     const struct retry_report *report, int64_t now_us,
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -73,6 +73,8 @@
 	begun_init(&entry->begun);
 	presumed_init(&entry->presumed);
 	retry_history_init(&entry->past_retries);
+	affinities_init(&entry->affinities, ENTRY_AFFINITIES_MOST);
+	list_init(&entry->lookups);
 	entry->started_us = now_us;
 	map_init(&entry->peers);
 	map_init(&entry->calls);
@@ -109,6 +111,7 @@
 	router_free(entry->router);
 	entry_free_calls(entry);
 	entry_free_deferred(entry);
+	entry_free_lookups(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
 	entry_free_services(entry);
@@ -119,6 +122,7 @@
 	begun_clear(&entry->begun);
 	presumed_clear(&entry->presumed);
 	retry_history_clear(&entry->past_retries);
+	affinities_clear(&entry->affinities);
 	document_free(entry->document);
 	free(entry->vm);
 	free(entry->zone);
@@ -136,12 +140,14 @@
 {
 	int64_t now_us = entry->now_us;
 	bool idle = !entry->calls.count && list_empty(&entry->deferred) &&
+		    list_empty(&entry->lookups) &&
 		    now_us - entry->stop_requested_us >= STOP_MIN_US;
 
 	if (!entry->stop_requested_us || entry->exited ||
 	    (!idle && now_us < entry->stop_deadline_us))
 		return;
 	entry_send_usage(entry);
+	entry_tell_affinities(entry);
 	entry_log(entry, LOG_INFO, "daemon", "event=exit open=%zu",
 		  entry->calls.count);
 	entry->exited = true;
@@ -172,6 +178,8 @@
 		fleet_decay_load(&entry->fleet, LOAD_DECAY_US, now_us);
 	}
 	entry_reach_tick(entry);
+	entry_affinity_tick(entry);
+	entry_lookups_tick(entry);
 	router_tick(entry->router, now_us, effects);
 	log_freshness_change(entry);
 	entry_resume_deferred(entry);
@@ -180,9 +188,12 @@
 
 int64_t entry_next_tick(const struct entry *entry, int64_t now_us)
 {
-	int64_t router_us = router_next_tick(entry->router, now_us);
+	int64_t next_us = router_next_tick(entry->router, now_us);
+	int64_t lookups_us = entry_lookups_next_us(entry);
 
-	return router_us < now_us + TICK_US ? router_us : now_us + TICK_US;
+	if (lookups_us < next_us)
+		next_us = lookups_us;
+	return next_us < now_us + TICK_US ? next_us : now_us + TICK_US;
 }
 
 void entry_link_up(struct entry *entry, const struct event_link_up *up,
@@ -198,6 +209,7 @@
 	entry_tell_crashes_to(entry, up->peer);
 	entry_tell_limits_to(entry, up->peer);
 	entry_tell_retries_to(entry, up->peer);
+	entry_tell_affinities_to(entry, up->peer);
 	entry_poll(entry);
 }
 
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -46,7 +46,7 @@
 /** A caller's request, received completely. Strings are borrowed. */
 struct entry_request {
 	uint64_t id;	  /**< unique until this VM stops */
-	const char *name; /**< the caller's id of the request, for logs */
+	const char *name; /**< the caller's id of the request */
 	const char *host;
 	const char *path;      /**< including the query */
 	const char *key;       /**< or NULL */
@@ -65,6 +65,7 @@
 	 */
 	const char *last_event;
 	const char *resumes;
+	bool unreadable; /**< what it says of that can't be read */
 };
 
 /** The properties of a request that the HTTP layer needs to forward it. */
@@ -111,6 +112,15 @@
 const struct registration *entry_server_at(const struct entry *entry,
 					   const char *address);
 
+/**
+ * An attempt's first event has come; to be called before it is passed on.
+ *
+ * @return false if the server isn't of the version that the attempt was meant
+ *	for: nothing of its answer may be passed on
+ */
+bool entry_attempt_begins(struct entry *entry, uint64_t id, int64_t attempt,
+			  int64_t now_us, struct effects *effects);
+
 /** Progress and results of attempts, as in the events of core/event.h. */
 void entry_attempt_tokens(struct entry *entry,
 			  const struct event_attempt_tokens *tokens,
--- /dev/null
+++ b/libfilberthall/entry/entry_affinity.c
@@ -0,0 +1,140 @@
+/*
+ * Where the streams of this VM's requests were begun. The control VMs are told,
+ * so that the VM that a caller comes back to can ask them.
+ */
+#include <string.h>
+
+#include "entry/entry_state.h"
+
+/*
+ * While a service has had one version only, any VM may go on with its streams,
+ * and the records are needed only if another version comes.
+ */
+#define TELL_US INT64_C(250000)
+
+void entry_tell_affinities(struct entry *entry)
+{
+	struct bytes body = { 0 };
+
+	if (entry->n_untold) {
+		feed_write_affinities(&body, entry->untold, entry->n_untold,
+				      entry->now_us);
+		entry_send_all(entry, &body);
+	}
+	entry->n_untold = 0;
+	entry->told_us = entry->now_us;
+}
+
+struct teller {
+	struct affinity list[FEED_AFFINITIES_MOST];
+	size_t n;
+	struct entry *entry;
+	uint64_t peer;
+};
+
+static void flush(struct teller *teller)
+{
+	struct bytes body = { 0 };
+
+	if (!teller->n)
+		return;
+	feed_write_affinities(&body, teller->list, teller->n,
+			      teller->entry->now_us);
+	feed_send(teller->entry->effects, teller->peer, &body);
+	bytes_clear(&body);
+	teller->n = 0;
+}
+
+static void tell(void *data, const struct affinity *affinity)
+{
+	struct teller *teller = data;
+
+	if (teller->n == FEED_AFFINITIES_MOST)
+		flush(teller);
+	teller->list[teller->n++] = *affinity;
+}
+
+/** A control VM may have started again and know of none. */
+void entry_tell_affinities_to(struct entry *entry, uint64_t peer)
+{
+	struct teller teller = { .entry = entry, .peer = peer };
+
+	affinities_visit(&entry->affinities, entry->now_us, tell, &teller);
+	flush(&teller);
+}
+
+static void note(struct entry *entry, const struct open_call *call,
+		 const struct affinity_key *key, uint64_t version)
+{
+	struct affinity affinity = {
+		.key = *key,
+		.owner = map_hash_text(call->organisation),
+		.service = map_hash_text(call->service),
+		.version = version,
+		.expires_us = call->deadline_us + AFFINITY_KEEP_US,
+	};
+
+	if (!affinities_note(&entry->affinities, &affinity, entry->now_us))
+		return;
+	if (entry->n_untold == ENTRY_UNTOLD_MOST)
+		entry_tell_affinities(entry);
+	entry->untold[entry->n_untold++] = affinity;
+}
+
+static void note_begun(struct entry *entry, struct open_call *call,
+		       uint64_t version)
+{
+	struct affinity_key own = affinity_key(call->organisation, call->name);
+	uint64_t service = map_hash_text(call->service);
+
+	call->begun = true;
+	note(entry, call, &own, version);
+	if (call->takes_up)
+		note(entry, call, &call->taken_up, version);
+	if (registry_versions(&entry->registry, service).differ)
+		entry_tell_affinities(entry);
+}
+
+/*
+ * A server may have started again under its id and address since the request
+ * was sent to it.
+ */
+static bool is_version(const struct entry *entry, const char *address,
+		       uint64_t version)
+{
+	const struct registry_entry *server =
+		registry_find_address(&entry->registry, address);
+
+	return !server || server->version == version;
+}
+
+bool entry_attempt_begins(struct entry *entry, uint64_t id, int64_t attempt,
+			  int64_t now_us, struct effects *effects)
+{
+	struct open_call *call = entry_open_call(entry, id);
+	struct router_attempt_view view;
+
+	entry->now_us = now_us;
+	entry->effects = effects;
+	if (!call || call->pass || !call->resumable ||
+	    !router_attempt(entry->router, id, attempt, now_us, &view))
+		return true;
+	if (!is_version(entry, view.address, view.version)) {
+		entry_log(entry, LOG_WARN, "attempt",
+			  "event=other-version request=%s attempt=%lld "
+			  "server=%s",
+			  call->name, (long long)attempt, view.address);
+		return false;
+	}
+	if (!call->begun)
+		note_begun(entry, call, view.version);
+	return true;
+}
+
+void entry_affinity_tick(struct entry *entry)
+{
+	if (entry->now_us - entry->told_us < TELL_US)
+		return;
+	entry_tell_affinities(entry);
+	affinities_expire(&entry->affinities, entry->now_us);
+}
--- a/libfilberthall/entry/entry_defer.c
+++ b/libfilberthall/entry/entry_defer.c
@@ -24,17 +24,37 @@
 /* Limit of deferred requests; each holds a body of a few kilobytes. */
 #define DEFERRED_MAX 500
 
+/** Copies a request with its strings, for entry_free_request(). */
+void entry_copy_request(struct entry_request *to,
+			const struct entry_request *from)
+{
+	*to = *from;
+	to->name = xstrdup(from->name);
+	to->host = xstrdup(from->host);
+	to->path = xstrdup(from->path);
+	to->key = xstrdup(from->key);
+	to->model = xstrdup(from->model);
+	to->body_hash = xstrdup(from->body_hash);
+	to->last_event = xstrdup(from->last_event);
+	to->resumes = xstrdup(from->resumes);
+}
+
+void entry_free_request(struct entry_request *request)
+{
+	free((char *)request->name);
+	free((char *)request->host);
+	free((char *)request->path);
+	free((char *)request->key);
+	free((char *)request->model);
+	free((char *)request->body_hash);
+	free((char *)request->last_event);
+	free((char *)request->resumes);
+}
+
 static void deferred_free(struct deferred_request *parked)
 {
 	list_remove(&parked->node);
-	free((char *)parked->request.name);
-	free((char *)parked->request.host);
-	free((char *)parked->request.path);
-	free((char *)parked->request.key);
-	free((char *)parked->request.model);
-	free((char *)parked->request.body_hash);
-	free((char *)parked->request.last_event);
-	free((char *)parked->request.resumes);
+	entry_free_request(&parked->request);
 	free(parked);
 }
 
@@ -68,15 +88,7 @@
 	if (wait_us <= 0 || wait_us > DEFER_MAX_US)
 		wait_us = DEFER_MAX_US;
 	parked = xcalloc(1, sizeof(*parked));
-	parked->request = *request;
-	parked->request.name = xstrdup(request->name);
-	parked->request.host = xstrdup(request->host);
-	parked->request.path = xstrdup(request->path);
-	parked->request.key = xstrdup(request->key);
-	parked->request.model = xstrdup(request->model);
-	parked->request.body_hash = xstrdup(request->body_hash);
-	parked->request.last_event = xstrdup(request->last_event);
-	parked->request.resumes = xstrdup(request->resumes);
+	entry_copy_request(&parked->request, request);
 	parked->deferred_us = entry->now_us;
 	parked->expires_us = entry->now_us + wait_us;
 	list_append(&entry->deferred, &parked->node);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -245,6 +245,14 @@
 	case FEED_RETRIES:
 		entry_handle_retries(entry, &message.u.retries);
 		break;
+	case FEED_AFFINITIES:
+		entry_handle_affinities(entry, &message);
+		break;
+	case FEED_AFFINITY_NONE:
+		entry_handle_affinity_none(entry, peer,
+					   &message.u.affinity_none);
+		break;
+	case FEED_AFFINITY_ASK:
 	case FEED_POLL:
 	case FEED_FETCH:
 	case FEED_BEGUN:
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -19,6 +19,9 @@
  */
 #define STOPPING_RETRY_AFTER_MS 50
 
+/* The route no longer leads to the service that began the stream. */
+#define GONE_RETRY_AFTER_MS 1000
+
 /* A VM that can't serve a request that was passed on to it. */
 #define LOST_RETRY_AFTER_MS 250
 
@@ -258,13 +261,25 @@
 	return entry_service(entry, service)->reach.state == REACH_LOST;
 }
 
+/* The service with that hash, if requests of the route may go there. */
+static const char *service_of_route(const struct route *route, uint64_t hash)
+{
+	size_t i;
+
+	for (i = 0; i < route->n_splits; i++)
+		if (route->splits[i].weight &&
+		    map_hash_text(route->splits[i].service) == hash)
+			return route->splits[i].service;
+	return NULL;
+}
+
 static void route_request(struct entry *entry,
 			  const struct entry_request *request,
 			  const struct route *route,
-			  const struct document_organisation *holder)
+			  const struct document_organisation *holder,
+			  const char *service, const struct affinity *affinity)
 {
 	struct open_call *call = call_new(entry, request, route, holder);
-	const char *service = route_choose(route, rng_unit(&entry->rng));
 	const struct class_rule *rule =
 		find_or_add_class(entry, route, call->tier);
 	struct router_request ask = {
@@ -285,12 +300,17 @@
 		.stream = call->stream,
 		.max_attempts = route->attempts,
 		.regions = allowed_regions(entry, route, holder),
+		.version = affinity ? affinity->version : 0,
 	};
 
 	call->class_name = xstrdup(rule->name);
 	call->service = xstrdup(service);
 	call->repeatable = ask.idempotent;
 	call->passed_on = request->passed_on;
+	call->takes_up = affinity != NULL;
+	if (affinity)
+		call->taken_up =
+			entry_taken_up_key(request, call->organisation);
 	entry->totals.submitted++;
 	entry_log(entry, LOG_INFO, "request",
 		  "event=taken request=%s route=%s service=%s organisation=%s "
@@ -315,8 +335,35 @@
 	router_submit(entry->router, &ask, entry->now_us, entry->effects);
 }
 
+static void resume_request(struct entry *entry,
+			   const struct entry_request *request,
+			   const struct route *route,
+			   const struct document_organisation *holder,
+			   const struct affinity *affinity)
+{
+	const char *service;
+
+	if (!affinity)
+		affinity = entry_resume(entry, request,
+					holder ? holder->name : "");
+	if (!affinity)
+		return;
+	service = service_of_route(route, affinity->service);
+	if (service)
+		route_request(entry, request, route, holder, service, affinity);
+	else
+		entry_refuse(entry, request, RESULT_VERSION_GONE,
+			     GONE_RETRY_AFTER_MS);
+}
+
 /** Refuses a request by the document in force, or submits it to the router. */
 void entry_decide(struct entry *entry, const struct entry_request *request)
+{
+	entry_decide_as(entry, request, NULL);
+}
+
+void entry_decide_as(struct entry *entry, const struct entry_request *request,
+		     const struct affinity *affinity)
 {
 	const struct document *document = entry->document;
 	const struct document_organisation *holder = NULL;
@@ -344,7 +391,11 @@
 			return;
 		}
 	}
-	route_request(entry, request, route, holder);
+	if (entry_takes_up(route, request))
+		resume_request(entry, request, route, holder, affinity);
+	else
+		route_request(entry, request, route, holder,
+			      route_choose(route, rng_unit(&entry->rng)), NULL);
 }
 
 /**
@@ -489,6 +540,7 @@
 	entry->effects = effects;
 	if (call && call->pass)
 		entry_pass_caller_left(entry, call);
-	else if (!entry_drop_deferred(entry, id))
+	else if (!entry_drop_deferred(entry, id) &&
+		 !entry_drop_lookup(entry, id))
 		router_caller_left(entry->router, id, now_us, effects);
 }
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -116,8 +116,10 @@
 				  entry->now_us - message->age_us, &replaced);
 	if (replaced)
 		update_fleet(entry, replaced);
-	if (outcome == REGISTRY_CHANGED)
-		update_fleet(entry, registry_find(&entry->registry, told->id));
+	if (outcome != REGISTRY_CHANGED)
+		return;
+	update_fleet(entry, registry_find(&entry->registry, told->id));
+	entry_tell_affinities(entry);
 }
 
 /*
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -10,6 +10,7 @@
 #include "fleet/evacuation.h"
 #include "fleet/reach.h"
 #include "fleet/registry.h"
+#include "load/affinity.h"
 #include "load/router.h"
 #include "usage/begun.h"
 #include "usage/presumed.h"
@@ -20,6 +21,12 @@
 /** Retry-after of callers whose request was refused as stale: two polls. */
 #define ENTRY_STALE_RETRY_AFTER_MS 1000
 
+/** Records of streams that are kept here. */
+#define ENTRY_AFFINITIES_MOST 16384
+
+/** New ones that the control VMs are told of in one message. */
+#define ENTRY_UNTOLD_MOST 64
+
 /** A request between its submission and its answer. */
 struct open_call {
 	struct map_node node; /**< by id */
@@ -41,6 +48,9 @@
 	int pass;	   /**< number of the attempt to pass it on, or 0 */
 	char way[BACKEND_NAME_SIZE]; /**< VM that it is passed on to */
 	int64_t first_us;	     /**< of a request that is passed on */
+	bool begun;		     /**< its stream is recorded */
+	bool takes_up;		     /**< a stream that was begun before */
+	struct affinity_key taken_up;
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -87,6 +97,11 @@
 	struct wall wall;
 	struct map peers; /**< the control VMs, struct feed_peer */
 	struct map calls;
+	struct affinities affinities;
+	struct affinity untold[ENTRY_UNTOLD_MOST]; /**< to control VMs */
+	size_t n_untold;
+	int64_t told_us;
+	struct list lookups;  /**< streams that control VMs are asked about */
 	struct list deferred; /**< struct deferred_request, oldest first */
 	struct list classes;
 	int n_classes;
@@ -163,6 +178,33 @@
 		      const struct event_attempt_ended *ended);
 void entry_pass_caller_left(struct entry *entry, struct open_call *call);
 
+/* entry_affinity.c */
+void entry_tell_affinities(struct entry *entry);
+void entry_tell_affinities_to(struct entry *entry, uint64_t peer);
+void entry_affinity_tick(struct entry *entry);
+
+/* entry_resume.c */
+bool entry_takes_up(const struct route *route,
+		    const struct entry_request *request);
+struct affinity_key entry_taken_up_key(const struct entry_request *request,
+				       const char *organisation);
+
+/**
+ * Where the stream goes on that a request takes up, if it is known here. Else
+ * NULL: the request waits for the control VMs' answers, or is refused.
+ */
+const struct affinity *entry_resume(struct entry *entry,
+				    const struct entry_request *request,
+				    const char *organisation);
+void entry_handle_affinities(struct entry *entry,
+			     const struct feed_message *message);
+void entry_handle_affinity_none(struct entry *entry, uint64_t peer,
+				const struct feed_affinity_none *none);
+void entry_lookups_tick(struct entry *entry);
+int64_t entry_lookups_next_us(const struct entry *entry);
+bool entry_drop_lookup(struct entry *entry, uint64_t id);
+void entry_free_lookups(struct entry *entry);
+
 /* entry_crash.c */
 void entry_tell_crash(void *data, const struct poison_report *report);
 void entry_tell_crashes_to(struct entry *entry, uint64_t peer);
@@ -200,6 +242,13 @@
 void entry_free_deferred(struct entry *entry);
 bool entry_defer(struct entry *entry, const struct entry_request *request);
 void entry_decide(struct entry *entry, const struct entry_request *request);
+
+/** The same, of a stream that is known to go on there; NULL: not known. */
+void entry_decide_as(struct entry *entry, const struct entry_request *request,
+		     const struct affinity *affinity);
+void entry_copy_request(struct entry_request *to,
+			const struct entry_request *from);
+void entry_free_request(struct entry_request *request);
 void entry_refuse(struct entry *entry, const struct entry_request *request,
 		  enum result code, int64_t retry_after_ms);
 bool entry_can_decide(const struct entry *entry);
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -338,3 +338,49 @@
 	for (i = 0; i < ways->n; i++)
 		pack_text(&packer, ways->callers[i]);
 }
+
+static void pack_key(msgpack_packer *packer, const struct affinity_key *key)
+{
+	pack_bytes(packer, key->bytes, sizeof(key->bytes));
+}
+
+void feed_write_affinities(struct bytes *out, const struct affinity *affinities,
+			   size_t n, int64_t now_us)
+{
+	msgpack_packer packer;
+	size_t i;
+
+	begin(&packer, out, FEED_AFFINITY_ITEMS * n, FEED_AFFINITIES);
+	for (i = 0; i < n; i++) {
+		const struct affinity *affinity = &affinities[i];
+
+		pack_key(&packer, &affinity->key);
+		msgpack_pack_uint64(&packer, affinity->owner);
+		msgpack_pack_uint64(&packer, affinity->service);
+		msgpack_pack_uint64(&packer, affinity->version);
+		msgpack_pack_int64(&packer, affinity->expires_us - now_us);
+	}
+}
+
+void feed_write_affinity_ask(struct bytes *out,
+			     const struct feed_affinity_ask *ask)
+{
+	msgpack_packer packer;
+	int i;
+
+	begin(&packer, out, 2 + (size_t)ask->n_services, FEED_AFFINITY_ASK);
+	pack_key(&packer, &ask->key);
+	msgpack_pack_int64(&packer, ask->forward);
+	for (i = 0; i < ask->n_services; i++)
+		msgpack_pack_uint64(&packer, ask->services[i]);
+}
+
+void feed_write_affinity_none(struct bytes *out,
+			      const struct feed_affinity_none *none)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 2, FEED_AFFINITY_NONE);
+	pack_key(&packer, &none->key);
+	msgpack_pack_int64(&packer, none->versions_differ);
+}
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -9,6 +9,7 @@
 #include "feed/peers.h"
 #include "fleet/evacuation.h"
 #include "fleet/registry.h"
+#include "load/affinity.h"
 #include "load/poison.h"
 #include "load/retry_history.h"
 
@@ -38,9 +39,19 @@
 	FEED_CRASHES,	   /**< to all: servers that ended under a request */
 	FEED_LIMIT,	   /**< to all: what a server in need takes */
 	FEED_RETRIES,	   /**< to all: what a process of an entry VM spent */
-	FEED_WAYS	   /**< control to entry: VMs that reach a service */
+	FEED_WAYS,	   /**< control to entry: VMs that reach a service */
+	FEED_AFFINITIES,   /**< to all: where streams were begun */
+	FEED_AFFINITY_ASK, /**< to control: where was a stream begun? */
+	FEED_AFFINITY_NONE /**< control to entry: not known so far */
 };
 
+/** Items of a record, and records in one FEED_AFFINITIES. */
+#define FEED_AFFINITY_ITEMS 5
+#define FEED_AFFINITIES_MOST 256
+
+/** Services of one route that are named in a FEED_AFFINITY_ASK. */
+#define FEED_SERVICES_MOST 8
+
 /** VMs that are named for one service. */
 #define FEED_WAYS_MOST 8
 
@@ -151,6 +162,18 @@
 	int n;
 };
 
+struct feed_affinity_ask {
+	struct affinity_key key;
+	bool forward; /**< ask the other control VMs if it isn't known */
+	uint64_t services[FEED_SERVICES_MOST]; /**< hashes of names */
+	int n_services;
+};
+
+struct feed_affinity_none {
+	struct affinity_key key;
+	bool versions_differ; /**< of a service that was named */
+};
+
 struct feed_changed {
 	uint64_t call;
 	int64_t code; /**< enum result */
@@ -183,12 +206,16 @@
 		struct feed_limit limit;
 		struct retry_report retries;
 		struct feed_ways ways;
+		struct feed_affinity_ask affinity_ask;
+		struct feed_affinity_none affinity_none;
 		struct poison_report
 			crashes; /**< times count from its sending */
 	} u;
 	int64_t age_us; /**< of a registration, since the server was heard */
 	struct feed_alive *alive;
 	size_t n_alive;
+	struct affinity *affinities; /**< expire so long after the sending */
+	size_t n_affinities;
 };
 
 void feed_write_poll(struct bytes *out, const struct feed_poll *poll);
@@ -242,6 +269,13 @@
 void feed_write_crashes(struct bytes *out, const struct poison_report *report,
 			int64_t now_us);
 
+/** At most FEED_AFFINITIES_MOST records. */
+void feed_write_affinities(struct bytes *out, const struct affinity *affinities,
+			   size_t n, int64_t now_us);
+void feed_write_affinity_ask(struct bytes *out,
+			     const struct feed_affinity_ask *ask);
+void feed_write_affinity_none(struct bytes *out,
+			      const struct feed_affinity_none *none);
 void feed_write_ways(struct bytes *out, const struct feed_ways *ways);
 void feed_write_retries(struct bytes *out, const struct retry_report *report);
 
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -9,6 +9,9 @@
 /* What is packed and claims to be longer is malformed. */
 #define FEED_DOCUMENT_MOST (64 * 1024 * 1024)
 
+/* A record that is to be kept for longer is malformed. */
+#define FEED_AFFINITY_US_MOST INT64_C(86400000000)
+
 /* Items in a list of one message; a larger one is malformed. */
 #define FEED_LIST_MOST 16384
 
@@ -336,6 +339,69 @@
 	return true;
 }
 
+static bool read_key(const struct unpacked *items, size_t i,
+		     struct affinity_key *key)
+{
+	const char *bytes;
+	size_t len;
+
+	if (!unpack_bytes(items, i, &bytes, &len) || len != sizeof(key->bytes))
+		return false;
+	memcpy(key->bytes, bytes, len);
+	return true;
+}
+
+static bool read_affinity(const struct unpacked *items, size_t at,
+			  struct affinity *affinity)
+{
+	return read_key(items, at, &affinity->key) &&
+	       unpack_uint(items, at + 1, &affinity->owner) &&
+	       unpack_uint(items, at + 2, &affinity->service) &&
+	       unpack_uint(items, at + 3, &affinity->version) &&
+	       unpack_int(items, at + 4, &affinity->expires_us) &&
+	       affinity->expires_us >= 0 &&
+	       affinity->expires_us <= FEED_AFFINITY_US_MOST;
+}
+
+static bool read_affinities(const struct unpacked *items,
+			    struct feed_message *message)
+{
+	size_t n = (items->n - 1) / FEED_AFFINITY_ITEMS;
+	size_t i;
+
+	if (n > FEED_AFFINITIES_MOST || items->n != FEED_AFFINITY_ITEMS * n + 1)
+		return false;
+	message->affinities = xcalloc(n + 1, sizeof(*message->affinities));
+	message->n_affinities = n;
+	for (i = 0; i < n; i++)
+		if (!read_affinity(items, FEED_AFFINITY_ITEMS * i + 1,
+				   &message->affinities[i]))
+			return false;
+	return true;
+}
+
+static bool read_affinity_ask(const struct unpacked *items,
+			      struct feed_affinity_ask *ask)
+{
+	size_t i;
+
+	if (items->n > FEED_SERVICES_MOST + 3 ||
+	    !read_key(items, 1, &ask->key) ||
+	    !read_flag(items, 2, &ask->forward))
+		return false;
+	for (i = 3; i < items->n; i++)
+		if (!unpack_uint(items, i, &ask->services[ask->n_services++]))
+			return false;
+	return true;
+}
+
+static bool read_affinity_none(const struct unpacked *items,
+			       struct feed_affinity_none *none)
+{
+	return read_key(items, 1, &none->key) &&
+	       read_flag(items, 2, &none->versions_differ);
+}
+
 static bool read_items(struct feed_message *message,
 		       const struct unpacked *items)
 {
@@ -383,6 +449,12 @@
 		return read_crashes(items, &message->u.crashes);
 	case FEED_WAYS:
 		return read_ways(items, &message->u.ways);
+	case FEED_AFFINITIES:
+		return read_affinities(items, message);
+	case FEED_AFFINITY_ASK:
+		return read_affinity_ask(items, &message->u.affinity_ask);
+	case FEED_AFFINITY_NONE:
+		return read_affinity_none(items, &message->u.affinity_none);
 	case FEED_RETRIES:
 		return read_retries(items, &message->u.retries);
 	default:
@@ -409,6 +481,8 @@
 {
 	free(message->alive);
 	message->alive = NULL;
+	free(message->affinities);
+	message->affinities = NULL;
 	if (message->kind == FEED_MEMBER)
 		free(message->u.member.address);
 	if (message->kind == FEED_BEGUN)
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -5,6 +5,14 @@
 
 #include "base/alloc.h"
 
+/* A version that a service's servers have or lately had. */
+struct service_version {
+	struct list node;
+	uint64_t service;
+	uint64_t version;
+	int64_t seen_us;
+};
+
 static bool id_match(const struct map_node *node, const void *key)
 {
 	return !strcmp(container_of(node, struct registry_entry, node)
@@ -44,11 +52,45 @@
 	entry->registration.gone = true;
 }
 
+static void note_version(struct registry *registry,
+			 const struct registry_entry *entry, int64_t seen_us)
+{
+	struct service_version *known;
+
+	list_foreach(known, &registry->versions, node) {
+		if (known->service != entry->service ||
+		    known->version != entry->version)
+			continue;
+		if (seen_us > known->seen_us)
+			known->seen_us = seen_us;
+		return;
+	}
+	known = xcalloc(1, sizeof(*known));
+	known->service = entry->service;
+	known->version = entry->version;
+	known->seen_us = seen_us;
+	list_append(&registry->versions, &known->node);
+}
+
+static void forget_versions(struct registry *registry, int64_t before_us)
+{
+	struct service_version *known;
+	struct service_version *next;
+
+	list_foreach_safe(known, next, &registry->versions, node) {
+		if (known->seen_us >= before_us)
+			continue;
+		list_remove(&known->node);
+		free(known);
+	}
+}
+
 void registry_init(struct registry *registry, int64_t announce_interval_us)
 {
 	map_init(&registry->by_id);
 	map_init(&registry->by_address);
 	map_init(&registry->by_short_id);
+	list_init(&registry->versions);
 	registry->timeout_us =
 		REGISTRY_TIMEOUT_INTERVALS * announce_interval_us;
 	if (registry->timeout_us < REGISTRY_TIMEOUT_MIN_US)
@@ -66,6 +108,7 @@
 	map_clear(&registry->by_id);
 	map_clear(&registry->by_address);
 	map_clear(&registry->by_short_id);
+	forget_versions(registry, INT64_MAX);
 }
 
 struct registry_entry *registry_find(const struct registry *registry,
@@ -198,6 +241,9 @@
 	unindex(registry, known);
 	set_cold(known, update, contact_us);
 	known->registration = *update;
+	known->service = map_hash_text(update->service);
+	known->version = map_hash_text(update->version);
+	note_version(registry, known, contact_us);
 	if (!update->gone)
 		place(registry, known);
 	note_entry_contact(registry, known, contact_us);
@@ -321,6 +367,8 @@
 			if (on_timeout)
 				on_timeout(data, entry);
 		}
+		if (!entry->registration.gone)
+			note_version(registry, entry, now_us);
 		if (!entry->registration.gone ||
 		    now_us - entry->last_contact_us < REGISTRY_TOMBSTONE_US)
 			continue;
@@ -328,4 +376,20 @@
 		unindex(registry, entry);
 		free(entry);
 	}
+	forget_versions(registry, now_us - REGISTRY_TOMBSTONE_US);
+}
+
+struct registry_versions registry_versions(const struct registry *registry,
+					   uint64_t service)
+{
+	struct registry_versions versions = { 0 };
+	struct service_version *known;
+
+	list_foreach(known, &registry->versions, node) {
+		if (known->service != service)
+			continue;
+		versions.differ |= versions.version != 0;
+		versions.version = known->version;
+	}
+	return versions;
 }
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -57,6 +57,8 @@
 		short_id_node; /**< by registration_short_id(), unless gone */
 	bool indexed; /**< address_node and short_id_node are in maps */
 	struct registration registration;
+	uint64_t service; /**< hashes of what it registered */
+	uint64_t version;
 	int64_t last_contact_us; /**< of any VM with the server, own clock */
 	int64_t last_direct_contact_us; /**< of this VM with the server */
 	int64_t cold_until_us;		/**< end of cold_ms, own clock */
@@ -72,6 +74,7 @@
 	struct map by_short_id;	 /**< entries that aren't gone */
 	int64_t last_contact_us; /**< with any server */
 	int64_t timeout_us;	 /**< see REGISTRY_TIMEOUT_MIN_US */
+	struct list versions;	 /**< that services have or lately had */
 };
 
 /** A cold time that ends later than known by more than this is a change. */
@@ -152,6 +155,19 @@
 bool registry_merge_limit(struct registry_entry *entry, double per_s,
 			  int64_t heard_us);
 
+/**
+ * Software versions of a service's servers, by hash, also of those that have
+ * ended in the last REGISTRY_TOMBSTONE_US: streams that they began may be
+ * taken up.
+ */
+struct registry_versions {
+	uint64_t version; /**< one of them, 0 for none */
+	bool differ;
+};
+
+struct registry_versions registry_versions(const struct registry *registry,
+					   uint64_t service);
+
 /** Number of servers that may get new requests. */
 int registry_count_usable(const struct registry *registry);
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -169,6 +169,7 @@
 /** An attempt in progress. */
 struct router_attempt_view {
 	const char *address; /**< of its server */
+	uint64_t version;    /**< of its server, by hash */
 	int64_t us;	     /**< time since it was started */
 };
 
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -184,6 +184,7 @@
 	if (!attempt)
 		return false;
 	view->address = attempt->address;
+	view->version = attempt->version;
 	view->us = now_us - attempt->started_us;
 	return true;
 }
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -348,11 +348,17 @@
 		run->code = RESULT_BACKEND_BROKE;
 		return false;
 	}
+	effects_init(&effects);
+	if (!run->sent &&
+	    !entry_attempt_begins(vm->entry, run->id, run->attempt,
+				  vm_now(entries, run->vm), &effects)) {
+		run->code = RESULT_BACKEND_CROSSED;
+		return false;
+	}
 	run->sent++;
 	run->next++;
 	run->ends_us += STREAMS_EVENT_US;
 	streams_event(run->stream, run->version);
-	effects_init(&effects);
 	entry_attempt_tokens(vm->entry, &tokens, vm_now(entries, run->vm),
 			     &effects);
 	carry_out(entries, run->vm, &effects);
