entry, fleet: a stream isn't joined at a server that may have started again

A server may start again under its id and address with another version, and serve before its first announcement is known: what it wrote counted as the version before, and streams were taken up accordingly.

While a service has several versions, a server counts as confirmed if it was heard in the last intervals, while others were, and since this VM last failed to connect to it. Streams that are taken up go to confirmed servers alone; a stream that begins at another one is delivered, but isn't recorded, and ends if its server breaks off.

What remains: a server that is down for less than three seconds, to which this VM didn't connect meanwhile, and whose first event comes before its announcement.

--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -95,17 +95,36 @@
 		entry_tell_affinities(entry);
 }
 
-/*
- * A server may have started again under its id and address since the request
- * was sent to it.
- */
-static bool is_version(const struct entry *entry, const char *address,
-		       uint64_t version)
+/* What an attempt's first event shows of its server. */
+enum server_version {
+	VERSION_MEANT,	/* the one that the attempt was meant for */
+	VERSION_UNSURE, /* it may have started again since it was last heard */
+	VERSION_OTHER	/* it has started again with another one */
+};
+
+/* A server may start again under its id and address. */
+static enum server_version version_at(const struct entry *entry,
+				      const struct router_attempt_view *view)
 {
 	const struct registry_entry *server =
-		registry_find_address(&entry->registry, address);
+		registry_find_address(&entry->registry, view->address);
+
+	if (!server)
+		return VERSION_MEANT;
+	if (server->version != view->version)
+		return VERSION_OTHER;
+	if (registry_is_confirmed(&entry->registry, server) ||
+	    !registry_versions(&entry->registry, server->service).differ)
+		return VERSION_MEANT;
+	return VERSION_UNSURE;
+}
 
-	return !server || server->version == version;
+static void log_version(struct entry *entry, const struct open_call *call,
+			const struct router_attempt_view *view,
+			const char *event)
+{
+	entry_log(entry, LOG_WARN, "attempt", "event=%s request=%s server=%s",
+		  event, call->name, view->address);
 }
 
 bool entry_attempt_begins(struct entry *entry, uint64_t id, int64_t attempt,
@@ -113,21 +132,25 @@
 {
 	struct open_call *call = entry_open_call(entry, id);
 	struct router_attempt_view view;
+	enum server_version version;
 
 	entry->now_us = now_us;
 	entry->effects = effects;
 	if (!call || call->pass || !call->resumable ||
 	    !router_attempt(entry->router, id, attempt, now_us, &view))
 		return true;
-	if (!is_version(entry, view.address, view.version)) {
-		entry_log(entry, LOG_WARN, "attempt",
-			  "event=other-version request=%s attempt=%lld "
-			  "server=%s",
-			  call->name, (long long)attempt, view.address);
+	version = version_at(entry, &view);
+	if (version == VERSION_OTHER ||
+	    (version == VERSION_UNSURE && (call->begun || call->takes_up))) {
+		log_version(entry, call, &view, "other-version");
 		return false;
 	}
-	if (!call->begun)
+	if (version == VERSION_UNSURE) {
+		log_version(entry, call, &view, "version-unsure");
+		router_fix_version(entry->router, id, ROUTER_VERSION_NONE);
+	} else if (!call->begun) {
 		note_begun(entry, call, view.version);
+	}
 	return true;
 }
 
--- a/libfilberthall/entry/entry_reach.c
+++ b/libfilberthall/entry/entry_reach.c
@@ -158,6 +158,16 @@
 	update(entry, service);
 }
 
+/* It may be starting again, with another version. */
+static void note_unreached(struct entry *entry, const char *address)
+{
+	struct registry_entry *server =
+		registry_find_address(&entry->registry, address);
+
+	if (server)
+		server->unreached_us = entry->now_us;
+}
+
 void entry_report_connection(struct entry *entry, const char *address,
 			     bool stands, int64_t now_us,
 			     struct effects *effects)
@@ -173,6 +183,8 @@
 		return;
 	service = entry_service(entry, backend->service);
 	before = service->reach.state;
+	if (!stands)
+		note_unreached(entry, address);
 	if (stands)
 		changed = reach_connected(&service->reach, now_us);
 	else
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -243,12 +243,34 @@
 	update_fleet(data, registered);
 }
 
+/* While a service has had one version, a server can't have another one. */
+static void update_confirmed(struct entry *entry)
+{
+	struct registry_entry *registered;
+	struct registry_entry *next;
+	bool confirmed;
+
+	map_foreach(registered, next, &entry->registry.by_id, node) {
+		if (!registry_entry_usable(registered))
+			continue;
+		confirmed =
+			registry_is_confirmed(&entry->registry, registered) ||
+			!registry_versions(&entry->registry,
+					   registered->service)
+				 .differ;
+		fleet_set_unconfirmed(&entry->fleet,
+				      registered->registration.address,
+				      !confirmed);
+	}
+}
+
 static void expire_registry(struct entry *entry)
 {
 	if (entry->now_us - entry->registry_expired_us < REGISTRY_EXPIRE_US)
 		return;
 	registry_expire(&entry->registry, entry->now_us, on_server_expired,
 			entry);
+	update_confirmed(entry);
 	entry->registry_expired_us = entry->now_us;
 }
 
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -323,6 +323,15 @@
 	backend->lease_end_us = until_us;
 }
 
+void fleet_set_unconfirmed(struct fleet *fleet, const char *address,
+			   bool unconfirmed)
+{
+	struct backend *backend = fleet_find(fleet, address);
+
+	if (backend)
+		backend->unconfirmed = unconfirmed;
+}
+
 void fleet_set_cold(struct fleet *fleet, const char *address, int64_t until_us,
 		    double per_s)
 {
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -64,6 +64,7 @@
 	/** Of its software, or of its weights if it announces those. */
 	char version[BACKEND_NAME_SIZE];
 	uint64_t version_hash; /**< map_hash_text(); a stream stays at one */
+	bool unconfirmed;      /**< it may have another version by now */
 	char role[BACKEND_NAME_SIZE];
 	char adapters[BACKEND_ADAPTERS_SIZE];
 	bool cheap;
@@ -172,6 +173,10 @@
  */
 void fleet_decay_load(struct fleet *fleet, int64_t step_us, int64_t now_us);
 
+/** Whether the server may have started again with another version. */
+void fleet_set_unconfirmed(struct fleet *fleet, const char *address,
+			   bool unconfirmed);
+
 /** Set until when a server is cold and the bound that holds so long. */
 void fleet_set_cold(struct fleet *fleet, const char *address, int64_t until_us,
 		    double per_s);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -95,9 +95,20 @@
 		REGISTRY_TIMEOUT_INTERVALS * announce_interval_us;
 	if (registry->timeout_us < REGISTRY_TIMEOUT_MIN_US)
 		registry->timeout_us = REGISTRY_TIMEOUT_MIN_US;
+	registry->confirmed_us =
+		REGISTRY_CONFIRM_INTERVALS * announce_interval_us +
+		REGISTRY_CONFIRM_TOLD_US;
 	registry->last_contact_us = INT64_MIN / 2;
 }
 
+bool registry_is_confirmed(const struct registry *registry,
+			   const struct registry_entry *entry)
+{
+	return entry->last_contact_us > entry->unreached_us &&
+	       registry->last_contact_us - entry->last_contact_us <=
+		       registry->confirmed_us;
+}
+
 void registry_clear(struct registry *registry)
 {
 	struct registry_entry *entry;
@@ -229,6 +240,7 @@
 		clear_limit(known);
 		memcpy(known->registration.id, update->id, sizeof(update->id));
 		known->last_contact_us = contact_us;
+		known->unreached_us = INT64_MIN / 2;
 		map_insert(&registry->by_id, &known->node,
 			   map_hash_text(update->id));
 	}
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -61,8 +61,9 @@
 	uint64_t version;
 	int64_t last_contact_us; /**< of any VM with the server, own clock */
 	int64_t last_direct_contact_us; /**< of this VM with the server */
-	int64_t cold_until_us;		/**< end of cold_ms, own clock */
-	bool timed_out; /**< no contact, while others had some */
+	int64_t unreached_us;  /**< when a connection last couldn't be made */
+	int64_t cold_until_us; /**< end of cold_ms, own clock */
+	bool timed_out;	       /**< no contact, while others had some */
 	struct server_limit limit;
 	double limit_told; /**< what the other VMs know of it */
 	int64_t limit_told_us;
@@ -74,6 +75,7 @@
 	struct map by_short_id;	 /**< entries that aren't gone */
 	int64_t last_contact_us; /**< with any server */
 	int64_t timeout_us;	 /**< see REGISTRY_TIMEOUT_MIN_US */
+	int64_t confirmed_us;	 /**< see registry_is_confirmed() */
 	struct list versions;	 /**< that services have or lately had */
 };
 
@@ -102,6 +104,10 @@
  */
 #define REGISTRY_TOMBSTONE_US INT64_C(600000000)
 
+/** Two announcements may be missing, and VMs tell each other once a second. */
+#define REGISTRY_CONFIRM_INTERVALS 2
+#define REGISTRY_CONFIRM_TOLD_US INT64_C(1000000)
+
 /** `announce_interval_us`: of a backend server, 0 if unknown. */
 void registry_init(struct registry *registry, int64_t announce_interval_us);
 void registry_clear(struct registry *registry);
@@ -168,6 +174,14 @@
 struct registry_versions registry_versions(const struct registry *registry,
 					   uint64_t service);
 
+/**
+ * Whether the server was in contact lately, and since this VM couldn't connect
+ * to it, so that it can't have started again with another version unnoticed.
+ * Others' contacts are the measure, as for a time-out.
+ */
+bool registry_is_confirmed(const struct registry *registry,
+			   const struct registry_entry *entry);
+
 /** Number of servers that may get new requests. */
 int registry_count_usable(const struct registry *registry);
 
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -33,7 +33,8 @@
 	int i;
 
 	if (query->version)
-		return query->version == backend->version_hash;
+		return query->version == backend->version_hash &&
+		       !backend->unconfirmed;
 	for (i = 0; i < query->n_kept; i++)
 		if (query->kept[i].version == backend->version_hash &&
 		    backend_in_regions(backend, query->kept[i].regions))
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -177,6 +177,12 @@
 bool router_attempt(const struct router *router, uint64_t id, int64_t attempt,
 		    int64_t now_us, struct router_attempt_view *view);
 
+/** No server has this version. */
+#define ROUTER_VERSION_NONE UINT64_MAX
+
+/** The running request goes on at that version alone. */
+void router_fix_version(struct router *router, uint64_t id, uint64_t version);
+
 void router_sent(struct router *router, const struct event_attempt_sent *sent,
 		 int64_t now_us, struct effects *effects);
 void router_tokens(struct router *router,
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -189,6 +189,14 @@
 	return true;
 }
 
+void router_fix_version(struct router *router, uint64_t id, uint64_t version)
+{
+	struct request *request = request_find(router, id);
+
+	if (request)
+		request->spec.version = version;
+}
+
 void router_sent(struct router *router, const struct event_attempt_sent *sent,
 		 int64_t now_us, struct effects *effects)
 {
@@ -213,7 +221,7 @@
 	attempt->first_us = now_us;
 	if (!request->first_token_us)
 		request->first_token_us = now_us;
-	if (request->spec.stream)
+	if (request->spec.stream && !request->spec.version)
 		request->spec.version = attempt->version;
 	if (pool->first_token_us <= 0)
 		pool->first_token_us = took_us;
@@ -402,7 +410,7 @@
 			    effects);
 		return;
 	}
-	code = request->spec.version && !request_has_server(request, now_us)
+	code = request_version_gone(request, now_us)
 		       ? RESULT_VERSION_GONE
 		       : request_check_retry(router, request, &why, now_us,
 					     effects);
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -273,7 +273,7 @@
 		return RESULT_EXPIRED;
 	if (request_held_ms(router, request, now_us))
 		return RESULT_POISON;
-	if (request->spec.version && !request_has_server(request, now_us))
+	if (request_version_gone(request, now_us))
 		return RESULT_VERSION_GONE;
 	if (router->options.features.early_refusal && !request->n_attempts &&
 	    request->target_us && now_us > request->target_us &&
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -290,24 +290,35 @@
 			    now_us);
 }
 
+/* Whether the server may run the request, if it takes any. */
+static bool has_its_version(const struct request *request,
+			    const struct backend *backend)
+{
+	uint64_t version = request->spec.version;
+
+	return backend_in_regions(backend, request->spec.regions) &&
+	       (!version || version == backend->version_hash);
+}
+
 /** Whether a usable server is in its regions and of the version it needs. */
 bool request_has_server(const struct request *request, int64_t now_us)
 {
 	const struct pool *pool = request->queue->pool;
-	uint64_t version = request->spec.version;
 	int i;
 
-	for (i = 0; i < pool->n_members; i++) {
-		const struct backend *member = pool->members[i];
-
-		if (backend_usable(member, now_us) &&
-		    backend_in_regions(member, request->spec.regions) &&
-		    (!version || version == member->version_hash))
+	for (i = 0; i < pool->n_members; i++)
+		if (backend_usable(pool->members[i], now_us) &&
+		    has_its_version(request, pool->members[i]))
 			return true;
-	}
 	return false;
 }
 
+/** Whether the stream that it takes up can go on at no server any more. */
+bool request_version_gone(const struct request *request, int64_t now_us)
+{
+	return request->spec.version && !request_has_server(request, now_us);
+}
+
 /*
  * A queue that hasn't been empty for twice a request's target is no burst but
  * a standing queue, which only adds delay (compare CoDel).
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -250,6 +250,7 @@
 
 /** The request leaves its queue for good; one of a version may be freed. */
 void request_unset_queue(struct request *request);
+bool request_version_gone(const struct request *request, int64_t now_us);
 bool request_has_server(const struct request *request, int64_t now_us);
 double pool_wait_us(const struct router *router, const struct pool *pool,
 		    const struct request *request);
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -385,16 +385,19 @@
 	return RESULT_OK;
 }
 
-/* Whether the request's regions, and its version, have a usable server. */
+/* Whether servers in its regions, and of its version, may run the request. */
 static enum result find_server(const struct request *request, int64_t now_us)
 {
 	uint64_t regions = request->spec.regions;
-	bool any = !regions || regions == REGION_ANY;
 
-	if ((any && !request->spec.version) ||
+	if (request->spec.version)
+		return request_version_gone(request, now_us)
+			       ? RESULT_VERSION_GONE
+			       : RESULT_OK;
+	if (!regions || regions == REGION_ANY ||
 	    request_has_server(request, now_us))
 		return RESULT_OK;
-	return request->spec.version ? RESULT_VERSION_GONE : RESULT_NO_CAPACITY;
+	return RESULT_NO_CAPACITY;
 }
 
 static enum result request_admit(struct router *router, struct request *request,
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -26,6 +26,7 @@
 	int asked;
 	int served;
 	int64_t slow_us;
+	int64_t slow_news_us;
 	int64_t offset_us; /* of its clock from the group's */
 };
 
@@ -520,6 +521,46 @@
 	}
 }
 
+static void send_news(struct entries *entries, int at,
+		      const struct effect_send *send)
+{
+	const struct entries_vm *vm = &entries->vms[at];
+	struct letter letter = { at,
+				 vm->id,
+				 (int)send->peer - 1,
+				 group_now(entries->group) + vm->slow_news_us,
+				 { 0 } };
+
+	if (vm->slow_news_us) {
+		letter.body = bytes_copy(&send->body);
+		g_array_append_val(entries->news, letter);
+	} else {
+		group_entry_message(entries->group, letter.from, vm->id,
+				    &send->body);
+	}
+}
+
+/* Also those of a process that has ended since. */
+static void deliver_news(struct entries *entries)
+{
+	guint i = 0;
+
+	while (i < entries->news->len) {
+		struct letter letter =
+			g_array_index(entries->news, struct letter, i);
+
+		if (letter.at_us > group_now(entries->group)) {
+			i++;
+			continue;
+		}
+		g_array_remove_index(entries->news, i);
+		if (entries->vms[letter.vm].linked[letter.from])
+			group_entry_message(entries->group, letter.from,
+					    letter.entry, &letter.body);
+		bytes_clear(&letter.body);
+	}
+}
+
 static void carry_out(struct entries *entries, int at, struct effects *effects)
 {
 	const struct entries_vm *vm = &entries->vms[at];
@@ -539,9 +580,7 @@
 			take_answer(entries, at, &effect->u.answer);
 		else if (effect->kind == EFFECT_SEND &&
 			 vm->linked[effect->u.send.peer - 1])
-			group_entry_message(entries->group,
-					    (int)effect->u.send.peer - 1,
-					    vm->id, &effect->u.send.body);
+			send_news(entries, at, &effect->u.send);
 		effect_free(effect);
 	}
 }
@@ -597,7 +636,8 @@
 							    : SLOTS };
 	int control = at % CONTROL_VMS;
 
-	if (now_us < server->up_us || now_us - server->announced_us < SECOND)
+	if (now_us < server->up_us + server->late_us ||
+	    now_us - server->announced_us < SECOND)
 		return;
 	while (!group_start_number(entries->group, control))
 		control = (control + 1) % CONTROL_VMS;
@@ -670,7 +710,7 @@
 		.id = id,
 		.name = stream->name,
 		.path = STREAMS_PATH,
-		.body_hash = "harmless",
+		.body_hash = stream->body,
 		.passed_on = true,
 		.resumes = stream->events ? stream->first : NULL,
 		.last_event = stream->events ? last : NULL,
@@ -759,6 +799,7 @@
 	while (group_now(entries->group) < until_us) {
 		group_run(entries->group, GROUP_STEP_US);
 		deliver_all(entries);
+		deliver_news(entries);
 		end_runs(entries);
 		carry_passes(entries);
 		for (i = 0; i < entries->n_servers; i++)
@@ -788,6 +829,7 @@
 	entries->vms = xcalloc((size_t)n_vms, sizeof(*entries->vms));
 	entries->runs = g_array_new(false, false, sizeof(struct run));
 	entries->posts = g_array_new(false, false, sizeof(struct letter));
+	entries->news = g_array_new(false, false, sizeof(struct letter));
 	entries->passes = g_array_new(false, false, sizeof(struct pass));
 	entries->streams = g_ptr_array_new_with_free_func(free);
 	group_set_sink(entries->group, take_letter, entries);
@@ -828,6 +870,10 @@
 	for (i = 0; i < entries->posts->len; i++)
 		bytes_clear(
 			&g_array_index(entries->posts, struct letter, i).body);
+	for (i = 0; i < entries->news->len; i++)
+		bytes_clear(
+			&g_array_index(entries->news, struct letter, i).body);
+	g_array_free(entries->news, true);
 	g_array_free(entries->posts, true);
 	g_array_free(entries->passes, true);
 	g_ptr_array_free(entries->streams, true);
@@ -904,6 +950,11 @@
 	entries->vms[vm].slow_us = us;
 }
 
+void entries_slow_news(struct entries *entries, int vm, int64_t us)
+{
+	entries->vms[vm].slow_news_us = us;
+}
+
 void entries_set_path(struct entries *entries, int vm, enum entries_path path)
 {
 	entries->vms[vm].path = path;
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -47,6 +47,7 @@
 	int64_t sequence;
 	int64_t announced_us;
 	int64_t up_us;	 /**< it is down before then */
+	int64_t late_us; /**< its announcements come so much later */
 	int64_t work_us; /**< how long it takes to run a request */
 	int crashes;	 /**< so far */
 	bool rejects;	 /**< it answers that it runs nothing */
@@ -68,6 +69,7 @@
 	struct entries_vm *vms; /**< n_vms of them */
 	GArray *runs;		/**< requests at servers */
 	GArray *posts;		/**< messages on their way to entry VMs */
+	GArray *news;		/**< and to control VMs, where these are slow */
 	GArray *passes;		/**< requests from VM to VM */
 	GPtrArray *streams;	/**< struct entries_stream */
 	const char *path;	/**< of requests from now on */
@@ -115,6 +117,9 @@
 /** What control VMs send the VM takes so much longer. */
 void entries_slow(struct entries *entries, int vm, int64_t us);
 
+/** What the VM sends control VMs takes so much longer. */
+void entries_slow_news(struct entries *entries, int vm, int64_t us);
+
 /** Cut a VM off from all servers, or join it again. */
 void entries_set_path(struct entries *entries, int vm, enum entries_path path);
 
--- a/tests/control/streams.c
+++ b/tests/control/streams.c
@@ -30,7 +30,7 @@
 	struct entry_request request = {
 		.name = stream->name,
 		.path = STREAMS_PATH,
-		.body_hash = "harmless",
+		.body_hash = stream->body,
 		.resumes = resumes,
 		.last_event = stream->events ? last : NULL,
 	};
@@ -54,6 +54,7 @@
 	struct entries_stream *stream = xcalloc(1, sizeof(*stream));
 
 	stream->number = (int)entries->streams->len;
+	snprintf(stream->body, sizeof(stream->body), "body-%d", stream->number);
 	g_ptr_array_add(entries->streams, stream);
 	send_request(entries, stream, vm, NULL);
 	return stream;
@@ -69,12 +70,19 @@
 	}
 }
 
-void streams_take_up_as(struct entries *entries, struct entries_stream *stream,
-			int vm, const char *resumes)
+void streams_leave(struct entries *entries, struct entries_stream *stream)
 {
 	if (stream->state == STREAMS_OPEN &&
 	    stream->entry == entries_process(entries, stream->vm))
 		entries_leave(entries, stream->vm, stream->id);
+}
+
+void streams_take_up_as(struct entries *entries, struct entries_stream *stream,
+			int vm, const char *resumes)
+{
+	if (stream->events == STREAMS_EVENTS)
+		return;
+	streams_leave(entries, stream);
 	send_request(entries, stream, vm, resumes);
 }
 
@@ -95,6 +103,16 @@
 	return n;
 }
 
+int streams_taken_up(const struct entries *entries)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < entries->streams->len; i++)
+		n += streams_nth(entries, i)->events_before > 0;
+	return n;
+}
+
 int streams_gone_on(const struct entries *entries)
 {
 	int n = 0;
@@ -103,7 +121,8 @@
 	for (i = 0; i < entries->streams->len; i++) {
 		const struct entries_stream *stream = streams_nth(entries, i);
 
-		n += stream->events > stream->events_before;
+		n += stream->events_before > 0 &&
+		     stream->events > stream->events_before;
 	}
 	return n;
 }
--- a/tests/control/streams.h
+++ b/tests/control/streams.h
@@ -26,6 +26,7 @@
 struct entries_stream {
 	char first[24]; /**< request that brought the first event, or empty */
 	char name[24];	/**< the present request */
+	char body[16];	/**< hash of its body */
 	int number;
 	int tries;
 	int vm;
@@ -48,7 +49,10 @@
 /** Callers begin `n` streams, one each `gap_us`, at VMs in turn. */
 void streams_begin_many(struct entries *entries, int n, int64_t gap_us);
 
-/** The caller leaves, if its request is under way, and comes back to a VM. */
+/** The caller leaves, if its request is under way. */
+void streams_leave(struct entries *entries, struct entries_stream *stream);
+
+/** It leaves and comes back to a VM; nothing if it has the whole stream. */
 void streams_take_up(struct entries *entries, struct entries_stream *stream,
 		     int vm);
 
@@ -61,7 +65,10 @@
 /** Streams with events of two versions. */
 int streams_joined(const struct entries *entries);
 
-/** Streams whose present request brought an event. */
+/** Streams that are taken up by their present request. */
+int streams_taken_up(const struct entries *entries);
+
+/** Of these, those for which it brought an event. */
 int streams_gone_on(const struct entries *entries);
 int streams_in_state(const struct entries *entries, enum streams_state state);
 
