load, entry: the last servers of a version that leave take up streams for a second

As the last servers of a version left, streams that were taken up were refused at once (23 of 46 in /order/last-ones-leave went on), though these servers serve on for seconds after their leave was acknowledged. For the first of these, counted from when a control VM heard of it, they get streams that no other server can go on with, and nothing else; a request may still reach them well inside the time in which the platform allows that.

--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -20,6 +20,13 @@
 /* Interval of fleet_expire(), which removes servers that left long ago. */
 #define FLEET_EXPIRE_US INT64_C(1000000)
 
+/*
+ * A server that leaves serves on for seconds after it was acknowledged. Streams
+ * that no other server of its version can go on with are sent to it for a part
+ * of them.
+ */
+#define LINGER_US INT64_C(1000000)
+
 /* The service of a server, or NULL if the document names none. */
 static const struct service *service_of(const struct entry *entry,
 					const struct registration *told)
@@ -91,6 +98,11 @@
 	} else if (!holder || holder == registered) {
 		fleet_retire(&entry->fleet, told->address,
 			     entry->now_us + REGISTRY_TOMBSTONE_US);
+		fleet_let_linger(&entry->fleet, told->address,
+				 told->leaving && !told->gone
+					 ? registered->last_contact_us +
+						   LINGER_US
+					 : 0);
 	}
 	entry_log(entry, LOG_INFO, "server",
 		  "event=%s server=%s address=%s service=%s zone=%s version=%s "
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -225,6 +225,7 @@
 		backend->drained = false;
 		backend->leaving = false;
 		backend->limited = false;
+		backend->lingers_us = 0;
 	}
 	if (backend_changes_service(backend, announce)) {
 		fleet->version++;
@@ -323,6 +324,15 @@
 	backend->lease_end_us = until_us;
 }
 
+void fleet_let_linger(struct fleet *fleet, const char *address,
+		      int64_t until_us)
+{
+	struct backend *backend = fleet_find(fleet, address);
+
+	if (backend)
+		backend->lingers_us = until_us;
+}
+
 void fleet_set_unconfirmed(struct fleet *fleet, const char *address,
 			   bool unconfirmed)
 {
@@ -359,6 +369,11 @@
 	       now_us < backend->lease_end_us;
 }
 
+bool backend_lingers(const struct backend *backend, int64_t now_us)
+{
+	return now_us < backend->lingers_us && !backend->evacuated;
+}
+
 bool backend_in_regions(const struct backend *backend, uint64_t regions)
 {
 	return !regions || regions == REGION_ANY ||
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -65,6 +65,7 @@
 	char version[BACKEND_NAME_SIZE];
 	uint64_t version_hash; /**< map_hash_text(); a stream stays at one */
 	bool unconfirmed;      /**< it may have another version by now */
+	int64_t lingers_us;    /**< leaves, but takes streams up until then */
 	char role[BACKEND_NAME_SIZE];
 	char adapters[BACKEND_ADAPTERS_SIZE];
 	bool cheap;
@@ -155,6 +156,12 @@
  */
 bool backend_usable(const struct backend *backend, int64_t now_us);
 
+/**
+ * Whether a server that leaves may still get a stream that can go on at its
+ * version alone.
+ */
+bool backend_lingers(const struct backend *backend, int64_t now_us);
+
 /** Whether the server is in one of the regions; 0 stands for all. */
 bool backend_in_regions(const struct backend *backend, uint64_t regions);
 
@@ -173,6 +180,10 @@
  */
 void fleet_decay_load(struct fleet *fleet, int64_t step_us, int64_t now_us);
 
+/** A retired server takes streams up until then. */
+void fleet_let_linger(struct fleet *fleet, const char *address,
+		      int64_t until_us);
+
 /** Whether the server may have started again with another version. */
 void fleet_set_unconfirmed(struct fleet *fleet, const char *address,
 			   bool unconfirmed);
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -45,7 +45,9 @@
 bool pick_fits(const struct backend *backend, const struct pick_query *query,
 	       const struct pick_options *options, int64_t now_us)
 {
-	if (!backend_usable(backend, now_us) || !role_serves(backend))
+	if (!(query->leaving ? backend_lingers(backend, now_us)
+			     : backend_usable(backend, now_us)) ||
+	    !role_serves(backend))
 		return false;
 	if (backend->cheap != query->cheap ||
 	    !backend_in_regions(backend, query->regions) ||
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -76,6 +76,7 @@
 	bool cold;	  /**< among the cold servers; else the warm ones */
 	uint64_t regions; /**< of servers that may run it; 0: all */
 	uint64_t version; /**< that began the stream; 0: any may run it */
+	bool leaving;	  /**< among the servers that linger */
 	struct pick_kept kept[PICK_KEPT_MOST];
 	int n_kept;
 	struct warmup_vm vm; /**< for those */
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -241,6 +241,8 @@
 	}
 	if (backend || !pool_has_share(router, pool, request, by_floor))
 		return backend;
+	query.leaving =
+		request->spec.version && !request_has_server(request, now_us);
 	query.cheap = false;
 	query.share_begin = 0;
 	query.share_end = 0;
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -313,10 +313,23 @@
 	return false;
 }
 
+static bool has_lingering_server(const struct request *request, int64_t now_us)
+{
+	const struct pool *pool = request->queue->pool;
+	int i;
+
+	for (i = 0; i < pool->n_members; i++)
+		if (backend_lingers(pool->members[i], now_us) &&
+		    has_its_version(request, pool->members[i]))
+			return true;
+	return false;
+}
+
 /** Whether the stream that it takes up can go on at no server any more. */
 bool request_version_gone(const struct request *request, int64_t now_us)
 {
-	return request->spec.version && !request_has_server(request, now_us);
+	return request->spec.version && !request_has_server(request, now_us) &&
+	       !has_lingering_server(request, now_us);
 }
 
 /*
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -632,6 +632,7 @@
 	struct registration told = { .service = "desk",
 				     .zone = "z1",
 				     .started_ms = server->started_ms,
+				     .leaving = server->leaves,
 				     .slots = server->slots ? server->slots
 							    : SLOTS };
 	int control = at % CONTROL_VMS;
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -48,6 +48,7 @@
 	int64_t announced_us;
 	int64_t up_us;	 /**< it is down before then */
 	int64_t late_us; /**< its announcements come so much later */
+	bool leaves;	 /**< it says so, and serves on */
 	int64_t work_us; /**< how long it takes to run a request */
 	int crashes;	 /**< so far */
 	bool rejects;	 /**< it answers that it runs nothing */
--- a/tests/control/t-order.c
+++ b/tests/control/t-order.c
@@ -465,6 +465,22 @@
 	check_taken_up(entries);
 }
 
+/* The last servers of a version leave; streams are taken up meanwhile. */
+static void test_last_ones_leave(void)
+{
+	struct entries *entries = start(two);
+	int at;
+
+	begin_at_first(entries);
+	for (at = 0; at < SERVERS; at += 2)
+		entries->servers[at].leaves = true;
+	entries_run(entries, SECOND / 2);
+	take_up_at_last(entries);
+	g_assert_cmpint(streams_gone_on(entries), ==,
+			streams_taken_up(entries));
+	check_taken_up(entries);
+}
+
 /* The old version is gone: those taken up hear so at once, as not run. */
 static void test_version_gone(void)
 {
@@ -565,6 +581,7 @@
 			test_second_version_comes);
 	g_test_add_func("/order/server-starts-unheard",
 			test_server_starts_unheard);
+	g_test_add_func("/order/last-ones-leave", test_last_ones_leave);
 	g_test_add_func("/order/killed-at-first-event",
 			test_killed_at_first_event);
 	g_test_add_func("/order/server-starts-again", test_server_starts_again);
