entry: a VM that stops also asks where streams were begun

With it the tests of one VM's decisions: the service of a split route, another organisation's names, headers that can't be read, callers that leave meanwhile, many unknown names; and of what the platform's headers and registrations say.

--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -96,8 +96,7 @@
 		own += lookup->owner == owner;
 		n++;
 	}
-	return n < LOOKUPS_MOST && own < LOOKUPS_MOST_OWN &&
-	       !entry->stop_requested_us;
+	return n < LOOKUPS_MOST && own < LOOKUPS_MOST_OWN;
 }
 
 static void refuse_unknown(struct entry *entry,
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -71,6 +71,18 @@
 	route->goal_ms = 300;
 	route->attempts = 2;
 	route_add_split(route, "desk", 1);
+	document_add_service(document)->name = xstrdup("annex");
+	route = document_add_route(document);
+	route->name = xstrdup("flow");
+	route->host = xstrdup("a.example");
+	route->prefix = xstrdup("/flow/");
+	route->kind = ROUTE_STREAM;
+	route->resumable = true;
+	route->timeout_ms = 4000;
+	route->goal_ms = 300;
+	route->attempts = 2;
+	route_add_split(route, "desk", 1);
+	route_add_split(route, "annex", 1);
 	add_region_route(document, "north");
 	add_region_route(document, "south");
 	for (i = 0; i < ROUTES; i++) {
@@ -127,6 +139,10 @@
 			bed->fetched |= message.kind == FEED_FETCH;
 			if (message.kind == FEED_FETCH)
 				bed->fetch_compressed = message.u.fetch.packed;
+			if (message.kind == FEED_AFFINITY_ASK)
+				bed->asked = message.u.affinity_ask.key;
+			bed->asks += message.kind == FEED_AFFINITY_ASK;
+			bed->told += (int)message.n_affinities;
 			bed->usage_reports += message.kind == FEED_BEGUN;
 			if (message.kind == FEED_BEGUN)
 				bed->reported_requests =
@@ -227,7 +243,8 @@
 
 	g_strlcpy(told.id, address, sizeof(told.id));
 	g_strlcpy(told.address, address, sizeof(told.address));
-	g_strlcpy(told.service, "desk", sizeof(told.service));
+	if (!told.service[0])
+		g_strlcpy(told.service, "desk", sizeof(told.service));
 	if (!told.started_ms)
 		told.started_ms = BORN_MS;
 	feed_write_registration(&body, &told, 0);
@@ -377,6 +394,37 @@
 	effects_clear(&bed->effects);
 }
 
+uint64_t bed_submit(struct bed *bed, struct entry_request request)
+{
+	request.id = ++bed->next_id;
+	request.host = "a.example";
+	request.body_hash = "x";
+	entry_submit(bed->entry, &request, bed->now_us, &bed->effects);
+	process_effects(bed);
+	return request.id;
+}
+
+void bed_begin_event(struct bed *bed, uint64_t id)
+{
+	struct event_attempt_tokens tokens = {
+		.id = id, .attempt = 1, .tokens = 1, .first = true
+	};
+
+	g_assert_true(entry_attempt_begins(bed->entry, id, 1, bed->now_us,
+					   &bed->effects));
+	entry_attempt_tokens(bed->entry, &tokens, bed->now_us, &bed->effects);
+	process_effects(bed);
+}
+
+void bed_deliver_unknown(struct bed *bed, bool versions_differ)
+{
+	struct feed_affinity_none none = { bed->asked, versions_differ };
+	struct bytes body = { 0 };
+
+	feed_write_affinity_none(&body, &none);
+	deliver(bed, &body);
+}
+
 uint64_t bed_ask(struct bed *bed, const char *path, const char *key)
 {
 	struct entry_request request = {
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -3,6 +3,7 @@
 
 #include "entry/entry.h"
 #include "fleet/registry.h"
+#include "load/affinity.h"
 
 #define SECOND INT64_C(1000000)
 #define ROUTES 150 /* each with its own latency target */
@@ -33,6 +34,9 @@
 	char started_at[BACKEND_NAME_SIZE]; /* server of that request */
 	int at_steady;			    /* attempts at STEADY */
 	int64_t entry_vms; /* number of entry VMs that the control VM reports */
+	int asks;	   /* about streams that requests take up */
+	struct affinity_key asked;
+	int told; /* streams that the control VMs were told of */
 };
 
 /** Delivers a control VM's answer to a poll: age and version. */
@@ -70,6 +74,12 @@
 void bed_end(struct bed *bed);
 /** Submits a request and returns its id. `key` may be NULL. */
 uint64_t bed_ask(struct bed *bed, const char *path, const char *key);
+/** The same with all that the request says; id and host are the bed's. */
+uint64_t bed_submit(struct bed *bed, struct entry_request request);
+/** The first event of a request's first attempt has come. */
+void bed_begin_event(struct bed *bed, uint64_t id);
+/** Delivers that the control VM doesn't know a stream. */
+void bed_deliver_unknown(struct bed *bed, bool versions_differ);
 /** Ends the first attempt of a request. */
 void bed_end_attempt(struct bed *bed, uint64_t id, enum result code,
 		     int64_t status, bool sent);
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -85,6 +85,7 @@
 static void test_pass_request(void)
 {
 	struct dialect_forward forward = { .resume_after = "7",
+					   .resumes = "9c41",
 					   .wait_ms = 900 };
 	struct dialect_request request = { 0 };
 	struct bytes passed = { 0 };
@@ -104,7 +105,8 @@
 	g_assert_true(request.passed_on);
 	g_assert_cmpstr(request.key, ==, "secret");
 	g_assert_cmpint(request.deadline_ms, ==, 900);
-	g_assert_cmpstr(http_head_get(head, "Last-Event-Id"), ==, "7");
+	g_assert_cmpstr(request.last_event, ==, "7");
+	g_assert_cmpstr(request.resumes, ==, "9c41");
 	g_assert_null(strstr(bytes_text(&passed), "X-Hop"));
 	forward.organisation = "hule";
 	forward.resume_after = NULL;
@@ -118,6 +120,40 @@
 	http_parse_clear(&parse);
 }
 
+static bool is_unreadable(const char *lines)
+{
+	g_autofree char *text =
+		g_strdup_printf("POST /a HTTP/1.1\r\nHost: a\r\n%s\r\n", lines);
+	struct dialect_request request = { 0 };
+	struct http_parse parse;
+
+	platform_read_request(head_of(&parse, HTTP_REQUEST, text), &request);
+	http_parse_clear(&parse);
+	return request.unreadable;
+}
+
+/* A stream is taken up by a header that is read in two ways. */
+static void test_read_resumes(void)
+{
+	struct dialect_request request = { 0 };
+	struct http_parse parse;
+
+	platform_read_request(head_of(&parse, HTTP_REQUEST,
+				      "POST /a HTTP/1.1\r\nHost: a\r\n"
+				      "Last-Event-Id: 7\r\n"
+				      "resumes: 9c41\r\n\r\n"),
+			      &request);
+	g_assert_cmpstr(request.last_event, ==, "7");
+	g_assert_cmpstr(request.resumes, ==, "9c41");
+	g_assert_false(request.unreadable);
+	http_parse_clear(&parse);
+	g_assert_false(is_unreadable(""));
+	g_assert_true(is_unreadable("Resumes: a\r\nResumes: b\r\n"));
+	g_assert_true(is_unreadable("Resumes: a b\r\n"));
+	g_assert_true(
+		is_unreadable("Last-Event-Id: 1\r\nLast-Event-Id: 2\r\n"));
+}
+
 static void test_read_answer(void)
 {
 	struct dialect_answer answer;
@@ -307,7 +343,7 @@
 	g_assert_cmpint(
 		take("{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 		     "\"zone\":\"a\",\"slots\":64,\"state\":\"draining\","
-		     "\"sequence\":4,\"born\":17,\"spot_enabled\":true,"
+		     "\"version\":\"v1.2\",\"sequence\":4,\"born\":17,\"spot_enabled\":true,"
 		     "\"leaves_ms\":2300.5,\"cold_remaining_ms\":1200}",
 		     &told),
 		==, RESULT_OK);
@@ -317,6 +353,34 @@
 	g_assert_cmpint(told.started_ms, ==, 17);
 	g_assert_cmpint(told.leaves_ms, ==, 2300);
 	g_assert_cmpint(told.cold_ms, ==, 1200);
+	g_assert_cmpstr(told.version, ==, "v1.2");
+}
+
+static void take_version(const char *version, struct registration *told)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+		"\"zone\":\"a\",\"state\":\"ready\",\"version\":\"%s\","
+		"\"sequence\":4}",
+		version);
+
+	g_assert_cmpint(take(text, told), ==, RESULT_OK);
+}
+
+/* Two long versions that differ at their ends pass for the same. */
+static void test_long_versions(void)
+{
+	g_autofree char *one = g_strnfill(200, 'v');
+	g_autofree char *other = g_strnfill(200, 'v');
+	struct registration a;
+	struct registration b;
+
+	other[199] = 'w';
+	take_version(one, &a);
+	take_version(other, &b);
+	g_assert_cmpstr(a.version, !=, b.version);
+	take_version(one, &b);
+	g_assert_cmpstr(a.version, ==, b.version);
 }
 
 /* Others write there as well; what isn't whole names no server to use. */
@@ -353,6 +417,8 @@
 		"{\"service\":\"s\"}",
 		"{\"service\":7,\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
 		"\"state\":\"ready\",\"sequence\":4}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
+		"\"state\":\"ready\",\"version\":7,\"sequence\":4}",
 		"{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"a\","
 		"\"state\":\"ready\",\"sequence\":4}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
@@ -478,6 +544,8 @@
 	g_test_add_func("/platform/read-request", test_read_request);
 	g_test_add_func("/platform/write-request", test_write_request);
 	g_test_add_func("/platform/pass-request", test_pass_request);
+	g_test_add_func("/platform/read-resumes", test_read_resumes);
+	g_test_add_func("/platform/long-versions", test_long_versions);
 	g_test_add_func("/platform/read-answer", test_read_answer);
 	g_test_add_func("/platform/refusals", test_refusals);
 	g_test_add_func("/platform/document", test_document);
