--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -16,6 +16,7 @@
 	int64_t arrived_us; /**< first at a server */
 	int runs;
 	bool refused; /**< its answer promised that it didn't run */
+	int first;    /**< request that began its stream, maybe itself */
 };
 
 /** A document that the operator sent. */
@@ -30,9 +31,14 @@
 /** A new request; its number. */
 int ledger_ask(struct ledger *ledger, enum ask_kind kind, int entry,
 	       int64_t key);
+/** A request that takes up the stream that `first` began; its number. */
+int ledger_take_up(struct ledger *ledger, int first, int entry);
 struct ask *ledger_get(struct ledger *ledger, int number);
 int ledger_count(const struct ledger *ledger);
 
+/** The request that began its stream, maybe itself. */
+int ledger_first(const struct ledger *ledger, int number);
+
 /** The request's id as callers send it; `text` holds 24 bytes. */
 void ledger_id(int number, char *text);
 /** The number of an id, -1 if nobody sent it. */
--- a/tests/soak/server.h
+++ b/tests/soak/server.h
@@ -35,4 +35,8 @@
 
 struct proxy *server_proxy(struct server *server);
 
+/** Servers of streams of that version that serve and have since then. */
+int servers_steady(const struct soak *soak, const char *version,
+		   int64_t since_us);
+
 #endif
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -56,6 +56,7 @@
 	struct ev_loop *ev;
 	struct stream_loop loop;
 	struct rng rng;
+	struct rng stream_rng; /**< of versions and streams that are taken up */
 	uint64_t seed;
 	const char *folder;  /**< of this run's files */
 	const char *program; /**< filberthalld */
