entry: one control VM that stands still doesn't keep a stream from going on

It was refused after 250 ms if any control VM to which there is a link didn't answer (/order/control-vm-frozen: 0 of 46 went on). A majority of them is enough by then.

--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -242,26 +242,22 @@
 		lookup->peers[lookup->n_peers++] = peer;
 }
 
-static bool all_have_answered(const struct entry *entry,
-			      const struct lookup *lookup)
-{
-	return (size_t)lookup->n_peers >= entry->peers.count;
-}
-
 /*
- * No control VM knows the stream. It may go on where all agree that there has
- * been one version only, since any server may have begun it then.
+ * No control VM knows the stream. It may go on if `n` of them agree that there
+ * has been one version only, since any server may have begun it then.
  */
-static void handle_unknown(struct entry *entry, struct lookup *lookup)
+static bool resolve_unknown(struct entry *entry, struct lookup *lookup,
+			    size_t n)
 {
 	const struct route *route = route_of(entry, &lookup->request);
 	struct affinity affinity;
 
-	if (lookup->versions_differ || !all_have_answered(entry, lookup) ||
+	if (lookup->versions_differ || (size_t)lookup->n_peers < n ||
 	    !entry_can_decide(entry) || !route ||
 	    !only_affinity(entry, route, &affinity))
-		return;
+		return false;
 	resolve(entry, lookup, &affinity);
+	return true;
 }
 
 void entry_handle_affinity_none(struct entry *entry, uint64_t peer,
@@ -274,7 +270,7 @@
 		if (memcmp(&lookup->key, &none->key, sizeof(none->key)) != 0)
 			continue;
 		note_answer(lookup, peer, none);
-		handle_unknown(entry, lookup);
+		resolve_unknown(entry, lookup, entry->peers.count);
 	}
 }
 
@@ -293,11 +289,14 @@
 
 void entry_lookups_tick(struct entry *entry)
 {
+	size_t majority = entry->peers.count / 2 + 1;
 	struct lookup *lookup;
 	struct lookup *next;
 
 	list_foreach_safe(lookup, next, &entry->lookups, node) {
 		if (entry->now_us >= lookup->expires_us) {
+			if (resolve_unknown(entry, lookup, majority))
+				continue;
 			refuse_unknown(entry, &lookup->request);
 			lookup_free(lookup);
 		} else if (entry->now_us - lookup->asked_us >= ASK_AGAIN_US) {
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -149,7 +149,7 @@
 void group_entry_link(struct group *group, int vm, uint64_t entry,
 		      const char *name, bool up);
 
-/** A message of an entry VM to a VM, on LINK_FEED. */
+/** A message of an entry VM to a VM, on LINK_FEED; lost if it stands still. */
 void group_entry_message(struct group *group, int vm, uint64_t entry,
 			 const struct bytes *body);
 
--- a/tests/control/group_entry.c
+++ b/tests/control/group_entry.c
@@ -169,7 +169,7 @@
 	struct control *control = group->vms[at].control;
 	struct effects effects;
 
-	if (!control)
+	if (!control || group->vms[at].frozen)
 		return;
 	effects_init(&effects);
 	control_link_message(control, &message, group->now_us, &effects);
--- a/tests/control/t-order.c
+++ b/tests/control/t-order.c
@@ -410,6 +410,22 @@
 	check_taken_up(entries);
 }
 
+/* A control VM stands still; with one version it isn't waited for in vain. */
+static void test_control_vm_frozen(void)
+{
+	struct entries *entries = start(one);
+	guint i;
+
+	begin_at_first(entries);
+	group_freeze(entries->group, 4, true);
+	for (i = 0; i < entries->streams->len; i++)
+		streams_take_up_as(entries, streams_nth(entries, i), 1, NULL);
+	entries_run(entries, 2 * SECOND);
+	g_assert_cmpint(streams_gone_on(entries), ==,
+			streams_taken_up(entries));
+	check_taken_up(entries);
+}
+
 /* The second version comes as streams of the first are taken up. */
 static void test_second_version_comes(void)
 {
@@ -577,6 +593,7 @@
 	g_test_add_func("/order/unknown", test_unknown);
 	g_test_add_func("/order/all-power-lost", test_all_power_lost);
 	g_test_add_func("/order/one-version-unknown", test_one_version_unknown);
+	g_test_add_func("/order/control-vm-frozen", test_control_vm_frozen);
 	g_test_add_func("/order/second-version-comes",
 			test_second_version_comes);
 	g_test_add_func("/order/server-starts-unheard",
