--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -229,6 +229,9 @@
 			const struct event_attempt_ended *ended);
 void entry_resolve_presumed(struct entry *entry);
 
+/* entry_progress.c */
+void entry_request_finished(void *data, const struct router_outcome *outcome);
+
 /* entry_request.c */
 /** The request with that id, or NULL if it isn't open. */
 struct open_call *entry_open_call(const struct entry *entry, uint64_t id);
@@ -236,7 +239,6 @@
 /** Count how a request ended, and forget it. */
 void entry_end_call(struct entry *entry, struct open_call *call,
 		    enum result code, enum run_state run);
-void entry_request_finished(void *data, const struct router_outcome *outcome);
 void entry_resume_deferred(struct entry *entry);
 bool entry_drop_deferred(struct entry *entry, uint64_t id);
 void entry_free_deferred(struct entry *entry);
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -244,14 +244,6 @@
 void pool_free(struct router *router, struct pool *pool);
 bool request_in_standing_queue(const struct request *request, int64_t now_us);
 
-/** The queue of the request's class and of the servers that may run it. */
-void request_set_queue(struct router *router, struct request *request,
-		       struct pool *pool, bool reclaimable);
-
-/** The request leaves its queue for good; one of a version may be freed. */
-void request_unset_queue(struct request *request);
-bool request_version_gone(const struct request *request, int64_t now_us);
-bool request_has_server(const struct request *request, int64_t now_us);
 double pool_wait_us(const struct router *router, const struct pool *pool,
 		    const struct request *request);
 double pool_own_slots(const struct router *router, const struct pool *pool);
@@ -265,6 +257,22 @@
 		      int64_t now_us);
 double pool_class_us(const struct pool *pool, int class_id, int64_t now_us);
 
+/* router_queue.c */
+void queue_free(struct queue *queue);
+
+/** The queue of the request's class and of the servers that may run it. */
+void request_set_queue(struct router *router, struct request *request,
+		       struct pool *pool, bool reclaimable);
+
+/** The request leaves its queue for good; one of a version may be freed. */
+void request_unset_queue(struct request *request);
+
+/** Whether a usable server is in its regions and of the version it needs. */
+bool request_has_server(const struct request *request, int64_t now_us);
+
+/** Whether the stream that it takes up can go on at no server any more. */
+bool request_version_gone(const struct request *request, int64_t now_us);
+
 /* router_submit.c */
 struct organisation *organisation_get(struct router *router, const char *name,
 				      int64_t now_us);
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -6,74 +6,16 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "entries_state.h"
 #include "streams.h"
 
 #define SECOND INT64_C(1000000)
-#define CONTROL_VMS 5
 #define WORK_US INT64_C(60000)
 #define REJECT_US INT64_C(5000)
 #define CONNECT_US INT64_C(500000)
 #define SLOTS 16
 #define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
 
-struct entries_vm {
-	struct entry *entry;
-	char name[32];
-	uint64_t id;
-	uint64_t linked[CONTROL_VMS]; /* start number of the VM, 0: none */
-	bool cut[CONTROL_VMS];
-	enum entries_path path; /* to all servers */
-	int asked;
-	int served;
-	int64_t slow_us;
-	int64_t slow_news_us;
-	int64_t offset_us; /* of its clock from the group's */
-};
-
-/* A request at a server. */
-struct run {
-	int vm;
-	uint64_t entry; /* id of the VM's process */
-	int server;
-	uint64_t id;
-	int64_t attempt;
-	int64_t ends_us;
-	enum result code;
-	bool crashes;
-	bool connects;		       /* the connection is to be told of */
-	bool probes;		       /* and is all that there is */
-	struct entries_stream *stream; /* or NULL */
-	int next;		       /* event of it */
-	int sent;		       /* events of this run */
-	char version[16];	       /* that runs it */
-	bool cancelled;
-};
-
-/* A request that one VM passes on to another one. */
-struct pass {
-	int from;
-	uint64_t from_entry; /* ids of the VMs' processes */
-	uint64_t id;
-	int64_t attempt;
-	int to;
-	uint64_t to_entry;
-	uint64_t to_id; /* 0: on its way */
-	bool ended;
-	enum result code;
-	bool sent;
-};
-
-/* A message from a control VM. */
-struct letter {
-	int vm;
-	uint64_t entry;
-	int from;
-	int64_t at_us;
-	struct bytes body;
-};
-
-static void carry_out(struct entries *entries, int vm, struct effects *effects);
-
 static struct route *add_route(struct document *document, const char *name,
 			       const char *prefix, int attempts)
 {
@@ -108,7 +50,7 @@
 	return document;
 }
 
-static int64_t vm_now(const struct entries *entries, int at)
+int64_t entries_vm_now(const struct entries *entries, int at)
 {
 	return group_now(entries->group) + entries->vms[at].offset_us;
 }
@@ -134,62 +76,11 @@
 	vm->id = ++entries->next_entry;
 	options.self = vm->id;
 	memset(vm->linked, 0, sizeof(vm->linked));
-	vm->entry = entry_new(&options, vm_now(entries, at));
+	vm->entry = entry_new(&options, entries_vm_now(entries, at));
 	g_snprintf(callers, sizeof(callers), "10.9.0.%d:80", at + 1);
 	entry_set_callers(vm->entry, callers);
 }
 
-static void take_letter(void *data, int from, const struct effect_send *send)
-{
-	struct entries *entries = data;
-	int i;
-
-	for (i = 0; i < entries->n_vms; i++) {
-		const struct entries_vm *vm = &entries->vms[i];
-		struct letter letter = { i, vm->id, from, 0, { 0 } };
-
-		if (vm->id != send->peer || !vm->linked[from])
-			continue;
-		letter.at_us =
-			group_now(entries->group) + GROUP_STEP_US + vm->slow_us;
-		letter.body = bytes_copy(&send->body);
-		g_array_append_val(entries->posts, letter);
-	}
-}
-
-static void deliver(struct entries *entries, const struct letter *letter)
-{
-	struct entries_vm *vm = &entries->vms[letter->vm];
-	struct event_link_message message = { (uint64_t)letter->from + 1,
-					      LINK_FEED, letter->body };
-	struct effects effects;
-
-	if (vm->id != letter->entry || !vm->linked[letter->from])
-		return;
-	effects_init(&effects);
-	entry_link_message(vm->entry, &message, vm_now(entries, letter->vm),
-			   &effects);
-	carry_out(entries, letter->vm, &effects);
-}
-
-static void deliver_all(struct entries *entries)
-{
-	guint i = 0;
-
-	while (i < entries->posts->len) {
-		struct letter letter =
-			g_array_index(entries->posts, struct letter, i);
-
-		if (letter.at_us > group_now(entries->group)) {
-			i++;
-			continue;
-		}
-		g_array_remove_index(entries->posts, i);
-		deliver(entries, &letter);
-		bytes_clear(&letter.body);
-	}
-}
-
 static int server_at(const struct entries *entries, const char *address)
 {
 	int i;
@@ -201,7 +92,7 @@
 }
 
 /* A request's number is the VM's own; its body is part of it. */
-static bool is_crashing(uint64_t request)
+bool entries_is_crashing(uint64_t request)
 {
 	return request & 1;
 }
@@ -269,20 +160,6 @@
 	g_array_append_val(entries->runs, run);
 }
 
-static void start_pass(struct entries *entries, int from,
-		       const struct effect_start_attempt *start)
-{
-	struct pass pass = { .from = from,
-			     .from_entry = entries->vms[from].id,
-			     .id = start->id,
-			     .attempt = start->attempt };
-
-	g_assert_cmpint(sscanf(start->address, "10.9.0.%d:", &pass.to), ==, 1);
-	pass.to--;
-	pass.to_entry = entries->vms[pass.to].id;
-	g_array_append_val(entries->passes, pass);
-}
-
 static void start_run(struct entries *entries, int vm,
 		      const struct effect_start_attempt *start)
 {
@@ -305,7 +182,7 @@
 		if (entries->vms[vm].path == ENTRIES_PATH_SILENT)
 			run.ends_us += CONNECT_US;
 	} else {
-		run.crashes = is_crashing(start->id);
+		run.crashes = entries_is_crashing(start->id);
 		g_array_append_val(server->arrivals, now_us);
 		if (start->attempt > 1)
 			g_array_append_val(entries->repeats, now_us);
@@ -352,7 +229,7 @@
 	effects_init(&effects);
 	if (!run->sent &&
 	    !entry_attempt_begins(vm->entry, run->id, run->attempt,
-				  vm_now(entries, run->vm), &effects)) {
+				  entries_vm_now(entries, run->vm), &effects)) {
 		run->code = RESULT_BACKEND_CROSSED;
 		return false;
 	}
@@ -360,9 +237,9 @@
 	run->next++;
 	run->ends_us += STREAMS_EVENT_US;
 	streams_event(run->stream, run->version);
-	entry_attempt_tokens(vm->entry, &tokens, vm_now(entries, run->vm),
-			     &effects);
-	carry_out(entries, run->vm, &effects);
+	entry_attempt_tokens(vm->entry, &tokens,
+			     entries_vm_now(entries, run->vm), &effects);
+	entries_carry_out(entries, run->vm, &effects);
 	return true;
 }
 
@@ -370,7 +247,7 @@
 {
 	const struct entries_server *server = &entries->servers[run->server];
 	struct entries_vm *vm = &entries->vms[run->vm];
-	int64_t now_us = vm_now(entries, run->vm);
+	int64_t now_us = entries_vm_now(entries, run->vm);
 	struct event_attempt_ended ended = {
 		.id = run->id,
 		.attempt = run->attempt,
@@ -405,7 +282,7 @@
 				   server->limit_per_s, now_us, &effects);
 	if (!run->probes)
 		entry_attempt_ended(vm->entry, &ended, now_us, &effects);
-	carry_out(entries, run->vm, &effects);
+	entries_carry_out(entries, run->vm, &effects);
 }
 
 /* Carrying out what an event brings about may move the runs. */
@@ -461,32 +338,12 @@
 	}
 }
 
-/* Whether the request came from another VM, which gets the answer. */
-static bool take_pass_answer(struct entries *entries, int at,
-			     const struct effect_answer *answer)
-{
-	guint i;
-
-	for (i = 0; i < entries->passes->len; i++) {
-		struct pass *pass =
-			&g_array_index(entries->passes, struct pass, i);
-
-		if (pass->to != at || pass->to_id != answer->id)
-			continue;
-		pass->ended = true;
-		pass->sent = true;
-		pass->code = answer->code ? RESULT_BACKEND_ERROR : RESULT_OK;
-		return true;
-	}
-	return false;
-}
-
 static void take_answer(struct entries *entries, int at,
 			const struct effect_answer *answer)
 {
 	struct entries_stream *stream;
 
-	if (take_pass_answer(entries, at, answer))
+	if (entries_take_pass_answer(entries, at, answer))
 		return;
 	stream = streams_find(entries, answer->id);
 	if (stream)
@@ -521,47 +378,7 @@
 	}
 }
 
-static void send_news(struct entries *entries, int at,
-		      const struct effect_send *send)
-{
-	const struct entries_vm *vm = &entries->vms[at];
-	struct letter letter = { at,
-				 vm->id,
-				 (int)send->peer - 1,
-				 group_now(entries->group) + vm->slow_news_us,
-				 { 0 } };
-
-	if (vm->slow_news_us) {
-		letter.body = bytes_copy(&send->body);
-		g_array_append_val(entries->news, letter);
-	} else {
-		group_entry_message(entries->group, letter.from, vm->id,
-				    &send->body);
-	}
-}
-
-/* Also those of a process that has ended since. */
-static void deliver_news(struct entries *entries)
-{
-	guint i = 0;
-
-	while (i < entries->news->len) {
-		struct letter letter =
-			g_array_index(entries->news, struct letter, i);
-
-		if (letter.at_us > group_now(entries->group)) {
-			i++;
-			continue;
-		}
-		g_array_remove_index(entries->news, i);
-		if (entries->vms[letter.vm].linked[letter.from])
-			group_entry_message(entries->group, letter.from,
-					    letter.entry, &letter.body);
-		bytes_clear(&letter.body);
-	}
-}
-
-static void carry_out(struct entries *entries, int at, struct effects *effects)
+void entries_carry_out(struct entries *entries, int at, struct effects *effects)
 {
 	const struct entries_vm *vm = &entries->vms[at];
 	struct effect *effect;
@@ -569,7 +386,7 @@
 	while ((effect = effects_take(effects))) {
 		if (effect->kind == EFFECT_START_ATTEMPT &&
 		    effect->u.start.to_vm)
-			start_pass(entries, at, &effect->u.start);
+			entries_start_pass(entries, at, &effect->u.start);
 		else if (effect->kind == EFFECT_START_ATTEMPT)
 			start_run(entries, at, &effect->u.start);
 		else if (effect->kind == EFFECT_PROBE)
@@ -580,7 +397,7 @@
 			take_answer(entries, at, &effect->u.answer);
 		else if (effect->kind == EFFECT_SEND &&
 			 vm->linked[effect->u.send.peer - 1])
-			send_news(entries, at, &effect->u.send);
+			entries_send_news(entries, at, &effect->u.send);
 		effect_free(effect);
 	}
 }
@@ -589,7 +406,7 @@
 		     uint64_t start)
 {
 	struct entries_vm *vm = &entries->vms[at];
-	int64_t now_us = vm_now(entries, at);
+	int64_t now_us = entries_vm_now(entries, at);
 	struct event_link_up up = { (uint64_t)control + 1, (char *)"vm",
 				    (char *)"z1", NULL, false };
 	struct effects effects;
@@ -607,7 +424,7 @@
 				 true);
 		entry_link_up(vm->entry, &up, now_us, &effects);
 	}
-	carry_out(entries, at, &effects);
+	entries_carry_out(entries, at, &effects);
 }
 
 static void update_links(struct entries *entries, int at)
@@ -616,7 +433,7 @@
 	uint64_t start;
 	int control;
 
-	for (control = 0; control < CONTROL_VMS; control++) {
+	for (control = 0; control < ENTRIES_CONTROL_VMS; control++) {
 		start = group_start_number(entries->group, control);
 		if (vm->cut[control])
 			start = 0;
@@ -635,13 +452,13 @@
 				     .leaving = server->leaves,
 				     .slots = server->slots ? server->slots
 							    : SLOTS };
-	int control = at % CONTROL_VMS;
+	int control = at % ENTRIES_CONTROL_VMS;
 
 	if (now_us < server->up_us + server->late_us ||
 	    now_us - server->announced_us < SECOND)
 		return;
 	while (!group_start_number(entries->group, control))
-		control = (control + 1) % CONTROL_VMS;
+		control = (control + 1) % ENTRIES_CONTROL_VMS;
 	server->announced_us = now_us;
 	told.sequence = ++server->sequence;
 	g_strlcpy(told.version, server->version, sizeof(told.version));
@@ -650,7 +467,7 @@
 	group_announce(entries->group, control, &told);
 }
 
-static uint64_t next_id(struct entries *entries, bool crashing)
+uint64_t entries_new_id(struct entries *entries, bool crashing)
 {
 	entries->next_request += 2;
 	return entries->next_request + crashing;
@@ -658,7 +475,7 @@
 
 uint64_t entries_next_id(struct entries *entries)
 {
-	return next_id(entries, false);
+	return entries_new_id(entries, false);
 }
 
 uint64_t entries_process(const struct entries *entries, int vm)
@@ -673,9 +490,9 @@
 
 	request->host = "a.example";
 	effects_init(&effects);
-	entry_submit(entries->vms[vm].entry, request, vm_now(entries, vm),
-		     &effects);
-	carry_out(entries, vm, &effects);
+	entry_submit(entries->vms[vm].entry, request,
+		     entries_vm_now(entries, vm), &effects);
+	entries_carry_out(entries, vm, &effects);
 }
 
 void entries_leave(struct entries *entries, int vm, uint64_t id)
@@ -683,13 +500,13 @@
 	struct effects effects;
 
 	effects_init(&effects);
-	entry_caller_left(entries->vms[vm].entry, id, vm_now(entries, vm),
-			  &effects);
-	carry_out(entries, vm, &effects);
+	entry_caller_left(entries->vms[vm].entry, id,
+			  entries_vm_now(entries, vm), &effects);
+	entries_carry_out(entries, vm, &effects);
 }
 
-static void submit(struct entries *entries, int vm, uint64_t id,
-		   const char *body, bool passed_on)
+void entries_submit_plain(struct entries *entries, int vm, uint64_t id,
+			  const char *body, bool passed_on)
 {
 	struct entry_request request = {
 		.id = id,
@@ -702,94 +519,6 @@
 	entries_submit(entries, vm, &request);
 }
 
-/* As the caller sent it, with the last event that has come. */
-static void submit_passed_stream(struct entries *entries, int vm, uint64_t id,
-				 struct entries_stream *stream)
-{
-	char last[16];
-	struct entry_request request = {
-		.id = id,
-		.name = stream->name,
-		.path = STREAMS_PATH,
-		.body_hash = stream->body,
-		.passed_on = true,
-		.resumes = stream->events ? stream->first : NULL,
-		.last_event = stream->events ? last : NULL,
-	};
-
-	g_snprintf(last, sizeof(last), "%d", stream->events);
-	stream->pass_id = id;
-	entries_submit(entries, vm, &request);
-}
-
-static void end_pass(struct entries *entries, const struct pass *pass)
-{
-	struct entries_vm *vm = &entries->vms[pass->from];
-	struct event_attempt_ended ended = {
-		.id = pass->id,
-		.attempt = pass->attempt,
-		.code = pass->code,
-		.http_status = pass->code == RESULT_OK		    ? 200
-			       : pass->code == RESULT_BACKEND_ERROR ? 503
-								    : 0,
-		.sent = pass->sent,
-	};
-	struct effects effects;
-
-	if (vm->id != pass->from_entry)
-		return;
-	effects_init(&effects);
-	entry_attempt_ended(vm->entry, &ended, vm_now(entries, pass->from),
-			    &effects);
-	carry_out(entries, pass->from, &effects);
-}
-
-/* False once it is over. */
-static bool carry_pass(struct entries *entries, guint i)
-{
-	struct pass *pass = &g_array_index(entries->passes, struct pass, i);
-
-	if (!pass->ended && entries->vms[pass->to].id != pass->to_entry) {
-		pass->ended = true;
-		pass->code = pass->to_id ? RESULT_BACKEND_BROKE
-					 : RESULT_BACKEND_CONNECT;
-	}
-	if (pass->ended)
-		return false;
-	if (!pass->to_id) {
-		struct entries_stream *stream = streams_find(entries, pass->id);
-
-		pass->sent = true;
-		pass->to_id = next_id(entries, is_crashing(pass->id));
-		if (stream)
-			submit_passed_stream(entries, pass->to, pass->to_id,
-					     stream);
-		else
-			submit(entries, pass->to, pass->to_id,
-			       is_crashing(pass->id) ? ENTRIES_CRASHING
-						     : "harmless",
-			       true);
-	}
-	return true;
-}
-
-static void carry_passes(struct entries *entries)
-{
-	guint i = 0;
-
-	while (i < entries->passes->len) {
-		struct pass pass;
-
-		if (carry_pass(entries, i)) {
-			i++;
-			continue;
-		}
-		pass = g_array_index(entries->passes, struct pass, i);
-		g_array_remove_index(entries->passes, i);
-		end_pass(entries, &pass);
-	}
-}
-
 void entries_run(struct entries *entries, int64_t us)
 {
 	int64_t until_us = group_now(entries->group) + us;
@@ -799,17 +528,17 @@
 	effects_init(&effects);
 	while (group_now(entries->group) < until_us) {
 		group_run(entries->group, GROUP_STEP_US);
-		deliver_all(entries);
-		deliver_news(entries);
+		entries_deliver(entries);
+		entries_deliver_news(entries);
 		end_runs(entries);
-		carry_passes(entries);
+		entries_carry_passes(entries);
 		for (i = 0; i < entries->n_servers; i++)
 			announce(entries, i);
 		for (i = 0; i < entries->n_vms; i++) {
 			update_links(entries, i);
-			entry_tick(entries->vms[i].entry, vm_now(entries, i),
-				   &effects);
-			carry_out(entries, i, &effects);
+			entry_tick(entries->vms[i].entry,
+				   entries_vm_now(entries, i), &effects);
+			entries_carry_out(entries, i, &effects);
 		}
 	}
 }
@@ -833,7 +562,7 @@
 	entries->news = g_array_new(false, false, sizeof(struct letter));
 	entries->passes = g_array_new(false, false, sizeof(struct pass));
 	entries->streams = g_ptr_array_new_with_free_func(free);
-	group_set_sink(entries->group, take_letter, entries);
+	group_set_sink(entries->group, entries_take_letter, entries);
 	for (i = 0; i < n_servers; i++) {
 		struct entries_server *server = &entries->servers[i];
 
@@ -888,12 +617,12 @@
 
 void entries_ask(struct entries *entries, int vm, const char *body)
 {
-	uint64_t id = next_id(entries, !strcmp(body, ENTRIES_CRASHING));
+	uint64_t id = entries_new_id(entries, !strcmp(body, ENTRIES_CRASHING));
 	int64_t now_us = group_now(entries->group);
 
 	g_array_append_val(entries->asked, now_us);
 	entries->vms[vm].asked++;
-	submit(entries, vm, id, body, false);
+	entries_submit_plain(entries, vm, id, body, false);
 }
 
 struct entries_traffic entries_traffic(struct entries *entries, double per_s)
@@ -942,7 +671,7 @@
 {
 	int control;
 
-	for (control = 0; control < CONTROL_VMS; control++)
+	for (control = 0; control < ENTRIES_CONTROL_VMS; control++)
 		entries_cut_from(entries, vm, control, cut);
 }
 
@@ -985,7 +714,7 @@
 {
 	int control;
 
-	for (control = 0; control < CONTROL_VMS; control++)
+	for (control = 0; control < ENTRIES_CONTROL_VMS; control++)
 		if (entries->vms[vm].linked[control])
 			group_entry_link(entries->group, control,
 					 entries->vms[vm].id,
--- /dev/null
+++ b/tests/control/entries_state.h
@@ -0,0 +1,94 @@
+#ifndef TESTS_CONTROL_ENTRIES_STATE_H
+#define TESTS_CONTROL_ENTRIES_STATE_H
+
+#include "entries.h"
+
+/** What the files entries*.c share; nobody else includes this. */
+
+#define ENTRIES_CONTROL_VMS 5
+
+struct entries_vm {
+	struct entry *entry;
+	char name[32];
+	uint64_t id;
+	uint64_t linked
+		[ENTRIES_CONTROL_VMS]; /* start number of the VM, 0: none */
+	bool cut[ENTRIES_CONTROL_VMS];
+	enum entries_path path; /* to all servers */
+	int asked;
+	int served;
+	int64_t slow_us;
+	int64_t slow_news_us;
+	int64_t offset_us; /* of its clock from the group's */
+};
+
+/* A request at a server. */
+struct run {
+	int vm;
+	uint64_t entry; /* id of the VM's process */
+	int server;
+	uint64_t id;
+	int64_t attempt;
+	int64_t ends_us;
+	enum result code;
+	bool crashes;
+	bool connects;		       /* the connection is to be told of */
+	bool probes;		       /* and is all that there is */
+	struct entries_stream *stream; /* or NULL */
+	int next;		       /* event of it */
+	int sent;		       /* events of this run */
+	char version[16];	       /* that runs it */
+	bool cancelled;
+};
+
+/* A request that one VM passes on to another one. */
+struct pass {
+	int from;
+	uint64_t from_entry; /* ids of the VMs' processes */
+	uint64_t id;
+	int64_t attempt;
+	int to;
+	uint64_t to_entry;
+	uint64_t to_id; /* 0: on its way */
+	bool ended;
+	enum result code;
+	bool sent;
+};
+
+/* A message from a control VM. */
+struct letter {
+	int vm;
+	uint64_t entry;
+	int from;
+	int64_t at_us;
+	struct bytes body;
+};
+
+/* entries.c */
+int64_t entries_vm_now(const struct entries *entries, int at);
+void entries_carry_out(struct entries *entries, int at,
+		       struct effects *effects);
+uint64_t entries_new_id(struct entries *entries, bool crashing);
+
+/** A request's number is the VM's own; its body is part of it. */
+bool entries_is_crashing(uint64_t request);
+void entries_submit_plain(struct entries *entries, int vm, uint64_t id,
+			  const char *body, bool passed_on);
+
+/* entries_pass.c */
+void entries_start_pass(struct entries *entries, int from,
+			const struct effect_start_attempt *start);
+
+/** Whether the request came from another VM, which gets the answer. */
+bool entries_take_pass_answer(struct entries *entries, int at,
+			      const struct effect_answer *answer);
+void entries_carry_passes(struct entries *entries);
+
+/* entries_post.c */
+void entries_take_letter(void *data, int from, const struct effect_send *send);
+void entries_deliver(struct entries *entries);
+void entries_send_news(struct entries *entries, int at,
+		       const struct effect_send *send);
+void entries_deliver_news(struct entries *entries);
+
+#endif
