load, daemon: room isn't kept at servers that can't use it; read over

Servers that aren't confirmed get no stream that is taken up, but their room was kept for these: requests of the same or a lower tier waited for nothing (/version/no-room-kept-in-vain). What follows from a stream's first event is carried out with its tokens, not in the middle of passing it on.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -31,7 +31,7 @@
 	bool passed_on;		/**< by another entry VM */
 	const char *last_event; /**< that the caller has, or NULL */
 	const char *resumes;	/**< request that brought the first, or NULL */
-	bool unreadable;	/**< one of these two can\'t be read */
+	bool unreadable;	/**< one of these two can't be read */
 };
 
 /** What this program adds to a request for a backend server. */
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -153,14 +153,13 @@
 	daemon->carrying_out = false;
 }
 
+/* What follows is carried out as the event's tokens, or the end, are told. */
 static bool on_begins(void *data, uint64_t id, int64_t attempt)
 {
 	struct entry_daemon *daemon = data;
-	bool begins = entry_attempt_begins(daemon->entry, id, attempt,
-					   edge_now_us(), &daemon->effects);
 
-	carry_out_all(daemon);
-	return begins;
+	return entry_attempt_begins(daemon->entry, id, attempt, edge_now_us(),
+				    &daemon->effects);
 }
 
 static void on_tokens(void *data, const struct event_attempt_tokens *tokens)
--- a/libfilberthall/load/affinity.c
+++ b/libfilberthall/load/affinity.c
@@ -120,16 +120,19 @@
 
 static void make_room(struct affinities *affinities)
 {
-	struct owner *largest = NULL;
+	struct record *oldest = NULL;
 	struct owner *owner;
 	struct owner *next;
+	size_t most = 0;
 
-	map_foreach(owner, next, &affinities->owners, node)
-		if (!largest || owner->n > largest->n)
-			largest = owner;
-	if (largest)
-		record_drop(affinities, list_first(&largest->records,
-						   struct record, in_owner));
+	map_foreach(owner, next, &affinities->owners, node) {
+		if (owner->n <= most)
+			continue;
+		most = owner->n;
+		oldest = list_first(&owner->records, struct record, in_owner);
+	}
+	if (oldest)
+		record_drop(affinities, oldest);
 }
 
 static void record_add(struct affinities *affinities,
--- a/tests/load/t-version.c
+++ b/tests/load/t-version.c
@@ -169,6 +169,29 @@
 	bed_close(&bed);
 }
 
+/* Room that the stream that waits for it can't use is lost to all others. */
+static void test_no_room_kept_in_vain(void)
+{
+	struct effect *effect;
+	struct bed bed;
+	uint64_t id;
+
+	bed_open_with(&bed, true);
+	add_engine(&bed, "10.0.0.1:1", "v1", 8);
+	add_engine(&bed, "10.0.0.2:1", "v2", 1);
+	take_up(&bed, "low", "v2");
+	fleet_set_unconfirmed(&bed.fleet, "10.0.0.1:1", true);
+	take_up(&bed, "low", "v1");
+	effects_clear(&bed.effects);
+	effects_init(&bed.effects);
+	id = bed_submit(&bed, "low", true);
+	effect = bed_effect(&bed, EFFECT_START_ATTEMPT);
+	g_assert_nonnull(effect);
+	g_assert_cmpint(effect->u.start.id, ==, id);
+	effect_free(effect);
+	bed_close(&bed);
+}
+
 /* A stream that is taken up goes before requests of a higher tier. */
 static void test_no_room_before_higher_tier(void)
 {
@@ -190,6 +213,8 @@
 	g_test_add_func("/version/gone", test_version_gone);
 	g_test_add_func("/version/gone-while-waiting", test_gone_while_waiting);
 	g_test_add_func("/version/room-in-a-burst", test_room_in_a_burst);
+	g_test_add_func("/version/no-room-kept-in-vain",
+			test_no_room_kept_in_vain);
 	g_test_add_func("/version/no-room-before-higher-tier",
 			test_no_room_before_higher_tier);
 	return g_test_run();
