--- a/tests/e2e/versions.t
+++ b/tests/e2e/versions.t
@@ -83,4 +83,46 @@
 done
 is "none that is taken up at another VM is joined" $joined 0
 is "all of them go on" $whole 20
+
+# Servers of both versions tear streams in the middle of an event.
+start torn-1 fake-native --id torn-1 --service scribe --events 24 \
+	--software v1 --cut-at 9 $controls
+start torn-2 fake-native --id torn-2 --service scribe --events 24 \
+	--software v2 --cut-at 9 $controls
+torn_known() {
+	test "$(grep -c 'event=ready server=torn-' "$WORK/entry-$1.log")" -ge 2
+}
+check "servers that tear streams are known" wait_for 20 torn_known 2
+joined=0
+whole=0
+: >"$WORK/gone-on"
+for i in 1 2 3 4 5 6 7 8 9 10 11 12
+do
+	stream 2 "t$i" "t$i" >"$WORK/begun"
+	tally
+done
+is "none that goes on within its answer is joined" $joined 0
+is "all of them are whole" $whole 12
+signal torn-1 KILL
+signal torn-2 KILL
+
+# The VM that began a stream is killed; its caller comes back to another one.
+joined=0
+whole=0
+begin 1 k1 k1
+signal entry-1 KILL
+go_on 2 k2 k1 k1
+tally
+is "a stream of a VM that was killed isn't joined" $joined 0
+is "it goes on" $whole 1
+
+refused() {
+	stream 3 "$1" u -H "Last-Event-Id: 3" -H "$2" -o /dev/null \
+		-w '%{http_code}'
+}
+is "a stream that nobody began is refused as not run" \
+	"$(refused u1 'Resumes: nobody')" 503
+is "so is one without a name" "$(refused u2 'X-None: 1')" 503
+is "a name that can't be read is answered so" \
+	"$(refused u3 'Resumes: a b')" 400
 finish
