all: the field's word for what a caller does with a stream: resume

Nothing that runs changes but texts of the soak and names of tests.

takes_up, taken_up -> resumes, resumed; entry_takes_up -> entry_is_resumption; entry_taken_up_key -> entry_resumed_key; keep_versions -> reserve_versions; pick_kept, kept, n_kept -> pick_reserved, reserved, n_reserved; goes_first -> has_precedence; streams_take_up, order_take_up_each and their like -> streams_resume, order_resume_each; ledger_take_up -> ledger_resume; /order/taken-up-twice -> /order/resumed-twice; /version/room-in-a-burst -> /version/capacity-in-a-burst.

--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -59,7 +59,7 @@
 	int64_t deadline_ms;   /**< how long the caller waits; 0: unknown */
 	bool passed_on;	       /**< by another entry VM */
 	/**
-	 * Of a caller that takes a stream up: the id of the last event that it
+	 * Of a caller that resumes a stream: the id of the last event that it
 	 * has, and the name of the request that brought the first one. NULL if
 	 * it doesn't say.
 	 */
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -89,8 +89,8 @@
 
 	call->begun = true;
 	note(entry, call, &own, version);
-	if (call->takes_up)
-		note(entry, call, &call->taken_up, version);
+	if (call->resumes)
+		note(entry, call, &call->resumed, version);
 	if (registry_versions(&entry->registry, service).differ)
 		entry_tell_affinities(entry);
 }
@@ -141,7 +141,7 @@
 		return true;
 	version = version_at(entry, &view);
 	if (version == VERSION_OTHER ||
-	    (version == VERSION_UNSURE && (call->begun || call->takes_up))) {
+	    (version == VERSION_UNSURE && (call->begun || call->resumes))) {
 		log_version(entry, call, &view, "other-version");
 		return false;
 	}
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -319,10 +319,9 @@
 	call->service = xstrdup(service);
 	call->repeatable = ask.idempotent;
 	call->passed_on = request->passed_on;
-	call->takes_up = affinity != NULL;
+	call->resumes = affinity != NULL;
 	if (affinity)
-		call->taken_up =
-			entry_taken_up_key(request, call->organisation);
+		call->resumed = entry_resumed_key(request, call->organisation);
 	entry->totals.submitted++;
 	entry_log(entry, LOG_INFO, "request",
 		  "event=taken request=%s route=%s service=%s organisation=%s "
@@ -403,7 +402,7 @@
 			return;
 		}
 	}
-	if (entry_takes_up(route, request))
+	if (entry_is_resumption(route, request))
 		resume_request(entry, request, route, holder, affinity);
 	else
 		route_request(entry, request, route, holder,
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -1,5 +1,5 @@
 /*
- * Streams that their callers take up. They go on at the service and the
+ * Streams that their callers resume. They go on at the service and the
  * software version that began them, or are refused as not run. Where a stream
  * was begun is known here, or the control VMs are asked.
  */
@@ -128,15 +128,15 @@
 	ask(entry, lookup);
 }
 
-bool entry_takes_up(const struct route *route,
-		    const struct entry_request *request)
+bool entry_is_resumption(const struct route *route,
+			 const struct entry_request *request)
 {
 	return route->kind == ROUTE_STREAM && route->resumable &&
 	       request->last_event && *request->last_event;
 }
 
-struct affinity_key entry_taken_up_key(const struct entry_request *request,
-				       const char *organisation)
+struct affinity_key entry_resumed_key(const struct entry_request *request,
+				      const char *organisation)
 {
 	return affinity_key(organisation,
 			    request->resumes ? request->resumes : "");
@@ -146,7 +146,7 @@
 				    const struct entry_request *request,
 				    const char *organisation)
 {
-	struct affinity_key key = entry_taken_up_key(request, organisation);
+	struct affinity_key key = entry_resumed_key(request, organisation);
 	const struct affinity *known;
 
 	if (request->unreadable) {
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -49,8 +49,8 @@
 	char way[BACKEND_NAME_SIZE]; /**< VM that it is passed on to */
 	int64_t first_us;	     /**< of a request that is passed on */
 	bool begun;		     /**< its stream is recorded */
-	bool takes_up;		     /**< a stream that was begun before */
-	struct affinity_key taken_up;
+	bool resumes;		     /**< a stream that was begun before */
+	struct affinity_key resumed;
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -184,13 +184,13 @@
 void entry_affinity_tick(struct entry *entry);
 
 /* entry_resume.c */
-bool entry_takes_up(const struct route *route,
-		    const struct entry_request *request);
-struct affinity_key entry_taken_up_key(const struct entry_request *request,
-				       const char *organisation);
+bool entry_is_resumption(const struct route *route,
+			 const struct entry_request *request);
+struct affinity_key entry_resumed_key(const struct entry_request *request,
+				      const char *organisation);
 
 /**
- * Where the stream goes on that a request takes up, if it is known here. Else
+ * Where the stream goes on that a request resumes, if it is known here. Else
  * NULL: the request waits for the control VMs' answers, or is refused.
  */
 const struct affinity *entry_resume(struct entry *entry,
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -65,7 +65,7 @@
 	char version[BACKEND_NAME_SIZE];
 	uint64_t version_hash; /**< map_hash_text(); a stream stays at one */
 	bool unconfirmed;      /**< it may have another version by now */
-	int64_t lingers_us;    /**< leaves, but takes streams up until then */
+	int64_t lingers_us; /**< leaves, but gets resumed streams until then */
 	char role[BACKEND_NAME_SIZE];
 	char adapters[BACKEND_ADAPTERS_SIZE];
 	bool cheap;
@@ -180,7 +180,7 @@
  */
 void fleet_decay_load(struct fleet *fleet, int64_t step_us, int64_t now_us);
 
-/** A retired server takes streams up until then. */
+/** A retired server gets resumed streams until then. */
 void fleet_let_linger(struct fleet *fleet, const char *address,
 		      int64_t until_us);
 
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -164,7 +164,7 @@
 /**
  * Software versions of a service's servers, by hash, also of those that have
  * ended in the last REGISTRY_TOMBSTONE_US: streams that they began may be
- * taken up.
+ * resumed.
  */
 struct registry_versions {
 	uint64_t version; /**< one of them, 0 for none */
--- a/libfilberthall/load/affinity.h
+++ b/libfilberthall/load/affinity.h
@@ -12,7 +12,7 @@
  * that wrote a stream's first event.
  *
  * Failure handled: servers of several versions serve side by side, and a stream
- * that its caller takes up, on this VM or another one, goes on at a server of
+ * that its caller resumes, on this VM or another one, goes on at a server of
  * another version. The caller joins what doesn't fit together.
  *
  * A record is written once, with the first event, so copies on several VMs
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -35,9 +35,9 @@
 	if (query->version)
 		return query->version == backend->version_hash &&
 		       !backend->unconfirmed;
-	for (i = 0; i < query->n_kept && !backend->unconfirmed; i++)
-		if (query->kept[i].version == backend->version_hash &&
-		    backend_in_regions(backend, query->kept[i].regions))
+	for (i = 0; i < query->n_reserved && !backend->unconfirmed; i++)
+		if (query->reserved[i].version == backend->version_hash &&
+		    backend_in_regions(backend, query->reserved[i].regions))
 			return false;
 	return true;
 }
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -39,7 +39,7 @@
 #define PICK_LONG_SHARE 0.75
 
 /** Versions with streams that wait to go on, of one service at a time. */
-#define PICK_KEPT_MOST 8
+#define PICK_RESERVED_MOST 8
 
 struct pick_options {
 	bool homes; /**< use load/place.h instead of the other options */
@@ -48,8 +48,8 @@
 	bool stragglers;
 };
 
-/** Servers whose room is left to streams that can go on nowhere else. */
-struct pick_kept {
+/** Capacity for streams that can go on nowhere else. */
+struct pick_reserved {
 	uint64_t version;
 	uint64_t regions;
 };
@@ -77,8 +77,8 @@
 	uint64_t regions; /**< of servers that may run it; 0: all */
 	uint64_t version; /**< that began the stream; 0: any may run it */
 	bool leaving;	  /**< among the servers that linger */
-	struct pick_kept kept[PICK_KEPT_MOST];
-	int n_kept;
+	struct pick_reserved reserved[PICK_RESERVED_MOST];
+	int n_reserved;
 	struct warmup_vm vm; /**< for those */
 };
 
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -167,7 +167,8 @@
 }
 
 /* Whether the queue's next request may go before this one. */
-static bool goes_first(const struct queue *queue, const struct request *request)
+static bool has_precedence(const struct queue *queue,
+			   const struct request *request)
 {
 	struct sched_entry *next = sched_next(&queue->sched, request->tier);
 
@@ -179,20 +180,20 @@
  * this a burst of other requests, which wait for longer, takes each slot that
  * these servers free.
  */
-static void keep_versions(const struct pool *pool,
-			  const struct request *request,
-			  struct pick_query *query)
+static void reserve_versions(const struct pool *pool,
+			     const struct request *request,
+			     struct pick_query *query)
 {
 	const struct queue *queue;
 
 	if (request->spec.version || !pool->versions_differ)
 		return;
 	list_foreach(queue, &pool->queues, in_pool)
-		if (queue->version && query->n_kept < PICK_KEPT_MOST &&
-		    goes_first(queue, request))
-			query->kept[query->n_kept++] =
-				(struct pick_kept){ queue->version,
-						    queue->regions };
+		if (queue->version && query->n_reserved < PICK_RESERVED_MOST &&
+		    has_precedence(queue, request))
+			query->reserved[query->n_reserved++] =
+				(struct pick_reserved){ queue->version,
+							queue->regions };
 }
 
 /*
@@ -219,7 +220,7 @@
 
 	query.mean_load = slots > 0 ? pool->load / slots : 0;
 	if (!by_floor)
-		keep_versions(pool, request, &query);
+		reserve_versions(pool, request, &query);
 
 	if (request->spec.prefix_hash)
 		query.prefix =
--- a/libfilberthall/load/router_queue.c
+++ b/libfilberthall/load/router_queue.c
@@ -112,7 +112,7 @@
 	return false;
 }
 
-/** Whether the stream that it takes up can go on at no server any more. */
+/** Whether the stream that it resumes can go on at no server any more. */
 bool request_version_gone(const struct request *request, int64_t now_us)
 {
 	return request->spec.version && !request_has_server(request, now_us) &&
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -270,7 +270,7 @@
 /** Whether a usable server is in its regions and of the version it needs. */
 bool request_has_server(const struct request *request, int64_t now_us);
 
-/** Whether the stream that it takes up can go on at no server any more. */
+/** Whether the stream that it resumes can go on at no server any more. */
 bool request_version_gone(const struct request *request, int64_t now_us);
 
 /* router_submit.c */
--- a/tests/control/order.c
+++ b/tests/control/order.c
@@ -21,8 +21,8 @@
 	return entries;
 }
 
-/* Each stream is begun, left after a few events and taken up `away` VMs on. */
-void order_take_up_each(struct entries *entries, int away, int64_t pause_us)
+/* Each stream is begun, left after a few events and resumed `away` VMs on. */
+void order_resume_each(struct entries *entries, int away, int64_t pause_us)
 {
 	int i;
 
@@ -35,7 +35,7 @@
 			entries_leave(entries, stream->vm, stream->id);
 			entries_run(entries, pause_us);
 		}
-		streams_take_up(entries, stream, (i + away) % ORDER_VMS);
+		streams_resume(entries, stream, (i + away) % ORDER_VMS);
 		entries_run(entries, ORDER_GAP_US);
 	}
 	entries_run(entries, SECOND);
@@ -52,7 +52,7 @@
 }
 
 /*
- * None is joined. The share that goes on, of those taken up, is at least half
+ * None is joined. The share that goes on, of resumed ones, is at least half
  * of the share of new streams that begin.
  */
 void order_check(struct entries *entries)
@@ -61,25 +61,24 @@
 
 	g_assert_cmpint(streams_joined(entries), ==, 0);
 	g_assert_cmpint(2 * streams_gone_on(entries) * new, >=,
-			streams_taken_up(entries) * n_begun(entries));
+			streams_resumed(entries) * n_begun(entries));
 	entries_free(entries);
 }
 
 /* The same, where most of the callers have come back. */
-void order_check_taken_up(struct entries *entries)
+void order_check_resumed(struct entries *entries)
 {
-	g_assert_cmpint(streams_taken_up(entries), >=, ORDER_STREAMS / 6);
+	g_assert_cmpint(streams_resumed(entries), >=, ORDER_STREAMS / 6);
 	order_check(entries);
 }
 
 /* Callers of the first VM's streams come to the last VM. */
-void order_take_up_at_last(struct entries *entries)
+void order_resume_at_last(struct entries *entries)
 {
 	guint i;
 
 	for (i = 0; i < entries->streams->len; i++)
-		streams_take_up(entries, streams_nth(entries, i),
-				ORDER_VMS - 1);
+		streams_resume(entries, streams_nth(entries, i), ORDER_VMS - 1);
 	entries_run(entries, 2 * SECOND);
 }
 
--- a/tests/control/order.h
+++ b/tests/control/order.h
@@ -21,23 +21,23 @@
 
 struct entries *order_start(const char *const versions[ORDER_SERVERS]);
 
-/** Each stream is begun, left after a few events and taken up `away` VMs on. */
-void order_take_up_each(struct entries *entries, int away, int64_t pause_us);
+/** Each stream is begun, left after a few events and resumed `away` VMs on. */
+void order_resume_each(struct entries *entries, int away, int64_t pause_us);
 
 /** Streams begin at the first VM; their callers leave after a few events. */
 void order_begin_at_first(struct entries *entries);
 void order_leave_all(struct entries *entries);
 
 /** Callers come to the last VM. */
-void order_take_up_at_last(struct entries *entries);
+void order_resume_at_last(struct entries *entries);
 
 /**
- * None is joined. The share that goes on, of those taken up, is at least half
+ * None is joined. The share that goes on, of resumed ones, is at least half
  * of the share of new streams that begin. Frees the entries.
  */
 void order_check(struct entries *entries);
 
 /** The same, where callers have come back. */
-void order_check_taken_up(struct entries *entries);
+void order_check_resumed(struct entries *entries);
 
 #endif
--- a/tests/control/streams.c
+++ b/tests/control/streams.c
@@ -77,8 +77,8 @@
 		entries_leave(entries, stream->vm, stream->id);
 }
 
-void streams_take_up_as(struct entries *entries, struct entries_stream *stream,
-			int vm, const char *resumes)
+void streams_resume_as(struct entries *entries, struct entries_stream *stream,
+		       int vm, const char *resumes)
 {
 	if (stream->events == STREAMS_EVENTS)
 		return;
@@ -86,11 +86,11 @@
 	send_request(entries, stream, vm, resumes);
 }
 
-void streams_take_up(struct entries *entries, struct entries_stream *stream,
-		     int vm)
+void streams_resume(struct entries *entries, struct entries_stream *stream,
+		    int vm)
 {
-	streams_take_up_as(entries, stream, vm,
-			   stream->events ? stream->first : NULL);
+	streams_resume_as(entries, stream, vm,
+			  stream->events ? stream->first : NULL);
 }
 
 int streams_joined(const struct entries *entries)
@@ -103,7 +103,7 @@
 	return n;
 }
 
-int streams_taken_up(const struct entries *entries)
+int streams_resumed(const struct entries *entries)
 {
 	int n = 0;
 	guint i;
--- a/tests/control/streams.h
+++ b/tests/control/streams.h
@@ -53,20 +53,20 @@
 void streams_leave(struct entries *entries, struct entries_stream *stream);
 
 /** It leaves and comes back to a VM; nothing if it has the whole stream. */
-void streams_take_up(struct entries *entries, struct entries_stream *stream,
-		     int vm);
+void streams_resume(struct entries *entries, struct entries_stream *stream,
+		    int vm);
 
 /** The same with another name for the request that began it, or NULL. */
-void streams_take_up_as(struct entries *entries, struct entries_stream *stream,
-			int vm, const char *resumes);
+void streams_resume_as(struct entries *entries, struct entries_stream *stream,
+		       int vm, const char *resumes);
 
 struct entries_stream *streams_nth(const struct entries *entries, guint i);
 
 /** Streams with events of two versions. */
 int streams_joined(const struct entries *entries);
 
-/** Streams that are taken up by their present request. */
-int streams_taken_up(const struct entries *entries);
+/** Streams that are resumed by their present request. */
+int streams_resumed(const struct entries *entries);
 
 /** Of these, those for which it brought an event. */
 int streams_gone_on(const struct entries *entries);
--- a/tests/control/t-order-servers.c
+++ b/tests/control/t-order-servers.c
@@ -32,14 +32,14 @@
 		streams_begin_many(entries, 40, SECOND / 100);
 		entries_restart_server(entries, at, "v2");
 		for (i = 0; i < entries->streams->len; i += 3)
-			streams_take_up(entries, streams_nth(entries, i),
-					(int)i % ORDER_VMS);
+			streams_resume(entries, streams_nth(entries, i),
+				       (int)i % ORDER_VMS);
 		entries_run(entries, 3 * SECOND);
 	}
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
-/* The second version comes as streams of the first are taken up. */
+/* The second version comes as streams of the first are resumed. */
 static void test_second_version_comes(void)
 {
 	struct entries *entries = order_start(order_one);
@@ -49,8 +49,8 @@
 	entries_run(entries, ENTRIES_RESTART_US - SECOND / 5);
 	streams_begin_many(entries, ORDER_STREAMS, SECOND / 100);
 	entries_restart(entries, 1);
-	order_take_up_at_last(entries);
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	order_check_resumed(entries);
 }
 
 /* Servers start again as another version; their first news is late. */
@@ -68,8 +68,8 @@
 		entries_run(entries, down_us - SECOND / 20);
 		streams_begin_many(entries, 30, SECOND / 100);
 		for (; first < entries->streams->len; first++)
-			streams_take_up(entries, streams_nth(entries, first),
-					(int)first % ORDER_VMS);
+			streams_resume(entries, streams_nth(entries, first),
+				       (int)first % ORDER_VMS);
 		entries_run(entries, SECOND);
 	}
 	entries_run(entries, SECOND);
@@ -91,10 +91,10 @@
 	struct entries *entries = order_start(order_two);
 
 	restart_each(entries, 5 * SECOND, SECOND / 2);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
-/* The last servers of a version leave; streams are taken up meanwhile. */
+/* The last servers of a version leave; streams are resumed meanwhile. */
 static void test_last_ones_leave(void)
 {
 	struct entries *entries = order_start(order_two);
@@ -104,13 +104,12 @@
 	for (at = 0; at < ORDER_SERVERS; at += 2)
 		entries->servers[at].leaves = true;
 	entries_run(entries, SECOND / 2);
-	order_take_up_at_last(entries);
-	g_assert_cmpint(streams_gone_on(entries), ==,
-			streams_taken_up(entries));
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	g_assert_cmpint(streams_gone_on(entries), ==, streams_resumed(entries));
+	order_check_resumed(entries);
 }
 
-/* The old version is gone: those taken up hear so at once, as not run. */
+/* The old version is gone: resumed ones hear so at once, as not run. */
 static void test_version_gone(void)
 {
 	struct entries *entries = order_start(order_two);
@@ -121,7 +120,7 @@
 	for (at = 0; at < ORDER_SERVERS; at += 2)
 		entries_restart_server(entries, at, "v2");
 	entries_run(entries, 3 * SECOND);
-	order_take_up_at_last(entries);
+	order_resume_at_last(entries);
 	g_assert_cmpint(streams_joined(entries), ==, 0);
 	for (i = 0; i < entries->streams->len; i++) {
 		const struct entries_stream *stream = streams_nth(entries, i);
@@ -165,12 +164,12 @@
 	for (i = 0; i < begun; i++) {
 		for (vm = 0; vm < ORDER_VMS; vm++)
 			streams_begin(entries, vm);
-		streams_take_up(entries, streams_nth(entries, i),
-				1 + (int)i % (ORDER_VMS - 1));
+		streams_resume(entries, streams_nth(entries, i),
+			       1 + (int)i % (ORDER_VMS - 1));
 		entries_run(entries, SECOND / 100);
 	}
 	entries_run(entries, 4 * SECOND);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 int main(int argc, char **argv)
--- a/tests/control/t-order.c
+++ b/tests/control/t-order.c
@@ -9,8 +9,8 @@
 {
 	struct entries *entries = order_start(order_two);
 
-	order_take_up_each(entries, 0, SECOND / 10);
-	order_check_taken_up(entries);
+	order_resume_each(entries, 0, SECOND / 10);
+	order_check_resumed(entries);
 }
 
 /* It comes back to another VM, at once. */
@@ -18,20 +18,20 @@
 {
 	struct entries *entries = order_start(order_two);
 
-	order_take_up_each(entries, 1, 0);
-	order_check_taken_up(entries);
+	order_resume_each(entries, 1, 0);
+	order_check_resumed(entries);
 }
 
 static void test_three_versions(void)
 {
 	struct entries *entries = order_start(order_three);
 
-	order_take_up_each(entries, 2, SECOND / 10);
-	order_check_taken_up(entries);
+	order_resume_each(entries, 2, SECOND / 10);
+	order_check_resumed(entries);
 }
 
 /* It comes back again and again, and names the first request each time. */
-static void test_taken_up_twice(void)
+static void test_resumed_twice(void)
 {
 	struct entries *entries = order_start(order_two);
 	int i;
@@ -41,13 +41,13 @@
 			streams_begin(entries, i % ORDER_VMS);
 
 		entries_run(entries, ORDER_LEAVE_US);
-		streams_take_up(entries, stream, (i + 1) % ORDER_VMS);
+		streams_resume(entries, stream, (i + 1) % ORDER_VMS);
 		entries_run(entries, ORDER_LEAVE_US);
-		streams_take_up(entries, stream, (i + 3) % ORDER_VMS);
+		streams_resume(entries, stream, (i + 3) % ORDER_VMS);
 		entries_run(entries, ORDER_GAP_US);
 	}
 	entries_run(entries, SECOND);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 /* VMs that began streams are killed, and their callers come back to others. */
@@ -63,10 +63,10 @@
 		struct entries_stream *stream = streams_nth(entries, i);
 
 		if (stream->vm < 2)
-			streams_take_up(entries, stream, 2 + (int)i % 4);
+			streams_resume(entries, stream, 2 + (int)i % 4);
 	}
 	entries_run(entries, 2 * SECOND);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 /* With one version all of them go on. */
@@ -74,10 +74,10 @@
 {
 	struct entries *entries = order_start(order_one);
 
-	order_take_up_each(entries, 1, 0);
+	order_resume_each(entries, 1, 0);
 	g_assert_cmpint(streams_in_state(entries, STREAMS_WHOLE), ==,
 			ORDER_STREAMS);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 /* The two VMs have links to different control VMs. */
@@ -91,8 +91,8 @@
 				 control, true);
 	entries_run(entries, SECOND / 10);
 	order_begin_at_first(entries);
-	order_take_up_at_last(entries);
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	order_check_resumed(entries);
 }
 
 /* A VM without control VMs knows nothing of them, and says so. */
@@ -103,7 +103,7 @@
 
 	entries_cut(entries, ORDER_VMS - 1, true);
 	order_begin_at_first(entries);
-	order_take_up_at_last(entries);
+	order_resume_at_last(entries);
 	g_assert_cmpint(streams_joined(entries), ==, 0);
 	for (i = 0; i < entries->streams->len; i++)
 		if (streams_nth(entries, i)->events_before)
@@ -111,8 +111,8 @@
 					STREAMS_REFUSED);
 	entries_cut(entries, ORDER_VMS - 1, false);
 	entries_run(entries, SECOND);
-	order_take_up_at_last(entries);
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	order_check_resumed(entries);
 }
 
 /* The VM that began them is cut off, killed, and its callers come back. */
@@ -124,8 +124,8 @@
 	entries_cut(entries, 0, true);
 	entries_run(entries, SECOND / 10);
 	entries_restart(entries, 0);
-	order_take_up_at_last(entries);
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	order_check_resumed(entries);
 }
 
 /* Each control VM starts again; one doesn't come back. */
@@ -142,8 +142,8 @@
 			group_start(entries->group, control);
 		entries_run(entries, SECOND / 2);
 	}
-	order_take_up_at_last(entries);
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	order_check_resumed(entries);
 }
 
 /* Callers come back right after the first event, sooner than the news. */
@@ -160,10 +160,10 @@
 
 		while (!stream->events)
 			entries_run(entries, GROUP_STEP_US);
-		streams_take_up(entries, stream, (2 * i + 1) % ORDER_VMS);
+		streams_resume(entries, stream, (2 * i + 1) % ORDER_VMS);
 	}
 	entries_run(entries, SECOND);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 /* A VM is killed right after it has passed a stream's first event on. */
@@ -179,10 +179,10 @@
 		while (!stream->events)
 			entries_run(entries, GROUP_STEP_US);
 		entries_restart(entries, stream->vm);
-		streams_take_up(entries, stream, (i + 1) % ORDER_VMS);
+		streams_resume(entries, stream, (i + 1) % ORDER_VMS);
 		entries_run(entries, SECOND / 4);
 	}
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 /* All VMs of a zone start again at once, and callers come back to them. */
@@ -198,9 +198,9 @@
 	entries_restart(entries, 2);
 	entries_run(entries, SECOND / 2);
 	for (i = 0; i < entries->streams->len; i++)
-		streams_take_up(entries, streams_nth(entries, i), (int)i % 3);
+		streams_resume(entries, streams_nth(entries, i), (int)i % 3);
 	entries_run(entries, 2 * SECOND);
-	order_check_taken_up(entries);
+	order_check_resumed(entries);
 }
 
 /* Names that nobody knows, or that a caller made up. */
@@ -211,8 +211,8 @@
 
 	order_begin_at_first(entries);
 	for (i = 0; i < entries->streams->len; i++)
-		streams_take_up_as(entries, streams_nth(entries, i), 1,
-				   i % 2 ? "made up" : NULL);
+		streams_resume_as(entries, streams_nth(entries, i), 1,
+				  i % 2 ? "made up" : NULL);
 	entries_run(entries, 2 * SECOND);
 	g_assert_cmpint(streams_joined(entries), ==, 0);
 	for (i = 0; i < entries->streams->len; i++) {
@@ -247,16 +247,15 @@
 
 	order_begin_at_first(entries);
 	restart_all(entries);
-	order_take_up_at_last(entries);
+	order_resume_at_last(entries);
 	g_assert_cmpint(streams_joined(entries), ==, 0);
 	entries_free(entries);
 	entries = order_start(order_one);
 	order_begin_at_first(entries);
 	restart_all(entries);
-	order_take_up_at_last(entries);
-	g_assert_cmpint(streams_gone_on(entries), ==,
-			streams_taken_up(entries));
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	g_assert_cmpint(streams_gone_on(entries), ==, streams_resumed(entries));
+	order_check_resumed(entries);
 }
 
 /* With one version nobody waits, whoever began the stream. */
@@ -267,11 +266,10 @@
 
 	order_begin_at_first(entries);
 	for (i = 0; i < entries->streams->len; i++)
-		streams_take_up_as(entries, streams_nth(entries, i), 1, NULL);
+		streams_resume_as(entries, streams_nth(entries, i), 1, NULL);
 	entries_run(entries, 2 * SECOND);
-	g_assert_cmpint(streams_gone_on(entries), ==,
-			streams_taken_up(entries));
-	order_check_taken_up(entries);
+	g_assert_cmpint(streams_gone_on(entries), ==, streams_resumed(entries));
+	order_check_resumed(entries);
 }
 
 /* A control VM stands still; with one version it isn't waited for in vain. */
@@ -283,11 +281,10 @@
 	order_begin_at_first(entries);
 	group_freeze(entries->group, 4, true);
 	for (i = 0; i < entries->streams->len; i++)
-		streams_take_up_as(entries, streams_nth(entries, i), 1, NULL);
+		streams_resume_as(entries, streams_nth(entries, i), 1, NULL);
 	entries_run(entries, 2 * SECOND);
-	g_assert_cmpint(streams_gone_on(entries), ==,
-			streams_taken_up(entries));
-	order_check_taken_up(entries);
+	g_assert_cmpint(streams_gone_on(entries), ==, streams_resumed(entries));
+	order_check_resumed(entries);
 }
 
 /* The VM that a caller comes back to reaches no server, and passes it on. */
@@ -299,8 +296,8 @@
 	streams_begin(entries, ORDER_VMS - 1);
 	entries_run(entries, 2 * SECOND);
 	order_begin_at_first(entries);
-	order_take_up_at_last(entries);
-	order_check_taken_up(entries);
+	order_resume_at_last(entries);
+	order_check_resumed(entries);
 }
 
 int main(int argc, char **argv)
@@ -309,7 +306,7 @@
 	g_test_add_func("/order/same-vm", test_same_vm);
 	g_test_add_func("/order/other-vm", test_other_vm);
 	g_test_add_func("/order/three-versions", test_three_versions);
-	g_test_add_func("/order/taken-up-twice", test_taken_up_twice);
+	g_test_add_func("/order/resumed-twice", test_resumed_twice);
 	g_test_add_func("/order/vms-killed", test_vms_killed);
 	g_test_add_func("/order/one-version", test_one_version);
 	g_test_add_func("/order/links-cut", test_links_cut);
--- a/tests/e2e/versions.t
+++ b/tests/e2e/versions.t
@@ -58,7 +58,7 @@
 	LAST=$(sed -n 's/^id: //p' "$WORK/begun" | tail -n 1)
 }
 
-# go_on N ID PATH FIRST: takes it up; FIRST brought its first event.
+# go_on N ID PATH FIRST: resumes it; FIRST brought its first event.
 go_on() {
 	stream "$1" "$2" "$3" -H "Last-Event-Id: $LAST" -H "Resumes: $4" \
 		>"$WORK/gone-on"
@@ -81,7 +81,7 @@
 	go_on $(((i + 1) % 3 + 1)) "b$i" $i "a$i"
 	tally
 done
-is "none that is taken up at another VM is joined" $joined 0
+is "none that is resumed at another VM is joined" $joined 0
 is "all of them go on" $whole 20
 
 # Servers of both versions tear streams in the middle of an event.
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -34,7 +34,7 @@
 	char started_at[BACKEND_NAME_SIZE]; /* server of that request */
 	int at_steady;			    /* attempts at STEADY */
 	int64_t entry_vms; /* number of entry VMs that the control VM reports */
-	int asks;	   /* about streams that requests take up */
+	int asks;	   /* about streams that requests resume */
 	struct affinity_key asked;
 	int told; /* streams that the control VMs were told of */
 };
--- a/tests/entry/t-resume.c
+++ b/tests/entry/t-resume.c
@@ -33,7 +33,7 @@
 	return bed_submit(bed, request);
 }
 
-static uint64_t take_up(struct bed *bed, const char *resumes, const char *key)
+static uint64_t resume(struct bed *bed, const char *resumes, const char *key)
 {
 	struct entry_request request = { .name = "again",
 					 .path = "/flow/1",
@@ -44,7 +44,7 @@
 	return bed_submit(bed, request);
 }
 
-/* A route has two services, and a stream is taken up at the other one. */
+/* A route has two services, and a stream is resumed at the other one. */
 static void test_split_route(void)
 {
 	struct bed bed;
@@ -57,7 +57,7 @@
 		g_snprintf(name, sizeof(name), "s%d", i);
 		bed_begin_event(&bed, begin(&bed, name, "k1"));
 		g_strlcpy(at, bed.started_at, sizeof(at));
-		g_assert_cmpuint(take_up(&bed, name, "k1"), ==, bed.started);
+		g_assert_cmpuint(resume(&bed, name, "k1"), ==, bed.started);
 		g_assert_cmpstr(bed.started_at, ==, at);
 		bed_end_attempt(&bed, bed.started, RESULT_OK, 200, true);
 		bed_end_attempt(&bed, bed.started - 1, RESULT_OK, 200, true);
@@ -66,7 +66,7 @@
 	bed_end(&bed);
 }
 
-/* An organisation takes up another one's stream by its name. */
+/* An organisation resumes another one's stream by its name. */
 static void test_other_organisation(void)
 {
 	struct bed bed;
@@ -74,7 +74,7 @@
 
 	start(&bed);
 	bed_begin_event(&bed, begin(&bed, "s1", "k1"));
-	id = take_up(&bed, "s1", BOARD_KEY);
+	id = resume(&bed, "s1", BOARD_KEY);
 	g_assert_cmpint(bed.asks, ==, 1);
 	bed_deliver_unknown(&bed, true);
 	bed_advance(&bed, SECOND / 2);
@@ -100,7 +100,7 @@
 	bed_end(&bed);
 }
 
-/* A stopping VM takes requests, and refuses those that take up a stream. */
+/* A stopping VM takes requests, and refuses those that resume a stream. */
 static void test_stopping(void)
 {
 	struct bed bed;
@@ -109,7 +109,7 @@
 	start(&bed);
 	entry_stop(bed.entry, bed.now_us, 8 * SECOND, &bed.effects);
 	bed_advance(&bed, SECOND / 10);
-	id = take_up(&bed, "elsewhere", "k1");
+	id = resume(&bed, "elsewhere", "k1");
 	g_assert_cmpint(bed.asks, ==, 1);
 	g_assert_cmpuint(bed.answered, !=, id);
 	bed_end(&bed);
@@ -122,7 +122,7 @@
 	uint64_t id;
 
 	start(&bed);
-	id = take_up(&bed, "elsewhere", "k1");
+	id = resume(&bed, "elsewhere", "k1");
 	entry_caller_left(bed.entry, id, bed.now_us, &bed.effects);
 	bed_advance(&bed, SECOND / 2);
 	g_assert_cmpuint(bed.answered, !=, id);
@@ -138,9 +138,9 @@
 
 	start(&bed);
 	for (i = 0; i < 1000; i++)
-		id = take_up(&bed, "made up", "k1");
+		id = resume(&bed, "made up", "k1");
 	bed_check_refused(&bed, id, RESULT_STREAM_UNKNOWN);
-	id = take_up(&bed, "s1", BOARD_KEY);
+	id = resume(&bed, "s1", BOARD_KEY);
 	g_assert_cmpuint(bed.answered, !=, id);
 	bed_end(&bed);
 }
--- a/tests/load/t-affinity.c
+++ b/tests/load/t-affinity.c
@@ -50,7 +50,7 @@
 	affinities_clear(&table);
 }
 
-/* An organisation takes up another one's stream by its name. */
+/* An organisation resumes another one's stream by its name. */
 static void test_other_organisation(void)
 {
 	struct affinities table;
--- a/tests/load/t-version.c
+++ b/tests/load/t-version.c
@@ -23,9 +23,9 @@
 	router_fleet_changed(bed->router, bed->now_us, &bed->effects);
 }
 
-/* A request that takes up a stream of that version. */
-static uint64_t take_up(struct bed *bed, const char *class_name,
-			const char *version)
+/* A request that resumes a stream of that version. */
+static uint64_t resume(struct bed *bed, const char *class_name,
+		       const char *version)
 {
 	struct router_request request = {
 		.id = ++bed->last_id,
@@ -104,13 +104,13 @@
 	bed_open_with(&bed, true);
 	add_engine(&bed, "10.0.0.1:1", "v1", 64);
 	add_engine(&bed, "10.0.0.2:1", "v2", 64);
-	id = take_up(&bed, "high", "v1");
+	id = resume(&bed, "high", "v1");
 	g_free(sent_to(&bed));
 	begin_event(&bed, id);
 	fleet_drain(&bed.fleet, "10.0.0.1:1", true);
 	bed_end(&bed, id, 1, RESULT_BACKEND_BROKE, true);
 	g_assert_cmpint(answer_code(&bed), ==, RESULT_VERSION_GONE);
-	take_up(&bed, "high", "v1");
+	resume(&bed, "high", "v1");
 	g_assert_cmpint(answer_code(&bed), ==, RESULT_VERSION_GONE);
 	bed_close(&bed);
 }
@@ -123,8 +123,8 @@
 	bed_open_with(&bed, true);
 	add_engine(&bed, "10.0.0.1:1", "v1", 1);
 	add_engine(&bed, "10.0.0.2:1", "v2", 64);
-	take_up(&bed, "high", "v1");
-	take_up(&bed, "high", "v1");
+	resume(&bed, "high", "v1");
+	resume(&bed, "high", "v1");
 	g_assert_cmpint(answer_code(&bed), ==, -1);
 	fleet_drain(&bed.fleet, "10.0.0.1:1", true);
 	bed.now_us += SECOND / 10;
@@ -143,12 +143,12 @@
 	bed_open_with(bed, true);
 	add_engine(bed, "10.0.0.1:1", "v1", 1);
 	add_engine(bed, "10.0.0.2:1", "v2", 1);
-	first = take_up(bed, "low", "v1");
-	take_up(bed, "low", "v2");
+	first = resume(bed, "low", "v1");
+	resume(bed, "low", "v2");
 	for (i = 0; i < 8; i++)
 		bed_submit(bed, burst, true);
 	bed->now_us += SECOND / 10;
-	id = take_up(bed, resumed, "v1");
+	id = resume(bed, resumed, "v1");
 	effects_clear(&bed->effects);
 	effects_init(&bed->effects);
 	bed_end(bed, first, 1, RESULT_OK, true);
@@ -156,7 +156,7 @@
 }
 
 /* A burst takes each slot before the streams that have no other server. */
-static void test_room_in_a_burst(void)
+static void test_capacity_in_a_burst(void)
 {
 	struct effect *effect;
 	struct bed bed;
@@ -169,7 +169,7 @@
 	bed_close(&bed);
 }
 
-/* Room that the stream that waits for it can't use is lost to all others. */
+/* Capacity that a waiting stream can't use is withheld from all others. */
 static void test_no_room_kept_in_vain(void)
 {
 	struct effect *effect;
@@ -179,9 +179,9 @@
 	bed_open_with(&bed, true);
 	add_engine(&bed, "10.0.0.1:1", "v1", 8);
 	add_engine(&bed, "10.0.0.2:1", "v2", 1);
-	take_up(&bed, "low", "v2");
+	resume(&bed, "low", "v2");
 	fleet_set_unconfirmed(&bed.fleet, "10.0.0.1:1", true);
-	take_up(&bed, "low", "v1");
+	resume(&bed, "low", "v1");
 	effects_clear(&bed.effects);
 	effects_init(&bed.effects);
 	id = bed_submit(&bed, "low", true);
@@ -192,8 +192,8 @@
 	bed_close(&bed);
 }
 
-/* A stream that is taken up goes before requests of a higher tier. */
-static void test_no_room_before_higher_tier(void)
+/* A resumed stream goes before requests of a higher tier. */
+static void test_not_before_higher_tier(void)
 {
 	struct effect *effect;
 	struct bed bed;
@@ -212,10 +212,11 @@
 	g_test_add_func("/version/goes-on", test_goes_on_at_its_version);
 	g_test_add_func("/version/gone", test_version_gone);
 	g_test_add_func("/version/gone-while-waiting", test_gone_while_waiting);
-	g_test_add_func("/version/room-in-a-burst", test_room_in_a_burst);
-	g_test_add_func("/version/no-room-kept-in-vain",
+	g_test_add_func("/version/capacity-in-a-burst",
+			test_capacity_in_a_burst);
+	g_test_add_func("/version/no-capacity-reserved-in-vain",
 			test_no_room_kept_in_vain);
-	g_test_add_func("/version/no-room-before-higher-tier",
-			test_no_room_before_higher_tier);
+	g_test_add_func("/version/not-before-higher-tier",
+			test_not_before_higher_tier);
 	return g_test_run();
 }
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -132,7 +132,7 @@
 	return request.unreadable;
 }
 
-/* A stream is taken up by a header that is read in two ways. */
+/* A stream is resumed by a header that is read in two ways. */
 static void test_read_resumes(void)
 {
 	struct dialect_request request = { 0 };
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -25,8 +25,8 @@
 #define CHANGING_KEYS 50
 /* Of a hundred requests for streams that may be resumed: left on the way. */
 #define LEAVES 40
-/* Fewer that are taken up show nothing. */
-#define TAKEN_UP_LEAST 12
+/* Fewer that are resumed show nothing. */
+#define RESUMED_LEAST 12
 /* Requests for one stream, and how soon the next one comes. */
 #define TRIES 5
 #define COME_BACK_MS 200
@@ -213,7 +213,7 @@
 }
 
 /*
- * How streams begin, and how those go on that are taken up while two servers of
+ * How streams begin, and how those go on that are resumed while two servers of
  * their version serve, at VMs and servers that nothing has happened to.
  */
 static void count_stream(struct caller *caller)
@@ -235,7 +235,7 @@
 		tally->calm_begun += n > 0;
 	} else if (servers_steady(soak, version, since_us - SOAK_CALM_US) >=
 		   2) {
-		tally->calm_taken_up++;
+		tally->calm_resumed++;
 		tally->calm_gone_on += n > 0;
 	}
 }
@@ -367,8 +367,8 @@
 	int first = ledger_first(soak->ledger, caller->number);
 
 	caller->entry = (int)rng_below(&soak->stream_rng, SOAK_ENTRIES);
-	caller->number = ledger_take_up(soak->ledger, first, caller->entry);
-	caller->callers->tally.taken_up++;
+	caller->number = ledger_resume(soak->ledger, first, caller->entry);
+	caller->callers->tally.resumed++;
 	send_request(caller);
 }
 
@@ -428,12 +428,12 @@
 {
 	const struct callers_tally *tally = &callers->tally;
 
-	if (tally->calm_taken_up >= TAKEN_UP_LEAST &&
+	if (tally->calm_resumed >= RESUMED_LEAST &&
 	    2 * tally->calm_gone_on * tally->calm_new <
-		    tally->calm_taken_up * tally->calm_begun)
+		    tally->calm_resumed * tally->calm_begun)
 		soak_violation(callers->soak, "lost",
 			       "%d of %d streams went on, %d of %d began",
-			       tally->calm_gone_on, tally->calm_taken_up,
+			       tally->calm_gone_on, tally->calm_resumed,
 			       tally->calm_begun, tally->calm_new);
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -12,10 +12,10 @@
 	int served;
 	int refused; /**< as not run */
 	int failed;
-	int taken_up; /**< requests that take up a stream */
-	int gone_on;  /**< of these, those that brought more of it */
+	int resumed; /**< requests that resume a stream */
+	int gone_on; /**< of these, those that brought more of it */
 	/* The same while nothing has happened, with servers of its version. */
-	int calm_taken_up;
+	int calm_resumed;
 	int calm_gone_on;
 	int calm_new; /**< streams */
 	int calm_begun;
@@ -24,7 +24,7 @@
 struct callers *callers_new(struct soak *soak);
 void callers_free(struct callers *callers);
 
-/** Whether streams that were taken up went on; at the end. */
+/** Whether streams that were resumed went on; at the end. */
 void callers_check(struct callers *callers);
 
 struct callers_tally callers_tally(const struct callers *callers);
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -49,7 +49,7 @@
 	return (int)ledger->asks->len - 1;
 }
 
-int ledger_take_up(struct ledger *ledger, int first, int entry)
+int ledger_resume(struct ledger *ledger, int first, int entry)
 {
 	int64_t key = ledger_get(ledger, first)->key;
 	int number = ledger_ask(ledger, ASK_RESUMED, entry, key);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -31,8 +31,8 @@
 /** A new request; its number. */
 int ledger_ask(struct ledger *ledger, enum ask_kind kind, int entry,
 	       int64_t key);
-/** A request that takes up the stream that `first` began; its number. */
-int ledger_take_up(struct ledger *ledger, int first, int entry);
+/** A request that resumes the stream that `first` began; its number. */
+int ledger_resume(struct ledger *ledger, int first, int entry);
 struct ask *ledger_get(struct ledger *ledger, int number);
 int ledger_count(const struct ledger *ledger);
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -320,8 +320,8 @@
 	       "windows; late %d times; %d "
 	       "violations\n",
 	       (unsigned long long)soak->seed, tally.asked, tally.served,
-	       tally.refused, tally.failed, tally.gone_on, tally.taken_up,
-	       tally.calm_gone_on, tally.calm_taken_up, tally.calm_begun,
+	       tally.refused, tally.failed, tally.gone_on, tally.resumed,
+	       tally.calm_gone_on, tally.calm_resumed, tally.calm_begun,
 	       tally.calm_new, changes, reads, zones_orders(soak->zones),
 	       platform_windows(soak->platform), run->late, soak->violations);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -56,7 +56,7 @@
 	struct ev_loop *ev;
 	struct stream_loop loop;
 	struct rng rng;
-	struct rng stream_rng; /**< of versions and streams that are taken up */
+	struct rng stream_rng; /**< of versions and streams that are resumed */
 	uint64_t seed;
 	const char *folder;  /**< of this run's files */
 	const char *program; /**< filberthalld */
