entry: later news of a server that leaves doesn't prolong its use

Found on reading the change again: the last servers of a version get resumed streams for a second after they leave, counted from when they were last heard. A leaving server goes on announcing itself, and any change in what it says (its slots, cold again, heard after a silence) gave it another second, long after its leave was acknowledged. Only the step from usable to leaving counts now. /order-servers/left-long-before failed before: a stream was sent 4 s after the leave.

--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -82,6 +82,21 @@
 		backend->regions = regions_of_zone(&entry->regions, told->zone);
 }
 
+/* Later news of a server that leaves doesn't prolong its use. */
+static void retire(struct entry *entry, const struct registry_entry *registered)
+{
+	const struct registration *told = &registered->registration;
+	const struct backend *backend =
+		fleet_find(&entry->fleet, told->address);
+	bool lingers = backend && backend_usable(backend, entry->now_us) &&
+		       told->leaving && !told->gone;
+
+	fleet_retire(&entry->fleet, told->address,
+		     entry->now_us + REGISTRY_TOMBSTONE_US);
+	fleet_let_linger(&entry->fleet, told->address,
+			 lingers ? registered->last_contact_us + LINGER_US : 0);
+}
+
 /* Updates the router's fleet from one registration. */
 static void update_fleet(struct entry *entry,
 			 const struct registry_entry *registered)
@@ -96,13 +111,7 @@
 		fleet_set_limit(&entry->fleet, told->address,
 				registered->limit.per_s);
 	} else if (!holder || holder == registered) {
-		fleet_retire(&entry->fleet, told->address,
-			     entry->now_us + REGISTRY_TOMBSTONE_US);
-		fleet_let_linger(&entry->fleet, told->address,
-				 told->leaving && !told->gone
-					 ? registered->last_contact_us +
-						   LINGER_US
-					 : 0);
+		retire(entry, registered);
 	}
 	entry_log(entry, LOG_INFO, "server",
 		  "event=%s server=%s address=%s service=%s zone=%s version=%s "
--- a/tests/control/t-order-servers.c
+++ b/tests/control/t-order-servers.c
@@ -109,6 +109,30 @@
 	order_check_resumed(entries);
 }
 
+/* News of servers that left long before get them streams once more. */
+static void test_left_long_before(void)
+{
+	struct entries *entries = order_start(order_two);
+	guint i;
+	int at;
+
+	order_begin_at_first(entries);
+	for (at = 0; at < ORDER_SERVERS; at += 2)
+		entries->servers[at].leaves = true;
+	entries_run(entries, 3 * SECOND);
+	for (at = 0; at < ORDER_SERVERS; at += 2)
+		entries->servers[at].slots = 8;
+	entries_run(entries, SECOND);
+	order_resume_at_last(entries);
+	for (i = 0; i < entries->streams->len; i++) {
+		const struct entries_stream *stream = streams_nth(entries, i);
+
+		if (stream->events_before && !strcmp(stream->version, "v1"))
+			g_assert_cmpint(stream->code, ==, RESULT_VERSION_GONE);
+	}
+	entries_free(entries);
+}
+
 /* The old version is gone: resumed ones hear so at once, as not run. */
 static void test_version_gone(void)
 {
@@ -181,6 +205,8 @@
 			test_second_version_comes);
 	g_test_add_func("/order-servers/server-starts-unheard",
 			test_server_starts_unheard);
+	g_test_add_func("/order-servers/left-long-before",
+			test_left_long_before);
 	g_test_add_func("/order-servers/last-ones-leave", test_last_ones_leave);
 	g_test_add_func("/order-servers/server-starts-again",
 			test_server_starts_again);
