platform, relay, entry: what a server asks for with Retry-After is logged

The adapter reads the seconds of a 503, with decimals or without; other values, among them dates, are no seconds by the platform's pages and ask for nothing. The relay remembers the start that a request was sent to, so that an answer isn't taken for one of the next start at its address. Nothing is decided by it yet.

--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -187,10 +187,11 @@
 }
 
 /* Only an answer that the server vouches for can end its limit. */
-static void on_state(void *data, const char *address,
+static void on_state(void *data, const struct entry_server *server,
 		     const struct dialect_answer *answer)
 {
 	struct entry_daemon *daemon = data;
+	const char *address = server->address;
 	int64_t now_us = edge_now_us();
 
 	if (answer->has_load)
@@ -201,6 +202,10 @@
 				   answer->has_limit ? answer->limit_per_s
 						     : SERVER_LIMIT_NONE,
 				   now_us, &daemon->effects);
+	if (answer->retry_after_us)
+		entry_report_retry_after(daemon->entry, server,
+					 answer->retry_after_us, now_us,
+					 &daemon->effects);
 	if (answer->has_reject_limit || answer->signed_off)
 		entry_report_reject_limit(daemon->entry, address,
 					  answer->has_reject_limit
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -36,7 +36,7 @@
 	/* the attempt that is under way */
 	struct http_call *call;
 	int64_t attempt;
-	char address[BACKEND_NAME_SIZE];
+	struct entry_server server;
 	enum answer_kind kind;
 	int status;
 	struct bytes headers; /* lines for the caller */
@@ -150,7 +150,7 @@
 
 	host->dialect->read_answer(head, &answer);
 	if (!answer.elsewhere)
-		host->state(host->data, relay->address, &answer);
+		host->state(host->data, &relay->server, &answer);
 	relay->status = head->status;
 	if (answer.not_run)
 		relay->kind = ANSWER_REJECTED;
@@ -291,13 +291,12 @@
 	const struct relay_host *host = relay->host;
 	struct dialect_forward forward = { 0 };
 	struct http_call_request request = { 0 };
-	const struct registration *server;
 	struct entry_call call;
 	struct bytes head = { 0 };
 
 	forget_answer(relay);
 	relay->attempt = start->attempt;
-	snprintf(relay->address, sizeof(relay->address), "%s", start->address);
+	relay->server = entry_server_named(host->entry, start->address);
 	if (!relay->exchange ||
 	    !entry_find_call(host->entry, relay->id, &call)) {
 		tell_ended(relay, RESULT_CALLER_LEFT, false);
@@ -305,8 +304,7 @@
 	}
 	relay->stream = call.stream;
 	forward.organisation = call.organisation;
-	server = entry_server_at(host->entry, start->address);
-	forward.server = server ? server->id : NULL;
+	forward.server = relay->server.id[0] ? relay->server.id : NULL;
 	if (relay->has_event_id) {
 		forward.resume_after = relay->event_id;
 		forward.resumes = relay->asked.resumes ? relay->asked.resumes
@@ -322,7 +320,7 @@
 		host->dialect->write_request(http_exchange_head(
 						     relay->exchange),
 					     &forward, &head);
-	request.address = relay->address;
+	request.address = relay->server.address;
 	request.head = &head;
 	request.body = http_exchange_body(relay->exchange);
 	request.id = relay->asked.id;
--- a/daemon/role/relay.h
+++ b/daemon/role/relay.h
@@ -30,8 +30,8 @@
 	bool (*begins)(void *data, uint64_t id, int64_t attempt);
 	void (*tokens)(void *data, const struct event_attempt_tokens *tokens);
 	void (*ended)(void *data, const struct event_attempt_ended *ended);
-	/** What the server at that address says of itself. */
-	void (*state)(void *data, const char *address,
+	/** What the server says of itself. */
+	void (*state)(void *data, const struct entry_server *server,
 		      const struct dialect_answer *answer);
 	void *data;
 };
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -70,6 +70,13 @@
 	bool unreadable; /**< what it says of that can't be read */
 };
 
+/** The backend server that an attempt was sent to. */
+struct entry_server {
+	char address[BACKEND_NAME_SIZE];
+	char id[BACKEND_NAME_SIZE]; /**< of its start; empty if unknown */
+	int64_t started_ms;	    /**< of its start, as it registered it */
+};
+
 /** The properties of a request that the HTTP layer needs to forward it. */
 struct entry_call {
 	const char *organisation; /**< empty on an open route */
@@ -133,6 +140,19 @@
 void entry_caller_left(struct entry *entry, uint64_t id, int64_t now_us,
 		       struct effects *effects);
 
+/** The server that is known at that address now. */
+struct entry_server entry_server_named(const struct entry *entry,
+				       const char *address);
+
+/**
+ * The server has turned a request away and asks this VM, and no other, to send
+ * it nothing for that time.
+ */
+void entry_report_retry_after(struct entry *entry,
+			      const struct entry_server *server,
+			      int64_t retry_after_us, int64_t now_us,
+			      struct effects *effects);
+
 /** Load figures that a backend server sent with an answer. */
 void entry_report_load(struct entry *entry, const char *address,
 		       int64_t running, int64_t waiting, int64_t slots,
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -304,6 +304,20 @@
 	entry->fleet_expired_us = entry->now_us;
 }
 
+struct entry_server entry_server_named(const struct entry *entry,
+				       const char *address)
+{
+	const struct registration *told = entry_server_at(entry, address);
+	struct entry_server server = { 0 };
+
+	snprintf(server.address, sizeof(server.address), "%s", address);
+	if (told) {
+		memcpy(server.id, told->id, sizeof(server.id));
+		server.started_ms = told->started_ms;
+	}
+	return server;
+}
+
 const struct registration *entry_server_at(const struct entry *entry,
 					   const char *address)
 {
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -391,6 +391,64 @@
 
 /* Others write there as well; what isn't whole names no server to use. */
 /* Numbers without bounds overflowed once they were taken in microseconds. */
+static int64_t retry_after_of(const char *head)
+{
+	struct dialect_answer answer;
+	struct http_parse parse;
+
+	platform_read_answer(head_of(&parse, HTTP_RESPONSE, head), &answer);
+	http_parse_clear(&parse);
+	return answer.retry_after_us;
+}
+
+/* What a server asks for in a head that can be misread. */
+static void test_retry_after(void)
+{
+	static const struct {
+		const char *value;
+		int64_t us;
+	} cases[] = {
+		{ "3", 3000000 },
+		{ "1.5", 1500000 },
+		{ "0.25", 250000 },
+		{ "0", 0 },
+		{ "-3", 0 },
+		{ "+3", 0 },
+		{ "", 0 },
+		{ ".", 0 },
+		{ "1.2.3", 0 },
+		{ "3 s", 0 },
+		{ "1e3", 0 },
+		{ "0x10", 0 },
+		{ "inf", 0 },
+		{ "nan", 0 },
+		{ "soon", 0 },
+		{ "Fri, 04 Dec 2026 10:00:00 GMT", 0 },
+		{ "99999999999999999999", INT64_C(1) << 50 },
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *head = g_strdup_printf("HTTP/1.1 503 X\r\n"
+					     "Retry-After: %s\r\n\r\n",
+					     cases[i].value);
+
+		g_assert_cmpint(retry_after_of(head), ==, cases[i].us);
+		g_free(head);
+	}
+	g_assert_cmpint(retry_after_of("HTTP/1.1 503 X\r\n\r\n"), ==, 0);
+	g_assert_cmpint(retry_after_of("HTTP/1.1 503 X\r\nretry-after: 1\r\n"
+				       "Retry-After: 4\r\nRetry-After: x\r\n"
+				       "\r\n"),
+			==, 4000000);
+	g_assert_cmpint(retry_after_of("HTTP/1.1 200 X\r\n"
+				       "Retry-After: 4\r\n\r\n"),
+			==, 0);
+	g_assert_cmpint(retry_after_of("HTTP/1.1 429 X\r\n"
+				       "Retry-After: 4\r\n\r\n"),
+			==, 0);
+}
+
 static void test_huge_numbers(void)
 {
 	static const char text[] =
@@ -562,6 +620,7 @@
 			test_foreign_registrations);
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/calls", test_calls);
+	g_test_add_func("/platform/retry-after", test_retry_after);
 	g_test_add_func("/platform/huge-numbers", test_huge_numbers);
 	g_test_add_func("/platform/evacuation-calls", test_evacuation_calls);
 	return g_test_run();
