tests: requests reach servers that asked for rest (fails)

Entry VMs' and control VMs' reducers before stand-in servers that turn requests away and ask for time.

--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -131,9 +131,10 @@
 	}
 }
 
-static bool must_reject(const struct entries_server *server)
+static bool must_reject(const struct entries_server *server, int vm)
 {
-	return server->rejects ||
+	return (server->rejects &&
+		(!server->rejects_vm || server->rejects_vm == vm + 1)) ||
 	       (server->slots && server->running >= server->slots &&
 		server->waiting >= server->queue);
 }
@@ -199,11 +200,15 @@
 		if (start->attempt > 1)
 			g_array_append_val(entries->repeats, now_us);
 	}
-	if (!run.code && must_reject(server)) {
+	run.started_ms = server->started_ms;
+	if (!run.code && must_reject(server, vm)) {
 		run.code = RESULT_BACKEND_ERROR;
+		run.retry_after_us = server->retry_after_us;
 		run.ends_us = now_us + REJECT_US;
 		g_array_append_val(server->rejected, now_us);
 	}
+	if (run.code != RESULT_BACKEND_CONNECT)
+		entries_note_arrival(entries, &run);
 	if (asked && !run.code) {
 		asked->sends++;
 		if (asked->ask.crashes)
@@ -266,6 +271,19 @@
 	return true;
 }
 
+static void report_retry_after(struct entries *entries, const struct run *run,
+			       struct effects *effects)
+{
+	const struct entries_server *server = &entries->servers[run->server];
+	struct entry_server from = { .started_ms = run->started_ms };
+
+	g_strlcpy(from.address, server->address, sizeof(from.address));
+	g_strlcpy(from.id, server->id, sizeof(from.id));
+	entry_report_retry_after(entries->vms[run->vm].entry, &from,
+				 run->retry_after_us,
+				 entries_vm_now(entries, run->vm), effects);
+}
+
 static void end_run(struct entries *entries, const struct run *run)
 {
 	const struct entries_server *server = &entries->servers[run->server];
@@ -300,6 +318,8 @@
 		entry_report_reject_limit(vm->entry, server->address,
 					  server->rejects_named, now_us,
 					  &effects);
+	if (run->retry_after_us)
+		report_retry_after(entries, run, &effects);
 	if (run->code == RESULT_OK && !run->probes)
 		entry_report_limit(vm->entry, server->address,
 				   server->limit_per_s, now_us, &effects);
@@ -376,7 +396,10 @@
 		return;
 	if (asked) {
 		asked->ended = true;
+		asked->ended_us = group_now(entries->group);
 		asked->code = answer->code;
+		asked->run = answer->run;
+		asked->retry_after_ms = answer->retry_after_ms;
 	}
 	stream = streams_find(entries, answer->id);
 	if (stream)
@@ -590,6 +613,8 @@
 	entries->asks = g_ptr_array_new_with_free_func(free);
 	entries->crashed = g_array_new(false, false, sizeof(int64_t));
 	entries->deadly = g_array_new(false, false, sizeof(int64_t));
+	entries->arrived =
+		g_array_new(false, false, sizeof(struct entries_arrival));
 	entries->asked = g_array_new(false, false, sizeof(int64_t));
 	entries->repeats = g_array_new(false, false, sizeof(int64_t));
 	entries->vms = xcalloc((size_t)n_vms, sizeof(*entries->vms));
@@ -647,6 +672,7 @@
 	g_array_free(entries->runs, true);
 	g_array_free(entries->crashed, true);
 	g_array_free(entries->deadly, true);
+	g_array_free(entries->arrived, true);
 	g_array_free(entries->asked, true);
 	g_array_free(entries->repeats, true);
 	group_free(entries->group);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -56,7 +56,21 @@
 	int64_t began_us; /**< first at a server; 0: never */
 	int sends;	  /**< that reached a server */
 	bool ended;
+	int64_t ended_us;
 	enum result code;
+	enum run_state run;
+	int64_t retry_after_ms; /**< what the caller was told */
+};
+
+/** A request that reached a server. */
+struct entries_arrival {
+	int64_t at_us;
+	int vm;
+	uint64_t process; /**< of the VM */
+	int server;
+	int64_t started_ms; /**< of the server */
+	/** It was turned away, and the VM asked to send nothing until then. */
+	int64_t asked_until_us;
 };
 
 /** How a VM is cut off from all servers. */
@@ -76,13 +90,15 @@
 	int64_t started_ms;
 	int64_t sequence;
 	int64_t announced_us;
-	int64_t up_us;	 /**< it is down before then */
-	int64_t late_us; /**< its announcements come so much later */
-	bool leaves;	 /**< it says so, and serves on */
-	int64_t work_us; /**< how long it takes to run a request */
-	int crashes;	 /**< so far */
-	bool rejects;	 /**< it answers that it runs nothing */
-	int slots;	 /**< it rejects what finds none free; 0: any */
+	int64_t up_us;		/**< it is down before then */
+	int64_t late_us;	/**< its announcements come so much later */
+	bool leaves;		/**< it says so, and serves on */
+	int64_t work_us;	/**< how long it takes to run a request */
+	int crashes;		/**< so far */
+	bool rejects;		/**< it answers that it runs nothing */
+	int rejects_vm;		/**< then to this VM alone, from 1; 0: to all */
+	int64_t retry_after_us; /**< and asks for that time; 0: for none */
+	int slots;		/**< it rejects what finds none free; 0: any */
 	int running;
 	int queue; /**< and that many wait for one, the most urgent first */
 	int waiting;
@@ -109,6 +125,7 @@
 	GPtrArray *asks;	/**< struct entries_asked, in time */
 	GArray *crashed;	/**< int64_t, times of servers' crashes */
 	GArray *deadly;		/**< and of arrivals that crash servers */
+	GArray *arrived;	/**< struct entries_arrival, in time */
 	GArray *asked;		/**< int64_t, times of requests */
 	GArray *repeats;	/**< and of those that reached another server */
 	int probes;		/**< connections without a request */
@@ -186,6 +203,12 @@
 		    struct entry_request *request);
 void entries_leave(struct entries *entries, int vm, uint64_t id);
 
+/**
+ * Most requests of a VM's process that reached a server's start from half a
+ * second after it asked that VM for time until that time was over.
+ */
+int entries_most_early(const struct entries *entries);
+
 /** Crashes of all servers so far. */
 int entries_crashes(const struct entries *entries);
 
--- a/tests/control/entries_asks.c
+++ b/tests/control/entries_asks.c
@@ -4,6 +4,9 @@
 #include "base/alloc.h"
 #include "entries_state.h"
 
+/* Requests that were sent before the server's answer came. */
+#define UNDER_WAY_US INT64_C(500000)
+
 struct entries_asked *entries_find_asked(const struct entries *entries,
 					 uint64_t id)
 {
@@ -25,6 +28,56 @@
 	return NULL;
 }
 
+void entries_note_arrival(struct entries *entries, const struct run *run)
+{
+	int64_t now_us = group_now(entries->group);
+	struct entries_arrival arrival = {
+		.at_us = now_us,
+		.vm = run->vm,
+		.process = run->entry,
+		.server = run->server,
+		.started_ms = run->started_ms,
+	};
+
+	if (run->retry_after_us)
+		arrival.asked_until_us = now_us + run->retry_after_us;
+	g_array_append_val(entries->arrived, arrival);
+}
+
+static int count_early(const struct entries *entries, guint from)
+{
+	const struct entries_arrival *first =
+		&g_array_index(entries->arrived, struct entries_arrival, from);
+	int n = 0;
+	guint i;
+
+	for (i = from + 1; i < entries->arrived->len; i++) {
+		const struct entries_arrival *next =
+			&g_array_index(entries->arrived, struct entries_arrival,
+				       i);
+
+		if (next->at_us >= first->asked_until_us)
+			break;
+		n += next->at_us >= first->at_us + UNDER_WAY_US &&
+		     next->process == first->process &&
+		     next->server == first->server &&
+		     next->started_ms == first->started_ms;
+	}
+	return n;
+}
+
+int entries_most_early(const struct entries *entries)
+{
+	int most = 0;
+	guint i;
+
+	for (i = 0; i < entries->arrived->len; i++)
+		if (g_array_index(entries->arrived, struct entries_arrival, i)
+			    .asked_until_us)
+			most = MAX(most, count_early(entries, i));
+	return most;
+}
+
 void entries_take_slot(struct entries *entries, struct run *run)
 {
 	struct entries_asked *asked = entries_find_asked(entries, run->id);
--- a/tests/control/entries_state.h
+++ b/tests/control/entries_state.h
@@ -39,9 +39,11 @@
 	int sent;		       /* events of this run */
 	char version[16];	       /* that runs it */
 	bool cancelled;
-	bool breaks; /* its answer, at its end */
-	bool waits;  /* for a slot */
-	int urgency; /* that the server was told; 0 is the most urgent */
+	bool breaks;	    /* its answer, at its end */
+	bool waits;	    /* for a slot */
+	int urgency;	    /* that the server was told; 0 is the most urgent */
+	int64_t started_ms; /* of the server's start */
+	int64_t retry_after_us; /* that the server asks for as it rejects it */
 };
 
 /* A request that one VM passes on to another one. */
@@ -84,6 +86,9 @@
 void entries_take_slot(struct entries *entries, struct run *run);
 void entries_wait_for_slot(struct entries *entries, struct run *run);
 
+/** The request has reached its server. */
+void entries_note_arrival(struct entries *entries, const struct run *run);
+
 /** A slot is free: for the most urgent one that waits, the first of these. */
 void entries_fill_slots(struct entries *entries, int server);
 
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -389,8 +389,6 @@
 	g_assert_cmpstr(a.version, ==, b.version);
 }
 
-/* Others write there as well; what isn't whole names no server to use. */
-/* Numbers without bounds overflowed once they were taken in microseconds. */
 static int64_t retry_after_of(const char *head)
 {
 	struct dialect_answer answer;
@@ -449,6 +447,8 @@
 			==, 0);
 }
 
+/* Others write there as well; what isn't whole names no server to use. */
+/* Numbers without bounds overflowed once they were taken in microseconds. */
 static void test_huge_numbers(void)
 {
 	static const char text[] =
