platform, entry: a server that says in its answers that it leaves gets no requests

Callers saw: requests were sent to servers that were about to stop and had said so in each answer (Server-Leaving), when their announcements didn't come through or this VM was out of touch with control VMs.

Cause: the header was read nowhere; only announcements told a VM that a server leaves. It is the same class as Retry-After: what a server says in its answers and the adapter drops.

The registry now keeps by start that it said so to this VM. It is final for that start, also against a later announcement that it is ready, as the answer binds this VM, in touch or not. A new start has said nothing. Streams that can go on at its version alone still get to it for a second, as after an announcement. The header, like the load and the limits, is for VMs and isn't passed on to callers.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -61,6 +61,7 @@
 	double rejects_per_s;  /**< it fails if it rejects more, of all VMs */
 	bool has_limit;	       /**< the next one is set */
 	double limit_per_s; /**< requests that it takes from all VMs together */
+	bool leaving;	    /**< the server is about to stop */
 	int64_t retry_after_us; /**< this VM is to send it nothing so long */
 };
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -202,6 +202,9 @@
 				   answer->has_limit ? answer->limit_per_s
 						     : SERVER_LIMIT_NONE,
 				   now_us, &daemon->effects);
+	if (answer->leaving)
+		entry_report_leaving(daemon->entry, server, now_us,
+				     &daemon->effects);
 	if (answer->retry_after_us)
 		entry_report_retry_after(daemon->entry, server,
 					 answer->retry_after_us, now_us,
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -153,6 +153,11 @@
 			      int64_t retry_after_us, int64_t now_us,
 			      struct effects *effects);
 
+/** The server has said in an answer that it is about to stop. */
+void entry_report_leaving(struct entry *entry,
+			  const struct entry_server *server, int64_t now_us,
+			  struct effects *effects);
+
 /** Load figures that a backend server sent with an answer. */
 void entry_report_load(struct entry *entry, const char *address,
 		       int64_t running, int64_t waiting, int64_t slots,
--- a/libfilberthall/entry/entry_backoff.c
+++ b/libfilberthall/entry/entry_backoff.c
@@ -46,3 +46,18 @@
 	router_backed_off(entry->router, known->registration.service, now_us,
 			  effects);
 }
+
+void entry_report_leaving(struct entry *entry,
+			  const struct entry_server *server, int64_t now_us,
+			  struct effects *effects)
+{
+	struct registry_entry *known;
+
+	entry->now_us = now_us;
+	entry->effects = effects;
+	known = find_start(entry, server);
+	if (!known || known->told_leaving)
+		return;
+	known->told_leaving = true;
+	entry_update_server(entry, known);
+}
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -82,6 +82,11 @@
 		backend->regions = regions_of_zone(&entry->regions, told->zone);
 }
 
+static bool is_leaving(const struct registry_entry *registered)
+{
+	return registered->registration.leaving || registered->told_leaving;
+}
+
 /* Later news of a server that leaves doesn't prolong its use. */
 static void retire(struct entry *entry, const struct registry_entry *registered)
 {
@@ -89,7 +94,7 @@
 	const struct backend *backend =
 		fleet_find(&entry->fleet, told->address);
 	bool lingers = backend && backend_usable(backend, entry->now_us) &&
-		       told->leaving && !told->gone;
+		       is_leaving(registered) && !told->gone;
 
 	fleet_retire(&entry->fleet, told->address,
 		     entry->now_us + REGISTRY_TOMBSTONE_US);
@@ -97,8 +102,7 @@
 			 lingers ? registered->last_contact_us + LINGER_US : 0);
 }
 
-/* Updates the router's fleet from one registration. */
-static void update_fleet(struct entry *entry,
+void entry_update_server(struct entry *entry,
 			 const struct registry_entry *registered)
 {
 	const struct registration *told = &registered->registration;
@@ -118,10 +122,10 @@
 	entry_log(entry, LOG_INFO, "server",
 		  "event=%s server=%s address=%s service=%s zone=%s version=%s "
 		  "cheap=%d heard_ms=%lld",
-		  told->gone		  ? "gone"
-		  : told->leaving	  ? "leaving"
-		  : registered->timed_out ? "silent"
-					  : "ready",
+		  told->gone		   ? "gone"
+		  : is_leaving(registered) ? "leaving"
+		  : registered->timed_out  ? "silent"
+					   : "ready",
 		  told->id, told->address, told->service, told->zone,
 		  told->version, told->cheap,
 		  (long long)((entry->now_us - registered->last_contact_us) /
@@ -138,10 +142,10 @@
 	outcome = registry_update(&entry->registry, told,
 				  entry->now_us - message->age_us, &replaced);
 	if (replaced)
-		update_fleet(entry, replaced);
+		entry_update_server(entry, replaced);
 	if (outcome != REGISTRY_CHANGED)
 		return;
-	update_fleet(entry, registry_find(&entry->registry, told->id));
+	entry_update_server(entry, registry_find(&entry->registry, told->id));
 	entry_tell_affinities(entry);
 }
 
@@ -203,7 +207,7 @@
 
 	known = registry_heartbeat(&entry->registry, id, born_ms, heard_us);
 	if (known && was_silent && !known->timed_out)
-		update_fleet(entry, known);
+		entry_update_server(entry, known);
 }
 
 void entry_handle_alive(struct entry *entry, const struct feed_message *message)
@@ -263,7 +267,7 @@
 
 static void on_server_expired(void *data, struct registry_entry *registered)
 {
-	update_fleet(data, registered);
+	entry_update_server(data, registered);
 }
 
 /* While a service has had one version, a server can't have another one. */
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -226,6 +226,10 @@
 			  const struct poison_report *told);
 
 /* entry_servers.c */
+
+/** Updates the router's fleet from what is known of one start. */
+void entry_update_server(struct entry *entry,
+			 const struct registry_entry *registered);
 void entry_update_cold(struct entry *entry);
 void entry_handle_registration(struct entry *entry,
 			       const struct feed_message *message);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -251,6 +251,7 @@
 	if (known->registration.started_ms != update->started_ms) {
 		clear_limit(known);
 		known->retry_at_us = 0;
+		known->told_leaving = false;
 	}
 	unindex(registry, known);
 	set_cold(known, update, contact_us);
@@ -351,7 +352,7 @@
 bool registry_entry_usable(const struct registry_entry *entry)
 {
 	return !entry->registration.gone && !entry->registration.leaving &&
-	       !entry->timed_out;
+	       !entry->told_leaving && !entry->timed_out;
 }
 
 int registry_count_usable(const struct registry *registry)
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -67,6 +67,7 @@
 	struct server_limit limit;
 	double limit_told; /**< what the other VMs know of it */
 	int64_t limit_told_us;
+	bool told_leaving;   /**< it said so to this VM, in an answer */
 	int64_t retry_at_us; /**< it asked this VM for nothing until then */
 };
 
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -201,6 +201,7 @@
 			g_array_append_val(entries->repeats, now_us);
 	}
 	run.started_ms = server->started_ms;
+	run.leaving = server->says_leaving;
 	if (!run.code && must_reject(server, vm)) {
 		run.code = RESULT_BACKEND_ERROR;
 		run.retry_after_us = server->retry_after_us;
@@ -233,6 +234,24 @@
 	}
 }
 
+/* What the server's answer says of it. */
+static void report_server(struct entries *entries, const struct run *run,
+			  struct effects *effects)
+{
+	const struct entries_server *server = &entries->servers[run->server];
+	struct entry *entry = entries->vms[run->vm].entry;
+	int64_t now_us = entries_vm_now(entries, run->vm);
+	struct entry_server from = { .started_ms = run->started_ms };
+
+	g_strlcpy(from.address, server->address, sizeof(from.address));
+	g_strlcpy(from.id, server->id, sizeof(from.id));
+	if (run->retry_after_us)
+		entry_report_retry_after(entry, &from, run->retry_after_us,
+					 now_us, effects);
+	if (run->leaving)
+		entry_report_leaving(entry, &from, now_us, effects);
+}
+
 /* The run's next event; false once it is over. */
 static bool send_event(struct entries *entries, struct run *run)
 {
@@ -254,6 +273,8 @@
 		return false;
 	}
 	effects_init(&effects);
+	if (!run->sent)
+		report_server(entries, run, &effects);
 	if (!run->sent &&
 	    !entry_attempt_begins(vm->entry, run->id, run->attempt,
 				  entries_vm_now(entries, run->vm), &effects)) {
@@ -271,19 +292,6 @@
 	return true;
 }
 
-static void report_retry_after(struct entries *entries, const struct run *run,
-			       struct effects *effects)
-{
-	const struct entries_server *server = &entries->servers[run->server];
-	struct entry_server from = { .started_ms = run->started_ms };
-
-	g_strlcpy(from.address, server->address, sizeof(from.address));
-	g_strlcpy(from.id, server->id, sizeof(from.id));
-	entry_report_retry_after(entries->vms[run->vm].entry, &from,
-				 run->retry_after_us,
-				 entries_vm_now(entries, run->vm), effects);
-}
-
 static void end_run(struct entries *entries, const struct run *run)
 {
 	const struct entries_server *server = &entries->servers[run->server];
@@ -318,8 +326,8 @@
 		entry_report_reject_limit(vm->entry, server->address,
 					  server->rejects_named, now_us,
 					  &effects);
-	if (run->retry_after_us)
-		report_retry_after(entries, run, &effects);
+	if (run->code != RESULT_BACKEND_CONNECT && !run->probes)
+		report_server(entries, run, &effects);
 	if (run->code == RESULT_OK && !run->probes)
 		entry_report_limit(vm->entry, server->address,
 				   server->limit_per_s, now_us, &effects);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -69,6 +69,7 @@
 	uint64_t process; /**< of the VM */
 	int server;
 	int64_t started_ms; /**< of the server */
+	bool leaving;	    /**< which says so in its answer */
 	/** It was turned away, and the VM asked to send nothing until then. */
 	int64_t asked_until_us;
 };
@@ -92,6 +93,7 @@
 	int64_t announced_us;
 	int64_t up_us;		/**< it is down before then */
 	int64_t late_us;	/**< its announcements come so much later */
+	bool says_leaving;	/**< in its answers alone, and serves on */
 	bool leaves;		/**< it says so, and serves on */
 	int64_t work_us;	/**< how long it takes to run a request */
 	int crashes;		/**< so far */
--- a/tests/control/entries_asks.c
+++ b/tests/control/entries_asks.c
@@ -37,6 +37,7 @@
 		.process = run->entry,
 		.server = run->server,
 		.started_ms = run->started_ms,
+		.leaving = run->leaving,
 	};
 
 	if (run->retry_after_us)
--- a/tests/control/entries_state.h
+++ b/tests/control/entries_state.h
@@ -43,6 +43,7 @@
 	bool waits;	    /* for a slot */
 	int urgency;	    /* that the server was told; 0 is the most urgent */
 	int64_t started_ms; /* of the server's start */
+	bool leaving;	    /* as the answer says */
 	int64_t retry_after_us; /* that the server asks for as it rejects it */
 };
 
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -389,6 +389,37 @@
 	g_assert_cmpstr(a.version, ==, b.version);
 }
 
+static bool says_leaving(const char *head)
+{
+	struct dialect_answer answer;
+	struct http_parse parse;
+
+	platform_read_answer(head_of(&parse, HTTP_RESPONSE, head), &answer);
+	http_parse_clear(&parse);
+	return answer.leaving;
+}
+
+/* A server that leaves says so to VMs; callers aren't told. */
+static void test_leaving(void)
+{
+	const char *head = "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n"
+			   "Server-Limit: 2\r\nServer-Brittle: 3\r\n"
+			   "Filberthall-Server-Load: 3,1,8\r\nX: y\r\n\r\n";
+	struct bytes out = { 0 };
+	struct http_parse parse;
+
+	g_assert_true(says_leaving(head));
+	g_assert_true(says_leaving("HTTP/1.1 503 X\r\n"
+				   "server-leaving: 1\r\n\r\n"));
+	g_assert_false(says_leaving("HTTP/1.1 200 OK\r\n\r\n"));
+	g_assert_false(says_leaving("HTTP/1.1 200 OK\r\n"
+				    "Server-Leaving: 0\r\n\r\n"));
+	platform_write_answer(head_of(&parse, HTTP_RESPONSE, head), &out);
+	g_assert_cmpstr(bytes_text(&out), ==, "X: y\r\n");
+	http_parse_clear(&parse);
+	bytes_clear(&out);
+}
+
 static int64_t retry_after_of(const char *head)
 {
 	struct dialect_answer answer;
@@ -620,6 +651,7 @@
 			test_foreign_registrations);
 	g_test_add_func("/platform/orders", test_orders);
 	g_test_add_func("/platform/calls", test_calls);
+	g_test_add_func("/platform/leaving", test_leaving);
 	g_test_add_func("/platform/retry-after", test_retry_after);
 	g_test_add_func("/platform/huge-numbers", test_huge_numbers);
 	g_test_add_func("/platform/evacuation-calls", test_evacuation_calls);
