http, relay: bytes without end that are no answer end the call

Nothing bounded the first, as each message began the head's limit anew; answers to other requests and bodies that nobody takes were read over likewise; the relay knew that an answer was wrong and read on to its end.

Now all that comes beside a call's own body is counted over its messages, 256 kB at most. The relay gives an answer up as soon as it is more than an event or a whole answer may be, also if it is lines that hold no event; of one that says that nothing ran, or that isn't the server's own, it reads 64 kB and 1 s at most, for the connection's sake. Such an answer doesn't count as a crash under its request.

/http-client/endless: 8 MB read before, without an end; below 1 MB now. /http-client/endless-slow: the call's own time ends a slow one; that held before.

--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -23,6 +23,12 @@
 /* Longest time for which a connection is kept, whatever the server says. */
 #define KEPT_MOST_MS 10000
 
+/*
+ * Of all that comes beside the answer's own body: interim answers, answers to
+ * other requests, bodies that nobody takes.
+ */
+#define BESIDE_BYTES (256 * 1024)
+
 /* Of an answer, waiting to be taken; each piece is taken as it comes. */
 #define READ_MOST (256 * 1024)
 
@@ -45,6 +51,8 @@
 	bool probe; /* nothing is sent on it */
 	bool spoiled;
 	bool skipping; /* an answer of another request */
+	bool taken;    /* the body that is being read is the call's */
+	size_t beside; /* bytes read that weren't taken */
 	bool reading;  /* its bytes are being parsed: not to be freed now */
 	int64_t kept_ms;
 };
@@ -194,6 +202,7 @@
 		return true;
 	id = id_header ? http_head_get(head, id_header) : NULL;
 	conn->skipping = call->id && (!id || strcmp(id, call->id) != 0);
+	conn->taken = !conn->skipping && call->hooks.body;
 	conn->kept_ms = kept_ms(head);
 	if (conn->skipping)
 		conn->spoiled = true;
@@ -223,6 +232,8 @@
 	struct wire_conn *oldest;
 
 	conn->call = NULL;
+	conn->taken = false;
+	conn->beside = 0;
 	if (!keep_alive || conn->spoiled || conn->kept_ms <= 0 ||
 	    stream_input(conn->stream)->len || stream_unwritten(conn->stream)) {
 		wire_free(conn);
@@ -258,6 +269,14 @@
 	return false;
 }
 
+/* False if more than an answer can need has come beside its body. */
+static bool count_beside(struct wire_conn *conn, size_t len)
+{
+	if (!conn->taken)
+		conn->beside += len;
+	return conn->beside <= BESIDE_BYTES;
+}
+
 static void on_read(void *data, struct bytes *in)
 {
 	struct wire_conn *conn = data;
@@ -269,12 +288,14 @@
 	}
 	while (in->len) {
 		enum http_parse_state state;
+		size_t waiting = in->len;
 
 		conn->reading = true;
 		state = http_parse_feed(&conn->parse, in);
 		conn->reading = false;
 		/* A hook that gave the call up left the connection to us. */
-		if (state == HTTP_PARSE_BAD || !conn->call) {
+		if (state == HTTP_PARSE_BAD || !conn->call ||
+		    !count_beside(conn, waiting - in->len)) {
 			wire_fail(conn, RESULT_BACKEND_BROKE);
 			return;
 		}
@@ -426,6 +447,15 @@
 		wire_free(conn);
 }
 
+void http_call_limit(struct http_call *call, int64_t ms)
+{
+	struct http_client *client = call->client;
+
+	if (ev_timer_remaining(client->loop->ev, &call->timer) >
+	    (double)ms / 1000)
+		arm(client, &call->timer, ms);
+}
+
 bool http_call_sent(const struct http_call *call)
 {
 	return call->sent;
--- a/daemon/http/http_client.h
+++ b/daemon/http/http_client.h
@@ -22,6 +22,8 @@
  * - Bytes behind an answer, or while nobody asked, spoil a connection.
  * - An answer that comes before the request is out: the rest of the request
  *   must not be taken for another one, so the connection isn't used again.
+ * - Bytes without end that belong to no answer, or to one that nobody takes:
+ *   the call ends after a bounded number of them.
  * - A connection that something in the middle has forgotten: unacknowledged
  *   bytes and unanswered keep-alive probes end it.
  */
@@ -80,6 +82,9 @@
 /** Give a call up: its connection is closed at once. No hook is called. */
 void http_call_cancel(struct http_call *call);
 
+/** End the call with BACKEND_TIMEOUT unless it is over within that time. */
+void http_call_limit(struct http_call *call, int64_t ms);
+
 /** Connect and close again, for the watcher to be told. */
 void http_client_probe(struct http_client *client, const char *address);
 
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -13,6 +13,13 @@
 /* Bytes of a whole answer at most; those of plain services are a few kB. */
 #define WHOLE_BYTES (8 * 1024 * 1024)
 
+/*
+ * Of the body of an answer whose fate its head has decided: it is read over for
+ * the sake of the connection.
+ */
+#define USELESS_BYTES (64 * 1024)
+#define USELESS_MS 1000
+
 /* Of an event's id that we may have to repeat. */
 #define EVENT_ID_BYTES 256
 
@@ -42,6 +49,7 @@
 	struct bytes headers; /* lines for the caller */
 	struct bytes whole;
 	struct sse sse;
+	size_t useless; /* bytes of the body since the last event, if any */
 	int64_t events; /* passed on by this attempt */
 
 	/* of all attempts */
@@ -120,6 +128,7 @@
 	relay->kind = ANSWER_NONE;
 	relay->status = 0;
 	relay->events = 0;
+	relay->useless = 0;
 	relay->held = false;
 	bytes_clear(&relay->headers);
 	bytes_clear(&relay->whole);
@@ -160,6 +169,9 @@
 		relay->kind = ANSWER_STREAM;
 	else
 		relay->kind = ANSWER_WHOLE;
+	if (relay->call &&
+	    (relay->kind == ANSWER_REJECTED || relay->kind == ANSWER_WRONG))
+		http_call_limit(relay->call, USELESS_MS);
 	host->dialect->write_answer(head, &relay->headers);
 }
 
@@ -215,42 +227,62 @@
 		http_exchange_begin(relay->exchange, relay->status,
 				    bytes_text(&relay->headers));
 	}
+	relay->useless = 0;
 	note_event_id(relay, event, len);
 	http_exchange_piece(relay->exchange, event, len);
 	relay->host->tokens(relay->host->data, &tokens);
 	return RESULT_OK;
 }
 
-/* The answer is another version's; another server may be asked at once. */
-static void drop_answer(struct relay *relay)
+/* No more of the answer is read; another server may be asked at once. */
+static void give_up(struct relay *relay, enum result code, bool sent)
 {
 	http_call_cancel(relay->call);
 	relay->call = NULL;
-	relay->events = 0;
-	tell_ended(relay, RESULT_BACKEND_CROSSED, true);
+	tell_ended(relay, code, sent);
 }
 
 static void on_events(struct relay *relay, const char *piece, size_t len)
 {
-	enum result code = sse_feed(&relay->sse, piece, len, pass_event, relay);
+	enum result code;
+
+	relay->useless += len;
+	code = sse_feed(&relay->sse, piece, len, pass_event, relay);
+	if (!code && relay->useless > SSE_EVENT_BYTES)
+		code = RESULT_BACKEND_BROKE;
+	if (code == RESULT_BACKEND_CROSSED)
+		relay->events = 0;
+	if (code == RESULT_BACKEND_CROSSED || code == RESULT_BACKEND_BROKE)
+		give_up(relay, RESULT_BACKEND_CROSSED, true);
+}
 
-	if (code == RESULT_BACKEND_BROKE)
-		relay->kind = ANSWER_WRONG;
-	else if (code == RESULT_BACKEND_CROSSED)
-		drop_answer(relay);
+static void on_whole(struct relay *relay, const char *piece, size_t len)
+{
+	bytes_append(&relay->whole, piece, len);
+	if (relay->whole.len <= WHOLE_BYTES)
+		return;
+	relay->kind = ANSWER_WRONG;
+	give_up(relay, RESULT_BACKEND_CROSSED, true);
+}
+
+static void on_useless(struct relay *relay, size_t len)
+{
+	relay->useless += len;
+	if (relay->useless > USELESS_BYTES)
+		give_up(relay, RESULT_BACKEND_CROSSED,
+			relay->kind != ANSWER_REJECTED);
 }
 
 static void on_body(void *data, const char *piece, size_t len)
 {
 	struct relay *relay = data;
 
-	if (relay->kind == ANSWER_STREAM) {
+	if (relay->kind == ANSWER_STREAM)
 		on_events(relay, piece, len);
-	} else if (relay->kind == ANSWER_WHOLE) {
-		bytes_append(&relay->whole, piece, len);
-		if (relay->whole.len > WHOLE_BYTES)
-			relay->kind = ANSWER_WRONG;
-	}
+	else if (relay->kind == ANSWER_WHOLE)
+		on_whole(relay, piece, len);
+	else
+		on_useless(relay, len);
 }
 
 /* What an answer that came whole means. */
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -241,6 +241,84 @@
 	bed_end(&bed);
 }
 
+/* Bytes that the client may read beside an answer, and what is on its way. */
+#define ENDLESS_MOST (1024 * 1024)
+
+/* Says `text` again and again until the client closes; how many bytes. */
+static size_t say_endlessly(struct bed *bed, int fd, const char *text)
+{
+	size_t said = 0;
+	ssize_t n;
+
+	while (!bed->over && said < 8 * ENDLESS_MOST) {
+		n = send(fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (n > 0)
+			said += (size_t)n;
+		if (said % 4096 < strlen(text) || n <= 0)
+			ev_run(bed->ev, EVRUN_NOWAIT);
+	}
+	return said;
+}
+
+static void check_endless(const char *first, const char *again)
+{
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", true);
+	fd = accept_call(&bed, &peer);
+	bed_say(fd, first);
+	g_assert_cmpint(say_endlessly(&bed, fd, again), <=, ENDLESS_MOST);
+	g_assert_true(bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_BACKEND_BROKE);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
+/* Bytes without end that belong to no answer: the call never ends. */
+static void test_endless(void)
+{
+	check_endless("", "junk");
+	check_endless("HTTP/1.1 200 OK\r\n", "X-Y: z\r\n");
+	check_endless("", "HTTP/1.1 100 Continue\r\n\r\n");
+	check_endless("", ANSWER("other", "a"));
+	check_endless("HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "junk");
+	check_endless("HTTP/1.1 200 OK\r\nId: 1\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n",
+		      "0000");
+	check_endless("HTTP/1.1 200 OK\r\nId: 1\r\n"
+		      "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+		      "X-Y: z\r\n");
+}
+
+/* The same, a few bytes at a time: the call's own time ends it. */
+static void test_endless_slow(void)
+{
+	struct peer peer;
+	struct bed bed;
+	int64_t from_us;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	call(&bed, peer.address, "1", true);
+	fd = accept_call(&bed, &peer);
+	from_us = g_get_monotonic_time();
+	while (!bed.over && g_get_monotonic_time() - from_us < 20000000) {
+		bed_say(fd, "HTTP/1.1 100 Continue\r\n\r\n");
+		bed_run(&bed, &bed.over);
+	}
+	g_assert_true(bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_BACKEND_TIMEOUT);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
 struct outcome {
 	bool told;
 	bool stands;
@@ -318,6 +396,8 @@
 	g_test_add_func("/http-client/no-length", test_no_length);
 	g_test_add_func("/http-client/silent", test_silent);
 	g_test_add_func("/http-client/cancel", test_cancel);
+	g_test_add_func("/http-client/endless", test_endless);
+	g_test_add_func("/http-client/endless-slow", test_endless_slow);
 	g_test_add_func("/http-client/probe", test_probe);
 	return g_test_run();
 }
