--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -20,6 +20,7 @@
 #include "daemon/disk/file.h"
 #include "daemon/http/http_client.h"
 #include "daemon/http/http_server.h"
+#include "fakes/endless.h"
 #include "platform/names.h"
 
 #define CONTROLS_MOST 8
@@ -49,10 +50,15 @@
 	double gap_s; /* between them */
 	int cut_at;   /* break a stream off in this event, 0 for never */
 	bool unsigned_answers;
-	bool unframed;	   /* neither a length nor chunks */
-	int end_at;	   /* end each stream before this event, 0 for never */
-	int reset_at;	   /* reset its connection there */
-	const char *limit; /* requests a second that it takes, or NULL */
+	bool unframed;	  /* neither a length nor chunks */
+	int end_at;	  /* end each stream before this event, 0 for never */
+	int reset_at;	  /* reset its connection there */
+	const char *asks; /* seconds to be left alone, as it is told to */
+	bool asking;
+	bool says_leaving;   /* in its answers */
+	const char *endless; /* its answers never end, in that way; or NULL */
+	struct endless *writer;
+	const char *limit;   /* requests a second that it takes, or NULL */
 	const char *version; /* of its software, named in events; or NULL */
 	struct ev_loop *ev;
 	struct stream_loop loop;
@@ -61,9 +67,12 @@
 	struct list streams;
 	ev_timer beat;
 	ev_signal stop;
+	ev_signal ask;
+	ev_signal leave;
 	int64_t born_ms;
 	int64_t sequence;
 	int64_t ran;
+	int64_t turned_away;
 	bool leaving;
 	char *address;
 };
@@ -85,6 +94,9 @@
 	{ "reset-at", 'R', "N", 0, "reset its connection there", 0 },
 	{ "software", 'v', "VERSION", 0, "its version, named in each event",
 	  0 },
+	{ "asks", 'A', "SECONDS", 0,
+	  "on SIGUSR1, turn all away and ask for that time, or stop it", 0 },
+	{ "endless", 'E', "WAY", 0, "answer without end", 0 },
 	{ "limit", 'm', "PER_S", 0, "names that limit in its answers", 0 },
 	{ 0 }
 };
@@ -141,6 +153,12 @@
 	case 'm':
 		server->limit = arg;
 		return 0;
+	case 'A':
+		server->asks = arg;
+		return 0;
+	case 'E':
+		server->endless = arg;
+		return 0;
 	case 'v':
 		server->version = arg;
 		return 0;
@@ -165,16 +183,16 @@
 	const char *key = http_head_get(head, "Authorization");
 	const char *organisation = http_head_get(head, HEADER_ORGANISATION);
 
-	return xstrfmt("%s: %s\r\n%s%s%s: 0,0,8\r\n%s%s%sX-Organisation: %s\r\n"
-		       "X-Key-Seen: %s\r\n",
-		       HEADER_REQUEST_ID, id ? id : "",
-		       server->unsigned_answers ? "" : HEADER_SIGNATURE,
-		       server->unsigned_answers ? "" : ": signed\r\n",
-		       HEADER_LOAD, server->limit ? HEADER_LIMIT ": " : "",
-		       server->limit ? server->limit : "",
-		       server->limit ? "\r\n" : "",
-		       organisation ? organisation : "none",
-		       key ? "yes" : "no");
+	return xstrfmt(
+		"%s: %s\r\n%s%s%s%s: 0,0,8\r\n%s%s%sX-Organisation: %s\r\n"
+		"X-Key-Seen: %s\r\n",
+		HEADER_REQUEST_ID, id ? id : "",
+		server->unsigned_answers ? "" : HEADER_SIGNATURE,
+		server->unsigned_answers ? "" : ": signed\r\n",
+		server->says_leaving ? HEADER_LEAVING ": 1\r\n" : "",
+		HEADER_LOAD, server->limit ? HEADER_LIMIT ": " : "",
+		server->limit ? server->limit : "", server->limit ? "\r\n" : "",
+		organisation ? organisation : "none", key ? "yes" : "no");
 }
 
 static void stream_end(struct stream_out *stream)
@@ -268,12 +286,26 @@
 	free(headers);
 }
 
+static void turn_away(struct stand_in *server, struct http_exchange *exchange)
+{
+	const struct http_head *head = http_exchange_head(exchange);
+	const char *id = http_head_get(head, HEADER_REQUEST_ID);
+	char *headers = xstrfmt("%s: %s\r\n%s: 1\r\n%s: %s\r\n",
+				HEADER_REQUEST_ID, id ? id : "", HEADER_NOT_RUN,
+				HEADER_RETRY_AFTER, server->asks);
+
+	server->turned_away++;
+	http_exchange_answer(exchange, 503, headers, NULL);
+	free(headers);
+}
+
 static void answer_count(struct stand_in *server,
 			 struct http_exchange *exchange)
 {
 	struct bytes body = { 0 };
 
-	bytes_append_format(&body, "%" PRId64 "\n", server->ran);
+	bytes_append_format(&body, "%" PRId64 " %" PRId64 "\n", server->ran,
+			    server->turned_away);
 	http_exchange_answer(exchange, 200, NULL, &body);
 	bytes_clear(&body);
 }
@@ -291,6 +323,8 @@
 		record(server, exchange);
 	} else if (meant && strcmp(meant, server->id) != 0) {
 		http_exchange_answer(exchange, 421, NULL, NULL);
+	} else if (server->asking) {
+		turn_away(server, exchange);
 	} else {
 		server->ran++;
 		if (server->unframed)
@@ -363,6 +397,46 @@
 	server->leaving = true;
 }
 
+static void on_ask(struct ev_loop *ev, ev_signal *signal, int events)
+{
+	struct stand_in *server = signal->data;
+
+	server->asking = server->asks && !server->asking;
+}
+
+static void on_say_leaving(struct ev_loop *ev, ev_signal *signal, int events)
+{
+	struct stand_in *server = signal->data;
+
+	server->says_leaving = true;
+}
+
+/* Where it listens; 0 if it can't. */
+static int open_listener(struct stand_in *server,
+			 const struct error_handler *handler)
+{
+	struct http_limits limits = { 65536, 8388608, 5000, 15000 };
+	struct http_server_hooks hooks = { on_request, on_left, server };
+	struct endless_options endless = { server->listen, server->endless,
+					   server->gap_s, server->record };
+
+	if (server->endless) {
+		server->writer = endless_start(&server->loop, &endless);
+		return server->writer ? endless_port(server->writer) : 0;
+	}
+	server->http = http_server_start(&server->loop, server->listen, &limits,
+					 &hooks, handler);
+	return server->http ? http_server_port(server->http) : 0;
+}
+
+static void on_signal(struct stand_in *server, ev_signal *watcher, int number,
+		      void (*told)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(watcher, told, number);
+	watcher->data = server;
+	ev_signal_start(server->ev, watcher);
+}
+
 static void report(void *data, enum result code, const char *message)
 {
 	fprintf(stderr, "fake-native: %s\n", message);
@@ -371,23 +445,20 @@
 static bool start(struct stand_in *server)
 {
 	struct error_handler handler = { report, NULL };
-	struct http_limits limits = { 65536, 8388608, 5000, 15000 };
-	struct http_server_hooks hooks = { on_request, on_left, server };
 	struct http_client_options client = { NULL, 500, 2000, 0 };
-	char *text;
 	bool published = true;
+	char *text;
+	int port;
 
 	server->born_ms = edge_wall_us() / 1000;
 	server->ev = ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOTIMERFD);
 	stream_loop_init(&server->loop, server->ev);
 	server->client = http_client_new(&server->loop, &client);
-	server->http = http_server_start(&server->loop, server->listen, &limits,
-					 &hooks, &handler);
-	if (!server->http)
+	port = open_listener(server, &handler);
+	if (!port)
 		return false;
-	server->address =
-		xstrfmt("%.*s:%d", (int)strcspn(server->listen, ":"),
-			server->listen, http_server_port(server->http));
+	server->address = xstrfmt("%.*s:%d", (int)strcspn(server->listen, ":"),
+				  server->listen, port);
 	if (server->publish) {
 		text = xstrfmt("address: %s\n", server->address);
 		published = !file_publish(server->publish, text, &handler);
@@ -396,9 +467,9 @@
 	ev_timer_init(&server->beat, on_beat, 0, BEAT_S);
 	server->beat.data = server;
 	ev_timer_start(server->ev, &server->beat);
-	ev_signal_init(&server->stop, on_stop, SIGTERM);
-	server->stop.data = server;
-	ev_signal_start(server->ev, &server->stop);
+	on_signal(server, &server->stop, SIGTERM, on_stop);
+	on_signal(server, &server->ask, SIGUSR1, on_ask);
+	on_signal(server, &server->leave, SIGUSR2, on_say_leaving);
 	return published;
 }
 
@@ -417,7 +488,9 @@
 	if (!start(&server))
 		return EXIT_FAILURE;
 	ev_run(server.ev, 0);
-	http_server_stop(server.http);
+	if (server.http)
+		http_server_stop(server.http);
+	endless_stop(server.writer);
 	http_client_free(server.client);
 	return EXIT_SUCCESS;
 }
