--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -1,6 +1,7 @@
 #include "entries.h"
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -38,9 +39,8 @@
 	struct route *route;
 
 	(void)data;
-	(void)text;
-	(void)len;
-	document->version = 1;
+	if (len && sscanf(text, "document %" SCNd64, &document->version) != 1)
+		document->version = 1;
 	document_add_service(document)->name = xstrdup("desk");
 	add_route(document, "read", "/", 1);
 	add_route(document, "read-again", "/again/", 3);
@@ -517,12 +517,16 @@
 				     .slots = server->slots ? server->slots
 							    : SLOTS };
 	int control = at % ENTRIES_CONTROL_VMS;
+	int tried = 0;
 
 	if (now_us < server->up_us + server->late_us ||
 	    now_us - server->announced_us < SECOND)
 		return;
-	while (!group_start_number(entries->group, control))
+	while (!group_start_number(entries->group, control) &&
+	       tried++ < ENTRIES_CONTROL_VMS)
 		control = (control + 1) % ENTRIES_CONTROL_VMS;
+	if (tried > ENTRIES_CONTROL_VMS)
+		return;
 	server->announced_us = now_us;
 	told.sequence = ++server->sequence;
 	g_strlcpy(told.version, server->version, sizeof(told.version));
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -14,6 +14,7 @@
 #include "parts.h"
 #include "platform/names.h"
 #include "proxy.h"
+#include "rest.h"
 #include "vm.h"
 #include "zones.h"
 
@@ -26,6 +27,8 @@
 #define PROXY_HOST 120
 /* The first ones name limits, one of each service. */
 #define NEEDY 2
+/* The next ones ask for rest, one of each service as well. */
+#define RESTING 2
 /* After the leave was acknowledged: the site's time, and a little. */
 #define LEAVE_MS (SOAK_DRAIN_US / 1000 + 1500)
 #define LEAVE_UNHEARD_MS 6000
@@ -49,7 +52,8 @@
 	int number;
 	int next; /* event of a stream */
 	enum server_fault fault;
-	bool unframed; /* it ends with its connection */
+	bool unframed;		/* it ends with its connection */
+	int64_t retry_after_ms; /* that its VM is asked for, 0 for none */
 };
 
 struct server {
@@ -77,6 +81,9 @@
 	enum server_fault fault;
 	double share;
 	struct need *need; /* or NULL */
+	struct rest *rest; /* or NULL */
+	/* When an answer to that entry VM first said that it leaves, or 0. */
+	int64_t said_us[SOAK_ENTRIES];
 };
 
 static void run_free(struct run *run)
@@ -90,6 +97,7 @@
 			bool ran)
 {
 	double per_s = server->need ? need_per_s(server->need) : 0;
+	char retry_after[64] = "";
 	char limit[64] = "";
 	char id[24];
 
@@ -97,15 +105,31 @@
 	if (per_s > 0)
 		snprintf(limit, sizeof(limit), "%s: %.1f\r\n", HEADER_LIMIT,
 			 per_s);
-	return xstrfmt("%s: %s\r\n%s: 1\r\n%s: %d,0,%d\r\n%s",
+	if (run->retry_after_ms)
+		snprintf(retry_after, sizeof(retry_after), "%s: %.3f\r\n",
+			 HEADER_RETRY_AFTER,
+			 (double)run->retry_after_ms / 1000);
+	return xstrfmt("%s: %s\r\n%s: 1\r\n%s: %d,0,%d\r\n%s%s%s",
 		       HEADER_REQUEST_ID, id,
 		       ran ? HEADER_SIGNATURE : HEADER_NOT_RUN, HEADER_LOAD, 0,
-		       SLOTS, limit);
+		       SLOTS, limit, retry_after,
+		       server->leaving ? HEADER_LEAVING ": 1\r\n" : "");
+}
+
+/* The headers of an answer, which its VM has got then. */
+static char *give_headers(struct run *run, bool ran)
+{
+	struct server *server = run->server;
+	int entry = ledger_get(server->soak->ledger, run->number)->entry;
+
+	if (server->leaving && !server->said_us[entry])
+		server->said_us[entry] = edge_now_us();
+	return headers_of(server, run, ran);
 }
 
 static void answer(struct run *run, int status, const struct bytes *body)
 {
-	char *headers = headers_of(run->server, run, run->fault != SERVER_FULL);
+	char *headers = give_headers(run, run->fault != SERVER_FULL);
 
 	http_exchange_answer(run->exchange, status, headers, body);
 	free(headers);
@@ -154,7 +178,7 @@
 
 static void begin_stream(struct run *run)
 {
-	char *headers = headers_of(run->server, run, true);
+	char *headers = give_headers(run, true);
 
 	http_exchange_begin(run->exchange, 200, headers);
 	free(headers);
@@ -213,6 +237,8 @@
 	const char *organisation = http_head_get(head, HEADER_ORGANISATION);
 	cleanup(free_ptr) char *path =
 		ledger_path(server->soak->ledger, number);
+	const struct ask *ask = ledger_get(server->soak->ledger, number);
+	int64_t said_us = server->said_us[ask->entry];
 	int64_t heard_us = server->leave_heard_us;
 	int64_t evacuated_us =
 		zones_evacuated_us(server->soak->zones, server->index % 3);
@@ -234,6 +260,13 @@
 			       "request %d came %" PRId64
 			       " ms after the leave was acknowledged",
 			       number, (edge_now_us() - heard_us) / 1000);
+	if (said_us && ask->sent_us > said_us + SOAK_DRAIN_US &&
+	    soak_calm_since(server->soak, said_us) &&
+	    vm_in_touch(server->soak->vms[SOAK_CONTROLS + ask->entry], said_us))
+		soak_violation(server->soak, "leaving",
+			       "request %d was sent %" PRId64
+			       " ms after an answer had said so",
+			       number, (ask->sent_us - said_us) / 1000);
 	if (evacuated_us && edge_now_us() > evacuated_us + SOAK_EVACUATE_US &&
 	    soak_calm_since(server->soak, evacuated_us))
 		soak_violation(server->soak, "evacuation",
@@ -279,8 +312,14 @@
 	http_exchange_set_user(exchange, run);
 	if (server->need)
 		need_arrival(server->need, number);
+	if (server->rest)
+		rest_arrival(server->rest, number);
 	if (rng_unit(&server->soak->rng) < server->share)
 		run->fault = server->fault;
+	if (is_meant(server, head) && server->rest && rest_asks(server->rest)) {
+		run->fault = SERVER_FULL;
+		run->retry_after_ms = rest_ask(server->rest, number);
+	}
 	if (!is_meant(server, head) || run->fault == SERVER_FULL) {
 		run->fault = SERVER_FULL;
 		answer(run, is_meant(server, head) ? 503 : 421, NULL);
@@ -379,6 +418,9 @@
 	server->sequence = 0;
 	server->leaving = false;
 	server->leave_heard_us = 0;
+	memset(server->said_us, 0, sizeof(server->said_us));
+	if (server->rest)
+		rest_started(server->rest);
 	if (server->need)
 		need_started(server->need);
 	soak_timer(server->soak, &server->beat, on_beat, 0, server);
@@ -445,6 +487,8 @@
 {
 	if (server->need)
 		need_rest(server->need);
+	if (server->rest)
+		rest_end(server->rest);
 }
 
 int servers_steady(const struct soak *soak, const char *version,
@@ -486,6 +530,8 @@
 	list_init(&server->runs);
 	if (index < NEEDY)
 		server->need = need_new(soak, index);
+	else if (index < NEEDY + RESTING)
+		server->rest = rest_new(soak, index);
 	soak_timer(soak, &server->start, on_start, 0, server);
 	return server;
 }
@@ -497,6 +543,8 @@
 	http_client_free(server->client);
 	if (server->need)
 		need_free(server->need);
+	if (server->rest)
+		rest_free(server->rest);
 	proxy_free(server->proxy);
 	free(server->listen_at);
 	free(server->reached_at);
