load, entry: crashes of servers that live on are taken back from parts of prompts

Cause: an answer that breaks off was taken for the end of its server. With the VMs' memory of sound answers gone, four resets held the part as a new one for 600 s, and requests that are held can't prove it sound.

Announcements carry the start of a server, and control VMs tell of each start once a second. A start that is heard of half a second after its crash, or later, has not crashed: what was counted for it is taken back, at once or when another VM tells of it. A server that did crash is back as another start, so what it counted stays; the other checks of t-parts are as before. A VM that doesn't know the shared clock yet records nothing by it: a sound answer would look ages old.

--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -128,6 +128,7 @@
 					   : entry->number,
 				   vms);
 	}
+	vm.clock_known = wall_us != 0;
 	vm.clock_offset_us = wall_us - entry->now_us;
 	router_set_vm(entry->router, &vm);
 }
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -58,6 +58,14 @@
 			set_cold(entry, registered, registered->cold_until_us);
 }
 
+/* The name of a server's start in the router's fleet. */
+static void write_boot_id(const struct registration *told,
+			  char boot_id[BACKEND_NAME_SIZE])
+{
+	snprintf(boot_id, BACKEND_NAME_SIZE, "%.40s@%lld", told->id,
+		 (long long)told->started_ms);
+}
+
 static void announce(struct entry *entry, const struct registration *told)
 {
 	char boot_id[BACKEND_NAME_SIZE];
@@ -73,8 +81,7 @@
 		.slots = told->slots,
 	};
 
-	snprintf(boot_id, sizeof(boot_id), "%.40s@%lld", told->id,
-		 (long long)told->started_ms);
+	write_boot_id(told, boot_id);
 	fleet_announce(&entry->fleet, &announce, entry->now_us);
 	fleet_drain(&entry->fleet, told->address, false);
 	backend = fleet_find(&entry->fleet, told->address);
@@ -199,6 +206,19 @@
 	entry->evacuations.revision = evacuations->revision;
 }
 
+static void note_lives(struct entry *entry, const struct registration *told,
+		       int64_t heard_us)
+{
+	char boot_id[BACKEND_NAME_SIZE];
+
+	/* Control VMs tell of each server each second. */
+	if (!router_counts_crashes(entry->router))
+		return;
+	write_boot_id(told, boot_id);
+	router_server_lives(entry->router, told->address, boot_id, heard_us,
+			    entry->now_us);
+}
+
 static void mark_alive(struct entry *entry, const char *id, int64_t born_ms,
 		       int64_t heard_us)
 {
@@ -206,6 +226,8 @@
 	bool was_silent = known && known->timed_out;
 
 	known = registry_heartbeat(&entry->registry, id, born_ms, heard_us);
+	if (known)
+		note_lives(entry, &known->registration, heard_us);
 	if (known && was_silent && !known->timed_out)
 		entry_update_server(entry, known);
 }
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -290,6 +290,11 @@
 	}
 }
 
+uint64_t backend_start(const char *address, const char *boot_id)
+{
+	return map_hash_text(address) * 31 + map_hash_text(boot_id);
+}
+
 bool backend_usable(const struct backend *backend, int64_t now_us)
 {
 	return !backend->leaving && !backend->drained && !backend->evacuated &&
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -137,6 +137,9 @@
 		 void (*gone)(void *data, const struct backend *backend),
 		 void *data);
 
+/** Returns the hash of one start of a server. */
+uint64_t backend_start(const char *address, const char *boot_id);
+
 /** The server at that address, or NULL. */
 struct backend *fleet_find(const struct fleet *fleet, const char *address);
 
--- a/libfilberthall/load/part.c
+++ b/libfilberthall/load/part.c
@@ -210,6 +210,70 @@
 		told->crashes[0].at_us <= entry->report.sound_us);
 }
 
+static struct part_start *start_slot(struct part_watch *watch, uint64_t server)
+{
+	struct part_start *slot =
+		&watch->starts[map_hash(&server, sizeof(server)) % PART_STARTS];
+
+	if (slot->server != server)
+		*slot = (struct part_start){ server, INT64_MIN / 2, false };
+	return slot;
+}
+
+static bool is_refuted(const struct part_start *start,
+		       const struct part_crash *crash)
+{
+	return start->server == crash->server &&
+	       start->lives_us >= crash->at_us + PART_LIVES_US;
+}
+
+/* False if the server is known to live. */
+static bool count_crash(struct part_watch *watch, struct part_entry *entry,
+			const struct part_crash *crash)
+{
+	struct part_start *start = start_slot(watch, crash->server);
+
+	if (is_refuted(start, crash) || !report_add(&entry->report, crash))
+		return false;
+	start->crashed = true;
+	return true;
+}
+
+/* Whether a crash of the server still counts. */
+static bool refute(struct part_entry *entry, const struct part_start *start)
+{
+	struct part_report *report = &entry->report;
+	bool left = false;
+	int n = 0;
+	int i;
+
+	for (i = 0; i < report->n; i++) {
+		if (is_refuted(start, &report->crashes[i]))
+			continue;
+		left |= report->crashes[i].server == start->server;
+		report->crashes[n++] = report->crashes[i];
+	}
+	report->n = n;
+	return left;
+}
+
+void part_server_lives(struct part_watch *watch, uint64_t server, int64_t at_us,
+		       int64_t now_us)
+{
+	struct part_start *start = start_slot(watch, server);
+	struct part_entry *entry;
+	struct part_entry *next;
+
+	if (at_us > start->lives_us)
+		start->lives_us = at_us;
+	if (!start->crashed)
+		return;
+	start->crashed = false;
+	map_foreach(entry, next, &watch->entries, node)
+		start->crashed |= refute(entry, start);
+	watch->decide_us = now_us;
+}
+
 static int count_later(const struct part_crash *crashes, int n);
 
 bool part_merge(struct part_watch *watch, const struct part_report *report,
@@ -233,7 +297,7 @@
 	n = entry->report.n;
 	later = count_later(entry->report.crashes, n);
 	for (i = 0; i < report->n; i++)
-		changed |= report_add(&entry->report, &report->crashes[i]);
+		changed |= count_crash(watch, entry, &report->crashes[i]);
 	if (tell &&
 	    (entry->report.n > n ||
 	     count_later(entry->report.crashes, entry->report.n) > later))
--- a/libfilberthall/load/part.h
+++ b/libfilberthall/load/part.h
@@ -25,6 +25,9 @@
  * - A crash that a held part explains doesn't count against another. Parts that
  *   have never been sound come first, then those with more crashes.
  *
+ * - A server that is heard of after its crash has only broken an answer off, and
+ *   what was counted for it is taken back.
+ *
  * A part that was sound before is held for half a minute after its fifth crash
  * and longer with each further one, since the loss of a pool, twice, may look
  * the same. One that never was is held longer than callers' retries, so that an
@@ -70,6 +73,12 @@
 /** News of a part's sound answers is told at this interval at most. */
 #define PART_TELL_US INT64_C(250000)
 
+/** Starts of servers of which it is known that they live; as above. */
+#define PART_STARTS 4096
+
+/** What a server says may be on its way for so long as it crashes. */
+#define PART_LIVES_US INT64_C(500000)
+
 /** A crash of a server that ran requests with the part. */
 struct part_crash {
 	uint64_t server;    /**< hash of one start of a server */
@@ -96,11 +105,18 @@
 	int64_t at_us;
 };
 
+struct part_start {
+	uint64_t server;  /**< hash of one start of a server */
+	int64_t lives_us; /**< when it was last heard of */
+	bool crashed;	  /**< a crash of it counts */
+};
+
 struct part_watch {
 	struct map entries;
 	uint64_t held[PART_HELD_MOST]; /**< as of the last decision */
 	int n_held;
 	struct part_sound sound[PART_SOUND_ENTRIES];
+	struct part_start starts[PART_STARTS];
 	int64_t decide_us; /**< the next decision on what is held */
 	int n_news;	   /**< parts with news */
 	double broken;	   /**< answers lately, and those that went on */
@@ -128,6 +144,10 @@
 void part_is_sound(struct part_watch *watch, uint64_t part, int64_t at_us,
 		   int64_t now_us);
 
+/** That start of a server was heard of at `at_us`: it hadn't crashed before. */
+void part_server_lives(struct part_watch *watch, uint64_t server, int64_t at_us,
+		       int64_t now_us);
+
 /** Microseconds until the part isn't held any more; 0 if it isn't. */
 int64_t part_held_us(struct part_watch *watch, uint64_t part, int64_t now_us);
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -279,6 +279,16 @@
 bool router_merge_part(struct router *router, const struct part_report *report,
 		       int64_t now_us);
 
+/** Whether any crash of a server counts against a part of prompts. */
+bool router_counts_crashes(const struct router *router);
+
+/**
+ * That start of a server was heard of at `heard_us`: answers that broke off there
+ * before didn't crash it.
+ */
+void router_server_lives(struct router *router, const char *address,
+			 const char *boot_id, int64_t heard_us, int64_t now_us);
+
 /** See part_take_news(). */
 void router_take_part_news(struct router *router, int64_t now_us,
 			   void (*visit)(void *data,
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -103,8 +103,7 @@
 		request->class->running++;
 	memcpy(attempt->address, backend->address, sizeof(attempt->address));
 	memcpy(request->address, backend->address, sizeof(request->address));
-	attempt->server = map_hash_text(backend->address) * 31 +
-			  map_hash_text(backend->boot_id);
+	attempt->server = backend_start(backend->address, backend->boot_id);
 	attempt->version = backend->version_hash;
 	attempt->started_us = now_us;
 	attempt->base = request->spec.stream ? request->delivered : 0;
--- a/libfilberthall/load/router_crash.c
+++ b/libfilberthall/load/router_crash.c
@@ -74,6 +74,8 @@
 						    : attempt->started_us);
 	size_t i;
 
+	if (!router->vm.clock_known)
+		return;
 	if (!attempt->sound)
 		part_count_answer(&router->parts, false, now_us);
 	attempt->sound = true;
@@ -107,6 +109,21 @@
 			  shared_us(router, now_us));
 }
 
+bool router_counts_crashes(const struct router *router)
+{
+	return router->parts.entries.count > 0;
+}
+
+void router_server_lives(struct router *router, const char *address,
+			 const char *boot_id, int64_t heard_us, int64_t now_us)
+{
+	if (router->vm.clock_known)
+		part_server_lives(&router->parts,
+				  backend_start(address, boot_id),
+				  shared_us(router, heard_us),
+				  shared_us(router, now_us));
+}
+
 void router_take_part_news(struct router *router, int64_t now_us,
 			   void (*visit)(void *data,
 					 const struct part_report *report,
@@ -136,7 +153,7 @@
 	const struct router_hooks *hooks = &router->options.hooks;
 	enum poison_verdict verdict;
 
-	if (router->options.features.poison)
+	if (router->options.features.poison && router->vm.clock_known)
 		count_parts(router, attempt, now_us);
 	if (!request->fingerprint ||
 	    poison_excused(&router->poison, request->fingerprint, crash.server,
--- a/libfilberthall/load/server_limit.h
+++ b/libfilberthall/load/server_limit.h
@@ -34,6 +34,7 @@
 	double begin;		 /**< of its interval of 0..1 */
 	double end;		 /**< the same as `begin` gives no part */
 	int64_t clock_offset_us; /**< shared clock less this VM's */
+	bool clock_known;	 /**< else nothing is recorded by that clock */
 };
 
 /** The interval of one of `vms` VMs with equal ones; none if `vms` is 0. */
--- a/tests/control/t-parts.c
+++ b/tests/control/t-parts.c
@@ -457,6 +457,34 @@
 	end(&play);
 }
 
+static void set_breaking(struct play *play, int each)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		play->entries->servers[i].breaks_each = each;
+}
+
+/* All that servers that live on reset, as VMs start again, holds its part. */
+static void test_resets(void)
+{
+	struct play play = begin();
+	int vm;
+
+	run(&play, NULL, 4 * SECOND);
+	set_breaking(&play, 1);
+	run(&play, NULL, 3 * SECOND / 2);
+	for (vm = 0; vm < VMS; vm++)
+		entries_restart(play.entries, vm);
+	run(&play, NULL, 10 * SECOND);
+	set_breaking(&play, 0);
+	run(&play, NULL, CONTACT_US);
+	play.entries->held = 0;
+	run(&play, NULL, 10 * SECOND);
+	g_assert_cmpint(play.entries->held, ==, 0);
+	end(&play);
+}
+
 /* Many VMs tell each other of sound answers without end. */
 static void test_traffic(void)
 {
@@ -511,6 +539,7 @@
 	g_test_add_func("/parts/by-themselves", test_by_themselves);
 	g_test_add_func("/parts/all-lost", test_all_lost);
 	g_test_add_func("/parts/broken-answers", test_broken_answers);
+	g_test_add_func("/parts/resets", test_resets);
 	g_test_add_func("/parts/traffic", test_traffic);
 	g_test_add_func("/parts/nothing-else", test_nothing_else);
 	return g_test_run();
