--- a/fakes/endless.c
+++ b/fakes/endless.c
@@ -221,7 +221,7 @@
 
 int endless_port(const struct endless *endless)
 {
-	struct sockaddr_in at;
+	struct sockaddr_in at = { 0 };
 	socklen_t len = sizeof(at);
 
 	if (getsockname(endless->fd, (struct sockaddr *)&at, &len))
