load, entry: answers that callers leave prove their parts of prompts sound

Cause: an answer counts as sound once it has gone on for a second or is complete. One that its caller leaves is neither, so such a part was never known to be sound.

One answer a part waits for that at a time; the next one takes its turn.

--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -313,6 +313,20 @@
 	}
 }
 
+static bool start_lives(void *data, const char *address, uint64_t start,
+			int64_t since_us)
+{
+	const struct entry *entry = data;
+	const struct registry_entry *known =
+		registry_find_address(&entry->registry, address);
+	char boot_id[BACKEND_NAME_SIZE];
+
+	if (!known || known->last_contact_us < since_us)
+		return false;
+	write_boot_id(&known->registration, boot_id);
+	return backend_start(address, boot_id) == start;
+}
+
 static void expire_registry(struct entry *entry)
 {
 	if (entry->now_us - entry->registry_expired_us < REGISTRY_EXPIRE_US)
@@ -320,6 +334,7 @@
 	registry_expire(&entry->registry, entry->now_us, on_server_expired,
 			entry);
 	update_confirmed(entry);
+	router_settle_left(entry->router, start_lives, entry, entry->now_us);
 	entry->registry_expired_us = entry->now_us;
 }
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -289,6 +289,17 @@
 void router_server_lives(struct router *router, const char *address,
 			 const char *boot_id, int64_t heard_us, int64_t now_us);
 
+/** Whether that start of a server was heard of at `since_us` or later. */
+typedef bool router_lives_fn(void *data, const char *address, uint64_t start,
+			     int64_t since_us);
+
+/**
+ * Answers whose callers left prove their parts sound if their servers live on;
+ * to be called now and then.
+ */
+void router_settle_left(struct router *router, router_lives_fn *lives,
+			void *data, int64_t now_us);
+
 /** See part_take_news(). */
 void router_take_part_news(struct router *router, int64_t now_us,
 			   void (*visit)(void *data,
--- a/libfilberthall/load/router_crash.c
+++ b/libfilberthall/load/router_crash.c
@@ -64,6 +64,14 @@
 	}
 }
 
+void parts_prove(struct router *router, uint64_t part, int64_t began_us,
+		 int64_t now_us)
+{
+	if (router->vm.clock_known)
+		part_is_sound(&router->parts, part, shared_us(router, began_us),
+			      shared_us(router, now_us));
+}
+
 void attempt_is_sound(struct router *router, struct attempt *attempt,
 		      int64_t own_us)
 {
--- a/libfilberthall/load/router_end.c
+++ b/libfilberthall/load/router_end.c
@@ -217,6 +217,8 @@
 			continue;
 		if (!request->spec.stream)
 			request->wasted += attempt->tokens;
+		if (code == RESULT_CALLER_LEFT)
+			attempt_note_left(router, attempt, now_us);
 		attempt_cancel(attempt, code, effects);
 	}
 	if (code != RESULT_OK)
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -221,6 +221,18 @@
 	char address[BACKEND_NAME_SIZE]; /**< server of the last attempt */
 };
 
+/** Parts of which an answer waits for its proof at the same time. */
+#define LEFT_ANSWERS 512
+
+/** An answer with the part whose caller left; see router_left.c. */
+struct left_answer {
+	uint64_t part;	 /**< 0: none */
+	uint64_t server; /**< hash of its server's address and start */
+	char address[BACKEND_NAME_SIZE];
+	int64_t began_us;
+	int64_t left_us;
+};
+
 struct router {
 	struct router_options options;
 	char *zone;
@@ -236,6 +248,7 @@
 	struct prefix prefix;
 	struct poison poison;
 	struct part_watch parts;
+	struct left_answer left[LEFT_ANSWERS];
 	struct retry_limit retry_limit;
 	struct server_limit_vm vm;
 	struct preempt_budget preempt;
@@ -358,6 +371,16 @@
 void attempt_is_sound(struct router *router, struct attempt *attempt,
 		      int64_t now_us);
 
+/** An answer with the part that began at `began_us` was sound. */
+void parts_prove(struct router *router, uint64_t part, int64_t began_us,
+		 int64_t now_us);
+
+/* router_left.c */
+
+/** The caller of an answer that has begun leaves. */
+void attempt_note_left(struct router *router, const struct attempt *attempt,
+		       int64_t now_us);
+
 /* router_end.c */
 struct request *request_find(const struct router *router, uint64_t id);
 struct attempt *request_attempt(const struct request *request);
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -358,6 +358,43 @@
 	g_assert_not_reached();
 }
 
+/* The first piece of its answer, and its caller has what it wants. */
+static void leave_run(struct entries *entries, const struct run *run)
+{
+	struct event_attempt_tokens tokens = {
+		.id = run->id,
+		.attempt = run->attempt,
+		.tokens = 1,
+		.first = true,
+	};
+	struct entries_vm *vm = &entries->vms[run->vm];
+	struct effects effects;
+
+	if (vm->id != run->entry)
+		return;
+	effects_init(&effects);
+	entry_attempt_tokens(vm->entry, &tokens,
+			     entries_vm_now(entries, run->vm), &effects);
+	entries_carry_out(entries, run->vm, &effects);
+	entries_leave(entries, run->vm, run->id);
+}
+
+static void leave_runs(struct entries *entries)
+{
+	int64_t now_us = group_now(entries->group);
+	guint i;
+
+	for (i = 0; i < entries->runs->len; i++) {
+		struct run *run = &g_array_index(entries->runs, struct run, i);
+		struct run copy = *run;
+
+		if (!run->leaves_us || run->leaves_us > now_us || run->code)
+			continue;
+		run->leaves_us = 0;
+		leave_run(entries, &copy);
+	}
+}
+
 static void end_runs(struct entries *entries)
 {
 	int64_t now_us = group_now(entries->group);
@@ -598,6 +635,7 @@
 		group_run(entries->group, GROUP_STEP_US);
 		entries_deliver(entries);
 		entries_deliver_news(entries);
+		leave_runs(entries);
 		end_runs(entries);
 		entries_carry_passes(entries);
 		for (i = 0; i < entries->n_servers; i++)
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -45,6 +45,7 @@
 	const uint64_t *parts; /**< hashes, borrowed while it is sent */
 	size_t n_parts;
 	bool crashes; /**< each server that runs it, after `work_us` */
+	bool leaves;  /**< its caller does, with the first piece */
 };
 
 /** What became of it. */
--- a/tests/control/entries_asks.c
+++ b/tests/control/entries_asks.c
@@ -3,6 +3,7 @@
  */
 #include "base/alloc.h"
 #include "entries_state.h"
+#include "streams.h"
 
 /* Requests that were sent before the server's answer came. */
 #define UNDER_WAY_US INT64_C(500000)
@@ -95,6 +96,8 @@
 		return;
 	run->ends_us = now_us + asked->ask.work_us;
 	run->crashes = asked->ask.crashes;
+	if (asked->ask.leaves)
+		run->leaves_us = now_us + STREAMS_FIRST_US;
 	server->answers++;
 	if (server->breaks_each && server->answers % server->breaks_each == 0)
 		run->breaks = true;
--- a/tests/control/entries_state.h
+++ b/tests/control/entries_state.h
@@ -42,6 +42,7 @@
 	bool breaks;	    /* its answer, at its end */
 	bool waits;	    /* for a slot */
 	int urgency;	    /* that the server was told; 0 is the most urgent */
+	int64_t leaves_us;  /* when its caller does; 0: never */
 	int64_t started_ms; /* of the server's start */
 	bool leaving;	    /* as the answer says */
 	int64_t retry_after_us; /* that the server asks for as it rejects it */
--- a/tests/control/t-parts.c
+++ b/tests/control/t-parts.c
@@ -41,6 +41,7 @@
 	double due_deadly;
 	uint64_t own;
 	int vms_left_out; /* the last ones get no requests */
+	bool leave;	  /* callers of sound requests do, at once */
 };
 
 static struct play begin_many(int n_vms)
@@ -77,6 +78,7 @@
 		.parts = parts,
 		.n_parts = PARTS_MOST,
 		.crashes = crashes,
+		.leaves = play->leave && !crashes,
 	};
 
 	entries_send(play->entries, (int)rng_below(&play->rng, (uint64_t)vms),
@@ -485,6 +487,48 @@
 	end(&play);
 }
 
+static int count_held_sound(const struct entries *entries, int64_t from_us)
+{
+	int n = 0;
+	guint i;
+
+	for (i = 0; i < entries->asks->len; i++) {
+		const struct entries_asked *ask =
+			g_ptr_array_index(entries->asks, i);
+
+		n += !ask->ask.crashes && ask->asked_us >= from_us &&
+		     ask->ended && ask->code == RESULT_POISON;
+	}
+	return n;
+}
+
+/* A part whose callers all leave early is held for the crashes of another. */
+static void test_all_leave(void)
+{
+	struct way way = { 10, { SYSTEM, DEADLY, 0 }, NULL };
+	struct play play = begin();
+	int64_t fifth_us;
+
+	play.leave = true;
+	run(&play, NULL, 6 * SECOND);
+	run(&play, &way, 18 * SECOND);
+	g_assert_cmpint(play.entries->crashed->len, >=, 4);
+	fifth_us = g_array_index(play.entries->crashed, int64_t,
+				 MIN(CRASHES, play.entries->crashed->len) - 1);
+	g_test_message("%u crashes, %d arrivals later, %d sound ones held",
+		       play.entries->crashed->len,
+		       count_since(play.entries->deadly, fifth_us + CONTACT_US),
+		       count_held_sound(play.entries,
+					fifth_us + 2 * CONTACT_US));
+	g_assert_cmpint(count_since(play.entries->deadly,
+				    fifth_us + CONTACT_US),
+			<=, SENT_LATER);
+	g_assert_cmpint(count_held_sound(play.entries,
+					 fifth_us + 2 * CONTACT_US),
+			==, 0);
+	end(&play);
+}
+
 /* Many VMs tell each other of sound answers without end. */
 static void test_traffic(void)
 {
@@ -540,6 +584,7 @@
 	g_test_add_func("/parts/all-lost", test_all_lost);
 	g_test_add_func("/parts/broken-answers", test_broken_answers);
 	g_test_add_func("/parts/resets", test_resets);
+	g_test_add_func("/parts/all-leave", test_all_leave);
 	g_test_add_func("/parts/traffic", test_traffic);
 	g_test_add_func("/parts/nothing-else", test_nothing_else);
 	return g_test_run();
