load: a part that is held wrongly is tried

Cause: what isn't known yet is taken for what isn't there, and requests that are held can't show otherwise.

Where a hold stops a quarter of a service's requests or more, one VM sends one of them, two seconds after the last crash and at most twice more; half a minute later once more if a crash has come since. Which VM follows from the crash, the try's number and its interval among the VMs, so parts that always come together are tried together, and a VM that was told of all crashes at once tries nothing. At most two crashes by tries follow from a right hold.

--- a/libfilberthall/load/part.c
+++ b/libfilberthall/load/part.c
@@ -19,6 +19,10 @@
 	struct map_node node;
 	struct part_report report;
 	int64_t held_until_us;
+	bool held;	  /* by the last decision */
+	int held_n;	  /* crashes as the hold began */
+	int64_t since_us; /* when this VM first knew of a crash */
+	int64_t tried_us;
 	int64_t sound_told_us;
 	bool news;	  /* other VMs may know less */
 	bool crash_news;  /* of its crashes: told at once */
@@ -114,7 +118,8 @@
 	return slot->part == part ? slot->at_us : PART_NEVER;
 }
 
-static struct part_entry *entry_add(struct part_watch *watch, uint64_t part)
+static struct part_entry *entry_add(struct part_watch *watch, uint64_t part,
+				    int64_t now_us)
 {
 	struct part_entry *entry;
 
@@ -124,6 +129,8 @@
 	entry->report.part = part;
 	entry->report.sound_us = sound_us(watch, part);
 	entry->sound_told_us = INT64_MIN / 2;
+	entry->since_us = now_us;
+	entry->tried_us = INT64_MIN / 2;
 	map_insert(&watch->entries, &entry->node, part);
 	return entry;
 }
@@ -288,7 +295,7 @@
 	if (!report->part || (!entry && !report->n))
 		return false;
 	if (!entry)
-		entry = entry_add(watch, report->part);
+		entry = entry_add(watch, report->part, now_us);
 	n = entry->report.n;
 	if (report->sound_us != PART_NEVER)
 		changed |= report_prove(&entry->report, report->sound_us);
@@ -494,11 +501,20 @@
 		else if (entry->report.n >= PART_NEW_CRASHES)
 			candidates[n++] =
 				(struct candidate){ entry, entry->report.n };
+		else
+			entry->held = false;
 	}
 	qsort(candidates, n, sizeof(*candidates), compare_candidates);
 	return n;
 }
 
+static void entry_hold(struct part_entry *entry, bool held)
+{
+	if (held && !entry->held)
+		entry->held_n = entry->report.n;
+	entry->held = held;
+}
+
 static void decide(struct part_watch *watch, int64_t now_us)
 {
 	struct candidate *candidates =
@@ -514,7 +530,8 @@
 
 		entry->held_until_us = held_until_us(watch, &entry->report,
 						     crashes, left, now_us);
-		if (entry->held_until_us > now_us)
+		entry_hold(entry, entry->held_until_us > now_us);
+		if (entry->held)
 			watch->held[watch->n_held++] = entry->report.part;
 	}
 	watch->decide_us = n ? now_us + DECIDE_US : INT64_MAX;
@@ -535,6 +552,53 @@
 	return entry->held_until_us - now_us;
 }
 
+/*
+ * Each try is due at one place of 0..1, which one VM has. Parts that always come
+ * together were in the same crashes, and have to be tried together.
+ */
+static double try_place(const struct part_report *report, int64_t number)
+{
+	uint64_t key[] = { report->crashes[report->n - 1].server,
+			   (uint64_t)number };
+
+	return (double)(map_hash(key, sizeof(key)) >> 11) * 0x1p-53;
+}
+
+bool part_may_try(const struct part_watch *watch, uint64_t part,
+		  const struct part_interval *own, int64_t now_us)
+{
+	const struct part_entry *entry = entry_find(watch, part);
+	const struct part_report *report;
+	int64_t from_us;
+	int64_t number;
+	double place;
+	int crashes;
+
+	if (!entry || !entry->held)
+		return false;
+	report = &entry->report;
+	crashes = report->n - entry->held_n;
+	from_us = last_crash_us(report) +
+		  (crashes > 0 ? PART_TRY_AGAIN_US : PART_TRY_US);
+	number = (now_us - from_us) / PART_TRY_US;
+	/* Whoever was told of all crashes at once doesn't know the tries. */
+	if (last_crash_us(report) < entry->since_us ||
+	    report->n == PART_CRASHES || crashes >= PART_TRY_CRASHES ||
+	    now_us < from_us || number >= PART_TRY_NUMBER ||
+	    entry->tried_us >= from_us + number * PART_TRY_US)
+		return false;
+	place = try_place(report, number);
+	return own->begin <= place && place < own->end;
+}
+
+void part_tried(struct part_watch *watch, uint64_t part, int64_t now_us)
+{
+	struct part_entry *entry = entry_find(watch, part);
+
+	if (entry)
+		entry->tried_us = now_us;
+}
+
 bool part_find(const struct part_watch *watch, uint64_t part,
 	       struct part_report *report)
 {
--- a/libfilberthall/load/part.h
+++ b/libfilberthall/load/part.h
@@ -28,6 +28,10 @@
  * - A server that is heard of after its crash has only broken an answer off, and
  *   what was counted for it is taken back.
  *
+ * - Requests that are held can't prove their part sound. Where a hold stops much
+ *   of a service, one VM at a time, by its interval among the VMs, sends one that
+ *   tries, until two more crashes have shown that the hold is right.
+ *
  * A part that was sound before is held for half a minute after its fifth crash
  * and longer with each further one, since the loss of a pool, twice, may look
  * the same. One that never was is held longer than callers' retries, so that an
@@ -67,6 +71,16 @@
 /** Parts whose last sound answer is known; a new one replaces another. */
 #define PART_SOUND_ENTRIES 4096
 
+/**
+ * Tries of a held part: their interval, how many there are from the first one
+ * after a crash on, when these begin if a crash has come since the hold began,
+ * and crashes since then that end them.
+ */
+#define PART_TRY_US INT64_C(2000000)
+#define PART_TRY_NUMBER 3
+#define PART_TRY_AGAIN_US INT64_C(30000000)
+#define PART_TRY_CRASHES 2
+
 /** Crashes from which on all VMs are told of a part. */
 #define PART_TOLD_CRASHES 3
 
@@ -151,6 +165,19 @@
 /** Microseconds until the part isn't held any more; 0 if it isn't. */
 int64_t part_held_us(struct part_watch *watch, uint64_t part, int64_t now_us);
 
+/** A VM's interval of 0..1 among all VMs. */
+struct part_interval {
+	double begin;
+	double end;
+};
+
+/** Whether this VM is to send a request with the held part now. */
+bool part_may_try(const struct part_watch *watch, uint64_t part,
+		  const struct part_interval *own, int64_t now_us);
+
+/** A request with the held part is sent. */
+void part_tried(struct part_watch *watch, uint64_t part, int64_t now_us);
+
 /** What is known of a part; false if no crash is. */
 bool part_find(const struct part_watch *watch, uint64_t part,
 	       struct part_report *report);
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -407,6 +407,7 @@
 	if (!ended->sent && !attempt->sent)
 		request->n_rejected++;
 	request_count_failed(router, request, attempt, ended, now_us);
+	request->tries_parts = false;
 	why.attempts = request->n_attempts - request->n_rejected;
 
 	if (ended->code == RESULT_BACKEND_BROKE && request->may_have_run &&
--- a/libfilberthall/load/router_crash.c
+++ b/libfilberthall/load/router_crash.c
@@ -1,9 +1,17 @@
 /*
  * Crashes of backend servers under requests, which all VMs count together.
  */
+#include <math.h>
+
 #include "load/router_state.h"
 #include "load/share_message.h"
 
+/* Half-life of the counts of a pool's requests and of those that are held. */
+#define HELD_HALF_US 5000000.0
+
+/* Part of a pool's requests from which on a hold is worth a try. */
+#define HELD_MUCH 0.25
+
 /** Names parts by service: another one's servers may run them. */
 void request_name_parts(struct request *request)
 {
@@ -187,11 +195,51 @@
 {
 	int64_t held_us =
 		poison_held_us(&router->poison, request->fingerprint, now_us);
-	int64_t parts_us = parts_held_us(router, request, now_us);
+	int64_t parts_us = request->tries_parts
+				   ? 0
+				   : parts_held_us(router, request, now_us);
 
 	return ((parts_us > held_us ? parts_us : held_us) + 999) / 1000;
 }
 
+void pool_count_held(struct pool *pool, bool held, int64_t now_us)
+{
+	double left =
+		exp2(-(double)(now_us - pool->held_counted_us) / HELD_HALF_US);
+
+	pool->asked = pool->asked * left + 1;
+	pool->held = pool->held * left + held;
+	pool->held_counted_us = now_us;
+}
+
+static bool holds_much(const struct pool *pool)
+{
+	return pool->held >= HELD_MUCH * pool->asked;
+}
+
+bool request_tries_parts(struct router *router, struct request *request,
+			 int64_t now_us)
+{
+	const struct router_request *ask = &request->spec;
+	struct part_interval own = { router->vm.begin, router->vm.end };
+	int64_t shared_now_us = shared_us(router, now_us);
+	size_t i;
+
+	if (!holds_much(request->queue->pool) ||
+	    poison_held_us(&router->poison, request->fingerprint, now_us))
+		return false;
+	for (i = 0; i < ask->n_parts; i++)
+		if (part_held_us(&router->parts, ask->parts[i],
+				 shared_now_us) &&
+		    !part_may_try(&router->parts, ask->parts[i], &own,
+				  shared_now_us))
+			return false;
+	for (i = 0; i < ask->n_parts; i++)
+		part_tried(&router->parts, ask->parts[i], shared_now_us);
+	request->tries_parts = true;
+	return true;
+}
+
 bool router_merge_crashes(struct router *router,
 			  const struct poison_report *report, int64_t now_us)
 {
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -144,6 +144,9 @@
 	struct unserved_count outcomes[SCHED_TIERS]; /**< not yet taken */
 	struct unserved own; /**< here alone; a rejection counts as nothing */
 	struct reserve reserve;
+	double asked; /**< requests lately, and those that were held */
+	double held;
+	int64_t held_counted_us;
 };
 
 enum request_state {
@@ -205,8 +208,9 @@
 	bool reached_server; /**< an attempt reached a server */
 	bool found_full;     /**< a server without a free slot rejected it */
 	bool counted;	     /**< in its pool's outcomes */
-	int64_t hedge_us;    /**< no check for a hedge before this time */
-	int64_t overdue_us;  /**< when it was last checked for a lost answer */
+	bool tries_parts;   /**< it is sent to try whether they crash servers */
+	int64_t hedge_us;   /**< no check for a hedge before this time */
+	int64_t overdue_us; /**< when it was last checked for a lost answer */
 	char avoid[BACKEND_NAME_SIZE]; /**< server of the last failed attempt */
 	struct list attempts;
 	int n_attempts;
@@ -363,6 +367,13 @@
 /* router_crash.c */
 int64_t request_held_ms(struct router *router, const struct request *request,
 			int64_t now_us);
+
+/** Counts a request that came, held or not. */
+void pool_count_held(struct pool *pool, bool held, int64_t now_us);
+
+/** Whether the held request is to be sent, to try its parts. */
+bool request_tries_parts(struct router *router, struct request *request,
+			 int64_t now_us);
 void request_name_parts(struct request *request);
 bool attempt_crashed(struct router *router, const struct attempt *attempt,
 		     int64_t now_us, struct effects *effects);
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -421,7 +421,8 @@
 	if (router->draining)
 		return RESULT_STOPPING;
 	*retry_after_ms = request_held_ms(router, request, now_us);
-	if (*retry_after_ms)
+	pool_count_held(pool, *retry_after_ms > 0, now_us);
+	if (*retry_after_ms && !request_tries_parts(router, request, now_us))
 		return RESULT_POISON;
 	pool_refresh(router, pool, now_us);
 	code = pool_missing(router, pool, request->queue->reclaimable, now_us);
--- a/tests/control/t-parts.c
+++ b/tests/control/t-parts.c
@@ -40,6 +40,7 @@
 	double due;
 	double due_deadly;
 	uint64_t own;
+	int64_t work_us;  /* of sound requests; 0 for the usual time */
 	int vms_left_out; /* the last ones get no requests */
 	bool leave;	  /* callers of sound requests do, at once */
 };
@@ -74,7 +75,9 @@
 		.body = body,
 		.prompt_tokens = 1000,
 		.output_tokens = 50,
-		.work_us = crashes ? CRASH_US : WORK_US,
+		.work_us = crashes	   ? CRASH_US
+			   : play->work_us ? play->work_us
+					   : WORK_US,
 		.parts = parts,
 		.n_parts = PARTS_MOST,
 		.crashes = crashes,
@@ -529,6 +532,38 @@
 	end(&play);
 }
 
+/* All VMs forget that a part is sound as servers crash one after the other. */
+static void test_all_forgotten(void)
+{
+	struct play play = begin();
+	int64_t calm_us;
+	int i;
+
+	run(&play, NULL, 4 * SECOND);
+	for (i = 0; i < 5; i++)
+		group_kill(play.entries->group, i);
+	for (i = 0; i < 5; i++)
+		group_start(play.entries->group, i);
+	for (i = 0; i < VMS; i++)
+		entries_restart(play.entries, i);
+	play.work_us = 3 * SECOND;
+	run(&play, NULL, SECOND);
+	for (i = 0; i < SERVERS; i += 2) {
+		crash_servers(&play, i, 2);
+		run(&play, NULL, SECOND / 4);
+	}
+	play.work_us = 0;
+	calm_us = group_now(play.entries->group);
+	run(&play, NULL, 20 * SECOND);
+	g_test_message("%d held at first, %d later",
+		       count_held_sound(play.entries, 0),
+		       count_held_sound(play.entries, calm_us + 8 * SECOND));
+	g_assert_cmpint(count_held_sound(play.entries, 0), >, 0);
+	g_assert_cmpint(count_held_sound(play.entries, calm_us + 8 * SECOND),
+			==, 0);
+	end(&play);
+}
+
 /* Many VMs tell each other of sound answers without end. */
 static void test_traffic(void)
 {
@@ -585,6 +620,7 @@
 	g_test_add_func("/parts/broken-answers", test_broken_answers);
 	g_test_add_func("/parts/resets", test_resets);
 	g_test_add_func("/parts/all-leave", test_all_leave);
+	g_test_add_func("/parts/all-forgotten", test_all_forgotten);
 	g_test_add_func("/parts/traffic", test_traffic);
 	g_test_add_func("/parts/nothing-else", test_nothing_else);
 	return g_test_run();
