--- a/libfilberthall/entry/entry_backoff.c
+++ b/libfilberthall/entry/entry_backoff.c
@@ -1,6 +1,6 @@
 /*
- * Backend servers that turn requests away and ask this VM to send them nothing
- * for a time. Each VM keeps to what it was asked itself.
+ * What backend servers say in answers that binds this VM alone: to send them
+ * nothing for a time, or nothing any more, as they are about to stop.
  */
 #include <string.h>
 
--- a/libfilberthall/load/part.h
+++ b/libfilberthall/load/part.h
@@ -87,7 +87,7 @@
 /** News of a part's sound answers is told at this interval at most. */
 #define PART_TELL_US INT64_C(250000)
 
-/** Starts of servers of which it is known that they live; as above. */
+/** Starts of servers that are known to live; a new one replaces another. */
 #define PART_STARTS 4096
 
 /** What a server says may be on its way for so long as it crashes. */
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -206,6 +206,13 @@
 		    struct entry_request *request);
 void entries_leave(struct entries *entries, int vm, uint64_t id);
 
+/**
+ * Requests behind arrival `from`, of the same process of a VM to the same start
+ * of a server, that arrived from `after_us` on and before `until_us`.
+ */
+int entries_count_after(const struct entries *entries, guint from,
+			int64_t after_us, int64_t until_us);
+
 /**
  * Most requests of a VM's process that reached a server's start from half a
  * second after it asked that VM for time until that time was over.
--- a/tests/control/entries_asks.c
+++ b/tests/control/entries_asks.c
@@ -46,7 +46,8 @@
 	g_array_append_val(entries->arrived, arrival);
 }
 
-static int count_early(const struct entries *entries, guint from)
+int entries_count_after(const struct entries *entries, guint from,
+			int64_t after_us, int64_t until_us)
 {
 	const struct entries_arrival *first =
 		&g_array_index(entries->arrived, struct entries_arrival, from);
@@ -58,9 +59,9 @@
 			&g_array_index(entries->arrived, struct entries_arrival,
 				       i);
 
-		if (next->at_us >= first->asked_until_us)
+		if (next->at_us >= until_us)
 			break;
-		n += next->at_us >= first->at_us + UNDER_WAY_US &&
+		n += next->at_us >= after_us &&
 		     next->process == first->process &&
 		     next->server == first->server &&
 		     next->started_ms == first->started_ms;
@@ -68,6 +69,15 @@
 	return n;
 }
 
+static int count_early(const struct entries *entries, guint from)
+{
+	const struct entries_arrival *first =
+		&g_array_index(entries->arrived, struct entries_arrival, from);
+
+	return entries_count_after(entries, from, first->at_us + UNDER_WAY_US,
+				   first->asked_until_us);
+}
+
 int entries_most_early(const struct entries *entries)
 {
 	int most = 0;
--- a/tests/control/t-says-leaving.c
+++ b/tests/control/t-says-leaving.c
@@ -36,20 +36,9 @@
 {
 	const struct entries_arrival *first =
 		&g_array_index(entries->arrived, struct entries_arrival, from);
-	int n = 0;
-	guint i;
-
-	for (i = from + 1; i < entries->arrived->len; i++) {
-		const struct entries_arrival *next =
-			&g_array_index(entries->arrived, struct entries_arrival,
-				       i);
 
-		n += next->at_us > first->at_us + DRAIN_US &&
-		     next->process == first->process &&
-		     next->server == first->server &&
-		     next->started_ms == first->started_ms;
-	}
-	return n;
+	return entries_count_after(entries, from, first->at_us + DRAIN_US + 1,
+				   INT64_MAX);
 }
 
 static int most_late(const struct entries *entries)
--- a/tests/e2e/endless.t
+++ b/tests/e2e/endless.t
@@ -4,22 +4,9 @@
 . "$SOURCE_ROOT/tests/lib.sh"
 . "$SOURCE_ROOT/tests/roles.sh"
 
-controls=
-for n in 5 4 3 2 1
-do
-	start_control $n
-	controls="$controls --control $(roles_operators $n)"
-done
-start_entry 1
-accepted() {
-	test "$(put_document "$1" "$2" "$3")" = 200
-}
-check "a document is accepted" wait_for 20 accepted 1 1 k1
-known() {
-	grep -q "event=ready server=$1 " "$WORK/entry-1.log"
-}
+roles_site
 start well fake-native --id well --service scribe $controls
-check "a server is known" wait_for 20 known well
+check "a server is known" wait_for 20 roles_known well
 check "the entry VM gets ready" wait_for 20 is_ready 1
 
 # stream I: the status of a stream that is read to its end.
@@ -41,7 +28,7 @@
 do
 	start $way fake-native --id $way --service scribe --endless $way \
 		--record "$WORK/$way.record" --gap-ms 0 $controls
-	check "$way: its server is known" wait_for 20 known $way
+	check "$way: its server is known" wait_for 20 roles_known $way
 	for i in 1 2 3 4 5 6
 	do
 		stream $way-$i &
@@ -59,7 +46,7 @@
 check "memory stays as it was" test $(($(kilobytes) - before)) -lt 16384
 start slow fake-native --id slow --service scribe --endless interim \
 	--record "$WORK/slow.record" --gap-ms 200 $controls
-check "a slow one is known" wait_for 20 known slow
+check "a slow one is known" wait_for 20 roles_known slow
 tried() {
 	stream "slow-$i" >/dev/null
 	test -s "$WORK/slow.record"
--- a/tests/e2e/rest.t
+++ b/tests/e2e/rest.t
@@ -5,24 +5,11 @@
 . "$SOURCE_ROOT/tests/lib.sh"
 . "$SOURCE_ROOT/tests/roles.sh"
 
-controls=
-for n in 5 4 3 2 1
-do
-	start_control $n
-	controls="$controls --control $(roles_operators $n)"
-done
-start_entry 1
-accepted() {
-	test "$(put_document "$1" "$2" "$3")" = 200
-}
-check "a document is accepted" wait_for 20 accepted 1 1 k1
-known() {
-	grep -q "event=ready server=$1 " "$WORK/entry-1.log"
-}
+roles_site
 for s in a b c
 do
 	start $s fake-native --id $s --service desk --asks 30 $controls
-	check "server $s is known" wait_for 20 known $s
+	check "server $s is known" wait_for 20 roles_known $s
 done
 check "the entry VM gets ready" wait_for 20 is_ready 1
 
--- a/tests/e2e/unframed.t
+++ b/tests/e2e/unframed.t
@@ -5,25 +5,12 @@
 . "$SOURCE_ROOT/tests/lib.sh"
 . "$SOURCE_ROOT/tests/roles.sh"
 
-controls=
-for n in 5 4 3 2 1
-do
-	start_control $n
-	controls="$controls --control $(roles_operators $n)"
-done
-start_entry 1
-accepted() {
-	test "$(put_document "$1" "$2" "$3")" = 200
-}
-check "a document is accepted" wait_for 20 accepted 1 1 k1
+roles_site
 start desk fake-native --id desk --service desk --unframed $controls
 start whole fake-native --id whole --service scribe --events 24 --gap-ms 2 \
 	--unframed $controls
-known() {
-	grep -q "event=ready server=$1 " "$WORK/entry-1.log"
-}
-check "its servers are known" wait_for 20 known whole
-check "and those of the other service" wait_for 20 known desk
+check "its servers are known" wait_for 20 roles_known whole
+check "and those of the other service" wait_for 20 roles_known desk
 check "the entry VM gets ready" wait_for 20 is_ready 1
 
 # stream ID [CURL ARGS...]: as it comes; curl's own status at the end.
@@ -57,18 +44,18 @@
 	"24 curl: 0 "
 start cut fake-native --id cut --service scribe --events 24 --gap-ms 2 \
 	--unframed --cut-at 9 $controls
-check "a server that ends inside an event is known" wait_for 20 known cut
+check "a server that ends inside an event is known" wait_for 20 roles_known cut
 is "what ends inside an event goes on" "$(tally cut 12)" 12
 signal cut KILL
 start reset fake-native --id reset --service scribe --events 24 --gap-ms 2 \
 	--unframed --reset-at 9 $controls
-check "a server that resets is known" wait_for 20 known reset
+check "a server that resets is known" wait_for 20 roles_known reset
 is "what is reset between events goes on" "$(tally reset 12)" 12
 signal reset KILL
 signal whole KILL
 start end fake-native --id end --service scribe --events 24 --gap-ms 2 \
 	--unframed --end-at 9 $controls
-check "a server that ends between events is known" wait_for 20 known end
+check "a server that ends between events is known" wait_for 20 roles_known end
 ended() {
 	stream "$1" | sed -n 's/^id: //p; /^curl/p' | tail -n 2 | tr '\n' ' '
 }
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -389,14 +389,20 @@
 	g_assert_cmpstr(a.version, ==, b.version);
 }
 
-static bool says_leaving(const char *head)
+/* What its numbers and flags say; its text is gone. */
+static struct dialect_answer answer_of(const char *head)
 {
 	struct dialect_answer answer;
 	struct http_parse parse;
 
 	platform_read_answer(head_of(&parse, HTTP_RESPONSE, head), &answer);
 	http_parse_clear(&parse);
-	return answer.leaving;
+	return answer;
+}
+
+static bool says_leaving(const char *head)
+{
+	return answer_of(head).leaving;
 }
 
 /* A server that leaves says so to VMs; callers aren't told. */
@@ -422,12 +428,7 @@
 
 static int64_t retry_after_of(const char *head)
 {
-	struct dialect_answer answer;
-	struct http_parse parse;
-
-	platform_read_answer(head_of(&parse, HTTP_RESPONSE, head), &answer);
-	http_parse_clear(&parse);
-	return answer.retry_after_us;
+	return answer_of(head).retry_after_us;
 }
 
 /* What a server asks for in a head that can be misread. */
--- a/tests/roles.sh
+++ b/tests/roles.sh
@@ -142,3 +142,26 @@
 ask_status() {
 	ask "$@" | tail -n 1
 }
+
+# roles_site: five control VMs and entry VM 1 with document 1 and key k1;
+# $controls are the options with which fake-native announces itself to them.
+roles_site() {
+	controls=
+	for roles_control in 5 4 3 2 1
+	do
+		start_control $roles_control
+		controls="$controls --control $(roles_operators $roles_control)"
+	done
+	start_entry 1
+	check "a document is accepted" wait_for 20 roles_accepts 1 1 k1
+}
+
+# roles_accepts N VERSION KEY: whether control VM N takes the document.
+roles_accepts() {
+	test "$(put_document "$1" "$2" "$3")" = 200
+}
+
+# roles_known SERVER: whether entry VM 1 has heard that it is ready.
+roles_known() {
+	grep -q "event=ready server=$1 " "$WORK/entry-1.log"
+}
