tests: urgent requests turned away at 30 to 300 entry VMs (fails)

The loads and the check move from t-starved.c to starved.c, for both; its figures are as they were. ENTRIES_VMS was used nowhere.

--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -84,7 +84,8 @@
 	options.self = vm->id;
 	memset(vm->linked, 0, sizeof(vm->linked));
 	vm->entry = entry_new(&options, entries_vm_now(entries, at));
-	g_snprintf(callers, sizeof(callers), "10.9.0.%d:80", at + 1);
+	g_snprintf(callers, sizeof(callers), "10.9.%d.%d:80", at / 250,
+		   at % 250 + 1);
 	entry_set_callers(vm->entry, callers);
 }
 
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -13,7 +13,6 @@
  * VMs once a second. Time goes by in the group's steps; a message takes one.
  */
 
-#define ENTRIES_VMS 128
 #define ENTRIES_SERVERS 16
 
 /** A server's start again after a crash. */
--- a/tests/control/starved.c
+++ b/tests/control/starved.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define SLOTS 16
+#define QUEUE 4
 #define STEP_US INT64_C(500000)
 #define NOTHING_LEAST 10
 #define NOTHING_SHARE 12 /* one in so many */
@@ -83,3 +85,70 @@
 	}
 	return worst;
 }
+
+struct entries *starved_new(int n_vms, int n_servers)
+{
+	struct entries *entries = entries_new(n_vms, n_servers);
+	int i;
+
+	for (i = 0; i < n_servers; i++) {
+		entries->servers[i].slots = SLOTS;
+		entries->servers[i].queue = QUEUE;
+	}
+	return entries;
+}
+
+static int draw_vm(const struct entries *entries, struct starved_load *load)
+{
+	if (rng_unit(&load->rng) < load->share)
+		return load->busy;
+	return (int)rng_below(&load->rng, (uint64_t)entries->n_vms);
+}
+
+static void ask_due(struct entries *entries, struct starved_load *load)
+{
+	static const struct entries_ask small = {
+		.path = ENTRIES_SMALL,
+		.prompt_tokens = 1000,
+		.output_tokens = 50,
+		.work_us = 200000,
+	};
+	static const struct entries_ask large = {
+		.path = ENTRIES_LARGE,
+		.prompt_tokens = 6000,
+		.output_tokens = 100,
+		.work_us = 900000,
+	};
+
+	load->due_small += load->small * GROUP_STEP_US / 1e6;
+	load->due_large += load->large * GROUP_STEP_US / 1e6;
+	for (; load->due_small >= 1; load->due_small--)
+		entries_send(entries, draw_vm(entries, load), &small);
+	for (; load->due_large >= 1; load->due_large--)
+		entries_send(entries, draw_vm(entries, load), &large);
+}
+
+void starved_play(struct entries *entries, struct starved_load *load,
+		  struct starved_load *other, int64_t us)
+{
+	int64_t until_us = group_now(entries->group) + us;
+
+	while (group_now(entries->group) < until_us) {
+		ask_due(entries, load);
+		if (other)
+			ask_due(entries, other);
+		entries_run(entries, GROUP_STEP_US);
+	}
+}
+
+void starved_check(struct entries *entries, int64_t from_us)
+{
+	struct starved_span worst;
+
+	entries_run(entries, STARVED_SPAN_US);
+	worst = starved_worst(entries, from_us);
+	g_test_message("%d of %d got nothing, %d larger ones began",
+		       worst.nothing, worst.urgent, worst.larger);
+	g_assert_false(starved_in(&worst));
+	entries_free(entries);
+}
--- a/tests/control/starved.h
+++ b/tests/control/starved.h
@@ -10,6 +10,27 @@
 
 #define STARVED_SPAN_US INT64_C(5000000)
 
+/** Until VMs know how long requests take and how full servers are. */
+#define STARVED_SETTLES_US INT64_C(5000000)
+
+/** Requests a second of each kind, and where they come in. */
+struct starved_load {
+	double small;
+	double large;
+	int busy;     /**< VM that gets most of them */
+	double share; /**< that it gets beside its part of the rest */
+	struct rng rng;
+	double due_small;
+	double due_large;
+};
+
+/** VMs and servers that have few slots and a short queue. */
+struct entries *starved_new(int n_vms, int n_servers);
+
+/** Two loads at the same time; `other` may be NULL. */
+void starved_play(struct entries *entries, struct starved_load *load,
+		  struct starved_load *other, int64_t us);
+
 /** Requests of a span of time, at all VMs. */
 struct starved_span {
 	int64_t from_us;
@@ -25,4 +46,10 @@
 struct starved_span starved_worst(const struct entries *entries,
 				  int64_t from_us);
 
+/**
+ * Fails if urgent requests were passed over in a span that began later than
+ * that; frees `entries`.
+ */
+void starved_check(struct entries *entries, int64_t from_us);
+
 #endif
