fleet: an old report of a server's load gives way to its service's mean

Cause: load comes with answers, and a report older than 0.1 s was halved each 0.1 s. With 91 VMs a VM has an answer of a server every 1.6 s, so to each VM all servers looked idle nearly always. It sent what it had, and kept within neither the slots that lower tiers leave free nor the part of the servers that its requests are placed on; 38 % of all sends were rejected, and the limit on retries was spent. Its class: knowledge that is out of date is replaced by a fixed assumption and not by the best estimate.

Ruled out: news that comes too late (the late way is as bad as the one without).

--- a/libfilberthall/entry/entry_limit.c
+++ b/libfilberthall/entry/entry_limit.c
@@ -119,15 +119,8 @@
 		       int64_t running, int64_t waiting, int64_t slots,
 		       int64_t now_us)
 {
-	struct backend *backend = fleet_find(&entry->fleet, address);
-
-	if (!backend)
-		return;
-	backend->running = running;
-	backend->queued = waiting;
-	if (slots > 0)
-		backend->slots = slots;
-	backend->report_us = now_us;
+	fleet_report_load(&entry->fleet, address, running, waiting, slots,
+			  now_us);
 }
 
 static bool has_limit(const struct entry *entry)
--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -51,6 +51,7 @@
 	map_init(&fleet->backends);
 	map_init(&fleet->tombstones);
 	evacuations_init(&fleet->evacuations);
+	load_means_init(&fleet->load_means);
 	fleet->version = 1;
 }
 
@@ -68,6 +69,7 @@
 	map_clear(&fleet->backends);
 	map_clear(&fleet->tombstones);
 	evacuations_clear(&fleet->evacuations);
+	load_means_clear(&fleet->load_means);
 }
 
 struct backend *fleet_find(const struct fleet *fleet, const char *address)
@@ -277,17 +279,44 @@
 	return n;
 }
 
+void fleet_report_load(struct fleet *fleet, const char *address,
+		       int64_t running, int64_t queued, int64_t slots,
+		       int64_t now_us)
+{
+	struct backend *backend = fleet_find(fleet, address);
+
+	if (!backend)
+		return;
+	backend->running = running;
+	backend->queued = queued;
+	if (slots > 0)
+		backend->slots = slots;
+	backend->report_us = now_us;
+	load_means_add(&fleet->load_means, backend->service, running + queued,
+		       backend->slots, now_us);
+}
+
+static void decay_load(const struct fleet *fleet, struct backend *backend,
+		       int64_t now_us)
+{
+	double expected = load_means_expect(&fleet->load_means,
+					    backend->service, now_us) *
+			  (double)backend->slots;
+
+	backend->running = (backend->running + (int64_t)expected) / 2;
+	backend->queued /= 2;
+	if (backend->running >= backend->slots)
+		backend->running = backend->slots - 1;
+}
+
 void fleet_decay_load(struct fleet *fleet, int64_t step_us, int64_t now_us)
 {
 	struct backend *backend;
 	struct backend *next;
 
-	map_foreach(backend, next, &fleet->backends, node) {
-		if (now_us - backend->report_us < step_us)
-			continue;
-		backend->running /= 2;
-		backend->queued /= 2;
-	}
+	map_foreach(backend, next, &fleet->backends, node)
+		if (now_us - backend->report_us >= step_us)
+			decay_load(fleet, backend, now_us);
 }
 
 uint64_t backend_start(const char *address, const char *boot_id)
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -10,6 +10,7 @@
 #include "core/event.h"
 #include "fleet/evacuation.h"
 #include "fleet/health.h"
+#include "fleet/load_mean.h"
 
 /**
  * Table of the backend servers that are known. They aren't configured: each
@@ -107,6 +108,7 @@
 	struct map backends;
 	struct map tombstones;
 	struct evacuations evacuations; /**< of zones, also without servers */
+	struct load_means load_means;
 	uint64_t version; /**< incremented when the usable servers change */
 	uint64_t
 		removals; /**< incremented when one is freed or changes service */
@@ -175,14 +177,21 @@
 bool backend_serves(const struct backend *backend, const char *model,
 		    const char *adapter, const char *service);
 
+/** A server's report of its load, in a response; 0 slots: it names none. */
+void fleet_report_load(struct fleet *fleet, const char *address,
+		       int64_t running, int64_t queued, int64_t slots,
+		       int64_t now_us);
+
 /**
- * Halve load figures older than `step_us`. For servers that report their load
- * only in responses; to be called once every `step_us`.
+ * Bring load figures older than `step_us` halfway to what servers of the same
+ * service report on average. For servers that report their load only in
+ * responses; to be called once every `step_us`.
  *
  * Failure handled: a server reports that it is full, so no request is sent to
  * it, so no further report comes. Without the decay it would count as full for
  * ever: a VM sent no more requests to any of a service's four servers, and
- * the callers waited until their deadlines.
+ * the callers waited until their deadlines. So an old report leaves a slot
+ * free.
  */
 void fleet_decay_load(struct fleet *fleet, int64_t step_us, int64_t now_us);
 
