load: slots left free for a short tier grow in smaller steps

Cause: what lower tiers leave free grew by a quarter to a half of the slots each 0.4 s, and its effect shows after the running requests have ended. The steps were chosen when most of what was to be left free was taken all the same.

t-unserved gives half of the least step where it gave 0.1, which is no longer less than that step.

--- a/libfilberthall/load/unserved.h
+++ b/libfilberthall/load/unserved.h
@@ -32,8 +32,8 @@
  * What lower tiers leave free: more by the part that gets nothing, within these
  * bounds, once in RESERVE_STEP_US at most.
  */
-#define RESERVE_STEP_LEAST 0.25
-#define RESERVE_STEP_MOST 0.5
+#define RESERVE_STEP_LEAST 0.0625
+#define RESERVE_STEP_MOST 0.125
 #define RESERVE_STEP_US INT64_C(400000)
 #define RESERVE_DECAY_PER_S 0.03125
 
--- a/tests/load/t-unserved.c
+++ b/tests/load/t-unserved.c
@@ -44,7 +44,7 @@
 {
 	struct reserve reserve = { 0 };
 
-	reserve_raise(&reserve, 2, 0.1, SECOND);
+	reserve_raise(&reserve, 2, RESERVE_STEP_LEAST / 2, SECOND);
 	g_assert_cmpfloat(reserve_below(&reserve, 1, SECOND), ==, 0);
 	g_assert_cmpfloat(reserve_below(&reserve, 2, SECOND), ==, 0);
 	g_assert_cmpfloat(reserve_below(&reserve, 3, SECOND), ==,
