tests: servers that run out of memory preempt by what VMs tell them

No test played a server whose memory runs out with requests of several VMs, ranks and versions of the document in it; /entry/urgency compares three numbers. The stand-in preempts the newest of the least urgent by the number it was told, in ten steps as the platform has them, and counts those for which a less urgent kind runs on.

Not played: streams that go on elsewhere. Priorities of routes beyond 3 share the last step, and are told apart by nobody; no known deployment has any.

--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -25,6 +25,7 @@
 	route->name = xstrdup(name);
 	route->host = xstrdup("a.example");
 	route->prefix = xstrdup(prefix);
+	route->open = true;
 	route->kind = ROUTE_IDEMPOTENT;
 	route->timeout_ms = 4000;
 	route->goal_ms = 300;
@@ -33,6 +34,33 @@
 	return route;
 }
 
+const char *const entries_keys[ENTRIES_KEYS] = { "lead", "partner", "guest" };
+
+static void add_members(struct document *document)
+{
+	static const char *const names[] = { "small", "middle", "large" };
+	struct route *route;
+	char prefix[32];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_snprintf(prefix, sizeof(prefix), "/member/%s/", names[i]);
+		route = add_route(document, prefix, prefix, 2);
+		route->tier = (int)i;
+		route->open = false;
+	}
+	if (document->version >= ENTRIES_LARGE_LAST)
+		route->tier++;
+	for (i = 0; i < ENTRIES_KEYS; i++) {
+		struct document_organisation *holder =
+			document_add_organisation(document);
+
+		holder->name = xstrdup(entries_keys[i]);
+		holder->tier = (int)i;
+		document_add_key(document, i, entries_keys[i]);
+	}
+}
+
 static struct document *read_document(void *data, const char *text, size_t len)
 {
 	struct document *document = document_new();
@@ -54,6 +82,8 @@
 	route = add_route(document, "stream", "/stream/", 3);
 	route->kind = ROUTE_STREAM;
 	route->resumable = true;
+	add_members(document);
+	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
 }
 
@@ -222,6 +252,7 @@
 		run.ends_us = now_us + STREAMS_FIRST_US;
 		g_strlcpy(run.version, server->version, sizeof(run.version));
 	}
+	entries_size(entries, &run);
 	run.waits =
 		!run.code && server->slots && server->running >= server->slots;
 	if (run.waits)
@@ -638,6 +669,7 @@
 		entries_deliver_news(entries);
 		leave_runs(entries);
 		end_runs(entries);
+		entries_preempt(entries);
 		entries_carry_passes(entries);
 		for (i = 0; i < entries->n_servers; i++)
 			announce(entries, i);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -34,9 +34,20 @@
 #define ENTRIES_SMALL "/small/1"
 #define ENTRIES_LARGE "/large/1"
 
+/** The same for members of organisations, whose keys these are. */
+#define ENTRIES_MEMBER_SMALL "/member/small/1"
+#define ENTRIES_MEMBER_MIDDLE "/member/middle/1"
+#define ENTRIES_MEMBER_LARGE "/member/large/1"
+#define ENTRIES_KEYS 3
+extern const char *const entries_keys[ENTRIES_KEYS]; /**< by rank */
+
+/** From that version of the document on large ones are even less urgent. */
+#define ENTRIES_LARGE_LAST 100
+
 /** A request of a caller who doesn't send it again. */
 struct entries_ask {
 	const char *path;
+	const char *key;  /**< or NULL */
 	const char *body; /**< its hash */
 	int64_t prompt_tokens;
 	int64_t output_tokens;
@@ -104,6 +115,9 @@
 	int running;
 	int queue; /**< and that many wait for one, the most urgent first */
 	int waiting;
+	int64_t memory; /**< tokens; 0: any number */
+	int preempted;	/**< stopped for want of memory, and begun again */
+	int inverted;	/**< of these, while less urgent kinds ran on */
 	double rejects_named; /**< that it says it bears in a second */
 	int rejects_most;     /**< in a second, or it fails; 0: any number */
 	int failures;	      /**< for that reason, so far */
--- a/tests/control/entries_asks.c
+++ b/tests/control/entries_asks.c
@@ -97,14 +97,16 @@
 	int64_t now_us = group_now(entries->group);
 
 	server->running++;
-	if (run->waits)
+	if (run->waits) {
 		server->waiting--;
-	if (run->waits)
 		run->ends_us = now_us + server->work_us;
+	}
+	run->began_us = now_us;
 	run->waits = false;
 	if (!asked)
 		return;
 	run->ends_us = now_us + asked->ask.work_us;
+	run->work_us = asked->ask.work_us;
 	run->crashes = asked->ask.crashes;
 	if (asked->ask.leaves)
 		run->leaves_us = now_us + STREAMS_FIRST_US;
@@ -117,10 +119,6 @@
 
 void entries_wait_for_slot(struct entries *entries, struct run *run)
 {
-	struct entry_call call;
-
-	if (entry_find_call(entries->vms[run->vm].entry, run->id, &call))
-		run->urgency = call.urgency;
 	run->ends_us = INT64_MAX;
 	entries->servers[run->server].waiting++;
 }
@@ -151,6 +149,7 @@
 	struct entry_request request = {
 		.name = "r",
 		.path = ask->path,
+		.key = ask->key,
 		.body_hash = ask->body,
 		.prompt_tokens = ask->prompt_tokens,
 		.output_tokens = ask->output_tokens,
--- a/tests/control/entries_state.h
+++ b/tests/control/entries_state.h
@@ -39,12 +39,17 @@
 	int sent;		       /* events of this run */
 	char version[16];	       /* that runs it */
 	bool cancelled;
-	bool breaks;	    /* its answer, at its end */
-	bool waits;	    /* for a slot */
-	int urgency;	    /* that the server was told; 0 is the most urgent */
-	int64_t leaves_us;  /* when its caller does; 0: never */
-	int64_t started_ms; /* of the server's start */
-	bool leaving;	    /* as the answer says */
+	bool breaks;	  /* its answer, at its end */
+	bool waits;	  /* for a slot */
+	int urgency;	  /* that the server was told; 0 is the most urgent */
+	int64_t began_us; /* when it got a slot */
+	int64_t work_us;  /* that it then took to run it; 0: not known */
+	int64_t prompt_tokens;
+	int64_t output_tokens;
+	int kind;		/* tier of its route */
+	int64_t leaves_us;	/* when its caller does; 0: never */
+	int64_t started_ms;	/* of the server's start */
+	bool leaving;		/* as the answer says */
 	int64_t retry_after_us; /* that the server asks for as it rejects it */
 };
 
@@ -94,6 +99,14 @@
 /** A slot is free: for the most urgent one that waits, the first of these. */
 void entries_fill_slots(struct entries *entries, int server);
 
+/* entries_memory.c */
+
+/** What the request needs of a server's memory. */
+void entries_size(const struct entries *entries, struct run *run);
+
+/** The most urgent that wait get a slot; servers out of memory preempt. */
+void entries_preempt(struct entries *entries);
+
 /* entries_pass.c */
 void entries_start_pass(struct entries *entries, int from,
 			const struct effect_start_attempt *start);
