tests: a script that fails keeps its files

What such a script leaves is now copied to failed/ of the build folder, and a line says where; tried with a script whose second check fails. What passes leaves nothing, as before.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -13,6 +13,7 @@
 # A test that dies in the middle leaves no process and no folder behind. They
 # are asked first: the stand-in platform ends what it started itself.
 lib_end() {
+	lib_status=$?
 	for lib_name in $STARTED
 	do
 		kill -TERM "$(cat "$WORK/$lib_name.pid")" 2>/dev/null || :
@@ -31,8 +32,19 @@
 	do
 		kill -KILL "$(cat "$WORK/$lib_name.pid")" 2>/dev/null || :
 	done
+	test "$lib_status" = 0 && test "$FAILED" = 0 || lib_keep
 	test -n "$KEEP" || rm -rf "$WORK"
 }
+
+# What a test that failed leaves stays in failed/ of the build folder.
+lib_keep() {
+	test -z "$KEEP" || return 0
+	lib_kept=failed/$(basename "$0")-$$
+	mkdir -p "$BUILD_ROOT/$lib_kept"
+	cp -r "$WORK/." "$BUILD_ROOT/$lib_kept/" || :
+	echo "# $(basename "$0") failed; its files are in" \
+		"$(basename "$BUILD_ROOT")/$lib_kept" >&2
+}
 trap lib_end EXIT
 trap 'exit 1' INT TERM
 
