soak: crowd and starved leave out times when no server takes all

A request counts for the two checks if at no end of a request from when it was sent to its end all servers of the service were bound in one of these ways, or left; their shares and bounds are as they were.

--- a/tests/soak/crowd.c
+++ b/tests/soak/crowd.c
@@ -40,6 +40,7 @@
 	struct tally *tally = crowd->at < 0 ? &crowd->apart : &crowd->crowded;
 
 	if (!soak_calm_since(crowd->soak, sent_us) ||
+	    sent_us <= crowd->soak->bound_us ||
 	    sent_us < crowd->since_us + SOAK_CALM_US)
 		return;
 	tally->ended++;
@@ -51,6 +52,9 @@
 	const struct tally *apart = &crowd->apart;
 	const struct tally *crowded = &crowd->crowded;
 
+	soak_say(crowd->soak,
+		 "served %d of %d, %d of %d with callers at one VM",
+		 apart->served, apart->ended, crowded->served, crowded->ended);
 	if (apart->ended >= LEAST && crowded->ended >= LEAST &&
 	    4 * crowded->served * apart->ended <
 		    QUARTERS * apart->served * crowded->ended)
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "server.h"
 #include "vm.h"
 
 #define ID_PREFIX "a5c4"
@@ -167,7 +168,10 @@
 	struct ask *ask = ledger_get(ledger, number);
 
 	ask->ended_us = edge_now_us();
+	if (!servers_any_free(ledger->soak))
+		ledger->soak->bound_us = ask->ended_us;
 	ask->calm = ask->sent_us > ledger->steady_us &&
+		    ask->sent_us > ledger->soak->bound_us &&
 		    soak_calm_since(ledger->soak, ask->sent_us);
 	ask->in_touch =
 		vm_in_touch(ledger->soak->vms[SOAK_CONTROLS + ask->entry],
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -508,6 +508,23 @@
 	return n;
 }
 
+bool servers_any_free(const struct soak *soak)
+{
+	int i;
+
+	for (i = 0; i < SOAK_SERVERS; i++) {
+		const struct server *server = soak->servers[i];
+
+		if (server->http && !server->leaving &&
+		    !strcmp(server->service, "scribe") &&
+		    !(server->need && need_per_s(server->need) > 0) &&
+		    !(server->rest && rest_asks(server->rest)) &&
+		    !zones_concern(soak->zones, server->index % 3))
+			return true;
+	}
+	return false;
+}
+
 struct proxy *server_proxy(struct server *server)
 {
 	return server->proxy;
--- a/tests/soak/server.h
+++ b/tests/soak/server.h
@@ -35,6 +35,9 @@
 
 struct proxy *server_proxy(struct server *server);
 
+/** Whether a server takes streams, without a limit or a time of rest. */
+bool servers_any_free(const struct soak *soak);
+
 /** Servers of streams of that version that serve and have since then. */
 int servers_steady(const struct soak *soak, const char *version,
 		   int64_t since_us);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -71,6 +71,7 @@
 	bool same_ids;	    /**< also of servers that a part has crashed */
 	int64_t rough_us;   /**< when a fault last began, ended or held */
 	int64_t crashed_us; /**< when a server last crashed by a request */
+	int64_t bound_us;   /**< when a request ended and no server was free */
 	int faults;	    /**< that hold now */
 	int violations;
 	bool cut_off[SOAK_VMS];	  /**< from links that it has dialled itself */
--- a/tests/soak/zones.c
+++ b/tests/soak/zones.c
@@ -99,6 +99,11 @@
 	return holds ? zones->acked_us : 0;
 }
 
+bool zones_concern(const struct zones *zones, int zone)
+{
+	return (zones->evacuate || !zones->settled) && zones->zone == zone;
+}
+
 void zones_rest(struct zones *zones)
 {
 	zones->rests = true;
--- a/tests/soak/zones.h
+++ b/tests/soak/zones.h
@@ -15,6 +15,9 @@
 /** When the evacuation that holds was acknowledged, 0 for none. */
 int64_t zones_evacuated_us(const struct zones *zones, int zone);
 
+/** Whether the zone is evacuated, or may be. */
+bool zones_concern(const struct zones *zones, int zone);
+
 /** No more evacuations: what is evacuated is taken back. */
 void zones_rest(struct zones *zones);
 
