load: what waits for other reasons than a slot isn't short of slots

Seen in the soak as DEADLINE_UNREACHABLE at servers with free slots.

Cause: a request that no server may take, as all name limits, ask for rest or are gone, waits as well, and lower tiers left slots free for it.

Class: the same sign for two causes, one of which the remedy doesn't fit.

--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -69,6 +69,18 @@
 	return backend_weight(backend, options, now_us) > 0;
 }
 
+bool pick_any_fits(const struct pick_options *options,
+		   const struct pick_query *query,
+		   struct backend *const *members, int n, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		if (pick_fits(members[i], query, options, now_us))
+			return true;
+	return false;
+}
+
 int64_t pick_own_slots(const struct backend *backend, double slots,
 		       const struct pick_query *query)
 {
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -110,4 +110,12 @@
 bool pick_fits(const struct backend *backend, const struct pick_query *query,
 	       const struct pick_options *options, int64_t now_us);
 
+/**
+ * Whether any of `members` can serve the request: if none has room, it lacks a
+ * slot and nothing else.
+ */
+bool pick_any_fits(const struct pick_options *options,
+		   const struct pick_query *query,
+		   struct backend *const *members, int n, int64_t now_us);
+
 #endif
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -78,6 +78,7 @@
 	pool->grant = -1;
 	pool->local_pressured_tier = SCHED_TIERS;
 	pool->global_pressured_tier = SCHED_TIERS;
+	pool->full_us = INT64_MIN / 2;
 	for (i = 0; i < SCHED_TIERS; i++) {
 		list_init(&pool->pressure[i].order);
 		pool->pressure[i].last_pressure_us = INT64_MIN / 2;
--- a/libfilberthall/load/router_unserved.c
+++ b/libfilberthall/load/router_unserved.c
@@ -11,6 +11,9 @@
 /* Part of the time to its target that a request may wait for a slot. */
 #define WAIT_MOST 0.15
 
+/* So long ago a lack of slots was another one. */
+#define FULL_US INT64_C(1000000)
+
 static struct unserved_count *count_of(const struct request *request)
 {
 	return &request->queue->pool->outcomes[request->tier];
@@ -39,6 +42,12 @@
 	count_own(request, 1, 0, now_us);
 }
 
+/* Limits, times of rest and servers that are gone are no lack of slots. */
+static bool lacks_slots(const struct request *request, int64_t now_us)
+{
+	return now_us - request->queue->pool->full_us < FULL_US;
+}
+
 /*
  * A request that waits is counted before it is known whether it gets a slot in
  * time: by then it is too late for others that came with it.
@@ -48,7 +57,7 @@
 	int64_t due_us =
 		request->target_us ? request->target_us : request->deadline_us;
 
-	if (request->counted ||
+	if (request->counted || !lacks_slots(request, now_us) ||
 	    (double)(now_us - request->spec.arrived_us) <=
 		    WAIT_MOST * (double)(due_us - request->spec.arrived_us))
 		return;
@@ -57,13 +66,14 @@
 	count_own(request, 0, 1, now_us);
 }
 
-static bool lacks_slot(const struct request *request, enum result code)
+static bool got_nothing(const struct request *request, enum result code,
+			int64_t now_us)
 {
 	switch (code) {
 	case RESULT_QUEUE_FULL:
 	case RESULT_DEADLINE_UNREACHABLE:
 	case RESULT_EXPIRED:
-		return true;
+		return lacks_slots(request, now_us);
 	case RESULT_BACKEND_ERROR:
 	case RESULT_RETRY_BUDGET:
 		return request->found_full;
@@ -77,7 +87,7 @@
 {
 	if (code == RESULT_OK) {
 		request_count_begun(request, now_us);
-	} else if (!request->counted && lacks_slot(request, code)) {
+	} else if (!request->counted && got_nothing(request, code, now_us)) {
 		request->counted = true;
 		count_of(request)->nothing++;
 		count_own(request, 0, !request->found_full, now_us);
--- a/tests/control/starved.c
+++ b/tests/control/starved.c
@@ -108,6 +108,14 @@
 	return most;
 }
 
+int starved_larger(const struct entries *entries, int64_t from_us)
+{
+	struct starved_span span = { .from_us = from_us };
+
+	count(entries, 0, &span);
+	return span.larger;
+}
+
 struct entries *starved_new(int n_vms, int n_servers)
 {
 	struct entries *entries = entries_new(n_vms, n_servers);
--- a/tests/control/starved.h
+++ b/tests/control/starved.h
@@ -49,6 +49,9 @@
 /** Most that were late in a span that begins after `from_us` and is over. */
 int starved_most_late(const struct entries *entries, int64_t from_us);
 
+/** Larger ones that began in the span that begins then. */
+int starved_larger(const struct entries *entries, int64_t from_us);
+
 /** The worst span that begins after `from_us` and is over. */
 struct starved_span starved_worst(const struct entries *entries,
 				  int64_t from_us);
--- a/tests/control/t-starved.c
+++ b/tests/control/t-starved.c
@@ -71,6 +71,36 @@
 	entries_free(entries);
 }
 
+static void set_limits(struct entries *entries, double per_s)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		entries->servers[i].limit_per_s = per_s;
+}
+
+/* Slots stay free for urgent ones that waited for servers that name limits. */
+static void test_limits(void)
+{
+	struct entries *entries = starved_new(VMS, SERVERS);
+	struct starved_load load = { .rng = { 11 },
+				     .small = 100,
+				     .large = 100 };
+	int64_t from_us;
+	int asked;
+
+	starved_play(entries, &load, NULL, 8 * SECOND);
+	set_limits(entries, 1);
+	starved_play(entries, &load, NULL, 5 * SECOND);
+	set_limits(entries, SERVER_LIMIT_NONE);
+	starved_play(entries, &load, NULL, 3 * SECOND);
+	from_us = group_now(entries->group);
+	asked = (int)(load.large * STARVED_SPAN_US / 1e6);
+	starved_play(entries, &load, NULL, STARVED_SPAN_US);
+	g_assert_cmpint(starved_larger(entries, from_us), >=, asked * 9 / 10);
+	entries_free(entries);
+}
+
 /* The same with many VMs, of which each knows little. */
 static void test_many_vms(void)
 {
@@ -135,6 +165,7 @@
 	g_test_add_func("/starved/one-vm", test_one_vm);
 	g_test_add_func("/starved/apart", test_apart);
 	g_test_add_func("/starved/waits", test_waits);
+	g_test_add_func("/starved/limits", test_limits);
 	g_test_add_func("/starved/many-vms", test_many_vms);
 	g_test_add_func("/starved/late", test_late);
 	g_test_add_func("/starved/servers-lost", test_servers_lost);
