--- a/tests/fleet/t-load-mean.c
+++ b/tests/fleet/t-load-mean.c
@@ -48,8 +48,8 @@
 		fleet_report_load(&fleet, "10.0.0.1:1", SLOTS, 4, SLOTS,
 				  i * STEP_US);
 	pass(&fleet, SECOND, SECOND);
-	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), >=, SLOTS / 2);
-	g_assert_cmpfloat(load_at(&fleet, "10.0.0.2:1"), >=, SLOTS / 2);
+	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), >=, SLOTS / 2.0);
+	g_assert_cmpfloat(load_at(&fleet, "10.0.0.2:1"), >=, SLOTS / 2.0);
 	fleet_clear(&fleet);
 }
 
@@ -67,7 +67,7 @@
 	pass(&fleet, SECOND, SECOND);
 	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), <, SLOTS);
 	pass(&fleet, 2 * SECOND, 20 * SECOND);
-	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), <, SLOTS / 4);
+	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), <, SLOTS / 4.0);
 	fleet_clear(&fleet);
 }
 
