soak: a server that asked for rest is bound until that time is over

The two checks that leave out times without a free server counted a server as free once it took requests again, though VMs had promised to send it nothing for up to 4 s more.

--- a/tests/soak/rest.c
+++ b/tests/soak/rest.c
@@ -43,6 +43,17 @@
 	return rest->asking;
 }
 
+bool rest_holds(const struct rest *rest)
+{
+	int64_t now_us = edge_now_us();
+	int i;
+
+	for (i = 0; i < WINDOWS; i++)
+		if (rest->windows[i].until_us > now_us)
+			return true;
+	return rest->asking;
+}
+
 static void count(struct rest *rest, struct window *window, int number)
 {
 	int64_t now_us = edge_now_us();
--- a/tests/soak/rest.h
+++ b/tests/soak/rest.h
@@ -12,6 +12,9 @@
 /** Whether it turns requests away now. */
 bool rest_asks(const struct rest *rest);
 
+/** Whether a VM may still have to send it nothing. */
+bool rest_holds(const struct rest *rest);
+
 /** A request has come; checks what the site is promised in the calm. */
 void rest_arrival(struct rest *rest, int number);
 
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -518,7 +518,7 @@
 		if (server->http && !server->leaving &&
 		    !strcmp(server->service, "scribe") &&
 		    !(server->need && need_per_s(server->need) > 0) &&
-		    !(server->rest && rest_asks(server->rest)) &&
+		    !(server->rest && rest_holds(server->rest)) &&
 		    !zones_concern(soak->zones, server->index % 3))
 			return true;
 	}
