--- a/libfilberthall/fleet/load_mean.h
+++ b/libfilberthall/fleet/load_mean.h
@@ -21,7 +21,7 @@
 void load_means_init(struct load_means *means);
 void load_means_clear(struct load_means *means);
 
-/** A server of the service reported `load` requests; `slots` can run. */
+/** A server of the service reported `load` requests; it runs `slots` at once. */
 void load_means_add(struct load_means *means, const char *service, int64_t load,
 		    int64_t slots, int64_t now_us);
 
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -142,7 +142,7 @@
 					   more than its minimum, 0 if open */
 	struct list running_list;	      /**< attempts, oldest first */
 	struct unserved_count outcomes[SCHED_TIERS]; /**< not yet taken */
-	int64_t full_us; /**< when servers last lacked a slot, and no more */
+	int64_t full_us; /**< when a sound server last had all slots in use */
 	struct unserved own; /**< here alone; a rejection counts as nothing */
 	struct reserve reserve;
 	double asked; /**< requests lately, and those that were held */
--- a/libfilberthall/load/router_unserved.c
+++ b/libfilberthall/load/router_unserved.c
@@ -11,7 +11,7 @@
 /* Part of the time to its target that a request may wait for a slot. */
 #define WAIT_MOST 0.15
 
-/* So long ago a lack of slots was another one. */
+/* A lack of slots seen longer ago says nothing of a request that waits now. */
 #define FULL_US INT64_C(1000000)
 
 static struct unserved_count *count_of(const struct request *request)
--- a/tests/control/t-starved.c
+++ b/tests/control/t-starved.c
@@ -7,6 +7,9 @@
 #define MANY_VMS 60
 #define SERVERS 8
 
+/* Urgent requests where each kind comes in at other VMs. */
+#define APART_PER_S 150
+
 /* More than the servers bear, at all VMs alike. */
 static void test_even(void)
 {
@@ -36,41 +39,53 @@
 }
 
 /* Urgent ones at one VM, those that can wait at the others. */
-static void test_apart(void)
+static struct entries *play_apart(int64_t *from_us)
 {
 	struct entries *entries = starved_new(VMS, SERVERS);
-	struct starved_load small = {
-		.rng = { 11 }, .small = 150, .large = 0, .share = 1
-	};
+	struct starved_load small = { .rng = { 11 },
+				      .small = APART_PER_S,
+				      .share = 1 };
 	struct starved_load large = {
-		.rng = { 12 }, .small = 0, .large = 250, .busy = 3, .share = 0.5
+		.rng = { 12 }, .large = 250, .busy = 3, .share = 0.5
 	};
-	int64_t from_us = group_now(entries->group) + STARVED_SETTLES_US;
 
+	*from_us = group_now(entries->group) + STARVED_SETTLES_US;
 	starved_play(entries, &small, &large, 20 * SECOND);
+	return entries;
+}
+
+static void test_apart(void)
+{
+	int64_t from_us;
+	struct entries *entries = play_apart(&from_us);
+
 	starved_check(entries, from_us);
 }
 
 /* Urgent ones wait at one VM for seconds while larger ones begin elsewhere. */
 static void test_waits(void)
 {
-	struct entries *entries = starved_new(VMS, SERVERS);
-	struct starved_load small = {
-		.rng = { 11 }, .small = 150, .large = 0, .share = 1
-	};
-	struct starved_load large = {
-		.rng = { 12 }, .small = 0, .large = 250, .busy = 3, .share = 0.5
-	};
-	int64_t from_us = group_now(entries->group) + STARVED_SETTLES_US;
-	double asked = small.small * STARVED_SPAN_US / 1e6;
+	int64_t from_us;
+	struct entries *entries = play_apart(&from_us);
+	double asked = APART_PER_S * STARVED_SPAN_US / 1e6;
 
-	starved_play(entries, &small, &large, 20 * SECOND);
 	entries_run(entries, STARVED_SPAN_US);
 	g_assert_cmpint(starved_most_late(entries, from_us), <=,
 			(int)(asked / STARVED_SHARE));
 	entries_free(entries);
 }
 
+/* Nine in ten of the larger ones that come from now on begin. */
+static void check_larger(struct entries *entries, struct starved_load *load)
+{
+	int64_t from_us = group_now(entries->group);
+	int asked = (int)(load->large * STARVED_SPAN_US / 1e6);
+
+	starved_play(entries, load, NULL, STARVED_SPAN_US);
+	g_assert_cmpint(starved_larger(entries, from_us), >=, asked * 9 / 10);
+	entries_free(entries);
+}
+
 static void set_limits(struct entries *entries, double per_s)
 {
 	int i;
@@ -86,19 +101,13 @@
 	struct starved_load load = { .rng = { 11 },
 				     .small = 100,
 				     .large = 100 };
-	int64_t from_us;
-	int asked;
 
 	starved_play(entries, &load, NULL, 8 * SECOND);
 	set_limits(entries, 1);
 	starved_play(entries, &load, NULL, 5 * SECOND);
 	set_limits(entries, SERVER_LIMIT_NONE);
 	starved_play(entries, &load, NULL, 3 * SECOND);
-	from_us = group_now(entries->group);
-	asked = (int)(load.large * STARVED_SPAN_US / 1e6);
-	starved_play(entries, &load, NULL, STARVED_SPAN_US);
-	g_assert_cmpint(starved_larger(entries, from_us), >=, asked * 9 / 10);
-	entries_free(entries);
+	check_larger(entries, &load);
 }
 
 /* Slots stay free for urgent ones that waited for servers that had failed. */
@@ -106,8 +115,6 @@
 {
 	struct entries *entries = starved_new(VMS, SERVERS);
 	struct starved_load load = { .rng = { 11 }, .small = 60, .large = 60 };
-	int64_t from_us;
-	int asked;
 	int n;
 	int i;
 
@@ -118,11 +125,7 @@
 		starved_play(entries, &load, NULL, ENTRIES_RESTART_US + SECOND);
 	}
 	starved_play(entries, &load, NULL, 3 * SECOND);
-	from_us = group_now(entries->group);
-	asked = (int)(load.large * STARVED_SPAN_US / 1e6);
-	starved_play(entries, &load, NULL, STARVED_SPAN_US);
-	g_assert_cmpint(starved_larger(entries, from_us), >=, asked * 9 / 10);
-	entries_free(entries);
+	check_larger(entries, &load);
 }
 
 /* The same with many VMs, of which each knows little. */
--- a/tests/fleet/t-load-mean.c
+++ b/tests/fleet/t-load-mean.c
@@ -22,6 +22,16 @@
 	fleet_announce(fleet, &announce, now_us);
 }
 
+/* Ten reports of a server of "desk" in a second, each as told. */
+static void report(struct fleet *fleet, int64_t queued)
+{
+	int i;
+
+	for (i = 0; i < 10; i++)
+		fleet_report_load(fleet, "10.0.0.1:1", SLOTS, queued, SLOTS,
+				  i * STEP_US);
+}
+
 static double load_at(const struct fleet *fleet, const char *address)
 {
 	return backend_load(fleet_find(fleet, address));
@@ -39,14 +49,11 @@
 static void test_saturated(void)
 {
 	struct fleet fleet;
-	int i;
 
 	fleet_init(&fleet);
 	announce(&fleet, "10.0.0.1:1", "desk", 0);
 	announce(&fleet, "10.0.0.2:1", "desk", 0);
-	for (i = 0; i < 10; i++)
-		fleet_report_load(&fleet, "10.0.0.1:1", SLOTS, 4, SLOTS,
-				  i * STEP_US);
+	report(&fleet, 4);
 	pass(&fleet, SECOND, SECOND);
 	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), >=, SLOTS / 2.0);
 	g_assert_cmpfloat(load_at(&fleet, "10.0.0.2:1"), >=, SLOTS / 2.0);
@@ -57,13 +64,10 @@
 static void test_slot_left(void)
 {
 	struct fleet fleet;
-	int i;
 
 	fleet_init(&fleet);
 	announce(&fleet, "10.0.0.1:1", "desk", 0);
-	for (i = 0; i < 10; i++)
-		fleet_report_load(&fleet, "10.0.0.1:1", SLOTS, 40, SLOTS,
-				  i * STEP_US);
+	report(&fleet, 40);
 	pass(&fleet, SECOND, SECOND);
 	g_assert_cmpfloat(load_at(&fleet, "10.0.0.1:1"), <, SLOTS);
 	pass(&fleet, 2 * SECOND, 20 * SECOND);
@@ -75,14 +79,11 @@
 static void test_services(void)
 {
 	struct fleet fleet;
-	int i;
 
 	fleet_init(&fleet);
 	announce(&fleet, "10.0.0.1:1", "desk", 0);
 	announce(&fleet, "10.0.0.2:1", "bench", 0);
-	for (i = 0; i < 10; i++)
-		fleet_report_load(&fleet, "10.0.0.1:1", SLOTS, 4, SLOTS,
-				  i * STEP_US);
+	report(&fleet, 4);
 	pass(&fleet, SECOND, SECOND);
 	g_assert_cmpfloat(load_at(&fleet, "10.0.0.2:1"), ==, 0);
 	fleet_clear(&fleet);
