review: case 3, a planned stop drops the unwritten rest of answers

An entry VM exits 3.5 s after SIGTERM although answers of over 250 kB wait in its memory for callers that read slowly; the channels end in the middle.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/run.py"
