--- a/review/reviewsite.py
+++ b/review/reviewsite.py
@@ -131,7 +131,7 @@
     """An engine: checks in, answers, and notes what it runs."""
 
     def __init__(self, site, name, service, address, zone="hobart-a",
-                 late_s=0.0, handler=None, slots=8):
+                 late_s=0.0, handler=None, slots=8, version="v1"):
         self.site = site
         self.id = name
         self.service = service
@@ -140,6 +140,7 @@
         self.late_s = late_s
         self.handler = handler or plain_answer
         self.slots = slots
+        self.version = version
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.ran = []
@@ -174,7 +175,7 @@
         self.sequence += 1
         return {
             "service": self.service, "address": self.address,
-            "zone": self.zone, "version": "v1", "slots": self.slots,
+            "zone": self.zone, "version": self.version, "slots": self.slots,
             "state": "ready", "cold_remaining_ms": 0, "phase": "unified",
             "models": [{"name": "m", "version": 1, "adapters": []}],
             "sequence": self.sequence, "born": self.born,
