control: log each server that says it is gone, and whether it is known

The log had a line for a server that was known, and none otherwise, so the first could not be told from the second.

--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -246,6 +246,9 @@
 	struct registry_entry *registered =
 		registry_mark_gone(&control->registry, id);
 
+	control_log(effects, LOG_INFO, "server",
+		    "event=unregistered server=%s known=%d", id,
+		    registered != NULL);
 	if (registered)
 		forward_registration(control, registered, now_us, effects);
 }
