control: tell all VMs of the end of a server that isn't known

Cause: control_unregister() passed on what the registry had under the id. All control VMs had started again and nobody had heard the server since, so there was nothing, and the call was acknowledged.

Now such an end goes to all VMs by id, with the time at which it was said. A VM that knows a start from before it ends that start; one that gets a registration of such a start later ignores it. The same where what is known may be an earlier start under the id: it is gone, or wasn't heard lately.

--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -347,6 +347,9 @@
 	case FEED_REGISTRATION:
 		control_receive_registration(control, &message, now_us);
 		break;
+	case FEED_END:
+		control_receive_end(control, &message.u.end, now_us, effects);
+		break;
 	case FEED_ALIVE:
 		control_receive_alive(control, &message, now_us);
 		break;
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -2,6 +2,7 @@
  * Messages about backend servers for entry VMs and other control VMs: which
  * servers exist and which are alive.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,6 +35,19 @@
 	return peer->observer && peer->marks;
 }
 
+static void tell_ends_to(const struct control *control, uint64_t peer,
+			 int64_t now_us, struct effects *effects)
+{
+	const struct registry_end *end;
+	struct bytes body = { 0 };
+
+	list_foreach(end, &control->registry.ends, node) {
+		feed_write_end(&body, end, now_us);
+		feed_send(effects, peer, &body);
+		bytes_clear(&body);
+	}
+}
+
 /* For daemons that read no bundles: one registration a message. */
 void control_send_fleet(struct control *control, const struct feed_peer *peer,
 			int64_t now_us, struct effects *effects)
@@ -42,6 +56,7 @@
 	struct registry_entry *next;
 	struct bytes body = { 0 };
 
+	tell_ends_to(control, peer->id, now_us, effects);
 	map_foreach(registered, next, &control->registry.by_id, node) {
 		feed_write_registration(&body, &registered->registration,
 					now_us - registered->last_contact_us);
@@ -98,6 +113,7 @@
 	map_foreach(peer, next, &control->peers, node) {
 		if (!peer->newcomer)
 			continue;
+		tell_ends_to(control, peer->id, now_us, effects);
 		feed_send(effects, peer->id, &body);
 		control_tell_limits_to(control, peer, now_us, effects);
 		peer->newcomer = false;
@@ -240,17 +256,68 @@
 		forward_registration(control, registered, now_us, effects);
 }
 
+/*
+ * Earlier releases end their reading of a bundle at a message that they don't
+ * know, so it goes by itself.
+ */
+static void send_end(const struct control *control,
+		     const struct registry_end *end, int64_t now_us,
+		     struct effects *effects)
+{
+	struct feed_peer *peer;
+	struct feed_peer *next;
+	struct bytes body = { 0 };
+
+	feed_write_end(&body, end, now_us);
+	map_foreach(peer, next, &control->peers, node)
+		feed_send(effects, peer->id, &body);
+	bytes_clear(&body);
+}
+
+/* The start that says so is the one that is known here. */
+static bool knows_start(const struct control *control, const char *id)
+{
+	const struct registry_entry *known =
+		registry_find(&control->registry, id);
+
+	return known && !known->registration.gone &&
+	       registry_is_confirmed(&control->registry, known);
+}
+
 void control_unregister(struct control *control, const char *id, int64_t now_us,
 			struct effects *effects)
 {
-	struct registry_entry *registered =
-		registry_mark_gone(&control->registry, id);
-
+	struct registry_end end = {
+		.wall_ms = wall_time_us(&control->wall, now_us) / 1000,
+		.at_us = now_us,
+	};
+	bool known = knows_start(control, id);
+	struct registry_entry *ended;
+
+	snprintf(end.id, sizeof(end.id), "%s", id);
 	control_log(effects, LOG_INFO, "server",
-		    "event=unregistered server=%s known=%d", id,
-		    registered != NULL);
-	if (registered)
-		forward_registration(control, registered, now_us, effects);
+		    "event=unregistered server=%s known=%d", id, known);
+	if (known) {
+		ended = registry_mark_gone(&control->registry, id);
+	} else {
+		ended = registry_end(&control->registry, &end);
+		send_end(control, &end, now_us, effects);
+	}
+	if (ended)
+		forward_registration(control, ended, now_us, effects);
+}
+
+/* The VM that sends it has told all. */
+void control_receive_end(struct control *control,
+			 const struct registry_end *told, int64_t now_us,
+			 struct effects *effects)
+{
+	struct registry_end end = *told;
+
+	end.at_us += now_us;
+	if (registry_end(&control->registry, &end))
+		control_log(effects, LOG_INFO, "server",
+			    "event=gone server=%s by=end", end.id);
 }
 
 /* Frees both bodies. */
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -277,6 +277,9 @@
 void control_receive_registration(struct control *control,
 				  const struct feed_message *message,
 				  int64_t now_us);
+void control_receive_end(struct control *control,
+			 const struct registry_end *told, int64_t now_us,
+			 struct effects *effects);
 void control_receive_alive(struct control *control,
 			   const struct feed_message *message, int64_t now_us);
 int64_t control_news_us(const struct control *control);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -258,6 +258,9 @@
 	case FEED_REGISTRATION:
 		entry_handle_registration(entry, &message);
 		break;
+	case FEED_END:
+		entry_handle_end(entry, &message.u.end);
+		break;
 	case FEED_ALIVE:
 		entry_handle_alive(entry, &message);
 		break;
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -156,6 +156,17 @@
 	entry_tell_affinities(entry);
 }
 
+void entry_handle_end(struct entry *entry, const struct registry_end *told)
+{
+	struct registry_end end = *told;
+	struct registry_entry *ended;
+
+	end.at_us += entry->now_us;
+	ended = registry_end(&entry->registry, &end);
+	if (ended)
+		entry_update_server(entry, ended);
+}
+
 /*
  * The servers of a zone that is used again may have become cold shortly before,
  * and what they say of it may still be on its way.
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -231,6 +231,7 @@
 void entry_update_server(struct entry *entry,
 			 const struct registry_entry *registered);
 void entry_update_cold(struct entry *entry);
+void entry_handle_end(struct entry *entry, const struct registry_end *told);
 void entry_handle_registration(struct entry *entry,
 			       const struct feed_message *message);
 void entry_handle_alive(struct entry *entry,
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -98,6 +98,17 @@
 	pack_text(&packer, told->version);
 }
 
+void feed_write_end(struct bytes *out, const struct registry_end *end,
+		    int64_t now_us)
+{
+	msgpack_packer packer;
+
+	begin(&packer, out, 3, FEED_END);
+	pack_text(&packer, end->id);
+	msgpack_pack_int64(&packer, end->wall_ms);
+	msgpack_pack_int64(&packer, now_us - end->at_us);
+}
+
 void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
 		      size_t n_alive)
 {
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -48,7 +48,8 @@
 	FEED_UNSERVED,	    /**< entry to control: outcomes by tier */
 	FEED_SHORT,	    /**< control to all: a tier gets too few slots */
 	FEED_PART,	    /**< to all: servers that ended under a part */
-	FEED_DEMAND /**< entry to control: requests since the last one */
+	FEED_DEMAND, /**< entry to control: requests since the last one */
+	FEED_END     /**< control to all: a server that wasn't known ended */
 };
 
 /** Items of a record, and records in one FEED_AFFINITIES. */
@@ -234,7 +235,8 @@
 		struct feed_affinity_none affinity_none;
 		struct feed_unserved unserved;
 		struct feed_short tier_short;
-		int64_t demand; /**< requests */
+		int64_t demand;		 /**< requests */
+		struct registry_end end; /**< `at_us` counts from its sending */
 		struct part_report part;
 		struct poison_report
 			crashes; /**< times count from its sending */
@@ -255,6 +257,8 @@
 void feed_write_registration(struct bytes *out,
 			     const struct registration *registration,
 			     int64_t age_us);
+void feed_write_end(struct bytes *out, const struct registry_end *end,
+		    int64_t now_us);
 void feed_write_alive(struct bytes *out, const struct feed_alive *alive,
 		      size_t n_alive);
 void feed_write_marks(struct bytes *out, const struct feed_marks *marks);
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -224,6 +224,19 @@
 	       unpack_int(items, 12, age_us);
 }
 
+static bool read_end(const struct unpacked *items, struct registry_end *end)
+{
+	int64_t age_us;
+
+	if (!feed_read_name(items, 1, end->id) ||
+	    !unpack_int(items, 2, &end->wall_ms) ||
+	    !unpack_int(items, 3, &age_us) || age_us < 0 ||
+	    age_us > REGISTRY_TOMBSTONE_US)
+		return false;
+	end->at_us = -age_us;
+	return true;
+}
+
 static bool read_alive(const struct unpacked *items,
 		       struct feed_message *message)
 {
@@ -432,6 +445,8 @@
 	case FEED_DEMAND:
 		return unpack_int(items, 1, &message->u.demand) &&
 		       message->u.demand >= 0 && message->u.demand < INT32_MAX;
+	case FEED_END:
+		return read_end(items, &message->u.end);
 	case FEED_PART:
 		return feed_read_part(items, &message->u.part);
 	case FEED_RETRIES:
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -85,12 +85,59 @@
 	}
 }
 
+static struct registry_end *find_end(const struct registry *registry,
+				     const char *id)
+{
+	struct registry_end *end;
+
+	list_foreach(end, &registry->ends, node)
+		if (!strcmp(end->id, id))
+			return end;
+	return NULL;
+}
+
+static void remove_end(struct registry *registry, struct registry_end *end)
+{
+	list_remove(&end->node);
+	free(end);
+	registry->n_ends--;
+}
+
+static void forget_ends(struct registry *registry, int64_t before_us)
+{
+	struct registry_end *end;
+	struct registry_end *next;
+
+	list_foreach_safe(end, next, &registry->ends, node)
+		if (end->at_us < before_us)
+			remove_end(registry, end);
+}
+
+static void keep_end(struct registry *registry, const struct registry_end *end)
+{
+	struct registry_end *kept = find_end(registry, end->id);
+
+	if (kept && kept->at_us >= end->at_us)
+		return;
+	if (kept)
+		remove_end(registry, kept);
+	else if (registry->n_ends == REGISTRY_ENDS_MOST)
+		remove_end(registry, list_first(&registry->ends,
+						struct registry_end, node));
+	kept = xcalloc(1, sizeof(*kept));
+	*kept = *end;
+	list_append(&registry->ends, &kept->node);
+	registry->n_ends++;
+}
+
 void registry_init(struct registry *registry, int64_t announce_interval_us)
 {
 	map_init(&registry->by_id);
 	map_init(&registry->by_address);
 	map_init(&registry->by_short_id);
 	list_init(&registry->versions);
+	list_init(&registry->ends);
+	registry->n_ends = 0;
 	registry->timeout_us =
 		REGISTRY_TIMEOUT_INTERVALS * announce_interval_us;
 	if (registry->timeout_us < REGISTRY_TIMEOUT_MIN_US)
@@ -120,6 +167,7 @@
 	map_clear(&registry->by_address);
 	map_clear(&registry->by_short_id);
 	forget_versions(registry, INT64_MAX);
+	forget_ends(registry, INT64_MAX);
 }
 
 struct registry_entry *registry_find(const struct registry *registry,
@@ -154,6 +202,20 @@
 	       update->sequence <= known->registration.sequence;
 }
 
+/* Whether it is of a start that ended before any registration of it came. */
+static bool has_ended(const struct registry *registry,
+		      const struct registry_entry *known,
+		      const struct registration *update)
+{
+	const struct registry_end *end;
+
+	if (update->gone ||
+	    (known && known->registration.started_ms == update->started_ms))
+		return false;
+	end = find_end(registry, update->id);
+	return end && update->started_ms <= end->wall_ms;
+}
+
 /* Whether to forward it; fields that change with each message don't count. */
 static bool is_news(const struct registration *before,
 		    const struct registration *update)
@@ -224,7 +286,8 @@
 	bool news;
 
 	*replaced = NULL;
-	if (known && is_stale(known, update))
+	if ((known && is_stale(known, update)) ||
+	    has_ended(registry, known, update))
 		return REGISTRY_STALE;
 	if (holder == known)
 		holder = NULL;
@@ -275,6 +338,21 @@
 	return known;
 }
 
+/* What was heard of it later counts unless it is of the same start, and late. */
+struct registry_entry *registry_end(struct registry *registry,
+				    const struct registry_end *end)
+{
+	struct registry_entry *known = registry_find(registry, end->id);
+
+	keep_end(registry, end);
+	if (!known || known->registration.gone ||
+	    (known->last_contact_us > end->at_us &&
+	     known->registration.started_ms > end->wall_ms))
+		return NULL;
+	set_gone(registry, known);
+	return known;
+}
+
 void registry_note_contact(struct registry *registry, int64_t contact_us)
 {
 	if (contact_us > registry->last_contact_us)
@@ -392,6 +470,7 @@
 		free(entry);
 	}
 	forget_versions(registry, now_us - REGISTRY_TOMBSTONE_US);
+	forget_ends(registry, now_us - REGISTRY_TOMBSTONE_US);
 }
 
 struct registry_versions registry_versions(const struct registry *registry,
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -71,6 +71,14 @@
 	int64_t retry_at_us; /**< it asked this VM for nothing until then */
 };
 
+/** A server has said that it is gone, to a VM that may not know its start. */
+struct registry_end {
+	struct list node;
+	char id[BACKEND_NAME_SIZE];
+	int64_t wall_ms; /**< wall clock when it said so */
+	int64_t at_us;	 /**< the same moment, own clock */
+};
+
 struct registry {
 	struct map by_id;
 	struct map by_address;	 /**< entries that aren't gone */
@@ -79,8 +87,13 @@
 	int64_t timeout_us;	 /**< see REGISTRY_TIMEOUT_MIN_US */
 	int64_t confirmed_us;	 /**< see registry_is_confirmed() */
 	struct list versions;	 /**< that services have or lately had */
+	struct list ends;	 /**< struct registry_end, the oldest first */
+	int n_ends;
 };
 
+/** More ends than that aren't kept. */
+#define REGISTRY_ENDS_MOST 1024
+
 /** A cold time that ends later than known by more than this is a change. */
 #define REGISTRY_COLD_CHANGE_US INT64_C(500000)
 
@@ -129,6 +142,15 @@
 struct registry_entry *registry_mark_gone(struct registry *registry,
 					  const char *id);
 
+/**
+ * Apply an end: starts of the server from before it are gone, whether they are
+ * known here or their registrations are still to arrive.
+ *
+ * @return the known start if it has ended by this, or NULL
+ */
+struct registry_entry *registry_end(struct registry *registry,
+				    const struct registry_end *end);
+
 /** Record contact with a start; NULL if that isn't the known one, or gone. */
 struct registry_entry *registry_heartbeat(struct registry *registry,
 					  const char *id, int64_t born_ms,
--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -6,8 +6,6 @@
 #include "base/alloc.h"
 #include "group_state.h"
 
-#define WALL_US INT64_C(1700000000000000)
-
 static uint64_t life_of(const struct vm *vm)
 {
 	return vm->id * 1000 + (uint64_t)vm->incarnation;
@@ -274,7 +272,8 @@
 	if (!vm->control || vm->frozen || group->now_us < vm->tick_us)
 		return;
 	effects_init(&effects);
-	control_tick(vm->control, WALL_US + group->now_us + vm->wall_off_us,
+	control_tick(vm->control,
+		     GROUP_WALL_US + group->now_us + vm->wall_off_us,
 		     group->now_us, &effects);
 	vm->tick_us = control_next_tick(vm->control, group->now_us);
 	group_carry_out(group, at, &effects);
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -12,6 +12,9 @@
 #define GROUP_VMS 8
 #define GROUP_STEP_US INT64_C(10000)
 
+/** The VMs' wall clock at the start of time. */
+#define GROUP_WALL_US INT64_C(1700000000000000)
+
 struct group;
 
 /** A call to the platform as it was sent. */
