entry: tell a control VM that a server which it takes for new has left

A server's goodbye was acknowledged, then all control VMs were killed and came back.

Entry VMs that know the end, or that the server is leaving, ignored the announcement and said nothing. Now such a VM sends what it knows to the control VM that told it, and that one tells all others. Nothing is sent while nobody contradicts; a repeated answer changes nothing and isn't passed on.

--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -345,7 +345,8 @@
 		answer_fetch(control, peer, &message.u.fetch, effects);
 		break;
 	case FEED_REGISTRATION:
-		control_receive_registration(control, &message, now_us);
+		control_receive_registration(control, peer, &message, now_us,
+					     effects);
 		break;
 	case FEED_END:
 		control_receive_end(control, &message.u.end, now_us, effects);
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -140,16 +140,6 @@
 	send_fleet_to_newcomers(control, now_us, effects);
 }
 
-void control_receive_registration(struct control *control,
-				  const struct feed_message *message,
-				  int64_t now_us)
-{
-	struct registry_entry *replaced;
-
-	registry_update(&control->registry, &message->u.registration,
-			now_us - message->age_us, &replaced);
-}
-
 void control_receive_alive(struct control *control,
 			   const struct feed_message *message, int64_t now_us)
 {
@@ -236,6 +226,27 @@
 		  now_us, effects);
 }
 
+/* A control VM has told all VMs; an entry VM has told this one alone. */
+void control_receive_registration(struct control *control, uint64_t id,
+				  const struct feed_message *message,
+				  int64_t now_us, struct effects *effects)
+{
+	const struct registration *told = &message->u.registration;
+	const struct feed_peer *peer = feed_peer_find(&control->peers, id);
+	struct registry_entry *replaced;
+	enum registry_outcome outcome;
+
+	outcome = registry_update(&control->registry, told,
+				  now_us - message->age_us, &replaced);
+	if (outcome != REGISTRY_CHANGED || !peer || !peer->observer)
+		return;
+	if (replaced)
+		forward_registration(control, replaced, now_us, effects);
+	forward_registration(control,
+			     registry_find(&control->registry, told->id),
+			     now_us, effects);
+}
+
 void control_register(struct control *control,
 		      const struct registration *registration, int64_t now_us,
 		      struct effects *effects)
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -274,9 +274,9 @@
 			int64_t now_us, struct effects *effects);
 void control_welcome_entry(struct control *control, struct feed_peer *peer,
 			   int64_t now_us, struct effects *effects);
-void control_receive_registration(struct control *control,
+void control_receive_registration(struct control *control, uint64_t id,
 				  const struct feed_message *message,
-				  int64_t now_us);
+				  int64_t now_us, struct effects *effects);
 void control_receive_end(struct control *control,
 			 const struct registry_end *told, int64_t now_us,
 			 struct effects *effects);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -256,7 +256,7 @@
 		handle_member(entry, &message.u.member);
 		break;
 	case FEED_REGISTRATION:
-		entry_handle_registration(entry, &message);
+		entry_handle_registration(entry, peer, &message);
 		break;
 	case FEED_END:
 		entry_handle_end(entry, &message.u.end);
@@ -268,7 +268,7 @@
 		entry_handle_marks(entry, &message.u.marks);
 		break;
 	case FEED_BUNDLE:
-		entry_handle_bundle(entry, &message.u.bundle);
+		entry_handle_bundle(entry, peer, &message.u.bundle);
 		break;
 	case FEED_EVACUATIONS:
 		entry_handle_evacuations(entry, &message.u.evacuations);
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -139,7 +139,25 @@
 			      1000));
 }
 
-void entry_handle_registration(struct entry *entry,
+/* A control VM that has started again may take a delayed registration for new. */
+static void correct(struct entry *entry, uint64_t peer,
+		    const struct registration *told)
+{
+	const struct registry_entry *known =
+		registry_find(&entry->registry, told->id);
+	struct bytes body = { 0 };
+
+	if (!known || told->gone ||
+	    !(known->registration.gone ||
+	      (known->registration.leaving && !told->leaving)))
+		return;
+	feed_write_registration(&body, &known->registration,
+				entry->now_us - known->last_contact_us);
+	feed_send(entry->effects, peer, &body);
+	bytes_clear(&body);
+}
+
+void entry_handle_registration(struct entry *entry, uint64_t peer,
 			       const struct feed_message *message)
 {
 	const struct registration *told = &message->u.registration;
@@ -150,6 +168,8 @@
 				  entry->now_us - message->age_us, &replaced);
 	if (replaced)
 		entry_update_server(entry, replaced);
+	if (outcome == REGISTRY_STALE)
+		correct(entry, peer, told);
 	if (outcome != REGISTRY_CHANGED)
 		return;
 	entry_update_server(entry, registry_find(&entry->registry, told->id));
@@ -271,7 +291,8 @@
 	}
 }
 
-void entry_handle_bundle(struct entry *entry, const struct feed_bundle *bundle)
+void entry_handle_bundle(struct entry *entry, uint64_t peer,
+			 const struct feed_bundle *bundle)
 {
 	struct bytes list = { 0 };
 	struct feed_message message;
@@ -288,7 +309,7 @@
 			break;
 		message.age_us += bundle->age_us;
 		if (message.kind == FEED_REGISTRATION)
-			entry_handle_registration(entry, &message);
+			entry_handle_registration(entry, peer, &message);
 		feed_clear(&message);
 	}
 	if (len || list.len != bundle->unpacked)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -232,12 +232,13 @@
 			 const struct registry_entry *registered);
 void entry_update_cold(struct entry *entry);
 void entry_handle_end(struct entry *entry, const struct registry_end *told);
-void entry_handle_registration(struct entry *entry,
+void entry_handle_registration(struct entry *entry, uint64_t peer,
 			       const struct feed_message *message);
 void entry_handle_alive(struct entry *entry,
 			const struct feed_message *message);
 void entry_handle_marks(struct entry *entry, const struct feed_marks *marks);
-void entry_handle_bundle(struct entry *entry, const struct feed_bundle *bundle);
+void entry_handle_bundle(struct entry *entry, uint64_t peer,
+			 const struct feed_bundle *bundle);
 void entry_handle_evacuations(struct entry *entry,
 			      const struct evacuations *evacuations);
 void entry_expire_servers(struct entry *entry);
--- a/tests/control/t-left-unheard.c
+++ b/tests/control/t-left-unheard.c
@@ -146,6 +146,24 @@
 	entries_free(traffic.entries);
 }
 
+/* Acknowledged before they start again; an old announcement comes after it. */
+static void test_forgotten(void)
+{
+	struct entries_traffic traffic = start();
+	struct entries *entries = traffic.entries;
+
+	unregister(entries, 2);
+	silence(entries);
+	entries_play(&traffic, SECOND / 2);
+	entries_restart(entries, 0);
+	restart_control_vms(&traffic);
+	entries->servers[LEAVER].late_us = 0;
+	entries_play(&traffic, SECOND);
+	silence(entries);
+	g_assert_cmpint(play_late(&traffic), ==, 0);
+	entries_free(entries);
+}
+
 /* A new start under its id is in use, and stays so. */
 static void test_new_start(void)
 {
@@ -184,6 +202,7 @@
 			test_late_announcement);
 	g_test_add_func("/left-unheard/entry-vms-restarted",
 			test_entry_vms_restarted);
+	g_test_add_func("/left-unheard/forgotten", test_forgotten);
 	g_test_add_func("/left-unheard/new-start", test_new_start);
 	return g_test_run();
 }
