entry: resume streams only at servers heard since the VM's start

Callers whose streams had broken off as all entry VMs were killed took them up again and got one whole answer of two software versions.

Cause: two servers start again under their ids and addresses as another version while no entry VM runs, and announce themselves 3 s late. The new processes take them for the starts that the control VMs know: a server counted as confirmed by a contact of the last 3.4 s, and while one version was known not even that was asked. A process that has just started has watched nothing, so it can't know that a server hasn't started again.

Now a contact counts if it came since the VM's own start, whatever versions are known. A stream that begins at a server which isn't confirmed is recorded when that has been heard since, or as unclear if it ends before; one that was never recorded passed for unknown, which with one version goes on anywhere. An address without a registration is unsure, it was taken for the right one.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -85,7 +85,7 @@
 	control->zone = xstrdup(options->zone);
 	control->address = xstrdup(options->address);
 	ledger_init(&control->ledger);
-	registry_init(&control->registry, options->beat_us);
+	registry_init(&control->registry, options->beat_us, now_us);
 	begun_init(&control->begun);
 	roster_init(&control->roster);
 	poison_init(&control->poison);
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -66,7 +66,7 @@
 	entry->polled_us = INT64_MIN / 2;
 	fetch_init(&entry->fetch);
 	fleet_init(&entry->fleet);
-	registry_init(&entry->registry, options->announce_interval_us);
+	registry_init(&entry->registry, options->announce_interval_us, now_us);
 	evacuations_init(&entry->evacuations);
 	if (options->regions)
 		entry->regions = *options->regions;
@@ -75,6 +75,7 @@
 	retry_history_init(&entry->past_retries);
 	affinities_init(&entry->affinities, ENTRY_AFFINITIES_MOST);
 	list_init(&entry->lookups);
+	list_init(&entry->unsure);
 	entry->started_us = now_us;
 	map_init(&entry->peers);
 	map_init(&entry->calls);
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -110,13 +110,11 @@
 		registry_find_address(&entry->registry, view->address);
 
 	if (!server)
-		return VERSION_MEANT;
+		return VERSION_UNSURE;
 	if (server->version != view->version)
 		return VERSION_OTHER;
-	if (registry_is_confirmed(&entry->registry, server) ||
-	    !registry_versions(&entry->registry, server->service).differ)
-		return VERSION_MEANT;
-	return VERSION_UNSURE;
+	return registry_is_confirmed(&entry->registry, server) ? VERSION_MEANT
+							       : VERSION_UNSURE;
 }
 
 static void log_version(struct entry *entry, const struct open_call *call,
@@ -148,12 +146,63 @@
 	if (version == VERSION_UNSURE) {
 		log_version(entry, call, &view, "version-unsure");
 		router_fix_version(entry->router, id, ROUTER_VERSION_NONE);
+		call->unsure_attempt = attempt;
+		call->unsure_us = now_us;
+		list_remove(&call->unsure);
+		list_append(&entry->unsure, &call->unsure);
 	} else if (!call->begun) {
 		note_begun(entry, call, view.version);
 	}
 	return true;
 }
 
+void entry_give_up_unsure(struct entry *entry, struct open_call *call)
+{
+	if (list_empty(&call->unsure))
+		return;
+	list_remove(&call->unsure);
+	list_init(&call->unsure);
+	note_begun(entry, call, AFFINITY_UNCLEAR);
+	entry_tell_affinities(entry);
+}
+
+/* Whether its server has been heard since as the start that it was meant for. */
+static bool is_sure(const struct entry *entry, const struct open_call *call,
+		    const struct router_attempt_view *view)
+{
+	const struct registry_entry *server =
+		registry_find_address(&entry->registry, view->address);
+
+	return server && server->last_contact_us > call->unsure_us &&
+	       version_at(entry, view) == VERSION_MEANT;
+}
+
+static void settle(struct entry *entry, struct open_call *call)
+{
+	struct router_attempt_view view;
+
+	if (!router_attempt(entry->router, call->id, call->unsure_attempt,
+			    entry->now_us, &view) ||
+	    version_at(entry, &view) == VERSION_OTHER) {
+		entry_give_up_unsure(entry, call);
+	} else if (is_sure(entry, call, &view)) {
+		list_remove(&call->unsure);
+		list_init(&call->unsure);
+		router_fix_version(entry->router, call->id, view.version);
+		note_begun(entry, call, view.version);
+	}
+}
+
+/* Streams that began at a server which may have started again unheard. */
+void entry_settle_unsure(struct entry *entry)
+{
+	struct open_call *call;
+	struct open_call *next;
+
+	list_foreach_safe(call, next, &entry->unsure, unsure)
+		settle(entry, call);
+}
+
 void entry_affinity_tick(struct entry *entry)
 {
 	if (entry->now_us - entry->told_us < TELL_US)
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -89,6 +89,15 @@
 		backend->regions = regions_of_zone(&entry->regions, told->zone);
 }
 
+/* A server that may have another version by now gets no resumed streams. */
+static void update_confirmed(struct entry *entry,
+			     const struct registry_entry *registered)
+{
+	fleet_set_unconfirmed(&entry->fleet, registered->registration.address,
+			      !registry_is_confirmed(&entry->registry,
+						     registered));
+}
+
 static bool is_leaving(const struct registry_entry *registered)
 {
 	return registered->registration.leaving || registered->told_leaving;
@@ -118,6 +127,7 @@
 
 	if (registry_entry_usable(registered)) {
 		announce(entry, told);
+		update_confirmed(entry, registered);
 		set_cold(entry, registered, registered->cold_until_us);
 		fleet_set_limit(&entry->fleet, told->address,
 				registered->limit.per_s);
@@ -261,6 +271,8 @@
 		note_lives(entry, &known->registration, heard_us);
 	if (known && was_silent && !known->timed_out)
 		entry_update_server(entry, known);
+	else if (known && registry_entry_usable(known))
+		update_confirmed(entry, known);
 }
 
 void entry_handle_alive(struct entry *entry, const struct feed_message *message)
@@ -324,25 +336,14 @@
 	entry_update_server(data, registered);
 }
 
-/* While a service has had one version, a server can't have another one. */
-static void update_confirmed(struct entry *entry)
+static void update_all_confirmed(struct entry *entry)
 {
 	struct registry_entry *registered;
 	struct registry_entry *next;
-	bool confirmed;
-
-	map_foreach(registered, next, &entry->registry.by_id, node) {
-		if (!registry_entry_usable(registered))
-			continue;
-		confirmed =
-			registry_is_confirmed(&entry->registry, registered) ||
-			!registry_versions(&entry->registry,
-					   registered->service)
-				 .differ;
-		fleet_set_unconfirmed(&entry->fleet,
-				      registered->registration.address,
-				      !confirmed);
-	}
+
+	map_foreach(registered, next, &entry->registry.by_id, node)
+		if (registry_entry_usable(registered))
+			update_confirmed(entry, registered);
 }
 
 static bool start_lives(void *data, const char *address, uint64_t start,
@@ -365,7 +366,8 @@
 		return;
 	registry_expire(&entry->registry, entry->now_us, on_server_expired,
 			entry);
-	update_confirmed(entry);
+	update_all_confirmed(entry);
+	entry_settle_unsure(entry);
 	router_settle_left(entry->router, start_lives, entry, entry->now_us);
 	entry->registry_expired_us = entry->now_us;
 }
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -51,6 +51,9 @@
 	bool begun;		     /**< its stream is recorded */
 	bool resumes;		     /**< a stream that was begun before */
 	struct affinity_key resumed;
+	struct list unsure;	/**< in entry->unsure, or empty */
+	int64_t unsure_attempt; /**< at a server whose version isn't sure */
+	int64_t unsure_us;	/**< when it began */
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -102,6 +105,7 @@
 	size_t n_untold;
 	int64_t told_us;
 	struct list lookups;  /**< streams that control VMs are asked about */
+	struct list unsure;   /**< calls whose version isn't sure yet */
 	struct list deferred; /**< struct deferred_request, oldest first */
 	struct list classes;
 	int n_classes;
@@ -184,6 +188,10 @@
 void entry_pass_caller_left(struct entry *entry, struct open_call *call);
 
 /* entry_affinity.c */
+void entry_settle_unsure(struct entry *entry);
+
+/** The call ends; its stream may have begun at any version. */
+void entry_give_up_unsure(struct entry *entry, struct open_call *call);
 void entry_tell_affinities(struct entry *entry);
 void entry_tell_affinities_to(struct entry *entry, uint64_t peer);
 void entry_affinity_tick(struct entry *entry);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -130,7 +130,8 @@
 	registry->n_ends++;
 }
 
-void registry_init(struct registry *registry, int64_t announce_interval_us)
+void registry_init(struct registry *registry, int64_t announce_interval_us,
+		   int64_t since_us)
 {
 	map_init(&registry->by_id);
 	map_init(&registry->by_address);
@@ -146,12 +147,14 @@
 		REGISTRY_CONFIRM_INTERVALS * announce_interval_us +
 		REGISTRY_CONFIRM_TOLD_US;
 	registry->last_contact_us = INT64_MIN / 2;
+	registry->since_us = since_us;
 }
 
 bool registry_is_confirmed(const struct registry *registry,
 			   const struct registry_entry *entry)
 {
-	return entry->last_contact_us > entry->unreached_us &&
+	return entry->last_contact_us >= registry->since_us &&
+	       entry->last_contact_us > entry->unreached_us &&
 	       registry->last_contact_us - entry->last_contact_us <=
 		       registry->confirmed_us;
 }
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -86,6 +86,7 @@
 	int64_t last_contact_us; /**< with any server */
 	int64_t timeout_us;	 /**< see REGISTRY_TIMEOUT_MIN_US */
 	int64_t confirmed_us;	 /**< see registry_is_confirmed() */
+	int64_t since_us;	 /**< from when servers are watched */
 	struct list versions;	 /**< that services have or lately had */
 	struct list ends;	 /**< struct registry_end, the oldest first */
 	int n_ends;
@@ -123,8 +124,12 @@
 #define REGISTRY_CONFIRM_INTERVALS 2
 #define REGISTRY_CONFIRM_TOLD_US INT64_C(1000000)
 
-/** `announce_interval_us`: of a backend server, 0 if unknown. */
-void registry_init(struct registry *registry, int64_t announce_interval_us);
+/**
+ * `announce_interval_us`: of a backend server, 0 if unknown. `since_us`: this VM
+ * hasn't watched the servers before then.
+ */
+void registry_init(struct registry *registry, int64_t announce_interval_us,
+		   int64_t since_us);
 void registry_clear(struct registry *registry);
 
 /**
@@ -199,8 +204,8 @@
 					   uint64_t service);
 
 /**
- * Whether the server was in contact lately, and since this VM couldn't connect
- * to it, so that it can't have started again with another version unnoticed.
+ * Whether the server was in contact lately, since this VM began to watch it and
+ * since it couldn't connect to it, so that it can't have started again with another version unnoticed.
  * Others' contacts are the measure, as for a time-out.
  */
 bool registry_is_confirmed(const struct registry *registry,
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -40,7 +40,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	g_assert_cmpint(take(&registry, make_registration("s1", "a:1", 100, 1),
 			     0),
 			==, REGISTRY_CHANGED);
@@ -64,7 +64,7 @@
 	struct registration leaving = make_registration("s1", "a:1", 100, 5);
 	struct registry registry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 3), 0);
 	leaving.leaving = true;
 	g_assert_cmpint(take(&registry, leaving, 1), ==, REGISTRY_CHANGED);
@@ -85,7 +85,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 50), 0);
 	registry_mark_gone(&registry, "s1");
 	g_assert_cmpint(take(&registry, make_registration("s1", "a:1", 200, 1),
@@ -109,7 +109,7 @@
 	struct registry_entry *replaced;
 	struct registry registry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 7), 0);
 	g_strlcpy(other.service, "scribe", sizeof(other.service));
 	g_assert_cmpint(registry_update(&registry, &other, 1, &replaced), ==,
@@ -134,7 +134,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 1), 0);
 	take(&registry, make_registration("s2", "a:2", 100, 1), 0);
 	registry_heartbeat(&registry, "s2", 100, 9 * SECOND);
@@ -155,7 +155,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry, 3 * SECOND);
+	registry_init(&registry, 3 * SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 1), 0);
 	take(&registry, make_registration("s2", "a:2", 100, 1), 0);
 	registry_heartbeat(&registry, "s2", 100, 10 * SECOND);
@@ -175,7 +175,7 @@
 {
 	struct registry registry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 1), 0);
 	take(&registry, make_registration("s2", "a:2", 100, 1), SECOND);
 	registry_expire(&registry, 60 * SECOND, NULL, NULL);
@@ -205,7 +205,7 @@
 	struct registry registry;
 	int i;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	for (i = 1; i <= 20000; i++) {
 		struct registration one;
 		char id[16];
@@ -239,7 +239,7 @@
 	uint64_t first = registration_short_id("s1", 100);
 	uint64_t second = registration_short_id("s1", 200);
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	take(&registry, make_registration("s1", "a:1", 100, 1), 0);
 	take(&registry, make_registration("s2", "a:2", 100, 1), 0);
 	g_assert_true(registry_find_short_id(&registry, first) ==
@@ -264,7 +264,7 @@
 	struct registry registry;
 	struct registry_entry *entry;
 
-	registry_init(&registry, SECOND);
+	registry_init(&registry, SECOND, 0);
 	told.cold_ms = 3000;
 	take(&registry, told, 0);
 	entry = registry_find(&registry, "s1");
