entry: probe a server that breaks a resumable stream off

A server crashed under its streams and was back 1 s later, under its id and address, as another version, and announced itself late. Then others crashed, and their streams went on there: one answer of two versions.

Cause: a server counts as possibly restarted once a connection to it failed to be made. A VM that only saw its requests break off, and had placed nothing there while it was down, took it for the same start.

A break alone shows no restart: engines reset single connections, and a reset of all connections of a VM would hold up all its streams until each server was heard. So the VM connects once, without a request, and at most each 0.1 s to a server: one that has crashed refuses for as long as it is down.

--- a/libfilberthall/entry/entry_progress.c
+++ b/libfilberthall/entry/entry_progress.c
@@ -75,6 +75,16 @@
 	router_tokens(entry->router, tokens, now_us, effects);
 }
 
+static void probe_server(struct entry *entry,
+			 const struct event_attempt_ended *ended)
+{
+	struct router_attempt_view view;
+
+	if (router_attempt(entry->router, ended->id, ended->attempt,
+			   entry->now_us, &view))
+		entry_probe_broken(entry, view.address);
+}
+
 void entry_attempt_ended(struct entry *entry,
 			 const struct event_attempt_ended *ended,
 			 int64_t now_us, struct effects *effects)
@@ -100,6 +110,8 @@
 			  result_name((enum result)ended->code),
 			  (long long)ended->http_status, ended->sent,
 			  (long long)ended->tokens);
+	if (call && call->resumable && ended->code == RESULT_BACKEND_BROKE)
+		probe_server(entry, ended);
 	router_ended(entry->router, ended, now_us, effects);
 	entry_reach_tick(entry);
 	entry_tell_parts(entry);
--- a/libfilberthall/entry/entry_reach.c
+++ b/libfilberthall/entry/entry_reach.c
@@ -21,6 +21,9 @@
 #define DOUBT_WAIT_US INT64_C(1000000)
 #define WAY_WAIT_US INT64_C(500000)
 
+/* A server that crashes breaks off many requests at once. */
+#define BROKEN_PROBE_US INT64_C(100000)
+
 struct service_state *entry_service(struct entry *entry, const char *name)
 {
 	struct service_state *service;
@@ -168,6 +171,20 @@
 		server->unreached_us = entry->now_us;
 }
 
+/* A server that has crashed is down for a while; one that resets isn't. */
+void entry_probe_broken(struct entry *entry, const char *address)
+{
+	const struct backend *backend = fleet_find(&entry->fleet, address);
+	struct registry_entry *server =
+		registry_find_address(&entry->registry, address);
+
+	if (!backend || !server ||
+	    entry->now_us - server->probed_us < BROKEN_PROBE_US)
+		return;
+	server->probed_us = entry->now_us;
+	send_probe(entry, backend);
+}
+
 void entry_report_connection(struct entry *entry, const char *address,
 			     bool stands, int64_t now_us,
 			     struct effects *effects)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -169,6 +169,7 @@
 struct service_state *entry_service(struct entry *entry, const char *name);
 void entry_free_services(struct entry *entry);
 void entry_reach_tick(struct entry *entry);
+void entry_probe_broken(struct entry *entry, const char *address);
 void entry_write_reach(const struct entry *entry, struct feed_reach *reach);
 
 /* entry_pass.c */
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -307,6 +307,7 @@
 		memcpy(known->registration.id, update->id, sizeof(update->id));
 		known->last_contact_us = contact_us;
 		known->unreached_us = INT64_MIN / 2;
+		known->probed_us = INT64_MIN / 2;
 		map_insert(&registry->by_id, &known->node,
 			   map_hash_text(update->id));
 	}
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -62,6 +62,7 @@
 	int64_t last_contact_us; /**< of any VM with the server, own clock */
 	int64_t last_direct_contact_us; /**< of this VM with the server */
 	int64_t unreached_us;  /**< when a connection last couldn't be made */
+	int64_t probed_us;     /**< when it was probed as it had broken off */
 	int64_t cold_until_us; /**< end of cold_ms, own clock */
 	bool timed_out;	       /**< no contact, while others had some */
 	struct server_limit limit;
--- a/tests/control/t-rejoined.c
+++ b/tests/control/t-rejoined.c
@@ -167,6 +167,26 @@
 	check_none_joined(entries, 0);
 }
 
+/* A server that crashed is back unheard as others break streams off. */
+static void test_crash_unheard(void)
+{
+	struct entries *entries = begin(order_one);
+	int at;
+
+	replace(entries, 0, "v2");
+	entries->servers[0].up_us += SECOND;
+	entries->servers[0].late_us = 4 * SECOND;
+	streams_begin_many(entries, ORDER_STREAMS, SECOND / 40);
+	streams_begin_many(entries, ORDER_STREAMS, SECOND / 200);
+	entries_run(entries, ORDER_LEAVE_US);
+	for (at = 1; at < 4; at++) {
+		entries_restart_server(entries, at, "v1");
+		entries->servers[at].up_us = 3600 * SECOND;
+	}
+	entries_run(entries, 2 * SECOND);
+	check_none_joined(entries, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -177,5 +197,6 @@
 	g_test_add_func("/rejoined/servers-start-unheard",
 			test_servers_start_unheard);
 	g_test_add_func("/rejoined/begun-unheard", test_begun_unheard);
+	g_test_add_func("/rejoined/crash-unheard", test_crash_unheard);
 	return g_test_run();
 }
