control: keep the software versions of services in the log

Callers took up streams of a version whose servers had left before all VMs were killed, and got the rest from the version that was there afterwards: 200, whole, joined.

Cause: which versions a service had in the last ten minutes was in the memory of each VM alone. A control VM that starts again waits until it must have heard all servers and then says "one version"; what left isn't heard. So a stream that nobody knows goes on as if there had never been another version. The same if all servers are replaced while no VM runs.

Now the leader records each version of a service in the log as its first server registers, and takes it out when no server has had it for ten minutes. A control VM that has started says "one version" only after a leader has confirmed its log since, and if neither log nor registry has another.

A service that really has one version loses nothing: in one-version-all-killed and /order/all-power-lost all go on as before, and in version-left-long-before, where the other version left ten minutes earlier (fails if versions are never taken out).

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -95,6 +95,7 @@
 	affinities_init(&control->affinities, CONTROL_AFFINITIES_MOST);
 	control->retries_since_us = now_us;
 	control->heard_since_us = now_us;
+	control->versions_us = now_us - REGISTRY_TOMBSTONE_US;
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->forwarded);
@@ -312,6 +313,7 @@
 	control_feed_tick(control, wall_us, now_us, effects);
 	control_tell_parts(control, now_us, effects);
 	control_servers_tick(control, now_us, effects);
+	control_versions_tick(control, now_us, effects);
 	control_duty_tick(control, now_us, effects);
 	control_fleet_tick(control, now_us, effects);
 	control_drain(control, now_us, effects);
--- a/libfilberthall/control/control_affinity.c
+++ b/libfilberthall/control/control_affinity.c
@@ -8,10 +8,6 @@
  */
 #include "control/control_state.h"
 
-/* After so many announcements each server has been heard, also in small sites. */
-#define BEATS_HEARD 3
-#define HEARD_LEAST_US INT64_C(3000000)
-
 void control_receive_affinities(struct control *control,
 				const struct feed_message *message,
 				int64_t now_us)
@@ -38,28 +34,16 @@
 	control_send(control, TO_CONTROL, &body, effects);
 }
 
-/* A control VM that has just started may not have heard all servers. */
-static bool has_heard_servers(const struct control *control, int64_t now_us)
-{
-	int64_t wait_us = BEATS_HEARD * control->options.beat_us;
-
-	if (wait_us < HEARD_LEAST_US)
-		wait_us = HEARD_LEAST_US;
-	return now_us - control->heard_since_us >= wait_us;
-}
-
-static bool versions_differ(const struct control *control,
-			    const struct feed_affinity_ask *ask, int64_t now_us)
+static bool any_versions_differ(const struct control *control,
+				const struct feed_affinity_ask *ask,
+				int64_t now_us)
 {
 	int i;
 
-	if (!has_heard_servers(control, now_us))
-		return true;
 	for (i = 0; i < ask->n_services; i++)
-		if (registry_versions(&control->registry, ask->services[i])
-			    .differ)
+		if (control_versions_differ(control, ask->services[i], now_us))
 			return true;
-	return false;
+	return !ask->n_services;
 }
 
 void control_answer_affinity(struct control *control, uint64_t id,
@@ -70,7 +54,7 @@
 	const struct affinity *known =
 		affinities_find(&control->affinities, &ask->key, now_us);
 	struct feed_affinity_none none = {
-		ask->key, versions_differ(control, ask, now_us)
+		ask->key, any_versions_differ(control, ask, now_us)
 	};
 	struct bytes body = { 0 };
 
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -71,8 +71,9 @@
 	struct part_watch parts; /**< and parts of prompts */
 	struct list unserved;	 /**< of services, struct service_unserved */
 	struct retry_history retries;
-	int64_t retries_since_us;     /**< from when these are complete */
-	int64_t heard_since_us;	      /**< from when servers are heard */
+	int64_t retries_since_us; /**< from when these are complete */
+	int64_t heard_since_us;	  /**< from when servers are heard */
+	int64_t versions_us;	  /**< when one was last proposed to the log */
 	struct affinities affinities; /**< where streams were begun */
 	struct map peers;	      /**< struct feed_peer */
 	int entry_vms;		      /**< of them */
@@ -223,6 +224,17 @@
 			     const struct feed_affinity_ask *ask,
 			     int64_t now_us, struct effects *effects);
 
+/* control_versions.c */
+void control_versions_tick(struct control *control, int64_t now_us,
+			   struct effects *effects);
+
+/**
+ * Whether servers of the service have or lately had several versions, also
+ * while that isn't known.
+ */
+bool control_versions_differ(const struct control *control, uint64_t service,
+			     int64_t now_us);
+
 /* control_retry.c */
 void control_receive_retries(struct control *control, uint64_t id,
 			     const struct retry_report *report, int64_t now_us,
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -13,7 +13,8 @@
 	ENTRY_PACKED_DOCUMENT,
 	ENTRY_COUNTED,
 	ENTRY_EVACUATION,
-	ENTRY_EVACUATIONS /* in snapshots: all zones */
+	ENTRY_EVACUATIONS, /* in snapshots: all zones */
+	ENTRY_VERSION
 };
 
 /*
@@ -30,6 +31,7 @@
 	memset(ledger, 0, sizeof(*ledger));
 	list_init(&ledger->windows);
 	list_init(&ledger->waiting);
+	list_init(&ledger->versions);
 	evacuations_init(&ledger->evacuations);
 }
 
@@ -40,11 +42,23 @@
 	free(window);
 }
 
+static void version_free(struct ledger *ledger, struct ledger_version *version)
+{
+	list_remove(&version->node);
+	free(version);
+	ledger->n_versions--;
+}
+
 void ledger_clear(struct ledger *ledger)
 {
+	struct ledger_version *version;
+	struct ledger_version *next_version;
 	struct ledger_window *window;
 	struct ledger_window *next;
 
+	list_foreach_safe(version, next_version, &ledger->versions, node)
+		version_free(ledger, version);
+
 	list_foreach_safe(window, next, &ledger->windows, node)
 		window_free(window);
 	list_foreach_safe(window, next, &ledger->waiting, node)
@@ -109,6 +123,19 @@
 	msgpack_pack_int64(&packer, order->revision);
 }
 
+void ledger_write_version(struct bytes *out, uint64_t service, uint64_t version,
+			  bool serves)
+{
+	msgpack_packer packer;
+
+	pack_init(&packer, out);
+	msgpack_pack_array(&packer, 4);
+	msgpack_pack_int64(&packer, ENTRY_VERSION);
+	msgpack_pack_uint64(&packer, service);
+	msgpack_pack_uint64(&packer, version);
+	msgpack_pack_int64(&packer, serves);
+}
+
 static void write_evacuations(struct bytes *out,
 			      const struct evacuations *evacuations)
 {
@@ -227,6 +254,52 @@
 	return LEDGER_EVACUATION;
 }
 
+static struct ledger_version *find_version(const struct ledger *ledger,
+					   uint64_t service, uint64_t version)
+{
+	struct ledger_version *known;
+
+	list_foreach(known, &ledger->versions, node)
+		if (known->service == service && known->version == version)
+			return known;
+	return NULL;
+}
+
+bool ledger_has_version(const struct ledger *ledger, uint64_t service,
+			uint64_t version)
+{
+	return find_version(ledger, service, version) != NULL;
+}
+
+static enum ledger_change take_version(struct ledger *ledger,
+				       const struct unpacked *items)
+{
+	struct ledger_version *known;
+	uint64_t service;
+	uint64_t version;
+	int64_t serves;
+
+	if (!unpack_uint(items, 1, &service) ||
+	    !unpack_uint(items, 2, &version) || !unpack_int(items, 3, &serves))
+		return LEDGER_NOTHING;
+	known = find_version(ledger, service, version);
+	if ((known != NULL) == (serves != 0))
+		return LEDGER_NOTHING;
+	if (known) {
+		version_free(ledger, known);
+		return LEDGER_VERSION;
+	}
+	if (ledger->n_versions == LEDGER_VERSIONS_MOST)
+		version_free(ledger, list_first(&ledger->versions,
+						struct ledger_version, node));
+	known = xcalloc(1, sizeof(*known));
+	known->service = service;
+	known->version = version;
+	list_append(&ledger->versions, &known->node);
+	ledger->n_versions++;
+	return LEDGER_VERSION;
+}
+
 /* Takes `total` over. */
 static void window_add(struct list *windows, struct feed_begun *total)
 {
@@ -298,6 +371,8 @@
 		return take_evacuation(ledger, items);
 	if (kind == ENTRY_EVACUATIONS)
 		return take_evacuations(ledger, items);
+	if (kind == ENTRY_VERSION)
+		return take_version(ledger, items);
 	if (kind != ENTRY_WINDOW && kind != ENTRY_COUNTED)
 		return LEDGER_NOTHING;
 	if (feed_unpack_begun(items, &total))
@@ -335,6 +410,7 @@
 
 void ledger_save(const struct ledger *ledger, struct bytes *out)
 {
+	const struct ledger_version *version;
 	struct ledger_window *window;
 	struct bytes entry = { 0 };
 
@@ -347,6 +423,11 @@
 		write_evacuations(&entry, &ledger->evacuations);
 		save_entry(out, &entry);
 	}
+	list_foreach(version, &ledger->versions, node) {
+		ledger_write_version(&entry, version->service, version->version,
+				     true);
+		save_entry(out, &entry);
+	}
 	list_foreach(window, &ledger->windows, node) {
 		ledger_write_window(&entry, &window->total);
 		save_entry(out, &entry);
--- a/libfilberthall/control/ledger.h
+++ b/libfilberthall/control/ledger.h
@@ -11,15 +11,17 @@
 
 /**
  * What the control VMs agree on: the document in force, as the bytes that it
- * came in, which zones are evacuated, and the figure of each usage window. The
- * log's entries are applied in order on each of them; the same entries give the
+ * came in, which zones are evacuated, which software versions servers have or
+ * lately had, and the figure of each usage window. The log's entries are applied in order on each of them; the same entries give the
  * same state.
  *
  * Failures handled: operators race, and send again what was accepted long
  * ago; only a higher version takes effect. Two leaders in turn add up a
  * window at different moments; the first figure in the log is the window's
  * figure for ever, so it can't be reported in two ways. All VMs lose power
- * while a window waits for counts: what was counted by then is in the log.
+ * while a window waits for counts: what was counted by then is in the log. All
+ * VMs are killed after a release: streams of the version before are known to be
+ * no streams of the present one.
  */
 
 /** Figures are kept for so many windows, far longer than reports take. */
@@ -31,10 +33,22 @@
 	struct feed_begun total;
 };
 
+/** Of more versions the one recorded longest ago goes. */
+#define LEDGER_VERSIONS_MOST 1024
+
+/** A software version of a service's servers, by hashes. */
+struct ledger_version {
+	struct list node;
+	uint64_t service;
+	uint64_t version;
+};
+
 struct ledger {
 	int64_t version; /**< of the document, 0 for none */
 	struct bytes document;
 	struct evacuations evacuations;
+	struct list versions; /**< struct ledger_version, the oldest first */
+	int n_versions;
 	struct list windows;
 	int n_windows;
 	struct list waiting; /**< counted so far, without a figure yet */
@@ -48,6 +62,7 @@
 	LEDGER_WINDOW,
 	LEDGER_COUNTED,
 	LEDGER_EVACUATION,
+	LEDGER_VERSION,
 	LEDGER_REFUSED /**< an order that can't be applied any more */
 };
 
@@ -62,6 +77,13 @@
 void ledger_write_evacuation(struct bytes *out,
 			     const struct evacuation_order *order);
 
+/** `serves`: servers of the service have that version; else none had lately. */
+void ledger_write_version(struct bytes *out, uint64_t service, uint64_t version,
+			  bool serves);
+
+bool ledger_has_version(const struct ledger *ledger, uint64_t service,
+			uint64_t version);
+
 /** Apply one entry; what it changed. A malformed entry changes nothing. */
 enum ledger_change ledger_apply(struct ledger *ledger, const char *data,
 				size_t len);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -491,3 +491,14 @@
 	}
 	return versions;
 }
+
+void registry_visit_versions(const struct registry *registry,
+			     void (*visit)(void *data, uint64_t service,
+					   uint64_t version),
+			     void *data)
+{
+	const struct service_version *known;
+
+	list_foreach(known, &registry->versions, node)
+		visit(data, known->service, known->version);
+}
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -204,6 +204,12 @@
 struct registry_versions registry_versions(const struct registry *registry,
 					   uint64_t service);
 
+/** Call `visit` for each version that registry_versions() goes by. */
+void registry_visit_versions(const struct registry *registry,
+			     void (*visit)(void *data, uint64_t service,
+					   uint64_t version),
+			     void *data);
+
 /**
  * Whether the server was in contact lately, since this VM began to watch it and
  * since it couldn't connect to it, so that it can't have started again with another version unnoticed.
--- a/tests/control/t-ledger.c
+++ b/tests/control/t-ledger.c
@@ -225,6 +225,57 @@
 	ledger_clear(&copy);
 }
 
+static enum ledger_change put_version(struct ledger *ledger, uint64_t version,
+				      bool serves)
+{
+	struct bytes entry = { 0 };
+	enum ledger_change change;
+
+	ledger_write_version(&entry, 1, version, serves);
+	change = ledger_apply(ledger, entry.data, entry.len);
+	bytes_clear(&entry);
+	return change;
+}
+
+/* What a service's versions were is lost with a snapshot. */
+static void test_software_versions_saved(void)
+{
+	struct bytes saved = { 0 };
+	struct ledger ledger;
+	struct ledger copy;
+
+	ledger_init(&ledger);
+	ledger_init(&copy);
+	g_assert_cmpint(put_version(&ledger, 10, true), ==, LEDGER_VERSION);
+	g_assert_cmpint(put_version(&ledger, 10, true), ==, LEDGER_NOTHING);
+	g_assert_cmpint(put_version(&ledger, UINT64_MAX, true), ==,
+			LEDGER_VERSION);
+	g_assert_cmpint(put_version(&ledger, 12, false), ==, LEDGER_NOTHING);
+	g_assert_cmpint(put_version(&ledger, 10, false), ==, LEDGER_VERSION);
+	ledger_save(&ledger, &saved);
+	g_assert_true(ledger_load(&copy, saved.data, saved.len));
+	g_assert_cmpint(copy.n_versions, ==, 1);
+	g_assert_true(ledger_has_version(&copy, 1, UINT64_MAX));
+	g_assert_false(ledger_has_version(&copy, 1, 10));
+	bytes_clear(&saved);
+	ledger_clear(&ledger);
+	ledger_clear(&copy);
+}
+
+/* A server that names another version with each start fills memory. */
+static void test_software_versions_bounded(void)
+{
+	struct ledger ledger;
+	uint64_t version;
+
+	ledger_init(&ledger);
+	for (version = 0; version < 2 * LEDGER_VERSIONS_MOST; version++)
+		put_version(&ledger, version, true);
+	g_assert_cmpint(ledger.n_versions, ==, LEDGER_VERSIONS_MOST);
+	g_assert_true(ledger_has_version(&ledger, 1, version - 1));
+	ledger_clear(&ledger);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -238,5 +289,9 @@
 			test_evacuation_overtaken);
 	g_test_add_func("/ledger/evacuation-bound", test_evacuation_bound);
 	g_test_add_func("/ledger/evacuation-saved", test_evacuation_saved);
+	g_test_add_func("/ledger/software-versions-saved",
+			test_software_versions_saved);
+	g_test_add_func("/ledger/software-versions-bounded",
+			test_software_versions_bounded);
 	return g_test_run();
 }
--- a/tests/control/t-rejoined.c
+++ b/tests/control/t-rejoined.c
@@ -66,6 +66,13 @@
 	entries_run(entries, 2 * SECOND);
 }
 
+/* It is gone, and says so to a control VM. */
+static void leave(struct entries *entries, int server)
+{
+	group_unregister(entries->group, 0, entries->servers[server].id);
+	entries->servers[server].late_us = 3600 * SECOND;
+}
+
 /* Its next start has another version and is in use at once. */
 static void replace(struct entries *entries, int server, const char *version)
 {
@@ -187,6 +194,60 @@
 	check_none_joined(entries, 0);
 }
 
+/* The servers of one version have left, and nobody remembers them. */
+static void test_version_left(void)
+{
+	struct entries *entries = begin(order_two);
+	int at;
+
+	for (at = 0; at < ORDER_SERVERS; at += 2)
+		leave(entries, at);
+	kill_control_vms(entries);
+	kill_entry_vms(entries);
+	entries_run(entries, SECOND / 2);
+	start_control_vms(entries);
+	entries_run(entries, 5 * SECOND);
+	come_back(entries);
+	check_none_joined(entries, ORDER_STREAMS / 2);
+}
+
+/* All servers are replaced while no VM runs. */
+static void test_all_replaced(void)
+{
+	struct entries *entries = begin(order_one);
+	int at;
+
+	kill_control_vms(entries);
+	kill_entry_vms(entries);
+	for (at = 0; at < ORDER_SERVERS; at++)
+		replace(entries, at, "v2");
+	entries_run(entries, SECOND / 2);
+	start_control_vms(entries);
+	entries_run(entries, 5 * SECOND);
+	come_back(entries);
+	check_none_joined(entries, ORDER_STREAMS / 2);
+}
+
+/* The other version left long before; one is left, and they go on. */
+static void test_version_left_long_before(void)
+{
+	struct entries *entries = order_start(order_two);
+	int at;
+
+	for (at = 0; at < ORDER_SERVERS; at += 2)
+		leave(entries, at);
+	entries_run(entries, REGISTRY_TOMBSTONE_US + 10 * SECOND);
+	streams_begin_many(entries, ORDER_STREAMS, SECOND / 200);
+	entries_run(entries, ORDER_LEAVE_US);
+	kill_control_vms(entries);
+	kill_entry_vms(entries);
+	entries_run(entries, SECOND / 2);
+	start_control_vms(entries);
+	entries_run(entries, 5 * SECOND);
+	come_back(entries);
+	check_whole(entries);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -198,5 +259,9 @@
 			test_servers_start_unheard);
 	g_test_add_func("/rejoined/begun-unheard", test_begun_unheard);
 	g_test_add_func("/rejoined/crash-unheard", test_crash_unheard);
+	g_test_add_func("/rejoined/version-left", test_version_left);
+	g_test_add_func("/rejoined/all-replaced", test_all_replaced);
+	g_test_add_func("/rejoined/version-left-long-before",
+			test_version_left_long_before);
 	return g_test_run();
 }
