entry: record streams as pending until their server is heard

Streams that began in a VM's first second couldn't be taken up again by a caller who left before the servers were heard: the record was made unclear as the call ended, and unclear it stays.

Now such a stream is recorded as pending at once, so that no VM takes it for unknown, also after this one is killed. The record gets its version when the server has been heard as the same start, whether or not the call goes on, and is unclear if that was another one. Earlier releases read pending as a version that no server has, and refuse the stream.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -75,7 +75,7 @@
 	retry_history_init(&entry->past_retries);
 	affinities_init(&entry->affinities, ENTRY_AFFINITIES_MOST);
 	list_init(&entry->lookups);
-	list_init(&entry->unsure);
+	list_init(&entry->pending);
 	entry->started_us = now_us;
 	map_init(&entry->peers);
 	map_init(&entry->calls);
@@ -113,6 +113,7 @@
 	entry_free_calls(entry);
 	entry_free_deferred(entry);
 	entry_free_lookups(entry);
+	entry_free_pending(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
 	entry_free_services(entry);
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -63,6 +63,17 @@
 	flush(&teller);
 }
 
+/* Whether it was news. */
+bool entry_note_affinity(struct entry *entry, const struct affinity *affinity)
+{
+	if (!affinities_note(&entry->affinities, affinity, entry->now_us))
+		return false;
+	if (entry->n_untold == ENTRY_UNTOLD_MOST)
+		entry_tell_affinities(entry);
+	entry->untold[entry->n_untold++] = *affinity;
+	return true;
+}
+
 static void note(struct entry *entry, const struct open_call *call,
 		 const struct affinity_key *key, uint64_t version)
 {
@@ -74,11 +85,7 @@
 		.expires_us = call->deadline_us + AFFINITY_KEEP_US,
 	};
 
-	if (!affinities_note(&entry->affinities, &affinity, entry->now_us))
-		return;
-	if (entry->n_untold == ENTRY_UNTOLD_MOST)
-		entry_tell_affinities(entry);
-	entry->untold[entry->n_untold++] = affinity;
+	entry_note_affinity(entry, &affinity);
 }
 
 static void note_begun(struct entry *entry, struct open_call *call,
@@ -146,63 +153,13 @@
 	if (version == VERSION_UNSURE) {
 		log_version(entry, call, &view, "version-unsure");
 		router_fix_version(entry->router, id, ROUTER_VERSION_NONE);
-		call->unsure_attempt = attempt;
-		call->unsure_us = now_us;
-		list_remove(&call->unsure);
-		list_append(&entry->unsure, &call->unsure);
+		entry_add_pending(entry, call, attempt, &view);
 	} else if (!call->begun) {
 		note_begun(entry, call, view.version);
 	}
 	return true;
 }
 
-void entry_give_up_unsure(struct entry *entry, struct open_call *call)
-{
-	if (list_empty(&call->unsure))
-		return;
-	list_remove(&call->unsure);
-	list_init(&call->unsure);
-	note_begun(entry, call, AFFINITY_UNCLEAR);
-	entry_tell_affinities(entry);
-}
-
-/* Whether its server has been heard since as the start that it was meant for. */
-static bool is_sure(const struct entry *entry, const struct open_call *call,
-		    const struct router_attempt_view *view)
-{
-	const struct registry_entry *server =
-		registry_find_address(&entry->registry, view->address);
-
-	return server && server->last_contact_us > call->unsure_us &&
-	       version_at(entry, view) == VERSION_MEANT;
-}
-
-static void settle(struct entry *entry, struct open_call *call)
-{
-	struct router_attempt_view view;
-
-	if (!router_attempt(entry->router, call->id, call->unsure_attempt,
-			    entry->now_us, &view) ||
-	    version_at(entry, &view) == VERSION_OTHER) {
-		entry_give_up_unsure(entry, call);
-	} else if (is_sure(entry, call, &view)) {
-		list_remove(&call->unsure);
-		list_init(&call->unsure);
-		router_fix_version(entry->router, call->id, view.version);
-		note_begun(entry, call, view.version);
-	}
-}
-
-/* Streams that began at a server which may have started again unheard. */
-void entry_settle_unsure(struct entry *entry)
-{
-	struct open_call *call;
-	struct open_call *next;
-
-	list_foreach_safe(call, next, &entry->unsure, unsure)
-		settle(entry, call);
-}
-
 void entry_affinity_tick(struct entry *entry)
 {
 	if (entry->now_us - entry->told_us < TELL_US)
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -60,7 +60,6 @@
 static void call_free(struct entry *entry, struct open_call *call)
 {
 	map_remove(&entry->calls, &call->node);
-	list_remove(&call->unsure);
 	free(call->name);
 	free(call->organisation);
 	free(call->class_name);
@@ -78,7 +77,6 @@
 	else
 		entry->totals.failed++;
 	entry->totals.held += run == RUN_NOT && code == RESULT_POISON;
-	entry_give_up_unsure(entry, call);
 	call_free(entry, call);
 }
 
@@ -242,7 +240,6 @@
 {
 	struct open_call *call = xcalloc(1, sizeof(*call));
 
-	list_init(&call->unsure);
 	call->id = request->id;
 	call->name = xstrdup(request->name);
 	call->organisation = xstrdup(holder ? holder->name : "");
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -154,7 +154,7 @@
 		return NULL;
 	}
 	known = affinities_find(&entry->affinities, &key, entry->now_us);
-	if (!known) {
+	if (!known || known->version == AFFINITY_PENDING) {
 		look_up(entry, request, &key, map_hash_text(organisation));
 		return NULL;
 	}
@@ -201,7 +201,7 @@
 	list_foreach_safe(lookup, next, &entry->lookups, node) {
 		known = affinities_find(&entry->affinities, &lookup->key,
 					entry->now_us);
-		if (known)
+		if (known && known->version != AFFINITY_PENDING)
 			resolve(entry, lookup, NULL);
 	}
 }
@@ -253,6 +253,7 @@
 	struct affinity affinity;
 
 	if (lookup->versions_differ || (size_t)lookup->n_peers < n ||
+	    affinities_find(&entry->affinities, &lookup->key, entry->now_us) ||
 	    !entry_can_decide(entry) || !route ||
 	    !only_affinity(entry, route, &affinity))
 		return false;
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -367,7 +367,7 @@
 	registry_expire(&entry->registry, entry->now_us, on_server_expired,
 			entry);
 	update_all_confirmed(entry);
-	entry_settle_unsure(entry);
+	entry_settle_pending(entry);
 	router_settle_left(entry->router, start_lives, entry, entry->now_us);
 	entry->registry_expired_us = entry->now_us;
 }
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -51,9 +51,6 @@
 	bool begun;		     /**< its stream is recorded */
 	bool resumes;		     /**< a stream that was begun before */
 	struct affinity_key resumed;
-	struct list unsure;	/**< in entry->unsure, or empty */
-	int64_t unsure_attempt; /**< at a server whose version isn't sure */
-	int64_t unsure_us;	/**< when it began */
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -105,7 +102,7 @@
 	size_t n_untold;
 	int64_t told_us;
 	struct list lookups;  /**< streams that control VMs are asked about */
-	struct list unsure;   /**< calls whose version isn't sure yet */
+	struct list pending;  /**< streams whose version isn't sure yet */
 	struct list deferred; /**< struct deferred_request, oldest first */
 	struct list classes;
 	int n_classes;
@@ -188,11 +185,16 @@
 		      const struct event_attempt_ended *ended);
 void entry_pass_caller_left(struct entry *entry, struct open_call *call);
 
-/* entry_affinity.c */
-void entry_settle_unsure(struct entry *entry);
+/* entry_pending.c */
+
+/** A stream has begun at a server whose version isn't sure. */
+void entry_add_pending(struct entry *entry, struct open_call *call,
+		       int64_t attempt, const struct router_attempt_view *view);
+void entry_settle_pending(struct entry *entry);
+void entry_free_pending(struct entry *entry);
 
-/** The call ends; its stream may have begun at any version. */
-void entry_give_up_unsure(struct entry *entry, struct open_call *call);
+/* entry_affinity.c */
+bool entry_note_affinity(struct entry *entry, const struct affinity *affinity);
 void entry_tell_affinities(struct entry *entry);
 void entry_tell_affinities_to(struct entry *entry, uint64_t peer);
 void entry_affinity_tick(struct entry *entry);
--- a/libfilberthall/load/affinity.c
+++ b/libfilberthall/load/affinity.c
@@ -157,10 +157,15 @@
 	struct affinity *known = &record->affinity;
 	bool news = false;
 
-	if (known->version != AFFINITY_UNCLEAR &&
+	if (affinity->version != AFFINITY_PENDING &&
+	    known->version != AFFINITY_UNCLEAR &&
 	    (known->version != affinity->version ||
 	     known->service != affinity->service)) {
-		known->version = AFFINITY_UNCLEAR;
+		known->version =
+			known->version == AFFINITY_PENDING &&
+					known->service == affinity->service
+				? affinity->version
+				: AFFINITY_UNCLEAR;
 		news = true;
 	}
 	if (affinity->expires_us > known->expires_us) {
--- a/libfilberthall/load/affinity.h
+++ b/libfilberthall/load/affinity.h
@@ -17,7 +17,9 @@
  *
  * A record is written once, with the first event, so copies on several VMs
  * differ only in that some VM has none. A name that was used for streams of two
- * versions is recorded as unclear, in whichever order the VMs hear of them.
+ * versions is recorded as unclear, in whichever order the VMs hear of them. A
+ * stream whose server may have started again unheard is pending until that is
+ * known.
  *
  * Callers choose the names. A key is made of the organisation and the name, and
  * of a full table the oldest record of the organisation with the most goes.
@@ -36,12 +38,15 @@
 	struct affinity_key key;
 	uint64_t owner;	    /**< hash of the organisation */
 	uint64_t service;   /**< hash of its name */
-	uint64_t version;   /**< by hash; AFFINITY_UNCLEAR */
+	uint64_t version;   /**< by hash; AFFINITY_UNCLEAR or _PENDING */
 	int64_t expires_us; /**< by this VM's monotonic clock */
 };
 
 #define AFFINITY_UNCLEAR UINT64_C(0)
 
+/** No server has it, so earlier releases refuse such a stream. */
+#define AFFINITY_PENDING UINT64_MAX
+
 struct affinities {
 	struct map records; /**< by key */
 	struct map owners;
--- a/tests/control/t-rejoined.c
+++ b/tests/control/t-rejoined.c
@@ -155,6 +155,26 @@
 	check_none_joined(entries, ORDER_STREAMS / 2);
 }
 
+/* Streams that begin before VMs have heard the servers can't be taken up. */
+static void test_begun_at_start(void)
+{
+	struct entries *entries = order_start(order_one);
+	guint i;
+	int at;
+
+	kill_entry_vms(entries);
+	for (at = 0; at < ORDER_SERVERS; at++)
+		entries->servers[at].announced_us = group_now(entries->group);
+	entries_run(entries, SECOND / 10);
+	streams_begin_many(entries, ORDER_STREAMS, SECOND / 200);
+	entries_run(entries, ORDER_LEAVE_US);
+	for (i = 0; i < entries->streams->len; i++)
+		streams_leave(entries, streams_nth(entries, i));
+	entries_run(entries, 2 * SECOND);
+	come_back(entries);
+	check_whole(entries);
+}
+
 /* New streams begin there before it is heard, and break off. */
 static void test_begun_unheard(void)
 {
@@ -257,6 +277,7 @@
 			test_one_version_all_killed);
 	g_test_add_func("/rejoined/servers-start-unheard",
 			test_servers_start_unheard);
+	g_test_add_func("/rejoined/begun-at-start", test_begun_at_start);
 	g_test_add_func("/rejoined/begun-unheard", test_begun_unheard);
 	g_test_add_func("/rejoined/crash-unheard", test_crash_unheard);
 	g_test_add_func("/rejoined/version-left", test_version_left);
--- a/tests/load/t-affinity.c
+++ b/tests/load/t-affinity.c
@@ -50,6 +50,27 @@
 	affinities_clear(&table);
 }
 
+/* A version that comes once a server was heard makes the record unclear. */
+static void test_pending(void)
+{
+	struct affinity pending = made("a", "r1", "", 10 * SECOND);
+	struct affinities table;
+
+	pending.version = AFFINITY_PENDING;
+	affinities_init(&table, MOST);
+	g_assert_true(affinities_note(&table, &pending, SECOND));
+	g_assert_true(note(&table, "a", "r1", "v1", SECOND));
+	g_assert_cmpuint(version_of(&table, "a", "r1", SECOND), ==,
+			 map_hash_text("v1"));
+	g_assert_false(affinities_note(&table, &pending, SECOND));
+	g_assert_cmpuint(version_of(&table, "a", "r1", SECOND), ==,
+			 map_hash_text("v1"));
+	g_assert_true(note(&table, "a", "r1", "v2", SECOND));
+	g_assert_cmpuint(version_of(&table, "a", "r1", SECOND), ==,
+			 AFFINITY_UNCLEAR);
+	affinities_clear(&table);
+}
+
 /* An organisation resumes another one's stream by its name. */
 static void test_other_organisation(void)
 {
@@ -139,6 +160,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/affinity/pending", test_pending);
 	g_test_add_func("/affinity/note-and-find", test_note_and_find);
 	g_test_add_func("/affinity/other-organisation",
 			test_other_organisation);
