--- a/libfilberthall/entry/entry_pending.c
+++ b/libfilberthall/entry/entry_pending.c
@@ -85,8 +85,7 @@
 
 	if (entry->now_us - pending->since_us > PENDING_US)
 		return true;
-	if (!server ||
-	    server->registration.started_ms != pending->started_ms) {
+	if (!server || server->registration.started_ms != pending->started_ms) {
 		pending->affinity.version = AFFINITY_UNCLEAR;
 	} else if (server->last_contact_us > pending->since_us &&
 		   registry_is_confirmed(&entry->registry, server)) {
