entry: end the use of an address that a server has left

Cause: a server that starts again under its id at another address moves the registration, and nothing retired the old address in the router's fleet. It had no registration any more, so requests went there without the header that makes another server refuse.

--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -334,6 +334,11 @@
 		tell_ended(relay, RESULT_CALLER_LEFT, false);
 		return;
 	}
+	/* Whoever has the address by now would run the request. */
+	if (!start->to_vm && !relay->server.id[0]) {
+		tell_ended(relay, RESULT_BACKEND_CONNECT, false);
+		return;
+	}
 	relay->stream = call.stream;
 	forward.organisation = call.organisation;
 	forward.server = relay->server.id[0] ? relay->server.id : NULL;
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -167,13 +167,29 @@
 	bytes_clear(&body);
 }
 
+/* Another server may have the address soon. */
+static void leave_address(struct entry *entry, const char *address)
+{
+	if (!address[0] || registry_find_address(&entry->registry, address))
+		return;
+	fleet_retire(&entry->fleet, address,
+		     entry->now_us + REGISTRY_TOMBSTONE_US);
+	fleet_let_linger(&entry->fleet, address, 0);
+	entry_log(entry, LOG_INFO, "server", "event=moved address=%s", address);
+}
+
 void entry_handle_registration(struct entry *entry, uint64_t peer,
 			       const struct feed_message *message)
 {
 	const struct registration *told = &message->u.registration;
+	const struct registry_entry *known =
+		registry_find(&entry->registry, told->id);
+	char address[BACKEND_NAME_SIZE] = "";
 	struct registry_entry *replaced;
 	enum registry_outcome outcome;
 
+	if (known && strcmp(known->registration.address, told->address) != 0)
+		memcpy(address, known->registration.address, sizeof(address));
 	outcome = registry_update(&entry->registry, told,
 				  entry->now_us - message->age_us, &replaced);
 	if (replaced)
@@ -182,6 +198,7 @@
 		correct(entry, peer, told);
 	if (outcome != REGISTRY_CHANGED)
 		return;
+	leave_address(entry, address);
 	entry_update_server(entry, registry_find(&entry->registry, told->id));
 	entry_tell_affinities(entry);
 }
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -349,6 +349,21 @@
 	deliver(bed, &body);
 }
 
+void bed_move_engine(struct bed *bed, const char *address)
+{
+	struct registration told = { .id = "s1",
+				     .service = "desk",
+				     .zone = "z1",
+				     .started_ms = BORN_MS + 1,
+				     .sequence = 1,
+				     .slots = 2 };
+	struct bytes body = { 0 };
+
+	g_strlcpy(told.address, address, sizeof(told.address));
+	feed_write_registration(&body, &told, 0);
+	deliver(bed, &body);
+}
+
 void bed_advance(struct bed *bed, int64_t us)
 {
 	int64_t until_us = bed->now_us + us;
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -53,6 +53,8 @@
 			bool cheap, bool leaving);
 /** Delivers the registration of the server at ENGINE. */
 void bed_deliver_engine(struct bed *bed, int64_t sequence, bool leaving);
+/** Delivers that it has started again at another address. */
+void bed_move_engine(struct bed *bed, const char *address);
 /** Delivers the state of one zone's evacuation. */
 void bed_deliver_evacuation(struct bed *bed, const char *zone, bool evacuated,
 			    int64_t revision);
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -487,6 +487,22 @@
 	bed_end(&bed);
 }
 
+/* A server that comes back elsewhere still gets requests at its old address. */
+static void test_moved(void)
+{
+	struct bed bed;
+	int i;
+
+	bed_start(&bed);
+	bed_move_engine(&bed, STEADY);
+	for (i = 0; i < 8; i++) {
+		bed_ask(&bed, "/lodge/7", "k1");
+		g_assert_cmpstr(bed.started_at, ==, STEADY);
+	}
+	g_assert_cmpint(bed.at_steady, >, 0);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -514,5 +530,6 @@
 	g_test_add_func("/entry/urgency", test_urgency);
 	g_test_add_func("/entry/server-of-yesterday", test_server_of_yesterday);
 	g_test_add_func("/entry/forgotten-server", test_forgotten_server);
+	g_test_add_func("/entry/moved", test_moved);
 	return g_test_run();
 }
