relay: only an event stream ends a stream that has begun

Cause: judge() takes a whole answer below 500 for a good end, whatever the caller already has. It is one on the first attempt, whose answer goes back as it is. Now, once events have been passed back, an answer that is no event stream is a failed attempt: 3xx, 4xx, 200 of another content type, and the 401 or 404 of a VM that the request was passed on to, which ends in the same place.

--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <xxhash.h>
 
 #include "base/alloc.h"
@@ -150,6 +151,15 @@
 	relay->host->ended(relay->host->data, &ended);
 }
 
+/* An answer without a type is taken for what was asked for. */
+static bool is_event_stream(const struct http_head *head)
+{
+	static const char type[] = "text/event-stream";
+	const char *given = http_head_get(head, "Content-Type");
+
+	return !given || !strncasecmp(given, type, sizeof(type) - 1);
+}
+
 static void on_head(void *data, const struct http_head *head)
 {
 	struct relay *relay = data;
@@ -163,7 +173,8 @@
 	relay->status = head->status;
 	if (answer.not_run)
 		relay->kind = ANSWER_REJECTED;
-	else if (success && (!answer.signed_off || answer.encoded))
+	else if (success && (!answer.signed_off || answer.encoded ||
+			     (relay->begun && !is_event_stream(head))))
 		relay->kind = ANSWER_WRONG;
 	else if (success && relay->stream)
 		relay->kind = ANSWER_STREAM;
@@ -295,7 +306,9 @@
 		return relay->sse.rest.len ? RESULT_BACKEND_BROKE : RESULT_OK;
 	case ANSWER_WHOLE:
 		relay->held = true;
-		return relay->status >= 500 ? RESULT_BACKEND_ERROR : RESULT_OK;
+		return relay->status >= 500 || relay->begun
+			       ? RESULT_BACKEND_ERROR
+			       : RESULT_OK;
 	case ANSWER_NONE:
 	case ANSWER_WRONG:
 		break;
--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -15,6 +15,7 @@
 
 #include "base/alloc.h"
 #include "base/bytes.h"
+#include "base/cleanup.h"
 #include "base/list.h"
 #include "daemon/edge.h"
 #include "daemon/disk/file.h"
@@ -310,6 +311,28 @@
 	bytes_clear(&body);
 }
 
+/* What is asked for in place of the rest: a status, and a type or "-". */
+static void refuse_resumed(struct stand_in *server,
+			   struct http_exchange *exchange)
+{
+	const struct http_head *head = http_exchange_head(exchange);
+	cleanup(free_ptr) char *own = answer_headers(server, head);
+	cleanup(free_ptr) char *headers = NULL;
+	char type[32];
+	struct bytes body = { 0 };
+	int status;
+
+	if (sscanf(http_head_get(head, "Stand-In-Resumed"), "%d %31s", &status,
+		   type) != 2)
+		abort();
+	headers = strcmp(type, "-") != 0
+			  ? xstrfmt("%sContent-Type: %s\r\n", own, type)
+			  : xstrdup(own);
+	bytes_append_text(&body, "refused\n\n");
+	http_exchange_answer(exchange, status, headers, &body);
+	bytes_clear(&body);
+}
+
 static void on_request(void *data, struct http_exchange *exchange)
 {
 	struct stand_in *server = data;
@@ -325,6 +348,9 @@
 		http_exchange_answer(exchange, 421, NULL, NULL);
 	} else if (server->asking) {
 		turn_away(server, exchange);
+	} else if (http_head_get(head, "Last-Event-Id") &&
+		   http_head_get(head, "Stand-In-Resumed")) {
+		refuse_resumed(server, exchange);
 	} else {
 		server->ran++;
 		if (server->unframed)
