load: no overflow where no crash of a part is left that counts

The review's run under UBSan: list_candidates() subtracts the time of a part's last crash, INT64_MIN where none is left and no answer was sound.

--- a/libfilberthall/load/part.c
+++ b/libfilberthall/load/part.c
@@ -495,8 +495,8 @@
 
 	map_foreach(entry, next, &watch->entries, node) {
 		entry->held_until_us = 0;
-		if (now_us - last_crash_us(&entry->report) >=
-		    PART_QUARANTINE_US)
+		if (last_crash_us(&entry->report) <=
+		    now_us - PART_QUARANTINE_US)
 			entry_drop(watch, entry);
 		else if (entry->report.n >= PART_NEW_CRASHES)
 			candidates[n++] =
--- a/tests/load/t-part.c
+++ b/tests/load/t-part.c
@@ -55,6 +55,19 @@
 	watch_free(watch);
 }
 
+/* The time since the last crash overflows where none is left that counts. */
+static void test_no_crash_left(void)
+{
+	struct part_watch *watch = watch_new();
+
+	crash(watch, POPULAR, 1, SECOND);
+	part_server_lives(watch, 1, 2 * SECOND, 2 * SECOND);
+	crash_many(watch, DEADLY, 5, 3 * SECOND);
+	g_assert_cmpint(part_held_us(watch, POPULAR, 9 * SECOND), ==, 0);
+	g_assert_cmpint(part_held_us(watch, DEADLY, 9 * SECOND), >, 0);
+	watch_free(watch);
+}
+
 /* Servers that are lost together hold the parts of what they ran. */
 static void test_lost_together(void)
 {
@@ -183,6 +196,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/part/no-crash-left", test_no_crash_left);
 	g_test_add_func("/part/told-twice", test_told_twice);
 	g_test_add_func("/part/lost-together", test_lost_together);
 	g_test_add_func("/part/new", test_new);
