http: bound a server's Keep-Alive time before it is multiplied

Such a time now counts as the longest one that is kept, a negative one as none.

/http-client/kept-for-ever under UBSan: 'runtime error: signed integer overflow: * 1000' before, passes now. make asan printed such findings and passed; it now fails at the first one.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 asan:
 	$(MAKE) build BUILD=build-asan \
 		MESON_FLAGS='-Db_sanitize=address,undefined'
-	sh tests/run-tests build-asan
+	UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1 \
+		sh tests/run-tests build-asan
 
 tsan:
 	$(MAKE) build BUILD=build-tsan MESON_FLAGS=-Db_sanitize=thread
--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -183,12 +183,16 @@
 {
 	const char *text = http_head_get(head, "Keep-Alive");
 	const char *timeout = text ? strstr(text, "timeout=") : NULL;
-	int64_t ms = KEPT_DEFAULT_MS;
-
-	if (timeout)
-		ms = strtoll(timeout + strlen("timeout="), NULL, 10) * 1000 -
-		     KEPT_MARGIN_MS;
-	return ms < KEPT_MOST_MS ? ms : KEPT_MOST_MS;
+	int64_t seconds;
+
+	if (!timeout)
+		return KEPT_DEFAULT_MS;
+	seconds = strtoll(timeout + strlen("timeout="), NULL, 10);
+	if (seconds < 0)
+		return 0;
+	if (seconds > (KEPT_MOST_MS + KEPT_MARGIN_MS) / 1000)
+		return KEPT_MOST_MS;
+	return seconds * 1000 - KEPT_MARGIN_MS;
 }
 
 static bool on_head(void *data, const struct http_head *head)
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -122,6 +122,42 @@
 	bed_end(&bed);
 }
 
+/* Times to keep a connection that no clock can hold overflow. */
+static void test_kept_for_ever(void)
+{
+	static const char *const times[] = { "9223372036854775807",
+					     "99999999999999999999",
+					     "-9223372036854775808" };
+	struct peer peer;
+	struct bed bed;
+	char answer[160];
+	size_t i;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	for (i = 0; i < G_N_ELEMENTS(times); i++) {
+		g_snprintf(answer, sizeof(answer),
+			   "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1"
+			   "\r\nKeep-Alive: timeout=%s\r\n\r\na",
+			   times[i]);
+		call(&bed, peer.address, "1", false);
+		if (!i)
+			fd = accept_call(&bed, &peer);
+		else
+			bed_run(&bed, NULL);
+		bed_say(fd, answer);
+		bed_run(&bed, &bed.over);
+		g_assert_cmpint(bed.code, ==, RESULT_OK);
+	}
+	call(&bed, peer.address, "1", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 2);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
 /* Bytes that nobody asked for spoil a kept connection. */
 static void test_unasked_bytes(void)
 {
@@ -388,6 +424,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-client/kept-for-ever", test_kept_for_ever);
 	g_test_add_func("/http-client/late-copy", test_late_copy);
 	g_test_add_func("/http-client/unasked-bytes", test_unasked_bytes);
 	g_test_add_func("/http-client/closed-after-reading",
