--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -95,7 +95,7 @@
 	affinities_init(&control->affinities, CONTROL_AFFINITIES_MOST);
 	control->retries_since_us = now_us;
 	control->heard_since_us = now_us;
-	control->versions_us = now_us - REGISTRY_TOMBSTONE_US;
+	control->versions_us = INT64_MIN / 2;
 	map_init(&control->peers);
 	list_init(&control->proposals);
 	list_init(&control->forwarded);
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -231,7 +231,7 @@
 	if (!feed_read_name(items, 1, end->id) ||
 	    !unpack_int(items, 2, &end->wall_ms) ||
 	    !unpack_int(items, 3, &age_us) || age_us < 0 ||
-	    age_us > REGISTRY_TOMBSTONE_US)
+	    age_us > 2 * REGISTRY_TOMBSTONE_US)
 		return false;
 	end->at_us = -age_us;
 	return true;
--- a/tests/control/t-rejoined.c
+++ b/tests/control/t-rejoined.c
@@ -47,6 +47,13 @@
 		group_start(entries->group, at);
 }
 
+/* All VMs are killed; the entry VMs are back at once. */
+static void kill_all(struct entries *entries)
+{
+	kill_control_vms(entries);
+	kill_entry_vms(entries);
+}
+
 static void come_back(struct entries *entries)
 {
 	int n;
@@ -66,6 +73,15 @@
 	entries_run(entries, 2 * SECOND);
 }
 
+/* Once the control VMs have started again and heard the servers. */
+static void come_back_later(struct entries *entries)
+{
+	entries_run(entries, SECOND / 2);
+	start_control_vms(entries);
+	entries_run(entries, 5 * SECOND);
+	come_back(entries);
+}
+
 /* It is gone, and says so to a control VM. */
 static void leave(struct entries *entries, int server)
 {
@@ -130,12 +146,8 @@
 {
 	struct entries *entries = begin(order_one);
 
-	kill_control_vms(entries);
-	kill_entry_vms(entries);
-	entries_run(entries, SECOND / 2);
-	start_control_vms(entries);
-	entries_run(entries, 5 * SECOND);
-	come_back(entries);
+	kill_all(entries);
+	come_back_later(entries);
 	check_whole(entries);
 }
 
@@ -222,12 +234,8 @@
 
 	for (at = 0; at < ORDER_SERVERS; at += 2)
 		leave(entries, at);
-	kill_control_vms(entries);
-	kill_entry_vms(entries);
-	entries_run(entries, SECOND / 2);
-	start_control_vms(entries);
-	entries_run(entries, 5 * SECOND);
-	come_back(entries);
+	kill_all(entries);
+	come_back_later(entries);
 	check_none_joined(entries, ORDER_STREAMS / 2);
 }
 
@@ -237,14 +245,10 @@
 	struct entries *entries = begin(order_one);
 	int at;
 
-	kill_control_vms(entries);
-	kill_entry_vms(entries);
+	kill_all(entries);
 	for (at = 0; at < ORDER_SERVERS; at++)
 		replace(entries, at, "v2");
-	entries_run(entries, SECOND / 2);
-	start_control_vms(entries);
-	entries_run(entries, 5 * SECOND);
-	come_back(entries);
+	come_back_later(entries);
 	check_none_joined(entries, ORDER_STREAMS / 2);
 }
 
@@ -259,12 +263,8 @@
 	entries_run(entries, REGISTRY_TOMBSTONE_US + 10 * SECOND);
 	streams_begin_many(entries, ORDER_STREAMS, SECOND / 200);
 	entries_run(entries, ORDER_LEAVE_US);
-	kill_control_vms(entries);
-	kill_entry_vms(entries);
-	entries_run(entries, SECOND / 2);
-	start_control_vms(entries);
-	entries_run(entries, 5 * SECOND);
-	come_back(entries);
+	kill_all(entries);
+	come_back_later(entries);
 	check_whole(entries);
 }
 
--- a/tests/e2e/failed-resumption.t
+++ b/tests/e2e/failed-resumption.t
@@ -14,21 +14,12 @@
 done
 check "the entry VM gets ready" wait_for 20 is_ready 1
 
-# stream ANSWER: its events before the break; the rest is answered with ANSWER.
-stream() {
-	curl -sN --max-time 10 -H 'Host: a.example' \
-		-H 'Authorization: Bearer k1' \
-		-H "Filberthall-Attempt-Id: x$N" \
-		-H 'Filberthall-Deadline-Ms: 6000' \
-		-H "Stand-In-Resumed: $1" -X POST -d "body $N" \
-		"http://$(address entry-1 callers)/stream/r/$N" >"$WORK/stream"
-}
-
 # begins ANSWER: whether it came to the break; counts those that end whole.
 begins() {
 	N=$((N + 1))
 	broken=0
-	stream "$1" || broken=1
+	roles_stream 1 x$N $N -H "Stand-In-Resumed: $1" >"$WORK/stream" ||
+		broken=1
 	grep -q '^id: 8$' "$WORK/stream" || return 1
 	test "$broken" = 1 || complete=$((complete + 1))
 	! grep -q refused "$WORK/stream" || complete=$((complete + 1))
--- a/tests/e2e/rejoined.t
+++ b/tests/e2e/rejoined.t
@@ -18,16 +18,12 @@
 	check "entry VM $n gets ready" wait_for 20 is_ready $n
 done
 
-# stream N ID [CURL ARGS...]: of entry VM N, as it comes.
+# stream N ID [CURL ARGS...]
 stream() {
-	stream_to=http://$(address "entry-$1" callers)/stream/r/1
+	stream_at=$1
 	stream_id=$2
 	shift 2
-	curl -sN --max-time 10 -H 'Host: a.example' \
-		-H 'Authorization: Bearer k1' \
-		-H "Filberthall-Attempt-Id: $stream_id" \
-		-H 'Filberthall-Deadline-Ms: 6000' \
-		-X POST -d body "$@" "$stream_to" || :
+	roles_stream "$stream_at" "$stream_id" 1 "$@" || :
 }
 
 # begin N ID: left after three events.
--- a/tests/e2e/versions.t
+++ b/tests/e2e/versions.t
@@ -40,16 +40,8 @@
 	check "entry VM $n gets ready" wait_for 20 is_ready $n
 done
 
-# stream N ID PATH [CURL ARGS...]: of entry VM N, as it comes.
 stream() {
-	stream_to=http://$(address "entry-$1" callers)/stream/r/$3
-	stream_id=$2
-	shift 3
-	curl -sN --max-time 10 -H 'Host: a.example' \
-		-H 'Authorization: Bearer k1' \
-		-H "Filberthall-Attempt-Id: $stream_id" \
-		-H 'Filberthall-Deadline-Ms: 6000' \
-		-X POST -d body "$@" "$stream_to" || :
+	roles_stream "$@" || :
 }
 
 # begin N ID PATH: to be left after three events; sets LAST.
--- a/tests/roles.sh
+++ b/tests/roles.sh
@@ -143,6 +143,18 @@
 	ask "$@" | tail -n 1
 }
 
+# roles_stream N ID PATH [CURL ARGS...]: a stream of entry VM N, as it comes.
+roles_stream() {
+	stream_to=http://$(address "entry-$1" callers)/stream/r/$3
+	stream_id=$2
+	shift 3
+	curl -sN --max-time 10 -H 'Host: a.example' \
+		-H 'Authorization: Bearer k1' \
+		-H "Filberthall-Attempt-Id: $stream_id" \
+		-H 'Filberthall-Deadline-Ms: 6000' \
+		-X POST -d body "$@" "$stream_to"
+}
+
 # roles_site: five control VMs and entry VM 1 with document 1 and key k1;
 # $controls are the options with which fake-native announces itself to them.
 roles_site() {
