control: tell of contacts with servers within 0.25 s

Now control VMs tell of contacts every 0.25 s and heard lately is two announcement intervals and 0.5 s, 2.9 s.

--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -12,9 +12,10 @@
 
 /*
  * Interval at which the live servers are announced. Servers announce themselves
- * about once a second and time out after eight seconds.
+ * about once a second and time out after eight seconds, but resumed streams go
+ * only to servers that were heard just now.
  */
-#define ALIVE_US INT64_C(1000000)
+#define ALIVE_US INT64_C(250000)
 
 /*
  * Pause between two lists of all servers, for each server in them. After a loss
@@ -23,12 +24,6 @@
  */
 #define FLEET_PAUSE_US INT64_C(80)
 
-/*
- * An entry VM that has just started resumes streams only at servers that were
- * heard since, so it is told of each of them soon, for this time.
- */
-#define NEWCOMER_US INT64_C(4000000)
-
 /*
  * Pause between two bundles of urgent news, for each daemon that has a link to
  * us. When a zone is evacuated hundreds of servers leave at once, and each waits
@@ -137,7 +132,6 @@
 	if (peer->welcomed || !peer->observer)
 		return;
 	peer->welcomed = true;
-	peer->welcomed_us = now_us;
 	if (!peer->marks) {
 		control_send_fleet(control, peer, now_us, effects);
 		return;
@@ -371,41 +365,26 @@
 	bytes_clear(&bytes);
 }
 
-/* Servers in contact with this VM from `since_us` on; to be freed. */
-static struct feed_alive *list_alive(const struct control *control,
-				     int64_t since_us, int64_t now_us,
-				     size_t *n)
+static void announce_alive(struct control *control, int64_t now_us,
+			   struct effects *effects)
 {
-	struct feed_alive *alive =
-		xcalloc(control->registry.by_id.count + 1, sizeof(*alive));
+	struct bytes marks = { 0 };
+	size_t most = control->registry.by_id.count;
+	struct feed_alive *alive = xcalloc(most + 1, sizeof(*alive));
 	struct registry_entry *registered;
 	struct registry_entry *next;
+	struct bytes body = { 0 };
+	size_t n = 0;
 
-	*n = 0;
 	map_foreach(registered, next, &control->registry.by_id, node) {
-		struct feed_alive *server = &alive[*n];
-
 		if (registered->registration.gone ||
-		    registered->last_direct_contact_us < since_us)
+		    registered->last_direct_contact_us < control->alive_us)
 			continue;
-		memcpy(server->id, registered->registration.id,
-		       sizeof(server->id));
-		server->started_ms = registered->registration.started_ms;
-		server->age_us = now_us - registered->last_direct_contact_us;
-		++*n;
+		memcpy(alive[n].id, registered->registration.id,
+		       sizeof(alive[n].id));
+		alive[n].started_ms = registered->registration.started_ms;
+		alive[n++].age_us = now_us - registered->last_direct_contact_us;
 	}
-	return alive;
-}
-
-static void announce_alive(struct control *control, int64_t now_us,
-			   struct effects *effects)
-{
-	struct feed_alive *alive;
-	struct bytes marks = { 0 };
-	struct bytes body = { 0 };
-	size_t n;
-
-	alive = list_alive(control, control->alive_us, now_us, &n);
 	if (n) {
 		feed_write_alive(&body, alive, n);
 		write_marks(&marks, alive, n);
@@ -414,42 +393,11 @@
 	free(alive);
 }
 
-static bool is_new(const struct feed_peer *peer, int64_t now_us)
-{
-	return takes_marks(peer) && peer->welcomed &&
-	       now_us - peer->welcomed_us < NEWCOMER_US;
-}
-
-static void mark_for_newcomers(struct control *control, int64_t now_us,
-			       struct effects *effects)
-{
-	struct feed_alive *alive;
-	struct feed_peer *peer;
-	struct feed_peer *next;
-	struct bytes marks = { 0 };
-	bool any = false;
-	size_t n;
-
-	map_foreach(peer, next, &control->peers, node)
-		any |= is_new(peer, now_us);
-	if (any) {
-		alive = list_alive(control, control->marked_us, now_us, &n);
-		write_marks(&marks, alive, n);
-		map_foreach(peer, next, &control->peers, node)
-			if (n && is_new(peer, now_us))
-				feed_send(effects, peer->id, &marks);
-		bytes_clear(&marks);
-		free(alive);
-	}
-	control->marked_us = now_us;
-}
-
 void control_servers_tick(struct control *control, int64_t now_us,
 			  struct effects *effects)
 {
 	flush_news(control, now_us, effects);
 	send_fleet_to_newcomers(control, now_us, effects);
-	mark_for_newcomers(control, now_us, effects);
 	if (now_us - control->alive_us < ALIVE_US)
 		return;
 	announce_alive(control, now_us, effects);
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -84,7 +84,6 @@
 	int64_t announced_index;  /**< index of that membership in the log */
 	int64_t clock_us;	  /**< when FEED_CLOCK was last sent */
 	int64_t alive_us;	  /**< when FEED_ALIVE was last sent */
-	int64_t marked_us;	  /**< when newcomers were last sent marks */
 	struct bytes news;	  /**< registrations to be sent in a bundle */
 	bool urgent;		  /**< one of them ends the use of a server */
 	int64_t news_us;	  /**< when a bundle was last sent */
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -31,12 +31,11 @@
 	int64_t entry_vms;	  /**< entry VMs that it has told of */
 	int64_t number;		  /**< an entry VM's among those here */
 	bool fetches;		  /**< waits for the document in force */
-	bool marks;    /**< understands FEED_MARKS and what came with it */
-	bool welcomed; /**< was told of all servers, or is a newcomer */
-	bool newcomer; /**< waits for the list of all servers */
-	int64_t welcomed_us;	 /**< when it came */
-	bool changes;		 /**< understands FEED_CHANGE */
-	bool evacuations;	 /**< understands FEED_EVACUATE */
+	bool marks;	  /**< understands FEED_MARKS and what came with it */
+	bool welcomed;	  /**< was told of all servers, or is a newcomer */
+	bool newcomer;	  /**< waits for the list of all servers */
+	bool changes;	  /**< understands FEED_CHANGE */
+	bool evacuations; /**< understands FEED_EVACUATE */
 	struct feed_reach reach; /**< of an entry VM */
 	double demand;		 /**< of an entry VM, requests lately */
 	int64_t demand_us;	 /**< when that was counted */
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -121,9 +121,9 @@
  */
 #define REGISTRY_TOMBSTONE_US INT64_C(600000000)
 
-/** Two announcements may be missing, and VMs tell each other once a second. */
+/** One announcement may be missing; control VMs tell of each within 0.25 s. */
 #define REGISTRY_CONFIRM_INTERVALS 2
-#define REGISTRY_CONFIRM_TOLD_US INT64_C(1000000)
+#define REGISTRY_CONFIRM_TOLD_US INT64_C(500000)
 
 /**
  * `announce_interval_us`: of a backend server, 0 if unknown. `since_us`: this VM
