--- a/libfilberthall/control/control_affinity.c
+++ b/libfilberthall/control/control_affinity.c
@@ -43,7 +43,7 @@
 	for (i = 0; i < ask->n_services; i++)
 		if (control_versions_differ(control, ask->services[i], now_us))
 			return true;
-	return !ask->n_services;
+	return false;
 }
 
 void control_answer_affinity(struct control *control, uint64_t id,
--- a/libfilberthall/control/ledger.h
+++ b/libfilberthall/control/ledger.h
@@ -12,8 +12,8 @@
 /**
  * What the control VMs agree on: the document in force, as the bytes that it
  * came in, which zones are evacuated, which software versions servers have or
- * lately had, and the figure of each usage window. The log's entries are applied in order on each of them; the same entries give the
- * same state.
+ * lately had, and the figure of each usage window. The log's entries are
+ * applied in order on each of them; the same entries give the same state.
  *
  * Failures handled: operators race, and send again what was accepted long
  * ago; only a higher version takes effect. Two leaders in turn add up a
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -63,15 +63,14 @@
 	flush(&teller);
 }
 
-/* Whether it was news. */
-bool entry_note_affinity(struct entry *entry, const struct affinity *affinity)
+/* Record it here, and tell the control VMs soon. */
+void entry_note_affinity(struct entry *entry, const struct affinity *affinity)
 {
 	if (!affinities_note(&entry->affinities, affinity, entry->now_us))
-		return false;
+		return;
 	if (entry->n_untold == ENTRY_UNTOLD_MOST)
 		entry_tell_affinities(entry);
 	entry->untold[entry->n_untold++] = *affinity;
-	return true;
 }
 
 static void note(struct entry *entry, const struct open_call *call,
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -194,7 +194,7 @@
 void entry_free_pending(struct entry *entry);
 
 /* entry_affinity.c */
-bool entry_note_affinity(struct entry *entry, const struct affinity *affinity);
+void entry_note_affinity(struct entry *entry, const struct affinity *affinity);
 void entry_tell_affinities(struct entry *entry);
 void entry_tell_affinities_to(struct entry *entry, uint64_t peer);
 void entry_affinity_tick(struct entry *entry);
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -342,7 +342,7 @@
 	return known;
 }
 
-/* What was heard of it later counts unless it is of the same start, and late. */
+/* A start that was heard later has ended too unless it began later. */
 struct registry_entry *registry_end(struct registry *registry,
 				    const struct registry_end *end)
 {
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -212,8 +212,9 @@
 
 /**
  * Whether the server was in contact lately, since this VM began to watch it and
- * since it couldn't connect to it, so that it can't have started again with another version unnoticed.
- * Others' contacts are the measure, as for a time-out.
+ * since it couldn't connect to it, so that it can't have started again with
+ * another version unnoticed. Others' contacts are the measure, as for a
+ * time-out.
  */
 bool registry_is_confirmed(const struct registry *registry,
 			   const struct registry_entry *entry);
