--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -274,6 +274,7 @@
 static enum ledger_change take_version(struct ledger *ledger,
 				       const struct unpacked *items)
 {
+	struct ledger_version *oldest;
 	struct ledger_version *known;
 	uint64_t service;
 	uint64_t version;
@@ -289,9 +290,9 @@
 		version_free(ledger, known);
 		return LEDGER_VERSION;
 	}
-	if (ledger->n_versions == LEDGER_VERSIONS_MOST)
-		version_free(ledger, list_first(&ledger->versions,
-						struct ledger_version, node));
+	oldest = list_first(&ledger->versions, struct ledger_version, node);
+	if (ledger->n_versions == LEDGER_VERSIONS_MOST && oldest)
+		version_free(ledger, oldest);
 	known = xcalloc(1, sizeof(*known));
 	known->service = service;
 	known->version = version;
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -116,14 +116,15 @@
 static void keep_end(struct registry *registry, const struct registry_end *end)
 {
 	struct registry_end *kept = find_end(registry, end->id);
+	struct registry_end *oldest;
 
 	if (kept && kept->at_us >= end->at_us)
 		return;
 	if (kept)
 		remove_end(registry, kept);
-	else if (registry->n_ends == REGISTRY_ENDS_MOST)
-		remove_end(registry, list_first(&registry->ends,
-						struct registry_end, node));
+	oldest = list_first(&registry->ends, struct registry_end, node);
+	if (registry->n_ends == REGISTRY_ENDS_MOST && oldest)
+		remove_end(registry, oldest);
 	kept = xcalloc(1, sizeof(*kept));
 	*kept = *end;
 	list_append(&registry->ends, &kept->node);
