registry, control: one piece for ends, for a known version, for what changed

A version is looked up by one function, which note_version() and the control VMs share in place of a visit with a search. Registrations that came to this VM and those that an entry VM told go on by the same function.

A registration that an entry VM tells and that takes the address of another start is now forwarded for that other start too, as one that came here is. Nothing else that runs changes; t-rejoined, t-order, t-order-servers, t-left-unheard, t-ledger, t-fleet-feed, t-storm and t-registry pass.

--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -42,7 +42,7 @@
 	const struct registry_end *end;
 	struct bytes body = { 0 };
 
-	list_foreach(end, &control->registry.ends, node) {
+	list_foreach(end, &control->registry.ends.list, node) {
 		feed_write_end(&body, end, now_us);
 		feed_send(effects, peer, &body);
 		bytes_clear(&body);
@@ -227,6 +227,20 @@
 		  now_us, effects);
 }
 
+/* Tell all VMs what registry_update() changed. */
+static void forward_changes(struct control *control, const char *id,
+			    enum registry_outcome outcome,
+			    const struct registry_entry *replaced,
+			    int64_t now_us, struct effects *effects)
+{
+	if (replaced)
+		forward_registration(control, replaced, now_us, effects);
+	if (outcome == REGISTRY_CHANGED)
+		forward_registration(control,
+				     registry_find(&control->registry, id),
+				     now_us, effects);
+}
+
 /* A control VM has told all VMs; an entry VM has told this one alone. */
 void control_receive_registration(struct control *control, uint64_t id,
 				  const struct feed_message *message,
@@ -239,13 +253,9 @@
 
 	outcome = registry_update(&control->registry, told,
 				  now_us - message->age_us, &replaced);
-	if (outcome != REGISTRY_CHANGED || !peer || !peer->observer)
-		return;
-	if (replaced)
-		forward_registration(control, replaced, now_us, effects);
-	forward_registration(control,
-			     registry_find(&control->registry, told->id),
-			     now_us, effects);
+	if (peer && peer->observer)
+		forward_changes(control, told->id, outcome, replaced, now_us,
+				effects);
 }
 
 void control_register(struct control *control,
@@ -262,10 +272,8 @@
 		return;
 	registered = registry_find(&control->registry, registration->id);
 	registered->last_direct_contact_us = now_us;
-	if (replaced)
-		forward_registration(control, replaced, now_us, effects);
-	if (outcome == REGISTRY_CHANGED)
-		forward_registration(control, registered, now_us, effects);
+	forward_changes(control, registration->id, outcome, replaced, now_us,
+			effects);
 }
 
 /*
--- a/libfilberthall/control/control_versions.c
+++ b/libfilberthall/control/control_versions.c
@@ -50,29 +50,6 @@
 		propose(visit, service, version, true);
 }
 
-struct search {
-	uint64_t service;
-	uint64_t version;
-	bool found;
-};
-
-static void match(void *data, uint64_t service, uint64_t version)
-{
-	struct search *search = data;
-
-	search->found |=
-		service == search->service && version == search->version;
-}
-
-static void forget(struct visit *visit, const struct ledger_version *recorded)
-{
-	struct search search = { recorded->service, recorded->version, false };
-
-	registry_visit_versions(&visit->control->registry, match, &search);
-	if (!search.found)
-		propose(visit, recorded->service, recorded->version, false);
-}
-
 /* The leader records what the log lacks, and what no server has had lately. */
 void control_versions_tick(struct control *control, int64_t now_us,
 			   struct effects *effects)
@@ -87,7 +64,10 @@
 	if (now_us - control->heard_since_us < REGISTRY_TOMBSTONE_US)
 		return;
 	list_foreach(recorded, &control->ledger.versions, node)
-		forget(&visit, recorded);
+		if (!registry_has_version(&control->registry, recorded->service,
+					  recorded->version))
+			propose(&visit, recorded->service, recorded->version,
+				false);
 }
 
 /* A control VM that has just started may not have heard all servers. */
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -52,15 +52,30 @@
 	entry->registration.gone = true;
 }
 
+static struct service_version *find_version(const struct registry *registry,
+					    uint64_t service, uint64_t version)
+{
+	struct service_version *known;
+
+	list_foreach(known, &registry->versions, node)
+		if (known->service == service && known->version == version)
+			return known;
+	return NULL;
+}
+
+bool registry_has_version(const struct registry *registry, uint64_t service,
+			  uint64_t version)
+{
+	return find_version(registry, service, version) != NULL;
+}
+
 static void note_version(struct registry *registry,
 			 const struct registry_entry *entry, int64_t seen_us)
 {
-	struct service_version *known;
+	struct service_version *known =
+		find_version(registry, entry->service, entry->version);
 
-	list_foreach(known, &registry->versions, node) {
-		if (known->service != entry->service ||
-		    known->version != entry->version)
-			continue;
+	if (known) {
 		if (seen_us > known->seen_us)
 			known->seen_us = seen_us;
 		return;
@@ -85,52 +100,6 @@
 	}
 }
 
-static struct registry_end *find_end(const struct registry *registry,
-				     const char *id)
-{
-	struct registry_end *end;
-
-	list_foreach(end, &registry->ends, node)
-		if (!strcmp(end->id, id))
-			return end;
-	return NULL;
-}
-
-static void remove_end(struct registry *registry, struct registry_end *end)
-{
-	list_remove(&end->node);
-	free(end);
-	registry->n_ends--;
-}
-
-static void forget_ends(struct registry *registry, int64_t before_us)
-{
-	struct registry_end *end;
-	struct registry_end *next;
-
-	list_foreach_safe(end, next, &registry->ends, node)
-		if (end->at_us < before_us)
-			remove_end(registry, end);
-}
-
-static void keep_end(struct registry *registry, const struct registry_end *end)
-{
-	struct registry_end *kept = find_end(registry, end->id);
-	struct registry_end *oldest;
-
-	if (kept && kept->at_us >= end->at_us)
-		return;
-	if (kept)
-		remove_end(registry, kept);
-	oldest = list_first(&registry->ends, struct registry_end, node);
-	if (registry->n_ends == REGISTRY_ENDS_MOST && oldest)
-		remove_end(registry, oldest);
-	kept = xcalloc(1, sizeof(*kept));
-	*kept = *end;
-	list_append(&registry->ends, &kept->node);
-	registry->n_ends++;
-}
-
 void registry_init(struct registry *registry, int64_t announce_interval_us,
 		   int64_t since_us)
 {
@@ -138,8 +107,7 @@
 	map_init(&registry->by_address);
 	map_init(&registry->by_short_id);
 	list_init(&registry->versions);
-	list_init(&registry->ends);
-	registry->n_ends = 0;
+	registry_ends_init(&registry->ends);
 	registry->timeout_us =
 		REGISTRY_TIMEOUT_INTERVALS * announce_interval_us;
 	if (registry->timeout_us < REGISTRY_TIMEOUT_MIN_US)
@@ -171,7 +139,7 @@
 	map_clear(&registry->by_address);
 	map_clear(&registry->by_short_id);
 	forget_versions(registry, INT64_MAX);
-	forget_ends(registry, INT64_MAX);
+	registry_ends_forget(&registry->ends, INT64_MAX);
 }
 
 struct registry_entry *registry_find(const struct registry *registry,
@@ -216,7 +184,7 @@
 	if (update->gone ||
 	    (known && known->registration.started_ms == update->started_ms))
 		return false;
-	end = find_end(registry, update->id);
+	end = registry_ends_find(&registry->ends, update->id);
 	return end && update->started_ms <= end->wall_ms;
 }
 
@@ -349,7 +317,7 @@
 {
 	struct registry_entry *known = registry_find(registry, end->id);
 
-	keep_end(registry, end);
+	registry_ends_keep(&registry->ends, end);
 	if (!known || known->registration.gone ||
 	    (known->last_contact_us > end->at_us &&
 	     known->registration.started_ms > end->wall_ms))
@@ -475,7 +443,7 @@
 		free(entry);
 	}
 	forget_versions(registry, now_us - REGISTRY_TOMBSTONE_US);
-	forget_ends(registry, now_us - REGISTRY_TOMBSTONE_US);
+	registry_ends_forget(&registry->ends, now_us - REGISTRY_TOMBSTONE_US);
 }
 
 struct registry_versions registry_versions(const struct registry *registry,
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -6,6 +6,7 @@
 
 #include "base/map.h"
 #include "fleet/backend.h"
+#include "fleet/registry_end.h"
 
 /**
  * Table of backend servers. Each server registers with some control VM, which
@@ -72,14 +73,6 @@
 	int64_t retry_at_us; /**< it asked this VM for nothing until then */
 };
 
-/** A server has said that it is gone, to a VM that may not know its start. */
-struct registry_end {
-	struct list node;
-	char id[BACKEND_NAME_SIZE];
-	int64_t wall_ms; /**< wall clock when it said so */
-	int64_t at_us;	 /**< the same moment, own clock */
-};
-
 struct registry {
 	struct map by_id;
 	struct map by_address;	 /**< entries that aren't gone */
@@ -89,13 +82,9 @@
 	int64_t confirmed_us;	 /**< see registry_is_confirmed() */
 	int64_t since_us;	 /**< from when servers are watched */
 	struct list versions;	 /**< that services have or lately had */
-	struct list ends;	 /**< struct registry_end, the oldest first */
-	int n_ends;
+	struct registry_ends ends;
 };
 
-/** More ends than that aren't kept. */
-#define REGISTRY_ENDS_MOST 1024
-
 /** A cold time that ends later than known by more than this is a change. */
 #define REGISTRY_COLD_CHANGE_US INT64_C(500000)
 
@@ -204,6 +193,10 @@
 struct registry_versions registry_versions(const struct registry *registry,
 					   uint64_t service);
 
+/** Whether that is one of them. */
+bool registry_has_version(const struct registry *registry, uint64_t service,
+			  uint64_t version);
+
 /** Call `visit` for each version that registry_versions() goes by. */
 void registry_visit_versions(const struct registry *registry,
 			     void (*visit)(void *data, uint64_t service,
