entry, load: one builder of a stream's record, one end of an address's use

entry_pending built the record as entry_affinity does, and a move retired its old address as an end does. What two records of a stream say together is a function of its own in place of a nested conditional.

--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -73,8 +73,9 @@
 	entry->untold[entry->n_untold++] = *affinity;
 }
 
-static void note(struct entry *entry, const struct open_call *call,
-		 const struct affinity_key *key, uint64_t version)
+struct affinity entry_affinity_of(const struct open_call *call,
+				  const struct affinity_key *key,
+				  uint64_t version)
 {
 	struct affinity affinity = {
 		.key = *key,
@@ -84,6 +85,14 @@
 		.expires_us = call->deadline_us + AFFINITY_KEEP_US,
 	};
 
+	return affinity;
+}
+
+static void note(struct entry *entry, const struct open_call *call,
+		 const struct affinity_key *key, uint64_t version)
+{
+	struct affinity affinity = entry_affinity_of(call, key, version);
+
 	entry_note_affinity(entry, &affinity);
 }
 
--- a/libfilberthall/entry/entry_pending.c
+++ b/libfilberthall/entry/entry_pending.c
@@ -42,13 +42,9 @@
 {
 	struct pending *pending = xcalloc(1, sizeof(*pending));
 	const struct registration *told = entry_server_at(entry, view->address);
-	struct affinity affinity = {
-		.key = affinity_key(call->organisation, call->name),
-		.owner = map_hash_text(call->organisation),
-		.service = map_hash_text(call->service),
-		.version = AFFINITY_PENDING,
-		.expires_us = call->deadline_us + AFFINITY_KEEP_US,
-	};
+	struct affinity_key key = affinity_key(call->organisation, call->name);
+	struct affinity affinity =
+		entry_affinity_of(call, &key, AFFINITY_PENDING);
 
 	entry_note_affinity(entry, &affinity);
 	entry_tell_affinities(entry);
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -103,6 +103,14 @@
 	return registered->registration.leaving || registered->told_leaving;
 }
 
+static void retire_address(struct entry *entry, const char *address,
+			   int64_t lingers_us)
+{
+	fleet_retire(&entry->fleet, address,
+		     entry->now_us + REGISTRY_TOMBSTONE_US);
+	fleet_let_linger(&entry->fleet, address, lingers_us);
+}
+
 /* Later news of a server that leaves doesn't prolong its use. */
 static void retire(struct entry *entry, const struct registry_entry *registered)
 {
@@ -112,10 +120,8 @@
 	bool lingers = backend && backend_usable(backend, entry->now_us) &&
 		       is_leaving(registered) && !told->gone;
 
-	fleet_retire(&entry->fleet, told->address,
-		     entry->now_us + REGISTRY_TOMBSTONE_US);
-	fleet_let_linger(&entry->fleet, told->address,
-			 lingers ? registered->last_contact_us + LINGER_US : 0);
+	retire_address(entry, told->address,
+		       lingers ? registered->last_contact_us + LINGER_US : 0);
 }
 
 void entry_update_server(struct entry *entry,
@@ -172,9 +178,7 @@
 {
 	if (!address[0] || registry_find_address(&entry->registry, address))
 		return;
-	fleet_retire(&entry->fleet, address,
-		     entry->now_us + REGISTRY_TOMBSTONE_US);
-	fleet_let_linger(&entry->fleet, address, 0);
+	retire_address(entry, address, 0);
 	entry_log(entry, LOG_INFO, "server", "event=moved address=%s", address);
 }
 
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -194,6 +194,9 @@
 void entry_free_pending(struct entry *entry);
 
 /* entry_affinity.c */
+struct affinity entry_affinity_of(const struct open_call *call,
+				  const struct affinity_key *key,
+				  uint64_t version);
 void entry_note_affinity(struct entry *entry, const struct affinity *affinity);
 void entry_tell_affinities(struct entry *entry);
 void entry_tell_affinities_to(struct entry *entry, uint64_t peer);
--- a/libfilberthall/load/affinity.c
+++ b/libfilberthall/load/affinity.c
@@ -151,23 +151,28 @@
 		   key_hash(&affinity->key));
 }
 
+/* What two records of a stream say together. */
+static uint64_t merge_versions(const struct affinity *known,
+			       const struct affinity *told)
+{
+	if (told->version == AFFINITY_PENDING ||
+	    (told->version == known->version &&
+	     told->service == known->service))
+		return known->version;
+	if (known->version == AFFINITY_PENDING &&
+	    told->service == known->service)
+		return told->version;
+	return AFFINITY_UNCLEAR;
+}
+
 static bool record_update(struct record *record,
 			  const struct affinity *affinity)
 {
 	struct affinity *known = &record->affinity;
-	bool news = false;
-
-	if (affinity->version != AFFINITY_PENDING &&
-	    known->version != AFFINITY_UNCLEAR &&
-	    (known->version != affinity->version ||
-	     known->service != affinity->service)) {
-		known->version =
-			known->version == AFFINITY_PENDING &&
-					known->service == affinity->service
-				? affinity->version
-				: AFFINITY_UNCLEAR;
-		news = true;
-	}
+	uint64_t version = merge_versions(known, affinity);
+	bool news = version != known->version;
+
+	known->version = version;
 	if (affinity->expires_us > known->expires_us) {
 		news |= affinity->expires_us - known->expires_us > EXTENDED_US;
 		known->expires_us = affinity->expires_us;
