tests: group_kill_all() and group_start_all() in place of five loops

t-order, t-rejoined and t-left-unheard killed and started all control VMs each by loops of their own, and t-left-unheard cut one off twice in the same lines. The plays and the assertions are as they were; all three pass.

--- a/tests/control/group.c
+++ b/tests/control/group.c
@@ -360,6 +360,22 @@
 		group->vms[at].linked[i] = false;
 }
 
+void group_kill_all(struct group *group)
+{
+	int at;
+
+	for (at = 0; at < group->n_vms; at++)
+		group_kill(group, at);
+}
+
+void group_start_all(struct group *group)
+{
+	int at;
+
+	for (at = 0; at < group->n_vms; at++)
+		group_start(group, at);
+}
+
 void group_wipe(struct group *group, int at)
 {
 	struct vm *vm = &group->vms[at];
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -37,6 +37,10 @@
 /** Take a VM away; its disk stays. */
 void group_kill(struct group *group, int vm);
 
+/** The same for all VMs, and start all of them again. */
+void group_kill_all(struct group *group);
+void group_start_all(struct group *group);
+
 /** The disk is lost as well. */
 void group_wipe(struct group *group, int vm);
 
--- a/tests/control/t-left-unheard.c
+++ b/tests/control/t-left-unheard.c
@@ -13,7 +13,7 @@
 /* The site's time after which a server that has left gets no request. */
 #define DRAIN_US (2 * SECOND)
 
-/* A new start's; the wall clock of the VMs is ahead of it by this. */
+/* From time in the group to the VMs' wall clock, which a start is told by. */
 #define LATER_MS (GROUP_WALL_US / 1000)
 
 static struct entries_traffic start(void)
@@ -35,13 +35,29 @@
 static void restart_control_vms(struct entries_traffic *traffic)
 {
 	struct group *group = traffic->entries->group;
-	int at;
 
-	for (at = 0; at < CONTROL_VMS; at++)
-		group_kill(group, at);
+	group_kill_all(group);
 	entries_play(traffic, SECOND * 4 / 5);
-	for (at = 0; at < CONTROL_VMS; at++)
-		group_start(group, at);
+	group_start_all(group);
+	entries_play(traffic, 4 * SECOND);
+}
+
+static void cut_off(struct group *group, bool cut)
+{
+	int at;
+
+	for (at = 0; at < CONTROL_VMS - 1; at++)
+		group_cut(group, at, CONTROL_VMS - 1, cut);
+}
+
+/* The last control VM reaches no other one, and starts again. */
+static void restart_cut_off(struct entries_traffic *traffic)
+{
+	struct group *group = traffic->entries->group;
+
+	cut_off(group, true);
+	group_kill(group, CONTROL_VMS - 1);
+	group_start(group, CONTROL_VMS - 1);
 	entries_play(traffic, 4 * SECOND);
 }
 
@@ -90,16 +106,10 @@
 static void test_one_cut_off(void)
 {
 	struct entries_traffic traffic = start();
-	struct group *group = traffic.entries->group;
-	int at;
 
 	silence(traffic.entries);
-	for (at = 0; at < 4; at++)
-		group_cut(group, at, 4, true);
-	group_kill(group, 4);
-	group_start(group, 4);
-	entries_play(&traffic, 4 * SECOND);
-	unregister(traffic.entries, 4);
+	restart_cut_off(&traffic);
+	unregister(traffic.entries, CONTROL_VMS - 1);
 	g_assert_cmpint(play_late(&traffic), ==, 0);
 	entries_free(traffic.entries);
 }
@@ -128,20 +138,14 @@
 static void test_entry_vms_restarted(void)
 {
 	struct entries_traffic traffic = start();
-	struct group *group = traffic.entries->group;
 	int vm;
 
 	silence(traffic.entries);
-	for (vm = 0; vm < 4; vm++)
-		group_cut(group, vm, 4, true);
-	group_kill(group, 4);
-	group_start(group, 4);
-	entries_play(&traffic, 4 * SECOND);
-	unregister(traffic.entries, 4);
+	restart_cut_off(&traffic);
+	unregister(traffic.entries, CONTROL_VMS - 1);
 	for (vm = 0; vm < VMS; vm++)
 		entries_restart(traffic.entries, vm);
-	for (vm = 0; vm < 4; vm++)
-		group_cut(group, vm, 4, false);
+	cut_off(traffic.entries->group, false);
 	g_assert_cmpint(play_late(&traffic), ==, 0);
 	entries_free(traffic.entries);
 }
--- a/tests/control/t-order.c
+++ b/tests/control/t-order.c
@@ -231,12 +231,10 @@
 {
 	int at;
 
-	for (at = 0; at < 5; at++)
-		group_kill(entries->group, at);
+	group_kill_all(entries->group);
 	for (at = 0; at < ORDER_VMS; at++)
 		entries_restart(entries, at);
-	for (at = 0; at < 5; at++)
-		group_start(entries->group, at);
+	group_start_all(entries->group);
 	entries_run(entries, 5 * SECOND);
 }
 
@@ -308,16 +306,14 @@
 	int i;
 
 	order_begin_at_first(entries);
-	for (i = 0; i < 5; i++)
-		group_kill(entries->group, i);
+	group_kill_all(entries->group);
 	for (i = 0; i < entries->n_vms; i++)
 		entries_restart(entries, i);
 	for (i = 0; i < ORDER_SERVERS; i++)
 		if (strcmp(entries->servers[i].version,
 			   entries->servers[0].version) != 0)
 			entries->servers[i].late_us = late_us;
-	for (i = 0; i < 5; i++)
-		group_start(entries->group, i);
+	group_start_all(entries->group);
 	entries_run(entries, 5 * SECOND / 2);
 	order_resume_at_last(entries);
 	g_assert_cmpint(streams_joined(entries), ==, 0);
--- a/tests/control/t-rejoined.c
+++ b/tests/control/t-rejoined.c
@@ -4,8 +4,6 @@
 
 #include "order.h"
 
-#define CONTROL_VMS 5
-
 /* Callers come back again and again while they are refused. */
 #define COME_BACK_US (3 * SECOND / 10)
 #define COME_BACKS 12
@@ -31,26 +29,10 @@
 		entries_restart(entries, vm);
 }
 
-static void kill_control_vms(struct entries *entries)
-{
-	int at;
-
-	for (at = 0; at < CONTROL_VMS; at++)
-		group_kill(entries->group, at);
-}
-
-static void start_control_vms(struct entries *entries)
-{
-	int at;
-
-	for (at = 0; at < CONTROL_VMS; at++)
-		group_start(entries->group, at);
-}
-
 /* All VMs are killed; the entry VMs are back at once. */
 static void kill_all(struct entries *entries)
 {
-	kill_control_vms(entries);
+	group_kill_all(entries->group);
 	kill_entry_vms(entries);
 }
 
@@ -77,7 +59,7 @@
 static void come_back_later(struct entries *entries)
 {
 	entries_run(entries, SECOND / 2);
-	start_control_vms(entries);
+	group_start_all(entries->group);
 	entries_run(entries, 5 * SECOND);
 	come_back(entries);
 }
