--- a/tests/control/t-left-unheard.c
+++ b/tests/control/t-left-unheard.c
@@ -168,6 +168,65 @@
 	entries_free(entries);
 }
 
+/* Its first goodbye is acknowledged twice, by two VMs that don't know it. */
+static void test_told_twice(void)
+{
+	struct entries_traffic traffic = start();
+	int64_t late_us;
+
+	silence(traffic.entries);
+	restart_control_vms(&traffic);
+	unregister(traffic.entries, 2);
+	late_us = group_now(traffic.entries->group) + DRAIN_US;
+	entries_play(&traffic, SECOND / 2);
+	unregister(traffic.entries, 3);
+	entries_play(&traffic, DRAIN_US + 3 * SECOND);
+	g_assert_cmpint(count_arrivals(traffic.entries, late_us), ==, 0);
+	entries_free(traffic.entries);
+}
+
+/* It says goodbye before any VM has heard it, and is heard late. */
+static void test_before_any_announcement(void)
+{
+	struct entries_traffic traffic;
+	struct entries *entries = entries_new(VMS, SERVERS - 1);
+	struct registration told = { .id = "new",
+				     .address = "10.1.0.6:80",
+				     .service = "desk",
+				     .zone = "z1",
+				     .started_ms = LATER_MS,
+				     .sequence = 1,
+				     .slots = 4 };
+
+	entries->path = ENTRIES_AGAIN;
+	traffic = entries_traffic(entries, PER_S);
+	entries_play(&traffic, 2 * SECOND);
+	group_unregister(entries->group, 2, told.id);
+	entries_play(&traffic, SECOND / 2);
+	group_announce(entries->group, 3, &told);
+	/* A request to an address without a server ends the test. */
+	entries_play(&traffic, DRAIN_US + 3 * SECOND);
+	entries_free(entries);
+}
+
+/* Two of five control VMs have started again, so nobody leads. */
+static void test_nobody_in_charge(void)
+{
+	struct entries_traffic traffic = start();
+	struct group *group = traffic.entries->group;
+
+	silence(traffic.entries);
+	group_kill_all(group);
+	entries_play(&traffic, SECOND / 2);
+	group_start(group, 3);
+	group_start(group, 4);
+	entries_play(&traffic, SECOND / 2);
+	g_assert_cmpint(group_leader(group), ==, -1);
+	unregister(traffic.entries, 4);
+	g_assert_cmpint(play_late(&traffic), ==, 0);
+	entries_free(traffic.entries);
+}
+
 /* A new start under its id is in use, and stays so. */
 static void test_new_start(void)
 {
@@ -207,6 +266,11 @@
 	g_test_add_func("/left-unheard/entry-vms-restarted",
 			test_entry_vms_restarted);
 	g_test_add_func("/left-unheard/forgotten", test_forgotten);
+	g_test_add_func("/left-unheard/told-twice", test_told_twice);
+	g_test_add_func("/left-unheard/before-any-announcement",
+			test_before_any_announcement);
+	g_test_add_func("/left-unheard/nobody-in-charge",
+			test_nobody_in_charge);
 	g_test_add_func("/left-unheard/new-start", test_new_start);
 	return g_test_run();
 }
