daemon: log and count what a process holds and how its loop turns

Each process now writes one line in five seconds (event=sockets) and metrics: for each listener the open connections, those accepted, accept errors with the last errno, and the length of the listen queue; sockets in use and the limit of descriptors; the longest turn of the loop and of that of the links. A line with new accept errors is a warning.

struct acceptor is the one place that calls accept4(), for callers, the balancer, operators, metrics and links. Nothing that is decided changes.

--- a/daemon/descriptors.c
+++ b/daemon/descriptors.c
@@ -12,15 +12,24 @@
 #define REQUESTS_PER_CENT 75
 #define IDLE_PER_CENT 12
 
-static int share(int wanted, int per_cent, int each)
+int64_t descriptors_limit(void)
 {
 	struct rlimit limit;
-	rlim_t most;
 
-	if (getrlimit(RLIMIT_NOFILE, &limit) || limit.rlim_cur == RLIM_INFINITY)
+	if (getrlimit(RLIMIT_NOFILE, &limit) || limit.rlim_cur > INT64_MAX)
+		return INT64_MAX;
+	return (int64_t)limit.rlim_cur;
+}
+
+static int share(int wanted, int per_cent, int each)
+{
+	int64_t limit = descriptors_limit();
+	int64_t most;
+
+	if (limit > INT64_MAX / 100)
 		return wanted;
-	most = limit.rlim_cur * per_cent / 100 / each;
-	return most < (rlim_t)wanted ? (int)most : wanted;
+	most = limit * per_cent / 100 / each;
+	return most < wanted ? (int)most : wanted;
 }
 
 int descriptors_for_callers(int wanted)
--- a/daemon/descriptors.h
+++ b/daemon/descriptors.h
@@ -1,6 +1,8 @@
 #ifndef FILBERTHALL_DAEMON_DESCRIPTORS_H
 #define FILBERTHALL_DAEMON_DESCRIPTORS_H
 
+#include <stdint.h>
+
 /**
  * Shares of the process's descriptors.
  *
@@ -10,6 +12,9 @@
  * beyond it wait in the listen queue.
  */
 
+/** Descriptors that the process may have; INT64_MAX for no limit. */
+int64_t descriptors_limit(void);
+
 /** Connections of callers at most, out of the `wanted` ones. */
 int descriptors_for_callers(int wanted);
 
--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -77,6 +77,7 @@
 	http_client_watcher *watcher;
 	void *watcher_data;
 	int64_t opened;
+	int n_open;
 };
 
 static bool origin_match(const struct map_node *node, const void *key)
@@ -110,6 +111,7 @@
 	http_parse_clear(&conn->parse);
 	ev_timer_stop(conn->client->loop->ev, &conn->timer);
 	stream_free(conn->stream);
+	conn->client->n_open--;
 	free(conn);
 }
 
@@ -386,6 +388,7 @@
 		set_options(stream_fd(conn->stream), client->options.silent_ms);
 	arm(client, &conn->timer, client->options.connect_ms);
 	client->opened++;
+	client->n_open++;
 	return conn;
 }
 
@@ -480,6 +483,11 @@
 	return client->opened;
 }
 
+int http_client_open(const struct http_client *client)
+{
+	return client->n_open;
+}
+
 struct http_client *http_client_new(struct stream_loop *loop,
 				    const struct http_client_options *options)
 {
--- a/daemon/http/http_client.h
+++ b/daemon/http/http_client.h
@@ -97,4 +97,7 @@
 /** Connections opened so far. */
 int64_t http_client_opened(const struct http_client *client);
 
+/** Connections that are open or being made. */
+int http_client_open(const struct http_client *client);
+
 #endif
--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -5,11 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "base/alloc.h"
 #include "base/list.h"
-#include "daemon/address.h"
+#include "daemon/acceptor.h"
 
 #define BACKLOG 512
 
@@ -54,12 +53,12 @@
 
 struct http_server {
 	struct stream_loop *loop;
-	int fd;
+	struct acceptor acceptor;
 	ev_io listener;
 	struct http_limits limits;
 	struct http_server_hooks hooks;
 	struct list conns;
-	int port;
+	int n_conns;
 	bool winding_down;
 };
 
@@ -73,6 +72,7 @@
 static void conn_free(struct conn *conn)
 {
 	list_remove(&conn->node);
+	conn->server->n_conns--;
 	if (conn->exchange)
 		exchange_free(conn->exchange);
 	http_parse_clear(&conn->parse);
@@ -270,13 +270,14 @@
 			(size_t)server->limits.header_bytes, &parse_hooks,
 			conn);
 	list_append(&server->conns, &conn->node);
+	server->n_conns++;
 	conn_arm(conn, server->limits.idle_ms + IDLE_SLACK_MS);
 }
 
 static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	struct http_server *server = watcher->data;
-	int fd = accept4(server->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+	int fd = acceptor_take(&server->acceptor);
 
 	if (fd >= 0)
 		conn_new(server, fd);
@@ -292,19 +293,17 @@
 	struct address address;
 
 	server->loop = loop;
-	server->fd = -1;
 	server->limits = *limits;
 	server->hooks = *hooks;
 	list_init(&server->conns);
-	if (address_parse(&address, text))
-		server->fd = address_listen(&address, BACKLOG, &server->port);
-	if (server->fd < 0) {
+	if (!address_parse(&address, text) ||
+	    !acceptor_open(&server->acceptor, &address, BACKLOG)) {
 		error_report(handler, RESULT_SETTING_VALUE, "%s: %s", text,
 			     strerror(errno));
 		free(server);
 		return NULL;
 	}
-	ev_io_init(&server->listener, on_accept, server->fd, EV_READ);
+	ev_io_init(&server->listener, on_accept, server->acceptor.fd, EV_READ);
 	server->listener.data = server;
 	ev_io_start(loop->ev, &server->listener);
 	return server;
@@ -312,7 +311,17 @@
 
 int http_server_port(const struct http_server *server)
 {
-	return server->port;
+	return server->acceptor.port;
+}
+
+struct http_server_view http_server_view(const struct http_server *server)
+{
+	struct http_server_view view = {
+		.open = server->n_conns,
+		.accepted = acceptor_view(&server->acceptor),
+	};
+
+	return view;
 }
 
 void http_server_set_limits(struct http_server *server,
@@ -345,7 +354,7 @@
 	if (!server)
 		return;
 	ev_io_stop(server->loop->ev, &server->listener);
-	close(server->fd);
+	acceptor_close(&server->acceptor);
 	list_foreach_safe(conn, next, &server->conns, node)
 		conn_free(conn);
 	free(server);
--- a/daemon/http/http_server.h
+++ b/daemon/http/http_server.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "base/error.h"
+#include "daemon/acceptor.h"
 #include "daemon/http/http_parse.h"
 #include "daemon/http/stream.h"
 
@@ -47,6 +48,14 @@
 /** The port really bound. */
 int http_server_port(const struct http_server *server);
 
+/** What it holds, and what became of connections that came in. */
+struct http_server_view {
+	int open;
+	struct acceptor_view accepted;
+};
+
+struct http_server_view http_server_view(const struct http_server *server);
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits);
 
--- a/daemon/link/link.c
+++ b/daemon/link/link.c
@@ -103,8 +103,7 @@
 
 static void accept_one(struct link_hub *hub)
 {
-	int fd = accept4(hub->listener, NULL, NULL,
-			 SOCK_CLOEXEC | SOCK_NONBLOCK);
+	int fd = acceptor_take(&hub->acceptor);
 
 	if (fd < 0)
 		return;
@@ -133,24 +132,32 @@
 {
 	if (event->data.ptr == &hub->wake)
 		run_commands(hub, stopping);
-	else if (event->data.ptr == &hub->listener)
+	else if (event->data.ptr == &hub->acceptor)
 		accept_one(hub);
 	else
 		link_conn_progress(event->data.ptr);
 }
 
+static void note_turn(struct link_hub *hub, int64_t took_us)
+{
+	if (took_us > atomic_load(&hub->turn_most_us))
+		atomic_store(&hub->turn_most_us, took_us);
+}
+
 static void *link_run(void *data)
 {
 	struct epoll_event events[EVENTS_AT_ONCE];
 	struct link_hub *hub = data;
 	int64_t ticked_us = 0;
 	bool stopping = false;
+	int64_t woken_us;
 	int64_t now_us;
 	int n;
 	int i;
 
 	while (!stopping) {
 		n = epoll_wait(hub->epoll, events, EVENTS_AT_ONCE, TICK_MS);
+		woken_us = edge_now_us();
 		for (i = 0; i < n; i++)
 			serve(hub, &events[i], &stopping);
 		now_us = edge_now_us();
@@ -159,6 +166,7 @@
 			tick(hub, now_us);
 		}
 		link_conn_reap(hub);
+		note_turn(hub, edge_now_us() - woken_us);
 	}
 	return NULL;
 }
@@ -220,7 +228,7 @@
 
 int link_port(const struct link_hub *hub)
 {
-	return hub->port;
+	return hub->acceptor.port;
 }
 
 static void read_all(uint64_t *to, const atomic_uint_fast64_t *from)
@@ -231,6 +239,11 @@
 		to[i] = atomic_load(&from[i]);
 }
 
+int link_open_connections(const struct link_hub *hub)
+{
+	return atomic_load(&hub->n_conns);
+}
+
 void link_read_statistics(struct link_hub *hub,
 			  struct link_statistics *statistics)
 {
@@ -238,6 +251,9 @@
 	read_all(statistics->messages_out, hub->messages_out);
 	read_all(statistics->bytes_in, hub->bytes_in);
 	read_all(statistics->bytes_out, hub->bytes_out);
+	statistics->accepted = acceptor_view(&hub->acceptor);
+	statistics->open = link_open_connections(hub);
+	statistics->turn_most_us = atomic_exchange(&hub->turn_most_us, 0);
 }
 
 static void set_key(struct link_hub *hub, const void *secret, size_t len)
@@ -272,26 +288,27 @@
 	hub->hello.member = options->self;
 	hub->hello.incarnation = options->incarnation;
 	hub->hello.observer = options->observer;
-	hub->hello.address = options->address
-				     ? xstrdup(options->address)
-				     : xstrfmt("%s:%d", host, hub->port);
+	hub->hello.address =
+		options->address ? xstrdup(options->address)
+				 : xstrfmt("%s:%d", host, hub->acceptor.port);
 	free(host);
 }
 
-static bool watch(struct link_hub *hub, int *fd)
+static bool watch(struct link_hub *hub, int fd, void *who)
 {
-	struct epoll_event event = { .events = EPOLLIN, .data.ptr = fd };
+	struct epoll_event event = { .events = EPOLLIN, .data.ptr = who };
 
-	return !epoll_ctl(hub->epoll, EPOLL_CTL_ADD, *fd, &event);
+	return !epoll_ctl(hub->epoll, EPOLL_CTL_ADD, fd, &event);
 }
 
 static bool open_sockets(struct link_hub *hub, const struct address *listen)
 {
 	hub->epoll = epoll_create1(EPOLL_CLOEXEC);
 	hub->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	hub->listener = address_listen(listen, BACKLOG, &hub->port);
-	return hub->epoll >= 0 && hub->wake >= 0 && hub->listener >= 0 &&
-	       watch(hub, &hub->wake) && watch(hub, &hub->listener);
+	return hub->epoll >= 0 && hub->wake >= 0 &&
+	       acceptor_open(&hub->acceptor, listen, BACKLOG) &&
+	       watch(hub, hub->wake, &hub->wake) &&
+	       watch(hub, hub->acceptor.fd, &hub->acceptor);
 }
 
 static void add_seeds(struct link_hub *hub, const struct link_options *options)
@@ -308,7 +325,7 @@
 
 	hub->options = *options;
 	hub->options.site = xstrdup(options->site);
-	hub->epoll = hub->wake = hub->listener = -1;
+	hub->epoll = hub->wake = hub->acceptor.fd = -1;
 	hub->rng.state = options->self ^ options->incarnation;
 	pthread_mutex_init(&hub->lock, NULL);
 	list_init(&hub->commands);
@@ -399,7 +416,7 @@
 	drop_commands(hub);
 	close_if_open(hub->epoll);
 	close_if_open(hub->wake);
-	close_if_open(hub->listener);
+	acceptor_close(&hub->acceptor);
 	if (hub->key.data)
 		drop_key(hub);
 	link_hello_clear(&hub->hello);
--- a/daemon/link/link.h
+++ b/daemon/link/link.h
@@ -3,6 +3,7 @@
 
 #include "base/error.h"
 #include "core/effect.h"
+#include "daemon/acceptor.h"
 #include "daemon/edge.h"
 
 /**
@@ -62,17 +63,26 @@
 /** Dial another address to join by; nothing happens if it is dialled already. */
 void link_add_seed(struct link_hub *hub, const char *address);
 
-/** Messages and bytes by channel since the start. */
+/**
+ * Messages and bytes by channel since the start, and what the thread of the
+ * links did. Reading it begins a new longest turn.
+ */
 struct link_statistics {
 	uint64_t messages_in[LINK_CHANNELS];
 	uint64_t messages_out[LINK_CHANNELS];
 	uint64_t bytes_in[LINK_CHANNELS];
 	uint64_t bytes_out[LINK_CHANNELS];
+	struct acceptor_view accepted;
+	int open;	      /**< connections, also those being made */
+	int64_t turn_most_us; /**< longest turn of the loop since last read */
 };
 
 void link_read_statistics(struct link_hub *hub,
 			  struct link_statistics *statistics);
 
+/** Connections that are open or being made. */
+int link_open_connections(const struct link_hub *hub);
+
 void link_stop(struct link_hub *hub);
 
 #endif
--- a/daemon/link/link_conn.c
+++ b/daemon/link/link_conn.c
@@ -84,6 +84,7 @@
 	if (hub->key.data)
 		set_tls(conn);
 	list_append(&hub->conns, &conn->node);
+	atomic_fetch_add(&hub->n_conns, 1);
 	hub->n_strangers++;
 	watch(conn, EPOLL_CTL_ADD);
 	return conn;
@@ -116,6 +117,7 @@
 		if (conn->state != LINK_DEAD)
 			continue;
 		list_remove(&conn->node);
+		atomic_fetch_sub(&hub->n_conns, 1);
 		if (conn->tls)
 			gnutls_deinit(conn->tls);
 		bytes_clear(&conn->in);
--- a/daemon/link/link_private.h
+++ b/daemon/link/link_private.h
@@ -8,7 +8,7 @@
 #include "base/list.h"
 #include "base/map.h"
 #include "base/rng.h"
-#include "daemon/address.h"
+#include "daemon/acceptor.h"
 #include "daemon/link/link.h"
 #include "daemon/link/link_frame.h"
 
@@ -106,8 +106,7 @@
 	bool started;
 	int epoll;
 	int wake;
-	int listener;
-	int port;
+	struct acceptor acceptor;
 	struct list conns;
 	struct list dials;
 	struct map peers;
@@ -121,6 +120,8 @@
 	atomic_uint_fast64_t messages_out[LINK_CHANNELS];
 	atomic_uint_fast64_t bytes_in[LINK_CHANNELS];
 	atomic_uint_fast64_t bytes_out[LINK_CHANNELS];
+	atomic_int n_conns;
+	atomic_int_fast64_t turn_most_us; /**< since it was read last */
 };
 
 /** A new connection on a socket that is connected or connecting. */
--- a/daemon/role/control_calls.c
+++ b/daemon/role/control_calls.c
@@ -314,7 +314,10 @@
 		http_server_start(&daemon->role.streams,
 				  daemon->role.boot->listen_operators, &limits,
 				  &hooks, daemon->role.handler);
-	return daemon->server ? RESULT_OK : RESULT_SETTING_VALUE;
+	if (!daemon->server)
+		return RESULT_SETTING_VALUE;
+	watch_add_listener(&daemon->role.watch, "operators", daemon->server);
+	return RESULT_OK;
 }
 
 void control_calls_close(struct control_daemon *daemon)
--- a/daemon/role/control_daemon.c
+++ b/daemon/role/control_daemon.c
@@ -152,9 +152,7 @@
 
 static void close_control(struct control_daemon *daemon)
 {
-	if (daemon->role.links)
-		link_stop(daemon->role.links);
-	daemon->role.links = NULL;
+	role_close_links(&daemon->role);
 	control_free(daemon->control);
 	daemon->control = NULL;
 	wal_close(daemon->wal);
--- a/daemon/role/control_orders.c
+++ b/daemon/role/control_orders.c
@@ -122,6 +122,7 @@
 
 	list_init(&daemon->platform_calls);
 	daemon->platform = http_client_new(&daemon->role.streams, &options);
+	daemon->role.watch.client = daemon->platform;
 }
 
 void control_orders_close(struct control_daemon *daemon)
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -393,6 +393,7 @@
 
 	daemon->client = http_client_new(&daemon->role.streams, &options);
 	http_client_watch(daemon->client, on_connection, daemon);
+	daemon->role.watch.client = daemon->client;
 	daemon->host.dialect = daemon->role.dialect;
 	daemon->host.client = daemon->client;
 	daemon->host.entry = daemon->entry;
@@ -420,10 +421,14 @@
 				  &ready, &ready_hooks, daemon->role.handler);
 	if (!daemon->ready)
 		return RESULT_SETTING_VALUE;
+	watch_add_listener(&daemon->role.watch, "ready", daemon->ready);
 	daemon->callers =
 		http_server_start(&daemon->role.streams, boot->listen_callers,
 				  &callers, &hooks, daemon->role.handler);
-	return daemon->callers ? RESULT_OK : RESULT_SETTING_VALUE;
+	if (!daemon->callers)
+		return RESULT_SETTING_VALUE;
+	watch_add_listener(&daemon->role.watch, "callers", daemon->callers);
+	return RESULT_OK;
 }
 
 static void on_reloaded(void *data, const struct boot *boot)
--- a/daemon/role/role.c
+++ b/daemon/role/role.c
@@ -112,6 +112,7 @@
 	struct bytes body = { 0 };
 
 	role->write_metrics(role->data, &body);
+	watch_write_metrics(&role->watch, &body);
 	http_exchange_answer(exchange, 200,
 			     "Content-Type: text/plain; version=0.0.4\r\n",
 			     &body);
@@ -129,7 +130,10 @@
 	role->metrics =
 		http_server_start(&role->streams, role->boot->listen_metrics,
 				  &limits, &hooks, role->handler);
-	return role->metrics ? RESULT_OK : RESULT_SETTING_VALUE;
+	if (!role->metrics)
+		return RESULT_SETTING_VALUE;
+	watch_add_listener(&role->watch, "metrics", role->metrics);
+	return RESULT_OK;
 }
 
 enum result role_open(struct role *role)
@@ -148,6 +152,7 @@
 		return error_report(role->handler, RESULT_SETTING_VALUE,
 				    "no event loop can be had");
 	stream_loop_init(&role->streams, role->ev);
+	watch_start(&role->watch, role->ev, role->log);
 	role->mailbox = mailbox_new(role->ev, role->take, role->data);
 	start_signal(role, &role->on_term, SIGTERM, on_stop);
 	start_signal(role, &role->on_int, SIGINT, on_stop);
@@ -216,11 +221,20 @@
 	pthread_sigmask(SIG_SETMASK, &before, NULL);
 	if (!role->links)
 		return RESULT_SETTING_VALUE;
+	role->watch.links = role->links;
 	role->link_port = link_port(role->links);
 	add_seeds(role, boot);
 	return RESULT_OK;
 }
 
+void role_close_links(struct role *role)
+{
+	if (role->links)
+		link_stop(role->links);
+	role->links = NULL;
+	role->watch.links = NULL;
+}
+
 static void add_listener(struct bytes *text, const char *name,
 			 const char *address, int port)
 {
@@ -288,8 +302,8 @@
 
 void role_close(struct role *role)
 {
-	if (role->links)
-		link_stop(role->links);
+	role_close_links(role);
+	watch_stop(&role->watch);
 	http_server_stop(role->metrics);
 	mailbox_free(role->mailbox);
 	if (role->ev) {
--- a/daemon/role/role.h
+++ b/daemon/role/role.h
@@ -11,6 +11,7 @@
 #include "daemon/log.h"
 #include "daemon/role/mailbox.h"
 #include "daemon/http/stream.h"
+#include "daemon/role/watch.h"
 
 /**
  * What entry and control daemons share: the loop, signals, links, log, the
@@ -27,6 +28,7 @@
 	struct link_hub *links;
 	struct log *log;
 	struct http_server *metrics;
+	struct watch watch;
 	struct edge_counters counters;
 	ev_signal on_term;
 	ev_signal on_int;
@@ -49,6 +51,8 @@
 enum result role_open_links(struct role *role, uint64_t self,
 			    uint64_t incarnation, bool observer);
 
+void role_close_links(struct role *role);
+
 /**
  * Tell the bound addresses in the file that the settings name, if any: lines
  * "NAME: IP:PORT" for the listeners given and for the links.
