daemon: a listener without a descriptor makes room or rests, and says so

What callers saw: an entry VM with all descriptors taken took none of 8 new connections, of silent and of idle ones, and used a whole core.

Cause: accept4() failed with EMFILE; on_accept() of the HTTP server and accept_one() of the links returned on any error, the listener stayed readable and the loop never slept. Nothing bounded the connections of callers, and readiness knew nothing of them. Class: an error that is returned from, while what brought it about goes on.

Now each listener has a share of the descriptors that leaves some for servers, links and files. One connection more closes the one that has been idle longest, never one with a request or an unwritten answer. While none is idle the listener rests for 50 ms or until a connection ends, and the entry VM says that it isn't ready. Errors of one connection are passed over, 64 are taken a turn, and accept4() can't wait. At the links a peer that said nothing makes room. A watcher that libev gives up is told, not ignored.

Linux looks for a descriptor before it looks into the queue: EMFILE with an empty queue closed the connection that had just been taken. Found by /descriptors/idle-make-room-without-descriptor, mended here.

That the users' VM was out of descriptors isn't shown.

--- a/daemon/acceptor.c
+++ b/daemon/acceptor.c
@@ -1,8 +1,10 @@
 #include "daemon/acceptor.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,7 +12,9 @@
 		   int backlog)
 {
 	acceptor->fd = address_listen(address, backlog, &acceptor->port);
-	return acceptor->fd >= 0;
+	if (acceptor->fd < 0)
+		return false;
+	return !fcntl(acceptor->fd, F_SETFL, O_NONBLOCK);
 }
 
 void acceptor_close(struct acceptor *acceptor)
@@ -20,18 +24,54 @@
 	acceptor->fd = -1;
 }
 
-int acceptor_take(struct acceptor *acceptor)
+static enum acceptor_result result_of(int error)
 {
-	int fd =
-		accept4(acceptor->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+	switch (error) {
+	case EAGAIN:
+		return ACCEPTOR_EMPTY;
+	case EMFILE:
+	case ENFILE:
+	case ENOBUFS:
+	case ENOMEM:
+		return ACCEPTOR_SHORT;
+	case EBADF:
+	case EINVAL:
+	case ENOTSOCK:
+	case EOPNOTSUPP:
+	case EFAULT:
+		return ACCEPTOR_FAILED;
+	default:
+		/* Errors of the connection's network are told here too. */
+		return ACCEPTOR_LOST;
+	}
+}
+
+bool acceptor_waits(const struct acceptor *acceptor)
+{
+	struct pollfd waiting = { .fd = acceptor->fd, .events = POLLIN };
+
+	return poll(&waiting, 1, 0) > 0;
+}
+
+enum acceptor_result acceptor_take(struct acceptor *acceptor, int *fd)
+{
+	enum acceptor_result result;
+	int error;
 
-	if (fd >= 0) {
+	*fd = accept4(acceptor->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
+	if (*fd >= 0) {
 		atomic_fetch_add(&acceptor->taken, 1);
-	} else if (errno != EAGAIN && errno != EWOULDBLOCK) {
-		atomic_store(&acceptor->error, errno);
-		atomic_fetch_add(&acceptor->failed, 1);
+		return ACCEPTOR_TAKEN;
 	}
-	return fd;
+	error = errno;
+	result = result_of(error);
+	/* The system looks for a descriptor before it looks into the queue. */
+	if (result == ACCEPTOR_EMPTY ||
+	    (result == ACCEPTOR_SHORT && !acceptor_waits(acceptor)))
+		return ACCEPTOR_EMPTY;
+	atomic_store(&acceptor->error, error);
+	atomic_fetch_add(&acceptor->failed, 1);
+	return result;
 }
 
 /* Of a listening socket, "unacked" is the length of its queue. */
--- a/daemon/acceptor.h
+++ b/daemon/acceptor.h
@@ -27,14 +27,25 @@
 	int queued; /**< that wait in the listen queue; -1 if unknown */
 };
 
-/** Listen; false with errno set. */
+/** Listen, without ever waiting in acceptor_take(); false with errno set. */
 bool acceptor_open(struct acceptor *acceptor, const struct address *address,
 		   int backlog);
 
 void acceptor_close(struct acceptor *acceptor);
 
-/** Take a connection; -1 if there is none, or after a failure was counted. */
-int acceptor_take(struct acceptor *acceptor);
+enum acceptor_result {
+	ACCEPTOR_TAKEN,
+	ACCEPTOR_EMPTY, /**< none waits */
+	ACCEPTOR_LOST,	/**< one was gone before it was taken; ask again */
+	ACCEPTOR_SHORT, /**< no descriptor or memory; those that wait stay */
+	ACCEPTOR_FAILED /**< the listening socket itself */
+};
+
+/** Whether a connection waits to be taken. */
+bool acceptor_waits(const struct acceptor *acceptor);
+
+/** Take a connection, non-blocking and close-on-exec, into `*fd`. */
+enum acceptor_result acceptor_take(struct acceptor *acceptor, int *fd);
 
 struct acceptor_view acceptor_view(const struct acceptor *acceptor);
 
--- a/daemon/descriptors.c
+++ b/daemon/descriptors.c
@@ -1,5 +1,6 @@
 #include "daemon/descriptors.h"
 
+#include <limits.h>
 #include <sys/resource.h>
 
 /* Caller, backend server, and the duplicate that deadlines are kept by. */
@@ -12,6 +13,15 @@
 #define REQUESTS_PER_CENT 75
 #define IDLE_PER_CENT 12
 
+/*
+ * The same for entry and control VMs, where a request and its server have a
+ * descriptor each. Together they leave a twentieth.
+ */
+#define LISTENER_PER_CENT 39
+#define SERVERS_PER_CENT 39
+#define QUESTIONS_PER_CENT 2
+#define STRANGERS_PER_CENT 13
+
 int64_t descriptors_limit(void)
 {
 	struct rlimit limit;
@@ -29,6 +39,8 @@
 	if (limit > INT64_MAX / 100)
 		return wanted;
 	most = limit * per_cent / 100 / each;
+	if (most < 1)
+		most = 1;
 	return most < wanted ? (int)most : wanted;
 }
 
@@ -41,3 +53,23 @@
 {
 	return share(wanted, IDLE_PER_CENT, EACH_IDLE);
 }
+
+int descriptors_for_requests(void)
+{
+	return share(INT_MAX, LISTENER_PER_CENT, 1);
+}
+
+int descriptors_for_servers(void)
+{
+	return share(INT_MAX, SERVERS_PER_CENT, 1);
+}
+
+int descriptors_for_questions(void)
+{
+	return share(INT_MAX, QUESTIONS_PER_CENT, 1);
+}
+
+int descriptors_for_strangers(int wanted)
+{
+	return share(wanted, STRANGERS_PER_CENT, 1);
+}
--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -1,6 +1,7 @@
 #include "daemon/http/http_server.h"
 
 #include <errno.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,12 @@
 
 #define BACKLOG 512
 
+/* Connections taken in one turn of the loop. */
+#define ACCEPTS_AT_ONCE 64
+
+/* Without a descriptor, the listener is looked at again after so long. */
+#define SHORT_MS 50
+
 /* Requests that wait behind the one being answered, on one connection. */
 #define PIPELINE_BYTES (64 * 1024)
 
@@ -41,6 +48,7 @@
 
 struct conn {
 	struct list node;
+	struct list resting; /* among those without a request */
 	struct http_server *server;
 	struct stream *stream;
 	ev_timer timer;
@@ -58,7 +66,11 @@
 	struct http_limits limits;
 	struct http_server_hooks hooks;
 	struct list conns;
+	struct list resting; /* the one that has rested longest first */
 	int n_conns;
+	int most;
+	ev_timer retry; /* while the listener isn't watched */
+	bool full;
 	bool winding_down;
 };
 
@@ -69,10 +81,31 @@
 	free(exchange);
 }
 
+/* Look at the listener after so long, and meanwhile not at all. */
+static void arm_retry(struct http_server *server, int64_t ms)
+{
+	struct ev_loop *ev = server->loop->ev;
+
+	ev_timer_stop(ev, &server->retry);
+	ev_timer_set(&server->retry, (double)ms / 1000, 0);
+	ev_timer_start(ev, &server->retry);
+}
+
+/* A listener that stays readable must not keep the loop from sleeping. */
+static void rest_listener(struct http_server *server)
+{
+	server->full = true;
+	ev_io_stop(server->loop->ev, &server->listener);
+	arm_retry(server, SHORT_MS);
+}
+
 static void conn_free(struct conn *conn)
 {
 	list_remove(&conn->node);
+	list_remove(&conn->resting);
 	conn->server->n_conns--;
+	if (conn->server->full)
+		arm_retry(conn->server, 0);
 	if (conn->exchange)
 		exchange_free(conn->exchange);
 	http_parse_clear(&conn->parse);
@@ -91,6 +124,30 @@
 	conn_free(conn);
 }
 
+static void conn_rest(struct conn *conn)
+{
+	conn->state = CONN_READING;
+	list_append(&conn->server->resting, &conn->resting);
+}
+
+/* Nothing is asked on it, and nothing of an answer is still to be written. */
+static bool is_idle(const struct conn *conn)
+{
+	return !conn->request_begun && !stream_unwritten(conn->stream) &&
+	       !stream_input(conn->stream)->len;
+}
+
+/* The one that has been idle longest, or NULL. */
+static struct conn *longest_idle(struct http_server *server)
+{
+	struct conn *conn;
+
+	list_foreach(conn, &server->resting, resting)
+		if (is_idle(conn))
+			return conn;
+	return NULL;
+}
+
 static void conn_arm(struct conn *conn, int64_t ms)
 {
 	struct ev_loop *ev = conn->server->loop->ev;
@@ -220,6 +277,7 @@
 		return;
 	if (!conn->request_begun) {
 		conn->request_begun = true;
+		list_remove(&conn->resting);
 		conn_arm(conn, conn->server->limits.header_ms);
 	}
 	conn->parse.head_limit = (size_t)conn->server->limits.header_bytes;
@@ -269,18 +327,75 @@
 	http_parse_init(&conn->parse, HTTP_REQUEST,
 			(size_t)server->limits.header_bytes, &parse_hooks,
 			conn);
+	list_init(&conn->resting);
 	list_append(&server->conns, &conn->node);
 	server->n_conns++;
+	conn_rest(conn);
 	conn_arm(conn, server->limits.idle_ms + IDLE_SLACK_MS);
 }
 
+/* False once there is nothing more to be taken for now. */
+static bool accept_one(struct http_server *server)
+{
+	int fd;
+
+	switch (acceptor_take(&server->acceptor, &fd)) {
+	case ACCEPTOR_TAKEN:
+		conn_new(server, fd);
+		return true;
+	case ACCEPTOR_EMPTY:
+		return false;
+	case ACCEPTOR_LOST:
+		return true;
+	case ACCEPTOR_SHORT:
+		if (http_server_close_longest_idle(server))
+			return true;
+		break;
+	case ACCEPTOR_FAILED:
+		break;
+	}
+	rest_listener(server);
+	return false;
+}
+
+/* At least one connection waits. */
+static void take_waiting(struct http_server *server)
+{
+	int i;
+
+	server->full = false;
+	if (server->n_conns >= server->most &&
+	    !http_server_close_longest_idle(server)) {
+		rest_listener(server);
+		return;
+	}
+	ev_io_start(server->loop->ev, &server->listener);
+	for (i = 0; i < ACCEPTS_AT_ONCE && server->n_conns < server->most; i++)
+		if (!accept_one(server))
+			return;
+}
+
 static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	struct http_server *server = watcher->data;
-	int fd = acceptor_take(&server->acceptor);
 
-	if (fd >= 0)
-		conn_new(server, fd);
+	/* With EV_ERROR the system doesn't watch it any more. */
+	if (events & EV_ERROR)
+		rest_listener(server);
+	else
+		take_waiting(server);
+}
+
+static void on_retry(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct http_server *server = timer->data;
+
+	if (acceptor_waits(&server->acceptor)) {
+		take_waiting(server);
+		return;
+	}
+	server->full = false;
+	ev_io_start(ev, &server->listener);
 }
 
 struct http_server *http_server_start(struct stream_loop *loop,
@@ -296,6 +411,10 @@
 	server->limits = *limits;
 	server->hooks = *hooks;
 	list_init(&server->conns);
+	list_init(&server->resting);
+	server->most = INT_MAX;
+	ev_timer_init(&server->retry, on_retry, 0, 0);
+	server->retry.data = server;
 	if (!address_parse(&address, text) ||
 	    !acceptor_open(&server->acceptor, &address, BACKLOG)) {
 		error_report(handler, RESULT_SETTING_VALUE, "%s: %s", text,
@@ -318,12 +437,27 @@
 {
 	struct http_server_view view = {
 		.open = server->n_conns,
+		.full = server->full,
 		.accepted = acceptor_view(&server->acceptor),
 	};
 
 	return view;
 }
 
+void http_server_set_most(struct http_server *server, int connections)
+{
+	server->most = connections;
+}
+
+bool http_server_close_longest_idle(struct http_server *server)
+{
+	struct conn *conn = longest_idle(server);
+
+	if (conn)
+		conn_free(conn);
+	return conn != NULL;
+}
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits)
 {
@@ -340,9 +474,8 @@
 	struct conn *conn;
 	struct conn *next;
 
-	list_foreach_safe(conn, next, &server->conns, node)
-		if (conn->state == CONN_READING && !conn->request_begun &&
-		    !stream_unwritten(conn->stream))
+	list_foreach_safe(conn, next, &server->resting, resting)
+		if (is_idle(conn))
 			conn_free(conn);
 }
 
@@ -354,9 +487,10 @@
 	if (!server)
 		return;
 	ev_io_stop(server->loop->ev, &server->listener);
-	acceptor_close(&server->acceptor);
 	list_foreach_safe(conn, next, &server->conns, node)
 		conn_free(conn);
+	ev_timer_stop(server->loop->ev, &server->retry);
+	acceptor_close(&server->acceptor);
 	free(server);
 }
 
@@ -389,7 +523,7 @@
 		conn_flush(conn);
 		return;
 	}
-	conn->state = CONN_READING;
+	conn_rest(conn);
 	conn_arm(conn, conn->server->limits.idle_ms + IDLE_SLACK_MS);
 	stream_kick(conn->stream);
 }
--- a/daemon/http/http_server.h
+++ b/daemon/http/http_server.h
@@ -51,6 +51,7 @@
 /** What it holds, and what became of connections that came in. */
 struct http_server_view {
 	int open;
+	bool full; /**< a connection waits, and none of those open is idle */
 	struct acceptor_view accepted;
 };
 
@@ -59,6 +60,18 @@
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits);
 
+/**
+ * Bound the connections. For one more than that the one that has been idle
+ * longest is closed; while none is, those that come wait in the listen queue.
+ */
+void http_server_set_most(struct http_server *server, int connections);
+
+/**
+ * Close the connection that has been idle longest, as on
+ * http_server_close_idle(); false if there is none.
+ */
+bool http_server_close_longest_idle(struct http_server *server);
+
 /** From now on answers end their connections: a planned stop. */
 void http_server_wind_down(struct http_server *server);
 
--- a/daemon/http/stream.c
+++ b/daemon/http/stream.c
@@ -25,6 +25,7 @@
 	struct stream_hooks hooks;
 	void *data;
 	bool connecting;
+	bool short_of; /* a descriptor, to connect with */
 	bool kicked;
 };
 
@@ -119,6 +120,11 @@
 	char buffer[READ_BYTES];
 	ssize_t n;
 
+	/* The system doesn't watch it any more. */
+	if (events & EV_ERROR) {
+		stream_closed(stream, true);
+		return;
+	}
 	n = recv(stream->fd, buffer, sizeof(buffer), 0);
 	if (n < 0 && would_block(errno))
 		return;
@@ -157,7 +163,9 @@
 {
 	struct stream *stream = watcher->data;
 
-	if (stream->connecting)
+	if (events & EV_ERROR)
+		stream_closed(stream, true);
+	else if (stream->connecting)
 		on_connected(stream);
 	else
 		flush_one(stream);
@@ -201,19 +209,29 @@
 	return stream;
 }
 
+static bool is_shortage(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	       error == ENOMEM;
+}
+
 struct stream *stream_connect(struct stream_loop *loop, const char *text,
 			      size_t read_most,
 			      const struct stream_hooks *hooks, void *data)
 {
 	struct address address;
 	struct stream *stream;
+	bool short_of = false;
 	int fd = -1;
 
-	if (address_parse(&address, text))
+	if (address_parse(&address, text)) {
 		fd = socket(address.storage.ss_family,
 			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		short_of = fd < 0 && is_shortage(errno);
+	}
 	stream = stream_alloc(loop, fd, read_most, hooks, data);
 	stream->connecting = true;
+	stream->short_of = short_of;
 	if (fd >= 0 && (!connect(fd, (const struct sockaddr *)&address.storage,
 				 address.len) ||
 			errno == EINPROGRESS))
@@ -223,6 +241,22 @@
 	return stream;
 }
 
+struct stream *stream_short(struct stream_loop *loop,
+			    const struct stream_hooks *hooks, void *data)
+{
+	struct stream *stream = stream_alloc(loop, -1, 0, hooks, data);
+
+	stream->connecting = true;
+	stream->short_of = true;
+	ev_timer_start(loop->ev, &stream->failed);
+	return stream;
+}
+
+bool stream_is_short(const struct stream *stream)
+{
+	return stream->short_of;
+}
+
 void stream_free(struct stream *stream)
 {
 	ev_io_stop(stream->loop->ev, &stream->reader);
--- a/daemon/http/stream.h
+++ b/daemon/http/stream.h
@@ -49,6 +49,13 @@
 			      size_t read_most,
 			      const struct stream_hooks *hooks, void *data);
 
+/** A stream that was never connected, for want of a descriptor; likewise. */
+struct stream *stream_short(struct stream_loop *loop,
+			    const struct stream_hooks *hooks, void *data);
+
+/** Whether it couldn't be connected for want of a descriptor or memory here. */
+bool stream_is_short(const struct stream *stream);
+
 /** Close at once; what is still unwritten is lost. */
 void stream_free(struct stream *stream);
 
--- a/daemon/link/link.c
+++ b/daemon/link/link.c
@@ -10,11 +10,15 @@
 #include <unistd.h>
 
 #include "base/alloc.h"
+#include "daemon/descriptors.h"
 #include "daemon/link/link_private.h"
 
 #define TICK_MS 50
 #define EVENTS_AT_ONCE 64
 #define BACKLOG 256
+
+/* Connections taken before others are served. */
+#define ACCEPTS_AT_ONCE 64
 #define KEY_BYTES 32
 
 /* All daemons of a site hold the same key; who is who the hello tells. */
@@ -101,19 +105,92 @@
 	pthread_mutex_unlock(&hub->lock);
 }
 
-static void accept_one(struct link_hub *hub)
+static bool watch(struct link_hub *hub, int fd, void *who)
 {
-	int fd = acceptor_take(&hub->acceptor);
+	struct epoll_event event = { .events = EPOLLIN, .data.ptr = who };
 
-	if (fd < 0)
-		return;
-	if (hub->n_strangers >= LINK_STRANGERS) {
+	return !epoll_ctl(hub->epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+static bool is_mute(const struct link_conn *conn, int64_t now_us)
+{
+	return (conn->state == LINK_SECURING || conn->state == LINK_GREETING) &&
+	       !conn->dialled && !conn->spoke &&
+	       now_us - conn->opened_us > LINK_MUTE_US;
+}
+
+/* The connection that has been silent longest from its beginning goes. */
+static bool close_mute(struct link_hub *hub)
+{
+	int64_t now_us = edge_now_us();
+	struct link_conn *conn;
+
+	list_foreach(conn, &hub->conns, node) {
+		if (!is_mute(conn, now_us))
+			continue;
+		edge_count(&hub->options.counters->link_refused);
+		link_conn_close(conn);
+		return true;
+	}
+	return false;
+}
+
+/* A listener that stays readable must not keep the thread from sleeping. */
+static void rest_listener(struct link_hub *hub)
+{
+	hub->resting =
+		!epoll_ctl(hub->epoll, EPOLL_CTL_DEL, hub->acceptor.fd, NULL);
+}
+
+static void watch_listener(struct link_hub *hub)
+{
+	if (hub->resting)
+		hub->resting = !watch(hub, hub->acceptor.fd, &hub->acceptor);
+}
+
+static void take_stranger(struct link_hub *hub, int fd)
+{
+	if (hub->n_strangers >= hub->strangers_most && !close_mute(hub)) {
+		edge_count(&hub->options.counters->link_refused);
 		close(fd);
 		return;
 	}
 	link_conn_new(hub, fd, NULL);
 }
 
+/* False once there is nothing more to be taken for now. */
+static bool accept_one(struct link_hub *hub)
+{
+	int fd;
+
+	switch (acceptor_take(&hub->acceptor, &fd)) {
+	case ACCEPTOR_TAKEN:
+		take_stranger(hub, fd);
+		return true;
+	case ACCEPTOR_EMPTY:
+		return false;
+	case ACCEPTOR_LOST:
+		return true;
+	case ACCEPTOR_SHORT:
+		if (close_mute(hub))
+			return true;
+		break;
+	case ACCEPTOR_FAILED:
+		break;
+	}
+	rest_listener(hub);
+	return false;
+}
+
+static void accept_some(struct link_hub *hub)
+{
+	int i;
+
+	for (i = 0; i < ACCEPTS_AT_ONCE; i++)
+		if (!accept_one(hub))
+			return;
+}
+
 static void tick(struct link_hub *hub, int64_t now_us)
 {
 	struct link_conn *conn;
@@ -125,6 +202,13 @@
 		link_conn_tick(conn, now_us);
 	list_foreach_safe(dial, next_dial, &hub->dials, node)
 		link_dial_tick(hub, dial, now_us);
+	watch_listener(hub);
+}
+
+static void progress(struct link_conn *conn, uint32_t events)
+{
+	conn->spoke |= (events & EPOLLIN) != 0;
+	link_conn_progress(conn);
 }
 
 static void serve(struct link_hub *hub, const struct epoll_event *event,
@@ -133,9 +217,9 @@
 	if (event->data.ptr == &hub->wake)
 		run_commands(hub, stopping);
 	else if (event->data.ptr == &hub->acceptor)
-		accept_one(hub);
+		accept_some(hub);
 	else
-		link_conn_progress(event->data.ptr);
+		progress(event->data.ptr, event->events);
 }
 
 static void note_turn(struct link_hub *hub, int64_t took_us)
@@ -294,13 +378,6 @@
 	free(host);
 }
 
-static bool watch(struct link_hub *hub, int fd, void *who)
-{
-	struct epoll_event event = { .events = EPOLLIN, .data.ptr = who };
-
-	return !epoll_ctl(hub->epoll, EPOLL_CTL_ADD, fd, &event);
-}
-
 static bool open_sockets(struct link_hub *hub, const struct address *listen)
 {
 	hub->epoll = epoll_create1(EPOLL_CLOEXEC);
@@ -326,6 +403,7 @@
 	hub->options = *options;
 	hub->options.site = xstrdup(options->site);
 	hub->epoll = hub->wake = hub->acceptor.fd = -1;
+	hub->strangers_most = descriptors_for_strangers(LINK_STRANGERS);
 	hub->rng.state = options->self ^ options->incarnation;
 	pthread_mutex_init(&hub->lock, NULL);
 	list_init(&hub->commands);
--- a/daemon/link/link_conn.c
+++ b/daemon/link/link_conn.c
@@ -20,14 +20,14 @@
 static const char priorities[] =
 	"NORMAL:-VERS-ALL:+VERS-TLS1.3:-KX-ALL:+ECDHE-PSK";
 
-static void watch(struct link_conn *conn, int operation)
+static bool watch(struct link_conn *conn, int operation)
 {
 	struct epoll_event event = {
 		.events = EPOLLIN | (conn->wants_write ? EPOLLOUT : 0),
 		.data.ptr = conn,
 	};
 
-	epoll_ctl(conn->hub->epoll, operation, conn->fd, &event);
+	return !epoll_ctl(conn->hub->epoll, operation, conn->fd, &event);
 }
 
 static void want_write(struct link_conn *conn, bool wanted)
@@ -35,7 +35,8 @@
 	if (conn->wants_write == wanted)
 		return;
 	conn->wants_write = wanted;
-	watch(conn, EPOLL_CTL_MOD);
+	if (!watch(conn, EPOLL_CTL_MOD))
+		link_conn_close(conn);
 }
 
 static void set_socket_options(int fd)
@@ -80,13 +81,17 @@
 	conn->opened_us = edge_now_us();
 	conn->heard_us = conn->opened_us;
 	conn->wants_write = true;
+	if (!watch(conn, EPOLL_CTL_ADD)) {
+		close(fd);
+		free(conn);
+		return NULL;
+	}
 	set_socket_options(fd);
 	if (hub->key.data)
 		set_tls(conn);
 	list_append(&hub->conns, &conn->node);
 	atomic_fetch_add(&hub->n_conns, 1);
 	hub->n_strangers++;
-	watch(conn, EPOLL_CTL_ADD);
 	return conn;
 }
 
--- a/daemon/link/link_peer.c
+++ b/daemon/link/link_peer.c
@@ -281,4 +281,6 @@
 		return;
 	}
 	dial->conn = link_conn_new(hub, fd, dial);
+	if (!dial->conn)
+		link_dial_ended(hub, dial, false);
 }
--- a/daemon/link/link_private.h
+++ b/daemon/link/link_private.h
@@ -19,12 +19,18 @@
 #define LINK_HANDSHAKE_US 2000000
 
 /*
- * Connections that haven't said who they are; beyond that none is taken. After
+ * Connections that haven't said who they are, where descriptors allow it. After
  * a loss of power all VMs dial at the same moment: with room for 64 only, 96
  * of them needed several rounds of waiting, ever longer ones.
  */
 #define LINK_STRANGERS 512
 
+/*
+ * A peer that dials sends its first bytes at once. One that has been silent for
+ * longer makes room where all places of strangers are taken.
+ */
+#define LINK_MUTE_US 100000
+
 /*
  * A VM without power doesn't answer the first packet of a connection, and the
  * kernel sends the next one after a second. When all VMs come back from a loss
@@ -60,6 +66,7 @@
 	size_t out_at; /**< of it, what has been sent */
 	bool flushing; /**< TLS holds a piece of `out` already */
 	bool wants_write;
+	bool spoke; /**< bytes have come */
 	int64_t opened_us;
 	int64_t heard_us;
 	int64_t sent_us;
@@ -111,6 +118,8 @@
 	struct list dials;
 	struct map peers;
 	int n_strangers;
+	int strangers_most;
+	bool resting; /**< the listener isn't watched */
 
 	pthread_mutex_t lock; /**< guards the commands */
 	struct list commands;
@@ -124,7 +133,10 @@
 	atomic_int_fast64_t turn_most_us; /**< since it was read last */
 };
 
-/** A new connection on a socket that is connected or connecting. */
+/**
+ * A new connection on a socket that is connected or connecting, taken over.
+ * NULL, with the socket closed, if the system can't watch it.
+ */
 struct link_conn *link_conn_new(struct link_hub *hub, int fd,
 				struct link_dial *dial);
 
--- a/daemon/role/control_calls.c
+++ b/daemon/role/control_calls.c
@@ -4,6 +4,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
+#include "daemon/descriptors.h"
 #include "daemon/role/control_daemon_state.h"
 
 /* Bounds of a call: a document of some thousand routes is a megabyte. */
@@ -316,6 +317,7 @@
 				  &hooks, daemon->role.handler);
 	if (!daemon->server)
 		return RESULT_SETTING_VALUE;
+	http_server_set_most(daemon->server, descriptors_for_requests());
 	watch_add_listener(&daemon->role.watch, "operators", daemon->server);
 	return RESULT_OK;
 }
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -9,6 +9,7 @@
 
 #include "base/alloc.h"
 #include "daemon/address.h"
+#include "daemon/descriptors.h"
 #include "daemon/role/entry_metrics.h"
 #include "daemon/role/relay.h"
 #include "daemon/role/role.h"
@@ -250,12 +251,19 @@
 		relay_drop(daemon, node);
 }
 
+/* Callers are to be sent here. */
+static bool is_ready(const struct entry_daemon *daemon)
+{
+	return entry_ready(daemon->entry, edge_now_us()) &&
+	       !http_server_view(daemon->callers).full;
+}
+
 static void on_ready_request(void *data, struct http_exchange *exchange)
 {
 	struct entry_daemon *daemon = data;
 	bool known = daemon->role.dialect->is_ready_call(
 		http_exchange_head(exchange));
-	bool ready = entry_ready(daemon->entry, edge_now_us());
+	bool ready = is_ready(daemon);
 
 	http_exchange_answer(exchange,
 			     !known  ? 404
@@ -358,11 +366,10 @@
 		"\nfilberthall_requests_passed_total %" PRId64
 		"\nfilberthall_attempts_total %" PRId64
 		"\nfilberthall_connections_opened_total %" PRId64 "\n",
-		entry_ready(daemon->entry, edge_now_us()), view.version,
-		view.staleness_us, view.control_vms, view.servers, view.open,
-		view.submitted, view.refused, view.held, view.served,
-		view.failed, view.passed, view.attempts,
-		http_client_opened(daemon->client));
+		is_ready(daemon), view.version, view.staleness_us,
+		view.control_vms, view.servers, view.open, view.submitted,
+		view.refused, view.held, view.served, view.failed, view.passed,
+		view.attempts, http_client_opened(daemon->client));
 	entry_metrics_documents(out, &view.documents);
 	entry_metrics_histogram(out, "filberthall_first_ms",
 				&view.time_to_first);
@@ -421,12 +428,14 @@
 				  &ready, &ready_hooks, daemon->role.handler);
 	if (!daemon->ready)
 		return RESULT_SETTING_VALUE;
+	http_server_set_most(daemon->ready, descriptors_for_questions());
 	watch_add_listener(&daemon->role.watch, "ready", daemon->ready);
 	daemon->callers =
 		http_server_start(&daemon->role.streams, boot->listen_callers,
 				  &callers, &hooks, daemon->role.handler);
 	if (!daemon->callers)
 		return RESULT_SETTING_VALUE;
+	http_server_set_most(daemon->callers, descriptors_for_requests());
 	watch_add_listener(&daemon->role.watch, "callers", daemon->callers);
 	return RESULT_OK;
 }
--- a/daemon/role/role.c
+++ b/daemon/role/role.c
@@ -9,6 +9,7 @@
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
+#include "daemon/descriptors.h"
 #include "daemon/disk/file.h"
 #include "daemon/secrets.h"
 
@@ -132,6 +133,7 @@
 				  &limits, &hooks, role->handler);
 	if (!role->metrics)
 		return RESULT_SETTING_VALUE;
+	http_server_set_most(role->metrics, descriptors_for_questions());
 	watch_add_listener(&role->watch, "metrics", role->metrics);
 	return RESULT_OK;
 }
