http, entry: a VM's own want of a descriptor isn't its servers' failure

What callers would see: where a VM can't open a socket, each request ended as BACKEND_CONNECT, its server counted as failing and as not reached, and after some of them the VM took the whole service for lost.

What can't be sent all the same ends as NO_DESCRIPTOR (411): not run, 503, and neither health nor reach of the server hear of it.

Tests: /descriptors/own-shortage, /callers-make-room-for-servers and /idle-servers-make-room need the new calls and don't compile before; /entry/own-shortage fails with BACKEND_CONNECT in its place: the request is kept and the server, which wasn't asked, is the one that failed.

--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -1,5 +1,6 @@
 #include "daemon/http/http_client.h"
 
+#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -40,7 +41,8 @@
 };
 
 struct wire_conn {
-	struct list node; /* among the idle ones of its origin, or probes */
+	struct list node;    /* among the idle ones of its origin, or probes */
+	struct list resting; /* among all idle ones */
 	struct http_client *client;
 	struct origin *origin;
 	struct stream *stream;
@@ -74,10 +76,14 @@
 	struct map origins;
 	struct list calls;
 	struct list probes;
+	struct list resting; /* the one used last first */
 	http_client_watcher *watcher;
 	void *watcher_data;
 	int64_t opened;
 	int n_open;
+	int most; /* of n_open */
+	bool (*free_one)(void *data);
+	void *free_data;
 };
 
 static bool origin_match(const struct map_node *node, const void *key)
@@ -108,6 +114,7 @@
 		if (!conn->probe)
 			conn->origin->n_idle--;
 	}
+	list_remove(&conn->resting);
 	http_parse_clear(&conn->parse);
 	ev_timer_stop(conn->client->loop->ev, &conn->timer);
 	stream_free(conn->stream);
@@ -155,10 +162,14 @@
 /* Whatever ended it, a request may have arrived once it was connected. */
 static void wire_lost(struct wire_conn *conn)
 {
-	if (!conn->connected)
+	if (conn->connected) {
+		wire_fail(conn, RESULT_BACKEND_BROKE);
+	} else if (stream_is_short(conn->stream)) {
+		wire_fail(conn, RESULT_NO_DESCRIPTOR);
+	} else {
 		tell_connected(conn);
-	wire_fail(conn, conn->connected ? RESULT_BACKEND_BROKE
-					: RESULT_BACKEND_CONNECT);
+		wire_fail(conn, RESULT_BACKEND_CONNECT);
+	}
 }
 
 static void arm(struct http_client *client, ev_timer *timer, int64_t ms)
@@ -247,6 +258,7 @@
 	}
 	http_parse_next(&conn->parse);
 	list_prepend(&origin->idle, &conn->node);
+	list_prepend(&conn->client->resting, &conn->resting);
 	arm(conn->client, &conn->timer, conn->kept_ms);
 	origin->n_idle++;
 	oldest = list_last(&origin->idle, struct wire_conn, node);
@@ -370,6 +382,35 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
 }
 
+static bool close_longest_idle(struct http_client *client)
+{
+	struct wire_conn *conn =
+		list_last(&client->resting, struct wire_conn, resting);
+
+	if (conn)
+		wire_free(conn);
+	return conn != NULL;
+}
+
+static struct stream *dial(struct http_client *client, struct wire_conn *conn)
+{
+	const char *address = conn->origin->address;
+	struct stream *stream;
+
+	if (client->n_open >= client->most && !close_longest_idle(client))
+		return stream_short(client->loop, &stream_hooks, conn);
+	for (;;) {
+		stream = stream_connect(client->loop, address, READ_MOST,
+					&stream_hooks, conn);
+		if (!stream_is_short(stream))
+			return stream;
+		if (!close_longest_idle(client) &&
+		    !(client->free_one && client->free_one(client->free_data)))
+			return stream;
+		stream_free(stream);
+	}
+}
+
 static struct wire_conn *wire_new(struct http_client *client,
 				  struct origin *origin)
 {
@@ -378,12 +419,12 @@
 	conn->client = client;
 	conn->origin = origin;
 	list_init(&conn->node);
+	list_init(&conn->resting);
 	ev_timer_init(&conn->timer, on_conn_timer, 0, 0);
 	conn->timer.data = conn;
 	http_parse_init(&conn->parse, HTTP_RESPONSE, HEAD_BYTES, &parse_hooks,
 			conn);
-	conn->stream = stream_connect(client->loop, origin->address, READ_MOST,
-				      &stream_hooks, conn);
+	conn->stream = dial(client, conn);
 	if (stream_fd(conn->stream) >= 0)
 		set_options(stream_fd(conn->stream), client->options.silent_ms);
 	arm(client, &conn->timer, client->options.connect_ms);
@@ -401,6 +442,7 @@
 
 	if (conn && !request->fresh) {
 		list_remove(&conn->node);
+		list_remove(&conn->resting);
 		origin->n_idle--;
 		ev_timer_stop(client->loop->ev, &conn->timer);
 		return conn;
@@ -495,9 +537,11 @@
 
 	client->loop = loop;
 	client->options = *options;
+	client->most = INT_MAX;
 	map_init(&client->origins);
 	list_init(&client->calls);
 	list_init(&client->probes);
+	list_init(&client->resting);
 	return client;
 }
 
@@ -508,6 +552,14 @@
 	client->watcher_data = data;
 }
 
+void http_client_bound(struct http_client *client, int most,
+		       bool (*free_one)(void *data), void *data)
+{
+	client->most = most;
+	client->free_one = free_one;
+	client->free_data = data;
+}
+
 void http_client_free(struct http_client *client)
 {
 	struct http_call *call;
--- a/daemon/http/http_client.h
+++ b/daemon/http/http_client.h
@@ -44,8 +44,9 @@
 	void (*body)(void *data, const char *piece, size_t len); /**< or NULL */
 	/**
 	 * The call is over and freed after this. RESULT_OK once the answer is
-	 * whole; BACKEND_CONNECT if nothing was sent; BACKEND_TIMEOUT;
-	 * BACKEND_BROKE if the answer is missing or cut.
+	 * whole; BACKEND_CONNECT if nothing was sent; NO_DESCRIPTOR if that was
+	 * for want of one here; BACKEND_TIMEOUT; BACKEND_BROKE if the answer is
+	 * missing or cut.
 	 */
 	void (*end)(void *data, enum result code, bool sent);
 };
@@ -64,13 +65,21 @@
 				    const struct http_client_options *options);
 
 /**
- * A new connection stands, or can't be made. Nothing of the client may be
- * called from there.
+ * A new connection stands, or can't be made; one that wasn't tried for want of
+ * a descriptor says nothing. Nothing of the client may be called from there.
  */
 typedef void http_client_watcher(void *data, const char *address, bool stands);
 void http_client_watch(struct http_client *client, http_client_watcher *watcher,
 		       void *data);
 
+/**
+ * Bound the connections to all addresses; beyond it the one that has been idle
+ * longest is closed. Where the system has no descriptor and none is idle,
+ * `free_one` is to free one elsewhere; false if it can't.
+ */
+void http_client_bound(struct http_client *client, int most,
+		       bool (*free_one)(void *data), void *data);
+
 /** Ends all calls without telling. */
 void http_client_free(struct http_client *client);
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -389,6 +389,13 @@
 	ev_feed_event(daemon->role.ev, &daemon->tick, EV_TIMER);
 }
 
+static bool on_no_descriptor(void *data)
+{
+	struct entry_daemon *daemon = data;
+
+	return http_server_close_longest_idle(daemon->callers);
+}
+
 static void make_client(struct entry_daemon *daemon)
 {
 	struct http_client_options options = {
@@ -400,6 +407,8 @@
 
 	daemon->client = http_client_new(&daemon->role.streams, &options);
 	http_client_watch(daemon->client, on_connection, daemon);
+	http_client_bound(daemon->client, descriptors_for_servers(),
+			  on_no_descriptor, daemon);
 	daemon->role.watch.client = daemon->client;
 	daemon->host.dialect = daemon->role.dialect;
 	daemon->host.client = daemon->client;
--- a/libfilberthall/base/result.h
+++ b/libfilberthall/base/result.h
@@ -36,6 +36,7 @@
 	X(408, STALE, 503, "this VM is cut off from the others")              \
 	X(409, VERSION_GONE, 503, "no server has the stream's version")       \
 	X(410, STREAM_UNKNOWN, 503, "it isn't known where the stream began")  \
+	X(411, NO_DESCRIPTOR, 503, "this VM has no descriptor free")          \
 	X(501, BACKEND_CONNECT, 502, "the backend server can't be reached")   \
 	X(502, BACKEND_TIMEOUT, 504, "the backend server was too slow")       \
 	X(503, BACKEND_BROKE, 502, "the backend server broke off")            \
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -464,7 +464,8 @@
 	pool = request->queue->pool;
 	if (ended->sent || attempt->sent)
 		request->may_have_run = true;
-	if (ended->sent || ended->code != RESULT_BACKEND_CONNECT)
+	if (ended->sent || (ended->code != RESULT_BACKEND_CONNECT &&
+			    ended->code != RESULT_NO_DESCRIPTOR))
 		request->reached_server = true;
 	attempt_update_health(router, attempt, ended, now_us, effects);
 	router_span(router, request, "attempt", attempt->started_us, now_us,
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -503,6 +503,27 @@
 	bed_end(&bed);
 }
 
+/* A VM without a descriptor takes its servers for failed ones. */
+static void test_own_shortage(void)
+{
+	struct bed bed;
+	uint64_t id;
+	int i;
+
+	bed_start(&bed);
+	for (i = 0; i < 20; i++) {
+		id = bed_ask(&bed, "/lodge/7", "k1");
+		g_assert_cmpuint(bed.started, ==, id);
+		bed_end_attempt(&bed, id, RESULT_NO_DESCRIPTOR, 0, false);
+		bed_check_refused(&bed, id, RESULT_NO_DESCRIPTOR);
+	}
+	id = bed_ask(&bed, "/lodge/7", "k1");
+	g_assert_cmpuint(bed.started, ==, id);
+	bed_end_attempt(&bed, id, RESULT_OK, 200, true);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -531,5 +552,6 @@
 	g_test_add_func("/entry/server-of-yesterday", test_server_of_yesterday);
 	g_test_add_func("/entry/forgotten-server", test_forgotten_server);
 	g_test_add_func("/entry/moved", test_moved);
+	g_test_add_func("/entry/own-shortage", test_own_shortage);
 	return g_test_run();
 }
--- a/tests/path/t-descriptors.c
+++ b/tests/path/t-descriptors.c
@@ -247,6 +247,145 @@
 	acceptor_close(&acceptor);
 }
 
+/* A call of the client's to a listener that answers nothing. */
+struct quiet_call {
+	struct http_call *call;
+	enum result code;
+	bool over;
+	bool sent;
+};
+
+static void on_head(void *data, const struct http_head *head)
+{
+}
+
+static void on_end(void *data, enum result code, bool sent)
+{
+	struct quiet_call *call = data;
+
+	call->over = true;
+	call->code = code;
+	call->sent = sent;
+}
+
+static const struct http_call_hooks call_hooks = { on_head, NULL, on_end };
+
+static void ask(struct bed *bed, struct quiet_call *call)
+{
+	char *address = xstrfmt("127.0.0.1:%d", http_server_port(bed->server));
+	struct bytes head = { 0 };
+	struct http_call_request request = { .address = address,
+					     .head = &head,
+					     .timeout_ms = 2000 };
+
+	memset(call, 0, sizeof(*call));
+	bytes_append_text(&head, REQUEST);
+	call->call = http_call_start(bed->client, &request, &call_hooks, call);
+	bytes_clear(&head);
+	g_free(address);
+}
+
+static void on_connection(void *data, const char *address, bool stands)
+{
+	int *told = data;
+
+	told[stands]++;
+}
+
+static bool free_none(void *data)
+{
+	return false;
+}
+
+static bool free_descriptor(void *data)
+{
+	int *spare = data;
+
+	if (*spare < 0)
+		return false;
+	close(*spare);
+	*spare = -1;
+	return true;
+}
+
+/* A VM's own shortage is told as a server that can't be reached. */
+static void test_own_shortage(void)
+{
+	struct quiet_call calls[2];
+	int told[2] = { 0 };
+	struct bed bed;
+
+	bed_start(&bed);
+	http_client_watch(bed.client, on_connection, told);
+	http_client_bound(bed.client, 1, free_none, NULL);
+	ask(&bed, &calls[0]);
+	ask(&bed, &calls[1]);
+	bed_run(&bed, &calls[1].over);
+	g_assert_cmpint(calls[1].code, ==, RESULT_NO_DESCRIPTOR);
+	g_assert_false(calls[1].sent);
+	http_client_probe(bed.client, "127.0.0.1:1");
+	bed_run(&bed, NULL);
+	g_assert_cmpint(told[false], ==, 0);
+	g_assert_cmpint(told[true], ==, 1);
+	bed_end(&bed);
+}
+
+/* Without a descriptor no server can be reached, though callers hold some. */
+static void test_callers_make_room_for_servers(void)
+{
+	struct quiet_call call;
+	struct bed bed;
+	rlim_t before;
+	int spare;
+
+	bed_start(&bed);
+	spare = dup(STDERR_FILENO);
+	http_client_bound(bed.client, 9, free_descriptor, &spare);
+	before = take_all_descriptors();
+	ask(&bed, &call);
+	give_back(before);
+	g_assert_cmpint(spare, ==, -1);
+	run_until_asked(&bed, 1);
+	g_assert_false(call.over);
+	bed_end(&bed);
+}
+
+/* Idle connections to other servers keep a request from its server. */
+static void test_idle_servers_make_room(void)
+{
+	struct quiet_call call;
+	struct bed other;
+	struct bed bed;
+	char *address;
+	struct bytes head = { 0 };
+	struct http_call_request request = { .head = &head,
+					     .timeout_ms = 2000 };
+
+	bed_start(&bed);
+	http_client_bound(bed.client, 1, free_none, NULL);
+	ask(&bed, &call);
+	run_until_asked(&bed, 1);
+	http_exchange_answer(bed.exchange, 200, "Keep-Alive: timeout=9\r\n",
+			     NULL);
+	bed_run(&bed, &call.over);
+	g_assert_cmpint(call.code, ==, RESULT_OK);
+	g_assert_cmpint(http_client_open(bed.client), ==, 1);
+	bed_start(&other);
+	address = xstrfmt("127.0.0.1:%d", http_server_port(other.server));
+	request.address = address;
+	bytes_append_text(&head, REQUEST);
+	memset(&call, 0, sizeof(call));
+	http_call_start(bed.client, &request, &call_hooks, &call);
+	bed_run(&bed, NULL);
+	run_until_asked(&other, 1);
+	g_assert_false(call.over);
+	g_assert_cmpint(http_client_open(bed.client), ==, 1);
+	bytes_clear(&head);
+	g_free(address);
+	bed_end(&bed);
+	bed_end(&other);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -261,5 +400,10 @@
 			test_idle_make_room_without_descriptor);
 	g_test_add_func("/descriptors/accept-never-waits",
 			test_accept_never_waits);
+	g_test_add_func("/descriptors/own-shortage", test_own_shortage);
+	g_test_add_func("/descriptors/callers-make-room-for-servers",
+			test_callers_make_room_for_servers);
+	g_test_add_func("/descriptors/idle-servers-make-room",
+			test_idle_servers_make_room);
 	return g_test_run();
 }
