core: refuse a message that claims more than it holds, for all readers

What would be seen: a message of 56 bytes from another VM has msgpack allocate for 111 million items, and a VM with a limit of memory may end. The log's codec has checked claims before reading; the readers of feeds, shares, members, raft, announcements and digests asked the library straight away.

The check moves from agree/codec.c to core/pack.c as unpack_next(), and all readers use it.

--- a/libfilberthall/agree/member.c
+++ b/libfilberthall/agree/member.c
@@ -197,9 +197,8 @@
 	bool ok;
 
 	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, data, len, &offset) ==
-		     MSGPACK_UNPACK_SUCCESS &&
-	     offset == len && members_read(members, &unpacked.data);
+	ok = unpack_next(&unpacked, data, len, &offset) && offset == len &&
+	     members_read(members, &unpacked.data);
 	msgpack_unpacked_destroy(&unpacked);
 	if (!ok)
 		members_clear(members);
--- a/libfilberthall/agree/raft_message.c
+++ b/libfilberthall/agree/raft_message.c
@@ -260,9 +260,8 @@
 
 	memset(message, 0, sizeof(*message));
 	msgpack_unpacked_init(&unpacked);
-	ok = msgpack_unpack_next(&unpacked, data, len, &offset) ==
-		     MSGPACK_UNPACK_SUCCESS &&
-	     offset == len && raft_read_fields(&unpacked.data, message);
+	ok = unpack_next(&unpacked, data, len, &offset) && offset == len &&
+	     raft_read_fields(&unpacked.data, message);
 	msgpack_unpacked_destroy(&unpacked);
 	if (!ok)
 		raft_message_clear(message);
--- a/libfilberthall/core/pack.h
+++ b/libfilberthall/core/pack.h
@@ -17,6 +17,15 @@
 void pack_text(msgpack_packer *packer, const char *text);
 void pack_bytes(msgpack_packer *packer, const void *data, size_t len);
 
+/**
+ * Read the item at `*at` and move behind it. An item that claims more items or
+ * bytes than follow is refused before memory is allocated for them.
+ *
+ * Returns false if it isn't complete; `message` is to be destroyed in any case.
+ */
+bool unpack_next(msgpack_unpacked *message, const void *data, size_t len,
+		 size_t *at);
+
 /** A decoded message; its items point into msgpack's memory zone. */
 struct unpacked {
 	msgpack_unpacked message;
--- a/libfilberthall/fleet/backend_pack.c
+++ b/libfilberthall/fleet/backend_pack.c
@@ -175,13 +175,13 @@
 	const struct field *fields;
 	msgpack_unpacked unpacked;
 	struct event event = { 0 };
+	size_t at = 0;
 	size_t n;
 	size_t i;
 
 	fields = event_fields(EVENT_ANNOUNCE, &n);
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, len, NULL) !=
-	    MSGPACK_UNPACK_SUCCESS)
+	if (!unpack_next(&unpacked, data, len, &at))
 		goto out;
 	if (unpacked.data.type != MSGPACK_OBJECT_ARRAY ||
 	    unpacked.data.via.array.size != n)
--- a/libfilberthall/fleet/digest.c
+++ b/libfilberthall/fleet/digest.c
@@ -150,8 +150,7 @@
 	size_t i;
 
 	msgpack_unpacked_init(&message);
-	if (msgpack_unpack_next(&message, data, len, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
+	if (!unpack_next(&message, data, len, &at) ||
 	    message.data.type != MSGPACK_OBJECT_ARRAY ||
 	    message.data.via.array.size % DIGEST_ITEMS)
 		goto out;
--- a/libfilberthall/load/share_message.c
+++ b/libfilberthall/load/share_message.c
@@ -277,11 +277,10 @@
 	msgpack_unpacked unpacked;
 	struct row message = { 0 };
 	bool good = false;
+	size_t at = 0;
 
 	msgpack_unpacked_init(&unpacked);
-	if (body->len &&
-	    msgpack_unpack_next(&unpacked, body->data, body->len, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
+	if (unpack_next(&unpacked, body->data, body->len, &at) &&
 	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
 		message.array = &unpacked.data.via.array;
 		good = read_message(&message, reader);
