--- a/daemon/acceptor.c
+++ b/daemon/acceptor.c
@@ -8,10 +8,34 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+int acceptor_listen(const struct address *address, int backlog, int *port)
+{
+	struct address bound = { .len = sizeof(bound.storage) };
+	int one = 1;
+	int saved;
+	int fd;
+
+	fd = socket(address->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)&address->storage,
+		 address->len) ||
+	    listen(fd, backlog) ||
+	    getsockname(fd, (struct sockaddr *)&bound.storage, &bound.len)) {
+		saved = errno;
+		close(fd);
+		errno = saved;
+		return -1;
+	}
+	*port = address_port(&bound);
+	return fd;
+}
+
 bool acceptor_open(struct acceptor *acceptor, const struct address *address,
 		   int backlog)
 {
-	acceptor->fd = address_listen(address, backlog, &acceptor->port);
+	acceptor->fd = acceptor_listen(address, backlog, &acceptor->port);
 	if (acceptor->fd < 0)
 		return false;
 	return !fcntl(acceptor->fd, F_SETFL, O_NONBLOCK);
--- a/daemon/acceptor.h
+++ b/daemon/acceptor.h
@@ -5,7 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "daemon/address.h"
+#include "base/address.h"
 
 /**
  * A listening socket and what became of the connections that came in there.
@@ -27,6 +27,13 @@
 	int queued; /**< that wait in the listen queue; -1 if unknown */
 };
 
+/**
+ * A listening socket, close-on-exec.
+ *
+ * `*port` is the port really bound. Returns -1 with errno set on failure.
+ */
+int acceptor_listen(const struct address *address, int backlog, int *port);
+
 /** Listen, without ever waiting in acceptor_take(); false with errno set. */
 bool acceptor_open(struct acceptor *acceptor, const struct address *address,
 		   int backlog);
--- a/daemon/http/adapter_announce.c
+++ b/daemon/http/adapter_announce.c
@@ -3,10 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
 #include "base/cleanup.h"
 #include "daemon/http/adapter.h"
-#include "daemon/address.h"
 
 /* What backend servers and the platform tell of themselves. */
 
--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -7,10 +7,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
 #include "base/list.h"
 #include "base/map.h"
-#include "daemon/address.h"
 
 /* Of an answer's head; ours are a tenth of it. */
 #define HEAD_BYTES (64 * 1024)
--- a/daemon/http/http_in.c
+++ b/daemon/http/http_in.c
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "base/alloc.h"
-#include "daemon/address.h"
+#include "daemon/acceptor.h"
 #include "daemon/descriptors.h"
 #include "daemon/http/http_call.h"
 
@@ -146,7 +146,7 @@
 			     "%s: not an address IP:port", text);
 		return -1;
 	}
-	fd = address_listen(&address, LISTEN_BACKLOG, &listener->port);
+	fd = acceptor_listen(&address, LISTEN_BACKLOG, &listener->port);
 	if (fd < 0)
 		error_report(handler, RESULT_SETTING_VALUE, "%s: %s", text,
 			     strerror(errno));
--- a/daemon/http/pool.c
+++ b/daemon/http/pool.c
@@ -7,9 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
 #include "base/cleanup.h"
-#include "daemon/address.h"
 #include "daemon/descriptors.h"
 
 struct pool_address {
--- a/daemon/http/stream.c
+++ b/daemon/http/stream.c
@@ -7,8 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
-#include "daemon/address.h"
 
 #define READ_BYTES (16 * 1024)
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -7,8 +7,8 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
-#include "daemon/address.h"
 #include "daemon/descriptors.h"
 #include "daemon/role/entry_metrics.h"
 #include "daemon/role/relay.h"
--- a/daemon/address.c
+++ b/libfilberthall/base/address.c
@@ -1,11 +1,9 @@
-#include "daemon/address.h"
+#include "base/address.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "base/alloc.h"
 #include "base/cleanup.h"
@@ -102,26 +100,22 @@
 	return text;
 }
 
-int address_listen(const struct address *address, int backlog, int *port)
+static bool is_unicast_ipv4(uint32_t ip)
 {
-	struct address bound = { .len = sizeof(bound.storage) };
-	int one = 1;
-	int saved;
-	int fd;
-
-	fd = socket(address->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)&address->storage,
-		 address->len) ||
-	    listen(fd, backlog) ||
-	    getsockname(fd, (struct sockaddr *)&bound.storage, &bound.len)) {
-		saved = errno;
-		close(fd);
-		errno = saved;
-		return -1;
-	}
-	*port = address_port(&bound);
-	return fd;
+	return ip >> 24 != 0 && ip >> 28 < 0xe;
+}
+
+bool address_is_unicast(const struct address *address)
+{
+	const struct sockaddr_storage *storage = &address->storage;
+	const struct in6_addr *ip;
+
+	if (!address_port(address))
+		return false;
+	if (storage->ss_family == AF_INET)
+		return is_unicast_ipv4(
+			ntohl(((const struct sockaddr_in *)storage)
+				      ->sin_addr.s_addr));
+	ip = &((const struct sockaddr_in6 *)storage)->sin6_addr;
+	return !IN6_IS_ADDR_UNSPECIFIED(ip) && !IN6_IS_ADDR_MULTICAST(ip);
 }
--- a/daemon/address.h
+++ b/libfilberthall/base/address.h
@@ -1,5 +1,5 @@
-#ifndef FILBERTHALL_DAEMON_ADDRESS_H
-#define FILBERTHALL_DAEMON_ADDRESS_H
+#ifndef FILBERTHALL_BASE_ADDRESS_H
+#define FILBERTHALL_BASE_ADDRESS_H
 
 #include <stdbool.h>
 #include <sys/socket.h>
@@ -24,11 +24,7 @@
 
 int address_port(const struct address *address);
 
-/**
- * A listening socket, close-on-exec.
- *
- * `*port` is the port really bound. Returns -1 with errno set on failure.
- */
-int address_listen(const struct address *address, int backlog, int *port);
+/** Whether it names one host and a port, so that it can be connected to. */
+bool address_is_unicast(const struct address *address);
 
 #endif
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -12,6 +12,9 @@
 /* A record that is to be kept for longer is malformed. */
 #define FEED_AFFINITY_US_MOST INT64_C(86400000000)
 
+/* What has been heard longer ago than ten years is malformed. */
+#define FEED_AGE_US_MOST INT64_C(315360000000000)
+
 /* Items in a list of one message; a larger one is malformed. */
 #define FEED_LIST_MOST 16384
 
@@ -43,6 +46,12 @@
 	return true;
 }
 
+static bool read_age(const struct unpacked *items, size_t i, int64_t *age_us)
+{
+	return unpack_int(items, i, age_us) && *age_us >= -FEED_AGE_US_MOST &&
+	       *age_us <= FEED_AGE_US_MOST;
+}
+
 static void read_reach(const struct unpacked *items, struct feed_reach *reach)
 {
 	size_t i;
@@ -67,7 +76,7 @@
 
 static bool read_marks(const struct unpacked *items, struct feed_marks *marks)
 {
-	return unpack_int(items, 1, &marks->age_us) &&
+	return read_age(items, 1, &marks->age_us) &&
 	       unpack_bytes(items, 2, &marks->bytes, &marks->len) &&
 	       marks->len % REGISTRATION_SHORT_ID_BYTES == 0;
 }
@@ -77,7 +86,7 @@
 {
 	int64_t unpacked;
 
-	if (!unpack_int(items, 1, &bundle->age_us) ||
+	if (!read_age(items, 1, &bundle->age_us) ||
 	    !unpack_int(items, 2, &unpacked) || unpacked < 0 ||
 	    unpacked > FEED_DOCUMENT_MOST)
 		return false;
@@ -221,7 +230,7 @@
 	       read_flag(items, 9, &told->cheap) &&
 	       read_flag(items, 10, &told->leaving) &&
 	       read_flag(items, 11, &told->gone) &&
-	       unpack_int(items, 12, age_us);
+	       read_age(items, 12, age_us) && registration_is_usable(told);
 }
 
 static bool read_end(const struct unpacked *items, struct registry_end *end)
@@ -252,7 +261,7 @@
 
 		if (!feed_read_name(items, 3 * i + 1, alive->id) ||
 		    !unpack_int(items, 3 * i + 2, &alive->started_ms) ||
-		    !unpack_int(items, 3 * i + 3, &alive->age_us))
+		    !read_age(items, 3 * i + 3, &alive->age_us))
 			return false;
 	}
 	return true;
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "base/alloc.h"
 
 /* A version that a service's servers have or lately had. */
@@ -13,6 +14,26 @@
 	int64_t seen_us;
 };
 
+static bool is_number(int64_t value, int64_t most)
+{
+	return value >= 0 && value <= most;
+}
+
+bool registration_is_usable(const struct registration *registration)
+{
+	struct address address;
+
+	return registration->id[0] && registration->service[0] &&
+	       registration->zone[0] &&
+	       address_parse(&address, registration->address) &&
+	       address_is_unicast(&address) &&
+	       is_number(registration->started_ms, REGISTRATION_NUMBER_MOST) &&
+	       is_number(registration->sequence, REGISTRATION_NUMBER_MOST) &&
+	       is_number(registration->leaves_ms, REGISTRATION_NUMBER_MOST) &&
+	       is_number(registration->cold_ms, REGISTRATION_NUMBER_MOST) &&
+	       is_number(registration->slots, REGISTRATION_SLOTS_MOST);
+}
+
 static bool id_match(const struct map_node *node, const void *key)
 {
 	return !strcmp(container_of(node, struct registry_entry, node)
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -41,6 +41,17 @@
 	bool gone;	    /**< this start has ended for good */
 };
 
+/** Numbers of a registration at most, and its slots. */
+#define REGISTRATION_NUMBER_MOST (INT64_C(1) << 50)
+#define REGISTRATION_SLOTS_MOST 65536
+
+/**
+ * Whether it names a server that requests can be sent to. Others write
+ * registrations too, and other releases pass them on: what isn't usable is left
+ * out wherever it comes from.
+ */
+bool registration_is_usable(const struct registration *registration);
+
 /** What a server in need says of the requests that it takes. */
 struct server_limit {
 	double per_s;	   /**< from all VMs together; or SERVER_LIMIT_NONE */
--- a/tests/control/group_calls.c
+++ b/tests/control/group_calls.c
@@ -217,9 +217,13 @@
 	struct registration told = { .started_ms = 100,
 				     .sequence = sequence,
 				     .slots = 4 };
+	uint64_t hash = map_hash_text(id);
 
 	g_strlcpy(told.id, id, sizeof(told.id));
-	g_strlcpy(told.address, id, sizeof(told.address));
+	g_snprintf(told.address, sizeof(told.address), "10.%u.%u.%u:%u",
+		   (unsigned int)(hash >> 56), (unsigned int)(hash >> 48 & 255),
+		   (unsigned int)(hash >> 40 & 255),
+		   (unsigned int)(1024 + hash % 60000));
 	g_strlcpy(told.service, "desk", sizeof(told.service));
 	g_strlcpy(told.zone, "z1", sizeof(told.zone));
 	group_announce(group, at, &told);
--- a/tests/path/t-thread-link.c
+++ b/tests/path/t-thread-link.c
@@ -4,7 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "daemon/address.h"
+#include "base/address.h"
 #include "daemon/link/link.h"
 #include "daemon/link/link_frame.h"
 #include "harness.h"
