role: read settings again that couldn't be read

A change of the settings file that came while no file could be opened was lost for good: the file's time was noted before it was read, and the read's failure was only logged. Seeds named there were never dialled. Now the time is noted once the file has been read, and what a failed read had taken is freed.

tests/e2e/descriptors.t takes all descriptors from an entry VM, changes its settings and gives them back: "they are read once they can be" failed before, and passes.

--- a/daemon/role/role.c
+++ b/daemon/role/role.c
@@ -56,9 +56,21 @@
 	       stat_buffer.st_mtim.tv_nsec / 1000 + stat_buffer.st_size;
 }
 
-/* Seeds and regions may change while a daemon runs; all else holds. */
+static void follow_settings(struct role *role, const struct boot *boot)
+{
+	if (role->links)
+		add_seeds(role, boot);
+	if (role->reloaded)
+		role->reloaded(role->data, boot);
+}
+
+/*
+ * Seeds and regions may change while a daemon runs; all else holds. What
+ * couldn't be read is read again.
+ */
 static void reload(struct role *role)
 {
+	int64_t mtime_us = settings_mtime_us(role);
 	struct boot boot;
 	enum result code;
 
@@ -66,31 +78,21 @@
 	log_line(role->log, code ? LOG_WARN : LOG_INFO, "daemon",
 		 "event=reload code=%s seeds=%d", result_name(code),
 		 boot.n_seeds);
-	if (code)
-		return;
-	if (role->links)
-		add_seeds(role, &boot);
-	if (role->reloaded)
-		role->reloaded(role->data, &boot);
+	role->settings_mtime_us = code ? -1 : mtime_us;
+	if (!code)
+		follow_settings(role, &boot);
 	boot_clear(&boot);
 }
 
 static void check_settings(struct role *role)
 {
-	int64_t mtime_us = settings_mtime_us(role);
-
-	if (mtime_us == role->settings_mtime_us)
-		return;
-	role->settings_mtime_us = mtime_us;
-	reload(role);
+	if (settings_mtime_us(role) != role->settings_mtime_us)
+		reload(role);
 }
 
 static void on_hup(struct ev_loop *ev, ev_signal *signal, int events)
 {
-	struct role *role = signal->data;
-
-	role->settings_mtime_us = settings_mtime_us(role);
-	reload(role);
+	reload(signal->data);
 }
 
 static void on_settings_timer(struct ev_loop *ev, ev_timer *timer, int events)
--- a/tests/e2e/descriptors.t
+++ b/tests/e2e/descriptors.t
@@ -104,6 +104,18 @@
 check "the VM is at rest" is_calm entry-1
 release links
 
+# A change of the settings that comes while no file can be opened.
+reloaded() {
+	tail -n "+$1" "$WORK/entry-1.log" | grep -q "event=reload code=$2"
+}
+lines=$(wc -l <"$WORK/entry-1.log")
+prlimit --pid "$(cat "$WORK/entry-1.pid")" --nofile=3:
+echo "# changed" >>"$WORK/entry-1.boot"
+check "settings can't be read" wait_for 10 reloaded "$lines" SETTING_VALUE
+prlimit --pid "$(cat "$WORK/entry-1.pid")" --nofile=400:
+check "they are read once they can be" wait_for 10 reloaded "$lines" OK
+is "callers are answered after it" "$(answered 8 /read)" 8
+
 for n in 1 2 3 4 5
 do
 	hold operators-$n "$(roles_operators $n)" || :
