entry: a planned stop waits for the last answers to be written

Cause: check_stop() asks whether calls are open; a call ends when its answer is handed to the connection, and the process ended with the bytes unwritten. Now it ends when all is written or its grace is over, whichever is first, looks each 20 ms, and logs how many answers and bytes are cut then (event=stopped). The memory that such answers take is what it was: a server's answer is read as it comes.

--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -479,6 +479,19 @@
 			conn_free(conn);
 }
 
+struct http_server_unwritten
+http_server_unwritten(const struct http_server *server)
+{
+	struct http_server_unwritten unwritten = { 0 };
+	const struct conn *conn;
+
+	list_foreach(conn, &server->conns, node) {
+		unwritten.bytes += stream_unwritten(conn->stream);
+		unwritten.connections += stream_unwritten(conn->stream) > 0;
+	}
+	return unwritten;
+}
+
 void http_server_stop(struct http_server *server)
 {
 	struct conn *conn;
--- a/daemon/http/http_server.h
+++ b/daemon/http/http_server.h
@@ -81,6 +81,14 @@
  */
 void http_server_close_idle(struct http_server *server);
 
+/** Bytes of answers that wait to be written, and of how many connections. */
+struct http_server_unwritten {
+	size_t bytes;
+	int connections;
+};
+struct http_server_unwritten
+http_server_unwritten(const struct http_server *server);
+
 /** Close everything. */
 void http_server_stop(struct http_server *server);
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -36,6 +36,9 @@
 /* What is left of the grace for closing and exiting once it is nearly over. */
 #define STOP_MARGIN_MS 250
 
+/* How often a stop looks whether the last answers are written. */
+#define STOP_LOOK_S 0.02
+
 struct entry_daemon {
 	struct role role;
 	struct entry *entry;
@@ -48,6 +51,8 @@
 	int64_t version; /* of the document whose limits hold */
 	ev_timer tick;
 	ev_timer close_idle;
+	ev_timer last_answers;
+	int64_t stop_us; /* latest end of a planned stop */
 	struct effects effects;
 	bool carrying_out;
 };
@@ -132,7 +137,7 @@
 		http_client_probe(daemon->client, effect->u.probe.address);
 		break;
 	case EFFECT_EXIT:
-		role_exit(&daemon->role);
+		ev_timer_start(daemon->role.ev, &daemon->last_answers);
 		break;
 	default:
 		role_carry_out(&daemon->role, effect);
@@ -322,6 +327,21 @@
 	ev_timer_start(ev, timer);
 }
 
+/* Callers who read slowly still get what has been handed over for them. */
+static void on_last_answers(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct entry_daemon *daemon = timer->data;
+	struct http_server_unwritten unwritten =
+		http_server_unwritten(daemon->callers);
+
+	if (unwritten.bytes && edge_now_us() < daemon->stop_us)
+		return;
+	log_line(daemon->role.log, unwritten.bytes ? LOG_WARN : LOG_INFO,
+		 "daemon", "event=stopped cut_answers=%d cut_bytes=%zu",
+		 unwritten.connections, unwritten.bytes);
+	role_exit(&daemon->role);
+}
+
 static void on_close_idle(struct ev_loop *ev, ev_timer *timer, int events)
 {
 	struct entry_daemon *daemon = timer->data;
@@ -342,6 +362,7 @@
 	ev_timer_start(daemon->role.ev, &daemon->close_idle);
 
 	http_server_wind_down(daemon->callers);
+	daemon->stop_us = edge_now_us() + (grace_ms - STOP_MARGIN_MS) * 1000;
 	entry_stop(daemon->entry, edge_now_us(),
 		   (grace_ms - STOP_MARGIN_MS) * 1000, &daemon->effects);
 	carry_out_all(daemon);
@@ -560,6 +581,9 @@
 	if (!code) {
 		ev_timer_init(&daemon.tick, on_tick, 0, 0);
 		daemon.tick.data = &daemon;
+		ev_timer_init(&daemon.last_answers, on_last_answers, 0,
+			      STOP_LOOK_S);
+		daemon.last_answers.data = &daemon;
 		ev_timer_start(daemon.role.ev, &daemon.tick);
 		log_line(daemon.role.log, LOG_INFO, "daemon",
 			 "event=start role=entry callers=%s links=%s",
--- a/tests/e2e/cut_heads.py
+++ b/tests/e2e/cut_heads.py
@@ -11,11 +11,12 @@
 """
 import asyncio
 import itertools
-import json
 import os
 import sys
 import time
 
+from rawsite import announce, read_body, read_head, request_text
+
 ENTRY = sys.argv[1].rsplit(":", 1)
 CONTROLS = [text.rsplit(":", 1) for text in sys.argv[2:]]
 SERVERS = 128
@@ -53,17 +54,6 @@
     return place if place >= 0 else len(head) + place
 
 
-async def read_head(reader):
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode().split("\r\n")
-    fields = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            fields[name.strip().lower()] = value.strip()
-    return lines[0], fields
-
-
 def end(writer, how):
     if how == "reset":
         writer.transport.abort()
@@ -128,71 +118,10 @@
         return False
 
 
-async def announce(name, service, port, started):
-    for sequence in itertools.count(1):
-        body = json.dumps(
-            {
-                "service": service,
-                "address": f"127.0.0.1:{port}",
-                "zone": "z1",
-                "version": "v1",
-                "slots": 32,
-                "state": "ready",
-                "sequence": sequence,
-                "born": started,
-            }
-        )
-        host, at = CONTROLS[sequence % len(CONTROLS)]
-        try:
-            reader, writer = await asyncio.open_connection(host, int(at))
-            writer.write(
-                (
-                    f"PUT /filberthall/instances/{name} HTTP/1.1\r\n"
-                    f"Host: c\r\nContent-Length: {len(body)}\r\n\r\n{body}"
-                ).encode()
-            )
-            await read_head(reader)
-            writer.close()
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        await asyncio.sleep(0.4)
-
-
-async def read_body(reader, fields):
-    """The body, and whether it came whole."""
-    if "content-length" in fields:
-        length = int(fields["content-length"])
-        body = await reader.read(length) if length else b""
-        while len(body) < length:
-            more = await reader.read(length - len(body))
-            if not more:
-                return body, False
-            body += more
-        return body, True
-    body = b""
-    if fields.get("transfer-encoding") != "chunked":
-        return await reader.read(), True
-    while True:
-        size = int((await reader.readuntil(b"\r\n")).decode(), 16)
-        piece = await reader.readexactly(size + 2)
-        if not size:
-            return body, True
-        body += piece[:-2]
-
-
 async def ask(path, name):
-    method, body = ("GET", "") if "/read/" in path else ("POST", "x")
     try:
         reader, writer = await asyncio.open_connection(ENTRY[0], int(ENTRY[1]))
-        writer.write(
-            (
-                f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
-                "Authorization: Bearer k1\r\n"
-                f"Filberthall-Attempt-Id: {name}\r\n"
-                "Filberthall-Deadline-Ms: 3000\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n{body}"
-            ).encode()
-        )
+        writer.write(request_text(path, name, 3000))
         line, fields = await asyncio.wait_for(read_head(reader), 6)
         status = int(line.split()[1])
         got, whole = await asyncio.wait_for(read_body(reader, fields), 6)
@@ -242,7 +171,9 @@
         service = "scribe" if nth % 2 else "desk"
         name = f"raw-{nth}"
         tasks.append(
-            asyncio.create_task(announce(name, service, port, started))
+            asyncio.create_task(
+                announce(CONTROLS, name, service, port, started)
+            )
         )
     for service, path in (("desk", "/read/"), ("scribe", "/stream/r/")):
         for nth in range(1000):
