daemon: one loop that takes connections, for callers and links

The two listeners took connections by the same loop, written twice; it is acceptor_take_some() now, with hooks for what differs.

--- a/daemon/acceptor.c
+++ b/daemon/acceptor.c
@@ -8,6 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Connections taken before others are served. */
+#define ACCEPTS_AT_ONCE 64
+
 int acceptor_listen(const struct address *address, int backlog, int *port)
 {
 	struct address bound = { .len = sizeof(bound.storage) };
@@ -98,6 +101,32 @@
 	return result;
 }
 
+bool acceptor_take_some(struct acceptor *acceptor,
+			const struct acceptor_hooks *hooks, void *data)
+{
+	int fd;
+	int i;
+
+	for (i = 0; i < ACCEPTS_AT_ONCE && hooks->has_room(data); i++) {
+		switch (acceptor_take(acceptor, &fd)) {
+		case ACCEPTOR_TAKEN:
+			hooks->taken(data, fd);
+			break;
+		case ACCEPTOR_EMPTY:
+			return true;
+		case ACCEPTOR_LOST:
+			break;
+		case ACCEPTOR_SHORT:
+			if (!hooks->make_room(data))
+				return false;
+			break;
+		case ACCEPTOR_FAILED:
+			return false;
+		}
+	}
+	return true;
+}
+
 /* Of a listening socket, "unacked" is the length of its queue. */
 static int queued(const struct acceptor *acceptor)
 {
--- a/daemon/acceptor.h
+++ b/daemon/acceptor.h
@@ -54,6 +54,23 @@
 /** Take a connection, non-blocking and close-on-exec, into `*fd`. */
 enum acceptor_result acceptor_take(struct acceptor *acceptor, int *fd);
 
+struct acceptor_hooks {
+	/** Whether one more may be taken. */
+	bool (*has_room)(void *data);
+	void (*taken)(void *data, int fd);
+	/** Without a descriptor: close a connection; false if none may go. */
+	bool (*make_room)(void *data);
+};
+
+/**
+ * Take those that wait, a bounded number at once.
+ *
+ * Returns false if the listener is to rest for a while: it would stay readable
+ * with nothing to be taken.
+ */
+bool acceptor_take_some(struct acceptor *acceptor,
+			const struct acceptor_hooks *hooks, void *data);
+
 struct acceptor_view acceptor_view(const struct acceptor *acceptor);
 
 #endif
--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -13,9 +13,6 @@
 
 #define BACKLOG 512
 
-/* Connections taken in one turn of the loop. */
-#define ACCEPTS_AT_ONCE 64
-
 /* Without a descriptor, the listener is looked at again after so long. */
 #define SHORT_MS 50
 
@@ -334,45 +331,38 @@
 	conn_arm(conn, server->limits.idle_ms + IDLE_SLACK_MS);
 }
 
-/* False once there is nothing more to be taken for now. */
-static bool accept_one(struct http_server *server)
+static bool has_room(void *data)
 {
-	int fd;
+	const struct http_server *server = data;
 
-	switch (acceptor_take(&server->acceptor, &fd)) {
-	case ACCEPTOR_TAKEN:
-		conn_new(server, fd);
-		return true;
-	case ACCEPTOR_EMPTY:
-		return false;
-	case ACCEPTOR_LOST:
-		return true;
-	case ACCEPTOR_SHORT:
-		if (http_server_close_longest_idle(server))
-			return true;
-		break;
-	case ACCEPTOR_FAILED:
-		break;
-	}
-	rest_listener(server);
-	return false;
+	return server->n_conns < server->most;
+}
+
+static void on_taken(void *data, int fd)
+{
+	conn_new(data, fd);
+}
+
+static bool make_room(void *data)
+{
+	return http_server_close_longest_idle(data);
 }
 
+static const struct acceptor_hooks acceptor_hooks = { has_room, on_taken,
+						      make_room };
+
 /* At least one connection waits. */
 static void take_waiting(struct http_server *server)
 {
-	int i;
+	bool room = has_room(server) || make_room(server);
 
-	server->full = false;
-	if (server->n_conns >= server->most &&
-	    !http_server_close_longest_idle(server)) {
+	if (!room ||
+	    !acceptor_take_some(&server->acceptor, &acceptor_hooks, server)) {
 		rest_listener(server);
 		return;
 	}
+	server->full = false;
 	ev_io_start(server->loop->ev, &server->listener);
-	for (i = 0; i < ACCEPTS_AT_ONCE && server->n_conns < server->most; i++)
-		if (!accept_one(server))
-			return;
 }
 
 static void on_accept(struct ev_loop *ev, ev_io *watcher, int events)
--- a/daemon/link/link.c
+++ b/daemon/link/link.c
@@ -17,8 +17,6 @@
 #define EVENTS_AT_ONCE 64
 #define BACKLOG 256
 
-/* Connections taken before others are served. */
-#define ACCEPTS_AT_ONCE 64
 #define KEY_BYTES 32
 
 /* All daemons of a site hold the same key; who is who the hello tells. */
@@ -120,8 +118,9 @@
 }
 
 /* The connection that has been silent longest from its beginning goes. */
-static bool close_mute(struct link_hub *hub)
+static bool close_mute(void *data)
 {
+	struct link_hub *hub = data;
 	int64_t now_us = edge_now_us();
 	struct link_conn *conn;
 
@@ -148,8 +147,15 @@
 		hub->resting = !watch(hub, hub->acceptor.fd, &hub->acceptor);
 }
 
-static void take_stranger(struct link_hub *hub, int fd)
+static bool always(void *data)
+{
+	return true;
+}
+
+static void take_stranger(void *data, int fd)
 {
+	struct link_hub *hub = data;
+
 	if (hub->n_strangers >= hub->strangers_most && !close_mute(hub)) {
 		edge_count(&hub->options.counters->link_refused);
 		close(fd);
@@ -158,37 +164,13 @@
 	link_conn_new(hub, fd, NULL);
 }
 
-/* False once there is nothing more to be taken for now. */
-static bool accept_one(struct link_hub *hub)
-{
-	int fd;
-
-	switch (acceptor_take(&hub->acceptor, &fd)) {
-	case ACCEPTOR_TAKEN:
-		take_stranger(hub, fd);
-		return true;
-	case ACCEPTOR_EMPTY:
-		return false;
-	case ACCEPTOR_LOST:
-		return true;
-	case ACCEPTOR_SHORT:
-		if (close_mute(hub))
-			return true;
-		break;
-	case ACCEPTOR_FAILED:
-		break;
-	}
-	rest_listener(hub);
-	return false;
-}
+static const struct acceptor_hooks acceptor_hooks = { always, take_stranger,
+						      close_mute };
 
 static void accept_some(struct link_hub *hub)
 {
-	int i;
-
-	for (i = 0; i < ACCEPTS_AT_ONCE; i++)
-		if (!accept_one(hub))
-			return;
+	if (!acceptor_take_some(&hub->acceptor, &acceptor_hooks, hub))
+		rest_listener(hub);
 }
 
 static void tick(struct link_hub *hub, int64_t now_us)
