--- a/tests/platform/t-odd-values.c
+++ b/tests/platform/t-odd-values.c
@@ -111,13 +111,16 @@
 static char *nested(const char *open, int depth, const char *close)
 {
 	struct bytes text = { 0 };
+	char *copy;
 	int i;
 
 	for (i = 0; i < depth; i++)
 		bytes_append_text(&text, open);
 	for (i = 0; i < depth; i++)
 		bytes_append_text(&text, close);
-	return xstrdup(bytes_text(&text));
+	copy = xstrdup(bytes_text(&text));
+	bytes_clear(&text);
+	return copy;
 }
 
 /* A deeply nested entry or document ends the process. */
