--- a/libfilberthall/core/pack.c
+++ b/libfilberthall/core/pack.c
@@ -175,17 +175,24 @@
 	return true;
 }
 
+/* The library gives NULL for what is empty. */
+static const char *bytes_of(const char *ptr)
+{
+	return ptr ? ptr : "";
+}
+
 char *unpack_text(const struct unpacked *unpacked, size_t i, size_t max)
 {
 	const msgpack_object *item;
+	const char *text;
 
-	if (i >= unpacked->n)
+	if (i >= unpacked->n || unpacked->items[i].type != MSGPACK_OBJECT_STR)
 		return NULL;
 	item = &unpacked->items[i];
-	if (item->type != MSGPACK_OBJECT_STR || item->via.str.size > max ||
-	    memchr(item->via.str.ptr, 0, item->via.str.size))
+	text = bytes_of(item->via.str.ptr);
+	if (item->via.str.size > max || memchr(text, 0, item->via.str.size))
 		return NULL;
-	return xmemdup(item->via.str.ptr, item->via.str.size);
+	return xmemdup(text, item->via.str.size);
 }
 
 bool unpack_bytes(const struct unpacked *unpacked, size_t i, const char **data,
@@ -193,7 +200,7 @@
 {
 	if (i >= unpacked->n || unpacked->items[i].type != MSGPACK_OBJECT_BIN)
 		return false;
-	*data = unpacked->items[i].via.bin.ptr;
+	*data = bytes_of(unpacked->items[i].via.bin.ptr);
 	*len = unpacked->items[i].via.bin.size;
 	return true;
 }
