--- a/daemon/link/link.c
+++ b/daemon/link/link.c
@@ -16,7 +16,6 @@
 #define TICK_MS 50
 #define EVENTS_AT_ONCE 64
 #define BACKLOG 256
-
 #define KEY_BYTES 32
 
 /* All daemons of a site hold the same key; who is who the hello tells. */
