--- a/daemon/acceptor.c
+++ b/daemon/acceptor.c
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "daemon/descriptors.h"
+
 /* Connections taken before others are served. */
 #define ACCEPTS_AT_ONCE 64
 
@@ -53,14 +55,11 @@
 
 static enum acceptor_result result_of(int error)
 {
+	if (descriptors_are_short(error))
+		return ACCEPTOR_SHORT;
 	switch (error) {
 	case EAGAIN:
 		return ACCEPTOR_EMPTY;
-	case EMFILE:
-	case ENFILE:
-	case ENOBUFS:
-	case ENOMEM:
-		return ACCEPTOR_SHORT;
 	case EBADF:
 	case EINVAL:
 	case ENOTSOCK:
--- a/daemon/descriptors.c
+++ b/daemon/descriptors.c
@@ -1,5 +1,6 @@
 #include "daemon/descriptors.h"
 
+#include <errno.h>
 #include <limits.h>
 #include <sys/resource.h>
 
@@ -22,6 +23,12 @@
 #define QUESTIONS_PER_CENT 2
 #define STRANGERS_PER_CENT 13
 
+bool descriptors_are_short(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	       error == ENOMEM;
+}
+
 int64_t descriptors_limit(void)
 {
 	struct rlimit limit;
--- a/daemon/descriptors.h
+++ b/daemon/descriptors.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTHALL_DAEMON_DESCRIPTORS_H
 #define FILBERTHALL_DAEMON_DESCRIPTORS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /**
@@ -12,6 +13,9 @@
  * links that stand.
  */
 
+/** Whether that errno of a socket call is a want of descriptors or memory. */
+bool descriptors_are_short(int error);
+
 /** Descriptors that the process may have; INT64_MAX for no limit. */
 int64_t descriptors_limit(void);
 
--- a/daemon/http/stream.c
+++ b/daemon/http/stream.c
@@ -9,6 +9,7 @@
 
 #include "base/address.h"
 #include "base/alloc.h"
+#include "daemon/descriptors.h"
 
 #define READ_BYTES (16 * 1024)
 
@@ -209,12 +210,6 @@
 	return stream;
 }
 
-static bool is_shortage(int error)
-{
-	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
-	       error == ENOMEM;
-}
-
 struct stream *stream_connect(struct stream_loop *loop, const char *text,
 			      size_t read_most,
 			      const struct stream_hooks *hooks, void *data)
@@ -227,7 +222,7 @@
 	if (address_parse(&address, text)) {
 		fd = socket(address.storage.ss_family,
 			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-		short_of = fd < 0 && is_shortage(errno);
+		short_of = fd < 0 && descriptors_are_short(errno);
 	}
 	stream = stream_alloc(loop, fd, read_most, hooks, data);
 	stream->connecting = true;
