load, entry: say why an attempt is given up, and what a refusal rests on

Now: event=given-up with the time waited, the usual time and when the server was last heard; event=late with the parts of the estimate; event=unknown-stream with the reason; event=in-force with counts of what changed (document/change.c). Nothing else changes.

--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -8,6 +8,7 @@
 
 #include "base/alloc.h"
 #include "base/compression.h"
+#include "document/change.h"
 #include "document/encoding.h"
 #include "entry/entry_state.h"
 
@@ -190,6 +191,25 @@
 	return document;
 }
 
+static void log_change(struct entry *entry, const struct document *now)
+{
+	const struct document *before = entry->document;
+	struct document_change change = document_compare(before, now);
+
+	entry_log(entry, LOG_INFO, "document",
+		  "event=in-force version=%lld before=%lld routes=%zu "
+		  "organisations=%zu added=%d removed=%d timed=%d moved=%d "
+		  "other=%d keys_added=%d keys_removed=%d limits=%d "
+		  "idle_ms=%lld open=%zu",
+		  (long long)now->version,
+		  (long long)(before ? before->version : 0), now->n_routes,
+		  now->n_organisations, change.routes_added,
+		  change.routes_removed, change.routes_timed,
+		  change.routes_moved, change.routes_other, change.keys_added,
+		  change.keys_removed, change.limits,
+		  (long long)now->limits.idle_ms, entry->calls.count);
+}
+
 static void handle_document(struct entry *entry, uint64_t peer,
 			    const struct feed_document *told)
 {
@@ -208,15 +228,11 @@
 		entry->uncompressed_only |= told->unpacked != 0;
 		return;
 	}
+	log_change(entry, document);
 	document_free(entry->document);
 	entry->document = document;
 	fetch_completed(&entry->fetch);
 	entry_update_cold(entry);
-	entry_log(entry, LOG_INFO, "document",
-		  "event=in-force version=%lld before=%lld routes=%zu "
-		  "organisations=%zu",
-		  (long long)document->version, (long long)held,
-		  document->n_routes, document->n_organisations);
 	entry_poll(entry);
 }
 
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -100,8 +100,12 @@
 }
 
 static void refuse_unknown(struct entry *entry,
-			   const struct entry_request *request)
+			   const struct entry_request *request, const char *why)
 {
+	entry_log(entry, LOG_INFO, "request",
+		  "event=unknown-stream request=%s resumes=%s why=%s",
+		  request->name, request->resumes ? request->resumes : "none",
+		  why);
 	entry_refuse(entry, request, RESULT_STREAM_UNKNOWN,
 		     UNKNOWN_RETRY_AFTER_MS);
 }
@@ -113,7 +117,7 @@
 	struct lookup *lookup;
 
 	if (!has_room(entry, owner)) {
-		refuse_unknown(entry, request);
+		refuse_unknown(entry, request, "too-many-asked");
 		return;
 	}
 	if (wait_us <= 0 || wait_us > ASK_UNTIL_US)
@@ -160,7 +164,7 @@
 	}
 	if (known->version != AFFINITY_UNCLEAR)
 		return known;
-	refuse_unknown(entry, request);
+	refuse_unknown(entry, request, "version-unclear");
 	return NULL;
 }
 
@@ -288,6 +292,16 @@
 	return false;
 }
 
+static const char *why_unknown(const struct entry *entry,
+			       const struct lookup *lookup)
+{
+	if (affinities_find(&entry->affinities, &lookup->key, entry->now_us))
+		return "version-pending";
+	if (lookup->versions_differ)
+		return "versions-differ";
+	return lookup->n_peers ? "too-few-answers" : "no-answer";
+}
+
 void entry_lookups_tick(struct entry *entry)
 {
 	size_t majority = entry->peers.count / 2 + 1;
@@ -298,7 +312,8 @@
 		if (entry->now_us >= lookup->expires_us) {
 			if (resolve_unknown(entry, lookup, majority))
 				continue;
-			refuse_unknown(entry, &lookup->request);
+			refuse_unknown(entry, &lookup->request,
+				       why_unknown(entry, lookup));
 			lookup_free(lookup);
 		} else if (entry->now_us - lookup->asked_us >= ASK_AGAIN_US) {
 			ask(entry, lookup);
--- a/libfilberthall/load/router_submit.c
+++ b/libfilberthall/load/router_submit.c
@@ -244,6 +244,33 @@
 	       now_us + wait_us + first_us > request->target_us;
 }
 
+/* What request_is_late() goes by. */
+static void log_late(const struct router *router, const struct request *request,
+		     int64_t now_us, struct effects *effects)
+{
+	const struct pool *pool = request->queue->pool;
+	const struct pressure *pressure = &pool->pressure[request->tier];
+
+	router_log(
+		request, LOG_INFO, effects,
+		"event=late wait_ms=%lld needs_ms=%lld first_ms=%lld "
+		"left_ms=%lld target_ms=%lld standing=%d queued_ms=%lld "
+		"waiting=%lld running=%lld slots=%.0f servers=%d "
+		"version=%llx",
+		(long long)(pool_wait_us(router, pool, request, now_us) / 1000),
+		(long long)(request_needs_us(router, request, now_us) / 1000),
+		(long long)(pool->first_token_us / 1000),
+		(long long)((request->deadline_us - now_us) / 1000),
+		(long long)(request->target_us
+				    ? (request->target_us - now_us) / 1000
+				    : 0),
+		request_in_standing_queue(request, now_us),
+		(long long)((now_us - pressure->last_empty_us) / 1000),
+		(long long)pressure->waiting, (long long)pool->running,
+		pool_own_slots(router, pool), pool->n_usable,
+		(unsigned long long)request->spec.version);
+}
+
 /** Add a request to its queue. */
 void request_enqueue(struct router *router, struct request *request,
 		     int64_t now_us)
@@ -441,8 +468,10 @@
 		return RESULT_NO_CAPACITY;
 	if (router->options.features.early_refusal &&
 	    request_is_late(router, request, now_us) &&
-	    router_may_shed(router, pool, request->tier, now_us))
+	    router_may_shed(router, pool, request->tier, now_us)) {
+		log_late(router, request, now_us, effects);
 		return RESULT_DEADLINE_UNREACHABLE;
+	}
 	if (!router_make_room(router, request, now_us, effects))
 		return RESULT_QUEUE_FULL;
 	return RESULT_OK;
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -168,15 +168,38 @@
 	return !request_check_retry(router, request, &why, now_us, effects);
 }
 
+static void log_given_up(const struct router *router,
+			 const struct request *request,
+			 const struct attempt *attempt, int64_t now_us,
+			 struct effects *effects)
+{
+	const struct pool *pool = request->queue->pool;
+	const struct backend *backend =
+		fleet_find(router->options.fleet, attempt->address);
+	int64_t heard_us = backend ? backend->health.last_token_us : 0;
+
+	router_log(request, LOG_INFO, effects,
+		   "event=given-up attempt=%lld server=%s waited_ms=%lld "
+		   "usual_ms=%lld heard_ms=%lld version=%llx",
+		   (long long)attempt->number, attempt->address,
+		   (long long)((now_us - attempt->started_us) / 1000),
+		   (long long)(pool->first_token_us / 1000),
+		   (long long)((now_us - heard_us) / 1000),
+		   (unsigned long long)request->spec.version);
+}
+
 /* It is looked at once for each attempt. */
 static void request_check_overdue(struct router *router,
 				  struct request *request, int64_t now_us,
 				  struct effects *effects)
 {
+	struct attempt *attempt = request_attempt(request);
+
 	request->overdue_us = now_us;
-	if (may_send_again(router, request, now_us, effects))
-		attempt_cancel(request_attempt(request), RESULT_BACKEND_TIMEOUT,
-			       effects);
+	if (!may_send_again(router, request, now_us, effects))
+		return;
+	log_given_up(router, request, attempt, now_us, effects);
+	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
 
 static void request_check_waiting(struct router *router,
--- a/tests/document/t-document.c
+++ b/tests/document/t-document.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "document/change.h"
 #include "document/document.h"
 
 static struct route *add_route(struct document *document, const char *name,
@@ -187,6 +188,40 @@
 	document_free(document);
 }
 
+static void test_compare(void)
+{
+	struct document *before = start();
+	struct document *now = start();
+	struct document_change change;
+
+	add_route(before, "gone", "a.example", "/gone/")->tier = 1;
+	route_add_split(&before->routes[1], "desk", 1);
+	add_organisation(before, "yards", "k1");
+	route_add_split(add_route(now, "new", "a.example", "/new/"), "desk", 1);
+	add_organisation(now, "yards", "k2");
+	now->routes[0].timeout_ms = 2000;
+	now->limits.idle_ms = 1;
+	g_assert_cmpint(document_check(before, NULL), ==, RESULT_OK);
+	g_assert_cmpint(document_check(now, NULL), ==, RESULT_OK);
+	change = document_compare(before, now);
+	g_assert_cmpint(change.routes_added, ==, 1);
+	g_assert_cmpint(change.routes_removed, ==, 1);
+	g_assert_cmpint(change.routes_timed, ==, 1);
+	g_assert_cmpint(change.routes_moved + change.routes_other, ==, 0);
+	g_assert_cmpint(change.keys_added, ==, 1);
+	g_assert_cmpint(change.keys_removed, ==, 1);
+	g_assert_true(change.limits);
+	change = document_compare(now, now);
+	g_assert_cmpint(change.routes_added + change.routes_removed +
+				change.routes_timed + change.keys_added +
+				change.keys_removed + change.limits,
+			==, 0);
+	change = document_compare(NULL, now);
+	g_assert_cmpint(change.routes_added, ==, 2);
+	document_free(before);
+	document_free(now);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -201,5 +236,6 @@
 	g_test_add_func("/document/choose", test_choose);
 	g_test_add_func("/document/holder", test_holder);
 	g_test_add_func("/document/tier-range", test_tier_range);
+	g_test_add_func("/document/compare", test_compare);
 	return g_test_run();
 }
