tests: sound servers that are silent for a while, failing

Reducers of six entry VMs and five control VMs, six servers of one version; 60 callers stay, 60 leave after 1 to 12 events and come back at the next VM, all within 2.2 s. The servers stand still at 0.9 s for 1.2 or 2.5 s, with their connections open, and announce themselves again within an interval. All are to be served and none refused.

On this code all six servers silent for 2.5 s: 28 answers are refused or broken off, by 32 attempts that ended as BACKEND_CROSSED and 28 requests as RETRY_BUDGET. Four of six for 2.5 s: 1. For 1.2 s: none.

--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -259,6 +259,9 @@
 		entries_wait_for_slot(entries, &run);
 	else if (!run.code)
 		entries_take_slot(entries, &run);
+	if (now_us < server->silent_until_us &&
+	    run.code != RESULT_BACKEND_CONNECT)
+		run.ends_us += server->silent_until_us - now_us;
 	g_array_append_val(entries->runs, run);
 	if (has_rejected_most(server, now_us)) {
 		server->failures++;
@@ -427,6 +430,28 @@
 	}
 }
 
+static bool is_silent(const struct entries *entries, int server)
+{
+	return group_now(entries->group) <
+	       entries->servers[server].silent_until_us;
+}
+
+/* Those that were silent read that requests were given up. */
+static void free_slots(struct entries *entries)
+{
+	int i;
+
+	for (i = 0; i < entries->n_servers; i++) {
+		struct entries_server *server = &entries->servers[i];
+
+		if (!server->left_in_silence || is_silent(entries, i))
+			continue;
+		server->running -= server->left_in_silence;
+		server->left_in_silence = 0;
+		entries_fill_slots(entries, i);
+	}
+}
+
 static void end_runs(struct entries *entries)
 {
 	int64_t now_us = group_now(entries->group);
@@ -455,6 +480,8 @@
 		g_array_remove_index(entries->runs, i);
 		if (run.waits)
 			entries->servers[run.server].waiting--;
+		else if (run.cancelled && is_silent(entries, run.server))
+			entries->servers[run.server].left_in_silence++;
 		else if ((!run.code || run.cancelled || run.breaks) &&
 			 !run.probes && entries->servers[run.server].running)
 			entries->servers[run.server].running--;
@@ -589,6 +616,7 @@
 	int tried = 0;
 
 	if (now_us < server->up_us + server->late_us ||
+	    now_us < server->silent_until_us ||
 	    now_us - server->announced_us < SECOND)
 		return;
 	while (!group_start_number(entries->group, control) &&
@@ -668,6 +696,7 @@
 		entries_deliver(entries);
 		entries_deliver_news(entries);
 		leave_runs(entries);
+		free_slots(entries);
 		end_runs(entries);
 		entries_preempt(entries);
 		entries_carry_passes(entries);
@@ -844,6 +873,22 @@
 	entries->vms[vm].slow_news_us = us;
 }
 
+void entries_silence(struct entries *entries, int server, int64_t us)
+{
+	int64_t now_us = group_now(entries->group);
+	guint i;
+
+	entries->servers[server].silent_until_us = now_us + us;
+	for (i = 0; i < entries->runs->len; i++) {
+		struct run *run = &g_array_index(entries->runs, struct run, i);
+
+		if (run->server == server && !run->cancelled &&
+		    run->code != RESULT_BACKEND_CONNECT &&
+		    run->ends_us != INT64_MAX)
+			run->ends_us += us;
+	}
+}
+
 void entries_set_path(struct entries *entries, int vm, enum entries_path path)
 {
 	entries->vms[vm].path = path;
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -102,13 +102,15 @@
 	int64_t started_ms;
 	int64_t sequence;
 	int64_t announced_us;
-	int64_t up_us;		/**< it is down before then */
-	int64_t late_us;	/**< its announcements come so much later */
-	bool says_leaving;	/**< in its answers alone, and serves on */
-	bool leaves;		/**< it says so, and serves on */
-	int64_t work_us;	/**< how long it takes to run a request */
-	int crashes;		/**< so far */
-	bool rejects;		/**< it answers that it runs nothing */
+	int64_t up_us;		 /**< it is down before then */
+	int64_t late_us;	 /**< its announcements come so much later */
+	int64_t silent_until_us; /**< it reads, runs and writes nothing */
+	int left_in_silence;	 /**< requests given up, which hold slots */
+	bool says_leaving;	 /**< in its answers alone, and serves on */
+	bool leaves;		 /**< it says so, and serves on */
+	int64_t work_us;	 /**< how long it takes to run a request */
+	int crashes;		 /**< so far */
+	bool rejects;		 /**< it answers that it runs nothing */
 	int rejects_vm;		/**< then to this VM alone, from 1; 0: to all */
 	int64_t retry_after_us; /**< and asks for that time; 0: for none */
 	int slots;		/**< it rejects what finds none free; 0: any */
@@ -197,6 +199,9 @@
 /** What the VM sends control VMs takes so much longer. */
 void entries_slow_news(struct entries *entries, int vm, int64_t us);
 
+/** The server stands still with all that it runs, its connections open. */
+void entries_silence(struct entries *entries, int server, int64_t us);
+
 /** Cut a VM off from all servers, or join it again. */
 void entries_set_path(struct entries *entries, int vm, enum entries_path path);
 
--- /dev/null
+++ b/tests/control/t-silent-servers.c
@@ -0,0 +1,206 @@
+/* Sound servers stand still for a while, with their connections open. */
+#include <glib.h>
+#include <string.h>
+
+#include "order.h"
+
+#define CALLERS 60
+#define CALLERS_US (22 * SECOND / 10)
+#define SILENT_AT_US (9 * SECOND / 10)
+#define DOCUMENT_AT_US (6 * SECOND / 10)
+#define COME_BACK_US (SECOND / 5)
+#define COME_BACKS 6
+
+enum caller_kind { STAYS, COMES_BACK, KINDS };
+
+struct play {
+	int64_t silent_us;
+	int silent; /* servers */
+	bool document;
+	int slots;
+};
+
+struct caller {
+	struct entries_stream *stream;
+	enum caller_kind kind;
+	int leaves_at;
+	int tries;
+	int64_t back_us;
+};
+
+struct tally {
+	int whole[KINDS];
+	int refused; /* answers */
+};
+
+static struct caller *find_or_begin(struct entries *entries,
+				    struct caller *callers, int n)
+{
+	struct caller *caller = &callers[n];
+
+	caller->kind = n % 2 ? COMES_BACK : STAYS;
+	caller->leaves_at = caller->kind == COMES_BACK ? 1 + n / 2 % 12 : 0;
+	caller->stream = streams_begin(entries, n / 2 % ORDER_VMS);
+	return caller;
+}
+
+static bool is_over(const struct entries_stream *stream)
+{
+	return stream->state == STREAMS_REFUSED ||
+	       stream->state == STREAMS_BROKEN;
+}
+
+/* Leaves after some events; comes to the next VM until it has them all. */
+static void act(struct entries *entries, struct caller *caller,
+		struct tally *tally)
+{
+	struct entries_stream *stream = caller->stream;
+	int64_t now_us = group_now(entries->group);
+
+	if (caller->leaves_at && stream->events >= caller->leaves_at &&
+	    stream->state == STREAMS_OPEN) {
+		caller->leaves_at = 0;
+		streams_leave(entries, stream);
+		caller->back_us = now_us + COME_BACK_US;
+	} else if (is_over(stream) && !caller->back_us) {
+		tally->refused++;
+		caller->back_us = now_us + COME_BACK_US;
+	}
+	if (!caller->back_us || now_us < caller->back_us ||
+	    caller->kind == STAYS || caller->tries++ == COME_BACKS)
+		return;
+	caller->back_us = 0;
+	streams_resume(entries, stream, (stream->vm + 1) % ORDER_VMS);
+}
+
+static struct entries *start(const struct play *play)
+{
+	struct entries *entries = order_start(order_one);
+	int i;
+
+	for (i = 0; i < ORDER_SERVERS; i++) {
+		entries->servers[i].slots = play->slots;
+		entries->servers[i].queue = play->slots / 4;
+	}
+	/* What the VMs have measured is of usual times. */
+	streams_begin_many(entries, CALLERS, SECOND / 100);
+	entries_run(entries, 2 * SECOND);
+	return entries;
+}
+
+/* It announces itself again up to an interval after it. */
+static void silence(struct entries *entries, int server, int64_t us)
+{
+	struct entries_server *silent = &entries->servers[server];
+
+	entries_silence(entries, server, us);
+	silent->announced_us = silent->silent_until_us - SECOND +
+			       (server + 1) * SECOND / ORDER_SERVERS;
+}
+
+static void step(struct entries *entries, const struct play *play,
+		 int64_t since_us)
+{
+	int64_t at_us = group_now(entries->group) - since_us;
+	int i;
+
+	if (play->document && at_us == DOCUMENT_AT_US)
+		group_put(entries->group, group_leader(entries->group), 2);
+	for (i = 0; at_us == SILENT_AT_US && i < play->silent; i++)
+		silence(entries, i, play->silent_us);
+	entries_run(entries, GROUP_STEP_US);
+}
+
+static struct tally run_play(const struct play *play)
+{
+	struct entries *entries = start(play);
+	struct caller callers[2 * CALLERS] = { 0 };
+	struct tally tally = { 0 };
+	int64_t since_us = group_now(entries->group);
+	int n = 0;
+	int i;
+
+	while (group_now(entries->group) - since_us < 10 * SECOND) {
+		int64_t passed_us = group_now(entries->group) - since_us;
+
+		for (; n < 2 * CALLERS &&
+		       passed_us >= n * CALLERS_US / (2 * CALLERS);
+		     n++)
+			find_or_begin(entries, callers, n);
+		for (i = 0; i < n; i++)
+			act(entries, &callers[i], &tally);
+		step(entries, play, since_us);
+	}
+	for (i = 0; i < n; i++)
+		tally.whole[callers[i].kind] +=
+			callers[i].stream->events == STREAMS_EVENTS;
+	g_assert_cmpint(streams_joined(entries), ==, 0);
+	entries_free(entries);
+	g_test_message("whole: %d that stay, %d that come back; %d refused "
+		       "or broken off",
+		       tally.whole[STAYS], tally.whole[COMES_BACK],
+		       tally.refused);
+	return tally;
+}
+
+/* All are served, and no answer ends early. */
+static void check_all_served(const struct play *play)
+{
+	struct tally tally = run_play(play);
+
+	g_assert_cmpint(tally.whole[STAYS], ==, CALLERS);
+	g_assert_cmpint(tally.whole[COMES_BACK], ==, CALLERS);
+	g_assert_cmpint(tally.refused, ==, 0);
+}
+
+static void test_all_short(void)
+{
+	static const struct play play = { 12 * SECOND / 10, ORDER_SERVERS,
+					  false, 400 };
+	static const struct play with_document = { 12 * SECOND / 10,
+						   ORDER_SERVERS, true, 400 };
+
+	check_all_served(&play);
+	check_all_served(&with_document);
+}
+
+static void test_all_long(void)
+{
+	static const struct play play = { 25 * SECOND / 10, ORDER_SERVERS,
+					  false, 400 };
+	static const struct play with_document = { 25 * SECOND / 10,
+						   ORDER_SERVERS, true, 400 };
+
+	check_all_served(&play);
+	check_all_served(&with_document);
+}
+
+static void test_some(void)
+{
+	static const struct play play = { 12 * SECOND / 10, 4, true, 400 };
+	static const struct play longer = { 25 * SECOND / 10, 4, true, 400 };
+
+	check_all_served(&play);
+	check_all_served(&longer);
+}
+
+/* Few slots: those of the servers that aren't silent are enough. */
+static void test_few_slots(void)
+{
+	static const struct play play = { 12 * SECOND / 10, ORDER_SERVERS, true,
+					  40 };
+	static const struct play some = { 12 * SECOND / 10, 4, true, 40 };
+
+	check_all_served(&play);
+	check_all_served(&some);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/silent-servers/all-short", test_all_short);
+	g_test_add_func("/silent-servers/all-long", test_all_long);
+	g_test_add_func("/silent-servers/some", test_some);
+	g_test_add_func("/silent-servers/few-slots", test_few_slots);
+	return g_test_run();
+}
