entry, relay: hold a resumed stream's events until its server is heard

What callers saw: streams that they took up, or that went on within their answer, ended as BACKEND_CROSSED and then RETRY_BUDGET after all servers had stood still for 2.5 s; new ones began.

Cause: a server that hasn't been heard for 2.9 s may have started again under its id with another version, so the first event of a stream that goes on there was thrown away with the attempt. A server that was only silent writes its events at once when it wakes, and announces itself up to an interval later: sound answers were given up, one after the other, until the limit on retries was spent.

Evidence: event=other-version for 32 attempts, event=retries-spent, in tests/control/t-silent-servers. Ruled out there: the document (with and without one alike), estimates (no event=late), unknown streams.

Now the events are held, up to 1 MiB, and asked about each tick: they are passed on once the server is heard as the same start, and thrown away only if it is another one or gone. A silence is no evidence of a new start, so nothing is decided on it.

--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -47,6 +47,7 @@
 	struct http_client *client;
 	struct relay_host host;
 	struct map relays;
+	struct list waiting; /* relays whose answer may not begin yet */
 	uint64_t next_id;
 	int64_t version; /* of the document whose limits hold */
 	ev_timer tick;
@@ -58,7 +59,8 @@
 };
 
 struct relay_node {
-	struct map_node node; /* by id */
+	struct map_node node;	/* by id */
+	struct list in_waiting; /* of the daemon, or alone */
 	struct relay *relay;
 };
 
@@ -80,6 +82,7 @@
 static void relay_drop(struct entry_daemon *daemon, struct relay_node *node)
 {
 	map_remove(&daemon->relays, &node->node);
+	list_remove(&node->in_waiting);
 	relay_free(node->relay);
 	free(node);
 }
@@ -160,12 +163,35 @@
 }
 
 /* What follows is carried out as the event's tokens, or the end, are told. */
-static bool on_begins(void *data, uint64_t id, int64_t attempt)
+static enum entry_begin on_begins(void *data, uint64_t id, int64_t attempt)
 {
 	struct entry_daemon *daemon = data;
+	struct relay_node *node = relay_find(daemon, id);
+	enum entry_begin begin =
+		entry_attempt_begins(daemon->entry, id, attempt, edge_now_us(),
+				     &daemon->effects);
+
+	if (node && begin == ENTRY_BEGIN_WAIT) {
+		list_remove(&node->in_waiting);
+		list_append(&daemon->waiting, &node->in_waiting);
+	}
+	return begin;
+}
 
-	return entry_attempt_begins(daemon->entry, id, attempt, edge_now_us(),
-				    &daemon->effects);
+/* Each that has to wait on is appended again. */
+static void ask_again(struct entry_daemon *daemon)
+{
+	struct relay_node *node;
+	int n = 0;
+
+	list_foreach(node, &daemon->waiting, in_waiting)
+		n++;
+	for (; n && !list_empty(&daemon->waiting); n--) {
+		node = list_first(&daemon->waiting, struct relay_node,
+				  in_waiting);
+		list_remove(&node->in_waiting);
+		relay_ask_again(node->relay);
+	}
 }
 
 static void on_tokens(void *data, const struct event_attempt_tokens *tokens)
@@ -231,6 +257,7 @@
 	uint64_t id = ++daemon->next_id;
 	struct entry_request request;
 
+	list_init(&node->in_waiting);
 	node->relay = relay_new(&daemon->host, exchange, id);
 	map_insert(&daemon->relays, &node->node, map_hash(&id, sizeof(id)));
 	request = relay_request(node->relay);
@@ -320,6 +347,7 @@
 
 	entry_tick(daemon->entry, now_us, &daemon->effects);
 	carry_out_all(daemon);
+	ask_again(daemon);
 	now_us = edge_now_us();
 	next_us = entry_next_tick(daemon->entry, now_us) - now_us;
 	ev_timer_stop(ev, timer);
@@ -576,6 +604,7 @@
 	daemon.role.write_metrics = write_metrics;
 	daemon.role.data = &daemon;
 	map_init(&daemon.relays);
+	list_init(&daemon.waiting);
 	effects_init(&daemon.effects);
 	code = open_all(&daemon);
 	if (!code) {
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -21,6 +21,9 @@
 #define USELESS_BYTES (64 * 1024)
 #define USELESS_MS 1000
 
+/* Of events that are held until their server is heard. */
+#define EARLY_BYTES (1024 * 1024)
+
 /* Of an event's id that we may have to repeat. */
 #define EVENT_ID_BYTES 256
 
@@ -50,8 +53,13 @@
 	struct bytes headers; /* lines for the caller */
 	struct bytes whole;
 	struct sse sse;
-	size_t useless; /* bytes of the body since the last event, if any */
-	int64_t events; /* passed on by this attempt */
+	size_t useless;	    /* bytes of the body since the last event, if any */
+	int64_t events;	    /* passed on by this attempt */
+	bool waits;	    /* it isn't known yet whether they may be */
+	struct bytes early; /* events that are held meanwhile */
+	bool early_ended;   /* the answer has ended behind them, as follows */
+	enum result early_code;
+	bool early_sent;
 
 	/* of all attempts */
 	bool begun; /* the caller has the head of a stream */
@@ -133,6 +141,9 @@
 	relay->held = false;
 	bytes_clear(&relay->headers);
 	bytes_clear(&relay->whole);
+	bytes_clear(&relay->early);
+	relay->waits = false;
+	relay->early_ended = false;
 	sse_clear(&relay->sse);
 	memset(&relay->sse, 0, sizeof(relay->sse));
 }
@@ -148,6 +159,8 @@
 		.sent = sent,
 	};
 
+	relay->waits = false;
+	relay->early_ended = false;
 	relay->host->ended(relay->host->data, &ended);
 }
 
@@ -215,6 +228,25 @@
 	}
 }
 
+static enum result hold_event(struct relay *relay, const char *event,
+			      size_t len)
+{
+	relay->waits = true;
+	relay->useless = 0;
+	bytes_append(&relay->early, event, len);
+	return relay->early.len > EARLY_BYTES ? RESULT_BACKEND_CROSSED
+					      : RESULT_OK;
+}
+
+static enum entry_begin may_begin(const struct relay *relay)
+{
+	const struct relay_host *host = relay->host;
+
+	if (relay->events)
+		return ENTRY_BEGIN_PASS;
+	return host->begins(host->data, relay->id, relay->attempt);
+}
+
 static enum result pass_event(void *data, const char *event, size_t len,
 			      const char *payload, size_t payload_len)
 {
@@ -222,17 +254,21 @@
 	struct event_attempt_tokens tokens = {
 		.id = relay->id,
 		.attempt = relay->attempt,
-		.tokens = ++relay->events,
-		.first = relay->events == 1,
+		.tokens = relay->events + 1,
+		.first = !relay->events,
 	};
+	enum entry_begin begin;
 
 	(void)payload;
 	(void)payload_len;
 	if (!relay->exchange)
 		return RESULT_CALLER_LEFT;
-	if (tokens.first &&
-	    !relay->host->begins(relay->host->data, relay->id, relay->attempt))
+	begin = relay->waits ? ENTRY_BEGIN_WAIT : may_begin(relay);
+	if (begin == ENTRY_BEGIN_WAIT)
+		return hold_event(relay, event, len);
+	if (begin == ENTRY_BEGIN_REJECT)
 		return RESULT_BACKEND_CROSSED;
+	relay->events++;
 	if (!relay->begun) {
 		relay->begun = true;
 		http_exchange_begin(relay->exchange, relay->status,
@@ -261,8 +297,6 @@
 	code = sse_feed(&relay->sse, piece, len, pass_event, relay);
 	if (!code && relay->useless > SSE_EVENT_BYTES)
 		code = RESULT_BACKEND_BROKE;
-	if (code == RESULT_BACKEND_CROSSED)
-		relay->events = 0;
 	if (code == RESULT_BACKEND_CROSSED || code == RESULT_BACKEND_BROKE)
 		give_up(relay, RESULT_BACKEND_CROSSED, true);
 }
@@ -325,9 +359,45 @@
 		code = judge(relay);
 	if (relay->kind == ANSWER_REJECTED)
 		sent = false;
+	if (relay->waits) {
+		relay->early_ended = true;
+		relay->early_code = code;
+		relay->early_sent = sent;
+		return;
+	}
 	tell_ended(relay, code, sent);
 }
 
+/* No more of the answer is read, or is to be passed on. */
+static void end_early(struct relay *relay, enum result code, bool sent)
+{
+	if (relay->call)
+		give_up(relay, code, sent);
+	else
+		tell_ended(relay, code, sent);
+}
+
+void relay_ask_again(struct relay *relay)
+{
+	struct bytes early = relay->early;
+	struct sse sse = { 0 };
+	enum result code;
+
+	if (!relay->waits)
+		return;
+	relay->waits = false;
+	relay->early = (struct bytes){ 0 };
+	code = sse_feed(&sse, early.data, early.len, pass_event, relay);
+	sse_clear(&sse);
+	bytes_clear(&early);
+	if (relay->waits)
+		return;
+	if (code == RESULT_BACKEND_CROSSED)
+		end_early(relay, code, true);
+	else if (relay->early_ended)
+		end_early(relay, relay->early_code, relay->early_sent);
+}
+
 static const struct http_call_hooks call_hooks = { on_head, on_body, on_end };
 
 void relay_start(struct relay *relay, const struct effect_start_attempt *start,
@@ -387,7 +457,11 @@
 {
 	bool sent;
 
-	if (!relay->call || relay->attempt != attempt)
+	if (relay->attempt != attempt)
+		return;
+	if (relay->early_ended)
+		end_early(relay, RESULT_CALLER_LEFT, true);
+	if (!relay->call)
 		return;
 	sent = http_call_sent(relay->call);
 	http_call_cancel(relay->call);
@@ -441,7 +515,7 @@
 
 bool relay_is_over(const struct relay *relay)
 {
-	return !relay->exchange && !relay->call;
+	return !relay->exchange && !relay->call && !relay->early_ended;
 }
 
 void relay_free(struct relay *relay)
@@ -452,6 +526,7 @@
 	free(relay->asked.parts);
 	bytes_clear(&relay->headers);
 	bytes_clear(&relay->whole);
+	bytes_clear(&relay->early);
 	sse_clear(&relay->sse);
 	free(relay);
 }
--- a/daemon/role/relay.h
+++ b/daemon/role/relay.h
@@ -18,6 +18,8 @@
  * - An answer that isn't one (no signature, another body than the server's, a
  *   cut one) must not look like success: it is held until it is whole, and a
  *   stream that broke is cut where the caller sees it.
+ * - A stream goes on at a server that may have started again unheard: its
+ *   events are held until the server is heard.
  */
 struct relay;
 
@@ -26,8 +28,8 @@
 	const struct dialect *dialect;
 	struct http_client *client;
 	struct entry *entry;
-	/** An attempt's first event; false: it isn't to be passed on. */
-	bool (*begins)(void *data, uint64_t id, int64_t attempt);
+	/** An attempt's first event. If it has to wait, relay_ask_again(). */
+	enum entry_begin (*begins)(void *data, uint64_t id, int64_t attempt);
 	void (*tokens)(void *data, const struct event_attempt_tokens *tokens);
 	void (*ended)(void *data, const struct event_attempt_ended *ended);
 	/** What the server says of itself. */
@@ -54,6 +56,12 @@
 /** EFFECT_CANCEL_ATTEMPT: the attempt ends, and `ended` is told. */
 void relay_cancel(struct relay *relay, int64_t attempt);
 
+/**
+ * Asks again whether an answer may begin whose events are held. Nothing if
+ * none is; whoever calls this may have to drop the relay then.
+ */
+void relay_ask_again(struct relay *relay);
+
 /** EFFECT_ANSWER: the caller gets its last word. */
 void relay_answer(struct relay *relay, const struct effect_answer *answer);
 
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -121,14 +121,20 @@
 const struct registration *entry_server_at(const struct entry *entry,
 					   const char *address);
 
-/**
- * An attempt's first event has come; to be called before it is passed on.
- *
- * @return false if the server isn't of the version that the attempt was meant
- *	for: nothing of its answer may be passed on
- */
-bool entry_attempt_begins(struct entry *entry, uint64_t id, int64_t attempt,
-			  int64_t now_us, struct effects *effects);
+/** What becomes of an attempt's first event. */
+enum entry_begin {
+	ENTRY_BEGIN_PASS,
+	/** Hold it and ask again: whether the server is of the version that
+	    the attempt was meant for isn't known yet. */
+	ENTRY_BEGIN_WAIT,
+	/** It isn't; nothing of its answer may be passed on. */
+	ENTRY_BEGIN_REJECT
+};
+
+/** An attempt's first event has come; to be called before it is passed on. */
+enum entry_begin entry_attempt_begins(struct entry *entry, uint64_t id,
+				      int64_t attempt, int64_t now_us,
+				      struct effects *effects);
 
 /** Progress and results of attempts, as in the events of core/event.h. */
 void entry_attempt_tokens(struct entry *entry,
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -114,6 +114,7 @@
 enum server_version {
 	VERSION_MEANT,	/* the one that the attempt was meant for */
 	VERSION_UNSURE, /* it may have started again since it was last heard */
+	VERSION_GONE,	/* it has left, and isn't heard any more */
 	VERSION_OTHER	/* it has started again with another one */
 };
 
@@ -125,7 +126,7 @@
 		registry_find_address(&entry->registry, view->address);
 
 	if (!server)
-		return VERSION_UNSURE;
+		return VERSION_GONE;
 	if (server->version != view->version)
 		return VERSION_OTHER;
 	return registry_is_confirmed(&entry->registry, server) ? VERSION_MEANT
@@ -140,32 +141,49 @@
 		  event, call->name, view->address);
 }
 
-bool entry_attempt_begins(struct entry *entry, uint64_t id, int64_t attempt,
-			  int64_t now_us, struct effects *effects)
+/* What a stream whose version is fixed does with that server's answer. */
+static enum entry_begin go_on_at(struct entry *entry,
+				 const struct open_call *call,
+				 const struct router_attempt_view *view,
+				 enum server_version version)
+{
+	if (version == VERSION_MEANT)
+		return ENTRY_BEGIN_PASS;
+	if (version == VERSION_UNSURE)
+		return ENTRY_BEGIN_WAIT;
+	log_version(entry, call, view, "other-version");
+	return ENTRY_BEGIN_REJECT;
+}
+
+enum entry_begin entry_attempt_begins(struct entry *entry, uint64_t id,
+				      int64_t attempt, int64_t now_us,
+				      struct effects *effects)
 {
 	struct open_call *call = entry_open_call(entry, id);
 	struct router_attempt_view view;
 	enum server_version version;
+	enum entry_begin begin;
 
 	entry->now_us = now_us;
 	entry->effects = effects;
 	if (!call || call->pass || !call->resumable ||
 	    !router_attempt(entry->router, id, attempt, now_us, &view))
-		return true;
+		return ENTRY_BEGIN_PASS;
 	version = version_at(entry, &view);
-	if (version == VERSION_OTHER ||
-	    (version == VERSION_UNSURE && (call->begun || call->resumes))) {
-		log_version(entry, call, &view, "other-version");
-		return false;
+	if (call->begun || call->resumes || version == VERSION_OTHER) {
+		begin = go_on_at(entry, call, &view, version);
+		if (begin == ENTRY_BEGIN_PASS && !call->begun)
+			note_begun(entry, call, view.version);
+		return begin;
 	}
-	if (version == VERSION_UNSURE) {
+	if (version != VERSION_MEANT) {
 		log_version(entry, call, &view, "version-unsure");
 		router_fix_version(entry->router, id, ROUTER_VERSION_NONE);
 		entry_add_pending(entry, call, attempt, &view);
-	} else if (!call->begun) {
+	} else {
 		note_begun(entry, call, view.version);
 	}
-	return true;
+	return ENTRY_BEGIN_PASS;
 }
 
 void entry_affinity_tick(struct entry *entry)
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -15,6 +15,7 @@
 #define REJECT_US INT64_C(5000)
 #define CONNECT_US INT64_C(500000)
 #define SLOTS 16
+#define ASK_AGAIN_US INT64_C(50000)   /* whether a first event may pass */
 #define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
 
 static struct route *add_route(struct document *document, const char *name,
@@ -298,6 +299,7 @@
 		.tokens = run->sent + 1,
 		.first = !run->sent,
 	};
+	enum entry_begin begin = ENTRY_BEGIN_PASS;
 	struct effects effects;
 
 	if (run->next > STREAMS_EVENTS || vm->id != run->entry ||
@@ -310,12 +312,16 @@
 	effects_init(&effects);
 	if (!run->sent)
 		report_server(entries, run, &effects);
-	if (!run->sent &&
-	    !entry_attempt_begins(vm->entry, run->id, run->attempt,
-				  entries_vm_now(entries, run->vm), &effects)) {
+	if (!run->sent)
+		begin = entry_attempt_begins(vm->entry, run->id, run->attempt,
+					     entries_vm_now(entries, run->vm),
+					     &effects);
+	if (begin != ENTRY_BEGIN_PASS) {
 		entries_carry_out(entries, run->vm, &effects);
-		run->code = RESULT_BACKEND_CROSSED;
-		return false;
+		run->ends_us += ASK_AGAIN_US;
+		if (begin == ENTRY_BEGIN_REJECT)
+			run->code = RESULT_BACKEND_CROSSED;
+		return begin == ENTRY_BEGIN_WAIT;
 	}
 	run->sent++;
 	run->next++;
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -428,8 +428,9 @@
 		.id = id, .attempt = 1, .tokens = 1, .first = true
 	};
 
-	g_assert_true(entry_attempt_begins(bed->entry, id, 1, bed->now_us,
-					   &bed->effects));
+	g_assert_cmpint(entry_attempt_begins(bed->entry, id, 1, bed->now_us,
+					     &bed->effects),
+			==, ENTRY_BEGIN_PASS);
 	entry_attempt_tokens(bed->entry, &tokens, bed->now_us, &bed->effects);
 	process_effects(bed);
 }
