entry: wait for a stream whose version is pending, not only for news

What callers saw: a stream that began at a server which had been silent, before that server was heard again, was refused as STREAM_UNKNOWN at the VM that its caller came back to.

Cause: such a record is pending until the server is heard as the same start, up to an announcement interval later. The VM that is asked waited 0.25 s for news of the record as if it were missing, though control VMs had answered that it is there and pending.

A pending record is waited for as long as a live server needs to be heard (2 announcement intervals and 0.5 s), at most a quarter of the caller's time; an unknown one is refused after 0.25 s, as before.

--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -39,6 +39,7 @@
 	uint64_t owner;
 	int64_t since_us;
 	int64_t expires_us;
+	int64_t settles_us; /**< the same while its version is pending */
 	int64_t asked_us;
 	int asks;
 	uint64_t peers[ANSWERS_MOST]; /**< that know nothing */
@@ -110,24 +111,32 @@
 		     UNKNOWN_RETRY_AFTER_MS);
 }
 
+/* `most_us`, or the part of the caller's time that may be taken. */
+static int64_t wait_us(const struct entry_request *request, int64_t most_us)
+{
+	int64_t part_us = request->deadline_ms * 1000 / ASK_DEADLINE_DIVISOR;
+
+	return part_us > 0 && part_us < most_us ? part_us : most_us;
+}
+
 static void look_up(struct entry *entry, const struct entry_request *request,
 		    const struct affinity_key *key, uint64_t owner)
 {
-	int64_t wait_us = request->deadline_ms * 1000 / ASK_DEADLINE_DIVISOR;
 	struct lookup *lookup;
 
 	if (!has_room(entry, owner)) {
 		refuse_unknown(entry, request, "too-many-asked");
 		return;
 	}
-	if (wait_us <= 0 || wait_us > ASK_UNTIL_US)
-		wait_us = ASK_UNTIL_US;
 	lookup = xcalloc(1, sizeof(*lookup));
 	entry_copy_request(&lookup->request, request);
 	lookup->key = *key;
 	lookup->owner = owner;
 	lookup->since_us = entry->now_us;
-	lookup->expires_us = entry->now_us + wait_us;
+	lookup->expires_us = entry->now_us + wait_us(request, ASK_UNTIL_US);
+	/* A server that lives is heard, and the version settled, by then. */
+	lookup->settles_us =
+		entry->now_us + wait_us(request, entry->registry.confirmed_us);
 	list_append(&entry->lookups, &lookup->node);
 	ask(entry, lookup);
 }
@@ -292,10 +301,26 @@
 	return false;
 }
 
+static bool is_pending(const struct entry *entry, const struct lookup *lookup)
+{
+	const struct affinity *known =
+		affinities_find(&entry->affinities, &lookup->key,
+				entry->now_us);
+
+	return known && known->version == AFFINITY_PENDING;
+}
+
+static int64_t lookup_ends_us(const struct entry *entry,
+			      const struct lookup *lookup)
+{
+	return is_pending(entry, lookup) ? lookup->settles_us
+					 : lookup->expires_us;
+}
+
 static const char *why_unknown(const struct entry *entry,
 			       const struct lookup *lookup)
 {
-	if (affinities_find(&entry->affinities, &lookup->key, entry->now_us))
+	if (is_pending(entry, lookup))
 		return "version-pending";
 	if (lookup->versions_differ)
 		return "versions-differ";
@@ -309,7 +334,7 @@
 	struct lookup *next;
 
 	list_foreach_safe(lookup, next, &entry->lookups, node) {
-		if (entry->now_us >= lookup->expires_us) {
+		if (entry->now_us >= lookup_ends_us(entry, lookup)) {
 			if (resolve_unknown(entry, lookup, majority))
 				continue;
 			refuse_unknown(entry, &lookup->request,
@@ -329,8 +354,8 @@
 
 	list_foreach(lookup, &entry->lookups, node) {
 		at_us = lookup->asked_us + ASK_AGAIN_US;
-		if (lookup->expires_us < at_us)
-			at_us = lookup->expires_us;
+		if (lookup_ends_us(entry, lookup) < at_us)
+			at_us = lookup_ends_us(entry, lookup);
 		if (at_us < next_us)
 			next_us = at_us;
 	}
--- a/tests/control/t-silent-servers.c
+++ b/tests/control/t-silent-servers.c
@@ -195,6 +195,32 @@
 	check_all_served(&some);
 }
 
+/* Streams begin as servers are back and unheard; callers come elsewhere. */
+static void test_begun_unheard(void)
+{
+	struct entries *entries = order_start(order_one);
+	guint i;
+	int at;
+
+	for (at = 1; at < ORDER_SERVERS; at++)
+		silence(entries, at, 25 * SECOND / 10);
+	entries_run(entries, 25 * SECOND / 10 + GROUP_STEP_US);
+	streams_begin_many(entries, CALLERS, GROUP_STEP_US);
+	entries_run(entries, ORDER_LEAVE_US);
+	order_leave_all(entries);
+	for (i = 0; i < entries->streams->len; i++) {
+		struct entries_stream *stream = streams_nth(entries, i);
+
+		streams_resume(entries, stream, (stream->vm + 1) % ORDER_VMS);
+	}
+	entries_run(entries, 4 * SECOND);
+	for (i = 0; i < entries->streams->len; i++)
+		g_assert_cmpint(streams_nth(entries, i)->events, ==,
+				STREAMS_EVENTS);
+	g_assert_cmpint(streams_joined(entries), ==, 0);
+	entries_free(entries);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -202,5 +228,6 @@
 	g_test_add_func("/silent-servers/all-long", test_all_long);
 	g_test_add_func("/silent-servers/some", test_some);
 	g_test_add_func("/silent-servers/few-slots", test_few_slots);
+	g_test_add_func("/silent-servers/begun-unheard", test_begun_unheard);
 	return g_test_run();
 }
