load: give no attempt up at a server that only stands still

New requests went on filling servers that were silent, while idle ones stood by.

Cause: a stream without an event for 1 s, or eight times the usual time, counted as lost by its server. That holds for a server that answers others; one that is silent altogether has lost nothing, and where all are silent another one is no better. Class: the absence of news taken for a failure of the one that it is expected of.

fleet/silence.h notes for each server whether it writes while it runs requests of this VM. An overdue attempt is given up if its server writes to others, or if another server that may run it has room and isn't silent, provided that one has been writing for half a second or nobody else is silent; else it is looked at again in 0.25 s. While some servers are silent streams go to the others first, and one that was given up isn't sent to a silent one again. Requests without events aren't judged so: a server writes nothing of them before they end.

--- a/libfilberthall/fleet/backend.c
+++ b/libfilberthall/fleet/backend.c
@@ -224,6 +224,7 @@
 	} else if (is_new) {
 		tombstone_add(fleet, backend, true, now_us);
 		health_reset(&backend->health, now_us);
+		backend->silence = (struct silence){ 0 };
 		backend->drained = false;
 		backend->leaving = false;
 		backend->limited = false;
@@ -390,6 +391,8 @@
 {
 	int slot = own_slot(&backend->own, now_us);
 
+	if (!backend->own.running)
+		silence_starts(&backend->silence, now_us);
 	backend->own.running++;
 	backend->own.long_running += is_long;
 	backend->own.prompt_tokens += prompt_tokens;
@@ -421,6 +424,13 @@
 	backend->own.ended[slot]++;
 }
 
+bool backend_is_silent(const struct backend *backend, int64_t for_us,
+		       int64_t now_us)
+{
+	return backend->own.running > 0 &&
+	       silence_for_us(&backend->silence, now_us) >= for_us;
+}
+
 struct own_since {
 	int64_t started;
 	int64_t ended;
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -10,6 +10,7 @@
 #include "core/event.h"
 #include "fleet/evacuation.h"
 #include "fleet/health.h"
+#include "fleet/silence.h"
 #include "fleet/load_mean.h"
 
 /**
@@ -101,6 +102,7 @@
 				  then; 0: it never did */
 	int64_t retried_us;    /**< when it first got a request after that */
 	struct backend_own own;
+	struct silence silence; /**< while it runs requests of this VM */
 	struct health health;
 };
 
@@ -214,6 +216,10 @@
 void fleet_set_retry_at(struct fleet *fleet, const char *address,
 			int64_t retry_at_us);
 
+/** Whether it runs requests of this VM and has written nothing for so long. */
+bool backend_is_silent(const struct backend *backend, int64_t for_us,
+		       int64_t now_us);
+
 /** Count an attempt that was started on the server. */
 void backend_started(struct backend *backend, int64_t prompt_tokens,
 		     double work, bool is_long, int64_t now_us);
--- a/libfilberthall/load/overdue.c
+++ b/libfilberthall/load/overdue.c
@@ -1,10 +1,10 @@
 #include "load/overdue.h"
 
-int64_t overdue_at_us(int64_t started_us, double mean_first_us)
+int64_t overdue_wait_us(double mean_first_us)
 {
 	double wait_us = OVERDUE_MEAN_RATIO * mean_first_us;
 
 	if (wait_us < OVERDUE_MIN_US)
 		wait_us = OVERDUE_MIN_US;
-	return started_us + (int64_t)wait_us;
+	return (int64_t)wait_us;
 }
--- a/libfilberthall/load/overdue.h
+++ b/libfilberthall/load/overdue.h
@@ -22,7 +22,7 @@
 /** Nor earlier than this many times the mean time to the first event. */
 #define OVERDUE_MEAN_RATIO 8.0
 
-/** The time at which an attempt without an event is given up. */
-int64_t overdue_at_us(int64_t started_us, double mean_first_us);
+/** Microseconds without an event after which an attempt is overdue. */
+int64_t overdue_wait_us(double mean_first_us);
 
 #endif
--- a/libfilberthall/load/pick.c
+++ b/libfilberthall/load/pick.c
@@ -63,6 +63,9 @@
 		return false;
 	if (query->avoid && !strcmp(query->avoid, backend->address))
 		return false;
+	if (query->silent_us &&
+	    backend_is_silent(backend, query->silent_us, now_us))
+		return false;
 	if (query->adapter && *query->adapter &&
 	    !backend_serves(backend, backend->model, query->adapter, NULL))
 		return false;
--- a/libfilberthall/load/pick.h
+++ b/libfilberthall/load/pick.h
@@ -79,6 +79,7 @@
 	uint64_t version;  /**< that began the stream; 0: any may run it */
 	bool leaving;	   /**< among the servers that linger */
 	bool proven;	   /**< not to try whether one takes requests again */
+	int64_t silent_us; /**< none that has been silent so long; 0: any */
 	struct pick_reserved reserved[PICK_RESERVED_MOST];
 	int n_reserved;
 	struct warmup_vm vm; /**< for those */
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -204,6 +204,12 @@
 	}
 }
 
+void router_stood_still(struct router *router, int64_t from_us,
+			int64_t until_us)
+{
+	silence_note(&router->own, from_us, until_us);
+}
+
 void router_set_vm(struct router *router, const struct server_limit_vm *vm)
 {
 	router->vm = *vm;
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -264,6 +264,10 @@
 	int64_t oldest_us; /**< wait time of the oldest waiting request */
 };
 
+/** This VM itself stood still between the two times. */
+void router_stood_still(struct router *router, int64_t from_us,
+			int64_t until_us);
+
 /** This VM's number among those that send to the backend servers. */
 void router_set_vm(struct router *router, const struct server_limit_vm *vm);
 
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "load/overdue.h"
 #include "load/router_state.h"
 
 #define ATTEMPT_CONNECT_MS 1000
@@ -210,13 +211,21 @@
 	attempt->request->may_have_run = true;
 }
 
+int64_t attempt_ran_us(const struct router *router,
+		       const struct attempt *attempt, int64_t since_us,
+		       int64_t now_us)
+{
+	return now_us - since_us;
+}
+
 static void attempt_first_token(struct router *router, struct attempt *attempt,
 				int64_t now_us)
 {
 	struct request *request = attempt->request;
 	struct pool *pool = request->queue->pool;
 	struct backend *backend;
-	double took_us = (double)(now_us - attempt->started_us);
+	int64_t took_us =
+		attempt_ran_us(router, attempt, attempt->started_us, now_us);
 
 	attempt->first_us = now_us;
 	if (!request->first_token_us)
@@ -225,13 +234,15 @@
 	if (request->spec.stream && !request->spec.version)
 		request->spec.version = attempt->version;
 	if (pool->first_token_us <= 0)
-		pool->first_token_us = took_us;
-	pool->first_token_us += (took_us - pool->first_token_us) / 32;
+		pool->first_token_us = (double)took_us;
+	pool->first_token_us += ((double)took_us - pool->first_token_us) / 32;
 	backend = fleet_find(router->options.fleet, attempt->address);
-	if (backend)
+	if (backend) {
+		backend->silence.n_writing++;
+		attempt->counts_writing = true;
 		backend_prefilled(backend, attempt->prompt_tokens);
-	pool_record_prefill(pool, attempt->prompt_tokens,
-			    now_us - attempt->started_us);
+	}
+	pool_record_prefill(pool, attempt->prompt_tokens, took_us);
 	attempt->prompt_tokens = 0;
 	/* The engine regenerates the tokens that the caller already has. */
 	request->wasted += attempt->base;
@@ -248,6 +259,13 @@
 	request->last_chunk_us = now_us;
 }
 
+static void server_heard(struct backend *backend, const struct pool *pool,
+			 int64_t now_us)
+{
+	silence_heard(&backend->silence, overdue_wait_us(pool->first_token_us),
+		      now_us);
+}
+
 void router_tokens(struct router *router,
 		   const struct event_attempt_tokens *tokens, int64_t now_us,
 		   struct effects *effects)
@@ -262,8 +280,10 @@
 		return;
 	request = attempt->request;
 	backend = fleet_find(router->options.fleet, attempt->address);
-	if (backend)
+	if (backend) {
 		backend->health.last_token_us = now_us;
+		server_heard(backend, request->queue->pool, now_us);
+	}
 	attempt->sent = true;
 	request->may_have_run = true;
 	attempt->tokens = tokens->tokens;
@@ -289,6 +309,8 @@
 	if (backend)
 		backend_ended(backend, attempt->prompt_tokens, attempt->work,
 			      attempt->is_long, now_us);
+	if (backend && attempt->counts_writing && backend->silence.n_writing)
+		backend->silence.n_writing--;
 	if (attempt->paced)
 		divide_ended(&pool->divide, attempt->slots);
 	if (attempt->paced && attempt->first_us)
@@ -318,19 +340,24 @@
 {
 	struct pool *pool = attempt->request->queue->pool;
 	struct backend *backend;
+	int64_t took_us;
+	int64_t wrote_us = 0;
 
 	backend = fleet_find(router->options.fleet, attempt->address);
+	if (backend && (ended->code == RESULT_OK || ended->http_status))
+		server_heard(backend, pool, now_us);
 	if (ended->code == RESULT_OK) {
+		took_us = attempt_ran_us(router, attempt, attempt->started_us,
+					 now_us);
+		if (attempt->first_us)
+			wrote_us = attempt_ran_us(router, attempt,
+						  attempt->first_us, now_us);
 		if (backend)
 			health_answered(&backend->health, ended->tokens,
-					attempt->first_us
-						? now_us - attempt->first_us
-						: 0,
-					now_us);
-		pool_record_cost(pool, attempt->work,
-				 now_us - attempt->started_us);
-		pool_record_time(pool, attempt->request->class->id,
-				 now_us - attempt->started_us, now_us);
+					wrote_us, now_us);
+		pool_record_cost(pool, attempt->work, took_us);
+		pool_record_time(pool, attempt->request->class->id, took_us,
+				 now_us);
 		return;
 	}
 	if (attempt->cancelled || !code_is_fault(ended->code))
--- a/libfilberthall/load/router_dispatch.c
+++ b/libfilberthall/load/router_dispatch.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "load/overdue.h"
 #include "load/router_state.h"
 
 /* Slots kept free for the top tier, per square root of its running requests. */
@@ -135,6 +136,36 @@
 			    pool->n_members, &router->rng, now_us);
 }
 
+/* While some servers are silent the others get the requests. */
+static struct backend *pick_live(struct router *router, const struct pool *pool,
+				 struct pick_query *query, int64_t now_us)
+{
+	int64_t silent_us = query->silent_us;
+	struct backend *backend;
+
+	backend = pick_proven(router, pool, query, now_us);
+	if (backend || !silent_us)
+		return backend;
+	query->silent_us = 0;
+	backend = pick_proven(router, pool, query, now_us);
+	query->silent_us = silent_us;
+	return backend;
+}
+
+/* A stream that was given up at a silent server isn't to wait a second time. */
+static int64_t request_silent_us(const struct request *request)
+{
+	const struct pool *pool = request->queue->pool;
+
+	if (!request->spec.stream)
+		return 0;
+	if (request->left_silent)
+		return SILENCE_LIVE_US;
+	return pool->n_silent && pool->n_silent < pool->n_usable
+		       ? overdue_wait_us(pool->first_token_us)
+		       : 0;
+}
+
 /* Avoid the server of the failed attempt unless there is no other. */
 static struct backend *pick_avoiding(struct router *router,
 				     const struct pool *pool,
@@ -142,11 +173,11 @@
 {
 	struct backend *backend;
 
-	backend = pick_proven(router, pool, query, now_us);
+	backend = pick_live(router, pool, query, now_us);
 	if (backend || !query->avoid || has_other(pool, query, now_us))
 		return backend;
 	query->avoid = NULL;
-	return pick_proven(router, pool, query, now_us);
+	return pick_live(router, pool, query, now_us);
 }
 
 /*
@@ -230,6 +261,7 @@
 		.avoid = request->avoid[0] ? request->avoid : NULL,
 		.regions = request->spec.regions,
 		.version = request->spec.version,
+		.silent_us = request_silent_us(request),
 		.prompt_tokens = request->spec.prompt_tokens,
 		.hold_us = pool->us_per_token * pool->mean_cost,
 	};
--- a/libfilberthall/load/router_pool.c
+++ b/libfilberthall/load/router_pool.c
@@ -4,6 +4,7 @@
 
 #include "base/alloc.h"
 #include "fleet/region.h"
+#include "load/overdue.h"
 #include "load/router_state.h"
 
 /* Part of the target after which a waiting request causes pressure. */
@@ -180,6 +181,7 @@
 			       int64_t now_us)
 {
 	double hold_us = pool->us_per_token * pool->mean_cost;
+	int64_t silent_us = overdue_wait_us(pool->first_token_us);
 	uint64_t version = 0;
 	double weight;
 	int i;
@@ -189,6 +191,7 @@
 	pool->load = 0;
 	pool->n_usable = 0;
 	pool->n_cold = 0;
+	pool->n_silent = 0;
 	pool->versions_differ = false;
 	pool->backed_off = pool_is_backed_off(pool, now_us);
 	for (i = 0; i < pool->n_members; i++) {
@@ -197,6 +200,7 @@
 		if (!backend_usable(member, now_us))
 			continue;
 		pool->n_usable++;
+		pool->n_silent += backend_is_silent(member, silent_us, now_us);
 		if (!version)
 			version = member->version_hash;
 		pool->versions_differ |= version != member->version_hash;
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -97,12 +97,13 @@
 	const char *service;  /**< part of name, or NULL */
 	struct backend **members;
 	int n_members;
-	int n_usable;	      /**< members that accept new requests */
-	int n_cold;	      /**< of them, cold ones (load/warmup.h) */
-	int n_asked;	      /**< of them, those that ever asked for time */
-	int n_backed_off;     /**< whose time isn't over */
-	bool backed_off;      /**< none of them takes any request */
-	int64_t retry_at_us;  /**< when the first one's time is over */
+	int n_usable;	     /**< members that accept new requests */
+	int n_cold;	     /**< of them, cold ones (load/warmup.h) */
+	int n_asked;	     /**< of them, those that ever asked for time */
+	int n_backed_off;    /**< whose time isn't over */
+	int n_silent;	     /**< that write nothing though they run requests */
+	bool backed_off;     /**< none of them takes any request */
+	int64_t retry_at_us; /**< when the first one's time is over */
 	bool versions_differ; /**< of the usable members */
 	uint64_t
 		fleet_version; /**< fleet version at which members was listed */
@@ -180,7 +181,9 @@
 	bool by_floor;	  /**< started by its class's minimum share */
 	bool sent;
 	bool cancelled;
-	bool sound; /**< noted: its server didn't crash by its parts */
+	bool sound;	     /**< noted: its server didn't crash by its parts */
+	bool counts_writing; /**< among its server's answers that have begun */
+	bool kept;	     /**< though overdue: no other attempt is allowed */
 	enum result cancel_code; /**< why it was cancelled */
 };
 
@@ -209,9 +212,10 @@
 	bool reached_server; /**< an attempt reached a server */
 	bool found_full;     /**< a server without a free slot rejected it */
 	bool counted;	     /**< in its pool's outcomes */
+	bool left_silent;    /**< it was given up at a server that was silent */
 	bool tries_parts;   /**< it is sent to try whether they crash servers */
 	int64_t hedge_us;   /**< no check for a hedge before this time */
-	int64_t overdue_us; /**< when it was last checked for a lost answer */
+	int64_t overdue_us; /**< no check for a lost answer before this time */
 	char avoid[BACKEND_NAME_SIZE]; /**< server of the last failed attempt */
 	struct list attempts;
 	int n_attempts;
@@ -257,6 +261,7 @@
 	struct retry_limit retry_limit;
 	struct server_limit_vm vm;
 	struct preempt_budget preempt;
+	struct silence own; /**< this VM's last standstill */
 	struct pick_options pick;
 	uint64_t sequence;
 	uint64_t last_organisation;
@@ -350,6 +355,11 @@
 				 const struct request *request);
 
 /* router_attempt.c */
+
+/** Microseconds since `since_us` in which the VM and the server ran. */
+int64_t attempt_ran_us(const struct router *router,
+		       const struct attempt *attempt, int64_t since_us,
+		       int64_t now_us);
 void attempt_start(struct router *router, struct request *request,
 		   struct backend *backend, bool by_floor, int64_t now_us,
 		   struct effects *effects);
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "load/overdue.h"
 #include "load/router_state.h"
@@ -55,6 +56,21 @@
 	return a < b ? a : b;
 }
 
+/* Standstills of the server and of this VM don't count. */
+static int64_t attempt_waits_since_us(const struct router *router,
+				      const struct attempt *attempt)
+{
+	const struct backend *backend =
+		fleet_find(router->options.fleet, attempt->address);
+	int64_t since_us = attempt->started_us;
+
+	if (router->own.until_us > since_us)
+		since_us = router->own.until_us;
+	if (backend && backend->silence.until_us > since_us)
+		since_us = backend->silence.until_us;
+	return since_us;
+}
+
 static int64_t request_overdue_us(const struct router *router,
 				  const struct request *request)
 {
@@ -62,12 +78,12 @@
 	int64_t at_us;
 
 	if (!router->options.features.lost_answers || !attempt ||
-	    attempt->first_us || attempt->cancelled ||
+	    attempt->first_us || attempt->cancelled || attempt->kept ||
 	    !request->spec.idempotent || !request->spec.stream)
 		return INT64_MAX;
-	at_us = overdue_at_us(attempt->started_us,
-			      request->queue->pool->first_token_us);
-	return at_us > request->overdue_us ? at_us : INT64_MAX;
+	at_us = attempt_waits_since_us(router, attempt) +
+		overdue_wait_us(request->queue->pool->first_token_us);
+	return at_us > request->overdue_us ? at_us : request->overdue_us;
 }
 
 /** Set the request's timer to its next possible event. */
@@ -176,28 +192,86 @@
 	const struct pool *pool = request->queue->pool;
 	const struct backend *backend =
 		fleet_find(router->options.fleet, attempt->address);
-	int64_t heard_us = backend ? backend->health.last_token_us : 0;
+	int64_t silent_us =
+		backend ? silence_for_us(&backend->silence, now_us) : -1;
 
 	router_log(request, LOG_INFO, effects,
 		   "event=given-up attempt=%lld server=%s waited_ms=%lld "
-		   "usual_ms=%lld heard_ms=%lld version=%llx",
+		   "usual_ms=%lld silent_ms=%lld version=%llx",
 		   (long long)attempt->number, attempt->address,
 		   (long long)((now_us - attempt->started_us) / 1000),
 		   (long long)(pool->first_token_us / 1000),
-		   (long long)((now_us - heard_us) / 1000),
+		   (long long)(silent_us / 1000),
 		   (unsigned long long)request->spec.version);
 }
 
-/* It is looked at once for each attempt. */
+/* What the pool's other servers do. */
+struct others {
+	int n_live;   /* that write to this VM */
+	int n_silent; /* that run requests of it and write nothing, or hardly */
+	bool room;    /* at one that isn't silent and may run the request */
+};
+
+static struct others look_at_others(const struct request *request,
+				    const struct attempt *attempt,
+				    int64_t now_us)
+{
+	const struct pool *pool = request->queue->pool;
+	struct others others = { 0 };
+	int i;
+
+	for (i = 0; i < pool->n_members; i++) {
+		const struct backend *member = pool->members[i];
+		bool live = silence_is_live(&member->silence, now_us);
+
+		if (!strcmp(member->address, attempt->address) ||
+		    !backend_usable(member, now_us))
+			continue;
+		if (!live &&
+		    (member->silence.heard_us > now_us - SILENCE_LIVE_US ||
+		     backend_is_silent(member, SILENCE_LIVE_US, now_us))) {
+			others.n_silent++;
+			continue;
+		}
+		others.n_live += live;
+		others.room |= request_may_run_at(request, member) &&
+			       backend_load(member) < (double)member->slots;
+	}
+	return others;
+}
+
+/*
+ * A server that answers others has lost this answer. One that is silent will
+ * go on; another one is better only if it isn't silent as well.
+ */
+static bool another_is_better(const struct router *router,
+			      const struct request *request,
+			      const struct attempt *attempt, int64_t now_us)
+{
+	const struct backend *backend =
+		fleet_find(router->options.fleet, attempt->address);
+	struct others others;
+
+	if (!backend || silence_is_live(&backend->silence, now_us))
+		return true;
+	others = look_at_others(request, attempt, now_us);
+	return others.room && (others.n_live || !others.n_silent);
+}
+
+/* If the limits forbid another attempt, this isn't asked again. */
 static void request_check_overdue(struct router *router,
 				  struct request *request, int64_t now_us,
 				  struct effects *effects)
 {
 	struct attempt *attempt = request_attempt(request);
 
-	request->overdue_us = now_us;
-	if (!may_send_again(router, request, now_us, effects))
+	request->overdue_us = now_us + TIME_RECHECK_US;
+	if (!another_is_better(router, request, attempt, now_us))
+		return;
+	attempt->kept = !may_send_again(router, request, now_us, effects);
+	if (attempt->kept)
 		return;
+	request->left_silent = true;
 	log_given_up(router, request, attempt, now_us, effects);
 	attempt_cancel(attempt, RESULT_BACKEND_TIMEOUT, effects);
 }
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -15,7 +15,8 @@
 #define REJECT_US INT64_C(5000)
 #define CONNECT_US INT64_C(500000)
 #define SLOTS 16
-#define ASK_AGAIN_US INT64_C(50000)   /* whether a first event may pass */
+#define ASK_AGAIN_US INT64_C(50000) /* whether a first event may pass */
+#define SILENT_LONG_US (3 * SECOND / 2)
 #define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
 
 static struct route *add_route(struct document *document, const char *name,
@@ -83,6 +84,7 @@
 	route = add_route(document, "stream", "/stream/", 3);
 	route->kind = ROUTE_STREAM;
 	route->resumable = true;
+	route->pause_ms = 500;
 	add_members(document);
 	g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
 	return document;
@@ -183,6 +185,12 @@
 	return server->rejects_most && n > server->rejects_most;
 }
 
+static bool is_silent(const struct entries *entries, int server)
+{
+	return group_now(entries->group) <
+	       entries->servers[server].silent_until_us;
+}
+
 /* A connection without a request. */
 static void start_probe(struct entries *entries, int vm, const char *address)
 {
@@ -231,6 +239,11 @@
 		g_array_append_val(server->arrivals, now_us);
 		if (start->attempt > 1)
 			g_array_append_val(entries->repeats, now_us);
+		entries->silent_repeats +=
+			start->attempt > 1 && is_silent(entries, at);
+		entries->silent_sends +=
+			start->attempt == 1 && is_silent(entries, at) &&
+			now_us - server->silent_since_us > SILENT_LONG_US;
 	}
 	run.started_ms = server->started_ms;
 	run.leaving = server->says_leaving;
@@ -436,12 +449,6 @@
 	}
 }
 
-static bool is_silent(const struct entries *entries, int server)
-{
-	return group_now(entries->group) <
-	       entries->servers[server].silent_until_us;
-}
-
 /* Those that were silent read that requests were given up. */
 static void free_slots(struct entries *entries)
 {
@@ -884,6 +891,7 @@
 	int64_t now_us = group_now(entries->group);
 	guint i;
 
+	entries->servers[server].silent_since_us = now_us;
 	entries->servers[server].silent_until_us = now_us + us;
 	for (i = 0; i < entries->runs->len; i++) {
 		struct run *run = &g_array_index(entries->runs, struct run, i);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -102,8 +102,9 @@
 	int64_t started_ms;
 	int64_t sequence;
 	int64_t announced_us;
-	int64_t up_us;		 /**< it is down before then */
-	int64_t late_us;	 /**< its announcements come so much later */
+	int64_t up_us;	 /**< it is down before then */
+	int64_t late_us; /**< its announcements come so much later */
+	int64_t silent_since_us;
 	int64_t silent_until_us; /**< it reads, runs and writes nothing */
 	int left_in_silence;	 /**< requests given up, which hold slots */
 	bool says_leaving;	 /**< in its answers alone, and serves on */
@@ -140,12 +141,15 @@
 	GArray *passes;		/**< requests from VM to VM */
 	GPtrArray *streams;	/**< struct entries_stream */
 	const char *path;	/**< of requests from now on */
+	int64_t stream_prompt;	/**< tokens, of streams; 0: not told */
 	GPtrArray *asks;	/**< struct entries_asked, in time */
 	GArray *crashed;	/**< int64_t, times of servers' crashes */
 	GArray *deadly;		/**< and of arrivals that crash servers */
 	GArray *arrived;	/**< struct entries_arrival, in time */
 	GArray *asked;		/**< int64_t, times of requests */
 	GArray *repeats;	/**< and of those that reached another server */
+	int silent_repeats;	/**< of these, that was silent too */
+	int silent_sends;	/**< first ones, to a server silent for long */
 	int probes;		/**< connections without a request */
 	int64_t part_bytes;	/**< of messages on parts, to and from VMs */
 	uint64_t next_entry;
--- a/tests/control/streams.c
+++ b/tests/control/streams.c
@@ -32,6 +32,7 @@
 		.path = STREAMS_PATH,
 		.body_hash = stream->body,
 		.resumes = resumes,
+		.prompt_tokens = entries->stream_prompt,
 		.last_event = stream->events ? last : NULL,
 	};
 
--- a/tests/control/t-silent-servers.c
+++ b/tests/control/t-silent-servers.c
@@ -30,18 +30,17 @@
 
 struct tally {
 	int whole[KINDS];
-	int refused; /* answers */
+	int refused;	    /* answers */
+	int repeats;	    /* requests that were sent again */
+	int silent_repeats; /* of these, to a server that is silent too */
+	int silent_sends;   /* first ones, to one that has long been silent */
 };
 
-static struct caller *find_or_begin(struct entries *entries,
-				    struct caller *callers, int n)
+static void begin_caller(struct entries *entries, struct caller *caller, int n)
 {
-	struct caller *caller = &callers[n];
-
-	caller->kind = n % 2 ? COMES_BACK : STAYS;
-	caller->leaves_at = caller->kind == COMES_BACK ? 1 + n / 2 % 12 : 0;
-	caller->stream = streams_begin(entries, n / 2 % ORDER_VMS);
-	return caller;
+	caller->kind = n % 3 == 1 ? COMES_BACK : STAYS;
+	caller->leaves_at = caller->kind == COMES_BACK ? 1 + n / 3 % 12 : 0;
+	caller->stream = streams_begin(entries, n / 3 % ORDER_VMS);
 }
 
 static bool is_over(const struct entries_stream *stream)
@@ -78,6 +77,7 @@
 	struct entries *entries = order_start(order_one);
 	int i;
 
+	entries->stream_prompt = 1500;
 	for (i = 0; i < ORDER_SERVERS; i++) {
 		entries->servers[i].slots = play->slots;
 		entries->servers[i].queue = play->slots / 4;
@@ -114,7 +114,7 @@
 static struct tally run_play(const struct play *play)
 {
 	struct entries *entries = start(play);
-	struct caller callers[2 * CALLERS] = { 0 };
+	struct caller callers[3 * CALLERS] = { 0 };
 	struct tally tally = { 0 };
 	int64_t since_us = group_now(entries->group);
 	int n = 0;
@@ -123,10 +123,10 @@
 	while (group_now(entries->group) - since_us < 10 * SECOND) {
 		int64_t passed_us = group_now(entries->group) - since_us;
 
-		for (; n < 2 * CALLERS &&
-		       passed_us >= n * CALLERS_US / (2 * CALLERS);
+		for (; n < 3 * CALLERS &&
+		       passed_us >= n * CALLERS_US / (3 * CALLERS);
 		     n++)
-			find_or_begin(entries, callers, n);
+			begin_caller(entries, &callers[n], n);
 		for (i = 0; i < n; i++)
 			act(entries, &callers[i], &tally);
 		step(entries, play, since_us);
@@ -135,20 +135,33 @@
 		tally.whole[callers[i].kind] +=
 			callers[i].stream->events == STREAMS_EVENTS;
 	g_assert_cmpint(streams_joined(entries), ==, 0);
+	tally.repeats = (int)entries->repeats->len;
+	tally.silent_repeats = entries->silent_repeats;
+	tally.silent_sends = entries->silent_sends;
 	entries_free(entries);
 	g_test_message("whole: %d that stay, %d that come back; %d refused "
-		       "or broken off",
+		       "or broken off; %d sent again, %d to silent servers; "
+		       "%d sent to long silent ones",
 		       tally.whole[STAYS], tally.whole[COMES_BACK],
-		       tally.refused);
+		       tally.refused, tally.repeats, tally.silent_repeats,
+		       tally.silent_sends);
 	return tally;
 }
 
-/* All are served, and no answer ends early. */
+/* All are served, no answer ends early, and nothing is sent in vain. */
 static void check_all_served(const struct play *play)
 {
 	struct tally tally = run_play(play);
 
-	g_assert_cmpint(tally.whole[STAYS], ==, CALLERS);
+	g_assert_cmpint(tally.silent_repeats, ==, 0);
+	if (play->silent == ORDER_SERVERS)
+		g_assert_cmpint(tally.repeats, ==, 0);
+	else
+		/* Each VM has to find out by itself. */
+		g_assert_cmpint(tally.silent_sends, <=,
+				ORDER_VMS * play->silent);
+
+	g_assert_cmpint(tally.whole[STAYS], ==, 2 * CALLERS);
 	g_assert_cmpint(tally.whole[COMES_BACK], ==, CALLERS);
 	g_assert_cmpint(tally.refused, ==, 0);
 }
