load: leave standstills out of the times that estimates rest on

What callers saw: after a silence requests were refused as DEADLINE_UNREACHABLE, not run, with all their time left and free slots.

Cause: the mean time to the first event, the time that a class needs, the time per token and a server's speed are measured from an attempt's start to its end, whatever happened in between. A standstill of 2.5 s raised the need of a class from 0.2 s to 2.0 s (20 samples), and half of that is still there 2 s later.

Now the part in which the server stood still is subtracted: the time in which an answer that had begun didn't go on, for as long as would make an attempt overdue. The same for a standstill of this VM itself, which router_stood_still() tells.

t-silence fails before (the request after it is refused) and passes now.

--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -215,7 +215,16 @@
 		       const struct attempt *attempt, int64_t since_us,
 		       int64_t now_us)
 {
-	return now_us - since_us;
+	const struct backend *backend =
+		fleet_find(router->options.fleet, attempt->address);
+	int64_t still_us = silence_between(&router->own, since_us, now_us);
+	int64_t server_us = 0;
+
+	if (backend)
+		server_us =
+			silence_between(&backend->silence, since_us, now_us);
+	return now_us - since_us -
+	       (server_us > still_us ? server_us : still_us);
 }
 
 static void attempt_first_token(struct router *router, struct attempt *attempt,
--- /dev/null
+++ b/tests/load/t-silence.c
@@ -0,0 +1,109 @@
+/* What is measured while a server or this VM stands still isn't used later. */
+#include <glib.h>
+
+#include "bed.h"
+
+#define STREAMS 20
+#define USUAL_US (SECOND / 5)
+#define STILL_US (5 * SECOND / 2)
+
+static uint64_t ask(struct bed *bed)
+{
+	struct router_request request = {
+		.id = ++bed->last_id,
+		.organisation = "a",
+		.class_name = "low",
+		.model = "base",
+		.arrived_us = bed->now_us,
+		.deadline_us = bed->now_us + 3 * SECOND / 2,
+		.idempotent = true,
+		.stream = true,
+	};
+
+	router_submit(bed->router, &request, bed->now_us, &bed->effects);
+	return request.id;
+}
+
+static bool was_sent(struct bed *bed, uint64_t id)
+{
+	struct effect *effect;
+	bool sent = false;
+
+	while ((effect = effects_take(&bed->effects))) {
+		sent |= effect->kind == EFFECT_START_ATTEMPT &&
+			effect->u.start.id == id;
+		effect_free(effect);
+	}
+	return sent;
+}
+
+static void event_comes(struct bed *bed, uint64_t id, int64_t n)
+{
+	struct event_attempt_tokens tokens = { id, 1, n, n == 1 };
+
+	router_tokens(bed->router, &tokens, bed->now_us, &bed->effects);
+}
+
+static void start(struct bed *bed)
+{
+	bed_open(bed);
+	bed_engine(bed, "10.0.0.1:1", 64, 1);
+	fleet_find(&bed->fleet, "10.0.0.1:1")->lease_end_us = INT64_MAX;
+}
+
+/* Streams of which all have begun but the last ones; `still_us` in between. */
+static void play(struct bed *bed, int64_t still_us, bool own)
+{
+	uint64_t ids[STREAMS];
+	int i;
+
+	for (i = 0; i < STREAMS; i++)
+		ids[i] = ask(bed);
+	bed->now_us += USUAL_US / 2;
+	for (i = 0; i < STREAMS / 2; i++)
+		event_comes(bed, ids[i], 1);
+	if (own)
+		router_stood_still(bed->router, bed->now_us,
+				   bed->now_us + still_us);
+	bed->now_us += still_us;
+	for (i = 0; i < STREAMS; i++)
+		event_comes(bed, ids[i], 2 - (i >= STREAMS / 2));
+	bed->now_us += USUAL_US / 2;
+	for (i = 0; i < STREAMS; i++)
+		bed_end(bed, ids[i], 1, RESULT_OK, true);
+}
+
+static void check_sent(struct bed *bed)
+{
+	g_assert_true(was_sent(bed, ask(bed)));
+	bed_close(bed);
+}
+
+static void test_server_stands_still(void)
+{
+	struct bed bed;
+
+	start(&bed);
+	play(&bed, 0, false);
+	play(&bed, STILL_US, false);
+	check_sent(&bed);
+}
+
+static void test_vm_stands_still(void)
+{
+	struct bed bed;
+
+	start(&bed);
+	play(&bed, 0, true);
+	play(&bed, STILL_US, true);
+	check_sent(&bed);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/silence/server-stands-still",
+			test_server_stands_still);
+	g_test_add_func("/silence/vm-stands-still", test_vm_stands_still);
+	return g_test_run();
+}
