entry daemon: what came while the VM stood still is read before it is judged

What callers saw: a VM that was suspended for 2.5 s gave up, on waking, all attempts that had no event yet, although the events lay in its sockets.

Cause: the loop runs timers before it reads, and the time to an attempt's first event contained the VM's own standstill. The class is that of the silent servers: a time without news is held against the one that it is expected of.

A turn of the loop that comes 0.5 s or more after the last one (it turns each 50 ms at least) is a standstill; it is told to the reducer before anything else of that turn (event=stood-still), which leaves it out of overdue times and of what estimates rest on.

--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -33,6 +33,9 @@
 #define READY_HEADER_MS 3000
 #define READY_IDLE_MS 60000
 
+/* The loop turns each 50 ms at least; after so long it has stood still. */
+#define STILL_US INT64_C(500000)
+
 /* What is left of the grace for closing and exiting once it is nearly over. */
 #define STOP_MARGIN_MS 250
 
@@ -51,6 +54,8 @@
 	uint64_t next_id;
 	int64_t version; /* of the document whose limits hold */
 	ev_timer tick;
+	ev_check turn;
+	int64_t turned_us;
 	ev_timer close_idle;
 	ev_timer last_answers;
 	int64_t stop_us; /* latest end of a planned stop */
@@ -339,6 +344,18 @@
 	follow_limits(daemon);
 }
 
+/* Before anything else of a turn of the loop. */
+static void on_turn(struct ev_loop *ev, ev_check *check, int events)
+{
+	struct entry_daemon *daemon = check->data;
+	int64_t now_us = edge_now_us();
+
+	if (daemon->turned_us && now_us - daemon->turned_us >= STILL_US)
+		entry_stood_still(daemon->entry, daemon->turned_us, now_us,
+				  &daemon->effects);
+	daemon->turned_us = now_us;
+}
+
 static void on_tick(struct ev_loop *ev, ev_timer *timer, int events)
 {
 	struct entry_daemon *daemon = timer->data;
@@ -610,6 +627,10 @@
 	if (!code) {
 		ev_timer_init(&daemon.tick, on_tick, 0, 0);
 		daemon.tick.data = &daemon;
+		ev_check_init(&daemon.turn, on_turn);
+		ev_set_priority(&daemon.turn, EV_MAXPRI);
+		daemon.turn.data = &daemon;
+		ev_check_start(daemon.role.ev, &daemon.turn);
 		ev_timer_init(&daemon.last_answers, on_last_answers, 0,
 			      STOP_LOOK_S);
 		daemon.last_answers.data = &daemon;
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -199,6 +199,16 @@
 	return next_us < now_us + TICK_US ? next_us : now_us + TICK_US;
 }
 
+void entry_stood_still(struct entry *entry, int64_t from_us, int64_t until_us,
+		       struct effects *effects)
+{
+	set_context(entry, until_us, effects);
+	entry_log(entry, LOG_WARN, "daemon",
+		  "event=stood-still ms=%lld open=%zu",
+		  (long long)((until_us - from_us) / 1000), entry->calls.count);
+	router_stood_still(entry->router, from_us, until_us);
+}
+
 void entry_link_up(struct entry *entry, const struct event_link_up *up,
 		   int64_t now_us, struct effects *effects)
 {
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -121,6 +121,13 @@
 const struct registration *entry_server_at(const struct entry *entry,
 					   const char *address);
 
+/**
+ * This VM stood still between the two times, as one does that is suspended.
+ * To be called before what has come meanwhile.
+ */
+void entry_stood_still(struct entry *entry, int64_t from_us, int64_t until_us,
+		       struct effects *effects);
+
 /** What becomes of an attempt's first event. */
 enum entry_begin {
 	ENTRY_BEGIN_PASS,
