entry: go on with an unknown stream only if a majority knows one version

Cause: a stream that nobody knows goes on if all control VMs that the VM has links to agree that there has been one version. On the smaller side of a partition these are two of five; they have heard neither the new servers nor the others' log, and say so in good faith while the VM's own freshness, of up to seconds, still holds. Class: a question whose answer rests on a quorum was asked of those who happened to be in reach.

Control VMs now tell with that answer how many voters there are and whether they are one; the stream goes on only if more than half of the voters agree. Releases before this one don't tell it and are believed as before.

--- a/libfilberthall/control/control_affinity.c
+++ b/libfilberthall/control/control_affinity.c
@@ -46,6 +46,17 @@
 	return false;
 }
 
+static int64_t count_voters(const struct control *control)
+{
+	const struct members *members = raft_members(control->raft);
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < members->count; i++)
+		n += members->items[i].role == MEMBER_VOTER;
+	return n;
+}
+
 void control_answer_affinity(struct control *control, uint64_t id,
 			     const struct feed_affinity_ask *ask,
 			     int64_t now_us, struct effects *effects)
@@ -54,7 +65,10 @@
 	const struct affinity *known =
 		affinities_find(&control->affinities, &ask->key, now_us);
 	struct feed_affinity_none none = {
-		ask->key, any_versions_differ(control, ask, now_us)
+		.key = ask->key,
+		.versions_differ = any_versions_differ(control, ask, now_us),
+		.voters = count_voters(control),
+		.votes = raft_is_voter(control->raft),
 	};
 	struct bytes body = { 0 };
 
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -44,7 +44,9 @@
 	int asks;
 	uint64_t peers[ANSWERS_MOST]; /**< that know nothing */
 	int n_peers;
+	int n_votes;	      /**< of these, voters */
 	bool versions_differ; /**< as one of them says */
+	int64_t voters;	      /**< of the control VMs, as told; 0: unknown */
 };
 
 static void lookup_free(struct lookup *lookup)
@@ -248,16 +250,21 @@
 	int i;
 
 	lookup->versions_differ |= none->versions_differ;
+	if (none->voters > lookup->voters)
+		lookup->voters = none->voters;
 	for (i = 0; i < lookup->n_peers; i++)
 		if (lookup->peers[i] == peer)
 			return;
-	if (lookup->n_peers < ANSWERS_MOST)
-		lookup->peers[lookup->n_peers++] = peer;
+	if (lookup->n_peers == ANSWERS_MOST)
+		return;
+	lookup->peers[lookup->n_peers++] = peer;
+	lookup->n_votes += none->votes;
 }
 
 /*
  * No control VM knows the stream. It may go on if `n` of them agree that there
- * has been one version only, since any server may have begun it then.
+ * has been one version only, since any server may have begun it then. Those of
+ * a minority may lack what the others have agreed on.
  */
 static bool resolve_unknown(struct entry *entry, struct lookup *lookup,
 			    size_t n)
@@ -266,6 +273,7 @@
 	struct affinity affinity;
 
 	if (lookup->versions_differ || (size_t)lookup->n_peers < n ||
+	    (lookup->voters && 2 * lookup->n_votes <= lookup->voters) ||
 	    affinities_find(&entry->affinities, &lookup->key, entry->now_us) ||
 	    !entry_can_decide(entry) || !route ||
 	    !only_affinity(entry, route, &affinity))
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -414,9 +414,11 @@
 {
 	msgpack_packer packer;
 
-	begin(&packer, out, 2, FEED_AFFINITY_NONE);
+	begin(&packer, out, 4, FEED_AFFINITY_NONE);
 	pack_key(&packer, &none->key);
 	msgpack_pack_int64(&packer, none->versions_differ);
+	msgpack_pack_int64(&packer, none->voters);
+	msgpack_pack_int64(&packer, none->votes);
 }
 
 void feed_write_demand(struct bytes *out, int64_t requests)
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -185,6 +185,8 @@
 struct feed_affinity_none {
 	struct affinity_key key;
 	bool versions_differ; /**< of a service that was named */
+	int64_t voters;	      /**< among the control VMs; 0: not told */
+	bool votes;	      /**< the one that says so is one of them */
 };
 
 struct feed_changed {
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agree/member.h"
 #include "base/alloc.h"
 #include "core/pack.h"
 #include "feed/feed_read.h"
@@ -390,6 +391,10 @@
 static bool read_affinity_none(const struct unpacked *items,
 			       struct feed_affinity_none *none)
 {
+	/* Earlier releases don't tell them. */
+	if (!unpack_int(items, 3, &none->voters) || none->voters < 0 ||
+	    none->voters > MEMBER_MAX || !read_flag(items, 4, &none->votes))
+		none->voters = 0;
 	return read_key(items, 1, &none->key) &&
 	       read_flag(items, 2, &none->versions_differ);
 }
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -473,7 +473,7 @@
 	while (i < entries->runs->len) {
 		struct run run = g_array_index(entries->runs, struct run, i);
 
-		if (run.ends_us > now_us) {
+		if (run.ends_us > now_us || entries->vms[run.vm].frozen_us) {
 			i++;
 			continue;
 		}
@@ -716,6 +716,8 @@
 		for (i = 0; i < entries->n_servers; i++)
 			announce(entries, i);
 		for (i = 0; i < entries->n_vms; i++) {
+			if (entries->vms[i].frozen_us)
+				continue;
 			update_links(entries, i);
 			entry_tick(entries->vms[i].entry,
 				   entries_vm_now(entries, i), &effects);
@@ -724,6 +726,47 @@
 	}
 }
 
+static void init_server(struct entries *entries, int at)
+{
+	struct entries_server *server = &entries->servers[at];
+
+	g_snprintf(server->address, sizeof(server->address), "10.1.0.%d:80",
+		   at + 1);
+	g_snprintf(server->id, sizeof(server->id), "s%d", at);
+	server->version = "v1";
+	server->started_ms = 1;
+	server->announced_us = -SECOND;
+	server->work_us = WORK_US;
+	server->limit_per_s = SERVER_LIMIT_NONE;
+	server->rejects_named = REJECT_LIMIT_NONE;
+	server->arrivals = g_array_new(false, false, sizeof(int64_t));
+	server->rejected = g_array_new(false, false, sizeof(int64_t));
+}
+
+void entries_add_server(struct entries *entries, const char *version)
+{
+	int at = entries->n_servers++;
+
+	init_server(entries, at);
+	entries->servers[at].version = version;
+	entries->servers[at].started_ms = group_now(entries->group) / 1000;
+}
+
+void entries_freeze(struct entries *entries, int vm, bool freeze)
+{
+	struct entries_vm *frozen = &entries->vms[vm];
+	struct effects effects;
+
+	if (!freeze) {
+		effects_init(&effects);
+		entry_stood_still(frozen->entry,
+				  frozen->frozen_us + frozen->offset_us,
+				  entries_vm_now(entries, vm), &effects);
+		entries_carry_out(entries, vm, &effects);
+	}
+	frozen->frozen_us = freeze ? group_now(entries->group) : 0;
+}
+
 struct entries *entries_new(int n_vms, int n_servers)
 {
 	struct entries *entries = xcalloc(1, sizeof(*entries));
@@ -749,21 +792,8 @@
 	entries->passes = g_array_new(false, false, sizeof(struct pass));
 	entries->streams = g_ptr_array_new_with_free_func(free);
 	group_set_sink(entries->group, entries_take_letter, entries);
-	for (i = 0; i < n_servers; i++) {
-		struct entries_server *server = &entries->servers[i];
-
-		g_snprintf(server->address, sizeof(server->address),
-			   "10.1.0.%d:80", i + 1);
-		g_snprintf(server->id, sizeof(server->id), "s%d", i);
-		server->version = "v1";
-		server->started_ms = 1;
-		server->announced_us = -SECOND;
-		server->work_us = WORK_US;
-		server->limit_per_s = SERVER_LIMIT_NONE;
-		server->rejects_named = REJECT_LIMIT_NONE;
-		server->arrivals = g_array_new(false, false, sizeof(int64_t));
-		server->rejected = g_array_new(false, false, sizeof(int64_t));
-	}
+	for (i = 0; i < n_servers; i++)
+		init_server(entries, i);
 	for (i = 0; i < n_vms; i++) {
 		entries->vms[i].offset_us = CLOCK_STEP_US * i;
 		start_entry(entries, i);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -206,6 +206,12 @@
 /** The server stands still with all that it runs, its connections open. */
 void entries_silence(struct entries *entries, int server, int64_t us);
 
+/** A server more, with an id and an address of its own. */
+void entries_add_server(struct entries *entries, const char *version);
+
+/** The VM stands still, or goes on, with all its connections open. */
+void entries_freeze(struct entries *entries, int vm, bool freeze);
+
 /** Cut a VM off from all servers, or join it again. */
 void entries_set_path(struct entries *entries, int vm, enum entries_path path);
 
--- a/tests/control/entries_post.c
+++ b/tests/control/entries_post.c
@@ -55,7 +55,8 @@
 		struct letter letter =
 			g_array_index(entries->posts, struct letter, i);
 
-		if (letter.at_us > group_now(entries->group)) {
+		if (letter.at_us > group_now(entries->group) ||
+		    entries->vms[letter.vm].frozen_us) {
 			i++;
 			continue;
 		}
--- a/tests/control/entries_state.h
+++ b/tests/control/entries_state.h
@@ -20,6 +20,7 @@
 	int64_t slow_us;
 	int64_t slow_news_us;
 	int64_t offset_us; /* of its clock from the group's */
+	int64_t frozen_us; /* since when it stands still; 0: it runs */
 };
 
 /* A request at a server. */
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -437,7 +437,8 @@
 
 void bed_deliver_unknown(struct bed *bed, bool versions_differ)
 {
-	struct feed_affinity_none none = { bed->asked, versions_differ };
+	struct feed_affinity_none none = { .key = bed->asked,
+					   .versions_differ = versions_differ };
 	struct bytes body = { 0 };
 
 	feed_write_affinity_none(&body, &none);
