--- a/tests/load/bed.c
+++ b/tests/load/bed.c
@@ -137,3 +137,16 @@
 
 	router_ended(bed->router, &ended, bed->now_us, &bed->effects);
 }
+
+bool bed_was_sent(struct bed *bed, uint64_t id)
+{
+	struct effect *effect;
+	bool sent = false;
+
+	while ((effect = effects_take(&bed->effects))) {
+		sent |= effect->kind == EFFECT_START_ATTEMPT &&
+			effect->u.start.id == id;
+		effect_free(effect);
+	}
+	return sent;
+}
--- a/tests/load/t-pace.c
+++ b/tests/load/t-pace.c
@@ -82,19 +82,6 @@
 	return request.id;
 }
 
-static bool was_sent(struct bed *bed, uint64_t id)
-{
-	struct effect *effect;
-	bool sent = false;
-
-	while ((effect = effects_take(&bed->effects))) {
-		sent |= effect->kind == EFFECT_START_ATTEMPT &&
-			effect->u.start.id == id;
-		effect_free(effect);
-	}
-	return sent;
-}
-
 /*
  * Runs `n` requests of a class one after the other and renews the lease of the
  * server each time.
@@ -126,7 +113,7 @@
 	bed_open(&bed);
 	serve(&bed, "low", 9000, SECOND / 2, 1);
 	serve(&bed, "high", 700, 2 * SECOND, 32);
-	g_assert_true(was_sent(&bed, ask(&bed, "low", 9000)));
+	g_assert_true(bed_was_sent(&bed, ask(&bed, "low", 9000)));
 	bed_close(&bed);
 }
 
@@ -143,9 +130,9 @@
 	bed_open(&bed);
 	serve(&bed, "high", 700, SECOND / 10, 8);
 	serve(&bed, "low", 9000, 7 * SECOND, 1);
-	g_assert_false(was_sent(&bed, ask(&bed, "low", 9000)));
+	g_assert_false(bed_was_sent(&bed, ask(&bed, "low", 9000)));
 	serve(&bed, "high", 700, SECOND / 10, 20);
-	g_assert_true(was_sent(&bed, ask(&bed, "low", 9000)));
+	g_assert_true(bed_was_sent(&bed, ask(&bed, "low", 9000)));
 	bed_close(&bed);
 }
 
--- a/tests/load/t-silence.c
+++ b/tests/load/t-silence.c
@@ -24,19 +24,6 @@
 	return request.id;
 }
 
-static bool was_sent(struct bed *bed, uint64_t id)
-{
-	struct effect *effect;
-	bool sent = false;
-
-	while ((effect = effects_take(&bed->effects))) {
-		sent |= effect->kind == EFFECT_START_ATTEMPT &&
-			effect->u.start.id == id;
-		effect_free(effect);
-	}
-	return sent;
-}
-
 static void event_comes(struct bed *bed, uint64_t id, int64_t n)
 {
 	struct event_attempt_tokens tokens = { id, 1, n, n == 1 };
@@ -75,7 +62,7 @@
 
 static void check_sent(struct bed *bed)
 {
-	g_assert_true(was_sent(bed, ask(bed)));
+	g_assert_true(bed_was_sent(bed, ask(bed)));
 	bed_close(bed);
 }
 
