load: whether an overdue attempt is given up is told by the pool

What callers would see: where many entry VMs share many servers, an answer that was lost on its way, or a server that has gone dark, is waited for to the deadline.

What the pool's servers write together shows the same without gaps: while the pool writes, and has for half a second, an overdue attempt is given up if a server that isn't silent has room; while nothing comes from any of them it is kept, unless no other server owes an answer.

/silence/lost-at-sparse-traffic fails before and passes now. t-overdue and t-silent-servers as before: no request is sent again while all servers are silent, 21 and 48 with four of six, none of them to a silent one.

--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -268,11 +268,12 @@
 	request->last_chunk_us = now_us;
 }
 
-static void server_heard(struct backend *backend, const struct pool *pool,
+static void server_heard(struct backend *backend, struct pool *pool,
 			 int64_t now_us)
 {
 	silence_heard(&backend->silence, overdue_wait_us(pool->first_token_us),
 		      now_us);
+	silence_heard(&pool->silence, SILENCE_LIVE_US, now_us);
 }
 
 void router_tokens(struct router *router,
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -108,12 +108,13 @@
 	uint64_t
 		fleet_version; /**< fleet version at which members was listed */
 	uint64_t fleet_removals;
-	int64_t listed_us;  /**< when members was listed */
-	double slots;	    /**< of usable members that aren't cheap */
-	double cheap_slots; /**< of usable cheap members */
-	double load;	    /**< requests on all usable members */
-	int64_t counted_us; /**< when slots and load were computed */
-	int64_t usable_us;  /**< when a member was last usable */
+	int64_t listed_us;	/**< when members was listed */
+	double slots;		/**< of usable members that aren't cheap */
+	double cheap_slots;	/**< of usable cheap members */
+	double load;		/**< requests on all usable members */
+	int64_t counted_us;	/**< when slots and load were computed */
+	int64_t usable_us;	/**< when a member was last usable */
+	struct silence silence; /**< of all members together */
 	struct list queues;
 	struct retry retry;
 	int64_t spent_logged_us; /**< last log line of spent retries */
--- a/libfilberthall/load/router_time.c
+++ b/libfilberthall/load/router_time.c
@@ -205,57 +205,54 @@
 		   (unsigned long long)request->spec.version);
 }
 
-/* What the pool's other servers do. */
-struct others {
-	int n_live;   /* that write to this VM */
-	int n_silent; /* that run requests of it and write nothing, or hardly */
-	bool room;    /* at one that isn't silent and may run the request */
-};
-
-static struct others look_at_others(const struct request *request,
-				    const struct attempt *attempt,
-				    int64_t now_us)
+/* Whether a server that isn't silent may run the request and has room. */
+static bool others_have_room(const struct request *request,
+			     const struct attempt *attempt, int64_t now_us)
 {
 	const struct pool *pool = request->queue->pool;
-	struct others others = { 0 };
 	int i;
 
 	for (i = 0; i < pool->n_members; i++) {
 		const struct backend *member = pool->members[i];
-		bool live = silence_is_live(&member->silence, now_us);
 
-		if (!strcmp(member->address, attempt->address) ||
-		    !backend_usable(member, now_us))
-			continue;
-		if (!live &&
-		    (member->silence.heard_us > now_us - SILENCE_LIVE_US ||
-		     backend_is_silent(member, SILENCE_LIVE_US, now_us))) {
-			others.n_silent++;
-			continue;
-		}
-		others.n_live += live;
-		others.room |= request_may_run_at(request, member) &&
-			       backend_load(member) < (double)member->slots;
+		if (strcmp(member->address, attempt->address) != 0 &&
+		    backend_usable(member, now_us) &&
+		    request_may_run_at(request, member) &&
+		    backend_load(member) < (double)member->slots &&
+		    !backend_is_silent(member, SILENCE_LIVE_US, now_us))
+			return true;
 	}
-	return others;
+	return false;
+}
+
+static bool others_are_silent(const struct pool *pool,
+			      const struct attempt *attempt, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < pool->n_members; i++)
+		if (strcmp(pool->members[i]->address, attempt->address) != 0 &&
+		    backend_is_silent(pool->members[i], SILENCE_LIVE_US,
+				      now_us))
+			return true;
+	return false;
 }
 
 /*
- * A server that answers others has lost this answer. One that is silent will
- * go on; another one is better only if it isn't silent as well.
+ * While the pool's servers write, one that doesn't answer has lost the request
+ * or is silent alone. While none writes all of them may stand still, and the
+ * request is answered where it is.
  */
-static bool another_is_better(const struct router *router,
-			      const struct request *request,
+static bool another_is_better(const struct request *request,
 			      const struct attempt *attempt, int64_t now_us)
 {
-	const struct backend *backend =
-		fleet_find(router->options.fleet, attempt->address);
-	struct others others;
+	const struct pool *pool = request->queue->pool;
 
-	if (!backend || silence_is_live(&backend->silence, now_us))
-		return true;
-	others = look_at_others(request, attempt, now_us);
-	return others.room && (others.n_live || !others.n_silent);
+	if (!others_have_room(request, attempt, now_us))
+		return false;
+	if (now_us - pool->silence.heard_us < SILENCE_LIVE_US)
+		return silence_is_live(&pool->silence, now_us);
+	return !others_are_silent(pool, attempt, now_us);
 }
 
 /* If the limits forbid another attempt, this isn't asked again. */
@@ -266,7 +263,7 @@
 	struct attempt *attempt = request_attempt(request);
 
 	request->overdue_us = now_us + TIME_RECHECK_US;
-	if (!another_is_better(router, request, attempt, now_us))
+	if (!another_is_better(request, attempt, now_us))
 		return;
 	attempt->kept = !may_send_again(router, request, now_us, effects);
 	if (attempt->kept)
--- a/tests/load/t-silence.c
+++ b/tests/load/t-silence.c
@@ -7,7 +7,7 @@
 #define USUAL_US (SECOND / 5)
 #define STILL_US (5 * SECOND / 2)
 
-static uint64_t ask(struct bed *bed)
+static uint64_t ask_until(struct bed *bed, int64_t time_us)
 {
 	struct router_request request = {
 		.id = ++bed->last_id,
@@ -15,7 +15,7 @@
 		.class_name = "low",
 		.model = "base",
 		.arrived_us = bed->now_us,
-		.deadline_us = bed->now_us + 3 * SECOND / 2,
+		.deadline_us = bed->now_us + time_us,
 		.idempotent = true,
 		.stream = true,
 	};
@@ -24,6 +24,11 @@
 	return request.id;
 }
 
+static uint64_t ask(struct bed *bed)
+{
+	return ask_until(bed, 3 * SECOND / 2);
+}
+
 static void event_comes(struct bed *bed, uint64_t id, int64_t n)
 {
 	struct event_attempt_tokens tokens = { id, 1, n, n == 1 };
@@ -86,11 +91,67 @@
 	check_sent(&bed);
 }
 
+/* A stream of three events; the next one begins soon after it has ended. */
+static void serve_one(struct bed *bed)
+{
+	uint64_t id = ask(bed);
+	int i;
+
+	for (i = 1; i <= 3; i++) {
+		bed->now_us += SECOND / 20;
+		event_comes(bed, id, i);
+		router_tick(bed->router, bed->now_us, &bed->effects);
+	}
+	bed_end(bed, id, 1, RESULT_OK, true);
+	bed->now_us += SECOND / 5;
+	router_tick(bed->router, bed->now_us, &bed->effects);
+}
+
+static bool was_cancelled(struct bed *bed, uint64_t id)
+{
+	struct effect *effect;
+	bool cancelled = false;
+
+	while ((effect = effects_take(&bed->effects))) {
+		cancelled |= effect->kind == EFFECT_CANCEL_ATTEMPT &&
+			     effect->u.cancel.id == id;
+		effect_free(effect);
+	}
+	return cancelled;
+}
+
+/* An answer is lost where each server is heard seldom, but some one always. */
+static void test_lost_at_sparse_traffic(void)
+{
+	struct retry_limit limit = { 0.2, 50, 10 * SECOND, 1, false };
+	char address[32];
+	struct bed bed;
+	uint64_t lost;
+	int i;
+
+	bed_open_with(&bed, true);
+	router_limit_retries(bed.router, &limit);
+	for (i = 0; i < 40; i++) {
+		g_snprintf(address, sizeof(address), "10.0.0.%d:1", i + 1);
+		bed_engine(&bed, address, 64, 1);
+		fleet_find(&bed.fleet, address)->lease_end_us = INT64_MAX;
+	}
+	for (i = 0; i < 8; i++)
+		serve_one(&bed);
+	lost = ask_until(&bed, 4 * SECOND);
+	for (i = 0; i < 4; i++)
+		serve_one(&bed);
+	g_assert_true(was_cancelled(&bed, lost));
+	bed_close(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/silence/server-stands-still",
 			test_server_stands_still);
 	g_test_add_func("/silence/vm-stands-still", test_vm_stands_still);
+	g_test_add_func("/silence/lost-at-sparse-traffic",
+			test_lost_at_sparse_traffic);
 	return g_test_run();
 }
