entry, load: an attempt whose first event is held isn't overdue

What callers would see: a resumed stream whose events were held until its server was heard was given up after a second, while its answer lay here.

Cause: the router knows an attempt's answer by the events that were passed on; a held one is overdue like one without any, and is given up once the pool writes again.

The reducer tells the router of a held event; the attempt counts as answered, and its server as one that writes.

--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -172,6 +172,8 @@
 	version = version_at(entry, &view);
 	if (call->begun || call->resumes || version == VERSION_OTHER) {
 		begin = go_on_at(entry, call, &view, version);
+		if (begin == ENTRY_BEGIN_WAIT)
+			router_held(entry->router, id, attempt, now_us);
 		if (begin == ENTRY_BEGIN_PASS && !call->begun)
 			note_begun(entry, call, view.version);
 		return begin;
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -264,6 +264,10 @@
 	int64_t oldest_us; /**< wait time of the oldest waiting request */
 };
 
+/** The attempt's first event has come and is held: it has an answer. */
+void router_held(struct router *router, uint64_t id, int64_t number,
+		 int64_t now_us);
+
 /** This VM itself stood still between the two times. */
 void router_stood_still(struct router *router, int64_t from_us,
 			int64_t until_us);
--- a/libfilberthall/load/router_attempt.c
+++ b/libfilberthall/load/router_attempt.c
@@ -276,6 +276,20 @@
 	silence_heard(&pool->silence, SILENCE_LIVE_US, now_us);
 }
 
+void router_held(struct router *router, uint64_t id, int64_t number,
+		 int64_t now_us)
+{
+	struct attempt *attempt = attempt_find(router, id, number);
+	struct backend *backend;
+
+	if (!attempt)
+		return;
+	attempt->kept = true;
+	backend = fleet_find(router->options.fleet, attempt->address);
+	if (backend)
+		server_heard(backend, attempt->request->queue->pool, now_us);
+}
+
 void router_tokens(struct router *router,
 		   const struct event_attempt_tokens *tokens, int64_t now_us,
 		   struct effects *effects)
--- a/libfilberthall/load/router_state.h
+++ b/libfilberthall/load/router_state.h
@@ -184,7 +184,7 @@
 	bool cancelled;
 	bool sound;	     /**< noted: its server didn't crash by its parts */
 	bool counts_writing; /**< among its server's answers that have begun */
-	bool kept;	     /**< though overdue: no other attempt is allowed */
+	bool kept;	     /**< though without an event that was passed on */
 	enum result cancel_code; /**< why it was cancelled */
 };
 
--- a/tests/control/t-silent-servers.c
+++ b/tests/control/t-silent-servers.c
@@ -208,6 +208,33 @@
 	check_all_served(&some);
 }
 
+/* Answers that are held until their server is heard aren't given up. */
+static void test_held(void)
+{
+	struct entries *entries = order_start(order_one);
+	guint i;
+	int at;
+
+	streams_begin_many(entries, CALLERS, GROUP_STEP_US);
+	entries_run(entries, ORDER_LEAVE_US);
+	order_leave_all(entries);
+	/* The first one is heard just before the others go on. */
+	silence(entries, 0, 21 * SECOND / 10);
+	entries->servers[0].announced_us -= SECOND;
+	for (at = 1; at < ORDER_SERVERS; at++)
+		silence(entries, at, 23 * SECOND / 10);
+	for (i = 0; i < entries->streams->len; i++)
+		streams_resume(entries, streams_nth(entries, i),
+			       (int)i % ORDER_VMS);
+	entries_run(entries, 6 * SECOND);
+	g_test_message("%u sent again", entries->repeats->len);
+	g_assert_cmpint(entries->repeats->len, ==, 0);
+	for (i = 0; i < entries->streams->len; i++)
+		g_assert_cmpint(streams_nth(entries, i)->events, ==,
+				STREAMS_EVENTS);
+	entries_free(entries);
+}
+
 /* Streams begin as servers are back and unheard; callers come elsewhere. */
 static void test_begun_unheard(void)
 {
@@ -241,6 +268,7 @@
 	g_test_add_func("/silent-servers/all-long", test_all_long);
 	g_test_add_func("/silent-servers/some", test_some);
 	g_test_add_func("/silent-servers/few-slots", test_few_slots);
+	g_test_add_func("/silent-servers/held", test_held);
 	g_test_add_func("/silent-servers/begun-unheard", test_begun_unheard);
 	return g_test_run();
 }
