tests: plain requests beside silent servers and changes in series

60 requests that may run once or again, all six servers silent for 2.5 s, a new document each quarter of a second: all served with one send.

--- a/tests/control/t-silent-servers.c
+++ b/tests/control/t-silent-servers.c
@@ -208,6 +208,34 @@
 	check_all_served(&some);
 }
 
+/* Plain requests, that may run once or again, beside changes in series. */
+static void test_plain(void)
+{
+	struct entries *entries = order_start(order_one);
+	const struct entries_ask ask[] = {
+		{ .path = ENTRIES_ONCE, .work_us = SECOND / 20 },
+		{ .path = ENTRIES_AGAIN, .work_us = SECOND / 20 }
+	};
+	const struct entries_asked *asked[CALLERS];
+	int i;
+
+	for (i = 0; i < ORDER_SERVERS; i++)
+		silence(entries, i, 25 * SECOND / 10);
+	for (i = 0; i < CALLERS; i++) {
+		if (i % 10 == 0)
+			group_put(entries->group, group_leader(entries->group),
+				  2 + i / 10);
+		asked[i] = entries_send(entries, i % ORDER_VMS, &ask[i % 2]);
+		entries_run(entries, SECOND / 40);
+	}
+	entries_run(entries, 4 * SECOND);
+	for (i = 0; i < CALLERS; i++) {
+		g_assert_cmpint(asked[i]->code, ==, RESULT_OK);
+		g_assert_cmpint(asked[i]->sends, ==, 1);
+	}
+	entries_free(entries);
+}
+
 /* Answers that are held until their server is heard aren't given up. */
 static void test_held(void)
 {
@@ -268,6 +296,7 @@
 	g_test_add_func("/silent-servers/all-long", test_all_long);
 	g_test_add_func("/silent-servers/some", test_some);
 	g_test_add_func("/silent-servers/few-slots", test_few_slots);
+	g_test_add_func("/silent-servers/plain", test_plain);
 	g_test_add_func("/silent-servers/held", test_held);
 	g_test_add_func("/silent-servers/begun-unheard", test_begun_unheard);
 	return g_test_run();
