--- a/libfilberthall/control/control_affinity.c
+++ b/libfilberthall/control/control_affinity.c
@@ -46,17 +46,6 @@
 	return false;
 }
 
-static int64_t count_voters(const struct control *control)
-{
-	const struct members *members = raft_members(control->raft);
-	int64_t n = 0;
-	size_t i;
-
-	for (i = 0; i < members->count; i++)
-		n += members->items[i].role == MEMBER_VOTER;
-	return n;
-}
-
 void control_answer_affinity(struct control *control, uint64_t id,
 			     const struct feed_affinity_ask *ask,
 			     int64_t now_us, struct effects *effects)
@@ -67,7 +56,7 @@
 	struct feed_affinity_none none = {
 		.key = ask->key,
 		.versions_differ = any_versions_differ(control, ask, now_us),
-		.voters = count_voters(control),
+		.voters = members_voters(raft_members(control->raft)),
 		.votes = raft_is_voter(control->raft),
 	};
 	struct bytes body = { 0 };
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agree/member.h"
 #include "base/alloc.h"
 #include "entry/entry_state.h"
 
@@ -273,7 +274,8 @@
 	struct affinity affinity;
 
 	if (lookup->versions_differ || (size_t)lookup->n_peers < n ||
-	    (lookup->voters && 2 * lookup->n_votes <= lookup->voters) ||
+	    (lookup->voters &&
+	     lookup->n_votes < members_quorum((int)lookup->voters)) ||
 	    affinities_find(&entry->affinities, &lookup->key, entry->now_us) ||
 	    !entry_can_decide(entry) || !route ||
 	    !only_affinity(entry, route, &affinity))
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -273,8 +273,7 @@
 		entries_wait_for_slot(entries, &run);
 	else if (!run.code)
 		entries_take_slot(entries, &run);
-	if (now_us < server->silent_until_us &&
-	    run.code != RESULT_BACKEND_CONNECT)
+	if (is_silent(entries, at) && run.code != RESULT_BACKEND_CONNECT)
 		run.ends_us += server->silent_until_us - now_us;
 	g_array_append_val(entries->runs, run);
 	if (has_rejected_most(server, now_us)) {
@@ -629,8 +628,7 @@
 	int tried = 0;
 
 	if (now_us < server->up_us + server->late_us ||
-	    now_us < server->silent_until_us ||
-	    now_us - server->announced_us < SECOND)
+	    is_silent(entries, at) || now_us - server->announced_us < SECOND)
 		return;
 	while (!group_start_number(entries->group, control) &&
 	       tried++ < ENTRIES_CONTROL_VMS)
--- a/tests/load/bed.c
+++ b/tests/load/bed.c
@@ -138,15 +138,27 @@
 	router_ended(bed->router, &ended, bed->now_us, &bed->effects);
 }
 
-bool bed_was_sent(struct bed *bed, uint64_t id)
+static bool had_effect(struct bed *bed, enum effect_kind kind, uint64_t id)
 {
 	struct effect *effect;
-	bool sent = false;
+	bool had = false;
+	uint64_t its_id;
 
 	while ((effect = effects_take(&bed->effects))) {
-		sent |= effect->kind == EFFECT_START_ATTEMPT &&
-			effect->u.start.id == id;
+		its_id = kind == EFFECT_START_ATTEMPT ? effect->u.start.id
+						      : effect->u.cancel.id;
+		had |= effect->kind == kind && its_id == id;
 		effect_free(effect);
 	}
-	return sent;
+	return had;
+}
+
+bool bed_was_sent(struct bed *bed, uint64_t id)
+{
+	return had_effect(bed, EFFECT_START_ATTEMPT, id);
+}
+
+bool bed_was_cancelled(struct bed *bed, uint64_t id)
+{
+	return had_effect(bed, EFFECT_CANCEL_ATTEMPT, id);
 }
--- a/tests/load/bed.h
+++ b/tests/load/bed.h
@@ -31,8 +31,9 @@
 void bed_close(struct bed *bed);
 uint64_t bed_submit(struct bed *bed, const char *class_name, bool idempotent);
 struct effect *bed_effect(struct bed *bed, enum effect_kind kind);
-/** Whether an attempt of the request was started; drops all effects. */
+/** Whether an attempt of the request was started, or cancelled; drops all. */
 bool bed_was_sent(struct bed *bed, uint64_t id);
+bool bed_was_cancelled(struct bed *bed, uint64_t id);
 void bed_end(struct bed *bed, uint64_t id, int64_t attempt, enum result code,
 	     bool sent);
 
--- a/tests/load/t-silence.c
+++ b/tests/load/t-silence.c
@@ -107,19 +107,6 @@
 	router_tick(bed->router, bed->now_us, &bed->effects);
 }
 
-static bool was_cancelled(struct bed *bed, uint64_t id)
-{
-	struct effect *effect;
-	bool cancelled = false;
-
-	while ((effect = effects_take(&bed->effects))) {
-		cancelled |= effect->kind == EFFECT_CANCEL_ATTEMPT &&
-			     effect->u.cancel.id == id;
-		effect_free(effect);
-	}
-	return cancelled;
-}
-
 /* An answer is lost where each server is heard seldom, but some one always. */
 static void test_lost_at_sparse_traffic(void)
 {
@@ -141,7 +128,7 @@
 	lost = ask_until(&bed, 4 * SECOND);
 	for (i = 0; i < 4; i++)
 		serve_one(&bed);
-	g_assert_true(was_cancelled(&bed, lost));
+	g_assert_true(bed_was_cancelled(&bed, lost));
 	bed_close(&bed);
 }
 
