boot: take the memory of a process from its settings

The memory that the platform grants a process (limits.memory_mb of its settings file) reached neither role, so no decision could rest on it. Nothing uses it yet.

t-boot: the list of allowed keys in the message about an unknown one has one more entry.

--- a/daemon/boot.h
+++ b/daemon/boot.h
@@ -73,6 +73,7 @@
 	int64_t connections;
 	int64_t idle_s;
 	int64_t stop_grace_s; /**< for streams to end at a planned stop */
+	int64_t memory_mb;    /**< of this process at most, 0: the machine's */
 };
 
 /**
--- a/daemon/boot_key.c
+++ b/daemon/boot_key.c
@@ -76,6 +76,8 @@
 	{ "limits", "idle_s", BOOT_NUMBER, BOOT_AT(idle_s), 0, 1, 3600, 30 },
 	{ "limits", "stop_grace_s", BOOT_NUMBER, BOOT_AT(stop_grace_s), 0, 1,
 	  86400, 900 },
+	{ "limits", "memory_mb", BOOT_NUMBER, BOOT_AT(memory_mb), 0, 0,
+	  16777216, 0 },
 	{ "log", "level", BOOT_LEVEL, BOOT_AT(log_level), 0, 0, 0, LOG_INFO },
 	{ "log", "file", BOOT_PATH, BOOT_AT(log_file), 0, 0, 0, 0 },
 	{ NULL, "trace_file", BOOT_PATH, BOOT_AT(trace_file), 0, 0, 0, 0 },
--- a/tests/daemon/t-boot.c
+++ b/tests/daemon/t-boot.c
@@ -83,7 +83,7 @@
 		  "needed" },
 		{ "limits: {idles: 3}\n",
 		  "b.yaml:9: idles: no such key; allowed are: header_bytes "
-		  "body_bytes connections idle_s stop_grace_s" },
+		  "body_bytes connections idle_s stop_grace_s memory_mb" },
 		{ "log:\n  level: loud\n",
 		  "b.yaml:10: level: debug, info, warn or error is needed" },
 		{ "regions: [north]\n",
