--- a/tests/roles.sh
+++ b/tests/roles.sh
@@ -38,6 +38,7 @@
 seeds: [$(roles_operators 1), $(roles_operators 2), $(roles_operators 3)]
 log: {file: "-"}
 usage: {window_s: 1}
+${ROLES_MEMORY_MB:+limits: {memory_mb: $ROLES_MEMORY_MB\}}
 END
 		for roles_line
 		do
@@ -63,7 +64,7 @@
   ready: $ROLES_NET.$((100 + roles_n)):0
   links: $ROLES_NET.$((100 + roles_n)):$ROLES_LINKS
 seeds: [$(roles_operators 1), $(roles_operators 2), $(roles_operators 3)]
-limits: {stop_grace_s: 8}
+limits: {stop_grace_s: 8${ROLES_MEMORY_MB:+, memory_mb: $ROLES_MEMORY_MB}}
 usage: {window_s: 1}
 log: {file: "-"}
 END
