link: a stranger's first frame may be as long as a hello, messages are claimed

The first frame is refused by its length unless that is one of a hello.

After the hello a peer's unread frame, the messages that wait for it and those that this process hasn't dealt with are claimed. Without memory the oldest message goes, or the one that came, as on a link that is down: senders repeat them.

--- a/daemon/link/link.c
+++ b/daemon/link/link.c
@@ -270,6 +270,13 @@
 	command_post(hub, command);
 }
 
+void link_taken(struct link_hub *hub, size_t len)
+{
+	pthread_mutex_lock(&hub->lock);
+	memory_hold(&hub->inbox, hub->inbox.bytes - len);
+	pthread_mutex_unlock(&hub->lock);
+}
+
 void link_open(struct link_hub *hub, const struct effect_link_open *open)
 {
 	struct command *command = command_new(COMMAND_OPEN, open->peer);
@@ -386,6 +393,7 @@
 	hub->epoll = hub->wake = hub->acceptor.fd = -1;
 	hub->strangers_most = descriptors_for_strangers(LINK_STRANGERS);
 	hub->rng.state = options->self ^ options->incarnation;
+	hub->inbox = memory_claim(options->memory, MEMORY_LINKS);
 	pthread_mutex_init(&hub->lock, NULL);
 	list_init(&hub->commands);
 	list_init(&hub->conns);
@@ -473,6 +481,7 @@
 	}
 	drop_links(hub);
 	drop_commands(hub);
+	memory_release(&hub->inbox);
 	close_if_open(hub->epoll);
 	close_if_open(hub->wake);
 	acceptor_close(&hub->acceptor);
--- a/daemon/link/link.h
+++ b/daemon/link/link.h
@@ -5,6 +5,7 @@
 #include "core/effect.h"
 #include "daemon/acceptor.h"
 #include "daemon/edge.h"
+#include "daemon/memory.h"
 
 /**
  * Links between daemons: one TCP connection between each two, msgpack frames
@@ -42,6 +43,7 @@
 	int n_seeds;
 	const struct edge_sink *sink;
 	struct edge_counters *counters;
+	struct memory *memory; /**< that messages are claimed of, or NULL */
 };
 
 /**
@@ -55,6 +57,9 @@
 /** The port really bound. */
 int link_port(const struct link_hub *hub);
 
+/** Bytes of a message have been taken by whoever its event went to. */
+void link_taken(struct link_hub *hub, size_t len);
+
 /** Carry out effects; none of these waits for the network. */
 void link_send(struct link_hub *hub, const struct effect_send *send);
 void link_open(struct link_hub *hub, const struct effect_link_open *open);
--- a/daemon/link/link_conn.c
+++ b/daemon/link/link_conn.c
@@ -14,6 +14,9 @@
 #define OUT_BYTES (64 * 1024)
 #define RECORD_BYTES (16 * 1024)
 
+/* An empty buffer that is larger is given back. */
+#define KEPT_BYTES 4096
+
 /* One busy peer must not keep the thread from the others. */
 #define READS_AT_ONCE 16
 
@@ -89,6 +92,8 @@
 	set_socket_options(fd);
 	if (hub->key.data)
 		set_tls(conn);
+	conn->claim = memory_claim(hub->options.memory, MEMORY_LINKS);
+	memory_hold(&conn->claim, sizeof(*conn));
 	list_append(&hub->conns, &conn->node);
 	atomic_fetch_add(&hub->n_conns, 1);
 	hub->n_strangers++;
@@ -127,6 +132,7 @@
 			gnutls_deinit(conn->tls);
 		bytes_clear(&conn->in);
 		bytes_clear(&conn->out);
+		memory_release(&conn->claim);
 		free(conn);
 	}
 }
@@ -151,6 +157,21 @@
 	return true;
 }
 
+static void give_back(struct bytes *bytes)
+{
+	if (!bytes->len && bytes->capacity > KEPT_BYTES)
+		bytes_clear(bytes);
+}
+
+/* False if there is no memory for what the connection holds. */
+static bool claim_buffers(struct link_conn *conn)
+{
+	give_back(&conn->in);
+	give_back(&conn->out);
+	return memory_ask(&conn->claim, sizeof(*conn) + conn->in.capacity +
+						conn->out.capacity);
+}
+
 static void greet(struct link_conn *conn)
 {
 	conn->state = LINK_GREETING;
@@ -209,8 +230,7 @@
 	while (conn->state == LINK_UP && unsent(conn) < OUT_BYTES &&
 	       (message =
 			list_first(&peer->queue, struct link_message, node))) {
-		list_remove(&message->node);
-		peer->queued_bytes -= message->frame.len;
+		link_peer_took(peer, message);
 		bytes_append(&conn->out, message->frame.data,
 			     message->frame.len);
 		edge_count(&hub->messages_out[message->channel]);
@@ -269,13 +289,30 @@
 		fill_out(conn);
 	}
 	want_write(conn, false);
+	claim_buffers(conn);
+}
+
+static bool claim_inbox(struct link_hub *hub, size_t len)
+{
+	bool granted;
+
+	pthread_mutex_lock(&hub->lock);
+	granted = memory_ask(&hub->inbox, hub->inbox.bytes + len);
+	pthread_mutex_unlock(&hub->lock);
+	return granted;
 }
 
 static void take_message(struct link_conn *conn, const struct link_frame *frame)
 {
 	struct link_hub *hub = conn->hub;
-	struct event *event = event_new(EVENT_LINK_MESSAGE);
+	struct event *event;
 
+	/* Whoever sent it sends it again, as on a link that was down. */
+	if (!claim_inbox(hub, frame->body_len)) {
+		edge_count(&hub->options.counters->link_dropped);
+		return;
+	}
+	event = event_new(EVENT_LINK_MESSAGE);
 	event->u.link_message.peer = conn->peer->member;
 	event->u.link_message.channel = frame->channel;
 	bytes_append(&event->u.link_message.body, frame->body, frame->body_len);
@@ -302,8 +339,13 @@
 	enum result code;
 
 	while (used && conn->state != LINK_DEAD) {
+		/* A stranger has nothing to say but who it is. */
 		code = link_frame_read(&frame, conn->in.data + at,
-				       conn->in.len - at, &used);
+				       conn->in.len - at,
+				       conn->state == LINK_UP
+					       ? LINK_FRAME_MOST_BYTES
+					       : LINK_HELLO_BYTES,
+				       &used);
 		if (code)
 			refuse(conn);
 		else if (used)
@@ -344,6 +386,8 @@
 	edge_count_many(&conn->hub->options.counters->link_bytes_in, n);
 	bytes_append(&conn->in, buffer, n);
 	take_frames(conn);
+	if (conn->state != LINK_DEAD && !claim_buffers(conn))
+		refuse(conn);
 	return conn->state != LINK_DEAD;
 }
 
--- a/daemon/link/link_frame.c
+++ b/daemon/link/link_frame.c
@@ -10,9 +10,6 @@
 
 #define LENGTH_BYTES 4
 
-/* Kind, channel and the body's own length. */
-#define OVERHEAD_BYTES 64
-
 /* Leaves room for the length; end_frame() fills it in. */
 static size_t begin_frame(struct bytes *out, msgpack_packer *packer,
 			  enum link_frame_kind kind)
@@ -177,7 +174,7 @@
 }
 
 enum result link_frame_read(struct link_frame *frame, const char *data,
-			    size_t len, size_t *used)
+			    size_t len, size_t most, size_t *used)
 {
 	const unsigned char *bytes = (const unsigned char *)data;
 	struct cursor cursor;
@@ -190,7 +187,7 @@
 	cursor.len = (size_t)bytes[0] << 24 | bytes[1] << 16 | bytes[2] << 8 |
 		     bytes[3];
 	cursor.at = 0;
-	if (cursor.len > LINK_FRAME_BYTES + OVERHEAD_BYTES)
+	if (cursor.len > most)
 		return RESULT_MESSAGE_MALFORMED;
 	if (len < LENGTH_BYTES + cursor.len)
 		return RESULT_OK;
--- a/daemon/link/link_frame.h
+++ b/daemon/link/link_frame.h
@@ -16,6 +16,9 @@
 /** Of text fields. */
 #define LINK_TEXT_BYTES 255
 
+/** Of a hello: four texts and numbers. */
+#define LINK_HELLO_BYTES 2048
+
 enum link_frame_kind {
 	LINK_FRAME_HELLO = 1,
 	LINK_FRAME_HEARTBEAT = 2,
@@ -48,13 +51,16 @@
 			    const struct bytes *body);
 
 /**
- * Read the frame that `data` starts with.
+ * Read the frame that `data` starts with, of `most` bytes.
  *
  * `*used` is its length, 0 while it isn't whole. Returns RESULT_OK or
  * RESULT_MESSAGE_MALFORMED. The caller clears the frame either way.
  */
 enum result link_frame_read(struct link_frame *frame, const char *data,
-			    size_t len, size_t *used);
+			    size_t len, size_t most, size_t *used);
+
+/** Bytes of a frame with a message of the largest size. */
+#define LINK_FRAME_MOST_BYTES (LINK_FRAME_BYTES + 64)
 
 void link_frame_clear(struct link_frame *frame);
 void link_hello_clear(struct link_hello *hello);
--- a/daemon/link/link_peer.c
+++ b/daemon/link/link_peer.c
@@ -27,6 +27,7 @@
 	struct link_peer *peer = xcalloc(1, sizeof(*peer));
 
 	peer->member = member;
+	peer->claim = memory_claim(hub->options.memory, MEMORY_LINKS);
 	list_init(&peer->queue);
 	map_insert(&hub->peers, &peer->node, map_hash(&member, sizeof(member)));
 	return peer;
@@ -38,13 +39,20 @@
 	free(message);
 }
 
+void link_peer_took(struct link_peer *peer, struct link_message *message)
+{
+	list_remove(&message->node);
+	peer->queued_bytes -= message->frame.len;
+	if (peer->claim.bytes > peer->queued_bytes)
+		memory_hold(&peer->claim, peer->queued_bytes);
+}
+
 static void drop_oldest(struct link_hub *hub, struct link_peer *peer)
 {
 	struct link_message *oldest =
 		list_first(&peer->queue, struct link_message, node);
 
-	list_remove(&oldest->node);
-	peer->queued_bytes -= oldest->frame.len;
+	link_peer_took(peer, oldest);
 	link_message_free(oldest);
 	edge_count(&hub->options.counters->link_dropped);
 }
@@ -62,7 +70,8 @@
 	}
 	list_append(&peer->queue, &message->node);
 	peer->queued_bytes += message->frame.len;
-	while (peer->queued_bytes > LINK_QUEUE_BYTES)
+	while (peer->queued_bytes > LINK_QUEUE_BYTES ||
+	       !memory_ask(&peer->claim, peer->queued_bytes))
 		drop_oldest(hub, peer);
 	link_conn_send(peer->conn);
 }
@@ -77,6 +86,7 @@
 		link_message_free(message);
 	}
 	peer->queued_bytes = 0;
+	memory_release(&peer->claim);
 }
 
 static void post(struct link_hub *hub, struct event *event)
--- a/daemon/link/link_private.h
+++ b/daemon/link/link_private.h
@@ -64,6 +64,7 @@
 	struct bytes in;
 	struct bytes out;
 	size_t out_at; /**< of it, what has been sent */
+	struct memory_claim claim;
 	bool flushing; /**< TLS holds a piece of `out` already */
 	bool wants_write;
 	bool spoke; /**< bytes have come */
@@ -93,6 +94,7 @@
 	struct link_conn *conn; /**< NULL while down */
 	struct list queue;
 	size_t queued_bytes;
+	struct memory_claim claim; /**< of the queue */
 };
 
 /** A message that waits for its peer. */
@@ -121,8 +123,9 @@
 	int strangers_most;
 	bool resting; /**< the listener isn't watched */
 
-	pthread_mutex_t lock; /**< guards the commands */
+	pthread_mutex_t lock; /**< guards what follows */
 	struct list commands;
+	struct memory_claim inbox; /**< of messages that nobody has taken yet */
 	bool stopping;
 
 	atomic_uint_fast64_t messages_in[LINK_CHANNELS];
@@ -165,6 +168,9 @@
 /** The connection of a peer is gone. */
 void link_peer_lost(struct link_conn *conn);
 
+/** A message is no longer in its peer's queue. */
+void link_peer_took(struct link_peer *peer, struct link_message *message);
+
 /** Queue a frame, dropping the oldest beyond the bound. Taken over. */
 void link_peer_queue(struct link_hub *hub, uint64_t member,
 		     struct link_message *message);
--- a/daemon/role/role.c
+++ b/daemon/role/role.c
@@ -46,6 +46,19 @@
 	}
 }
 
+/* The bytes of a message are the links' until it has been dealt with. */
+static void on_event(void *data, struct event *event)
+{
+	struct role *role = data;
+	size_t len = event->kind == EVENT_LINK_MESSAGE
+			     ? event->u.link_message.body.len
+			     : 0;
+
+	role->take(role->data, event);
+	if (len && role->links)
+		link_taken(role->links, len);
+}
+
 static int64_t settings_mtime_us(const struct role *role)
 {
 	struct stat stat_buffer;
@@ -155,9 +168,10 @@
 	if (!role->ev)
 		return error_report(role->handler, RESULT_SETTING_VALUE,
 				    "no event loop can be had");
+	memory_init(&role->memory, boot->memory_mb);
 	stream_loop_init(&role->streams, role->ev);
 	watch_start(&role->watch, role->ev, role->log);
-	role->mailbox = mailbox_new(role->ev, role->take, role->data);
+	role->mailbox = mailbox_new(role->ev, on_event, role);
 	start_signal(role, &role->on_term, SIGTERM, on_stop);
 	start_signal(role, &role->on_int, SIGINT, on_stop);
 	start_signal(role, &role->on_hup, SIGHUP, on_hup);
@@ -220,6 +234,7 @@
 	options.observer = observer;
 	options.sink = mailbox_sink(role->mailbox);
 	options.counters = &role->counters;
+	options.memory = &role->memory;
 	role_block_signals(&before);
 	role->links = link_start(&options, role->handler);
 	pthread_sigmask(SIG_SETMASK, &before, NULL);
--- a/daemon/role/role.h
+++ b/daemon/role/role.h
@@ -23,6 +23,7 @@
 	const struct dialect *dialect;
 	const struct error_handler *handler;
 	struct ev_loop *ev;
+	struct memory memory;
 	struct stream_loop streams;
 	struct mailbox *mailbox;
 	struct link_hub *links;
--- a/tests/fuzz/fuzz-frame.c
+++ b/tests/fuzz/fuzz-frame.c
@@ -16,7 +16,7 @@
 
 	while (!code && used) {
 		code = link_frame_read(&frame, (const char *)data + at,
-				       len - at, &used);
+				       len - at, LINK_FRAME_MOST_BYTES, &used);
 		if (used > len - at || frame.body_len > LINK_FRAME_BYTES)
 			abort();
 		at += used;
