http_server: requests and buffers come out of one budget

What callers saw: the process ended, out of memory, in a trial by clients that nobody controls: bodies of legal size in many at once, most stopping just short of their end; answers that many read slowly.

Ruled out: a leak; memory went back after each.

Now a stream claims its buffers, a request its head and, before the body is read, all of its length, or as much as has come in chunks. What isn't granted gets 503 with Retry-After and isn't read; 100 Continue isn't said. Behind the request being answered 64 KiB are read, not another body. While claims are refused, whoever has held bytes longest, an unfinished request or an unread answer, is closed after a second. The system's buffers are set on the listening socket, by the connections that there may be and that may wait in its queue; without the memory there are fewer connections. Buffers that are empty and large ones that are freed go back to the system.

--- a/daemon/acceptor.c
+++ b/daemon/acceptor.c
@@ -46,6 +46,13 @@
 	return !fcntl(acceptor->fd, F_SETFL, O_NONBLOCK);
 }
 
+void acceptor_set_buffers(const struct acceptor *acceptor, int bytes)
+{
+	/* Connections inherit them from the listening socket. */
+	setsockopt(acceptor->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	setsockopt(acceptor->fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 void acceptor_close(struct acceptor *acceptor)
 {
 	if (acceptor->fd >= 0)
--- a/daemon/acceptor.h
+++ b/daemon/acceptor.h
@@ -38,6 +38,9 @@
 bool acceptor_open(struct acceptor *acceptor, const struct address *address,
 		   int backlog);
 
+/** Bound what the system buffers each way of connections taken from now on. */
+void acceptor_set_buffers(const struct acceptor *acceptor, int bytes);
+
 void acceptor_close(struct acceptor *acceptor);
 
 enum acceptor_result {
--- a/daemon/http/http_parse.c
+++ b/daemon/http/http_parse.c
@@ -9,6 +9,9 @@
 /* Headers of one message; a head within its limit seldom has a tenth. */
 #define HEADERS_MOST 256
 
+/* What the allocator adds to the two texts of a header. */
+#define ALLOCATED_BYTES 32
+
 const char *http_head_get(const struct http_head *head, const char *name)
 {
 	size_t i;
@@ -19,6 +22,19 @@
 	return NULL;
 }
 
+size_t http_head_size(const struct http_head *head)
+{
+	size_t bytes = head->target ? strlen(head->target) : 0;
+	size_t i;
+
+	for (i = 0; i < head->n_headers; i++) {
+		bytes += sizeof(head->headers[i]) + ALLOCATED_BYTES;
+		bytes += strlen(head->headers[i].name);
+		bytes += strlen(head->headers[i].value);
+	}
+	return bytes;
+}
+
 void http_head_clear(struct http_head *head)
 {
 	size_t i;
--- a/daemon/http/http_parse.h
+++ b/daemon/http/http_parse.h
@@ -40,6 +40,9 @@
 
 void http_head_clear(struct http_head *head);
 
+/** Bytes of memory that it holds, about. */
+size_t http_head_size(const struct http_head *head);
+
 struct http_parse;
 
 /** What is read; each may end the reading by returning false. */
--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -25,6 +25,15 @@
  */
 #define LINGER_MS 1000
 
+/* Whoever was refused for want of memory may come back after this. */
+#define RETRY_AFTER "Retry-After: 1\r\n"
+
+/* Of a request while it is answered, beside its head and body. */
+#define REQUEST_BYTES 4096
+
+/* Of memory for a body of unknown length, claimed at first. */
+#define BODY_FIRST_BYTES 4096
+
 /* A kept connection is closed so much later than callers stop using it. */
 #define IDLE_SLACK_MS 2000
 
@@ -38,7 +47,8 @@
 struct http_exchange {
 	struct conn *conn;
 	struct http_head head;
-	struct bytes body;
+	struct memory_claim claim; /* of the head */
+	struct http_body body;
 	void *user;
 	bool unframed; /* the answer ends with its connection */
 };
@@ -46,12 +56,15 @@
 struct conn {
 	struct list node;
 	struct list resting; /* among those without a request */
+	struct list holding; /* among those with bytes that don't get less */
+	double held_since;   /* by the loop's clock, while among these */
 	struct http_server *server;
 	struct stream *stream;
 	ev_timer timer;
 	struct http_parse parse;
 	struct http_exchange *exchange;
 	enum conn_state state;
+	bool no_memory; /* for the request that is being read */
 	bool request_begun;
 	bool closes; /* after this answer */
 };
@@ -64,6 +77,9 @@
 	struct http_server_hooks hooks;
 	struct list conns;
 	struct list resting; /* the one that has rested longest first */
+	struct list holding; /* the one that has held bytes longest first */
+	enum memory_use use;
+	int weight; /* bytes of memory for each one of a body */
 	int n_conns;
 	int most;
 	ev_timer retry; /* while the listener isn't watched */
@@ -71,10 +87,17 @@
 	bool winding_down;
 };
 
+void http_body_clear(struct http_body *body)
+{
+	bytes_clear(&body->bytes);
+	memory_release(&body->claim);
+}
+
 static void exchange_free(struct http_exchange *exchange)
 {
 	http_head_clear(&exchange->head);
-	bytes_clear(&exchange->body);
+	memory_release(&exchange->claim);
+	http_body_clear(&exchange->body);
 	free(exchange);
 }
 
@@ -100,6 +123,7 @@
 {
 	list_remove(&conn->node);
 	list_remove(&conn->resting);
+	list_remove(&conn->holding);
 	conn->server->n_conns--;
 	if (conn->server->full)
 		arm_retry(conn->server, 0);
@@ -121,10 +145,31 @@
 	conn_free(conn);
 }
 
+/*
+ * The bytes of an unfinished request, or of an answer that isn't read, are held
+ * for as long as the peer pleases.
+ */
+static void conn_note_holding(struct conn *conn)
+{
+	bool holds = conn->request_begun || stream_unwritten(conn->stream);
+
+	if (!holds) {
+		list_remove(&conn->holding);
+	} else if (list_empty(&conn->holding)) {
+		conn->held_since = ev_now(conn->server->loop->ev);
+		list_append(&conn->server->holding, &conn->holding);
+	}
+}
+
 static void conn_rest(struct conn *conn)
 {
+	struct http_server *server = conn->server;
+
 	conn->state = CONN_READING;
-	list_append(&conn->server->resting, &conn->resting);
+	stream_set_read_most(conn->stream, (size_t)server->limits.header_bytes +
+						   PIPELINE_BYTES);
+	list_append(&server->resting, &conn->resting);
+	conn_note_holding(conn);
 }
 
 /* Nothing is asked on it, and nothing of an answer is still to be written. */
@@ -195,10 +240,28 @@
 /* The bytes were no request, or too many: nothing after them can be trusted. */
 static void conn_refuse(struct conn *conn, int status)
 {
+	if (conn->exchange)
+		exchange_free(conn->exchange);
+	conn->exchange = NULL;
+	http_parse_clear(&conn->parse);
+	list_remove(&conn->holding);
+	conn->request_begun = false;
 	conn->closes = true;
 	write_head(conn, status, "Content-Length: 0\r\n");
+	if (status == 503)
+		write_text(conn, RETRY_AFTER);
 	write_text(conn, "\r\n");
 	conn_flush(conn);
+	conn_note_holding(conn);
+}
+
+/* What is unread, or still unwritten, must not look like an answer's end. */
+static void conn_set_reset(struct conn *conn)
+{
+	const struct linger at_once = { .l_onoff = 1 };
+
+	setsockopt(stream_fd(conn->stream), SOL_SOCKET, SO_LINGER, &at_once,
+		   sizeof(at_once));
 }
 
 static void on_timer(struct ev_loop *ev, ev_timer *timer, int events)
@@ -211,29 +274,75 @@
 		conn_free(conn);
 }
 
+/* False if there is no memory for a body of that length. */
+static bool claim_body(struct conn *conn, size_t len)
+{
+	struct http_body *body = &conn->exchange->body;
+
+	if (!memory_ask(&body->claim, len * (size_t)conn->server->weight)) {
+		conn->no_memory = true;
+		return false;
+	}
+	if (len > body->bytes.capacity)
+		bytes_reserve(&body->bytes, len - body->bytes.len);
+	return true;
+}
+
+static struct http_exchange *exchange_new(struct conn *conn)
+{
+	struct http_exchange *exchange = xcalloc(1, sizeof(*exchange));
+	const struct http_server *server = conn->server;
+
+	exchange->conn = conn;
+	exchange->claim = memory_claim(server->loop->memory, server->use);
+	exchange->body.claim = exchange->claim;
+	return exchange;
+}
+
 static bool on_head(void *data, const struct http_head *head)
 {
 	struct conn *conn = data;
 	const char *length = http_head_get(head, "Content-Length");
 	const char *expect = http_head_get(head, "Expect");
+	long long len = length ? strtoll(length, NULL, 10) : 0;
 
-	conn->exchange = xcalloc(1, sizeof(*conn->exchange));
-	conn->exchange->conn = conn;
-	if (length &&
-	    strtoll(length, NULL, 10) > conn->server->limits.body_bytes)
+	conn->exchange = exchange_new(conn);
+	if (len > conn->server->limits.body_bytes)
+		return false;
+	conn->no_memory = !memory_ask(&conn->exchange->claim,
+				      http_head_size(head) + REQUEST_BYTES);
+	if (conn->no_memory || (len && !claim_body(conn, (size_t)len)))
 		return false;
 	if (expect && !strcasecmp(expect, "100-continue"))
 		write_text(conn, "HTTP/1.1 100 Continue\r\n\r\n");
 	return true;
 }
 
+/* Room for a piece of a body whose length wasn't said. */
+static bool grow_body(struct conn *conn, size_t len)
+{
+	size_t most = (size_t)conn->server->limits.body_bytes;
+	size_t wanted = 2 * conn->exchange->body.bytes.capacity;
+
+	if (wanted < BODY_FIRST_BYTES)
+		wanted = BODY_FIRST_BYTES;
+	if (wanted > most)
+		wanted = most;
+	return claim_body(conn, wanted > len ? wanted : len);
+}
+
 static bool on_body(void *data, const char *piece, size_t len)
 {
 	struct conn *conn = data;
-	struct bytes *body = &conn->exchange->body;
+	struct bytes *body = &conn->exchange->body.bytes;
 
+	if ((int64_t)(body->len + len) > conn->server->limits.body_bytes)
+		return false;
+	if (body->len + len >= body->capacity &&
+	    !grow_body(conn, body->len + len))
+		return false;
 	bytes_append(body, piece, len);
-	return (int64_t)body->len <= conn->server->limits.body_bytes;
+	return true;
 }
 
 static const struct http_parse_hooks parse_hooks = { on_head, on_body };
@@ -248,6 +357,7 @@
 	conn->closes = !exchange->head.keep_alive;
 	conn->state = CONN_ANSWERING;
 	conn->request_begun = false;
+	conn_note_holding(conn);
 	ev_timer_stop(server->loop->ev, &conn->timer);
 	http_parse_next(&conn->parse);
 	server->hooks.request(server->hooks.data, exchange);
@@ -257,7 +367,9 @@
 {
 	int status = 400;
 
-	if (conn->parse.too_large)
+	if (conn->no_memory)
+		status = 503;
+	else if (conn->parse.too_large)
 		status = 431;
 	else if (conn->parse.stopped)
 		status = 413;
@@ -275,6 +387,8 @@
 	if (!conn->request_begun) {
 		conn->request_begun = true;
 		list_remove(&conn->resting);
+		list_remove(&conn->holding);
+		conn_note_holding(conn);
 		conn_arm(conn, conn->server->limits.header_ms);
 	}
 	conn->parse.head_limit = (size_t)conn->server->limits.header_bytes;
@@ -295,10 +409,23 @@
 {
 	struct conn *conn = data;
 
+	conn_note_holding(conn);
 	if (conn->state == CONN_FLUSHING)
 		conn_linger(conn);
 }
 
+static void on_refused(void *data, struct bytes *in)
+{
+	struct conn *conn = data;
+
+	if (conn->state == CONN_READING) {
+		conn_refuse(conn, 503);
+	} else if (conn->state != CONN_ANSWERING) {
+		bytes_clear(in);
+		stream_kick(conn->stream);
+	}
+}
+
 static void on_closed(void *data, bool reset)
 {
 	conn_lost(data);
@@ -306,6 +433,7 @@
 
 static const struct stream_hooks stream_hooks = {
 	.readable = on_read,
+	.refused = on_refused,
 	.drained = on_drained,
 	.closed = on_closed,
 };
@@ -315,16 +443,15 @@
 	struct conn *conn = xcalloc(1, sizeof(*conn));
 
 	conn->server = server;
-	conn->stream =
-		stream_new(server->loop, fd,
-			   (size_t)server->limits.body_bytes + PIPELINE_BYTES,
-			   &stream_hooks, conn);
+	conn->stream = stream_new(server->loop, fd, PIPELINE_BYTES,
+				  &stream_hooks, conn);
 	ev_timer_init(&conn->timer, on_timer, 0, 0);
 	conn->timer.data = conn;
 	http_parse_init(&conn->parse, HTTP_REQUEST,
 			(size_t)server->limits.header_bytes, &parse_hooks,
 			conn);
 	list_init(&conn->resting);
+	list_init(&conn->holding);
 	list_append(&server->conns, &conn->node);
 	server->n_conns++;
 	conn_rest(conn);
@@ -335,7 +462,8 @@
 {
 	const struct http_server *server = data;
 
-	return server->n_conns < server->most;
+	return server->n_conns < server->most &&
+	       !memory_is_full(server->loop->memory);
 }
 
 static void on_taken(void *data, int fd)
@@ -354,7 +482,7 @@
 /* At least one connection waits. */
 static void take_waiting(struct http_server *server)
 {
-	bool room = has_room(server) || make_room(server);
+	bool room = has_room(server) || (make_room(server) && has_room(server));
 
 	if (!room ||
 	    !acceptor_take_some(&server->acceptor, &acceptor_hooks, server)) {
@@ -402,6 +530,9 @@
 	server->hooks = *hooks;
 	list_init(&server->conns);
 	list_init(&server->resting);
+	list_init(&server->holding);
+	server->use = MEMORY_REQUESTS;
+	server->weight = 1;
 	server->most = INT_MAX;
 	ev_timer_init(&server->retry, on_retry, 0, 0);
 	server->retry.data = server;
@@ -436,7 +567,12 @@
 
 void http_server_set_most(struct http_server *server, int connections)
 {
-	server->most = connections;
+	const struct memory *memory = server->loop->memory;
+
+	server->most = memory_connections(memory, connections, BACKLOG);
+	acceptor_set_buffers(&server->acceptor,
+			     memory_socket_bytes(memory, server->most,
+						 BACKLOG));
 }
 
 bool http_server_close_longest_idle(struct http_server *server)
@@ -448,6 +584,29 @@
 	return conn != NULL;
 }
 
+void http_server_set_weight(struct http_server *server, enum memory_use use,
+			    int weight)
+{
+	server->use = use;
+	server->weight = weight;
+}
+
+bool http_server_close_longest_held(struct http_server *server, int64_t held_ms)
+{
+	double now = ev_now(server->loop->ev);
+	struct conn *conn = list_first(&server->holding, struct conn, holding);
+
+	if (!conn || now - conn->held_since < (double)held_ms / 1000)
+		return false;
+	if (conn->state == CONN_READING && conn->request_begun) {
+		conn_refuse(conn, 503);
+		return true;
+	}
+	conn_set_reset(conn);
+	conn_lost(conn);
+	return true;
+}
+
 void http_server_set_limits(struct http_server *server,
 			    const struct http_limits *limits)
 {
@@ -504,7 +663,14 @@
 
 const struct bytes *http_exchange_body(const struct http_exchange *exchange)
 {
-	return &exchange->body;
+	return &exchange->body.bytes;
+}
+
+void http_exchange_take_body(struct http_exchange *exchange,
+			     struct http_body *body)
+{
+	*body = exchange->body;
+	exchange->body = (struct http_body){ 0 };
 }
 
 void http_exchange_set_user(struct http_exchange *exchange, void *user)
@@ -548,6 +714,7 @@
 	write_text(conn, "\r\n");
 	if (body && !head)
 		stream_write(conn->stream, body->data, body->len);
+	conn_note_holding(conn);
 	conn_next(conn);
 }
 
@@ -574,16 +741,17 @@
 {
 	char line[32];
 
+	if (!len)
+		return;
 	if (exchange->unframed) {
 		stream_write(exchange->conn->stream, data, len);
-		return;
+	} else {
+		snprintf(line, sizeof(line), "%zx\r\n", len);
+		write_text(exchange->conn, line);
+		stream_write(exchange->conn->stream, data, len);
+		write_text(exchange->conn, "\r\n");
 	}
-	if (!len)
-		return;
-	snprintf(line, sizeof(line), "%zx\r\n", len);
-	write_text(exchange->conn, line);
-	stream_write(exchange->conn->stream, data, len);
-	write_text(exchange->conn, "\r\n");
+	conn_note_holding(exchange->conn);
 }
 
 void http_exchange_end(struct http_exchange *exchange)
@@ -598,10 +766,7 @@
 /* Closed in a later turn: the owner may be in the middle of something. */
 static void conn_reset(struct conn *conn)
 {
-	const struct linger at_once = { .l_onoff = 1 };
-
-	setsockopt(stream_fd(conn->stream), SOL_SOCKET, SO_LINGER, &at_once,
-		   sizeof(at_once));
+	conn_set_reset(conn);
 	exchange_free(conn->exchange);
 	conn->exchange = NULL;
 	conn->state = CONN_LINGERING;
--- a/daemon/http/http_server.h
+++ b/daemon/http/http_server.h
@@ -27,6 +27,14 @@
 	int64_t idle_ms;   /**< a kept connection without a request */
 };
 
+/** A request's body with its claim; whoever has it clears it. */
+struct http_body {
+	struct bytes bytes;
+	struct memory_claim claim;
+};
+
+void http_body_clear(struct http_body *body);
+
 struct http_server_hooks {
 	/** A request was read whole. */
 	void (*request)(void *data, struct http_exchange *exchange);
@@ -63,6 +71,7 @@
 /**
  * Bound the connections. For one more than that the one that has been idle
  * longest is closed; while none is, those that come wait in the listen queue.
+ * Without the memory for so many there are fewer.
  */
 void http_server_set_most(struct http_server *server, int connections);
 
@@ -72,6 +81,19 @@
  */
 bool http_server_close_longest_idle(struct http_server *server);
 
+/** Bytes of memory that a request takes for each one of its body; 1 if unset. */
+void http_server_set_weight(struct http_server *server, enum memory_use use,
+			    int weight);
+
+/**
+ * Close the connection that has held bytes longest: an unfinished request gets
+ * a 503, an answer that isn't read is cut.
+ *
+ * Returns false if none has held any for `held_ms`.
+ */
+bool http_server_close_longest_held(struct http_server *server,
+				    int64_t held_ms);
+
 /** From now on answers end their connections: a planned stop. */
 void http_server_wind_down(struct http_server *server);
 
@@ -96,6 +118,10 @@
 http_exchange_head(const struct http_exchange *exchange);
 const struct bytes *http_exchange_body(const struct http_exchange *exchange);
 
+/** Take the body over; the exchange has an empty one then. */
+void http_exchange_take_body(struct http_exchange *exchange,
+			     struct http_body *body);
+
 /** A pointer of the owner's. */
 void http_exchange_set_user(struct http_exchange *exchange, void *user);
 void *http_exchange_user(const struct http_exchange *exchange);
--- a/daemon/http/stream.c
+++ b/daemon/http/stream.c
@@ -13,6 +13,12 @@
 
 #define READ_BYTES (16 * 1024)
 
+/* An empty buffer that is larger is given back. */
+#define KEPT_BYTES 4096
+
+/* What the system holds for a connection with empty buffers. */
+#define SYSTEM_BYTES 4096
+
 struct stream {
 	struct list dirty; /* among those to be looked at before sleeping */
 	struct stream_loop *loop;
@@ -22,12 +28,16 @@
 	ev_timer failed; /* tells of a connect that failed at once */
 	struct bytes in;
 	struct bytes out;
+	size_t out_at; /* of it, what has been written */
+	struct memory_claim claim;
 	size_t read_most;
 	struct stream_hooks hooks;
 	void *data;
 	bool connecting;
 	bool short_of; /* a descriptor, to connect with */
 	bool kicked;
+	bool accepted; /* a peer's; its bytes are asked for, not just held */
+	bool refused;  /* memory for what is to be written */
 };
 
 static void mark_dirty(struct stream *stream)
@@ -41,6 +51,39 @@
 	return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
 }
 
+static void give_back(struct bytes *bytes)
+{
+	if (!bytes->len && bytes->capacity > KEPT_BYTES)
+		bytes_clear(bytes);
+}
+
+/* False if there is no memory for all that the buffers hold. */
+static bool claim_buffers(struct stream *stream)
+{
+	size_t bytes = sizeof(*stream) + SYSTEM_BYTES;
+
+	give_back(&stream->in);
+	give_back(&stream->out);
+	bytes += stream->in.capacity + stream->out.capacity;
+	if (stream->accepted)
+		return memory_ask(&stream->claim, bytes);
+	memory_hold(&stream->claim, bytes);
+	return true;
+}
+
+/*
+ * Bytes before `out_at` stay until they are half of the buffer: moving the rest
+ * to the front after each write to a slow reader costs a copy of all of it.
+ */
+static void written(struct stream *stream, size_t n)
+{
+	stream->out_at += n;
+	if (stream->out_at * 2 < stream->out.len)
+		return;
+	bytes_consume(&stream->out, stream->out_at);
+	stream->out_at = 0;
+}
+
 /* False if the connection has failed. */
 static bool write_some(struct stream *stream)
 {
@@ -48,15 +91,19 @@
 
 	if (!stream->out.len)
 		return true;
-	n = send(stream->fd, stream->out.data, stream->out.len, MSG_NOSIGNAL);
+	n = send(stream->fd, stream->out.data + stream->out_at,
+		 stream_unwritten(stream), MSG_NOSIGNAL);
 	if (n < 0 && !would_block(errno))
 		return false;
 	if (n > 0)
-		bytes_consume(&stream->out, (size_t)n);
+		written(stream, (size_t)n);
 	if (stream->out.len)
 		ev_io_start(stream->loop->ev, &stream->writer);
 	else
 		ev_io_stop(stream->loop->ev, &stream->writer);
+	if (!claim_buffers(stream) && stream->refused)
+		return false;
+	stream->refused = false;
 	return true;
 }
 
@@ -76,6 +123,7 @@
 		stream->kicked = false;
 		if (stream->out.len)
 			mark_dirty(stream);
+		claim_buffers(stream);
 		if (stream->in.len && stream->hooks.readable)
 			stream->hooks.readable(stream->data, &stream->in);
 		return;
@@ -102,6 +150,7 @@
 void stream_loop_init(struct stream_loop *loop, struct ev_loop *ev)
 {
 	loop->ev = ev;
+	loop->memory = NULL;
 	list_init(&loop->dirty);
 	ev_prepare_init(&loop->flush, on_prepare);
 	loop->flush.data = loop;
@@ -115,6 +164,16 @@
 	ev_prepare_stop(loop->ev, &loop->flush);
 }
 
+/* Its owner may free the stream. */
+static void refuse_input(struct stream *stream)
+{
+	ev_io_stop(stream->loop->ev, &stream->reader);
+	if (stream->hooks.refused)
+		stream->hooks.refused(stream->data, &stream->in);
+	else
+		stream_closed(stream, true);
+}
+
 static void on_readable(struct ev_loop *ev, ev_io *watcher, int events)
 {
 	struct stream *stream = watcher->data;
@@ -134,6 +193,10 @@
 		return;
 	}
 	bytes_append(&stream->in, buffer, (size_t)n);
+	if (!claim_buffers(stream)) {
+		refuse_input(stream);
+		return;
+	}
 	/* A peer that sends without end must not fill our memory. */
 	if (stream->in.len >= stream->read_most)
 		ev_io_stop(ev, &stream->reader);
@@ -187,6 +250,8 @@
 	stream->loop = loop;
 	stream->fd = fd;
 	stream->read_most = read_most;
+	stream->claim = memory_claim(loop->memory, MEMORY_SOCKETS);
+	memory_hold(&stream->claim, sizeof(*stream) + SYSTEM_BYTES);
 	stream->hooks = *hooks;
 	stream->data = data;
 	list_init(&stream->dirty);
@@ -206,6 +271,7 @@
 {
 	struct stream *stream = stream_alloc(loop, fd, read_most, hooks, data);
 
+	stream->accepted = true;
 	ev_io_start(loop->ev, &stream->reader);
 	return stream;
 }
@@ -262,6 +328,7 @@
 		close(stream->fd);
 	bytes_clear(&stream->in);
 	bytes_clear(&stream->out);
+	memory_release(&stream->claim);
 	free(stream);
 }
 
@@ -270,12 +337,18 @@
 	if (!len)
 		return;
 	bytes_append(&stream->out, data, len);
+	stream->refused |= !claim_buffers(stream);
 	mark_dirty(stream);
 }
 
+void stream_set_read_most(struct stream *stream, size_t read_most)
+{
+	stream->read_most = read_most;
+}
+
 size_t stream_unwritten(const struct stream *stream)
 {
-	return stream->out.len;
+	return stream->out.len - stream->out_at;
 }
 
 struct bytes *stream_input(struct stream *stream)
@@ -283,6 +356,11 @@
 	return &stream->in;
 }
 
+void stream_pause(struct stream *stream)
+{
+	ev_io_stop(stream->loop->ev, &stream->reader);
+}
+
 void stream_kick(struct stream *stream)
 {
 	stream->kicked = true;
--- a/daemon/http/stream.h
+++ b/daemon/http/stream.h
@@ -8,6 +8,7 @@
 
 #include "base/bytes.h"
 #include "base/list.h"
+#include "daemon/memory.h"
 
 /**
  * A TCP connection with a buffer each way, in the thread of a libev loop.
@@ -21,6 +22,7 @@
 /** The loop with what its streams have still to write; one a thread. */
 struct stream_loop {
 	struct ev_loop *ev;
+	struct memory *memory; /**< that buffers are claimed of, or NULL */
 	ev_prepare flush;
 	struct list dirty;
 };
@@ -34,6 +36,11 @@
 	void (*connected)(void *data);
 	/** Bytes have come; what the hook takes it removes from `in`. */
 	void (*readable)(void *data, struct bytes *in);
+	/**
+	 * Bytes have come for which there is no memory, to be dropped or left;
+	 * no more are read until stream_kick(). NULL: the stream is closed.
+	 */
+	void (*refused)(void *data, struct bytes *in);
 	/** All that was written has been handed to the system. */
 	void (*drained)(void *data);
 	/** The peer closed, or `reset` it, or it can't be reached. */
@@ -59,14 +66,24 @@
 /** Close at once; what is still unwritten is lost. */
 void stream_free(struct stream *stream);
 
+/**
+ * Without memory for what can't be written at once, the stream is closed later,
+ * as if the peer had reset it.
+ */
 void stream_write(struct stream *stream, const void *data, size_t len);
 
+/** Read on only while less than that waits to be taken. */
+void stream_set_read_most(struct stream *stream, size_t read_most);
+
 /** Bytes that wait to be written. */
 size_t stream_unwritten(const struct stream *stream);
 
 /** Bytes that wait to be taken. */
 struct bytes *stream_input(struct stream *stream);
 
+/** Read no more until stream_kick(). */
+void stream_pause(struct stream *stream);
+
 /** Call `readable` again before the loop sleeps, if bytes wait. */
 void stream_kick(struct stream *stream);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -17,6 +18,12 @@
 	bool check;
 };
 
+/*
+ * Larger blocks go back to the system as they are freed. Unless it is set, the
+ * allocator raises this with each large block, up to 32 MiB.
+ */
+#define MAPPED_BYTES (128 * 1024)
+
 static const struct argp_option main_options[] = {
 	{ "settings", 's', "FILE", 0, "boot settings, YAML", 0 },
 	{ "check", 'c', NULL, 0, "only check the settings", 0 },
@@ -83,6 +90,7 @@
 	 */
 	signal(SIGHUP, SIG_IGN);
 	signal(SIGXFSZ, SIG_IGN);
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
 	argp_parse(&main_argp, argc, argv, 0, NULL, &arguments);
 	code = boot_load(&boot, arguments.settings, &handler);
 	if (code)
--- a/daemon/role/role.c
+++ b/daemon/role/role.c
@@ -170,6 +170,8 @@
 				    "no event loop can be had");
 	memory_init(&role->memory, boot->memory_mb);
 	stream_loop_init(&role->streams, role->ev);
+	role->streams.memory = &role->memory;
+	role->watch.memory = &role->memory;
 	watch_start(&role->watch, role->ev, role->log);
 	role->mailbox = mailbox_new(role->ev, on_event, role);
 	start_signal(role, &role->on_term, SIGTERM, on_stop);
--- a/daemon/role/watch.c
+++ b/daemon/role/watch.c
@@ -8,6 +8,12 @@
 
 #define LINE_S 5.0
 
+/* While memory is wanted: how often room is made. */
+#define ROOM_S 0.05
+
+/* Whoever has held bytes for less may still be making progress. */
+#define HELD_MS 1000
+
 static void note_turn(int64_t *most_us, int64_t took_us)
 {
 	if (took_us > *most_us)
@@ -28,6 +34,29 @@
 	if (watch->woken_us)
 		note_turn(&watch->turn_most_us,
 			  edge_now_us() - watch->woken_us);
+	if (!ev_is_active(&watch->room) && memory_is_wanted(watch->memory))
+		ev_timer_start(ev, &watch->room);
+}
+
+static bool close_one_held(struct watch *watch)
+{
+	int i;
+
+	for (i = 0; i < watch->n_listeners; i++)
+		if (http_server_close_longest_held(watch->listeners[i].server,
+						   HELD_MS))
+			return true;
+	return false;
+}
+
+static void on_room(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	struct watch *watch = timer->data;
+
+	while (!memory_has_room(watch->memory) && close_one_held(watch))
+		watch->closed++;
+	if (!memory_is_wanted(watch->memory))
+		ev_timer_stop(ev, timer);
 }
 
 static const char *error_name(int error)
@@ -68,6 +97,35 @@
 	return sockets;
 }
 
+static int64_t refused_in_all(const struct memory_view *view)
+{
+	int64_t refused = 0;
+	int use;
+
+	for (use = 0; use < MEMORY_USES; use++)
+		refused += view->refused[use];
+	return refused;
+}
+
+/* Returns whether claims were refused since the last line. */
+static bool write_memory(struct watch *watch, struct bytes *out)
+{
+	struct memory_view view = memory_view(watch->memory);
+	int64_t refused = refused_in_all(&view);
+	bool short_of = refused != watch->refused_told;
+
+	bytes_append_format(out,
+			    " memory_limit=%" PRId64 " memory_budget=%" PRId64
+			    " memory_held=%" PRId64 " memory_most=%" PRId64
+			    " memory_refused=%" PRId64
+			    " memory_closed=%" PRId64,
+			    view.limit, view.budget, view.held, view.most,
+			    refused, watch->closed);
+	watch->refused_told = refused;
+	memory_begin_most(watch->memory);
+	return short_of;
+}
+
 static void write_line(struct watch *watch)
 {
 	struct link_statistics links = read_links(watch);
@@ -86,6 +144,8 @@
 			       &view.accepted);
 	}
 	write_listener(&text, "links", links.open, &links.accepted);
+	if (write_memory(watch, &text))
+		level = LOG_WARN;
 	watch->turn_told_us = watch->turn_most_us;
 	watch->link_turn_told_us = watch->link_turn_most_us;
 	log_line(watch->log, level, "daemon",
@@ -113,12 +173,14 @@
 	ev_check_init(&watch->woken, on_woken);
 	ev_prepare_init(&watch->sleeping, on_sleeping);
 	ev_timer_init(&watch->timer, on_timer, LINE_S, LINE_S);
+	ev_timer_init(&watch->room, on_room, 0, ROOM_S);
 	/* A turn is all that the loop does between two waits. */
 	ev_set_priority(&watch->woken, EV_MAXPRI);
 	ev_set_priority(&watch->sleeping, EV_MINPRI);
 	watch->woken.data = watch;
 	watch->sleeping.data = watch;
 	watch->timer.data = watch;
+	watch->room.data = watch;
 	ev_check_start(ev, &watch->woken);
 	ev_prepare_start(ev, &watch->sleeping);
 	ev_timer_start(ev, &watch->timer);
@@ -131,6 +193,7 @@
 	ev_check_stop(watch->ev, &watch->woken);
 	ev_prepare_stop(watch->ev, &watch->sleeping);
 	ev_timer_stop(watch->ev, &watch->timer);
+	ev_timer_stop(watch->ev, &watch->room);
 }
 
 void watch_add_listener(struct watch *watch, const char *name,
@@ -154,6 +217,29 @@
 		view->queued);
 }
 
+static void write_memory_metrics(const struct watch *watch, struct bytes *out)
+{
+	struct memory_view view = memory_view(watch->memory);
+	int use;
+
+	bytes_append_format(out,
+			    "filberthall_memory_limit_bytes %" PRId64 "\n"
+			    "filberthall_memory_budget_bytes %" PRId64 "\n"
+			    "filberthall_memory_closed_total %" PRId64 "\n",
+			    view.limit, view.budget, watch->closed);
+	for (use = 0; use < MEMORY_USES; use++) {
+		const char *name = memory_use_name((enum memory_use)use);
+
+		bytes_append_format(out,
+				    "filberthall_memory_held_bytes"
+				    "{use=\"%s\"} %" PRId64 "\n"
+				    "filberthall_memory_refused_total"
+				    "{use=\"%s\"} %" PRId64 "\n",
+				    name, view.held_for[use], name,
+				    view.refused[use]);
+	}
+}
+
 void watch_write_metrics(struct watch *watch, struct bytes *out)
 {
 	struct link_statistics links = read_links(watch);
@@ -176,4 +262,5 @@
 			    watch->client ? http_client_open(watch->client) : 0,
 			    watch_sockets(watch), descriptors_limit(),
 			    watch->turn_told_us, watch->link_turn_told_us);
+	write_memory_metrics(watch, out);
 }
--- a/daemon/role/watch.h
+++ b/daemon/role/watch.h
@@ -14,8 +14,9 @@
 
 /**
  * What a process holds and how its loop turns: connections by listener, accept
- * errors, listen queues, descriptors in use, the longest turns. A line of the
- * log at intervals, and metrics.
+ * errors, listen queues, descriptors in use, memory held for peers, the longest
+ * turns. A line of the log at intervals, and metrics. While there is no memory
+ * for more, the connections that have held bytes longest are closed.
  */
 struct watch {
 	struct ev_loop *ev;
@@ -36,6 +37,10 @@
 	int n_listeners;
 	struct link_hub *links;	    /**< may be NULL */
 	struct http_client *client; /**< may be NULL */
+	struct memory *memory;	    /**< set before watch_start() */
+	ev_timer room;		    /**< while memory is wanted */
+	int64_t closed;		    /**< connections, for want of memory */
+	int64_t refused_told;	    /**< claims refused until the last line */
 };
 
 void watch_start(struct watch *watch, struct ev_loop *ev, struct log *log);
--- a/libfilberthall/base/bytes.c
+++ b/libfilberthall/base/bytes.c
@@ -9,7 +9,7 @@
 
 #define BYTES_FIRST_CAPACITY 64
 
-static void bytes_reserve(struct bytes *bytes, size_t extra)
+void bytes_reserve(struct bytes *bytes, size_t extra)
 {
 	size_t want = bytes->len + extra + 1;
 
--- a/libfilberthall/base/bytes.h
+++ b/libfilberthall/base/bytes.h
@@ -11,6 +11,9 @@
 	size_t capacity;
 };
 
+/** Make room for `extra` bytes more. */
+void bytes_reserve(struct bytes *bytes, size_t extra);
+
 /** Append `len` bytes. */
 void bytes_append(struct bytes *bytes, const void *data, size_t len);
 
--- a/tests/path/t-http-server.c
+++ b/tests/path/t-http-server.c
@@ -171,6 +171,145 @@
 	bed_end(&bed);
 }
 
+/* A budget of half a MiB, of which two bodies of 200,000 bytes are too much. */
+static void start_short(struct bed *bed, struct memory *memory)
+{
+	const struct http_limits limits = { 4096, 1000000, 3000, 500 };
+
+	bed_start(bed);
+	memory_init(memory, 1);
+	bed->loop.memory = memory;
+	http_server_set_limits(bed->server, &limits);
+}
+
+static int ask(struct bed *bed, const char *text)
+{
+	int fd = bed_dial(http_server_port(bed->server));
+
+	bed_say(fd, text);
+	bed_run(bed, NULL);
+	return fd;
+}
+
+#define BODY "POST / HTTP/1.1\r\n" HOST "Content-Length: 200000\r\n"
+
+/* Bodies are read for which there is no memory. */
+static void test_no_memory(void)
+{
+	struct memory memory;
+	struct bed bed;
+	char *piece = g_strnfill(100000, 'x');
+	char *chunk = g_strdup_printf("POST / HTTP/1.1\r\n" HOST
+				      "Transfer-Encoding: chunked\r\n\r\n"
+				      "186a0\r\n%s\r\n186a0\r\n",
+				      piece);
+	const char *heard;
+	int held;
+	int fd;
+
+	start_short(&bed, &memory);
+	held = ask(&bed, BODY "\r\nx");
+	g_assert_cmpstr(bed_hear(held), ==, "");
+	fd = ask(&bed, BODY "\r\n");
+	heard = bed_hear(fd);
+	g_assert_true(g_str_has_prefix(heard, "HTTP/1.1 503 "));
+	g_assert_nonnull(strstr(heard, "\r\nRetry-After: "));
+	g_assert_cmpstr(bed_hear(fd), ==, "EOF");
+	close(fd);
+	fd = ask(&bed, BODY "Expect: 100-continue\r\n\r\n");
+	g_assert_true(g_str_has_prefix(bed_hear(fd), "HTTP/1.1 503 "));
+	close(fd);
+	fd = ask(&bed, chunk);
+	g_assert_cmpstr(bed_hear(fd), ==, "");
+	bed_say(fd, piece);
+	bed_run(&bed, NULL);
+	g_assert_true(g_str_has_prefix(bed_hear(fd), "HTTP/1.1 503 "));
+	close(fd);
+	g_assert_cmpint(bed.requests, ==, 0);
+	fd = ask(&bed, "GET / HTTP/1.1\r\n" HOST "\r\n");
+	g_assert_cmpint(bed.requests, ==, 1);
+	g_assert_cmpint(memory_view(&memory).held, <, 250000);
+	close(fd);
+	close(held);
+	g_free(chunk);
+	g_free(piece);
+	bed_end(&bed);
+	g_assert_cmpint(memory_view(&memory).held, ==, 0);
+}
+
+/* Whoever leaves a body unfinished keeps others out until its time is up. */
+static void test_unfinished_makes_room(void)
+{
+	struct memory memory;
+	struct bed bed;
+	int held;
+	int fd;
+
+	start_short(&bed, &memory);
+	held = ask(&bed, BODY "\r\nx");
+	g_assert_false(http_server_close_longest_held(bed.server, 60000));
+	g_assert_true(http_server_close_longest_held(bed.server, 0));
+	bed_run(&bed, NULL);
+	g_assert_true(g_str_has_prefix(bed_hear(held), "HTTP/1.1 503 "));
+	fd = ask(&bed, BODY "\r\nx");
+	g_assert_cmpstr(bed_hear(fd), ==, "");
+	close(fd);
+	close(held);
+	bed_end(&bed);
+}
+
+/* Answers that nobody reads keep others out. */
+static void test_unread_makes_room(void)
+{
+	struct bytes large = { 0 };
+	struct memory memory;
+	struct bed bed;
+	char byte[65536];
+	ssize_t n;
+	int fd;
+
+	start_short(&bed, &memory);
+	bytes_reserve(&large, 8 * 1024 * 1024);
+	large.len = 8 * 1024 * 1024;
+	memset(large.data, 'x', large.len);
+	fd = ask(&bed, "GET / HTTP/1.1\r\n" HOST "\r\n");
+	http_exchange_answer(bed.exchange, 200, NULL, &large);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(memory_view(&memory).held, >, 1024 * 1024);
+	g_assert_true(http_server_close_longest_held(bed.server, 0));
+	g_assert_false(http_server_close_longest_held(bed.server, 0));
+	g_assert_cmpint(memory_view(&memory).held, ==, 0);
+	while ((n = recv(fd, byte, sizeof(byte), 0)) > 0)
+		;
+	g_assert_cmpint(n, ==, -1);
+	g_assert_cmpint(errno, ==, ECONNRESET);
+	close(fd);
+	bytes_clear(&large);
+	bed_end(&bed);
+}
+
+/* Requests behind the one being answered pile up. */
+static void test_pipelined(void)
+{
+	char *piece = g_strnfill(100000, 'x');
+	struct memory memory;
+	struct bed bed;
+	int i;
+	int fd;
+
+	start_short(&bed, &memory);
+	fd = ask(&bed, "GET / HTTP/1.1\r\n" HOST "\r\n" BODY "\r\n");
+	for (i = 0; i < 10; i++)
+		if (send(fd, piece, strlen(piece), MSG_DONTWAIT) < 0)
+			break;
+	bed_run(&bed, NULL);
+	g_assert_cmpint(bed.requests, ==, 1);
+	g_assert_cmpint(memory_view(&memory).held, <, 300000);
+	close(fd);
+	g_free(piece);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -182,5 +321,11 @@
 	g_test_add_func("/http-server/bad-requests", test_bad_requests);
 	g_test_add_func("/http-server/slow-caller", test_slow_caller);
 	g_test_add_func("/http-server/wind-down", test_wind_down);
+	g_test_add_func("/http-server/no-memory", test_no_memory);
+	g_test_add_func("/http-server/unfinished-makes-room",
+			test_unfinished_makes_room);
+	g_test_add_func("/http-server/unread-makes-room",
+			test_unread_makes_room);
+	g_test_add_func("/http-server/pipelined", test_pipelined);
 	return g_test_run();
 }
