relay: a body stands once, answers are claimed before they are read

The body is the relay's now, for all attempts, and the connection takes it piece by piece.

They are claimed by their length. Without memory the answer stays at its server for up to two seconds, while slow readers make room; then its caller gets 502, as it may have run, and the server isn't blamed. An answer whose caller has gone isn't kept.

--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -30,6 +30,9 @@
  */
 #define BESIDE_BYTES (256 * 1024)
 
+/* Of a request's body, copied at once for the system to take. */
+#define BODY_PIECE_BYTES (128 * 1024)
+
 /* Of an answer, waiting to be taken; each piece is taken as it comes. */
 #define READ_MOST (256 * 1024)
 
@@ -49,6 +52,8 @@
 	ev_timer timer; /* connecting; later the idle time */
 	struct http_parse parse;
 	struct http_call *call;
+	const struct bytes *body; /* of the call, while some is unsent */
+	size_t body_at;
 	bool connected;
 	bool probe; /* nothing is sent on it */
 	bool spoiled;
@@ -251,7 +256,7 @@
 	conn->call = NULL;
 	conn->taken = false;
 	conn->beside = 0;
-	if (!keep_alive || conn->spoiled || conn->kept_ms <= 0 ||
+	if (!keep_alive || conn->spoiled || conn->kept_ms <= 0 || conn->body ||
 	    stream_input(conn->stream)->len || stream_unwritten(conn->stream)) {
 		wire_free(conn);
 		return;
@@ -359,9 +364,32 @@
 		on_eof(conn);
 }
 
+/* The next piece of the body. */
+static void send_body(struct wire_conn *conn)
+{
+	const struct bytes *body = conn->body;
+	size_t len;
+
+	if (!body)
+		return;
+	len = body->len - conn->body_at;
+	if (len > BODY_PIECE_BYTES)
+		len = BODY_PIECE_BYTES;
+	stream_write(conn->stream, body->data + conn->body_at, len);
+	conn->body_at += len;
+	if (conn->body_at == body->len)
+		conn->body = NULL;
+}
+
+static void on_drained(void *data)
+{
+	send_body(data);
+}
+
 static const struct stream_hooks stream_hooks = {
 	.connected = on_connected,
 	.readable = on_read,
+	.drained = on_drained,
 	.closed = on_closed,
 };
 
@@ -475,6 +503,11 @@
 	if (request->body)
 		stream_write(conn->stream, request->body->data,
 			     request->body->len);
+	if (request->lasting_body && request->lasting_body->len) {
+		conn->body = request->lasting_body;
+		conn->body_at = 0;
+		send_body(conn);
+	}
 	return call;
 }
 
@@ -491,11 +524,22 @@
 	struct wire_conn *conn = call->conn;
 
 	conn->call = NULL;
+	conn->body = NULL;
 	call_free(call);
 	if (!conn->reading)
 		wire_free(conn);
 }
 
+void http_call_pause(struct http_call *call)
+{
+	stream_pause(call->conn->stream);
+}
+
+void http_call_go_on(struct http_call *call)
+{
+	stream_kick(call->conn->stream);
+}
+
 void http_call_limit(struct http_call *call, int64_t ms)
 {
 	struct http_client *client = call->client;
--- a/daemon/http/http_client.h
+++ b/daemon/http/http_client.h
@@ -55,9 +55,11 @@
 	const char *address;	  /**< IP:port */
 	const struct bytes *head; /**< lines with the empty one at the end */
 	const struct bytes *body; /**< copied; or NULL */
-	const char *id;		  /**< expected in the answer, or NULL */
-	bool fresh;		  /**< only over a new connection */
-	bool no_body;		  /**< the answer has none: HEAD */
+	/** Instead: sent in pieces, stays until the call is over; or NULL. */
+	const struct bytes *lasting_body;
+	const char *id; /**< expected in the answer, or NULL */
+	bool fresh;	/**< only over a new connection */
+	bool no_body;	/**< the answer has none: HEAD */
 	int64_t timeout_ms;
 };
 
@@ -91,6 +93,10 @@
 /** Give a call up: its connection is closed at once. No hook is called. */
 void http_call_cancel(struct http_call *call);
 
+/** Read no more of the answer than has been read, until http_call_go_on(). */
+void http_call_pause(struct http_call *call);
+void http_call_go_on(struct http_call *call);
+
 /** End the call with BACKEND_TIMEOUT unless it is over within that time. */
 void http_call_limit(struct http_call *call, int64_t ms);
 
--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -183,6 +183,18 @@
 	return begin;
 }
 
+static int64_t on_paused(void *data, uint64_t id)
+{
+	struct entry_daemon *daemon = data;
+	struct relay_node *node = relay_find(daemon, id);
+
+	if (node) {
+		list_remove(&node->in_waiting);
+		list_append(&daemon->waiting, &node->in_waiting);
+	}
+	return edge_now_us();
+}
+
 /* Each that has to wait on is appended again. */
 static void ask_again(struct entry_daemon *daemon)
 {
@@ -195,7 +207,7 @@
 		node = list_first(&daemon->waiting, struct relay_node,
 				  in_waiting);
 		list_remove(&node->in_waiting);
-		relay_ask_again(node->relay);
+		relay_ask_again(node->relay, edge_now_us());
 	}
 }
 
@@ -270,17 +282,12 @@
 	carry_out_all(daemon);
 }
 
-static void on_left(void *data, struct http_exchange *exchange)
+/* Nobody waits for the answer any more. */
+static void on_relay_left(void *data, uint64_t id)
 {
 	struct entry_daemon *daemon = data;
-	struct relay *relay = http_exchange_user(exchange);
 	struct relay_node *node;
-	uint64_t id;
 
-	if (!relay)
-		return;
-	id = relay_id(relay);
-	relay_caller_left(relay);
 	entry_caller_left(daemon->entry, id, edge_now_us(), &daemon->effects);
 	carry_out_all(daemon);
 	node = relay_find(daemon, id);
@@ -288,6 +295,16 @@
 		relay_drop(daemon, node);
 }
 
+static void on_left(void *data, struct http_exchange *exchange)
+{
+	struct relay *relay = http_exchange_user(exchange);
+
+	if (!relay)
+		return;
+	relay_caller_left(relay);
+	on_relay_left(data, relay_id(relay));
+}
+
 /* Callers are to be sent here. */
 static bool is_ready(const struct entry_daemon *daemon)
 {
@@ -482,6 +499,9 @@
 	daemon->host.begins = on_begins;
 	daemon->host.tokens = on_tokens;
 	daemon->host.ended = on_ended;
+	daemon->host.paused = on_paused;
+	daemon->host.left = on_relay_left;
+	daemon->host.memory = &daemon->role.memory;
 	daemon->host.state = on_state;
 	daemon->host.data = daemon;
 }
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -24,6 +24,9 @@
 /* Of events that are held until their server is heard. */
 #define EARLY_BYTES (1024 * 1024)
 
+/* How long an answer may wait for memory before its caller is given up. */
+#define MEMORY_WAIT_US INT64_C(2000000)
+
 /* Of an event's id that we may have to repeat. */
 #define EVENT_ID_BYTES 256
 
@@ -41,6 +44,7 @@
 	struct http_exchange *exchange; /* NULL once answered or left */
 	uint64_t id;
 	struct dialect_request asked;
+	struct http_body body;
 	char body_hash[17];
 	bool stream;
 
@@ -52,6 +56,9 @@
 	int status;
 	struct bytes headers; /* lines for the caller */
 	struct bytes whole;
+	struct memory_claim claim; /* of what is held of the answer */
+	size_t whole_bytes;	   /* of `whole` by its length, if it has one */
+	int64_t paused_us; /* since then the answer waits for memory; or 0 */
 	struct sse sse;
 	size_t useless;	    /* bytes of the body since the last event, if any */
 	int64_t events;	    /* passed on by this attempt */
@@ -71,7 +78,7 @@
 static void hash_body(struct relay *relay)
 {
 	const struct http_head *head = http_exchange_head(relay->exchange);
-	const struct bytes *body = http_exchange_body(relay->exchange);
+	const struct bytes *body = &relay->body.bytes;
 	uint64_t hash = XXH3_64bits(body->data, body->len) * 31 +
 			XXH3_64bits(head->target, strlen(head->target));
 
@@ -89,6 +96,8 @@
 	relay->id = id;
 	host->dialect->read_request(http_exchange_head(exchange),
 				    &relay->asked);
+	http_exchange_take_body(exchange, &relay->body);
+	relay->claim = memory_claim(host->memory, MEMORY_ANSWERS);
 	hash_body(relay);
 	http_exchange_set_user(exchange, relay);
 	return relay;
@@ -139,6 +148,8 @@
 	relay->events = 0;
 	relay->useless = 0;
 	relay->held = false;
+	relay->whole_bytes = 0;
+	relay->paused_us = 0;
 	bytes_clear(&relay->headers);
 	bytes_clear(&relay->whole);
 	bytes_clear(&relay->early);
@@ -146,6 +157,46 @@
 	relay->early_ended = false;
 	sse_clear(&relay->sse);
 	memset(&relay->sse, 0, sizeof(relay->sse));
+	memory_release(&relay->claim);
+}
+
+/* False if there is no memory for what is held of the answer. */
+static bool claim_answer(struct relay *relay)
+{
+	size_t held = relay->whole.capacity + relay->early.capacity +
+		      relay->sse.rest.capacity;
+	size_t wanted = held;
+
+	if (relay->whole.capacity < relay->whole_bytes)
+		wanted += relay->whole_bytes - relay->whole.capacity;
+	if (memory_ask(&relay->claim, wanted))
+		return true;
+	memory_hold(&relay->claim, held);
+	return false;
+}
+
+/* Read on once there is memory for what is being read. */
+static void wait_for_memory(struct relay *relay)
+{
+	if (!relay->call || relay->paused_us)
+		return;
+	http_call_pause(relay->call);
+	relay->paused_us = relay->host->paused(relay->host->data, relay->id);
+}
+
+/* The answer can't be kept: the server may have run the request. */
+static void give_up_caller(struct relay *relay)
+{
+	const struct effect_answer answer = {
+		.id = relay->id,
+		.code = RESULT_NO_MEMORY,
+		.run = RUN_UNKNOWN,
+	};
+
+	if (!relay->exchange)
+		return;
+	relay_answer(relay, &answer);
+	relay->host->left(relay->host->data, relay->id);
 }
 
 static void tell_ended(struct relay *relay, enum result code, bool sent)
@@ -164,6 +215,21 @@
 	relay->host->ended(relay->host->data, &ended);
 }
 
+/* The bytes of a whole answer are claimed before they are read. */
+static void claim_whole(struct relay *relay, const struct http_head *head)
+{
+	const char *length = http_head_get(head, "Content-Length");
+	long long len = length ? strtoll(length, NULL, 10) : 0;
+
+	if (len <= 0 || len > WHOLE_BYTES)
+		return;
+	relay->whole_bytes = (size_t)len;
+	if (!claim_answer(relay))
+		wait_for_memory(relay);
+	else
+		bytes_reserve(&relay->whole, relay->whole_bytes);
+}
+
 /* An answer without a type is taken for what was asked for. */
 static bool is_event_stream(const struct http_head *head)
 {
@@ -197,6 +263,8 @@
 	    (relay->kind == ANSWER_REJECTED || relay->kind == ANSWER_WRONG))
 		http_call_limit(relay->call, USELESS_MS);
 	host->dialect->write_answer(head, &relay->headers);
+	if (relay->kind == ANSWER_WHOLE)
+		claim_whole(relay, head);
 }
 
 /* Remember the id of an event: where another server would go on. */
@@ -299,15 +367,21 @@
 		code = RESULT_BACKEND_BROKE;
 	if (code == RESULT_BACKEND_CROSSED || code == RESULT_BACKEND_BROKE)
 		give_up(relay, RESULT_BACKEND_CROSSED, true);
+	else if (!code && !claim_answer(relay))
+		give_up_caller(relay);
 }
 
 static void on_whole(struct relay *relay, const char *piece, size_t len)
 {
-	bytes_append(&relay->whole, piece, len);
-	if (relay->whole.len <= WHOLE_BYTES)
+	if (!relay->exchange)
 		return;
-	relay->kind = ANSWER_WRONG;
-	give_up(relay, RESULT_BACKEND_CROSSED, true);
+	bytes_append(&relay->whole, piece, len);
+	if (relay->whole.len > WHOLE_BYTES) {
+		relay->kind = ANSWER_WRONG;
+		give_up(relay, RESULT_BACKEND_CROSSED, true);
+	} else if (!claim_answer(relay)) {
+		wait_for_memory(relay);
+	}
 }
 
 static void on_useless(struct relay *relay, size_t len)
@@ -377,12 +451,29 @@
 		tell_ended(relay, code, sent);
 }
 
-void relay_ask_again(struct relay *relay)
+/* The answer may be read on, or its caller is given up. */
+static void look_for_memory(struct relay *relay, int64_t now_us)
+{
+	if (claim_answer(relay)) {
+		relay->paused_us = 0;
+		http_call_go_on(relay->call);
+	} else if (now_us - relay->paused_us >= MEMORY_WAIT_US) {
+		give_up_caller(relay);
+	} else {
+		relay->host->paused(relay->host->data, relay->id);
+	}
+}
+
+void relay_ask_again(struct relay *relay, int64_t now_us)
 {
 	struct bytes early = relay->early;
 	struct sse sse = { 0 };
 	enum result code;
 
+	if (relay->paused_us && relay->call) {
+		look_for_memory(relay, now_us);
+		return;
+	}
 	if (!relay->waits)
 		return;
 	relay->waits = false;
@@ -432,7 +523,7 @@
 	}
 	forward.urgency = call.urgency;
 	forward.wait_ms = (call.deadline_us - now_us) / 1000;
-	forward.body_len = http_exchange_body(relay->exchange)->len;
+	forward.body_len = relay->body.bytes.len;
 	if (start->to_vm)
 		host->dialect->write_passed(http_exchange_head(relay->exchange),
 					    &forward, &head);
@@ -442,7 +533,7 @@
 					     &forward, &head);
 	request.address = relay->server.address;
 	request.head = &head;
-	request.body = http_exchange_body(relay->exchange);
+	request.lasting_body = &relay->body.bytes;
 	request.id = relay->asked.id;
 	request.fresh = start->proven;
 	request.no_body =
@@ -469,10 +560,13 @@
 	tell_ended(relay, RESULT_CALLER_LEFT, sent);
 }
 
+/* The bytes go over to the caller's connection, which claims them itself. */
 static void answer_held(struct relay *relay)
 {
+	memory_release(&relay->claim);
 	http_exchange_answer(relay->exchange, relay->status,
 			     bytes_text(&relay->headers), &relay->whole);
+	bytes_clear(&relay->whole);
 }
 
 static void answer_refusal(struct relay *relay,
@@ -524,6 +618,8 @@
 		http_call_cancel(relay->call);
 	free(relay->asked.key);
 	free(relay->asked.parts);
+	http_body_clear(&relay->body);
+	memory_release(&relay->claim);
 	bytes_clear(&relay->headers);
 	bytes_clear(&relay->whole);
 	bytes_clear(&relay->early);
--- a/daemon/role/relay.h
+++ b/daemon/role/relay.h
@@ -28,10 +28,15 @@
 	const struct dialect *dialect;
 	struct http_client *client;
 	struct entry *entry;
+	struct memory *memory; /**< that answers are claimed of, or NULL */
 	/** An attempt's first event. If it has to wait, relay_ask_again(). */
 	enum entry_begin (*begins)(void *data, uint64_t id, int64_t attempt);
 	void (*tokens)(void *data, const struct event_attempt_tokens *tokens);
 	void (*ended)(void *data, const struct event_attempt_ended *ended);
+	/** The answer waits for memory: relay_ask_again(). Returns the time. */
+	int64_t (*paused)(void *data, uint64_t id);
+	/** The caller has had its last word; drops the relay if it is over. */
+	void (*left)(void *data, uint64_t id);
 	/** What the server says of itself. */
 	void (*state)(void *data, const struct entry_server *server,
 		      const struct dialect_answer *answer);
@@ -57,10 +62,11 @@
 void relay_cancel(struct relay *relay, int64_t attempt);
 
 /**
- * Asks again whether an answer may begin whose events are held. Nothing if
- * none is; whoever calls this may have to drop the relay then.
+ * Asks again whether an answer may begin whose events are held, or may be read
+ * on that waits for memory. Nothing if neither does; the relay may be dropped
+ * meanwhile.
  */
-void relay_ask_again(struct relay *relay);
+void relay_ask_again(struct relay *relay, int64_t now_us);
 
 /** EFFECT_ANSWER: the caller gets its last word. */
 void relay_answer(struct relay *relay, const struct effect_answer *answer);
--- a/libfilberthall/base/result.h
+++ b/libfilberthall/base/result.h
@@ -37,6 +37,7 @@
 	X(409, VERSION_GONE, 503, "no server has the stream's version")       \
 	X(410, STREAM_UNKNOWN, 503, "it isn't known where the stream began")  \
 	X(411, NO_DESCRIPTOR, 503, "this VM has no descriptor free")          \
+	X(412, NO_MEMORY, 503, "this VM has no memory free")                  \
 	X(501, BACKEND_CONNECT, 502, "the backend server can't be reached")   \
 	X(502, BACKEND_TIMEOUT, 504, "the backend server was too slow")       \
 	X(503, BACKEND_BROKE, 502, "the backend server broke off")            \
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -421,6 +421,99 @@
 	bed_end(&bed);
 }
 
+#define UPLOAD_BYTES (4 * 1024 * 1024)
+
+/* A call with a body that its server doesn't read yet. */
+static int upload(struct bed *bed, struct peer *peer, struct bytes *body)
+{
+	struct bytes head = { 0 };
+	struct http_call_request request = { .address = peer->address,
+					     .head = &head,
+					     .lasting_body = body,
+					     .id = "1",
+					     .timeout_ms = 3000 };
+
+	bed->over = false;
+	bytes_clear(&bed->body);
+	bytes_reserve(body, UPLOAD_BYTES);
+	memset(body->data, 'u', UPLOAD_BYTES);
+	body->len = UPLOAD_BYTES;
+	bytes_append_format(&head,
+			    "POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
+			    UPLOAD_BYTES);
+	http_call_start(bed->client, &request, &call_hooks, bed);
+	bytes_clear(&head);
+	return accept_call(bed, peer);
+}
+
+static size_t drain(struct bed *bed, int fd)
+{
+	char piece[65536];
+	size_t total = 0;
+	ssize_t n;
+	int i;
+
+	for (i = 0; i < 100; i++) {
+		while ((n = recv(fd, piece, sizeof(piece), MSG_DONTWAIT)) > 0)
+			total += (size_t)n;
+		ev_run(bed->ev, EVRUN_NOWAIT);
+		g_usleep(100);
+	}
+	return total;
+}
+
+/* A body stands twice while it is sent, and again on the kept connection. */
+static void test_lasting_body(void)
+{
+	struct bytes body = { 0 };
+	struct memory memory;
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	memory_init(&memory, 64);
+	bed.loop.memory = &memory;
+	peer_start(&peer);
+	fd = upload(&bed, &peer, &body);
+	g_assert_cmpint(memory_view(&memory).most, <, 512 * 1024);
+	g_assert_cmpuint(drain(&bed, fd), >, UPLOAD_BYTES);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	g_assert_cmpint(memory_view(&memory).held, <, 64 * 1024);
+	call(&bed, peer.address, "2", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 1);
+	close(fd);
+	close(peer.listener);
+	bytes_clear(&body);
+	bed_end(&bed);
+}
+
+/* What is left of a body would be read as the next request. */
+static void test_early_answer(void)
+{
+	struct bytes body = { 0 };
+	struct peer peer;
+	struct bed bed;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	fd = upload(&bed, &peer, &body);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	bytes_clear(&body);
+	call(&bed, peer.address, "2", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 2);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -436,5 +529,7 @@
 	g_test_add_func("/http-client/endless", test_endless);
 	g_test_add_func("/http-client/endless-slow", test_endless_slow);
 	g_test_add_func("/http-client/probe", test_probe);
+	g_test_add_func("/http-client/lasting-body", test_lasting_body);
+	g_test_add_func("/http-client/early-answer", test_early_answer);
 	return g_test_run();
 }
