control: documents come out of the budget with what reading them takes

A body was copied for the thread that reads documents and freed at both ends only after the answer; a document that has been read is several times its text.

--- a/daemon/role/control_calls.c
+++ b/daemon/role/control_calls.c
@@ -13,13 +13,27 @@
 #define CALL_HEADER_MS 10000
 #define CALL_IDLE_MS 15000
 
+/*
+ * Bytes of memory for each one of a call's body: the text, what is read of it,
+ * and its copies on the way into the log.
+ */
+#define CALL_WEIGHT 6
+
 /* An operator's call that waits for the reducer. */
 struct open_call {
 	struct list node;
 	uint64_t id;
 	struct http_exchange *exchange; /* NULL once its caller has left */
+	struct http_body body; /* of a document; its bytes are the reader's */
 };
 
+static void call_free(struct open_call *call)
+{
+	list_remove(&call->node);
+	http_body_clear(&call->body);
+	free(call);
+}
+
 static struct open_call *call_find(struct control_daemon *daemon, uint64_t id)
 {
 	struct open_call *call;
@@ -64,7 +78,6 @@
 
 	if (!call)
 		return;
-	list_remove(&call->node);
 	if (call->exchange && told->code == RESULT_NOT_LEADER)
 		answer_elsewhere(daemon, call->exchange, &told->body);
 	else if (call->exchange)
@@ -72,7 +85,7 @@
 		       told->body.len ? "Content-Type: application/json\r\n"
 				      : NULL,
 		       &told->body);
-	free(call);
+	call_free(call);
 }
 
 static struct open_call *call_new(struct control_daemon *daemon,
@@ -116,11 +129,10 @@
 		 bytes_text(&reading->message));
 	if (!call)
 		return;
-	list_remove(&call->node);
 	if (call->exchange)
 		http_exchange_answer(call->exchange, 400, NULL,
 				     &reading->message);
-	free(call);
+	call_free(call);
 }
 
 static void refuse_read(struct control_daemon *daemon, uint64_t id)
@@ -178,7 +190,8 @@
 {
 	struct open_call *call = call_new(daemon, exchange);
 
-	reader_put(daemon->reader, call->id, http_exchange_body(exchange));
+	http_exchange_take_body(exchange, &call->body);
+	reader_put(daemon->reader, call->id, &call->body.bytes);
 }
 
 static void get_document(struct control_daemon *daemon,
@@ -318,6 +331,7 @@
 	if (!daemon->server)
 		return RESULT_SETTING_VALUE;
 	http_server_set_most(daemon->server, descriptors_for_requests());
+	http_server_set_weight(daemon->server, MEMORY_DOCUMENTS, CALL_WEIGHT);
 	watch_add_listener(&daemon->role.watch, "operators", daemon->server);
 	return RESULT_OK;
 }
@@ -333,5 +347,5 @@
 		return;
 	http_server_stop(daemon->server);
 	list_foreach_safe(call, next, &daemon->calls, node)
-		free(call);
+		call_free(call);
 }
--- a/daemon/role/reader.c
+++ b/daemon/role/reader.c
@@ -128,14 +128,6 @@
 	free(reader);
 }
 
-static struct reading *reading_new(const struct bytes *text)
-{
-	struct reading *reading = xcalloc(1, sizeof(*reading));
-
-	reading->text = bytes_copy(text);
-	return reading;
-}
-
 static void put(struct reader *reader, struct reading *reading)
 {
 	pthread_mutex_lock(&reader->lock);
@@ -144,10 +136,12 @@
 	pthread_mutex_unlock(&reader->lock);
 }
 
-void reader_put(struct reader *reader, uint64_t call, const struct bytes *text)
+void reader_put(struct reader *reader, uint64_t call, struct bytes *text)
 {
-	struct reading *reading = reading_new(text);
+	struct reading *reading = xcalloc(1, sizeof(*reading));
 
+	reading->text = *text;
+	*text = (struct bytes){ 0 };
 	reading->call = call;
 	put(reader, reading);
 }
@@ -155,8 +149,9 @@
 void reader_put_version(struct reader *reader, int64_t version,
 			const struct bytes *text)
 {
-	struct reading *reading = reading_new(text);
+	struct reading *reading = xcalloc(1, sizeof(*reading));
 
+	reading->text = bytes_copy(text);
 	reading->version = version;
 	put(reader, reading);
 }
--- a/daemon/role/reader.h
+++ b/daemon/role/reader.h
@@ -41,10 +41,10 @@
 /** End the thread; what isn't read by then is dropped. NULL is allowed. */
 void reader_stop(struct reader *reader);
 
-/** Have an operator's text read; it is copied. */
-void reader_put(struct reader *reader, uint64_t call, const struct bytes *text);
+/** Have an operator's text read; it is taken over. */
+void reader_put(struct reader *reader, uint64_t call, struct bytes *text);
 
-/** Have the document in force read. */
+/** Have the document in force read; its text is copied. */
 void reader_put_version(struct reader *reader, int64_t version,
 			const struct bytes *text);
 
