http_client: a success without a length isn't whole before its request is out

Here a reset ends the call as broken off at each moment that was tried: none or 100,000 bytes of the upload read, the part of the answer seen before or not, closed with bytes unread or with a reset. A plain end of the server's side didn't: it was taken for the end of the answer while most of the request was still unsent, in 4 of 4 ways (code 0, "OK"). A server that has given up reading may as well have given up writing, so a success without a length counts only once the request is out. Failures, which servers may send early and close, stay as they are.

t-http-client /http-client/cut-in-upload: 4 of 12 ways failed before.

--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -340,12 +340,23 @@
 		wire_free(conn);
 }
 
+/*
+ * A server that closes before it has read the request may have broken off: its
+ * success has no other end than this.
+ */
+static bool is_cut_short(const struct wire_conn *conn)
+{
+	return conn->parse.head.status < 300 &&
+	       (conn->body || stream_unwritten(conn->stream));
+}
+
 /* A closed connection ends an answer without a length; a reset one doesn't. */
 static void on_eof(struct wire_conn *conn)
 {
 	struct http_call *call = conn->call;
 
 	if (call && !conn->skipping && conn->parse.head.status >= 200 &&
+	    !is_cut_short(conn) &&
 	    http_parse_eof(&conn->parse) == HTTP_PARSE_DONE && conn->call) {
 		wire_free(conn);
 		call_end(call, RESULT_OK);
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -514,6 +514,72 @@
 	bed_end(&bed);
 }
 
+#define NO_LENGTH "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart"
+
+/* How a server may end an answer before it has read the request. */
+static void end_by_reset(int fd)
+{
+	struct linger reset = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+}
+
+static void end_unread(int fd)
+{
+	close(fd);
+}
+
+static void end_by_fin(int fd)
+{
+	shutdown(fd, SHUT_WR);
+}
+
+/* A part of an answer looks whole that was cut while its request was sent. */
+static void check_cut_in_upload(void (*end)(int fd), size_t first, bool seen)
+{
+	struct bytes body = { 0 };
+	struct peer peer;
+	struct bed bed;
+	char byte;
+	size_t i;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	fd = upload(&bed, &peer, &body);
+	for (i = 0; i < first; i++)
+		g_assert_cmpint(recv(fd, &byte, 1, 0), ==, 1);
+	bed_say(fd, NO_LENGTH);
+	if (seen)
+		bed_run(&bed, NULL);
+	end(fd);
+	bed_run(&bed, &bed.over);
+	g_test_message("end %s, %zu read, %s: code %d",
+		       end == end_by_reset ? "by RST"
+		       : end == end_unread ? "unread"
+					   : "by FIN",
+		       first, seen ? "seen" : "unseen", bed.code);
+	if (bed.code != RESULT_BACKEND_BROKE || !bed.sent)
+		g_test_fail();
+	close(peer.listener);
+	bytes_clear(&body);
+	bed_end(&bed);
+}
+
+static void test_cut_in_upload(void)
+{
+	void (*const ends[])(int fd) = { end_by_reset, end_unread, end_by_fin };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+		check_cut_in_upload(ends[i], 0, false);
+		check_cut_in_upload(ends[i], 0, true);
+		check_cut_in_upload(ends[i], 100000, false);
+		check_cut_in_upload(ends[i], 100000, true);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -531,5 +597,6 @@
 	g_test_add_func("/http-client/probe", test_probe);
 	g_test_add_func("/http-client/lasting-body", test_lasting_body);
 	g_test_add_func("/http-client/early-answer", test_early_answer);
+	g_test_add_func("/http-client/cut-in-upload", test_cut_in_upload);
 	return g_test_run();
 }
