http: a number that is no status makes no answer

The parser reads any number, and the client asked only whether it was below 200.

The first line of an answer is checked like that of a request: three digits, the first from 1 to 5, and not 101, as nobody here asks for another protocol. Anything else breaks the attempt off at once, so it may be sent elsewhere where that is allowed. The all-in-one daemon's client is another one: there a plain service's 000, 099, 600 and 999 were passed on as its answers.

--- a/daemon/http/attempt_answer.c
+++ b/daemon/http/attempt_answer.c
@@ -37,6 +37,8 @@
 	const char *cached =
 		ne_get_response_header(request, names->cached_header);
 
+	if (wire->http_status < 100 || wire->http_status > 599)
+		return RESULT_BACKEND_BROKE;
 	if (is_failure(attempt, wire->http_status))
 		return RESULT_BACKEND_ERROR;
 	if (!id || strcmp(id, attempt->request_id) != 0)
--- a/daemon/http/http_parse.c
+++ b/daemon/http/http_parse.c
@@ -56,6 +56,11 @@
 	int codings;
 };
 
+static bool is_digit(char byte)
+{
+	return byte >= '0' && byte <= '9';
+}
+
 static bool is_token(const char *text, size_t len)
 {
 	size_t i;
@@ -142,6 +147,33 @@
 	       is_name(version, len - (size_t)(version - line), "HTTP/1.0");
 }
 
+/*
+ * Of an answer. Other numbers are no status, and none of ours asks for another
+ * protocol.
+ */
+static bool check_status_line(const char *line, size_t len)
+{
+	const char *status = memchr(line, ' ', len);
+	size_t rest;
+
+	if (!status || (!is_name(line, (size_t)(status - line), "HTTP/1.1") &&
+			!is_name(line, (size_t)(status - line), "HTTP/1.0")))
+		return false;
+	status++;
+	rest = len - (size_t)(status - line);
+	if (rest < 3 || (rest > 3 && status[3] != ' '))
+		return false;
+	return status[0] >= '1' && status[0] <= '5' && is_digit(status[1]) &&
+	       is_digit(status[2]) && memcmp(status, "101", 3) != 0;
+}
+
+static bool check_first_line(const struct http_parse *parse, const char *line,
+			     size_t len)
+{
+	return parse->type == HTTP_REQUEST ? check_request_line(line, len)
+					   : check_status_line(line, len);
+}
+
 /* A whole head, up to and with its empty line. */
 static bool check_head(const struct http_parse *parse, const char *head,
 		       size_t len)
@@ -157,9 +189,8 @@
 		if (!next || next == line || next[-1] != '\r')
 			return false;
 		if (line == head) {
-			if (request &&
-			    !check_request_line(line,
-						(size_t)(next - line) - 1))
+			if (!check_first_line(parse, line,
+					      (size_t)(next - line) - 1))
 				return false;
 		} else if (next - line > 1) {
 			if (!check_field(line, (size_t)(next - line) - 1,
--- a/daemon/http/http_parse.h
+++ b/daemon/http/http_parse.h
@@ -17,7 +17,8 @@
  * a request that nobody asked for, with another caller's rights. So a head
  * that could be read in two ways is refused: a length beside chunks, two
  * lengths, a coding that isn't "chunked", folded lines, blanks before a colon,
- * bare line ends, control characters, more than one Host.
+ * bare line ends, control characters, more than one Host. An answer whose status
+ * is none isn't one.
  */
 
 struct http_header {
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -580,6 +580,40 @@
 	}
 }
 
+/* A status that is none reaches the caller as an answer. */
+static void test_no_status(void)
+{
+	static const char *const statuses[] = { "000", "0",   "099", "101",
+						"600", "999", "2x0", "1200",
+						"20",  "-20", "" };
+	struct peer peer;
+	struct bed bed;
+	char *answer;
+	size_t i;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	for (i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		call(&bed, peer.address, "1", true);
+		fd = accept_call(&bed, &peer);
+		bed_hear(fd);
+		answer = g_strdup_printf("HTTP/1.1 %s No\r\nId: 1\r\n"
+					 "Content-Length: 1\r\n\r\na",
+					 statuses[i]);
+		bed_say(fd, answer);
+		bed_run(&bed, NULL);
+		if (!bed.over || bed.code != RESULT_BACKEND_BROKE || bed.status)
+			g_error("status %s: over %d, code %d, head %d",
+				statuses[i], bed.over, bed.code, bed.status);
+		bed_run(&bed, &bed.over);
+		g_free(answer);
+		close(fd);
+	}
+	close(peer.listener);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -598,5 +632,6 @@
 	g_test_add_func("/http-client/lasting-body", test_lasting_body);
 	g_test_add_func("/http-client/early-answer", test_early_answer);
 	g_test_add_func("/http-client/cut-in-upload", test_cut_in_upload);
+	g_test_add_func("/http-client/no-status", test_no_status);
 	return g_test_run();
 }
--- a/tests/path/t-thread-attempts.c
+++ b/tests/path/t-thread-attempts.c
@@ -195,6 +195,50 @@
 	stand_in_stop(&service);
 }
 
+/* A service's answers whose statuses are none. */
+static const char *const no_statuses[] = { "000", "099", "600", "999" };
+
+static void serve_no_status(struct stand_in *stand_in, int fd, int nth)
+{
+	g_autoptr(GString) head = g_string_new(NULL);
+	g_autoptr(GString) body = g_string_new(NULL);
+
+	while (read_request(fd, head, body)) {
+		g_autofree char *id = request_id_of(head);
+
+		write_text(fd,
+			   "HTTP/1.1 %s No\r\nX-Request-Id: %s\r\n"
+			   "Content-Length: 2\r\n\r\n{}",
+			   no_statuses[nth], id);
+	}
+}
+
+static void no_status_never_reaches_a_caller(void)
+{
+	struct effect_start_attempt start;
+	struct stand_in service;
+	struct harness harness;
+	uint64_t id;
+	size_t i;
+	int fd;
+
+	stand_in_start(&service, serve_no_status);
+	harness_start(&harness, NULL);
+	for (i = 0; i < G_N_ELEMENTS(no_statuses); i++) {
+		fd = harness_dial(&harness, HTTP_CALLERS);
+		lodge(fd);
+		id = wait_request(&harness);
+		start = harness_attempt(id, service.address);
+		start.proven = true;
+		http_out_start_attempt(harness.out, &start);
+		expect_ended(&harness, RESULT_BACKEND_BROKE, true, 0);
+		harness_answer(&harness, id, RESULT_BACKEND_BROKE);
+		close(fd);
+	}
+	harness_stop(&harness);
+	stand_in_stop(&service);
+}
+
 static void proven_attempt_opens_its_own_connection(void)
 {
 	struct effect_start_attempt start;
@@ -432,6 +476,7 @@
 			crossed_whole_answer_never_reaches_a_caller);
 	g_test_add_func("/attempt/sent-once",
 			nothing_is_sent_twice_behind_the_core);
+	g_test_add_func("/attempt/no-status", no_status_never_reaches_a_caller);
 	g_test_add_func("/attempt/proven",
 			proven_attempt_opens_its_own_connection);
 	g_test_add_func("/attempt/refused", refused_connect_is_not_sent);
