tests: an operator's text goes over to its reader

reader_put() takes texts over since they are counted; t-thread-reader put the same one a hundred times and read empty ones. It puts one of its own each time, and checks that it has gone.

--- a/tests/path/t-thread-reader.c
+++ b/tests/path/t-thread-reader.c
@@ -77,6 +77,15 @@
 	pthread_mutex_destroy(&bed->lock);
 }
 
+static void put(struct reader *reader, uint64_t call)
+{
+	struct bytes text = { 0 };
+
+	bytes_append_text(&text, "text");
+	reader_put(reader, call, &text);
+	g_assert_null(text.data);
+}
+
 /* The loop stood still while a document was read. */
 static void test_loop_goes_on(void)
 {
@@ -88,9 +97,9 @@
 	bed_open(&bed);
 	bytes_append_text(&text, "text");
 	reader = reader_start(bed.ev, &hooks);
-	reader_put(reader, 5, &text);
+	put(reader, 5);
 	reader_put_version(reader, 12, &text);
-	reader_put(reader, 6, &text);
+	put(reader, 6);
 	bytes_clear(&text);
 	ev_run(bed.ev, 0);
 	g_assert_cmpuint(bed.calls[0], ==, 5);
@@ -110,16 +119,13 @@
 {
 	struct bed bed;
 	struct reader_hooks hooks = { read_at_once, on_read, &bed };
-	struct bytes text = { 0 };
 	struct reader *reader;
 	int i;
 
 	bed_open(&bed);
-	bytes_append_text(&text, "text");
 	reader = reader_start(bed.ev, &hooks);
 	for (i = 0; i < 100; i++)
-		reader_put(reader, 1, &text);
-	bytes_clear(&text);
+		put(reader, 1);
 	reader_stop(reader);
 	g_assert_cmpint(bed.n, ==, 0);
 	bed_close(&bed);
