http_server: an answer without a length that isn't read ends by a reset

A caller of HTTP/1.0 that reads slowly, or an answer of a server without a length: once the connection's idle time was up, or the process ended, it was closed like one whose answer is out. Found while the ways in which unread answers make room were written.

A connection that is closed with bytes unwritten is reset. Answers with a length or chunks were visibly cut before as well.

t-http-server /http-server/unframed-unread: the caller read to an end of file before, ECONNRESET now.

--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -119,8 +119,19 @@
 	arm_retry(server, SHORT_MS);
 }
 
+/* The end of what has been written must not look like an answer's end. */
+static void conn_set_reset(struct conn *conn)
+{
+	const struct linger at_once = { .l_onoff = 1 };
+
+	setsockopt(stream_fd(conn->stream), SOL_SOCKET, SO_LINGER, &at_once,
+		   sizeof(at_once));
+}
+
 static void conn_free(struct conn *conn)
 {
+	if (stream_unwritten(conn->stream))
+		conn_set_reset(conn);
 	list_remove(&conn->node);
 	list_remove(&conn->resting);
 	list_remove(&conn->holding);
@@ -244,6 +255,7 @@
 		exchange_free(conn->exchange);
 	conn->exchange = NULL;
 	http_parse_clear(&conn->parse);
+	list_remove(&conn->resting);
 	list_remove(&conn->holding);
 	conn->request_begun = false;
 	conn->closes = true;
@@ -255,15 +267,6 @@
 	conn_note_holding(conn);
 }
 
-/* What is unread, or still unwritten, must not look like an answer's end. */
-static void conn_set_reset(struct conn *conn)
-{
-	const struct linger at_once = { .l_onoff = 1 };
-
-	setsockopt(stream_fd(conn->stream), SOL_SOCKET, SO_LINGER, &at_once,
-		   sizeof(at_once));
-}
-
 static void on_timer(struct ev_loop *ev, ev_timer *timer, int events)
 {
 	struct conn *conn = timer->data;
@@ -602,7 +605,6 @@
 		conn_refuse(conn, 503);
 		return true;
 	}
-	conn_set_reset(conn);
 	conn_lost(conn);
 	return true;
 }
--- a/tests/path/t-http-server.c
+++ b/tests/path/t-http-server.c
@@ -171,6 +171,37 @@
 	bed_end(&bed);
 }
 
+static ssize_t read_all(int fd)
+{
+	char piece[65536];
+	ssize_t n;
+
+	while ((n = recv(fd, piece, sizeof(piece), 0)) > 0)
+		;
+	return n;
+}
+
+/* A slow reader's time is up: what it has got of an answer looks whole. */
+static void test_unframed_unread(void)
+{
+	char *large = g_strnfill(8 * 1024 * 1024, 'x');
+	struct bed bed;
+	int i;
+	int fd;
+
+	fd = bed_ask(&bed, "GET /1 HTTP/1.0\r\n" HOST "\r\n");
+	http_exchange_begin(bed.exchange, 200, NULL);
+	http_exchange_piece(bed.exchange, large, strlen(large));
+	http_exchange_end(bed.exchange);
+	for (i = 0; i < 1000 && http_server_view(bed.server).open; i++)
+		bed_run(&bed, NULL);
+	g_assert_cmpint(read_all(fd), ==, -1);
+	g_assert_cmpint(errno, ==, ECONNRESET);
+	close(fd);
+	g_free(large);
+	bed_end(&bed);
+}
+
 /* A budget of half a MiB, of which two bodies of 200,000 bytes are too much. */
 static void start_short(struct bed *bed, struct memory *memory)
 {
@@ -264,8 +295,6 @@
 	struct bytes large = { 0 };
 	struct memory memory;
 	struct bed bed;
-	char byte[65536];
-	ssize_t n;
 	int fd;
 
 	start_short(&bed, &memory);
@@ -279,9 +308,7 @@
 	g_assert_true(http_server_close_longest_held(bed.server, 0));
 	g_assert_false(http_server_close_longest_held(bed.server, 0));
 	g_assert_cmpint(memory_view(&memory).held, ==, 0);
-	while ((n = recv(fd, byte, sizeof(byte), 0)) > 0)
-		;
-	g_assert_cmpint(n, ==, -1);
+	g_assert_cmpint(read_all(fd), ==, -1);
 	g_assert_cmpint(errno, ==, ECONNRESET);
 	close(fd);
 	bytes_clear(&large);
@@ -321,6 +348,7 @@
 	g_test_add_func("/http-server/bad-requests", test_bad_requests);
 	g_test_add_func("/http-server/slow-caller", test_slow_caller);
 	g_test_add_func("/http-server/wind-down", test_wind_down);
+	g_test_add_func("/http-server/unframed-unread", test_unframed_unread);
 	g_test_add_func("/http-server/no-memory", test_no_memory);
 	g_test_add_func("/http-server/unfinished-makes-room",
 			test_unfinished_makes_room);
