registry: a bound on the servers that are kept

Whoever reaches a control VM may announce servers, each under an id of its own; an entry stays until ten minutes after its end, or for ever if it only falls silent. All control and entry VMs keep each: some 600 bytes here, and an entry of the fleet. A million of them would end every process of a site.

16,384 are kept, sixteen times the engines of the largest plan. Another id is refused with 503 (NO_MEMORY, event=refused reason=too-many) while known ones go on announcing; those that have timed out make room.

t-registry /registry/full: the 16,385th was taken before.

--- a/daemon/role/control_calls.c
+++ b/daemon/role/control_calls.c
@@ -229,8 +229,8 @@
 			 "event=unreadable server=%s reason=%s", server,
 			 bytes_text(&message));
 	} else {
-		control_register(daemon->control, &told, edge_now_us(),
-				 &daemon->effects);
+		code = control_register(daemon->control, &told, edge_now_us(),
+					&daemon->effects);
 	}
 	/* The entry VMs are told before the server reads that we know. */
 	control_daemon_carry_out(daemon);
--- a/libfilberthall/control/control.h
+++ b/libfilberthall/control/control.h
@@ -106,9 +106,13 @@
 void control_evacuate(struct control *control, uint64_t call, const char *zone,
 		      bool evacuate, int64_t now_us, struct effects *effects);
 
-/** A backend server registers; changes are sent to the entry VMs at once. */
-void control_register(struct control *control, const struct registration *told,
-		      int64_t now_us, struct effects *effects);
+/**
+ * A backend server registers; changes are sent to the entry VMs at once.
+ * Returns RESULT_OK, or RESULT_NO_MEMORY if there are too many servers.
+ */
+enum result control_register(struct control *control,
+			     const struct registration *told, int64_t now_us,
+			     struct effects *effects);
 
 /** A backend server unregisters. */
 void control_unregister(struct control *control, const char *id, int64_t now_us,
--- a/libfilberthall/control/control_servers.c
+++ b/libfilberthall/control/control_servers.c
@@ -258,9 +258,9 @@
 				effects);
 }
 
-void control_register(struct control *control,
-		      const struct registration *registration, int64_t now_us,
-		      struct effects *effects)
+enum result control_register(struct control *control,
+			     const struct registration *registration,
+			     int64_t now_us, struct effects *effects)
 {
 	struct registry_entry *registered;
 	struct registry_entry *replaced;
@@ -269,11 +269,18 @@
 	outcome = registry_update(&control->registry, registration, now_us,
 				  &replaced);
 	if (outcome == REGISTRY_STALE)
-		return;
+		return RESULT_OK;
+	if (outcome == REGISTRY_FULL) {
+		control_log(effects, LOG_WARN, "server",
+			    "event=refused server=%s reason=too-many most=%d",
+			    registration->id, REGISTRY_ENTRIES_MOST);
+		return RESULT_NO_MEMORY;
+	}
 	registered = registry_find(&control->registry, registration->id);
 	registered->last_direct_contact_us = now_us;
 	forward_changes(control, registration->id, outcome, replaced, now_us,
 			effects);
+	return RESULT_OK;
 }
 
 /*
--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -268,6 +268,11 @@
 	entry->limit_told_us = INT64_MIN / 2;
 }
 
+static bool is_full(const struct registry *registry)
+{
+	return registry->by_id.count >= REGISTRY_ENTRIES_MOST;
+}
+
 enum registry_outcome registry_update(struct registry *registry,
 				      const struct registration *update,
 				      int64_t contact_us,
@@ -291,6 +296,8 @@
 	news = !known || known->timed_out ||
 	       is_news(&known->registration, update) ||
 	       is_colder(known, update, contact_us);
+	if (!known && is_full(registry))
+		return REGISTRY_FULL;
 	if (!known) {
 		known = xcalloc(1, sizeof(*known));
 		clear_limit(known);
@@ -438,6 +445,14 @@
 	return n;
 }
 
+static bool may_free(const struct registry *registry,
+		     const struct registry_entry *entry, int64_t now_us)
+{
+	if (!entry->registration.gone)
+		return entry->timed_out && is_full(registry);
+	return now_us - entry->last_contact_us >= REGISTRY_TOMBSTONE_US;
+}
+
 void registry_expire(struct registry *registry, int64_t now_us,
 		     void (*on_timeout)(void *data,
 					struct registry_entry *entry),
@@ -456,8 +471,7 @@
 		}
 		if (!entry->registration.gone)
 			note_version(registry, entry, now_us);
-		if (!entry->registration.gone ||
-		    now_us - entry->last_contact_us < REGISTRY_TOMBSTONE_US)
+		if (!may_free(registry, entry, now_us))
 			continue;
 		map_remove(&registry->by_id, &entry->node);
 		unindex(registry, entry);
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -96,6 +96,9 @@
 	struct registry_ends ends;
 };
 
+/** Starts that are kept at most; gone and timed-out ones count. */
+#define REGISTRY_ENTRIES_MOST 16384
+
 /** A cold time that ends later than known by more than this is a change. */
 #define REGISTRY_COLD_CHANGE_US INT64_C(500000)
 
@@ -104,6 +107,7 @@
 	REGISTRY_STALE,	    /**< older than the known one, ignored */
 	REGISTRY_REFRESHED, /**< nothing changed but the time of contact */
 	REGISTRY_CHANGED,   /**< changed, to be forwarded */
+	REGISTRY_FULL,	    /**< no room for another server, ignored */
 };
 
 /**
@@ -235,7 +239,7 @@
 
 /**
  * Mark servers without contact as timed out, and free entries that are gone for
- * REGISTRY_TOMBSTONE_US. Calls `on_timeout` (NULL is allowed) for each server
+ * REGISTRY_TOMBSTONE_US, or timed out while there is no room for others. Calls `on_timeout` (NULL is allowed) for each server
  * that has newly timed out.
  */
 void registry_expire(struct registry *registry, int64_t now_us,
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -290,6 +290,33 @@
 	registry_clear(&registry);
 }
 
+/* Servers without end fill the memory of all VMs. */
+static void test_full(void)
+{
+	const struct registration other =
+		make_registration("other", "b:1", 100, 1);
+	struct registry registry;
+	char id[32];
+	int i;
+
+	registry_init(&registry, SECOND, 0);
+	for (i = 0; i < REGISTRY_ENTRIES_MOST; i++) {
+		g_snprintf(id, sizeof(id), "s%d", i);
+		take(&registry, make_registration(id, id, 100, 1), SECOND);
+	}
+	g_assert_cmpint(take(&registry, other, SECOND), ==, REGISTRY_FULL);
+	g_assert_cmpint(take(&registry, make_registration("s7", "s7", 100, 2),
+			     SECOND),
+			==, REGISTRY_REFRESHED);
+	/* Whoever says nothing more makes room. */
+	take(&registry, make_registration("s7", "s7", 100, 3), 60 * SECOND);
+	registry_expire(&registry, 60 * SECOND, NULL, NULL);
+	g_assert_cmpint(take(&registry, other, 60 * SECOND), ==,
+			REGISTRY_CHANGED);
+	g_assert_true(usable(&registry, "s7"));
+	registry_clear(&registry);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -303,5 +330,6 @@
 	g_test_add_func("/registry/slow-beats", test_slow_beats);
 	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
 	g_test_add_func("/registry/cold-again", test_cold_again);
+	g_test_add_func("/registry/full", test_full);
 	return g_test_run();
 }
