control: orders for services whose names are long

Cause: an order for servers kept the service's name in 64 bytes. Cut inside a letter it is no UTF-8, and the order's text couldn't be written. Cut anywhere else the service was ordered for under another name, and as it was looked for by its whole one, each round added another order. The order keeps the names as they are, and the id of its calls.

--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -23,8 +23,9 @@
 /* The order for one zone and kind of server. */
 struct size_order {
 	struct list node;
-	char service[BACKEND_NAME_SIZE];
-	char zone[BACKEND_NAME_SIZE];
+	char *id; /* of its calls */
+	char *service;
+	char *zone;
 	bool cheap;
 	int64_t ordered; /* accepted last; -1 if none was */
 	int64_t asked;	 /* by the call in progress */
@@ -41,6 +42,9 @@
 
 	list_foreach_safe(order, next, &control->sizes, node) {
 		list_remove(&order->node);
+		free(order->id);
+		free(order->service);
+		free(order->zone);
 		free(order);
 	}
 }
@@ -55,8 +59,9 @@
 		    !strcmp(order->zone, zone))
 			return order;
 	order = xcalloc(1, sizeof(*order));
-	snprintf(order->service, sizeof(order->service), "%s", service);
-	snprintf(order->zone, sizeof(order->zone), "%s", zone);
+	order->id = xstrfmt("size-%d-%s/%s", cheap, service, zone);
+	order->service = xstrdup(service);
+	order->zone = xstrdup(zone);
 	order->cheap = cheap;
 	order->ordered = -1;
 	list_append(&control->sizes, &order->node);
@@ -105,8 +110,7 @@
 	order->under_way = true;
 	order->asked = want;
 	call = control_platform_call(control, "size", effects);
-	call->order_id = xstrfmt("size-%d-%s/%s", order->cheap, order->service,
-				 order->zone);
+	call->order_id = xstrdup(order->id);
 	size_body(&call->body, order);
 	control_log(effects, LOG_INFO, "fleet",
 		    "event=order service=%s zone=%s cheap=%d servers=%lld "
@@ -189,12 +193,9 @@
 			  struct effects *effects)
 {
 	struct size_order *order;
-	char id[2 * BACKEND_NAME_SIZE + 16];
 
 	list_foreach(order, &control->sizes, node) {
-		snprintf(id, sizeof(id), "size-%d-%s/%s", order->cheap,
-			 order->service, order->zone);
-		if (strcmp(id, order_id) != 0)
+		if (strcmp(order->id, order_id) != 0)
 			continue;
 		order->under_way = false;
 		if (code == RESULT_OK) {
--- a/tests/control/t-control.c
+++ b/tests/control/t-control.c
@@ -392,10 +392,53 @@
 	g_assert_cmpint(sum_us / ELECTIONS, <, ELECTION_MEAN_US);
 }
 
+/* 76 bytes: the limit of servers' names falls inside a letter. */
+#define LONG_NAME                                                      \
+	"service-for-the-students-portfolios-"                         \
+	"\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9" \
+	"\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9\u00e9"
+
+static struct document *read_long_name(void *data, const char *text, size_t len)
+{
+	struct document *document = document_new();
+	struct service *service = document_add_service(document);
+
+	service->name = g_strdup(LONG_NAME);
+	service->scaling.allowed = true;
+	service->scaling.least = 1;
+	service->scaling.most = 2;
+	service_add_zone(service, "z1", 1);
+	return document;
+}
+
+/* A valid document with a long service name ends each VM that leads. */
+static void test_long_name(void)
+{
+	struct group *group = group_founded(read_long_name);
+	const struct group_call *calls;
+	int orders = 0;
+	int n;
+	int i;
+
+	g_assert_cmpuint(strlen(LONG_NAME), ==, 76);
+	group_put(group, group_leader(group), 1);
+	group_run(group, 5 * SECOND);
+	calls = group_calls(group, &n);
+	for (i = 0; i < n; i++) {
+		if (!g_str_has_prefix(calls[i].order_id, "size-"))
+			continue;
+		orders++;
+		g_assert_nonnull(strstr(calls[i].body, LONG_NAME));
+	}
+	g_assert_cmpint(orders, ==, 1);
+	group_free(group);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/control/founding", test_founding);
+	g_test_add_func("/control/long-name", test_long_name);
 	g_test_add_func("/control/too-few-disks", test_too_few_disks);
 	g_test_add_func("/control/follower-names-leader",
 			test_follower_names_leader);
