document: an empty list of organisations needs keys too

Cause: keys were checked only where the document has organisations, and an empty list of them couldn't be told from a document without one, which needs no keys. The document says now whether callers need a key, on its way to the entry VMs as well; without the item, as from a release before, organisations say it. A list that is none is refused: it can't be read.

--- a/libfilberthall/document/document.c
+++ b/libfilberthall/document/document.c
@@ -135,6 +135,7 @@
 				&document->n_organisations,
 				sizeof(*document->organisations));
 	organisation->tier = -1;
+	document->keyed = true;
 	return organisation;
 }
 
--- a/libfilberthall/document/document.h
+++ b/libfilberthall/document/document.h
@@ -108,6 +108,7 @@
 	size_t n_routes;
 	struct document_organisation *organisations;
 	size_t n_organisations;
+	bool keyed; /**< callers need a key, also where no organisation is left */
 	struct map by_place; /**< routes, once checked */
 	struct map by_key;   /**< keys, once checked */
 };
--- a/libfilberthall/document/encoding.c
+++ b/libfilberthall/document/encoding.c
@@ -15,6 +15,7 @@
 	ROOT_ROUTES,
 	ROOT_HOLDERS,
 	ROOT_HOLDER_REGIONS, /* a list for each organisation */
+	ROOT_KEYED,
 	ROOT_ITEMS
 };
 
@@ -161,6 +162,7 @@
 	for (i = 0; i < document->n_organisations; i++)
 		write_names(&packer, document->organisations[i].regions,
 			    document->organisations[i].n_regions);
+	msgpack_pack_int64(&packer, document->keyed);
 }
 
 /* The array that stands at `i`. */
@@ -424,6 +426,13 @@
 	return true;
 }
 
+/* Releases before this item need keys where there are organisations. */
+static bool read_keyed(const struct unpacked *root, struct document *document)
+{
+	return root->n <= ROOT_KEYED ||
+	       read_flag(root, ROOT_KEYED, &document->keyed);
+}
+
 static bool read_root(const struct unpacked *root, struct document *document)
 {
 	struct unpacked limits;
@@ -440,7 +449,8 @@
 	       read_services(&services, document) &&
 	       read_routes(&routes, document) &&
 	       read_organisations(&organisations, document) &&
-	       read_all_holder_regions(root, document);
+	       read_all_holder_regions(root, document) &&
+	       read_keyed(root, document);
 }
 
 struct document *document_decode(const char *data, size_t len)
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -393,7 +393,7 @@
 			     STOPPING_RETRY_AFTER_MS);
 		return;
 	}
-	if (document->n_organisations && !route->open) {
+	if (document->keyed && !route->open) {
 		if (request->key)
 			holder = document_organisation_by_key(document,
 							      request->key);
--- a/tests/document/t-encoding.c
+++ b/tests/document/t-encoding.c
@@ -133,6 +133,23 @@
 	document_free(back);
 }
 
+/* Callers need no key once the last organisation has gone. */
+static void test_no_organisation_left(void)
+{
+	struct document *document = document_new();
+	struct bytes encoded = { 0 };
+	struct document *back;
+
+	document->version = 1;
+	document->keyed = true;
+	document_encode(&encoded, document);
+	back = document_decode(encoded.data, encoded.len);
+	g_assert_true(back->keyed);
+	bytes_clear(&encoded);
+	document_free(document);
+	document_free(back);
+}
+
 /* Guards against a damaged message that takes the daemon down. */
 static void test_malformed(void)
 {
@@ -156,6 +173,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/encoding/no-organisation-left",
+			test_no_organisation_left);
 	g_test_add_func("/encoding/round-trip", test_round_trip);
 	g_test_add_func("/encoding/malformed", test_malformed);
 	return g_test_run();
--- a/tests/entry/bed.c
+++ b/tests/entry/bed.c
@@ -95,6 +95,12 @@
 		route->tier = 3;
 		route_add_split(route, "desk", 1);
 	}
+	document->keyed = true;
+	if (!strcmp(key + 1, BED_NO_KEYS)) {
+		free(copy);
+		g_assert_cmpint(document_check(document, NULL), ==, RESULT_OK);
+		return document;
+	}
 	holder = document_add_organisation(document);
 	holder->name = xstrdup("yards");
 	holder->tier = 1;
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -137,6 +137,21 @@
 	bed_end(&bed);
 }
 
+/* With the last organisation gone, withdrawn keys go on working. */
+static void test_no_organisation_left(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	bed_deliver_document(&bed, 3, BED_NO_KEYS);
+	bed_deliver_state(&bed, bed.polled_us, 0, 3);
+	bed_check_refused(&bed, bed_ask(&bed, "/lodge/7", "k1"),
+			  RESULT_KEY_UNKNOWN);
+	bed_check_refused(&bed, bed_ask(&bed, "/lodge/7", NULL), RESULT_NO_KEY);
+	g_assert_cmpuint(bed.started, ==, 0);
+	bed_end(&bed);
+}
+
 /* An older document that arrives late changes nothing. */
 static void test_late_document(void)
 {
@@ -527,6 +542,8 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/entry/no-organisation-left",
+			test_no_organisation_left);
 	g_test_add_func("/entry/serves", test_serves);
 	g_test_add_func("/entry/refuses", test_refuses);
 	g_test_add_func("/entry/cut-off", test_cut_off);
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -328,6 +328,8 @@
 		"\"allowed_regions\":\"north\"}]}",
 		"{\"version\":7,\"routes\":[],\"services\":[],"
 		"\"tenants\":[{\"name\":\"t\",\"api_keys\":[1]}]}",
+		"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":{}}",
+		"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":null}",
 	};
 	size_t i;
 
@@ -336,6 +338,27 @@
 						     NULL));
 }
 
+static bool needs_keys(const char *text)
+{
+	struct document *document =
+		platform_read_document(text, strlen(text), NULL);
+	bool keyed;
+
+	g_assert_nonnull(document);
+	keyed = document->keyed;
+	document_free(document);
+	return keyed;
+}
+
+/* A list of organisations that is empty turns the check of keys off. */
+static void test_no_organisation_left(void)
+{
+	g_assert_true(needs_keys("{\"version\":7,\"routes\":[],"
+				 "\"services\":[],\"tenants\":[]}"));
+	g_assert_false(needs_keys("{\"version\":7,\"routes\":[],"
+				  "\"services\":[]}"));
+}
+
 static enum result take(const char *text, struct registration *told)
 {
 	return platform_read_registration("i-7f", text, strlen(text), told,
@@ -646,6 +669,8 @@
 	g_test_add_func("/platform/refusals", test_refusals);
 	g_test_add_func("/platform/document", test_document);
 	g_test_add_func("/platform/cut-short", test_cut_short);
+	g_test_add_func("/platform/no-organisation-left",
+			test_no_organisation_left);
 	g_test_add_func("/platform/bad-documents", test_bad_documents);
 	g_test_add_func("/platform/registration", test_registration);
 	g_test_add_func("/platform/foreign-registrations",
