relay: a status that promises too much isn't passed on

Cause: a whole answer was passed on with whatever status it had, although only one that carries the server's word that it didn't run the request (or 421) says so. Such an answer ends the attempt as the failure it is: it may be sent elsewhere where that is allowed, else the caller gets 502, which promises nothing. Another entry VM's 503 is passed on as before: it is a refusal of that VM's own.

--- a/daemon/role/dialect.h
+++ b/daemon/role/dialect.h
@@ -51,6 +51,7 @@
 struct dialect_answer {
 	bool signed_off; /**< it says that the server ran the request */
 	bool not_run;	 /**< it says that the server didn't, and won't */
+	bool unfounded;	 /**< its status says so, and nothing else does */
 	bool elsewhere;	 /**< not by the server that was meant */
 	bool encoded;	 /**< the body isn't the server's own bytes */
 	bool has_load;	 /**< the three below are set */
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -35,6 +35,7 @@
 	ANSWER_NONE,	 /* no head yet */
 	ANSWER_STREAM,	 /* success, passed on event by event */
 	ANSWER_WHOLE,	 /* held until it is whole */
+	ANSWER_FAILED,	 /* a failure whose status callers would misread */
 	ANSWER_REJECTED, /* the server says that it didn't run the request */
 	ANSWER_WRONG	 /* not the server's own answer */
 };
@@ -52,6 +53,7 @@
 	struct http_call *call;
 	int64_t attempt;
 	struct entry_server server;
+	bool to_vm; /* another entry VM, whose promises are founded */
 	enum answer_kind kind;
 	int status;
 	struct bytes headers; /* lines for the caller */
@@ -252,6 +254,8 @@
 	relay->status = head->status;
 	if (answer.not_run)
 		relay->kind = ANSWER_REJECTED;
+	else if (answer.unfounded && !relay->to_vm)
+		relay->kind = ANSWER_FAILED;
 	else if (success && (!answer.signed_off || answer.encoded ||
 			     (relay->begun && !is_event_stream(head))))
 		relay->kind = ANSWER_WRONG;
@@ -260,7 +264,8 @@
 	else
 		relay->kind = ANSWER_WHOLE;
 	if (relay->call &&
-	    (relay->kind == ANSWER_REJECTED || relay->kind == ANSWER_WRONG))
+	    (relay->kind == ANSWER_REJECTED || relay->kind == ANSWER_FAILED ||
+	     relay->kind == ANSWER_WRONG))
 		http_call_limit(relay->call, USELESS_MS);
 	host->dialect->write_answer(head, &relay->headers);
 	if (relay->kind == ANSWER_WHOLE)
@@ -409,6 +414,7 @@
 {
 	switch (relay->kind) {
 	case ANSWER_REJECTED:
+	case ANSWER_FAILED:
 		return RESULT_BACKEND_ERROR;
 	case ANSWER_STREAM:
 		return relay->sse.rest.len ? RESULT_BACKEND_BROKE : RESULT_OK;
@@ -502,6 +508,7 @@
 
 	forget_answer(relay);
 	relay->attempt = start->attempt;
+	relay->to_vm = start->to_vm;
 	relay->server = entry_server_named(host->entry, start->address);
 	if (!relay->exchange ||
 	    !entry_find_call(host->entry, relay->id, &call)) {
