http_parse: a request with a body may offer to upgrade

Nobody has to take such an offer, and it isn't passed on.

Cause: http_parser notes the offer when the head is read, and stops only at the message's end; the note was taken for an error while the body was due. The parser's own error is what counts.

t-http-parse /http-parse/upgrade-offered failed before.

--- a/daemon/http/http_parse.c
+++ b/daemon/http/http_parse.c
@@ -355,8 +355,7 @@
 
 	*used = http_parser_execute(&parse->parser, &settings, data, len);
 	error = HTTP_PARSER_ERRNO(&parse->parser);
-	if (parse->state != HTTP_PARSE_DONE &&
-	    (error != HPE_OK || parse->parser.upgrade))
+	if (parse->state != HTTP_PARSE_DONE && error != HPE_OK)
 		parse->state = HTTP_PARSE_BAD;
 	return parse->state;
 }
--- a/tests/path/t-http-parse.c
+++ b/tests/path/t-http-parse.c
@@ -114,6 +114,23 @@
 	}
 }
 
+/* An offer to upgrade, which nobody has to take, is refused for its body. */
+static void test_upgrade_offered(void)
+{
+	static const char text[] = "POST / HTTP/1.1\r\n" HOST
+				   "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+				   "Content-Length: 4\r\n\r\nbody";
+	struct seen seen;
+	size_t step;
+
+	for (step = 1; step < 200; step += 66) {
+		g_assert_cmpint(read_request(text, strlen(text), step, &seen),
+				==, HTTP_PARSE_DONE);
+		g_assert_cmpstr(bytes_text(&seen.body), ==, "body");
+		bytes_clear(&seen.body);
+	}
+}
+
 static void test_nul(void)
 {
 	static const char text[] = "GET / HTTP/1.1\r\n" HOST "X: a\0b\r\n\r\n";
@@ -232,6 +249,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http-parse/upgrade-offered", test_upgrade_offered);
 	g_test_add_func("/http-parse/refused", test_refused);
 	g_test_add_func("/http-parse/nul", test_nul);
 	g_test_add_func("/http-parse/taken", test_taken);
