http_client: a connection whose answer wasn't read on isn't kept

Read of the diff: an answer that waits for memory stops the reading of its connection. Where all of it had come by then, the call ended well and the connection was kept, with nobody reading it: the next request over it would have ended with its time-out, against the server. Such a connection is closed.

A listener for few connections, such as the balancer's, gave each the buffers that a quarter of the memory makes for so few, beside the quarter of the one for requests. All get what that one gives.

t-http-client /http-client/paused: the third call went over the kept connection before.

--- a/daemon/http/http_client.c
+++ b/daemon/http/http_client.c
@@ -57,6 +57,7 @@
 	bool connected;
 	bool probe; /* nothing is sent on it */
 	bool spoiled;
+	bool paused;   /* nothing is read */
 	bool skipping; /* an answer of another request */
 	bool taken;    /* the body that is being read is the call's */
 	size_t beside; /* bytes read that weren't taken */
@@ -256,7 +257,8 @@
 	conn->call = NULL;
 	conn->taken = false;
 	conn->beside = 0;
-	if (!keep_alive || conn->spoiled || conn->kept_ms <= 0 || conn->body ||
+	if (!keep_alive || conn->spoiled || conn->paused ||
+	    conn->kept_ms <= 0 || conn->body ||
 	    stream_input(conn->stream)->len || stream_unwritten(conn->stream)) {
 		wire_free(conn);
 		return;
@@ -543,11 +545,13 @@
 
 void http_call_pause(struct http_call *call)
 {
+	call->conn->paused = true;
 	stream_pause(call->conn->stream);
 }
 
 void http_call_go_on(struct http_call *call)
 {
+	call->conn->paused = false;
 	stream_kick(call->conn->stream);
 }
 
--- a/daemon/http/http_server.c
+++ b/daemon/http/http_server.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "daemon/descriptors.h"
 #include "daemon/http/http_server_private.h"
 
 #define BACKLOG 512
@@ -159,11 +160,13 @@
 void http_server_set_most(struct http_server *server, int connections)
 {
 	const struct memory *memory = server->loop->memory;
+	int most =
+		memory_connections(memory, descriptors_for_requests(), BACKLOG);
 
 	server->most = memory_connections(memory, connections, BACKLOG);
+	/* A listener for few isn't given what the one for requests is. */
 	acceptor_set_buffers(&server->acceptor,
-			     memory_socket_bytes(memory, server->most,
-						 BACKLOG));
+			     memory_socket_bytes(memory, most, BACKLOG));
 }
 
 bool http_server_close_longest_idle(struct http_server *server)
--- a/tests/path/loop_bed.h
+++ b/tests/path/loop_bed.h
@@ -23,6 +23,7 @@
 	bool sent;
 	int status;
 	struct bytes body;
+	struct http_call *pauses; /**< a call to be paused by its head */
 };
 
 void bed_start(struct bed *bed);
--- a/tests/path/t-http-client.c
+++ b/tests/path/t-http-client.c
@@ -40,6 +40,9 @@
 	struct bed *bed = data;
 
 	bed->status = head->status;
+	if (bed->pauses)
+		http_call_pause(bed->pauses);
+	bed->pauses = NULL;
 }
 
 static void on_call_body(void *data, const char *piece, size_t len)
@@ -491,6 +494,45 @@
 	bed_end(&bed);
 }
 
+/* A connection whose answer wasn't read on is kept, and never read again. */
+static void test_paused(void)
+{
+	struct http_call *paused;
+	struct peer peer;
+	struct bed bed;
+	int again;
+	int fd;
+
+	bed_start(&bed);
+	peer_start(&peer);
+	paused = call(&bed, peer.address, "1", false);
+	fd = accept_call(&bed, &peer);
+	http_call_pause(paused);
+	bed_say(fd, ANSWER("1", "a"));
+	bed_run(&bed, NULL);
+	g_assert_false(bed.over);
+	http_call_go_on(paused);
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	paused = call(&bed, peer.address, "2", false);
+	bed.pauses = paused;
+	bed_run(&bed, NULL);
+	bed_say(fd, ANSWER("2", "b"));
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	call(&bed, peer.address, "3", false);
+	bed_run(&bed, NULL);
+	g_assert_cmpint(http_client_opened(bed.client), ==, 2);
+	again = accept_call(&bed, &peer);
+	bed_say(again, ANSWER("3", "c"));
+	bed_run(&bed, &bed.over);
+	g_assert_cmpint(bed.code, ==, RESULT_OK);
+	close(again);
+	close(fd);
+	close(peer.listener);
+	bed_end(&bed);
+}
+
 /* What is left of a body would be read as the next request. */
 static void test_early_answer(void)
 {
@@ -630,6 +672,7 @@
 	g_test_add_func("/http-client/endless-slow", test_endless_slow);
 	g_test_add_func("/http-client/probe", test_probe);
 	g_test_add_func("/http-client/lasting-body", test_lasting_body);
+	g_test_add_func("/http-client/paused", test_paused);
 	g_test_add_func("/http-client/early-answer", test_early_answer);
 	g_test_add_func("/http-client/cut-in-upload", test_cut_in_upload);
 	g_test_add_func("/http-client/no-status", test_no_status);
