memory: buffers of connections by the size of the machine

With many descriptors the quarter for the system's buffers is divided by so many connections that each got 16 KiB, also on a machine of 24 GiB: a third of a MB a second over a way of 50 ms. From 1 GiB on 64 KiB is the least, which bounds the connections (48,000 there); below that it shrinks with the memory, to 16 KiB at 256 MiB, so the platform's machines have what they had.

--- a/daemon/memory.c
+++ b/daemon/memory.c
@@ -16,10 +16,14 @@
 /* Of the process's memory, for what the system buffers of connections. */
 #define SYSTEM_PER_CENT 25
 
-/* Of a socket, each way. */
-#define SOCKET_LEAST_BYTES (16 * 1024)
+/* Of a socket, each way; the least of a small machine and of others. */
+#define SOCKET_SMALL_BYTES (16 * 1024)
+#define SOCKET_LEAST_BYTES (64 * 1024)
 #define SOCKET_MOST_BYTES (256 * 1024)
 
+/* A process with this memory is on no small machine any more. */
+#define SOCKET_LEAST_MEMORY (INT64_C(1024) * 1024 * 1024)
+
 /* Of the budget, what may be held once there is room again. */
 #define ROOM_PER_CENT 50
 
@@ -152,13 +156,24 @@
 	return memory->limit * SYSTEM_PER_CENT / 100;
 }
 
+/* Long ways need more than a small machine can give to many. */
+static int64_t least_bytes(const struct memory *memory)
+{
+	int64_t bytes =
+		SOCKET_LEAST_BYTES * memory->limit / SOCKET_LEAST_MEMORY;
+
+	if (bytes < SOCKET_SMALL_BYTES)
+		return SOCKET_SMALL_BYTES;
+	return bytes < SOCKET_LEAST_BYTES ? bytes : SOCKET_LEAST_BYTES;
+}
+
 int memory_connections(const struct memory *memory, int wanted, int queued)
 {
 	int64_t buffers;
 
 	if (!memory || !memory->limit)
 		return wanted;
-	buffers = system_bytes(memory) / SOCKET_LEAST_BYTES - queued;
+	buffers = system_bytes(memory) / least_bytes(memory) - queued;
 	if (buffers < 2)
 		return 1;
 	return buffers / 2 < wanted ? (int)(buffers / 2) : wanted;
@@ -172,8 +187,8 @@
 	if (!memory || !memory->limit)
 		return SOCKET_MOST_BYTES;
 	bytes = system_bytes(memory) / (2 * (int64_t)connections + queued);
-	if (bytes < SOCKET_LEAST_BYTES)
-		return SOCKET_LEAST_BYTES;
+	if (bytes < least_bytes(memory))
+		return (int)least_bytes(memory);
 	return bytes < SOCKET_MOST_BYTES ? (int)bytes : SOCKET_MOST_BYTES;
 }
 
--- a/tests/daemon/t-memory.c
+++ b/tests/daemon/t-memory.c
@@ -117,6 +117,8 @@
 	g_assert_cmpint(memory_connections(&memory, 10, 10000), ==, 1);
 	memory_init(&memory, 1024 * 1024);
 	g_assert_cmpint(memory_socket_bytes(&memory, 100, 128), ==, 256 * KIB);
+	g_assert_cmpint(memory_socket_bytes(&memory, 100000000, 128), ==,
+			64 * KIB);
 }
 
 static void test_no_bound(void)
