http_parse: CONNECT is refused

Found while the offer to upgrade was read: http_parser ends a CONNECT at its head, whatever length it gives. No caller connects through this program. It is 400 now.

t-http-parse /http-parse/refused: the request was taken before.

--- a/daemon/http/http_parse.c
+++ b/daemon/http/http_parse.c
@@ -134,6 +134,9 @@
 
 	if (!target || !is_token(line, (size_t)(target - line)))
 		return false;
+	/* The parser takes its body for what follows the request. */
+	if (is_name(line, (size_t)(target - line), "CONNECT"))
+		return false;
 	target++;
 	version = memchr(target, ' ', len - (size_t)(target - line));
 	if (!version || *target != '/')
--- a/tests/path/t-http-parse.c
+++ b/tests/path/t-http-parse.c
@@ -94,6 +94,7 @@
 		"GET http://a.example/ HTTP/1.1\r\n" HOST "\r\n",
 		"GET / HTTP/2.0\r\n" HOST "\r\n",
 		"GET /\x7f HTTP/1.1\r\n" HOST "\r\n",
+		"CONNECT / HTTP/1.1\r\n" HOST "Content-Length: 4\r\n\r\nbody",
 		"GET / HTTP/1.1\r\n" HOST ": x\r\n\r\n",
 		"\x16\x03\x01\x02\r\n\r\n",
 	};
