names: a long name is known by a short one of its own

What operators and callers saw: a service name of 64 bytes or more in a valid document put that service out of use for good, as each announcement of its servers got 400; an organisation's made the whole document get 400. Each request of such an organisation would have added a record to the router.

Now base/name.h gives a long name a short one, with a hash of all of it, where it comes in; orders, reports and what servers are told bear the whole.

Ruled out: more bytes for each, which only moves the limit; whole names in each record, which lets servers choose how much is kept.

--- a/fakes/fake-native.c
+++ b/fakes/fake-native.c
@@ -387,24 +387,23 @@
 	struct stand_in *server = timer->data;
 	struct http_call_request request = { 0 };
 	struct bytes text = { 0 };
-	char body[512];
-	int len;
+	cleanup(free_ptr) char *body = NULL;
 
 	if (!server->n_controls)
 		return;
 	server->sequence++;
-	len = snprintf(body, sizeof(body),
-		       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+	body = xstrfmt("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 		       "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
 		       "\"sequence\":%" PRId64 ",\"born\":%" PRId64 "}",
 		       server->service, server->address, server->zone,
 		       server->version ? server->version : "v1",
 		       server->leaving ? "draining" : "ready", server->sequence,
 		       server->born_ms);
-	bytes_append_format(&text,
-			    "PUT %s%s HTTP/1.1\r\nHost: c\r\n"
-			    "Content-Length: %d\r\nConnection: close\r\n\r\n%s",
-			    PATH_SERVERS, server->id, len, body);
+	bytes_append_format(
+		&text,
+		"PUT %s%s HTTP/1.1\r\nHost: c\r\n"
+		"Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		PATH_SERVERS, server->id, strlen(body), body);
 	request.address =
 		server->controls[server->sequence % server->n_controls];
 	request.head = &text;
--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -52,8 +52,8 @@
 	self->id = options->self;
 	self->incarnation = options->incarnation;
 	self->disk = true;
-	snprintf(self->vm, sizeof(self->vm), "%s", control->vm);
-	snprintf(self->zone, sizeof(self->zone), "%s", control->zone);
+	name_shorten(self->vm, control->vm);
+	name_shorten(self->zone, control->zone);
 	snprintf(self->address, sizeof(self->address), "%s", control->address);
 	raft.seed = options->seed;
 	raft.heartbeat_us = options->election_us / HEARTBEATS;
--- a/libfilberthall/control/control_duty.c
+++ b/libfilberthall/control/control_duty.c
@@ -157,7 +157,7 @@
 
 	begun_raise(&total, ledger_counted(&control->ledger, window));
 	ledger_write_window(&entry, &total);
-	free(total.counts);
+	feed_begun_clear(&total);
 	if (!propose_entry(control, &entry, window, now_us, effects))
 		return;
 	control_log(effects, LOG_INFO, "duty",
@@ -174,7 +174,7 @@
 	struct bytes entry = { 0 };
 
 	ledger_write_counted(&entry, &total);
-	free(total.counts);
+	feed_begun_clear(&total);
 	propose_entry(control, &entry, window, now_us, effects);
 }
 
--- a/libfilberthall/control/control_fleet.c
+++ b/libfilberthall/control/control_fleet.c
@@ -23,8 +23,8 @@
 /* The order for one zone and kind of server. */
 struct size_order {
 	struct list node;
-	char *id; /* of its calls */
-	char *service;
+	char *id;      /* of its calls */
+	char *service; /* whole names, as the platform knows them */
 	char *zone;
 	bool cheap;
 	int64_t ordered; /* accepted last; -1 if none was */
@@ -49,27 +49,32 @@
 	}
 }
 
-static struct size_order *order_of(struct control *control, const char *service,
-				   const char *zone, bool cheap)
+static struct size_order *order_of(struct control *control,
+				   const struct service *service,
+				   const struct service_zone *zone, bool cheap)
 {
 	struct size_order *order;
 
 	list_foreach(order, &control->sizes, node)
-		if (order->cheap == cheap && !strcmp(order->service, service) &&
-		    !strcmp(order->zone, zone))
+		if (order->cheap == cheap &&
+		    !strcmp(order->service, service->full_name) &&
+		    !strcmp(order->zone, zone->full_name))
 			return order;
 	order = xcalloc(1, sizeof(*order));
-	order->id = xstrfmt("size-%d-%s/%s", cheap, service, zone);
-	order->service = xstrdup(service);
-	order->zone = xstrdup(zone);
+	order->id = xstrfmt("size-%d-%s/%s", cheap, service->full_name,
+			    zone->full_name);
+	order->service = xstrdup(service->full_name);
+	order->zone = xstrdup(zone->full_name);
 	order->cheap = cheap;
 	order->ordered = -1;
 	list_append(&control->sizes, &order->node);
 	return order;
 }
 
-static void count_servers(const struct control *control, const char *service,
-			  const char *zone, struct sizing_zone *out)
+static void count_servers(const struct control *control,
+			  const struct service *service,
+			  const struct service_zone *zone,
+			  struct sizing_zone *out)
 {
 	struct registry_entry *registered;
 	struct registry_entry *next;
@@ -79,8 +84,8 @@
 			&registered->registration;
 
 		if (!registry_entry_usable(registered) ||
-		    strcmp(registration->service, service) != 0 ||
-		    strcmp(registration->zone, zone) != 0)
+		    strcmp(registration->service, service->name) != 0 ||
+		    strcmp(registration->zone, zone->name) != 0)
 			continue;
 		if (registration->cheap)
 			out->cheap++;
@@ -152,22 +157,23 @@
 	size_t i;
 
 	for (i = 0; i < sizing.n_zones; i++) {
-		const char *zone = scaling->zones[i].name;
+		const struct service_zone *zone = &scaling->zones[i];
 
 		sizing.zones[i].cheap_unavailable =
-			order_of(control, service->name, zone, true)->dry;
+			order_of(control, service, zone, true)->dry;
 		sizing.zones[i].evacuated =
-			evacuations_include(&control->ledger.evacuations, zone);
-		count_servers(control, service->name, zone, &sizing.zones[i]);
+			evacuations_include(&control->ledger.evacuations,
+					    zone->name);
+		count_servers(control, service, zone, &sizing.zones[i]);
 	}
 	sizing_plan(&sizing);
 	for (i = 0; i < sizing.n_zones; i++) {
-		const char *zone = scaling->zones[i].name;
+		const struct service_zone *zone = &scaling->zones[i];
 
-		follow(control, order_of(control, service->name, zone, true),
+		follow(control, order_of(control, service, zone, true),
 		       sizing.zones[i].cheap, sizing.zones[i].want_cheap,
 		       scaling->boot_ms, now_us, effects);
-		follow(control, order_of(control, service->name, zone, false),
+		follow(control, order_of(control, service, zone, false),
 		       sizing.zones[i].steady, sizing.zones[i].want_steady,
 		       scaling->boot_ms, now_us, effects);
 	}
--- a/libfilberthall/control/ledger.c
+++ b/libfilberthall/control/ledger.c
@@ -38,7 +38,7 @@
 static void window_free(struct ledger_window *window)
 {
 	list_remove(&window->node);
-	free(window->total.counts);
+	feed_begun_clear(&window->total);
 	free(window);
 }
 
@@ -320,7 +320,7 @@
 
 	if (ledger_window(ledger, total->window) ||
 	    ledger_counted(ledger, total->window)) {
-		free(total->counts);
+		feed_begun_clear(total);
 		return LEDGER_NOTHING;
 	}
 	list_foreach_safe(window, next, &ledger->waiting, node)
@@ -338,7 +338,7 @@
 	struct ledger_window *counted;
 
 	if (ledger_window(ledger, total->window)) {
-		free(total->counts);
+		feed_begun_clear(total);
 		return LEDGER_NOTHING;
 	}
 	counted = window_find(&ledger->waiting, total->window);
@@ -379,7 +379,7 @@
 	if (feed_unpack_begun(items, &total))
 		return kind == ENTRY_WINDOW ? take_window(ledger, &total)
 					    : take_counted(ledger, &total);
-	free(total.counts);
+	feed_begun_clear(&total);
 	return LEDGER_NOTHING;
 }
 
--- a/libfilberthall/document/document.c
+++ b/libfilberthall/document/document.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/alloc.h"
+#include "base/name.h"
 
 /* Of a document that names none: what callers of the daemon may send too. */
 #define LIMIT_HEADER_BYTES 16384
@@ -62,10 +63,13 @@
 {
 	size_t i;
 
-	for (i = 0; i < service->scaling.n_zones; i++)
+	for (i = 0; i < service->scaling.n_zones; i++) {
 		free(service->scaling.zones[i].name);
+		free(service->scaling.zones[i].full_name);
+	}
 	free(service->scaling.zones);
 	free(service->name);
+	free(service->full_name);
 	free(service->health_path);
 }
 
@@ -114,10 +118,16 @@
 	return item;
 }
 
-struct service *document_add_service(struct document *document)
+struct service *document_add_service(struct document *document,
+				     const char *name)
 {
-	return add_item((void **)&document->services, &document->n_services,
-			sizeof(*document->services));
+	struct service *service;
+
+	service = add_item((void **)&document->services, &document->n_services,
+			   sizeof(*document->services));
+	service->name = name_short_copy(name);
+	service->full_name = xstrdup(name);
+	return service;
 }
 
 struct route *document_add_route(struct document *document)
@@ -146,7 +156,8 @@
 
 	zone = add_item((void **)&scaling->zones, &scaling->n_zones,
 			sizeof(*scaling->zones));
-	zone->name = xstrdup(name);
+	zone->name = name_short_copy(name);
+	zone->full_name = xstrdup(name);
 	zone->price = price;
 }
 
@@ -156,7 +167,7 @@
 
 	split = add_item((void **)&route->splits, &route->n_splits,
 			 sizeof(*route->splits));
-	split->service = xstrdup(service);
+	split->service = name_short_copy(service);
 	split->weight = weight;
 }
 
@@ -164,7 +175,7 @@
 {
 	char **slot = add_item((void **)regions, n_regions, sizeof(*slot));
 
-	*slot = xstrdup(region);
+	*slot = name_short_copy(region);
 }
 
 void document_add_key(struct document *document, size_t organisation,
--- a/libfilberthall/document/document.h
+++ b/libfilberthall/document/document.h
@@ -25,7 +25,7 @@
 
 /** One of the services among which a route divides its requests. */
 struct route_split {
-	char *service;
+	char *service; /**< its name_shorten() */
 	int64_t weight;
 };
 
@@ -50,7 +50,8 @@
 
 /** A zone in which a service's servers may be ordered. */
 struct service_zone {
-	char *name;
+	char *name; /**< name_shorten() of the whole one */
+	char *full_name;
 	double price; /**< of a second of a server there */
 };
 
@@ -66,7 +67,8 @@
 };
 
 struct service {
-	char *name;
+	char *name; /**< name_shorten() of the whole one */
+	char *full_name;
 	char *health_path;
 	int64_t connections; /**< from all VMs together, to one server */
 	int64_t slots;	     /**< of a model engine, 0 for a plain service */
@@ -120,15 +122,16 @@
 struct document *document_new(void);
 void document_free(struct document *document);
 
-/** Add a zeroed item; valid until the next one is added. */
-struct service *document_add_service(struct document *document);
+/** Add an item, zeroed but for its names; valid until the next one is added. */
+struct service *document_add_service(struct document *document,
+				     const char *name);
 struct route *document_add_route(struct document *document);
 struct document_organisation *
 document_add_organisation(struct document *document);
 
 void service_add_zone(struct service *service, const char *name, double price);
 void route_add_split(struct route *route, const char *service, int64_t weight);
-/** Add a name to the regions of a route or an organisation. */
+/** Add a name, shortened, to the regions of a route or an organisation. */
 void document_add_region(char ***regions, size_t *n_regions,
 			 const char *region);
 void document_add_key(struct document *document, size_t organisation,
--- a/libfilberthall/document/encoding.c
+++ b/libfilberthall/document/encoding.c
@@ -245,17 +245,24 @@
 	return true;
 }
 
-static bool read_service(const struct unpacked *items, struct service *service)
+static bool read_service(const struct unpacked *items,
+			 struct document *document)
 {
-	struct service_scaling *scaling = &service->scaling;
+	struct service_scaling *scaling;
+	struct service *service;
 	struct unpacked zones;
+	char *name;
 
+	if (!read_text(items, SERVICE_NAME, &name))
+		return false;
+	service = document_add_service(document, name);
+	free(name);
+	scaling = &service->scaling;
 	/* Releases before these items know of no cold servers. */
 	if (!unpack_int(items, SERVICE_COLD, &service->cold_ms) ||
 	    !read_number(items, SERVICE_COLD_RATE, &service->cold_per_s))
 		service->cold_per_s = 0;
-	return read_text(items, SERVICE_NAME, &service->name) &&
-	       read_text(items, SERVICE_HEALTH, &service->health_path) &&
+	return read_text(items, SERVICE_HEALTH, &service->health_path) &&
 	       unpack_int(items, SERVICE_CONNECTIONS, &service->connections) &&
 	       unpack_int(items, SERVICE_SLOTS, &service->slots) &&
 	       unpack_int(items, SERVICE_KV, &service->kv_tokens) &&
@@ -376,7 +383,7 @@
 
 	for (i = 0; i < list->n; i++)
 		if (!read_array(list, i, &items) ||
-		    !read_service(&items, document_add_service(document)))
+		    !read_service(&items, document))
 			return false;
 	return true;
 }
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -59,7 +59,7 @@
 
 	entry->options = *options;
 	entry->vm = xstrdup(options->vm);
-	entry->zone = xstrdup(options->zone);
+	entry->zone = name_short_copy(options->zone);
 	entry->rng.state = options->seed;
 	entry->fresh_as_of_us = INT64_MIN / 2;
 	entry->number = -1;
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -202,6 +202,17 @@
 	return true;
 }
 
+void feed_begun_clear(struct feed_begun *begun)
+{
+	size_t i;
+
+	for (i = 0; i < begun->n_counts; i++)
+		free(begun->counts[i].organisation);
+	free(begun->counts);
+	begun->counts = NULL;
+	begun->n_counts = 0;
+}
+
 void feed_pack_begun(struct bytes *out, int64_t kind,
 		     const struct feed_begun *begun)
 {
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -134,7 +134,7 @@
 
 /** One organisation's part of FEED_BEGUN. */
 struct feed_count {
-	char organisation[BACKEND_NAME_SIZE];
+	char *organisation; /**< owned */
 	int64_t requests;
 };
 
@@ -282,11 +282,13 @@
  */
 bool feed_bundle_next(const char **data, size_t *len, const char **message,
 		      size_t *message_len);
+void feed_begun_clear(struct feed_begun *begun);
+
 /** The array of a window's counts behind any kind; the log has them too. */
 void feed_pack_begun(struct bytes *out, int64_t kind,
 		     const struct feed_begun *begun);
 
-/** Read such an array; `begun->counts` is to be freed in any case. */
+/** Read such an array; `begun` is to be cleared in any case. */
 bool feed_unpack_begun(const struct unpacked *items, struct feed_begun *begun);
 
 void feed_write_clock(struct bytes *out, const struct feed_clock *clock);
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -281,7 +281,9 @@
 	for (i = 0; i < n; i++) {
 		struct feed_count *count = &begun->counts[i];
 
-		if (!feed_read_name(items, 2 * i + 2, count->organisation) ||
+		count->organisation =
+			unpack_text(items, 2 * i + 2, FEED_DOCUMENT_MOST);
+		if (!count->organisation ||
 		    !unpack_int(items, 2 * i + 3, &count->requests))
 			return false;
 	}
@@ -494,7 +496,7 @@
 	if (message->kind == FEED_MEMBER)
 		free(message->u.member.address);
 	if (message->kind == FEED_BEGUN)
-		free(message->u.begun.counts);
+		feed_begun_clear(&message->u.begun);
 	if (message->kind == FEED_EVACUATIONS)
 		evacuations_clear(&message->u.evacuations);
 	memset(&message->u, 0, sizeof(message->u));
--- a/libfilberthall/fleet/backend.h
+++ b/libfilberthall/fleet/backend.h
@@ -6,6 +6,7 @@
 
 #include "base/bytes.h"
 #include "base/map.h"
+#include "base/name.h"
 #include "base/result.h"
 #include "core/event.h"
 #include "fleet/evacuation.h"
@@ -33,7 +34,7 @@
  * reports are of no use, and the announcement's lease expires before that.
  */
 
-#define BACKEND_NAME_SIZE 64
+#define BACKEND_NAME_SIZE NAME_SIZE
 #define BACKEND_ADAPTERS_SIZE 512
 #define BACKEND_RING 64
 #define BACKEND_RING_STEP_US INT64_C(250000)
--- a/libfilberthall/fleet/region.c
+++ b/libfilberthall/fleet/region.c
@@ -1,23 +1,24 @@
 #include "fleet/region.h"
 
-#include <stdio.h>
 #include <string.h>
 
 bool regions_set(struct regions *regions, const char *zone, const char *region)
 {
 	struct region_zone *entry;
+	char name[NAME_SIZE];
 	size_t i;
 
+	name_shorten(name, zone);
 	for (i = 0; i < regions->n_zones; i++)
-		if (!strcmp(regions->zones[i].zone, zone))
+		if (!strcmp(regions->zones[i].zone, name))
 			break;
 	if (i == REGION_ZONES_MAX)
 		return false;
 	if (i == regions->n_zones)
 		regions->n_zones++;
 	entry = &regions->zones[i];
-	snprintf(entry->zone, sizeof(entry->zone), "%s", zone);
-	snprintf(entry->region, sizeof(entry->region), "%s", region);
+	memcpy(entry->zone, name, sizeof(entry->zone));
+	name_shorten(entry->region, region);
 	return true;
 }
 
--- a/libfilberthall/fleet/region.h
+++ b/libfilberthall/fleet/region.h
@@ -37,14 +37,18 @@
 /** A set that holds no server. */
 #define REGION_NONE (UINT64_C(1) << 63)
 
-/** Add a zone or change its region; false if there is no room. */
+/** Add a zone or change its region; false if there is no room. Of any length. */
 bool regions_set(struct regions *regions, const char *zone, const char *region);
 
-/** The set of a zone's region, empty if it isn't known. */
+/** The set of a zone's region, empty if it isn't known.
+ *
+ * @param zone	its name_shorten()
+ */
 uint64_t regions_of_zone(const struct regions *regions, const char *zone);
 
 /**
- * The set of those regions. Names that aren't known add nothing.
+ * The set of those regions, by name_shorten(). Names that aren't known add
+ * nothing.
  *
  * @param n	0: REGION_ANY is returned
  * @return REGION_NONE if none is known
--- a/libfilberthall/load/router.c
+++ b/libfilberthall/load/router.c
@@ -266,14 +266,15 @@
 	struct map_node *node;
 	struct organisation *organisation;
 	struct quota_limits none = { 0 };
+	char known[NAME_SIZE];
 
-	node = map_find(&router->organisations, map_hash_text(name),
-			organisation_match, name);
+	name_shorten(known, name);
+	node = map_find(&router->organisations, map_hash_text(known),
+			organisation_match, known);
 	if (node)
 		return container_of(node, struct organisation, node);
 	organisation = xcalloc(1, sizeof(*organisation));
-	strncpy(organisation->rule.name, name,
-		sizeof(organisation->rule.name) - 1);
+	memcpy(organisation->rule.name, known, sizeof(known));
 	organisation->id = ++router->last_organisation;
 	quota_init(&organisation->quota, &none, now_us);
 	map_insert(&router->organisations, &organisation->node,
--- a/libfilberthall/usage/begun.c
+++ b/libfilberthall/usage/begun.c
@@ -1,6 +1,5 @@
 #include "usage/begun.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,8 +28,10 @@
 	struct begun_count *count;
 	struct begun_count *next;
 
-	list_foreach_safe(count, next, &source->counts, node)
+	list_foreach_safe(count, next, &source->counts, node) {
+		free(count->count.organisation);
 		free(count);
+	}
 	free(source);
 }
 
@@ -126,8 +127,7 @@
 		if (!strcmp(count->count.organisation, organisation))
 			return count;
 	count = xcalloc(1, sizeof(*count));
-	snprintf(count->count.organisation, sizeof(count->count.organisation),
-		 "%s", organisation);
+	count->count.organisation = xstrdup(organisation);
 	list_append(&source->counts, &count->node);
 	return count;
 }
@@ -161,7 +161,7 @@
 		      ((const struct feed_count *)b)->organisation);
 }
 
-/* Adds up adjacent entries of the same organisation. */
+/* Adds up adjacent entries of the same organisation; names aren't owned. */
 static void merge_counts(struct feed_begun *total, size_t n)
 {
 	size_t last = 0;
@@ -188,10 +188,13 @@
 		struct feed_count *kept = &total->counts[last];
 		const struct feed_count *count = &total->counts[i];
 
-		if (compare_organisation(kept, count))
+		if (compare_organisation(kept, count)) {
 			total->counts[++last] = *count;
-		else if (count->requests > kept->requests)
+			continue;
+		}
+		if (count->requests > kept->requests)
 			kept->requests = count->requests;
+		free(count->organisation);
 	}
 	if (total->n_counts)
 		total->n_counts = last + 1;
@@ -212,6 +215,9 @@
 			total.counts[n++] = count->count;
 	qsort(total.counts, n, sizeof(*total.counts), compare_organisation);
 	merge_counts(&total, n);
+	for (n = 0; n < total.n_counts; n++)
+		total.counts[n].organisation =
+			xstrdup(total.counts[n].organisation);
 	return total;
 }
 
@@ -226,7 +232,7 @@
 		window->send_pending = false;
 		total = window_total(window);
 		feed_write_begun(out, &total);
-		free(total.counts);
+		feed_begun_clear(&total);
 		return true;
 	}
 	return false;
@@ -285,9 +291,12 @@
 
 	total->counts = xrealloc(total->counts, (total->n_counts + n + 1) *
 							sizeof(*total->counts));
-	for (i = 0; i < n; i++)
-		total->counts[total->n_counts + i] = known->counts[i];
-	total->n_counts += n;
+	for (i = 0; i < n; i++) {
+		struct feed_count *count = &total->counts[total->n_counts++];
+
+		count->organisation = xstrdup(known->counts[i].organisation);
+		count->requests = known->counts[i].requests;
+	}
 	qsort(total->counts, total->n_counts, sizeof(*total->counts),
 	      compare_organisation);
 	keep_largest(total);
--- a/libfilberthall/usage/presumed.c
+++ b/libfilberthall/usage/presumed.c
@@ -19,7 +19,7 @@
 	uint64_t request;
 	char server[BACKEND_NAME_SIZE];
 	int64_t started_ms;
-	char organisation[BACKEND_NAME_SIZE];
+	char *organisation;
 	int64_t window;
 	int64_t at_us;
 };
@@ -32,6 +32,7 @@
 static void item_free(struct presumed_item *item)
 {
 	list_remove(&item->node);
+	free(item->organisation);
 	free(item);
 }
 
@@ -57,8 +58,7 @@
 	item->request = what->request;
 	snprintf(item->server, sizeof(item->server), "%s", what->server->id);
 	item->started_ms = what->server->started_ms;
-	snprintf(item->organisation, sizeof(item->organisation), "%s",
-		 what->organisation);
+	item->organisation = xstrdup(what->organisation);
 	item->window = what->window;
 	item->at_us = now_us;
 	list_append(&presumed->items, &item->node);
--- a/tests/platform/t-platform.c
+++ b/tests/platform/t-platform.c
@@ -412,6 +412,44 @@
 	g_assert_cmpstr(a.version, ==, b.version);
 }
 
+static void take_service(const char *service, const char *zone,
+			 struct registration *told)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"10.0.0.9:80\","
+		"\"zone\":\"%s\",\"state\":\"ready\",\"sequence\":4}",
+		service, zone);
+
+	g_assert_cmpint(take(text, told), ==, RESULT_OK);
+}
+
+/* Servers of a service whose name is long are refused, or taken for another's. */
+static void test_long_services(void)
+{
+	g_autofree char *one = g_strnfill(64, 's');
+	g_autofree char *other = g_strnfill(64, 's');
+	g_autofree char *text = NULL;
+	struct registration a;
+	struct registration b;
+	struct document *document;
+
+	other[63] = 't';
+	take_service(one, other, &a);
+	take_service(other, one, &b);
+	g_assert_cmpstr(a.service, !=, b.service);
+	g_assert_cmpstr(a.zone, !=, b.zone);
+	text = g_strdup_printf("{\"version\":7,\"routes\":[],\"services\":["
+			       "{\"name\":\"%s\"},{\"name\":\"%s\"}]}",
+			       one, other);
+	document = platform_read_document(text, strlen(text), NULL);
+	g_assert_nonnull(document);
+	g_assert_cmpstr(document_service(document, a.service)->full_name, ==,
+			one);
+	g_assert_cmpstr(document_service(document, b.service)->full_name, ==,
+			other);
+	document_free(document);
+}
+
 /* What its numbers and flags say; its text is gone. */
 static struct dialect_answer answer_of(const char *head)
 {
@@ -666,6 +704,7 @@
 	g_test_add_func("/platform/read-resumes", test_read_resumes);
 	g_test_add_func("/platform/long-versions", test_long_versions);
 	g_test_add_func("/platform/read-answer", test_read_answer);
+	g_test_add_func("/platform/long-services", test_long_services);
 	g_test_add_func("/platform/refusals", test_refusals);
 	g_test_add_func("/platform/document", test_document);
 	g_test_add_func("/platform/cut-short", test_cut_short);
