entry: a stopping VM takes only what ends before it does

What callers saw: in a planned stop in calm, requests that came up to 2.8 s after SIGTERM were taken and run, and cut with no answer at the end of the grace.

Cause: ENTRY_STOP_ACCEPT_US let in everything for that time, whatever its limit, and the end of the grace ended the process with what was open. Now a request is taken only if its limit is before the end, and what is open 200 ms before it gets its final answer, "not run" where no server was asked and 502 elsewhere.

Weighed: taking what usually ends in time, which loses the rest.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -18,13 +18,6 @@
  */
 #define LOAD_DECAY_US INT64_C(100000)
 
-/*
- * A stopping VM runs at least this long: the balancer probes once a second,
- * removes a VM after two failed probes, and callers that it has just sent here
- * still connect.
- */
-#define STOP_MIN_US INT64_C(3500000)
-
 void entry_log(struct entry *entry, enum log_level level, const char *module,
 	       const char *format, ...)
 {
@@ -138,24 +131,6 @@
 	entry->effects = effects;
 }
 
-static void check_stop(struct entry *entry)
-{
-	int64_t now_us = entry->now_us;
-	bool idle = !entry->calls.count && list_empty(&entry->deferred) &&
-		    list_empty(&entry->lookups) &&
-		    now_us - entry->stop_requested_us >= STOP_MIN_US;
-
-	if (!entry->stop_requested_us || entry->exited ||
-	    (!idle && now_us < entry->stop_deadline_us))
-		return;
-	entry_send_usage(entry);
-	entry_tell_affinities(entry);
-	entry_log(entry, LOG_INFO, "daemon", "event=exit open=%zu",
-		  entry->calls.count);
-	entry->exited = true;
-	effects_add(entry->effects, EFFECT_EXIT);
-}
-
 static void log_freshness_change(struct entry *entry)
 {
 	bool fresh = entry_is_fresh(entry, entry->now_us);
@@ -186,7 +161,7 @@
 	router_tick(entry->router, now_us, effects);
 	log_freshness_change(entry);
 	entry_resume_deferred(entry);
-	check_stop(entry);
+	entry_check_stop(entry);
 }
 
 int64_t entry_next_tick(const struct entry *entry, int64_t now_us)
@@ -253,24 +228,6 @@
 	entry_resume_deferred(entry);
 }
 
-void entry_stop(struct entry *entry, int64_t now_us, int64_t grace_us,
-		struct effects *effects)
-{
-	set_context(entry, now_us, effects);
-	if (entry->stop_requested_us)
-		return;
-	entry_log(entry, LOG_INFO, "daemon", "event=stop open=%zu",
-		  entry->calls.count);
-	entry->stop_requested_us = now_us;
-	entry->stop_deadline_us = now_us + grace_us;
-	check_stop(entry);
-}
-
-bool entry_stopping(const struct entry *entry)
-{
-	return entry->stop_requested_us != 0;
-}
-
 void entry_set_regions(struct entry *entry, const struct regions *regions)
 {
 	struct backend *backend;
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -199,16 +199,16 @@
 			     struct effects *effects);
 
 /**
- * How long a stopping VM still accepts every new request: the balancer probes
- * once a second and removes a VM after two failed probes. Later requests are
- * accepted only if their deadline is before the end of the process; others are
- * refused as not run, so that they can be sent elsewhere.
+ * How long the balancer sends callers to a stopping VM: it probes once a second
+ * and removes a VM after two failed probes.
  */
 #define ENTRY_STOP_ACCEPT_US INT64_C(2800000)
 
 /**
  * Starts a planned stop: the VM isn't ready any more and exits once all
- * requests are answered.
+ * requests are answered. New requests are accepted only if their deadline is
+ * before that end; others are refused as not run, so that they can be sent
+ * elsewhere. What is open shortly before the end gets its final answer then.
  */
 void entry_stop(struct entry *entry, int64_t now_us, int64_t grace_us,
 		struct effects *effects);
--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -160,12 +160,13 @@
 	finish(entry, call, code_of(call, ended), call->may_have_run || sent);
 }
 
-void entry_pass_caller_left(struct entry *entry, struct open_call *call)
+void entry_pass_cancel(struct entry *entry, struct open_call *call,
+		       enum result code)
 {
 	struct effect *effect =
 		effects_add(entry->effects, EFFECT_CANCEL_ATTEMPT);
 
 	effect->u.cancel.id = call->id;
 	effect->u.cancel.attempt = call->pass;
-	finish(entry, call, RESULT_CALLER_LEFT, true);
+	finish(entry, call, code, true);
 }
--- a/libfilberthall/entry/entry_progress.c
+++ b/libfilberthall/entry/entry_progress.c
@@ -125,7 +125,7 @@
 	entry->now_us = now_us;
 	entry->effects = effects;
 	if (call && call->pass)
-		entry_pass_caller_left(entry, call);
+		entry_pass_cancel(entry, call, RESULT_CALLER_LEFT);
 	else if (!entry_drop_deferred(entry, id) &&
 		 !entry_drop_lookup(entry, id))
 		router_caller_left(entry->router, id, now_us, effects);
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -216,10 +216,8 @@
 }
 
 /*
- * Planned stops of several VMs of a zone at the same time leave its callers no
- * other VM: the balancer sends them to the stopping ones. A request whose
- * deadline is before the end of the process can complete here; such requests
- * were refused again and again until their callers gave up.
+ * Where several VMs of a zone stop at the same time, the balancer has no others
+ * for its callers: what ends before the process does is still taken.
  */
 static bool exceeds_stop_deadline(const struct entry *entry,
 				  const struct entry_request *request,
@@ -228,8 +226,6 @@
 	int64_t ends_us = entry->now_us + wait_limit_us(request, route);
 
 	return entry->stop_requested_us &&
-	       entry->now_us - entry->stop_requested_us >=
-		       ENTRY_STOP_ACCEPT_US &&
 	       ends_us + STOP_MARGIN_US > entry->stop_deadline_us;
 }
 
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -183,7 +183,11 @@
 		       const struct event_attempt_tokens *tokens);
 void entry_pass_ended(struct entry *entry, struct open_call *call,
 		      const struct event_attempt_ended *ended);
-void entry_pass_caller_left(struct entry *entry, struct open_call *call);
+/** Cancel what another VM was asked; the caller gets `code`. */
+void entry_pass_cancel(struct entry *entry, struct open_call *call,
+		       enum result code);
+/** Of a planned stop: answer what is left at its end, and exit then. */
+void entry_check_stop(struct entry *entry);
 
 /* entry_pending.c */
 
--- a/libfilberthall/load/router.h
+++ b/libfilberthall/load/router.h
@@ -162,6 +162,12 @@
 void router_submit(struct router *router, const struct router_request *request,
 		   int64_t now_us, struct effects *effects);
 
+/**
+ * End all requests with RESULT_STOPPING: as not run where no server was asked.
+ */
+void router_stop(struct router *router, int64_t now_us,
+		 struct effects *effects);
+
 /** The caller disconnected: end its request and cancel the attempts. */
 void router_caller_left(struct router *router, uint64_t id, int64_t now_us,
 			struct effects *effects);
--- a/libfilberthall/load/router_end.c
+++ b/libfilberthall/load/router_end.c
@@ -284,3 +284,13 @@
 		}
 	}
 }
+
+void router_stop(struct router *router, int64_t now_us, struct effects *effects)
+{
+	struct request *request;
+	struct request *next;
+
+	map_foreach(request, next, &router->requests, node)
+		request_end(router, request, RESULT_STOPPING, NULL, now_us,
+			    effects);
+}
--- a/tests/entry/bed.h
+++ b/tests/entry/bed.h
@@ -42,10 +42,10 @@
 /** Delivers a control VM's answer to a poll: age and version. */
 void bed_deliver_state(struct bed *bed, int64_t echo_us, int64_t age_us,
 		       int64_t version);
-/** Delivers the document of that version, with one valid key. */
 /** As its key: the document has no organisation, but an empty list of them. */
 #define BED_NO_KEYS "none"
 
+/** Delivers the document of that version, with one valid key. */
 void bed_deliver_document(struct bed *bed, int64_t version, const char *key);
 /** Delivers the same document, compressed. */
 void bed_deliver_compressed(struct bed *bed, int64_t version, const char *key);
--- a/tests/entry/t-entry.c
+++ b/tests/entry/t-entry.c
@@ -231,6 +231,61 @@
 	bed_end(&bed);
 }
 
+/* A planned stop takes a request that may outlast it, and cuts it off. */
+static void test_stop_refuses_long(void)
+{
+	struct bed bed;
+
+	bed_start(&bed);
+	entry_stop(bed.entry, bed.now_us, 4 * SECOND, &bed.effects);
+	bed_check_refused(&bed, bed_ask(&bed, "/lodge/7", "k1"),
+			  RESULT_STOPPING);
+	g_assert_cmpuint(bed.started, ==, 0);
+	bed_end(&bed);
+}
+
+/* A planned stop cuts off what is open at its end, without an answer. */
+static void test_stop_answers_open(void)
+{
+	struct bed bed;
+	uint64_t running;
+	uint64_t waiting;
+
+	bed_start(&bed);
+	running = bed_ask(&bed, "/lodge/7", "k1");
+	g_assert_cmpuint(bed.started, ==, running);
+	do
+		waiting = bed_ask(&bed, "/lodge/8", "k1");
+	while (bed.started == waiting);
+	entry_stop(bed.entry, bed.now_us, SECOND, &bed.effects);
+	bed_advance(&bed, SECOND / 2);
+	g_assert_cmpuint(bed.answered, ==, 0);
+	bed_advance(&bed, SECOND / 2);
+	bed_check_refused(&bed, waiting, RESULT_STOPPING);
+	g_assert_true(bed.exited);
+	bed_end(&bed);
+}
+
+/* The same of one that has been sent to a server: it may have run. */
+static void test_stop_answers_running(void)
+{
+	struct bed bed;
+	uint64_t id;
+
+	bed_start(&bed);
+	id = bed_ask(&bed, "/lodge/7", "k1");
+	entry_stop(bed.entry, bed.now_us, SECOND, &bed.effects);
+	bed_advance(&bed, 3 * SECOND / 4);
+	g_assert_false(bed.exited);
+	bed_advance(&bed, SECOND / 10);
+	g_assert_cmpuint(bed.answered, ==, id);
+	g_assert_cmpint(bed.code, ==, RESULT_STOPPING);
+	g_assert_cmpint(bed.run, ==, RUN_UNKNOWN);
+	bed_advance(&bed, SECOND / 4);
+	g_assert_true(bed.exited);
+	bed_end(&bed);
+}
+
 /*
  * Another VM fills a server, which reports so in an answer to this VM. Nothing
  * more is sent there, so no newer report arrives: unless the figures are
@@ -555,6 +610,10 @@
 	g_test_add_func("/entry/leaving", test_leaving);
 	g_test_add_func("/entry/stop", test_stop);
 	g_test_add_func("/entry/stop-takes-short", test_stop_takes_short);
+	g_test_add_func("/entry/stop-refuses-long", test_stop_refuses_long);
+	g_test_add_func("/entry/stop-answers-open", test_stop_answers_open);
+	g_test_add_func("/entry/stop-answers-running",
+			test_stop_answers_running);
 	g_test_add_func("/entry/full-server", test_full_server);
 	g_test_add_func("/entry/urgent-route", test_urgent_route);
 	g_test_add_func("/entry/steady-beside-cheap", test_steady_beside_cheap);
--- a/tests/entry/t-pass.c
+++ b/tests/entry/t-pass.c
@@ -80,6 +80,23 @@
 	bed_end(&bed);
 }
 
+/* A planned stop cuts off what another VM was asked, without an answer. */
+static void test_stop(void)
+{
+	struct bed bed;
+	uint64_t id;
+
+	bed_start(&bed);
+	cut_off(&bed);
+	id = bed_ask(&bed, "/lodge/7", "k1");
+	entry_stop(bed.entry, bed.now_us, 1000000, &bed.effects);
+	bed_advance(&bed, 900000);
+	g_assert_cmpuint(bed.answered, ==, id);
+	g_assert_cmpint(bed.code, ==, RESULT_STOPPING);
+	g_assert_cmpint(bed.run, ==, RUN_UNKNOWN);
+	bed_end(&bed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -87,5 +104,6 @@
 	g_test_add_func("/pass/sent-once", test_sent_once);
 	g_test_add_func("/pass/may-have-run", test_may_have_run);
 	g_test_add_func("/pass/cut-ends", test_cut_ends);
+	g_test_add_func("/pass/stop", test_stop);
 	return g_test_run();
 }
