tests: memory of the entry VM is measured in endless.t

Its check of the memory could not fail: sed looked for a blank behind "VmRSS:" where the system writes a tab, so both figures were empty and their difference 0.

--- a/tests/e2e/endless.t
+++ b/tests/e2e/endless.t
@@ -18,7 +18,7 @@
 		"http://$(address entry-1 callers)/stream/r/$1" || :
 }
 kilobytes() {
-	sed -n 's/^VmRSS: *\([0-9]*\).*/\1/p' \
+	awk "/^VmRSS/ {print \$2}" \
 		"/proc/$(cat "$WORK/entry-1.pid")/status"
 }
 before=$(kilobytes)
