registry: a bound on the versions that are kept

1,024 are kept, as in the log of the control VMs. A version that isn't kept could let a stream go on at another one, so while there are so many, versions count as differing; a server that leaves is heard as before. Refusing announcements was ruled out: it would keep a server that leaves in use.

--- a/libfilberthall/fleet/registry.c
+++ b/libfilberthall/fleet/registry.c
@@ -101,6 +101,9 @@
 			known->seen_us = seen_us;
 		return;
 	}
+	if (registry->n_versions == REGISTRY_VERSIONS_MOST)
+		return;
+	registry->n_versions++;
 	known = xcalloc(1, sizeof(*known));
 	known->service = entry->service;
 	known->version = entry->version;
@@ -118,6 +121,7 @@
 			continue;
 		list_remove(&known->node);
 		free(known);
+		registry->n_versions--;
 	}
 }
 
@@ -128,6 +132,7 @@
 	map_init(&registry->by_address);
 	map_init(&registry->by_short_id);
 	list_init(&registry->versions);
+	registry->n_versions = 0;
 	registry_ends_init(&registry->ends);
 	registry->timeout_us =
 		REGISTRY_TIMEOUT_INTERVALS * announce_interval_us;
@@ -461,6 +466,7 @@
 	struct registry_entry *entry;
 	struct registry_entry *next;
 
+	forget_versions(registry, now_us - REGISTRY_TOMBSTONE_US);
 	map_foreach(entry, next, &registry->by_id, node) {
 		if (!entry->registration.gone && !entry->timed_out &&
 		    registry->last_contact_us - entry->last_contact_us >
@@ -477,7 +483,6 @@
 		unindex(registry, entry);
 		free(entry);
 	}
-	forget_versions(registry, now_us - REGISTRY_TOMBSTONE_US);
 	registry_ends_forget(&registry->ends, now_us - REGISTRY_TOMBSTONE_US);
 }
 
@@ -487,6 +492,8 @@
 	struct registry_versions versions = { 0 };
 	struct service_version *known;
 
+	/* Of one that isn't kept nothing is known. */
+	versions.differ = registry->n_versions == REGISTRY_VERSIONS_MOST;
 	list_foreach(known, &registry->versions, node) {
 		if (known->service != service)
 			continue;
--- a/libfilberthall/fleet/registry.h
+++ b/libfilberthall/fleet/registry.h
@@ -93,12 +93,16 @@
 	int64_t confirmed_us;	 /**< see registry_is_confirmed() */
 	int64_t since_us;	 /**< from when servers are watched */
 	struct list versions;	 /**< that services have or lately had */
+	int n_versions;
 	struct registry_ends ends;
 };
 
 /** Starts that are kept at most; gone and timed-out ones count. */
 #define REGISTRY_ENTRIES_MOST 16384
 
+/** Versions of services that are kept at most. */
+#define REGISTRY_VERSIONS_MOST 1024
+
 /** A cold time that ends later than known by more than this is a change. */
 #define REGISTRY_COLD_CHANGE_US INT64_C(500000)
 
--- a/tests/fleet/t-registry.c
+++ b/tests/fleet/t-registry.c
@@ -317,6 +317,42 @@
 	registry_clear(&registry);
 }
 
+static int count_versions(const struct registry *registry)
+{
+	const struct list *node;
+	int n = 0;
+
+	for (node = registry->versions.next; node != &registry->versions;
+	     node = node->next)
+		n++;
+	return n;
+}
+
+/* A server that names version after version fills the memory of all VMs. */
+static void test_many_versions(void)
+{
+	const uint64_t service = map_hash_text("desk");
+	struct registration told = make_registration("s", "a:1", 100, 1);
+	struct registry registry;
+	int i;
+
+	registry_init(&registry, SECOND, 0);
+	for (i = 0; i < 2 * REGISTRY_VERSIONS_MOST; i++) {
+		g_snprintf(told.version, sizeof(told.version), "v%d", i);
+		told.sequence++;
+		take(&registry, told, SECOND);
+	}
+	g_assert_cmpint(count_versions(&registry), ==, REGISTRY_VERSIONS_MOST);
+	/* A service may have one that isn't kept. */
+	g_assert_true(registry_versions(&registry, service).differ);
+	told.sequence++;
+	take(&registry, told, 700 * SECOND);
+	registry_expire(&registry, 700 * SECOND, NULL, NULL);
+	g_assert_cmpint(count_versions(&registry), ==, 1);
+	g_assert_false(registry_versions(&registry, service).differ);
+	registry_clear(&registry);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -331,5 +367,6 @@
 	g_test_add_func("/registry/silence-of-all", test_silence_of_all);
 	g_test_add_func("/registry/cold-again", test_cold_again);
 	g_test_add_func("/registry/full", test_full);
+	g_test_add_func("/registry/many-versions", test_many_versions);
 	return g_test_run();
 }
