sse: comments and events without data are passed on in their places

Cause: take_event() passed on only what has a data line, as the all-in-one daemon needs it, which makes its answers of chunks. The reader now hands on all of its bytes and says which have no data. The relay passes these on, holds those before an attempt's first event until that may be passed, and counts them as before against a server that sends nothing else.

--- a/daemon/http/attempt_answer.c
+++ b/daemon/http/attempt_answer.c
@@ -164,6 +164,9 @@
 
 	if (attempt->whole)
 		return RESULT_BACKEND_BROKE;
+	/* The answer is made of chunks; comments aren't for its caller. */
+	if (!payload)
+		return RESULT_OK;
 	if (payload_len == strlen(stream_end) &&
 	    !memcmp(payload, stream_end, payload_len)) {
 		attempt->whole = true;
--- a/daemon/http/sse.c
+++ b/daemon/http/sse.c
@@ -54,12 +54,10 @@
 {
 	const char *payload;
 	size_t n = 0;
-	enum result code = RESULT_OK;
+	enum result code;
 
 	payload = event_payload(sse->rest.data, len, &n);
-	/* Comments and blank lines keep a connection alive; they end here. */
-	if (payload)
-		code = each(each_data, sse->rest.data, len, payload, n);
+	code = each(each_data, sse->rest.data, len, payload, n);
 	bytes_consume(&sse->rest, len);
 	sse->scanned = 0;
 	return code;
--- a/daemon/http/sse.h
+++ b/daemon/http/sse.h
@@ -15,13 +15,15 @@
 
 /**
  * One event: all its bytes with the blank line, and the part after "data:".
- * Not RESULT_OK ends the reading.
+ * Comments and other lines without data come in the same way, with a payload of
+ * NULL. Not RESULT_OK ends the reading.
  */
 typedef enum result (*sse_event_fn)(void *data, const char *event, size_t len,
 				    const char *payload, size_t payload_len);
 
 /**
- * Take more bytes and call `each` for every event that is whole.
+ * Take more bytes and call `each` for every event that is whole; it gets all of
+ * them, in order, but those behind the last blank line.
  *
  * Returns RESULT_OK, what `each` returned, or RESULT_BACKEND_BROKE if an
  * event grows too large.
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -57,7 +57,7 @@
 	enum answer_kind kind;
 	int status;
 	struct bytes headers; /* lines for the caller */
-	struct bytes whole;
+	struct bytes whole; /* of a stream: what came before its first event */
 	struct memory_claim claim; /* of what is held of the answer */
 	size_t whole_bytes;	   /* of `whole` by its length, if it has one */
 	int64_t paused_us; /* since then the answer waits for memory; or 0 */
@@ -320,6 +320,33 @@
 	return host->begins(host->data, relay->id, relay->attempt);
 }
 
+/* What came before the first event of this attempt. */
+static void pass_before(struct relay *relay)
+{
+	if (relay->whole.len)
+		http_exchange_piece(relay->exchange, relay->whole.data,
+				    relay->whole.len);
+	bytes_clear(&relay->whole);
+}
+
+/* A comment, say: it goes on in its place, and begins nothing by itself. */
+static enum result pass_between(struct relay *relay, const char *text,
+				size_t len)
+{
+	if (relay->waits) {
+		bytes_append(&relay->early, text, len);
+		return relay->early.len > EARLY_BYTES ? RESULT_BACKEND_CROSSED
+						      : RESULT_OK;
+	}
+	if (!relay->events) {
+		bytes_append(&relay->whole, text, len);
+		return RESULT_OK;
+	}
+	note_event_id(relay, text, len);
+	http_exchange_piece(relay->exchange, text, len);
+	return RESULT_OK;
+}
+
 static enum result pass_event(void *data, const char *event, size_t len,
 			      const char *payload, size_t payload_len)
 {
@@ -332,10 +359,11 @@
 	};
 	enum entry_begin begin;
 
-	(void)payload;
 	(void)payload_len;
 	if (!relay->exchange)
 		return RESULT_CALLER_LEFT;
+	if (!payload)
+		return pass_between(relay, event, len);
 	begin = relay->waits ? ENTRY_BEGIN_WAIT : may_begin(relay);
 	if (begin == ENTRY_BEGIN_WAIT)
 		return hold_event(relay, event, len);
@@ -348,6 +376,7 @@
 				    bytes_text(&relay->headers));
 	}
 	relay->useless = 0;
+	pass_before(relay);
 	note_event_id(relay, event, len);
 	http_exchange_piece(relay->exchange, event, len);
 	relay->host->tokens(relay->host->data, &tokens);
@@ -595,17 +624,19 @@
 
 	if (!exchange)
 		return;
-	if (answer->code == RESULT_OK && relay->begun)
+	if (answer->code == RESULT_OK && relay->begun) {
+		pass_before(relay);
 		http_exchange_end(exchange);
-	else if (relay->begun)
+	} else if (relay->begun) {
 		http_exchange_cut(exchange);
-	else if (answer->code == RESULT_OK ||
-		 (relay->held && (answer->code == RESULT_BACKEND_ERROR ||
-				  answer->code == RESULT_RETRY_BUDGET)))
-		/* Nothing is held of a stream without events: empty, whole. */
+	} else if (answer->code == RESULT_OK ||
+		   (relay->held && (answer->code == RESULT_BACKEND_ERROR ||
+				    answer->code == RESULT_RETRY_BUDGET))) {
+		/* Of a stream without events what else came is held. */
 		answer_held(relay);
-	else
+	} else {
 		answer_refusal(relay, answer);
+	}
 	relay->exchange = NULL;
 }
 
