wal: the last segment is written and synced again as it is opened

What operators would see: a change that was acknowledged is gone. Entries whose sync failed, or whose process was killed in it, counted as durable once the log was opened again, were acknowledged, and could be lost with the power.

Cause: wal_open() took all that wal_replay() read as synced. Now what was read of the last segment is written again and synced before it counts; earlier segments were synced before the next one was begun. Only a sync was ruled out: after a failed one the kernel may have dropped the pages, and the next claims success.

--- a/daemon/disk/wal_replay.c
+++ b/daemon/disk/wal_replay.c
@@ -192,6 +192,25 @@
 				 replay->path);
 }
 
+/*
+ * What was read may never have been synced. It is written again, as after a
+ * failed sync the next one would claim success for what the kernel dropped.
+ */
+static enum result replay_rewrite(struct replay *replay)
+{
+	const struct file_ops *ops = replay->wal->options.ops;
+	cleanup(folder_close_fd) int fd =
+		ops->open(ops->data, replay->path, O_WRONLY, 0);
+
+	if (fd < 0 ||
+	    !folder_write_all(ops, fd, replay->content.data,
+			      (size_t)replay->wal->size) ||
+	    ops->fdatasync(ops->data, fd))
+		return folder_error(replay->wal->options.errors, "sync",
+				    replay->path);
+	return RESULT_OK;
+}
+
 static enum result replay_segment(struct replay *replay, int64_t number,
 				  bool last)
 {
@@ -211,6 +230,8 @@
 				    path);
 	if (code == RESULT_OK)
 		code = replay_frames(replay, last);
+	if (code == RESULT_OK && last)
+		code = replay_rewrite(replay);
 	return code;
 }
 
--- a/tests/agree/disk.c
+++ b/tests/agree/disk.c
@@ -29,6 +29,7 @@
 		disk->writes_left--;
 		len = len > 1 ? len / 2 : len;
 	}
+	disk->unsynced += (int64_t)len;
 	return file_ops_system()->write(NULL, fd, buffer, len);
 }
 
@@ -40,6 +41,8 @@
 		errno = EIO;
 		return -1;
 	}
+	disk->covered = disk->unsynced;
+	disk->unsynced = 0;
 	return file_ops_system()->fdatasync(NULL, fd);
 }
 
--- a/tests/agree/disk.h
+++ b/tests/agree/disk.h
@@ -7,9 +7,11 @@
 struct disk {
 	char *folder;
 	struct file_ops ops;
-	int writes_left; /**< writes until the disk is full; -1 for never */
-	bool sync_fails; /**< each fdatasync fails from now on */
-	bool read_only;	 /**< files can't be opened for writing */
+	int writes_left;  /**< writes until the disk is full; -1 for never */
+	bool sync_fails;  /**< each fdatasync fails from now on */
+	int64_t unsynced; /**< bytes written since the last fdatasync */
+	int64_t covered;  /**< bytes that the last good one covered */
+	bool read_only;	  /**< files can't be opened for writing */
 	bool rename_fails;
 	int64_t synced;	  /**< last ticket reported as synced */
 	int failures;	  /**< number of calls of failed() */
--- a/tests/agree/t-wal.c
+++ b/tests/agree/t-wal.c
@@ -192,6 +192,37 @@
 	disk_clear(&disk);
 }
 
+/* Entries whose sync failed count as durable once the log is opened again. */
+static void reopened_log_is_written_and_synced_again(void)
+{
+	struct raft_persistent_state saved;
+	struct disk disk;
+	struct wal *wal;
+	size_t len;
+	g_autofree char *log = NULL;
+	g_autofree char *content = NULL;
+
+	disk_init(&disk);
+	write_two_batches(&disk);
+	g_assert_cmpint(disk_open(&disk, &saved, &wal), ==, RESULT_OK);
+	raft_persistent_state_clear(&saved);
+	disk.sync_fails = true;
+	expect_failure(&disk, wal, RESULT_DISK_FAILED);
+	wal_close(wal);
+	disk.sync_fails = true;
+	g_assert_cmpint(disk_open(&disk, &saved, &wal), ==, RESULT_DISK_FAILED);
+	disk.sync_fails = false;
+	disk.unsynced = 0;
+	g_assert_cmpint(disk_open(&disk, &saved, &wal), ==, RESULT_OK);
+	g_assert_cmpuint(saved.n_entries, ==, 4);
+	raft_persistent_state_clear(&saved);
+	log = disk_find(&disk, "log-");
+	g_assert_true(g_file_get_contents(log, &content, &len, NULL));
+	g_assert_cmpint(disk.covered, ==, (int64_t)len);
+	wal_close(wal);
+	disk_clear(&disk);
+}
+
 static void read_only_folder_is_refused(void)
 {
 	struct raft_persistent_state saved;
@@ -423,6 +454,8 @@
 			damaged_middle_stops_the_start_at_each_byte);
 	g_test_add_func("/wal/full-disk", full_disk_acknowledges_nothing);
 	g_test_add_func("/wal/failed-sync", failed_sync_is_not_retried);
+	g_test_add_func("/wal/reopened",
+			reopened_log_is_written_and_synced_again);
 	g_test_add_func("/wal/read-only", read_only_folder_is_refused);
 	g_test_add_func("/wal/lock", second_daemon_on_a_folder_is_refused);
 	g_test_add_func("/wal/lost-files", lost_files_stop_the_start);
