raft: a peer's clock is forgotten with its link

What callers would see: in a cut, an entry VM that reaches only a voter whose machine was started anew goes on taking keys that were withdrawn; the voter counts its state as fresh an hour after it last heard a leader.

Cause: the leader kept the voter's last clock over a lost link and echoed it over the new one, and the voter took a time to come for when it was fresh. The clock is reset as the link comes up, on both sides, and a time to come confirms nothing.

--- a/libfilberthall/agree/raft.c
+++ b/libfilberthall/agree/raft.c
@@ -342,6 +342,9 @@
 	peer->probing = true;
 	peer->n_inflight = 0;
 	peer->snapshot_index = 0;
+	/* Its VM may have been started anew, and its clock with it. */
+	peer->peer_clock_us = 0;
+	peer->echo_clock_us = 0;
 	peer->replicating =
 		peer->downstream ||
 		(raft->role == RAFT_LEADER && raft_leader_replicates_to(peer));
--- a/libfilberthall/agree/raft_follow.c
+++ b/libfilberthall/agree/raft_follow.c
@@ -109,12 +109,13 @@
  * message that was delayed can't look newer than it is.
  */
 static void raft_update_fresh_us(struct raft *raft,
-				 const struct raft_message *message)
+				 const struct raft_message *message,
+				 int64_t now_us)
 {
 	int64_t fresh_us;
 
 	if (!message->age_us || !message->echo_us ||
-	    raft->verified < message->commit)
+	    message->echo_us > now_us || raft->verified < message->commit)
 		return;
 	fresh_us = message->echo_us - lease_add_drift(message->age_us - 1,
 						      raft->options.drift_ppm);
@@ -156,7 +157,7 @@
 		if (commit > raft->commit)
 			raft->commit = commit;
 	}
-	raft_update_fresh_us(raft, message);
+	raft_update_fresh_us(raft, message, now_us);
 	if (!stored || raft->disk_failed)
 		raft_reply_append(raft, peer, false, 0, now_us, effects);
 	raft_replicate_all(raft, false, now_us, effects);
--- a/tests/agree/t-raft.c
+++ b/tests/agree/t-raft.c
@@ -330,6 +330,58 @@
 	g_assert_cmpint(codes[1], ==, RESULT_OK);
 }
 
+#define UP_BEFORE_US (INT64_C(100) * 86400 * SECOND)
+
+/* A leader repeats the clock that a voter had before its VM was started anew. */
+static void clock_of_an_earlier_boot_is_not_echoed(void)
+{
+	struct raft_message reply = { .kind = RAFT_APPEND_REPLY,
+				      .term = 3,
+				      .match = 3,
+				      .received = 3,
+				      .sent_us = UP_BEFORE_US };
+	struct raft_message sent;
+	struct effects effects;
+	struct raft *raft;
+
+	effects_init(&effects);
+	raft = bed_elected(RAFT_MUTANT_NONE, &effects);
+	bed_deliver(raft, 2, reply, 3 * SECOND + 1000, &effects);
+	effects_clear(&effects);
+	raft_peer_down(raft, 2, 4 * SECOND, &effects);
+	effects_clear(&effects);
+	raft_peer_up(raft, 2, 6 * SECOND, &effects);
+	g_assert_true(bed_take_sent(&effects, RAFT_APPEND, &sent));
+	g_assert_cmpint(sent.echo_us, ==, 0);
+	effects_clear(&effects);
+	raft_free(raft);
+}
+
+/* A voter whose VM was started anew counts its state as fresh for ever. */
+static void time_to_come_makes_nothing_fresh(void)
+{
+	struct raft_message append = { .kind = RAFT_APPEND,
+				       .term = 3,
+				       .index = 2,
+				       .log_term = 2,
+				       .commit = 2,
+				       .sent_us = 500 * SECOND,
+				       .echo_us = UP_BEFORE_US,
+				       .age_us = 1001,
+				       .leader = 2 };
+	struct raft *raft = bed_restored(RAFT_MUTANT_NONE, true);
+	struct effects effects;
+
+	effects_init(&effects);
+	raft_peer_up(raft, 2, 2 * SECOND, &effects);
+	bed_deliver(raft, 2, append, 2 * SECOND, &effects);
+	raft_peer_down(raft, 2, 3 * SECOND, &effects);
+	g_assert_cmpint(raft_fresh_us(raft, INT64_C(3600) * SECOND), <,
+			3 * SECOND);
+	effects_clear(&effects);
+	raft_free(raft);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -346,6 +398,9 @@
 	g_test_add_func("/raft/diskless", member_without_a_disk_never_votes);
 	g_test_add_func("/raft/malformed", malformed_messages_change_nothing);
 	g_test_add_func("/raft/one-change", members_change_one_at_a_time);
+	g_test_add_func("/raft/earlier-boot",
+			clock_of_an_earlier_boot_is_not_echoed);
+	g_test_add_func("/raft/time-to-come", time_to_come_makes_nothing_fresh);
 	g_test_add_func("/raft/transfer",
 			leader_hands_over_and_gives_up_its_lease);
 	return g_test_run();
