--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -419,7 +419,7 @@
 	if (entry_stopping(daemon->entry))
 		return;
 	ev_timer_init(&daemon->close_idle, on_close_idle,
-		      (double)ENTRY_STOP_ACCEPT_US / 1e6, 0);
+		      (double)ENTRY_STOP_BALANCED_US / 1e6, 0);
 	daemon->close_idle.data = daemon;
 	ev_timer_start(daemon->role.ev, &daemon->close_idle);
 
--- a/daemon/role/relay.c
+++ b/daemon/role/relay.c
@@ -329,7 +329,7 @@
 	bytes_clear(&relay->whole);
 }
 
-/* A comment, say: it goes on in its place, and begins nothing by itself. */
+/* Comments go on in their places and begin nothing by themselves. */
 static enum result pass_between(struct relay *relay, const char *text,
 				size_t len)
 {
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -202,7 +202,7 @@
  * How long the balancer sends callers to a stopping VM: it probes once a second
  * and removes a VM after two failed probes.
  */
-#define ENTRY_STOP_ACCEPT_US INT64_C(2800000)
+#define ENTRY_STOP_BALANCED_US INT64_C(2800000)
 
 /**
  * Starts a planned stop: the VM isn't ready any more and exits once all
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -186,6 +186,9 @@
 /** Cancel what another VM was asked; the caller gets `code`. */
 void entry_pass_cancel(struct entry *entry, struct open_call *call,
 		       enum result code);
+
+/* entry_stop.c */
+
 /** Of a planned stop: answer what is left at its end, and exit then. */
 void entry_check_stop(struct entry *entry);
 
--- a/libfilberthall/fleet/region.h
+++ b/libfilberthall/fleet/region.h
@@ -37,10 +37,14 @@
 /** A set that holds no server. */
 #define REGION_NONE (UINT64_C(1) << 63)
 
-/** Add a zone or change its region; false if there is no room. Of any length. */
+/**
+ * Add a zone or change its region, by names of any length; false if there is no
+ * room.
+ */
 bool regions_set(struct regions *regions, const char *zone, const char *region);
 
-/** The set of a zone's region, empty if it isn't known.
+/**
+ * The set of a zone's region, empty if it isn't known.
  *
  * @param zone	its name_shorten()
  */
