--- a/tests/agreed/t-begun.c
+++ b/tests/agreed/t-begun.c
@@ -34,7 +34,7 @@
 	for (i = 0; i < total.n_counts; i++)
 		if (!strcmp(total.counts[i].organisation, organisation))
 			found = total.counts[i].requests;
-	free(total.counts);
+	feed_begun_clear(&total);
 	return found;
 }
 
@@ -164,7 +164,7 @@
 	g_assert_cmpint(total.counts[2].requests, ==, 9);
 	begun_raise(&total, NULL);
 	g_assert_cmpuint(total.n_counts, ==, 3);
-	free(total.counts);
+	feed_begun_clear(&total);
 	begun_clear(&begun);
 }
 
