entry: say whether control VMs answer, where streams are refused or go on

Of a stream refused as unknown the log didn't tell whether anybody could be asked: how long ago a control VM answered, how many were asked and answered. Nor did it say that a VM began streams that it could tell nobody of.

Nothing is decided by it.

--- a/daemon/role/entry_daemon.c
+++ b/daemon/role/entry_daemon.c
@@ -439,6 +439,7 @@
 		out,
 		"filberthall_ready %d\nfilberthall_document_version %" PRId64
 		"\nfilberthall_fresh_age_us %" PRId64
+		"\nfilberthall_control_silence_us %" PRId64
 		"\nfilberthall_control_vms %d\nfilberthall_servers %d\n"
 		"filberthall_requests_open %" PRId64
 		"\nfilberthall_requests_total %" PRId64
@@ -450,9 +451,10 @@
 		"\nfilberthall_attempts_total %" PRId64
 		"\nfilberthall_connections_opened_total %" PRId64 "\n",
 		is_ready(daemon), view.version, view.staleness_us,
-		view.control_vms, view.servers, view.open, view.submitted,
-		view.refused, view.held, view.served, view.failed, view.passed,
-		view.attempts, http_client_opened(daemon->client));
+		view.silence_us, view.control_vms, view.servers, view.open,
+		view.submitted, view.refused, view.held, view.served,
+		view.failed, view.passed, view.attempts,
+		http_client_opened(daemon->client));
 	entry_metrics_documents(out, &view.documents);
 	entry_metrics_histogram(out, "filberthall_first_ms",
 				&view.time_to_first);
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -257,6 +257,7 @@
 	view.staleness_us = entry->fresh_as_of_us > INT64_MIN / 4
 				    ? now_us - entry->fresh_as_of_us
 				    : -1;
+	view.silence_us = entry->contact_us ? now_us - entry->contact_us : -1;
 	view.control_vms = (int)entry->peers.count;
 	view.open = (int64_t)entry->calls.count;
 	view.servers = registry_count_usable(&entry->registry);
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -248,6 +248,7 @@
 		total_time; /**< until the end of a successful request */
 	int64_t version;
 	int64_t staleness_us; /**< -1: unknown */
+	int64_t silence_us;   /**< since a control VM answered; -1: none has */
 	int control_vms;
 	int servers;
 	int64_t open;
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -103,6 +103,7 @@
 	uint64_t service = map_hash_text(call->service);
 
 	call->begun = true;
+	entry->begun_out_of_contact += !entry_is_in_contact(entry);
 	note(entry, call, &own, version);
 	if (call->resumes)
 		note(entry, call, &call->resumed, version);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -141,6 +141,7 @@
 	int64_t fresh_us = state->echo_us - state->age_us;
 	struct fetch_offer offer = { peer, state->version, state->echo_us };
 
+	entry_note_contact(entry, state->echo_us);
 	if (state->wall_us)
 		wall_note(&entry->wall, peer, state->wall_us, entry->now_us);
 	entry_share_retries(entry, peer, state);
@@ -335,6 +336,7 @@
 
 	if (entry->now_us - entry->polled_us >= poll_us)
 		entry_poll(entry);
+	entry_contact_tick(entry);
 	entry_resolve_presumed(entry);
 	entry_tell_unserved(entry);
 	if (entry->now_us - entry->usage_reported_us >= USAGE_SEND_US)
--- a/libfilberthall/entry/entry_pending.c
+++ b/libfilberthall/entry/entry_pending.c
@@ -46,6 +46,7 @@
 	struct affinity affinity =
 		entry_affinity_of(call, &key, AFFINITY_PENDING);
 
+	entry->begun_out_of_contact += !entry_is_in_contact(entry);
 	entry_note_affinity(entry, &affinity);
 	entry_tell_affinities(entry);
 	pending->affinity = affinity;
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -325,7 +325,7 @@
 	entry_log(entry, LOG_INFO, "request",
 		  "event=taken request=%s route=%s service=%s organisation=%s "
 		  "tier=%d version=%lld fresh_ms=%lld prompt=%lld output=%lld "
-		  "wait_ms=%lld resumes=%s last_event=%s",
+		  "wait_ms=%lld resumes=%s last_event=%s silent_ms=%lld",
 		  request->name, route->name, service, call->organisation,
 		  call->tier, (long long)entry->document->version,
 		  (long long)((entry->now_us - entry->fresh_as_of_us) / 1000),
@@ -333,7 +333,8 @@
 		  (long long)request->output_tokens,
 		  (long long)((call->deadline_us - entry->now_us) / 1000),
 		  request->resumes ? request->resumes : "none",
-		  request->last_event ? request->last_event : "none");
+		  request->last_event ? request->last_event : "none",
+		  (long long)(entry_silence_us(entry) / 1000));
 	if (entry_pass(entry, call))
 		return;
 	if (request->passed_on && is_lost(entry, service)) {
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -103,13 +103,23 @@
 	return n < LOOKUPS_MOST && own < LOOKUPS_MOST_OWN;
 }
 
+/* `lookup`: what was asked; NULL if nobody was. */
 static void refuse_unknown(struct entry *entry,
-			   const struct entry_request *request, const char *why)
+			   const struct entry_request *request,
+			   const struct lookup *lookup, const char *why)
 {
+	static const struct lookup none = { .asks = 0 };
+
+	if (!lookup)
+		lookup = &none;
 	entry_log(entry, LOG_INFO, "request",
-		  "event=unknown-stream request=%s resumes=%s why=%s",
+		  "event=unknown-stream request=%s resumes=%s why=%s asks=%d "
+		  "answers=%d votes=%d voters=%lld control_vms=%zu "
+		  "silent_ms=%lld",
 		  request->name, request->resumes ? request->resumes : "none",
-		  why);
+		  why, lookup->asks, lookup->n_peers, lookup->n_votes,
+		  (long long)lookup->voters, entry->peers.count,
+		  (long long)(entry_silence_us(entry) / 1000));
 	entry_refuse(entry, request, RESULT_STREAM_UNKNOWN,
 		     UNKNOWN_RETRY_AFTER_MS);
 }
@@ -128,7 +138,7 @@
 	struct lookup *lookup;
 
 	if (!has_room(entry, owner)) {
-		refuse_unknown(entry, request, "too-many-asked");
+		refuse_unknown(entry, request, NULL, "too-many-asked");
 		return;
 	}
 	lookup = xcalloc(1, sizeof(*lookup));
@@ -176,7 +186,7 @@
 	}
 	if (known->version != AFFINITY_UNCLEAR)
 		return known;
-	refuse_unknown(entry, request, "version-unclear");
+	refuse_unknown(entry, request, NULL, "version-unclear");
 	return NULL;
 }
 
@@ -347,7 +357,7 @@
 		if (entry->now_us >= lookup_ends_us(entry, lookup)) {
 			if (resolve_unknown(entry, lookup, majority))
 				continue;
-			refuse_unknown(entry, &lookup->request,
+			refuse_unknown(entry, &lookup->request, lookup,
 				       why_unknown(entry, lookup));
 			lookup_free(lookup);
 		} else if (entry->now_us - lookup->asked_us >= ASK_AGAIN_US) {
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -118,6 +118,10 @@
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
 	bool was_fresh;
+	int64_t contact_us; /**< sending of the newest poll answered, or 0 */
+	bool was_in_contact;
+	int64_t contact_lost_us;      /**< when that was seen, or 0 */
+	int64_t begun_out_of_contact; /**< streams, since then */
 	int64_t polled_us;
 	int64_t unserved_told_us;
 	int64_t demand_told;   /**< of totals.submitted */
@@ -142,6 +146,18 @@
 void entry_log(struct entry *entry, enum log_level level, const char *module,
 	       const char *format, ...) __attribute__((format(printf, 4, 5)));
 
+/* entry_contact.c */
+
+/** A control VM has answered the poll that was sent then. */
+void entry_note_contact(struct entry *entry, int64_t polled_us);
+
+/** Time since the newest poll that was answered was sent; -1: none was. */
+int64_t entry_silence_us(const struct entry *entry);
+
+/** Whether some control VM answers. */
+bool entry_is_in_contact(const struct entry *entry);
+void entry_contact_tick(struct entry *entry);
+
 /* entry_feed.c */
 void entry_feed_message(struct entry *entry, uint64_t peer,
 			const struct bytes *body);
