--- a/tests/roles.sh
+++ b/tests/roles.sh
@@ -18,7 +18,8 @@
 	echo "$ROLES_NET.$1:$ROLES_OPERATORS"
 }
 
-# start_control N [LINES...]: control VM N, seeds 1 to 3.
+# start_control N [LINES...]: control VM N, seeds 1 to 3. With ROLES_BEHIND=M its
+# links are at address N + M, and other VMs are told of N.
 start_control() {
 	roles_n=$1
 	shift
@@ -34,7 +35,8 @@
 bootstrap: ${ROLES_BOOTSTRAP-true}
 listen:
   operators: $(roles_operators "$roles_n")
-  links: $ROLES_NET.$roles_n:$ROLES_LINKS
+  links: $ROLES_NET.$((roles_n + ${ROLES_BEHIND:-0})):$ROLES_LINKS
+${ROLES_BEHIND:+reach: {links: $ROLES_NET.$roles_n:$ROLES_LINKS\}}
 seeds: [$(roles_operators 1), $(roles_operators 2), $(roles_operators 3)]
 log: {file: "-"}
 usage: {window_s: 1}
