entry: reach control VMs by way of other entry VMs

Cause: where a stream began is told to control VMs alone and asked of control VMs alone. No path leads from entry VM to entry VM, so what one of them knows is refused because of who is asked.

Control VMs tell each entry VM of up to eight others, one of each other zone first (FEED_NEIGHBOURS). A VM that no control VM has answered for a second passes resumptions on to one of these, as it passes on requests for a service that it doesn't reach; so does one whose question got no answer, or none of enough voters. If two neighbours refuse or aren't reached it decides by what it knows itself. A VM without fresh news of a leader opens links to two neighbours and tells them where its streams begin; they tell the control VMs.

Weighed: keepers of each record among the entry VMs, by a hash of its name, need links from each to all at 300 VMs; asking all VMs that are out of contact is 75 questions a stream if a zone is cut off; passing new streams on as well loses those that began just before the cut was seen. This takes two links a VM that is cut off and nothing while none is.

t-order's cut-off asked that a VM without control VMs refuses; it now asks the same of one that reaches no VM at all.

--- a/libfilberthall/control/control.c
+++ b/libfilberthall/control/control.c
@@ -344,6 +344,9 @@
 		feed_peer_up(&control->peers, up->peer, up->observer);
 
 	snprintf(peer->vm, sizeof(peer->vm), "%s", up->name);
+	snprintf(peer->links, sizeof(peer->links), "%s",
+		 up->address ? up->address : "");
+	peer->zone = map_hash_text(up->zone);
 	control_log(effects, LOG_INFO, "link", "event=up vm=%s zone=%s role=%s",
 		    up->name, up->zone, up->observer ? "entry" : "control");
 	if (!peer->observer) {
--- a/libfilberthall/control/control_feed.c
+++ b/libfilberthall/control/control_feed.c
@@ -43,6 +43,7 @@
 	int i;
 
 	control->entry_vms = 0;
+	control->neighbours_revision++;
 	map_foreach(peer, next, &control->peers, node)
 		if (peer->observer)
 			entries[control->entry_vms++] = peer;
@@ -197,8 +198,10 @@
 	if (!peer)
 		return;
 	peer->marks = poll->marks;
-	if (peer->observer)
+	if (peer->observer) {
 		control_note_reach(control, peer, &poll->reach, effects);
+		control_tell_neighbours(control, peer, effects);
+	}
 	control_welcome_entry(control, peer, now_us, effects);
 }
 
@@ -407,6 +410,7 @@
 				      now_us, effects);
 		break;
 	case FEED_AFFINITY_NONE:
+	case FEED_NEIGHBOURS:
 	case FEED_WAYS:
 	case FEED_EVACUATIONS:
 	case FEED_BUNDLE:
--- a/libfilberthall/control/control_state.h
+++ b/libfilberthall/control/control_state.h
@@ -77,6 +77,7 @@
 	struct affinities affinities; /**< where streams were begun */
 	struct map peers;	      /**< struct feed_peer */
 	int entry_vms;		      /**< of them */
+	uint64_t neighbours_revision; /**< of who is a neighbour of whom */
 	struct list proposals;
 	struct list forwarded; /**< struct control_forwarded */
 	struct list reports;
@@ -246,6 +247,12 @@
 void control_process_ended(struct control *control, uint64_t id, int64_t now_us,
 			   struct effects *effects);
 
+/* control_neighbours.c */
+
+/** Tell an entry VM of others, if these have changed. */
+void control_tell_neighbours(struct control *control, struct feed_peer *to,
+			     struct effects *effects);
+
 /* control_ways.c */
 void control_note_reach(struct control *control, struct feed_peer *from,
 			const struct feed_reach *reach,
--- a/libfilberthall/control/control_ways.c
+++ b/libfilberthall/control/control_ways.c
@@ -4,6 +4,7 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/alloc.h"
 #include "control/control_state.h"
@@ -52,6 +53,8 @@
 	struct bytes body = { 0 };
 	int i;
 
+	if (strcmp(from->reach.callers, reach->callers) != 0)
+		control->neighbours_revision++;
 	from->reach = *reach;
 	for (i = 0; i < reach->n_lost; i++) {
 		ways = find_ways(control, from, reach->lost[i]);
--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -69,6 +69,7 @@
 	affinities_init(&entry->affinities, ENTRY_AFFINITIES_MOST);
 	list_init(&entry->lookups);
 	list_init(&entry->pending);
+	list_init(&entry->guests);
 	entry->started_us = now_us;
 	map_init(&entry->peers);
 	map_init(&entry->calls);
@@ -107,6 +108,7 @@
 	entry_free_deferred(entry);
 	entry_free_lookups(entry);
 	entry_free_pending(entry);
+	entry_free_guests(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
 	entry_free_services(entry);
@@ -188,8 +190,10 @@
 		   int64_t now_us, struct effects *effects)
 {
 	set_context(entry, now_us, effects);
-	if (up->observer)
+	if (up->observer) {
+		entry_neighbour_up(entry, up->peer);
 		return;
+	}
 	feed_peer_up(&entry->peers, up->peer, false);
 	entry_log(entry, LOG_INFO, "link", "event=up vm=%s zone=%s", up->name,
 		  up->zone);
@@ -207,7 +211,7 @@
 	struct feed_peer *peer = feed_peer_find(&entry->peers, id);
 
 	set_context(entry, now_us, effects);
-	if (!peer)
+	if (entry_neighbour_down(entry, id) || !peer)
 		return;
 	entry_log(entry, LOG_INFO, "link", "event=down peer=%llx left=%zu",
 		  (unsigned long long)id, entry->peers.count - 1);
@@ -221,9 +225,14 @@
 			int64_t now_us, struct effects *effects)
 {
 	set_context(entry, now_us, effects);
-	if (message->channel == LINK_FEED &&
-	    feed_peer_find(&entry->peers, message->peer))
-		entry_feed_message(entry, message->peer, &message->body);
+	if (message->channel == LINK_FEED) {
+		if (feed_peer_find(&entry->peers, message->peer))
+			entry_feed_message(entry, message->peer,
+					   &message->body);
+		else
+			entry_neighbour_message(entry, message->peer,
+						&message->body);
+	}
 	log_freshness_change(entry);
 	entry_resume_deferred(entry);
 }
--- a/libfilberthall/entry/entry.h
+++ b/libfilberthall/entry/entry.h
@@ -43,6 +43,13 @@
 	void *data;
 };
 
+/** Which VM may go on with a stream that is resumed. */
+enum entry_where {
+	ENTRY_ANYWHERE,	 /**< this one, or a neighbour if this one can't know */
+	ENTRY_ELSEWHERE, /**< a neighbour: this one doesn't know the stream */
+	ENTRY_HERE	 /**< this one: no neighbour can */
+};
+
 /** A caller's request, received completely. Strings are borrowed. */
 struct entry_request {
 	uint64_t id;	  /**< unique until this VM stops */
@@ -67,7 +74,8 @@
 	 */
 	const char *last_event;
 	const char *resumes;
-	bool unreadable; /**< what it says of that can't be read */
+	bool unreadable;	/**< what it says of that can't be read */
+	enum entry_where where; /**< chosen by the entry VM itself */
 };
 
 /** The backend server that an attempt was sent to. */
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -19,6 +19,7 @@
 	if (entry->n_untold) {
 		feed_write_affinities(&body, entry->untold, entry->n_untold,
 				      entry->now_us);
+		entry_tell_neighbours(entry, &body);
 		entry_send_all(entry, &body);
 	}
 	entry->n_untold = 0;
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -299,6 +299,9 @@
 	case FEED_WAYS:
 		entry_handle_ways(entry, &message.u.ways);
 		break;
+	case FEED_NEIGHBOURS:
+		entry_handle_neighbours(entry, &message.u.neighbours);
+		break;
 	case FEED_RETRIES:
 		entry_handle_retries(entry, &message.u.retries);
 		break;
@@ -337,6 +340,7 @@
 	if (entry->now_us - entry->polled_us >= poll_us)
 		entry_poll(entry);
 	entry_contact_tick(entry);
+	entry_neighbours_tick(entry);
 	entry_resolve_presumed(entry);
 	entry_tell_unserved(entry);
 	if (entry->now_us - entry->usage_reported_us >= USAGE_SEND_US)
--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -28,16 +28,11 @@
 	       entry->now_us - service->told_us < WAYS_STALE_US;
 }
 
-bool entry_pass(struct entry *entry, struct open_call *call)
+void entry_start_pass(struct entry *entry, struct open_call *call,
+		      const char *address)
 {
-	struct service_state *service = entry_service(entry, call->service);
 	struct effect *effect;
-	const char *address;
 
-	if (call->passed_on || call->pass >= PASSES_MOST ||
-	    !entry_has_way(entry, service))
-		return false;
-	address = service->ways.callers[service->turn++ % service->ways.n];
 	snprintf(call->way, sizeof(call->way), "%s", address);
 	call->pass++;
 	entry->totals.passed++;
@@ -47,8 +42,21 @@
 	effect->u.start.address = xstrdup(address);
 	effect->u.start.proven = !call->repeatable;
 	effect->u.start.to_vm = true;
-	entry_log(entry, LOG_INFO, "request", "event=passed request=%s to=%s",
-		  call->name, address);
+	entry_log(entry, LOG_INFO, "request",
+		  "event=passed request=%s to=%s silent_ms=%lld", call->name,
+		  address, (long long)(entry_silence_us(entry) / 1000));
+}
+
+bool entry_pass(struct entry *entry, struct open_call *call)
+{
+	struct service_state *service = entry_service(entry, call->service);
+
+	if (call->passed_on || call->pass >= PASSES_MOST ||
+	    !entry_has_way(entry, service))
+		return false;
+	entry_start_pass(
+		entry, call,
+		service->ways.callers[service->turn++ % service->ways.n]);
 	return true;
 }
 
@@ -150,7 +158,8 @@
 {
 	bool sent = ended->sent || ended->http_status;
 
-	if (ended->attempt != call->pass)
+	if (ended->attempt != call->pass ||
+	    entry_elsewhere_ended(entry, call, ended))
 		return;
 	if (ended->code == RESULT_BACKEND_CONNECT && !sent) {
 		forget_way(entry, call, call->way);
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -57,13 +57,16 @@
 	return node ? container_of(node, struct open_call, node) : NULL;
 }
 
-static void call_free(struct entry *entry, struct open_call *call)
+void entry_call_free(struct entry *entry, struct open_call *call)
 {
 	map_remove(&entry->calls, &call->node);
 	free(call->name);
 	free(call->organisation);
 	free(call->class_name);
 	free(call->service);
+	if (call->elsewhere)
+		entry_free_request(call->elsewhere);
+	free(call->elsewhere);
 	free(call);
 }
 
@@ -77,7 +80,7 @@
 	else
 		entry->totals.failed++;
 	entry->totals.held += run == RUN_NOT && code == RESULT_POISON;
-	call_free(entry, call);
+	entry_call_free(entry, call);
 }
 
 void entry_free_calls(struct entry *entry)
@@ -86,7 +89,7 @@
 	struct open_call *next;
 
 	map_foreach(call, next, &entry->calls, node)
-		call_free(entry, call);
+		entry_call_free(entry, call);
 	map_clear(&entry->calls);
 }
 
@@ -229,10 +232,10 @@
 	       ends_us + STOP_MARGIN_US > entry->stop_deadline_us;
 }
 
-static struct open_call *call_new(struct entry *entry,
-				  const struct entry_request *request,
-				  const struct route *route,
-				  const struct document_organisation *holder)
+struct open_call *entry_call_new(struct entry *entry,
+				 const struct entry_request *request,
+				 const struct route *route,
+				 const struct document_organisation *holder)
 {
 	struct open_call *call = xcalloc(1, sizeof(*call));
 
@@ -288,7 +291,7 @@
 			  const struct document_organisation *holder,
 			  const char *service, const struct affinity *affinity)
 {
-	struct open_call *call = call_new(entry, request, route, holder);
+	struct open_call *call = entry_call_new(entry, request, route, holder);
 	const struct class_rule *rule =
 		find_or_add_class(entry, route, call->tier);
 	struct router_request ask = {
@@ -340,7 +343,7 @@
 	if (request->passed_on && is_lost(entry, service)) {
 		entry_refuse(entry, request, RESULT_BACKEND_CONNECT,
 			     LOST_RETRY_AFTER_MS);
-		call_free(entry, call);
+		entry_call_free(entry, call);
 		return;
 	}
 	router_submit(entry->router, &ask, entry->now_us, entry->effects);
@@ -354,6 +357,9 @@
 {
 	const char *service;
 
+	if (!affinity && entry_must_go_elsewhere(entry, request) &&
+	    entry_go_elsewhere(entry, request, route, holder))
+		return;
 	if (!affinity)
 		affinity = entry_resume(entry, request,
 					holder ? holder->name : "");
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -180,6 +180,10 @@
 		return NULL;
 	}
 	known = affinities_find(&entry->affinities, &key, entry->now_us);
+	if (!known && request->passed_on && !entry_is_in_contact(entry)) {
+		refuse_unknown(entry, request, NULL, "out-of-contact");
+		return NULL;
+	}
 	if (!known || known->version == AFFINITY_PENDING) {
 		look_up(entry, request, &key, map_hash_text(organisation));
 		return NULL;
@@ -347,6 +351,32 @@
 	return lookup->n_peers ? "too-few-answers" : "no-answer";
 }
 
+/* Those that answered can't speak for all control VMs. */
+static bool may_be_known_elsewhere(const struct entry *entry,
+				   const struct lookup *lookup)
+{
+	if (lookup->request.where != ENTRY_ANYWHERE ||
+	    lookup->request.passed_on || is_pending(entry, lookup))
+		return false;
+	return !lookup->n_peers ||
+	       (lookup->voters &&
+		lookup->n_votes < members_quorum((int)lookup->voters));
+}
+
+/* The caller has waited for an answer that didn't come. */
+static void end_lookup(struct entry *entry, struct lookup *lookup)
+{
+	if (may_be_known_elsewhere(entry, lookup) &&
+	    entry_has_neighbour(entry)) {
+		lookup->request.where = ENTRY_ELSEWHERE;
+		resolve(entry, lookup, NULL);
+		return;
+	}
+	refuse_unknown(entry, &lookup->request, lookup,
+		       why_unknown(entry, lookup));
+	lookup_free(lookup);
+}
+
 void entry_lookups_tick(struct entry *entry)
 {
 	size_t majority = entry->peers.count / 2 + 1;
@@ -355,11 +385,8 @@
 
 	list_foreach_safe(lookup, next, &entry->lookups, node) {
 		if (entry->now_us >= lookup_ends_us(entry, lookup)) {
-			if (resolve_unknown(entry, lookup, majority))
-				continue;
-			refuse_unknown(entry, &lookup->request, lookup,
-				       why_unknown(entry, lookup));
-			lookup_free(lookup);
+			if (!resolve_unknown(entry, lookup, majority))
+				end_lookup(entry, lookup);
 		} else if (entry->now_us - lookup->asked_us >= ASK_AGAIN_US) {
 			ask(entry, lookup);
 		}
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -27,6 +27,25 @@
 /** New ones that the control VMs are told of in one message. */
 #define ENTRY_UNTOLD_MOST 64
 
+/** Neighbours that are known. */
+#define ENTRY_NEIGHBOURS_MOST FEED_NEIGHBOURS_MOST
+
+/** Another entry VM. */
+struct neighbour {
+	uint64_t id;			 /**< on links */
+	char links[BACKEND_NAME_SIZE];	 /**< IP:port of its links */
+	char callers[BACKEND_NAME_SIZE]; /**< IP:port */
+	bool linked;			 /**< a link to it is up */
+	bool wanted;			 /**< by this VM */
+	int64_t wanted_us; /**< since when, or since it went down */
+};
+
+/** An entry VM with a link to this one, whichever opened it. */
+struct guest {
+	struct list node;
+	uint64_t id;
+};
+
 /** A request between its submission and its answer. */
 struct open_call {
 	struct map_node node; /**< by id */
@@ -51,6 +70,8 @@
 	bool begun;		     /**< its stream is recorded */
 	bool resumes;		     /**< a stream that was begun before */
 	struct affinity_key resumed;
+	struct entry_request *elsewhere; /**< owned; a copy, of a stream that a
+					      neighbour is to go on with */
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -120,7 +141,12 @@
 	bool was_fresh;
 	int64_t contact_us; /**< sending of the newest poll answered, or 0 */
 	bool was_in_contact;
-	int64_t contact_lost_us;      /**< when that was seen, or 0 */
+	int64_t contact_lost_us; /**< when that was seen, or 0 */
+	struct neighbour neighbours[ENTRY_NEIGHBOURS_MOST]; /**< next first */
+	int n_neighbours;
+	struct list guests;
+	int64_t neighbours_since_us;  /**< links to them are needed, or 0 */
+	int64_t neighbours_until_us;  /**< these are kept */
 	int64_t begun_out_of_contact; /**< streams, since then */
 	int64_t polled_us;
 	int64_t unserved_told_us;
@@ -158,6 +184,31 @@
 bool entry_is_in_contact(const struct entry *entry);
 void entry_contact_tick(struct entry *entry);
 
+/* entry_neighbour.c */
+void entry_handle_neighbours(struct entry *entry,
+			     const struct feed_neighbours *told);
+void entry_neighbour_up(struct entry *entry, uint64_t id);
+
+/** False if it isn't a neighbour's link. */
+bool entry_neighbour_down(struct entry *entry, uint64_t id);
+void entry_neighbour_message(struct entry *entry, uint64_t peer,
+			     const struct bytes *body);
+void entry_free_guests(struct entry *entry);
+
+void entry_neighbours_tick(struct entry *entry);
+
+/** Send a message to those that this VM has opened a link to. */
+void entry_tell_neighbours(struct entry *entry, const struct bytes *body);
+
+/** Whether neither a control VM nor a neighbour answers. */
+bool entry_is_isolated(const struct entry *entry, int64_t now_us);
+
+/** Whether a neighbour may be reached. */
+bool entry_has_neighbour(const struct entry *entry);
+
+/** Where one of them takes requests, another one each time; NULL: nowhere. */
+const char *entry_next_neighbour(struct entry *entry);
+
 /* entry_feed.c */
 void entry_feed_message(struct entry *entry, uint64_t peer,
 			const struct bytes *body);
@@ -203,6 +254,30 @@
 void entry_pass_cancel(struct entry *entry, struct open_call *call,
 		       enum result code);
 
+/** Pass the request on to the VM whose callers come in there. */
+void entry_start_pass(struct entry *entry, struct open_call *call,
+		      const char *address);
+
+/* entry_elsewhere.c */
+
+/** Whether a neighbour is to go on with a stream that is resumed here. */
+bool entry_must_go_elsewhere(const struct entry *entry,
+			     const struct entry_request *request);
+
+/** Pass the request on to a neighbour; false if there is none. */
+bool entry_go_elsewhere(struct entry *entry,
+			const struct entry_request *request,
+			const struct route *route,
+			const struct document_organisation *holder);
+
+/**
+ * A neighbour has answered, or couldn't be reached.
+ *
+ * @return true if the request goes on at another VM or here
+ */
+bool entry_elsewhere_ended(struct entry *entry, struct open_call *call,
+			   const struct event_attempt_ended *ended);
+
 /* entry_stop.c */
 
 /** Of a planned stop: answer what is left at its end, and exit then. */
@@ -296,6 +371,13 @@
 /** Count how a request ended, and forget it. */
 void entry_end_call(struct entry *entry, struct open_call *call,
 		    enum result code, enum run_state run);
+struct open_call *entry_call_new(struct entry *entry,
+				 const struct entry_request *request,
+				 const struct route *route,
+				 const struct document_organisation *holder);
+
+/** Forget a request without counting how it ended. */
+void entry_call_free(struct entry *entry, struct open_call *call);
 void entry_resume_deferred(struct entry *entry);
 bool entry_drop_deferred(struct entry *entry, uint64_t id);
 void entry_free_deferred(struct entry *entry);
--- a/libfilberthall/feed/feed.c
+++ b/libfilberthall/feed/feed.c
@@ -384,6 +384,21 @@
 		pack_text(&packer, ways->callers[i]);
 }
 
+void feed_write_neighbours(struct bytes *out,
+			   const struct feed_neighbours *neighbours)
+{
+	msgpack_packer packer;
+	int i;
+
+	begin(&packer, out, FEED_NEIGHBOUR_ITEMS * (size_t)neighbours->n,
+	      FEED_NEIGHBOURS);
+	for (i = 0; i < neighbours->n; i++) {
+		msgpack_pack_uint64(&packer, neighbours->list[i].id);
+		pack_text(&packer, neighbours->list[i].links);
+		pack_text(&packer, neighbours->list[i].callers);
+	}
+}
+
 static void pack_key(msgpack_packer *packer, const struct affinity_key *key)
 {
 	pack_bytes(packer, key->bytes, sizeof(key->bytes));
--- a/libfilberthall/feed/feed.h
+++ b/libfilberthall/feed/feed.h
@@ -48,8 +48,9 @@
 	FEED_UNSERVED,	    /**< entry to control: outcomes by tier */
 	FEED_SHORT,	    /**< control to all: a tier gets too few slots */
 	FEED_PART,	    /**< to all: servers that ended under a part */
-	FEED_DEMAND, /**< entry to control: requests since the last one */
-	FEED_END     /**< control to all: a server that wasn't known ended */
+	FEED_DEMAND,	/**< entry to control: requests since the last one */
+	FEED_END,	/**< control to all: a server that wasn't known ended */
+	FEED_NEIGHBOURS /**< control to entry: other entry VMs */
 };
 
 /** Items of a record, and records in one FEED_AFFINITIES. */
@@ -62,6 +63,10 @@
 /** VMs that are named for one service. */
 #define FEED_WAYS_MOST 8
 
+/** Entry VMs that one is told of, and items of each. */
+#define FEED_NEIGHBOUR_ITEMS 3
+#define FEED_NEIGHBOURS_MOST 8
+
 /** Of an interval of 0..1 as it is sent. */
 #define INTERVAL_UNITS 1000000
 
@@ -175,6 +180,17 @@
 	int n;
 };
 
+struct feed_neighbour {
+	uint64_t id;			 /**< on links */
+	char links[BACKEND_NAME_SIZE];	 /**< IP:port of its links */
+	char callers[BACKEND_NAME_SIZE]; /**< IP:port */
+};
+
+struct feed_neighbours {
+	struct feed_neighbour list[FEED_NEIGHBOURS_MOST]; /**< best first */
+	int n;
+};
+
 struct feed_affinity_ask {
 	struct affinity_key key;
 	bool forward; /**< ask the other control VMs if it isn't known */
@@ -233,6 +249,7 @@
 		struct feed_limit limit;
 		struct retry_report retries;
 		struct feed_ways ways;
+		struct feed_neighbours neighbours;
 		struct feed_affinity_ask affinity_ask;
 		struct feed_affinity_none affinity_none;
 		struct feed_unserved unserved;
@@ -313,6 +330,8 @@
 void feed_write_affinity_none(struct bytes *out,
 			      const struct feed_affinity_none *none);
 void feed_write_ways(struct bytes *out, const struct feed_ways *ways);
+void feed_write_neighbours(struct bytes *out,
+			   const struct feed_neighbours *neighbours);
 void feed_write_retries(struct bytes *out, const struct retry_report *report);
 void feed_write_part(struct bytes *out, const struct part_report *report);
 void feed_write_demand(struct bytes *out, int64_t requests);
--- a/libfilberthall/feed/feed_read.c
+++ b/libfilberthall/feed/feed_read.c
@@ -334,6 +334,25 @@
 	return true;
 }
 
+static bool read_neighbours(const struct unpacked *items,
+			    struct feed_neighbours *neighbours)
+{
+	size_t i;
+
+	if ((items->n - 1) % FEED_NEIGHBOUR_ITEMS ||
+	    items->n - 1 > FEED_NEIGHBOUR_ITEMS * FEED_NEIGHBOURS_MOST)
+		return false;
+	for (i = 1; i < items->n; i += FEED_NEIGHBOUR_ITEMS) {
+		struct feed_neighbour *one = &neighbours->list[neighbours->n++];
+
+		if (!unpack_uint(items, i, &one->id) ||
+		    !feed_read_name(items, i + 1, one->links) ||
+		    !feed_read_name(items, i + 2, one->callers))
+			return false;
+	}
+	return true;
+}
+
 static bool read_key(const struct unpacked *items, size_t i,
 		     struct affinity_key *key)
 {
@@ -448,6 +467,8 @@
 		return feed_read_crashes(items, &message->u.crashes);
 	case FEED_WAYS:
 		return read_ways(items, &message->u.ways);
+	case FEED_NEIGHBOURS:
+		return read_neighbours(items, &message->u.neighbours);
 	case FEED_AFFINITIES:
 		return read_affinities(items, message);
 	case FEED_AFFINITY_ASK:
--- a/libfilberthall/feed/peers.h
+++ b/libfilberthall/feed/peers.h
@@ -36,9 +36,12 @@
 	bool newcomer;	  /**< waits for the list of all servers */
 	bool changes;	  /**< understands FEED_CHANGE */
 	bool evacuations; /**< understands FEED_EVACUATE */
-	struct feed_reach reach; /**< of an entry VM */
-	double demand;		 /**< of an entry VM, requests lately */
-	int64_t demand_us;	 /**< when that was counted */
+	struct feed_reach reach;       /**< of an entry VM */
+	char links[BACKEND_NAME_SIZE]; /**< IP:port of its links, or empty */
+	uint64_t zone;		       /**< hash of its name */
+	uint64_t neighbours_told;      /**< revision; 0: none */
+	double demand;		       /**< of an entry VM, requests lately */
+	int64_t demand_us;	       /**< when that was counted */
 };
 
 struct feed_peer *feed_peer_find(const struct map *peers, uint64_t id);
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -567,6 +567,17 @@
 			cancel_run(entries, at, &effect->u.cancel);
 		else if (effect->kind == EFFECT_ANSWER)
 			take_answer(entries, at, &effect->u.answer);
+		else if (effect->kind == EFFECT_LINK_OPEN &&
+			 effect->u.link_open.peer > ENTRIES_CONTROL_VMS)
+			entries_open_neighbour(entries, at,
+					       effect->u.link_open.peer);
+		else if (effect->kind == EFFECT_LINK_CLOSE &&
+			 effect->u.link_close.peer > ENTRIES_CONTROL_VMS)
+			entries_close_neighbour(entries, at,
+						effect->u.link_close.peer);
+		else if (effect->kind == EFFECT_SEND &&
+			 effect->u.send.peer > ENTRIES_CONTROL_VMS)
+			entries_mail_neighbour(entries, at, &effect->u.send);
 		else if (effect->kind == EFFECT_SEND &&
 			 vm->linked[effect->u.send.peer - 1])
 			entries_send_news(entries, at, &effect->u.send);
@@ -624,7 +635,8 @@
 				     .leaving = server->leaves,
 				     .slots = server->slots ? server->slots
 							    : SLOTS };
-	int control = at % ENTRIES_CONTROL_VMS;
+	int turn = entries->announce_in_turn ? (int)server->sequence : 0;
+	int control = (at + turn) % ENTRIES_CONTROL_VMS;
 	int tried = 0;
 
 	if (now_us < server->up_us + server->late_us ||
@@ -711,6 +723,7 @@
 		end_runs(entries);
 		entries_preempt(entries);
 		entries_carry_passes(entries);
+		entries_carry_neighbours(entries);
 		for (i = 0; i < entries->n_servers; i++)
 			announce(entries, i);
 		for (i = 0; i < entries->n_vms; i++) {
@@ -788,6 +801,9 @@
 	entries->posts = g_array_new(false, false, sizeof(struct letter));
 	entries->news = g_array_new(false, false, sizeof(struct letter));
 	entries->passes = g_array_new(false, false, sizeof(struct pass));
+	entries->neighbours =
+		g_array_new(false, false, sizeof(struct neighbour_link));
+	entries->mails = g_array_new(false, false, sizeof(struct mail));
 	entries->streams = g_ptr_array_new_with_free_func(free);
 	group_set_sink(entries->group, entries_take_letter, entries);
 	for (i = 0; i < n_servers; i++)
@@ -820,6 +836,7 @@
 	g_array_free(entries->news, true);
 	g_array_free(entries->posts, true);
 	g_array_free(entries->passes, true);
+	entries_free_neighbours(entries);
 	g_ptr_array_free(entries->streams, true);
 	g_ptr_array_free(entries->asks, true);
 	g_array_free(entries->runs, true);
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -139,8 +139,11 @@
 	GArray *posts;		/**< messages on their way to entry VMs */
 	GArray *news;		/**< and to control VMs, where these are slow */
 	GArray *passes;		/**< requests from VM to VM */
+	GArray *neighbours;	/**< links between VMs */
+	GArray *mails;		/**< messages from VM to VM */
 	GPtrArray *streams;	/**< struct entries_stream */
 	const char *path;	/**< of requests from now on */
+	bool announce_in_turn;	/**< servers do, to one control VM each time */
 	int64_t stream_prompt;	/**< tokens, of streams; 0: not told */
 	GPtrArray *asks;	/**< struct entries_asked, in time */
 	GArray *crashed;	/**< int64_t, times of servers' crashes */
@@ -197,6 +200,9 @@
 /** The same for one control VM. */
 void entries_cut_from(struct entries *entries, int vm, int control, bool cut);
 
+/** Cut a VM off from all other VMs, or join it again. */
+void entries_isolate(struct entries *entries, int vm, bool isolate);
+
 /** What control VMs send the VM takes so much longer. */
 void entries_slow(struct entries *entries, int vm, int64_t us);
 
--- a/tests/control/entries_pass.c
+++ b/tests/control/entries_pass.c
@@ -12,8 +12,11 @@
 			     .id = start->id,
 			     .attempt = start->attempt };
 
-	g_assert_cmpint(sscanf(start->address, "10.9.0.%d:", &pass.to), ==, 1);
-	pass.to--;
+	int block;
+
+	g_assert_cmpint(sscanf(start->address, "10.9.%d.%d:", &block, &pass.to),
+			==, 2);
+	pass.to += block * 250 - 1;
 	pass.to_entry = entries->vms[pass.to].id;
 	g_array_append_val(entries->passes, pass);
 }
@@ -80,12 +83,19 @@
 	entries_carry_out(entries, pass->from, &effects);
 }
 
+static bool is_cut(const struct entries *entries, const struct pass *pass)
+{
+	return entries->vms[pass->from].isolated ||
+	       entries->vms[pass->to].isolated;
+}
+
 /* False once it is over. */
 static bool carry_pass(struct entries *entries, guint i)
 {
 	struct pass *pass = &g_array_index(entries->passes, struct pass, i);
 
-	if (!pass->ended && entries->vms[pass->to].id != pass->to_entry) {
+	if (!pass->ended && (entries->vms[pass->to].id != pass->to_entry ||
+			     is_cut(entries, pass))) {
 		pass->ended = true;
 		pass->code = pass->to_id ? RESULT_BACKEND_BROKE
 					 : RESULT_BACKEND_CONNECT;
--- a/tests/control/entries_state.h
+++ b/tests/control/entries_state.h
@@ -14,6 +14,7 @@
 	uint64_t linked
 		[ENTRIES_CONTROL_VMS]; /* start number of the VM, 0: none */
 	bool cut[ENTRIES_CONTROL_VMS];
+	bool isolated;		/* from the other entry VMs */
 	enum entries_path path; /* to all servers */
 	int asked;
 	int served;
@@ -68,6 +69,21 @@
 	bool sent;
 };
 
+/* A link between two entry VMs, the first of which has opened it. */
+struct neighbour_link {
+	int vms[2];
+	uint64_t entries[2];
+	bool up;
+};
+
+/* A message from one entry VM to another one. */
+struct mail {
+	uint64_t from;
+	uint64_t to;
+	int64_t at_us;
+	struct bytes body;
+};
+
 /* A message from a control VM. */
 struct letter {
 	int vm;
@@ -117,6 +133,16 @@
 			      const struct effect_answer *answer);
 void entries_carry_passes(struct entries *entries);
 
+/* entries_neighbour.c */
+void entries_open_neighbour(struct entries *entries, int at, uint64_t to);
+void entries_close_neighbour(struct entries *entries, int at, uint64_t to);
+void entries_mail_neighbour(struct entries *entries, int at,
+			    const struct effect_send *send);
+
+/** Links come up, go down with a process or a cut; messages arrive. */
+void entries_carry_neighbours(struct entries *entries);
+void entries_free_neighbours(struct entries *entries);
+
 /* entries_post.c */
 void entries_take_letter(void *data, int from, const struct effect_send *send);
 void entries_deliver(struct entries *entries);
--- a/tests/control/group.h
+++ b/tests/control/group.h
@@ -90,6 +90,9 @@
 uint64_t group_evacuate(struct group *group, int vm, const char *zone,
 			bool evacuate);
 
+/** Entry VMs are in these in turn, by id: "z1" to "z4". */
+#define GROUP_ZONES 4
+
 /** Revision of the evacuations that a VM has told the entry VM of last. */
 int64_t group_told_evacuations(const struct group *group, int vm);
 
--- a/tests/control/group_entry.c
+++ b/tests/control/group_entry.c
@@ -147,13 +147,19 @@
 void group_entry_link(struct group *group, int at, uint64_t entry,
 		      const char *name, bool up)
 {
-	struct event_link_up told = { entry, (char *)name, (char *)"z1", NULL,
-				      true };
+	struct event_link_up told = { entry, (char *)name, NULL, NULL, true };
 	struct control *control = group->vms[at].control;
 	struct effects effects;
+	char links[32];
+	char zone[8];
 
 	if (!control)
 		return;
+	g_snprintf(zone, sizeof(zone), "z%d", (int)(entry % GROUP_ZONES) + 1);
+	told.zone = zone;
+	g_snprintf(links, sizeof(links), "10.8.0.1:%llu",
+		   (unsigned long long)entry);
+	told.address = links;
 	effects_init(&effects);
 	if (up)
 		control_link_up(control, &told, group->now_us, &effects);
--- a/tests/control/t-order.c
+++ b/tests/control/t-order.c
@@ -95,13 +95,13 @@
 	order_check_resumed(entries);
 }
 
-/* A VM without control VMs knows nothing of them, and says so. */
+/* A VM that reaches no other one knows nothing of them, and says so. */
 static void test_cut_off(void)
 {
 	struct entries *entries = order_start(order_two);
 	guint i;
 
-	entries_cut(entries, ORDER_VMS - 1, true);
+	entries_isolate(entries, ORDER_VMS - 1, true);
 	order_begin_at_first(entries);
 	order_resume_at_last(entries);
 	g_assert_cmpint(streams_joined(entries), ==, 0);
@@ -109,7 +109,7 @@
 		if (streams_nth(entries, i)->events_before)
 			g_assert_cmpint(streams_nth(entries, i)->state, ==,
 					STREAMS_REFUSED);
-	entries_cut(entries, ORDER_VMS - 1, false);
+	entries_isolate(entries, ORDER_VMS - 1, false);
 	entries_run(entries, SECOND);
 	order_resume_at_last(entries);
 	order_check_resumed(entries);
--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -91,6 +91,7 @@
 {
 	struct play play = { .entries = order_start(versions) };
 
+	play.entries->announce_in_turn = true;
 	return play;
 }
 
@@ -216,6 +217,7 @@
 	begin_at(&play, 0, 1);
 	come_back_until_end(&play, OUT);
 	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
 	end(&play);
 }
 
