entry: a VM that hears of no server doesn't take one for the start it knew

What callers saw: streams that had begun at an entry VM were taken up there while it was cut off, and were joined from two software versions: 16 of 33 in t-taken-up, started-again-unheard, where three of six servers started again under their ids as another version 2 s before (ORDER).

Cause: a server counts as the start that it was while no other server has been heard for 2.9 s longer. That way the silence of all servers isn't held against one. At a VM that no control VM answers nothing is heard of any server, so all of them counted for as long as the cut lasted. Class: a measure against what else is heard needs that something is heard.

Such a VM now goes by its own clock as well. So that streams aren't held for want of news where a neighbour is reached, neighbours pass on what control VMs tell them of servers, to whoever has a link to them: without it, streams that begin 1.7 s after the cut were recorded as pending and waited for.

Left: a server that was heard less than 2.9 s ago and has started again since, as at any VM.

--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -131,8 +131,8 @@
 		return VERSION_GONE;
 	if (server->version != view->version)
 		return VERSION_OTHER;
-	return registry_is_confirmed(&entry->registry, server) ? VERSION_MEANT
-							       : VERSION_UNSURE;
+	return entry_is_confirmed(entry, server) ? VERSION_MEANT
+						 : VERSION_UNSURE;
 }
 
 static void log_version(struct entry *entry, const struct open_call *call,
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -273,15 +273,19 @@
 		handle_member(entry, &message.u.member);
 		break;
 	case FEED_REGISTRATION:
+		entry_pass_news(entry, body);
 		entry_handle_registration(entry, peer, &message);
 		break;
 	case FEED_END:
+		entry_pass_news(entry, body);
 		entry_handle_end(entry, &message.u.end);
 		break;
 	case FEED_ALIVE:
+		entry_pass_news(entry, body);
 		entry_handle_alive(entry, &message);
 		break;
 	case FEED_MARKS:
+		entry_pass_news(entry, body);
 		entry_handle_marks(entry, &message.u.marks);
 		break;
 	case FEED_BUNDLE:
--- a/libfilberthall/entry/entry_neighbour.c
+++ b/libfilberthall/entry/entry_neighbour.c
@@ -1,7 +1,7 @@
 /*
  * Other entry VMs, by which this one reaches control VMs that don't answer it:
  * they go on with streams that are resumed here, pass on where streams were
- * begun here.
+ * begun here, and tell what they hear of backend servers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -201,6 +201,14 @@
 	return true;
 }
 
+void entry_pass_news(struct entry *entry, const struct bytes *body)
+{
+	struct guest *guest;
+
+	list_foreach(guest, &entry->guests, node)
+		feed_send(entry->effects, guest->id, body);
+}
+
 void entry_tell_neighbours(struct entry *entry, const struct bytes *body)
 {
 	int i;
@@ -343,6 +351,18 @@
 	case FEED_AFFINITIES:
 		pass_on_affinities(entry, &message);
 		break;
+	case FEED_REGISTRATION:
+		entry_handle_registration(entry, peer, &message);
+		break;
+	case FEED_END:
+		entry_handle_end(entry, &message.u.end);
+		break;
+	case FEED_ALIVE:
+		entry_handle_alive(entry, &message);
+		break;
+	case FEED_MARKS:
+		entry_handle_marks(entry, &message.u.marks);
+		break;
 	default:
 		break;
 	}
--- a/libfilberthall/entry/entry_pending.c
+++ b/libfilberthall/entry/entry_pending.c
@@ -85,7 +85,7 @@
 	if (!server || server->registration.started_ms != pending->started_ms) {
 		pending->affinity.version = AFFINITY_UNCLEAR;
 	} else if (server->last_contact_us > pending->since_us &&
-		   registry_is_confirmed(&entry->registry, server)) {
+		   entry_is_confirmed(entry, server)) {
 		fix_version(entry, pending);
 	} else {
 		return false;
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -89,13 +89,25 @@
 		backend->regions = regions_of_zone(&entry->regions, told->zone);
 }
 
+/*
+ * The silence of other servers tells whether one has been silent for long, but
+ * not to a VM that hears of none.
+ */
+bool entry_is_confirmed(const struct entry *entry,
+			const struct registry_entry *server)
+{
+	return registry_is_confirmed(&entry->registry, server) &&
+	       (entry_is_in_contact(entry) ||
+		entry->now_us - server->last_contact_us <=
+			entry->registry.confirmed_us);
+}
+
 /* A server that may have another version by now gets no resumed streams. */
 static void update_confirmed(struct entry *entry,
 			     const struct registry_entry *registered)
 {
 	fleet_set_unconfirmed(&entry->fleet, registered->registration.address,
-			      !registry_is_confirmed(&entry->registry,
-						     registered));
+			      !entry_is_confirmed(entry, registered));
 }
 
 static bool is_leaving(const struct registry_entry *registered)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -195,6 +195,8 @@
 			     const struct bytes *body);
 void entry_free_guests(struct entry *entry);
 
+/** Send what a control VM told of backend servers to other VMs with a link. */
+void entry_pass_news(struct entry *entry, const struct bytes *body);
 void entry_neighbours_tick(struct entry *entry);
 
 /** Send a message to those that this VM has opened a link to. */
@@ -339,6 +341,10 @@
 
 /* entry_servers.c */
 
+/** Whether the server surely is the start that it is known as. */
+bool entry_is_confirmed(const struct entry *entry,
+			const struct registry_entry *server);
+
 /** Updates the router's fleet from what is known of one start. */
 void entry_update_server(struct entry *entry,
 			 const struct registry_entry *registered);
--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -237,6 +237,27 @@
 	end(&play);
 }
 
+/* The same, as no other VM can tell it. */
+static void test_started_again_isolated(void)
+{
+	struct play play = start(order_one);
+	int i;
+
+	begin_at(&play, OUT, 1);
+	entries_isolate(play.entries, OUT, true);
+	for (i = 0; i < ORDER_SERVERS; i++)
+		entries_restart_server(play.entries, i, i % 2 ? "v2" : "v1");
+	entries_run(play.entries, 3 * SECOND);
+	play.ends_us = group_now(play.entries->group) + SECOND;
+	come_back_until_end(&play, OUT);
+	entries_isolate(play.entries, OUT, false);
+	entries_run(play.entries, SECOND);
+	play.ends_us = group_now(play.entries->group) + 3 * SECOND;
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	end(&play);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -252,5 +273,7 @@
 			test_begun_at_minority_vm);
 	g_test_add_func("/taken-up/started-again-unheard",
 			test_started_again_unheard);
+	g_test_add_func("/taken-up/started-again-isolated",
+			test_started_again_isolated);
 	return g_test_run();
 }
