--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -221,6 +221,42 @@
 	end(&play);
 }
 
+/* Longer than a VM may go by what control VMs told it itself. */
+static void test_long_cut(void)
+{
+	struct play play = start(order_two);
+	const struct entries_asked *asked;
+
+	cut(&play, OUT);
+	entries_run(play.entries, 6 * SECOND);
+	play.ends_us = group_now(play.entries->group) + 2 * SECOND;
+	begin_at(&play, 0, OUT);
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
+	asked = entries_send(play.entries, OUT,
+			     &(struct entries_ask){ .path = ENTRIES_AGAIN });
+	entries_run(play.entries, SECOND);
+	g_assert_cmpint(asked->code, ==, RESULT_OK);
+	end(&play);
+}
+
+static void test_long_cut_and_back(void)
+{
+	struct play play = start(order_two);
+
+	cut(&play, OUT);
+	entries_run(play.entries, 6 * SECOND);
+	entries_cut(play.entries, OUT, false);
+	entries_run(play.entries, 6 * SECOND);
+	play.ends_us = group_now(play.entries->group) + 2 * SECOND;
+	begin_at(&play, 0, OUT);
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	g_assert_cmpuint(play.entries->neighbours->len, ==, 0);
+	end(&play);
+}
+
 /* A VM that hears of no server goes on with its own streams at those. */
 static void test_started_again_unheard(void)
 {
@@ -258,6 +294,24 @@
 	end(&play);
 }
 
+/* An evacuated zone that the VM is told of by its neighbours alone. */
+static void test_evacuated_unheard(void)
+{
+	struct play play = start(order_one);
+	const struct entries_asked *asked;
+
+	cut(&play, OUT);
+	entries_run(play.entries, 2 * SECOND);
+	group_evacuate(play.entries->group, 0, "z1", true);
+	entries_run(play.entries, SECOND);
+	asked = entries_send(play.entries, OUT,
+			     &(struct entries_ask){ .path = ENTRIES_AGAIN });
+	entries_run(play.entries, SECOND);
+	g_assert_cmpint(asked->run, ==, RUN_NOT);
+	g_assert_cmpint(asked->sends, ==, 0);
+	end(&play);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -275,5 +329,8 @@
 			test_started_again_unheard);
 	g_test_add_func("/taken-up/started-again-isolated",
 			test_started_again_isolated);
+	g_test_add_func("/taken-up/long-cut", test_long_cut);
+	g_test_add_func("/taken-up/long-cut-and-back", test_long_cut_and_back);
+	g_test_add_func("/taken-up/evacuated-unheard", test_evacuated_unheard);
 	return g_test_run();
 }
