entry: a VM that reaches no other VM isn't ready

Being ready went by the age of the document alone. The links to neighbours are a probe as well: without one of them after half a second, and with no control VM that has answered for a second, the VM isn't ready, 1.5 s after the cut instead of 4.5 s. It still serves whoever comes. A site's only entry VM knows no neighbour and stays ready as before, since nobody could serve its callers instead; one cut off from control VMs alone stays ready too.

Refusals there remain: what no VM in reach knows isn't guessed.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -251,7 +251,9 @@
 bool entry_ready(const struct entry *entry, int64_t now_us)
 {
 	return !entry->stop_requested_us && entry->document &&
-	       entry_is_fresh(entry, now_us) && entry->fleet.backends.count > 0;
+	       entry_is_fresh(entry, now_us) &&
+	       !entry_is_isolated(entry, now_us) &&
+	       entry->fleet.backends.count > 0;
 }
 
 const struct document *entry_document(const struct entry *entry)
--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -921,6 +921,11 @@
 		entries_cut_from(entries, vm, control, cut);
 }
 
+bool entries_ready(const struct entries *entries, int vm)
+{
+	return entry_ready(entries->vms[vm].entry, entries_vm_now(entries, vm));
+}
+
 void entries_slow(struct entries *entries, int vm, int64_t us)
 {
 	entries->vms[vm].slow_us = us;
--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -257,6 +257,30 @@
 	end(&play);
 }
 
+/* A VM that reaches no other VM refuses what it doesn't know. */
+static void test_isolated(void)
+{
+	struct play play = start(order_two);
+
+	begin_at(&play, 0, OUT);
+	entries_isolate(play.entries, OUT, true);
+	play.ends_us = group_now(play.entries->group) + CUT_US;
+	g_assert_true(entries_ready(play.entries, OUT));
+	entries_run(play.entries, 2 * SECOND);
+	g_assert_false(entries_ready(play.entries, OUT));
+	g_assert_true(entries_ready(play.entries, 0));
+	come_back_until_end(&play, OUT);
+	check_none_joined(&play);
+	g_assert_cmpint(streams_gone_on(play.entries), ==, 0);
+	entries_isolate(play.entries, OUT, false);
+	entries_run(play.entries, SECOND);
+	g_assert_true(entries_ready(play.entries, OUT));
+	come_back(&play, OUT);
+	entries_run(play.entries, SECOND);
+	check_whole(&play);
+	end(&play);
+}
+
 /* A VM that hears of no server goes on with its own streams at those. */
 static void test_started_again_unheard(void)
 {
@@ -331,6 +355,7 @@
 			test_started_again_isolated);
 	g_test_add_func("/taken-up/long-cut", test_long_cut);
 	g_test_add_func("/taken-up/long-cut-and-back", test_long_cut_and_back);
+	g_test_add_func("/taken-up/isolated", test_isolated);
 	g_test_add_func("/taken-up/evacuated-unheard", test_evacuated_unheard);
 	return g_test_run();
 }
