entry: all neighbours may know a stream, not two of them

What callers saw: with no control VM left, streams were refused unless one of two neighbours had begun them, though others had.

A resumption was passed on to two neighbours at most. Those that can't ask control VMs either refuse at once, so all that are known are tried, for 0.4 s; what is known to none is refused at once where nobody can be asked any more. t-taken-up: no-control-vms; also, as they weren't played before, a VM that stood still, streams that go on within an answer 3 s after the cut, and links that are slow instead of silent: no refusal, none joined.

--- a/libfilberthall/entry/entry_elsewhere.c
+++ b/libfilberthall/entry/entry_elsewhere.c
@@ -7,8 +7,8 @@
 #include "base/alloc.h"
 #include "entry/entry_state.h"
 
-/* Neighbours that are tried; the next one may be out of contact as well. */
-#define ELSEWHERE_MOST 2
+/* So long neighbours that refuse it are followed by others. */
+#define ELSEWHERE_US INT64_C(400000)
 
 /* An entry VM's answer that promises that nothing ran. */
 #define NOT_RUN_STATUS 503
@@ -23,12 +23,20 @@
 		!entry_is_in_contact(entry));
 }
 
+void entry_elsewhere_free(struct elsewhere *elsewhere)
+{
+	if (elsewhere)
+		entry_free_request(&elsewhere->request);
+	free(elsewhere);
+}
+
 bool entry_go_elsewhere(struct entry *entry,
 			const struct entry_request *request,
 			const struct route *route,
 			const struct document_organisation *holder)
 {
-	const char *address = entry_next_neighbour(entry);
+	struct tried tried = { .n = 0 };
+	const char *address = entry_next_neighbour(entry, &tried);
 	struct open_call *call;
 
 	if (!address)
@@ -37,7 +45,8 @@
 	call->service = xstrdup("");
 	call->repeatable = true;
 	call->elsewhere = xcalloc(1, sizeof(*call->elsewhere));
-	entry_copy_request(call->elsewhere, request);
+	call->elsewhere->tried = tried;
+	entry_copy_request(&call->elsewhere->request, request);
 	entry_start_pass(entry, call, address);
 	return true;
 }
@@ -46,7 +55,8 @@
 static void decide_here(struct entry *entry, struct open_call *call)
 {
 	int64_t waited_ms = (entry->now_us - call->arrived_us) / 1000;
-	struct entry_request *request = call->elsewhere;
+	struct elsewhere *elsewhere = call->elsewhere;
+	struct entry_request *request = &elsewhere->request;
 
 	call->elsewhere = NULL;
 	entry_call_free(entry, call);
@@ -61,8 +71,7 @@
 	else
 		entry_refuse(entry, request, RESULT_STALE,
 			     ENTRY_STALE_RETRY_AFTER_MS);
-	entry_free_request(request);
-	free(request);
+	entry_elsewhere_free(elsewhere);
 }
 
 static bool is_refused(const struct event_attempt_ended *ended)
@@ -80,8 +89,8 @@
 
 	if (!call->elsewhere || !is_refused(ended))
 		return false;
-	if (call->pass < ELSEWHERE_MOST)
-		address = entry_next_neighbour(entry);
+	if (entry->now_us - call->arrived_us < ELSEWHERE_US)
+		address = entry_next_neighbour(entry, &call->elsewhere->tried);
 	if (address)
 		entry_start_pass(entry, call, address);
 	else
--- a/libfilberthall/entry/entry_neighbour.c
+++ b/libfilberthall/entry/entry_neighbour.c
@@ -295,31 +295,51 @@
 	       !has_link(entry);
 }
 
+static bool was_tried(const struct neighbour *neighbour,
+		      const struct tried *tried)
+{
+	int i;
+
+	for (i = 0; i < tried->n; i++)
+		if (tried->ids[i] == neighbour->id)
+			return true;
+	return false;
+}
+
 /* Those with a link are known to be reached. */
-static int next_neighbour(const struct entry *entry)
+static int next_neighbour(const struct entry *entry, const struct tried *tried)
 {
-	bool linked = has_link(entry);
+	int next = -1;
 	int i;
 
-	if (entry_is_isolated(entry, entry->now_us))
+	if (entry_is_isolated(entry, entry->now_us) ||
+	    tried->n == ENTRY_NEIGHBOURS_MOST)
 		return -1;
-	for (i = 0; i < entry->n_neighbours; i++)
-		if (!linked || entry->neighbours[i].linked)
+	for (i = 0; i < entry->n_neighbours; i++) {
+		if (was_tried(&entry->neighbours[i], tried))
+			continue;
+		if (entry->neighbours[i].linked)
 			return i;
-	return -1;
+		if (next < 0)
+			next = i;
+	}
+	return next;
 }
 
 bool entry_has_neighbour(const struct entry *entry)
 {
-	return next_neighbour(entry) >= 0;
+	const struct tried none = { .n = 0 };
+
+	return next_neighbour(entry, &none) >= 0;
 }
 
-const char *entry_next_neighbour(struct entry *entry)
+const char *entry_next_neighbour(struct entry *entry, struct tried *tried)
 {
-	int i = next_neighbour(entry);
+	int i = next_neighbour(entry, tried);
 
 	if (i < 0)
 		return NULL;
+	tried->ids[tried->n++] = entry->neighbours[i].id;
 	move_last(entry, i);
 	return entry->neighbours[entry->n_neighbours - 1].callers;
 }
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -64,9 +64,7 @@
 	free(call->organisation);
 	free(call->class_name);
 	free(call->service);
-	if (call->elsewhere)
-		entry_free_request(call->elsewhere);
-	free(call->elsewhere);
+	entry_elsewhere_free(call->elsewhere);
 	free(call);
 }
 
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -180,7 +180,8 @@
 		return NULL;
 	}
 	known = affinities_find(&entry->affinities, &key, entry->now_us);
-	if (!known && request->passed_on && !entry_is_in_contact(entry)) {
+	if (!known && !entry_is_in_contact(entry) &&
+	    (request->passed_on || request->where == ENTRY_HERE)) {
 		refuse_unknown(entry, request, NULL, "out-of-contact");
 		return NULL;
 	}
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -40,6 +40,18 @@
 	int64_t wanted_us; /**< since when, or since it went down */
 };
 
+/** Neighbours that a request was passed on to. */
+struct tried {
+	uint64_t ids[ENTRY_NEIGHBOURS_MOST];
+	int n;
+};
+
+/** A stream that a neighbour is to go on with. */
+struct elsewhere {
+	struct entry_request request; /**< its strings are owned */
+	struct tried tried;
+};
+
 /** An entry VM with a link to this one, whichever opened it. */
 struct guest {
 	struct list node;
@@ -70,8 +82,7 @@
 	bool begun;		     /**< its stream is recorded */
 	bool resumes;		     /**< a stream that was begun before */
 	struct affinity_key resumed;
-	struct entry_request *elsewhere; /**< owned; a copy, of a stream that a
-					      neighbour is to go on with */
+	struct elsewhere *elsewhere; /**< owned, or NULL */
 };
 
 /** A request deferred until this VM's state is fresh. Strings are owned. */
@@ -209,8 +220,11 @@
 /** Whether a neighbour may be reached. */
 bool entry_has_neighbour(const struct entry *entry);
 
-/** Where one of them takes requests, another one each time; NULL: nowhere. */
-const char *entry_next_neighbour(struct entry *entry);
+/**
+ * Where one that wasn't tried takes requests, another one each time. It counts
+ * as tried then. NULL: there is none.
+ */
+const char *entry_next_neighbour(struct entry *entry, struct tried *tried);
 
 /* entry_feed.c */
 
@@ -273,6 +287,9 @@
 bool entry_must_go_elsewhere(const struct entry *entry,
 			     const struct entry_request *request);
 
+/** NULL is allowed. */
+void entry_elsewhere_free(struct elsewhere *elsewhere);
+
 /** Pass the request on to a neighbour; false if there is none. */
 bool entry_go_elsewhere(struct entry *entry,
 			const struct entry_request *request,
--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -257,6 +257,58 @@
 	end(&play);
 }
 
+/* Servers break streams off that the VM goes on with by itself. */
+static void test_within_answers(void)
+{
+	struct play play = start(order_two);
+	guint i;
+
+	cut(&play, OUT);
+	entries_run(play.entries, 3 * SECOND);
+	play.entries->servers[0].break_at = STREAMS_EVENTS / 2;
+	play.entries->servers[1].break_at = STREAMS_EVENTS / 2;
+	for (i = 0; i < ORDER_STREAMS; i++) {
+		streams_begin(play.entries, OUT);
+		entries_run(play.entries, SECOND / 50);
+	}
+	entries_run(play.entries, SECOND);
+	g_assert_cmpint(streams_joined(play.entries), ==, 0);
+	g_assert_cmpint(streams_in_state(play.entries, STREAMS_WHOLE), ==,
+			ORDER_STREAMS);
+	end(&play);
+}
+
+/* The VM stands still while its callers come back to it. */
+static void test_stood_still(void)
+{
+	struct play play = start(order_two);
+
+	begin_at(&play, 0, OUT);
+	entries_freeze(play.entries, OUT, true);
+	entries_run(play.entries, 3 * SECOND);
+	entries_freeze(play.entries, OUT, false);
+	play.ends_us = group_now(play.entries->group) + 2 * SECOND;
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
+	end(&play);
+}
+
+/* There is no control VM; the VMs that began the streams know them. */
+static void test_no_control_vms(void)
+{
+	struct play play = start(order_two);
+
+	begin_at(&play, 0, OUT);
+	group_kill_all(play.entries->group);
+	entries_run(play.entries, NOTICED_US);
+	come_back(&play, OUT);
+	entries_run(play.entries, SECOND);
+	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
+	end(&play);
+}
+
 /* A VM that reaches no other VM refuses what it doesn't know. */
 static void test_isolated(void)
 {
@@ -336,6 +388,25 @@
 	end(&play);
 }
 
+/* What is told of servers is old when it comes. */
+static void test_started_again_slow(void)
+{
+	struct play play = start(order_one);
+	int i;
+
+	entries_slow(play.entries, OUT, 3 * SECOND / 2);
+	entries_slow_news(play.entries, OUT, 3 * SECOND / 2);
+	entries_run(play.entries, 5 * SECOND);
+	begin_at(&play, OUT, 1);
+	for (i = 0; i < ORDER_SERVERS; i++)
+		entries_restart_server(play.entries, i, i % 2 ? "v2" : "v1");
+	entries_run(play.entries, STARTED_US);
+	play.ends_us = group_now(play.entries->group) + 3 * SECOND;
+	come_back_until_end(&play, OUT);
+	check_none_joined(&play);
+	end(&play);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -353,8 +424,13 @@
 			test_started_again_unheard);
 	g_test_add_func("/taken-up/started-again-isolated",
 			test_started_again_isolated);
+	g_test_add_func("/taken-up/started-again-slow",
+			test_started_again_slow);
 	g_test_add_func("/taken-up/long-cut", test_long_cut);
 	g_test_add_func("/taken-up/long-cut-and-back", test_long_cut_and_back);
+	g_test_add_func("/taken-up/within-answers", test_within_answers);
+	g_test_add_func("/taken-up/stood-still", test_stood_still);
+	g_test_add_func("/taken-up/no-control-vms", test_no_control_vms);
 	g_test_add_func("/taken-up/isolated", test_isolated);
 	g_test_add_func("/taken-up/evacuated-unheard", test_evacuated_unheard);
 	return g_test_run();
