--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -55,7 +55,6 @@
 	entry->zone = name_short_copy(options->zone);
 	entry->rng.state = options->seed;
 	entry->fresh_as_of_us = INT64_MIN / 2;
-	entry->told_fresh_us = INT64_MIN / 2;
 	entry->number = -1;
 	entry->polled_us = INT64_MIN / 2;
 	fetch_init(&entry->fetch);
--- a/libfilberthall/entry/entry_feed.c
+++ b/libfilberthall/entry/entry_feed.c
@@ -49,7 +49,6 @@
 	entry_tell_demand(entry);
 	entry_write_reach(entry, &poll.reach);
 	feed_write_poll(&body, &poll);
-	entry_tell_neighbours(entry, &body);
 	entry_send_all(entry, &body);
 	entry->polled_us = entry->now_us;
 }
@@ -135,27 +134,10 @@
 	router_set_vm(entry->router, &vm);
 }
 
-/*
- * Counted from when the poll was sent: a withdrawal before the answer was made
- * is known, a later one isn't. An answer that was delayed in transit must not
- * appear fresh.
- */
-bool entry_note_fresh(struct entry *entry, const struct feed_state *state)
-{
-	int64_t held = entry->document ? entry->document->version : 0;
-	int64_t fresh_us = state->echo_us - state->age_us;
-
-	if (!state->echo_us || state->age_us < 0 || state->version > held ||
-	    state->echo_us > entry->now_us)
-		return false;
-	if (fresh_us > entry->fresh_as_of_us)
-		entry->fresh_as_of_us = fresh_us;
-	return true;
-}
-
 static void handle_state(struct entry *entry, uint64_t peer,
 			 const struct feed_state *state)
 {
+	int64_t held = entry->document ? entry->document->version : 0;
 	int64_t fresh_us = state->echo_us - state->age_us;
 	struct fetch_offer offer = { peer, state->version, state->echo_us };
 
@@ -166,8 +148,14 @@
 	if (entry->entry_vms)
 		update_number(entry, peer, state);
 	fetch_document(entry, &offer);
-	if (entry_note_fresh(entry, state) && fresh_us > entry->told_fresh_us)
-		entry->told_fresh_us = fresh_us;
+	/*
+	 * Counted from when the poll was sent: a withdrawal before the answer
+	 * was made is known, a later one isn't. An answer that was delayed in
+	 * transit must not appear fresh.
+	 */
+	if (state->echo_us && state->age_us >= 0 && state->version <= held &&
+	    state->echo_us <= entry->now_us && fresh_us > entry->fresh_as_of_us)
+		entry->fresh_as_of_us = fresh_us;
 }
 
 static void record_received(struct entry *entry, uint64_t peer,
--- a/libfilberthall/entry/entry_neighbour.c
+++ b/libfilberthall/entry/entry_neighbour.c
@@ -1,7 +1,7 @@
 /*
  * Other entry VMs, by which this one reaches control VMs that don't answer it:
  * they go on with streams that are resumed here, pass on where streams were
- * begun here, and tell what they hear of backend servers and of the document.
+ * begun here, and tell what they hear of backend servers.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -265,7 +265,7 @@
 void entry_neighbours_tick(struct entry *entry)
 {
 	if (entry->contact_us &&
-	    entry->now_us - entry->told_fresh_us >= NEEDED_AFTER_US) {
+	    entry->now_us - entry->fresh_as_of_us >= NEEDED_AFTER_US) {
 		if (!entry->neighbours_since_us)
 			entry->neighbours_since_us = entry->now_us;
 		entry->neighbours_until_us = entry->now_us + KEEP_US;
@@ -360,33 +360,6 @@
 	entry_handle_affinities(entry, message);
 }
 
-/*
- * What is known here holds for the other VM as well, if it has the same
- * document. Orders for zones go first, as no request is to be decided by older
- * ones.
- */
-static void answer_poll(struct entry *entry, uint64_t peer,
-			const struct feed_poll *poll)
-{
-	struct feed_state state = { .echo_us = poll->sent_us,
-				    .age_us = -1,
-				    .number = -1 };
-	struct bytes body = { 0 };
-
-	if (!entry_can_decide(entry))
-		return;
-	if (poll->evacuations < entry->evacuations.revision) {
-		feed_write_evacuations(&body, &entry->evacuations);
-		feed_send(entry->effects, peer, &body);
-		bytes_clear(&body);
-	}
-	state.age_us = entry->now_us - entry->fresh_as_of_us;
-	state.version = entry->document->version;
-	feed_write_state(&body, &state);
-	feed_send(entry->effects, peer, &body);
-	bytes_clear(&body);
-}
-
 void entry_neighbour_message(struct entry *entry, uint64_t peer,
 			     const struct bytes *body)
 {
@@ -395,15 +368,6 @@
 	if (!feed_read(&message, body->data, body->len))
 		return;
 	switch (message.kind) {
-	case FEED_POLL:
-		answer_poll(entry, peer, &message.u.poll);
-		break;
-	case FEED_STATE:
-		entry_note_fresh(entry, &message.u.state);
-		break;
-	case FEED_EVACUATIONS:
-		entry_handle_evacuations(entry, &message.u.evacuations);
-		break;
 	case FEED_AFFINITIES:
 		pass_on_affinities(entry, &message);
 		break;
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -149,7 +149,6 @@
 	int64_t number;		   /**< of this one among them, -1 unknown */
 	int64_t announce_sequence; /**< last number given to the fleet */
 	int64_t fresh_as_of_us;	   /**< document state known as of then */
-	int64_t told_fresh_us;	   /**< the same, as control VMs tell it */
 	bool was_fresh;
 	int64_t contact_us; /**< sending of the newest poll answered, or 0 */
 	bool was_in_contact;
@@ -227,12 +226,6 @@
 const char *entry_next_neighbour(struct entry *entry, struct tried *tried);
 
 /* entry_feed.c */
-
-/**
- * The document in force was the newest one when the state was told, or so long
- * before; false if that doesn't follow.
- */
-bool entry_note_fresh(struct entry *entry, const struct feed_state *state);
 void entry_feed_message(struct entry *entry, uint64_t peer,
 			const struct bytes *body);
 void entry_feed_tick(struct entry *entry);
