entry: a stale VM passes on streams that are taken up

What callers saw: at a VM without control VMs, or with those of a smaller part alone, streams that were taken up after 4.5 s were refused as STALE, after up to 1.5 s, though its neighbours may decide on them.

A stale VM may decide on nothing itself.

--- a/libfilberthall/entry/entry_elsewhere.c
+++ b/libfilberthall/entry/entry_elsewhere.c
@@ -51,6 +51,20 @@
 	return true;
 }
 
+bool entry_go_elsewhere_stale(struct entry *entry,
+			      const struct entry_request *request)
+{
+	const struct route *route;
+
+	if (!entry->document || entry->stop_requested_us ||
+	    request->passed_on || request->unreadable ||
+	    request->where == ENTRY_HERE)
+		return false;
+	route = document_route(entry->document, request->host, request->path);
+	return route && entry_is_resumption(route, request) &&
+	       entry_go_elsewhere(entry, request, route, NULL);
+}
+
 /* No neighbour can. */
 static void decide_here(struct entry *entry, struct open_call *call)
 {
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -429,7 +429,8 @@
 	entry->effects = effects;
 	if (entry_can_decide(entry))
 		entry_decide(entry, request);
-	else if (!entry_defer(entry, request))
+	else if (!entry_go_elsewhere_stale(entry, request) &&
+		 !entry_defer(entry, request))
 		entry_refuse(entry, request, RESULT_STALE,
 			     ENTRY_STALE_RETRY_AFTER_MS);
 }
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -289,6 +289,13 @@
 			const struct route *route,
 			const struct document_organisation *holder);
 
+/**
+ * The same for what may be a stream that is resumed, as far as is known: the
+ * neighbour decides on it by its own document.
+ */
+bool entry_go_elsewhere_stale(struct entry *entry,
+			      const struct entry_request *request);
+
 /**
  * A neighbour has answered, or couldn't be reached.
  *
--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -221,6 +221,41 @@
 	end(&play);
 }
 
+/* The VM may decide on nothing any more; its neighbours may. */
+static void test_long_cut(void)
+{
+	struct play play = start(order_two);
+	const struct entries_asked *asked;
+
+	cut(&play, OUT);
+	entries_run(play.entries, 6 * SECOND);
+	play.ends_us = group_now(play.entries->group) + 2 * SECOND;
+	begin_at(&play, 0, OUT);
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
+	asked = entries_send(play.entries, OUT,
+			     &(struct entries_ask){ .path = ENTRIES_AGAIN });
+	entries_run(play.entries, 2 * SECOND);
+	g_assert_cmpint(asked->code, ==, RESULT_STALE);
+	end(&play);
+}
+
+/* The same at a VM that control VMs without a leader answer. */
+static void test_long_minority(void)
+{
+	struct play play = start(order_two);
+
+	cut_with_minority(&play, OUT);
+	entries_run(play.entries, 7 * SECOND);
+	play.ends_us = group_now(play.entries->group) + 2 * SECOND;
+	begin_at(&play, 0, OUT);
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
+	end(&play);
+}
+
 static void test_long_cut_and_back(void)
 {
 	struct play play = start(order_two);
@@ -388,6 +423,8 @@
 			test_started_again_isolated);
 	g_test_add_func("/taken-up/started-again-slow",
 			test_started_again_slow);
+	g_test_add_func("/taken-up/long-cut", test_long_cut);
+	g_test_add_func("/taken-up/long-minority", test_long_minority);
 	g_test_add_func("/taken-up/long-cut-and-back", test_long_cut_and_back);
 	g_test_add_func("/taken-up/within-answers", test_within_answers);
 	g_test_add_func("/taken-up/stood-still", test_stood_still);
