--- a/libfilberthall/entry/entry_neighbour.c
+++ b/libfilberthall/entry/entry_neighbour.c
@@ -264,7 +264,7 @@
 
 void entry_neighbours_tick(struct entry *entry)
 {
-	if (entry->contact_us &&
+	if (entry->fresh_as_of_us > INT64_MIN / 4 &&
 	    entry->now_us - entry->fresh_as_of_us >= NEEDED_AFTER_US) {
 		if (!entry->neighbours_since_us)
 			entry->neighbours_since_us = entry->now_us;
