entry: refuse what would wait for control VMs to come back

What callers saw, with all control VMs standing still for 3 s (real processes): streams that were taken up waited at the VM that knew them until their time was over, as it had no news of any server of their version.

While no control VM answers, nothing will be heard of these servers, so the request is refused as STALE at once, and its caller may come back or be served by a VM that knows more. out-of-step.t plays that, and three servers that start again under their ids and addresses as another version while the VM that began the streams has no links: 13 of 40 joined on, none now (ORDER). taking_up.py takes named options.

--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -363,6 +363,13 @@
 					holder ? holder->name : "");
 	if (!affinity)
 		return;
+	/* It would wait until a control VM is back. */
+	if (!entry_is_in_contact(entry) &&
+	    !entry_has_confirmed(entry, affinity)) {
+		entry_refuse(entry, request, RESULT_STALE,
+			     ENTRY_STALE_RETRY_AFTER_MS);
+		return;
+	}
 	service = service_of_route(route, affinity->service);
 	if (service)
 		route_request(entry, request, route, holder, service, affinity);
--- a/libfilberthall/entry/entry_servers.c
+++ b/libfilberthall/entry/entry_servers.c
@@ -102,6 +102,21 @@
 			entry->registry.confirmed_us);
 }
 
+bool entry_has_confirmed(const struct entry *entry,
+			 const struct affinity *affinity)
+{
+	struct registry_entry *server;
+	struct registry_entry *next;
+
+	map_foreach(server, next, &entry->registry.by_id, node)
+		if (server->version == affinity->version &&
+		    server->service == affinity->service &&
+		    registry_entry_usable(server) &&
+		    entry_is_confirmed(entry, server))
+			return true;
+	return false;
+}
+
 /* A server that may have another version by now gets no resumed streams. */
 static void update_confirmed(struct entry *entry,
 			     const struct registry_entry *registered)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -369,6 +369,10 @@
 bool entry_is_confirmed(const struct entry *entry,
 			const struct registry_entry *server);
 
+/** Whether such a server may go on with streams that began there. */
+bool entry_has_confirmed(const struct entry *entry,
+			 const struct affinity *affinity);
+
 /** Updates the router's fleet from what is known of one start. */
 void entry_update_server(struct entry *entry,
 			 const struct registry_entry *registered);
--- a/tests/e2e/out-of-step.t
+++ b/tests/e2e/out-of-step.t
@@ -47,12 +47,17 @@
 two=$(address entry-2 callers)
 three=$(address entry-3 callers)
 
-# take_up CUT SECONDS FROM [DELAY]: callers come back to entry VM 3.
+# take_up CUT SECONDS FROM [OPTIONS]: callers come back to entry VM 3.
 take_up() {
+	cut=$1
+	seconds=$2
+	from=$3
+	shift 3
+	: >"$HELD"
 	check "streams are taken up" timeout 60 python3 \
-		"$SOURCE_ROOT/tests/e2e/taking_up.py" "$HELD" "$1" "$2" "$3" \
-		"$three" $4
-	cat "$WORK/check.out"
+		"$SOURCE_ROOT/tests/e2e/taking_up.py" --held "$HELD" \
+		--cut "$cut" --seconds "$seconds" --begin "$from" \
+		--to "$three" "$@"
 	sed 's/^/# /' "$WORK/check.out"
 	cp "$WORK/check.out" "$WORK/tally"
 }
@@ -71,7 +76,7 @@
 	sleep 1
 }
 
-take_up entry-3 3 "$one,$two" ""
+take_up entry-3 3 "$one,$two"
 is "one version: none is refused" "$(tally refused)" 0
 expect "one version"
 
@@ -85,13 +90,57 @@
 	check "entry VM $n knows the new ones" wait_for 20 known $n 9
 done
 
-take_up entry-3 3 "$one,$two" ""
+take_up entry-3 3 "$one,$two"
 is "taken up at the VM that is cut off: none is refused" "$(tally refused)" 0
 expect "taken up at the VM that is cut off"
 
-take_up entry-1 4 "$one" 1.2
+take_up entry-1 4 "$one" --begin-after 1.2
 expect "begun at the VM that is cut off"
 
-take_up entry-1,entry-3 4 "$one" 1.2
+take_up entry-1,entry-3 4 "$one" --begin-after 1.2
 expect "both are cut off"
+
+# Three servers start again under their ids and addresses with the other
+# version, as the links of entry VM 3, which began the streams, are held.
+start_again() {
+	wait_for 20 test -s "$HELD"
+	for n in 1 2 3
+	do
+		signal old-$n KILL
+	done
+	sleep 2
+	for n in 1 2 3
+	do
+		"$BIN/fake-native" --listen "$(address old-$n)" --id old-$n \
+			--service scribe --events 24 --gap-ms 20 \
+			--software v2 $controls >"$WORK/again-$n.log" 2>&1 &
+		echo $! >"$WORK/again-$n.pid"
+	done
+}
+start_again &
+again=$!
+STARTED="$STARTED again-1 again-2 again-3"
+take_up entry-3 4 "$three" --back-after 2.6
+wait $again
+is "servers started again unheard: none is joined" "$(tally joined)" 0
+check "most are taken up" test "$(tally whole)" -ge 20
+
+# All control VMs stand still.
+for n in 1 2 3
+do
+	signal control-$n STOP
+done
+{
+	sleep 4
+	for n in 1 2 3
+	do
+		signal control-$n CONT
+	done
+} &
+again=$!
+sleep 1.2
+take_up none 3 "$one,$two"
+wait $again
+is "no control VM answers: none is joined" "$(tally joined)" 0
+is "no control VM answers: all are whole" "$(tally whole)" 40
 finish
--- a/tests/e2e/taking_up.py
+++ b/tests/e2e/taking_up.py
@@ -1,13 +1,11 @@
 """Callers who leave streams and take them up at an entry VM out of step.
 
-taking_up.py HELD CUT,... SECONDS FROM,... TO [DELAY]: 40 streams begin at the
-entry VMs FROM, IP:PORT each, whose callers leave after a few events and come
-back to the VM TO while the VMs CUT have no links to control VMs, for so long.
-With DELAY the streams begin so many seconds after the links are gone. New
-callers come to TO meanwhile. Prints what became of them.
+40 streams begin at some entry VMs; their callers leave after a few events and
+come back to another one, while some VMs have no links to control VMs. New
+callers come to that one meanwhile. Prints what became of them.
 """
+import argparse
 import asyncio
-import sys
 import time
 
 from rawsite import read_head
@@ -20,15 +18,28 @@
 GAP_S = 0.02
 WAIT_S = 6
 
-HELD_FILE = sys.argv[1]
-CUT = sys.argv[2].split(",")
-SECONDS = float(sys.argv[3])
-FROM = sys.argv[4].split(",")
-TO = sys.argv[5]
-DELAY = float(sys.argv[6]) if len(sys.argv) > 6 else None
 PLAY = time.time_ns()
 
 
+def read_args():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--held", help="file that names the VMs cut off")
+    parser.add_argument("--cut", help="their names", default="")
+    parser.add_argument("--seconds", type=float, help="how long they are")
+    parser.add_argument("--begin", help="IP:PORT,... where streams begin")
+    parser.add_argument("--to", help="IP:PORT where callers come back")
+    parser.add_argument(
+        "--begin-after", type=float, help="seconds from the cut on"
+    )
+    parser.add_argument("--back-after", type=float, default=0.1)
+    return parser.parse_args()
+
+
+ARGS = read_args()
+FROM = ARGS.begin.split(",")
+TO = ARGS.to
+
+
 class Stream:
     def __init__(self, number, kind):
         self.kind = kind
@@ -95,7 +106,7 @@
 
 
 def hold(names):
-    with open(HELD_FILE, "w", encoding="ascii") as held:
+    with open(ARGS.held, "w", encoding="ascii") as held:
         held.write("\n".join(names))
 
 
@@ -121,14 +132,13 @@
 
 
 async def main():
-    streams = [] if DELAY is not None else await begin()
-    hold(CUT)
-    until = time.monotonic() + SECONDS
-    if DELAY is not None:
-        await asyncio.sleep(DELAY)
+    streams = [] if ARGS.begin_after else await begin()
+    hold(ARGS.cut.split(","))
+    until = time.monotonic() + ARGS.seconds
+    if ARGS.begin_after:
+        await asyncio.sleep(ARGS.begin_after)
         streams = await begin()
-    else:
-        await asyncio.sleep(0.1)
+    await asyncio.sleep(ARGS.back_after)
     back = asyncio.gather(*(stream.come_back(TO) for stream in streams))
     new = asyncio.create_task(begin_new())
     await asyncio.sleep(max(0, until - time.monotonic()))
