entry: requests for servers that aren't reached go to a neighbour, too

What callers saw: an entry VM cut off from control VMs and from the servers of a service refused all requests for it, though other entry VMs reach them (t-no-servers, out-of-contact: none served between 2 and 4 s after the cut).

Where no control VM answers, such requests now go to a neighbour; more than two thirds of the share of the other VMs are served, as the test asks of VMs that control VMs answer.

--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -21,11 +21,29 @@
 /* Of a VM's answer that the request hasn't run. */
 #define NOT_RUN_STATUS 503
 
+static bool is_told(const struct entry *entry,
+		    const struct service_state *service)
+{
+	return service->ways.n > 0 &&
+	       entry->now_us - service->told_us < WAYS_STALE_US;
+}
+
+/* Neighbours may reach it, where no control VM can tell who does. */
 bool entry_has_way(const struct entry *entry,
 		   const struct service_state *service)
 {
-	return service->reach.state == REACH_LOST && service->ways.n > 0 &&
-	       entry->now_us - service->told_us < WAYS_STALE_US;
+	return service->reach.state == REACH_LOST &&
+	       (is_told(entry, service) ||
+		(!entry_is_in_contact(entry) && entry_has_neighbour(entry)));
+}
+
+static const char *next_way(struct entry *entry, struct service_state *service)
+{
+	struct tried none = { .n = 0 };
+
+	if (!is_told(entry, service))
+		return entry_next_neighbour(entry, &none);
+	return service->ways.callers[service->turn++ % service->ways.n];
 }
 
 void entry_start_pass(struct entry *entry, struct open_call *call,
@@ -54,9 +72,7 @@
 	if (call->passed_on || call->pass >= PASSES_MOST ||
 	    !entry_has_way(entry, service))
 		return false;
-	entry_start_pass(
-		entry, call,
-		service->ways.callers[service->turn++ % service->ways.n]);
+	entry_start_pass(entry, call, next_way(entry, service));
 	return true;
 }
 
--- a/tests/control/t-no-servers.c
+++ b/tests/control/t-no-servers.c
@@ -111,6 +111,20 @@
 	entries_free(traffic.entries);
 }
 
+/* A VM that no control VM can tell who reaches the servers. */
+static void test_out_of_contact(void)
+{
+	struct entries_traffic traffic = start(VMS, PER_S);
+
+	entries_cut(traffic.entries, 0, true);
+	cut(traffic.entries, 1, ENTRIES_PATH_REFUSED);
+	entries_play(&traffic, 2 * SECOND);
+	entries_count_anew(traffic.entries);
+	entries_play(&traffic, 2 * SECOND);
+	check_served(traffic.entries, 1);
+	entries_free(traffic.entries);
+}
+
 /* What VMs that are cut off are told comes half a second late. */
 static void test_late(void)
 {
@@ -199,6 +213,7 @@
 	g_test_add_func("/no-servers/silent", test_silent);
 	g_test_add_func("/no-servers/one-left", test_one_left);
 	g_test_add_func("/no-servers/many-vms", test_many_vms);
+	g_test_add_func("/no-servers/out-of-contact", test_out_of_contact);
 	g_test_add_func("/no-servers/late", test_late);
 	g_test_add_func("/no-servers/restarted", test_restarted);
 	g_test_add_func("/no-servers/by-turns", test_by_turns);
