--- a/tests/e2e/promises.t
+++ b/tests/e2e/promises.t
@@ -16,11 +16,19 @@
 	lib_note promises-$1 $!
 	check "a server is known" wait_for 20 roles_known desk-$1
 	check "and one of streams" wait_for 20 roles_known scribe-$1
+	test -z "$LAST" || check "those before get no requests" \
+		wait_for 20 silent $LAST
 	check "the entry VM gets ready" wait_for 20 is_ready 1
 }
+LAST=
 gone() {
 	signal promises-$1 KILL
 	reap promises-$1 2>/dev/null || :
+	LAST=$1
+}
+silent() {
+	grep -q "event=silent server=desk-$1 " "$WORK/entry-1.log" &&
+		grep -q "event=silent server=scribe-$1 " "$WORK/entry-1.log"
 }
 # resumed STATUS: how a stream ends whose resumption is answered so.
 resumed() {
