entry: a VM that is told of as a neighbour may have a link already

It then counted as one without a link, was given up after half a second and its link closed, although it was the other VM's. Found by reading.

--- a/libfilberthall/entry/entry_neighbour.c
+++ b/libfilberthall/entry/entry_neighbour.c
@@ -35,6 +35,16 @@
 	return NULL;
 }
 
+static struct guest *find_guest(struct entry *entry, uint64_t id)
+{
+	struct guest *guest;
+
+	list_foreach(guest, &entry->guests, node)
+		if (guest->id == id)
+			return guest;
+	return NULL;
+}
+
 static void open_link(struct entry *entry, struct neighbour *neighbour)
 {
 	struct effect *effect = effects_add(entry->effects, EFFECT_LINK_OPEN);
@@ -109,7 +119,10 @@
 
 	make_room(entry);
 	memmove(first + 1, first, (size_t)entry->n_neighbours * sizeof(*first));
-	*first = (struct neighbour){ .id = told->id };
+	*first = (struct neighbour){
+		.id = told->id,
+		.linked = find_guest(entry, told->id) != NULL,
+	};
 	snprintf(first->links, sizeof(first->links), "%s", told->links);
 	snprintf(first->callers, sizeof(first->callers), "%s", told->callers);
 	entry->n_neighbours++;
@@ -133,16 +146,6 @@
 	}
 }
 
-static struct guest *find_guest(struct entry *entry, uint64_t id)
-{
-	struct guest *guest;
-
-	list_foreach(guest, &entry->guests, node)
-		if (guest->id == id)
-			return guest;
-	return NULL;
-}
-
 static void guest_free(struct guest *guest)
 {
 	list_remove(&guest->node);
