tests: streams taken up elsewhere while neighbours stop

Four of five VMs have begun a planned stop 4.2 s before and refuse what would end after theirs; the fifth one takes the streams up.

--- a/tests/control/entries.c
+++ b/tests/control/entries.c
@@ -18,6 +18,7 @@
 #define ASK_AGAIN_US INT64_C(50000) /* whether a first event may pass */
 #define SILENT_LONG_US (3 * SECOND / 2)
 #define CLOCK_STEP_US INT64_C(377000) /* between the VMs' clocks */
+#define STOP_GRACE_US (8 * SECOND)
 
 static struct route *add_route(struct document *document, const char *name,
 			       const char *prefix, int attempts)
@@ -921,6 +922,16 @@
 		entries_cut_from(entries, vm, control, cut);
 }
 
+void entries_stop(struct entries *entries, int vm)
+{
+	struct effects effects;
+
+	effects_init(&effects);
+	entry_stop(entries->vms[vm].entry, entries_vm_now(entries, vm),
+		   STOP_GRACE_US, &effects);
+	entries_carry_out(entries, vm, &effects);
+}
+
 bool entries_ready(const struct entries *entries, int vm)
 {
 	return entry_ready(entries->vms[vm].entry, entries_vm_now(entries, vm));
--- a/tests/control/entries.h
+++ b/tests/control/entries.h
@@ -203,6 +203,9 @@
 /** Cut a VM off from all other VMs, or join it again. */
 void entries_isolate(struct entries *entries, int vm, bool isolate);
 
+/** The VM's planned stop begins. */
+void entries_stop(struct entries *entries, int vm);
+
 /** Whether the VM wants the balancer's callers. */
 bool entries_ready(const struct entries *entries, int vm);
 
--- a/tests/control/t-taken-up.c
+++ b/tests/control/t-taken-up.c
@@ -309,6 +309,24 @@
 	end(&play);
 }
 
+/* Some neighbours stop, and refuse what may not end before they do. */
+static void test_stopping_neighbours(void)
+{
+	struct play play = start(order_two);
+	int vm;
+
+	begin_at(&play, 0, OUT);
+	for (vm = 0; vm < OUT - 1; vm++)
+		entries_stop(play.entries, vm);
+	entries_run(play.entries, 3 * SECOND);
+	cut(&play, OUT);
+	entries_run(play.entries, NOTICED_US);
+	come_back_until_end(&play, OUT);
+	check_whole(&play);
+	g_assert_cmpint(play.refusals, ==, 0);
+	end(&play);
+}
+
 /* There is no control VM; the VMs that began the streams know them. */
 static void test_no_control_vms(void)
 {
@@ -428,6 +446,8 @@
 	g_test_add_func("/taken-up/long-cut-and-back", test_long_cut_and_back);
 	g_test_add_func("/taken-up/within-answers", test_within_answers);
 	g_test_add_func("/taken-up/stood-still", test_stood_still);
+	g_test_add_func("/taken-up/stopping-neighbours",
+			test_stopping_neighbours);
 	g_test_add_func("/taken-up/no-control-vms", test_no_control_vms);
 	g_test_add_func("/taken-up/isolated", test_isolated);
 	return g_test_run();
