--- a/libfilberthall/entry/entry_contact.c
+++ b/libfilberthall/entry/entry_contact.c
@@ -13,9 +13,10 @@
 		entry->contact_us = polled_us;
 }
 
-int64_t entry_silence_us(const struct entry *entry)
+int64_t entry_silence_ms(const struct entry *entry)
 {
-	return entry->contact_us ? entry->now_us - entry->contact_us : -1;
+	return entry->contact_us ? (entry->now_us - entry->contact_us) / 1000
+				 : -1;
 }
 
 bool entry_is_in_contact(const struct entry *entry)
@@ -40,7 +41,7 @@
 		entry_log(entry, LOG_WARN, "contact",
 			  "event=lost control_vms=%zu silent_ms=%lld",
 			  entry->peers.count,
-			  (long long)(entry_silence_us(entry) / 1000));
+			  (long long)entry_silence_ms(entry));
 }
 
 void entry_contact_tick(struct entry *entry)
--- a/libfilberthall/entry/entry_pass.c
+++ b/libfilberthall/entry/entry_pass.c
@@ -62,7 +62,7 @@
 	effect->u.start.to_vm = true;
 	entry_log(entry, LOG_INFO, "request",
 		  "event=passed request=%s to=%s silent_ms=%lld", call->name,
-		  address, (long long)(entry_silence_us(entry) / 1000));
+		  address, (long long)entry_silence_ms(entry));
 }
 
 bool entry_pass(struct entry *entry, struct open_call *call)
--- a/libfilberthall/entry/entry_request.c
+++ b/libfilberthall/entry/entry_request.c
@@ -335,7 +335,7 @@
 		  (long long)((call->deadline_us - entry->now_us) / 1000),
 		  request->resumes ? request->resumes : "none",
 		  request->last_event ? request->last_event : "none",
-		  (long long)(entry_silence_us(entry) / 1000));
+		  (long long)entry_silence_ms(entry));
 	if (entry_pass(entry, call))
 		return;
 	if (request->passed_on && is_lost(entry, service)) {
--- a/libfilberthall/entry/entry_resume.c
+++ b/libfilberthall/entry/entry_resume.c
@@ -119,7 +119,7 @@
 		  request->name, request->resumes ? request->resumes : "none",
 		  why, lookup->asks, lookup->n_peers, lookup->n_votes,
 		  (long long)lookup->voters, entry->peers.count,
-		  (long long)(entry_silence_us(entry) / 1000));
+		  (long long)entry_silence_ms(entry));
 	entry_refuse(entry, request, RESULT_STREAM_UNKNOWN,
 		     UNKNOWN_RETRY_AFTER_MS);
 }
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -189,7 +189,7 @@
 void entry_note_contact(struct entry *entry, int64_t polled_us);
 
 /** Time since the newest poll that was answered was sent; -1: none was. */
-int64_t entry_silence_us(const struct entry *entry);
+int64_t entry_silence_ms(const struct entry *entry);
 
 /** Whether some control VM answers. */
 bool entry_is_in_contact(const struct entry *entry);
