entry: neighbours are told of the last seconds' streams alone

Links to neighbours are opened in elections, too, since no proof of a leader is new then. A VM told its neighbours all streams of the last half minute, and these told what was news to them to all control VMs, which knew it: by reckoning 680 records a VM at 17 streams/s, and with 300 VMs 21 MB for each control VM, just as a leader is elected. Found by reading.

What was told before a proof of a leader with a quorum was made has reached control VMs, as links keep the order, so it is told again only from a second before the newest proof on: by reckoning some 40 records a VM.

--- a/libfilberthall/entry/entry.c
+++ b/libfilberthall/entry/entry.c
@@ -70,6 +70,7 @@
 	list_init(&entry->lookups);
 	list_init(&entry->pending);
 	list_init(&entry->guests);
+	list_init(&entry->recent);
 	entry->started_us = now_us;
 	map_init(&entry->peers);
 	map_init(&entry->calls);
@@ -109,6 +110,7 @@
 	entry_free_lookups(entry);
 	entry_free_pending(entry);
 	entry_free_guests(entry);
+	entry_free_recent(entry);
 	list_foreach_safe(class, next_class, &entry->classes, node)
 		free(class);
 	entry_free_services(entry);
--- a/libfilberthall/entry/entry_affinity.c
+++ b/libfilberthall/entry/entry_affinity.c
@@ -2,8 +2,10 @@
  * Where the streams of this VM's requests were begun. The control VMs are told,
  * so that the VM that a caller comes back to can ask them.
  */
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/alloc.h"
 #include "entry/entry_state.h"
 
 /*
@@ -12,6 +14,9 @@
  */
 #define TELL_US INT64_C(250000)
 
+/* They are told by then, and what they were told before has reached them. */
+#define RECENT_US INT64_C(1000000)
+
 void entry_tell_affinities(struct entry *entry)
 {
 	struct bytes body = { 0 };
@@ -64,11 +69,58 @@
 	flush(&teller);
 }
 
+static void recent_free(struct recent *recent)
+{
+	list_remove(&recent->node);
+	free(recent);
+}
+
+void entry_free_recent(struct entry *entry)
+{
+	struct recent *recent;
+	struct recent *next;
+
+	list_foreach_safe(recent, next, &entry->recent, node)
+		recent_free(recent);
+}
+
+/* What was told before a quorum was heard of is known to control VMs. */
+static void forget_recent(struct entry *entry)
+{
+	struct recent *oldest;
+
+	while ((oldest = list_first(&entry->recent, struct recent, node)) &&
+	       oldest->noted_us < entry->fresh_as_of_us - RECENT_US)
+		recent_free(oldest);
+}
+
+static void add_recent(struct entry *entry, const struct affinity *affinity)
+{
+	struct recent *recent = xcalloc(1, sizeof(*recent));
+
+	forget_recent(entry);
+	recent->affinity = *affinity;
+	recent->noted_us = entry->now_us;
+	list_append(&entry->recent, &recent->node);
+}
+
+void entry_tell_recent_to(struct entry *entry, uint64_t peer)
+{
+	struct teller teller = { .entry = entry, .peer = peer };
+	const struct recent *recent;
+
+	forget_recent(entry);
+	list_foreach(recent, &entry->recent, node)
+		tell(&teller, &recent->affinity);
+	flush(&teller);
+}
+
 /* Record it here, and tell the control VMs soon. */
 void entry_note_affinity(struct entry *entry, const struct affinity *affinity)
 {
 	if (!affinities_note(&entry->affinities, affinity, entry->now_us))
 		return;
+	add_recent(entry, affinity);
 	if (entry->n_untold == ENTRY_UNTOLD_MOST)
 		entry_tell_affinities(entry);
 	entry->untold[entry->n_untold++] = *affinity;
--- a/libfilberthall/entry/entry_neighbour.c
+++ b/libfilberthall/entry/entry_neighbour.c
@@ -54,7 +54,7 @@
 	neighbour->wanted = true;
 	neighbour->wanted_us = entry->now_us;
 	if (neighbour->linked)
-		entry_tell_affinities_to(entry, neighbour->id);
+		entry_tell_recent_to(entry, neighbour->id);
 }
 
 static void close_link(struct entry *entry, struct neighbour *neighbour)
@@ -184,7 +184,7 @@
 		  "event=neighbour-up address=%s wanted=%d", neighbour->links,
 		  neighbour->wanted);
 	if (neighbour->wanted)
-		entry_tell_affinities_to(entry, id);
+		entry_tell_recent_to(entry, id);
 }
 
 bool entry_neighbour_down(struct entry *entry, uint64_t id)
--- a/libfilberthall/entry/entry_state.h
+++ b/libfilberthall/entry/entry_state.h
@@ -40,6 +40,13 @@
 	int64_t wanted_us; /**< since when, or since it went down */
 };
 
+/** A record that not all control VMs may have been told of. */
+struct recent {
+	struct list node;
+	struct affinity affinity;
+	int64_t noted_us;
+};
+
 /** Neighbours that a request was passed on to. */
 struct tried {
 	uint64_t ids[ENTRY_NEIGHBOURS_MOST];
@@ -156,6 +163,7 @@
 	struct neighbour neighbours[ENTRY_NEIGHBOURS_MOST]; /**< next first */
 	int n_neighbours;
 	struct list guests;
+	struct list recent;	      /**< struct recent, oldest first */
 	int64_t neighbours_since_us;  /**< links to them are needed, or 0 */
 	int64_t neighbours_until_us;  /**< these are kept */
 	int64_t begun_out_of_contact; /**< streams, since then */
@@ -326,6 +334,10 @@
 void entry_tell_affinities_to(struct entry *entry, uint64_t peer);
 void entry_affinity_tick(struct entry *entry);
 
+/** Tell a neighbour what control VMs may not know. */
+void entry_tell_recent_to(struct entry *entry, uint64_t peer);
+void entry_free_recent(struct entry *entry);
+
 /* entry_resume.c */
 bool entry_is_resumption(const struct route *route,
 			 const struct entry_request *request);
